Workspace skeleton: core's shared types and the messages between processes

Cause: several parts are to be written side by side; they need shared types first. Change: four crates; time, version, outcome with evidence, stable hash in pinereel_core; object API, engine, trainer, operator and peer messages in pinereel_api; all other modules are placeholders. Ruled out: messages inside the daemon crate, since the stand-ins would then depend on its I/O for types.

--- /dev/null
+++ b/crates/pinereel/src/controllers/mod.rs
@@ -0,0 +1,9 @@
+//! The controllers that keep state, one job a module.
+
+pub mod claims;
+pub mod config;
+pub mod drain;
+pub mod endpoints;
+pub mod lots;
+pub mod members;
+pub mod rollout;
--- /dev/null
+++ b/crates/pinereel/src/main.rs
@@ -0,0 +1,3 @@
+//! The one binary.
+
+fn main() {}
--- /dev/null
+++ b/crates/pinereel_core/src/hash.rs
@@ -0,0 +1,55 @@
+//! Stable hashes: the same on every instance and in every build.
+
+use sha2::{Digest as _, Sha256};
+use std::fmt;
+
+/// First 16 bytes of a SHA-256, used to compare bodies and lots.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
+pub struct Digest(pub [u8; 16]);
+
+impl Digest {
+    /// The digest of `bytes`.
+    pub fn of(bytes: &[u8]) -> Self {
+        let full = Sha256::digest(bytes);
+        let mut short = [0; 16];
+        short.copy_from_slice(&full[..16]);
+        Self(short)
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for byte in self.0 {
+            write!(f, "{byte:02x}")?;
+        }
+        Ok(())
+    }
+}
+
+/// A 64-bit hash of `bytes` (FNV-1a with a finishing mix), stable across builds.
+pub fn stable(bytes: &[u8]) -> u64 {
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0100_0000_01b3;
+    let mut hash = OFFSET;
+    for byte in bytes {
+        hash ^= u64::from(*byte);
+        hash = hash.wrapping_mul(PRIME);
+    }
+    mix(hash)
+}
+
+/// The rendezvous score of `node` for `key`; the node with the highest score owns the key.
+pub fn score(key: u64, node: &str) -> u64 {
+    mix(key ^ stable(node.as_bytes()))
+}
+
+/// The finishing step of MurmurHash3, which spreads every input bit over all output bits.
+fn mix(mut x: u64) -> u64 {
+    x ^= x >> 33;
+    x = x.wrapping_mul(0xff51_afd7_ed55_8ccd);
+    x ^= x >> 33;
+    x = x.wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    x ^ (x >> 33)
+}
--- /dev/null
+++ b/crates/pinereel_core/src/lib.rs
@@ -0,0 +1,38 @@
+//! The decisions of pinereel, and nothing else.
+//!
+//! Every module here is a state machine or a pure function. It takes the time and an event and
+//! returns actions as values: `step(now, Event) -> Vec<Action>`. There is no I/O, no clock, no
+//! global state, and no randomness but a seed. The same code runs under `proptest`, in the
+//! experiment tool and in the daemon.
+//!
+//! The main types:
+//! - [`Time`], [`Version`], [`Span`]: what all modules share.
+//! - [`Outcome`]: what became of a request, with the evidence for it.
+//! - [`lot::Lot`]: one trainer step's samples on their way to the trainer.
+//! - [`cursor::Token`]: what the trainer already holds of a lot.
+//! - [`config::Document`]: the configuration that operators patch.
+//! - [`claim::Log`]: the idempotency keys of one shard.
+
+pub mod admit;
+pub mod budget;
+pub mod claim;
+pub mod config;
+pub mod cursor;
+pub mod drain;
+pub mod endpoint;
+pub mod fair;
+pub mod hash;
+pub mod lease;
+pub mod lot;
+pub mod member;
+pub mod outcome;
+pub mod provenance;
+pub mod rollout;
+pub mod route;
+pub mod staleness;
+pub mod time;
+pub mod version;
+
+pub use outcome::Outcome;
+pub use time::Time;
+pub use version::{Span, Version};
--- /dev/null
+++ b/crates/pinereel_fakes/src/bin/pinereel-fakes.rs
@@ -0,0 +1,3 @@
+//! Runs one stand-in or tool as a process.
+
+fn main() {}
--- /dev/null
+++ b/crates/pinereel_fakes/src/lib.rs
@@ -0,0 +1,19 @@
+//! Small stand-ins for everything outside pinereel, and the tools that drive it.
+//!
+//! The stand-ins speak the published protocols of `pinereel_api` and inject faults on request.
+//! They run embedded (the demo, tests) or as processes of their own (`pinereel-fakes NAME`).
+//!
+//! - [`object_api`], [`weight_store`], [`engine`], [`service`]: the platform and the endpoints.
+//! - [`trainer`]: a trainer client and the stand-in that drives it.
+//! - [`demo`]: everything on loopback in one command.
+//! - [`load`]: load generation and latency measurement.
+//! - [`experiment`]: policies against a baseline on the paused clock.
+
+pub mod demo;
+pub mod engine;
+pub mod experiment;
+pub mod load;
+pub mod object_api;
+pub mod service;
+pub mod trainer;
+pub mod weight_store;
--- /dev/null
+++ b/crates/pinereel_fakes/src/load.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
