--- /dev/null
+++ b/crates/pinereel/src/objects/breaker.rs
@@ -0,0 +1,57 @@
+//! A circuit breaker: after failures in a row, calls fail at once until a back-off is over.
+
+use pinereel_core::{Time, hash};
+use std::time::Duration;
+
+/// Failures in a row that open the breaker.
+const THRESHOLD: u32 = 3;
+/// First back-off.
+const FIRST: Duration = Duration::from_millis(100);
+/// Longest back-off: an API that is back is found within about this time.
+const LONGEST: Duration = Duration::from_secs(1);
+
+/// The state of one breaker.
+#[derive(Clone, Debug, Default)]
+pub struct Breaker {
+    /// Failures in a row.
+    failures: u32,
+    /// Calls fail at once until then.
+    until: Option<Time>,
+    /// Makes the jitter differ between instances.
+    seed: u64,
+}
+
+impl Breaker {
+    /// A closed breaker.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            seed,
+            ..Self::default()
+        }
+    }
+
+    /// Whether a call may go out.
+    pub fn allows(&self, now: Time) -> bool {
+        self.until.is_none_or(|until| now >= until)
+    }
+
+    /// Notes a call that was answered by the API, whatever the answer.
+    pub fn success(&mut self) {
+        self.failures = 0;
+        self.until = None;
+    }
+
+    /// Notes a call that was not answered, or answered as down.
+    pub fn failure(&mut self, now: Time) {
+        self.failures = self.failures.saturating_add(1);
+        if self.failures < THRESHOLD {
+            return;
+        }
+        let doublings = (self.failures - THRESHOLD).min(10);
+        let wait = (FIRST * (1 << doublings)).min(LONGEST);
+        let jitter = hash::stable(&(self.seed ^ u64::from(self.failures)).to_le_bytes()) % 50;
+        // Between 75% and 125% of the back-off.
+        let percent = 75 + u32::try_from(jitter).unwrap_or(0);
+        self.until = Some(now + wait * percent / 100);
+    }
+}
--- /dev/null
+++ b/crates/pinereel/src/objects/client.rs
@@ -0,0 +1,376 @@
+//! The calls.
+
+use super::{breaker::Breaker, rate::Bucket};
+use crate::{
+    state::Clock,
+    upstream::{Attempt, Client as Http, Error as HttpError, Reuse},
+};
+use actix_http::{
+    Method, StatusCode,
+    header::{CONTENT_TYPE, HeaderName, HeaderValue, IF_MATCH, IF_NONE_MATCH, USER_AGENT},
+};
+use awc::ClientResponse;
+use bytes::Bytes;
+use compact_str::CompactString;
+use pinereel_api::object::{Changes, List, MAX_VALUE, Object, Write, Written};
+use pinereel_core::hash;
+use serde::{Serialize, de::DeserializeOwned};
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
+use tokio::{
+    sync::{OwnedSemaphorePermit, Semaphore},
+    time::sleep,
+};
+
+/// Largest answer that is read, in bytes: a list may hold many values.
+const MAX_ANSWER: usize = 16 * MAX_VALUE;
+
+/// Longest wait for a turn under the rate limits; longer counts as unavailable.
+const LONGEST_TURN: Duration = Duration::from_secs(2);
+
+/// Bounds of the client.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// `IP:PORT` of the API.
+    pub address: String,
+    /// Name sent as the user agent.
+    pub agent: CompactString,
+    /// Most calls at once, waiting watches not counted.
+    pub concurrency: usize,
+    /// Longest wait for one answer.
+    pub timeout: Duration,
+    /// Reads a second.
+    pub reads: f64,
+    /// Writes a second.
+    pub writes: f64,
+}
+
+/// What a call is for; calls are counted by it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Purpose {
+    /// Configuration and patches.
+    Config,
+    /// Membership objects.
+    Members,
+    /// The platform's instance list.
+    Instances,
+    /// Newest weights.
+    Weights,
+    /// Leases.
+    Leases,
+    /// Idempotency claims.
+    Claims,
+}
+
+impl Purpose {
+    /// The purpose as a label.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Config => "config",
+            Self::Members => "members",
+            Self::Instances => "instances",
+            Self::Weights => "weights",
+            Self::Leases => "leases",
+            Self::Claims => "claims",
+        }
+    }
+}
+
+/// Why a call gave no result.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// Nothing left: the breaker is open, the budget is spent, or no connection could be opened.
+    #[error("object API not reached: {0}")]
+    NotSent(String),
+    /// The API answered that it did not do it (down or limiting).
+    #[error("object API refused: {0}")]
+    Refused(String),
+    /// The answer was lost: a write may have taken effect.
+    #[error("object API's answer was lost: {0}")]
+    Unknown(String),
+    /// The condition does not hold.
+    #[error("conflict")]
+    Conflict,
+    /// No such object.
+    #[error("not found")]
+    NotFound,
+    /// The watch's revision is too old: list again.
+    #[error("revision too old")]
+    Gone,
+    /// The answer is not what the protocol says.
+    #[error("malformed answer: {0}")]
+    Malformed(String),
+}
+
+impl Error {
+    /// Whether a write that ended so certainly had no effect.
+    pub const fn had_no_effect(&self) -> bool {
+        !matches!(self, Self::Unknown(_) | Self::Malformed(_))
+    }
+}
+
+/// The client. Clones share their budget.
+#[derive(Clone)]
+pub struct Client {
+    http: Http,
+    options: Rc<Options>,
+    clock: Clock,
+    turns: Arc<Semaphore>,
+    inner: Rc<RefCell<Inner>>,
+}
+
+struct Inner {
+    breaker: Breaker,
+    reads: Bucket,
+    writes: Bucket,
+    calls: BTreeMap<(Purpose, &'static str), u64>,
+}
+
+impl Client {
+    /// A client on the current thread.
+    pub fn new(options: Options, clock: Clock) -> Self {
+        let now = clock.now();
+        let seed = hash::stable(options.agent.as_bytes());
+        let inner = Inner {
+            breaker: Breaker::new(seed),
+            reads: Bucket::new(options.reads, now),
+            writes: Bucket::new(options.writes, now),
+            calls: BTreeMap::new(),
+        };
+        Self {
+            http: Http::new(),
+            turns: Arc::new(Semaphore::new(options.concurrency)),
+            options: Rc::new(options),
+            clock,
+            inner: Rc::new(RefCell::new(inner)),
+        }
+    }
+
+    /// Calls since the start, by purpose and kind (`read`, `write`, `watch`).
+    pub fn calls(&self) -> BTreeMap<(Purpose, &'static str), u64> {
+        self.inner.borrow().calls.clone()
+    }
+
+    /// Reads one object; `None` if it does not exist.
+    pub async fn read(
+        &self,
+        purpose: Purpose,
+        kind: &str,
+        name: &str,
+    ) -> Result<Option<Object>, Error> {
+        let path = format!("/objects/{kind}/{name}");
+        match self.get(purpose, path).await {
+            Ok(object) => Ok(Some(object)),
+            Err(Error::NotFound) => Ok(None),
+            Err(e) => Err(e),
+        }
+    }
+
+    /// Lists the objects of a kind whose names start with `prefix`.
+    pub async fn list(&self, purpose: Purpose, kind: &str, prefix: &str) -> Result<List, Error> {
+        self.get(purpose, format!("/objects/{kind}?prefix={prefix}"))
+            .await
+    }
+
+    /// Waits for changes of a kind after a revision, at most `wait`.
+    pub async fn watch(
+        &self,
+        purpose: Purpose,
+        kind: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Result<Changes, Error> {
+        let path = format!("/objects/{kind}?after={after}&wait_ms={}", wait.as_millis());
+        self.enter(purpose, "watch").await?;
+        let timeout = wait + self.options.timeout;
+        let (status, body) = self
+            .call(Method::GET, path, Vec::new(), Bytes::new(), timeout)
+            .await?;
+        parse(status, &body)
+    }
+
+    /// Creates an object that must not exist; gives its version.
+    pub async fn create(
+        &self,
+        purpose: Purpose,
+        kind: &str,
+        name: &str,
+        value: &impl Serialize,
+    ) -> Result<u64, Error> {
+        let condition = (IF_NONE_MATCH, HeaderValue::from_static("*"));
+        self.put(purpose, kind, name, condition, value).await
+    }
+
+    /// Updates an object that must have `version`; gives its new version.
+    pub async fn update(
+        &self,
+        purpose: Purpose,
+        kind: &str,
+        name: &str,
+        version: u64,
+        value: &impl Serialize,
+    ) -> Result<u64, Error> {
+        let condition = (IF_MATCH, HeaderValue::from(version));
+        self.put(purpose, kind, name, condition, value).await
+    }
+
+    /// Deletes an object that must have `version`.
+    pub async fn delete(
+        &self,
+        purpose: Purpose,
+        kind: &str,
+        name: &str,
+        version: u64,
+    ) -> Result<(), Error> {
+        let path = format!("/objects/{kind}/{name}");
+        let headers = vec![(IF_MATCH, HeaderValue::from(version))];
+        let _turn = self.turn(purpose, "write").await?;
+        let timeout = self.options.timeout;
+        let (status, _) = self
+            .call(Method::DELETE, path, headers, Bytes::new(), timeout)
+            .await?;
+        check(status)
+    }
+
+    async fn get<T: DeserializeOwned>(&self, purpose: Purpose, path: String) -> Result<T, Error> {
+        let _turn = self.turn(purpose, "read").await?;
+        let timeout = self.options.timeout;
+        let (status, body) = self
+            .call(Method::GET, path, Vec::new(), Bytes::new(), timeout)
+            .await?;
+        parse(status, &body)
+    }
+
+    async fn put(
+        &self,
+        purpose: Purpose,
+        kind: &str,
+        name: &str,
+        condition: (HeaderName, HeaderValue),
+        value: &impl Serialize,
+    ) -> Result<u64, Error> {
+        let value = serde_json::to_value(value).map_err(|e| Error::NotSent(e.to_string()))?;
+        let body =
+            serde_json::to_vec(&Write { value }).map_err(|e| Error::NotSent(e.to_string()))?;
+        let json = (CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        let path = format!("/objects/{kind}/{name}");
+        let _turn = self.turn(purpose, "write").await?;
+        let timeout = self.options.timeout;
+        let (status, body) = self
+            .call(
+                Method::PUT,
+                path,
+                vec![condition, json],
+                body.into(),
+                timeout,
+            )
+            .await?;
+        parse::<Written>(status, &body).map(|written| written.version)
+    }
+
+    /// Waits for a turn under the concurrency bound, and counts the call.
+    async fn turn(
+        &self,
+        purpose: Purpose,
+        kind: &'static str,
+    ) -> Result<OwnedSemaphorePermit, Error> {
+        let turns = Arc::clone(&self.turns);
+        let permit = tokio::select! {
+            permit = turns.acquire_owned() => permit.expect("the semaphore is never closed"),
+            () = sleep(LONGEST_TURN) => return Err(Error::NotSent("too many calls at once".into())),
+        };
+        self.enter(purpose, kind).await?;
+        Ok(permit)
+    }
+
+    /// Passes the breaker and the rate limit, and counts the call.
+    async fn enter(&self, purpose: Purpose, kind: &'static str) -> Result<(), Error> {
+        let wait = {
+            let now = self.clock.now();
+            let mut inner = self.inner.borrow_mut();
+            if !inner.breaker.allows(now) {
+                return Err(Error::NotSent("the circuit breaker is open".into()));
+            }
+            match kind {
+                "write" => inner.writes.reserve(now),
+                _ => inner.reads.reserve(now),
+            }
+        };
+        if wait > LONGEST_TURN {
+            return Err(Error::NotSent("the rate budget is spent".into()));
+        }
+        sleep(wait).await;
+        *self
+            .inner
+            .borrow_mut()
+            .calls
+            .entry((purpose, kind))
+            .or_default() += 1;
+        Ok(())
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: String,
+        mut headers: Vec<(HeaderName, HeaderValue)>,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<(StatusCode, Bytes), Error> {
+        if let Ok(agent) = HeaderValue::from_str(&self.options.agent) {
+            headers.push((USER_AGENT, agent));
+        }
+        let attempt = Attempt {
+            method,
+            address: self.options.address.clone(),
+            path,
+            headers,
+            body,
+            timeout,
+            reuse: Reuse::Allowed,
+        };
+        let exchange = async {
+            let response = self.http.send(attempt).await.map_err(|e| match e {
+                HttpError::NotOpened(_) | HttpError::Invalid(_) => Error::NotSent(e.to_string()),
+                HttpError::Lost(_) => Error::Unknown(e.to_string()),
+            })?;
+            read(response).await
+        };
+        // The timeout covers the body as well as the head.
+        let result = tokio::time::timeout(timeout, exchange)
+            .await
+            .unwrap_or_else(|_| Err(Error::Unknown("timeout".into())));
+        let mut inner = self.inner.borrow_mut();
+        match &result {
+            Ok((status, _)) if *status != StatusCode::SERVICE_UNAVAILABLE => {
+                inner.breaker.success();
+            }
+            _ => inner.breaker.failure(self.clock.now()),
+        }
+        result
+    }
+}
+
+async fn read(mut response: ClientResponse) -> Result<(StatusCode, Bytes), Error> {
+    let status = response.status();
+    let body = response
+        .body()
+        .limit(MAX_ANSWER)
+        .await
+        .map_err(|e| Error::Unknown(e.to_string()))?;
+    Ok((status, body))
+}
+
+fn check(status: StatusCode) -> Result<(), Error> {
+    match status {
+        StatusCode::OK | StatusCode::NO_CONTENT => Ok(()),
+        StatusCode::NOT_FOUND => Err(Error::NotFound),
+        StatusCode::CONFLICT => Err(Error::Conflict),
+        StatusCode::GONE => Err(Error::Gone),
+        status => Err(Error::Refused(status.to_string())),
+    }
+}
+
+fn parse<T: DeserializeOwned>(status: StatusCode, body: &[u8]) -> Result<T, Error> {
+    check(status)?;
+    serde_json::from_slice(body).map_err(|e| Error::Malformed(e.to_string()))
+}
--- /dev/null
+++ b/crates/pinereel/src/objects/mod.rs
@@ -0,0 +1,12 @@
+//! The budgeted client of the platform's object API.
+//!
+//! Every call names its purpose and is counted under it, since the platform counts each. Concurrency
+//! and rates are limited here, and a circuit breaker with jittered back-off spares an API that is
+//! down. A write whose answer was lost is [`Error::Unknown`]: the caller reads back before anything
+//! else.
+
+mod breaker;
+mod client;
+mod rate;
+
+pub use client::{Client, Error, Options, Purpose};
--- /dev/null
+++ b/crates/pinereel/src/peer/link.rs
@@ -0,0 +1,186 @@
+//! One link: a reader and a writer over a websocket, with calls matched to their replies.
+
+use futures_util::{Sink, SinkExt as _, Stream, StreamExt as _};
+use pinereel_api::wire::{self, Frame, Hello, MAX_FRAME, PROTOCOL, Reply};
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+    time::Duration,
+};
+use tokio::{
+    net::TcpStream,
+    sync::{mpsc, oneshot},
+    time::timeout,
+};
+use tokio_tungstenite::{
+    WebSocketStream,
+    tungstenite::{Error as SocketError, Message, protocol::WebSocketConfig},
+};
+
+/// A link without a frame for so long is closed.
+pub const SILENCE: Duration = Duration::from_secs(3);
+
+/// Longest wait for one frame to leave; a peer that does not read loses its link.
+const SEND_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// What one entry asks of another.
+pub type Call = wire::Call;
+
+/// A websocket between entries.
+pub(super) type Socket = WebSocketStream<TcpStream>;
+
+/// Why a call got no reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// There is no link to that entry: nothing was sent.
+    #[error("no link")]
+    NoLink,
+    /// The link's queue is at its bound: nothing was sent.
+    #[error("queue full")]
+    QueueFull,
+    /// No reply in time: it may have been carried out.
+    #[error("timeout")]
+    Timeout,
+    /// The link closed before the reply: it may have been carried out.
+    #[error("link closed")]
+    Closed,
+}
+
+/// The sending half of a link.
+#[derive(Clone)]
+pub(super) struct Link {
+    /// Who is at the other end.
+    pub hello: Hello,
+    /// Frames to send.
+    queue: mpsc::Sender<Frame>,
+    /// Calls that wait for a reply.
+    waiting: Rc<RefCell<BTreeMap<u64, oneshot::Sender<Reply>>>>,
+    /// Id of the next call.
+    next: Rc<Cell<u64>>,
+}
+
+impl Link {
+    /// A link to `hello`'s sender, and the frames that it queues.
+    pub fn new(hello: Hello, bound: usize) -> (Self, mpsc::Receiver<Frame>) {
+        let (queue, frames) = mpsc::channel(bound);
+        let link = Self {
+            hello,
+            queue,
+            waiting: Rc::default(),
+            next: Rc::default(),
+        };
+        (link, frames)
+    }
+
+    /// Queues a frame; false if the queue is at its bound.
+    pub fn send(&self, frame: Frame) -> bool {
+        self.queue.try_send(frame).is_ok()
+    }
+
+    /// Sends a call and waits for its reply.
+    pub async fn call(&self, body: Call, wait: Duration) -> Result<Reply, Error> {
+        let id = self.next.get();
+        self.next.set(id + 1);
+        let (sender, reply) = oneshot::channel();
+        self.waiting.borrow_mut().insert(id, sender);
+        // Also removes the entry when the caller gives up and drops this future.
+        let _guard = Waiting { link: self, id };
+        if !self.send(Frame::Call { id, body }) {
+            return Err(Error::QueueFull);
+        }
+        match timeout(wait, reply).await {
+            Ok(Ok(reply)) => Ok(reply),
+            Ok(Err(_)) => Err(Error::Closed),
+            Err(_) => Err(Error::Timeout),
+        }
+    }
+
+    /// Hands a reply to the call that waits for it; a late one is dropped.
+    pub fn settle(&self, id: u64, body: Reply) {
+        if let Some(waiting) = self.waiting.borrow_mut().remove(&id) {
+            let _ = waiting.send(body);
+        }
+    }
+
+    /// Fails all waiting calls.
+    pub fn close(&self) {
+        self.waiting.borrow_mut().clear();
+    }
+
+    /// Whether both are the same link.
+    pub fn is(&self, other: &Self) -> bool {
+        Rc::ptr_eq(&self.waiting, &other.waiting)
+    }
+}
+
+/// Removes a call from the waiting ones when it ends.
+struct Waiting<'a> {
+    link: &'a Link,
+    id: u64,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.link.waiting.borrow_mut().remove(&self.id);
+    }
+}
+
+/// Bounds of a websocket between entries.
+pub(super) fn socket_config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(MAX_FRAME))
+        .max_frame_size(Some(MAX_FRAME))
+}
+
+/// Sends one frame; the number of bytes, or `None` if the link is to be closed.
+pub(super) async fn write(
+    socket: &mut (impl Sink<Message> + Unpin),
+    frame: &Frame,
+) -> Option<usize> {
+    let bytes = match frame.encode() {
+        Ok(bytes) => bytes,
+        Err(e) => {
+            log::error!("frame not sent: {e}");
+            return Some(0);
+        }
+    };
+    let size = bytes.len();
+    timeout(SEND_TIMEOUT, socket.send(Message::Binary(bytes.into())))
+        .await
+        .ok()?
+        .ok()?;
+    Some(size)
+}
+
+/// Reads one frame; `None` if the link is silent, closed or breaks the protocol.
+pub(super) async fn read(
+    socket: &mut (impl Stream<Item = Result<Message, SocketError>> + Unpin),
+) -> Option<(Frame, usize)> {
+    loop {
+        let message = timeout(SILENCE, socket.next()).await.ok()??.ok()?;
+        let Message::Binary(bytes) = message else {
+            // Pings and pongs are the library's affair; text is not of this protocol.
+            if message.is_text() || message.is_close() {
+                return None;
+            }
+            continue;
+        };
+        return match Frame::decode(&bytes) {
+            Ok(frame) => Some((frame, bytes.len())),
+            Err(e) => {
+                log::warn!("peer link closed: {e}");
+                None
+            }
+        };
+    }
+}
+
+/// Exchanges `Hello`s on a new socket.
+pub(super) async fn greet(socket: &mut Socket, own: Hello) -> Option<Hello> {
+    write(socket, &Frame::Hello(own)).await?;
+    match read(socket).await? {
+        (Frame::Hello(hello), _) if hello.protocol == PROTOCOL => Some(hello),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/pinereel/src/peer/mesh.rs
@@ -0,0 +1,331 @@
+//! All links of one entry.
+
+use super::link::{self, Call, Error, Link, Socket};
+use compact_str::CompactString;
+use futures_util::{
+    StreamExt as _,
+    future::LocalBoxFuture,
+    stream::{SplitSink, SplitStream},
+};
+use pinereel_api::{
+    header::AUTHORIZATION,
+    wire::{Frame, Hello, PROTOCOL, Reply, Summary},
+};
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{Semaphore, mpsc},
+    time::{sleep, timeout},
+};
+use tokio_tungstenite::{
+    accept_hdr_async_with_config, client_async_with_config,
+    tungstenite::{
+        Message,
+        client::IntoClientRequest as _,
+        handshake::server::{ErrorResponse, Request, Response},
+        http::{HeaderValue, StatusCode},
+    },
+};
+
+/// Longest wait for a link to open.
+const OPEN_TIMEOUT: Duration = Duration::from_secs(2);
+/// Pause between attempts to open a link.
+const DIAL_PAUSE: Duration = Duration::from_millis(300);
+/// Most calls from one peer that are carried out at once; further frames wait in the socket.
+const MAX_SERVING: usize = 256;
+
+/// Who this entry is towards its peers.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// Its name.
+    pub name: CompactString,
+    /// Changes with each start.
+    pub incarnation: u64,
+    /// Its availability zone.
+    pub zone: CompactString,
+    /// The secret shared by all entries.
+    pub secret: CompactString,
+    /// Most frames that wait for one peer.
+    pub queue: usize,
+}
+
+/// An entry to keep a link to.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Peer {
+    /// Its name.
+    pub name: CompactString,
+    /// `IP:PORT` of its peer listener.
+    pub address: CompactString,
+}
+
+/// Carries out a peer's call.
+pub type Handler = Rc<dyn Fn(CompactString, Call) -> LocalBoxFuture<'static, Reply>>;
+
+/// Hears a peer's summary.
+pub type Observer = Rc<dyn Fn(&Hello, Summary)>;
+
+/// The links. Clones share them.
+#[derive(Clone)]
+pub struct Mesh {
+    identity: Rc<Identity>,
+    links: Rc<RefCell<BTreeMap<CompactString, Link>>>,
+    wanted: Rc<RefCell<BTreeMap<CompactString, CompactString>>>,
+    dialing: Rc<RefCell<BTreeSet<CompactString>>>,
+    handler: Rc<RefCell<Option<Handler>>>,
+    observer: Rc<RefCell<Option<Observer>>>,
+    sent: Rc<Cell<u64>>,
+    received: Rc<Cell<u64>>,
+    closed: Rc<Cell<bool>>,
+}
+
+impl Mesh {
+    /// A mesh without links.
+    pub fn new(identity: Identity) -> Self {
+        Self {
+            identity: Rc::new(identity),
+            links: Rc::default(),
+            wanted: Rc::default(),
+            dialing: Rc::default(),
+            handler: Rc::default(),
+            observer: Rc::default(),
+            sent: Rc::default(),
+            received: Rc::default(),
+            closed: Rc::default(),
+        }
+    }
+
+    /// Sets who carries out calls and who hears summaries.
+    pub fn serve(&self, handler: Handler, observer: Observer) {
+        self.handler.replace(Some(handler));
+        self.observer.replace(Some(observer));
+    }
+
+    /// Accepts links on `listener` until closed.
+    pub fn listen(&self, listener: TcpListener) {
+        let mesh = self.clone();
+        actix_rt::spawn(async move {
+            while !mesh.closed.get() {
+                let Ok((stream, _)) = listener.accept().await else {
+                    sleep(DIAL_PAUSE).await;
+                    continue;
+                };
+                let mesh = mesh.clone();
+                actix_rt::spawn(async move {
+                    let opened = timeout(OPEN_TIMEOUT, mesh.accept(stream)).await;
+                    if let Ok(Some((socket, hello))) = opened {
+                        mesh.run(socket, hello).await;
+                    }
+                });
+            }
+        });
+    }
+
+    /// Says which peers to keep links to. Links to others are left to end by themselves.
+    pub fn want(&self, peers: impl IntoIterator<Item = Peer>) {
+        let own = &self.identity.name;
+        let wanted: BTreeMap<_, _> = peers
+            .into_iter()
+            .filter(|peer| peer.name != *own)
+            .map(|peer| (peer.name, peer.address))
+            .collect();
+        let to_dial: Vec<_> = wanted.keys().filter(|name| own < *name).cloned().collect();
+        self.wanted.replace(wanted);
+        for name in to_dial {
+            if self.dialing.borrow_mut().insert(name.clone()) {
+                actix_rt::spawn(self.clone().dial(name));
+            }
+        }
+    }
+
+    /// Names of the peers with a link.
+    pub fn linked(&self) -> Vec<CompactString> {
+        self.links.borrow().keys().cloned().collect()
+    }
+
+    /// Whether there is a link to `name`.
+    pub fn has(&self, name: &str) -> bool {
+        self.links.borrow().contains_key(name)
+    }
+
+    /// Calls a peer.
+    pub async fn call(&self, name: &str, body: Call, wait: Duration) -> Result<Reply, Error> {
+        let link = self.links.borrow().get(name).cloned();
+        link.ok_or(Error::NoLink)?.call(body, wait).await
+    }
+
+    /// Tells all linked peers.
+    pub fn tell(&self, summary: &Summary) {
+        for link in self.links.borrow().values() {
+            // A full queue means the peer hears the next one.
+            let _ = link.send(Frame::Digest(summary.clone()));
+        }
+    }
+
+    /// Bytes sent and received in frames since the start.
+    pub fn bytes(&self) -> (u64, u64) {
+        (self.sent.get(), self.received.get())
+    }
+
+    /// Closes all links and opens no more.
+    pub fn close(&self) {
+        self.closed.set(true);
+        self.wanted.borrow_mut().clear();
+        for link in self.links.borrow().values() {
+            link.close();
+        }
+        self.links.borrow_mut().clear();
+    }
+
+    /// Keeps a link to `name` as long as it is wanted.
+    async fn dial(self, name: CompactString) {
+        loop {
+            let Some(address) = self.wanted.borrow().get(&name).cloned() else {
+                break;
+            };
+            if !self.has(&name)
+                && let Ok(Some((socket, hello))) = timeout(OPEN_TIMEOUT, self.open(&address)).await
+                && hello.name == name
+            {
+                self.run(socket, hello).await;
+            }
+            sleep(DIAL_PAUSE).await;
+        }
+        self.dialing.borrow_mut().remove(&name);
+    }
+
+    async fn open(&self, address: &str) -> Option<(Socket, Hello)> {
+        let address: SocketAddr = address.parse().ok()?;
+        let stream = TcpStream::connect(address).await.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let mut request = format!("ws://{address}/peer").into_client_request().ok()?;
+        let secret = HeaderValue::from_str(&self.identity.secret).ok()?;
+        request.headers_mut().insert(AUTHORIZATION, secret);
+        let config = Some(link::socket_config());
+        let (mut socket, _) = client_async_with_config(request, stream, config)
+            .await
+            .ok()?;
+        let hello = link::greet(&mut socket, self.hello()).await?;
+        Some((socket, hello))
+    }
+
+    async fn accept(&self, stream: TcpStream) -> Option<(Socket, Hello)> {
+        stream.set_nodelay(true).ok()?;
+        let secret = self.identity.secret.clone();
+        let config = Some(link::socket_config());
+        // The error's size is the library's choice.
+        #[allow(clippy::result_large_err)]
+        let check =
+            move |request: &Request, response: Response| -> Result<Response, ErrorResponse> {
+                let given = request
+                    .headers()
+                    .get(AUTHORIZATION)
+                    .map(HeaderValue::as_bytes);
+                if given.is_some_and(|given| same(given, secret.as_bytes())) {
+                    return Ok(response);
+                }
+                log::warn!("peer link refused: wrong secret");
+                let mut refusal = ErrorResponse::new(None);
+                *refusal.status_mut() = StatusCode::UNAUTHORIZED;
+                Err(refusal)
+            };
+        let mut socket = accept_hdr_async_with_config(stream, check, config)
+            .await
+            .ok()?;
+        let hello = link::greet(&mut socket, self.hello()).await?;
+        Some((socket, hello))
+    }
+
+    /// Runs a link until it ends.
+    async fn run(&self, socket: Socket, hello: Hello) {
+        if self.closed.get() {
+            return;
+        }
+        let name = hello.name.clone();
+        let (link, frames) = Link::new(hello, self.identity.queue);
+        if let Some(old) = self.links.borrow_mut().insert(name.clone(), link.clone()) {
+            old.close();
+        }
+        let (mut sink, mut stream) = socket.split();
+        tokio::select! {
+            () = self.write_all(&mut sink, frames) => {}
+            () = self.read_all(&mut stream, &link) => {}
+        }
+        link.close();
+        let mut links = self.links.borrow_mut();
+        if links.get(&name).is_some_and(|current| current.is(&link)) {
+            links.remove(&name);
+        }
+    }
+
+    async fn write_all(
+        &self,
+        sink: &mut SplitSink<Socket, Message>,
+        mut frames: mpsc::Receiver<Frame>,
+    ) {
+        while let Some(frame) = frames.recv().await {
+            let Some(size) = link::write(sink, &frame).await else {
+                return;
+            };
+            self.sent.set(self.sent.get() + size as u64);
+        }
+    }
+
+    async fn read_all(&self, stream: &mut SplitStream<Socket>, link: &Link) {
+        let serving = Arc::new(Semaphore::new(MAX_SERVING));
+        while let Some((frame, size)) = link::read(stream).await {
+            if self.closed.get() {
+                return;
+            }
+            self.received.set(self.received.get() + size as u64);
+            match frame {
+                Frame::Hello(_) => return,
+                Frame::Digest(summary) => {
+                    let observer = self.observer.borrow().clone();
+                    if let Some(observer) = observer {
+                        observer(&link.hello, summary);
+                    }
+                }
+                Frame::Reply { id, body } => link.settle(id, body),
+                Frame::Call { id, body } => {
+                    let handler = self.handler.borrow().clone();
+                    let Some(handler) = handler else { continue };
+                    let Ok(turn) = Arc::clone(&serving).try_acquire_owned() else {
+                        link.send(Frame::Reply {
+                            id,
+                            body: Reply::Refused("busy".into()),
+                        });
+                        continue;
+                    };
+                    let reply = handler(link.hello.name.clone(), body);
+                    let link = link.clone();
+                    actix_rt::spawn(async move {
+                        let body = reply.await;
+                        link.send(Frame::Reply { id, body });
+                        drop(turn);
+                    });
+                }
+            }
+        }
+    }
+
+    fn hello(&self) -> Hello {
+        Hello {
+            protocol: PROTOCOL,
+            name: self.identity.name.clone(),
+            incarnation: self.identity.incarnation,
+            zone: self.identity.zone.clone(),
+        }
+    }
+}
+
+/// Compares in a time that does not depend on where the two differ.
+fn same(a: &[u8], b: &[u8]) -> bool {
+    a.len() == b.len() && a.iter().zip(b).fold(0, |acc, (x, y)| acc | (x ^ y)) == 0
+}
