--- /dev/null
+++ b/check.sh
@@ -0,0 +1,47 @@
+#!/usr/bin/env bash
+# Checks the whole project: format, lints, tests, demo. CI runs just this.
+#   ./check.sh          everything
+#   ./check.sh tests    only the tests
+# Tests named in KNOWN-RED.txt may fail; they are run and printed, any other failure fails the check.
+set -u -o pipefail
+cd "$(dirname "$0")"
+
+known_red() {
+  [ -f KNOWN-RED.txt ] && grep -v -e '^#' -e '^$' KNOWN-RED.txt | cut -d, -f1
+}
+
+tests() {
+  local log status failed unexpected
+  log=$(mktemp)
+  cargo test --workspace --locked --no-fail-fast 2>&1 | tee "$log"
+  status=$?
+  failed=$(grep -E '^test .* \.\.\. FAILED$' "$log" | sed -E 's/^test (.*) \.\.\. FAILED$/\1/' | sort -u)
+  rm -f "$log"
+  if [ "$status" -eq 0 ]; then
+    return 0
+  fi
+  # A failure without a failed test (a build error, a crash) is never excused.
+  [ -n "$failed" ] || return 1
+  unexpected=$(comm -23 <(printf '%s\n' "$failed") <(known_red | sort -u))
+  if [ -n "$unexpected" ]; then
+    printf 'FAILED: %s\n' $unexpected
+    return 1
+  fi
+  printf 'KNOWN RED (listed in KNOWN-RED.txt): %s\n' $failed
+}
+
+lints() {
+  cargo fmt --all --check && cargo clippy --workspace --all-targets --locked -- -D warnings
+}
+
+demo() {
+  cargo run --locked --quiet --bin pinereel-fakes -- demo
+}
+
+case "${1:-all}" in
+  tests) tests ;;
+  lints) lints ;;
+  demo) demo ;;
+  all) lints && tests && demo ;;
+  *) echo "usage: $0 [all|lints|tests|demo]" >&2; exit 2 ;;
+esac
--- a/crates/pinereel/src/peer/link.rs
+++ b/crates/pinereel/src/peer/link.rs
@@ -39,6 +39,9 @@
     /// The link's queue is at its bound: nothing was sent.
     #[error("queue full")]
     QueueFull,
+    /// The call does not fit a frame: nothing was sent.
+    #[error("call too large")]
+    TooLarge,
     /// No reply in time: it may have been carried out.
     #[error("timeout")]
     Timeout,
@@ -52,8 +55,8 @@
 pub(super) struct Link {
     /// Who is at the other end.
     pub hello: Hello,
-    /// Frames to send.
-    queue: mpsc::Sender<Frame>,
+    /// Encoded frames to send.
+    queue: mpsc::Sender<Vec<u8>>,
     /// Calls that wait for a reply.
     waiting: Rc<RefCell<BTreeMap<u64, oneshot::Sender<Reply>>>>,
     /// Id of the next call.
@@ -62,7 +65,7 @@
 
 impl Link {
     /// A link to `hello`'s sender, and the frames that it queues.
-    pub fn new(hello: Hello, bound: usize) -> (Self, mpsc::Receiver<Frame>) {
+    pub fn new(hello: Hello, bound: usize) -> (Self, mpsc::Receiver<Vec<u8>>) {
         let (queue, frames) = mpsc::channel(bound);
         let link = Self {
             hello,
@@ -73,9 +76,13 @@
         (link, frames)
     }
 
-    /// Queues a frame; false if the queue is at its bound.
-    pub fn send(&self, frame: Frame) -> bool {
-        self.queue.try_send(frame).is_ok()
+    /// Queues a frame.
+    pub fn send(&self, frame: &Frame) -> Result<(), Error> {
+        let bytes = frame.encode().map_err(|e| {
+            log::error!("frame to {} not sent: {e}", self.hello.name);
+            Error::TooLarge
+        })?;
+        self.queue.try_send(bytes).map_err(|_| Error::QueueFull)
     }
 
     /// Sends a call and waits for its reply.
@@ -86,9 +93,7 @@
         self.waiting.borrow_mut().insert(id, sender);
         // Also removes the entry when the caller gives up and drops this future.
         let _guard = Waiting { link: self, id };
-        if !self.send(Frame::Call { id, body }) {
-            return Err(Error::QueueFull);
-        }
+        self.send(&Frame::Call { id, body })?;
         match timeout(wait, reply).await {
             Ok(Ok(reply)) => Ok(reply),
             Ok(Err(_)) => Err(Error::Closed),
@@ -133,24 +138,10 @@
         .max_frame_size(Some(MAX_FRAME))
 }
 
-/// Sends one frame; the number of bytes, or `None` if the link is to be closed.
-pub(super) async fn write(
-    socket: &mut (impl Sink<Message> + Unpin),
-    frame: &Frame,
-) -> Option<usize> {
-    let bytes = match frame.encode() {
-        Ok(bytes) => bytes,
-        Err(e) => {
-            log::error!("frame not sent: {e}");
-            return Some(0);
-        }
-    };
-    let size = bytes.len();
-    timeout(SEND_TIMEOUT, socket.send(Message::Binary(bytes.into())))
-        .await
-        .ok()?
-        .ok()?;
-    Some(size)
+/// Sends one encoded frame; false if the link is to be closed.
+pub(super) async fn write(socket: &mut (impl Sink<Message> + Unpin), bytes: Vec<u8>) -> bool {
+    let sent = timeout(SEND_TIMEOUT, socket.send(Message::Binary(bytes.into()))).await;
+    matches!(sent, Ok(Ok(())))
 }
 
 /// Reads one frame; `None` if the link is silent, closed or breaks the protocol.
@@ -178,7 +169,10 @@
 
 /// Exchanges `Hello`s on a new socket.
 pub(super) async fn greet(socket: &mut Socket, own: Hello) -> Option<Hello> {
-    write(socket, &Frame::Hello(own)).await?;
+    let bytes = Frame::Hello(own).encode().ok()?;
+    if !write(socket, bytes).await {
+        return None;
+    }
     match read(socket).await? {
         (Frame::Hello(hello), _) if hello.protocol == PROTOCOL => Some(hello),
         _ => None,
--- a/crates/pinereel/src/peer/mesh.rs
+++ b/crates/pinereel/src/peer/mesh.rs
@@ -164,7 +164,7 @@
     pub fn tell(&self, summary: &Summary) {
         for link in self.links.borrow().values() {
             // A full queue means the peer hears the next one.
-            let _ = link.send(Frame::Digest(summary.clone()));
+            let _ = link.send(&Frame::Digest(summary.clone()));
         }
     }
 
@@ -267,13 +267,14 @@
     async fn write_all(
         &self,
         sink: &mut SplitSink<Socket, Message>,
-        mut frames: mpsc::Receiver<Frame>,
+        mut frames: mpsc::Receiver<Vec<u8>>,
     ) {
-        while let Some(frame) = frames.recv().await {
-            let Some(size) = link::write(sink, &frame).await else {
+        while let Some(bytes) = frames.recv().await {
+            let size = bytes.len() as u64;
+            if !link::write(sink, bytes).await {
                 return;
-            };
-            self.sent.set(self.sent.get() + size as u64);
+            }
+            self.sent.set(self.sent.get() + size);
         }
     }
 
@@ -293,28 +294,30 @@
                     }
                 }
                 Frame::Reply { id, body } => link.settle(id, body),
-                Frame::Call { id, body } => {
-                    let handler = self.handler.borrow().clone();
-                    let Some(handler) = handler else { continue };
-                    let Ok(turn) = Arc::clone(&serving).try_acquire_owned() else {
-                        link.send(Frame::Reply {
-                            id,
-                            body: Reply::Refused("busy".into()),
-                        });
-                        continue;
-                    };
-                    let reply = handler(link.hello.name.clone(), body);
-                    let link = link.clone();
-                    actix_rt::spawn(async move {
-                        let body = reply.await;
-                        link.send(Frame::Reply { id, body });
-                        drop(turn);
-                    });
-                }
+                Frame::Call { id, body } => self.answer(link, &serving, id, body),
             }
         }
     }
 
+    /// Carries out a call in a task of its own; refuses it at once at the bound.
+    fn answer(&self, link: &Link, serving: &Arc<Semaphore>, id: u64, body: Call) {
+        let Ok(turn) = Arc::clone(serving).try_acquire_owned() else {
+            reply(link, id, Reply::Refused("busy".into()));
+            return;
+        };
+        let handler = self.handler.borrow().clone();
+        let Some(handler) = handler else {
+            reply(link, id, Reply::Refused("starting".into()));
+            return;
+        };
+        let answer = handler(link.hello.name.clone(), body);
+        let link = link.clone();
+        actix_rt::spawn(async move {
+            reply(&link, id, answer.await);
+            drop(turn);
+        });
+    }
+
     fn hello(&self) -> Hello {
         Hello {
             protocol: PROTOCOL,
@@ -325,6 +328,13 @@
     }
 }
 
+/// Sends a reply. One that does not fit is lost, and the caller's call times out.
+fn reply(link: &Link, id: u64, body: Reply) {
+    if let Err(e) = link.send(&Frame::Reply { id, body }) {
+        log::warn!("reply to {} not sent: {e}", link.hello.name);
+    }
+}
+
 /// Compares in a time that does not depend on where the two differ.
 fn same(a: &[u8], b: &[u8]) -> bool {
     a.len() == b.len() && a.iter().zip(b).fold(0, |acc, (x, y)| acc | (x ^ y)) == 0
--- /dev/null
+++ b/crates/pinereel/tests/peer_links.rs
@@ -0,0 +1,110 @@
+//! Peer links: secret, calls, bounds, silence.
+
+#![allow(clippy::unwrap_used)]
+
+use compact_str::CompactString;
+use pinereel::peer::{Call, Error, Identity, Mesh, Peer};
+use pinereel_api::wire::{MAX_FRAME, Reply};
+use std::{rc::Rc, time::Duration};
+use tokio::{
+    net::TcpListener,
+    time::{sleep, timeout},
+};
+
+const WAIT: Duration = Duration::from_secs(10);
+const STEP: Duration = Duration::from_millis(5);
+
+/// One entry's mesh and its listener's address.
+async fn mesh(name: &str, secret: &str, reply: Option<Reply>) -> (Mesh, CompactString) {
+    let identity = Identity {
+        name: name.into(),
+        incarnation: 1,
+        zone: "erie-hall".into(),
+        secret: secret.into(),
+        queue: 4,
+    };
+    let mesh = Mesh::new(identity);
+    let handler =
+        move |_: CompactString, _: Call| -> futures_util::future::LocalBoxFuture<'static, Reply> {
+            let reply = reply.clone();
+            Box::pin(async move {
+                match reply {
+                    Some(reply) => reply,
+                    None => std::future::pending().await,
+                }
+            })
+        };
+    mesh.serve(Rc::new(handler), Rc::new(|_, _| {}));
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string().into();
+    mesh.listen(listener);
+    (mesh, address)
+}
+
+async fn linked(mesh: &Mesh, name: &str) -> bool {
+    let wait = async {
+        while !mesh.has(name) {
+            sleep(STEP).await;
+        }
+    };
+    timeout(WAIT, wait).await.is_ok()
+}
+
+fn peer(name: &str, address: &CompactString) -> Peer {
+    Peer {
+        name: name.into(),
+        address: address.clone(),
+    }
+}
+
+#[actix_rt::test]
+async fn calls_are_answered_in_both_directions_over_one_link() {
+    let (a, a_address) = mesh("a", "secret", Some(Reply::Done)).await;
+    let (b, b_address) = mesh("b", "secret", Some(Reply::Granted)).await;
+    a.want([peer("b", &b_address)]);
+    b.want([peer("a", &a_address)]);
+    assert!(linked(&a, "b").await && linked(&b, "a").await);
+    assert_eq!(a.call("b", Call::Fetch, WAIT).await, Ok(Reply::Granted));
+    assert_eq!(b.call("a", Call::Fetch, WAIT).await, Ok(Reply::Done));
+    assert_eq!(a.call("c", Call::Fetch, WAIT).await, Err(Error::NoLink));
+}
+
+#[actix_rt::test]
+async fn wrong_secret_gets_no_link() {
+    let (a, _) = mesh("a", "secret", None).await;
+    let (b, b_address) = mesh("b", "other", None).await;
+    a.want([peer("b", &b_address)]);
+    sleep(Duration::from_millis(700)).await;
+    assert!(!a.has("b") && !b.has("a"));
+}
+
+#[actix_rt::test]
+async fn call_without_a_reply_times_out_and_a_frame_too_large_is_not_sent() {
+    let (a, _) = mesh("a", "secret", None).await;
+    let (_b, b_address) = mesh("b", "secret", None).await;
+    a.want([peer("b", &b_address)]);
+    assert!(linked(&a, "b").await);
+    let short = Duration::from_millis(50);
+    assert_eq!(a.call("b", Call::Fetch, short).await, Err(Error::Timeout));
+    let large = Call::Prepare {
+        number: 1,
+        document: serde_json::Value::String("x".repeat(MAX_FRAME)),
+        patch: "p".into(),
+    };
+    assert_eq!(a.call("b", large, short).await, Err(Error::TooLarge));
+    assert!(a.has("b"), "an unsendable frame must not cost the link");
+}
+
+#[actix_rt::test]
+async fn closing_one_end_fails_waiting_calls_at_the_other() {
+    let (a, _) = mesh("a", "secret", None).await;
+    let (b, b_address) = mesh("b", "secret", None).await;
+    a.want([peer("b", &b_address)]);
+    assert!(linked(&a, "b").await && linked(&b, "a").await);
+    let call = a.call("b", Call::Fetch, WAIT);
+    let close = async {
+        b.close();
+    };
+    let (result, ()) = futures_util::future::join(call, close).await;
+    assert_eq!(result, Err(Error::Closed));
+}
--- /dev/null
+++ b/crates/pinereel/tests/upstream_evidence.rs
@@ -0,0 +1,128 @@
+//! Only a connection that was never opened counts as "not run".
+
+#![allow(clippy::unwrap_used)]
+
+use actix_http::Method;
+use pinereel::upstream::{Attempt, Client, Error, Reuse};
+use std::{cell::Cell, rc::Rc, time::Duration};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{TcpListener, TcpStream},
+};
+
+const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+const REDIRECT: &[u8] =
+    b"HTTP/1.1 307 Temporary Redirect\r\nlocation: /again\r\ncontent-length: 0\r\n\r\n";
+
+/// What the stand-in server counted.
+#[derive(Clone, Default)]
+struct Counts {
+    connections: Rc<Cell<u32>>,
+    requests: Rc<Cell<u32>>,
+}
+
+fn attempt(address: &str, reuse: Reuse) -> Attempt {
+    Attempt {
+        method: Method::POST,
+        address: address.into(),
+        path: "/orders".into(),
+        headers: Vec::new(),
+        body: "order".into(),
+        timeout: Duration::from_secs(5),
+        reuse,
+    }
+}
+
+/// Reads one request with a five-byte body; false at the end of the connection.
+async fn read_request(stream: &mut TcpStream) -> bool {
+    let mut seen = Vec::new();
+    let mut buffer = [0; 1024];
+    while !seen.ends_with(b"order") {
+        match stream.read(&mut buffer).await {
+            Ok(0) | Err(_) => return false,
+            Ok(n) => seen.extend_from_slice(&buffer[..n]),
+        }
+    }
+    true
+}
+
+/// Answers the first `whole` requests of each connection with `answer`, and cuts the next one after
+/// it was read.
+async fn server(whole: u32, answer: &'static [u8]) -> (String, Counts) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let counts = Counts::default();
+    let seen = counts.clone();
+    actix_rt::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            seen.connections.set(seen.connections.get() + 1);
+            let seen = seen.clone();
+            actix_rt::spawn(async move {
+                let mut served = 0;
+                while read_request(&mut stream).await {
+                    seen.requests.set(seen.requests.get() + 1);
+                    if served == whole {
+                        return;
+                    }
+                    served += 1;
+                    stream.write_all(answer).await.unwrap();
+                }
+            });
+        }
+    });
+    (address, counts)
+}
+
+#[actix_rt::test]
+async fn closed_port_is_not_opened() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    drop(listener);
+    let result = Client::new().send(attempt(&address, Reuse::Allowed)).await;
+    assert!(matches!(result, Err(Error::NotOpened(_))), "{result:?}");
+}
+
+#[actix_rt::test]
+async fn request_lost_on_a_new_connection_is_lost() {
+    let (address, counts) = server(0, ANSWER).await;
+    let result = Client::new().send(attempt(&address, Reuse::Fresh)).await;
+    assert!(matches!(result, Err(Error::Lost(_))), "{result:?}");
+    assert_eq!(counts.requests.get(), 1);
+}
+
+#[actix_rt::test]
+async fn request_lost_on_a_reused_connection_is_lost_and_sent_once() {
+    let (address, counts) = server(1, ANSWER).await;
+    let client = Client::new();
+    let mut first = client
+        .send(attempt(&address, Reuse::Allowed))
+        .await
+        .unwrap();
+    first.body().await.unwrap();
+    drop(first);
+    let second = client.send(attempt(&address, Reuse::Allowed)).await;
+    assert!(matches!(second, Err(Error::Lost(_))), "{second:?}");
+    assert_eq!((counts.connections.get(), counts.requests.get()), (1, 2));
+}
+
+#[actix_rt::test]
+async fn fresh_attempts_never_share_a_connection() {
+    let (address, counts) = server(9, ANSWER).await;
+    let client = Client::new();
+    for _ in 0..3 {
+        let mut response = client.send(attempt(&address, Reuse::Fresh)).await.unwrap();
+        response.body().await.unwrap();
+    }
+    assert_eq!((counts.connections.get(), counts.requests.get()), (3, 3));
+}
+
+#[actix_rt::test]
+async fn redirect_is_passed_on_and_not_followed() {
+    let (address, counts) = server(9, REDIRECT).await;
+    let response = Client::new()
+        .send(attempt(&address, Reuse::Fresh))
+        .await
+        .unwrap();
+    assert_eq!(response.status().as_u16(), 307);
+    assert_eq!(counts.requests.get(), 1);
+}
