--- /dev/null
+++ b/crates/pinereel/src/engines.rs
@@ -0,0 +1,180 @@
+//! Client of model engines: completions as streams of chunks, orders, state.
+
+use crate::upstream::{Attempt, Client, Error as SendError, Reuse};
+use actix_http::{
+    Method, StatusCode,
+    header::{CONTENT_TYPE, HeaderValue},
+};
+use awc::ClientResponse;
+use bytes::Bytes;
+use futures_util::{Stream, StreamExt as _, TryStreamExt as _};
+use pinereel_api::{
+    engine::{Cancel, Chunk, Order, Request, State},
+    header,
+};
+use serde::{Serialize, de::DeserializeOwned};
+use std::{io, time::Duration};
+use tokio_util::{
+    codec::{FramedRead, LinesCodec},
+    io::StreamReader,
+};
+
+/// Largest line of an event stream, in bytes.
+const MAX_LINE: usize = 1 << 20;
+/// Largest answer that is not a stream, in bytes.
+const MAX_ANSWER: usize = 64 << 10;
+/// Prefix of a line with data.
+const DATA: &str = "data:";
+/// Data of the last event of a whole stream.
+const DONE: &str = "[DONE]";
+
+/// Why an engine gave no whole answer.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// The connection could not be opened: it did not run.
+    #[error("{0}")]
+    NotOpened(String),
+    /// The engine refused before running it; it may be leaving.
+    #[error("refused: {0}")]
+    Refused(String),
+    /// An order carried an old fencing token.
+    #[error("the fencing token is old")]
+    Fenced,
+    /// Nothing is known: it may have run.
+    #[error("lost: {0}")]
+    Lost(String),
+    /// A chunk is malformed.
+    #[error("malformed: {0}")]
+    Malformed(String),
+}
+
+impl From<SendError> for Error {
+    fn from(error: SendError) -> Self {
+        match error {
+            SendError::NotOpened(e) => Self::NotOpened(e),
+            SendError::Lost(e) => Self::Lost(e),
+            SendError::Invalid(e) => Self::Refused(e),
+        }
+    }
+}
+
+/// Starts a completion. The stream ends after the chunk with a `finish`; an error item means that
+/// the answer is not whole.
+pub async fn complete(
+    client: &Client,
+    address: &str,
+    request: &Request,
+    timeout: Duration,
+) -> Result<impl Stream<Item = Result<Chunk, Error>> + use<>, Error> {
+    let response = post(client, address, "/v1/completions", request, timeout).await?;
+    let response = accept(response)?;
+    Ok(chunks(response))
+}
+
+/// Cancels an attempt. Cancelling what is not there does nothing.
+pub async fn cancel(
+    client: &Client,
+    address: &str,
+    cancel: &Cancel,
+    timeout: Duration,
+) -> Result<(), Error> {
+    let response = post(client, address, "/v1/cancel", cancel, timeout).await?;
+    accept(response).map(drop)
+}
+
+/// Orders a version to be served.
+pub async fn order(
+    client: &Client,
+    address: &str,
+    order: &Order,
+    timeout: Duration,
+) -> Result<State, Error> {
+    let response = post(client, address, "/v1/orders", order, timeout).await?;
+    if response.status() == StatusCode::CONFLICT {
+        return Err(Error::Fenced);
+    }
+    body(accept(response)?, timeout).await
+}
+
+/// Reads an engine's state.
+pub async fn state(client: &Client, address: &str, timeout: Duration) -> Result<State, Error> {
+    let attempt = attempt(Method::GET, address, "/v1/state", Bytes::new(), timeout);
+    let response = client.send(attempt).await?;
+    body(accept(response)?, timeout).await
+}
+
+async fn post(
+    client: &Client,
+    address: &str,
+    path: &str,
+    message: &impl Serialize,
+    timeout: Duration,
+) -> Result<ClientResponse, Error> {
+    let bytes = serde_json::to_vec(message).map_err(|e| Error::Refused(e.to_string()))?;
+    let attempt = attempt(Method::POST, address, path, bytes.into(), timeout);
+    Ok(client.send(attempt).await?)
+}
+
+fn attempt(method: Method, address: &str, path: &str, body: Bytes, timeout: Duration) -> Attempt {
+    Attempt {
+        method,
+        address: address.into(),
+        path: path.into(),
+        headers: vec![(CONTENT_TYPE, HeaderValue::from_static("application/json"))],
+        body,
+        timeout,
+        reuse: Reuse::Allowed,
+    }
+}
+
+/// Sorts out answers that are not a success.
+fn accept(response: ClientResponse) -> Result<ClientResponse, Error> {
+    if response.status().is_success() {
+        return Ok(response);
+    }
+    let refused = response.headers().get(header::REFUSED);
+    if let Some(reason) = refused {
+        let reason = String::from_utf8_lossy(reason.as_bytes());
+        return Err(Error::Refused(reason.into_owned()));
+    }
+    Err(Error::Lost(response.status().to_string()))
+}
+
+async fn body<T: DeserializeOwned>(
+    mut response: ClientResponse,
+    timeout: Duration,
+) -> Result<T, Error> {
+    let bytes = tokio::time::timeout(timeout, response.body().limit(MAX_ANSWER))
+        .await
+        .map_err(|_| Error::Lost("timeout".into()))?
+        .map_err(|e| Error::Lost(e.to_string()))?;
+    serde_json::from_slice(&bytes).map_err(|e| Error::Malformed(e.to_string()))
+}
+
+/// The chunks of an event stream, up to `[DONE]`. A stream that ends without it is cut.
+fn chunks(response: ClientResponse) -> impl Stream<Item = Result<Chunk, Error>> {
+    let reader = StreamReader::new(response.map_err(io::Error::other));
+    let lines = FramedRead::new(reader, LinesCodec::new_with_max_length(MAX_LINE));
+    let end = futures_util::stream::once(async { Err(Error::Lost("stream cut".into())) });
+    lines
+        .map_err(|e| Error::Lost(e.to_string()))
+        .chain(end)
+        .try_filter_map(|line| async move { Ok(data(&line)) })
+        .try_take_while(|data| {
+            let more = data != DONE;
+            async move { Ok(more) }
+        })
+        .and_then(|data| async move {
+            serde_json::from_str(&data).map_err(|e| Error::Malformed(e.to_string()))
+        })
+        .scan(false, |failed, item| {
+            // Nothing follows an error.
+            let over = *failed;
+            *failed = item.is_err();
+            async move { (!over).then_some(item) }
+        })
+}
+
+fn data(line: &str) -> Option<String> {
+    line.strip_prefix(DATA).map(|data| data.trim().to_owned())
+}
