Endpoints' state and the choice of an endpoint

Cause: requests need an endpoint that isn't leaving, has room, serves an admissible version and probably holds the prefix; state an entry must not grow with the fleet. Ruled out: a ring with virtual nodes (keeps state, no cheaper than a scan of the subset); random subsets an entry (leave endpoints uncovered); a new key when a flapping list shows an incarnation again (the property test found that evidence and counts of the old key were lost).

--- /dev/null
+++ b/crates/pinereel_core/src/endpoint/mod.rs
@@ -0,0 +1,19 @@
+//! Endpoints as one entry sees them: state, load and what is known of each.
+//!
+//! A [`Set`] holds the entry's own bounded subset of the fleet (see [`subset`]). Events go in by
+//! [`Set::step`], what changed comes out as values for the log. Every incarnation of an endpoint
+//! has its own [`Key`], so a late event of an old incarnation can't touch the new one.
+
+mod event;
+mod set;
+pub mod subset;
+mod view;
+
+pub use event::{Change, End, Event, Evidence, Instance, What};
+pub use set::Set;
+pub use view::{Endpoint, Report, State};
+
+slotmap::new_key_type! {
+    /// One incarnation of one endpoint in a [`Set`].
+    pub struct Key;
+}
--- /dev/null
+++ b/crates/pinereel_core/src/endpoint/view.rs
@@ -0,0 +1,236 @@
+//! One endpoint: what is known of it, and the figures that routing works with.
+
+use super::Evidence;
+use crate::{Time, Version, hash};
+use compact_str::CompactString;
+use serde::Serialize;
+use std::{collections::VecDeque, time::Duration};
+
+/// Share of a new latency sample in the moving average.
+const LATENCY_GAIN: f64 = 0.2;
+/// What is left of the concurrency limit after an overload.
+const LIMIT_BACKOFF: f64 = 0.7;
+/// Starts and ends kept to correct a late report; older ones are forgotten.
+const MAX_RECENT: usize = 512;
+/// Age at which a load report counts for nothing any more.
+const REPORT_LIFE: Duration = Duration::from_secs(5);
+/// Length of slow-start.
+const SLOW_START: Duration = Duration::from_secs(10);
+/// Weight at the begin of slow-start.
+const SLOW_START_WEIGHT: f64 = 0.1;
+
+/// Whether an endpoint may get work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum State {
+    /// May get work.
+    Live,
+    /// No new work, for good: this never reverts for the same incarnation.
+    Leaving,
+    /// Not listed or replaced; kept only until its last attempt ends.
+    Gone,
+    /// Gets only rare probes, and none before the time.
+    Ejected {
+        /// Earliest probe.
+        until: Time,
+    },
+}
+
+/// What an endpoint says of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// Moment that the figures describe: arrival less the lag that the endpoint states.
+    pub at: Time,
+    /// Sequences running.
+    pub running: u32,
+    /// Sequences waiting.
+    pub waiting: u32,
+    /// Version that it serves.
+    pub version: Option<Version>,
+    /// Version that it is loading.
+    pub loading: Option<Version>,
+    /// Whether it says that it is leaving.
+    pub leaving: bool,
+}
+
+/// One incarnation of one endpoint.
+#[derive(Clone, Debug)]
+pub struct Endpoint {
+    /// Unique name.
+    pub name: CompactString,
+    /// Incarnation.
+    pub incarnation: u64,
+    /// `IP:PORT`.
+    pub address: CompactString,
+    /// Availability zone.
+    pub zone: CompactString,
+    /// Pool.
+    pub pool: CompactString,
+    /// Upper bound of the concurrency limit.
+    pub slots: u32,
+    /// Whether it may get work.
+    pub state: State,
+    /// How it was found leaving.
+    pub evidence: Option<Evidence>,
+    /// This entry's attempts in flight.
+    pub outstanding: u32,
+    /// Tokens expected of them.
+    pub tokens: u64,
+    /// The last load report.
+    pub report: Option<Report>,
+    /// Version that it serves, by its own word.
+    pub version: Option<Version>,
+    /// Version that it is loading, by its own word.
+    pub loading: Option<Version>,
+    /// Consecutive failures.
+    pub failures: u32,
+    /// Ejections since the last good spell.
+    pub ejections: u32,
+    /// Moving average of the time of whole answers, in microseconds; zero before the first.
+    pub latency: f64,
+    pub(super) hash: u64,
+    pub(super) slow_since: Option<Time>,
+    pub(super) limit: f64,
+    pub(super) cut_at: Option<Time>,
+    pub(super) ejected_at: Option<Time>,
+    pub(super) others: u32,
+    pub(super) recent: VecDeque<(Time, i64)>,
+    pub(super) refused_since: Option<Time>,
+    pub(super) refusals: u32,
+}
+
+impl Endpoint {
+    pub(super) fn new(instance: super::Instance, slow_since: Option<Time>) -> Self {
+        Self {
+            hash: hash::stable(instance.name.as_bytes()),
+            limit: f64::from(instance.slots.max(1)),
+            slots: instance.slots.max(1),
+            name: instance.name,
+            incarnation: instance.incarnation,
+            address: instance.address,
+            zone: instance.zone,
+            pool: instance.pool,
+            state: State::Live,
+            evidence: None,
+            outstanding: 0,
+            tokens: 0,
+            report: None,
+            version: None,
+            loading: None,
+            failures: 0,
+            ejections: 0,
+            latency: 0.0,
+            slow_since,
+            cut_at: None,
+            ejected_at: None,
+            others: 0,
+            recent: VecDeque::new(),
+            refused_since: None,
+            refusals: 0,
+        }
+    }
+
+    /// Most attempts in flight that this entry may have there now.
+    pub fn limit(&self) -> u32 {
+        (self.limit as u32).clamp(1, self.slots)
+    }
+
+    /// Whether one more attempt stays within the limit.
+    pub fn has_room(&self) -> bool {
+        self.outstanding < self.limit()
+    }
+
+    /// Stable hash of the name, for rendezvous hashing.
+    pub const fn hash(&self) -> u64 {
+        self.hash
+    }
+
+    /// Work of others as of the last report, trusted less the older it is.
+    pub fn others(&self, now: Time) -> f64 {
+        let Some(report) = self.report else {
+            return 0.0;
+        };
+        let age = now.since(report.at).as_secs_f64() / REPORT_LIFE.as_secs_f64();
+        f64::from(self.others) * (1.0 - age).max(0.0)
+    }
+
+    /// Estimated requests at the endpoint: own attempts, exact, and the work of others.
+    ///
+    /// Own attempts that began after the moment of the report are in by their own count, and
+    /// those that ended since aren't.
+    pub fn load(&self, now: Time) -> f64 {
+        f64::from(self.outstanding) + self.others(now)
+    }
+
+    /// Share of its usual work that the endpoint should get, from near 0 to 1: lower during
+    /// slow-start.
+    pub fn warmth(&self, now: Time) -> f64 {
+        let Some(since) = self.slow_since else {
+            return 1.0;
+        };
+        let done = now.since(since).as_secs_f64() / SLOW_START.as_secs_f64();
+        (SLOW_START_WEIGHT + (1.0 - SLOW_START_WEIGHT) * done).min(1.0)
+    }
+
+    pub(super) fn start(&mut self, now: Time, tokens: u32) {
+        self.outstanding += 1;
+        self.tokens += u64::from(tokens);
+        self.note(now, 1);
+    }
+
+    pub(super) fn finish(&mut self, now: Time, tokens: u32) {
+        debug_assert!(self.outstanding > 0, "an attempt ends once");
+        self.outstanding = self.outstanding.saturating_sub(1);
+        self.tokens = self.tokens.saturating_sub(u64::from(tokens));
+        self.note(now, -1);
+    }
+
+    pub(super) fn observe(&mut self, took: Duration) {
+        let took = took.as_micros() as f64;
+        if self.latency == 0.0 {
+            self.latency = took;
+        } else {
+            self.latency += LATENCY_GAIN * (took - self.latency);
+        }
+    }
+
+    /// Additive increase, only while the limit is what holds work back.
+    pub(super) fn raise_limit(&mut self) {
+        if self.outstanding + 1 >= self.limit() {
+            self.limit = (self.limit + 1.0 / self.limit).min(f64::from(self.slots));
+        }
+    }
+
+    /// Multiplicative decrease, once for the attempts that were in flight together.
+    pub(super) fn cut_limit(&mut self, now: Time, took: Duration) {
+        let began = Time(now.0.saturating_sub(took.as_micros() as u64));
+        if self.cut_at.is_some_and(|cut| began < cut) {
+            return;
+        }
+        self.limit = (self.limit * LIMIT_BACKOFF).max(1.0);
+        self.cut_at = Some(now);
+    }
+
+    /// Takes a report that is newer than the last one; says whether it did.
+    pub(super) fn take(&mut self, report: Report) -> bool {
+        if self.report.is_some_and(|last| last.at > report.at) {
+            return false;
+        }
+        self.recent.retain(|(at, _)| *at > report.at);
+        let since: i64 = self.recent.iter().map(|(_, change)| change).sum();
+        let own = (i64::from(self.outstanding) - since).max(0);
+        let total = i64::from(report.running) + i64::from(report.waiting);
+        self.others = u32::try_from((total - own).max(0)).unwrap_or(u32::MAX);
+        self.version = report.version;
+        self.loading = report.loading;
+        self.report = Some(report);
+        true
+    }
+
+    fn note(&mut self, now: Time, change: i64) {
+        if self.recent.len() == MAX_RECENT {
+            self.recent.pop_front();
+        }
+        self.recent.push_back((now, change));
+    }
+}
--- a/crates/pinereel_core/src/hash.rs
+++ b/crates/pinereel_core/src/hash.rs
@@ -46,7 +46,7 @@
 }
 
 /// The finishing step of MurmurHash3, which spreads every input bit over all output bits.
-fn mix(mut x: u64) -> u64 {
+pub const fn mix(mut x: u64) -> u64 {
     x ^= x >> 33;
     x = x.wrapping_mul(0xff51_afd7_ed55_8ccd);
     x ^= x >> 33;
--- /dev/null
+++ b/crates/pinereel_core/tests/endpoint_set.rs
@@ -0,0 +1,228 @@
+//! The endpoint set: leaving is monotonic, incarnations are apart, counts are exact.
+
+use pinereel_core::{
+    Time, Version,
+    endpoint::{End, Event, Instance, Key, Report, Set, State, What, subset},
+};
+use std::{collections::BTreeMap, time::Duration};
+
+fn instance(name: &str, incarnation: u64) -> Instance {
+    Instance {
+        name: name.into(),
+        incarnation,
+        address: "127.0.0.1:1".into(),
+        zone: "a".into(),
+        pool: "p".into(),
+        slots: 8,
+        leaving: false,
+    }
+}
+
+fn listed(set: &mut Set, at: u64, name: &str, incarnation: u64) -> Option<Key> {
+    let event = Event::Listed(instance(name, incarnation));
+    set.step(Time::from_millis(at), event);
+    set.find(name).map(|(key, _)| key)
+}
+
+fn end(set: &mut Set, at: u64, key: Key, end: End) -> Vec<What> {
+    let now = Time::from_millis(at);
+    set.step(now, Event::Started { key, tokens: 10 });
+    let finished = Event::Finished {
+        key,
+        tokens: 10,
+        took: Duration::ZERO,
+        end,
+    };
+    let changes = set.step(now, finished);
+    changes.into_iter().map(|c| c.what).collect()
+}
+
+fn report(at: u64, running: u32) -> Report {
+    Report {
+        at: Time::from_millis(at),
+        running,
+        waiting: 0,
+        version: Some(Version(3)),
+        loading: None,
+        leaving: false,
+    }
+}
+
+#[test]
+fn a_lagging_list_does_not_revert_leaving() {
+    let mut set = Set::default();
+    let key = listed(&mut set, 1, "e1", 1).unwrap();
+    end(&mut set, 2, key, End::Leaving);
+    listed(&mut set, 3, "e1", 1);
+    assert_eq!(set.get(key).unwrap().state, State::Leaving);
+    set.step(Time::from_millis(4), Event::Unlisted { name: "e1".into() });
+    let back = listed(&mut set, 5, "e1", 1).unwrap();
+    assert_eq!(set.get(back).unwrap().state, State::Leaving);
+}
+
+#[test]
+fn a_new_incarnation_starts_fresh_and_an_old_one_does_not_come_back() {
+    let mut set = Set::default();
+    let old = listed(&mut set, 1, "e1", 1).unwrap();
+    set.step(
+        Time::ZERO,
+        Event::Started {
+            key: old,
+            tokens: 1,
+        },
+    );
+    end(&mut set, 2, old, End::Leaving);
+    let new = listed(&mut set, 3, "e1", 2).unwrap();
+    assert_eq!(set.get(new).unwrap().state, State::Live);
+    assert_eq!(set.get(new).unwrap().outstanding, 0);
+    assert_eq!(listed(&mut set, 4, "e1", 1), Some(new));
+    // The old one's last attempt ends without touching the new one.
+    end(&mut set, 5, old, End::Whole);
+    assert_eq!(set.get(old).unwrap().outstanding, 1);
+}
+
+#[test]
+fn one_incarnation_listed_again_in_flight_keeps_its_count_and_hears_its_evidence() {
+    let mut set = Set::default();
+    let key = listed(&mut set, 1, "e1", 1).unwrap();
+    set.step(Time::ZERO, Event::Started { key, tokens: 1 });
+    set.step(Time::ZERO, Event::Unlisted { name: "e1".into() });
+    let again = listed(&mut set, 2, "e1", 1).unwrap();
+    assert_eq!((again, set.get(again).unwrap().outstanding), (key, 1));
+    end(&mut set, 3, key, End::Leaving);
+    assert_eq!(set.get(again).unwrap().state, State::Leaving);
+}
+
+#[test]
+fn a_hint_before_the_list_counts() {
+    let mut set = Set::default();
+    let hint = Event::Hinted {
+        name: "e1".into(),
+        incarnation: 7,
+    };
+    set.step(Time::ZERO, hint);
+    let key = listed(&mut set, 1, "e1", 7).unwrap();
+    assert_eq!(set.get(key).unwrap().state, State::Leaving);
+    assert!(set.hints().is_empty(), "a hint isn't passed on");
+}
+
+#[test]
+fn a_report_of_a_new_incarnation_replaces_the_old() {
+    let mut set = Set::default();
+    let old = listed(&mut set, 1, "e1", 1).unwrap();
+    let event = Event::Reported {
+        key: old,
+        incarnation: 2,
+        report: report(2, 3),
+    };
+    set.step(Time::from_millis(2), event);
+    let (key, endpoint) = set.find("e1").unwrap();
+    assert_ne!(key, old);
+    assert_eq!(endpoint.version, Some(Version(3)));
+    assert_eq!(listed(&mut set, 3, "e1", 1), Some(key));
+}
+
+#[test]
+fn refused_connections_need_time_to_count_as_leaving() {
+    let mut set = Set::default();
+    let key = listed(&mut set, 1, "e1", 1).unwrap();
+    for at in 1..4 {
+        end(&mut set, at, key, End::ConnectionRefused);
+    }
+    assert_eq!(set.get(key).unwrap().state, State::Live);
+    let whats = end(&mut set, 1_100, key, End::ConnectionRefused);
+    insta::assert_debug_snapshot!(whats, @"
+    [
+        Leaving(
+            ConnectionsRefused,
+        ),
+    ]
+    ");
+}
+
+#[test]
+fn failures_eject_longer_each_time_and_a_probe_restores() {
+    let mut set = Set::default();
+    let key = listed(&mut set, 0, "e1", 1).unwrap();
+    let mut whats = Vec::new();
+    for at in 1..=5 {
+        whats.extend(end(&mut set, at, key, End::Failed));
+    }
+    whats.extend(end(&mut set, 5_005, key, End::Failed));
+    whats.extend(end(&mut set, 15_005, key, End::Whole));
+    insta::assert_snapshot!(format!("{whats:?}"), @"[Ejected { until: Time(5005000) }, Ejected { until: Time(15005000) }, Restored]");
+    assert!(set.get(key).unwrap().warmth(Time::from_millis(15_005)) < 0.2);
+}
+
+#[test]
+fn a_late_report_is_corrected_by_own_work() {
+    let mut set = Set::default();
+    let key = listed(&mut set, 0, "e1", 1).unwrap();
+    let start = |set: &mut Set, at| {
+        set.step(Time::from_millis(at), Event::Started { key, tokens: 1 });
+    };
+    start(&mut set, 10);
+    start(&mut set, 20);
+    // As of 15 ms: four running, one of them ours. The second of ours isn't in it.
+    let event = Event::Reported {
+        key,
+        incarnation: 1,
+        report: report(15, 4),
+    };
+    set.step(Time::from_millis(30), event);
+    assert_eq!(set.get(key).unwrap().load(Time::from_millis(15)), 5.0);
+    assert_eq!(set.get(key).unwrap().load(Time::from_millis(6_000)), 2.0);
+}
+
+#[test]
+fn the_limit_falls_once_a_burst_and_grows_back_to_the_slots() {
+    let mut set = Set::default();
+    let key = listed(&mut set, 0, "e1", 1).unwrap();
+    for _ in 0..8 {
+        set.step(Time::from_millis(1), Event::Started { key, tokens: 1 });
+    }
+    for _ in 0..2 {
+        let event = Event::Finished {
+            key,
+            tokens: 1,
+            took: Duration::from_millis(9),
+            end: End::Overloaded,
+        };
+        set.step(Time::from_millis(10), event);
+    }
+    assert_eq!(set.get(key).unwrap().limit(), 5);
+    for at in 0..200 {
+        end(&mut set, 20 + at, key, End::Whole);
+    }
+    assert_eq!(set.get(key).unwrap().limit(), 8);
+}
+
+#[test]
+fn every_endpoint_is_covered_and_entries_hold_a_bounded_share() {
+    let names: Vec<_> = (0..90).map(|i| format!("entry-{i}")).collect();
+    let zones: Vec<_> = (0..9).map(|i| format!("zone-{i}")).collect();
+    let entries: Vec<_> = names
+        .iter()
+        .enumerate()
+        .map(|(i, name)| subset::Entry {
+            name,
+            zone: &zones[i % 9],
+        })
+        .collect();
+    let cover = subset::cover(90, 720, 80);
+    let mut held = BTreeMap::new();
+    for i in 0..720 {
+        let zone = &zones[i % 9];
+        let holders = entries
+            .iter()
+            .filter(|me| subset::holds(**me, &entries, &format!("e{i}"), zone, cover));
+        let mut count = 0;
+        for me in holders {
+            *held.entry(me.name).or_insert(0) += 1;
+            count += 1;
+        }
+        assert_eq!(count, cover.local + cover.remote);
+    }
+    let (least, most) = (held.values().min().unwrap(), held.values().max().unwrap());
+    insta::assert_snapshot!(format!("{cover:?} least {least} most {most}"), @"Cover { local: 5, remote: 5 } least 61 most 98");
+}
