Read the settings file and list all of its faults

Cause: an entry needs its addresses, zone, secrets and limits before it can start, and a volunteer should see everything that is wrong with the file in one look. Ruled out: stopping at the first fault; taking line numbers from rust-ini, which has none (a small scan of the text finds them); a setting for the size of headers, which actix-http fixes. Conclusion: the entry can be built on settings::Settings::load.

--- /dev/null
+++ b/crates/pinereel/src/settings/mod.rs
@@ -0,0 +1,357 @@
+//! What the process is told in its INI file, read and checked once at the start.
+//!
+//! Reading never stops at the first fault: [`Error::Invalid`] holds all of them, each with its
+//! line, so that one look at the output is enough to mend the file.
+
+mod fault;
+mod reader;
+mod unit;
+
+pub use fault::{Fault, Faults};
+
+use compact_str::CompactString;
+use reader::Reader;
+use std::{
+    fmt, fs, io,
+    net::SocketAddr,
+    ops::RangeInclusive,
+    path::{Path, PathBuf},
+    time::Duration,
+};
+
+/// Shortest token or secret, in bytes.
+pub const SECRET_MIN: usize = 16;
+
+/// Range of settings that say how long one wait may take.
+const WAIT: RangeInclusive<Duration> = Duration::from_millis(1)..=Duration::from_secs(3_600);
+/// Range of settings that bound a number of things held in memory.
+const COUNT: RangeInclusive<u64> = 1..=1_000_000;
+/// Range of settings that bound bytes held in memory.
+const BYTES: RangeInclusive<u64> = 1_024..=(1 << 30);
+
+/// Why there are no settings.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The file cannot be read.
+    #[error("{}: {source}", path.display())]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The file was read, and its content is at fault.
+    #[error("{0}")]
+    Invalid(Faults),
+}
+
+/// All settings of one process.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Who the entry is and where it listens.
+    pub entry: Entry,
+    /// The platform's object API.
+    pub object_api: ObjectApi,
+    /// Token and secret, already read from their files.
+    pub secrets: Secrets,
+    /// Graceful stop.
+    pub drain: Drain,
+    /// The log.
+    pub log: Log,
+    /// Bounds on what the process holds.
+    pub limits: Limits,
+    /// Switches of the routing policy.
+    pub policy: Policy,
+    /// The folder for bulk data, on the instances that have a disk.
+    pub data: Option<PathBuf>,
+}
+
+/// Who the entry is and where it listens.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// Name of the instance, unique in the system.
+    pub name: CompactString,
+    /// Its availability zone.
+    pub zone: CompactString,
+    /// Where callers connect. Port 0 lets the system choose one.
+    pub callers: SocketAddr,
+    /// Where other entries connect. Port 0 lets the system choose one.
+    pub peers: SocketAddr,
+    /// Where operators connect. Port 0 lets the system choose one.
+    pub operators: SocketAddr,
+    /// What others are told as the callers' address; the bound address if absent.
+    pub advertise_callers: Option<SocketAddr>,
+    /// What others are told as the peers' address; the bound address if absent.
+    pub advertise_peers: Option<SocketAddr>,
+}
+
+/// The platform's object API and this process's budget of calls to it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ObjectApi {
+    /// `http://IP:PORT`, without a slash at the end.
+    pub url: CompactString,
+    /// Calls in flight at once.
+    pub max_concurrency: u32,
+    /// Longest wait for one answer.
+    pub timeout: Duration,
+    /// Reads a second.
+    pub reads_per_second: u32,
+    /// Writes a second.
+    pub writes_per_second: u32,
+}
+
+/// What callers of the private listeners must show.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Secrets {
+    /// Bearer token of the operators' listener.
+    pub operator_token: Secret,
+    /// Shared secret of the links between entries.
+    pub peer_secret: Secret,
+}
+
+/// A text that never shows in logs or debug output.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Secret(CompactString);
+
+impl Secret {
+    /// Wraps `text`.
+    pub fn new(text: impl Into<CompactString>) -> Self {
+        Self(text.into())
+    }
+
+    /// The text itself, to be sent or compared.
+    pub fn reveal(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Secret(..)")
+    }
+}
+
+/// Graceful stop.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Drain {
+    /// How long the balancer may still send connections after readiness is off.
+    pub balancer_lag: Duration,
+    /// Longest wait for requests in flight.
+    pub longest: Duration,
+}
+
+/// The log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Log {
+    /// Least severe level that is written.
+    pub level: log::LevelFilter,
+    /// The file to append to; standard error if absent.
+    pub file: Option<PathBuf>,
+    /// Lines that wait for a slow sink before further ones are dropped.
+    pub queue: usize,
+    /// Whether each routing and placement decision has a line.
+    pub decisions: bool,
+}
+
+/// Bounds on what the process holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Open connections on the callers' listener.
+    pub connections: usize,
+    /// Longest wait for a whole request from its sender.
+    pub read_timeout: Duration,
+    /// Largest request body, in bytes.
+    pub body: usize,
+    /// Largest answer of an endpoint, in bytes.
+    pub answer: usize,
+    /// Requests that wait for an endpoint.
+    pub waiting: usize,
+    /// Frames that wait on one link to another entry.
+    pub peer_queue: usize,
+    /// Largest frame between entries, in bytes.
+    pub peer_frame: usize,
+    /// Lots held at once.
+    pub lots: usize,
+    /// Finished samples held until they are collected, in bytes.
+    pub sample_memory: usize,
+}
+
+/// Which routing policy runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Routing {
+    /// All of the policy.
+    Full,
+    /// The plain policy that the full one is measured against.
+    Baseline,
+}
+
+/// Switches of the routing policy.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Policy {
+    /// Which routing policy runs.
+    pub routing: Routing,
+    /// Whether endpoints of the entry's own availability zone are preferred.
+    pub zone_local: bool,
+    /// Whether requests with a common prefix are kept on one endpoint.
+    pub prefix_affinity: bool,
+    /// Most endpoints of a pool that this entry keeps state and connections for.
+    pub subset: usize,
+}
+
+impl Settings {
+    /// Reads and checks the file at `path`, and the secrets that it names.
+    pub fn load(path: impl AsRef<Path>) -> Result<Self, Error> {
+        let path = path.as_ref();
+        let text = fs::read_to_string(path).map_err(|source| Error::Read {
+            path: path.to_owned(),
+            source,
+        })?;
+        Self::parse(path, &text).map_err(Error::Invalid)
+    }
+
+    /// Checks `text` as the content of the file `path`, and reads the secrets that it names.
+    ///
+    /// Relative paths in the text start from the folder of `path`.
+    pub fn parse(path: impl AsRef<Path>, text: &str) -> Result<Self, Faults> {
+        let mut reader = Reader::new(path.as_ref(), text)?;
+        let entry = Entry::read(&mut reader);
+        let object_api = ObjectApi::read(&mut reader);
+        let secrets = Secrets::read(&mut reader);
+        let drain = Drain::read(&mut reader);
+        let log = Log::read(&mut reader);
+        let limits = Limits::read(&mut reader);
+        let policy = Policy::read(&mut reader);
+        let data = reader.section("data").path("folder");
+        let faults = reader.finish();
+        match (entry, object_api, secrets) {
+            (Some(entry), Some(object_api), Some(secrets)) if faults.is_empty() => Ok(Self {
+                entry,
+                object_api,
+                secrets,
+                drain,
+                log,
+                limits,
+                policy,
+                data,
+            }),
+            _ => Err(faults),
+        }
+    }
+}
+
+impl Entry {
+    fn read(reader: &mut Reader) -> Option<Self> {
+        let mut section = reader.section("entry");
+        let name = section.required("name", unit::NAME, unit::name);
+        let zone = section.required("zone", unit::NAME, unit::name);
+        let callers = section.required("callers", unit::ADDRESS, unit::address);
+        let peers = section.required("peers", unit::ADDRESS, unit::address);
+        let operators = section.required("operators", unit::ADDRESS, unit::address);
+        let advertise_callers = section.advertised("advertise_callers", callers);
+        let advertise_peers = section.advertised("advertise_peers", peers);
+        section.no_clash(&[
+            ("callers", callers),
+            ("peers", peers),
+            ("operators", operators),
+        ]);
+        Some(Self {
+            name: name?,
+            zone: zone?,
+            callers: callers?,
+            peers: peers?,
+            operators: operators?,
+            advertise_callers,
+            advertise_peers,
+        })
+    }
+}
+
+impl ObjectApi {
+    fn read(reader: &mut Reader) -> Option<Self> {
+        let mut section = reader.section("object_api");
+        let url = section.required("url", unit::URL, unit::url);
+        let max_concurrency = section.number("max_concurrency", 1..=1_024, 8);
+        let timeout = section.duration("timeout", WAIT, Duration::from_secs(2));
+        let reads_per_second = section.number("reads_per_second", 1..=10_000, 20);
+        let writes_per_second = section.number("writes_per_second", 1..=10_000, 10);
+        Some(Self {
+            url: url?,
+            max_concurrency,
+            timeout,
+            reads_per_second,
+            writes_per_second,
+        })
+    }
+}
+
+impl Secrets {
+    fn read(reader: &mut Reader) -> Option<Self> {
+        let mut section = reader.section("secrets");
+        let operator_token = section.secret("operator_token_file");
+        let peer_secret = section.secret("peer_secret_file");
+        Some(Self {
+            operator_token: operator_token?,
+            peer_secret: peer_secret?,
+        })
+    }
+}
+
+impl Drain {
+    fn read(reader: &mut Reader) -> Self {
+        let mut section = reader.section("drain");
+        let wait = Duration::ZERO..=Duration::from_secs(3_600);
+        let balancer_lag = section.duration("balancer_lag", wait, Duration::from_secs(3));
+        let longest = section.duration("longest", WAIT, Duration::from_secs(30));
+        if longest < balancer_lag {
+            section.fault("longest", "no shorter than balancer_lag");
+        }
+        Self {
+            balancer_lag,
+            longest,
+        }
+    }
+}
+
+impl Log {
+    fn read(reader: &mut Reader) -> Self {
+        let mut section = reader.section("log");
+        let level = section.optional("level", unit::LEVEL, unit::level);
+        let file = section.path("file").filter(|file| !file.ends_with("-"));
+        Self {
+            level: level.unwrap_or(log::LevelFilter::Info),
+            file,
+            queue: section.count("queue", COUNT, 8_192),
+            decisions: section.switch("decisions", true),
+        }
+    }
+}
+
+impl Limits {
+    fn read(reader: &mut Reader) -> Self {
+        let mut section = reader.section("limits");
+        Self {
+            connections: section.count("connections", COUNT, 4_096),
+            read_timeout: section.duration("read_timeout", WAIT, Duration::from_secs(5)),
+            body: section.size("body", BYTES, 1 << 20),
+            answer: section.size("answer", BYTES, 8 << 20),
+            waiting: section.count("waiting", COUNT, 1_024),
+            peer_queue: section.count("peer_queue", COUNT, 256),
+            peer_frame: section.size("peer_frame", BYTES, 1 << 20),
+            lots: section.count("lots", COUNT, 64),
+            sample_memory: section.size("sample_memory", BYTES, 64 << 20),
+        }
+    }
+}
+
+impl Policy {
+    fn read(reader: &mut Reader) -> Self {
+        let mut section = reader.section("policy");
+        let routing = section.optional("routing", unit::ROUTING, unit::routing);
+        Self {
+            routing: routing.unwrap_or(Routing::Full),
+            zone_local: section.switch("zone_local", true),
+            prefix_affinity: section.switch("prefix_affinity", true),
+            subset: section.count("subset", COUNT, 64),
+        }
+    }
+}
--- /dev/null
+++ b/crates/pinereel/src/settings/reader.rs
@@ -0,0 +1,391 @@
+//! Reads values from the parsed INI file and collects every fault.
+
+use super::{Fault, Faults, SECRET_MIN, Secret, unit};
+use compact_str::{CompactString, format_compact};
+use ini::Ini;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt::Display,
+    fs,
+    net::SocketAddr,
+    ops::RangeInclusive,
+    os::unix::fs::PermissionsExt as _,
+    path::{Path, PathBuf},
+    time::Duration,
+};
+
+/// Permission bits that let any user of the machine read or write a file.
+const OTHERS: u32 = 0o006;
+
+/// One `key = value`, with its line.
+struct Value {
+    line: usize,
+    text: CompactString,
+}
+
+/// The content of a file, and what was found wrong with it so far.
+pub(super) struct Reader {
+    file: PathBuf,
+    /// Line of each section's first header.
+    headers: BTreeMap<CompactString, usize>,
+    values: BTreeMap<CompactString, BTreeMap<CompactString, Value>>,
+    /// Every key that was asked for, by section.
+    known: BTreeMap<CompactString, BTreeSet<CompactString>>,
+    faults: Vec<Fault>,
+}
+
+impl Reader {
+    /// Parses `text`; a text that is not INI is the only fault that ends the reading.
+    pub(super) fn new(file: &Path, text: &str) -> Result<Self, Faults> {
+        let mut reader = Self {
+            file: file.to_owned(),
+            headers: BTreeMap::new(),
+            values: BTreeMap::new(),
+            known: BTreeMap::new(),
+            faults: Vec::new(),
+        };
+        match Ini::load_from_str(text) {
+            Ok(ini) => reader.fill(&ini, &Lines::scan(text)),
+            Err(error) => {
+                let given = text.lines().nth(error.line.saturating_sub(1));
+                reader.faults.push(Fault {
+                    file: file.to_owned(),
+                    line: error.line,
+                    section: CompactString::default(),
+                    key: None,
+                    given: Some(given.unwrap_or_default().trim().into()),
+                    expected: format_compact!("INI: {}", error.msg),
+                });
+                return Err(Faults(reader.faults));
+            }
+        }
+        Ok(reader)
+    }
+
+    /// The section `name`, to read its keys.
+    pub(super) fn section(&mut self, name: &'static str) -> Section<'_> {
+        self.known.entry(name.into()).or_default();
+        Section { reader: self, name }
+    }
+
+    /// All faults, with those of sections and keys that nobody asked for.
+    pub(super) fn finish(mut self) -> Faults {
+        self.find_unknown();
+        self.faults.sort_by_key(|fault| fault.line);
+        Faults(self.faults)
+    }
+
+    fn fill(&mut self, ini: &Ini, lines: &Lines) {
+        for (name, line) in &lines.headers {
+            if self.headers.contains_key(name) {
+                let given = format_compact!("[{name}]");
+                self.push(*line, name, None, Some(given), "each section once");
+            } else {
+                self.headers.insert(name.clone(), *line);
+            }
+        }
+        let mut seen = BTreeMap::new();
+        for (section, properties) in ini {
+            let section = CompactString::from(section.unwrap_or_default());
+            for (key, text) in properties {
+                let place = (section.clone(), CompactString::from(key));
+                let nth = seen.entry(place.clone()).or_insert(0);
+                let line = lines.find(&place, *nth);
+                *nth += 1;
+                self.add(place, line, text.into());
+            }
+        }
+    }
+
+    fn add(
+        &mut self,
+        (section, key): (CompactString, CompactString),
+        line: usize,
+        text: CompactString,
+    ) {
+        let keys = self.values.entry(section.clone()).or_default();
+        if let Some(first) = keys.get(&key) {
+            let expected = format_compact!("each key once (first on line {})", first.line);
+            self.push(line, &section, Some(&key), Some(text), expected);
+        } else {
+            keys.insert(key, Value { line, text });
+        }
+    }
+
+    fn find_unknown(&mut self) {
+        let sections = join(self.known.keys());
+        for (section, line) in self.headers.clone() {
+            if !self.known.contains_key(&section) {
+                let given = format_compact!("[{section}]");
+                let expected = format_compact!("one of {sections}");
+                self.push(line, &section, None, Some(given), expected);
+            }
+        }
+        for (section, keys) in std::mem::take(&mut self.values) {
+            let known = self.known.get(&section).cloned();
+            for (key, value) in keys {
+                let expected = match &known {
+                    Some(known) if known.contains(&key) => continue,
+                    Some(known) => format_compact!("one of {}", join(known)),
+                    None if section.is_empty() => "a section before the first key".into(),
+                    None => continue,
+                };
+                self.push(value.line, &section, Some(&key), Some(value.text), expected);
+            }
+        }
+    }
+
+    fn push(
+        &mut self,
+        line: usize,
+        section: &str,
+        key: Option<&str>,
+        given: Option<CompactString>,
+        expected: impl Into<CompactString>,
+    ) {
+        self.faults.push(Fault {
+            file: self.file.clone(),
+            line,
+            section: section.into(),
+            key: key.map(Into::into),
+            given,
+            expected: expected.into(),
+        });
+    }
+}
+
+/// One section of a [`Reader`].
+pub(super) struct Section<'a> {
+    reader: &'a mut Reader,
+    name: &'static str,
+}
+
+impl Section<'_> {
+    /// The value of a key that may be left out.
+    pub(super) fn optional<T>(
+        &mut self,
+        key: &str,
+        expected: &str,
+        parse: impl Fn(&str) -> Option<T>,
+    ) -> Option<T> {
+        let text = self.text(key)?;
+        let value = parse(&text);
+        if value.is_none() {
+            self.fault(key, expected);
+        }
+        value
+    }
+
+    /// The value of a key that must be there.
+    pub(super) fn required<T>(
+        &mut self,
+        key: &str,
+        expected: &str,
+        parse: impl Fn(&str) -> Option<T>,
+    ) -> Option<T> {
+        if self.text(key).is_none() {
+            self.fault(key, expected);
+        }
+        self.optional(key, expected, parse)
+    }
+
+    /// A whole number in `range`.
+    pub(super) fn number(&mut self, key: &str, range: RangeInclusive<u32>, default: u32) -> u32 {
+        let (low, high) = (*range.start(), *range.end());
+        let expected = format_compact!("a number from {low} to {high}");
+        let parse = |text: &str| u32::try_from(unit::number(text)?).ok();
+        self.optional(key, &expected, |text| within(parse(text), &range))
+            .unwrap_or(default)
+    }
+
+    /// A whole number of things in `range`.
+    pub(super) fn count(&mut self, key: &str, range: RangeInclusive<u64>, default: usize) -> usize {
+        let (low, high) = (range.start(), range.end());
+        let expected = format_compact!("a number from {low} to {high}");
+        self.optional(key, &expected, |text| within(unit::number(text), &range))
+            .map_or(default, to_usize)
+    }
+
+    /// A size in `range`, given with its unit, in bytes.
+    pub(super) fn size(&mut self, key: &str, range: RangeInclusive<u64>, default: usize) -> usize {
+        let (low, high) = (
+            unit::show_size(*range.start()),
+            unit::show_size(*range.end()),
+        );
+        let expected = format_compact!("a size (B, KiB, MiB, GiB) from {low} to {high}");
+        self.optional(key, &expected, |text| within(unit::size(text), &range))
+            .map_or(default, to_usize)
+    }
+
+    /// A duration in `range`, given with its unit.
+    pub(super) fn duration(
+        &mut self,
+        key: &str,
+        range: RangeInclusive<Duration>,
+        default: Duration,
+    ) -> Duration {
+        let (low, high) = (range.start(), range.end());
+        let expected = format_compact!("a duration (ms, s, m, h) from {low:?} to {high:?}");
+        self.optional(key, &expected, |text| within(unit::duration(text), &range))
+            .unwrap_or(default)
+    }
+
+    /// `true` or `false`.
+    pub(super) fn switch(&mut self, key: &str, default: bool) -> bool {
+        self.optional(key, unit::SWITCH, unit::switch)
+            .unwrap_or(default)
+    }
+
+    /// A path; a relative one starts from the folder of the settings file.
+    pub(super) fn path(&mut self, key: &str) -> Option<PathBuf> {
+        let folder = self.folder();
+        let parse = |text: &str| (!text.is_empty()).then(|| folder.join(text));
+        self.optional(key, "a path", parse)
+    }
+
+    /// The address that others are told in place of `bound`.
+    pub(super) fn advertised(
+        &mut self,
+        key: &str,
+        bound: Option<SocketAddr>,
+    ) -> Option<SocketAddr> {
+        let expected = "IP:PORT that others can connect to";
+        let reachable = |a: &SocketAddr| a.port() != 0 && !a.ip().is_unspecified();
+        if self.text(key).is_none() && bound.is_some_and(|bound| bound.ip().is_unspecified()) {
+            self.fault(key, expected);
+        }
+        self.optional(key, expected, |text| unit::address(text).filter(reachable))
+    }
+
+    /// The content of the file that `key` names.
+    pub(super) fn secret(&mut self, key: &str) -> Option<Secret> {
+        let folder = self.folder();
+        let parse = |text: &str| (!text.is_empty()).then(|| folder.join(text));
+        let path = self.required(key, "path of a secret's file", parse)?;
+        match read_secret(&path) {
+            Ok(secret) => Some(secret),
+            Err(expected) => {
+                self.fault(key, &expected);
+                None
+            }
+        }
+    }
+
+    /// Finds listeners that cannot be bound at once.
+    pub(super) fn no_clash(&mut self, listeners: &[(&str, Option<SocketAddr>)]) {
+        for (index, (key, address)) in listeners.iter().enumerate() {
+            let earlier = &listeners[..index];
+            let other = earlier.iter().find(|(_, other)| clash(*address, *other));
+            if let Some((other, _)) = other {
+                self.fault(
+                    key,
+                    &format_compact!("an address that {other} does not use"),
+                );
+            }
+        }
+    }
+
+    /// Notes that the value of `key` is not what was expected, or is missing.
+    pub(super) fn fault(&mut self, key: &str, expected: &str) {
+        let value = self.reader.values.get(self.name).and_then(|s| s.get(key));
+        let header = self.reader.headers.get(self.name).copied().unwrap_or(1);
+        let line = value.map_or(header, |value| value.line);
+        let given = value.map(|value| value.text.clone());
+        self.reader
+            .push(line, self.name, Some(key), given, expected);
+    }
+
+    fn text(&mut self, key: &str) -> Option<CompactString> {
+        let known = self.reader.known.entry(self.name.into()).or_default();
+        known.insert(key.into());
+        let value = self.reader.values.get(self.name)?.get(key)?;
+        Some(value.text.clone())
+    }
+
+    fn folder(&self) -> PathBuf {
+        self.reader
+            .file
+            .parent()
+            .unwrap_or(Path::new(""))
+            .to_owned()
+    }
+}
+
+/// Where sections and keys stand, since the INI library does not say.
+struct Lines {
+    headers: Vec<(CompactString, usize)>,
+    keys: BTreeMap<(CompactString, CompactString), Vec<usize>>,
+}
+
+impl Lines {
+    fn scan(text: &str) -> Self {
+        let mut lines = Self {
+            headers: Vec::new(),
+            keys: BTreeMap::new(),
+        };
+        let mut section = CompactString::default();
+        for (index, line) in text.lines().enumerate() {
+            let line = line.trim();
+            if line.starts_with(['#', ';']) {
+                continue;
+            }
+            if let Some(header) = line.strip_prefix('[') {
+                section = header.split(']').next().unwrap_or_default().trim().into();
+                lines.headers.push((section.clone(), index + 1));
+            } else if let Some((key, _)) = line.split_once(['=', ':']) {
+                let place = (section.clone(), key.trim().into());
+                lines.keys.entry(place).or_default().push(index + 1);
+            }
+        }
+        lines
+    }
+
+    /// Line of the `nth` time that a key stands in a section; 1 if the scan missed it.
+    fn find(&self, place: &(CompactString, CompactString), nth: usize) -> usize {
+        let lines = self.keys.get(place);
+        lines.and_then(|lines| lines.get(nth)).copied().unwrap_or(1)
+    }
+}
+
+/// Reads the secret at `path`, or says what was expected of the file.
+fn read_secret(path: &Path) -> Result<Secret, CompactString> {
+    let unreadable = |error: std::io::Error| format_compact!("a readable file ({error})");
+    let mode = fs::metadata(path).map_err(unreadable)?.permissions().mode();
+    if mode & OTHERS != 0 {
+        let mode = mode & 0o777;
+        return Err(format_compact!(
+            "a file closed to other users (its mode is {mode:04o}; use chmod o-rw)"
+        ));
+    }
+    let text = fs::read_to_string(path).map_err(unreadable)?;
+    let text = text.trim();
+    let len = text.len();
+    if len < SECRET_MIN {
+        return Err(format_compact!(
+            "a file with at least {SECRET_MIN} bytes (it has {len})"
+        ));
+    }
+    Ok(Secret::new(text))
+}
+
+/// Whether two listeners cannot be bound at once.
+fn clash(a: Option<SocketAddr>, b: Option<SocketAddr>) -> bool {
+    let (Some(a), Some(b)) = (a, b) else {
+        return false;
+    };
+    let any = a.ip().is_unspecified() || b.ip().is_unspecified();
+    a.port() != 0 && a.port() == b.port() && (any || a.ip() == b.ip())
+}
+
+fn within<T: PartialOrd>(value: Option<T>, range: &RangeInclusive<T>) -> Option<T> {
+    value.filter(|value| range.contains(value))
+}
+
+fn to_usize(value: u64) -> usize {
+    usize::try_from(value).unwrap_or(usize::MAX)
+}
+
+fn join<'a>(names: impl IntoIterator<Item = &'a (impl Display + 'a)>) -> String {
+    let names: Vec<_> = names.into_iter().map(ToString::to_string).collect();
+    names.join(", ")
+}
--- /dev/null
+++ b/crates/pinereel/src/settings/unit.rs
@@ -0,0 +1,97 @@
+//! Values with their units. Each function gives `None` for a text that is not such a value.
+
+use super::Routing;
+use compact_str::{CompactString, format_compact};
+use log::LevelFilter;
+use std::{net::SocketAddr, time::Duration};
+
+pub(super) const NAME: &str = "1 to 63 of a-z, 0-9, `-`, `.` and `_`, starting with a-z or 0-9";
+pub(super) const ADDRESS: &str = "IP:PORT";
+pub(super) const URL: &str = "http://IP:PORT";
+pub(super) const LEVEL: &str = "off, error, warn, info, debug or trace";
+pub(super) const ROUTING: &str = "full or baseline";
+pub(super) const SWITCH: &str = "true or false";
+
+const NAME_MAX: usize = 63;
+
+pub(super) fn name(text: &str) -> Option<CompactString> {
+    let plain = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit();
+    let first = text.chars().next()?;
+    let valid = plain(first)
+        && text.len() <= NAME_MAX
+        && text.chars().all(|c| plain(c) || "-._".contains(c));
+    valid.then(|| text.into())
+}
+
+pub(super) fn address(text: &str) -> Option<SocketAddr> {
+    text.parse().ok()
+}
+
+pub(super) fn url(text: &str) -> Option<CompactString> {
+    let rest = text.strip_prefix("http://")?;
+    let address = address(rest.strip_suffix('/').unwrap_or(rest))?;
+    (address.port() != 0).then(|| format_compact!("http://{address}"))
+}
+
+pub(super) fn level(text: &str) -> Option<LevelFilter> {
+    text.parse().ok()
+}
+
+pub(super) fn routing(text: &str) -> Option<Routing> {
+    match text {
+        "full" => Some(Routing::Full),
+        "baseline" => Some(Routing::Baseline),
+        _ => None,
+    }
+}
+
+pub(super) fn switch(text: &str) -> Option<bool> {
+    text.parse().ok()
+}
+
+pub(super) fn number(text: &str) -> Option<u64> {
+    let digits = !text.is_empty() && text.bytes().all(|b| b.is_ascii_digit());
+    digits.then(|| text.parse().ok()).flatten()
+}
+
+/// A whole number of `ms`, `s`, `m` or `h`.
+pub(super) fn duration(text: &str) -> Option<Duration> {
+    let (count, unit) = split(text)?;
+    let millis = match unit {
+        "ms" => 1,
+        "s" => 1_000,
+        "m" => 60_000,
+        "h" => 3_600_000,
+        _ => return None,
+    };
+    count.checked_mul(millis).map(Duration::from_millis)
+}
+
+/// A whole number of `B`, `KiB`, `MiB` or `GiB`.
+pub(super) fn size(text: &str) -> Option<u64> {
+    let (count, unit) = split(text)?;
+    let bytes = match unit {
+        "B" => 1,
+        "KiB" => 1 << 10,
+        "MiB" => 1 << 20,
+        "GiB" => 1 << 30,
+        _ => return None,
+    };
+    count.checked_mul(bytes)
+}
+
+/// How a number of bytes is written, in the largest unit that keeps it whole.
+pub(super) fn show_size(bytes: u64) -> CompactString {
+    let units = [(30, "GiB"), (20, "MiB"), (10, "KiB")];
+    let whole = |shift: u32| bytes > 0 && bytes.trailing_zeros() >= shift;
+    match units.into_iter().find(|(shift, _)| whole(*shift)) {
+        Some((shift, unit)) => format_compact!("{}{unit}", bytes >> shift),
+        None => format_compact!("{bytes}B"),
+    }
+}
+
+fn split(text: &str) -> Option<(u64, &str)> {
+    let end = text.find(|c: char| !c.is_ascii_digit())?;
+    let (count, unit) = text.split_at(end);
+    Some((number(count)?, unit))
+}
--- /dev/null
+++ b/crates/pinereel/tests/settings_file.rs
@@ -0,0 +1,309 @@
+//! The settings file: defaults, every kind of fault, and the worked example of the docs.
+
+use pinereel::settings::{Error, Settings};
+use std::{
+    fs,
+    os::unix::fs::PermissionsExt as _,
+    path::{Path, PathBuf},
+};
+
+const GOOD: &str = "\
+[entry]
+name = entry-1
+zone = toledo-hall
+callers = 127.0.0.1:8080
+peers = 127.0.0.1:8081
+operators = 127.0.0.1:8082
+
+[object_api]
+url = http://127.0.0.1:9000/
+
+[secrets]
+operator_token_file = token
+peer_secret_file = secret
+";
+
+/// A folder of this test's own, with a token and a secret.
+fn folder(test: &str) -> PathBuf {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(test);
+    fs::create_dir_all(&folder).expect("a folder");
+    write(&folder.join("token"), "  operators-token-1\n", 0o600);
+    write(&folder.join("secret"), "peers-secret-0001", 0o640);
+    folder
+}
+
+fn write(path: &Path, text: &str, mode: u32) {
+    fs::write(path, text).expect("a file");
+    fs::set_permissions(path, fs::Permissions::from_mode(mode)).expect("its mode");
+}
+
+/// The faults of `text`, without the folder's name.
+fn faults(test: &str, text: &str) -> String {
+    let folder = folder(test);
+    let faults = Settings::parse(folder.join("pinereel.ini"), text).expect_err("faults");
+    let prefix = format!("{}/", folder.display());
+    faults.to_string().replace(&prefix, "")
+}
+
+#[test]
+fn defaults() {
+    let folder = folder("defaults");
+    let settings = Settings::parse(folder.join("pinereel.ini"), GOOD).unwrap();
+    assert_eq!(
+        settings.secrets.operator_token.reveal(),
+        "operators-token-1"
+    );
+    assert_eq!(settings.secrets.peer_secret.reveal(), "peers-secret-0001");
+    insta::assert_snapshot!(format!("{settings:#?}"), @r#"
+    Settings {
+        entry: Entry {
+            name: "entry-1",
+            zone: "toledo-hall",
+            callers: 127.0.0.1:8080,
+            peers: 127.0.0.1:8081,
+            operators: 127.0.0.1:8082,
+            advertise_callers: None,
+            advertise_peers: None,
+        },
+        object_api: ObjectApi {
+            url: "http://127.0.0.1:9000",
+            max_concurrency: 8,
+            timeout: 2s,
+            reads_per_second: 20,
+            writes_per_second: 10,
+        },
+        secrets: Secrets {
+            operator_token: Secret(..),
+            peer_secret: Secret(..),
+        },
+        drain: Drain {
+            balancer_lag: 3s,
+            longest: 30s,
+        },
+        log: Log {
+            level: Info,
+            file: None,
+            queue: 8192,
+            decisions: true,
+        },
+        limits: Limits {
+            connections: 4096,
+            read_timeout: 5s,
+            body: 1048576,
+            answer: 8388608,
+            waiting: 1024,
+            peer_queue: 256,
+            peer_frame: 1048576,
+            lots: 64,
+            sample_memory: 67108864,
+        },
+        policy: Policy {
+            routing: Full,
+            zone_local: true,
+            prefix_affinity: true,
+            subset: 64,
+        },
+        data: None,
+    }
+    "#);
+}
+
+#[test]
+fn every_key_is_taken() {
+    let text = GOOD.to_owned()
+        + "
+[drain]
+balancer_lag = 250ms
+longest = 2m
+[log]
+level = debug
+file = logs/entry.log
+queue = 16
+decisions = false
+[limits]
+connections = 10
+read_timeout = 1s
+body = 64KiB
+answer = 1MiB
+waiting = 7
+peer_queue = 9
+peer_frame = 2048B
+lots = 3
+sample_memory = 1GiB
+[policy]
+routing = baseline
+zone_local = false
+prefix_affinity = false
+subset = 5
+[data]
+folder = /var/lib/pinereel
+";
+    let folder = folder("every_key");
+    let settings = Settings::parse(folder.join("pinereel.ini"), &text).unwrap();
+    assert_eq!(settings.log.file, Some(folder.join("logs/entry.log")));
+    let Settings {
+        drain,
+        limits,
+        policy,
+        data,
+        ..
+    } = settings;
+    insta::assert_snapshot!(format!("{drain:?}\n{limits:?}\n{policy:?}\n{data:?}"), @r#"
+    Drain { balancer_lag: 250ms, longest: 120s }
+    Limits { connections: 10, read_timeout: 1s, body: 65536, answer: 1048576, waiting: 7, peer_queue: 9, peer_frame: 2048, lots: 3, sample_memory: 1073741824 }
+    Policy { routing: Baseline, zone_local: false, prefix_affinity: false, subset: 5 }
+    Some("/var/lib/pinereel")
+    "#);
+}
+
+#[test]
+fn empty_file_lists_all_that_is_required() {
+    insta::assert_snapshot!(faults("empty", ""), @r#"
+    pinereel.ini:1: [entry] name: missing, expected 1 to 63 of a-z, 0-9, `-`, `.` and `_`, starting with a-z or 0-9
+    pinereel.ini:1: [entry] zone: missing, expected 1 to 63 of a-z, 0-9, `-`, `.` and `_`, starting with a-z or 0-9
+    pinereel.ini:1: [entry] callers: missing, expected IP:PORT
+    pinereel.ini:1: [entry] peers: missing, expected IP:PORT
+    pinereel.ini:1: [entry] operators: missing, expected IP:PORT
+    pinereel.ini:1: [object_api] url: missing, expected http://IP:PORT
+    pinereel.ini:1: [secrets] operator_token_file: missing, expected path of a secret's file
+    pinereel.ini:1: [secrets] peer_secret_file: missing, expected path of a secret's file
+    "#);
+}
+
+#[test]
+fn unknown_and_duplicate() {
+    let text = GOOD.replace(
+        "[object_api]",
+        "colour = red\nzone = erie-hall\n[object_api]",
+    ) + "[entry]\n[drian]\nlongest = 3s\n";
+    insta::assert_snapshot!(faults("unknown", &text), @r#"
+    pinereel.ini:8: [entry] colour: given "red", expected one of advertise_callers, advertise_peers, callers, name, operators, peers, zone
+    pinereel.ini:9: [entry] zone: given "erie-hall", expected each key once (first on line 3)
+    pinereel.ini:16: [entry]: given "[entry]", expected each section once
+    pinereel.ini:17: [drian]: given "[drian]", expected one of data, drain, entry, limits, log, object_api, policy, secrets
+    "#);
+}
+
+#[test]
+fn key_before_the_first_section() {
+    insta::assert_snapshot!(faults("general", &format!("name = a\n{GOOD}")), @r#"
+    pinereel.ini:1: [] name: given "a", expected a section before the first key
+    "#);
+}
+
+#[test]
+fn bad_values() {
+    let text = GOOD
+        .replace("entry-1", "Entry 1")
+        .replace("127.0.0.1:8081", "localhost:8081")
+        .replace("http://127.0.0.1:9000/", "https://127.0.0.1:9000")
+        + "
+[drain]
+balancer_lag = 3
+longest = 5 s
+[log]
+level = loud
+queue = 0
+decisions = yes
+[limits]
+connections = 1000001
+read_timeout = 2d
+body = 64KB
+answer = 2GiB
+lots = -1
+waiting =
+[policy]
+routing = best
+";
+    insta::assert_snapshot!(faults("bad_values", &text), @r#"
+    pinereel.ini:2: [entry] name: given "Entry 1", expected 1 to 63 of a-z, 0-9, `-`, `.` and `_`, starting with a-z or 0-9
+    pinereel.ini:5: [entry] peers: given "localhost:8081", expected IP:PORT
+    pinereel.ini:9: [object_api] url: given "https://127.0.0.1:9000", expected http://IP:PORT
+    pinereel.ini:16: [drain] balancer_lag: given "3", expected a duration (ms, s, m, h) from 0ns to 3600s
+    pinereel.ini:17: [drain] longest: given "5 s", expected a duration (ms, s, m, h) from 1ms to 3600s
+    pinereel.ini:19: [log] level: given "loud", expected off, error, warn, info, debug or trace
+    pinereel.ini:20: [log] queue: given "0", expected a number from 1 to 1000000
+    pinereel.ini:21: [log] decisions: given "yes", expected true or false
+    pinereel.ini:23: [limits] connections: given "1000001", expected a number from 1 to 1000000
+    pinereel.ini:24: [limits] read_timeout: given "2d", expected a duration (ms, s, m, h) from 1ms to 3600s
+    pinereel.ini:25: [limits] body: given "64KB", expected a size (B, KiB, MiB, GiB) from 1KiB to 1GiB
+    pinereel.ini:26: [limits] answer: given "2GiB", expected a size (B, KiB, MiB, GiB) from 1KiB to 1GiB
+    pinereel.ini:27: [limits] lots: given "-1", expected a number from 1 to 1000000
+    pinereel.ini:28: [limits] waiting: given "", expected a number from 1 to 1000000
+    pinereel.ini:30: [policy] routing: given "best", expected full or baseline
+    "#);
+}
+
+#[test]
+fn drain_shorter_than_the_lag() {
+    let text = GOOD.to_owned() + "[drain]\nbalancer_lag = 9s\nlongest = 8s\n";
+    insta::assert_snapshot!(faults("short_drain", &text), @r#"
+    pinereel.ini:16: [drain] longest: given "8s", expected no shorter than balancer_lag
+    "#);
+}
+
+#[test]
+fn listeners_clash() {
+    let text = GOOD
+        .replace("127.0.0.1:8081", "127.0.0.1:8080")
+        .replace("127.0.0.1:8082", "0.0.0.0:8080");
+    insta::assert_snapshot!(faults("clash", &text), @r#"
+    pinereel.ini:5: [entry] peers: given "127.0.0.1:8080", expected an address that callers does not use
+    pinereel.ini:6: [entry] operators: given "0.0.0.0:8080", expected an address that callers does not use
+    "#);
+    let text = GOOD.replace(":8080", ":0").replace(":8081", ":0");
+    let folder = folder("clash");
+    Settings::parse(folder.join("pinereel.ini"), &text).unwrap();
+}
+
+#[test]
+fn unreachable_advertised_address() {
+    let text = GOOD
+        .replace("127.0.0.1:8080", "0.0.0.0:8080")
+        .replace("[object_api]", "advertise_peers = 10.0.0.1:0\n[object_api]");
+    insta::assert_snapshot!(faults("advertise", &text), @r#"
+    pinereel.ini:1: [entry] advertise_callers: missing, expected IP:PORT that others can connect to
+    pinereel.ini:8: [entry] advertise_peers: given "10.0.0.1:0", expected IP:PORT that others can connect to
+    "#);
+}
+
+#[test]
+fn secrets_missing_short_or_open() {
+    let name = "secrets";
+    let folder = folder(name);
+    write(&folder.join("open"), "operators-token-1", 0o644);
+    write(&folder.join("short"), "   too-short    \n", 0o600);
+    let open = GOOD
+        .replace("= token", "= open")
+        .replace("= secret", "= short");
+    insta::assert_snapshot!(faults(name, &open), @r#"
+    pinereel.ini:12: [secrets] operator_token_file: given "open", expected a file closed to other users (its mode is 0644; use chmod o-rw)
+    pinereel.ini:13: [secrets] peer_secret_file: given "short", expected a file with at least 16 bytes (it has 9)
+    "#);
+    let missing = GOOD.replace("= token", "= nowhere");
+    insta::assert_snapshot!(faults(name, &missing), @r#"
+    pinereel.ini:12: [secrets] operator_token_file: given "nowhere", expected a readable file (No such file or directory (os error 2))
+    "#);
+}
+
+#[test]
+fn not_ini() {
+    insta::assert_snapshot!(faults("not_ini", "[entry\nname = a\n"), @r#"
+    pinereel.ini:3: []: given "", expected INI: expecting "[Some(']')]" but found EOF.
+    "#);
+}
+
+#[test]
+fn load_names_the_file() {
+    let path = folder("load").join("nowhere.ini");
+    let error = Settings::load(&path).unwrap_err();
+    assert!(matches!(error, Error::Read { path: named, .. } if named == path));
+}
+
+#[test]
+fn debug_hides_secrets() {
+    let folder = folder("debug");
+    let settings = Settings::parse(folder.join("pinereel.ini"), GOOD).unwrap();
+    let shown = format!("{settings:?}");
+    assert!(!shown.contains("operators-token-1") && !shown.contains("peers-secret-0001"));
+}
