--- /dev/null
+++ b/crates/pinereel/src/logging/line.rs
@@ -0,0 +1,121 @@
+//! One record as one JSON line.
+
+use compact_str::{CompactString, format_compact};
+use log::{
+    Level, Record,
+    kv::{Error, Key, Value, VisitSource},
+};
+use serde::{Serialize, Serializer, ser::SerializeMap as _};
+use std::{
+    collections::BTreeMap,
+    fmt,
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+/// Fields that every line has; a key of a record with such a name gets [`PREFIX`].
+const RESERVED: [&str; 4] = ["ts", "level", "target", "msg"];
+const PREFIX: &str = "field_";
+
+const MILLIS_A_DAY: u128 = 86_400_000;
+
+/// The line of `record`, without a line break.
+pub(super) fn format(now: SystemTime, record: &Record<'_>) -> String {
+    let mut fields = Fields::default();
+    // Collecting into a map cannot fail.
+    let _ = record.key_values().visit(&mut fields);
+    let line = Line {
+        now,
+        level: record.level(),
+        target: record.target(),
+        message: *record.args(),
+        fields: fields.0,
+    };
+    line.to_json()
+}
+
+/// The line that tells of `count` dropped lines.
+pub(super) fn dropped(now: SystemTime, count: u64) -> String {
+    let line = Line {
+        now,
+        level: Level::Warn,
+        target: module_path!(),
+        message: format_args!("log lines dropped"),
+        fields: BTreeMap::from([("dropped".into(), count.into())]),
+    };
+    line.to_json()
+}
+
+/// `time` in UTC as RFC 3339 with milliseconds, such as `1970-01-01T00:00:00.000Z`.
+pub fn timestamp(time: SystemTime) -> CompactString {
+    let since = time.duration_since(UNIX_EPOCH).unwrap_or_default();
+    let millis = since.as_millis();
+    let (year, month, day) = date(millis / MILLIS_A_DAY);
+    let rest = millis % MILLIS_A_DAY;
+    let (hour, minute) = (rest / 3_600_000, rest / 60_000 % 60);
+    let (second, milli) = (rest / 1_000 % 60, rest % 1_000);
+    format_compact!("{year:04}-{month:02}-{day:02}T{hour:02}:{minute:02}:{second:02}.{milli:03}Z")
+}
+
+/// Year, month and day of the Gregorian calendar, `days` after 1970-01-01.
+fn date(days: u128) -> (u128, u128, u128) {
+    // Counted from 0000-03-01, so that a leap day is the last day of its year; the calendar
+    // repeats every 400 years.
+    let days = days + 719_468;
+    let (era, day) = (days / 146_097, days % 146_097);
+    let year = (day - day / 1_460 + day / 36_524 - day / 146_096) / 365;
+    let day = day - (365 * year + year / 4 - year / 100);
+    let month = (5 * day + 2) / 153;
+    let day = day - (153 * month + 2) / 5 + 1;
+    let (month, next) = if month < 10 {
+        (month + 3, 0)
+    } else {
+        (month - 9, 1)
+    };
+    (era * 400 + year + next, month, day)
+}
+
+struct Line<'a> {
+    now: SystemTime,
+    level: Level,
+    target: &'a str,
+    message: fmt::Arguments<'a>,
+    fields: BTreeMap<CompactString, serde_json::Value>,
+}
+
+impl Line<'_> {
+    fn to_json(&self) -> String {
+        serde_json::to_string(self).expect("text keys and JSON values always serialise")
+    }
+}
+
+impl Serialize for Line<'_> {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut map = serializer.serialize_map(None)?;
+        map.serialize_entry("ts", &timestamp(self.now))?;
+        map.serialize_entry("level", &self.level.as_str().to_ascii_lowercase())?;
+        map.serialize_entry("target", self.target)?;
+        map.serialize_entry("msg", &self.message)?;
+        for (key, value) in &self.fields {
+            map.serialize_entry(key, value)?;
+        }
+        map.end()
+    }
+}
+
+/// The fields of a record; of a key given twice, the last value counts.
+#[derive(Default)]
+struct Fields(BTreeMap<CompactString, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let key = key.as_str();
+        let key = if RESERVED.contains(&key) {
+            format_compact!("{PREFIX}{key}")
+        } else {
+            key.into()
+        };
+        let value = serde_json::to_value(&value).unwrap_or_else(|_| value.to_string().into());
+        self.0.insert(key, value);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/pinereel/src/logging/mod.rs
@@ -0,0 +1,112 @@
+//! The log: JSON lines through `log` and `fern`, written by a thread of its own.
+//!
+//! Nobody who logs ever waits for the sink: lines pass a bounded [`Queue`], and those that find
+//! it full are dropped and counted. Ordinary lines carry fields in the way of `log`:
+//! `log::info!(entry = name, zone = zone; "listening")`. Decisions have a type: [`Decision`].
+
+mod decision;
+mod line;
+mod queue;
+
+pub use decision::{Decision, RunnerUp, TARGET, What};
+pub use line::timestamp;
+pub use queue::Queue;
+
+use crate::settings;
+use log::LevelFilter;
+use std::{
+    fs::OpenOptions,
+    io::{self, Write},
+    path::PathBuf,
+    sync::{Mutex, PoisonError},
+    time::{Duration, SystemTime},
+};
+
+/// The process's log, once [`init`] has set it up.
+static HANDLE: Mutex<Option<Handle>> = Mutex::new(None);
+
+/// Why logging could not be set up.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The log file cannot be opened.
+    #[error("log file {}: {source}", path.display())]
+    Open {
+        /// The file.
+        path: PathBuf,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The writer's thread cannot be started.
+    #[error("log writer: {0}")]
+    Thread(#[from] io::Error),
+    /// Another logger was installed before.
+    #[error(transparent)]
+    Installed(#[from] log::SetLoggerError),
+}
+
+/// The process's log.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    queue: Queue,
+}
+
+impl Handle {
+    /// Lines dropped since the start.
+    pub fn dropped(&self) -> u64 {
+        self.queue.dropped()
+    }
+
+    /// Waits until every line is written, at most `timeout`. Says whether all were.
+    ///
+    /// Blocks the thread: for use at the end of the process only.
+    pub fn flush(&self, timeout: Duration) -> bool {
+        self.queue.flush(timeout)
+    }
+}
+
+/// Sets up the process's log.
+///
+/// Idempotent: later calls, also with other settings, give the log that the first one set up.
+pub fn init(settings: &settings::Log) -> Result<Handle, Error> {
+    let mut slot = HANDLE.lock().unwrap_or_else(PoisonError::into_inner);
+    if let Some(handle) = &*slot {
+        return Ok(handle.clone());
+    }
+    let queue = Queue::start(settings.queue, sink(settings)?)?;
+    dispatch(settings, queue.clone()).apply()?;
+    let handle = Handle { queue };
+    *slot = Some(handle.clone());
+    Ok(handle)
+}
+
+/// Lines that the process's log has dropped; zero before [`init`].
+pub fn dropped() -> u64 {
+    let slot = HANDLE.lock().unwrap_or_else(PoisonError::into_inner);
+    slot.as_ref().map_or(0, Handle::dropped)
+}
+
+/// The dispatch that filters records by `settings` and puts their lines into `queue`.
+pub fn dispatch(settings: &settings::Log, queue: Queue) -> fern::Dispatch {
+    let decisions = if settings.decisions {
+        LevelFilter::Info
+    } else {
+        LevelFilter::Off
+    };
+    let write = move |record: &log::Record<'_>| queue.push(line::format(SystemTime::now(), record));
+    fern::Dispatch::new()
+        .level(settings.level)
+        .level_for(TARGET, decisions)
+        .chain(fern::Output::call(write))
+}
+
+fn sink(settings: &settings::Log) -> Result<Box<dyn Write + Send>, Error> {
+    let Some(path) = &settings.file else {
+        return Ok(Box::new(io::stderr()));
+    };
+    let file = OpenOptions::new().create(true).append(true).open(path);
+    let file = file.map_err(|source| Error::Open {
+        path: path.clone(),
+        source,
+    })?;
+    Ok(Box::new(file))
+}
--- /dev/null
+++ b/crates/pinereel/src/logging/queue.rs
@@ -0,0 +1,160 @@
+//! The bounded queue between those who log and the thread that writes.
+
+use super::line;
+use std::{
+    collections::VecDeque,
+    io::{self, Write},
+    sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
+    thread,
+    time::{Duration, SystemTime},
+};
+
+/// Lines that are written in one go.
+const BATCH: usize = 64;
+
+/// A bounded queue of lines with a thread that writes them.
+///
+/// [`Queue::push`] holds a lock for a moment but never waits for the sink. The thread ends with
+/// the last clone of the queue, after the lines that were in it.
+#[derive(Clone, Debug)]
+pub struct Queue {
+    shared: Arc<Shared>,
+    /// Tells the thread when the last clone is gone.
+    _open: Arc<Open>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    capacity: usize,
+    state: Mutex<State>,
+    /// Signalled when there is something for the thread to do.
+    filled: Condvar,
+    /// Signalled when the thread has written all that there was.
+    drained: Condvar,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    lines: VecDeque<String>,
+    writing: bool,
+    closed: bool,
+    dropped: u64,
+    /// The part of `dropped` that a line has told of.
+    told: u64,
+}
+
+#[derive(Debug)]
+struct Open(Arc<Shared>);
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.lock().closed = true;
+        self.0.filled.notify_one();
+    }
+}
+
+impl Queue {
+    /// Starts a thread that writes lines to `sink`; at most `capacity` lines wait for it.
+    ///
+    /// # Errors
+    /// If the thread cannot be started.
+    pub fn start(capacity: usize, sink: impl Write + Send + 'static) -> io::Result<Self> {
+        let shared = Arc::new(Shared {
+            capacity,
+            state: Mutex::default(),
+            filled: Condvar::new(),
+            drained: Condvar::new(),
+        });
+        let writer = shared.clone();
+        thread::Builder::new()
+            .name("log".into())
+            .spawn(move || writer.run(sink))?;
+        let open = Arc::new(Open(shared.clone()));
+        Ok(Self {
+            shared,
+            _open: open,
+        })
+    }
+
+    /// Adds a line, or drops it if the queue is full.
+    pub fn push(&self, line: String) {
+        let mut state = self.shared.lock();
+        if state.lines.len() >= self.shared.capacity {
+            state.dropped += 1;
+            return;
+        }
+        state.lines.push_back(line);
+        drop(state);
+        self.shared.filled.notify_one();
+    }
+
+    /// Lines dropped since the start, because the queue was full or the sink failed.
+    pub fn dropped(&self) -> u64 {
+        self.shared.lock().dropped
+    }
+
+    /// Waits until every line is written, at most `timeout`. Says whether all were.
+    pub fn flush(&self, timeout: Duration) -> bool {
+        let state = self.shared.lock();
+        let waited = self
+            .shared
+            .drained
+            .wait_timeout_while(state, timeout, |state| !state.is_idle());
+        let (state, _) = waited.unwrap_or_else(PoisonError::into_inner);
+        state.is_idle()
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn run(&self, mut sink: impl Write) {
+        while let Some((text, count)) = self.next() {
+            let written = sink.write_all(text.as_bytes()).and_then(|()| sink.flush());
+            if written.is_err() {
+                self.lock().dropped += count;
+            }
+        }
+    }
+
+    /// Waits for the next lines; `None` once the queue is closed and empty.
+    fn next(&self) -> Option<(String, u64)> {
+        let mut state = self.lock();
+        state.writing = false;
+        while state.is_idle() {
+            self.drained.notify_all();
+            if state.closed {
+                return None;
+            }
+            let woken = self.filled.wait(state);
+            state = woken.unwrap_or_else(PoisonError::into_inner);
+        }
+        state.writing = true;
+        Some(state.take())
+    }
+}
+
+impl State {
+    /// Whether there is nothing to write or to tell.
+    fn is_idle(&self) -> bool {
+        self.lines.is_empty() && !self.writing && self.told == self.dropped
+    }
+
+    /// The next lines as one text, and how many they are.
+    fn take(&mut self) -> (String, u64) {
+        let mut text = String::new();
+        let count = self.lines.len().min(BATCH);
+        if self.told < self.dropped {
+            text.push_str(&line::dropped(SystemTime::now(), self.dropped - self.told));
+            text.push('\n');
+            self.told = self.dropped;
+        }
+        for line in self.lines.drain(..count) {
+            text.push_str(&line);
+            text.push('\n');
+        }
+        (text, count as u64)
+    }
+}
--- /dev/null
+++ b/crates/pinereel/tests/logging_lines.rs
@@ -0,0 +1,246 @@
+//! Log lines: their form, and that a blocked sink never blocks those who log.
+
+use log::Log;
+use pinereel::{
+    logging::{self, Decision, Queue, RunnerUp, What},
+    settings,
+};
+use serde_json::Value;
+use std::{
+    io::{self, Read as _, Write},
+    sync::{
+        Arc, Mutex,
+        mpsc::{Receiver, Sender, channel},
+    },
+    thread,
+    time::{Duration, UNIX_EPOCH},
+};
+
+const LONG: Duration = Duration::from_secs(30);
+
+fn settings(level: log::LevelFilter, decisions: bool) -> settings::Log {
+    settings::Log {
+        level,
+        file: None,
+        queue: 16,
+        decisions,
+    }
+}
+
+/// A sink that keeps what is written.
+#[derive(Clone, Default)]
+struct Kept(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Kept {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().expect("no panic").extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl Kept {
+    /// The lines, each parsed and without its time.
+    fn lines(&self) -> Vec<Value> {
+        lines(&String::from_utf8_lossy(&self.0.lock().expect("no panic")))
+    }
+}
+
+fn lines(text: &str) -> Vec<Value> {
+    let parse = |line: &str| {
+        let mut line: Value = serde_json::from_str(line).expect("a JSON line");
+        let ts = line.as_object_mut().expect("an object").remove("ts");
+        assert_eq!(ts.expect("a time").as_str().map(str::len), Some(24));
+        line
+    };
+    text.lines().map(parse).collect()
+}
+
+/// A sink that says when it is written to and then waits to be let go on.
+struct Gate {
+    entered: Sender<()>,
+    opened: Receiver<()>,
+    kept: Kept,
+}
+
+impl Write for Gate {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let _ = self.entered.send(());
+        let _ = self.opened.recv();
+        self.kept.write(bytes)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// A sink that always fails.
+struct Broken;
+
+impl Write for Broken {
+    fn write(&mut self, _: &[u8]) -> io::Result<usize> {
+        Err(io::ErrorKind::BrokenPipe.into())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// What `write` logs under `settings`, one line a line.
+fn logged(settings: &settings::Log, write: impl FnOnce(&dyn Log)) -> String {
+    let kept = Kept::default();
+    let queue = Queue::start(16, kept.clone()).expect("a thread");
+    // The macros look at the process's level first, which is off until a logger is installed.
+    log::set_max_level(log::LevelFilter::Trace);
+    let (_, logger) = logging::dispatch(settings, queue.clone()).into_log();
+    write(&*logger);
+    assert!(queue.flush(LONG));
+    let lines: Vec<_> = kept.lines().iter().map(Value::to_string).collect();
+    lines.join("\n")
+}
+
+#[test]
+fn ordinary_lines_carry_fields() {
+    let settings = settings(log::LevelFilter::Info, true);
+    let text = logged(&settings, |logger| {
+        log::info!(logger: logger, target: "entry", entry = "entry-1", links = 3, ok = true, msg = "mine"; "line \"one\"\nand two");
+        log::warn!(logger: logger, target: "entry", nested:serde = [1, 2], share = 0.5; "plain");
+        log::debug!(logger: logger, target: "entry", entry = "entry-1"; "below the level");
+    });
+    insta::assert_snapshot!(text, @r#"
+    {"entry":"entry-1","field_msg":"mine","level":"info","links":3,"msg":"line \"one\"\nand two","ok":true,"target":"entry"}
+    {"level":"warn","msg":"plain","nested":[1,2],"share":0.5,"target":"entry"}
+    "#);
+}
+
+#[test]
+fn decisions_are_lines_of_their_own() {
+    let decision = Decision {
+        entry: "entry-1",
+        request: "r-17",
+        what: What::Route,
+        chosen: Some("draft-llm-3"),
+        cost: Some(1.5),
+        reason: "least work",
+        runners_up: &[RunnerUp {
+            name: "draft-llm-1",
+            cost: 4.0,
+            reason: "busier",
+        }],
+        config: 7,
+    };
+    let none = Decision {
+        chosen: None,
+        cost: None,
+        runners_up: &[],
+        ..decision
+    };
+    let only_errors = settings(log::LevelFilter::Error, true);
+    let text = logged(&only_errors, |logger| {
+        decision.emit_to(logger);
+        none.emit_to(logger);
+    });
+    insta::assert_snapshot!(text, @r#"
+    {"chosen":"draft-llm-3","config":7,"cost":1.5,"entry":"entry-1","level":"info","msg":"route","reason":"least work","request":"r-17","runners_up":[{"cost":4.0,"name":"draft-llm-1","reason":"busier"}],"target":"decision"}
+    {"chosen":null,"config":7,"cost":null,"entry":"entry-1","level":"info","msg":"route","reason":"least work","request":"r-17","runners_up":[],"target":"decision"}
+    "#);
+    let off = settings(log::LevelFilter::Trace, false);
+    assert_eq!(logged(&off, |logger| decision.emit_to(logger)), "");
+}
+
+#[test]
+fn drops_are_exact_and_told() {
+    let (entered, on_entered) = channel();
+    let (open, opened) = channel();
+    let kept = Kept::default();
+    let gate = Gate {
+        entered,
+        opened,
+        kept: kept.clone(),
+    };
+    let queue = Queue::start(4, gate).unwrap();
+    queue.push(r#"{"ts":"123456789012345678901234","n":0}"#.into());
+    on_entered.recv().unwrap();
+    for n in 1..=9 {
+        queue.push(format!(r#"{{"ts":"123456789012345678901234","n":{n}}}"#));
+    }
+    assert_eq!(queue.dropped(), 5);
+    assert!(!queue.flush(Duration::ZERO));
+    drop(open);
+    assert!(queue.flush(LONG));
+    let lines: Vec<_> = kept.lines().iter().map(Value::to_string).collect();
+    insta::assert_snapshot!(lines.join("\n"), @r#"
+    {"n":0}
+    {"dropped":5,"level":"warn","msg":"log lines dropped","target":"pinereel::logging::line"}
+    {"n":1}
+    {"n":2}
+    {"n":3}
+    {"n":4}
+    "#);
+}
+
+#[test]
+fn a_pipe_that_nobody_reads_blocks_nobody() {
+    const LINES: u64 = 2_000;
+    let (mut reader, writer) = io::pipe().unwrap();
+    let queue = Queue::start(100, writer).unwrap();
+    let filling = "x".repeat(1_000);
+    for n in 0..LINES {
+        queue.push(format!(
+            r#"{{"ts":"123456789012345678901234","n":{n},"x":"{filling}"}}"#
+        ));
+    }
+    // 2 MB were logged; a pipe holds 64 KiB, the queue 100 lines, the writer 64.
+    let dropped = queue.dropped();
+    assert!(dropped > LINES / 2, "{dropped}");
+    let reading = thread::spawn(move || {
+        let mut text = String::new();
+        reader.read_to_string(&mut text).map(|_| text)
+    });
+    assert!(queue.flush(LONG));
+    drop(queue);
+    let lines = lines(&reading.join().unwrap().unwrap());
+    let told: u64 = lines.iter().filter_map(|l| l["dropped"].as_u64()).sum();
+    let written = lines.iter().filter(|l| l["n"].is_u64()).count() as u64;
+    assert_eq!((told, written), (dropped, LINES - dropped));
+}
+
+#[test]
+fn a_broken_sink_counts_as_drops() {
+    let queue = Queue::start(4, Broken).unwrap();
+    queue.push("lost".into());
+    assert!(queue.flush(LONG));
+    assert_eq!(queue.dropped(), 1);
+}
+
+#[test]
+fn init_is_idempotent() {
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("init.log");
+    let _ = std::fs::remove_file(&path);
+    let mut settings = settings(log::LevelFilter::Info, true);
+    settings.file = Some(path.clone());
+    let first = logging::init(&settings).unwrap();
+    settings.file = Some("/nowhere/at/all".into());
+    logging::init(&settings).unwrap();
+    log::info!(target: "init_is_idempotent", entry = "entry-2"; "once");
+    assert!(first.flush(LONG));
+    let text = std::fs::read_to_string(path).unwrap();
+    let own = |line: &&Value| line["target"] == "init_is_idempotent";
+    assert_eq!(lines(&text).iter().filter(own).count(), 1);
+}
+
+#[test]
+fn timestamps() {
+    let at = |millis| logging::timestamp(UNIX_EPOCH + Duration::from_millis(millis));
+    assert_eq!(at(0), "1970-01-01T00:00:00.000Z");
+    assert_eq!(at(951_782_399_999), "2000-02-28T23:59:59.999Z");
+    assert_eq!(at(951_782_400_000), "2000-02-29T00:00:00.000Z");
+    assert_eq!(at(1_709_251_200_001), "2024-03-01T00:00:00.001Z");
+    assert_eq!(at(4_107_542_399_000), "2100-02-28T23:59:59.000Z");
+    assert_eq!(at(4_107_542_400_000), "2100-03-01T00:00:00.000Z");
+}
