Object API and plain service stand-ins, with faults on request

Cause: the entry's first path needs a platform to talk to and a service to route to, and the tests need both to fail in named ways. Ruled out: an error status for a lost answer (the client would know that the call ended); a body that fails at once closes the connection before the head is written, and the client sees no answer at all. Change: object_api (store, bucket, faults, lagging list of instances, history for oracles), service (record of every execution), fault (shared). Conclusion: both serve embedded. A watch whose client is gone still counts as waiting until its wait runs out.

--- a/crates/pinereel_fakes/src/lib.rs
+++ b/crates/pinereel_fakes/src/lib.rs
@@ -7,11 +7,15 @@
 //! - [`trainer`]: a trainer client and the stand-in that drives it.
 //! - [`demo`]: everything on loopback in one command.
 //! - [`load`]: load generation and latency measurement.
+//! - [`launch`]: starting and signalling processes in tests.
+//! - [`fault`]: what the stand-ins' faults have in common.
 //! - [`experiment`]: policies against a baseline on the paused clock.
 
 pub mod demo;
 pub mod engine;
 pub mod experiment;
+pub mod fault;
+pub mod launch;
 pub mod load;
 pub mod object_api;
 pub mod service;
--- /dev/null
+++ b/crates/pinereel_fakes/tests/object_api_faults.rs
@@ -0,0 +1,257 @@
+//! The object API stand-in over HTTP: conditions, lost answers, watches, limits and the lag.
+
+use actix_http::StatusCode;
+use awc::Client;
+use pinereel_api::object::{Changes, Faults, Instance, List, Object, Presence, Write, Written};
+use pinereel_fakes::object_api::{Api, Bucket, Handle, Options};
+use serde_json::{Value, json};
+use std::time::Duration;
+
+async fn start(options: Options) -> Handle {
+    Api::start(options).await.expect("a free port")
+}
+
+fn url(api: &Handle, path: &str) -> String {
+    format!("http://{}{path}", api.address)
+}
+
+/// Writes and gives the status and the answer's version, or none if there was no answer.
+async fn put(
+    api: &Handle,
+    path: &str,
+    condition: (&str, &str),
+    value: Value,
+) -> Option<(u16, u64)> {
+    let request = Client::default()
+        .put(url(api, path))
+        .insert_header(condition);
+    let mut answer = request.send_json(&Write { value }).await.ok()?;
+    let version = answer.json::<Written>().await.map_or(0, |w| w.version);
+    Some((answer.status().as_u16(), version))
+}
+
+async fn create(api: &Handle, path: &str, value: Value) -> Option<(u16, u64)> {
+    put(api, path, ("if-none-match", "*"), value).await
+}
+
+async fn update(api: &Handle, path: &str, version: u64, value: Value) -> Option<(u16, u64)> {
+    put(api, path, ("if-match", &version.to_string()), value).await
+}
+
+async fn get(api: &Handle, path: &str) -> (StatusCode, Vec<u8>) {
+    let mut answer = Client::default()
+        .get(url(api, path))
+        .send()
+        .await
+        .expect("an answer");
+    let body = answer.body().await.expect("a body");
+    (answer.status(), body.to_vec())
+}
+
+async fn read<T: serde::de::DeserializeOwned>(api: &Handle, path: &str) -> T {
+    let (status, body) = get(api, path).await;
+    assert_eq!(status, StatusCode::OK);
+    serde_json::from_slice(&body).expect("the expected type")
+}
+
+#[actix_rt::test]
+async fn writes_are_conditional() {
+    let api = start(Options::default()).await;
+    assert_eq!(
+        create(&api, "/objects/leases/a", json!(1)).await,
+        Some((200, 1))
+    );
+    assert_eq!(
+        create(&api, "/objects/leases/a", json!(2)).await,
+        Some((409, 1))
+    );
+    assert_eq!(
+        update(&api, "/objects/leases/a", 1, json!(3)).await,
+        Some((200, 2))
+    );
+    assert_eq!(
+        update(&api, "/objects/leases/a", 1, json!(4)).await,
+        Some((409, 2))
+    );
+    assert_eq!(
+        update(&api, "/objects/leases/b", 1, json!(4)).await,
+        Some((404, 0))
+    );
+    let object: Object = read(&api, "/objects/leases/a").await;
+    assert_eq!((object.version, object.value), (2, json!(3)));
+    let delete = Client::default().delete(url(&api, "/objects/leases/a"));
+    let answer = delete
+        .insert_header(("if-match", "2"))
+        .send()
+        .await
+        .unwrap();
+    assert_eq!(answer.status(), StatusCode::NO_CONTENT);
+    assert_eq!(
+        get(&api, "/objects/leases/a").await.0,
+        StatusCode::NOT_FOUND
+    );
+    // A version is never reused, also after a delete.
+    assert_eq!(
+        create(&api, "/objects/leases/a", json!(5)).await,
+        Some((200, 4))
+    );
+    let list: List = read(&api, "/objects/leases?prefix=b").await;
+    assert_eq!((list.revision, list.items.len()), (4, 0));
+    assert_eq!(api.stats().writes["leases"], 7);
+    assert_eq!(api.stats().reads["leases"], 3);
+}
+
+#[actix_rt::test]
+async fn one_of_two_creators_wins() {
+    let api = start(Options::default()).await;
+    let (one, two) = tokio::join!(
+        create(&api, "/objects/claims/0.1", json!("one")),
+        create(&api, "/objects/claims/0.1", json!("two")),
+    );
+    let mut statuses = [one.unwrap().0, two.unwrap().0];
+    statuses.sort_unstable();
+    assert_eq!(statuses, [200, 409]);
+    assert_eq!(api.history(Some("claims")).len(), 1);
+}
+
+#[actix_rt::test]
+async fn a_lost_answer_leaves_its_effect() {
+    let api = start(Options::default()).await;
+    api.faults(Faults {
+        lose_write_answers: Some(1),
+        lose_kind: Some("config".into()),
+        ..Faults::default()
+    });
+    assert_eq!(
+        create(&api, "/objects/leases/a", json!(1)).await,
+        Some((200, 1))
+    );
+    assert_eq!(
+        create(&api, "/objects/config/current", json!(1)).await,
+        None
+    );
+    let object: Object = read(&api, "/objects/config/current").await;
+    assert_eq!(object.version, 2);
+    assert_eq!(
+        update(&api, "/objects/config/current", 2, json!(2)).await,
+        Some((200, 3))
+    );
+}
+
+#[actix_rt::test]
+async fn a_watch_waits_and_tells_of_gaps() {
+    let api = start(Options {
+        history: 2,
+        ..Options::default()
+    })
+    .await;
+    let (seen, written) = tokio::join!(
+        read::<Changes>(&api, "/objects/config?after=0&wait_ms=30000"),
+        create(&api, "/objects/config/current", json!(1)),
+    );
+    assert_eq!(written, Some((200, 1)));
+    assert_eq!((seen.revision, seen.changes[0].version), (1, 1));
+    for version in 1..4 {
+        update(&api, "/objects/config/current", version, json!(2)).await;
+    }
+    assert_eq!(
+        get(&api, "/objects/config?after=1").await.0,
+        StatusCode::GONE
+    );
+    let rest: Changes = read(&api, "/objects/config?after=2").await;
+    assert_eq!((rest.revision, rest.changes.len()), (4, 2));
+    api.faults(Faults {
+        end_watches: Some(true),
+        ..Faults::default()
+    });
+    assert_eq!(
+        get(&api, "/objects/config?after=4").await.0,
+        StatusCode::GONE
+    );
+    let none: Changes = read(&api, "/objects/config?after=4").await;
+    assert_eq!((none.revision, none.changes.len()), (4, 0));
+    assert_eq!(api.stats().waiting, 0);
+}
+
+#[actix_rt::test]
+async fn limits_of_rate_and_size() {
+    let api = start(Options {
+        reads_per_second: 0,
+        ..Options::default()
+    })
+    .await;
+    let large = json!("x".repeat(pinereel_api::object::MAX_VALUE));
+    let answer = create(&api, "/objects/claims/0", large).await;
+    assert_eq!(answer, Some((413, 0)));
+    assert_eq!(api.history(None), []);
+    let request = Client::default().get(url(&api, "/objects/claims"));
+    let answer = request.send().await.unwrap();
+    assert_eq!(answer.status(), StatusCode::TOO_MANY_REQUESTS);
+    assert_eq!(answer.headers().get("retry-after").unwrap(), "1");
+    assert_eq!(api.stats().limited, 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_bucket_fills_at_its_rate() {
+    let bucket = Bucket::new(2);
+    let mut granted = Vec::new();
+    for _ in 0..6 {
+        granted.push(bucket.take());
+        tokio::time::advance(Duration::from_millis(250)).await;
+    }
+    assert_eq!(granted, [true, true, true, false, true, false]);
+}
+
+#[actix_rt::test]
+async fn outages_and_cut_agents() {
+    let api = start(Options::default()).await;
+    api.faults(Faults {
+        outage_ms: Some(60_000),
+        ..Faults::default()
+    });
+    assert_eq!(
+        get(&api, "/objects/claims").await.0,
+        StatusCode::SERVICE_UNAVAILABLE
+    );
+    assert_eq!(get(&api, "/stats").await.0, StatusCode::OK);
+    api.faults(Faults {
+        outage_ms: Some(0),
+        cut_agents: Some(vec!["one".into()]),
+        ..Faults::default()
+    });
+    let as_agent = |agent: &'static str| {
+        let request = Client::default().get(url(&api, "/objects/claims"));
+        request.insert_header(("user-agent", agent)).send()
+    };
+    assert!(as_agent("one").await.is_err());
+    assert!(as_agent("two").await.is_ok());
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_list_of_instances_lags() {
+    let local = tokio::task::LocalSet::new();
+    local
+        .run_until(async {
+            let api = start(Options::default()).await;
+            let instance = |state| Instance {
+                incarnation: 1,
+                address: "127.0.0.1:1".into(),
+                zone: "a".into(),
+                pool: "p".into(),
+                state,
+            };
+            api.put_instance("i", instance(Presence::Live));
+            tokio::time::sleep(Duration::from_millis(500)).await;
+            api.put_instance("i", instance(Presence::Leaving));
+            assert_eq!(api.objects("instances").items, []);
+            tokio::time::sleep(Duration::from_millis(501)).await;
+            let state = |api: &Handle| api.objects("instances").items[0].value["state"].clone();
+            assert_eq!(state(&api), json!("live"));
+            api.settle_instances();
+            assert_eq!(state(&api), json!("leaving"));
+            api.remove_instance("i");
+            tokio::time::sleep(Duration::from_millis(1_001)).await;
+            assert_eq!(api.objects("instances").items, []);
+        })
+        .await;
+}
