--- a/crates/pinereel_core/src/lease.rs
+++ b/crates/pinereel_core/src/lease.rs
@@ -1,1 +1,322 @@
-//! Placeholder.
+//! Leases for control duties: one holder at a time, with a fencing token.
+//!
+//! The holder counts its time from before it sent its last write; a taker counts from after it
+//! first read that write. So the holder stops first whatever each one's clock reads, provided the
+//! clocks run at the same rate within the margin. Whoever is paused between asking
+//! [`Holder::acts`] and acting is caught by the fencing token.
+
+use crate::{hash, time::Time};
+use compact_str::{CompactString, format_compact};
+use serde::{Deserialize, Serialize};
+use std::{mem, time::Duration};
+
+/// The stored lease of one duty.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lease {
+    /// The holder; empty if it was released.
+    pub holder: CompactString,
+    /// The fencing token: grows by one with each change of holder.
+    pub fence: u64,
+    /// How long a write of the holder lasts, in milliseconds.
+    pub duration_ms: u64,
+    /// Unique to each write; tells after a lost answer whose write it is.
+    pub write_id: CompactString,
+}
+
+/// Times of a lease.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// How long a renewal lasts.
+    pub duration: Duration,
+    /// The holder stops this much early and a taker waits this much longer.
+    pub margin: Duration,
+    /// Pause after a failed or lost call, and between looks at another's lease.
+    pub retry: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            duration: Duration::from_secs(15),
+            margin: Duration::from_secs(1),
+            retry: Duration::from_secs(2),
+        }
+    }
+}
+
+/// What a holder is told. Each call it ordered gets exactly one answer.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// The lease as read, with its object version; `None` if absent.
+    Read(Option<(u64, Lease)>),
+    /// The write succeeded and made this object version.
+    Written(u64),
+    /// The object had another version.
+    Conflict,
+    /// The write's outcome is not known; it may still take effect.
+    Unknown,
+    /// A read failed.
+    Failed,
+    /// Time has passed.
+    Tick,
+    /// Give up the lease, and don't take it again.
+    Drain,
+}
+
+/// What a holder orders. At most one call is open at a time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Read the lease.
+    Read,
+    /// Write the lease if its object version is still `expected`; create it if that is `None`.
+    Write {
+        /// The version it must have.
+        expected: Option<u64>,
+        /// The new content.
+        lease: Lease,
+    },
+}
+
+/// A write that was sent.
+#[derive(Clone, Debug)]
+struct Sent {
+    at: Time,
+    lease: Lease,
+}
+
+/// The one call that is open.
+#[derive(Clone, Debug)]
+enum Call {
+    None,
+    Read,
+    Write(Sent),
+}
+
+/// What was last read of the lease, and when this version was first seen.
+#[derive(Clone, Debug)]
+struct View {
+    version: u64,
+    lease: Lease,
+    since: Time,
+}
+
+/// One candidate for one duty.
+#[derive(Clone, Debug)]
+pub struct Holder {
+    id: CompactString,
+    limits: Limits,
+    writes: u64,
+    view: Option<View>,
+    /// Whether the last read found no lease.
+    absent: bool,
+    /// The last write, kept while its outcome is open.
+    sent: Option<Sent>,
+    call: Call,
+    /// When the next call is due.
+    due: Time,
+    /// Until when this candidate may act.
+    until: Time,
+    draining: bool,
+}
+
+impl Holder {
+    /// A candidate that has read nothing. `id` must be unique to this start of the process. The
+    /// first tick reads.
+    pub fn new(now: Time, id: impl Into<CompactString>, limits: Limits) -> Self {
+        Self {
+            id: id.into(),
+            limits,
+            writes: 0,
+            view: None,
+            absent: false,
+            sent: None,
+            call: Call::None,
+            due: now,
+            until: Time::ZERO,
+            draining: false,
+        }
+    }
+
+    /// The fencing token if this candidate may act at `now`. Ask right before every action.
+    pub fn acts(&self, now: Time) -> Option<u64> {
+        let view = self.view.as_ref()?;
+        let own = view.lease.holder == self.id;
+        (own && !self.draining && now < self.until).then_some(view.lease.fence)
+    }
+
+    /// Whether a drained candidate is rid of the lease.
+    pub fn is_released(&self) -> bool {
+        let own = self
+            .view
+            .as_ref()
+            .is_some_and(|view| view.lease.holder == self.id);
+        self.draining && !own && self.sent.is_none() && matches!(self.call, Call::None)
+    }
+
+    /// Takes one event and returns what to do.
+    pub fn step(&mut self, now: Time, event: Event) -> Vec<Action> {
+        match event {
+            Event::Read(found) => self.on_read(now, found),
+            Event::Written(version) => self.on_written(now, version),
+            Event::Conflict | Event::Unknown => self.on_undecided(now),
+            Event::Failed => self.on_failed(now),
+            Event::Tick => {}
+            Event::Drain => {
+                self.draining = true;
+                self.due = now;
+            }
+        }
+        self.next(now).into_iter().collect()
+    }
+
+    fn on_read(&mut self, now: Time, found: Option<(u64, Lease)>) {
+        self.call = Call::None;
+        let sent = self.sent.take();
+        self.absent = found.is_none();
+        let Some((version, lease)) = found else {
+            self.view = None;
+            self.due = if sent.is_some() {
+                now + self.jittered(self.limits.retry)
+            } else {
+                now
+            };
+            return;
+        };
+        if let Some(sent) = sent
+            .as_ref()
+            .filter(|sent| sent.lease.write_id == lease.write_id)
+        {
+            self.hold(now, version, sent.clone());
+            return;
+        }
+        let known = self.view.as_ref().filter(|view| view.version == version);
+        let since = known.map_or(now, |view| view.since);
+        let own = lease.holder == self.id;
+        if !own {
+            self.until = Time::ZERO;
+        }
+        let ripe = if own || lease.holder.is_empty() {
+            now
+        } else {
+            since + self.wait(&lease)
+        };
+        let look = now + self.jittered(self.limits.retry);
+        self.due = if sent.is_some() {
+            look
+        } else {
+            look.min(ripe.max(now))
+        };
+        self.view = Some(View {
+            version,
+            lease,
+            since,
+        });
+    }
+
+    fn on_written(&mut self, now: Time, version: u64) {
+        if let Call::Write(sent) = mem::replace(&mut self.call, Call::None) {
+            self.hold(now, version, sent);
+        }
+    }
+
+    /// The write stands: the time counts from when it was sent.
+    fn hold(&mut self, now: Time, version: u64, sent: Sent) {
+        if sent.lease.holder == self.id {
+            let lasts = self.limits.duration.saturating_sub(self.limits.margin);
+            self.until = self.until.max(sent.at + lasts);
+        }
+        self.due = sent.at + self.jittered(self.limits.duration / 3);
+        self.view = Some(View {
+            version,
+            lease: sent.lease,
+            since: now,
+        });
+    }
+
+    fn on_undecided(&mut self, now: Time) {
+        if let Call::Write(sent) = mem::replace(&mut self.call, Call::None) {
+            self.sent = Some(sent);
+            self.due = now;
+        }
+    }
+
+    fn on_failed(&mut self, now: Time) {
+        self.call = Call::None;
+        self.due = now + self.jittered(self.limits.retry);
+    }
+
+    fn next(&mut self, now: Time) -> Option<Action> {
+        if now < self.due || !matches!(self.call, Call::None) || self.is_released() {
+            return None;
+        }
+        if self.sent.is_some() {
+            return Some(self.read());
+        }
+        let Some(View {
+            version,
+            lease,
+            since,
+        }) = self.view.clone()
+        else {
+            return Some(self.first(now));
+        };
+        let own = lease.holder == self.id;
+        if self.draining {
+            return Some(self.write(now, Some(version), lease.fence, CompactString::default()));
+        }
+        let free = lease.holder.is_empty() || now >= since + self.wait(&lease);
+        if !own && !free {
+            return Some(self.read());
+        }
+        let fence = lease.fence + u64::from(!own);
+        Some(self.write(now, Some(version), fence, self.id.clone()))
+    }
+
+    /// Nothing was found: look first, then create.
+    fn first(&mut self, now: Time) -> Action {
+        if self.absent {
+            self.write(now, None, 1, self.id.clone())
+        } else {
+            self.read()
+        }
+    }
+
+    fn read(&mut self) -> Action {
+        self.call = Call::Read;
+        Action::Read
+    }
+
+    fn write(
+        &mut self,
+        now: Time,
+        expected: Option<u64>,
+        fence: u64,
+        holder: CompactString,
+    ) -> Action {
+        self.writes += 1;
+        let write_id = format_compact!("{}.{}", self.id, self.writes);
+        let duration_ms = u64::try_from(self.limits.duration.as_millis()).unwrap_or(u64::MAX);
+        let lease = Lease {
+            holder,
+            fence,
+            duration_ms,
+            write_id,
+        };
+        self.call = Call::Write(Sent {
+            at: now,
+            lease: lease.clone(),
+        });
+        Action::Write { expected, lease }
+    }
+
+    /// How long an unchanged lease of another must be watched before it may be taken.
+    fn wait(&self, lease: &Lease) -> Duration {
+        Duration::from_millis(lease.duration_ms) + self.limits.margin
+    }
+
+    /// Between 3/4 and 5/4 of `base`, so that candidates don't call in step.
+    fn jittered(&self, base: Duration) -> Duration {
+        let spread = hash::score(self.writes, &self.id) % 512;
+        base * (768 + u32::try_from(spread).expect("below 512")) / 1024
+    }
+}
