Lots: cursor tokens, provenance records, staleness, fair shares and the runner

Cause: samples have to reach their trainer exactly once, with the truth about their weights and within the bound, whatever runners, engines and collects do. Ruled out: delivery marks at the runner (lost with it) or in the object API (writes grow with samples); an AttemptFinished event apart from the last chunk (a lost last chunk would pass as whole, so the end travels on the chunk). Conclusion: the cursor token alone carries exactly-once; the rest saves work.

--- a/crates/pinereel_core/src/cursor.rs
+++ b/crates/pinereel_core/src/cursor.rs
@@ -1,1 +1,329 @@
-//! Placeholder.
+//! The cursor of a trainer's collects: exactly once, by what the trainer itself holds.
+//!
+//! A collect carries a [`Token`], the set of samples that the trainer has. [`Merge`] makes an
+//! answer of samples outside the set, and the next token. The trainer's [`Ledger`] takes an answer
+//! only on top of the token it holds. So neither a lease, a clock nor a runner's memory decides
+//! whether a sample is delivered twice.
+
+use crate::{Version, hash::Digest, lot::Sample, provenance, staleness};
+use std::{collections::BTreeSet, fmt};
+
+/// Most samples in one lot; bounds a token's size (8 KiB of bits).
+pub const MAX_SAMPLES: u32 = 1 << 16;
+
+/// First byte of a token's binary form.
+const FORMAT: u8 = 1;
+
+/// Format, digest, step, sequence and number of samples.
+const HEAD: usize = 1 + 16 + 8 + 8 + 4;
+
+/// Checksum at the end.
+const CRC: usize = 4;
+
+/// Longest text of a token, in bytes.
+pub const MAX_TEXT: usize = 2 * (HEAD + MAX_SAMPLES as usize / 8 + CRC);
+
+/// Why a token is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, thiserror::Error)]
+pub enum Error {
+    /// Not a token: too long, damaged, or inconsistent in itself.
+    #[error("malformed cursor token")]
+    Malformed,
+    /// A token of another lot.
+    #[error("cursor token of another lot")]
+    Foreign,
+    /// A token of an earlier step.
+    #[error("cursor token of an earlier step")]
+    Behind,
+}
+
+/// What a trainer holds of one lot.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Token {
+    lot: Digest,
+    step: u64,
+    sequence: u64,
+    samples: u32,
+    bits: Vec<u8>,
+}
+
+impl Token {
+    /// The token of a trainer that holds nothing; `samples` is cut at [`MAX_SAMPLES`].
+    pub fn first(lot: Digest, step: u64, samples: u32) -> Self {
+        let samples = samples.min(MAX_SAMPLES);
+        Self {
+            lot,
+            step,
+            sequence: 0,
+            samples,
+            bits: vec![0; samples.div_ceil(8) as usize],
+        }
+    }
+
+    /// Digest of the lot.
+    pub const fn lot(&self) -> Digest {
+        self.lot
+    }
+
+    /// Step of the lot.
+    pub const fn step(&self) -> u64 {
+        self.step
+    }
+
+    /// How many answers with samples led to this token.
+    pub const fn sequence(&self) -> u64 {
+        self.sequence
+    }
+
+    /// Samples in the lot.
+    pub const fn samples(&self) -> u32 {
+        self.samples
+    }
+
+    /// Samples that the trainer lacks.
+    pub fn remaining(&self) -> u32 {
+        let held: u32 = self.bits.iter().map(|byte| byte.count_ones()).sum();
+        self.samples - held
+    }
+
+    /// Whether the trainer holds the sample.
+    pub fn contains(&self, index: u32) -> bool {
+        let byte = self.bits.get(index as usize / 8);
+        index < self.samples && byte.is_some_and(|b| b & mask(index) != 0)
+    }
+
+    /// Adds a sample; `false` if it was there or does not belong to the lot.
+    pub fn insert(&mut self, index: u32) -> bool {
+        if index >= self.samples || self.contains(index) {
+            return false;
+        }
+        self.bits[index as usize / 8] |= mask(index);
+        true
+    }
+
+    /// The token after an answer with these samples; `None` if one is held, repeated or foreign.
+    pub fn after(&self, indexes: impl IntoIterator<Item = u32>) -> Option<Self> {
+        let mut next = self.clone();
+        let mut any = false;
+        for index in indexes {
+            if !next.insert(index) {
+                return None;
+            }
+            any = true;
+        }
+        next.sequence += u64::from(any);
+        Some(next)
+    }
+
+    /// Whether the token belongs to the lot with this digest and step.
+    ///
+    /// # Errors
+    /// [`Error::Behind`] for an earlier step, else [`Error::Foreign`].
+    pub fn check(&self, lot: Digest, step: u64) -> Result<(), Error> {
+        if self.step < step {
+            return Err(Error::Behind);
+        }
+        if self.lot != lot || self.step != step {
+            return Err(Error::Foreign);
+        }
+        Ok(())
+    }
+
+    /// Reads the text form.
+    ///
+    /// # Errors
+    /// [`Error::Malformed`].
+    pub fn parse(text: &str) -> Result<Self, Error> {
+        let bytes = unhex(text).ok_or(Error::Malformed)?;
+        Self::decode(&bytes).ok_or(Error::Malformed)
+    }
+
+    fn decode(bytes: &[u8]) -> Option<Self> {
+        let (body, crc) = bytes.split_last_chunk::<CRC>()?;
+        if crc32fast::hash(body) != u32::from_be_bytes(*crc) {
+            return None;
+        }
+        let (format, rest) = body.split_first()?;
+        let (lot, rest) = rest.split_first_chunk::<16>()?;
+        let (step, rest) = rest.split_first_chunk::<8>()?;
+        let (sequence, rest) = rest.split_first_chunk::<8>()?;
+        let (samples, bits) = rest.split_first_chunk::<4>()?;
+        let token = Self {
+            lot: Digest(*lot),
+            step: u64::from_be_bytes(*step),
+            sequence: u64::from_be_bytes(*sequence),
+            samples: u32::from_be_bytes(*samples),
+            bits: bits.to_vec(),
+        };
+        (*format == FORMAT && token.is_sound()).then_some(token)
+    }
+
+    /// The set has one bit a sample and none beyond.
+    fn is_sound(&self) -> bool {
+        let size = self.samples.div_ceil(8) as usize;
+        if self.samples > MAX_SAMPLES || self.bits.len() != size {
+            return false;
+        }
+        let used = self.samples % 8;
+        let padding = if used == 0 { 0 } else { 0xff << used };
+        self.bits.last().is_none_or(|last| last & padding == 0)
+    }
+
+    fn encode(&self) -> Vec<u8> {
+        let mut bytes = vec![FORMAT];
+        bytes.extend(self.lot.0);
+        bytes.extend(self.step.to_be_bytes());
+        bytes.extend(self.sequence.to_be_bytes());
+        bytes.extend(self.samples.to_be_bytes());
+        bytes.extend(&self.bits);
+        let crc = crc32fast::hash(&bytes);
+        bytes.extend(crc.to_be_bytes());
+        bytes
+    }
+}
+
+/// The text form: base16 of the binary form.
+impl fmt::Display for Token {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for byte in self.encode() {
+            write!(f, "{byte:02x}")?;
+        }
+        Ok(())
+    }
+}
+
+const fn mask(index: u32) -> u8 {
+    1 << (index % 8)
+}
+
+fn unhex(text: &str) -> Option<Vec<u8>> {
+    if text.len() > MAX_TEXT || !text.len().is_multiple_of(2) {
+        return None;
+    }
+    let pairs = text.as_bytes().chunks_exact(2);
+    pairs
+        .map(|pair| Some(digit(pair[0])? << 4 | digit(pair[1])?))
+        .collect()
+}
+
+const fn digit(byte: u8) -> Option<u8> {
+    match byte {
+        b'0'..=b'9' => Some(byte - b'0'),
+        b'a'..=b'f' => Some(byte - b'a' + 10),
+        _ => None,
+    }
+}
+
+/// One collect, as the entry that answers it sees it.
+#[derive(Clone, Debug)]
+pub struct Merge {
+    /// The collect's token.
+    pub token: Token,
+    /// The version that the trainer states in the collect.
+    pub version: Version,
+    /// The staleness bound of the pinned configuration.
+    pub bound: u64,
+    /// Most samples in the answer.
+    pub max: usize,
+}
+
+/// The answer to a collect.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Delivery {
+    /// Samples outside the collect's token, one per index, all within the bound.
+    pub samples: Vec<Sample>,
+    /// The next token.
+    pub token: Token,
+    /// Samples that the trainer lacks after this answer.
+    pub remaining: u32,
+    /// Samples left out because they are too old or name no version.
+    pub stale: u32,
+    /// Samples left out because they are held, repeated, foreign or over `max`.
+    pub repeated: u32,
+}
+
+impl Merge {
+    /// Makes the answer of what the runners gave. This is the check at the moment of delivery.
+    pub fn run(self, found: impl IntoIterator<Item = Sample>) -> Delivery {
+        let mut samples = Vec::new();
+        let mut taken = BTreeSet::new();
+        let (mut stale, mut repeated) = (0, 0);
+        for sample in found {
+            if !self.fits(&sample) {
+                stale += 1;
+                continue;
+            }
+            let foreign = sample.index >= self.token.samples;
+            let full = samples.len() >= self.max;
+            let held = foreign || full || self.token.contains(sample.index);
+            if held || !taken.insert(sample.index) {
+                repeated += 1;
+                continue;
+            }
+            samples.push(sample);
+        }
+        let next = self.token.after(taken);
+        let token = next.expect("each index was checked to be outside the token");
+        Delivery {
+            remaining: token.remaining(),
+            samples,
+            token,
+            stale,
+            repeated,
+        }
+    }
+
+    fn fits(&self, sample: &Sample) -> bool {
+        provenance::oldest(&sample.spans)
+            .is_some_and(|oldest| staleness::fits(oldest, self.version, self.bound))
+    }
+}
+
+/// Why a trainer's client drops an answer. Nothing is lost: it collects again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, thiserror::Error)]
+pub enum Refusal {
+    /// The answer is to another token than the one held: repeated, late, or of a concurrent call.
+    #[error("the answer's basis is not the token held")]
+    Basis,
+    /// The next token is not the basis with the samples of the answer.
+    #[error("the answer's samples and tokens disagree")]
+    Inconsistent,
+}
+
+/// The trainer client's side: the token it holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ledger {
+    held: Token,
+}
+
+impl Ledger {
+    /// Starts with the token of the submit.
+    pub const fn new(held: Token) -> Self {
+        Self { held }
+    }
+
+    /// The token for the next collect.
+    pub const fn token(&self) -> &Token {
+        &self.held
+    }
+
+    /// Takes an answer, or drops it whole. Only after `Ok` may the samples be used.
+    ///
+    /// # Errors
+    /// See [`Refusal`]; the ledger is unchanged.
+    pub fn take(
+        &mut self,
+        basis: &Token,
+        next: &Token,
+        indexes: impl IntoIterator<Item = u32>,
+    ) -> Result<(), Refusal> {
+        if *basis != self.held {
+            return Err(Refusal::Basis);
+        }
+        if self.held.after(indexes).as_ref() != Some(next) {
+            return Err(Refusal::Inconsistent);
+        }
+        self.held = next.clone();
+        Ok(())
+    }
+}
--- a/crates/pinereel_core/src/fair.rs
+++ b/crates/pinereel_core/src/fair.rs
@@ -1,1 +1,162 @@
-//! Placeholder.
+//! Weighted fairness between trainers that share engines: start-time fair queueing.
+//!
+//! Every flow (a trainer) has a virtual finish time that grows with the work it was given, divided
+//! by its weight. The backlogged flow that may start earliest goes next. A flow that was idle
+//! starts at the present virtual time, so it cannot save up a claim.
+
+use compact_str::CompactString;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Priority of work at an engine; a higher class goes first, whatever the weights.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Class {
+    /// Ordinary samples.
+    #[default]
+    Bulk,
+    /// Samples that hold up a step.
+    Straggler,
+    /// Callers that wait.
+    Live,
+}
+
+impl Class {
+    /// All classes, highest first.
+    pub const ALL: [Self; 3] = [Self::Live, Self::Straggler, Self::Bulk];
+
+    /// The number that engines take.
+    pub const fn number(self) -> u8 {
+        self as u8
+    }
+}
+
+/// Virtual time per unit of cost at weight 1.
+const SCALE: u64 = 1_000;
+
+/// Most flows remembered; the one that lies furthest back is forgotten first.
+const MAX_FLOWS: usize = 1_024;
+
+/// Who has had how much of a shared resource.
+#[derive(Clone, Debug, Default)]
+pub struct Share {
+    flows: BTreeMap<CompactString, u64>,
+    now: u64,
+}
+
+impl Share {
+    /// Which of the `backlogged` flows goes next; ties go to the first in order of name.
+    pub fn next<'a>(&self, backlogged: impl IntoIterator<Item = &'a str>) -> Option<&'a str> {
+        let starts = backlogged.into_iter().map(|flow| (self.start(flow), flow));
+        starts.min().map(|(_, flow)| flow)
+    }
+
+    /// Notes that `flow` was given work of `cost` units; a weight of 0 counts as 1.
+    pub fn charge(&mut self, flow: &str, weight: u32, cost: u64) {
+        let start = self.start(flow);
+        self.now = self.now.max(start);
+        let work = cost.max(1).saturating_mul(SCALE) / u64::from(weight.max(1));
+        let finish = start.saturating_add(work.max(1));
+        self.flows.insert(flow.into(), finish);
+        self.forget();
+    }
+
+    fn start(&self, flow: &str) -> u64 {
+        self.flows.get(flow).map_or(self.now, |f| self.now.max(*f))
+    }
+
+    /// A flow whose finish time has passed is as good as unknown.
+    fn forget(&mut self) {
+        if self.flows.len() <= MAX_FLOWS {
+            return;
+        }
+        let now = self.now;
+        self.flows.retain(|_, finish| *finish > now);
+        if self.flows.len() > MAX_FLOWS {
+            self.flows.pop_first();
+        }
+    }
+}
+
+/// A queue by class, then by weighted share, then first in first out.
+#[derive(Clone, Debug)]
+pub struct Queue<T> {
+    classes: BTreeMap<Class, BTreeMap<CompactString, VecDeque<Item<T>>>>,
+    share: Share,
+    len: usize,
+    limit: usize,
+}
+
+#[derive(Clone, Debug)]
+struct Item<T> {
+    weight: u32,
+    cost: u64,
+    value: T,
+}
+
+impl<T> Queue<T> {
+    /// An empty queue of at most `limit` items.
+    pub const fn new(limit: usize) -> Self {
+        Self {
+            classes: BTreeMap::new(),
+            share: Share {
+                flows: BTreeMap::new(),
+                now: 0,
+            },
+            len: 0,
+            limit,
+        }
+    }
+
+    /// Items waiting.
+    pub const fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Whether nothing waits.
+    pub const fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Adds an item of `flow`.
+    ///
+    /// # Errors
+    /// Gives the item back if the queue is full.
+    pub fn push(
+        &mut self,
+        flow: &str,
+        class: Class,
+        weight: u32,
+        cost: u64,
+        value: T,
+    ) -> Result<(), T> {
+        if self.len >= self.limit {
+            return Err(value);
+        }
+        let flows = self.classes.entry(class).or_default();
+        flows.entry(flow.into()).or_default().push_back(Item {
+            weight,
+            cost,
+            value,
+        });
+        self.len += 1;
+        Ok(())
+    }
+
+    /// Takes the next item.
+    pub fn pop(&mut self) -> Option<T> {
+        let (class, flows) = self.classes.iter_mut().next_back()?;
+        let class = *class;
+        let flow = self.share.next(flows.keys().map(CompactString::as_str))?;
+        let flow = CompactString::from(flow);
+        let items = flows.get_mut(&flow)?;
+        let item = items.pop_front()?;
+        if items.is_empty() {
+            flows.remove(&flow);
+        }
+        if flows.is_empty() {
+            self.classes.remove(&class);
+        }
+        self.share.charge(&flow, item.weight, item.cost);
+        self.len -= 1;
+        Some(item.value)
+    }
+}
--- /dev/null
+++ b/crates/pinereel_core/src/lot/accept.rs
@@ -0,0 +1,201 @@
+//! Taking lots in, and forgetting them.
+
+use super::{
+    Action, Group, Lot, Refusal, Runner, Sample, Spec,
+    state::{Entry, Mates},
+};
+use crate::{Time, cursor::MAX_SAMPLES, staleness::Pace};
+use compact_str::CompactString;
+use std::collections::{BTreeMap, BTreeSet};
+
+impl Runner {
+    pub(super) fn assign(&mut self, now: Time, spec: Spec) {
+        let lot = spec.lot.clone();
+        match self.take(now, spec) {
+            Ok(()) => self.actions.push(Action::Assigned { lot }),
+            Err(reason) => self.actions.push(Action::Refused { lot, reason }),
+        }
+    }
+
+    fn take(&mut self, now: Time, spec: Spec) -> Result<(), Refusal> {
+        self.check(&spec)?;
+        self.supersede(&spec);
+        let new = !self.lots.contains_key(&spec.lot);
+        let groups = self.unknown_groups(&spec);
+        let samples = groups.iter().map(|g| g.samples as usize).sum::<usize>();
+        if new && self.lots.len() >= self.limits.lots {
+            return Err(Refusal::Full);
+        }
+        if self.samples.len() + samples > self.limits.samples {
+            return Err(Refusal::Full);
+        }
+        if new {
+            self.insert(now, &spec);
+        }
+        let id = spec.lot.clone();
+        let lot = self.lots.get_mut(&id).expect("inserted above if absent");
+        lot.touched = now;
+        let newest = self.paces.get(&spec.model).map(Pace::newest);
+        let newest = newest.unwrap_or_default().max(spec.version);
+        lot.spec.version = lot.spec.version.max(newest);
+        for group in groups {
+            self.add(&id, group);
+        }
+        Ok(())
+    }
+
+    fn check(&self, spec: &Spec) -> Result<(), Refusal> {
+        if self.draining {
+            return Err(Refusal::Draining);
+        }
+        let known = self.lots.get(&spec.lot);
+        if known.is_some_and(|lot| lot.spec.digest != spec.digest) {
+            return Err(Refusal::Conflict);
+        }
+        let same = self
+            .lots
+            .values()
+            .filter(|l| l.spec.trainer == spec.trainer);
+        let newest = same.map(Lot::step).max().unwrap_or(0);
+        if spec.step.saturating_add(1) < newest {
+            return Err(Refusal::Superseded);
+        }
+        let known = known.map(|lot| &lot.groups);
+        if is_sound(&spec.groups, known) {
+            Ok(())
+        } else {
+            Err(Refusal::Malformed)
+        }
+    }
+
+    /// Drops the trainer's lots that are more than one step behind.
+    fn supersede(&mut self, spec: &Spec) {
+        let same = self
+            .lots
+            .values()
+            .filter(|l| l.spec.trainer == spec.trainer);
+        let old = same.filter(|lot| lot.step().saturating_add(1) < spec.step);
+        let old: Vec<_> = old.map(|lot| lot.spec.lot.clone()).collect();
+        for lot in old {
+            self.drop_lot(&lot, Refusal::Superseded);
+        }
+    }
+
+    fn unknown_groups(&self, spec: &Spec) -> Vec<Group> {
+        let known = self.lots.get(&spec.lot);
+        let groups = spec.groups.iter();
+        let new = groups.filter(|g| known.is_none_or(|l| !l.groups.contains_key(&g.index)));
+        new.cloned().collect()
+    }
+
+    fn insert(&mut self, now: Time, spec: &Spec) {
+        self.next_order += 1;
+        let lot = Lot {
+            spec: Spec {
+                groups: Vec::new(),
+                ..spec.clone()
+            },
+            order: self.next_order,
+            touched: now,
+            groups: BTreeMap::new(),
+            samples: BTreeMap::new(),
+            queue: BTreeSet::new(),
+        };
+        self.lots.insert(spec.lot.clone(), lot);
+    }
+
+    fn add(&mut self, id: &CompactString, group: Group) {
+        let lot = self.lots.get_mut(id).expect("only called for a lot held");
+        let number = group.index;
+        let range = group.first..group.first + group.samples;
+        let mates = Mates {
+            group,
+            finished: 0,
+            tokens: 0,
+        };
+        lot.groups.insert(number, mates);
+        for index in range {
+            let key = self.samples.insert(Entry {
+                lot: id.clone(),
+                group: number,
+                index,
+                rank: None,
+                parked: false,
+                tried: false,
+                partial: None,
+                attempts: Vec::new(),
+                finished: None,
+                held: false,
+            });
+            let lot = self.lots.get_mut(id).expect("only called for a lot held");
+            lot.samples.insert(index, key);
+            self.enqueue(key);
+        }
+    }
+
+    /// Takes over the finished samples of a runner that stops.
+    pub(super) fn handover(&mut self, now: Time, spec: Spec, samples: Vec<Sample>) {
+        let id = spec.lot.clone();
+        let digest = spec.digest;
+        self.assign(now, spec);
+        for sample in samples {
+            let Some(lot) = self.lots.get(&id).filter(|l| l.spec.digest == digest) else {
+                return;
+            };
+            let Some(key) = lot.samples.get(&sample.index).copied() else {
+                continue;
+            };
+            let entry = &self.samples[key];
+            let sound = !sample.spans.is_empty() && sample.group == entry.group;
+            if sound && entry.open() {
+                self.keep(key, sample);
+            }
+        }
+        self.abort_stale();
+    }
+
+    pub(super) fn drop_idle(&mut self, now: Time) {
+        let idle = self.limits.idle;
+        let all = self.lots.values();
+        let old = all.filter(|lot| now >= lot.spec.deadline.max(lot.touched) + idle);
+        let old: Vec<_> = old.map(|lot| lot.spec.lot.clone()).collect();
+        for lot in old {
+            self.drop_lot(&lot, Refusal::Idle);
+        }
+    }
+
+    fn drop_lot(&mut self, id: &CompactString, reason: Refusal) {
+        let Some(lot) = self.lots.get(id) else { return };
+        let keys: Vec<_> = lot.samples.values().copied().collect();
+        for key in keys {
+            self.cancel_all(key);
+            self.forget_finished(key);
+            self.samples.remove(key);
+        }
+        self.lots.remove(id);
+        let samples = &self.samples;
+        self.parked.retain(|key| samples.contains_key(*key));
+        let lot = id.clone();
+        self.actions.push(Action::Dropped { lot, reason });
+    }
+}
+
+/// Whether the groups, with those known, have separate samples within the largest lot.
+fn is_sound(groups: &[Group], known: Option<&BTreeMap<u32, Mates>>) -> bool {
+    let mut all = BTreeMap::new();
+    let known = known.into_iter().flatten().map(|(_, mates)| &mates.group);
+    for group in known.chain(groups) {
+        let place = (group.first, group.samples);
+        if *all.entry(group.index).or_insert(place) != place {
+            return false;
+        }
+    }
+    let mut places: Vec<_> = all.into_values().collect();
+    places.sort_unstable();
+    let mut end = 0;
+    places.into_iter().all(|(first, samples)| {
+        let fits = first >= end && samples <= MAX_SAMPLES && first <= MAX_SAMPLES - samples;
+        end = first.saturating_add(samples);
+        fits
+    })
+}
--- /dev/null
+++ b/crates/pinereel_core/src/lot/deliver.rs
@@ -0,0 +1,173 @@
+//! Collects, scores, and handing over.
+
+use super::{Action, Ask, Runner, Sample, state::SampleKey};
+use crate::{Time, cursor::Token, provenance, staleness};
+use std::mem;
+
+impl Runner {
+    pub(super) fn collect(&mut self, now: Time, ask: Ask) {
+        let Some(lot) = self.lots.get_mut(&ask.lot) else {
+            self.actions.push(Action::Answer {
+                call: ask.call,
+                samples: Vec::new(),
+                missing: ask.groups,
+            });
+            return;
+        };
+        if let Err(error) = ask.token.check(lot.spec.digest, lot.spec.step) {
+            let call = ask.call;
+            self.actions.push(Action::Rejected { call, error });
+            return;
+        }
+        lot.touched = now;
+        let newer = ask.version > lot.spec.version;
+        lot.spec.version = lot.spec.version.max(ask.version);
+        let lacks = |group: &u32| !lot.groups.contains_key(group);
+        let missing = ask.groups.iter().copied().filter(lacks).collect();
+        let keys: Vec<_> = lot.samples.values().copied().collect();
+        for key in &keys {
+            self.acknowledge(*key, &ask.token);
+        }
+        if newer {
+            self.abort_stale();
+        }
+        let samples = self.gather(&keys, &ask);
+        self.actions.push(Action::Answer {
+            call: ask.call,
+            samples,
+            missing,
+        });
+    }
+
+    /// Frees what the trainer holds. A sample that it lacks, although it was freed on an earlier
+    /// token, is made again: the trainer went back to an older token.
+    fn acknowledge(&mut self, key: SampleKey, token: &Token) {
+        let entry = &mut self.samples[key];
+        let holds = token.contains(entry.index);
+        if mem::replace(&mut entry.held, holds) == holds {
+            return;
+        }
+        if holds {
+            entry.partial = None;
+            self.cancel_all(key);
+            self.unqueue(key);
+            self.forget_finished(key);
+        } else {
+            self.again(key, None);
+        }
+    }
+
+    fn gather(&mut self, keys: &[SampleKey], ask: &Ask) -> Vec<Sample> {
+        let mut samples = Vec::new();
+        let mut bytes = 0;
+        for key in keys {
+            let finished = self.samples[*key].finished.as_ref();
+            let Some(ready) = finished.filter(|f| f.ticket.is_none()) else {
+                continue;
+            };
+            let oldest = provenance::oldest(&ready.sample.spans);
+            if oldest.is_none_or(|o| !staleness::fits(o, ask.version, ask.bound)) {
+                self.void_finished(*key);
+                continue;
+            }
+            bytes += ready.sample.text.len();
+            let full = bytes > self.limits.answer_bytes && !samples.is_empty();
+            if samples.len() < ask.max && !full {
+                samples.push(ready.sample.clone());
+            }
+        }
+        samples
+    }
+
+    /// Tells that a sample can be collected, or hands it on if this runner is draining.
+    pub(super) fn ready(&mut self, key: SampleKey) {
+        let entry = &self.samples[key];
+        let lot = &self.lots[&entry.lot];
+        if !self.draining {
+            let lot = entry.lot.clone();
+            self.actions.push(Action::Ready { lot });
+            return;
+        }
+        let done = entry.finished.iter().map(|f| f.sample.clone());
+        self.actions.push(Action::Handover {
+            spec: lot.full_spec(),
+            samples: done.collect(),
+        });
+    }
+
+    /// Hands over what is finished; what still runs follows when it is done.
+    pub(super) fn drain(&mut self) {
+        if mem::replace(&mut self.draining, true) {
+            return;
+        }
+        for lot in self.lots.values() {
+            let entries = lot.samples.values().map(|key| &self.samples[*key]);
+            let ready = entries.filter_map(|entry| entry.finished.as_ref());
+            let ready = ready.filter(|f| f.ticket.is_none());
+            self.actions.push(Action::Handover {
+                spec: lot.full_spec(),
+                samples: ready.map(|f| f.sample.clone()).collect(),
+            });
+        }
+    }
+
+    /// Asks for a score; the ticket ties it to this very text.
+    pub(super) fn score(&mut self, key: SampleKey, sample: &Sample) -> u64 {
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        self.scorings.insert(ticket, (key, None));
+        let entry = &self.samples[key];
+        let lot = &self.lots[&entry.lot];
+        self.actions.push(Action::Score {
+            ticket,
+            trainer: lot.spec.trainer.clone(),
+            prompt: lot.groups[&entry.group].group.prompt.clone(),
+            text: sample.text.clone(),
+        });
+        ticket
+    }
+
+    pub(super) fn scored(&mut self, ticket: u64, score: f64) {
+        let Some((key, _)) = self.scorings.remove(&ticket) else {
+            self.stats.late += 1;
+            return;
+        };
+        if let Some(finished) = &mut self.samples[key].finished {
+            finished.sample.score = Some(score);
+            finished.ticket = None;
+            self.ready(key);
+        }
+    }
+
+    pub(super) fn score_failed(&mut self, now: Time, ticket: u64) {
+        let again = now + self.limits.rescore;
+        if let Some((_, due)) = self.scorings.get_mut(&ticket) {
+            *due = Some(again);
+        }
+    }
+
+    pub(super) fn rescore(&mut self, now: Time) {
+        let all = self.scorings.iter();
+        let due = all.filter(|(_, (_, due))| due.is_some_and(|due| due <= now));
+        let due: Vec<_> = due.map(|(ticket, (key, _))| (*ticket, *key)).collect();
+        for (ticket, key) in due {
+            self.scorings.remove(&ticket);
+            let finished = self.samples[key].finished.as_ref();
+            let Some(sample) = finished.map(|f| f.sample.clone()) else {
+                continue;
+            };
+            let ticket = self.score(key, &sample);
+            if let Some(finished) = &mut self.samples[key].finished {
+                finished.ticket = Some(ticket);
+            }
+        }
+    }
+
+    /// Drops a finished sample with the scoring that it waits for.
+    pub(super) fn forget_finished(&mut self, key: SampleKey) {
+        let finished = self.samples[key].finished.take();
+        if let Some(ticket) = finished.and_then(|f| f.ticket) {
+            self.scorings.remove(&ticket);
+        }
+    }
+}
--- /dev/null
+++ b/crates/pinereel_core/src/lot/mod.rs
@@ -0,0 +1,104 @@
+//! Lots: the samples of one trainer step on their way from engines to the trainer.
+//!
+//! A lot's groups are spread over some entries by rendezvous hashing. Each such entry drives one
+//! [`Runner`], which starts attempts on engines and keeps what is finished. Any entry that gets a
+//! collect asks the runners and merges their answers with [`crate::cursor::Merge`]. Two runners may
+//! run the same group for a while: that costs work, never a second delivery, since the trainer's
+//! cursor token decides.
+
+mod accept;
+mod deliver;
+mod message;
+mod runner;
+mod schedule;
+mod state;
+
+pub use message::{Action, Ask, Chunk, Failure, Finish, Offer, Refusal, Sample, Start};
+pub use runner::{Runner, Stats};
+pub use state::{AttemptKey, Group, Lot, SampleKey, Spec};
+
+use std::time::Duration;
+
+pub use message::Event;
+
+/// Which policies a runner follows; all off is the plain baseline (first in, first out).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Policy {
+    /// Start the samples with the longest predicted output first.
+    pub long_first: bool,
+    /// Run a second attempt of a running sample where slots are idle and nothing is queued.
+    pub duplicates: bool,
+    /// Age of an attempt before it is duplicated.
+    pub duplicate_after: Duration,
+    /// Go on from the last whole chunk of a lost attempt instead of from the prompt.
+    pub resume: bool,
+    /// Abort what can no longer fit the bound as soon as that is known.
+    pub early_abort: bool,
+    /// Avoid endpoints whose version is expected to be too old at completion.
+    pub staleness_aware_start: bool,
+    /// Share slots between trainers by weight instead of by arrival of their lots.
+    pub fair: bool,
+}
+
+impl Policy {
+    /// First in, first out, from the prompt, one attempt at a time.
+    pub const BASELINE: Self = Self {
+        long_first: false,
+        duplicates: false,
+        duplicate_after: Duration::ZERO,
+        resume: false,
+        early_abort: false,
+        staleness_aware_start: false,
+        fair: false,
+    };
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            long_first: true,
+            duplicates: true,
+            duplicate_after: Duration::from_millis(200),
+            resume: true,
+            early_abort: true,
+            staleness_aware_start: true,
+            fair: true,
+        }
+    }
+}
+
+/// What bounds a runner's memory and its retries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Most lots held; a further one is refused with [`Refusal::Full`].
+    pub lots: usize,
+    /// Most samples held over all lots; groups beyond are refused with [`Refusal::Full`].
+    pub samples: usize,
+    /// Retries earned by each first attempt, in percent.
+    pub retry_percent: u32,
+    /// Retries earned by each second that passes.
+    pub retries_per_second: u32,
+    /// Most retries that can be saved up.
+    pub retry_burst: u32,
+    /// Time after its deadline without assign or collect until a lot is dropped.
+    pub idle: Duration,
+    /// Wait before a failed scoring is tried again.
+    pub rescore: Duration,
+    /// Most bytes of text in one answer (the first sample goes in any case).
+    pub answer_bytes: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            lots: 64,
+            samples: 65_536,
+            retry_percent: 20,
+            retries_per_second: 10,
+            retry_burst: 64,
+            idle: Duration::from_secs(300),
+            rescore: Duration::from_millis(500),
+            answer_bytes: 2 << 20,
+        }
+    }
+}
--- /dev/null
+++ b/crates/pinereel_core/src/lot/state.rs
@@ -0,0 +1,183 @@
+//! The arenas' contents: lots, samples, attempts, endpoints.
+
+use super::{Offer, Sample};
+use crate::{Time, Version, hash, provenance::Record};
+use compact_str::CompactString;
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+};
+
+slotmap::new_key_type! {
+    /// A sample in one runner's memory.
+    pub struct SampleKey;
+    /// One attempt to make a sample; unique within a runner's life.
+    pub struct AttemptKey;
+}
+
+/// Groups of a lot for one runner.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Spec {
+    /// Id of the lot.
+    pub lot: CompactString,
+    /// Digest of the whole lot.
+    pub digest: hash::Digest,
+    /// The trainer.
+    pub trainer: CompactString,
+    /// The trainer's share of the engines, relative to others.
+    pub weight: u32,
+    /// The model to sample from.
+    pub model: CompactString,
+    /// The step.
+    pub step: u64,
+    /// The trainer's version.
+    pub version: Version,
+    /// The trainer's staleness bound, in versions.
+    pub bound: u64,
+    /// When the samples are wanted.
+    pub deadline: Time,
+    /// Whether finished samples are scored before they are delivered.
+    pub scored: bool,
+    /// The groups.
+    pub groups: Vec<Group>,
+}
+
+/// Samples of one prompt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Group {
+    /// Index in the lot.
+    pub index: u32,
+    /// Index of its first sample in the lot.
+    pub first: u32,
+    /// The prompt.
+    pub prompt: String,
+    /// How many samples.
+    pub samples: u32,
+    /// Most output tokens of each.
+    pub max_tokens: u32,
+}
+
+/// Order of waiting samples: longest first, then by index.
+pub(super) type Rank = (Reverse<u32>, u32, SampleKey);
+
+/// The part of a trainer step that one runner holds.
+#[derive(Clone, Debug)]
+pub struct Lot {
+    /// The lot, without groups.
+    pub(super) spec: Spec,
+    /// Order of arrival at this runner.
+    pub(super) order: u64,
+    /// Last assign or collect.
+    pub(super) touched: Time,
+    pub(super) groups: BTreeMap<u32, Mates>,
+    pub(super) samples: BTreeMap<u32, SampleKey>,
+    pub(super) queue: BTreeSet<Rank>,
+}
+
+/// A group and what its finished samples tell about the others' length.
+#[derive(Clone, Debug)]
+pub(super) struct Mates {
+    pub(super) group: Group,
+    pub(super) finished: u32,
+    pub(super) tokens: u64,
+}
+
+impl Mates {
+    /// Expected output tokens of a sample of this group.
+    pub(super) fn predicted(&self) -> u32 {
+        let mean = self.tokens.checked_div(u64::from(self.finished));
+        let mean = mean.and_then(|m| u32::try_from(m).ok());
+        mean.unwrap_or(self.group.max_tokens)
+    }
+}
+
+impl Lot {
+    /// Id of the lot.
+    pub fn id(&self) -> &str {
+        &self.spec.lot
+    }
+
+    /// The step.
+    pub const fn step(&self) -> u64 {
+        self.spec.step
+    }
+
+    /// Samples waiting for a slot.
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Samples of this lot that the runner knows.
+    pub fn samples(&self) -> usize {
+        self.samples.len()
+    }
+
+    /// The lot with its groups.
+    pub(super) fn full_spec(&self) -> Spec {
+        let groups = self.groups.values().map(|mates| mates.group.clone());
+        Spec {
+            groups: groups.collect(),
+            ..self.spec.clone()
+        }
+    }
+}
+
+/// What an attempt has made so far.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Progress {
+    pub(super) text: String,
+    pub(super) record: Record,
+}
+
+/// Where one sample stands.
+#[derive(Clone, Debug)]
+pub(super) struct Entry {
+    pub(super) lot: CompactString,
+    pub(super) group: u32,
+    pub(super) index: u32,
+    /// Its place in the lot's queue.
+    pub(super) rank: Option<Rank>,
+    /// Waits for the retry budget.
+    pub(super) parked: bool,
+    /// Started before: the next attempt is a retry.
+    pub(super) tried: bool,
+    /// What a lost attempt left.
+    pub(super) partial: Option<Progress>,
+    pub(super) attempts: Vec<AttemptKey>,
+    pub(super) finished: Option<Finished>,
+    /// The trainer has it, as a token says.
+    pub(super) held: bool,
+}
+
+impl Entry {
+    /// Whether work on it is still needed.
+    pub(super) const fn open(&self) -> bool {
+        !self.held && self.finished.is_none()
+    }
+}
+
+/// A finished sample, perhaps still without its score.
+#[derive(Clone, Debug)]
+pub(super) struct Finished {
+    pub(super) sample: Sample,
+    /// The scoring that it waits for.
+    pub(super) ticket: Option<u64>,
+}
+
+/// An attempt on an endpoint.
+#[derive(Clone, Debug)]
+pub(super) struct Attempt {
+    pub(super) sample: SampleKey,
+    pub(super) endpoint: CompactString,
+    pub(super) started: Time,
+    /// Tokens that it started from.
+    pub(super) base: u32,
+    pub(super) progress: Progress,
+}
+
+/// An endpoint and what of it this runner uses.
+#[derive(Clone, Debug)]
+pub(super) struct Endpoint {
+    pub(super) offer: Offer,
+    pub(super) running: u32,
+}
--- /dev/null
+++ b/crates/pinereel_core/tests/cursor_token.rs
@@ -0,0 +1,149 @@
+//! Cursor tokens: text form, refusals, merge and ledger.
+
+use pinereel_core::{
+    Span, Version,
+    cursor::{Error, Ledger, MAX_SAMPLES, MAX_TEXT, Merge, Refusal, Token},
+    hash::Digest,
+    lot::Sample,
+};
+use proptest::{prelude::*, test_runner::RngSeed};
+use std::collections::BTreeSet;
+
+fn lot() -> Digest {
+    Digest::of(b"lot")
+}
+
+fn sample(index: u32, version: u64) -> Sample {
+    Sample {
+        group: 0,
+        index,
+        text: String::new(),
+        tokens: 1,
+        spans: vec![Span {
+            version: Version(version),
+            tokens: 1,
+        }],
+        score: None,
+    }
+}
+
+fn config(rng_seed: u64) -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(rng_seed),
+        failure_persistence: None,
+        cases: 256,
+        ..Default::default()
+    }
+}
+
+#[test]
+fn text_form_is_stable() {
+    let mut token = Token::first(lot(), 7, 12);
+    token.insert(0);
+    token.insert(9);
+    insta::assert_snapshot!(token, @"01b7b30d6e4f8c864714bf46cb6df3e5cc000000000000000700000000000000000000000c01021d458c2e");
+}
+
+#[test]
+fn a_full_token_is_bounded() {
+    let token = Token::first(lot(), 1, u32::MAX);
+    assert_eq!(token.samples(), MAX_SAMPLES);
+    assert_eq!(token.to_string().len(), MAX_TEXT);
+    let long = "0".repeat(MAX_TEXT + 2);
+    assert_eq!(Token::parse(&long), Err(Error::Malformed));
+}
+
+#[test]
+fn tokens_of_other_lots_are_refused() {
+    let token = Token::first(lot(), 7, 12);
+    assert_eq!(token.check(lot(), 7), Ok(()));
+    assert_eq!(token.check(Digest::of(b"next"), 8), Err(Error::Behind));
+    assert_eq!(token.check(Digest::of(b"other"), 7), Err(Error::Foreign));
+    assert_eq!(token.check(Digest::of(b"last"), 6), Err(Error::Foreign));
+}
+
+#[test]
+fn text_form_round_trips_and_any_damage_shows() {
+    let sets = prop::collection::btree_set(0..300_u32, 0..300);
+    proptest!(config(5), |(set in sets, samples in 1..300_u32, at: prop::sample::Index)| {
+        let mut token = Token::first(lot(), 3, samples);
+        for index in &set {
+            prop_assert_eq!(token.insert(*index), *index < samples);
+        }
+        let held = set.range(..samples).count();
+        prop_assert_eq!(token.remaining() as usize, samples as usize - held);
+        let text = token.to_string();
+        prop_assert_eq!(Token::parse(&text), Ok(token));
+        let at = at.index(text.len());
+        let other = if &text[at..=at] == "0" { "1" } else { "0" };
+        let damaged = format!("{}{other}{}", &text[..at], &text[at + 1..]);
+        prop_assert_eq!(Token::parse(&damaged), Err(Error::Malformed));
+        prop_assert_eq!(Token::parse(&text[..at]), Err(Error::Malformed));
+    });
+}
+
+#[test]
+fn parse_never_panics() {
+    proptest!(config(6), |(text: String, hex in "[0-9a-f]{0,200}")| {
+        let _ = Token::parse(&text);
+        let _ = Token::parse(&hex);
+    });
+}
+
+#[test]
+fn merge_gives_each_index_once_and_only_fresh() {
+    let found = prop::collection::vec((0..20_u32, 0..9_u64), 0..60);
+    let held = prop::collection::btree_set(0..16_u32, 0..8);
+    proptest!(config(7), |(found in found, held in held, bound in 0..4_u64, max in 0..20_usize)| {
+        let mut token = Token::first(lot(), 3, 16);
+        held.iter().for_each(|index| assert!(token.insert(*index)));
+        let version = Version(8);
+        let merge = Merge { token: token.clone(), version, bound, max };
+        let samples = found.iter().map(|(index, version)| sample(*index, *version));
+        let answer = merge.run(samples);
+        let fresh = found.iter().filter(|(_, version)| version + bound >= 8);
+        let wanted: BTreeSet<u32> = fresh
+            .map(|(index, _)| *index)
+            .filter(|index| *index < 16 && !held.contains(index))
+            .collect();
+        let given: BTreeSet<u32> = answer.samples.iter().map(|s| s.index).collect();
+        prop_assert_eq!(given.len(), answer.samples.len());
+        prop_assert!(given.is_subset(&wanted));
+        prop_assert_eq!(given.len(), wanted.len().min(max));
+        prop_assert!(answer.samples.iter().all(|s| s.spans[0].version.0 + bound >= 8));
+        prop_assert_eq!(answer.remaining as usize, 16 - held.len() - given.len());
+        let mut ledger = Ledger::new(token.clone());
+        prop_assert_eq!(ledger.take(&token, &answer.token, given.clone()), Ok(()));
+        let again = ledger.take(&token, &answer.token, given.clone());
+        prop_assert_eq!(again.is_err(), !given.is_empty());
+    });
+}
+
+#[test]
+fn a_sample_without_spans_is_not_delivered() {
+    let mut bare = sample(1, 8);
+    bare.spans.clear();
+    let token = Token::first(lot(), 3, 16);
+    let merge = Merge {
+        token: token.clone(),
+        version: Version(8),
+        bound: 100,
+        max: 9,
+    };
+    let answer = merge.run([bare]);
+    assert_eq!((answer.samples.len(), answer.stale), (0, 1));
+    assert_eq!(answer.token, token);
+}
+
+#[test]
+fn the_ledger_drops_concurrent_and_inconsistent_answers() {
+    let first = Token::first(lot(), 3, 16);
+    let one = first.after([1]).unwrap();
+    let two = first.after([2]).unwrap();
+    let mut ledger = Ledger::new(first.clone());
+    let wrong = ledger.take(&first, &one, [1, 2]);
+    assert_eq!(wrong, Err(Refusal::Inconsistent));
+    assert_eq!(ledger.take(&first, &one, [1]), Ok(()));
+    assert_eq!(ledger.take(&first, &two, [2]), Err(Refusal::Basis));
+    assert_eq!(ledger.token(), &one);
+}
