Lot test: runners keep their memory when the faults stop

Cause: settling replaced every runner, so liveness was shown for fresh ones only. Ruled out: replacing none, since a draining runner never starts work again. Change: only draining runners leave; held chunks arrive late.

--- a/crates/pinereel_core/tests/lot_delivery.rs
+++ b/crates/pinereel_core/tests/lot_delivery.rs
@@ -123,6 +123,7 @@
     version: Version,
     bound: u64,
     scorings: u64,
+    draining: BTreeSet<usize>,
     stats: Stats,
 }
 
@@ -165,6 +166,7 @@
             version: Version(3),
             bound: 2,
             scorings: 0,
+            draining: BTreeSet::new(),
             stats: Stats::default(),
         };
         for _ in 0..RUNNERS {
@@ -390,6 +392,7 @@
     }
 
     fn replace(&mut self, at: usize) {
+        self.draining.remove(&at);
         let fresh = self.fresh();
         let (old, runner) = std::mem::replace(&mut self.runners[at], fresh);
         self.runs.retain(|(id, _), _| *id != old);
@@ -463,6 +466,7 @@
             Op::Lose(at) => pick(at).into_iter().for_each(|id| self.lost(id)),
             Op::Replace(at) => self.replace(at),
             Op::Drain(at) => {
+                self.draining.insert(at);
                 self.send(at, Event::Drain);
             }
             Op::Tick => {
@@ -473,12 +477,14 @@
         }
     }
 
-    /// Faults stop: draining runners leave, engines load the newest version, broken streams end.
+    /// Faults stop: draining runners leave, engines load the newest version, late chunks arrive.
     fn settle(&mut self) {
-        for at in 0..RUNNERS {
-            self.send(at, Event::Drain);
+        for at in std::mem::take(&mut self.draining) {
             self.replace(at);
         }
+        for (id, chunk) in std::mem::take(&mut self.held) {
+            self.chunk(id, chunk);
+        }
         for engine in &mut self.engines {
             engine.version = self.version;
             engine.cache.clear();
@@ -570,6 +576,7 @@
         world.apply(op);
     }
     world.settle();
+    (0..RUNNERS).for_each(|at| world.replace(at));
     let indexes: BTreeSet<u32> = world.accepted.keys().copied().collect();
     assert_eq!(indexes, (0..SAMPLES).collect());
     let Stats {
