--- a/crates/pinereel/src/callers.rs
+++ b/crates/pinereel/src/callers.rs
@@ -1,1 +1,124 @@
-//! Placeholder.
+//! The callers' listener: live requests, trainers' calls, liveness and readiness.
+
+use crate::{
+    controllers::{config::Pin, lots::front},
+    filters::{admit, completion, pin, refuse, respond, service},
+    http::{self, Request, Response},
+    state::Shared,
+};
+use actix_http::{Method, StatusCode};
+use compact_str::CompactString;
+use pinereel_api::{Problem, engine, problem::Code, trainer};
+use serde::Serialize;
+use std::rc::Rc;
+
+/// Largest body of a lot, in bytes: 8,192 prompts of 8 KiB.
+const MAX_LOT: usize = 64 << 20;
+/// Largest body of a collect or publish, in bytes.
+const MAX_SMALL: usize = 64 << 10;
+
+/// Answers one request.
+pub async fn serve(shared: Rc<Shared>, mut request: Request) -> Response {
+    let path = request.path().to_owned();
+    let parts: Vec<_> = path.split('/').skip(1).collect();
+    let method = request.method().clone();
+    let result = match (&method, parts.as_slice()) {
+        (&Method::GET, ["live"]) => return http::text(StatusCode::OK, "live\n"),
+        (&Method::GET, ["ready"]) => return ready(&shared),
+        (&Method::POST, ["v1", "completions"]) => complete(&shared, &mut request).await,
+        (&Method::POST, ["v1", "lots"]) => submit(&shared, &mut request).await,
+        (&Method::POST, ["v1", "lots", id, "collect"]) => collect(&shared, &mut request, id).await,
+        (&Method::POST, ["v1", "trainers", name, "versions"]) => {
+            publish(&shared, &mut request, name).await
+        }
+        (_, ["services", pool, ..]) => relay(&shared, &mut request, pool).await,
+        _ => Err(refuse(Code::NotFound, "no such path")),
+    };
+    result.unwrap_or_else(|problem| respond::problem(&shared, &problem))
+}
+
+/// Whether the balancer may send connections here.
+pub fn ready(shared: &Shared) -> Response {
+    match pin::ready(shared) {
+        Ok(number) => http::text(StatusCode::OK, format!("ready {number}\n")),
+        Err(problem) => http::problem(&problem),
+    }
+}
+
+async fn complete(shared: &Rc<Shared>, request: &mut Request) -> Result<Response, Problem> {
+    let pin = pin::pin(shared)?;
+    let call: engine::Request = body(shared, &pin, request).await?;
+    if call.max_tokens == 0 {
+        return Err(refuse(Code::BadRequest, "max_tokens is 0"));
+    }
+    let exchange = admit::enter(shared, request, pin, call.model.clone())?;
+    Ok(completion::serve(shared, exchange, call).await)
+}
+
+async fn body<T: serde::de::DeserializeOwned>(
+    shared: &Shared,
+    pin: &Pin,
+    request: &mut Request,
+) -> Result<T, Problem> {
+    let max = pin.document.limits.max_body as usize;
+    Ok(http::read_json(request, max, shared.settings.limits.read_timeout).await?)
+}
+
+async fn relay(
+    shared: &Rc<Shared>,
+    request: &mut Request,
+    pool: &str,
+) -> Result<Response, Problem> {
+    let pin = pin::pin(shared)?;
+    let max = pin.document.limits.max_body as usize;
+    let timeout = shared.settings.limits.read_timeout;
+    let exchange = admit::enter(shared, request, pin, CompactString::from(pool))?;
+    let uri = request.uri().clone();
+    let whole = uri.path_and_query().map_or("/", |p| p.as_str());
+    let prefix = "/services/".len() + pool.len();
+    let path = whole.get(prefix..).filter(|rest| rest.starts_with('/')).unwrap_or("/");
+    let call = service::Call {
+        method: request.method().clone(),
+        path: path.to_owned(),
+        headers: service::Call::headers_of(request.headers()),
+        body: http::read(request, max, timeout).await?,
+        repeatable: service::repeatable(&exchange, request.method(), path),
+    };
+    Ok(service::serve(shared, exchange, call).await)
+}
+
+async fn submit(shared: &Rc<Shared>, request: &mut Request) -> Result<Response, Problem> {
+    let pin = pin::pin(shared)?;
+    let timeout = shared.settings.limits.read_timeout;
+    let lot: trainer::Lot = http::read_json(request, MAX_LOT, timeout).await?;
+    let _guard = shared.drain.enter();
+    answer(front::submit(shared, &pin, lot).await)
+}
+
+async fn collect(
+    shared: &Rc<Shared>,
+    request: &mut Request,
+    id: &str,
+) -> Result<Response, Problem> {
+    let pin = pin::pin(shared)?;
+    let timeout = shared.settings.limits.read_timeout;
+    let collect: trainer::Collect = http::read_json(request, MAX_SMALL, timeout).await?;
+    let _guard = shared.drain.enter();
+    answer(front::collect(shared, &pin, id, collect).await)
+}
+
+async fn publish(
+    shared: &Rc<Shared>,
+    request: &mut Request,
+    name: &str,
+) -> Result<Response, Problem> {
+    let pin = pin::pin(shared)?;
+    let timeout = shared.settings.limits.read_timeout;
+    let publish: trainer::Publish = http::read_json(request, MAX_SMALL, timeout).await?;
+    let _guard = shared.drain.enter();
+    answer(front::publish(shared, &pin, name, publish).await)
+}
+
+fn answer(result: Result<impl Serialize, Problem>) -> Result<Response, Problem> {
+    result.map(|body| http::json(StatusCode::OK, &body))
+}
--- a/crates/pinereel/src/controllers/endpoints.rs
+++ b/crates/pinereel/src/controllers/endpoints.rs
@@ -1,1 +1,279 @@
-//! Placeholder.
+//! The endpoints that this entry routes to: the platform's list, load reports, what attempts show.
+
+use crate::{
+    engines,
+    logging::{Decision, RunnerUp, What},
+    objects::Purpose,
+    settings::Routing,
+    state::{Shared, spawn},
+};
+use compact_str::CompactString;
+use pinereel_api::object::{INSTANCES, Instance, Presence};
+use pinereel_core::{
+    Time,
+    config::Kind,
+    endpoint::{self, Change, End, Event, Key, Report, Set},
+    lot,
+    route::{self, Choice, Policy, Refusal, Request},
+};
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    time::Duration,
+};
+use tokio::{sync::Notify, time::sleep};
+
+/// Pause between lists of the platform's instances.
+const LIST_PAUSE: Duration = Duration::from_millis(500);
+/// Pause between load reports of one engine.
+const REPORT_PAUSE: Duration = Duration::from_millis(250);
+/// Longest wait for a load report.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Pool name of the entries themselves in the platform's list.
+const ENTRY_POOL: &str = "entry";
+
+/// The controller's state.
+#[derive(Default)]
+pub struct Endpoints {
+    set: RefCell<Set>,
+    policy: RefCell<Policy>,
+    polled: RefCell<BTreeSet<CompactString>>,
+    /// Told whenever an endpoint may have room that had none.
+    pub room: Notify,
+}
+
+/// An attempt counted at its endpoint until it is finished or dropped.
+pub struct Ticket {
+    shared: Rc<Shared>,
+    key: Key,
+    tokens: u32,
+    started: Time,
+    done: bool,
+}
+
+impl Ticket {
+    /// Notes how the attempt ended.
+    pub fn finish(mut self, end: End) {
+        self.end(end);
+    }
+
+    fn end(&mut self, end: End) {
+        if std::mem::replace(&mut self.done, true) {
+            return;
+        }
+        let took = self.shared.now().since(self.started);
+        let event = Event::Finished {
+            key: self.key,
+            tokens: self.tokens,
+            took,
+            end,
+        };
+        step(&self.shared, event);
+        self.shared.endpoints.room.notify_waiters();
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.end(End::Cancelled);
+    }
+}
+
+impl Endpoints {
+    /// The endpoints, to look at.
+    pub fn set(&self) -> std::cell::Ref<'_, Set> {
+        self.set.borrow()
+    }
+
+    /// Chooses an endpoint; changes nothing.
+    pub fn choose(&self, shared: &Shared, request: &Request<'_>) -> Result<Choice, Refusal> {
+        route::choose(&self.set.borrow(), request, shared.now(), &self.policy.borrow())
+    }
+}
+
+/// Counts an attempt at an endpoint from now on.
+pub fn begin(shared: &Rc<Shared>, key: Key, tokens: u32) -> Ticket {
+    step(shared, Event::Started { key, tokens });
+    Ticket {
+        shared: Rc::clone(shared),
+        key,
+        tokens,
+        started: shared.now(),
+        done: false,
+    }
+}
+
+/// Logs a routing decision with its runners-up.
+pub fn log_choice(shared: &Shared, request: &str, what: What, choice: &Choice, config: u64) {
+    shared.metrics.decide(what);
+    if !shared.settings.log.decisions {
+        return;
+    }
+    let now = shared.now();
+    let set = shared.endpoints.set();
+    let describe = |key: Key| set.get(key).map(|e| (e.name.as_str(), e.load(now)));
+    let others: Vec<_> = choice.runners_up.iter().filter_map(|key| describe(*key)).collect();
+    let runners_up: Vec<_> = others
+        .iter()
+        .map(|(name, cost)| RunnerUp {
+            name,
+            cost: *cost,
+            reason: "cost",
+        })
+        .collect();
+    let chosen = describe(choice.key);
+    let reason = serde_json::to_value(choice.reason).unwrap_or_default();
+    Decision {
+        entry: shared.name(),
+        request,
+        what,
+        chosen: chosen.map(|(name, _)| name),
+        cost: chosen.map(|(_, cost)| cost),
+        reason: reason.as_str().unwrap_or_default(),
+        runners_up: &runners_up,
+        config,
+    }
+    .emit();
+}
+
+/// Takes in an event and logs what changed.
+pub fn step(shared: &Shared, event: Event) {
+    let now = shared.now();
+    let changes = shared.endpoints.set.borrow_mut().step(now, event);
+    for change in changes {
+        note(shared, &change);
+    }
+}
+
+fn note(shared: &Shared, change: &Change) {
+    let what = serde_json::to_string(&change.what).unwrap_or_default();
+    shared.decide(What::Eject, &change.name, Some(&change.name), &what);
+    shared.endpoints.room.notify_waiters();
+}
+
+/// Starts the controller.
+pub fn start(shared: &Rc<Shared>) {
+    shared.endpoints.policy.replace(policy(shared));
+    spawn(shared, async |shared: Rc<Shared>| {
+        loop {
+            refresh(&shared).await;
+            sleep(LIST_PAUSE).await;
+        }
+    });
+}
+
+fn policy(shared: &Shared) -> Policy {
+    let settings = &shared.settings.policy;
+    if settings.routing == Routing::Baseline {
+        return Policy::BASELINE;
+    }
+    Policy {
+        affinity: settings.prefix_affinity,
+        zone_local: settings.zone_local,
+        ..Policy::FULL
+    }
+}
+
+async fn refresh(shared: &Rc<Shared>) {
+    let list = shared.objects.list(Purpose::Instances, INSTANCES, "").await;
+    let (Ok(list), Some(pin)) = (list, shared.config.pin()) else {
+        return;
+    };
+    let mut listed = BTreeMap::new();
+    for object in list.items {
+        let Ok(instance) = serde_json::from_value::<Instance>(object.value) else {
+            log::error!("instance {} unreadable", object.name);
+            continue;
+        };
+        if instance.pool != ENTRY_POOL {
+            listed.insert(object.name, instance);
+        }
+    }
+    let gone: Vec<_> = {
+        let set = shared.endpoints.set();
+        let names = set.iter().map(|(_, e)| e.name.clone());
+        names.filter(|name| !listed.contains_key(name)).collect()
+    };
+    for name in gone {
+        step(shared, Event::Unlisted { name });
+    }
+    for (name, instance) in listed {
+        let pool = pin.document.pools.get(&instance.pool);
+        let slots = pool.map_or(1, |pool| pool.slots);
+        let engine = pool.is_some_and(|pool| pool.kind == Kind::Engine);
+        step(shared, Event::Listed(listing(&name, instance, slots)));
+        if engine && shared.endpoints.polled.borrow_mut().insert(name.clone()) {
+            spawn(shared, async move |shared| poll(&shared, name).await);
+        }
+    }
+}
+
+fn listing(name: &CompactString, instance: Instance, slots: u32) -> endpoint::Instance {
+    endpoint::Instance {
+        name: name.clone(),
+        incarnation: instance.incarnation,
+        address: instance.address,
+        zone: instance.zone,
+        pool: instance.pool,
+        slots,
+        leaving: instance.state == Presence::Leaving,
+    }
+}
+
+/// Reads one engine's state until it is no more listed.
+async fn poll(shared: &Rc<Shared>, name: CompactString) {
+    loop {
+        let found = shared
+            .endpoints
+            .set()
+            .find(&name)
+            .map(|(key, e)| (key, e.address.clone()));
+        let Some((key, address)) = found else { break };
+        let read = engines::state(&shared.http, &address, REPORT_TIMEOUT).await;
+        if let Ok(state) = read {
+            let report = Report {
+                at: Time(shared.now().0.saturating_sub(state.lag_ms * 1_000)),
+                running: state.running,
+                waiting: state.waiting,
+                version: state.version,
+                loading: state.loading,
+                leaving: state.leaving,
+            };
+            let incarnation = state.incarnation;
+            step(
+                shared,
+                Event::Reported {
+                    incarnation,
+                    key,
+                    report,
+                },
+            );
+        }
+        offer(shared, &name);
+        sleep(REPORT_PAUSE).await;
+    }
+    shared.endpoints.polled.borrow_mut().remove(&name);
+    crate::controllers::lots::step(shared, lot::Event::Gone { endpoint: name });
+}
+
+/// Tells the lots' runner what an engine has to offer.
+fn offer(shared: &Rc<Shared>, name: &CompactString) {
+    let Some(pin) = shared.config.pin() else { return };
+    let offer = {
+        let set = shared.endpoints.set();
+        let Some((_, endpoint)) = set.find(name) else { return };
+        let Some(pool) = pin.document.pools.get(&endpoint.pool) else { return };
+        let (Some(model), Some(version)) = (pool.model.clone(), endpoint.version) else {
+            return;
+        };
+        let live = endpoint.state == endpoint::State::Live;
+        lot::Offer {
+            endpoint: name.clone(),
+            model,
+            version,
+            slots: if live { endpoint.limit() } else { 0 },
+        }
+    };
+    crate::controllers::lots::step(shared, lot::Event::Offer(offer));
+}
--- /dev/null
+++ b/crates/pinereel/src/controllers/lots/attempt.rs
@@ -0,0 +1,168 @@
+//! One attempt of one sample at one engine.
+
+use super::{Running, step};
+use crate::{
+    controllers::endpoints::{self, Ticket},
+    engines::{self, Error},
+    logging::What,
+    state::Shared,
+};
+use compact_str::CompactString;
+use futures_util::StreamExt as _;
+use pinereel_api::engine::{self, Cancel, Request};
+use pinereel_core::{
+    endpoint::{End, Key},
+    lot::{AttemptKey, Chunk, Event, Failure, Finish, Start},
+    provenance::Stamp,
+};
+use std::{pin::pin, rc::Rc, time::Duration};
+use tokio::time::timeout;
+
+/// Longest wait for a stream's head.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest silence within a stream.
+const CHUNK_TIMEOUT: Duration = Duration::from_secs(60);
+/// Longest wait for a cancel.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Tokens of one chunk: bulk work costs a chunk by the sample, not by the token.
+const CHUNK_TOKENS: u32 = 32;
+
+/// Starts the attempt in a task of its own.
+pub(super) fn start(shared: &Rc<Shared>, start: Start) {
+    let found = {
+        let set = shared.endpoints.set();
+        set.find(&start.endpoint).map(|(key, e)| (key, e.address.clone()))
+    };
+    let attempt = start.attempt;
+    let Some((key, address)) = found else {
+        let shared = Rc::clone(shared);
+        // Not at once: the runner is still handing out actions.
+        actix_rt::spawn(async move { failed(&shared, attempt, Failure::NotRun) });
+        return;
+    };
+    let id = shared.request_id();
+    let subject = format!("{}/{}", start.lot, start.index);
+    let reason = if start.resume_tokens > 0 { "resume" } else { "start" };
+    shared.decide(What::Route, &subject, Some(&start.endpoint), reason);
+    let task = actix_rt::spawn(run(Rc::clone(shared), start, key, address.clone(), id.clone()));
+    let running = Running {
+        abort: task.abort_handle(),
+        address,
+        id,
+    };
+    shared.lots.running.borrow_mut().insert(attempt, running);
+}
+
+/// Ends an attempt here and at its engine.
+pub(super) fn cancel(shared: &Rc<Shared>, attempt: AttemptKey) {
+    let Some(running) = shared.lots.running.borrow_mut().remove(&attempt) else {
+        return;
+    };
+    running.abort.abort();
+    let shared = Rc::clone(shared);
+    actix_rt::spawn(async move {
+        let request = Cancel {
+            request_id: running.id,
+        };
+        // A cancel that is lost costs tokens, nothing else.
+        let _ = engines::cancel(&shared.http, &running.address, &request, CANCEL_TIMEOUT).await;
+    });
+}
+
+async fn run(
+    shared: Rc<Shared>,
+    start: Start,
+    key: Key,
+    address: CompactString,
+    id: CompactString,
+) {
+    let attempt = start.attempt;
+    let ticket = endpoints::begin(&shared, key, start.max_tokens);
+    let result = stream(&shared, start, &address, &id).await;
+    shared.lots.running.borrow_mut().remove(&attempt);
+    close(&shared, attempt, ticket, result);
+}
+
+/// Reports the attempt's end to the endpoint's record and to the runner.
+fn close(shared: &Rc<Shared>, attempt: AttemptKey, ticket: Ticket, result: Result<(), Error>) {
+    let Err(error) = result else {
+        ticket.finish(End::Whole);
+        return;
+    };
+    log::info!(entry = shared.name().as_str(); "attempt failed: {error}");
+    let (end, failure) = match &error {
+        Error::NotOpened(_) => (End::ConnectionRefused, Failure::NotRun),
+        Error::Refused(reason) if reason == "leaving" => (End::Leaving, Failure::NotRun),
+        Error::Refused(_) => (End::Overloaded, Failure::NotRun),
+        _ => (End::Failed, Failure::Lost),
+    };
+    ticket.finish(end);
+    failed(shared, attempt, failure);
+}
+
+fn failed(shared: &Rc<Shared>, attempt: AttemptKey, failure: Failure) {
+    step(shared, Event::Failed { attempt, failure });
+}
+
+/// Runs the stream; `Ok` if the engine ended it.
+async fn stream(
+    shared: &Rc<Shared>,
+    start: Start,
+    address: &str,
+    id: &CompactString,
+) -> Result<(), Error> {
+    let attempt = start.attempt;
+    let request = request(shared, start, id);
+    let chunks = engines::complete(&shared.http, address, &request, HEAD_TIMEOUT).await?;
+    let mut chunks = pin!(chunks);
+    loop {
+        let next = timeout(CHUNK_TIMEOUT, chunks.next()).await;
+        let Some(chunk) = next.map_err(|_| Error::Lost("silent stream".into()))? else {
+            return Err(Error::Lost("stream ended without a last chunk".into()));
+        };
+        let chunk = chunk?;
+        if chunk.id != *id {
+            shared.metrics.late_chunks.inc();
+            continue;
+        }
+        let last = chunk.finish.is_some();
+        step(shared, Event::Chunk(convert(attempt, chunk)));
+        if last {
+            return Ok(());
+        }
+    }
+}
+
+fn request(shared: &Shared, start: Start, id: &CompactString) -> Request {
+    let set = shared.endpoints.set();
+    let pool = set.find(&start.endpoint).map(|(_, e)| e.pool.clone());
+    Request {
+        model: pool.unwrap_or_default(),
+        prompt: start.prompt,
+        max_tokens: start.max_tokens,
+        stream: true,
+        seed: start.seed,
+        priority: start.class.number(),
+        request_id: id.clone(),
+        chunk_tokens: CHUNK_TOKENS,
+        resume: start.resume,
+        resume_tokens: start.resume_tokens,
+    }
+}
+
+fn convert(attempt: AttemptKey, chunk: engine::Chunk) -> Chunk {
+    Chunk {
+        attempt,
+        stamp: Stamp {
+            offset: chunk.offset,
+            tokens: chunk.tokens,
+            version: chunk.version,
+            reused: chunk.reused,
+        },
+        text: chunk.text,
+        finish: chunk.finish.map(|finish| match finish {
+            engine::Finish::Stop | engine::Finish::Length => Finish::Whole,
+            engine::Finish::Cancelled => Finish::Cancelled,
+        }),
+    }
+}
--- a/crates/pinereel/src/filters/claim.rs
+++ b/crates/pinereel/src/filters/claim.rs
@@ -1,1 +1,1 @@
-//! Placeholder.
+//! Claims the idempotency key of a request.
--- a/crates/pinereel/src/filters/route.rs
+++ b/crates/pinereel/src/filters/route.rs
@@ -1,1 +1,108 @@
-//! Placeholder.
+//! Chooses the endpoint of an attempt; waits for room until the deadline.
+
+use super::{Exchange, refuse};
+use crate::{
+    controllers::endpoints::{self, Ticket},
+    logging::What,
+    state::Shared,
+};
+use compact_str::CompactString;
+use pinereel_api::{Problem, problem::Code};
+use pinereel_core::{
+    endpoint::Key,
+    hash,
+    route::{Refusal, Request},
+};
+use std::rc::Rc;
+use tokio::time::timeout;
+
+/// When a caller shall come back to a pool without a usable endpoint.
+const RETRY_AFTER_MS: u64 = 1_000;
+
+/// An endpoint, counted as having one more attempt.
+pub struct Seat {
+    /// The endpoint.
+    pub key: Key,
+    /// Its name.
+    pub name: CompactString,
+    /// `IP:PORT`.
+    pub address: CompactString,
+    /// Counts the attempt.
+    pub ticket: Ticket,
+}
+
+/// What the chain asks of the router.
+#[derive(Clone, Copy, Debug)]
+pub struct Wish<'a> {
+    /// Hash of the prompt's prefix.
+    pub prefix: Option<u64>,
+    /// Endpoints that earlier attempts used up.
+    pub excluded: &'a [Key],
+    /// Whether it may run twice.
+    pub repeatable: bool,
+    /// Tokens expected.
+    pub tokens: u32,
+}
+
+/// Takes a seat at an endpoint.
+///
+/// # Errors
+/// `NoEndpoint` or `Overloaded`, both not run.
+pub async fn take(
+    shared: &Rc<Shared>,
+    exchange: &Exchange,
+    wish: Wish<'_>,
+) -> Result<Seat, Problem> {
+    loop {
+        // Listening begins before choosing, so that no room is missed between the two.
+        let room = shared.endpoints.room.notified();
+        let request = Request {
+            pool: &exchange.pool,
+            prefix: wish.prefix,
+            priority: exchange.priority,
+            zone: shared.zone(),
+            versions: None,
+            excluded: wish.excluded,
+            repeatable: wish.repeatable,
+            seed: hash::stable(exchange.id.as_bytes()),
+        };
+        match shared.endpoints.choose(shared, &request) {
+            Ok(choice) => {
+                let what = if wish.excluded.is_empty() { What::Route } else { What::Retry };
+                endpoints::log_choice(shared, &exchange.id, what, &choice, exchange.pin.number);
+                let ticket = endpoints::begin(shared, choice.key, wish.tokens);
+                if let Some(seat) = seat(shared, choice.key, ticket) {
+                    return Ok(seat);
+                }
+            }
+            Err(Refusal::Full) => {
+                let left = exchange.left(shared.now());
+                if left.is_zero() || timeout(left, room).await.is_err() {
+                    return Err(later(Code::Overloaded, "every endpoint is at its limit"));
+                }
+            }
+            Err(e) => {
+                shared.decide(What::Route, &exchange.id, None, &e.to_string());
+                return Err(later(Code::NoEndpoint, e.to_string()));
+            }
+        }
+    }
+}
+
+fn seat(shared: &Shared, key: Key, ticket: Ticket) -> Option<Seat> {
+    let set = shared.endpoints.set();
+    let endpoint = set.get(key)?;
+    Some(Seat {
+        key,
+        name: endpoint.name.clone(),
+        address: endpoint.address.clone(),
+        ticket,
+    })
+}
+
+fn later(code: Code, message: impl Into<CompactString>) -> Problem {
+    Problem {
+        retry_after_ms: Some(RETRY_AFTER_MS),
+        ..refuse(code, message)
+    }
+}
--- /dev/null
+++ b/crates/pinereel/src/filters/service.rs
@@ -0,0 +1,210 @@
+//! Plain services: a request is routed by pool and path, and its answer streamed through.
+
+use super::{
+    Exchange, refuse, respond,
+    route::{self, Wish},
+    unknown,
+};
+use crate::{
+    http::Response,
+    state::Shared,
+    upstream::{Attempt, Error, Reuse},
+};
+use actix_http::{
+    Method, StatusCode,
+    body::{BodyStream, BoxBody},
+    header::{
+        CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING,
+    },
+};
+use awc::ClientResponse;
+use bytes::Bytes;
+use compact_str::format_compact;
+use futures_util::StreamExt as _;
+use pinereel_api::{Problem, header, problem::Code};
+use pinereel_core::endpoint::{End, Key};
+use std::rc::Rc;
+
+/// Most attempts of a request that may be repeated.
+const MAX_ATTEMPTS: usize = 3;
+/// Headers that belong to one connection and are not passed on.
+const HOP: [HeaderName; 4] = [CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING];
+
+/// A request for a plain service.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// HTTP method.
+    pub method: Method,
+    /// Path with query at the service, starting with `/`.
+    pub path: String,
+    /// Headers of the caller.
+    pub headers: Vec<(HeaderName, HeaderValue)>,
+    /// The body.
+    pub body: Bytes,
+    /// Whether it may run twice.
+    pub repeatable: bool,
+}
+
+impl Call {
+    /// Copies the headers that are passed on.
+    pub fn headers_of(headers: &HeaderMap) -> Vec<(HeaderName, HeaderValue)> {
+        headers
+            .iter()
+            .filter(|(name, _)| !HOP.contains(name))
+            .map(|(name, value)| (name.clone(), value.clone()))
+            .collect()
+    }
+}
+
+/// Whether a call may run twice, by the pinned configuration.
+pub fn repeatable(exchange: &Exchange, method: &Method, path: &str) -> bool {
+    let Some(pool) = exchange.pin.document.pools.get(&exchange.pool) else {
+        return false;
+    };
+    !pool.non_idempotent.iter().any(|rule| {
+        rule.split_once(' ')
+            .is_some_and(|(m, prefix)| m == method.as_str() && path.starts_with(prefix))
+    })
+}
+
+/// Answers one call.
+pub async fn serve(shared: &Rc<Shared>, exchange: Exchange, call: Call) -> Response {
+    let _guard = shared.drain.enter();
+    match attempts(shared, &exchange, &call).await {
+        Ok(mut response) => {
+            respond::count(shared, &exchange, "answer");
+            respond::stamp(&exchange, &mut response);
+            response
+        }
+        Err(problem) => {
+            respond::count(shared, &exchange, "problem");
+            respond::problem(shared, &problem)
+        }
+    }
+}
+
+async fn attempts(
+    shared: &Rc<Shared>,
+    exchange: &Exchange,
+    call: &Call,
+) -> Result<Response, Problem> {
+    let mut excluded: Vec<Key> = Vec::new();
+    let mut last = None;
+    for _ in 0..MAX_ATTEMPTS {
+        let wish = Wish {
+            prefix: None,
+            excluded: &excluded,
+            repeatable: call.repeatable,
+            tokens: 0,
+        };
+        let seat = match (route::take(shared, exchange, wish).await, last) {
+            (Ok(seat), _) => seat,
+            (Err(_), Some(problem)) => return Err(problem),
+            (Err(problem), None) => return Err(problem),
+        };
+        excluded.push(seat.key);
+        let sent = shared.http.send(attempt(shared, exchange, call, &seat.address)).await;
+        let (end, problem, retry) = match sent {
+            Ok(response) if refused(&response) => {
+                let problem = later("the endpoint refused before running it");
+                (End::Leaving, problem, true)
+            }
+            Ok(response) => return Ok(pass_on(shared, exchange, response, seat)),
+            Err(Error::NotOpened(e)) => (End::ConnectionRefused, later(&e), true),
+            Err(Error::Invalid(e)) => {
+                return Err(refuse(Code::BadRequest, e));
+            }
+            Err(Error::Lost(e)) => {
+                let problem = unknown(Code::Unknown, format_compact!("{e}"));
+                (End::Failed, problem, call.repeatable)
+            }
+        };
+        seat.ticket.finish(end);
+        if !retry || exchange.left(shared.now()).is_zero() {
+            return Err(problem);
+        }
+        shared.metrics.retries.with_label_values(&[&exchange.pool]).inc();
+        last = Some(problem);
+    }
+    Err(last.unwrap_or_else(|| refuse(Code::NoEndpoint, "no attempt")))
+}
+
+fn later(message: &str) -> Problem {
+    Problem {
+        retry_after_ms: Some(1_000),
+        ..refuse(Code::NoEndpoint, message)
+    }
+}
+
+fn attempt(shared: &Shared, exchange: &Exchange, call: &Call, address: &str) -> Attempt {
+    let mut headers = call.headers.clone();
+    if let Ok(id) = HeaderValue::from_str(&exchange.id) {
+        headers.push((HeaderName::from_static(header::REQUEST_ID), id));
+    }
+    Attempt {
+        method: call.method.clone(),
+        address: address.into(),
+        path: call.path.clone(),
+        headers,
+        body: call.body.clone(),
+        timeout: exchange.left(shared.now()),
+        reuse: if call.repeatable { Reuse::Allowed } else { Reuse::Fresh },
+    }
+}
+
+/// Whether the endpoint said, before running it, that it will not.
+fn refused(response: &ClientResponse) -> bool {
+    response.status() == StatusCode::SERVICE_UNAVAILABLE
+        && response.headers().contains_key(header::REFUSED)
+}
+
+/// Streams the answer through. A body that breaks off breaks off at the caller, too.
+fn pass_on(
+    shared: &Rc<Shared>,
+    exchange: &Exchange,
+    response: ClientResponse,
+    seat: route::Seat,
+) -> Response {
+    let status = response.status();
+    let headers = Call::headers_of(response.headers());
+    let length = response.headers().get(CONTENT_LENGTH).cloned();
+    let length = length.and_then(|value| value.to_str().ok()?.parse().ok());
+    let shared = Rc::clone(shared);
+    let name = seat.name.clone();
+    let left = exchange.left(shared.now());
+    let mut ticket = Some(seat.ticket);
+    let mut response = Box::pin(response);
+    // Ends by itself at the deadline, so that a silent endpoint holds nothing.
+    let mut over = Box::pin(tokio::time::sleep(left));
+    let body = futures_util::stream::poll_fn(move |cx| {
+        let _held = &shared;
+        if std::future::Future::poll(over.as_mut(), cx).is_ready() {
+            let error = std::io::Error::from(std::io::ErrorKind::TimedOut);
+            return std::task::Poll::Ready(Some(Err(error)));
+        }
+        let polled = response.poll_next_unpin(cx);
+        if let std::task::Poll::Ready(item) = &polled {
+            let end = match item {
+                None => Some(End::Whole),
+                Some(Err(_)) => Some(End::Failed),
+                Some(Ok(_)) => None,
+            };
+            if let (Some(end), Some(ticket)) = (end, end.and_then(|_| ticket.take())) {
+                ticket.finish(end);
+            }
+        }
+        polled.map(|item| item.map(|part| part.map_err(std::io::Error::other)))
+    });
+    let body = match length {
+        Some(length) => BoxBody::new(actix_http::body::SizedStream::new(length, body)),
+        None => BoxBody::new(BodyStream::new(body)),
+    };
+    let mut answer = Response::new(status).set_body(body);
+    for (key, value) in headers {
+        answer.headers_mut().append(key, value);
+    }
+    if let Ok(name) = HeaderValue::from_str(&name) {
+        answer.headers_mut().insert(HeaderName::from_static(header::ENDPOINT), name);
+    }
+    answer
+}
