--- a/crates/pinereel/src/http/server.rs
+++ b/crates/pinereel/src/http/server.rs
@@ -23,6 +23,9 @@
     pub keep_alive: Duration,
     /// Most open connections; one more is closed at once and counted.
     pub connections: usize,
+    /// Whether a client that has closed its sending side still gets its answer. If not, the
+    /// handling of its request is dropped where it stands.
+    pub half_closed: bool,
 }
 
 impl Default for Options {
@@ -31,6 +34,7 @@
             head_timeout: Duration::from_secs(5),
             keep_alive: Duration::from_secs(30),
             connections: 4_096,
+            half_closed: true,
         }
     }
 }
@@ -74,6 +78,7 @@
             .client_request_timeout(options.head_timeout)
             .client_disconnect_timeout(Duration::from_secs(1))
             .keep_alive(KeepAlive::Timeout(options.keep_alive))
+            .h1_allow_half_closed(options.half_closed)
             .h1(fn_service(move |request: Request| {
                 let answer = handler(request);
                 async move { Ok::<_, Infallible>(answer.await) }
--- a/crates/pinereel_fakes/src/lib.rs
+++ b/crates/pinereel_fakes/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`demo`]: everything on loopback in one command.
 //! - [`load`]: load generation and latency measurement.
 //! - [`launch`]: starting and signalling processes in tests.
+//! - [`process`]: what the stand-ins' processes have in common.
 //! - [`fault`]: what the stand-ins' faults have in common.
 //! - [`experiment`]: policies against a baseline on the paused clock.
 
@@ -18,6 +19,7 @@
 pub mod launch;
 pub mod load;
 pub mod object_api;
+pub mod process;
 pub mod service;
 pub mod trainer;
 pub mod weight_store;
--- a/crates/pinereel_fakes/src/object_api/handle.rs
+++ b/crates/pinereel_fakes/src/object_api/handle.rs
@@ -167,7 +167,12 @@
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, options.port)).await?;
         let state = Rc::new(State::new(options));
         let shared = Rc::clone(&state);
-        let server = Server::start(listener, Listener::default(), move |request| {
+        let bounds = Listener {
+            // A watch must not count as waiting once its client is gone.
+            half_closed: false,
+            ..Listener::default()
+        };
+        let server = Server::start(listener, bounds, move |request| {
             serve::answer(Rc::clone(&shared), request)
         })
         .await?;
--- a/crates/pinereel_fakes/src/object_api/serve.rs
+++ b/crates/pinereel_fakes/src/object_api/serve.rs
@@ -114,7 +114,7 @@
     watch(state, kind, after, wait).await
 }
 
-/// Counts a waiting watch for as long as it lives.
+/// Counts a waiting watch for as long as it lives, also if its client goes away.
 struct Waiting(Rc<State>);
 
 impl Waiting {
--- a/crates/pinereel_fakes/tests/object_api_faults.rs
+++ b/crates/pinereel_fakes/tests/object_api_faults.rs
@@ -255,3 +255,25 @@
         })
         .await;
 }
+
+#[actix_rt::test]
+async fn a_watch_whose_client_is_gone_no_longer_waits() {
+    let api = start(Options::default()).await;
+    let request = Client::default().get(url(&api, "/objects/config?after=0&wait_ms=60000"));
+    let watch = actix_rt::spawn(request.timeout(Duration::from_secs(60)).send());
+    wait_for_waiting(&api, 1).await;
+    watch.abort();
+    wait_for_waiting(&api, 0).await;
+}
+
+async fn wait_for_waiting(api: &Handle, waiting: u64) {
+    let reached = async {
+        while api.stats().waiting != waiting {
+            tokio::task::yield_now().await;
+        }
+    };
+    let limit = Duration::from_secs(10);
+    tokio::time::timeout(limit, reached)
+        .await
+        .expect("the watch begins or ends");
+}
