--- a/crates/pinereel_fakes/src/bin/pinereel-fakes.rs
+++ b/crates/pinereel_fakes/src/bin/pinereel-fakes.rs
@@ -2,7 +2,7 @@
 
 use lexopt::Parser;
 use pinereel_fakes::{
-    object_api,
+    engine, object_api,
     process::{self, Common, Error, value},
     service, weight_store,
 };
@@ -19,6 +19,26 @@
 
 /// A new tool is a new row here.
 const TOOLS: &[Tool] = &[
+    Tool {
+        name: "engine",
+        summary: "a model engine",
+        flags: &[
+            "  --address IP:PORT      listen there (default 127.0.0.1:0: any free port)
+  --name NAME            its name
+  --slots N              sequences it runs at once
+  --tokens-per-second X  speed of a sequence that runs alone
+  --swap-ms N            time of a swap of weights
+  --warm-up-ms N         time after a swap at half speed
+  --lag-ms N             age of the load that it reports
+  --seed N               seed of its texts
+  --version N            weights at the start (0: none)
+  --ignore-fencing       take orders with old fencing tokens
+  --max-seconds N        end by itself after N seconds (default 600)
+  --until-stdin-closes   end when standard input closes
+  --help                 print this",
+        ],
+        run: engine::process::main,
+    },
     Tool {
         name: "object-api",
         summary: "the platform's object API",
--- a/crates/pinereel_fakes/tests/launch_process.rs
+++ b/crates/pinereel_fakes/tests/launch_process.rs
@@ -14,6 +14,7 @@
 #[test]
 fn each_stand_in_listens_and_ends_on_sigterm() {
     let tools = [
+        ("engine", "/v1/state"),
         ("object-api", "/stats"),
         ("weight-store", "/stats"),
         ("service", "/record"),
