Entry daemon, thin: listeners, filters, lots, members, drain

Cause: the parts exist; a request must go from end to end. Change: the chain pin, admit, route, attempt, respond for completions and services; trainers' submit, collect, publish with runners by rendezvous hashing; peer calls; SIGTERM drains. Configuration is read, not yet patched; claims are to come.

--- a/crates/pinereel/src/callers.rs
+++ b/crates/pinereel/src/callers.rs
@@ -6,7 +6,7 @@
     http::{self, Request, Response},
     state::Shared,
 };
-use actix_http::{Method, StatusCode};
+use actix_http::{HttpMessage as _, Method, StatusCode};
 use compact_str::CompactString;
 use pinereel_api::{Problem, engine, problem::Code, trainer};
 use serde::Serialize;
@@ -76,7 +76,10 @@
     let uri = request.uri().clone();
     let whole = uri.path_and_query().map_or("/", |p| p.as_str());
     let prefix = "/services/".len() + pool.len();
-    let path = whole.get(prefix..).filter(|rest| rest.starts_with('/')).unwrap_or("/");
+    let path = whole
+        .get(prefix..)
+        .filter(|rest| rest.starts_with('/'))
+        .unwrap_or("/");
     let call = service::Call {
         method: request.method().clone(),
         path: path.to_owned(),
--- a/crates/pinereel/src/controllers/config.rs
+++ b/crates/pinereel/src/controllers/config.rs
@@ -57,7 +57,10 @@
 }
 
 async fn refresh(shared: &Shared) {
-    let read = shared.objects.read(Purpose::Config, CONFIG, CONFIG_NAME).await;
+    let read = shared
+        .objects
+        .read(Purpose::Config, CONFIG, CONFIG_NAME)
+        .await;
     let Ok(Some(object)) = read else { return };
     match serde_json::from_value::<Stored>(object.value) {
         Ok(stored) if stored.number > shared.config.number() => {
--- a/crates/pinereel/src/controllers/drain.rs
+++ b/crates/pinereel/src/controllers/drain.rs
@@ -1,6 +1,16 @@
 //! The graceful stop of this entry.
 
-use std::cell::Cell;
+use crate::{
+    controllers::{lots, members},
+    http::Server,
+    state::Shared,
+};
+use pinereel_core::lot::Event;
+use std::{cell::Cell, rc::Rc, time::Duration};
+use tokio::time::sleep;
+
+/// Pause between looks at what is in flight.
+const LOOK: Duration = Duration::from_millis(20);
 
 /// The controller's state.
 #[derive(Debug, Default)]
@@ -54,3 +64,36 @@
         Guard(self)
     }
 }
+
+/// Waits until a stop is asked for, and carries it out: readiness goes off, new requests are served
+/// for the balancer's lag, then refused; what is in flight ends; the entry leaves.
+pub async fn run(shared: &Rc<Shared>, callers: &Server) {
+    let settings = &shared.settings.drain;
+    while !shared.drain.asked() {
+        sleep(LOOK).await;
+    }
+    log::info!(entry = shared.name().as_str(); "drain: readiness is off");
+    sleep(settings.balancer_lag).await;
+    callers.stop();
+    shared.drain.refuse();
+    log::info!(
+        entry = shared.name().as_str(), in_flight = shared.drain.in_flight();
+        "drain: no new requests"
+    );
+    lots::step(shared, Event::Drain);
+    let until = shared.now() + settings.longest;
+    while shared.drain.in_flight() > 0 || shared.lots.in_flight() > 0 {
+        if shared.now() >= until {
+            log::warn!(
+                entry = shared.name().as_str(), in_flight = shared.drain.in_flight();
+                "drain: the longest wait is over"
+            );
+            break;
+        }
+        sleep(LOOK).await;
+    }
+    if let Err(e) = members::leave(shared).await {
+        log::warn!(entry = shared.name().as_str(); "drain: member object not removed: {e}");
+    }
+    log::info!(entry = shared.name().as_str(); "drain: done");
+}
--- a/crates/pinereel/src/controllers/endpoints.rs
+++ b/crates/pinereel/src/controllers/endpoints.rs
@@ -88,7 +88,12 @@
 
     /// Chooses an endpoint; changes nothing.
     pub fn choose(&self, shared: &Shared, request: &Request<'_>) -> Result<Choice, Refusal> {
-        route::choose(&self.set.borrow(), request, shared.now(), &self.policy.borrow())
+        route::choose(
+            &self.set.borrow(),
+            request,
+            shared.now(),
+            &self.policy.borrow(),
+        )
     }
 }
 
@@ -113,7 +118,11 @@
     let now = shared.now();
     let set = shared.endpoints.set();
     let describe = |key: Key| set.get(key).map(|e| (e.name.as_str(), e.load(now)));
-    let others: Vec<_> = choice.runners_up.iter().filter_map(|key| describe(*key)).collect();
+    let others: Vec<_> = choice
+        .runners_up
+        .iter()
+        .filter_map(|key| describe(*key))
+        .collect();
     let runners_up: Vec<_> = others
         .iter()
         .map(|(name, cost)| RunnerUp {
@@ -259,11 +268,17 @@
 
 /// Tells the lots' runner what an engine has to offer.
 fn offer(shared: &Rc<Shared>, name: &CompactString) {
-    let Some(pin) = shared.config.pin() else { return };
+    let Some(pin) = shared.config.pin() else {
+        return;
+    };
     let offer = {
         let set = shared.endpoints.set();
-        let Some((_, endpoint)) = set.find(name) else { return };
-        let Some(pool) = pin.document.pools.get(&endpoint.pool) else { return };
+        let Some((_, endpoint)) = set.find(name) else {
+            return;
+        };
+        let Some(pool) = pin.document.pools.get(&endpoint.pool) else {
+            return;
+        };
         let (Some(model), Some(version)) = (pool.model.clone(), endpoint.version) else {
             return;
         };
--- a/crates/pinereel/src/controllers/lots/attempt.rs
+++ b/crates/pinereel/src/controllers/lots/attempt.rs
@@ -31,7 +31,8 @@
 pub(super) fn start(shared: &Rc<Shared>, start: Start) {
     let found = {
         let set = shared.endpoints.set();
-        set.find(&start.endpoint).map(|(key, e)| (key, e.address.clone()))
+        set.find(&start.endpoint)
+            .map(|(key, e)| (key, e.address.clone()))
     };
     let attempt = start.attempt;
     let Some((key, address)) = found else {
@@ -42,9 +43,19 @@
     };
     let id = shared.request_id();
     let subject = format!("{}/{}", start.lot, start.index);
-    let reason = if start.resume_tokens > 0 { "resume" } else { "start" };
+    let reason = if start.resume_tokens > 0 {
+        "resume"
+    } else {
+        "start"
+    };
     shared.decide(What::Route, &subject, Some(&start.endpoint), reason);
-    let task = actix_rt::spawn(run(Rc::clone(shared), start, key, address.clone(), id.clone()));
+    let task = actix_rt::spawn(run(
+        Rc::clone(shared),
+        start,
+        key,
+        address.clone(),
+        id.clone(),
+    ));
     let running = Running {
         abort: task.abort_handle(),
         address,
--- a/crates/pinereel/src/controllers/lots/front.rs
+++ b/crates/pinereel/src/controllers/lots/front.rs
@@ -89,7 +89,10 @@
         firsts.push(samples);
         samples = samples.saturating_add(group.samples);
         if group.samples == 0 || group.max_tokens == 0 {
-            return Err(refuse(Code::BadRequest, "a group without samples or tokens"));
+            return Err(refuse(
+                Code::BadRequest,
+                "a group without samples or tokens",
+            ));
         }
     }
     if samples == 0 {
@@ -121,7 +124,10 @@
         return if present.digest == front.digest {
             Ok(())
         } else {
-            Err(refuse(Code::LotConflict, "the lot id is in use with other content"))
+            Err(refuse(
+                Code::LotConflict,
+                "the lot id is in use with other content",
+            ))
         };
     }
     let (trainer, step) = (front.lot.trainer.clone(), front.lot.step);
@@ -142,7 +148,9 @@
 ) -> BTreeMap<CompactString, Vec<u32>> {
     let fronts = shared.lots.fronts.borrow();
     let mut placed: BTreeMap<CompactString, Vec<u32>> = BTreeMap::new();
-    let Some(front) = fronts.get(id) else { return placed };
+    let Some(front) = fronts.get(id) else {
+        return placed;
+    };
     let key = hash::stable(id.as_bytes());
     let mut runners = shared.members.ranked(key, MAX_RUNNERS);
     runners.retain(|name| !away.contains(name));
@@ -233,8 +241,8 @@
     id: &str,
     collect: Collect,
 ) -> Result<Collected, Problem> {
-    let token = Token::parse(&collect.token)
-        .map_err(|e| refuse(Code::BadToken, format_compact!("{e}")))?;
+    let token =
+        Token::parse(&collect.token).map_err(|e| refuse(Code::BadToken, format_compact!("{e}")))?;
     check_token(shared, id, &token)?;
     let wait = Duration::from_millis(collect.wait_ms).min(MAX_WAIT);
     let until = shared.now() + wait;
@@ -289,10 +297,20 @@
     let front = fronts
         .get(id)
         .ok_or_else(|| refuse(Code::LotUnknown, "submit the lot again"))?;
-    let of = |pin: &Pin| pin.document.trainers.get(&front.lot.trainer).map(|t| t.bound);
+    let of = |pin: &Pin| {
+        pin.document
+            .trainers
+            .get(&front.lot.trainer)
+            .map(|t| t.bound)
+    };
     let unknown = || refuse(Code::NotFound, "unknown trainer");
     let pinned = of(pin).ok_or_else(unknown)?;
-    let current = shared.config.pin().as_ref().and_then(of).ok_or_else(unknown)?;
+    let current = shared
+        .config
+        .pin()
+        .as_ref()
+        .and_then(of)
+        .ok_or_else(unknown)?;
     Ok(pinned.min(current))
 }
 
@@ -331,7 +349,9 @@
         // Without samples there is nothing to hurry for.
         let patience = if found.is_empty() { MAX_WAIT } else { GRACE };
         let next = timeout(patience, asks.next()).await;
-        let Ok(Some((name, groups, reply))) = next else { break };
+        let Ok(Some((name, groups, reply))) = next else {
+            break;
+        };
         match reply {
             Some((samples, missing)) => {
                 found.extend(samples.into_iter().map(runner::from_wire));
@@ -372,7 +392,11 @@
         runner::collect(shared, ask).await
     } else {
         let call = Call::Collect(ask);
-        shared.mesh.call(name, call, wait + COLLECT_SLACK).await.ok()?
+        shared
+            .mesh
+            .call(name, call, wait + COLLECT_SLACK)
+            .await
+            .ok()?
     };
     match reply {
         Reply::Samples { samples, missing } => Some((samples, missing)),
@@ -407,12 +431,18 @@
     let Some(model) = pool.and_then(|p| p.model.clone()) else {
         return Err(refuse(Code::NotFound, "unknown trainer"));
     };
-    let version = raise(shared, &model, publish.version).await.map_err(|e| Problem {
-        code: Code::ObjectApi,
-        message: format_compact!("{e}"),
-        ran: if e.had_no_effect() { Ran::NotRun } else { Ran::Unknown },
-        retry_after_ms: Some(RETRY_AFTER_MS),
-    })?;
+    let version = raise(shared, &model, publish.version)
+        .await
+        .map_err(|e| Problem {
+            code: Code::ObjectApi,
+            message: format_compact!("{e}"),
+            ran: if e.had_no_effect() {
+                Ran::NotRun
+            } else {
+                Ran::Unknown
+            },
+            retry_after_ms: Some(RETRY_AFTER_MS),
+        })?;
     super::published(shared, &model, version);
     Ok(Published { version })
 }
@@ -431,9 +461,15 @@
                     return Ok(stands.version);
                 }
                 let version = object.version;
-                objects.update(Purpose::Weights, WEIGHTS, model, version, &weights).await
+                objects
+                    .update(Purpose::Weights, WEIGHTS, model, version, &weights)
+                    .await
+            }
+            None => {
+                objects
+                    .create(Purpose::Weights, WEIGHTS, model, &weights)
+                    .await
             }
-            None => objects.create(Purpose::Weights, WEIGHTS, model, &weights).await,
         };
         match written {
             Ok(_) => return Ok(version),
--- a/crates/pinereel/src/controllers/lots/mod.rs
+++ b/crates/pinereel/src/controllers/lots/mod.rs
@@ -137,15 +137,27 @@
         Action::Rejected { call, error } => answer(shared, call, Err(error)),
         Action::Ready { .. } => shared.lots.ready.notify_waiters(),
         Action::Assigned { lot } => {
-            shared.metrics.lots.with_label_values(&["", "assigned"]).inc();
+            shared
+                .metrics
+                .lots
+                .with_label_values(&["", "assigned"])
+                .inc();
             shared.decide(What::Place, &lot, Some(shared.name()), "assigned");
         }
         Action::Refused { lot, reason } => {
-            shared.metrics.lots.with_label_values(&["", "refused"]).inc();
+            shared
+                .metrics
+                .lots
+                .with_label_values(&["", "refused"])
+                .inc();
             shared.decide(What::Place, &lot, None, &reason.to_string());
         }
         Action::Dropped { lot, reason } => {
-            shared.metrics.lots.with_label_values(&["", "dropped"]).inc();
+            shared
+                .metrics
+                .lots
+                .with_label_values(&["", "dropped"])
+                .inc();
             shared.decide(What::Place, &lot, None, &reason.to_string());
         }
         Action::Handover { spec, samples } => runner::hand_over(shared, spec, samples),
--- a/crates/pinereel/src/controllers/lots/runner.rs
+++ b/crates/pinereel/src/controllers/lots/runner.rs
@@ -16,7 +16,11 @@
 /// Runs the groups of an assignment.
 pub fn assign(shared: &Rc<Shared>, assignment: Assignment) -> Result<(), String> {
     let spec = spec(shared, assignment)?;
-    let actions = shared.lots.runner.borrow_mut().step(shared.now(), Event::Assign(spec));
+    let actions = shared
+        .lots
+        .runner
+        .borrow_mut()
+        .step(shared.now(), Event::Assign(spec));
     let refusal = refusal(&actions);
     carry_out(shared, actions);
     refusal.map_or(Ok(()), |reason| Err(reason.to_string()))
@@ -96,16 +100,23 @@
     let pin = shared.config.pin().ok_or("starting")?;
     let trainer = pin.document.trainers.get(&assignment.trainer);
     let trainer = trainer.ok_or("unknown trainer")?;
-    let pool = pin.document.pools.get(&trainer.pool).ok_or("unknown pool")?;
+    let pool = pin
+        .document
+        .pools
+        .get(&trainer.pool)
+        .ok_or("unknown pool")?;
     let model = pool.model.clone().ok_or("not a pool of engines")?;
     let deadline: Time = shared.now() + Duration::from_millis(assignment.deadline_ms);
-    let groups = assignment.groups.into_iter().map(|(index, first, group)| Group {
-        index,
-        first,
-        prompt: group.prompt,
-        samples: group.samples,
-        max_tokens: group.max_tokens,
-    });
+    let groups = assignment
+        .groups
+        .into_iter()
+        .map(|(index, first, group)| Group {
+            index,
+            first,
+            prompt: group.prompt,
+            samples: group.samples,
+            max_tokens: group.max_tokens,
+        });
     Ok(Spec {
         lot: assignment.lot,
         digest: assignment.digest,
--- a/crates/pinereel/src/controllers/lots/score.rs
+++ b/crates/pinereel/src/controllers/lots/score.rs
@@ -74,7 +74,11 @@
     let address = shared.endpoints.set().get(choice.key)?.address.clone();
     let counted = endpoints::begin(shared, choice.key, 0);
     let answer = ask(shared, &address, &Question { prompt, text }).await;
-    counted.finish(if answer.is_some() { End::Whole } else { End::Failed });
+    counted.finish(if answer.is_some() {
+        End::Whole
+    } else {
+        End::Failed
+    });
     answer.map(|answer| answer.score)
 }
 
--- a/crates/pinereel/src/controllers/members.rs
+++ b/crates/pinereel/src/controllers/members.rs
@@ -81,7 +81,9 @@
         Some(object) if object.value == value => Ok(()),
         Some(object) => {
             let written =
-                shared.objects.update(Purpose::Members, MEMBERS, name, object.version, &own);
+                shared
+                    .objects
+                    .update(Purpose::Members, MEMBERS, name, object.version, &own);
             written.await.map(drop)
         }
         None => {
@@ -97,7 +99,10 @@
     let Some(object) = shared.objects.read(Purpose::Members, MEMBERS, name).await? else {
         return Ok(());
     };
-    shared.objects.delete(Purpose::Members, MEMBERS, name, object.version).await
+    shared
+        .objects
+        .delete(Purpose::Members, MEMBERS, name, object.version)
+        .await
 }
 
 /// Starts the controller.
--- a/crates/pinereel/src/controllers/mod.rs
+++ b/crates/pinereel/src/controllers/mod.rs
@@ -7,3 +7,4 @@
 pub mod lots;
 pub mod members;
 pub mod rollout;
+pub mod weights;
--- a/crates/pinereel/src/filters/admit.rs
+++ b/crates/pinereel/src/filters/admit.rs
@@ -2,6 +2,7 @@
 
 use super::{Exchange, refuse};
 use crate::{controllers::config::Pin, http::Request, state::Shared};
+use actix_http::HttpMessage as _;
 use compact_str::CompactString;
 use pinereel_api::{Problem, header, problem::Code};
 use pinereel_core::route::Priority;
@@ -41,14 +42,24 @@
     let number = value.to_str().ok().and_then(|text| text.parse().ok());
     match number {
         Some(number) => Ok(Some(number)),
-        None => Err(refuse(Code::BadRequest, "deadline is not a number of milliseconds")),
+        None => Err(refuse(
+            Code::BadRequest,
+            "deadline is not a number of milliseconds",
+        )),
     }
 }
 
 fn priority(request: &Request) -> Result<Priority, Problem> {
-    match request.headers().get(header::PRIORITY).map(|v| v.as_bytes()) {
+    match request
+        .headers()
+        .get(header::PRIORITY)
+        .map(|v| v.as_bytes())
+    {
         None | Some(b"live") => Ok(Priority::Live),
         Some(b"bulk") => Ok(Priority::Bulk),
-        Some(_) => Err(refuse(Code::BadRequest, "priority is neither live nor bulk")),
+        Some(_) => Err(refuse(
+            Code::BadRequest,
+            "priority is neither live nor bulk",
+        )),
     }
 }
--- a/crates/pinereel/src/filters/completion.rs
+++ b/crates/pinereel/src/filters/completion.rs
@@ -243,7 +243,11 @@
             }
             Err(error) => {
                 seat.ticket.finish(attempt::end_of(&error));
-                shared.metrics.retries.with_label_values(&[&exchange.pool]).inc();
+                shared
+                    .metrics
+                    .retries
+                    .with_label_values(&[&exchange.pool])
+                    .inc();
                 last = Some(error);
             }
         }
@@ -305,7 +309,9 @@
         if chunk.finish == Some(Finish::Cancelled) {
             return Err(Error::Lost("cancelled by the engine".into()));
         }
-        record.push(&stamp(&chunk)).map_err(|e| Error::Malformed(e.to_string()))?;
+        record
+            .push(&stamp(&chunk))
+            .map_err(|e| Error::Malformed(e.to_string()))?;
         progress.text.push_str(&chunk.text);
         progress.record = record.clone();
         let last = chunk.finish.is_some();
--- a/crates/pinereel/src/filters/respond.rs
+++ b/crates/pinereel/src/filters/respond.rs
@@ -28,6 +28,12 @@
 pub fn count(shared: &Shared, exchange: &Exchange, outcome: &str) {
     let took = shared.now().since(exchange.started).as_secs_f64();
     let metrics = &shared.metrics;
-    metrics.requests.with_label_values(&[&exchange.pool, outcome]).inc();
-    metrics.latency.with_label_values(&[exchange.pool.as_str()]).observe(took);
+    metrics
+        .requests
+        .with_label_values(&[&exchange.pool, outcome])
+        .inc();
+    metrics
+        .latency
+        .with_label_values(&[exchange.pool.as_str()])
+        .observe(took);
 }
--- a/crates/pinereel/src/filters/route.rs
+++ b/crates/pinereel/src/filters/route.rs
@@ -68,7 +68,11 @@
         };
         match shared.endpoints.choose(shared, &request) {
             Ok(choice) => {
-                let what = if wish.excluded.is_empty() { What::Route } else { What::Retry };
+                let what = if wish.excluded.is_empty() {
+                    What::Route
+                } else {
+                    What::Retry
+                };
                 endpoints::log_choice(shared, &exchange.id, what, &choice, exchange.pin.number);
                 let ticket = endpoints::begin(shared, choice.key, wish.tokens);
                 if let Some(seat) = seat(shared, choice.key, ticket) {
--- a/crates/pinereel/src/filters/service.rs
+++ b/crates/pinereel/src/filters/service.rs
@@ -103,7 +103,10 @@
             (Err(problem), None) => return Err(problem),
         };
         excluded.push(seat.key);
-        let sent = shared.http.send(attempt(shared, exchange, call, &seat.address)).await;
+        let sent = shared
+            .http
+            .send(attempt(shared, exchange, call, &seat.address))
+            .await;
         let (end, problem, retry) = match sent {
             Ok(response) if refused(&response) => {
                 let problem = later("the endpoint refused before running it");
@@ -123,7 +126,11 @@
         if !retry || exchange.left(shared.now()).is_zero() {
             return Err(problem);
         }
-        shared.metrics.retries.with_label_values(&[&exchange.pool]).inc();
+        shared
+            .metrics
+            .retries
+            .with_label_values(&[&exchange.pool])
+            .inc();
         last = Some(problem);
     }
     Err(last.unwrap_or_else(|| refuse(Code::NoEndpoint, "no attempt")))
@@ -148,7 +155,11 @@
         headers,
         body: call.body.clone(),
         timeout: exchange.left(shared.now()),
-        reuse: if call.repeatable { Reuse::Allowed } else { Reuse::Fresh },
+        reuse: if call.repeatable {
+            Reuse::Allowed
+        } else {
+            Reuse::Fresh
+        },
     }
 }
 
@@ -204,7 +215,9 @@
         answer.headers_mut().append(key, value);
     }
     if let Ok(name) = HeaderValue::from_str(&name) {
-        answer.headers_mut().insert(HeaderName::from_static(header::ENDPOINT), name);
+        answer
+            .headers_mut()
+            .insert(HeaderName::from_static(header::ENDPOINT), name);
     }
     answer
 }
--- a/crates/pinereel/src/lib.rs
+++ b/crates/pinereel/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod callers;
 pub mod cli;
 pub mod controllers;
+pub mod dispatch;
 pub mod engines;
 pub mod entry;
 pub mod filters;
