Thin whole path: a site of entries and stand-ins on one thread, requests of each kind end to end

Cause: nothing had yet passed from caller to endpoint. Change: pinereel_fakes::site starts platform, engines, services and entries on loopback; tests send a completion (whole and streamed), a service call, three trainer steps with scoring, and a drain through two entries.

--- a/crates/pinereel_fakes/src/lib.rs
+++ b/crates/pinereel_fakes/src/lib.rs
@@ -21,5 +21,6 @@
 pub mod object_api;
 pub mod process;
 pub mod service;
+pub mod site;
 pub mod trainer;
 pub mod weight_store;
--- /dev/null
+++ b/crates/pinereel_fakes/tests/path_whole.rs
@@ -0,0 +1,122 @@
+//! The whole path: requests of each kind go from callers to endpoints and back through two entries.
+
+#![allow(clippy::unwrap_used)]
+
+use pinereel_core::config::Document;
+use pinereel_fakes::{
+    engine::text,
+    site::{Options, Site},
+    trainer,
+};
+use serde_json::{Value, json};
+use std::time::Duration;
+
+const DRAIN: &str = "[drain]\nbalancer_lag = 10ms\nlongest = 5s\n[log]\ndecisions = false\n";
+
+fn document() -> Document {
+    serde_json::from_value(json!({
+        "pools": {
+            "draft-llm": { "kind": "engine", "model": "wording" },
+            "orders-app": { "kind": "service", "non_idempotent": ["POST /orders"] },
+        },
+        "trainers": { "dispatch": { "pool": "draft-llm", "bound": 2, "scorer": "orders-app" } },
+    }))
+    .unwrap()
+}
+
+async fn site() -> Site {
+    let options = Options {
+        zones: vec!["toledo-hall".into(), "erie-hall".into()],
+        entries: 2,
+        engines: vec![("draft-llm".into(), 2)],
+        batch: pinereel_fakes::engine::batch::Options {
+            tokens_per_second: 2_000.0,
+            ..Default::default()
+        },
+        services: vec![("orders-app".into(), 2)],
+        document: document(),
+        lag: Duration::from_millis(50),
+        settings: DRAIN.into(),
+    };
+    Site::start(options).await.unwrap()
+}
+
+fn client() -> awc::Client {
+    awc::Client::builder()
+        .timeout(Duration::from_secs(20))
+        .finish()
+}
+
+#[actix_rt::test]
+async fn completion_is_whole_and_names_its_versions() {
+    let site = site().await;
+    for address in site.callers() {
+        let request =
+            json!({ "model": "draft-llm", "prompt": "slot for June", "max_tokens": 20, "seed": 7 });
+        let url = format!("http://{address}/v1/completions");
+        let mut response = client().post(url).send_json(&request).await.unwrap();
+        assert_eq!(response.status(), 200);
+        let answer: Value = response.json().await.unwrap();
+        let expected = text::whole("slot for June", 7, 20);
+        assert_eq!(answer["choices"][0]["text"], Value::from(expected));
+        assert_eq!(answer["versions"][0]["version"], 1);
+    }
+}
+
+#[actix_rt::test]
+async fn streamed_completion_ends_with_done() {
+    let site = site().await;
+    let request =
+        json!({ "model": "draft-llm", "prompt": "slot", "max_tokens": 9, "stream": true });
+    let url = format!("http://{}/v1/completions", site.callers()[0]);
+    let mut response = client().post(url).send_json(&request).await.unwrap();
+    let body = response.body().await.unwrap();
+    let body = String::from_utf8(body.to_vec()).unwrap();
+    assert!(body.ends_with("data: [DONE]\n\n"), "{body}");
+}
+
+#[actix_rt::test]
+async fn service_call_runs_once() {
+    let site = site().await;
+    let url = format!("http://{}/services/orders-app/orders", site.callers()[1]);
+    let response = client().post(url).send_body("lacquer").await.unwrap();
+    assert!(response.status().is_success(), "{}", response.status());
+    let executions: usize = site
+        .services
+        .iter()
+        .map(|s| s.handle.executions().len())
+        .sum();
+    assert_eq!(executions, 1);
+}
+
+#[actix_rt::test]
+async fn trainer_gets_every_sample_of_its_steps_once() {
+    let site = site().await;
+    let report = trainer::Trainer::new(trainer::Options {
+        name: "dispatch".into(),
+        entries: site.callers(),
+        steps: 3,
+        groups: 4,
+        samples: 4,
+        max_tokens: 40,
+        train: Duration::from_millis(20),
+        bound: 2,
+        whole: true,
+        ..trainer::Options::default()
+    })
+    .run()
+    .await
+    .unwrap();
+    assert!(report.clean(), "{report:?}");
+    assert_eq!((report.steps, report.samples), (3, 48));
+}
+
+#[actix_rt::test]
+async fn drained_entry_leaves_and_finishes() {
+    let mut site = site().await;
+    let entry = site.entries.remove(0);
+    entry.shared.drain.ask();
+    entry.finished().await;
+    let members = site.api.objects("members").items;
+    assert_eq!(members.len(), 1);
+}
