Engine stand-in: crash at the exact token, smaller modules, more tests

Trials of broken code showed that slow start, the cache's bound and the cancelling of an attempt whose reader left were not held by any test. Ruled out: a slower engine in that test, which would only hide the race. Change: the model itself stops at the crash; tests for the three gaps; batch and server split into model, sequence, state and stream. Conclusion: a stream cut by a crash never ends whole.

--- a/crates/pinereel_fakes/src/engine/batch.rs
+++ b/crates/pinereel_fakes/src/engine/batch.rs
@@ -5,15 +5,15 @@
 //! go between steps. A weight swap pauses the steps; what runs goes on under the new weights, so a
 //! sample can be made by several versions.
 
+pub use super::model::{Options, Record, Refusal};
 use super::{
     cache::{self, Blob, Cache, Change},
     fault::Faults,
-    text,
+    sequence::Sequence,
 };
 use compact_str::CompactString;
 use pinereel_api::engine::{Chunk, Finish, Request};
 use pinereel_core::{Span, Time, Version, hash::Digest};
-use serde::{Deserialize, Serialize};
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, VecDeque},
@@ -33,79 +33,6 @@
 /// Most cache changes that are kept.
 const CHANGES: usize = 4_096;
 
-/// Size and speed of an engine.
-#[derive(Clone, Debug)]
-pub struct Options {
-    /// Most sequences at once.
-    pub slots: usize,
-    /// Most sequences that wait for a slot.
-    pub queue: usize,
-    /// Tokens a second of a sequence that runs alone.
-    pub tokens_per_second: f64,
-    /// By what share of a lone step each further sequence lengthens a step.
-    pub batch_cost: f64,
-    /// Prompt tokens computed a second.
-    pub prefill_per_second: f64,
-    /// Blocks in the prefix cache.
-    pub cache_blocks: usize,
-    /// Time that a weight swap takes.
-    pub swap: Duration,
-    /// Time after a swap during which steps take twice as long.
-    pub warm_up: Duration,
-    /// Weights that are loaded from the start.
-    pub version: Option<Version>,
-}
-
-impl Default for Options {
-    fn default() -> Self {
-        Self {
-            slots: 16,
-            queue: 4_096,
-            tokens_per_second: 100.0,
-            batch_cost: 0.05,
-            prefill_per_second: 20_000.0,
-            cache_blocks: 4_096,
-            swap: Duration::from_millis(500),
-            warm_up: Duration::from_millis(200),
-            version: Some(Version(1)),
-        }
-    }
-}
-
-/// Why a request was refused before anything of it ran.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum Refusal {
-    /// The engine is leaving.
-    #[error("leaving")]
-    Leaving,
-    /// No weights are loaded.
-    #[error("not loaded")]
-    NotLoaded,
-    /// The queue is at its bound.
-    #[error("full")]
-    Full,
-    /// An attempt of this id is in flight.
-    #[error("duplicate")]
-    Duplicate,
-}
-
-/// What truly happened to one attempt.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Record {
-    /// Digest of the prompt, in hexadecimal.
-    pub prompt: String,
-    /// Seed of the sampling.
-    pub seed: u64,
-    /// Versions that computed the prompt, reused blocks included.
-    pub prompt_spans: Vec<Span>,
-    /// Versions that computed the output.
-    pub output_spans: Vec<Span>,
-    /// Output tokens handed out.
-    pub tokens: u32,
-    /// How it ended, if it did.
-    pub finished: Option<Finish>,
-}
-
 /// A weight swap under way.
 #[derive(Clone, Copy, Debug)]
 struct Swap {
@@ -114,27 +41,6 @@
     failure: Option<&'static str>,
 }
 
-/// One request on its way.
-#[derive(Clone, Debug)]
-struct Sequence {
-    request: Request,
-    /// Output tokens of the whole completion.
-    length: u32,
-    /// Output tokens so far, those resumed from included.
-    done: u32,
-    /// Whether its prompt is computed.
-    prefilled: bool,
-    /// What the prompt was reused from.
-    reused: Vec<Span>,
-    /// Prompt tokens that were computed for it, and under what.
-    computed: Option<Span>,
-    /// Whether a chunk went out.
-    started: bool,
-    /// Text and tokens of the chunk that is being gathered.
-    pending: String,
-    pending_tokens: u32,
-}
-
 /// Key of a waiting or running sequence: higher priorities first, then by arrival.
 type Key = (Reverse<u8>, u64);
 
@@ -158,6 +64,8 @@
     changed: u64,
     records: BTreeMap<CompactString, Record>,
     tokens: u64,
+    /// Total of tokens at which it crashes.
+    crash_at: Option<u64>,
     out: Vec<Chunk>,
 }
 
@@ -179,6 +87,7 @@
             changed: 0,
             records: BTreeMap::new(),
             tokens: 0,
+            crash_at: None,
             out: Vec::new(),
             options,
         }
@@ -229,6 +138,7 @@
         if let Some(version) = faults.stamp_unordered {
             self.serve(version);
         }
+        self.crash_at = faults.crash_after_tokens.map(|more| self.tokens + more);
         self.faults = faults;
         self.plan(now);
     }
@@ -296,8 +206,16 @@
         self.step = None;
     }
 
+    /// Whether it crashed; it does nothing more until [`Engine::restart`].
+    pub fn crashed(&self) -> bool {
+        self.crash_at.is_some_and(|at| self.tokens >= at)
+    }
+
     /// When something happens next; nothing before the next call if `None`.
     pub fn next(&self) -> Option<Time> {
+        if self.crashed() {
+            return None;
+        }
         self.swap.map(|swap| swap.until).or(self.step)
     }
 
@@ -541,46 +459,3 @@
         }
     }
 }
-
-impl Sequence {
-    fn new(request: Request) -> Self {
-        let length = text::length(&request.prompt, request.seed, request.max_tokens);
-        Self {
-            length,
-            done: request.resume_tokens.min(length),
-            prefilled: false,
-            reused: Vec::new(),
-            computed: None,
-            started: false,
-            pending: String::new(),
-            pending_tokens: 0,
-            request,
-        }
-    }
-
-    fn grow(&mut self) {
-        let word = text::word(&self.request.prompt, self.request.seed, self.done);
-        self.pending.push_str(&word);
-        self.pending_tokens += 1;
-        self.done += 1;
-    }
-
-    fn finish(&self) -> Finish {
-        if text::natural_length(&self.request.prompt, self.request.seed) > self.length {
-            Finish::Length
-        } else {
-            Finish::Stop
-        }
-    }
-
-    /// What the first chunk tells of the prompt. Its computed rest goes without saying, unless
-    /// the weights were swapped between the prompt and the first token.
-    fn prompt_spans(&self, version: Option<Version>) -> Vec<Span> {
-        let mut spans = self.reused.clone();
-        let differs = |span: &Span| Some(span.version) != version;
-        if let Some(span) = self.computed.filter(differs) {
-            cache::append(&mut spans, span.version, span.tokens);
-        }
-        spans
-    }
-}
--- a/crates/pinereel_fakes/src/engine/mod.rs
+++ b/crates/pinereel_fakes/src/engine/mod.rs
@@ -8,8 +8,12 @@
 pub mod batch;
 pub mod cache;
 pub mod fault;
+pub mod model;
 pub mod process;
+mod sequence;
 pub mod server;
+mod state;
+mod stream;
 pub mod text;
 
 pub use process::{main, run};
--- a/crates/pinereel_fakes/src/engine/server.rs
+++ b/crates/pinereel_fakes/src/engine/server.rs
@@ -9,41 +9,29 @@
 //! | `POST /v1/kv/import` | [`Blob`](super::cache::Blob) in |
 
 use super::{
-    batch::{self, Engine, Refusal},
+    batch::{self, Refusal},
     cache::Change,
     fault::Faults,
+    state::{Shared, drive},
+    stream,
 };
 use actix_http::{
     Method, StatusCode,
     body::{BodyStream, BoxBody},
     header::{CONTENT_TYPE, HeaderName, HeaderValue},
 };
-use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
-use futures_util::{Stream, stream};
 use pinereel::http::{self, Request, Response, Server};
 use pinereel_api::{
     Problem,
-    engine::{self, Cancel, Chunk, Order},
+    engine::{self, Cancel, Order},
     header,
     problem::{Code, Ran},
 };
-use pinereel_core::{Time, hash};
+use pinereel_core::hash;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
-use std::{
-    cell::RefCell,
-    collections::BTreeMap,
-    io,
-    net::SocketAddr,
-    rc::Rc,
-    time::{Duration, SystemTime, UNIX_EPOCH},
-};
-use tokio::{
-    net::TcpListener,
-    sync::{Notify, mpsc},
-    task::JoinHandle,
-    time::Instant,
-};
+use std::{collections::BTreeMap, io, net::SocketAddr, rc::Rc, time::Duration};
+use tokio::{net::TcpListener, sync::mpsc, task::JoinHandle};
 
 /// Largest request body, in bytes.
 const MAX_BODY: usize = 4 << 20;
@@ -145,182 +133,6 @@
     }
 }
 
-/// What a stream is told.
-enum Event {
-    Chunk(Chunk),
-    /// The connection is to break here.
-    Cut,
-}
-
-type Sender = mpsc::UnboundedSender<Event>;
-
-/// State shared by the handlers and the driver.
-#[derive(Debug)]
-struct Shared {
-    options: Options,
-    start: Instant,
-    state: RefCell<State>,
-    /// Tells the driver that the engine's next moment may have changed.
-    wake: Notify,
-}
-
-/// The load of one moment.
-#[derive(Clone, Copy, Debug, Default)]
-struct Load {
-    at: Time,
-    running: u32,
-    waiting: u32,
-}
-
-#[derive(Debug)]
-struct State {
-    engine: Engine,
-    /// Open streams. A stream holds at most its request's `max_tokens` chunks.
-    streams: BTreeMap<CompactString, Sender>,
-    incarnation: u64,
-    fence: u64,
-    /// The load that is told.
-    told: Load,
-    /// The load that is told once it is old enough.
-    taken: Load,
-    /// Total of tokens at which the engine crashes.
-    crash_at: Option<u64>,
-    /// Requests without an id of their own.
-    unnamed: u64,
-}
-
-impl Shared {
-    fn new(options: Options) -> Self {
-        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-        let incarnation = since_epoch.map_or(1, |time| time.as_micros() as u64);
-        let state = State {
-            engine: Engine::new(options.batch.clone()),
-            streams: BTreeMap::new(),
-            incarnation,
-            fence: 0,
-            told: Load::default(),
-            taken: Load::default(),
-            crash_at: None,
-            unnamed: 0,
-        };
-        Self {
-            options,
-            start: Instant::now(),
-            state: RefCell::new(state),
-            wake: Notify::new(),
-        }
-    }
-
-    fn now(&self) -> Time {
-        Time::ZERO + self.start.elapsed()
-    }
-
-    fn set_faults(&self, faults: Faults) {
-        let mut state = self.state.borrow_mut();
-        let tokens = state.engine.tokens();
-        state.crash_at = faults.crash_after_tokens.map(|more| tokens + more);
-        state.engine.set_faults(self.now(), faults);
-        drop(state);
-        self.wake.notify_one();
-    }
-
-    /// Runs what is due and passes the chunks on; tells when to come back.
-    fn pump(&self) -> Option<Instant> {
-        let mut state = self.state.borrow_mut();
-        let now = self.now();
-        state.observe(now, self.options.lag);
-        let chunks = state.engine.advance(now);
-        for chunk in chunks {
-            state.pass(chunk);
-        }
-        if state.crash_at.is_some_and(|at| state.engine.tokens() >= at) {
-            state.crash();
-        }
-        let next = state.engine.next()?;
-        Some(self.start + next.since(Time::ZERO))
-    }
-
-    fn report(&self) -> engine::State {
-        let mut state = self.state.borrow_mut();
-        let now = self.now();
-        state.observe(now, self.options.lag);
-        self.describe(&state, now, state.told)
-    }
-
-    fn describe(&self, state: &State, now: Time, load: Load) -> engine::State {
-        engine::State {
-            incarnation: state.incarnation,
-            version: state.engine.version(),
-            loading: state.engine.loading(),
-            failed: state.engine.failed().map(Into::into),
-            running: load.running,
-            waiting: load.waiting,
-            lag_ms: now.since(load.at).as_millis() as u64,
-            slots: self.options.batch.slots as u32,
-            leaving: state.engine.faults().leaving,
-            fence: state.fence,
-        }
-    }
-}
-
-impl State {
-    /// Keeps the told load late by `lag` at least.
-    fn observe(&mut self, now: Time, lag: Duration) {
-        if now.since(self.taken.at) < lag {
-            return;
-        }
-        self.told = self.taken;
-        self.taken = Load {
-            at: now,
-            running: self.engine.running() as u32,
-            waiting: self.engine.waiting() as u32,
-        };
-    }
-
-    fn pass(&mut self, chunk: Chunk) {
-        let faults = self.engine.faults();
-        let copies = if faults.duplicate_chunks { 2 } else { 1 };
-        let cut = faults.cut_streams;
-        let Some(stream) = self.streams.get(&chunk.id) else {
-            return;
-        };
-        for _ in 0..copies {
-            // A reader that is gone cancels by dropping its end.
-            let _ = stream.send(Event::Chunk(chunk.clone()));
-        }
-        if cut {
-            let _ = stream.send(Event::Cut);
-        }
-        if cut || chunk.finish.is_some() {
-            self.streams.remove(&chunk.id);
-        }
-    }
-
-    fn crash(&mut self) {
-        for stream in std::mem::take(&mut self.streams).values() {
-            let _ = stream.send(Event::Cut);
-        }
-        self.engine.restart();
-        self.crash_at = None;
-        self.incarnation += 1;
-    }
-}
-
-/// Runs the engine's steps when they are due, for as long as the stand-in runs.
-async fn drive(shared: Rc<Shared>) {
-    loop {
-        let due = shared.pump();
-        let wake = shared.wake.notified();
-        match due {
-            None => wake.await,
-            Some(due) => tokio::select! {
-                () = tokio::time::sleep_until(due) => {}
-                () = wake => {}
-            },
-        }
-    }
-}
-
 async fn answer(shared: Rc<Shared>, request: Request) -> Response {
     let mut response = dispatch(&shared, request)
         .await
@@ -393,12 +205,9 @@
     state.streams.insert(id.clone(), sender);
     drop(state);
     shared.wake.notify_one();
-    let guard = Guard {
-        shared: Rc::clone(shared),
-        id,
-    };
-    let mut response = Response::new(StatusCode::OK)
-        .set_body(BoxBody::new(BodyStream::new(events(receiver, guard))));
+    let owner = Rc::clone(shared);
+    let body = stream::body(receiver, move || owner.forget(&id));
+    let mut response = Response::new(StatusCode::OK).set_body(BoxBody::new(BodyStream::new(body)));
     let event_stream = HeaderValue::from_static("text/event-stream");
     response.headers_mut().insert(CONTENT_TYPE, event_stream);
     response
@@ -424,59 +233,6 @@
     response
 }
 
-/// Cancels its attempt when the reader is gone.
-struct Guard {
-    shared: Rc<Shared>,
-    id: CompactString,
-}
-
-impl Drop for Guard {
-    fn drop(&mut self) {
-        let mut state = self.shared.state.borrow_mut();
-        state.streams.remove(&self.id);
-        state.engine.cancel(&self.id);
-    }
-}
-
-/// Where a stream of events stands.
-enum Step {
-    Open,
-    Done,
-    Closed,
-}
-
-fn events(
-    receiver: mpsc::UnboundedReceiver<Event>,
-    guard: Guard,
-) -> impl Stream<Item = Result<Bytes, io::Error>> {
-    stream::unfold((receiver, guard, Step::Open), |state| async move {
-        let (mut receiver, guard, step) = state;
-        match step {
-            Step::Closed => return None,
-            Step::Done if receiver.is_empty() => {
-                let done = Bytes::from_static(b"data: [DONE]\n\n");
-                return Some((Ok(done), (receiver, guard, Step::Closed)));
-            }
-            Step::Open | Step::Done => {}
-        }
-        let Some(Event::Chunk(chunk)) = receiver.recv().await else {
-            // What was sent so far goes out first: a pending body lets the listener flush.
-            tokio::task::yield_now().await;
-            // An error ends the connection without the body's regular end.
-            let cut = io::Error::from(io::ErrorKind::ConnectionReset);
-            return Some((Err(cut), (receiver, guard, Step::Closed)));
-        };
-        let next = if chunk.finish.is_some() {
-            Step::Done
-        } else {
-            Step::Open
-        };
-        let json = serde_json::to_string(&chunk).map_err(io::Error::other);
-        let event = json.map(|json| Bytes::from(format!("data: {json}\n\n")));
-        Some((event, (receiver, guard, next)))
-    })
-}
-
 fn cancel(shared: &Rc<Shared>, cancel: Cancel) -> Response {
     let mut state = shared.state.borrow_mut();
     state.engine.cancel(&cancel.request_id);
--- a/crates/pinereel_fakes/tests/engine_batch.rs
+++ b/crates/pinereel_fakes/tests/engine_batch.rs
@@ -7,6 +7,7 @@
 use pinereel_core::{Span, Time, Version};
 use pinereel_fakes::engine::{
     batch::{Engine, Options, Refusal},
+    cache::Change,
     fault::Faults,
     text,
 };
@@ -27,6 +28,23 @@
     }
 }
 
+fn span(version: u64, tokens: u32) -> Span {
+    let version = Version(version);
+    Span { version, tokens }
+}
+
+fn broken(set: impl FnOnce(&mut Faults)) -> Faults {
+    let mut faults = Faults::default();
+    set(&mut faults);
+    faults
+}
+
+fn model(set: impl FnOnce(&mut Options)) -> Engine {
+    let mut options = Options::default();
+    set(&mut options);
+    Engine::new(options)
+}
+
 /// Runs until nothing is due; returns what came out, in order.
 fn drain(engine: &mut Engine) -> Vec<Chunk> {
     let mut chunks = Vec::new();
@@ -56,11 +74,7 @@
 
 #[test]
 fn higher_priorities_run_first_and_live_preempts_bulk() {
-    let options = Options {
-        slots: 1,
-        ..Options::default()
-    };
-    let mut engine = Engine::new(options);
+    let mut engine = model(|o| o.slots = 1);
     for (id, priority) in [("bulk", 0), ("straggler", 1), ("live", 2)] {
         let request = request(id, long_seed(0), priority);
         engine.submit(Time::ZERO, request).unwrap();
@@ -91,19 +105,7 @@
         .collect();
     let first: u32 = stamps.iter().filter(|s| s.0 == 1).map(|s| s.1).sum();
     let spans = &engine.records()["a"].output_spans;
-    assert_eq!(
-        *spans,
-        [
-            Span {
-                version: Version(1),
-                tokens: first
-            },
-            Span {
-                version: Version(2),
-                tokens: 40 - first
-            },
-        ]
-    );
+    assert_eq!(*spans, [span(1, first), span(2, 40 - first),]);
     assert!(
         0 < first && first < 40,
         "the swap was not in mid-sample: {first}"
@@ -123,29 +125,14 @@
         .unwrap();
     let chunks = drain(&mut engine);
     // Two full blocks of four words came from the cache; the ninth word was computed.
-    assert_eq!(
-        chunks[0].reused,
-        [Span {
-            version: Version(1),
-            tokens: 8
-        }]
-    );
+    assert_eq!(chunks[0].reused, [span(1, 8)]);
     assert_eq!(chunks[0].version, Some(Version(2)));
     assert!(chunks.iter().skip(1).all(|chunk| chunk.reused.is_empty()));
     let blob = engine.export(PROMPT);
-    let mut other = Engine::new(Options {
-        version: Some(Version(5)),
-        ..Options::default()
-    });
+    let mut other = model(|o| o.version = Some(Version(5)));
     other.import(Time::ZERO, &blob);
     other.submit(Time::ZERO, request("moved", 3, 0)).unwrap();
-    assert_eq!(
-        drain(&mut other)[0].reused,
-        [Span {
-            version: Version(1),
-            tokens: 8
-        }]
-    );
+    assert_eq!(drain(&mut other)[0].reused, [span(1, 8)]);
 }
 
 #[test]
@@ -155,13 +142,7 @@
     engine.load(Time::ZERO, Version(2));
     let chunks = drain(&mut engine);
     assert_eq!(chunks[0].version, Some(Version(2)));
-    assert_eq!(
-        chunks[0].reused,
-        [Span {
-            version: Version(1),
-            tokens: 9
-        }]
-    );
+    assert_eq!(chunks[0].reused, [span(1, 9)]);
 }
 
 #[test]
@@ -191,10 +172,7 @@
 #[test]
 fn faulty_stamps_differ_from_the_record() {
     let stamps = |faults: Faults| {
-        let mut engine = Engine::new(Options {
-            version: Some(Version(7)),
-            ..Options::default()
-        });
+        let mut engine = model(|o| o.version = Some(Version(7)));
         engine.set_faults(Time::ZERO, faults);
         engine
             .submit(Time::ZERO, request("a", long_seed(0), 0))
@@ -206,30 +184,18 @@
             engine.records()["a"].output_spans[0].version.0,
         )
     };
-    let omit = Faults {
-        omit_stamps: true,
-        ..Faults::default()
-    };
+    let omit = broken(|f| f.omit_stamps = true);
     assert_eq!(stamps(omit), (vec![None; 3], 7));
-    let regress = Faults {
-        regress_stamps: true,
-        ..Faults::default()
-    };
+    let regress = broken(|f| f.regress_stamps = true);
     assert_eq!(stamps(regress), (vec![Some(7), Some(6), Some(6)], 7));
-    let unordered = Faults {
-        stamp_unordered: Some(Version(9)),
-        ..Faults::default()
-    };
+    let unordered = broken(|f| f.stamp_unordered = Some(Version(9)));
     assert_eq!(stamps(unordered), (vec![Some(9); 3], 9));
 }
 
 #[test]
 fn failed_swaps_keep_the_old_version_or_lose_the_weights() {
     let mut engine = Engine::new(Options::default());
-    let faults = Faults {
-        fail_next_swaps: 1,
-        ..Faults::default()
-    };
+    let faults = broken(|f| f.fail_next_swaps = 1);
     engine.set_faults(Time::ZERO, faults);
     engine.load(Time::ZERO, Version(2));
     drain(&mut engine);
@@ -237,10 +203,7 @@
         (engine.version(), engine.failed()),
         (Some(Version(1)), Some("failed"))
     );
-    let faults = Faults {
-        swap_partway: true,
-        ..Faults::default()
-    };
+    let faults = broken(|f| f.swap_partway = true);
     engine.set_faults(Time::from_millis(1_000), faults);
     engine
         .submit(Time::from_millis(1_000), request("a", 1, 0))
@@ -282,6 +245,53 @@
     );
 }
 
+#[test]
+fn steps_are_slow_for_a_while_after_a_swap() {
+    let time = |warm_up| {
+        let mut engine = model(|o| o.warm_up = Duration::from_millis(warm_up));
+        engine.load(Time::ZERO, Version(2));
+        engine.advance(Time::from_millis(500));
+        let begin = Time::from_millis(500);
+        engine.submit(begin, request("a", long_seed(0), 0)).unwrap();
+        let mut last = begin;
+        while let Some(due) = engine.next() {
+            last = due;
+            engine.advance(due);
+        }
+        last.since(begin)
+    };
+    // Ten of forty tokens take twice as long.
+    let more = time(200) - time(0);
+    assert!(more >= Duration::from_millis(95), "{more:?}");
+    assert!(more <= Duration::from_millis(110), "{more:?}");
+}
+
+#[test]
+fn the_cache_is_bounded_and_tells_its_changes_late() {
+    let mut engine = model(|o| o.cache_blocks = 2);
+    engine.submit(Time::ZERO, request("a", 1, 0)).unwrap();
+    let other = Request {
+        prompt: "w x y z".into(),
+        ..request("b", 1, 0)
+    };
+    drain(&mut engine);
+    let later = Time::from_millis(60_000);
+    engine.submit(later, other).unwrap();
+    drain(&mut engine);
+    let lag = Duration::from_millis(100);
+    let numbers = |now, after| -> Vec<u64> {
+        let changes = engine.changes(now, after, lag);
+        changes.iter().map(|(number, _)| *number).collect()
+    };
+    assert_eq!(numbers(Time::from_millis(99), 0), [0; 0]);
+    assert_eq!(numbers(later, 0), [1, 2]);
+    assert_eq!(numbers(later + lag, 2), [3, 4]);
+    let changes = engine.changes(later + lag, 2, lag);
+    assert!(matches!(changes[0].1, Change::Stored(_)));
+    assert!(matches!(changes[1].1, Change::Evicted(_)));
+    assert!(engine.export(PROMPT).blocks.len() < 2);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         rng_seed: RngSeed::Fixed(41),
@@ -296,7 +306,7 @@
         work in proptest::collection::vec((0_u64..50, 0_u8..3, 0_u64..2_000), 1..20),
         swaps in proptest::collection::vec((0_u64..3_000, 2_u64..9), 0..4),
     ) {
-        let mut engine = Engine::new(Options { slots: 3, ..Options::default() });
+        let mut engine = model(|o| o.slots = 3);
         let mut events: Vec<(u64, Option<u64>, usize)> = Vec::new();
         events.extend(work.iter().enumerate().map(|(n, w)| (w.2, None, n)));
         events.extend(swaps.iter().map(|(at, version)| (*at, Some(*version), 0)));
--- a/crates/pinereel_fakes/tests/engine_server.rs
+++ b/crates/pinereel_fakes/tests/engine_server.rs
@@ -41,6 +41,12 @@
         .finish()
 }
 
+fn broken(set: impl FnOnce(&mut Faults)) -> Faults {
+    let mut faults = Faults::default();
+    set(&mut faults);
+    faults
+}
+
 fn url(engine: &Handle, path: &str) -> String {
     format!("http://{}{path}", engine.address)
 }
@@ -157,10 +163,7 @@
     unloaded.batch.version = None;
     let unloaded = Handle::start(unloaded).await.unwrap();
     let leaving = Handle::start(options()).await.unwrap();
-    leaving.set_faults(Faults {
-        leaving: true,
-        ..Faults::default()
-    });
+    leaving.set_faults(broken(|f| f.leaving = true));
     for engine in [&unloaded, &leaving] {
         let call = client().post(url(engine, "/v1/completions"));
         let answer = call.send_json(&request("a", 1)).await.unwrap();
@@ -175,27 +178,18 @@
 #[actix_rt::test]
 async fn cut_and_crashed_streams_are_not_whole_and_duplicates_are_repeats() {
     let engine = Handle::start(options()).await.unwrap();
-    engine.set_faults(Faults {
-        cut_streams: true,
-        ..Faults::default()
-    });
+    engine.set_faults(broken(|f| f.cut_streams = true));
     let cut = raw(&engine, &request("cut", 4)).await;
     assert!(cut.contains(r#""offset":0"#), "{cut}");
     assert!(!cut.contains(r#""offset":4"#), "{cut}");
     assert!(!cut.ends_with(LAST_CHUNK), "{cut}");
     let before = state(&engine).await.incarnation;
-    engine.set_faults(Faults {
-        crash_after_tokens: Some(10),
-        ..Faults::default()
-    });
+    engine.set_faults(broken(|f| f.crash_after_tokens = Some(10)));
     let crashed = raw(&engine, &request("crashed", 4)).await;
     assert!(crashed.contains(r#""offset":0"#), "{crashed}");
     assert!(!crashed.ends_with(LAST_CHUNK), "{crashed}");
     assert_eq!(state(&engine).await.incarnation, before + 1);
-    engine.set_faults(Faults {
-        duplicate_chunks: true,
-        ..Faults::default()
-    });
+    engine.set_faults(broken(|f| f.duplicate_chunks = true));
     let body = complete(&engine, &request("twice", 10)).await;
     let offsets: Vec<_> = chunks(&body).iter().map(|c| c.offset).collect();
     assert_eq!(offsets, [0, 0, 10, 10]);
@@ -205,10 +199,7 @@
 #[actix_rt::test]
 async fn a_stalled_stream_can_be_cancelled() {
     let engine = Handle::start(options()).await.unwrap();
-    engine.set_faults(Faults {
-        stall: true,
-        ..Faults::default()
-    });
+    engine.set_faults(broken(|f| f.stall = true));
     let call = client().post(url(&engine, "/v1/completions"));
     let mut answer = call.send_json(&request("a", 4)).await.unwrap();
     let cancel = Cancel {
@@ -225,6 +216,31 @@
     engine.stop();
 }
 
+#[actix_rt::test]
+async fn a_reader_that_goes_away_cancels_its_attempt() {
+    let mut slow = options();
+    slow.batch.tokens_per_second = 200.0;
+    let engine = Handle::start(slow).await.unwrap();
+    let mut seeds = 0..;
+    let long = Request {
+        seed: seeds
+            .find(|seed| text::natural_length(PROMPT, *seed) > 400)
+            .unwrap(),
+        max_tokens: 400,
+        ..request("a", 1)
+    };
+    let call = client().post(url(&engine, "/v1/completions"));
+    drop(call.send_json(&long).await.unwrap());
+    let finished = loop {
+        state(&engine).await;
+        if let Some(finished) = engine.record()["a"].finished {
+            break finished;
+        }
+    };
+    assert_eq!(finished, Finish::Cancelled);
+    engine.stop();
+}
+
 #[actix_rt::test]
 async fn kv_moves_between_engines_with_its_versions() {
     let (from, to) = (
