--- a/crates/pinereel/src/filters/service.rs
+++ b/crates/pinereel/src/filters/service.rs
@@ -6,24 +6,25 @@
     unknown,
 };
 use crate::{
+    controllers::endpoints::Ticket,
     http::Response,
     state::Shared,
-    upstream::{Attempt, Error, Reuse},
+    upstream::{Attempt, Error, Reuse, direct},
 };
 use actix_http::{
     Method, StatusCode,
-    body::{BodyStream, BoxBody},
+    body::{BodyStream, BoxBody, SizedStream},
     header::{
         CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING,
     },
 };
-use awc::ClientResponse;
 use bytes::Bytes;
 use compact_str::format_compact;
-use futures_util::StreamExt as _;
+use futures_util::stream;
 use pinereel_api::{Problem, header, problem::Code};
 use pinereel_core::endpoint::{End, Key};
-use std::rc::Rc;
+use std::{io, rc::Rc};
+use tokio::time::{Instant, timeout_at};
 
 /// Most attempts of a request that may be repeated.
 const MAX_ATTEMPTS: usize = 3;
@@ -103,10 +104,7 @@
             (Err(problem), None) => return Err(problem),
         };
         excluded.push(seat.key);
-        let sent = shared
-            .http
-            .send(attempt(shared, exchange, call, &seat.address))
-            .await;
+        let sent = direct::send(attempt(shared, exchange, call, &seat.address)).await;
         let (end, problem, retry) = match sent {
             Ok(response) if refused(&response) => {
                 let problem = later("the endpoint refused before running it");
@@ -164,60 +162,77 @@
 }
 
 /// Whether the endpoint said, before running it, that it will not.
-fn refused(response: &ClientResponse) -> bool {
-    response.status() == StatusCode::SERVICE_UNAVAILABLE
-        && response.headers().contains_key(header::REFUSED)
+fn refused(response: &direct::Response) -> bool {
+    response.status == StatusCode::SERVICE_UNAVAILABLE
+        && response.headers.contains_key(header::REFUSED)
 }
 
 /// Streams the answer through. A body that breaks off breaks off at the caller, too.
 fn pass_on(
-    shared: &Rc<Shared>,
+    shared: &Shared,
     exchange: &Exchange,
-    response: ClientResponse,
+    response: direct::Response,
     seat: route::Seat,
 ) -> Response {
-    let status = response.status();
-    let headers = Call::headers_of(response.headers());
-    let length = response.headers().get(CONTENT_LENGTH).cloned();
-    let length = length.and_then(|value| value.to_str().ok()?.parse().ok());
-    let shared = Rc::clone(shared);
-    let name = seat.name.clone();
+    let headers = Call::headers_of(&response.headers);
     let left = exchange.left(shared.now());
-    let mut ticket = Some(seat.ticket);
-    let mut response = Box::pin(response);
-    // Ends by itself at the deadline, so that a silent endpoint holds nothing.
-    let mut over = Box::pin(tokio::time::sleep(left));
-    let body = futures_util::stream::poll_fn(move |cx| {
-        let _held = &shared;
-        if std::future::Future::poll(over.as_mut(), cx).is_ready() {
-            let error = std::io::Error::from(std::io::ErrorKind::TimedOut);
-            return std::task::Poll::Ready(Some(Err(error)));
-        }
-        let polled = response.poll_next_unpin(cx);
-        if let std::task::Poll::Ready(item) = &polled {
-            let end = match item {
-                None => Some(End::Whole),
-                Some(Err(_)) => Some(End::Failed),
-                Some(Ok(_)) => None,
-            };
-            if let (Some(end), Some(ticket)) = (end, end.and_then(|_| ticket.take())) {
-                ticket.finish(end);
-            }
-        }
-        polled.map(|item| item.map(|part| part.map_err(std::io::Error::other)))
+    let state = Passing {
+        body: response.body,
+        ticket: Some(seat.ticket),
+        over: Instant::now() + left,
+    };
+    let body = stream::unfold(state, |mut state| async move {
+        let item = state.next().await?;
+        Some((item, state))
     });
-    let body = match length {
-        Some(length) => BoxBody::new(actix_http::body::SizedStream::new(length, body)),
+    let body = Box::pin(body);
+    let body = match response.length {
+        Some(length) => BoxBody::new(SizedStream::new(length, body)),
         None => BoxBody::new(BodyStream::new(body)),
     };
-    let mut answer = Response::new(status).set_body(body);
+    let mut answer = Response::new(response.status).set_body(body);
     for (key, value) in headers {
         answer.headers_mut().append(key, value);
     }
-    if let Ok(name) = HeaderValue::from_str(&name) {
+    if let Ok(name) = HeaderValue::from_str(&seat.name) {
         answer
             .headers_mut()
             .insert(HeaderName::from_static(header::ENDPOINT), name);
     }
     answer
 }
+
+/// An answer's body on its way to the caller.
+struct Passing {
+    body: direct::Body,
+    /// Counts the attempt until the body has ended.
+    ticket: Option<Ticket>,
+    /// The deadline: a silent endpoint holds nothing longer.
+    over: Instant,
+}
+
+impl Passing {
+    /// The next part; `None` after the end and after an error.
+    async fn next(&mut self) -> Option<io::Result<Bytes>> {
+        self.ticket.as_ref()?;
+        let part = timeout_at(self.over, self.body.part()).await;
+        let part = part.unwrap_or_else(|_| Err(io::Error::from(io::ErrorKind::TimedOut)));
+        match part {
+            Ok(Some(part)) => Some(Ok(part)),
+            Ok(None) => {
+                self.end(End::Whole);
+                None
+            }
+            Err(e) => {
+                self.end(End::Failed);
+                Some(Err(e))
+            }
+        }
+    }
+
+    fn end(&mut self, end: End) {
+        if let Some(ticket) = self.ticket.take() {
+            ticket.finish(end);
+        }
+    }
+}
--- a/crates/pinereel/src/upstream.rs
+++ b/crates/pinereel/src/upstream/mod.rs
@@ -3,6 +3,11 @@
 //! The library reports a request that was sent on a reused connection and lost with the same error
 //! as a connection that was never opened. So connections are opened by a connector of our own, and
 //! only its error, which carries a marker, counts as "no byte of this attempt left".
+//!
+//! [`Client`] reuses connections and is for protocols that mark the end of an answer themselves
+//! (JSON documents, event streams with a last event). [`direct`] is for all others.
+
+pub mod direct;
 
 use actix_http::{
     Method, Uri,
