Answers of plain services are known to be whole

Cause: the pooled client takes a cut body for a whole one, with a content length as well as chunked; seen with the weight store's cut load (a head of 1048576 bytes, 524288 read, Ok) and with a cut chunked body. Ruled out: comparing lengths alone, since a cut chunked answer has none. Change: calls to plain services go over one fresh connection each through actix-http's client codec; the end must be the announced one, an answer of unknown length is Lost. An engine without weights refuses as not-loaded, not as leaving, since leaving is for good; its test now tells the two apart, which is stricter.

--- a/crates/pinereel/src/controllers/lots/attempt.rs
+++ b/crates/pinereel/src/controllers/lots/attempt.rs
@@ -4,6 +4,7 @@
 use crate::{
     controllers::endpoints::{self, Ticket},
     engines::{self, Error},
+    filters::attempt::end_of,
     logging::What,
     state::Shared,
 };
@@ -101,11 +102,10 @@
         return;
     };
     log::info!(entry = shared.name().as_str(); "attempt failed: {error}");
-    let (end, failure) = match &error {
-        Error::NotOpened(_) => (End::ConnectionRefused, Failure::NotRun),
-        Error::Refused(reason) if reason == "leaving" => (End::Leaving, Failure::NotRun),
-        Error::Refused(_) => (End::Overloaded, Failure::NotRun),
-        _ => (End::Failed, Failure::Lost),
+    let end = end_of(&error);
+    let failure = match error {
+        Error::NotOpened(_) | Error::Refused(_) => Failure::NotRun,
+        _ => Failure::Lost,
     };
     ticket.finish(end);
     failed(shared, attempt, failure);
--- a/crates/pinereel/src/filters/service.rs
+++ b/crates/pinereel/src/filters/service.rs
@@ -1,7 +1,9 @@
 //! Plain services: a request is routed by pool and path, and its answer streamed through.
 
 use super::{
-    Exchange, refuse, respond,
+    Exchange,
+    attempt::LEAVING,
+    refuse, respond,
     route::{self, Wish},
     unknown,
 };
@@ -106,11 +108,10 @@
         excluded.push(seat.key);
         let sent = direct::send(attempt(shared, exchange, call, &seat.address)).await;
         let (end, problem, retry) = match sent {
-            Ok(response) if refused(&response) => {
-                let problem = later("the endpoint refused before running it");
-                (End::Leaving, problem, true)
-            }
-            Ok(response) => return Ok(pass_on(shared, exchange, response, seat)),
+            Ok(response) => match refused(&response) {
+                Some(end) => (end, later("the endpoint refused before running it"), true),
+                None => return Ok(pass_on(shared, exchange, response, seat)),
+            },
             Err(Error::NotOpened(e)) => (End::ConnectionRefused, later(&e), true),
             Err(Error::Invalid(e)) => {
                 return Err(refuse(Code::BadRequest, e));
@@ -161,10 +162,17 @@
     }
 }
 
-/// Whether the endpoint said, before running it, that it will not.
-fn refused(response: &direct::Response) -> bool {
-    response.status == StatusCode::SERVICE_UNAVAILABLE
-        && response.headers.contains_key(header::REFUSED)
+/// How the attempt ended, if the endpoint said before running it that it will not.
+fn refused(response: &direct::Response) -> Option<End> {
+    if response.status != StatusCode::SERVICE_UNAVAILABLE {
+        return None;
+    }
+    let reason = response.headers.get(header::REFUSED)?;
+    Some(if reason.as_bytes() == LEAVING.as_bytes() {
+        End::Leaving
+    } else {
+        End::Overloaded
+    })
 }
 
 /// Streams the answer through. A body that breaks off breaks off at the caller, too.
--- a/crates/pinereel/src/upstream/direct.rs
+++ b/crates/pinereel/src/upstream/direct.rs
@@ -7,7 +7,7 @@
 use super::{Attempt, Error, connect};
 use actix_codec::Framed;
 use actix_http::{
-    RequestHead, RequestHeadType, StatusCode, Uri,
+    Method, RequestHead, RequestHeadType, StatusCode, Uri,
     body::BodySize,
     h1::{ClientCodec, ClientPayloadCodec, Message, MessageType},
     header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderValue},
@@ -58,6 +58,7 @@
 async fn exchange(stream: TcpStream, uri: Uri, attempt: Attempt) -> Result<Response, Error> {
     let mut framed = Framed::new(stream, ClientCodec::default());
     let body = attempt.body.clone();
+    let method = attempt.method.clone();
     let size = BodySize::Sized(body.len() as u64);
     let head = RequestHeadType::Owned(head(uri, attempt));
     let lost = |e: io::Error| Error::Lost(e.to_string());
@@ -79,6 +80,10 @@
     let head = head.map_err(|e| Error::Lost(e.to_string()))?;
     let empty = framed.codec_ref().message_type() == MessageType::None;
     let length = head.headers.get(CONTENT_LENGTH).cloned();
+    if empty && length.is_none() && may_have_body(&method, head.status) {
+        // Only the connection's end would delimit it, so nobody could tell a cut answer.
+        return Err(Error::Lost("answer of unknown length".into()));
+    }
     let framed = (!empty).then(|| framed.into_map_codec(ClientCodec::into_payload_codec));
     Ok(Response {
         status: head.status,
@@ -88,6 +93,12 @@
     })
 }
 
+/// Whether an answer may carry a body at all.
+fn may_have_body(method: &Method, status: StatusCode) -> bool {
+    let bare = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED];
+    *method != Method::HEAD && !status.is_informational() && !bare.contains(&status)
+}
+
 fn head(uri: Uri, attempt: Attempt) -> RequestHead {
     let mut head = RequestHead::default();
     head.method = attempt.method;
--- a/crates/pinereel/tests/upstream_direct.rs
+++ b/crates/pinereel/tests/upstream_direct.rs
@@ -70,7 +70,16 @@
         lines += &outcome(case).await;
         lines.push('\n');
     }
-    insta::assert_snapshot!(lines, @"");
+    insta::assert_snapshot!(lines, @"
+    200 OK good whole
+    200 OK [103, 111, 111, 100] cut: UnexpectedEof
+    200 OK good whole
+    200 OK [103, 111, 111, 100] cut: UnexpectedEof
+    lost
+    204 No Content  whole
+    lost
+    lost
+    ");
 }
 
 #[actix_rt::test]
--- a/crates/pinereel_api/src/engine.rs
+++ b/crates/pinereel_api/src/engine.rs
@@ -7,7 +7,8 @@
 //! | order | `POST /v1/orders` [`Order`] | 200 [`State`], 409 if the fencing token is old |
 //! | state | `GET /v1/state` | 200 [`State`] (the load in it lags) |
 //!
-//! An engine that is leaving answers 503 with `x-refused: leaving` before it runs anything.
+//! An engine refuses with 503 and `x-refused` before it runs anything: `leaving` (for good),
+//! `not-loaded`, `full` or `duplicate` (for now).
 
 use compact_str::CompactString;
 use pinereel_core::{Span, Version};
--- a/crates/pinereel_fakes/src/engine/server.rs
+++ b/crates/pinereel_fakes/src/engine/server.rs
@@ -221,8 +221,8 @@
     };
     let mut response = http::problem(&problem(code, &refusal.to_string()));
     let reason = match refusal {
-        // An engine without weights is as good as leaving: it takes nothing now.
-        Refusal::Leaving | Refusal::NotLoaded => "leaving",
+        Refusal::Leaving => "leaving",
+        Refusal::NotLoaded => "not-loaded",
         Refusal::Full => "full",
         Refusal::Duplicate => "duplicate",
     };
--- a/crates/pinereel_fakes/tests/engine_server.rs
+++ b/crates/pinereel_fakes/tests/engine_server.rs
@@ -164,11 +164,11 @@
     let unloaded = Handle::start(unloaded).await.unwrap();
     let leaving = Handle::start(options()).await.unwrap();
     leaving.set_faults(broken(|f| f.leaving = true));
-    for engine in [&unloaded, &leaving] {
+    for (engine, reason) in [(&unloaded, "not-loaded"), (&leaving, "leaving")] {
         let call = client().post(url(engine, "/v1/completions"));
         let answer = call.send_json(&request("a", 1)).await.unwrap();
         assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
-        assert_eq!(answer.headers().get("x-refused").unwrap(), "leaving");
+        assert_eq!(answer.headers().get("x-refused").unwrap(), reason);
         assert!(answer.headers().contains_key("x-incarnation"));
         assert!(engine.record().is_empty());
         engine.stop();
