Lots: endpoints that were withdrawn are forgotten; tests of shares and late starts

Cause: an endpoint without slots stayed in the runner's map after its last attempt, and neither shares between trainers nor staleness-aware starts had a test. Ruled out: forgetting at the offer, since attempts may still run there.

--- a/crates/pinereel_core/src/lot/runner.rs
+++ b/crates/pinereel_core/src/lot/runner.rs
@@ -222,6 +222,9 @@
         let attempt = self.attempts.remove(key)?;
         if let Some(endpoint) = self.endpoints.get_mut(&attempt.endpoint) {
             endpoint.running -= 1;
+            if endpoint.running == 0 && endpoint.offer.slots == 0 {
+                self.endpoints.remove(&attempt.endpoint);
+            }
         }
         let entry = self.samples.get_mut(attempt.sample);
         let entry = entry.expect("a sample's attempts end before it is removed");
--- a/crates/pinereel_core/tests/lot_runner.rs
+++ b/crates/pinereel_core/tests/lot_runner.rs
@@ -130,7 +130,12 @@
         runner.step(NOW, Event::Assign(spec(step, &[(0, 8)])));
     }
     assert_eq!(runner.lots().count(), 2);
+    let running = starts(&runner.step(NOW, offer("a", 1)));
+    assert_eq!(running[0].lot, "lot7");
     let actions = runner.step(NOW, Event::Assign(spec(9, &[(0, 8)])));
+    let (attempt, endpoint) = (running[0].attempt, "a".into());
+    assert!(actions.contains(&Action::Cancel { attempt, endpoint }));
+    assert_eq!(runner.in_flight(), 1, "the next lot has the slot");
     let (lot, reason) = ("lot7".into(), Refusal::Superseded);
     assert!(actions.contains(&Action::Dropped { lot, reason }));
     let actions = runner.step(NOW, Event::Assign(spec(7, &[(0, 8)])));
@@ -167,6 +172,49 @@
     assert_eq!(order(Policy::BASELINE), [0, 1, 2, 3]);
 }
 
+#[test]
+fn trainers_share_slots_by_weight() {
+    let started = |policy| {
+        let mut runner = runner(policy);
+        for (trainer, weight) in [("a", 1), ("b", 3)] {
+            let mut lot = spec(7, &[(0, 8), (1, 8), (2, 8), (3, 8)]);
+            lot.lot = trainer.into();
+            lot.trainer = trainer.into();
+            lot.weight = weight;
+            runner.step(NOW, Event::Assign(lot));
+        }
+        let started = starts(&runner.step(NOW, offer("e", 8)));
+        started.iter().filter(|s| s.lot == "b").count()
+    };
+    assert_eq!(started(Policy::default()), 6);
+    assert_eq!(started(Policy::BASELINE), 0);
+}
+
+#[test]
+fn a_start_waits_for_newer_weights_if_it_would_end_too_old() {
+    let started = |policy| {
+        let mut runner = runner(policy);
+        for (version, at) in [(4, 1_000), (5, 2_000), (6, 3_000)] {
+            let (model, version) = ("m".into(), Version(version));
+            runner.step(Time::from_millis(at), Event::Published { model, version });
+        }
+        let newer = Offer {
+            endpoint: "new".into(),
+            model: "m".into(),
+            version: Version(6),
+            slots: 1,
+        };
+        let now = Time::from_millis(3_500);
+        runner.step(now, Event::Offer(newer));
+        runner.step(now, Event::Assign(spec(7, &[(0, 8)])));
+        // Fits now (5 of 6, bound 1), but version 7 is due before a slow sample could end.
+        let later = Time::from_millis(4_100);
+        starts(&runner.step(later, offer("old", 1))).len()
+    };
+    assert_eq!(started(Policy::default()), 0);
+    assert_eq!(started(Policy::BASELINE), 1);
+}
+
 #[test]
 fn a_straggler_is_duplicated_and_the_first_whole_one_wins() {
     let mut runner = runner(Policy::default());
