--- a/crates/pinereel/src/controllers/drain.rs
+++ b/crates/pinereel/src/controllers/drain.rs
@@ -1,7 +1,7 @@
 //! The graceful stop of this entry.
 
 use crate::{
-    controllers::{lots, members},
+    controllers::{leases, lots, members},
     http::Server,
     state::Shared,
 };
@@ -92,6 +92,10 @@
         }
         sleep(LOOK).await;
     }
+    leases::drain(shared);
+    while !shared.leases.released() && shared.now() < until {
+        sleep(LOOK).await;
+    }
     if let Err(e) = members::leave(shared).await {
         log::warn!(entry = shared.name().as_str(); "drain: member object not removed: {e}");
     }
--- a/crates/pinereel/src/controllers/mod.rs
+++ b/crates/pinereel/src/controllers/mod.rs
@@ -4,6 +4,7 @@
 pub mod config;
 pub mod drain;
 pub mod endpoints;
+pub mod leases;
 pub mod lots;
 pub mod members;
 pub mod rollout;
--- a/crates/pinereel/src/entry.rs
+++ b/crates/pinereel/src/entry.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     callers,
-    controllers::{config, drain, endpoints, lots, members, weights},
+    controllers::{config, drain, endpoints, lots, members, rollout, weights},
     dispatch,
     http::{self, Server},
     logging, objects, operators,
@@ -126,6 +126,7 @@
             endpoints::start(&shared);
             lots::start(&shared);
             weights::start(&shared);
+            rollout::start(&shared);
         });
     }
 
@@ -220,6 +221,8 @@
         members: Default::default(),
         endpoints: Default::default(),
         lots: lots::Lots::new(Runner::new(Policy::default(), limits)),
+        leases: Default::default(),
+        rollout: Default::default(),
         drain: Default::default(),
         next: Cell::new(0),
         settings,
--- a/crates/pinereel/src/state.rs
+++ b/crates/pinereel/src/state.rs
@@ -2,7 +2,8 @@
 
 use crate::{
     controllers::{
-        config::Config, drain::Drain, endpoints::Endpoints, lots::Lots, members::Members,
+        config::Config, drain::Drain, endpoints::Endpoints, leases::Leases, lots::Lots,
+        members::Members, rollout::Rollout,
     },
     logging::{Decision, What},
     metrics::Metrics,
@@ -65,6 +66,10 @@
     pub endpoints: Endpoints,
     /// Lots: those submitted here, and the groups that run here.
     pub lots: Lots,
+    /// Leases that this entry holds or looks after.
+    pub leases: Leases,
+    /// Weight rollouts.
+    pub rollout: Rollout,
     /// The graceful stop.
     pub drain: Drain,
     /// Number of the next request.
--- a/crates/pinereel_core/src/lease.rs
+++ b/crates/pinereel_core/src/lease.rs
@@ -144,6 +144,11 @@
         (own && !self.draining && now < self.until).then_some(view.lease.fence)
     }
 
+    /// The moment from which this candidate must not act unless it renews before.
+    pub const fn until(&self) -> Time {
+        self.until
+    }
+
     /// Whether a drained candidate is rid of the lease.
     pub fn is_released(&self) -> bool {
         let own = self
--- /dev/null
+++ b/crates/pinereel_fakes/tests/rollout_site.rs
@@ -0,0 +1,125 @@
+//! Weight rollouts: published versions reach every engine, under one lease at a time.
+
+#![allow(clippy::unwrap_used)]
+
+use pinereel_api::trainer::Publish;
+use pinereel_core::{Version, config::Document};
+use pinereel_fakes::{
+    engine::batch,
+    site::{Options, Site, until},
+    trainer,
+};
+use serde_json::json;
+use std::time::Duration;
+
+fn options(entries: usize, engines: usize) -> Options {
+    let document: Document = serde_json::from_value(json!({
+        "pools": { "winder-lm": { "kind": "engine", "model": "winding", "checks_fencing": true } },
+        "trainers": { "rewind": { "pool": "winder-lm", "bound": 1 } },
+    }))
+    .unwrap();
+    Options {
+        zones: vec![
+            "regina-hall".into(),
+            "saskatoon-hall".into(),
+            "moosejaw-hall".into(),
+        ],
+        entries,
+        engines: vec![("winder-lm".into(), engines)],
+        batch: batch::Options {
+            tokens_per_second: 2_000.0,
+            swap: Duration::from_millis(100),
+            ..batch::Options::default()
+        },
+        services: Vec::new(),
+        document,
+        lag: Duration::from_millis(50),
+        settings: "[drain]\nbalancer_lag = 10ms\nlongest = 5s\n[log]\ndecisions = false\n".into(),
+    }
+}
+
+async fn publish(site: &Site, version: u64) {
+    let url = format!("http://{}/v1/trainers/rewind/versions", site.callers()[0]);
+    let body = Publish {
+        version: Version(version),
+    };
+    let sent = awc::Client::default()
+        .post(url)
+        .send_json(&body)
+        .await
+        .unwrap();
+    assert_eq!(sent.status(), 200);
+}
+
+/// Waits until the first entry sees every engine serve `version`.
+async fn served(site: &Site, version: u64) {
+    let shared = &site.entries[0].shared;
+    let engines = site.engines.len();
+    until(|| {
+        let set = shared.endpoints.set();
+        let there = set
+            .iter()
+            .filter(|(_, e)| e.version == Some(Version(version)));
+        there.count() == engines
+    })
+    .await
+    .unwrap();
+}
+
+#[actix_rt::test]
+async fn published_versions_reach_every_engine() {
+    let site = Site::start(options(3, 4)).await.unwrap();
+    publish(&site, 2).await;
+    served(&site, 2).await;
+    publish(&site, 5).await;
+    served(&site, 5).await;
+    let leases = site.api.objects("leases").items;
+    assert_eq!(leases.len(), 1);
+}
+
+#[actix_rt::test]
+async fn the_next_entry_goes_on_when_the_holder_leaves() {
+    let mut site = Site::start(options(3, 2)).await.unwrap();
+    publish(&site, 2).await;
+    served(&site, 2).await;
+    let holds = |site: &Site| {
+        site.entries
+            .iter()
+            .position(|e| !e.shared.leases.all(e.shared.now()).is_empty())
+    };
+    let holder = holds(&site).unwrap();
+    let leaving = site.entries.remove(holder);
+    leaving.shared.drain.ask();
+    leaving.finished().await;
+    publish(&site, 3).await;
+    served(&site, 3).await;
+    let fence = |site: &Site| site.api.objects("leases").items[0].value["fence"].as_u64();
+    assert_eq!(
+        fence(&site),
+        Some(2),
+        "the fencing token grows with each change of holder"
+    );
+}
+
+#[actix_rt::test]
+async fn trainer_steps_stay_within_a_bound_of_one() {
+    let site = Site::start(options(3, 4)).await.unwrap();
+    let report = trainer::Trainer::new(trainer::Options {
+        name: "rewind".into(),
+        entries: site.callers(),
+        steps: 6,
+        groups: 6,
+        samples: 4,
+        max_tokens: 60,
+        train: Duration::from_millis(50),
+        bound: 1,
+        whole: true,
+        ..trainer::Options::default()
+    })
+    .run()
+    .await
+    .unwrap();
+    assert!(report.clean(), "{report:?}");
+    assert!(report.staleness.max <= 1, "{report:?}");
+    assert_eq!(report.samples, 144);
+}
