A trimmed claim no longer outlives its segment where a later one names its key

A liveness fault; no double execution. Ruled out: pruning by the last segment that names the key (the fault itself). Change: holder and releases go by their own segments, so all readers agree. The test now also checks that keys under which nothing ran are free again. The named test fails with the old table and passes now. Conclusion: what a reader knows does not depend on when it began to read.

--- a/crates/pinereel_core/src/claim/log.rs
+++ b/crates/pinereel_core/src/claim/log.rs
@@ -238,11 +238,12 @@
             });
         }
         for ask in batch.asks {
-            let claim = &ask.claim;
-            if !ask.answered && !self.table.is_released(&claim.key, &claim.request) {
-                out.push(reply(&ask, Verdict::Granted));
-            } else {
+            if ask.answered {
                 self.release(ask.claim);
+            } else if self.table.is_released(&ask.claim.key, &ask.claim.request) {
+                out.push(reply(&ask, Verdict::NotClaimed));
+            } else {
+                out.push(reply(&ask, Verdict::Granted));
             }
         }
     }
--- a/crates/pinereel_core/src/claim/table.rs
+++ b/crates/pinereel_core/src/claim/table.rs
@@ -20,16 +20,35 @@
     /// When the request can no longer be running.
     pub(super) until: Time,
     pub(super) record: Option<Record>,
+    /// Number of the segment with the record, or else with the claim.
+    segment: u64,
 }
 
-/// One key. `released` remembers requests that certainly did not run, so that a claim of theirs
-/// which reaches the log late does not take the key.
+/// One key. `released` remembers requests that certainly did not run, with the segment that says
+/// so; a claim of theirs which reaches the log later does not take the key.
 #[derive(Clone, Debug, Default)]
 struct Entry {
     holder: Option<Holder>,
-    released: VecDeque<CompactString>,
-    /// Number of the last segment that changed the entry.
-    segment: u64,
+    released: VecDeque<(u64, CompactString)>,
+}
+
+impl Entry {
+    fn is_released(&self, request: &str) -> bool {
+        self.released
+            .iter()
+            .any(|(_, released)| released == request)
+    }
+
+    /// Forgets what segments below `base` said. Each part goes by its own segment, so that all
+    /// readers agree on what is left, whenever they began to read.
+    fn forget(&mut self, base: u64) {
+        self.holder.take_if(|holder| holder.segment < base);
+        self.released.retain(|(segment, _)| *segment >= base);
+    }
+
+    fn is_empty(&self) -> bool {
+        self.holder.is_none() && self.released.is_empty()
+    }
 }
 
 /// All keys of the segments `base..next`.
@@ -38,6 +57,7 @@
     pub(super) base: u64,
     pub(super) next: u64,
     keys: BTreeMap<CompactString, Entry>,
+    /// Which segments say something of which key.
     by_segment: BTreeSet<(u64, CompactString)>,
     /// When this writer first read each segment.
     seen: BTreeMap<u64, Time>,
@@ -58,7 +78,7 @@
     pub(super) fn is_released(&self, key: &str, request: &str) -> bool {
         self.keys
             .get(key)
-            .is_some_and(|entry| entry.released.iter().any(|r| r == request))
+            .is_some_and(|entry| entry.is_released(request))
     }
 
     /// Applies segment `next`.
@@ -82,7 +102,13 @@
             .by_segment
             .split_off(&(self.base, CompactString::default()));
         for (_, key) in std::mem::replace(&mut self.by_segment, kept) {
-            self.keys.remove(&key);
+            let Some(entry) = self.keys.get_mut(&key) else {
+                continue;
+            };
+            entry.forget(self.base);
+            if entry.is_empty() {
+                self.keys.remove(&key);
+            }
         }
     }
 
@@ -98,8 +124,9 @@
     /// A later claim always replaces: its writer had read all earlier segments and found the key
     /// free, maybe under a base that this reader has not seen yet.
     fn claim(&mut self, now: Time, claim: &Claim) {
+        let segment = self.next;
         let entry = self.touch(&claim.key);
-        if entry.released.contains(&claim.request) {
+        if entry.is_released(&claim.request) {
             return;
         }
         entry.holder = Some(Holder {
@@ -107,13 +134,16 @@
             digest: claim.digest,
             until: now + Duration::from_millis(claim.left_ms),
             record: None,
+            segment,
         });
     }
 
     fn settle(&mut self, now: Time, settle: &Settle) {
+        let segment = self.next;
         let entry = self.touch(&settle.key);
         let Some(record) = &settle.outcome else {
-            entry.released.push_back(settle.request.clone());
+            let released = (segment, settle.request.clone());
+            entry.released.push_back(released);
             if entry.released.len() > MAX_RELEASED {
                 entry.released.pop_front();
             }
@@ -128,17 +158,16 @@
             digest: settle.digest,
             until: now,
             record: None,
+            segment,
         });
         if holder.request == settle.request {
             holder.record = Some(record.clone());
+            holder.segment = segment;
         }
     }
 
     fn touch(&mut self, key: &CompactString) -> &mut Entry {
-        let entry = self.keys.entry(key.clone()).or_default();
-        self.by_segment.remove(&(entry.segment, key.clone()));
-        entry.segment = self.next;
         self.by_segment.insert((self.next, key.clone()));
-        entry
+        self.keys.entry(key.clone()).or_default()
     }
 }
--- a/crates/pinereel_core/tests/claim_cases.rs
+++ b/crates/pinereel_core/tests/claim_cases.rs
@@ -291,6 +291,27 @@
     );
 }
 
+/// Found by `a_key_runs_at_most_once_in_its_window`: a later release of another request kept a
+/// trimmed claim alive at readers that had seen it.
+#[test]
+fn a_later_segment_does_not_prolong_a_trimmed_claim() {
+    let first = granted(&mut opened(Limits::default(), vec![], 0), NOW, "a", "k");
+    let mut log = opened(Limits::default(), vec![first], 0);
+    segment(&log.step(NOW, settle("b", "k", None)));
+    log.step(NOW, Event::Created);
+    log.step(NOW, Event::Base(0));
+    let later = at(60_000);
+    assert_eq!(log.step(later, Event::Tick), vec![Action::Read { from: 2 }]);
+    log.step(
+        later,
+        Event::Read {
+            segments: vec![],
+            base: 1,
+        },
+    );
+    assert_eq!(segment(&log.step(later, claim("c", "k", 1))).0, 2);
+}
+
 #[test]
 fn a_key_is_free_again_after_the_window() {
     let limits = Limits {
--- a/crates/pinereel_core/tests/claim_log.rs
+++ b/crates/pinereel_core/tests/claim_log.rs
@@ -19,6 +19,7 @@
 };
 
 const WRITERS: usize = 3;
+const KEYS: u8 = 3;
 const WINDOW_MS: u64 = 10_000;
 
 #[derive(Clone, Copy, Debug)]
@@ -87,6 +88,9 @@
     given_up: bool,
     executed: Option<u64>,
     finished: bool,
+    /// What was settled, and whether a writer stored it.
+    settled: Option<Option<Record>>,
+    stored: bool,
 }
 
 /// A call, and the segments that a read has found so far.
@@ -108,6 +112,8 @@
     trims: u64,
     orphans: u64,
     late: u64,
+    /// Keys checked to be free again.
+    freed: u64,
 }
 
 struct World {
@@ -180,7 +186,9 @@
         for action in self.writers[at].log.step(now, event) {
             match action {
                 Action::Reply { request, verdict } => self.reply(request.parse().unwrap(), verdict),
-                Action::Settled { .. } => {}
+                Action::Settled { request, stored } => {
+                    self.requests[request.parse::<usize>().unwrap()].stored |= stored;
+                }
                 call => {
                     assert!(self.writers[at].call.is_none(), "two calls open at once");
                     self.writers[at].call = Some((call, None));
@@ -255,6 +263,7 @@
     }
 
     fn settle(&mut self, index: usize, to: usize, outcome: Option<Record>) {
+        self.requests[index].settled = Some(outcome.clone());
         let key = format!("k{}", self.requests[index].key).into();
         let digest = Digest([self.requests[index].digest; 16]);
         let request = index.to_string().into();
@@ -433,6 +442,47 @@
         }
     }
 
+    /// Entries read their late verdicts and repeat settlements that were not stored. Then a key
+    /// under which nothing ran must be free, unless a writer died with claims that nobody knows of.
+    fn free_again(&mut self) {
+        for _ in 0..4 {
+            for index in 0..self.requests.len() {
+                self.hear(index, 0);
+                let request = &self.requests[index];
+                if let (Some(outcome), false) = (request.settled.clone(), request.stored) {
+                    self.settle(index, 0, outcome);
+                }
+            }
+            (0..WRITERS).for_each(|at| self.flush(at));
+        }
+        if self.writers.iter().any(|writer| writer.starts > 0) {
+            return;
+        }
+        for key in 0..KEYS {
+            if self
+                .requests
+                .iter()
+                .any(|r| r.key == key && r.executed.is_some())
+            {
+                continue;
+            }
+            self.counts.freed += 1;
+            self.apply(Op::Ask {
+                at: 0,
+                key,
+                digest: 0,
+                left_ms: 3_000,
+            });
+            self.flush(0);
+            let last = self.requests.last().unwrap();
+            assert_eq!(
+                last.verdict,
+                Some(Verdict::Granted),
+                "key {key} did not run and is not free"
+            );
+        }
+    }
+
     /// Everything heals: each request must have its verdict, and new keys be granted.
     fn heal(&mut self) {
         for _ in 0..20 {
@@ -446,6 +496,7 @@
                 "request {index} got no verdict"
             );
         }
+        self.free_again();
         for at in 0..WRITERS {
             let key = 200 + u8::try_from(at).unwrap();
             self.apply(Op::Ask {
@@ -472,7 +523,7 @@
         6 => Just(Fate::Done), 1 => Just(Fate::Lost), 1 => Just(Fate::Late), 1 => Just(Fate::Refused)
     ];
     let op = prop_oneof![
-        6 => (at.clone(), 0..3_u8, prop_oneof![9 => Just(0_u8), 1 => Just(1)], 200..3_000_u64)
+        6 => (at.clone(), 0..KEYS, prop_oneof![9 => Just(0_u8), 1 => Just(1)], 200..3_000_u64)
             .prop_map(|(at, key, digest, left_ms)| Op::Ask { at, key, digest, left_ms }),
         1 => (request.clone(), at.clone()).prop_map(|(request, to)| Op::GiveUp { request, to }),
         8 => (request.clone(), at.clone()).prop_map(|(request, to)| Op::Hear { request, to }),
@@ -493,7 +544,7 @@
 fn a_key_runs_at_most_once_in_its_window() {
     let config = ProptestConfig {
         cases: std::env::var("CLAIM_CASES").map_or(1_000, |c| c.parse().unwrap()),
-        rng_seed: RngSeed::Fixed(71),
+        rng_seed: RngSeed::Fixed(std::env::var("CLAIM_SEED").map_or(71, |s| s.parse().unwrap())),
         failure_persistence: None,
         ..ProptestConfig::default()
     };
@@ -510,6 +561,7 @@
         total.trims += world.counts.trims;
         total.orphans += world.counts.orphans;
         total.late += world.counts.late;
+        total.freed += world.counts.freed;
         for (name, count) in world.counts.verdicts {
             *total.verdicts.entry(name).or_default() += count;
         }
@@ -517,13 +569,14 @@
     });
     let total = total.into_inner();
     println!(
-        "cases {}, steps {}, executed {}, trims {}, orphans {}, late effects {}, verdicts {:?}",
+        "cases {}, steps {}, executed {}, trims {}, orphans {}, late effects {}, freed {}, verdicts {:?}",
         cases.into_inner(),
         total.steps,
         total.executed,
         total.trims,
         total.orphans,
         total.late,
+        total.freed,
         total.verdicts
     );
     if let Err(failure) = result {
--- a/crates/pinereel_core/tests/lease_holder.rs
+++ b/crates/pinereel_core/tests/lease_holder.rs
@@ -336,7 +336,7 @@
 fn one_candidate_acts_at_a_time() {
     let config = ProptestConfig {
         cases: std::env::var("LEASE_CASES").map_or(1_000, |c| c.parse().unwrap()),
-        rng_seed: RngSeed::Fixed(72),
+        rng_seed: RngSeed::Fixed(std::env::var("LEASE_SEED").map_or(72, |s| s.parse().unwrap())),
         failure_persistence: None,
         ..ProptestConfig::default()
     };
