Claim log: the property test reaches a late create that its writer gave up on

Cause: sending another segment for an undecided number failed a named case only, not the property test, as random calls seldom met that order of events. Ruled out: more cases alone (the removed guard passed 1,000). Change: one more operation, in which the open create lands after its writer read that it is absent and went on.

--- a/crates/pinereel_core/tests/claim_log.rs
+++ b/crates/pinereel_core/tests/claim_log.rs
@@ -67,6 +67,10 @@
     Land {
         index: usize,
     },
+    /// The open call takes effect late, after its writer found nothing and went on.
+    Overtake {
+        at: usize,
+    },
     Delete,
     Restart {
         at: usize,
@@ -429,11 +433,22 @@
             Op::Flush { at } => self.flush(at),
             Op::Land { index } => {
                 if !self.late.is_empty() {
-                    let action = self.late.remove(index % self.late.len());
+                    let action = self.late.remove(index.min(self.late.len() - 1));
                     self.counts.late += 1;
                     self.effect(&action);
                 }
             }
+            Op::Overtake { at } => {
+                self.call(at, Fate::Late);
+                self.run(at);
+                self.call(at, Fate::Done);
+                self.call(at, Fate::Done);
+                self.run(at);
+                self.now += 60;
+                self.run(at);
+                self.apply(Op::Land { index: usize::MAX });
+                self.flush(at);
+            }
             Op::Delete => {
                 self.segments = self.segments.split_off(&self.base);
             }
@@ -532,6 +547,7 @@
         5 => at.clone().prop_map(|at| Op::Run { at }),
         8 => at.clone().prop_map(|at| Op::Flush { at }),
         2 => (0..9_usize).prop_map(|index| Op::Land { index }),
+        2 => at.clone().prop_map(|at| Op::Overtake { at }),
         2 => Just(Op::Delete),
         1 => at.prop_map(|at| Op::Restart { at }),
         3 => (1..400_u64).prop_map(|ms| Op::Advance { ms }),
