--- a/crates/pinereel_core/src/config/patch.rs
+++ b/crates/pinereel_core/src/config/patch.rs
@@ -136,20 +136,43 @@
     map
 }
 
+/// Reads one object. After each fault the field that caused it is left out, to find the others.
 fn read_one<T: DeserializeOwned>(path: &str, value: &Value, faults: &mut Vec<Fault>) -> Option<T> {
-    match T::deserialize(value) {
-        Ok(item) => Some(item),
-        Err(error) => {
-            let message = error.to_string();
-            // The reader names an unknown key in the message only; the path should end with it.
-            let key = message
-                .strip_prefix("unknown field `")
-                .and_then(|m| m.split('`').next());
-            let path = key.map_or_else(|| path.into(), |key| pointer(path, key));
-            fault(faults, path, message);
-            None
+    let mut rest = value.clone();
+    let mut removed = Vec::new();
+    loop {
+        let error = match T::deserialize(&rest) {
+            Ok(item) => return removed.is_empty().then_some(item),
+            Err(error) => error.to_string(),
+        };
+        if removed
+            .iter()
+            .any(|key| error == format!("missing field `{key}`"))
+        {
+            return None;
         }
+        let Some(key) = culprit::<T>(&rest, &error) else {
+            fault(faults, path.into(), error);
+            return None;
+        };
+        fault(faults, pointer(path, &key), error);
+        rest.as_object_mut()?.remove(&key);
+        removed.push(key);
+    }
+}
+
+/// The field without which reading does not end in this error.
+fn culprit<T: DeserializeOwned>(value: &Value, error: &str) -> Option<String> {
+    if error.starts_with("missing field") {
+        return None;
     }
+    let fields = value.as_object()?;
+    let key = fields.keys().find(|key| {
+        let mut rest = fields.clone();
+        rest.remove(*key);
+        T::deserialize(&Value::Object(rest)).map_or_else(|e| e.to_string() != error, |_| true)
+    });
+    key.cloned()
 }
 
 fn pointer(path: &str, key: &str) -> CompactString {
