--- a/crates/pinereel_core/src/config/mod.rs
+++ b/crates/pinereel_core/src/config/mod.rs
@@ -6,12 +6,14 @@
 
 mod document;
 mod patch;
+mod proposal;
 mod register;
 mod round;
 mod stored;
 
 pub use document::{Document, Kind, Limits, Pool, Trainer};
 pub use patch::{Fault, check_change, merge, validate};
+pub use proposal::{Action, Answer, Event, Proposal, Write};
 pub use register::{Input, Order, Refusal, Register};
-pub use round::{Action, Answer, Event, PREPARE_TIMEOUT, Proposal, Round, TAKE_OVER, Write};
+pub use round::{PREPARE_TIMEOUT, Round, TAKE_OVER};
 pub use stored::{Accepted, Pending, Prepare, RING, Stored};
