Configuration: a repeat that can read nothing is unknown, not refused

Ruled out: excusing it in the oracle. Change: late is answered only once the own patch was seen pending; two named regression tests.

--- a/crates/pinereel_core/src/config/round.rs
+++ b/crates/pinereel_core/src/config/round.rs
@@ -173,9 +173,10 @@
         });
     }
 
-    /// At the deadline: refused for certain if the accepting write was never sent.
+    /// At the deadline. Refused for certain only if the own patch was seen pending, so that no
+    /// earlier round of the same patch had been accepted, and the accepting write was never sent.
     fn give_up(&mut self, now: Time, actions: &mut Vec<Action>) {
-        if self.accepting && self.refusal.is_none() {
+        if self.refusal.is_none() && (self.accepting || self.pending_since.is_none()) {
             self.answer(now, Answer::Unknown, actions);
             return;
         }
--- a/crates/pinereel_core/tests/config_promise.rs
+++ b/crates/pinereel_core/tests/config_promise.rs
@@ -159,3 +159,26 @@
         );
     }
 }
+
+/// The proposer dies right after the acceptance; the repeat's proposer is cut off.
+#[test]
+fn regression_a_repeat_from_a_cut_off_entry_is_not_refused() {
+    let patch = |entry| Op::Propose {
+        entry,
+        patch: 8,
+        content: 8,
+        stale: false,
+    };
+    let ops = [
+        patch(2),
+        Op::Run(148),
+        Op::Kill(2),
+        Op::Run(7_747),
+        Op::Forget(0),
+        patch(0),
+        Op::Run(10_500),
+    ];
+    for seed in 0..20 {
+        run(3, seed, &ops);
+    }
+}
--- a/crates/pinereel_core/tests/config_round.rs
+++ b/crates/pinereel_core/tests/config_round.rs
@@ -210,3 +210,19 @@
     let actions = other.step(ms(0), Event::Read(Some((9, changed))));
     assert_eq!(answers(&actions), [&Answer::Reused(1)]);
 }
+
+#[test]
+fn regression_a_repeat_that_can_read_nothing_is_not_refused() {
+    // An earlier round of the patch may have been accepted, with its answer lost.
+    let mut repeat = round("w2");
+    for now in (0..8_000).step_by(250) {
+        assert_eq!(
+            answers(&repeat.step(ms(now), Event::Tick)),
+            [] as [&Answer; 0]
+        );
+    }
+    assert_eq!(
+        answers(&repeat.step(ms(8_000), Event::Tick)),
+        [&Answer::Unknown]
+    );
+}
