--- a/crates/pinereel_core/tests/config_promise.rs
+++ b/crates/pinereel_core/tests/config_promise.rs
@@ -169,16 +169,17 @@
         content: 8,
         stale: false,
     };
-    let ops = [
-        patch(2),
-        Op::Run(148),
-        Op::Kill(2),
-        Op::Run(7_747),
-        Op::Forget(0),
-        patch(0),
-        Op::Run(10_500),
-    ];
-    for seed in 0..20 {
+    // The moment of the acceptance differs by seed, so the death is tried at many.
+    for seed in 0..60 {
+        let ops = [
+            patch(2),
+            Op::Run(100 + 4 * seed),
+            Op::Kill(2),
+            Op::Run(7_747),
+            Op::Forget(0),
+            patch(0),
+            Op::Run(10_500),
+        ];
         run(3, seed, &ops);
     }
 }
