--- a/crates/pinereel_core/tests/rollout_controller.rs
+++ b/crates/pinereel_core/tests/rollout_controller.rs
@@ -377,7 +377,18 @@
     world.run_until(Duration::from_secs(5), |_| false);
     // All serve the target already: not one order.
     assert!(world.orders.is_empty());
-    assert!(world.log.iter().all(|a| !matches!(a, Action::Order { .. })));
+    // Another holds the lease for a while and leaves an engine on other weights.
+    world.tell(Event::Lease(None));
+    world.load("engine-0001", Version(7), 2);
+    world.run_until(Duration::from_secs(5), |_| false);
+    world.log.clear();
+    world.take_lease(3, LONG);
+    let all_read = world
+        .log
+        .iter()
+        .filter(|a| matches!(a, Action::Read { .. }));
+    assert_eq!((all_read.count(), world.log.len()), (3, 3));
+    assert!(world.run_until(Duration::from_secs(5), |w| w.all_serve(1)));
 }
 
 #[test]
