--- /dev/null
+++ b/crates/pinereel_core/benches/rollout.rs
@@ -0,0 +1,118 @@
+//! Time of a rollout's decisions against the number of engines.
+
+use criterion::{BatchSize, BenchmarkId, Criterion};
+use pinereel_core::{
+    Time, Version,
+    rollout::{Action, Controller, Event, Lease, Settings, Sight},
+};
+use std::{hint::black_box, time::Duration};
+
+/// Engines of the pool; 2,900 is the whole fleet.
+const SIZES: [usize; 3] = [8, 290, 2_900];
+const HOUR: Duration = Duration::from_secs(3_600);
+
+/// All engines serve version 1, which is the target.
+fn at_rest(count: usize) -> Controller {
+    let mut controller = Controller::new(Settings {
+        loads: count,
+        reads: count,
+        ..Settings::default()
+    });
+    for i in 0..count {
+        controller.step(
+            Time::ZERO,
+            Event::Listed {
+                name: format!("engine-{i}").into(),
+                zone: format!("zone-{}", i % 9).into(),
+                outstanding: (i % 5) as u32,
+                leaving: false,
+            },
+        );
+    }
+    controller.step(Time::ZERO, Event::Published(Version(1)));
+    let lease = Lease {
+        fence: 1,
+        until: Time::ZERO + HOUR,
+    };
+    let reads = controller.step(Time::ZERO, Event::Lease(Some(lease)));
+    answer(&mut controller, Time::ZERO, &reads, Version(1), None);
+    controller
+}
+
+fn answer(
+    controller: &mut Controller,
+    now: Time,
+    actions: &[Action],
+    version: Version,
+    loading: Option<Version>,
+) {
+    let sight = Sight {
+        incarnation: 1,
+        version: Some(version),
+        loading,
+        failed: false,
+    };
+    for action in actions {
+        let event = match action {
+            Action::Read { name } => Event::Seen {
+                name: name.clone(),
+                sight,
+            },
+            Action::Order { name, fence, .. } => Event::Taken {
+                name: name.clone(),
+                fence: *fence,
+                sight,
+            },
+            _ => continue,
+        };
+        controller.step(now, event);
+    }
+}
+
+/// Two waves from version 1 to 2, with a tick every 50 ms.
+fn roll(controller: &mut Controller) -> usize {
+    let mut now = Time::from_millis(1);
+    let mut actions = controller.step(now, Event::Published(Version(2)));
+    let mut ticks = 0;
+    while controller.plan().is_some_and(|plan| plan.pending > 0) && ticks < 1_000 {
+        let (reads, orders): (Vec<_>, Vec<_>) = actions
+            .into_iter()
+            .partition(|a| matches!(a, Action::Read { .. }));
+        answer(controller, now, &orders, Version(1), Some(Version(2)));
+        answer(controller, now, &reads, Version(2), None);
+        now = now + Duration::from_millis(50);
+        actions = controller.step(now, Event::Tick);
+        ticks += 1;
+    }
+    ticks
+}
+
+fn bench(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("rollout");
+    for size in SIZES {
+        let rest = at_rest(size);
+        group.bench_function(BenchmarkId::new("tick_at_rest", size), |bencher| {
+            let mut controller = rest.clone();
+            bencher.iter(|| black_box(controller.step(Time::from_millis(1), Event::Tick)));
+        });
+        group.bench_function(BenchmarkId::new("two_waves", size), |bencher| {
+            bencher.iter_batched(
+                || rest.clone(),
+                |mut controller| black_box(roll(&mut controller)),
+                BatchSize::LargeInput,
+            );
+        });
+    }
+    group.finish();
+}
+
+fn main() {
+    let mut criterion = Criterion::default()
+        .without_plots()
+        .warm_up_time(Duration::from_millis(300))
+        .measurement_time(Duration::from_secs(1))
+        .sample_size(10)
+        .configure_from_args();
+    bench(&mut criterion);
+    criterion.final_summary();
+}
--- a/crates/pinereel_core/src/admit/queue.rs
+++ b/crates/pinereel_core/src/admit/queue.rs
@@ -26,6 +26,8 @@
     /// before something changes.
     blocked: Option<Priority>,
     rate: Rate,
+    /// Place of the last Retry-After, for each priority: the next one comes after it.
+    promised: BTreeMap<Priority, Time>,
     seed: u64,
 }
 
@@ -55,6 +57,7 @@
             running: BTreeMap::new(),
             blocked: None,
             rate: Rate::default(),
+            promised: BTreeMap::new(),
             seed,
         }
     }
@@ -76,7 +79,7 @@
                     deadline,
                     budget,
                 };
-                actions.extend(self.arrived(priority, request));
+                actions.extend(self.arrived(now, priority, request));
             }
             Event::Finished { ticket } => self.finished(now, ticket, busy),
             Event::Returned { ticket } => self.returned(ticket),
@@ -134,9 +137,9 @@
         }
     }
 
-    fn arrived(&mut self, priority: Priority, request: Waiting) -> Option<Action> {
+    fn arrived(&mut self, now: Time, priority: Priority, request: Waiting) -> Option<Action> {
         if let Some(reason) = self.judge(priority, request.budget) {
-            let retry_after = self.retry_after(priority, request);
+            let retry_after = self.retry_after(now, priority, request);
             return Some(Action::Refuse {
                 ticket: request.ticket,
                 reason,
@@ -175,7 +178,7 @@
             }
             let (priority, request) = self.find(ticket);
             self.remove(ticket);
-            let retry_after = self.retry_after(priority, request);
+            let retry_after = self.retry_after(now, priority, request);
             actions.push(Action::Refuse {
                 ticket,
                 reason: Reason::Expired,
@@ -249,7 +252,11 @@
 
     /// Time until the same request would be admitted: the queue must have drained so far that the
     /// wait fits its budget.
-    fn retry_after(&self, priority: Priority, request: Waiting) -> Duration {
+    ///
+    /// Requests refused together get places in a line, one completion apart, so that they don't
+    /// all come back for the same place. The line reaches one budget beyond the drain: under
+    /// lasting overload new arrivals take the places, and a longer line would be an idle promise.
+    fn retry_after(&mut self, now: Time, priority: Priority, request: Waiting) -> Duration {
         let Waiting { ticket, budget, .. } = request;
         let Some(rate) = self.rate.per_second(self.slots).filter(|r| *r > 0.0) else {
             return self.jitter(UNKNOWN_RETRY, ticket);
@@ -263,7 +270,11 @@
             .max(Duration::from_secs_f64(over_bound as f64 / rate));
         // One completion at least, else the same refusal would come again.
         let place = Duration::from_secs_f64(1.0 / rate);
-        let told = self.jitter(drain.max(place), ticket);
+        let last = self.promised.get(&priority).copied().unwrap_or_default();
+        let line = (last + place).since(now).min(drain + budget);
+        let due = drain.max(place).max(line);
+        self.promised.insert(priority, now + due);
+        let told = self.jitter(due, ticket);
         told.min(self.limits.retry_after)
     }
 
