Command line: entry, config, status and drain

Cause: operators drive the system by numbered patches and must learn from the exit code whether a command was done, refused or may have been done. Ruled out: parsing mixed with doing; a new id at each try of a patch (a lost answer could then be applied twice). Change: cli (parse, run, one module a command group), main; Secret in its own module; a stub of entry::run until the daemon is there. Conclusion: commands work against a scripted entry. answers_lost_to_the_end_are_unknown fails; the cause is not found yet.

--- /dev/null
+++ b/crates/pinereel/src/cli/config.rs
@@ -0,0 +1,86 @@
+//! `pinereel config`: show, check and patch the configuration.
+
+use super::{
+    Draft, Error, Target,
+    client::{self, Call},
+    output::{self, Output},
+};
+use compact_str::{CompactString, format_compact};
+use pinereel_api::operator::{Checked, Config, Patch, Patched};
+use pinereel_core::hash::Digest;
+use std::{fs, io, path::Path};
+
+const PATH: &str = "/v1/config";
+const CHECK_PATH: &str = "/v1/config/check";
+
+pub(super) fn show(target: &Target, output: &mut Output<'_>) -> Result<(), Error> {
+    let call = Call::<()> {
+        path: PATH,
+        body: None,
+        changes: false,
+    };
+    let config: Config = client::send(target, &call)?;
+    output.value(&config, |config| {
+        let document = output::pretty(&config.document);
+        format!("configuration {}\n{document}", config.number)
+    })
+}
+
+pub(super) fn check(target: &Target, draft: &Draft, output: &mut Output<'_>) -> Result<(), Error> {
+    let patch = read(draft)?;
+    let call = Call {
+        path: CHECK_PATH,
+        body: Some(&patch),
+        changes: false,
+    };
+    let checked: Checked = client::send(target, &call)?;
+    output.value(&checked, |checked| {
+        let document = output::pretty(&checked.document);
+        format!("the patch is valid and would give\n{document}")
+    })
+}
+
+pub(super) fn patch(target: &Target, draft: &Draft, output: &mut Output<'_>) -> Result<(), Error> {
+    let patch = read(draft)?;
+    let call = Call {
+        path: PATH,
+        body: Some(&patch),
+        changes: true,
+    };
+    let patched: Patched = client::send(target, &call)?;
+    output.value(&patched, |patched| {
+        format!("configuration {} is in force", patched.number)
+    })
+}
+
+/// The patch in the draft's file.
+fn read(draft: &Draft) -> Result<Patch, Error> {
+    let fault = |expected| Error::File {
+        path: draft.file.clone(),
+        expected,
+    };
+    let text = read_text(&draft.file)
+        .map_err(|error| fault(format_compact!("a readable file ({error})")))?;
+    let merge = serde_json::from_str(&text)
+        .map_err(|error| fault(format_compact!("a JSON merge patch ({error})")))?;
+    let id = draft.id.clone().unwrap_or_else(|| id(draft.base, &merge));
+    Ok(Patch {
+        base: draft.base,
+        id,
+        merge,
+    })
+}
+
+fn read_text(file: &Path) -> io::Result<String> {
+    if file.as_os_str() == "-" {
+        io::read_to_string(io::stdin())
+    } else {
+        fs::read_to_string(file)
+    }
+}
+
+/// An id made from the patch's content, so that the same command run twice is one patch.
+fn id(base: u64, merge: &serde_json::Value) -> CompactString {
+    let digest = Digest::of(format!("{base} {merge}").as_bytes());
+    format_compact!("patch-{digest}")
+}
--- /dev/null
+++ b/crates/pinereel/src/cli/error.rs
@@ -0,0 +1,103 @@
+//! Why a command was not done.
+
+use super::Exit;
+use crate::{entry, settings};
+use compact_str::CompactString;
+use pinereel_api::problem::{Code, Problem, Ran};
+use std::{io, net::SocketAddr, path::PathBuf};
+
+/// Why a command was not done.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The command line is at fault.
+    #[error("{0} (see pinereel --help)")]
+    Usage(CompactString),
+    /// The settings are at fault.
+    #[error(transparent)]
+    Settings(#[from] settings::Error),
+    /// A file named on the command line is at fault.
+    #[error("{}: expected {expected}", path.display())]
+    File {
+        /// The file.
+        path: PathBuf,
+        /// What was expected of it.
+        expected: CompactString,
+    },
+    /// The entry ended with an error.
+    #[error("entry: {0}")]
+    Entry(entry::Error),
+    /// Nothing reached the entry.
+    #[error("{address}: not reached: {reason}")]
+    Unreached {
+        /// Its operators' address.
+        address: SocketAddr,
+        /// What happened.
+        reason: CompactString,
+    },
+    /// The call was sent, and no whole answer came.
+    #[error("{address}: no answer: {reason}{}", if *.changes { "; it may or may not have been done" } else { "" })]
+    Lost {
+        /// Its operators' address.
+        address: SocketAddr,
+        /// What happened.
+        reason: CompactString,
+        /// Whether the call may have changed something.
+        changes: bool,
+    },
+    /// The entry answered that it did not do it.
+    #[error("{} ({:?})", problem.message, problem.code)]
+    Problem {
+        /// Its answer.
+        problem: Problem,
+        /// Whether the call may have changed something.
+        changes: bool,
+    },
+    /// The entry answered something that is no answer to the call.
+    #[error("unexpected answer {status}: {reason}")]
+    Answer {
+        /// Its HTTP status.
+        status: u16,
+        /// What is wrong with it.
+        reason: CompactString,
+        /// Whether the call may have changed something.
+        changes: bool,
+    },
+    /// The result could not be written, or the runtime failed.
+    #[error(transparent)]
+    Io(#[from] io::Error),
+}
+
+impl From<lexopt::Error> for Error {
+    fn from(error: lexopt::Error) -> Self {
+        Self::Usage(error.to_string().into())
+    }
+}
+
+impl Error {
+    /// The exit code that tells of the error.
+    pub const fn exit(&self) -> Exit {
+        match self {
+            Self::Usage(_) | Self::Settings(_) | Self::File { .. } => Exit::Usage,
+            Self::Entry(_) | Self::Unreached { .. } | Self::Io(_) => Exit::Failed,
+            Self::Lost { changes, .. } | Self::Answer { changes, .. } => unknown_if(*changes),
+            Self::Problem { problem, changes } => match problem.code {
+                Code::Conflict | Code::InvalidPatch | Code::NotConfirmed => Exit::Refused,
+                _ => unknown_if(*changes && matches!(problem.ran, Ran::Unknown)),
+            },
+        }
+    }
+
+    /// The text for a person, or the entry's own JSON if `json` and there is one.
+    pub(super) fn show(&self, json: bool) -> String {
+        match self {
+            Self::Problem { problem, .. } if json => {
+                serde_json::to_string(problem).unwrap_or_else(|_| self.to_string())
+            }
+            _ => format!("pinereel: {self}"),
+        }
+    }
+}
+
+const fn unknown_if(unknown: bool) -> Exit {
+    if unknown { Exit::Unknown } else { Exit::Failed }
+}
--- /dev/null
+++ b/crates/pinereel/src/cli/parse.rs
@@ -0,0 +1,158 @@
+//! Reads the command line. Nothing is done here, and no file is opened.
+
+use super::{Command, Draft, Error, OPERATORS, TOKEN_FILE, Target, help};
+use compact_str::{CompactString, format_compact};
+use lexopt::{Arg, Parser, ValueExt as _};
+use std::{ffi::OsString, path::PathBuf};
+
+/// Reads `args`, without the program's name; `env` looks up environment variables.
+pub fn parse(
+    args: impl IntoIterator<Item = impl Into<OsString>>,
+    env: impl Fn(&str) -> Option<OsString>,
+) -> Result<Command, Error> {
+    let mut parser = Parser::from_args(args);
+    match parser.next()? {
+        Some(Arg::Long("version") | Arg::Short('V')) => Ok(Command::Version),
+        Some(Arg::Long("help") | Arg::Short('h')) => Ok(Command::Help(help::MAIN)),
+        Some(Arg::Value(name)) => command(&name.string()?, parser, env),
+        Some(arg) => Err(arg.unexpected().into()),
+        None => Err(usage("a command is missing")),
+    }
+}
+
+fn command(
+    name: &str,
+    parser: Parser,
+    env: impl Fn(&str) -> Option<OsString>,
+) -> Result<Command, Error> {
+    let text = match name {
+        "entry" => help::ENTRY,
+        "config" => help::CONFIG,
+        "status" => help::STATUS,
+        "drain" => help::DRAIN,
+        "help" => return Ok(Command::Help(help::MAIN)),
+        _ => return Err(usage(format_compact!("unknown command {name:?}"))),
+    };
+    let mut options = Options::read(name, parser)?;
+    if options.help {
+        return Ok(Command::Help(text));
+    }
+    let command = match name {
+        "entry" => options.entry()?,
+        "config" => options.config(&env)?,
+        "status" => Command::Status(options.target(&env)?),
+        _ => Command::Drain(options.target(&env)?),
+    };
+    options.finish()?;
+    Ok(command)
+}
+
+/// Everything that may follow a command.
+#[derive(Default)]
+struct Options {
+    help: bool,
+    check: bool,
+    json: bool,
+    settings: Option<PathBuf>,
+    operators: Option<OsString>,
+    token_file: Option<OsString>,
+    base: Option<u64>,
+    id: Option<CompactString>,
+    /// What is no option, last first.
+    values: Vec<OsString>,
+}
+
+impl Options {
+    fn read(command: &str, mut parser: Parser) -> Result<Self, Error> {
+        let mut options = Self::default();
+        while let Some(arg) = parser.next()? {
+            match (command, arg) {
+                (_, Arg::Long("help") | Arg::Short('h')) => options.help = true,
+                ("entry", Arg::Long("check")) => options.check = true,
+                ("entry", Arg::Long("config")) => options.settings = Some(parser.value()?.into()),
+                ("config", Arg::Long("base")) => options.base = Some(parser.value()?.parse()?),
+                ("config", Arg::Long("id")) => options.id = Some(parser.value()?.string()?.into()),
+                ("config", Arg::Value(value)) => options.values.insert(0, value),
+                ("entry", arg) => return Err(arg.unexpected().into()),
+                (_, Arg::Long("json")) => options.json = true,
+                (_, Arg::Long("operators")) => options.operators = Some(parser.value()?),
+                (_, Arg::Long("token-file")) => options.token_file = Some(parser.value()?),
+                (_, arg) => return Err(arg.unexpected().into()),
+            }
+        }
+        Ok(options)
+    }
+
+    fn entry(&mut self) -> Result<Command, Error> {
+        let config = self
+            .settings
+            .take()
+            .ok_or_else(|| usage("--config is missing"))?;
+        let check = self.check;
+        Ok(Command::Entry { config, check })
+    }
+
+    fn config(&mut self, env: impl Fn(&str) -> Option<OsString>) -> Result<Command, Error> {
+        let verb = self.values.pop().unwrap_or_default();
+        match verb.to_str() {
+            Some("show") => Ok(Command::Show(self.target(env)?)),
+            Some("check") => {
+                let draft = self.draft()?;
+                Ok(Command::Check(self.target(env)?, draft))
+            }
+            Some("patch") => {
+                let draft = self.draft()?;
+                Ok(Command::Patch(self.target(env)?, draft))
+            }
+            _ => Err(usage("config needs show, check or patch")),
+        }
+    }
+
+    fn draft(&mut self) -> Result<Draft, Error> {
+        let base = self.base.take().ok_or_else(|| usage("--base is missing"))?;
+        let file = self.values.pop().ok_or_else(|| usage("FILE is missing"))?;
+        let id = self.id.take();
+        if id.as_ref().is_some_and(CompactString::is_empty) {
+            return Err(usage("--id is empty"));
+        }
+        Ok(Draft {
+            base,
+            id,
+            file: file.into(),
+        })
+    }
+
+    fn target(&mut self, env: impl Fn(&str) -> Option<OsString>) -> Result<Target, Error> {
+        let operators = self.operators.take().or_else(|| env(OPERATORS));
+        let operators = operators
+            .ok_or_else(|| usage(format_compact!("--operators or {OPERATORS} is missing")))?;
+        let token_file = self.token_file.take().or_else(|| env(TOKEN_FILE));
+        let token_file = token_file
+            .ok_or_else(|| usage(format_compact!("--token-file or {TOKEN_FILE} is missing")))?;
+        let address = operators.to_str().and_then(|text| text.parse().ok());
+        Ok(Target {
+            operators: address.ok_or_else(|| {
+                usage(format_compact!(
+                    "operators: given {operators:?}, expected IP:PORT"
+                ))
+            })?,
+            token_file: token_file.into(),
+            json: self.json,
+        })
+    }
+
+    /// Refuses what the command has no use for.
+    fn finish(mut self) -> Result<(), Error> {
+        if let Some(value) = self.values.pop() {
+            return Err(usage(format_compact!("unexpected argument {value:?}")));
+        }
+        if self.base.is_some() || self.id.is_some() {
+            return Err(usage("--base and --id belong to a patch"));
+        }
+        Ok(())
+    }
+}
+
+fn usage(message: impl Into<CompactString>) -> Error {
+    Error::Usage(message.into())
+}
--- a/crates/pinereel/src/main.rs
+++ b/crates/pinereel/src/main.rs
@@ -1,3 +1,16 @@
 //! The one binary.
 
-fn main() {}
+use pinereel::cli;
+use std::{env, io, process::ExitCode};
+
+fn main() -> ExitCode {
+    let args = env::args_os().skip(1);
+    let exit = match cli::parse(args, |name| env::var_os(name)) {
+        Ok(command) => cli::run(command, &mut io::stdout(), &mut io::stderr()),
+        Err(error) => {
+            eprintln!("pinereel: {error}");
+            error.exit()
+        }
+    };
+    ExitCode::from(exit as u8)
+}
--- a/crates/pinereel/src/settings/mod.rs
+++ b/crates/pinereel/src/settings/mod.rs
@@ -5,23 +5,22 @@
 
 mod fault;
 mod reader;
+mod secret;
 mod unit;
 
 pub use fault::{Fault, Faults};
+pub use secret::Secret;
 
 use compact_str::CompactString;
 use reader::Reader;
 use std::{
-    fmt, fs, io,
+    fs, io,
     net::SocketAddr,
     ops::RangeInclusive,
     path::{Path, PathBuf},
     time::Duration,
 };
 
-/// Shortest token or secret, in bytes.
-pub const SECRET_MIN: usize = 16;
-
 /// Range of settings that say how long one wait may take.
 const WAIT: RangeInclusive<Duration> = Duration::from_millis(1)..=Duration::from_secs(3_600);
 /// Range of settings that bound a number of things held in memory.
@@ -109,28 +108,6 @@
     pub peer_secret: Secret,
 }
 
-/// A text that never shows in logs or debug output.
-#[derive(Clone, PartialEq, Eq)]
-pub struct Secret(CompactString);
-
-impl Secret {
-    /// Wraps `text`.
-    pub fn new(text: impl Into<CompactString>) -> Self {
-        Self(text.into())
-    }
-
-    /// The text itself, to be sent or compared.
-    pub fn reveal(&self) -> &str {
-        &self.0
-    }
-}
-
-impl fmt::Debug for Secret {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("Secret(..)")
-    }
-}
-
 /// Graceful stop.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Drain {
--- a/crates/pinereel/src/settings/reader.rs
+++ b/crates/pinereel/src/settings/reader.rs
@@ -1,22 +1,17 @@
 //! Reads values from the parsed INI file and collects every fault.
 
-use super::{Fault, Faults, SECRET_MIN, Secret, unit};
+use super::{Fault, Faults, Secret, unit};
 use compact_str::{CompactString, format_compact};
 use ini::Ini;
 use std::{
     collections::{BTreeMap, BTreeSet},
     fmt::Display,
-    fs,
     net::SocketAddr,
     ops::RangeInclusive,
-    os::unix::fs::PermissionsExt as _,
     path::{Path, PathBuf},
     time::Duration,
 };
 
-/// Permission bits that let any user of the machine read or write a file.
-const OTHERS: u32 = 0o006;
-
 /// One `key = value`, with its line.
 struct Value {
     line: usize,
@@ -262,7 +257,7 @@
         let folder = self.folder();
         let parse = |text: &str| (!text.is_empty()).then(|| folder.join(text));
         let path = self.required(key, "path of a secret's file", parse)?;
-        match read_secret(&path) {
+        match Secret::read(&path) {
             Ok(secret) => Some(secret),
             Err(expected) => {
                 self.fault(key, &expected);
@@ -347,27 +342,6 @@
     }
 }
 
-/// Reads the secret at `path`, or says what was expected of the file.
-fn read_secret(path: &Path) -> Result<Secret, CompactString> {
-    let unreadable = |error: std::io::Error| format_compact!("a readable file ({error})");
-    let mode = fs::metadata(path).map_err(unreadable)?.permissions().mode();
-    if mode & OTHERS != 0 {
-        let mode = mode & 0o777;
-        return Err(format_compact!(
-            "a file closed to other users (its mode is {mode:04o}; use chmod o-rw)"
-        ));
-    }
-    let text = fs::read_to_string(path).map_err(unreadable)?;
-    let text = text.trim();
-    let len = text.len();
-    if len < SECRET_MIN {
-        return Err(format_compact!(
-            "a file with at least {SECRET_MIN} bytes (it has {len})"
-        ));
-    }
-    Ok(Secret::new(text))
-}
-
 /// Whether two listeners cannot be bound at once.
 fn clash(a: Option<SocketAddr>, b: Option<SocketAddr>) -> bool {
     let (Some(a), Some(b)) = (a, b) else {
--- /dev/null
+++ b/crates/pinereel/src/settings/secret.rs
@@ -0,0 +1,56 @@
+//! Tokens and secrets, and the files that hold them.
+
+use compact_str::{CompactString, format_compact};
+use std::{fmt, fs, io, os::unix::fs::PermissionsExt as _, path::Path};
+
+/// Shortest token or secret, in bytes.
+const SHORTEST: usize = 16;
+/// Permission bits that let any user of the machine read or write a file.
+const OTHERS: u32 = 0o006;
+
+/// A text that never shows in logs or debug output.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Secret(CompactString);
+
+impl Secret {
+    /// Wraps `text`.
+    pub fn new(text: impl Into<CompactString>) -> Self {
+        Self(text.into())
+    }
+
+    /// Reads the file at `path`, without the white space around its content.
+    ///
+    /// # Errors
+    /// What was expected of the file: that it is readable, closed to other users of the machine,
+    /// and holds at least 16 bytes.
+    pub fn read(path: &Path) -> Result<Self, CompactString> {
+        let unreadable = |error: io::Error| format_compact!("a readable file ({error})");
+        let mode = fs::metadata(path).map_err(unreadable)?.permissions().mode();
+        if mode & OTHERS != 0 {
+            let mode = mode & 0o777;
+            return Err(format_compact!(
+                "a file closed to other users (its mode is {mode:04o}; use chmod o-rw)"
+            ));
+        }
+        let text = fs::read_to_string(path).map_err(unreadable)?;
+        let text = text.trim();
+        let len = text.len();
+        if len < SHORTEST {
+            return Err(format_compact!(
+                "a file with at least {SHORTEST} bytes (it has {len})"
+            ));
+        }
+        Ok(Self::new(text))
+    }
+
+    /// The text itself, to be sent or compared.
+    pub fn reveal(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Secret(..)")
+    }
+}
--- /dev/null
+++ b/crates/pinereel/tests/cli_calls.rs
@@ -0,0 +1,267 @@
+//! What the commands send, what they print, and how they end, against a scripted entry.
+
+use pinereel::cli::{self, Exit};
+use std::{
+    fs,
+    io::{BufRead as _, BufReader, Read as _, Write as _},
+    net::{SocketAddr, TcpListener, TcpStream},
+    os::unix::fs::PermissionsExt as _,
+    path::{Path, PathBuf},
+    thread,
+};
+
+/// How the scripted entry takes one call.
+enum Take {
+    Answer(u16, &'static str),
+    /// Reads the call and closes the connection.
+    Lose,
+}
+
+fn folder() -> PathBuf {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("cli_calls");
+    fs::create_dir_all(&folder).expect("a folder");
+    folder
+}
+
+/// A file of one test's own.
+fn file(name: &str, text: &str) -> String {
+    let path = folder().join(name);
+    fs::write(&path, text).expect("a file");
+    fs::set_permissions(&path, fs::Permissions::from_mode(0o600)).expect("its mode");
+    path.to_str().expect("a plain path").to_owned()
+}
+
+/// Request line, authorization and body of one call.
+fn receive(stream: &TcpStream) -> String {
+    let mut reader = BufReader::new(stream);
+    let mut first = String::new();
+    reader.read_line(&mut first).expect("a request line");
+    let (mut length, mut bearer) = (0, String::new());
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).expect("a header");
+        let lower = line.trim().to_ascii_lowercase();
+        match lower.split_once(": ") {
+            Some(("content-length", value)) => length = value.parse().expect("a length"),
+            Some(("authorization", value)) => bearer = value.to_owned(),
+            Some(_) => {}
+            None => break,
+        }
+    }
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).expect("the body");
+    let body = String::from_utf8(body).expect("text");
+    format!("{} [{bearer}] {body}", first.trim())
+}
+
+/// Takes one call a script line; gives what was received.
+fn entry(script: Vec<Take>) -> (SocketAddr, thread::JoinHandle<Vec<String>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let serve = move || {
+        let mut received = Vec::new();
+        for take in script {
+            let (mut stream, _) = listener.accept().expect("a call");
+            received.push(receive(&stream));
+            if let Take::Answer(status, body) = take {
+                let length = body.len();
+                let head = format!("HTTP/1.1 {status} X\r\ncontent-length: {length}\r\n");
+                let answer = format!("{head}connection: close\r\n\r\n{body}");
+                stream.write_all(answer.as_bytes()).expect("sent");
+            }
+        }
+        received
+    };
+    (address, thread::spawn(serve))
+}
+
+/// Exit code, standard output and standard error of `line` at `address`.
+fn run(line: &str, address: SocketAddr) -> (Exit, String) {
+    let token = file(&format!("token-{}", address.port()), "operators-token-1\n");
+    let env = |name: &str| match name {
+        cli::OPERATORS => Some(address.to_string().into()),
+        cli::TOKEN_FILE => Some(token.clone().into()),
+        _ => None,
+    };
+    let command = cli::parse(line.split_whitespace(), env).expect("a command");
+    let (mut out, mut err) = (Vec::new(), Vec::new());
+    let exit = cli::run(command, &mut out, &mut err);
+    let text = [out, err].concat();
+    let text = String::from_utf8(text).expect("text");
+    (exit, text.replace(&address.to_string(), "ENTRY"))
+}
+
+/// Everything that can be seen of `line` against `script`.
+fn play(line: &str, script: Vec<Take>) -> String {
+    let (address, served) = entry(script);
+    let (exit, text) = run(line, address);
+    let calls = served.join().expect("all calls came");
+    format!("{}\n{exit:?}\n{text}", calls.join("\n"))
+}
+
+#[test]
+fn show() {
+    let answer = r#"{"number":7,"document":{"pools":{}}}"#;
+    insta::assert_snapshot!(play("config show", vec![Take::Answer(200, answer)]), @r#"
+    GET /v1/config HTTP/1.1 [bearer operators-token-1] 
+    Done
+    configuration 7
+    {
+      "pools": {}
+    }
+    "#);
+    insta::assert_snapshot!(play("config show --json", vec![Take::Answer(200, answer)]), @r#"
+    GET /v1/config HTTP/1.1 [bearer operators-token-1] 
+    Done
+    {
+      "number": 7,
+      "document": {
+        "pools": {}
+      }
+    }
+    "#);
+}
+
+#[test]
+fn check() {
+    let patch = file("check.json", r#"{"pools":{"a":null}}"#);
+    let answer = r#"{"document":{"pools":{}}}"#;
+    let line = format!("config check --base 7 --id mine {patch}");
+    insta::assert_snapshot!(play(&line, vec![Take::Answer(200, answer)]), @r#"
+    POST /v1/config/check HTTP/1.1 [bearer operators-token-1] {"base":7,"id":"mine","merge":{"pools":{"a":null}}}
+    Done
+    the patch is valid and would give
+    {
+      "pools": {}
+    }
+    "#);
+}
+
+#[test]
+fn a_lost_answer_is_asked_for_again_with_the_same_id() {
+    let patch = file("lost.json", r#"{"pools":{"a":null}}"#);
+    let line = format!("config patch --base 7 {patch}");
+    let script = vec![Take::Lose, Take::Answer(200, r#"{"number":8}"#)];
+    insta::assert_snapshot!(play(&line, script), @r#"
+    POST /v1/config HTTP/1.1 [bearer operators-token-1] {"base":7,"id":"patch-0a65c56c012f9a98780ae4b7d7c07c30","merge":{"pools":{"a":null}}}
+    POST /v1/config HTTP/1.1 [bearer operators-token-1] {"base":7,"id":"patch-0a65c56c012f9a98780ae4b7d7c07c30","merge":{"pools":{"a":null}}}
+    Done
+    configuration 8 is in force
+    "#);
+}
+
+#[test]
+fn answers_lost_to_the_end_are_unknown() {
+    let patch = file("unknown.json", "{}");
+    let line = format!("config patch --base 7 --id mine {patch}");
+    let lose = || vec![Take::Lose, Take::Lose, Take::Lose, Take::Lose];
+    assert!(play(&line, lose()).contains("Unknown"));
+    assert!(play("drain", lose()).contains("Unknown"));
+    // The entry takes one call and is gone: that one may have been done.
+    assert!(play("drain", vec![Take::Lose]).contains("Unknown"));
+    assert!(play("status", vec![Take::Lose]).contains("Failed"));
+}
+
+#[test]
+fn refusals() {
+    let patch = file("refused.json", "{}");
+    let line = format!("config patch --base 7 --id mine {patch}");
+    let problem = |code: &str, ran: &str| -> &'static str {
+        let text = format!(r#"{{"code":"{code}","message":"no","ran":"{ran}"}}"#);
+        Box::leak(text.into_boxed_str())
+    };
+    let cases = [
+        (409, "conflict", "not_run", Exit::Refused),
+        (422, "invalid_patch", "not_run", Exit::Refused),
+        (409, "not_confirmed", "not_run", Exit::Refused),
+        (401, "unauthorized", "not_run", Exit::Failed),
+        (503, "object_api", "unknown", Exit::Unknown),
+        (503, "unavailable", "not_run", Exit::Failed),
+    ];
+    for (status, code, ran, expected) in cases {
+        let (address, served) = entry(vec![Take::Answer(status, problem(code, ran))]);
+        let (exit, text) = run(&line, address);
+        assert_eq!(
+            (exit, served.join().unwrap().len()),
+            (expected, 1),
+            "{text}"
+        );
+    }
+    let json = vec![Take::Answer(409, problem("conflict", "not_run"))];
+    insta::assert_snapshot!(play(&format!("{line} --json"), json), @r#"
+    POST /v1/config HTTP/1.1 [bearer operators-token-1] {"base":7,"id":"mine","merge":{}}
+    Refused
+    {"code":"conflict","message":"no","ran":"not_run"}
+    "#);
+    let running = vec![
+        Take::Answer(409, problem("in_progress", "unknown")),
+        Take::Answer(200, r#"{"number":8}"#),
+    ];
+    assert!(play(&line, running).contains("configuration 8 is in force"));
+}
+
+#[test]
+fn redirects_are_not_followed() {
+    let text = play("status", vec![Take::Answer(307, "elsewhere")]);
+    insta::assert_snapshot!(text, @r#"
+    GET /v1/status HTTP/1.1 [bearer operators-token-1] 
+    Failed
+    pinereel: unexpected answer 307: expected value at line 1 column 1
+    "#);
+}
+
+#[test]
+fn status() {
+    let answer = r#"{"entry":"entry-1","number":7,
+        "entries":{"entry-1":{"zone":"erie-hall","number":7,"heard_ms":null,"lags":false},
+                   "entry-2":{"zone":"toledo-hall","number":6,"heard_ms":40,"lags":true}},
+        "endpoints":{"draft-llm-1":{"pool":"draft-llm","zone":"erie-hall","state":"live",
+                     "outstanding":3,"version":12}},
+        "versions":{"draft-llm":12},"leases":{"lots-3":5},"object_calls":{"lease":9}}"#;
+    insta::assert_snapshot!(play("status", vec![Take::Answer(200, answer)]), @r#"
+    GET /v1/status HTTP/1.1 [bearer operators-token-1] 
+    Done
+    entry entry-1, configuration 7
+    entries:
+      entry-1 in erie-hall, configuration 7, this entry
+      entry-2 in toledo-hall, configuration 6, heard 40 ms ago, lags
+    endpoints:
+      draft-llm-1 of draft-llm in erie-hall, live, 3 outstanding, v12
+    versions:
+      draft-llm v12
+    leases (fencing token):
+      lots-3 5
+    object API calls:
+      lease 9
+    "#);
+}
+
+#[test]
+fn drain() {
+    insta::assert_snapshot!(play("drain", vec![Take::Answer(202, "")]), @r#"
+    POST /v1/drain HTTP/1.1 [bearer operators-token-1] 
+    Done
+    ENTRY drains
+    "#);
+}
+
+#[test]
+fn nobody_listens() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    assert_eq!(run("status", address).0, Exit::Failed);
+    assert_eq!(run("drain", address).0, Exit::Failed);
+}
+
+#[test]
+fn faulty_files_are_usage() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let patch = file("not-json.json", "pools:");
+    let (exit, text) = run(&format!("config patch --base 7 {patch}"), address);
+    assert_eq!(exit, Exit::Usage, "{text}");
+    let short = file("short-token", "short");
+    let (exit, text) = run(&format!("status --token-file {short}"), address);
+    assert_eq!(exit, Exit::Usage, "{text}");
+}
