Count a connection that closed after the request was sent as a lost answer

Cause: awc reports a connection that closes before any answer as Connect(Disconnected), so a patch whose answer was lost ended as "not reached" (exit 1) though it may have been done. Ruled out: easing the test that found it. Change: that error is a lost answer; exit 4 for calls that change something. Conclusion: other users of awc must not take SendRequestError::Connect as proof that nothing left.

--- a/crates/pinereel/src/cli/client.rs
+++ b/crates/pinereel/src/cli/client.rs
@@ -2,7 +2,7 @@
 
 use super::{Error, Target};
 use crate::settings::Secret;
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use compact_str::{CompactString, ToCompactString as _};
 use pinereel_api::{
     header,
@@ -135,6 +135,8 @@
 
     fn failed(&self, error: &SendRequestError) -> Error {
         match error {
+            // awc also says this of a connection that closed after the request was sent.
+            SendRequestError::Connect(ConnectError::Disconnected) => self.lost(error),
             SendRequestError::Url(_) | SendRequestError::Connect(_) => Error::Unreached {
                 address: self.address,
                 reason: error.to_compact_string(),
