--- a/crates/pinereel/src/controllers/lots/attempt.rs
+++ b/crates/pinereel/src/controllers/lots/attempt.rs
@@ -8,7 +8,7 @@
     logging::What,
     state::Shared,
 };
-use compact_str::CompactString;
+use compact_str::{CompactString, format_compact};
 use futures_util::StreamExt as _;
 use pinereel_api::engine::{self, Cancel, Request};
 use pinereel_core::{
@@ -146,9 +146,13 @@
 
 fn request(shared: &Shared, start: Start, id: &CompactString) -> Request {
     let set = shared.endpoints.set();
-    let pool = set.find(&start.endpoint).map(|(_, e)| e.pool.clone());
+    let endpoint = set.find(&start.endpoint).map(|(_, e)| e);
+    let version = endpoint.and_then(|e| e.version).unwrap_or_default();
     Request {
-        model: pool.unwrap_or_default(),
+        model: endpoint.map(|e| e.pool.clone()).unwrap_or_default(),
+        // Prefixes of older weights would make the sample older than its engine. Reused again and
+        // again, they would void it each time.
+        cache_salt: format_compact!("{version}"),
         prompt: start.prompt,
         max_tokens: start.max_tokens,
         stream: true,
--- a/crates/pinereel_api/src/engine.rs
+++ b/crates/pinereel_api/src/engine.rs
@@ -39,6 +39,9 @@
     /// Tokens to gather before a chunk is sent; 1 for live callers.
     #[serde(default = "default_chunk_tokens")]
     pub chunk_tokens: u32,
+    /// Only prefix cache that was filled under the same salt is reused. Empty for any.
+    #[serde(default, skip_serializing_if = "CompactString::is_empty")]
+    pub cache_salt: CompactString,
     /// Text generated so far by an attempt that this one goes on with.
     #[serde(default, skip_serializing_if = "String::is_empty")]
     pub resume: String,
--- a/crates/pinereel_fakes/src/engine/batch.rs
+++ b/crates/pinereel_fakes/src/engine/batch.rs
@@ -234,7 +234,7 @@
 
     /// Cached blocks at the start of `prompt`, for another engine.
     pub fn export(&mut self, prompt: &str) -> Blob {
-        self.cache.find(prompt)
+        self.cache.find("", prompt)
     }
 
     /// Takes over blocks from another engine; they keep the versions that computed them.
@@ -335,10 +335,14 @@
         let mut total = 0;
         for sequence in self.running.values_mut().filter(|s| !s.prefilled) {
             let request = &sequence.request;
-            sequence.reused = self.cache.find(&request.prompt).spans();
+            sequence.reused = self
+                .cache
+                .find(&request.cache_salt, &request.prompt)
+                .spans();
             let reused: u32 = sequence.reused.iter().map(|span| span.tokens).sum();
             let rest = cache::tokens(&request.prompt) - reused;
-            self.cache.fill(&request.prompt, version);
+            self.cache
+                .fill(&request.cache_salt, &request.prompt, version);
             let tokens = rest + request.resume_tokens;
             sequence.computed = (tokens > 0).then_some(Span { version, tokens });
             sequence.prefilled = true;
--- a/crates/pinereel_fakes/src/engine/cache.rs
+++ b/crates/pinereel_fakes/src/engine/cache.rs
@@ -62,11 +62,11 @@
         }
     }
 
-    /// The cached blocks at the start of `prompt`; marks them as used.
-    pub fn find(&mut self, prompt: &str) -> Blob {
+    /// The cached blocks at the start of `prompt` under `salt`; marks them as used.
+    pub fn find(&mut self, salt: &str, prompt: &str) -> Blob {
         self.clock += 1;
         let mut found = Blob::default();
-        for key in keys(prompt) {
+        for key in keys(salt, prompt) {
             let Some((version, used)) = self.blocks.get_mut(&key) else {
                 break;
             };
@@ -76,9 +76,12 @@
         found
     }
 
-    /// Adds the blocks of `prompt` that are missing, as computed under `version`.
-    pub fn fill(&mut self, prompt: &str, version: Version) {
-        let blocks = keys(prompt).into_iter().map(|key| (key, version)).collect();
+    /// Adds the blocks of `prompt` under `salt` that are missing, as computed under `version`.
+    pub fn fill(&mut self, salt: &str, prompt: &str, version: Version) {
+        let blocks = keys(salt, prompt)
+            .into_iter()
+            .map(|key| (key, version))
+            .collect();
         self.import(&Blob { blocks });
     }
 
@@ -126,10 +129,10 @@
     prompt.split_whitespace().count() as u32
 }
 
-/// Keys of the full blocks of `prompt`.
-fn keys(prompt: &str) -> Vec<u64> {
+/// Keys of the full blocks of `prompt` under `salt`.
+fn keys(salt: &str, prompt: &str) -> Vec<u64> {
     let words: Vec<&str> = prompt.split_whitespace().collect();
-    let mut text = String::new();
+    let mut text = String::from(salt);
     let mut keys = Vec::new();
     for block in words.chunks_exact(BLOCK) {
         text.push_str(&block.join(" "));
