A drained entry gives its leases up

Cause: the drain told the lease's state machine to release and dropped the write that it ordered; the machine then waited for an answer that could not come, and the drain ran into its longest wait. Ruled out: the taker's wait (it took the lease 1 s after the old one lapsed, as designed). Change: the loop that owns a lease sends the drain event itself and carries out what it orders; the test checks the lease object.

--- a/crates/pinereel/src/controllers/leases.rs
+++ b/crates/pinereel/src/controllers/leases.rs
@@ -14,7 +14,12 @@
     Time, hash,
     lease::{Action, Event, Holder, Lease, Limits},
 };
-use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+    time::Duration,
+};
 use tokio::time::sleep;
 
 /// Candidates for one duty.
@@ -32,6 +37,8 @@
 #[derive(Debug, Default)]
 pub struct Leases {
     holders: RefCell<BTreeMap<CompactString, Holder>>,
+    /// Whether all leases are to be given up.
+    draining: Cell<bool>,
 }
 
 impl Leases {
@@ -71,18 +78,18 @@
 
 /// Gives up all leases; [`Leases::released`] tells when it is done.
 pub fn drain(shared: &Shared) {
-    let now = shared.now();
-    for holder in shared.leases.holders.borrow_mut().values_mut() {
-        // What it orders is ordered again by the next tick.
-        let _ = holder.step(now, Event::Drain);
-    }
+    shared.leases.draining.set(true);
 }
 
 async fn run(shared: &Shared, duty: &CompactString) {
     let mut held = None;
+    let mut told = false;
     loop {
-        if candidate(shared, duty) {
-            tick(shared, duty).await;
+        if shared.leases.draining.get() && !told {
+            told = true;
+            tick(shared, duty, Event::Drain).await;
+        } else if told || candidate(shared, duty) {
+            tick(shared, duty, Event::Tick).await;
         }
         let now = shared
             .leases
@@ -103,12 +110,12 @@
     let holds = shared.leases.held(duty, shared.now()).is_some();
     let key = hash::stable(duty.as_bytes());
     let ranked = shared.members.ranked(key, CANDIDATES);
-    holds || shared.drain.asked() || ranked.is_empty() || ranked.contains(shared.name())
+    holds || ranked.is_empty() || ranked.contains(shared.name())
 }
 
-/// One tick, and the calls that it leads to.
-async fn tick(shared: &Shared, duty: &CompactString) {
-    let mut actions = step(shared, duty, Event::Tick);
+/// One event, and the calls that it leads to. Each action is carried out and answered.
+async fn tick(shared: &Shared, duty: &CompactString, event: Event) {
+    let mut actions = step(shared, duty, event);
     while let Some(action) = actions.pop() {
         let event = call(shared, duty, action).await;
         actions.extend(step(shared, duty, event));
--- a/crates/pinereel_fakes/tests/rollout_site.rs
+++ b/crates/pinereel_fakes/tests/rollout_site.rs
@@ -91,6 +91,11 @@
     let leaving = site.entries.remove(holder);
     leaving.shared.drain.ask();
     leaving.finished().await;
+    let lease = &site.api.objects("leases").items[0];
+    assert_eq!(
+        lease.value["holder"], "",
+        "a drained entry gives its leases up"
+    );
     publish(&site, 3).await;
     served(&site, 3).await;
     let fence = |site: &Site| site.api.objects("leases").items[0].value["fence"].as_u64();
