A stopping runner hands its finished samples to the next ones

Cause: the runner's handover was dropped by the daemon, so a drain lost what was not collected. Placement stands in one module for front and handover. Not covered: prefixes of running samples are not handed over; they run to their end within the drain's longest wait.

--- a/crates/pinereel/src/controllers/lots/front.rs
+++ b/crates/pinereel/src/controllers/lots/front.rs
@@ -1,6 +1,6 @@
 //! Trainers' calls: submit, collect, publish.
 
-use super::runner;
+use super::{placement, runner};
 use crate::{
     controllers::config::Pin,
     logging::What,
@@ -19,7 +19,7 @@
 use pinereel_core::{
     Time, Version,
     cursor::{Delivery, Merge, Token},
-    hash::{self, Digest},
+    hash::Digest,
     lot::Sample,
     provenance,
 };
@@ -31,8 +31,6 @@
 };
 use tokio::time::{sleep, timeout};
 
-/// Most entries that run groups of one lot.
-const MAX_RUNNERS: usize = 16;
 /// Longest wait for another entry to take groups.
 const ASSIGN_TIMEOUT: Duration = Duration::from_secs(2);
 /// What a collect's answer may take beyond the wait that was asked for.
@@ -147,29 +145,18 @@
     away: &BTreeSet<CompactString>,
 ) -> BTreeMap<CompactString, Vec<u32>> {
     let fronts = shared.lots.fronts.borrow();
-    let mut placed: BTreeMap<CompactString, Vec<u32>> = BTreeMap::new();
     let Some(front) = fronts.get(id) else {
-        return placed;
+        return BTreeMap::new();
     };
-    let key = hash::stable(id.as_bytes());
-    let mut runners = shared.members.ranked(key, MAX_RUNNERS);
-    runners.retain(|name| !away.contains(name));
-    if runners.is_empty() {
-        // Alone, this entry runs everything.
-        runners.push(shared.name().clone());
-    }
+    let mut wanted = Vec::new();
     for (index, group) in front.lot.groups.iter().enumerate() {
         let first = front.firsts[index];
-        if (first..first + group.samples).all(|sample| token.contains(sample)) {
-            continue;
-        }
-        let key = key ^ index as u64;
-        let owner = runners.iter().max_by_key(|name| hash::score(key, name));
-        if let Some(owner) = owner {
-            placed.entry(owner.clone()).or_default().push(index as u32);
+        let mut samples = first..first + group.samples;
+        if samples.any(|sample| !token.contains(sample)) {
+            wanted.push(index as u32);
         }
     }
-    placed
+    placement::place(shared, id, wanted, away)
 }
 
 /// Assigns groups to runners; those that do not take them are added to `away`.
--- a/crates/pinereel/src/controllers/lots/mod.rs
+++ b/crates/pinereel/src/controllers/lots/mod.rs
@@ -4,9 +4,12 @@
 //! - [`runner`]: what other entries ask of this one's runner.
 //! - `attempt`: one attempt of one sample at one engine.
 //! - `score`: scoring of finished samples.
+//! - `placement`, `handover`: which entry runs which groups, and what a stopping one passes on.
 
 mod attempt;
 pub mod front;
+mod handover;
+mod placement;
 pub mod runner;
 mod score;
 
@@ -55,6 +58,7 @@
     versions: RefCell<BTreeMap<CompactString, Version>>,
     calls: RefCell<BTreeMap<u64, oneshot::Sender<Answer>>>,
     next_call: Cell<u64>,
+    handing: Cell<usize>,
     ready: Notify,
 }
 
@@ -68,6 +72,7 @@
             versions: RefCell::default(),
             calls: RefCell::default(),
             next_call: Cell::new(0),
+            handing: Cell::new(0),
             ready: Notify::new(),
         }
     }
@@ -77,9 +82,9 @@
         self.versions.borrow().clone()
     }
 
-    /// Attempts and scorings under way.
+    /// Attempts, scorings and handovers under way; a draining entry may leave at 0.
     pub fn in_flight(&self) -> usize {
-        self.runner.borrow().in_flight()
+        self.runner.borrow().in_flight() + self.handing.get()
     }
 }
 
@@ -160,7 +165,7 @@
                 .inc();
             shared.decide(What::Place, &lot, None, &reason.to_string());
         }
-        Action::Handover { spec, samples } => runner::hand_over(shared, spec, samples),
+        Action::Handover { spec, samples } => handover::start(shared, spec, samples),
     }
 }
 
--- /dev/null
+++ b/crates/pinereel/src/controllers/lots/placement.rs
@@ -0,0 +1,38 @@
+//! Which entry runs which groups of a lot.
+//!
+//! A lot has a bounded set of runners, the first in rank for its id; among them rendezvous hashing
+//! by group decides. Entries whose views agree place alike without a word, and a lost runner moves
+//! only its own groups.
+
+use crate::state::Shared;
+use compact_str::CompactString;
+use pinereel_core::hash;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Most entries that run groups of one lot.
+const MAX_RUNNERS: usize = 16;
+
+/// The groups by runner; `away` are entries that cannot run any.
+pub(super) fn place(
+    shared: &Shared,
+    lot: &str,
+    groups: impl IntoIterator<Item = u32>,
+    away: &BTreeSet<CompactString>,
+) -> BTreeMap<CompactString, Vec<u32>> {
+    let key = hash::stable(lot.as_bytes());
+    let mut runners = shared.members.ranked(key, MAX_RUNNERS);
+    runners.retain(|name| !away.contains(name));
+    if runners.is_empty() && !away.contains(shared.name()) {
+        // Alone, this entry runs everything.
+        runners.push(shared.name().clone());
+    }
+    let mut placed: BTreeMap<CompactString, Vec<u32>> = BTreeMap::new();
+    for group in groups {
+        let key = key ^ u64::from(group);
+        let owner = runners.iter().max_by_key(|name| hash::score(key, name));
+        if let Some(owner) = owner {
+            placed.entry(owner.clone()).or_default().push(group);
+        }
+    }
+    placed
+}
--- a/crates/pinereel/src/controllers/lots/runner.rs
+++ b/crates/pinereel/src/controllers/lots/runner.rs
@@ -85,9 +85,6 @@
     answer.await.ok()
 }
 
-/// Hands a lot's finished samples to the entries that run it next.
-pub(super) fn hand_over(_shared: &Rc<Shared>, _spec: Spec, _samples: Vec<Sample>) {}
-
 fn refusal(actions: &[Action]) -> Option<Refusal> {
     actions.iter().find_map(|action| match action {
         Action::Refused { reason, .. } => Some(*reason),
