Claim idempotency keys before a call that may not be repeated runs

Cause: a keyed POST was sent without a claim, so its repeat through another entry ran again. Ruled out: the owner of a shard as the only writer of its log. A front that can't reach the owner would have to refuse; the log is safe with any number of writers, so it goes to the next entry or writes the log itself. Settling before the answer: it adds a commit to the caller's wait, and a lost settlement only makes the key read as unknown. Change: a controller opens a shard's log on demand and carries out its calls; a filter claims, runs and settles in a task of its own. Wire calls carry the time left and the digest. An idempotent call's last problem is "not run" only if no attempt may have run (an earlier lost attempt was forgotten). Conclusion: a repeat through another entry gets the recorded answer; one execution.

--- /dev/null
+++ b/crates/pinereel/src/controllers/claims/store.rs
@@ -0,0 +1,178 @@
+//! Carries out a log's calls on the object API.
+
+use super::owns;
+use crate::{
+    objects::{Error, Purpose},
+    state::{Shared, spawn},
+};
+use pinereel_api::object::{CLAIMS, Object};
+use pinereel_core::claim::{Action, Event, Segment, base_name, segment_name};
+use std::rc::Rc;
+
+/// Segments that one list may give: the last digit of the number varies.
+const BLOCK: u64 = 10;
+
+/// Makes one call and gives its answer.
+pub(super) async fn call(shared: &Rc<Shared>, shard: u64, action: Action) -> Event {
+    let done = match action {
+        Action::Create { n, segment } => return create(shared, shard, n, &segment).await,
+        Action::Read { from } => read(shared, shard, from).await,
+        Action::ReadBase => read_base(shared, shard).await,
+        Action::Trim { from, to } => trim(shared, shard, from, to).await,
+        Action::Reply { .. } | Action::Settled { .. } => return Event::Tick,
+    };
+    done.unwrap_or_else(|e| {
+        log::warn!(entry = shared.name().as_str(), shard = shard; "claims not read: {e}");
+        Event::Failed
+    })
+}
+
+async fn create(shared: &Shared, shard: u64, n: u64, segment: &Segment) -> Event {
+    let name = segment_name(shard, n);
+    let created = shared
+        .objects
+        .create(Purpose::Claims, CLAIMS, &name, segment);
+    match created.await {
+        Ok(version) => {
+            if let Some(open) = shared.claims.open.borrow_mut().get_mut(&shard) {
+                open.created = Some((n, version));
+            }
+            Event::Created
+        }
+        Err(Error::Conflict) => Event::Conflict,
+        Err(e) => {
+            log::warn!(entry = shared.name().as_str(), shard = shard; "claims not written: {e}");
+            Event::Unknown
+        }
+    }
+}
+
+/// The segments from `from` on without a gap, then the base. Mostly there is nothing new, so the
+/// first look is at one segment alone.
+async fn read(shared: &Shared, shard: u64, from: u64) -> Result<Event, Error> {
+    let mut segments = Vec::new();
+    let name = segment_name(shard, from);
+    if let Some(object) = shared.objects.read(Purpose::Claims, CLAIMS, &name).await? {
+        segments.push((from, parse(object)?));
+        read_blocks(shared, shard, &mut segments).await?;
+    }
+    let base = base(shared, shard).await?;
+    let base = base.map_or(0, |(base, _)| base);
+    Ok(Event::Read { segments, base })
+}
+
+async fn read_blocks(
+    shared: &Shared,
+    shard: u64,
+    segments: &mut Vec<(u64, Segment)>,
+) -> Result<(), Error> {
+    loop {
+        let next = segments.last().map_or(0, |(n, _)| n + 1);
+        for object in list(shared, shard, next).await? {
+            let n = segments.last().map_or(0, |(n, _)| n + 1);
+            if object.name == segment_name(shard, n) {
+                segments.push((n, parse(object)?));
+            }
+        }
+        let now = segments.last().map_or(0, |(n, _)| n + 1);
+        if now == next || now % BLOCK != 0 {
+            return Ok(());
+        }
+    }
+}
+
+/// The objects of the block that holds segment `n`.
+async fn list(shared: &Shared, shard: u64, n: u64) -> Result<Vec<Object>, Error> {
+    let mut prefix = segment_name(shard, n);
+    prefix.pop();
+    let list = shared.objects.list(Purpose::Claims, CLAIMS, &prefix);
+    list.await.map(|list| list.items)
+}
+
+fn parse(object: Object) -> Result<Segment, Error> {
+    serde_json::from_value(object.value).map_err(|e| Error::Malformed(e.to_string()))
+}
+
+/// The base and its object's version.
+async fn base(shared: &Shared, shard: u64) -> Result<Option<(u64, u64)>, Error> {
+    let name = base_name(shard);
+    let Some(object) = shared.objects.read(Purpose::Claims, CLAIMS, &name).await? else {
+        return Ok(None);
+    };
+    match object.value.as_u64() {
+        Some(base) => Ok(Some((base, object.version))),
+        None => Err(Error::Malformed("base is not a number".into())),
+    }
+}
+
+/// Reads the base after a create. A segment that turns out to lie below it counts for nobody.
+async fn read_base(shared: &Rc<Shared>, shard: u64) -> Result<Event, Error> {
+    let base = base(shared, shard).await?.map_or(0, |(base, _)| base);
+    let created = match shared.claims.open.borrow_mut().get_mut(&shard) {
+        Some(open) => open.created.take(),
+        None => None,
+    };
+    if let Some((n, version)) = created
+        && n < base
+    {
+        spawn(shared, async move |shared: Rc<Shared>| {
+            delete(&shared, &segment_name(shard, n), version).await;
+        });
+    }
+    Ok(Event::Base(base))
+}
+
+/// Raises the base, then deletes what lies below it. Only the shard's owner trims.
+async fn trim(shared: &Shared, shard: u64, from: u64, to: u64) -> Result<Event, Error> {
+    let present = base(shared, shard).await?;
+    let now = present.map_or(0, |(base, _)| base);
+    if now != from || !owns(shared, shard) {
+        return Ok(Event::Base(now));
+    }
+    let name = base_name(shard);
+    let objects = &shared.objects;
+    let raised = match present {
+        Some((_, version)) => {
+            objects
+                .update(Purpose::Claims, CLAIMS, &name, version, &to)
+                .await
+        }
+        None => objects.create(Purpose::Claims, CLAIMS, &name, &to).await,
+    };
+    match raised {
+        Ok(_) => {
+            delete_below(shared, shard, from, to).await?;
+            Ok(Event::Base(to))
+        }
+        Err(Error::Conflict) => {
+            let now = base(shared, shard).await?.map_or(0, |(base, _)| base);
+            Ok(Event::Base(now))
+        }
+        // Whether it took effect shows at the next read; then the trim is tried again.
+        Err(e) => Err(e),
+    }
+}
+
+async fn delete_below(shared: &Shared, shard: u64, from: u64, to: u64) -> Result<(), Error> {
+    let end = segment_name(shard, to);
+    let mut block = from - from % BLOCK;
+    while block < to {
+        for object in list(shared, shard, block).await? {
+            if object.name.as_str() < end.as_str() {
+                delete(shared, &object.name, object.version).await;
+            }
+        }
+        block += BLOCK;
+    }
+    Ok(())
+}
+
+/// A segment that stays behind takes room and is otherwise harmless.
+async fn delete(shared: &Shared, name: &str, version: u64) {
+    let deleted = shared
+        .objects
+        .delete(Purpose::Claims, CLAIMS, name, version);
+    if let Err(e) = deleted.await {
+        log::warn!(entry = shared.name().as_str(); "claims segment {name} not deleted: {e}");
+    }
+}
--- a/crates/pinereel/src/dispatch.rs
+++ b/crates/pinereel/src/dispatch.rs
@@ -1,13 +1,16 @@
 //! Carries out what other entries ask.
 
 use crate::{
-    controllers::lots::{self, runner},
+    controllers::{
+        claims,
+        lots::{self, runner},
+    },
     state::Shared,
 };
 use compact_str::CompactString;
 use pinereel_api::wire::{Call, Hello, Reply, Summary};
 use pinereel_core::endpoint::Event;
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 /// Carries out one call of the entry `from`.
 pub async fn call(shared: Rc<Shared>, _from: CompactString, call: Call) -> Reply {
@@ -15,12 +18,35 @@
         Call::Assign(assignment) => done(runner::assign(&shared, assignment)),
         Call::Collect(ask) => runner::collect(&shared, ask).await,
         Call::Handover { lot, samples } => done(runner::take_over(&shared, lot, samples)),
-        Call::Prepare { .. }
-        | Call::Commit { .. }
-        | Call::Abort { .. }
-        | Call::Fetch
-        | Call::Claim { .. }
-        | Call::Settle { .. } => Reply::Refused("not supported".into()),
+        Call::Claim {
+            key,
+            digest,
+            request,
+            left_ms,
+        } => {
+            let ask = claims::Ask {
+                key,
+                digest,
+                request,
+            };
+            claims::serve_claim(&shared, ask, Duration::from_millis(left_ms)).await
+        }
+        Call::Settle {
+            key,
+            request,
+            digest,
+            outcome,
+        } => {
+            let ask = claims::Ask {
+                key,
+                digest,
+                request,
+            };
+            claims::serve_settle(&shared, ask, outcome.map(claims::stored)).await
+        }
+        Call::Prepare { .. } | Call::Commit { .. } | Call::Abort { .. } | Call::Fetch => {
+            Reply::Refused("not supported".into())
+        }
     }
 }
 
--- a/crates/pinereel/src/entry.rs
+++ b/crates/pinereel/src/entry.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     callers,
-    controllers::{config, drain, endpoints, lots, members, weights},
+    controllers::{claims, config, drain, endpoints, lots, members, weights},
     dispatch,
     http::{self, Server},
     logging, objects, operators,
@@ -125,6 +125,7 @@
             config::start(&shared);
             endpoints::start(&shared);
             lots::start(&shared);
+            claims::start(&shared);
             weights::start(&shared);
         });
     }
@@ -220,6 +221,7 @@
         members: Default::default(),
         endpoints: Default::default(),
         lots: lots::Lots::new(Runner::new(Policy::default(), limits)),
+        claims: Default::default(),
         drain: Default::default(),
         next: Cell::new(0),
         settings,
--- a/crates/pinereel/src/filters/service.rs
+++ b/crates/pinereel/src/filters/service.rs
@@ -3,7 +3,7 @@
 use super::{
     Exchange,
     attempt::LEAVING,
-    refuse, respond,
+    claim, refuse, respond,
     route::{self, Wish},
     unknown,
 };
@@ -23,7 +23,10 @@
 use bytes::Bytes;
 use compact_str::format_compact;
 use futures_util::stream;
-use pinereel_api::{Problem, header, problem::Code};
+use pinereel_api::{
+    Problem, header,
+    problem::{Code, Ran},
+};
 use pinereel_core::endpoint::{End, Key};
 use std::{io, rc::Rc};
 use tokio::time::{Instant, timeout_at};
@@ -73,7 +76,7 @@
 /// Answers one call.
 pub async fn serve(shared: &Rc<Shared>, exchange: Exchange, call: Call) -> Response {
     let _guard = shared.drain.enter();
-    match attempts(shared, &exchange, &call).await {
+    match run(shared, &exchange, call).await {
         Ok(mut response) => {
             respond::count(shared, &exchange, "answer");
             respond::stamp(&exchange, &mut response);
@@ -86,13 +89,24 @@
     }
 }
 
-async fn attempts(
+async fn run(shared: &Rc<Shared>, exchange: &Exchange, call: Call) -> Result<Response, Problem> {
+    match claim::key(&call)? {
+        Some(key) => claim::run(shared, exchange, call, &key).await,
+        None => attempts(shared, exchange, &call).await,
+    }
+}
+
+/// Sends a call until it is answered or may not be sent again.
+///
+/// # Errors
+/// What the last attempt ended with. Not run only if no attempt may have run.
+pub(super) async fn attempts(
     shared: &Rc<Shared>,
     exchange: &Exchange,
     call: &Call,
 ) -> Result<Response, Problem> {
     let mut excluded: Vec<Key> = Vec::new();
-    let mut last = None;
+    let mut last: Option<Problem> = None;
     for _ in 0..MAX_ATTEMPTS {
         let wish = Wish {
             prefix: None,
@@ -100,10 +114,9 @@
             repeatable: call.repeatable,
             tokens: 0,
         };
-        let seat = match (route::take(shared, exchange, wish).await, last) {
-            (Ok(seat), _) => seat,
-            (Err(_), Some(problem)) => return Err(problem),
-            (Err(problem), None) => return Err(problem),
+        let seat = match route::take(shared, exchange, wish).await {
+            Ok(seat) => seat,
+            Err(problem) => return Err(last.unwrap_or(problem)),
         };
         excluded.push(seat.key);
         let sent = direct::send(attempt(shared, exchange, call, &seat.address)).await;
@@ -113,15 +126,18 @@
                 None => return Ok(pass_on(shared, exchange, response, seat)),
             },
             Err(Error::NotOpened(e)) => (End::ConnectionRefused, later(&e), true),
-            Err(Error::Invalid(e)) => {
-                return Err(refuse(Code::BadRequest, e));
-            }
+            Err(Error::Invalid(e)) => return Err(refuse(Code::BadRequest, e)),
             Err(Error::Lost(e)) => {
                 let problem = unknown(Code::Unknown, format_compact!("{e}"));
                 (End::Failed, problem, call.repeatable)
             }
         };
         seat.ticket.finish(end);
+        // An attempt that did not run says nothing about an earlier one that may have.
+        let problem = match last.take() {
+            Some(earlier) if earlier.ran == Ran::Unknown => earlier,
+            _ => problem,
+        };
         if !retry || exchange.left(shared.now()).is_zero() {
             return Err(problem);
         }
--- a/crates/pinereel/src/state.rs
+++ b/crates/pinereel/src/state.rs
@@ -2,7 +2,8 @@
 
 use crate::{
     controllers::{
-        config::Config, drain::Drain, endpoints::Endpoints, lots::Lots, members::Members,
+        claims::Claims, config::Config, drain::Drain, endpoints::Endpoints, lots::Lots,
+        members::Members,
     },
     logging::{Decision, What},
     metrics::Metrics,
@@ -65,6 +66,8 @@
     pub endpoints: Endpoints,
     /// Lots: those submitted here, and the groups that run here.
     pub lots: Lots,
+    /// Logs of idempotency claims that are open here.
+    pub claims: Claims,
     /// The graceful stop.
     pub drain: Drain,
     /// Number of the next request.
--- a/crates/pinereel_api/src/header.rs
+++ b/crates/pinereel_api/src/header.rs
@@ -6,6 +6,8 @@
 pub const PRIORITY: &str = "x-priority";
 /// Idempotency key of a request that may be sent more than once.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// `true` on the recorded answer that a repeated request gets.
+pub const IDEMPOTENT_REPLAY: &str = "idempotent-replay";
 /// Id that the entry gives to a request; also in every decision line about it.
 pub const REQUEST_ID: &str = "x-request-id";
 /// Whether a refused or failed request ran: `not-run` or `unknown`.
--- a/crates/pinereel_api/src/wire.rs
+++ b/crates/pinereel_api/src/wire.rs
@@ -111,6 +111,8 @@
         digest: Digest,
         /// Id of the request that would execute.
         request: CompactString,
+        /// Milliseconds until the request's deadline.
+        left_ms: u64,
     },
     /// Record what became of a claimed request.
     Settle {
@@ -118,6 +120,8 @@
         key: CompactString,
         /// Id of the request that held the claim.
         request: CompactString,
+        /// Digest of the request, as in its claim.
+        digest: Digest,
         /// The outcome; `None` if it was not run and the key is free again.
         outcome: Option<Record>,
     },
--- a/crates/pinereel_fakes/src/site.rs
+++ b/crates/pinereel_fakes/src/site.rs
@@ -40,7 +40,8 @@
     pub document: Document,
     /// Lag of the platform's list of instances.
     pub lag: Duration,
-    /// Further settings, as lines of an INI file with their sections.
+    /// Further settings, as lines of an INI file with their sections. Lines before the first section
+    /// belong to `[object_api]`.
     pub settings: String,
 }
 
@@ -156,8 +157,8 @@
         let address = self.api.address;
         let text = format!(
             "[entry]\nname = {name}\nzone = {zone}\ncallers = 127.0.0.1:0\npeers = 127.0.0.1:0\n\
-             operators = 127.0.0.1:0\n[object_api]\nurl = http://{address}\n\
-             [secrets]\noperator_token_file = token\npeer_secret_file = secret\n{}",
+             operators = 127.0.0.1:0\n[secrets]\noperator_token_file = token\n\
+             peer_secret_file = secret\n[object_api]\nurl = http://{address}\n{}",
             options.settings
         );
         fs::write(&path, &text)?;
--- /dev/null
+++ b/crates/pinereel_fakes/tests/claims/mod.rs
@@ -0,0 +1,185 @@
+//! A site with one service whose orders may not be repeated, and keyed calls to it.
+
+#![allow(clippy::unwrap_used, dead_code)]
+
+use pinereel_api::object::Faults;
+use pinereel_core::{claim, hash};
+use pinereel_fakes::site::{Options, Site, until};
+use serde_json::{Value, json};
+use std::{collections::BTreeMap, time::Duration};
+
+/// Settings: enough calls for a test that is quick, and no lines.
+const SETTINGS: &str = "reads_per_second = 2000\nwrites_per_second = 1000\nmax_concurrency = 64\n\
+    timeout = 500ms\n[drain]\nbalancer_lag = 10ms\nlongest = 5s\n[log]\ndecisions = false\n";
+
+/// A caller's view of one call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Code of the problem; empty for an answer.
+    pub code: String,
+    /// `x-ran`; empty for an answer.
+    pub ran: String,
+    /// Whether it is the recorded answer of an earlier call.
+    pub replay: bool,
+    /// Whether it says when to come back.
+    pub retry_after: bool,
+    /// The body.
+    pub body: String,
+}
+
+impl Answer {
+    /// Status, code and whether it ran, for snapshots.
+    pub fn short(&self) -> String {
+        let replay = if self.replay { " replay" } else { "" };
+        let later = if self.retry_after { " later" } else { "" };
+        let words = format!("{} {} {}{replay}{later}", self.status, self.code, self.ran);
+        words.split_whitespace().collect::<Vec<_>>().join(" ")
+    }
+
+    /// Whether the caller was told that the call certainly did not run.
+    pub fn not_run(&self) -> bool {
+        self.ran == "not-run"
+    }
+}
+
+/// A site of `entries` entries and one service stand-in.
+pub async fn site(entries: usize) -> Site {
+    Site::start(options(entries)).await.unwrap()
+}
+
+/// What such a site is made of.
+pub fn options(entries: usize) -> Options {
+    let document = json!({ "pools": {
+        "orders-app": { "kind": "service", "non_idempotent": ["POST /orders"] },
+    } });
+    Options {
+        zones: vec![
+            "toledo-hall".into(),
+            "erie-hall".into(),
+            "detroit-hall".into(),
+        ],
+        entries,
+        engines: Vec::new(),
+        batch: Default::default(),
+        services: vec![("orders-app".into(), 1)],
+        document: serde_json::from_value(document).unwrap(),
+        lag: Duration::from_millis(50),
+        settings: SETTINGS.into(),
+    }
+}
+
+/// Books an order through entry `index` under `key`.
+pub async fn order(site: &Site, index: usize, key: Option<&str>, body: &str) -> Answer {
+    let address = site.entries[index].callers.address;
+    send(address.to_string(), "POST", "/orders", key, body).await
+}
+
+/// Sends any call to the service.
+pub async fn send(
+    address: String,
+    method: &str,
+    path: &str,
+    key: Option<&str>,
+    body: &str,
+) -> Answer {
+    let client = awc::Client::builder()
+        .timeout(Duration::from_secs(20))
+        .finish();
+    let url = format!("http://{address}/services/orders-app{path}");
+    let method = actix_http::Method::from_bytes(method.as_bytes()).unwrap();
+    let mut request = client
+        .request(method, url)
+        .insert_header(("x-deadline-ms", "10000"));
+    if let Some(key) = key {
+        request = request.insert_header(("idempotency-key", key));
+    }
+    let mut response = request.send_body(body.to_owned()).await.unwrap();
+    let header = |name: &str| {
+        let value = response.headers().get(name);
+        value.map_or(String::new(), |v| v.to_str().unwrap().to_owned())
+    };
+    let ran = header("x-ran");
+    let replay = header("idempotent-replay") == "true";
+    let retry_after = !header("retry-after").is_empty();
+    let status = response.status().as_u16();
+    let bytes = response.body().await.unwrap();
+    let body = String::from_utf8(bytes.to_vec()).unwrap();
+    let problem: Option<Value> = serde_json::from_str(&body).ok();
+    let code = problem.and_then(|p| Some(p.get("code")?.as_str()?.to_owned()));
+    Answer {
+        status,
+        code: code.unwrap_or_default(),
+        ran,
+        replay,
+        retry_after,
+        body,
+    }
+}
+
+/// Executions by key, over all services.
+pub fn executions(site: &Site) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for service in &site.services {
+        for execution in service.handle.executions() {
+            let key = execution.key.unwrap_or_default();
+            *counts.entry(key.to_string()).or_insert(0) += 1;
+        }
+    }
+    counts
+}
+
+/// Executions under one key.
+pub fn ran(site: &Site, key: &str) -> usize {
+    executions(site).get(key).copied().unwrap_or(0)
+}
+
+/// Waits until the outcome of `key` is in the log.
+pub async fn settled(site: &Site, key: &str) {
+    let scoped = format!("orders-app/{key}");
+    let stored = || {
+        let segments = site.api.objects("claims").items;
+        segments.iter().any(|object| {
+            let settles = object.value.get("settles").and_then(Value::as_array);
+            settles.is_some_and(|all| all.iter().any(|s| s["key"] == scoped.as_str()))
+        })
+    };
+    until(stored).await.unwrap();
+}
+
+/// Index of the entry that owns the shard of `key`, as all entries see it.
+pub fn owner(site: &Site, key: &str) -> usize {
+    let shard = claim::shard(&format!("orders-app/{key}"), claim::SHARDS);
+    let place = hash::stable(&shard.to_le_bytes());
+    let ranked = site.entries[0].shared.members.ranked(place, 1);
+    let is_owner = |entry: &pinereel::entry::Entry| entry.shared.name() == &ranked[0];
+    site.entries.iter().position(is_owner).unwrap()
+}
+
+/// A key whose shard entry `index` owns.
+pub fn key_of(site: &Site, index: usize) -> String {
+    let mut keys = (0..).map(|i| format!("slot-{i}"));
+    keys.find(|key| owner(site, key) == index).unwrap()
+}
+
+/// Waits until every entry knows all of them as members.
+pub async fn joined(site: &Site) {
+    let count = site.entries.len();
+    let known = || {
+        let mut entries = site.entries.iter();
+        entries.all(|entry| entry.shared.members.all().len() == count)
+    };
+    until(known).await.unwrap();
+}
+
+/// Cuts entry `index` off from everything, as if its process had died.
+pub fn kill(site: &Site, index: usize) {
+    let entry = &site.entries[index];
+    entry.shared.mesh.close();
+    entry.callers.close();
+    site.api.faults(Faults {
+        cut_agents: Some(vec![entry.shared.name().clone()]),
+        ..Faults::default()
+    });
+}
