Refuse claims at once when a segment certainly was not written

Cause: a create that the object API refused was told to the log as lost, so the first claim of each shard in an outage waited for its deadline instead of being refused. Ruled out: a shorter deadline for claims; it only shortens the wait. Change: event NotCreated puts the batch back and refuses its claims, unless an earlier create of the same segment may still take effect; then only that segment is sent again. Conclusion: the fuzz of three writers also draws the new answer; two named cases show both branches.

--- a/crates/pinereel/src/controllers/claims/store.rs
+++ b/crates/pinereel/src/controllers/claims/store.rs
@@ -42,7 +42,11 @@
         Err(Error::Conflict) => Event::Conflict,
         Err(e) => {
             log::warn!(entry = shared.name().as_str(), shard = shard; "claims not written: {e}");
-            Event::Unknown
+            if e.had_no_effect() {
+                Event::NotCreated
+            } else {
+                Event::Unknown
+            }
         }
     }
 }
@@ -75,7 +79,7 @@
             }
         }
         let now = segments.last().map_or(0, |(n, _)| n + 1);
-        if now == next || now % BLOCK != 0 {
+        if now == next || !now.is_multiple_of(BLOCK) {
             return Ok(());
         }
     }
--- a/crates/pinereel_core/src/claim/calls.rs
+++ b/crates/pinereel_core/src/claim/calls.rs
@@ -20,7 +20,8 @@
 
     pub(super) fn on_undecided(&mut self, out: &mut Vec<Action>) {
         match mem::replace(&mut self.phase, Phase::Idle) {
-            Phase::Creating(batch) => {
+            Phase::Creating(mut batch) => {
+                batch.doubtful = true;
                 self.phase = Phase::Resolving(batch);
                 out.push(Action::Read {
                     from: self.table.next,
@@ -30,6 +31,20 @@
         }
     }
 
+    /// An outage. A batch that was never sent before is certainly in no segment, so its claims are
+    /// refused at once; else only the same segment may be sent again.
+    pub(super) fn on_not_created(&mut self, now: Time, out: &mut Vec<Action>) {
+        match mem::replace(&mut self.phase, Phase::Idle) {
+            Phase::Creating(batch) if batch.doubtful => self.wait(now, Phase::Creating(batch)),
+            Phase::Creating(batch) => {
+                self.put_back(batch);
+                self.wait(now, Phase::Reading);
+            }
+            other => self.phase = other,
+        }
+        self.refuse_waiting(out);
+    }
+
     pub(super) fn on_read(
         &mut self,
         now: Time,
--- a/crates/pinereel_core/src/claim/log.rs
+++ b/crates/pinereel_core/src/claim/log.rs
@@ -27,6 +27,8 @@
     pub(super) n: u64,
     pub(super) segment: Segment,
     pub(super) asks: Vec<Ask>,
+    /// Whether an earlier create of the very same segment may still take effect.
+    pub(super) doubtful: bool,
 }
 
 /// The one call that is open, or what is to be called after a failure.
@@ -128,6 +130,7 @@
                 );
             }
             Event::Created => self.on_created(&mut out),
+            Event::NotCreated => self.on_not_created(now, &mut out),
             Event::Conflict | Event::Unknown => self.on_undecided(&mut out),
             Event::Read { segments, base } => self.on_read(now, segments, base, &mut out),
             Event::Base(base) => self.on_base(now, base, &mut out),
@@ -323,6 +326,7 @@
                     n: self.table.next,
                     segment,
                     asks,
+                    doubtful: false,
                 },
                 out,
             );
--- a/crates/pinereel_core/src/claim/message.rs
+++ b/crates/pinereel_core/src/claim/message.rs
@@ -67,6 +67,8 @@
     Created,
     /// The create found the number taken.
     Conflict,
+    /// The create certainly had no effect and never will: not sent, or refused.
+    NotCreated,
     /// The create's outcome is not known; it may still take effect.
     Unknown,
     /// Answer to [`Action::Read`].
--- a/crates/pinereel_core/tests/claim_cases.rs
+++ b/crates/pinereel_core/tests/claim_cases.rs
@@ -115,6 +115,40 @@
     );
 }
 
+#[test]
+fn claims_of_a_create_without_effect_are_refused_at_once_and_settlements_kept() {
+    let mut log = opened(Limits::default(), vec![], 0);
+    granted(&mut log, NOW, "a", "ka");
+    log.step(NOW, settle("a", "ka", Some(record("one"))));
+    log.step(NOW, claim("b", "kb", 1));
+    let actions = log.step(NOW, Event::NotCreated);
+    assert_eq!(actions, vec![verdict("b", Verdict::NotClaimed)]);
+    let actions = log.step(NOW, claim("c", "kc", 1));
+    assert_eq!(actions, vec![verdict("c", Verdict::NotClaimed)]);
+    assert_eq!(
+        log.step(at(200), Event::Tick),
+        vec![Action::Read { from: 1 }]
+    );
+    let segments = vec![];
+    let (n, again) = segment(&log.step(at(200), Event::Read { segments, base: 0 }));
+    assert_eq!((n, again.settles.len(), again.claims.len()), (1, 1, 0));
+}
+
+#[test]
+fn a_create_that_may_yet_take_effect_is_sent_again_unchanged() {
+    let mut log = opened(Limits::default(), vec![], 0);
+    let first = segment(&log.step(NOW, claim("a", "ka", 1)));
+    assert_eq!(
+        log.step(NOW, Event::Unknown),
+        vec![Action::Read { from: 0 }]
+    );
+    let segments = vec![];
+    assert_eq!(log.step(NOW, Event::Read { segments, base: 0 }), vec![]);
+    assert_eq!(segment(&log.step(at(200), Event::Tick)), first);
+    assert_eq!(log.step(at(200), Event::NotCreated), vec![]);
+    assert_eq!(segment(&log.step(at(400), Event::Tick)), first);
+}
+
 #[test]
 fn a_lost_answer_is_resolved_by_the_write_id() {
     let mut log = opened(Limits::default(), vec![], 0);
--- a/crates/pinereel_core/tests/claim_log.rs
+++ b/crates/pinereel_core/tests/claim_log.rs
@@ -27,6 +27,8 @@
     Lost,
     Late,
     Refused,
+    /// As refused, and the writer knows that a create had no effect.
+    Denied,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -330,6 +332,8 @@
                 lost
             }
             (Fate::Refused, _) => lost,
+            (Fate::Denied, _) if matches!(action, Action::Create { .. }) => Event::NotCreated,
+            (Fate::Denied, _) => Event::Failed,
         };
         self.writers[at].inbox.push_back(event);
     }
@@ -469,7 +473,8 @@
     let at = 0..WRITERS;
     let request = 0..1_000_usize;
     let fate = prop_oneof![
-        6 => Just(Fate::Done), 1 => Just(Fate::Lost), 1 => Just(Fate::Late), 1 => Just(Fate::Refused)
+        6 => Just(Fate::Done), 1 => Just(Fate::Lost), 1 => Just(Fate::Late), 1 => Just(Fate::Refused),
+        1 => Just(Fate::Denied)
     ];
     let op = prop_oneof![
         6 => (at.clone(), 0..3_u8, prop_oneof![9 => Just(0_u8), 1 => Just(1)], 200..3_000_u64)
