Look up a key again before saying that its request has no outcome

Cause: a second writer of a shard answered "in progress", then "unknown", from what it had read up to a minute before, though the outcome was in the log. A closed link refused a request that the next entry could have claimed. Ruled out: reading before every claim (two calls more each); asking the next entry with the same request id, as the first ask may yet be granted. Change: a key without an outcome is read again if the log was not known to be complete for 500 ms; a create shows completeness, too. While nothing can be read the answer is by what was read last. After a closed link the first ask is given up in the log and a second one made under an id of its own. The case of another writer's claim now expects the read first, then the same verdict; it was written before there was a second look. log.rs is split.

--- a/crates/pinereel/src/controllers/claims/ask.rs
+++ b/crates/pinereel/src/controllers/claims/ask.rs
@@ -2,7 +2,6 @@
 
 use super::{Ask, claim_here, place, sent, settle_here, stored};
 use crate::{peer::Error, state::Shared};
-use compact_str::CompactString;
 use pinereel_api::wire::{Call, Reply};
 use pinereel_core::claim::{Record, Verdict};
 use std::{rc::Rc, time::Duration};
@@ -26,8 +25,10 @@
 pub enum Asked {
     /// The log's verdict.
     Verdict(Verdict),
-    /// No verdict came: the claim may be in the log and must be settled as not run.
-    Lost(CompactString),
+    /// The link to the owner closed: the claim may be in the log and must be settled as not run.
+    Closed,
+    /// No verdict came in time: as [`Asked::Closed`].
+    Late,
 }
 
 /// Asks the owner of the key's shard for a verdict. Only an ask that certainly was not carried out
@@ -36,7 +37,7 @@
     let wait = left.min(CLAIM_TIMEOUT);
     match timeout(wait, ask_owner(shared, ask, left)).await {
         Ok(asked) => asked,
-        Err(_) => Asked::Lost("no verdict in time".into()),
+        Err(_) => Asked::Late,
     }
 }
 
@@ -60,9 +61,8 @@
             Ok(Reply::KeyConflict) => Verdict::KeyConflict,
             Ok(Reply::NotClaimed) => Verdict::NotClaimed,
             Ok(_) | Err(Error::NoLink | Error::QueueFull | Error::TooLarge) => continue,
-            Err(e @ (Error::Timeout | Error::Closed)) => {
-                return Asked::Lost(CompactString::from(e.to_string()));
-            }
+            Err(Error::Closed) => return Asked::Closed,
+            Err(Error::Timeout) => return Asked::Late,
         };
         return Asked::Verdict(verdict);
     }
@@ -75,8 +75,7 @@
 pub async fn settle(shared: &Rc<Shared>, ask: &Ask, outcome: Option<Record>) -> bool {
     let mut pause = SETTLE_PAUSE;
     for _ in 0..SETTLE_TRIES {
-        let tried = try_settle(shared, ask, outcome.clone());
-        if timeout(SETTLE_TIMEOUT, tried).await.unwrap_or(false) {
+        if settle_once(shared, ask, outcome.clone()).await {
             return true;
         }
         sleep(pause).await;
@@ -89,6 +88,16 @@
     false
 }
 
+/// Settles an ask as not run, with one try; whether it is stored.
+pub async fn give_up(shared: &Rc<Shared>, ask: &Ask) -> bool {
+    settle_once(shared, ask, None).await
+}
+
+async fn settle_once(shared: &Rc<Shared>, ask: &Ask, outcome: Option<Record>) -> bool {
+    let tried = try_settle(shared, ask, outcome);
+    timeout(SETTLE_TIMEOUT, tried).await.unwrap_or(false)
+}
+
 async fn try_settle(shared: &Rc<Shared>, ask: &Ask, outcome: Option<Record>) -> bool {
     let call = Call::Settle {
         key: ask.key.clone(),
--- a/crates/pinereel/src/controllers/claims/mod.rs
+++ b/crates/pinereel/src/controllers/claims/mod.rs
@@ -9,7 +9,7 @@
 mod ask;
 mod store;
 
-pub use ask::{Asked, claim, settle};
+pub use ask::{Asked, claim, give_up, settle};
 
 use crate::state::{Shared, spawn};
 use compact_str::CompactString;
--- a/crates/pinereel/src/filters/claim.rs
+++ b/crates/pinereel/src/filters/claim.rs
@@ -108,8 +108,7 @@
     call: &Call,
     ask: Ask,
 ) -> Result<Response, Problem> {
-    let asked = claims::claim(shared, &ask, exchange.left(shared.now())).await;
-    note(shared, exchange, &asked);
+    let (ask, asked) = verdict(shared, exchange, ask).await;
     match asked {
         Asked::Verdict(Verdict::Granted) => granted(shared, exchange, call, ask).await,
         Asked::Verdict(Verdict::Repeat(record)) => replay(record),
@@ -123,13 +122,33 @@
             "the key was used with another request",
         )),
         Asked::Verdict(Verdict::NotClaimed) => Err(not_claimed("the key could not be claimed")),
-        Asked::Lost(reason) => {
+        Asked::Closed | Asked::Late => {
             settle(shared, ask, None);
-            Err(not_claimed(&reason))
+            Err(not_claimed("no verdict on the key came"))
         }
     }
 }
 
+/// Asks for a verdict. An owner that went away is no reason to refuse: what it may have claimed is
+/// given up, and the next one asked, under another id since the first ask must never be granted.
+async fn verdict(shared: &Rc<Shared>, exchange: &Exchange, ask: Ask) -> (Ask, Asked) {
+    let asked = claims::claim(shared, &ask, exchange.left(shared.now())).await;
+    note(shared, exchange, &asked);
+    if asked != Asked::Closed {
+        return (ask, asked);
+    }
+    let again = Ask {
+        request: format_compact!("{}.2", ask.request),
+        ..ask.clone()
+    };
+    if !claims::give_up(shared, &ask).await {
+        return (ask, asked);
+    }
+    let asked = claims::claim(shared, &again, exchange.left(shared.now())).await;
+    note(shared, exchange, &asked);
+    (again, asked)
+}
+
 async fn granted(
     shared: &Rc<Shared>,
     exchange: &Exchange,
@@ -177,13 +196,11 @@
         Asked::Verdict(Verdict::ClaimUnknown) => "unknown",
         Asked::Verdict(Verdict::KeyConflict) => "key_conflict",
         Asked::Verdict(Verdict::NotClaimed) => "not_claimed",
-        Asked::Lost(_) => "lost",
+        Asked::Closed => "closed",
+        Asked::Late => "late",
     };
     shared.metrics.claims.with_label_values(&[verdict]).inc();
-    let reason = match asked {
-        Asked::Verdict(_) => format!("claim: {verdict}"),
-        Asked::Lost(why) => format!("claim: {verdict}: {why}"),
-    };
+    let reason = format_compact!("claim: {verdict}");
     shared.decide(What::Admit, &exchange.id, None, &reason);
 }
 
--- a/crates/pinereel/src/filters/service.rs
+++ b/crates/pinereel/src/filters/service.rs
@@ -84,7 +84,9 @@
         }
         Err(problem) => {
             respond::count(shared, &exchange, "problem");
-            respond::problem(shared, &problem)
+            let mut response = respond::problem(shared, &problem);
+            respond::stamp(&exchange, &mut response);
+            response
         }
     }
 }
--- a/crates/pinereel_core/src/claim/calls.rs
+++ b/crates/pinereel_core/src/claim/calls.rs
@@ -42,7 +42,7 @@
             }
             other => self.phase = other,
         }
-        self.refuse_waiting(out);
+        self.refuse_waiting(now, out);
     }
 
     pub(super) fn on_read(
@@ -61,6 +61,7 @@
             }
         };
         self.read_at = now;
+        self.fresh_at = now;
         let asked = self.table.next;
         self.table.raise(base);
         let mut landed = false;
@@ -74,7 +75,7 @@
         }
         let next = self.table.next;
         match batch {
-            Some(batch) if landed => self.decide(batch, out),
+            Some(batch) if landed => self.decide(now, batch, out),
             // Still absent, but the lost create may take effect late: only the very same segment
             // may be sent for this number.
             Some(batch) if next == batch.n => self.wait(now, Phase::Creating(batch)),
@@ -92,7 +93,7 @@
             Phase::Checking(batch) if base <= batch.n => {
                 self.table.raise(base);
                 self.table.apply(now, &batch.segment);
-                self.decide(batch, out);
+                self.decide(now, batch, out);
             }
             Phase::Checking(batch) => {
                 // Left behind: the number had been used and trimmed. Nothing of it counts.
@@ -107,7 +108,7 @@
 
     /// An outage: what waits is refused at once, as it is in no segment.
     pub(super) fn on_failed(&mut self, now: Time, out: &mut Vec<Action>) {
-        self.refuse_waiting(out);
+        self.refuse_waiting(now, out);
         self.phase = match mem::replace(&mut self.phase, Phase::Idle) {
             Phase::Idle => Phase::Idle,
             Phase::Waiting(at, phase) => Phase::Waiting(at, phase),
--- a/crates/pinereel_core/src/claim/log.rs
+++ b/crates/pinereel_core/src/claim/log.rs
@@ -1,22 +1,18 @@
 //! One shard's log at one writer.
 
-use super::{Action, Claim, Event, Limits, Record, Segment, Settle, Verdict, table::Table};
-use crate::time::Time;
-use compact_str::{CompactString, format_compact};
-use std::{
-    collections::{BTreeSet, VecDeque},
-    mem,
-    time::Duration,
+use super::{
+    Action, Claim, Event, Limits, Record, Segment, Settle, Verdict,
+    table::{Holder, Table},
 };
-
-/// Most trims a window: a trim takes the segments of a sixteenth of the window at once.
-const TRIMS: u32 = 16;
+use crate::time::Time;
+use compact_str::CompactString;
+use std::{collections::VecDeque, mem, time::Duration};
 
 /// A claim that has no verdict yet.
 #[derive(Clone, Debug)]
 pub(super) struct Ask {
-    claim: Claim,
-    deadline: Time,
+    pub(super) claim: Claim,
+    pub(super) deadline: Time,
     /// Answered before its segment was decided; it must not be granted any more.
     answered: bool,
 }
@@ -50,14 +46,18 @@
 #[derive(Clone, Debug)]
 pub struct Log {
     pub(super) limits: Limits,
-    writer: CompactString,
-    writes: u64,
+    pub(super) writer: CompactString,
+    pub(super) writes: u64,
     pub(super) table: Table,
-    asks: VecDeque<Ask>,
-    settles: VecDeque<Settle>,
+    pub(super) asks: VecDeque<Ask>,
+    pub(super) settles: VecDeque<Settle>,
     pub(super) phase: Phase,
     pub(super) read_at: Time,
-    trimmed_at: Time,
+    /// When the table was last known to hold all that was written.
+    pub(super) fresh_at: Time,
+    /// A claim waits for the log to be read again.
+    pub(super) recheck: bool,
+    pub(super) trimmed_at: Time,
 }
 
 impl Log {
@@ -73,6 +73,8 @@
             settles: VecDeque::new(),
             phase: Phase::Reading,
             read_at: now,
+            fresh_at: now,
+            recheck: false,
             trimmed_at: Time::ZERO,
         };
         (log, vec![Action::Read { from: 0 }])
@@ -142,10 +144,13 @@
     }
 
     fn on_claim(&mut self, now: Time, ask: Ask, left: Duration, out: &mut Vec<Action>) {
-        let verdict = match self
-            .judge(now, &ask.claim)
-            .or_else(|| self.judge_open(&ask.claim))
-        {
+        let outdated = self.is_outdated(now, &ask.claim.key) && self.has_room(left);
+        let known = self.judge(now, &ask.claim);
+        let verdict = match known.or_else(|| self.judge_open(&ask.claim)) {
+            Some(_) if outdated => {
+                self.recheck = true;
+                None
+            }
             Some(verdict) => Some(verdict),
             None if !self.has_room(left) => Some(Verdict::NotClaimed),
             None => None,
@@ -166,7 +171,7 @@
     }
 
     /// The verdict by the log alone; `None` if the key is free.
-    fn judge(&self, now: Time, claim: &Claim) -> Option<Verdict> {
+    pub(super) fn judge(&self, now: Time, claim: &Claim) -> Option<Verdict> {
         let holder = self.table.holder(&claim.key)?;
         let verdict = match &holder.record {
             _ if holder.digest != claim.digest => Verdict::KeyConflict,
@@ -177,6 +182,12 @@
         Some(verdict)
     }
 
+    /// Whether the key is held without an outcome, as far as was last read, too long ago to say so.
+    fn is_outdated(&self, now: Time, key: &str) -> bool {
+        let open = |holder: &Holder| holder.record.is_none();
+        now.since(self.fresh_at) >= self.limits.recheck && self.table.holder(key).is_some_and(open)
+    }
+
     /// The verdict by claims that are not in the log yet.
     fn judge_open(&self, claim: &Claim) -> Option<Verdict> {
         let open = self
@@ -184,14 +195,7 @@
             .into_iter()
             .flat_map(|batch| &batch.asks)
             .chain(&self.asks);
-        let other = open
-            .map(|ask| &ask.claim)
-            .find(|other| other.key == claim.key)?;
-        Some(if other.digest == claim.digest {
-            Verdict::InProgress
-        } else {
-            Verdict::KeyConflict
-        })
+        judge_by(open, claim)
     }
 
     fn on_settle(&mut self, settle: Settle, out: &mut Vec<Action>) {
@@ -233,7 +237,9 @@
     }
 
     /// The segment of `batch` is in the log and was just applied.
-    pub(super) fn decide(&mut self, batch: Batch, out: &mut Vec<Action>) {
+    pub(super) fn decide(&mut self, now: Time, batch: Batch, out: &mut Vec<Action>) {
+        // All earlier segments were read, or the number would have been taken.
+        self.fresh_at = now;
         for settle in batch.segment.settles {
             out.push(Action::Settled {
                 request: settle.request,
@@ -300,99 +306,15 @@
         }
     }
 
-    pub(super) fn refuse_waiting(&mut self, out: &mut Vec<Action>) {
-        let refused = self.asks.drain(..);
-        out.extend(refused.map(|ask| reply(&ask, Verdict::NotClaimed)));
-    }
-
-    /// Starts the next call if none is open.
-    fn pump(&mut self, now: Time, out: &mut Vec<Action>) {
-        if !matches!(self.phase, Phase::Idle) {
-            return;
-        }
-        let settles = self.take_settles();
-        let asks = self.take_asks(now, &settles, out);
-        if !settles.is_empty() || !asks.is_empty() {
-            self.writes += 1;
-            let write_id = format_compact!("{}.{}", self.writer, self.writes);
-            let claims = asks.iter().map(|ask| ask.claim.clone()).collect();
-            let segment = Segment {
-                write_id,
-                settles,
-                claims,
-            };
-            self.create(
-                Batch {
-                    n: self.table.next,
-                    segment,
-                    asks,
-                    doubtful: false,
-                },
-                out,
-            );
-            return;
-        }
-        let to = self.table.trim_to(now, self.limits.window);
-        let rested = now.since(self.trimmed_at) >= self.limits.window / TRIMS;
-        if to > self.table.base && rested {
-            self.trimmed_at = now;
-            self.phase = Phase::Trimming;
-            out.push(Action::Trim {
-                from: self.table.base,
-                to,
-            });
-        } else if now.since(self.read_at) >= self.limits.refresh {
-            self.read(out);
+    /// Answers what waits by what was last read.
+    pub(super) fn refuse_waiting(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.recheck = false;
+        for ask in mem::take(&mut self.asks) {
+            let known = self.judge(now, &ask.claim);
+            out.push(reply(&ask, known.unwrap_or(Verdict::NotClaimed)));
         }
     }
 
-    fn take_settles(&mut self) -> Vec<Settle> {
-        let mut bytes = 0;
-        let mut taken = Vec::new();
-        while let Some(settle) = self.settles.front() {
-            bytes += settle.outcome.as_ref().map_or(0, Record::body_len);
-            if taken.len() >= self.limits.batch || (bytes > self.limits.bytes && !taken.is_empty())
-            {
-                break;
-            }
-            taken.extend(self.settles.pop_front());
-        }
-        taken
-    }
-
-    /// Claims for the next segment. Those whose key was taken meanwhile are answered.
-    fn take_asks(&mut self, now: Time, settles: &[Settle], out: &mut Vec<Action>) -> Vec<Ask> {
-        let freed: BTreeSet<_> = settles
-            .iter()
-            .filter(|settle| settle.outcome.is_none())
-            .map(|settle| settle.request.clone())
-            .collect();
-        let mut taken = Vec::new();
-        while taken.len() < self.limits.batch {
-            let Some(mut ask) = self.asks.pop_front() else {
-                break;
-            };
-            ask.claim.left_ms =
-                u64::try_from(ask.deadline.since(now).as_millis()).unwrap_or(u64::MAX);
-            let free = |key: &str| {
-                self.table
-                    .holder(key)
-                    .is_some_and(|h| h.record.is_none() && freed.contains(&h.request))
-            };
-            let verdict = if self.table.is_released(&ask.claim.key, &ask.claim.request) {
-                Some(Verdict::NotClaimed)
-            } else {
-                self.judge(now, &ask.claim)
-                    .filter(|_| !free(&ask.claim.key))
-            };
-            match verdict {
-                Some(verdict) => out.push(reply(&ask, verdict)),
-                None => taken.push(ask),
-            }
-        }
-        taken
-    }
-
     fn batch(&self) -> Option<&Batch> {
         match &self.phase {
             Phase::Creating(batch) | Phase::Checking(batch) | Phase::Resolving(batch) => {
@@ -424,7 +346,21 @@
     }
 }
 
-fn reply(ask: &Ask, verdict: Verdict) -> Action {
+/// The verdict if one of `asks` is for the same key.
+pub(super) fn judge_by<'a>(
+    asks: impl IntoIterator<Item = &'a Ask>,
+    claim: &Claim,
+) -> Option<Verdict> {
+    let mut claims = asks.into_iter().map(|ask| &ask.claim);
+    let other = claims.find(|other| other.key == claim.key)?;
+    Some(if other.digest == claim.digest {
+        Verdict::InProgress
+    } else {
+        Verdict::KeyConflict
+    })
+}
+
+pub(super) fn reply(ask: &Ask, verdict: Verdict) -> Action {
     Action::Reply {
         request: ask.claim.request.clone(),
         verdict,
--- a/crates/pinereel_core/src/claim/mod.rs
+++ b/crates/pinereel_core/src/claim/mod.rs
@@ -9,6 +9,7 @@
 //! never been deleted, so the create took a number that was never used before.
 
 mod calls;
+mod commit;
 mod log;
 mod message;
 mod segment;
--- a/crates/pinereel_core/tests/claim_cases.rs
+++ b/crates/pinereel_core/tests/claim_cases.rs
@@ -289,6 +289,12 @@
     let late = at(2_000);
     assert_eq!(
         log.step(late, claim("d", "k", 1)),
+        vec![Action::Read { from: 1 }],
+        "the other writer may have settled it"
+    );
+    let segments = vec![];
+    assert_eq!(
+        log.step(late, Event::Read { segments, base: 0 }),
         vec![verdict("d", Verdict::ClaimUnknown)]
     );
     segment(&log.step(late, settle("a", "k", Some(record("done")))));
@@ -301,6 +307,64 @@
     );
 }
 
+#[test]
+fn an_outcome_that_another_writer_stored_is_found_by_a_repeat() {
+    let mut other = opened(Limits::default(), vec![], 0);
+    let made = granted(&mut other, NOW, "a", "k");
+    let mut log = opened(Limits::default(), vec![made], 0);
+    let settled = segment(&other.step(NOW, settle("a", "k", Some(record("done")))));
+    let later = at(500);
+    for (request, content) in [("b", 1), ("c", 2)] {
+        log.step(later, claim(request, "k", content));
+    }
+    let segments = vec![settled];
+    assert_eq!(
+        log.step(later, Event::Read { segments, base: 0 }),
+        vec![
+            verdict("b", Verdict::Repeat(record("done"))),
+            verdict("c", Verdict::KeyConflict)
+        ]
+    );
+}
+
+#[test]
+fn a_key_that_another_writer_freed_goes_to_one_of_the_repeats() {
+    let mut other = opened(Limits::default(), vec![], 0);
+    let made = granted(&mut other, NOW, "a", "k");
+    let mut log = opened(Limits::default(), vec![made], 0);
+    let freed = segment(&other.step(NOW, settle("a", "k", None)));
+    let later = at(500);
+    for (request, content) in [("b", 1), ("c", 1), ("d", 2)] {
+        log.step(later, claim(request, "k", content));
+    }
+    let segments = vec![freed];
+    let actions = log.step(later, Event::Read { segments, base: 0 });
+    let claims = segment(&actions).1.claims;
+    assert_eq!((claims.len(), claims[0].request.as_str()), (1, "b"));
+    assert_eq!(
+        actions[..2],
+        [
+            verdict("c", Verdict::InProgress),
+            verdict("d", Verdict::KeyConflict)
+        ]
+    );
+}
+
+#[test]
+fn a_key_held_by_another_writer_is_answered_by_what_was_read_while_nothing_can_be() {
+    let made = granted(&mut opened(Limits::default(), vec![], 0), NOW, "a", "k");
+    let mut log = opened(Limits::default(), vec![made], 0);
+    log.step(at(500), claim("b", "k", 1));
+    assert_eq!(
+        log.step(at(500), Event::Failed),
+        vec![verdict("b", Verdict::InProgress)]
+    );
+    assert_eq!(
+        log.step(at(600), claim("c", "k", 1)),
+        vec![verdict("c", Verdict::InProgress)]
+    );
+}
+
 #[test]
 fn a_large_body_is_not_kept() {
     let mut log = opened(Limits::default(), vec![], 0);
