Fewer calls a claim: sixteen shards, and outcomes written along with claims

Cause: with 64 shards, 50 claims at once fell on nearly as many logs, so each was written alone. A linger for claims: callers wait for those. Change: 16 shards; an outcome waits up to 100 ms for a claim to be written with, a settlement that frees a key does not.

--- a/crates/pinereel/src/controllers/claims/mod.rs
+++ b/crates/pinereel/src/controllers/claims/mod.rs
@@ -19,11 +19,18 @@
     claim::{Action, Event, Limits, Log, Record, SHARDS, Verdict, shard},
     hash::{self, Digest},
 };
-use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+    time::Duration,
+};
 use tokio::{sync::oneshot, time::sleep};
 
 /// Pause between ticks of the logs.
 const TICK: Duration = Duration::from_millis(50);
+/// Outcomes wait for so long for claims to be written with.
+const LINGER: Duration = Duration::from_millis(100);
 /// A log that was not asked for so long, and is another entry's, is dropped from memory.
 const IDLE: Duration = Duration::from_secs(120);
 
@@ -57,12 +64,30 @@
 }
 
 /// The controller's state.
-#[derive(Default)]
 pub struct Claims {
+    limits: Cell<Limits>,
     open: RefCell<BTreeMap<u64, Open>>,
 }
 
+impl Default for Claims {
+    fn default() -> Self {
+        let limits = Limits {
+            linger: LINGER,
+            ..Limits::default()
+        };
+        Self {
+            limits: Cell::new(limits),
+            open: RefCell::default(),
+        }
+    }
+}
+
 impl Claims {
+    /// Sets the bounds of logs that are opened from now on.
+    pub fn limit(&self, limits: Limits) {
+        self.limits.set(limits);
+    }
+
     /// Number of logs in memory.
     pub fn logs(&self) -> usize {
         self.open.borrow().len()
@@ -171,7 +196,8 @@
         let mut logs = shared.claims.open.borrow_mut();
         let open = logs.entry(shard).or_insert_with(|| {
             // A writer's name is never used again, or a lost write could be taken for another.
-            let (log, actions) = Log::new(now, shared.request_id(), Limits::default());
+            let limits = shared.claims.limits.get();
+            let (log, actions) = Log::new(now, shared.request_id(), limits);
             first = actions;
             Open {
                 log,
--- a/crates/pinereel_core/src/claim/commit.rs
+++ b/crates/pinereel_core/src/claim/commit.rs
@@ -21,7 +21,11 @@
             self.read(out);
             return;
         }
-        let settles = self.take_settles();
+        let settles = if self.asks.is_empty() && self.lingers(now) {
+            Vec::new()
+        } else {
+            self.take_settles()
+        };
         let asks = self.take_asks(now, &settles, out);
         if !settles.is_empty() || !asks.is_empty() {
             self.writes += 1;
@@ -57,6 +61,13 @@
         }
     }
 
+    /// Whether the settlements that wait may wait on.
+    fn lingers(&self, now: Time) -> bool {
+        self.settles.len() < self.limits.batch
+            && now.since(self.settled_at) < self.limits.linger
+            && self.settles.iter().all(|settle| settle.outcome.is_some())
+    }
+
     fn take_settles(&mut self) -> Vec<Settle> {
         let mut bytes = 0;
         let mut taken = Vec::new();
--- a/crates/pinereel_core/src/claim/log.rs
+++ b/crates/pinereel_core/src/claim/log.rs
@@ -55,6 +55,8 @@
     pub(super) read_at: Time,
     /// When the table was last known to hold all that was written.
     pub(super) fresh_at: Time,
+    /// When the oldest settlement came that waits.
+    pub(super) settled_at: Time,
     /// A claim waits for the log to be read again.
     pub(super) recheck: bool,
     pub(super) trimmed_at: Time,
@@ -74,6 +76,7 @@
             phase: Phase::Reading,
             read_at: now,
             fresh_at: now,
+            settled_at: now,
             recheck: false,
             trimmed_at: Time::ZERO,
         };
@@ -122,6 +125,7 @@
                 outcome,
             } => {
                 self.on_settle(
+                    now,
                     Settle {
                         key,
                         request,
@@ -198,7 +202,7 @@
         judge_by(open, claim)
     }
 
-    fn on_settle(&mut self, settle: Settle, out: &mut Vec<Action>) {
+    fn on_settle(&mut self, now: Time, settle: Settle, out: &mut Vec<Action>) {
         if settle.outcome.is_none() {
             self.abandon(&settle.request, out);
         }
@@ -209,6 +213,9 @@
             });
             return;
         }
+        if self.settles.is_empty() {
+            self.settled_at = now;
+        }
         let outcome = settle.outcome.map(Record::bounded);
         self.settles.push_back(Settle { outcome, ..settle });
     }
--- a/crates/pinereel_core/src/claim/message.rs
+++ b/crates/pinereel_core/src/claim/message.rs
@@ -22,6 +22,9 @@
     pub retry: Duration,
     /// An idle log is read again after this long.
     pub refresh: Duration,
+    /// Outcomes wait for so long for claims to be written with; nobody waits for them. A settlement
+    /// that frees a key does not wait.
+    pub linger: Duration,
     /// A key without an outcome is looked up again if the log was not read for so long: another
     /// writer may have settled it.
     pub recheck: Duration,
@@ -37,6 +40,7 @@
             window: Duration::from_secs(24 * 3600),
             retry: Duration::from_millis(200),
             refresh: Duration::from_secs(60),
+            linger: Duration::ZERO,
             recheck: Duration::from_millis(500),
         }
     }
--- a/crates/pinereel_core/src/claim/mod.rs
+++ b/crates/pinereel_core/src/claim/mod.rs
@@ -22,7 +22,7 @@
 use crate::hash;
 
 /// Number of shards. Part of the stored format: it can't change while segments exist.
-pub const SHARDS: u64 = 64;
+pub const SHARDS: u64 = 16;
 
 /// Largest body kept in a [`Record`], in bytes.
 pub const MAX_BODY: usize = 4 * 1024;
--- a/crates/pinereel_core/tests/claim_cases.rs
+++ b/crates/pinereel_core/tests/claim_cases.rs
@@ -365,6 +365,32 @@
     );
 }
 
+#[test]
+fn an_outcome_waits_for_a_claim_to_be_written_with_but_not_for_long() {
+    let limits = Limits {
+        linger: Duration::from_millis(100),
+        ..Limits::default()
+    };
+    let mut log = opened(limits, vec![], 0);
+    granted(&mut log, NOW, "a", "ka");
+    assert_eq!(log.step(NOW, settle("a", "ka", Some(record("x")))), vec![]);
+    let (_, both) = segment(&log.step(at(50), claim("b", "kb", 1)));
+    assert_eq!((both.settles.len(), both.claims.len()), (1, 1));
+    log.step(at(50), Event::Created);
+    log.step(at(50), Event::Base(0));
+    assert_eq!(
+        log.step(at(50), settle("b", "kb", Some(record("x")))),
+        vec![]
+    );
+    assert_eq!(log.step(at(149), Event::Tick), vec![]);
+    let (_, alone) = segment(&log.step(at(150), Event::Tick));
+    assert_eq!((alone.settles.len(), alone.claims.len()), (1, 0));
+    log.step(at(150), Event::Created);
+    log.step(at(150), Event::Base(0));
+    granted(&mut log, at(150), "c", "kc");
+    segment(&log.step(at(150), settle("c", "kc", None)));
+}
+
 #[test]
 fn a_large_body_is_not_kept() {
     let mut log = opened(Limits::default(), vec![], 0);
--- a/crates/pinereel_core/tests/claim_log.rs
+++ b/crates/pinereel_core/tests/claim_log.rs
@@ -129,6 +129,7 @@
         keys: 200,
         window: Duration::from_millis(WINDOW_MS),
         retry: Duration::from_millis(50),
+        linger: Duration::from_millis(100),
         refresh: Duration::from_millis(2_000),
         ..Limits::default()
     }
