Test: an owner dies with the claim stored and not answered

Cause: giving up the first ask after a closed link was not needed by any test. Ruled out: nothing. Change: the owner dies between the create's effect and its answer. Conclusion: without giving up, the caller gets 409 and the test fails; with it, 200 and one run.

--- a/crates/pinereel_fakes/tests/claim_faults.rs
+++ b/crates/pinereel_fakes/tests/claim_faults.rs
@@ -185,6 +185,34 @@
     assert_eq!(ran(&site, &key), 1);
 }
 
+#[actix_rt::test]
+async fn an_owner_that_dies_with_the_claim_stored_and_not_answered_costs_no_refusal() {
+    let site = site(3).await;
+    joined(&site).await;
+    let key = key_of(&site, 0);
+    let delay = |millis| {
+        site.api.faults(object::Faults {
+            delay_ms: Some(millis),
+            ..object::Faults::default()
+        });
+    };
+    delay(200);
+    let dies = async {
+        until(|| segments(&site) > 0).await.unwrap();
+        kill(&site, 0);
+        delay(0);
+    };
+    let call = order(&site, 1, Some(&key), "lacquer");
+    let (answer, ()) = futures_util::future::join(call, dies).await;
+    assert_eq!(answer.short(), "200");
+    assert_eq!(ran(&site, &key), 1);
+    let again = answered(&site, 2, &key, "lacquer").await;
+    assert_eq!(
+        (again.short().as_str(), again.body),
+        ("200 replay", answer.body)
+    );
+}
+
 #[actix_rt::test]
 async fn a_front_that_dies_while_its_call_runs_leaves_the_key_in_progress_then_unknown() {
     let site = site(3).await;
