--- a/crates/pinereel/src/entry.rs
+++ b/crates/pinereel/src/entry.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     callers,
-    controllers::{config, drain, endpoints, lots, members, rollout, weights},
+    controllers::{claims, config, drain, endpoints, lots, members, rollout, weights},
     dispatch,
     http::{self, Server},
     logging, objects, operators,
@@ -125,6 +125,7 @@
             config::start(&shared);
             endpoints::start(&shared);
             lots::start(&shared);
+            claims::start(&shared);
             weights::start(&shared);
             rollout::start(&shared);
         });
@@ -223,6 +224,7 @@
         lots: lots::Lots::new(Runner::new(Policy::default(), limits)),
         leases: Default::default(),
         rollout: Default::default(),
+        claims: Default::default(),
         drain: Default::default(),
         next: Cell::new(0),
         settings,
--- a/crates/pinereel/src/state.rs
+++ b/crates/pinereel/src/state.rs
@@ -2,8 +2,8 @@
 
 use crate::{
     controllers::{
-        config::Config, drain::Drain, endpoints::Endpoints, leases::Leases, lots::Lots,
-        members::Members, rollout::Rollout,
+        claims::Claims, config::Config, drain::Drain, endpoints::Endpoints, leases::Leases,
+        lots::Lots, members::Members, rollout::Rollout,
     },
     logging::{Decision, What},
     metrics::Metrics,
@@ -70,6 +70,8 @@
     pub leases: Leases,
     /// Weight rollouts.
     pub rollout: Rollout,
+    /// Logs of idempotency claims that are open here.
+    pub claims: Claims,
     /// The graceful stop.
     pub drain: Drain,
     /// Number of the next request.
--- a/crates/pinereel_core/tests/claim_cases.rs
+++ b/crates/pinereel_core/tests/claim_cases.rs
@@ -115,6 +115,40 @@
     );
 }
 
+#[test]
+fn claims_of_a_create_without_effect_are_refused_at_once_and_settlements_kept() {
+    let mut log = opened(Limits::default(), vec![], 0);
+    granted(&mut log, NOW, "a", "ka");
+    log.step(NOW, settle("a", "ka", Some(record("one"))));
+    log.step(NOW, claim("b", "kb", 1));
+    let actions = log.step(NOW, Event::NotCreated);
+    assert_eq!(actions, vec![verdict("b", Verdict::NotClaimed)]);
+    let actions = log.step(NOW, claim("c", "kc", 1));
+    assert_eq!(actions, vec![verdict("c", Verdict::NotClaimed)]);
+    assert_eq!(
+        log.step(at(200), Event::Tick),
+        vec![Action::Read { from: 1 }]
+    );
+    let segments = vec![];
+    let (n, again) = segment(&log.step(at(200), Event::Read { segments, base: 0 }));
+    assert_eq!((n, again.settles.len(), again.claims.len()), (1, 1, 0));
+}
+
+#[test]
+fn a_create_that_may_yet_take_effect_is_sent_again_unchanged() {
+    let mut log = opened(Limits::default(), vec![], 0);
+    let first = segment(&log.step(NOW, claim("a", "ka", 1)));
+    assert_eq!(
+        log.step(NOW, Event::Unknown),
+        vec![Action::Read { from: 0 }]
+    );
+    let segments = vec![];
+    assert_eq!(log.step(NOW, Event::Read { segments, base: 0 }), vec![]);
+    assert_eq!(segment(&log.step(at(200), Event::Tick)), first);
+    assert_eq!(log.step(at(200), Event::NotCreated), vec![]);
+    assert_eq!(segment(&log.step(at(400), Event::Tick)), first);
+}
+
 #[test]
 fn a_lost_answer_is_resolved_by_the_write_id() {
     let mut log = opened(Limits::default(), vec![], 0);
@@ -255,6 +289,12 @@
     let late = at(2_000);
     assert_eq!(
         log.step(late, claim("d", "k", 1)),
+        vec![Action::Read { from: 1 }],
+        "the other writer may have settled it"
+    );
+    let segments = vec![];
+    assert_eq!(
+        log.step(late, Event::Read { segments, base: 0 }),
         vec![verdict("d", Verdict::ClaimUnknown)]
     );
     segment(&log.step(late, settle("a", "k", Some(record("done")))));
@@ -267,6 +307,90 @@
     );
 }
 
+#[test]
+fn an_outcome_that_another_writer_stored_is_found_by_a_repeat() {
+    let mut other = opened(Limits::default(), vec![], 0);
+    let made = granted(&mut other, NOW, "a", "k");
+    let mut log = opened(Limits::default(), vec![made], 0);
+    let settled = segment(&other.step(NOW, settle("a", "k", Some(record("done")))));
+    let later = at(500);
+    for (request, content) in [("b", 1), ("c", 2)] {
+        log.step(later, claim(request, "k", content));
+    }
+    let segments = vec![settled];
+    assert_eq!(
+        log.step(later, Event::Read { segments, base: 0 }),
+        vec![
+            verdict("b", Verdict::Repeat(record("done"))),
+            verdict("c", Verdict::KeyConflict)
+        ]
+    );
+}
+
+#[test]
+fn a_key_that_another_writer_freed_goes_to_one_of_the_repeats() {
+    let mut other = opened(Limits::default(), vec![], 0);
+    let made = granted(&mut other, NOW, "a", "k");
+    let mut log = opened(Limits::default(), vec![made], 0);
+    let freed = segment(&other.step(NOW, settle("a", "k", None)));
+    let later = at(500);
+    for (request, content) in [("b", 1), ("c", 1), ("d", 2)] {
+        log.step(later, claim(request, "k", content));
+    }
+    let segments = vec![freed];
+    let actions = log.step(later, Event::Read { segments, base: 0 });
+    let claims = segment(&actions).1.claims;
+    assert_eq!((claims.len(), claims[0].request.as_str()), (1, "b"));
+    assert_eq!(
+        actions[..2],
+        [
+            verdict("c", Verdict::InProgress),
+            verdict("d", Verdict::KeyConflict)
+        ]
+    );
+}
+
+#[test]
+fn a_key_held_by_another_writer_is_answered_by_what_was_read_while_nothing_can_be() {
+    let made = granted(&mut opened(Limits::default(), vec![], 0), NOW, "a", "k");
+    let mut log = opened(Limits::default(), vec![made], 0);
+    log.step(at(500), claim("b", "k", 1));
+    assert_eq!(
+        log.step(at(500), Event::Failed),
+        vec![verdict("b", Verdict::InProgress)]
+    );
+    assert_eq!(
+        log.step(at(600), claim("c", "k", 1)),
+        vec![verdict("c", Verdict::InProgress)]
+    );
+}
+
+#[test]
+fn an_outcome_waits_for_a_claim_to_be_written_with_but_not_for_long() {
+    let limits = Limits {
+        linger: Duration::from_millis(100),
+        ..Limits::default()
+    };
+    let mut log = opened(limits, vec![], 0);
+    granted(&mut log, NOW, "a", "ka");
+    assert_eq!(log.step(NOW, settle("a", "ka", Some(record("x")))), vec![]);
+    let (_, both) = segment(&log.step(at(50), claim("b", "kb", 1)));
+    assert_eq!((both.settles.len(), both.claims.len()), (1, 1));
+    log.step(at(50), Event::Created);
+    log.step(at(50), Event::Base(0));
+    assert_eq!(
+        log.step(at(50), settle("b", "kb", Some(record("x")))),
+        vec![]
+    );
+    assert_eq!(log.step(at(149), Event::Tick), vec![]);
+    let (_, alone) = segment(&log.step(at(150), Event::Tick));
+    assert_eq!((alone.settles.len(), alone.claims.len()), (1, 0));
+    log.step(at(150), Event::Created);
+    log.step(at(150), Event::Base(0));
+    granted(&mut log, at(150), "c", "kc");
+    segment(&log.step(at(150), settle("c", "kc", None)));
+}
+
 #[test]
 fn a_large_body_is_not_kept() {
     let mut log = opened(Limits::default(), vec![], 0);
