--- /dev/null
+++ b/crates/pinereel/src/controllers/config/propose.rs
@@ -0,0 +1,237 @@
+//! One patch on its way, with this entry as its proposer.
+
+use super::{read_stored, relay, write_stored};
+use crate::{
+    controllers::members,
+    filters::{refuse, unknown},
+    state::{Shared, spawn},
+};
+use compact_str::{CompactString, format_compact};
+use pinereel_api::{Problem, operator::Patch, problem::Code};
+use pinereel_core::config::{
+    Action, Answer, Document, Event, Fault, Proposal, Round, check_change, merge, validate,
+};
+use std::{rc::Rc, time::Duration};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::sleep,
+};
+
+/// Pause between ticks of a round, which wants one at least every 250 ms.
+const TICK: Duration = Duration::from_millis(100);
+/// Longest wait of an operator for an answer: a foreign patch's take-over and an own round.
+const DEADLINE: Duration = Duration::from_secs(8);
+/// Failed reads in a row, before anything was written, that end a round.
+const MAX_FAILED_READS: u32 = 3;
+/// When an operator shall come back.
+const RETRY_AFTER_MS: u64 = 1_000;
+
+/// Checks a patch against what is in force here, and gives the document that it would make.
+///
+/// # Errors
+/// `Conflict`, `InvalidPatch`, or `Unavailable` before the first read.
+pub fn check(shared: &Shared, patch: &Patch) -> Result<Document, Problem> {
+    let pin = crate::filters::pin::known(shared)?;
+    if patch.base != pin.number {
+        return Err(conflict(pin.number));
+    }
+    let document = validate(&merge(&pin.document, &patch.merge)).map_err(|f| invalid(&f))?;
+    let faults = check_change(&pin.document, &document);
+    if faults.is_empty() {
+        Ok(document)
+    } else {
+        Err(invalid(&faults))
+    }
+}
+
+/// Brings a patch into force everywhere; gives its number.
+///
+/// # Errors
+/// A refusal if it will certainly not be in force, `Unknown` if that is not known.
+pub async fn propose(shared: &Rc<Shared>, patch: Patch) -> Result<u64, Problem> {
+    if patch.id.is_empty() {
+        return Err(refuse(Code::BadRequest, "the patch's id is empty"));
+    }
+    let (sender, answer) = oneshot::channel();
+    let id = patch.id.clone();
+    spawn(shared, async move |shared| {
+        Driver::new(shared, patch, sender).run().await;
+    });
+    let answer = answer.await.unwrap_or(Ending::Round(Answer::Unknown));
+    log::info!(entry = shared.name().as_str(), patch = id.as_str(); "config: patch: {answer:?}");
+    answer.into_result()
+}
+
+/// How a round ended for the operator.
+#[derive(Debug)]
+enum Ending {
+    /// By its own decision.
+    Round(Answer),
+    /// The object API could not be read and nothing had been written.
+    NotReached,
+}
+
+/// Carries out what a round wants until it is over.
+struct Driver {
+    shared: Rc<Shared>,
+    round: Round,
+    write: CompactString,
+    answer: Option<oneshot::Sender<Ending>>,
+    events: mpsc::UnboundedReceiver<Event>,
+    sender: mpsc::UnboundedSender<Event>,
+    attempt: u64,
+    failed_reads: u32,
+    wrote: bool,
+}
+
+impl Driver {
+    fn new(shared: Rc<Shared>, patch: Patch, answer: oneshot::Sender<Ending>) -> Self {
+        let now = shared.now();
+        let count = shared.config.rounds.get();
+        shared.config.rounds.set(count + 1);
+        let write = format_compact!("{}-{:x}-{count}", shared.name(), shared.incarnation);
+        let proposal = Proposal {
+            patch: patch.id,
+            base: patch.base,
+            content: patch.merge,
+            proposer: shared.name().clone(),
+            write: write.clone(),
+            deadline: now + DEADLINE,
+        };
+        // Bounded by the calls under way: each sends one event.
+        let (sender, events) = mpsc::unbounded_channel();
+        Self {
+            round: Round::new(now, proposal),
+            shared,
+            write,
+            answer: Some(answer),
+            events,
+            sender,
+            attempt: 0,
+            failed_reads: 0,
+            wrote: false,
+        }
+    }
+
+    async fn run(mut self) {
+        let mut event = Event::Tick;
+        loop {
+            self.note(&event);
+            if !self.wrote && self.failed_reads >= MAX_FAILED_READS {
+                self.tell(Ending::NotReached);
+                return;
+            }
+            let now = self.shared.now();
+            for action in self.round.step(now, event) {
+                self.act(action);
+            }
+            if self.round.is_over() {
+                return;
+            }
+            event = tokio::select! {
+                Some(event) = self.events.recv() => event,
+                () = sleep(TICK) => Event::Tick,
+            };
+        }
+    }
+
+    fn note(&mut self, event: &Event) {
+        match event {
+            Event::Read(None) => self.failed_reads += 1,
+            Event::Read(Some(_)) => self.failed_reads = 0,
+            _ => {}
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Read => self.call(async |shared| Event::Read(read_stored(&shared).await)),
+            Action::Write { version, stored } => {
+                self.wrote = true;
+                self.call(async move |shared| {
+                    let write = write_stored(&shared, version, &stored).await;
+                    Event::Written { version, write }
+                });
+            }
+            Action::List => self.call(async |shared| Event::Members(members::list(&shared).await)),
+            Action::Prepare { to, prepare } => {
+                let (sender, write) = (self.sender.clone(), self.write.clone());
+                let heard = move |names: relay::Names| confirm(&sender, &write, names);
+                self.attempt += 1;
+                relay::prepare_all(&self.shared, to, self.attempt, &prepare, heard);
+            }
+            Action::Commit { to, number, write } => {
+                relay::commit_all(&self.shared, to, number, &write);
+            }
+            Action::Abort { to, write } => relay::abort_all(&self.shared, to, &write),
+            Action::Answer(answer) => self.tell(Ending::Round(answer)),
+        }
+    }
+
+    fn tell(&mut self, ending: Ending) {
+        if let Some(answer) = self.answer.take() {
+            // The operator may have gone; the patch goes on.
+            let _ = answer.send(ending);
+        }
+    }
+
+    /// Runs a call of the object API and feeds its event.
+    fn call(&self, call: impl AsyncFnOnce(Rc<Shared>) -> Event + 'static) {
+        let sender = self.sender.clone();
+        spawn(&self.shared, async move |shared| {
+            // A round that is over has no use for it.
+            let _ = sender.send(call(shared).await);
+        });
+    }
+}
+
+fn confirm(sender: &mpsc::UnboundedSender<Event>, write: &CompactString, names: relay::Names) {
+    for from in names {
+        let write = write.clone();
+        // A round that is over has no use for it.
+        let _ = sender.send(Event::Confirmed { from, write });
+    }
+}
+
+impl Ending {
+    fn into_result(self) -> Result<u64, Problem> {
+        let answer = match self {
+            Self::Round(answer) => answer,
+            Self::NotReached => {
+                let message = "the object API cannot be read; the patch is not accepted";
+                return Err(later(refuse(Code::ObjectApi, message)));
+            }
+        };
+        let text = answer.to_string();
+        Err(match answer {
+            Answer::Accepted(number) => return Ok(number),
+            Answer::Conflict(number) => conflict(number),
+            Answer::Reused(_) => refuse(Code::KeyConflict, text),
+            Answer::Invalid(faults) => invalid(&faults),
+            Answer::NotConfirmed(names) => {
+                let message = format!("refused: not confirmed by {}", names.join(", "));
+                later(refuse(Code::NotConfirmed, message))
+            }
+            Answer::TakenBack => later(refuse(Code::NotConfirmed, format!("refused: {text}"))),
+            Answer::Late => later(refuse(Code::Deadline, format!("refused: {text}"))),
+            Answer::Unknown => later(unknown(Code::Unknown, text)),
+        })
+    }
+}
+
+fn later(problem: Problem) -> Problem {
+    Problem {
+        retry_after_ms: Some(RETRY_AFTER_MS),
+        ..problem
+    }
+}
+
+fn conflict(number: u64) -> Problem {
+    let message = format!("refused: configuration {number} is in force");
+    refuse(Code::Conflict, message)
+}
+
+fn invalid(faults: &[Fault]) -> Problem {
+    let texts: Vec<_> = faults.iter().map(Fault::to_string).collect();
+    refuse(Code::InvalidPatch, texts.join("; "))
+}
--- a/crates/pinereel/src/controllers/endpoints.rs
+++ b/crates/pinereel/src/controllers/endpoints.rs
@@ -1,5 +1,6 @@
 //! The endpoints that this entry routes to: the platform's list, load reports, what attempts show.
 
+use super::members;
 use crate::{
     engines,
     logging::{Decision, RunnerUp, What},
@@ -189,16 +190,20 @@
     let (Ok(list), Some(pin)) = (list, shared.config.pin()) else {
         return;
     };
+    let mut entries = BTreeMap::new();
     let mut listed = BTreeMap::new();
     for object in list.items {
         let Ok(instance) = serde_json::from_value::<Instance>(object.value) else {
             log::error!("instance {} unreadable", object.name);
             continue;
         };
-        if instance.pool != ENTRY_POOL {
+        if instance.pool == ENTRY_POOL {
+            entries.insert(object.name, instance);
+        } else {
             listed.insert(object.name, instance);
         }
     }
+    members::platform(shared, &entries);
     let gone: Vec<_> = {
         let set = shared.endpoints.set();
         let names = set.iter().map(|(_, e)| e.name.clone());
--- a/crates/pinereel/src/controllers/members.rs
+++ b/crates/pinereel/src/controllers/members.rs
@@ -1,70 +1,76 @@
 //! The entries: this one's member object, the others', and the links to them.
 
+use super::config;
 use crate::{
     objects::{Error, Purpose},
     peer::Peer,
     state::{Shared, spawn},
 };
 use compact_str::CompactString;
-use pinereel_api::object::{MEMBERS, Presence};
-use pinereel_core::hash;
-use serde::{Deserialize, Serialize};
-use std::{cell::RefCell, cmp::Reverse, collections::BTreeMap, rc::Rc, time::Duration};
-use tokio::time::sleep;
+use pinereel_api::{
+    object::{Instance, MEMBERS, Presence},
+    wire::{Call, Hello, Reply},
+};
+use pinereel_core::{
+    hash,
+    member::{Branch, FULL_MESH, Listed, Object, View},
+};
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    time::Duration,
+};
+use tokio::{sync::Notify, time::sleep};
 
-/// Pause between lists.
+/// Shortest pause between lists.
 const PAUSE: Duration = Duration::from_secs(1);
-
-/// A member object.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Member {
-    /// Changes with each start.
-    pub incarnation: u64,
-    /// `IP:PORT` of the peer listener.
-    pub address: CompactString,
-    /// Availability zone.
-    pub zone: CompactString,
-    /// Whether it is leaving.
-    pub state: Presence,
-}
+/// Lists a second of all entries together; more entries list less often.
+const LISTS_PER_SECOND: u32 = 20;
+/// Entries of each availability zone that watch.
+const WATCHERS: usize = 2;
+/// Entries that remove member objects of instances that are gone.
+const REMOVERS: usize = 3;
+/// Links that an entry opens within its availability zone, when entries are many.
+const LINKS_IN_ZONE: usize = 3;
+/// Links that an entry opens out of its availability zone, when entries are many.
+const LINKS_OUT: usize = 3;
 
 /// The controller's state.
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub struct Members {
-    known: RefCell<BTreeMap<CompactString, Member>>,
-    own: RefCell<Option<Member>>,
+    view: RefCell<View>,
+    own: RefCell<Option<Object>>,
+    /// Whether this entry has left for good.
+    left: Cell<bool>,
+    /// Asks for a list before its time.
+    wanted: Notify,
 }
 
 impl Members {
-    /// The known entries.
-    pub fn all(&self) -> BTreeMap<CompactString, Member> {
-        self.known.borrow().clone()
+    /// The known entries, to look at.
+    pub fn view(&self) -> std::cell::Ref<'_, View> {
+        self.view.borrow()
     }
 
     /// Entries that may run work, best first for `key`, at most `count`.
     pub fn ranked(&self, key: u64, count: usize) -> Vec<CompactString> {
-        let known = self.known.borrow();
-        let mut names: Vec<_> = known
-            .iter()
-            .filter(|(_, member)| member.state == Presence::Live)
-            .map(|(name, _)| name)
-            .collect();
-        names.sort_by_key(|name| Reverse(hash::score(key, name)));
-        names.into_iter().take(count).cloned().collect()
+        let view = self.view.borrow();
+        view.subset(key, count).into_iter().cloned().collect()
     }
 }
 
 /// Writes this entry's member object; tries until it is written.
 pub async fn register(shared: &Shared, address: CompactString) {
-    let member = Member {
+    let object = Object {
+        name: shared.name().clone(),
         incarnation: shared.incarnation,
         address,
         zone: shared.zone().clone(),
-        state: Presence::Live,
     };
-    shared.members.own.replace(Some(member));
+    shared.members.own.replace(Some(object));
     while let Err(e) = write_own(shared).await {
-        log::warn!("member object not written: {e}");
+        log::warn!(entry = shared.name().as_str(); "members: own object not written: {e}");
         sleep(PAUSE).await;
     }
 }
@@ -75,32 +81,37 @@
         return Ok(());
     };
     let name = shared.name();
-    let present = shared.objects.read(Purpose::Members, MEMBERS, name).await?;
+    let objects = &shared.objects;
+    let present = objects.read(Purpose::Members, MEMBERS, name).await?;
     let value = serde_json::to_value(&own).map_err(|e| Error::Malformed(e.to_string()))?;
-    match present {
-        Some(object) if object.value == value => Ok(()),
+    let written = match present {
+        Some(object) if object.value == value => return Ok(()),
         Some(object) => {
-            let written =
-                shared
-                    .objects
-                    .update(Purpose::Members, MEMBERS, name, object.version, &own);
-            written.await.map(drop)
-        }
-        None => {
-            let written = shared.objects.create(Purpose::Members, MEMBERS, name, &own);
-            written.await.map(drop)
+            objects
+                .update(Purpose::Members, MEMBERS, name, object.version, &own)
+                .await
         }
-    }
+        None => objects.create(Purpose::Members, MEMBERS, name, &own).await,
+    };
+    written.map(drop)
 }
 
 /// Removes the own member object, at the end of a graceful stop.
 pub async fn leave(shared: &Shared) -> Result<(), Error> {
-    let name = shared.name();
-    let Some(object) = shared.objects.read(Purpose::Members, MEMBERS, name).await? else {
+    shared.members.left.set(true);
+    remove(shared, shared.name(), shared.incarnation).await
+}
+
+/// Removes the member object of one incarnation.
+async fn remove(shared: &Shared, name: &str, incarnation: u64) -> Result<(), Error> {
+    let objects = &shared.objects;
+    let Some(object) = objects.read(Purpose::Members, MEMBERS, name).await? else {
         return Ok(());
     };
-    shared
-        .objects
+    if read(&object.value).is_some_and(|present| present.incarnation != incarnation) {
+        return Ok(());
+    }
+    objects
         .delete(Purpose::Members, MEMBERS, name, object.version)
         .await
 }
@@ -108,30 +119,158 @@
 /// Starts the controller.
 pub fn start(shared: &Rc<Shared>) {
     spawn(shared, async |shared: Rc<Shared>| {
-        loop {
-            refresh(&shared).await;
+        while !shared.members.left.get() {
+            if list(&shared).await.is_some() {
+                stay(&shared).await;
+            }
+            clean(&shared).await;
             sleep(PAUSE).await;
+            tokio::select! {
+                () = shared.members.wanted.notified() => {}
+                () = sleep(longer(&shared)) => {}
+            }
         }
     });
 }
 
-async fn refresh(shared: &Shared) {
-    let Ok(list) = shared.objects.list(Purpose::Members, MEMBERS, "").await else {
-        return;
-    };
-    let mut known = BTreeMap::new();
-    for object in list.items {
-        if let Ok(member) = serde_json::from_value::<Member>(object.value) {
-            known.insert(object.name, member);
+/// What a pause between lists is longer than the shortest, so that all together keep their rate.
+fn longer(shared: &Shared) -> Duration {
+    let count = shared.members.view().entries().len();
+    let count = u32::try_from(count).unwrap_or(u32::MAX);
+    let pause = Duration::from_secs(1) / LISTS_PER_SECOND * count;
+    pause.saturating_sub(PAUSE)
+}
+
+/// Lists the member objects; gives the names of all.
+pub async fn list(shared: &Shared) -> Option<BTreeSet<CompactString>> {
+    let list = shared.objects.list(Purpose::Members, MEMBERS, "").await;
+    let items = list.ok()?.items;
+    let names = items.iter().map(|object| object.name.clone()).collect();
+    let objects = items.iter().filter_map(|object| read(&object.value));
+    shared.members.view.borrow_mut().list(objects);
+    link(shared);
+    Some(names)
+}
+
+fn read(value: &serde_json::Value) -> Option<Object> {
+    match serde::Deserialize::deserialize(value) {
+        Ok(object) => Some(object),
+        Err(e) => {
+            log::error!("members: object unreadable: {e}");
+            None
         }
     }
-    let peers: Vec<_> = known
-        .iter()
-        .map(|(name, member)| Peer {
-            name: name.clone(),
-            address: member.address.clone(),
-        })
-        .collect();
-    shared.members.known.replace(known);
+}
+
+/// Writes the own member object again if it was removed. Patches may have been accepted without
+/// this entry meanwhile, so the configuration is read after that.
+async fn stay(shared: &Rc<Shared>) {
+    let there = shared.members.view().entries().contains_key(shared.name());
+    if there || shared.members.left.get() {
+        return;
+    }
+    log::warn!(entry = shared.name().as_str(); "members: own object is missing, written again");
+    if write_own(shared).await.is_ok() {
+        config::read(shared);
+    }
+}
+
+/// Keeps the links that the view says, in both directions.
+fn link(shared: &Shared) {
+    let view = shared.members.view();
+    let own = shared.name();
+    let mut names = view.links(own, LINKS_IN_ZONE, LINKS_OUT);
+    if view.entries().len() > FULL_MESH {
+        // Only the smaller name dials, so each must also know which links the others want.
+        let others = view.entries().keys().filter(|name| *name != own);
+        let wanting = others.filter(|name| {
+            view.links(name, LINKS_IN_ZONE, LINKS_OUT)
+                .contains(own.as_str())
+        });
+        names.extend(wanting.cloned());
+    }
+    let peers: Vec<_> = names.iter().filter_map(|name| peer(&view, name)).collect();
     shared.mesh.want(peers);
+    let up = i64::try_from(shared.mesh.linked().len()).unwrap_or(i64::MAX);
+    shared.metrics.links_up.set(up);
+}
+
+fn peer(view: &View, name: &str) -> Option<Peer> {
+    let entry = view.entries().get(name)?;
+    Some(Peer {
+        name: entry.object.name.clone(),
+        address: entry.object.address.clone(),
+    })
+}
+
+/// Takes the entries of the platform's list of instances.
+pub fn platform(shared: &Shared, entries: &BTreeMap<CompactString, Instance>) {
+    let listed = entries.iter().map(|(name, instance)| {
+        let state = match instance.state {
+            Presence::Live => Listed::Live,
+            Presence::Leaving => Listed::Leaving,
+        };
+        (name.clone(), state)
+    });
+    let listed = listed.collect();
+    let now = shared.now();
+    shared.members.view.borrow_mut().platform(now, &listed);
+}
+
+/// Notes a peer that spoke.
+pub fn met(shared: &Shared, from: &Hello, draining: bool) {
+    let mut view = shared.members.view.borrow_mut();
+    let known = view.entries().get(&from.name);
+    if known.is_none_or(|entry| entry.object.incarnation < from.incarnation) {
+        shared.members.wanted.notify_one();
+    }
+    if draining {
+        view.leave(&from.name, from.incarnation);
+    }
+}
+
+/// Removes the member objects of instances that are gone, if this entry is one that does.
+async fn clean(shared: &Shared) {
+    let key = hash::stable(b"members");
+    let removers = shared.members.ranked(key, REMOVERS);
+    if !removers.contains(shared.name()) {
+        return;
+    }
+    let gone = shared.members.view().removable(shared.now());
+    for (name, incarnation) in gone {
+        if name == *shared.name() {
+            continue;
+        }
+        let entry = shared.name().as_str();
+        match remove(shared, &name, incarnation).await {
+            Ok(()) => log::info!(entry; "members: {name} is gone, removed"),
+            Err(e) => log::warn!(entry; "members: {name} is gone, not removed: {e}"),
+        }
+    }
+}
+
+/// Whether this entry is one of the few of its availability zone that watch.
+pub fn watches(shared: &Shared) -> bool {
+    let view = shared.members.view();
+    let key = hash::stable(b"config");
+    let own = hash::score(key, shared.name());
+    let before = view.entries().values().filter(|entry| {
+        let better = hash::score(key, &entry.object.name) > own;
+        better && entry.object.zone == *shared.zone() && entry.gone_since.is_none()
+    });
+    before.count() < WATCHERS
+}
+
+/// How to bring a message to many.
+pub fn branches(shared: &Shared, to: &BTreeSet<CompactString>, attempt: u64) -> Vec<Branch> {
+    shared.members.view().branches(to, attempt)
+}
+
+/// Calls an entry, over its link or a connection for this call alone.
+pub async fn call(shared: &Shared, name: &str, call: Call, wait: Duration) -> Option<Reply> {
+    if shared.mesh.has(name) {
+        return shared.mesh.call(name, call, wait).await.ok();
+    }
+    let peer = peer(&shared.members.view(), name)?;
+    shared.mesh.call_once(&peer, call, wait).await.ok()
 }
--- a/crates/pinereel/src/dispatch.rs
+++ b/crates/pinereel/src/dispatch.rs
@@ -1,7 +1,11 @@
 //! Carries out what other entries ask.
 
 use crate::{
-    controllers::lots::{self, runner},
+    controllers::{
+        config,
+        lots::{self, runner},
+        members,
+    },
     state::Shared,
 };
 use compact_str::CompactString;
@@ -15,12 +19,24 @@
         Call::Assign(assignment) => done(runner::assign(&shared, assignment)),
         Call::Collect(ask) => runner::collect(&shared, ask).await,
         Call::Handover { lot, samples } => done(runner::take_over(&shared, lot, samples)),
-        Call::Prepare { .. }
-        | Call::Commit { .. }
-        | Call::Abort { .. }
-        | Call::Fetch
-        | Call::Claim { .. }
-        | Call::Settle { .. } => Reply::Refused("not supported".into()),
+        Call::Prepare { prepare, leaves } => {
+            let confirmed = config::relay::prepare(&shared, *prepare, leaves).await;
+            Reply::Confirmed(confirmed)
+        }
+        Call::Commit {
+            number,
+            write,
+            leaves,
+        } => {
+            config::relay::commit(&shared, number, write, leaves);
+            Reply::Done
+        }
+        Call::Abort { write, leaves } => {
+            config::relay::abort(&shared, write, leaves);
+            Reply::Done
+        }
+        Call::Fetch => config::fetched(&shared),
+        Call::Claim { .. } | Call::Settle { .. } => Reply::Refused("not supported".into()),
     }
 }
 
@@ -32,7 +48,9 @@
 }
 
 /// Takes in a peer's periodic summary.
-pub fn hear(shared: &Rc<Shared>, _from: &Hello, summary: Summary) {
+pub fn hear(shared: &Rc<Shared>, from: &Hello, summary: Summary) {
+    members::met(shared, from, summary.draining);
+    config::hear(shared, from, &summary);
     for (model, version) in summary.versions {
         lots::published(shared, &model, version);
     }
@@ -41,11 +59,14 @@
     }
 }
 
-/// What this entry tells its peers.
-pub fn summary(shared: &Shared) -> Summary {
+/// What this entry tells the peer `to`.
+pub fn summary(shared: &Shared, to: &Hello) -> Summary {
+    let now = shared.now();
     Summary {
         number: shared.config.number(),
-        confirmed_ms: 0,
+        vouches: shared.config.vouches(now),
+        sent_us: now.0,
+        echo: shared.config.echo(to),
         versions: shared.lots.versions(),
         leaving: shared.endpoints.set().hints(),
         draining: shared.drain.asked(),
--- a/crates/pinereel/src/entry.rs
+++ b/crates/pinereel/src/entry.rs
@@ -27,7 +27,7 @@
 };
 
 /// Pause between summaries to peers; also the heartbeat of links.
-const SUMMARY_PAUSE: Duration = Duration::from_secs(1);
+const SUMMARY_PAUSE: Duration = Duration::from_millis(800);
 
 /// Why an entry did not run.
 #[derive(Debug, thiserror::Error)]
@@ -182,7 +182,7 @@
     shared.mesh.serve(Rc::new(handler), Rc::new(observer));
     spawn(shared, async |shared: Rc<Shared>| {
         loop {
-            shared.mesh.tell(&dispatch::summary(&shared));
+            shared.mesh.tell(|to| dispatch::summary(&shared, to));
             sleep(SUMMARY_PAUSE).await;
         }
     });
@@ -210,6 +210,7 @@
         lots: settings.limits.lots,
         ..Limits::default()
     };
+    let config = config::Config::new(clock.now(), settings.entry.name.clone());
     Rc::new(Shared {
         incarnation,
         clock,
@@ -217,7 +218,7 @@
         objects: objects::Client::new(options, clock),
         http: upstream::Client::new(),
         mesh: Mesh::new(identity),
-        config: Default::default(),
+        config,
         members: Default::default(),
         endpoints: Default::default(),
         lots: lots::Lots::new(Runner::new(Policy::default(), limits)),
--- a/crates/pinereel/src/filters/pin.rs
+++ b/crates/pinereel/src/filters/pin.rs
@@ -2,7 +2,9 @@
 
 use super::refuse;
 use crate::{controllers::config::Pin, state::Shared};
+use compact_str::CompactString;
 use pinereel_api::{Problem, problem::Code};
+use pinereel_core::config::Refusal;
 
 /// When a caller shall come back to an entry that cannot confirm its configuration.
 const RETRY_AFTER_MS: u64 = 1_000;
@@ -10,15 +12,25 @@
 /// The configuration that a request is served under.
 ///
 /// # Errors
-/// `Unavailable` while the entry may not admit requests.
+/// `Unavailable` while the entry may not admit requests: it drains, starts, was paused, is behind,
+/// does not know a patch's result, or is cut off. Asked for each request.
 pub fn pin(shared: &Shared) -> Result<Pin, Problem> {
     if shared.drain.refuses() {
         return Err(later("this instance is draining"));
     }
-    shared
-        .config
-        .pin()
-        .ok_or_else(|| later("the configuration is not known yet"))
+    match shared.config.admits(shared.now()) {
+        Ok(pin) => Ok(pin),
+        Err(refusal) => Err(later(refusal.to_string())),
+    }
+}
+
+/// The configuration in force here, also while no request is admitted under it.
+///
+/// # Errors
+/// `Unavailable` before the first read.
+pub fn known(shared: &Shared) -> Result<Pin, Problem> {
+    let pin = shared.config.pin();
+    pin.ok_or_else(|| later(Refusal::Starting.to_string()))
 }
 
 /// The configuration number, if the balancer may send connections here.
@@ -32,7 +44,7 @@
     pin(shared).map(|pin| pin.number)
 }
 
-fn later(message: &'static str) -> Problem {
+fn later(message: impl Into<CompactString>) -> Problem {
     Problem {
         retry_after_ms: Some(RETRY_AFTER_MS),
         ..refuse(Code::Unavailable, message)
--- /dev/null
+++ b/crates/pinereel/src/operators/mod.rs
@@ -0,0 +1,98 @@
+//! The operators' listener.
+
+mod status;
+
+use crate::{
+    callers,
+    controllers::config::propose,
+    filters::{pin, refuse, respond},
+    http::{self, Request, Response},
+    state::Shared,
+};
+use actix_http::{HttpMessage as _, Method, StatusCode};
+use pinereel_api::{
+    Problem, header,
+    operator::{Checked, Config, Patch, Patched},
+    problem::Code,
+};
+use serde::Serialize;
+use std::rc::Rc;
+
+/// Largest body of a patch, in bytes.
+const MAX_PATCH: usize = 1 << 20;
+
+/// Answers one request.
+pub async fn serve(shared: Rc<Shared>, mut request: Request) -> Response {
+    let path = request.path().to_owned();
+    let method = request.method().clone();
+    match (&method, path.as_str()) {
+        (&Method::GET, "/live") => return http::text(StatusCode::OK, "live\n"),
+        (&Method::GET, "/ready") => return callers::ready(&shared),
+        _ => {}
+    }
+    if !authorized(&shared, &request) {
+        let problem = refuse(
+            Code::Unauthorized,
+            "the operators' token is missing or wrong",
+        );
+        return respond::problem(&shared, &problem);
+    }
+    let result = match (&method, path.as_str()) {
+        (&Method::GET, "/metrics") => {
+            status::measure(&shared);
+            return http::text(StatusCode::OK, shared.metrics.render());
+        }
+        (&Method::POST, "/v1/drain") => {
+            shared.drain.ask();
+            return http::empty(StatusCode::ACCEPTED);
+        }
+        (&Method::GET, "/v1/status") => Ok(json(&status::status(&shared))),
+        (&Method::GET, "/v1/config") => show(&shared),
+        (&Method::POST, "/v1/config/check") => check(&shared, &mut request).await,
+        (&Method::POST, "/v1/config") => patch(&shared, &mut request).await,
+        _ => Err(refuse(Code::NotFound, "no such path")),
+    };
+    result.unwrap_or_else(|problem| respond::problem(&shared, &problem))
+}
+
+fn json(body: &impl Serialize) -> Response {
+    http::json(StatusCode::OK, body)
+}
+
+fn show(shared: &Shared) -> Result<Response, Problem> {
+    let pin = pin::known(shared)?;
+    let document = serde_json::to_value(&*pin.document).unwrap_or_default();
+    Ok(json(&Config {
+        number: pin.number,
+        document,
+    }))
+}
+
+async fn check(shared: &Shared, request: &mut Request) -> Result<Response, Problem> {
+    let patch = read(shared, request).await?;
+    let document = propose::check(shared, &patch)?;
+    let document = serde_json::to_value(document).unwrap_or_default();
+    Ok(json(&Checked { document }))
+}
+
+async fn patch(shared: &Rc<Shared>, request: &mut Request) -> Result<Response, Problem> {
+    let patch = read(shared, request).await?;
+    let number = propose::propose(shared, patch).await?;
+    Ok(json(&Patched { number }))
+}
+
+async fn read(shared: &Shared, request: &mut Request) -> Result<Patch, Problem> {
+    let timeout = shared.settings.limits.read_timeout;
+    Ok(http::read_json(request, MAX_PATCH, timeout).await?)
+}
+
+fn authorized(shared: &Shared, request: &Request) -> bool {
+    let expected = format!("Bearer {}", shared.settings.secrets.operator_token.reveal());
+    let given = request.headers().get(header::AUTHORIZATION);
+    given.is_some_and(|given| same(given.as_bytes(), expected.as_bytes()))
+}
+
+/// Compares in a time that does not depend on where the two differ.
+pub(crate) fn same(a: &[u8], b: &[u8]) -> bool {
+    a.len() == b.len() && a.iter().zip(b).fold(0, |acc, (x, y)| acc | (x ^ y)) == 0
+}
--- /dev/null
+++ b/crates/pinereel/src/operators/status.rs
@@ -0,0 +1,111 @@
+//! What this entry knows of the system.
+
+use crate::{controllers::config::Heard, state::Shared};
+use compact_str::{CompactString, format_compact};
+use pinereel_api::operator::{Endpoint, Entry, Status};
+use pinereel_core::{Time, endpoint::State, member};
+use std::{collections::BTreeMap, time::Duration};
+
+/// An entry that was not heard for so long counts as lagging: nothing is confirmed there.
+const SILENT: Duration = Duration::from_secs(4);
+
+/// The answer to `GET /v1/status`.
+pub fn status(shared: &Shared) -> Status {
+    let mut object_calls = BTreeMap::<CompactString, u64>::new();
+    for ((purpose, _), count) in shared.objects.calls() {
+        *object_calls.entry(purpose.as_str().into()).or_default() += count;
+    }
+    Status {
+        entry: shared.name().clone(),
+        number: shared.config.number(),
+        entries: entries(shared),
+        endpoints: endpoints(shared),
+        versions: shared.lots.versions(),
+        leases: BTreeMap::new(),
+        object_calls,
+    }
+}
+
+/// Brings figures up to date that are only looked at when asked for.
+pub fn measure(shared: &Shared) {
+    let metrics = &shared.metrics;
+    for ((purpose, kind), count) in shared.objects.calls() {
+        let counter = metrics
+            .object_calls
+            .with_label_values(&[purpose.as_str(), kind]);
+        counter.inc_by(count.saturating_sub(counter.get()));
+    }
+    let up = i64::try_from(shared.mesh.linked().len()).unwrap_or(i64::MAX);
+    metrics.links_up.set(up);
+    let (sent, received) = shared.mesh.bytes();
+    for (direction, bytes) in [("out", sent), ("in", received)] {
+        let counter = metrics.peer_bytes.with_label_values(&[direction]);
+        counter.inc_by(bytes.saturating_sub(counter.get()));
+    }
+}
+
+fn entries(shared: &Shared) -> BTreeMap<CompactString, Entry> {
+    let heard = shared.config.heard();
+    let view = shared.members.view();
+    let known = view.entries().iter();
+    known
+        .map(|(name, entry)| {
+            let peer = heard
+                .get(name)
+                .filter(|heard| heard.incarnation == entry.object.incarnation);
+            let described = if name == shared.name() {
+                own(shared, entry)
+            } else {
+                other(shared, entry, peer)
+            };
+            (name.clone(), described)
+        })
+        .collect()
+}
+
+fn own(shared: &Shared, entry: &member::Entry) -> Entry {
+    Entry {
+        zone: entry.object.zone.clone(),
+        number: shared.config.number(),
+        heard_ms: None,
+        lags: shared.config.admits(shared.now()).is_err(),
+    }
+}
+
+fn other(shared: &Shared, entry: &member::Entry, heard: Option<&Heard>) -> Entry {
+    let now = shared.now();
+    let silence = now.since(heard.map_or(Time::ZERO, |heard| heard.at));
+    let number = heard.map_or(0, |heard| heard.number);
+    Entry {
+        zone: entry.object.zone.clone(),
+        number,
+        heard_ms: Some(u64::try_from(silence.as_millis()).unwrap_or(u64::MAX)),
+        lags: number < shared.config.number() || silence >= SILENT,
+    }
+}
+
+fn endpoints(shared: &Shared) -> BTreeMap<CompactString, Endpoint> {
+    let set = shared.endpoints.set();
+    let known = set.iter().map(|(_, endpoint)| {
+        let state = match endpoint.state {
+            State::Live => "live",
+            State::Leaving => "leaving",
+            State::Ejected { .. } => "ejected",
+            State::Gone => "gone",
+        };
+        let described = Endpoint {
+            pool: endpoint.pool.clone(),
+            zone: endpoint.zone.clone(),
+            state: state.into(),
+            outstanding: endpoint.outstanding,
+            version: endpoint.version,
+        };
+        // An old incarnation may still be busy beside the new one of the same name.
+        let name = match endpoint.state {
+            State::Gone => format_compact!("{}#{}", endpoint.name, endpoint.incarnation),
+            _ => endpoint.name.clone(),
+        };
+        (name, described)
+    });
+    known.collect()
+}
--- a/crates/pinereel/src/peer/mesh.rs
+++ b/crates/pinereel/src/peer/mesh.rs
@@ -38,6 +38,10 @@
 const OPEN_TIMEOUT: Duration = Duration::from_secs(2);
 /// Pause between attempts to open a link.
 const DIAL_PAUSE: Duration = Duration::from_millis(300);
+/// Path of a lasting link.
+const LINK_PATH: &str = "/peer";
+/// Path of a connection for one call.
+const ONCE_PATH: &str = "/call";
 /// Most calls from one peer that are carried out at once; further frames wait in the socket.
 const MAX_SERVING: usize = 256;
 
@@ -119,8 +123,8 @@
                 let mesh = mesh.clone();
                 actix_rt::spawn(async move {
                     let opened = timeout(OPEN_TIMEOUT, mesh.accept(stream)).await;
-                    if let Ok(Some((socket, hello))) = opened {
-                        mesh.run(socket, hello).await;
+                    if let Ok(Some((socket, hello, once))) = opened {
+                        mesh.run(socket, hello, once).await;
                     }
                 });
             }
@@ -160,11 +164,35 @@
         link.ok_or(Error::NoLink)?.call(body, wait).await
     }
 
-    /// Tells all linked peers.
-    pub fn tell(&self, summary: &Summary) {
+    /// Calls an entry without a link, over a connection for this call alone.
+    pub async fn call_once(&self, peer: &Peer, body: Call, wait: Duration) -> Result<Reply, Error> {
+        if self.closed.get() {
+            return Err(Error::NoLink);
+        }
+        let call = async {
+            let opened = self.open(&peer.address, ONCE_PATH).await;
+            let (mut socket, hello) = opened.ok_or(Error::NoLink)?;
+            if hello.name != peer.name {
+                return Err(Error::NoLink);
+            }
+            let frame = Frame::Call { id: 0, body };
+            let bytes = frame.encode().map_err(|_| Error::TooLarge)?;
+            if !link::write(&mut socket, bytes).await {
+                return Err(Error::Closed);
+            }
+            match link::read(&mut socket).await {
+                Some((Frame::Reply { body, .. }, _)) => Ok(body),
+                _ => Err(Error::Closed),
+            }
+        };
+        timeout(wait, call).await.unwrap_or(Err(Error::Timeout))
+    }
+
+    /// Tells each linked peer its own summary.
+    pub fn tell(&self, summary: impl Fn(&Hello) -> Summary) {
         for link in self.links.borrow().values() {
             // A full queue means the peer hears the next one.
-            let _ = link.send(&Frame::Digest(summary.clone()));
+            let _ = link.send(&Frame::Digest(summary(&link.hello)));
         }
     }
 
@@ -190,21 +218,22 @@
                 break;
             };
             if !self.has(&name)
-                && let Ok(Some((socket, hello))) = timeout(OPEN_TIMEOUT, self.open(&address)).await
+                && let Ok(Some((socket, hello))) =
+                    timeout(OPEN_TIMEOUT, self.open(&address, LINK_PATH)).await
                 && hello.name == name
             {
-                self.run(socket, hello).await;
+                self.run(socket, hello, false).await;
             }
             sleep(DIAL_PAUSE).await;
         }
         self.dialing.borrow_mut().remove(&name);
     }
 
-    async fn open(&self, address: &str) -> Option<(Socket, Hello)> {
+    async fn open(&self, address: &str, path: &str) -> Option<(Socket, Hello)> {
         let address: SocketAddr = address.parse().ok()?;
         let stream = TcpStream::connect(address).await.ok()?;
         stream.set_nodelay(true).ok()?;
-        let mut request = format!("ws://{address}/peer").into_client_request().ok()?;
+        let mut request = format!("ws://{address}{path}").into_client_request().ok()?;
         let secret = HeaderValue::from_str(&self.identity.secret).ok()?;
         request.headers_mut().insert(AUTHORIZATION, secret);
         let config = Some(link::socket_config());
@@ -215,14 +244,18 @@
         Some((socket, hello))
     }
 
-    async fn accept(&self, stream: TcpStream) -> Option<(Socket, Hello)> {
+    /// Takes a connection; also tells whether it is for one call alone.
+    async fn accept(&self, stream: TcpStream) -> Option<(Socket, Hello, bool)> {
         stream.set_nodelay(true).ok()?;
+        let once = Rc::new(Cell::new(false));
+        let seen = Rc::clone(&once);
         let secret = self.identity.secret.clone();
         let config = Some(link::socket_config());
         // The error's size is the library's choice.
         #[allow(clippy::result_large_err)]
         let check =
             move |request: &Request, response: Response| -> Result<Response, ErrorResponse> {
+                seen.set(request.uri().path() == ONCE_PATH);
                 let given = request
                     .headers()
                     .get(AUTHORIZATION)
@@ -239,17 +272,17 @@
             .await
             .ok()?;
         let hello = link::greet(&mut socket, self.hello()).await?;
-        Some((socket, hello))
+        Some((socket, hello, once.get()))
     }
 
-    /// Runs a link until it ends.
-    async fn run(&self, socket: Socket, hello: Hello) {
+    /// Runs a link until it ends. One for a single call is not used for calls from here.
+    async fn run(&self, socket: Socket, hello: Hello, once: bool) {
         if self.closed.get() {
             return;
         }
         let name = hello.name.clone();
         let (link, frames) = Link::new(hello, self.identity.queue);
-        if let Some(old) = self.links.borrow_mut().insert(name.clone(), link.clone()) {
+        if !once && let Some(old) = self.links.borrow_mut().insert(name.clone(), link.clone()) {
             old.close();
         }
         let (mut sink, mut stream) = socket.split();
--- a/crates/pinereel/tests/peer_links.rs
+++ b/crates/pinereel/tests/peer_links.rs
@@ -86,10 +86,9 @@
     assert!(linked(&a, "b").await);
     let short = Duration::from_millis(50);
     assert_eq!(a.call("b", Call::Fetch, short).await, Err(Error::Timeout));
-    let large = Call::Prepare {
-        number: 1,
-        document: serde_json::Value::String("x".repeat(MAX_FRAME)),
-        patch: "p".into(),
+    let large = Call::Abort {
+        write: "x".repeat(MAX_FRAME).into(),
+        leaves: Default::default(),
     };
     assert_eq!(a.call("b", large, short).await, Err(Error::TooLarge));
     assert!(a.has("b"), "an unsendable frame must not cost the link");
@@ -108,3 +107,25 @@
     let (result, ()) = futures_util::future::join(call, close).await;
     assert_eq!(result, Err(Error::Closed));
 }
+
+#[actix_rt::test]
+async fn call_without_a_link_uses_a_connection_of_its_own() {
+    let (a, _) = mesh("a", "secret", None).await;
+    let (b, b_address) = mesh("b", "secret", Some(Reply::Granted)).await;
+    let at = peer("b", &b_address);
+    assert_eq!(
+        a.call_once(&at, Call::Fetch, WAIT).await,
+        Ok(Reply::Granted)
+    );
+    assert!(!a.has("b") && !b.has("a"), "it must not become a link");
+    let wrong = peer("c", &b_address);
+    let result = a.call_once(&wrong, Call::Fetch, WAIT).await;
+    assert_eq!(
+        result,
+        Err(Error::NoLink),
+        "another entry took over the address"
+    );
+    b.close();
+    let result = a.call_once(&at, Call::Fetch, WAIT).await;
+    assert!(result.is_err(), "{result:?}");
+}
--- a/crates/pinereel_api/src/wire.rs
+++ b/crates/pinereel_api/src/wire.rs
@@ -5,9 +5,9 @@
 
 use crate::trainer::{Group, Sample};
 use compact_str::CompactString;
-use pinereel_core::{Version, hash::Digest};
+use pinereel_core::{Version, config::Prepare, hash::Digest};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Version of this protocol. Links between different majors are refused.
 pub const PROTOCOL: u16 = 1;
@@ -56,8 +56,12 @@
 pub struct Summary {
     /// Configuration number in force at the sender.
     pub number: u64,
-    /// Milliseconds since the sender knew, directly or by peers, that no higher one was in force.
-    pub confirmed_ms: u64,
+    /// Whether the sender admits requests and knows of no other number that may be in force.
+    pub vouches: bool,
+    /// When it was sent, in microseconds of the sender's own clock.
+    pub sent_us: u64,
+    /// The latest summary that the sender had from the receiver.
+    pub echo: Option<Echo>,
     /// Newest published version by model.
     pub versions: BTreeMap<CompactString, Version>,
     /// Endpoints found leaving: name and incarnation.
@@ -66,29 +70,40 @@
     pub draining: bool,
 }
 
+/// Names one summary of an entry, back to that entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Echo {
+    /// Incarnation that sent the summary.
+    pub incarnation: u64,
+    /// Its [`Summary::sent_us`].
+    pub sent_us: u64,
+}
+
 /// What one entry asks of another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Call {
-    /// Store a configuration that may come into force.
+    /// Store a configuration that may come into force; answered by [`Reply::Confirmed`].
     Prepare {
-        /// Its number.
-        number: u64,
-        /// Its content.
-        document: serde_json::Value,
-        /// Id of the patch.
-        patch: CompactString,
+        /// The configuration.
+        prepare: Box<Prepare>,
+        /// Entries to pass it on to.
+        leaves: BTreeSet<CompactString>,
     },
     /// A prepared configuration is in force.
     Commit {
         /// Its number.
         number: u64,
+        /// Id of the write that made it pending.
+        write: CompactString,
+        /// Entries to pass it on to.
+        leaves: BTreeSet<CompactString>,
     },
     /// A prepared configuration was taken back.
     Abort {
-        /// Its number.
-        number: u64,
-        /// Id of the patch.
-        patch: CompactString,
+        /// Id of the write that made it pending.
+        write: CompactString,
+        /// Entries to pass it on to.
+        leaves: BTreeSet<CompactString>,
     },
     /// Read the configuration in force.
     Fetch,
@@ -179,6 +194,8 @@
     Done,
     /// Refused, with the reason.
     Refused(CompactString),
+    /// Entries that stored a prepared configuration, of the receiver and its leaves.
+    Confirmed(BTreeSet<CompactString>),
     /// The configuration in force.
     Config {
         /// Its number.
--- a/crates/pinereel_fakes/src/site.rs
+++ b/crates/pinereel_fakes/src/site.rs
@@ -7,7 +7,7 @@
 use compact_str::{CompactString, format_compact};
 use pinereel::{entry::Entry, settings::Settings};
 use pinereel_api::object::{CONFIG, CONFIG_NAME, Instance, Presence};
-use pinereel_core::config::Document;
+use pinereel_core::{config::Document, member::FULL_MESH};
 use std::{
     fs, io,
     os::unix::fs::PermissionsExt as _,
@@ -36,7 +36,7 @@
     pub batch: batch::Options,
     /// Pools of plain services: name, count.
     pub services: Vec<(CompactString, usize)>,
-    /// Document of configuration 1.
+    /// Document of configuration 1; an empty one is not written, so that 0 is in force.
     pub document: Document,
     /// Lag of the platform's list of instances.
     pub lag: Duration,
@@ -86,7 +86,9 @@
             ..object_api::Options::default()
         })
         .await?;
-        seed(&api, &options.document).await?;
+        if options.document != Document::default() {
+            seed(&api, &options.document).await?;
+        }
         let folder = folder()?;
         let mut site = Self {
             api,
@@ -163,11 +165,23 @@
         fs::write(&path, &text)?;
         let settings = Settings::load(&path).map_err(io::Error::other)?;
         let entry = Entry::start(settings).await.map_err(io::Error::other)?;
+        // The platform lists the system's own instances too; one that it lacks counts as gone.
+        let listed = Instance {
+            incarnation: entry.shared.incarnation,
+            ..instance(
+                options,
+                &"entry".into(),
+                index,
+                entry.callers.address.to_string(),
+            )
+        };
+        self.api.put_instance(&name, listed);
         self.entries.push(entry);
         Ok(())
     }
 
-    /// Waits until every entry is ready and linked to every other one.
+    /// Waits until every entry is ready, knows every other one, and is linked to all of them (to
+    /// some, if they are too many for that).
     ///
     /// # Errors
     /// It did not come about in time.
@@ -176,15 +190,23 @@
         let ready = || {
             self.entries.iter().all(|entry| {
                 let shared = &entry.shared;
-                let linked = shared.mesh.linked().len() + 1 >= count;
+                let links = shared.mesh.linked().len() + 1;
+                let linked = links >= count || (count > FULL_MESH && links > 1);
+                let met = shared.members.view().entries().len() >= count;
                 let endpoints = shared.endpoints.set().iter().count();
                 let known = endpoints >= self.engines.len() + self.services.len();
-                linked && known && pinereel::filters::pin::ready(shared).is_ok()
+                linked && met && known && pinereel::filters::pin::ready(shared).is_ok()
             })
         };
         until(ready).await
     }
 
+    /// `IP:PORT` of each entry's operators' listener.
+    pub fn operators(&self) -> Vec<String> {
+        let addresses = self.entries.iter().map(|entry| entry.operators.address);
+        addresses.map(|address| address.to_string()).collect()
+    }
+
     /// `IP:PORT` of each entry's callers' listener.
     pub fn callers(&self) -> Vec<String> {
         let addresses = self.entries.iter().map(|entry| entry.callers.address);
--- /dev/null
+++ b/crates/pinereel_fakes/tests/config_faults.rs
@@ -0,0 +1,233 @@
+//! Patches and admission while answers are lost, entries vanish and the object API is down.
+
+#![allow(clippy::unwrap_used)]
+
+mod config_help;
+
+use config_help::{
+    admits, bound, cut, get, highest, in_force, options, patch, pending, site, status, uncut,
+};
+use pinereel_api::object::Faults;
+use pinereel_fakes::site::{Site, until};
+use serde_json::{Value, json};
+use std::time::{Duration, Instant};
+use tokio::time::sleep;
+
+/// Longer than an entry admits without any contact.
+const LONG: Duration = Duration::from_secs(6);
+/// How often a patch is sent again at most.
+const MAX_TRIES: u32 = 40;
+
+fn lose(site: &Site, count: u32) {
+    site.api.faults(Faults {
+        lose_write_answers: Some(count),
+        lose_kind: Some("config".into()),
+        ..Faults::default()
+    });
+}
+
+fn delay(site: &Site, millis: u64) {
+    site.api.faults(Faults {
+        delay_ms: Some(millis),
+        ..Faults::default()
+    });
+}
+
+/// Sends a patch to an entry until it is not refused with `code`.
+async fn patch_until(site: &Site, entry: usize, id: &str, code: &str) -> (u16, Value) {
+    for _ in 0..MAX_TRIES {
+        let answer = patch(&site.entries[entry], 1, id, bound(5)).await;
+        if answer.1["code"] != code {
+            return answer;
+        }
+        let stands = &site.api.objects("config").items[0].value["number"];
+        assert_eq!(*stands, 1, "refused, and yet accepted");
+        sleep(Duration::from_millis(100)).await;
+    }
+    panic!("{code} again and again");
+}
+
+#[actix_rt::test]
+async fn lost_answer_to_the_pending_write_is_no_refusal() {
+    let site = site(3).await;
+    lose(&site, 1);
+    let answer = patch(&site.entries[0], 1, "a", bound(3)).await;
+    assert_eq!(answer, (200, json!({ "number": 2 })));
+    until(|| in_force(&site, 2)).await.unwrap();
+}
+
+#[actix_rt::test]
+async fn lost_answers_to_both_writes_are_no_refusal() {
+    let site = site(3).await;
+    lose(&site, 2);
+    let answer = patch(&site.entries[0], 1, "a", bound(3)).await;
+    assert_eq!(answer, (200, json!({ "number": 2 })));
+    until(|| in_force(&site, 2)).await.unwrap();
+}
+
+#[actix_rt::test]
+async fn lost_answer_to_the_accepting_write_is_no_refusal() {
+    let site = site(3).await;
+    delay(&site, 100);
+    let lose_next = async {
+        until(|| pending(&site)).await.unwrap();
+        lose(&site, 1);
+    };
+    let sent = patch(&site.entries[0], 1, "a", bound(3));
+    let (answer, ()) = futures_util::future::join(sent, lose_next).await;
+    assert_eq!(answer, (200, json!({ "number": 2 })));
+    until(|| in_force(&site, 2)).await.unwrap();
+}
+
+/// With every answer of a write lost nothing but reading back tells what came of it.
+#[actix_rt::test]
+async fn no_write_answer_at_all_still_gives_one_number_a_patch() {
+    let site = site(3).await;
+    lose(&site, u32::MAX);
+    for base in 1..=4 {
+        let from = &site.entries[usize::try_from(base).unwrap() % 3];
+        let id = format!("p{base}");
+        let answer = patch(from, base, &id, bound(10 + base)).await;
+        assert_eq!(answer, (200, json!({ "number": base + 1 })));
+        let again = patch(from, base, &id, bound(10 + base)).await;
+        assert_eq!(again, answer);
+    }
+    until(|| in_force(&site, 5)).await.unwrap();
+}
+
+#[actix_rt::test]
+async fn patch_that_one_entry_does_not_confirm_is_refused_and_never_in_force() {
+    let site = site(9).await;
+    let highest = highest(&site);
+    site.entries[8].shared.mesh.close();
+    let start = Instant::now();
+    let (code, problem) = patch(&site.entries[0], 1, "a", bound(3)).await;
+    assert!(
+        start.elapsed() < Duration::from_secs(4),
+        "{:?}",
+        start.elapsed()
+    );
+    assert_eq!((code, &problem["code"]), (503, &json!("not_confirmed")));
+    assert_eq!(problem["ran"], "not_run");
+    let message = problem["message"].as_str().unwrap();
+    assert!(message.ends_with("by entry-8"), "{message}");
+    until(|| !pending(&site)).await.unwrap();
+    // Longer than any doubt lasts.
+    sleep(LONG).await;
+    assert_eq!(highest.get(), 1);
+    assert!(in_force(&site, 1));
+    let written = site.api.history(Some("config"));
+    let numbers = written.iter().filter_map(|r| r.change.value.as_ref());
+    assert!(numbers.map(|v| &v["number"]).all(|n| *n == 1));
+    let status = status(&site.entries[0]).await;
+    let lagging: Vec<_> = status.entries.iter().filter(|(_, e)| e.lags).collect();
+    assert_eq!(lagging.len(), 1, "{lagging:?}");
+    assert_eq!(lagging[0].0, "entry-8");
+}
+
+#[actix_rt::test]
+async fn with_the_object_api_down_entries_serve_on_and_patches_are_refused_at_once() {
+    let site = site(9).await;
+    site.api.faults(Faults {
+        outage_ms: Some(60_000),
+        ..Faults::default()
+    });
+    let start = Instant::now();
+    let (code, problem) = patch(&site.entries[3], 1, "a", bound(3)).await;
+    assert!(
+        start.elapsed() < Duration::from_secs(2),
+        "{:?}",
+        start.elapsed()
+    );
+    assert_eq!((code, &problem["code"]), (503, &json!("object_api")));
+    assert_eq!(problem["ran"], "not_run");
+    while start.elapsed() < LONG {
+        for entry in &site.entries {
+            assert_eq!(admits(entry), Ok(1), "{:?}", start.elapsed());
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    site.api.faults(Faults {
+        outage_ms: Some(0),
+        ..Faults::default()
+    });
+    // Until the client's back-off is over.
+    let accepted = patch_until(&site, 3, "a", "object_api").await;
+    assert_eq!(accepted, (200, json!({ "number": 2 })));
+    until(|| in_force(&site, 2)).await.unwrap();
+}
+
+#[actix_rt::test]
+async fn entry_cut_from_all_stops_admitting_within_seconds_and_says_so() {
+    let site = site(3).await;
+    let lonely = &site.entries[2];
+    let start = Instant::now();
+    cut(&site, lonely);
+    until(|| admits(lonely).is_err()).await.unwrap();
+    assert!(start.elapsed() < LONG, "{:?}", start.elapsed());
+    let (code, body) = get(lonely, "/ready").await;
+    let body = String::from_utf8(body).unwrap();
+    assert_eq!(code, 503);
+    assert!(body.contains("neither the object API nor a peer"), "{body}");
+    assert!(body.contains("retry_after_ms"), "{body}");
+    assert!(status(lonely).await.entries["entry-2"].lags);
+    assert!(admits(&site.entries[0]).is_ok());
+    uncut(&site);
+    until(|| admits(lonely) == Ok(1)).await.unwrap();
+}
+
+#[actix_rt::test]
+async fn restarted_entry_is_ready_only_with_the_number_in_force() {
+    let options = options(3);
+    let mut site = Site::start(options.clone()).await.unwrap();
+    let old = site.entries.remove(2);
+    // A graceful end takes its member object away, so that the others can go on.
+    old.shared.drain.ask();
+    pinereel::controllers::members::leave(&old.shared)
+        .await
+        .unwrap();
+    cut(&site, &old);
+    let answer = patch(&site.entries[0], 1, "a", bound(3)).await;
+    assert_eq!(answer, (200, json!({ "number": 2 })));
+    site.start_entry(&options, 2).await.unwrap();
+    let new = site.entries[2].clone();
+    let refusal = "the configuration has not been read yet";
+    assert_eq!(admits(&new).unwrap_err(), refusal);
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(admits(&new).unwrap_err(), refusal, "the object API is cut");
+    uncut(&site);
+    until(|| admits(&new).is_ok()).await.unwrap();
+    assert_eq!(admits(&new), Ok(2));
+    site.ready().await.unwrap();
+    let answer = patch(&new, 2, "b", bound(4)).await;
+    assert_eq!(answer, (200, json!({ "number": 3 })));
+}
+
+#[actix_rt::test]
+async fn pending_patch_of_a_dead_proposer_is_taken_back_by_the_next() {
+    let options = options(3);
+    let site = Site::start(options).await.unwrap();
+    let dead = site.entries[0].clone();
+    // Slow answers, so that the proposer vanishes before it hears that its patch is pending.
+    delay(&site, 200);
+    let lost = actix_rt::spawn(async move { patch(&dead, 1, "lost", bound(3)).await });
+    until(|| pending(&site)).await.unwrap();
+    cut(&site, &site.entries[0]);
+    delay(&site, 0);
+    site.api.remove_instance("entry-0");
+    // Until the platform has said "gone" for long enough, the dead entry is missing.
+    let next = patch_until(&site, 1, "next", "not_confirmed").await;
+    assert_eq!(next, (200, json!({ "number": 2 })));
+    let alive = &site.entries[1..];
+    until(|| alive.iter().all(|e| admits(e) == Ok(2)))
+        .await
+        .unwrap();
+    let pin = alive[0].shared.config.pin().unwrap();
+    assert_eq!(pin.document.trainers["dispatch"].bound, 5);
+    let (code, problem) = lost.await.unwrap();
+    assert_ne!(code, 200, "{problem}");
+    assert!(
+        admits(&site.entries[0]).is_err(),
+        "it is cut off and may not serve"
+    );
+}
--- /dev/null
+++ b/crates/pinereel_fakes/tests/config_help/mod.rs
@@ -0,0 +1,129 @@
+//! A site without load, and an operator's calls to it.
+
+#![allow(clippy::unwrap_used, dead_code, reason = "test support")]
+
+use compact_str::CompactString;
+use pinereel::{entry::Entry, filters::pin};
+use pinereel_api::operator::Status;
+use pinereel_core::config::Document;
+use pinereel_fakes::site::{Options, Site, TOKEN};
+use serde_json::{Value, json};
+use std::{cell::Cell, rc::Rc, time::Duration};
+use tokio::time::sleep;
+
+/// Pause between looks at numbers.
+const LOOK: Duration = Duration::from_millis(1);
+
+pub fn document() -> Document {
+    serde_json::from_value(json!({
+        "pools": { "draft-llm": { "kind": "engine", "model": "wording" } },
+        "trainers": { "dispatch": { "pool": "draft-llm", "bound": 2 } },
+    }))
+    .unwrap()
+}
+
+pub fn options(entries: usize) -> Options {
+    Options {
+        zones: vec!["toledo-hall".into(), "erie-hall".into(), "monroe".into()],
+        entries,
+        engines: vec![],
+        batch: Default::default(),
+        services: vec![],
+        document: document(),
+        lag: Duration::from_millis(50),
+        settings: "[log]\ndecisions = false\n".into(),
+    }
+}
+
+pub async fn site(entries: usize) -> Site {
+    Site::start(options(entries)).await.unwrap()
+}
+
+/// A merge that changes the trainer's bound.
+pub fn bound(bound: u64) -> Value {
+    json!({ "trainers": { "dispatch": { "bound": bound } } })
+}
+
+/// Sends a patch to one entry; status and body of the answer.
+pub async fn patch(entry: &Entry, base: u64, id: &str, merge: Value) -> (u16, Value) {
+    let body = json!({ "base": base, "id": id, "merge": merge });
+    post(entry, "/v1/config", &body).await
+}
+
+pub async fn post(entry: &Entry, path: &str, body: &Value) -> (u16, Value) {
+    let url = format!("http://{}{path}", entry.operators.address);
+    let request = client().post(url).bearer_auth(TOKEN);
+    let mut response = request.send_json(body).await.unwrap();
+    let body = response.body().await.unwrap();
+    let body = serde_json::from_slice(&body).unwrap_or_default();
+    (response.status().as_u16(), body)
+}
+
+pub async fn get(entry: &Entry, path: &str) -> (u16, Vec<u8>) {
+    let url = format!("http://{}{path}", entry.operators.address);
+    let request = client().get(url).bearer_auth(TOKEN);
+    let mut response = request.send().await.unwrap();
+    let body = response.body().await.unwrap();
+    (response.status().as_u16(), body.to_vec())
+}
+
+pub async fn status(entry: &Entry) -> Status {
+    serde_json::from_slice(&get(entry, "/v1/status").await.1).unwrap()
+}
+
+fn client() -> awc::Client {
+    awc::Client::builder()
+        .timeout(Duration::from_secs(20))
+        .finish()
+}
+
+/// The number under which an entry admits a request now, or why it admits none.
+pub fn admits(entry: &Entry) -> Result<u64, CompactString> {
+    let pin = pin::pin(&entry.shared);
+    pin.map(|pin| pin.number).map_err(|problem| problem.message)
+}
+
+/// Whether all entries admit requests under `number`.
+pub fn in_force(site: &Site, number: u64) -> bool {
+    site.entries.iter().all(|e| admits(e) == Ok(number))
+}
+
+/// The highest number that any entry has had in force.
+pub fn highest(site: &Site) -> Rc<Cell<u64>> {
+    let highest = Rc::new(Cell::new(0));
+    let seen = Rc::clone(&highest);
+    let entries = site.entries.clone();
+    actix_rt::spawn(async move {
+        loop {
+            let numbers = entries.iter().map(|entry| entry.shared.config.number());
+            seen.set(numbers.max().unwrap_or(0).max(seen.get()));
+            sleep(LOOK).await;
+        }
+    });
+    highest
+}
+
+/// Whether a patch is pending in the object API.
+pub fn pending(site: &Site) -> bool {
+    let objects = site.api.objects("config").items;
+    objects
+        .first()
+        .is_some_and(|o| !o.value["pending"].is_null())
+}
+
+/// Makes an entry vanish for all others: no peer and no object API hears it any more.
+pub fn cut(site: &Site, entry: &Entry) {
+    entry.shared.mesh.close();
+    site.api.faults(pinereel_api::object::Faults {
+        cut_agents: Some(vec![entry.shared.name().clone()]),
+        ..Default::default()
+    });
+}
+
+/// Ends all cuts from the object API.
+pub fn uncut(site: &Site) {
+    site.api.faults(pinereel_api::object::Faults {
+        cut_agents: Some(vec![]),
+        ..Default::default()
+    });
+}
