Refuse patches soon while the object API hangs; ask entries without a link for their status

Cause: a hanging object API kept a patch for the client's timeouts; a document larger than an object can hold ended as "late"; status knew nothing of entries without a link; an entry that runs but is missing in the platform's list for 10 s lost its member object.

Ruled out: gossip of all numbers in each summary: with 350 entries it would cost more than the 6 KB a second that control may take.

Change: a round that reads nothing for 2 s before it wrote anything is refused. Documents are at most 400,000 bytes, ids 128. Status and the removal of member objects call entries that were not heard of. The platform's list counts only while fresh. The metric of object API calls is by purpose and kind of call.

--- a/crates/pinereel/src/controllers/config/mod.rs
+++ b/crates/pinereel/src/controllers/config/mod.rs
@@ -26,7 +26,7 @@
 };
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     rc::Rc,
     time::Duration,
 };
@@ -69,6 +69,8 @@
     reading: Cell<u32>,
     fetching: Cell<bool>,
     rounds: Cell<u64>,
+    /// Rounds under way.
+    open: Cell<u32>,
 }
 
 impl Config {
@@ -81,6 +83,7 @@
             reading: Cell::default(),
             fetching: Cell::default(),
             rounds: Cell::default(),
+            open: Cell::default(),
         }
     }
 
@@ -114,6 +117,12 @@
         self.heard.borrow().clone()
     }
 
+    /// Forgets what was heard of others than `names`.
+    pub(super) fn keep(&self, names: &BTreeSet<CompactString>) {
+        let mut heard = self.heard.borrow_mut();
+        heard.retain(|name, _| names.contains(name));
+    }
+
     /// Names the latest summary of the peer `to`, if one was heard.
     pub fn echo(&self, to: &Hello) -> Option<Echo> {
         let heard = self.heard.borrow().get(&to.name).copied()?;
--- a/crates/pinereel/src/controllers/config/propose.rs
+++ b/crates/pinereel/src/controllers/config/propose.rs
@@ -8,8 +8,11 @@
 };
 use compact_str::{CompactString, format_compact};
 use pinereel_api::{Problem, operator::Patch, problem::Code};
-use pinereel_core::config::{
-    Action, Answer, Document, Event, Fault, Proposal, Round, check_change, merge, validate,
+use pinereel_core::{
+    Time,
+    config::{
+        Action, Answer, Document, Event, Fault, Proposal, Round, check_change, merge, validate,
+    },
 };
 use std::{rc::Rc, time::Duration};
 use tokio::{
@@ -23,6 +26,14 @@
 const DEADLINE: Duration = Duration::from_secs(8);
 /// Failed reads in a row, before anything was written, that end a round.
 const MAX_FAILED_READS: u32 = 3;
+/// A round that has read nothing for so long ends.
+const READ_PATIENCE: Duration = Duration::from_secs(2);
+/// Most rounds under way at one entry.
+const MAX_OPEN: u32 = 32;
+/// Longest id of a patch, in bytes: the object keeps the last ones.
+const MAX_ID: usize = 128;
+/// Largest document, in bytes of JSON: the object holds two, and the accepted ids.
+const MAX_DOCUMENT: usize = 400_000;
 /// When an operator shall come back.
 const RETRY_AFTER_MS: u64 = 1_000;
 
@@ -36,7 +47,8 @@
         return Err(conflict(pin.number));
     }
     let document = validate(&merge(&pin.document, &patch.merge)).map_err(|f| invalid(&f))?;
-    let faults = check_change(&pin.document, &document);
+    let mut faults = check_change(&pin.document, &document);
+    faults.extend(too_large(&document));
     if faults.is_empty() {
         Ok(document)
     } else {
@@ -49,13 +61,21 @@
 /// # Errors
 /// A refusal if it will certainly not be in force, `Unknown` if that is not known.
 pub async fn propose(shared: &Rc<Shared>, patch: Patch) -> Result<u64, Problem> {
-    if patch.id.is_empty() {
-        return Err(refuse(Code::BadRequest, "the patch's id is empty"));
+    if patch.id.is_empty() || patch.id.len() > MAX_ID {
+        let message = format_compact!("the patch's id is empty or longer than {MAX_ID} bytes");
+        return Err(refuse(Code::BadRequest, message));
     }
+    let open = shared.config.open.get();
+    if open >= MAX_OPEN {
+        return Err(later(refuse(Code::Overloaded, "too many patches at once")));
+    }
+    shared.config.open.set(open + 1);
     let (sender, answer) = oneshot::channel();
     let id = patch.id.clone();
     spawn(shared, async move |shared| {
-        Driver::new(shared, patch, sender).run().await;
+        let driver = Driver::new(Rc::clone(&shared), patch, sender);
+        driver.run().await;
+        shared.config.open.set(shared.config.open.get() - 1);
     });
     let answer = answer.await.unwrap_or(Ending::Round(Answer::Unknown));
     log::info!(entry = shared.name().as_str(), patch = id.as_str(); "config: patch: {answer:?}");
@@ -80,8 +100,11 @@
     events: mpsc::UnboundedReceiver<Event>,
     sender: mpsc::UnboundedSender<Event>,
     attempt: u64,
+    started: Time,
+    was_read: bool,
     failed_reads: u32,
     wrote: bool,
+    ended: bool,
 }
 
 impl Driver {
@@ -108,8 +131,11 @@
             events,
             sender,
             attempt: 0,
+            started: now,
+            was_read: false,
             failed_reads: 0,
             wrote: false,
+            ended: false,
         }
     }
 
@@ -117,7 +143,7 @@
         let mut event = Event::Tick;
         loop {
             self.note(&event);
-            if !self.wrote && self.failed_reads >= MAX_FAILED_READS {
+            if self.is_stuck() {
                 self.tell(Ending::NotReached);
                 return;
             }
@@ -125,7 +151,7 @@
             for action in self.round.step(now, event) {
                 self.act(action);
             }
-            if self.round.is_over() {
+            if self.ended || self.round.is_over() {
                 return;
             }
             event = tokio::select! {
@@ -135,10 +161,20 @@
         }
     }
 
+    /// Whether the object API cannot be read, and nothing was written that could take effect.
+    fn is_stuck(&self) -> bool {
+        let waited = self.shared.now().since(self.started);
+        let silent = !self.was_read && waited >= READ_PATIENCE;
+        !self.wrote && (silent || self.failed_reads >= MAX_FAILED_READS)
+    }
+
     fn note(&mut self, event: &Event) {
         match event {
             Event::Read(None) => self.failed_reads += 1,
-            Event::Read(Some(_)) => self.failed_reads = 0,
+            Event::Read(Some(_)) => {
+                self.failed_reads = 0;
+                self.was_read = true;
+            }
             _ => {}
         }
     }
@@ -147,6 +183,12 @@
         match action {
             Action::Read => self.call(async |shared| Event::Read(read_stored(&shared).await)),
             Action::Write { version, stored } => {
+                let pending = stored.pending.as_ref();
+                if let Some(fault) = pending.and_then(|p| too_large(&p.document)) {
+                    self.tell(Ending::Round(Answer::Invalid(vec![fault])));
+                    self.ended = true;
+                    return;
+                }
                 self.wrote = true;
                 self.call(async move |shared| {
                     let write = write_stored(&shared, version, &stored).await;
@@ -219,6 +261,15 @@
     }
 }
 
+/// The fault of a document that does not fit the object.
+fn too_large(document: &Document) -> Option<Fault> {
+    let size = serde_json::to_vec(document).map_or(usize::MAX, |bytes| bytes.len());
+    (size > MAX_DOCUMENT).then(|| Fault {
+        path: "".into(),
+        reason: format_compact!("{size} bytes of JSON are more than {MAX_DOCUMENT}"),
+    })
+}
+
 fn later(problem: Problem) -> Problem {
     Problem {
         retry_after_ms: Some(RETRY_AFTER_MS),
--- a/crates/pinereel/src/controllers/members.rs
+++ b/crates/pinereel/src/controllers/members.rs
@@ -7,12 +7,13 @@
     state::{Shared, spawn},
 };
 use compact_str::CompactString;
+use futures_util::{StreamExt as _, future, stream};
 use pinereel_api::{
     object::{Instance, MEMBERS, Presence},
     wire::{Call, Hello, Reply},
 };
 use pinereel_core::{
-    hash,
+    Time, hash,
     member::{Branch, FULL_MESH, Listed, Object, View},
 };
 use std::{
@@ -27,6 +28,12 @@
 const PAUSE: Duration = Duration::from_secs(1);
 /// Lists a second of all entries together; more entries list less often.
 const LISTS_PER_SECOND: u32 = 20;
+/// A list of the platform's that is older counts for nothing.
+const FRESH: Duration = Duration::from_secs(2);
+/// Longest wait for an entry to tell that it is there.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Entries that are asked at once.
+const MAX_ASKED: usize = 64;
 /// Entries of each availability zone that watch.
 const WATCHERS: usize = 2;
 /// Entries that remove member objects of instances that are gone.
@@ -45,6 +52,8 @@
     left: Cell<bool>,
     /// Asks for a list before its time.
     wanted: Notify,
+    /// When the platform's list was last read.
+    listed: Cell<Time>,
 }
 
 impl Members {
@@ -145,9 +154,10 @@
 pub async fn list(shared: &Shared) -> Option<BTreeSet<CompactString>> {
     let list = shared.objects.list(Purpose::Members, MEMBERS, "").await;
     let items = list.ok()?.items;
-    let names = items.iter().map(|object| object.name.clone()).collect();
+    let names: BTreeSet<_> = items.iter().map(|object| object.name.clone()).collect();
     let objects = items.iter().filter_map(|object| read(&object.value));
     shared.members.view.borrow_mut().list(objects);
+    shared.config.keep(&names);
     link(shared);
     Some(names)
 }
@@ -214,6 +224,7 @@
     });
     let listed = listed.collect();
     let now = shared.now();
+    shared.members.listed.set(now);
     shared.members.view.borrow_mut().platform(now, &listed);
 }
 
@@ -229,8 +240,13 @@
     }
 }
 
-/// Removes the member objects of instances that are gone, if this entry is one that does.
+/// Removes the member objects of instances that are gone, if this entry is one that does. The
+/// platform's list lags, so one that still answers stays.
 async fn clean(shared: &Shared) {
+    // After an outage the list's word must be a fresh one.
+    if shared.now().since(shared.members.listed.get()) > FRESH {
+        return;
+    }
     let key = hash::stable(b"members");
     let removers = shared.members.ranked(key, REMOVERS);
     if !removers.contains(shared.name()) {
@@ -238,7 +254,7 @@
     }
     let gone = shared.members.view().removable(shared.now());
     for (name, incarnation) in gone {
-        if name == *shared.name() {
+        if name == *shared.name() || answers(shared, &name, incarnation).await {
             continue;
         }
         let entry = shared.name().as_str();
@@ -249,6 +265,12 @@
     }
 }
 
+/// Whether this incarnation of an entry still answers.
+async fn answers(shared: &Shared, name: &str, incarnation: u64) -> bool {
+    let reply = call(shared, name, Call::Report, REPORT_TIMEOUT).await;
+    matches!(reply, Some(Reply::Report { incarnation: found, .. }) if found == incarnation)
+}
+
 /// Whether this entry is one of the few of its availability zone that watch.
 pub fn watches(shared: &Shared) -> bool {
     let view = shared.members.view();
@@ -261,6 +283,26 @@
     before.count() < WATCHERS
 }
 
+/// Asks those of `names` that were not heard of lately; gives incarnation and number of each that
+/// answers.
+pub async fn reports(
+    shared: &Shared,
+    names: Vec<CompactString>,
+) -> BTreeMap<CompactString, (u64, u64)> {
+    let asked = names.into_iter().map(async |name| {
+        let reply = call(shared, &name, Call::Report, REPORT_TIMEOUT).await;
+        match reply {
+            Some(Reply::Report {
+                incarnation,
+                number,
+            }) => Some((name, (incarnation, number))),
+            _ => None,
+        }
+    });
+    let answers = stream::iter(asked).buffer_unordered(MAX_ASKED);
+    answers.filter_map(future::ready).collect().await
+}
+
 /// How to bring a message to many.
 pub fn branches(shared: &Shared, to: &BTreeSet<CompactString>, attempt: u64) -> Vec<Branch> {
     shared.members.view().branches(to, attempt)
--- a/crates/pinereel/src/dispatch.rs
+++ b/crates/pinereel/src/dispatch.rs
@@ -36,6 +36,10 @@
             Reply::Done
         }
         Call::Fetch => config::fetched(&shared),
+        Call::Report => Reply::Report {
+            incarnation: shared.incarnation,
+            number: shared.config.number(),
+        },
         Call::Claim { .. } | Call::Settle { .. } => Reply::Refused("not supported".into()),
     }
 }
--- a/crates/pinereel/src/metrics.rs
+++ b/crates/pinereel/src/metrics.rs
@@ -50,7 +50,7 @@
     pub samples: IntCounterVec,
     /// Versions behind the newest at delivery, by `trainer`.
     pub staleness: HistogramVec,
-    /// Calls to the object API by `purpose` and `result` (`ok`, `conflict`, `failed`, `unknown`).
+    /// Calls to the object API by `purpose` and `kind` (`read`, `write`, `watch`).
     pub object_calls: IntCounterVec,
     /// Number of the configuration in force.
     pub config_number: IntGauge,
@@ -108,7 +108,7 @@
                 r,
                 "object_api_calls_total",
                 "Calls to the object API.",
-                &["purpose", "result"],
+                &["purpose", "kind"],
             ),
             config_number: gauge(r, "config_number", "Configuration in force."),
             peer_frames: counters(r, "peer_frames_total", "Frames of links.", &["direction"]),
--- a/crates/pinereel/src/operators/mod.rs
+++ b/crates/pinereel/src/operators/mod.rs
@@ -46,7 +46,7 @@
             shared.drain.ask();
             return http::empty(StatusCode::ACCEPTED);
         }
-        (&Method::GET, "/v1/status") => Ok(json(&status::status(&shared))),
+        (&Method::GET, "/v1/status") => Ok(json(&status::status(&shared).await)),
         (&Method::GET, "/v1/config") => show(&shared),
         (&Method::POST, "/v1/config/check") => check(&shared, &mut request).await,
         (&Method::POST, "/v1/config") => patch(&shared, &mut request).await,
--- a/crates/pinereel/src/operators/status.rs
+++ b/crates/pinereel/src/operators/status.rs
@@ -1,6 +1,9 @@
 //! What this entry knows of the system.
 
-use crate::{controllers::config::Heard, state::Shared};
+use crate::{
+    controllers::{config::Heard, members},
+    state::Shared,
+};
 use compact_str::{CompactString, format_compact};
 use pinereel_api::operator::{Endpoint, Entry, Status};
 use pinereel_core::{Time, endpoint::State, member};
@@ -10,7 +13,7 @@
 const SILENT: Duration = Duration::from_secs(4);
 
 /// The answer to `GET /v1/status`.
-pub fn status(shared: &Shared) -> Status {
+pub async fn status(shared: &Shared) -> Status {
     let mut object_calls = BTreeMap::<CompactString, u64>::new();
     for ((purpose, _), count) in shared.objects.calls() {
         *object_calls.entry(purpose.as_str().into()).or_default() += count;
@@ -18,7 +21,7 @@
     Status {
         entry: shared.name().clone(),
         number: shared.config.number(),
-        entries: entries(shared),
+        entries: entries(shared).await,
         endpoints: endpoints(shared),
         versions: shared.lots.versions(),
         leases: BTreeMap::new(),
@@ -44,23 +47,40 @@
     }
 }
 
-fn entries(shared: &Shared) -> BTreeMap<CompactString, Entry> {
+/// The known entries. Those without a link here are asked, since nothing is heard of them.
+async fn entries(shared: &Shared) -> BTreeMap<CompactString, Entry> {
     let heard = shared.config.heard();
-    let view = shared.members.view();
-    let known = view.entries().iter();
-    known
-        .map(|(name, entry)| {
-            let peer = heard
-                .get(name)
-                .filter(|heard| heard.incarnation == entry.object.incarnation);
-            let described = if name == shared.name() {
-                own(shared, entry)
-            } else {
-                other(shared, entry, peer)
-            };
-            (name.clone(), described)
-        })
-        .collect()
+    let known = shared.members.view().entries().clone();
+    let silent = known
+        .iter()
+        .filter(|(name, entry)| *name != shared.name() && fresh(shared, entry, &heard).is_none());
+    let silent = silent.map(|(name, _)| name.clone()).collect();
+    let reports = members::reports(shared, silent).await;
+    let describe = |(name, entry): (CompactString, member::Entry)| {
+        let report = reports.get(&name);
+        let described = if name == *shared.name() {
+            own(shared, &entry)
+        } else if let Some((_, number)) = report.filter(|r| r.0 == entry.object.incarnation) {
+            other(shared, &entry, *number, Duration::ZERO)
+        } else {
+            let last = heard.get(&name);
+            let silence = shared.now().since(last.map_or(Time::ZERO, |last| last.at));
+            other(shared, &entry, last.map_or(0, |last| last.number), silence)
+        };
+        (name, described)
+    };
+    known.into_iter().map(describe).collect()
+}
+
+/// What was heard of this incarnation lately.
+fn fresh<'a>(
+    shared: &Shared,
+    entry: &member::Entry,
+    heard: &'a BTreeMap<CompactString, Heard>,
+) -> Option<&'a Heard> {
+    let last = heard.get(&entry.object.name)?;
+    let same = last.incarnation == entry.object.incarnation;
+    (same && shared.now().since(last.at) < SILENT).then_some(last)
 }
 
 fn own(shared: &Shared, entry: &member::Entry) -> Entry {
@@ -72,10 +92,7 @@
     }
 }
 
-fn other(shared: &Shared, entry: &member::Entry, heard: Option<&Heard>) -> Entry {
-    let now = shared.now();
-    let silence = now.since(heard.map_or(Time::ZERO, |heard| heard.at));
-    let number = heard.map_or(0, |heard| heard.number);
+fn other(shared: &Shared, entry: &member::Entry, number: u64, silence: Duration) -> Entry {
     Entry {
         zone: entry.object.zone.clone(),
         number,
--- a/crates/pinereel_api/src/wire.rs
+++ b/crates/pinereel_api/src/wire.rs
@@ -107,6 +107,8 @@
     },
     /// Read the configuration in force.
     Fetch,
+    /// Tell who you are and which number is in force; answered by [`Reply::Report`].
+    Report,
     /// Run these groups of a lot.
     Assign(Assignment),
     /// Hand over finished samples of a lot.
@@ -196,6 +198,13 @@
     Refused(CompactString),
     /// Entries that stored a prepared configuration, of the receiver and its leaves.
     Confirmed(BTreeSet<CompactString>),
+    /// Who answers, and the number in force there.
+    Report {
+        /// The answering incarnation.
+        incarnation: u64,
+        /// Its configuration number.
+        number: u64,
+    },
     /// The configuration in force.
     Config {
         /// Its number.
--- a/crates/pinereel_fakes/tests/config_faults.rs
+++ b/crates/pinereel_fakes/tests/config_faults.rs
@@ -157,6 +157,56 @@
     until(|| in_force(&site, 2)).await.unwrap();
 }
 
+#[actix_rt::test]
+async fn patch_is_refused_soon_while_the_object_api_hangs() {
+    let site = site(2).await;
+    delay(&site, 60_000);
+    let start = Instant::now();
+    let (code, problem) = patch(&site.entries[0], 1, "a", bound(3)).await;
+    assert!(start.elapsed() < LONG, "{:?}", start.elapsed());
+    assert_eq!((code, &problem["code"]), (503, &json!("object_api")));
+    assert_eq!(problem["ran"], "not_run");
+    assert!(in_force(&site, 1));
+}
+
+/// The platform's list lags: it may lack an entry that runs.
+#[actix_rt::test]
+async fn entry_that_the_platform_lacks_stays_a_member_while_it_answers() {
+    let site = site(3).await;
+    let member = || {
+        let items = site.api.objects("members").items;
+        items.into_iter().find(|object| object.name == "entry-2")
+    };
+    let before = member().unwrap();
+    site.api.remove_instance("entry-2");
+    let removable = || {
+        let entries = site.entries[..2].iter();
+        let views = entries.map(|e| e.shared.members.view().removable(e.shared.now()));
+        views.into_iter().all(|list| !list.is_empty())
+    };
+    until(removable).await.unwrap();
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!(member(), Some(before));
+}
+
+/// Without its object an entry would not be asked to confirm patches.
+#[actix_rt::test]
+async fn entry_whose_member_object_was_removed_writes_it_again() {
+    let site = site(3).await;
+    let member = || {
+        let items = site.api.objects("members").items;
+        items.into_iter().find(|object| object.name == "entry-2")
+    };
+    let before = member().unwrap();
+    let url = format!("http://{}/objects/members/entry-2", site.api.address);
+    let version = before.version.to_string();
+    let request = awc::Client::default().delete(url);
+    let response = request.insert_header(("if-match", version)).send().await;
+    assert_eq!(response.unwrap().status(), 204);
+    until(|| member().is_some()).await.unwrap();
+    assert_eq!(member().unwrap().value, before.value);
+}
+
 #[actix_rt::test]
 async fn entry_cut_from_all_stops_admitting_within_seconds_and_says_so() {
     let site = site(3).await;
