A patch that could read nothing is answered "unknown", not refused

Cause: an entry that cannot read the object answered a repeat of an accepted patch as not run.

Ruled out: telling first sendings from repeats; the entry cannot know.

Change: such a patch, and one beyond the bound of patches at once, is unknown with Retry-After.

--- a/crates/pinereel/src/controllers/config/propose.rs
+++ b/crates/pinereel/src/controllers/config/propose.rs
@@ -67,7 +67,7 @@
     }
     let open = shared.config.open.get();
     if open >= MAX_OPEN {
-        return Err(later(refuse(Code::Overloaded, "too many patches at once")));
+        return Err(later(unknown(Code::Overloaded, "too many patches at once")));
     }
     shared.config.open.set(open + 1);
     let (sender, answer) = oneshot::channel();
@@ -240,8 +240,9 @@
         let answer = match self {
             Self::Round(answer) => answer,
             Self::NotReached => {
-                let message = "the object API cannot be read; the patch is not accepted";
-                return Err(later(refuse(Code::ObjectApi, message)));
+                // This call wrote nothing, but an earlier one of the same patch may have done.
+                let message = "the object API cannot be read; send the patch again";
+                return Err(later(unknown(Code::ObjectApi, message)));
             }
         };
         let text = answer.to_string();
--- a/crates/pinereel_fakes/tests/config_help/mod.rs
+++ b/crates/pinereel_fakes/tests/config_help/mod.rs
@@ -114,6 +114,11 @@
 /// Makes an entry vanish for all others: no peer and no object API hears it any more.
 pub fn cut(site: &Site, entry: &Entry) {
     entry.shared.mesh.close();
+    cut_api(site, entry);
+}
+
+/// Cuts an entry off from the object API alone.
+pub fn cut_api(site: &Site, entry: &Entry) {
     site.api.faults(pinereel_api::object::Faults {
         cut_agents: Some(vec![entry.shared.name().clone()]),
         ..Default::default()
