--- a/crates/pinereel/src/dispatch.rs
+++ b/crates/pinereel/src/dispatch.rs
@@ -2,8 +2,9 @@
 
 use crate::{
     controllers::{
-        claims,
+        claims, config,
         lots::{self, runner},
+        members,
     },
     state::Shared,
 };
@@ -44,9 +45,27 @@
             };
             claims::serve_settle(&shared, ask, outcome.map(claims::stored)).await
         }
-        Call::Prepare { .. } | Call::Commit { .. } | Call::Abort { .. } | Call::Fetch => {
-            Reply::Refused("not supported".into())
+        Call::Prepare { prepare, leaves } => {
+            let confirmed = config::relay::prepare(&shared, *prepare, leaves).await;
+            Reply::Confirmed(confirmed)
         }
+        Call::Commit {
+            number,
+            write,
+            leaves,
+        } => {
+            config::relay::commit(&shared, number, write, leaves);
+            Reply::Done
+        }
+        Call::Abort { write, leaves } => {
+            config::relay::abort(&shared, write, leaves);
+            Reply::Done
+        }
+        Call::Fetch => config::fetched(&shared),
+        Call::Report => Reply::Report {
+            incarnation: shared.incarnation,
+            number: shared.config.number(),
+        },
     }
 }
 
@@ -58,7 +77,9 @@
 }
 
 /// Takes in a peer's periodic summary.
-pub fn hear(shared: &Rc<Shared>, _from: &Hello, summary: Summary) {
+pub fn hear(shared: &Rc<Shared>, from: &Hello, summary: Summary) {
+    members::met(shared, from, summary.draining);
+    config::hear(shared, from, &summary);
     for (model, version) in summary.versions {
         lots::published(shared, &model, version);
     }
@@ -67,11 +88,14 @@
     }
 }
 
-/// What this entry tells its peers.
-pub fn summary(shared: &Shared) -> Summary {
+/// What this entry tells the peer `to`.
+pub fn summary(shared: &Shared, to: &Hello) -> Summary {
+    let now = shared.now();
     Summary {
         number: shared.config.number(),
-        confirmed_ms: 0,
+        vouches: shared.config.vouches(now),
+        sent_us: now.0,
+        echo: shared.config.echo(to),
         versions: shared.lots.versions(),
         leaving: shared.endpoints.set().hints(),
         draining: shared.drain.asked(),
