Experiment tool: policies against the baseline in virtual time

Cause: nothing measured what the policies of lots and routing are worth. Ruled out: driving the daemon over sockets (too slow for many steps and seeds); a model of the decisions (it would measure the model). Change: pinereel-fakes experiment drives lot::Runner, route::choose, Merge, Ledger and rollout::Controller against the stand-in's batching model, with four scenarios in INI; table, CSV and SVG.

--- a/crates/pinereel_fakes/src/bin/pinereel-fakes.rs
+++ b/crates/pinereel_fakes/src/bin/pinereel-fakes.rs
@@ -2,7 +2,7 @@
 
 use lexopt::Parser;
 use pinereel_fakes::{
-    engine, object_api,
+    engine, experiment, object_api,
     process::{self, Common, Error, value},
     service, weight_store,
 };
@@ -73,6 +73,12 @@
         ],
         run: |parser| finish(run_service(parser)),
     },
+    Tool {
+        name: "experiment",
+        summary: "policies against a baseline, in virtual time",
+        flags: &[experiment::cli::HELP],
+        run: experiment::cli::main,
+    },
 ];
 
 fn main() -> ExitCode {
--- /dev/null
+++ b/crates/pinereel_fakes/src/experiment/policy.rs
@@ -0,0 +1,183 @@
+//! The policies that are compared, by name.
+
+use pinereel_core::{lot, route};
+use std::time::Duration;
+
+/// When a trainer submits its next step's lot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ahead {
+    /// When it needs it.
+    None,
+    /// When it begins to train on the present one.
+    Train,
+    /// When it begins to wait for the present one.
+    Collect,
+}
+
+/// Everything that differs between two runs of one scenario and seed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Policy {
+    /// Name in tables.
+    pub name: &'static str,
+    /// The runners' policy.
+    pub lot: lot::Policy,
+    /// Routing of live requests.
+    pub route: route::Policy,
+    /// Look-ahead.
+    pub ahead: Ahead,
+    /// Whether weights are rolled out in waves instead of on all engines at once.
+    pub waves: bool,
+    /// Whether the trainers run; without them only live callers load the engines.
+    pub bulk: bool,
+}
+
+impl Policy {
+    /// The plain baseline.
+    pub const BASELINE: Self = Self {
+        name: "baseline",
+        lot: lot::Policy::BASELINE,
+        route: route::Policy::BASELINE,
+        ahead: Ahead::None,
+        waves: false,
+        bulk: true,
+    };
+
+    /// All policies, the baseline first.
+    pub fn all() -> Vec<Self> {
+        let base = Self::BASELINE;
+        let lots = lot::Policy::BASELINE;
+        let routes = route::Policy::BASELINE;
+        let lot = |name, lot| Self { name, lot, ..base };
+        let route = |name, route| Self {
+            name,
+            route,
+            ..base
+        };
+        vec![
+            base,
+            lot(
+                "long-first",
+                lot::Policy {
+                    long_first: true,
+                    ..lots
+                },
+            ),
+            lot(
+                "duplicates",
+                lot::Policy {
+                    duplicates: true,
+                    duplicate_after: Duration::from_millis(200),
+                    ..lots
+                },
+            ),
+            lot(
+                "resume",
+                lot::Policy {
+                    resume: true,
+                    ..lots
+                },
+            ),
+            lot(
+                "early-abort",
+                lot::Policy {
+                    early_abort: true,
+                    ..lots
+                },
+            ),
+            lot(
+                "fresh-start",
+                lot::Policy {
+                    staleness_aware_start: true,
+                    ..lots
+                },
+            ),
+            lot("fair", lot::Policy { fair: true, ..lots }),
+            route(
+                "affinity",
+                route::Policy {
+                    affinity: true,
+                    ..routes
+                },
+            ),
+            route(
+                "two-choices",
+                route::Policy {
+                    two_choices: true,
+                    ..routes
+                },
+            ),
+            route(
+                "reports",
+                route::Policy {
+                    reports: true,
+                    ..routes
+                },
+            ),
+            route(
+                "zone-local",
+                route::Policy {
+                    zone_local: true,
+                    ..routes
+                },
+            ),
+            route(
+                "slow-start",
+                route::Policy {
+                    slow_start: true,
+                    ..routes
+                },
+            ),
+            Self {
+                name: "waves",
+                waves: true,
+                ..base
+            },
+            Self {
+                name: "ahead-train",
+                ahead: Ahead::Train,
+                ..base
+            },
+            Self {
+                name: "ahead-collect",
+                ahead: Ahead::Collect,
+                ..base
+            },
+            Self {
+                name: "full",
+                ..Self::full()
+            },
+            Self {
+                name: "full-no-ahead",
+                ahead: Ahead::None,
+                ..Self::full()
+            },
+            Self {
+                name: "full-waves",
+                waves: true,
+                ..Self::full()
+            },
+            Self {
+                name: "live-only",
+                bulk: false,
+                ..Self::full()
+            },
+        ]
+    }
+
+    /// Everything on that pays.
+    fn full() -> Self {
+        Self {
+            name: "full",
+            lot: lot::Policy::default(),
+            route: route::Policy::FULL,
+            ahead: Ahead::Collect,
+            waves: false,
+            bulk: true,
+        }
+    }
+
+    /// The policy of this name.
+    pub fn find(name: &str) -> Option<Self> {
+        Self::all().into_iter().find(|policy| policy.name == name)
+    }
+}
--- /dev/null
+++ b/crates/pinereel_fakes/src/experiment/weights.rs
@@ -0,0 +1,151 @@
+//! Weights of a run: publication at the object API, entries that list it, and the rollout.
+
+use super::{
+    entry::LIST_PAUSE,
+    job::{Job, Life},
+    world::World,
+};
+use pinereel_core::{
+    Version,
+    rollout::{Action, Event, Lease, Settings, Sight},
+};
+use std::time::Duration;
+
+/// Fencing token of the only holder.
+pub(super) const FENCE: u64 = 1;
+/// The entry that holds the rollout's lease; no fault hits it.
+const HOLDER: usize = 0;
+/// Pause between ticks of the rollout.
+const TICK: Duration = Duration::from_millis(50);
+/// Time for which the lease is held after each renewal.
+const LEASE: Duration = Duration::from_millis(1_000);
+/// Pause between renewals.
+const RENEWAL: Duration = Duration::from_millis(300);
+/// Time that a call of the object API takes, there and back.
+const CALL: Duration = Duration::from_millis(4);
+/// Pause of a trainer whose publication was refused.
+const RETRY: Duration = Duration::from_millis(500);
+
+/// The rollout's settings, scaled to steps of about a second.
+pub(super) fn settings(waves: bool, swap: Duration) -> Settings {
+    let all = Settings {
+        loads: usize::MAX,
+        floor: 0.0,
+        load_time: swap,
+        load_timeout: Duration::from_secs(2),
+        answer_timeout: Duration::from_millis(300),
+        poll: Duration::from_millis(25),
+        recheck: Duration::from_secs(1),
+        backoff: Duration::from_millis(100),
+        quarantine: Duration::from_secs(1),
+        max_quarantine: Duration::from_secs(4),
+        ..Settings::default()
+    };
+    if waves {
+        return Settings {
+            loads: 4,
+            floor: 0.5,
+            ..all
+        };
+    }
+    all
+}
+
+impl World {
+    /// A trainer's publication arrives at its entry.
+    pub(super) fn publish(&mut self, index: usize, version: Version) {
+        self.tally.calls.weights += 1;
+        if self.outage || !self.entries[self.front(index)].up {
+            self.queue
+                .send(self.now, RETRY, Job::Publish(index, version));
+            return;
+        }
+        self.tally.calls.weights += 1;
+        self.newest = self.newest.max(version);
+        let life = self.entries[self.front(index)].life;
+        // A read and a conditional update.
+        self.queue
+            .send(self.now, 2 * CALL, Job::Known(life, version));
+        if self.policy.bulk {
+            // The trainer goes on when its call is answered.
+            self.resume(index, 2 * CALL + self.scenario.client);
+        }
+    }
+
+    /// An entry lists the weights; the same again later.
+    pub(super) fn list(&mut self, life: Life) {
+        if !self.lives(life) {
+            return;
+        }
+        self.tally.calls.weights += 1;
+        self.tally.calls.instances += 1;
+        if !self.outage {
+            let job = Job::Known(life, self.newest);
+            self.queue.send(self.now, CALL, job);
+        }
+        self.queue
+            .send(self.now, LIST_PAUSE + CALL, Job::List(life));
+    }
+
+    /// The rollout's regular tick: the lease is renewed while the object API answers.
+    pub(super) fn rollout_tick(&mut self) {
+        let due = self.renewed.is_none_or(|at| self.now.since(at) >= RENEWAL);
+        if due {
+            self.tally.calls.lease += 1;
+            self.renewed = Some(self.now);
+            if !self.outage {
+                let lease = Lease {
+                    fence: FENCE,
+                    until: self.now + LEASE,
+                };
+                self.rollout_step(Event::Lease(Some(lease)));
+            }
+        }
+        for index in 0..self.engines.len() {
+            let engine = &self.engines[index];
+            let found = self.entries[HOLDER].set.find(&engine.name);
+            let event = Event::Listed {
+                name: engine.name.clone(),
+                zone: self.scenario.zones[engine.zone].clone(),
+                outstanding: found.map_or(0, |(_, e)| e.load(self.now) as u32),
+                leaving: false,
+            };
+            self.rollout_step(event);
+        }
+        let known = self.entries[HOLDER].known;
+        if known > Version(0) {
+            self.rollout_step(Event::Published(known));
+        }
+        self.rollout_step(Event::Tick);
+        self.queue.send(self.now, TICK, Job::Rollout);
+    }
+
+    /// What an engine shows arrives at the rollout.
+    pub(super) fn sight(&mut self, index: usize, fence: Option<u64>, sight: Option<Sight>) {
+        let name = self.engines[index].name.clone();
+        let event = match (sight, fence) {
+            (None, _) => Event::Silent { name },
+            (Some(sight), None) => Event::Seen { name, sight },
+            (Some(sight), Some(fence)) => Event::Taken { name, fence, sight },
+        };
+        self.rollout_step(event);
+    }
+
+    fn rollout_step(&mut self, event: Event) {
+        for action in self.rollout.step(self.now, event) {
+            let (name, version) = match action {
+                Action::Read { name } => (name, None),
+                Action::Order { name, version, .. } => (name, Some(version)),
+                _ => continue,
+            };
+            let found = self.engines.iter().position(|e| e.name == name);
+            let Some(index) = found else { continue };
+            let after = self.between(self.entries[HOLDER].zone, self.engines[index].zone);
+            let job = match version {
+                Some(version) => Job::Order(index, version),
+                None => Job::Read(index),
+            };
+            self.queue.send(self.now, after, job);
+        }
+    }
+}
