--- a/crates/pinereel_fakes/src/experiment/trainer.rs
+++ b/crates/pinereel_fakes/src/experiment/trainer.rs
@@ -58,6 +58,8 @@
     pub(super) training: Option<Time>,
     step: u64,
     version: Version,
+    /// Versions that were published during its last step.
+    pace: u64,
     front: usize,
 }
 
@@ -71,10 +73,23 @@
             training: None,
             step: 1,
             version: Version(1),
+            pace: 0,
             front: index,
         }
     }
 
+    /// The version that it will have when it collects this step's lot.
+    const fn expected(&self, step: u64) -> Version {
+        let every = self.options.publish_every;
+        if step == self.step {
+            self.version
+        } else if every == 0 {
+            Version(self.version.0 + self.pace)
+        } else {
+            Version(self.version.0 + self.step.is_multiple_of(every) as u64)
+        }
+    }
+
     fn lot(&self, step: u64, seed: u64, now: Time, version: Version) -> Held {
         let scenario::Trainer {
             name,
@@ -113,6 +128,7 @@
     pub(super) fn want(&mut self, index: usize) {
         let newest = self.newest;
         let trainer = &mut self.trainers[index];
+        trainer.pace = newest.0 - trainer.version.0;
         trainer.version = newest;
         let step = trainer.step;
         trainer.held.retain(|held, _| *held >= step);
@@ -138,10 +154,11 @@
     }
 
     fn send_lot(&mut self, index: usize, step: u64) {
-        let (now, seed, newest) = (self.now, self.seed, self.newest);
+        let (now, seed) = (self.now, self.seed);
         let trainer = &mut self.trainers[index];
         if !trainer.held.contains_key(&step) {
-            let lot = trainer.lot(step, seed, now, newest);
+            let version = trainer.expected(step);
+            let lot = trainer.lot(step, seed, now, version);
             trainer.held.insert(step, lot);
         }
         let job = Job::Submit(index, step, trainer.front);
