--- a/crates/pinereel_fakes/src/experiment/entry.rs
+++ b/crates/pinereel_fakes/src/experiment/entry.rs
@@ -230,11 +230,12 @@
         let now = self.now;
         let entry = &mut self.entries[life.entry];
         let origin = Origin::Attempt(life, start.attempt);
-        let Some((key, _)) = entry.set.find(&start.endpoint) else {
+        let Some((key, endpoint)) = entry.set.find(&start.endpoint) else {
             let job = Job::Broken(origin, End::Cancelled, Failure::NotRun);
             self.queue.send(now, Duration::ZERO, job);
             return;
         };
+        let version = endpoint.version.unwrap_or_default();
         let id = entry.request_id();
         let tokens = start.max_tokens;
         let event = endpoint::Event::Started { key, tokens };
@@ -260,6 +261,7 @@
             priority: start.class.number(),
             request_id: id,
             chunk_tokens: CHUNK_TOKENS,
+            cache_salt: format_compact!("{version}"),
             resume: start.resume,
             resume_tokens: start.resume_tokens,
         };
--- a/crates/pinereel_fakes/tests/claims/mod.rs
+++ b/crates/pinereel_fakes/tests/claims/mod.rs
@@ -278,7 +278,7 @@
     let count = site.entries.len();
     let known = || {
         let mut entries = site.entries.iter();
-        entries.all(|entry| entry.shared.members.all().len() == count)
+        entries.all(|entry| entry.shared.members.view().entries().len() == count)
     };
     until(known).await.unwrap();
 }
