Samples that are too old at birth are made again at the pace of the retry budget

Cause: an engine that keeps reusing prefixes older than the bound was asked again at once, each time, without end; found as a site that spun at 93% of a core. Ruled out: pacing all samples made again, since those aborted by a publication are made again once each and lose time by waiting. Change: an attempt found too old by its own chunks, without a newer version or tighter bound, costs a retry.

--- a/crates/pinereel_core/src/lot/runner.rs
+++ b/crates/pinereel_core/src/lot/runner.rs
@@ -159,7 +159,9 @@
         match chunk.finish {
             Some(Finish::Whole) => self.finish(now, chunk.attempt),
             Some(Finish::Cancelled) => self.lose(now, chunk.attempt),
-            None => self.abort_if_stale(chunk.attempt),
+            // Too old although nothing new was published since: its engine reuses old prefixes or
+            // runs old weights, and may do so each time.
+            None => self.abort_if_stale(chunk.attempt, Self::retry),
         }
     }
 
@@ -267,7 +269,7 @@
         let spec = &self.lots[&entry.lot].spec;
         if self.policy.early_abort && !staleness::fits(oldest, spec.version, spec.bound) {
             self.stats.stale += 1;
-            self.again(attempt.sample, None);
+            self.retry(attempt.sample, None);
             return;
         }
         let sample = Sample {
--- a/crates/pinereel_core/src/lot/schedule.rs
+++ b/crates/pinereel_core/src/lot/schedule.rs
@@ -181,8 +181,12 @@
         })
     }
 
-    /// Aborts a running attempt whose spans no longer fit.
-    pub(super) fn abort_if_stale(&mut self, key: AttemptKey) {
+    /// Aborts a running attempt whose spans do not fit, and queues its sample again by `queue`.
+    pub(super) fn abort_if_stale(
+        &mut self,
+        key: AttemptKey,
+        queue: impl Fn(&mut Self, SampleKey, Option<Progress>),
+    ) {
         let Some(attempt) = self.attempts.get(key) else {
             return;
         };
@@ -196,7 +200,7 @@
         self.stats.aborted += 1;
         self.cancel(key);
         self.end(key);
-        self.again(sample, None);
+        queue(self, sample, None);
     }
 
     /// After a newer version or a tighter bound: aborts, and voids what waits for a collect.
@@ -206,7 +210,7 @@
         }
         let running: Vec<_> = self.attempts.keys().collect();
         for key in running {
-            self.abort_if_stale(key);
+            self.abort_if_stale(key, Self::again);
         }
         let all = self.samples.iter();
         let old = all.filter(|(_, entry)| self.is_stale(entry));
--- a/crates/pinereel_core/tests/lot_runner.rs
+++ b/crates/pinereel_core/tests/lot_runner.rs
@@ -391,3 +391,50 @@
     let token = Token::first(digest(7), 7, 2);
     assert_eq!(answer(&runner.step(NOW, ask(7, token, 9, 1))).0, []);
 }
+
+/// A chunk that reuses a prefix far older than the bound; true stamps, and of no use.
+fn stale_chunk(attempt: AttemptKey, finish: Option<Finish>) -> Event {
+    let reused = vec![Span {
+        version: Version(1),
+        tokens: 8,
+    }];
+    let stamp = Stamp {
+        offset: 0,
+        tokens: 1,
+        version: Some(Version(5)),
+        reused,
+    };
+    Event::Chunk(Chunk {
+        attempt,
+        stamp,
+        text: "x".into(),
+        finish,
+    })
+}
+
+#[test]
+fn an_engine_that_reuses_old_prefixes_is_asked_again_at_the_pace_of_the_budget() {
+    for finish in [None, Some(Finish::Whole)] {
+        let mut runner = runner(Policy::default());
+        runner.step(NOW, Event::Assign(spec(7, &[(0, 8)])));
+        let mut waiting = starts(&runner.step(NOW, offer("a", 2)));
+        let mut count = waiting.len();
+        // Ten seconds in which the engine answers at once; without a pace this never ends.
+        for tick in 0..100 {
+            let now = NOW + std::time::Duration::from_millis(100 * tick);
+            let ticked = starts(&runner.step(now, Event::Tick));
+            count += ticked.len();
+            waiting.extend(ticked);
+            for _ in 0..1_000 {
+                let Some(start) = waiting.pop() else { break };
+                let actions = runner.step(now, stale_chunk(start.attempt, finish));
+                let again = starts(&actions);
+                count += again.len();
+                waiting.extend(again);
+            }
+        }
+        let limits = Limits::default();
+        let most = limits.retry_burst + 10 * limits.retries_per_second + 2;
+        assert!(count <= most as usize, "{count} starts, at most {most}");
+    }
+}
