Status asks entries that were last heard with a lower number

Cause: right after a patch, status said that all others lag, since their last summary was older than the patch; it also counted its own wait for silent entries into the time since they were heard.

Ruled out: more frequent summaries, which cost bytes all the time.

Change: status asks those entries, and takes its time before. It shows the leases held.

--- a/crates/pinereel/src/operators/status.rs
+++ b/crates/pinereel/src/operators/status.rs
@@ -24,7 +24,7 @@
         entries: entries(shared).await,
         endpoints: endpoints(shared),
         versions: shared.lots.versions(),
-        leases: BTreeMap::new(),
+        leases: shared.leases.all(shared.now()),
         object_calls,
     }
 }
@@ -47,15 +47,18 @@
     }
 }
 
-/// The known entries. Those without a link here are asked, since nothing is heard of them.
+/// The known entries. Those that were not heard of lately, or only with a lower number, are asked.
 async fn entries(shared: &Shared) -> BTreeMap<CompactString, Entry> {
+    let now = shared.now();
     let heard = shared.config.heard();
     let known = shared.members.view().entries().clone();
-    let silent = known
-        .iter()
-        .filter(|(name, entry)| *name != shared.name() && fresh(shared, entry, &heard).is_none());
-    let silent = silent.map(|(name, _)| name.clone()).collect();
-    let reports = members::reports(shared, silent).await;
+    let others = known.iter().filter(|(name, _)| *name != shared.name());
+    let doubtful = others.filter(|(_, entry)| {
+        let number = fresh(now, entry, &heard).map(|heard| heard.number);
+        number < Some(shared.config.number())
+    });
+    let names = doubtful.map(|(name, _)| name.clone()).collect();
+    let reports = members::reports(shared, names).await;
     let describe = |(name, entry): (CompactString, member::Entry)| {
         let report = reports.get(&name);
         let described = if name == *shared.name() {
@@ -64,7 +67,7 @@
             other(shared, &entry, *number, Duration::ZERO)
         } else {
             let last = heard.get(&name);
-            let silence = shared.now().since(last.map_or(Time::ZERO, |last| last.at));
+            let silence = now.since(last.map_or(Time::ZERO, |last| last.at));
             other(shared, &entry, last.map_or(0, |last| last.number), silence)
         };
         (name, described)
@@ -74,13 +77,13 @@
 
 /// What was heard of this incarnation lately.
 fn fresh<'a>(
-    shared: &Shared,
+    now: Time,
     entry: &member::Entry,
     heard: &'a BTreeMap<CompactString, Heard>,
 ) -> Option<&'a Heard> {
     let last = heard.get(&entry.object.name)?;
     let same = last.incarnation == entry.object.incarnation;
-    (same && shared.now().since(last.at) < SILENT).then_some(last)
+    (same && now.since(last.at) < SILENT).then_some(last)
 }
 
 fn own(shared: &Shared, entry: &member::Entry) -> Entry {
