A draining proposer finishes its patch first

Cause: a graceful stop did not wait for patches under way, so their pending writes were left for others to take back. Every list of members computed all links again.

Ruled out: refusing patches from the start of a drain: its first part still serves callers, and a patch takes less than 8 s.

Change: a patch counts as in flight; once new requests are refused, new patches are too, as unknown. Links are computed only when members change.

Conclusion: a graceful stop of a proposer does not cost its patch.

--- a/crates/pinereel/src/controllers/config/propose.rs
+++ b/crates/pinereel/src/controllers/config/propose.rs
@@ -65,6 +65,13 @@
         let message = format_compact!("the patch's id is empty or longer than {MAX_ID} bytes");
         return Err(refuse(Code::BadRequest, message));
     }
+    // What is not tried is "unknown": an earlier sending of the patch may have been accepted.
+    if shared.drain.refuses() {
+        return Err(later(unknown(
+            Code::Unavailable,
+            "this instance is draining",
+        )));
+    }
     let open = shared.config.open.get();
     if open >= MAX_OPEN {
         return Err(later(unknown(Code::Overloaded, "too many patches at once")));
@@ -73,6 +80,8 @@
     let (sender, answer) = oneshot::channel();
     let id = patch.id.clone();
     spawn(shared, async move |shared| {
+        // A graceful stop waits for it.
+        let _guard = shared.drain.enter();
         let driver = Driver::new(Rc::clone(&shared), patch, sender);
         driver.run().await;
         shared.config.open.set(shared.config.open.get() - 1);
--- a/crates/pinereel/src/controllers/members.rs
+++ b/crates/pinereel/src/controllers/members.rs
@@ -156,12 +156,23 @@
     let items = list.ok()?.items;
     let names: BTreeSet<_> = items.iter().map(|object| object.name.clone()).collect();
     let objects = items.iter().filter_map(|object| read(&object.value));
+    let before = starts(&shared.members.view());
     shared.members.view.borrow_mut().list(objects);
-    shared.config.keep(&names);
-    link(shared);
+    if starts(&shared.members.view()) != before {
+        shared.config.keep(&names);
+        link(shared);
+    }
     Some(names)
 }
 
+/// The known entries and their incarnations.
+fn starts(view: &View) -> BTreeMap<CompactString, u64> {
+    let entries = view.entries().iter();
+    entries
+        .map(|(name, entry)| (name.clone(), entry.object.incarnation))
+        .collect()
+}
+
 fn read(value: &serde_json::Value) -> Option<Object> {
     match serde::Deserialize::deserialize(value) {
         Ok(object) => Some(object),
@@ -201,8 +212,6 @@
     }
     let peers: Vec<_> = names.iter().filter_map(|name| peer(&view, name)).collect();
     shared.mesh.want(peers);
-    let up = i64::try_from(shared.mesh.linked().len()).unwrap_or(i64::MAX);
-    shared.metrics.links_up.set(up);
 }
 
 fn peer(view: &View, name: &str) -> Option<Peer> {
--- a/crates/pinereel_fakes/tests/config_faults.rs
+++ b/crates/pinereel_fakes/tests/config_faults.rs
@@ -270,6 +270,26 @@
     assert_eq!(answer, (200, json!({ "number": 3 })));
 }
 
+#[actix_rt::test]
+async fn draining_proposer_finishes_its_patch_and_takes_no_more() {
+    let mut quick = options(3);
+    quick.settings = "[drain]\nbalancer_lag = 1ms\nlongest = 6s\n".into();
+    let mut site = Site::start(quick).await.unwrap();
+    let leaving = site.entries.remove(0);
+    delay(&site, 100);
+    let stop = async {
+        until(|| pending(&site)).await.unwrap();
+        leaving.shared.drain.ask();
+        until(|| leaving.shared.drain.refuses()).await.unwrap();
+        patch(&leaving, 1, "late", bound(4)).await
+    };
+    let sent = patch(&leaving, 1, "a", bound(3));
+    let (answer, late, ()) = futures_util::future::join3(sent, stop, leaving.finished()).await;
+    assert_eq!(answer, (200, json!({ "number": 2 })));
+    assert_eq!((late.0, &late.1["code"]), (503, &json!("unavailable")));
+    until(|| in_force(&site, 2)).await.unwrap();
+}
+
 #[actix_rt::test]
 async fn pending_patch_of_a_dead_proposer_is_taken_back_by_the_next() {
     let options = options(3);
