--- a/crates/pinereel_fakes/tests/claim_faults.rs
+++ b/crates/pinereel_fakes/tests/claim_faults.rs
@@ -115,6 +115,30 @@
     assert_eq!(ran(&site, &key), 0);
 }
 
+#[actix_rt::test]
+async fn an_object_api_that_answers_nothing_refuses_in_time_and_leaves_the_key_free() {
+    let site = site(3).await;
+    joined(&site).await;
+    order(&site, 0, Some(&claims::same_shard(SLOT)), "lacquer").await;
+    let delay = |millis| {
+        site.api.faults(object::Faults {
+            delay_ms: Some(millis),
+            ..object::Faults::default()
+        });
+    };
+    // The create takes effect, and its answer comes long after everybody has given up.
+    delay(60_000);
+    let started = Instant::now();
+    let refused = order(&site, 1, Some(SLOT), "lacquer").await;
+    assert_eq!(refused.short(), "503 object_api not-run later");
+    assert!(started.elapsed() < 2 * AT_ONCE, "{:?}", started.elapsed());
+    assert_eq!(ran(&site, SLOT), 0);
+    delay(0);
+    let again = order_until(&site, 2, SLOT, "lacquer", |answer| answer.status == 200).await;
+    assert!(!again.replay);
+    assert_eq!(ran(&site, SLOT), 1);
+}
+
 #[actix_rt::test]
 async fn a_call_that_ran_and_lost_its_answer_is_unknown_and_never_runs_again() {
     let site = site(3).await;
