Demo: both deployments' sizes on loopback in one command, with a verdict

Ruled out: processes for each part (slower to start, nothing more shown; process tests exist apart); both deployments at once in one runtime (their figures would mix). Change: `pinereel-fakes demo` starts each site embedded, runs six trainer steps with published weights while eight live callers send completions and service calls through all entries, applies one patch through an operators' listener, drains one entry and starts another, then checks: every sample once, none beyond the bound, weights named, texts whole, every service call run once, the last weights on every engine, the patch everywhere within 5 s. Exit 0, or 1 if something did not hold.

--- a/crates/pinereel_fakes/src/bin/pinereel-fakes.rs
+++ b/crates/pinereel_fakes/src/bin/pinereel-fakes.rs
@@ -2,7 +2,7 @@
 
 use lexopt::Parser;
 use pinereel_fakes::{
-    engine, experiment, object_api,
+    demo, engine, experiment, object_api,
     process::{self, Common, Error, value},
     service, weight_store,
 };
@@ -79,6 +79,12 @@
         flags: &[experiment::cli::HELP],
         run: experiment::cli::main,
     },
+    Tool {
+        name: "demo",
+        summary: "everything on loopback, with a short summary",
+        flags: &[demo::HELP],
+        run: demo::main,
+    },
 ];
 
 fn main() -> ExitCode {
