Lots: a version is the trainer's word; wanted lots first; duplicates off

A published version counted as the version of every trainer of the model, so samples that their trainer would have taken were aborted. A group's prefix stays in an engine's cache across a swap, so a sample made again there was too old again, without end. Change: Published is a forecast only; a collect says the trainer's version; no start where the cached prefix is too old (remembered 5 s); lots asked for go first; others fill two slots of an endpoint; ties by hash; at most one version behind at the start; versions learned from stamps; duplicates off by default. The experiment's trainers state the version at which a lot sent ahead will be collected, and entries tell each other of versions (eager). Tests: two that took Published for the trainer's version now use a collect; three name the policy they test, whose default changed; two new.

--- a/crates/pinereel_core/src/lot/accept.rs
+++ b/crates/pinereel_core/src/lot/accept.rs
@@ -4,7 +4,7 @@
     Action, Group, Lot, Refusal, Runner, Sample, Spec,
     state::{Entry, Mates},
 };
-use crate::{Time, cursor::MAX_SAMPLES, staleness::Pace};
+use crate::{Time, cursor::MAX_SAMPLES};
 use compact_str::CompactString;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -35,9 +35,7 @@
         let id = spec.lot.clone();
         let lot = self.lots.get_mut(&id).expect("inserted above if absent");
         lot.touched = now;
-        let newest = self.paces.get(&spec.model).map(Pace::newest);
-        let newest = newest.unwrap_or_default().max(spec.version);
-        lot.spec.version = lot.spec.version.max(newest);
+        lot.spec.version = lot.spec.version.max(spec.version);
         for group in groups {
             self.add(&id, group);
         }
@@ -97,6 +95,7 @@
             },
             order: self.next_order,
             touched: now,
+            wanted: false,
             groups: BTreeMap::new(),
             samples: BTreeMap::new(),
             queue: BTreeSet::new(),
@@ -112,6 +111,7 @@
             group,
             finished: 0,
             tokens: 0,
+            cached: BTreeMap::new(),
         };
         lot.groups.insert(number, mates);
         for index in range {
--- a/crates/pinereel_core/src/lot/deliver.rs
+++ b/crates/pinereel_core/src/lot/deliver.rs
@@ -20,8 +20,10 @@
             return;
         }
         lot.touched = now;
+        lot.wanted = true;
         let newer = ask.version > lot.spec.version;
-        lot.spec.version = lot.spec.version.max(ask.version);
+        // The trainer's own word goes before what was expected when the lot was sent ahead.
+        lot.spec.version = ask.version;
         let lacks = |group: &u32| !lot.groups.contains_key(group);
         let missing = ask.groups.iter().copied().filter(lacks).collect();
         let keys: Vec<_> = lot.samples.values().copied().collect();
--- a/crates/pinereel_core/src/lot/mod.rs
+++ b/crates/pinereel_core/src/lot/mod.rs
@@ -36,6 +36,14 @@
     pub early_abort: bool,
     /// Avoid endpoints whose version is expected to be too old at completion.
     pub staleness_aware_start: bool,
+    /// Most versions that a start may be behind, even where the lot's bound is wider.
+    pub start_bound: u64,
+    /// Choose among equally busy endpoints by hash instead of by name.
+    pub spread: bool,
+    /// Lots that their trainer has asked for go first, here and at the engines.
+    pub wanted_first: bool,
+    /// Most attempts on an endpoint at which a lot that nobody has asked for yet may start one.
+    pub ahead_slots: u32,
     /// Share slots between trainers by weight instead of by arrival of their lots.
     pub fair: bool,
 }
@@ -49,6 +57,10 @@
         resume: false,
         early_abort: false,
         staleness_aware_start: false,
+        start_bound: u64::MAX,
+        spread: false,
+        wanted_first: false,
+        ahead_slots: u32::MAX,
         fair: false,
     };
 }
@@ -57,11 +69,15 @@
     fn default() -> Self {
         Self {
             long_first: true,
-            duplicates: true,
+            duplicates: false,
             duplicate_after: Duration::from_millis(200),
             resume: true,
             early_abort: true,
             staleness_aware_start: true,
+            start_bound: 1,
+            spread: true,
+            wanted_first: true,
+            ahead_slots: 2,
             fair: true,
         }
     }
--- a/crates/pinereel_core/src/lot/runner.rs
+++ b/crates/pinereel_core/src/lot/runner.rs
@@ -156,6 +156,15 @@
             return;
         }
         attempt.progress.text.push_str(&chunk.text);
+        // The engine's own stamp is newer than the last report.
+        if let Some(endpoint) = self.endpoints.get_mut(&attempt.endpoint) {
+            let served = &mut endpoint.offer.version;
+            *served = chunk.stamp.version.unwrap_or_default().max(*served);
+        }
+        let reused = chunk.stamp.reused.iter().map(|span| span.version).min();
+        if let Some(oldest) = reused {
+            self.note_reuse(now, chunk.attempt, oldest);
+        }
         match chunk.finish {
             Some(Finish::Whole) => self.finish(now, chunk.attempt),
             Some(Finish::Cancelled) => self.lose(now, chunk.attempt),
@@ -163,6 +172,15 @@
         }
     }
 
+    fn note_reuse(&mut self, now: Time, key: AttemptKey, oldest: Version) {
+        let attempt = &self.attempts[key];
+        let entry = &self.samples[attempt.sample];
+        let lot = self.lots.get_mut(&entry.lot);
+        if let Some(mates) = lot.and_then(|lot| lot.groups.get_mut(&entry.group)) {
+            mates.reused(&attempt.endpoint, oldest, now);
+        }
+    }
+
     /// The stamps are broken. A gap leaves what came before it; else nothing can be trusted.
     fn void(&mut self, key: AttemptKey, error: provenance::Error) {
         self.stats.void += 1;
@@ -297,18 +315,14 @@
         }
     }
 
+    /// Only a forecast: which version a trainer is at, it says itself with each collect. Other
+    /// trainers of the model may well be behind.
     pub(super) fn published(&mut self, now: Time, model: &str, version: Version) {
         let pace = self.paces.get_mut(model);
         let newer = pace.map(|pace| pace.publish(version, now));
         if newer.is_none() {
             self.paces.insert(model.into(), Pace::new(version, now));
         }
-        for lot in self.lots.values_mut() {
-            if lot.spec.model == model {
-                lot.spec.version = lot.spec.version.max(version);
-            }
-        }
-        self.abort_stale();
     }
 
     fn bound(&mut self, trainer: &str, bound: u64) {
--- a/crates/pinereel_core/src/lot/schedule.rs
+++ b/crates/pinereel_core/src/lot/schedule.rs
@@ -32,7 +32,16 @@
     fn freest(&self, useless: &BTreeSet<CompactString>) -> Option<CompactString> {
         let all = self.endpoints.iter();
         let free = all.filter(|(key, e)| e.running < e.offer.slots && !useless.contains(*key));
-        let best = free.min_by_key(|(_, e)| (e.running, Reverse(e.offer.version)));
+        // Runners that all prefer the same endpoint among equals would fill it together.
+        let turn = self.stats.started;
+        let best = free.min_by_key(|(key, e)| {
+            let tie = if self.policy.spread {
+                hash::score(turn, key)
+            } else {
+                0
+            };
+            (e.running, Reverse(e.offer.version), tie)
+        });
         best.map(|(key, _)| key.clone())
     }
 
@@ -45,6 +54,13 @@
         if !self.policy.fair {
             lots.sort_by_key(|lot| lot.order);
         }
+        let running = self.endpoints[endpoint].running;
+        if running >= self.policy.ahead_slots {
+            lots.retain(|lot| lot.wanted);
+        }
+        if self.policy.wanted_first {
+            lots.sort_by_key(|lot| !lot.wanted);
+        }
         while !lots.is_empty() {
             let mut flows = lots.iter().map(|lot| lot.spec.trainer.as_str());
             let flow = if self.policy.fair {
@@ -73,13 +89,19 @@
         let offer = &self.endpoints[endpoint].offer;
         let entry = &self.samples[sample];
         let lot = &self.lots[&entry.lot];
-        if !staleness::fits(offer.version, lot.spec.version, lot.spec.bound) {
+        let bound = lot.spec.bound.min(self.policy.start_bound);
+        if !staleness::fits(offer.version, lot.spec.version, bound) {
+            return false;
+        }
+        let mates = &lot.groups[&entry.group];
+        let cached = mates.cached_on(endpoint, now);
+        if cached.is_some_and(|v| !staleness::fits(v, lot.spec.version, lot.spec.bound)) {
             return false;
         }
-        let tokens = u64::from(lot.groups[&entry.group].predicted());
+        let tokens = u64::from(mates.predicted());
         let done = now + Duration::from_micros(self.token_time.saturating_mul(tokens));
         let pace = self.paces.get(&lot.spec.model);
-        if pace.is_none_or(|pace| pace.lasts(offer.version, done, lot.spec.bound)) {
+        if pace.is_none_or(|pace| pace.lasts(offer.version, done, bound)) {
             return true;
         }
         // Nothing newer is served, so waiting would not help.
@@ -145,7 +167,7 @@
             seed: seed(lot.spec.digest, entry.index),
             resume,
             resume_tokens: base,
-            class: if again || late {
+            class: if again || late || self.policy.wanted_first && lot.wanted {
                 Class::Straggler
             } else {
                 Class::Bulk
--- a/crates/pinereel_core/src/lot/state.rs
+++ b/crates/pinereel_core/src/lot/state.rs
@@ -6,6 +6,7 @@
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
+    time::Duration,
 };
 
 slotmap::new_key_type! {
@@ -69,20 +70,38 @@
     pub(super) order: u64,
     /// Last assign or collect.
     pub(super) touched: Time,
+    /// Whether the trainer has asked for it: it may be waiting.
+    pub(super) wanted: bool,
     pub(super) groups: BTreeMap<u32, Mates>,
     pub(super) samples: BTreeMap<u32, SampleKey>,
     pub(super) queue: BTreeSet<Rank>,
 }
 
+/// How long a prefix is taken to stay in an endpoint's cache.
+const CACHE_MEMORY: Duration = Duration::from_secs(5);
+
 /// A group and what its finished samples tell about the others' length.
 #[derive(Clone, Debug)]
 pub(super) struct Mates {
     pub(super) group: Group,
     pub(super) finished: u32,
     pub(super) tokens: u64,
+    /// Oldest weights of the prompt's prefix in an endpoint's cache, and when that was seen.
+    pub(super) cached: BTreeMap<CompactString, (Version, Time)>,
 }
 
 impl Mates {
+    /// Notes what an attempt on `endpoint` reused.
+    pub(super) fn reused(&mut self, endpoint: &str, oldest: Version, now: Time) {
+        self.cached.insert(endpoint.into(), (oldest, now));
+    }
+
+    /// Oldest weights that a start on `endpoint` would reuse, as far as known and not forgotten.
+    pub(super) fn cached_on(&self, endpoint: &str, now: Time) -> Option<Version> {
+        let (oldest, seen) = self.cached.get(endpoint)?;
+        (now.since(*seen) < CACHE_MEMORY).then_some(*oldest)
+    }
+
     /// Expected output tokens of a sample of this group.
     pub(super) fn predicted(&self) -> u32 {
         let mean = self.tokens.checked_div(u64::from(self.finished));
--- a/crates/pinereel_core/tests/lot_runner.rs
+++ b/crates/pinereel_core/tests/lot_runner.rs
@@ -160,6 +160,55 @@
     assert_eq!(actions, [Action::Dropped { lot, reason }]);
 }
 
+/// The full policy for lots that nobody has asked for yet, but on all slots.
+fn all_slots() -> Policy {
+    Policy {
+        ahead_slots: u32::MAX,
+        ..Policy::default()
+    }
+}
+
+#[test]
+fn a_lot_that_its_trainer_asked_for_goes_first_and_on_all_slots() {
+    let started = |policy| {
+        let mut runner = runner(policy);
+        runner.step(NOW, Event::Assign(spec(7, &[(0, 8), (1, 8)])));
+        runner.step(NOW, Event::Assign(spec(8, &[(0, 8)])));
+        runner.step(NOW, ask(8, Token::first(digest(8), 8, 2), 5, 1));
+        let started = starts(&runner.step(NOW, offer("a", 8)));
+        let started = started.iter().map(|s| (s.lot.to_string(), s.class));
+        started.collect::<Vec<_>>()
+    };
+    let wanted = ("lot8".into(), Class::Straggler);
+    assert_eq!(started(Policy::default()), [wanted.clone(), wanted]);
+    let order: Vec<_> = started(Policy::BASELINE);
+    assert_eq!(order[0], ("lot7".into(), Class::Bulk));
+    assert_eq!(order.len(), 6);
+}
+
+#[test]
+fn no_start_where_the_cached_prefix_is_too_old() {
+    let started = |policy| {
+        let mut runner = runner(policy);
+        runner.step(NOW, Event::Assign(spec(7, &[(0, 8)])));
+        let first = starts(&runner.step(NOW, offer("a", 1)));
+        let mut reused = chunk(first[0].attempt, 0, " x", Some(Finish::Whole));
+        if let Event::Chunk(chunk) = &mut reused {
+            chunk.stamp.reused = vec![Span {
+                version: Version(3),
+                tokens: 4,
+            }];
+        }
+        // The other sample waits; its trainer is at version 5, bound 1.
+        runner.step(NOW, offer("a", 0));
+        runner.step(NOW, reused);
+        runner.step(NOW, ask(7, Token::first(digest(7), 7, 2), 5, 1));
+        starts(&runner.step(NOW, offer("a", 1))).len()
+    };
+    assert_eq!(started(Policy::default()), 0);
+    assert_eq!(started(Policy::BASELINE), 1);
+}
+
 #[test]
 fn the_longest_are_started_first() {
     let order = |policy| {
@@ -168,7 +217,7 @@
         let started = starts(&runner.step(NOW, offer("a", 4)));
         started.iter().map(|s| s.index).collect::<Vec<_>>()
     };
-    assert_eq!(order(Policy::default()), [2, 3, 0, 1]);
+    assert_eq!(order(all_slots()), [2, 3, 0, 1]);
     assert_eq!(order(Policy::BASELINE), [0, 1, 2, 3]);
 }
 
@@ -186,7 +235,7 @@
         let started = starts(&runner.step(NOW, offer("e", 8)));
         started.iter().filter(|s| s.lot == "b").count()
     };
-    assert_eq!(started(Policy::default()), 6);
+    assert_eq!(started(all_slots()), 6);
     assert_eq!(started(Policy::BASELINE), 0);
 }
 
@@ -217,7 +266,10 @@
 
 #[test]
 fn a_straggler_is_duplicated_and_the_first_whole_one_wins() {
-    let mut runner = runner(Policy::default());
+    let mut runner = runner(Policy {
+        duplicates: true,
+        ..Policy::default()
+    });
     runner.step(NOW, Event::Assign(spec(7, &[(0, 8)])));
     let first = starts(&runner.step(NOW, offer("a", 2)));
     runner.step(NOW, chunk(first[0].attempt, 0, " x", None));
@@ -248,6 +300,10 @@
     assert_eq!(resumed[0].resume, " x");
     let (model, version) = ("m".into(), Version(7));
     runner.step(NOW, Event::Published { model, version });
+    // What is published says nothing about the trainer; its own collect does.
+    assert_eq!(runner.stats().aborted, 0);
+    runner.step(NOW, ask(7, Token::first(digest(7), 7, 2), 7, 1));
+    assert_eq!(runner.stats().aborted, 1);
     let newer = Offer {
         endpoint: "c".into(),
         model: "m".into(),
@@ -371,8 +427,8 @@
         _ => None,
     });
     let ticket = ticket.expect("a scoring");
-    let (model, version) = ("m".into(), Version(9));
-    runner.step(NOW, Event::Published { model, version });
+    let version = Version(9);
+    runner.step(NOW, ask(7, Token::first(digest(7), 7, 2), 9, 1));
     let newer = Offer {
         endpoint: "b".into(),
         model: "m".into(),
--- a/crates/pinereel_fakes/src/experiment/engines.rs
+++ b/crates/pinereel_fakes/src/experiment/engines.rs
@@ -223,7 +223,7 @@
     pub(super) fn answer_rollout(&mut self, index: usize, fence: Option<u64>) {
         let engine = &self.engines[index];
         let sight = engine.up.then(|| engine.sight());
-        let after = self.between(engine.zone, self.entries[0].zone);
+        let after = self.between(engine.zone, self.entries[super::weights::HOLDER].zone);
         self.queue
             .send(self.now, after, Job::Sight(index, fence, sight));
     }
--- a/crates/pinereel_fakes/src/experiment/entry.rs
+++ b/crates/pinereel_fakes/src/experiment/entry.rs
@@ -21,6 +21,8 @@
 
 /// Pause between load reports of one engine.
 const REPORT_PAUSE: Duration = Duration::from_millis(250);
+/// The same for an engine that serves older weights than the newest.
+const EAGER_PAUSE: Duration = Duration::from_millis(25);
 /// Pause between ticks of the runner.
 const TICK: Duration = Duration::from_millis(100);
 /// Pause between lists of the weights, and of the instances, at the object API.
@@ -156,8 +158,20 @@
         } else {
             self.offer(life, index);
         }
-        self.queue
-            .send(self.now, REPORT_PAUSE + trip, Job::Poll(life, index));
+        let pause = self.report_pause(life, index) + trip;
+        self.queue.send(self.now, pause, Job::Poll(life, index));
+    }
+
+    /// An engine on old weights is about to get new ones: it is read more often.
+    fn report_pause(&self, life: Life, index: usize) -> Duration {
+        let entry = &self.entries[life.entry];
+        let found = entry.set.find(&self.engines[index].name);
+        let old = found.is_some_and(|(_, e)| e.version.is_some_and(|v| v < entry.known));
+        if self.policy.eager && old {
+            EAGER_PAUSE
+        } else {
+            REPORT_PAUSE
+        }
     }
 
     pub(super) fn report(&mut self, life: Life, index: usize, incarnation: u64, report: Report) {
@@ -331,6 +345,7 @@
         self.entries[life.entry].known = version;
         let model = self.scenario.model.clone();
         self.step(life, Event::Published { model, version });
+        self.target(life, version);
     }
 }
 
--- a/crates/pinereel_fakes/src/experiment/policy.rs
+++ b/crates/pinereel_fakes/src/experiment/policy.rs
@@ -27,6 +27,9 @@
     pub ahead: Ahead,
     /// Whether weights are rolled out in waves instead of on all engines at once.
     pub waves: bool,
+    /// Whether entries tell each other of published versions at once, and read an engine more
+    /// often while it serves an older one; else both wait for the next regular read.
+    pub eager: bool,
     /// Whether the trainers run; without them only live callers load the engines.
     pub bulk: bool,
 }
@@ -39,6 +42,7 @@
         route: route::Policy::BASELINE,
         ahead: Ahead::None,
         waves: false,
+        eager: false,
         bulk: true,
     };
 
@@ -53,6 +57,14 @@
             route,
             ..base
         };
+        let full_without = |name, change: fn(&mut Self)| {
+            let mut policy = Self {
+                name,
+                ..Self::full()
+            };
+            change(&mut policy);
+            policy
+        };
         vec![
             base,
             lot(
@@ -91,6 +103,13 @@
                     ..lots
                 },
             ),
+            lot(
+                "spread",
+                lot::Policy {
+                    spread: true,
+                    ..lots
+                },
+            ),
             lot("fair", lot::Policy { fair: true, ..lots }),
             route(
                 "affinity",
@@ -132,6 +151,15 @@
                 waves: true,
                 ..base
             },
+            Self {
+                name: "even",
+                ..base
+            },
+            Self {
+                name: "eager",
+                eager: true,
+                ..base
+            },
             Self {
                 name: "ahead-train",
                 ahead: Ahead::Train,
@@ -146,6 +174,14 @@
                 name: "full",
                 ..Self::full()
             },
+            Self {
+                name: "full-dups",
+                lot: lot::Policy {
+                    duplicates: true,
+                    ..lot::Policy::default()
+                },
+                ..Self::full()
+            },
             Self {
                 name: "full-no-ahead",
                 ahead: Ahead::None,
@@ -156,6 +192,11 @@
                 waves: true,
                 ..Self::full()
             },
+            full_without("full-no-spread", |p| p.lot.spread = false),
+            full_without("full-no-wanted-first", |p| p.lot.wanted_first = false),
+            full_without("full-ahead-train", |p| p.ahead = Ahead::Train),
+            full_without("full-no-ahead-slots", |p| p.lot.ahead_slots = u32::MAX),
+            full_without("full-no-eager", |p| p.eager = false),
             Self {
                 name: "live-only",
                 bulk: false,
@@ -172,6 +213,7 @@
             route: route::Policy::FULL,
             ahead: Ahead::Collect,
             waves: false,
+            eager: true,
             bulk: true,
         }
     }
--- a/crates/pinereel_fakes/src/experiment/trainer.rs
+++ b/crates/pinereel_fakes/src/experiment/trainer.rs
@@ -58,7 +58,7 @@
     pub(super) training: Option<Time>,
     step: u64,
     version: Version,
-    /// Versions that were published during its last step.
+    /// Most versions that were published during one of its last steps.
     pace: u64,
     front: usize,
 }
@@ -79,12 +79,13 @@
     }
 
     /// The version that it will have when it collects this step's lot.
-    const fn expected(&self, step: u64) -> Version {
+    fn expected(&self, step: u64) -> Version {
         let every = self.options.publish_every;
         if step == self.step {
             self.version
         } else if every == 0 {
-            Version(self.version.0 + self.pace)
+            // Others publish: better to start late than to be too old.
+            Version(self.version.0 + self.pace.max(1))
         } else {
             Version(self.version.0 + self.step.is_multiple_of(every) as u64)
         }
@@ -128,9 +129,13 @@
     pub(super) fn want(&mut self, index: usize) {
         let newest = self.newest;
         let trainer = &mut self.trainers[index];
-        trainer.pace = newest.0 - trainer.version.0;
-        trainer.version = newest;
+        let seen = newest.0 - trainer.version.0;
+        trainer.pace = seen.max(trainer.pace.saturating_sub(1));
         let step = trainer.step;
+        // It takes no newer weights than it declared for a lot sent ahead: those samples would
+        // be too old for them.
+        let declared = trainer.held.get(&step).map(|held| held.version);
+        trainer.version = declared.map_or(newest, |declared| declared.min(newest));
         trainer.held.retain(|held, _| *held >= step);
         let fresh = !trainer.held.contains_key(&step);
         if fresh {
--- a/crates/pinereel_fakes/src/experiment/weights.rs
+++ b/crates/pinereel_fakes/src/experiment/weights.rs
@@ -13,8 +13,8 @@
 
 /// Fencing token of the only holder.
 pub(super) const FENCE: u64 = 1;
-/// The entry that holds the rollout's lease; no fault hits it.
-const HOLDER: usize = 0;
+/// The entry that holds the rollout's lease; no trainer calls it at first, and no fault hits it.
+pub(super) const HOLDER: usize = 8;
 /// Pause between ticks of the rollout.
 const TICK: Duration = Duration::from_millis(50);
 /// Time for which the lease is held after each renewal.
@@ -66,12 +66,33 @@
         // A read and a conditional update.
         self.queue
             .send(self.now, 2 * CALL, Job::Known(life, version));
+        if self.policy.eager {
+            self.tell(life, version);
+        }
         if self.policy.bulk {
             // The trainer goes on when its call is answered.
             self.resume(index, 2 * CALL + self.scenario.client);
         }
     }
 
+    /// Tells all other entries of a version.
+    fn tell(&mut self, life: Life, version: Version) {
+        let from = self.entries[life.entry].zone;
+        for index in 0..self.entries.len() {
+            let entry = &self.entries[index];
+            let after = 2 * CALL + self.between(from, entry.zone);
+            let job = Job::Known(entry.life, version);
+            self.queue.send(self.now, after, job);
+        }
+    }
+
+    /// Tells the rollout of a version that its entry learned.
+    pub(super) fn target(&mut self, life: Life, version: Version) {
+        if life.entry == HOLDER {
+            self.rollout_step(Event::Published(version));
+        }
+    }
+
     /// An entry lists the weights; the same again later.
     pub(super) fn list(&mut self, life: Life) {
         if !self.lives(life) {
