--- a/crates/pinereel_fakes/src/experiment/table.rs
+++ b/crates/pinereel_fakes/src/experiment/table.rs
@@ -36,13 +36,13 @@
 /// A text table: mean over seeds, and the spread of the idle share.
 pub fn text(rows: &[Row]) -> String {
     let shown: Vec<_> = COLUMNS.iter().filter(|c| SHOWN.contains(&c.name)).collect();
-    let mut out = format!("{:<15} {:<14}", "scenario", "policy");
+    let mut out = format!("{:<15} {:<21}", "scenario", "policy");
     for column in &shown {
         let _ = write!(out, " {:>width$}", column.name, width = width(column.name));
     }
     out.push_str("  idle least..most\n");
     for row in rows {
-        let _ = write!(out, "{:<15} {:<14}", row.scenario, row.policy);
+        let _ = write!(out, "{:<15} {:<21}", row.scenario, row.policy);
         for column in &shown {
             let spread = Spread::of(&row.runs, column.get);
             let value = if column.name == "stale-max" || column.name == "beyond" {
