Lots sent up to a settable number of steps ahead

Cause: prairie's lots of 192 samples take longer from their first start to their last end than training and one wait together. Change: Limits::steps_ahead (default 1 as before); the experiment's trainers send 1 or 2 steps ahead and state the version of each; bound for any depth.

--- a/crates/pinereel_core/src/lot/accept.rs
+++ b/crates/pinereel_core/src/lot/accept.rs
@@ -55,7 +55,7 @@
             .values()
             .filter(|l| l.spec.trainer == spec.trainer);
         let newest = same.map(Lot::step).max().unwrap_or(0);
-        if spec.step.saturating_add(1) < newest {
+        if spec.step.saturating_add(self.limits.steps_ahead) < newest {
             return Err(Refusal::Superseded);
         }
         let known = known.map(|lot| &lot.groups);
@@ -66,13 +66,14 @@
         }
     }
 
-    /// Drops the trainer's lots that are more than one step behind.
+    /// Drops the trainer's lots that are too many steps behind.
     fn supersede(&mut self, spec: &Spec) {
+        let ahead = self.limits.steps_ahead;
         let same = self
             .lots
             .values()
             .filter(|l| l.spec.trainer == spec.trainer);
-        let old = same.filter(|lot| lot.step().saturating_add(1) < spec.step);
+        let old = same.filter(|lot| lot.step().saturating_add(ahead) < spec.step);
         let old: Vec<_> = old.map(|lot| lot.spec.lot.clone()).collect();
         for lot in old {
             self.drop_lot(&lot, Refusal::Superseded);
--- a/crates/pinereel_core/src/lot/message.rs
+++ b/crates/pinereel_core/src/lot/message.rs
@@ -249,8 +249,8 @@
     /// The id is in use with other content.
     #[error("the lot id is in use with another digest")]
     Conflict,
-    /// The trainer is more than one step ahead.
-    #[error("the trainer is more than one step ahead")]
+    /// The trainer is more than [`Limits::steps_ahead`](super::Limits::steps_ahead) ahead.
+    #[error("the trainer is too many steps ahead")]
     Superseded,
     /// A limit on lots or samples is reached.
     #[error("too many lots or samples here")]
--- a/crates/pinereel_core/src/lot/mod.rs
+++ b/crates/pinereel_core/src/lot/mod.rs
@@ -90,6 +90,8 @@
     pub lots: usize,
     /// Most samples held over all lots; groups beyond are refused with [`Refusal::Full`].
     pub samples: usize,
+    /// Steps that a trainer's lots may be ahead of its oldest one here; older ones are dropped.
+    pub steps_ahead: u64,
     /// Retries earned by each first attempt, in percent.
     pub retry_percent: u32,
     /// Retries earned by each second that passes.
@@ -109,6 +111,7 @@
         Self {
             lots: 64,
             samples: 65_536,
+            steps_ahead: 1,
             retry_percent: 20,
             retries_per_second: 10,
             retry_burst: 64,
--- a/crates/pinereel_fakes/src/experiment/bound.rs
+++ b/crates/pinereel_fakes/src/experiment/bound.rs
@@ -3,10 +3,11 @@
 //! Two limits hold whatever is decided:
 //!
 //! - **Longest sample.** A sample of `l` tokens takes at least `l / tokens_per_second`, on an
-//!   engine of its own. A lot may be submitted one step ahead, so with waits `w` and training
-//!   times `t` it is under way for at most `w(k-1) + t + w(k)`: `w(k-1) + w(k) >= longest(k) - t`,
-//!   and the first lot waits for all of it. The least sum of waits is the largest sum of these
-//!   right-hand sides over steps no two of which are neighbours (linear programming duality).
+//!   engine of its own. A lot may be submitted `d` steps ahead (as the policy does, at least one),
+//!   so with waits `w` and training times `t` it is under way for at most `w(k-d) + .. + w(k) +
+//!   d t`: `w(k-d) + .. + w(k) >= longest(k) - d t`, and the first lot waits for all of it. The
+//!   least sum of waits is the largest sum of these right-hand sides over spans of `d + 1` steps
+//!   that don't overlap (linear programming duality).
 //!   Without look-ahead, `w(k) >= longest(k)` for every step.
 //! - **Capacity.** An engine makes at most `slots * tokens_per_second / (1 + batch_cost *
 //!   (slots - 1))` tokens a second. What live callers took is gone; the rest is given to the
@@ -15,6 +16,7 @@
 //! Swaps, latencies and prompts cost nothing here, so the bound is lower than what can be had.
 
 use super::{
+    policy::Ahead,
     scenario::Scenario,
     trainer::{Step, Trainer},
     world::World,
@@ -23,17 +25,14 @@
 
 /// The bound as mean idle share (0 to 1) over the trainers: with look-ahead, and without.
 pub(super) fn idle(world: &World) -> (f64, f64) {
-    let ahead = share(world, chain);
-    let without = share(world, |steps, _, speed| {
-        steps.iter().map(|step| longest(step, speed)).sum()
-    });
-    (ahead, without)
+    let depth = match world.policy.ahead {
+        Ahead::Collect(steps) => steps as usize,
+        Ahead::None | Ahead::Train => 1,
+    };
+    (share(world, depth), share(world, 0))
 }
 
-/// Least sum of waits, in seconds, by steps, training time and speed of a lone sequence.
-type Waits = fn(&[Step], f64, f64) -> f64;
-
-fn share(world: &World, waits: Waits) -> f64 {
+fn share(world: &World, depth: usize) -> f64 {
     let scenario = &world.scenario;
     let speed = scenario.engine.tokens_per_second;
     let mut flows: Vec<_> = world
@@ -53,7 +52,7 @@
     for trainer in flows {
         let train = trainer.options.train.as_secs_f64();
         let steps = trainer.steps.len() as f64;
-        let waited = waits(&trainer.steps, train, speed);
+        let waited = chain(&trainer.steps, train, speed, depth);
         // Steps a second: by the longest samples, and by the capacity left.
         let rate = steps / (waited + steps * train);
         let rate = rate.min(spare.max(0.0) / tokens(trainer));
@@ -84,14 +83,15 @@
     f64::from(step.longest) / speed
 }
 
-/// The longest-sample limit with a look-ahead of one step.
-fn chain(steps: &[Step], train: f64, speed: f64) -> f64 {
-    let (mut before, mut best) = (0.0, 0.0);
+/// The longest-sample limit with a look-ahead of `depth` steps: least sum of waits, in seconds.
+fn chain(steps: &[Step], train: f64, speed: f64, depth: usize) -> f64 {
+    // Largest sum over spans that end with the first so many steps.
+    let mut best = vec![0.0];
     for (index, step) in steps.iter().enumerate() {
-        let overlap = if index == 0 { 0.0 } else { train };
-        let own: f64 = (longest(step, speed) - overlap).max(0.0);
-        let next = f64::max(best, before + own);
-        (before, best) = (best, next);
+        let overlap = depth.min(index);
+        let own: f64 = (longest(step, speed) - train * overlap as f64).max(0.0);
+        let taken = best[index - overlap] + own;
+        best.push(f64::max(best[index], taken));
     }
-    best
+    best.last().copied().unwrap_or_default()
 }
--- a/crates/pinereel_fakes/src/experiment/entry.rs
+++ b/crates/pinereel_fakes/src/experiment/entry.rs
@@ -2,7 +2,7 @@
 
 use super::{
     job::{Job, Life, Origin},
-    policy::Policy,
+    policy::{Ahead, Policy},
     scenario::Scenario,
     world::World,
 };
@@ -74,7 +74,7 @@
                 number,
             },
             up: true,
-            runner: Runner::new(policy.lot, Limits::default()),
+            runner: Runner::new(policy.lot, limits(policy)),
             set: Set::default(),
             known: Version(0),
             waits: BTreeMap::new(),
@@ -349,6 +349,17 @@
     }
 }
 
+fn limits(policy: &Policy) -> Limits {
+    let steps_ahead = match policy.ahead {
+        Ahead::Collect(steps) => steps,
+        Ahead::None | Ahead::Train => 1,
+    };
+    Limits {
+        steps_ahead,
+        ..Limits::default()
+    }
+}
+
 fn convert(attempt: AttemptKey, chunk: engine::Chunk) -> Chunk {
     Chunk {
         attempt,
--- a/crates/pinereel_fakes/src/experiment/policy.rs
+++ b/crates/pinereel_fakes/src/experiment/policy.rs
@@ -10,8 +10,8 @@
     None,
     /// When it begins to train on the present one.
     Train,
-    /// When it begins to wait for the present one.
-    Collect,
+    /// When it begins to wait for the present one; so many steps ahead.
+    Collect(u64),
 }
 
 /// Everything that differs between two runs of one scenario and seed.
@@ -167,7 +167,7 @@
             },
             Self {
                 name: "ahead-collect",
-                ahead: Ahead::Collect,
+                ahead: Ahead::Collect(1),
                 ..base
             },
             Self {
@@ -194,6 +194,7 @@
             },
             full_without("full-no-spread", |p| p.lot.spread = false),
             full_without("full-no-wanted-first", |p| p.lot.wanted_first = false),
+            full_without("full-ahead-2", |p| p.ahead = Ahead::Collect(2)),
             full_without("full-ahead-train", |p| p.ahead = Ahead::Train),
             full_without("full-no-ahead-slots", |p| p.lot.ahead_slots = u32::MAX),
             full_without("full-no-eager", |p| p.eager = false),
@@ -211,7 +212,7 @@
             name: "full",
             lot: lot::Policy::default(),
             route: route::Policy::FULL,
-            ahead: Ahead::Collect,
+            ahead: Ahead::Collect(1),
             waves: false,
             eager: true,
             bulk: true,
--- a/crates/pinereel_fakes/src/experiment/trainer.rs
+++ b/crates/pinereel_fakes/src/experiment/trainer.rs
@@ -16,6 +16,9 @@
 };
 use std::{collections::BTreeMap, time::Duration};
 
+/// Spans of steps from which a trainer learns how fast others publish.
+const RECENT: usize = 2;
+
 /// A collect as its trainer sent it.
 #[derive(Clone, Debug)]
 pub(super) struct Asked {
@@ -58,8 +61,8 @@
     pub(super) training: Option<Time>,
     step: u64,
     version: Version,
-    /// Most versions that were published during one of its last steps.
-    pace: u64,
+    /// The newest version at the begin of each step.
+    seen: Vec<Version>,
     front: usize,
 }
 
@@ -73,22 +76,32 @@
             training: None,
             step: 1,
             version: Version(1),
-            pace: 0,
+            seen: Vec::new(),
             front: index,
         }
     }
 
     /// The version that it will have when it collects this step's lot.
     fn expected(&self, step: u64) -> Version {
+        let ahead = step - self.step;
         let every = self.options.publish_every;
-        if step == self.step {
-            self.version
+        let more = if ahead == 0 {
+            0
         } else if every == 0 {
-            // Others publish: better to start late than to be too old.
-            Version(self.version.0 + self.pace.max(1))
+            self.most_seen(ahead as usize)
         } else {
-            Version(self.version.0 + self.step.is_multiple_of(every) as u64)
-        }
+            (step - 1) / every - (self.step - 1) / every
+        };
+        Version(self.version.0 + more)
+    }
+
+    /// Most versions that others published during so many of its last steps, at least one:
+    /// better to start late than to be too old.
+    fn most_seen(&self, steps: usize) -> u64 {
+        let last = &self.seen[self.seen.len().saturating_sub(steps + RECENT)..];
+        let pairs = last.iter().zip(last.iter().skip(steps));
+        let most = pairs.map(|(old, new)| new.0 - old.0).max();
+        most.unwrap_or(1).max(1)
     }
 
     fn lot(&self, step: u64, seed: u64, now: Time, version: Version) -> Held {
@@ -129,8 +142,7 @@
     pub(super) fn want(&mut self, index: usize) {
         let newest = self.newest;
         let trainer = &mut self.trainers[index];
-        let seen = newest.0 - trainer.version.0;
-        trainer.pace = seen.max(trainer.pace.saturating_sub(1));
+        trainer.seen.push(newest);
         let step = trainer.step;
         // It takes no newer weights than it declared for a lot sent ahead: those samples would
         // be too old for them.
@@ -141,8 +153,10 @@
         if fresh {
             self.send_lot(index, step);
         }
-        if self.policy.ahead == Ahead::Collect {
-            self.send_lot(index, step + 1);
+        if let Ahead::Collect(steps) = self.policy.ahead {
+            for ahead in 1..=steps {
+                self.send_lot(index, step + ahead);
+            }
         }
         let reply = if fresh {
             self.submit_time()
