--- a/crates/pinereel_core/src/lot/accept.rs
+++ b/crates/pinereel_core/src/lot/accept.rs
@@ -4,7 +4,7 @@
     Action, Group, Lot, Refusal, Runner, Sample, Spec,
     state::{Entry, Mates},
 };
-use crate::{Time, cursor::MAX_SAMPLES, staleness::Pace};
+use crate::{Time, cursor::MAX_SAMPLES};
 use compact_str::CompactString;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -35,9 +35,7 @@
         let id = spec.lot.clone();
         let lot = self.lots.get_mut(&id).expect("inserted above if absent");
         lot.touched = now;
-        let newest = self.paces.get(&spec.model).map(Pace::newest);
-        let newest = newest.unwrap_or_default().max(spec.version);
-        lot.spec.version = lot.spec.version.max(newest);
+        lot.spec.version = lot.spec.version.max(spec.version);
         for group in groups {
             self.add(&id, group);
         }
@@ -57,7 +55,7 @@
             .values()
             .filter(|l| l.spec.trainer == spec.trainer);
         let newest = same.map(Lot::step).max().unwrap_or(0);
-        if spec.step.saturating_add(1) < newest {
+        if spec.step.saturating_add(self.limits.steps_ahead) < newest {
             return Err(Refusal::Superseded);
         }
         let known = known.map(|lot| &lot.groups);
@@ -68,13 +66,14 @@
         }
     }
 
-    /// Drops the trainer's lots that are more than one step behind.
+    /// Drops the trainer's lots that are too many steps behind.
     fn supersede(&mut self, spec: &Spec) {
+        let ahead = self.limits.steps_ahead;
         let same = self
             .lots
             .values()
             .filter(|l| l.spec.trainer == spec.trainer);
-        let old = same.filter(|lot| lot.step().saturating_add(1) < spec.step);
+        let old = same.filter(|lot| lot.step().saturating_add(ahead) < spec.step);
         let old: Vec<_> = old.map(|lot| lot.spec.lot.clone()).collect();
         for lot in old {
             self.drop_lot(&lot, Refusal::Superseded);
@@ -97,6 +96,7 @@
             },
             order: self.next_order,
             touched: now,
+            wanted: false,
             groups: BTreeMap::new(),
             samples: BTreeMap::new(),
             queue: BTreeSet::new(),
@@ -112,6 +112,7 @@
             group,
             finished: 0,
             tokens: 0,
+            cached: BTreeMap::new(),
         };
         lot.groups.insert(number, mates);
         for index in range {
--- a/crates/pinereel_core/src/lot/mod.rs
+++ b/crates/pinereel_core/src/lot/mod.rs
@@ -36,6 +36,14 @@
     pub early_abort: bool,
     /// Avoid endpoints whose version is expected to be too old at completion.
     pub staleness_aware_start: bool,
+    /// Most versions that a start may be behind, even where the lot's bound is wider.
+    pub start_bound: u64,
+    /// Choose among equally busy endpoints by hash instead of by name.
+    pub spread: bool,
+    /// Lots that their trainer has asked for go first, here and at the engines.
+    pub wanted_first: bool,
+    /// Most attempts on an endpoint at which a lot that nobody has asked for yet may start one.
+    pub ahead_slots: u32,
     /// Share slots between trainers by weight instead of by arrival of their lots.
     pub fair: bool,
 }
@@ -49,6 +57,10 @@
         resume: false,
         early_abort: false,
         staleness_aware_start: false,
+        start_bound: u64::MAX,
+        spread: false,
+        wanted_first: false,
+        ahead_slots: u32::MAX,
         fair: false,
     };
 }
@@ -57,11 +69,15 @@
     fn default() -> Self {
         Self {
             long_first: true,
-            duplicates: true,
+            duplicates: false,
             duplicate_after: Duration::from_millis(200),
             resume: true,
             early_abort: true,
             staleness_aware_start: true,
+            start_bound: 1,
+            spread: true,
+            wanted_first: true,
+            ahead_slots: 2,
             fair: true,
         }
     }
@@ -74,6 +90,8 @@
     pub lots: usize,
     /// Most samples held over all lots; groups beyond are refused with [`Refusal::Full`].
     pub samples: usize,
+    /// Steps that a trainer's lots may be ahead of its oldest one here; older ones are dropped.
+    pub steps_ahead: u64,
     /// Retries earned by each first attempt, in percent.
     pub retry_percent: u32,
     /// Retries earned by each second that passes.
@@ -93,6 +111,7 @@
         Self {
             lots: 64,
             samples: 65_536,
+            steps_ahead: 1,
             retry_percent: 20,
             retries_per_second: 10,
             retry_burst: 64,
--- a/crates/pinereel_fakes/src/experiment/policy.rs
+++ b/crates/pinereel_fakes/src/experiment/policy.rs
@@ -10,8 +10,8 @@
     None,
     /// When it begins to train on the present one.
     Train,
-    /// When it begins to wait for the present one.
-    Collect,
+    /// When it begins to wait for the present one; so many steps ahead.
+    Collect(u64),
 }
 
 /// Everything that differs between two runs of one scenario and seed.
@@ -27,6 +27,9 @@
     pub ahead: Ahead,
     /// Whether weights are rolled out in waves instead of on all engines at once.
     pub waves: bool,
+    /// Whether entries tell each other of published versions at once, and read an engine more
+    /// often while it serves an older one; else both wait for the next regular read.
+    pub eager: bool,
     /// Whether the trainers run; without them only live callers load the engines.
     pub bulk: bool,
 }
@@ -39,6 +42,7 @@
         route: route::Policy::BASELINE,
         ahead: Ahead::None,
         waves: false,
+        eager: false,
         bulk: true,
     };
 
@@ -53,6 +57,14 @@
             route,
             ..base
         };
+        let full_without = |name, change: fn(&mut Self)| {
+            let mut policy = Self {
+                name,
+                ..Self::full()
+            };
+            change(&mut policy);
+            policy
+        };
         vec![
             base,
             lot(
@@ -91,6 +103,13 @@
                     ..lots
                 },
             ),
+            lot(
+                "spread",
+                lot::Policy {
+                    spread: true,
+                    ..lots
+                },
+            ),
             lot("fair", lot::Policy { fair: true, ..lots }),
             route(
                 "affinity",
@@ -132,6 +151,15 @@
                 waves: true,
                 ..base
             },
+            Self {
+                name: "even",
+                ..base
+            },
+            Self {
+                name: "eager",
+                eager: true,
+                ..base
+            },
             Self {
                 name: "ahead-train",
                 ahead: Ahead::Train,
@@ -139,13 +167,21 @@
             },
             Self {
                 name: "ahead-collect",
-                ahead: Ahead::Collect,
+                ahead: Ahead::Collect(1),
                 ..base
             },
             Self {
                 name: "full",
                 ..Self::full()
             },
+            Self {
+                name: "full-dups",
+                lot: lot::Policy {
+                    duplicates: true,
+                    ..lot::Policy::default()
+                },
+                ..Self::full()
+            },
             Self {
                 name: "full-no-ahead",
                 ahead: Ahead::None,
@@ -156,6 +192,12 @@
                 waves: true,
                 ..Self::full()
             },
+            full_without("full-no-spread", |p| p.lot.spread = false),
+            full_without("full-no-wanted-first", |p| p.lot.wanted_first = false),
+            full_without("full-ahead-2", |p| p.ahead = Ahead::Collect(2)),
+            full_without("full-ahead-train", |p| p.ahead = Ahead::Train),
+            full_without("full-no-ahead-slots", |p| p.lot.ahead_slots = u32::MAX),
+            full_without("full-no-eager", |p| p.eager = false),
             Self {
                 name: "live-only",
                 bulk: false,
@@ -170,8 +212,9 @@
             name: "full",
             lot: lot::Policy::default(),
             route: route::Policy::FULL,
-            ahead: Ahead::Collect,
+            ahead: Ahead::Collect(1),
             waves: false,
+            eager: true,
             bulk: true,
         }
     }
--- a/crates/pinereel_fakes/src/experiment/trainer.rs
+++ b/crates/pinereel_fakes/src/experiment/trainer.rs
@@ -16,6 +16,9 @@
 };
 use std::{collections::BTreeMap, time::Duration};
 
+/// Spans of steps from which a trainer learns how fast others publish.
+const RECENT: usize = 2;
+
 /// A collect as its trainer sent it.
 #[derive(Clone, Debug)]
 pub(super) struct Asked {
@@ -58,8 +61,8 @@
     pub(super) training: Option<Time>,
     step: u64,
     version: Version,
-    /// Versions that were published during its last step.
-    pace: u64,
+    /// The newest version at the begin of each step.
+    seen: Vec<Version>,
     front: usize,
 }
 
@@ -73,21 +76,32 @@
             training: None,
             step: 1,
             version: Version(1),
-            pace: 0,
+            seen: Vec::new(),
             front: index,
         }
     }
 
     /// The version that it will have when it collects this step's lot.
-    const fn expected(&self, step: u64) -> Version {
+    fn expected(&self, step: u64) -> Version {
+        let ahead = step - self.step;
         let every = self.options.publish_every;
-        if step == self.step {
-            self.version
+        let more = if ahead == 0 {
+            0
         } else if every == 0 {
-            Version(self.version.0 + self.pace)
+            self.most_seen(ahead as usize)
         } else {
-            Version(self.version.0 + self.step.is_multiple_of(every) as u64)
-        }
+            (step - 1) / every - (self.step - 1) / every
+        };
+        Version(self.version.0 + more)
+    }
+
+    /// Most versions that others published during so many of its last steps, at least one:
+    /// better to start late than to be too old.
+    fn most_seen(&self, steps: usize) -> u64 {
+        let last = &self.seen[self.seen.len().saturating_sub(steps + RECENT)..];
+        let pairs = last.iter().zip(last.iter().skip(steps));
+        let most = pairs.map(|(old, new)| new.0 - old.0).max();
+        most.unwrap_or(1).max(1)
     }
 
     fn lot(&self, step: u64, seed: u64, now: Time, version: Version) -> Held {
@@ -128,16 +142,21 @@
     pub(super) fn want(&mut self, index: usize) {
         let newest = self.newest;
         let trainer = &mut self.trainers[index];
-        trainer.pace = newest.0 - trainer.version.0;
-        trainer.version = newest;
+        trainer.seen.push(newest);
         let step = trainer.step;
+        // It takes no newer weights than it declared for a lot sent ahead: those samples would
+        // be too old for them.
+        let declared = trainer.held.get(&step).map(|held| held.version);
+        trainer.version = declared.map_or(newest, |declared| declared.min(newest));
         trainer.held.retain(|held, _| *held >= step);
         let fresh = !trainer.held.contains_key(&step);
         if fresh {
             self.send_lot(index, step);
         }
-        if self.policy.ahead == Ahead::Collect {
-            self.send_lot(index, step + 1);
+        if let Ahead::Collect(steps) = self.policy.ahead {
+            for ahead in 1..=steps {
+                self.send_lot(index, step + ahead);
+            }
         }
         let reply = if fresh {
             self.submit_time()
