A drain waits for the last byte of every answer

Cause: requests counted as in flight from after their body was read to the head of their answer, so a slow upload or a body that still streamed was cut when the drain closed the connections. Change: a request is in flight from its head to the end of its answer's body; the drain follows the core's state machine, lingers 100 ms before it closes, and a collect that waits answers when the entry refuses new work. Figures: a_drain_cuts_neither_a_long_stream_nor_a_slow_body passes; with the count ended at the head of the answer it fails.

--- a/crates/pinereel/src/callers.rs
+++ b/crates/pinereel/src/callers.rs
@@ -17,8 +17,14 @@
 /// Largest body of a collect or publish, in bytes.
 const MAX_SMALL: usize = 64 << 10;
 
-/// Answers one request.
-pub async fn serve(shared: Rc<Shared>, mut request: Request) -> Response {
+/// Answers one request, which is in flight until the last byte of its answer has been sent.
+pub async fn serve(shared: Rc<Shared>, request: Request) -> Response {
+    let guard = shared.drain.enter();
+    let answer = answer_to(shared, request).await;
+    http::hold(answer, guard)
+}
+
+async fn answer_to(shared: Rc<Shared>, mut request: Request) -> Response {
     let path = request.path().to_owned();
     let parts: Vec<_> = path.split('/').skip(1).collect();
     let method = request.method().clone();
@@ -94,7 +100,6 @@
     let pin = pin::pin(shared)?;
     let timeout = shared.settings.limits.read_timeout;
     let lot: trainer::Lot = http::read_json(request, MAX_LOT, timeout).await?;
-    let _guard = shared.drain.enter();
     answer(front::submit(shared, &pin, lot).await)
 }
 
@@ -106,7 +111,6 @@
     let pin = pin::pin(shared)?;
     let timeout = shared.settings.limits.read_timeout;
     let collect: trainer::Collect = http::read_json(request, MAX_SMALL, timeout).await?;
-    let _guard = shared.drain.enter();
     answer(front::collect(shared, &pin, id, collect).await)
 }
 
@@ -118,7 +122,6 @@
     let pin = pin::pin(shared)?;
     let timeout = shared.settings.limits.read_timeout;
     let publish: trainer::Publish = http::read_json(request, MAX_SMALL, timeout).await?;
-    let _guard = shared.drain.enter();
     answer(front::publish(shared, &pin, name, publish).await)
 }
 
--- a/crates/pinereel/src/controllers/drain.rs
+++ b/crates/pinereel/src/controllers/drain.rs
@@ -5,13 +5,21 @@
     http::Server,
     state::Shared,
 };
-use pinereel_core::lot::Event;
+use pinereel_core::{
+    drain::{self, Action, Event, Machine, Phase},
+    lot,
+};
 use std::{cell::Cell, rc::Rc, time::Duration};
 use tokio::time::sleep;
 
 /// Pause between looks at what is in flight.
 const LOOK: Duration = Duration::from_millis(20);
 
+/// Time for the last answers to leave their buffers before connections are closed.
+const LINGER: Duration = Duration::from_millis(100);
+/// Longest wait for the hand-over of samples and leases.
+const HAND_OVER: Duration = Duration::from_secs(5);
+
 /// The controller's state.
 #[derive(Debug, Default)]
 pub struct Drain {
@@ -20,15 +28,15 @@
     /// Whether new requests are refused.
     refuses: Cell<bool>,
     /// Requests in flight.
-    in_flight: Cell<u64>,
+    in_flight: Rc<Cell<u64>>,
 }
 
 /// Counts a request as in flight until dropped.
-pub struct Guard<'a>(&'a Drain);
+pub struct Guard(Rc<Cell<u64>>);
 
-impl Drop for Guard<'_> {
+impl Drop for Guard {
     fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get() - 1);
+        self.0.set(self.0.get() - 1);
     }
 }
 
@@ -59,45 +67,73 @@
     }
 
     /// Counts a request as in flight.
-    pub fn enter(&self) -> Guard<'_> {
+    pub fn enter(&self) -> Guard {
         self.in_flight.set(self.in_flight.get() + 1);
-        Guard(self)
+        Guard(Rc::clone(&self.in_flight))
     }
 }
 
 /// Waits until a stop is asked for, and carries it out: readiness goes off, new requests are served
-/// for the balancer's lag, then refused; what is in flight ends; the entry leaves.
+/// for the balancer's lag, then refused; what is in flight ends; samples and leases are handed over;
+/// the entry leaves.
 pub async fn run(shared: &Rc<Shared>, callers: &Server) {
     let settings = &shared.settings.drain;
-    while !shared.drain.asked() {
-        sleep(LOOK).await;
-    }
-    log::info!(entry = shared.name().as_str(); "drain: readiness is off");
-    sleep(settings.balancer_lag).await;
-    callers.stop();
-    shared.drain.refuse();
-    log::info!(
-        entry = shared.name().as_str(), in_flight = shared.drain.in_flight();
-        "drain: no new requests"
-    );
-    lots::step(shared, Event::Drain);
-    let until = shared.now() + settings.longest;
-    while shared.drain.in_flight() > 0 || shared.lots.in_flight() > 0 {
-        if shared.now() >= until {
-            log::warn!(
-                entry = shared.name().as_str(), in_flight = shared.drain.in_flight();
-                "drain: the longest wait is over"
-            );
-            break;
+    let mut machine = Machine::new(drain::Settings {
+        lag: settings.balancer_lag,
+        finish: settings.longest,
+        hand_over: HAND_OVER,
+    });
+    while machine.phase() != Phase::Done {
+        for event in events(shared, machine.phase()) {
+            for action in machine.step(shared.now(), event) {
+                act(shared, callers, action);
+            }
         }
         sleep(LOOK).await;
     }
-    leases::drain(shared);
-    while !shared.leases.released() && shared.now() < until {
-        sleep(LOOK).await;
-    }
+    sleep(LINGER).await;
     if let Err(e) = members::leave(shared).await {
         log::warn!(entry = shared.name().as_str(); "drain: member object not removed: {e}");
     }
     log::info!(entry = shared.name().as_str(); "drain: done");
 }
+
+/// What there is to tell in a phase.
+fn events(shared: &Shared, phase: Phase) -> Vec<Event> {
+    let mut events = Vec::new();
+    if phase == Phase::Serving && shared.drain.asked() {
+        events.push(Event::Signal);
+    }
+    events.push(Event::InFlight(left(shared)));
+    if phase == Phase::HandingOver && shared.leases.released() && shared.lots.in_flight() == 0 {
+        events.push(Event::HandedOver);
+    }
+    events.push(Event::Tick);
+    events
+}
+
+/// Callers' requests, attempts of samples and handovers that have not ended.
+fn left(shared: &Shared) -> u32 {
+    let requests = u32::try_from(shared.drain.in_flight()).unwrap_or(u32::MAX);
+    let samples = u32::try_from(shared.lots.in_flight()).unwrap_or(u32::MAX);
+    requests.saturating_add(samples)
+}
+
+fn act(shared: &Rc<Shared>, callers: &Server, action: Action) {
+    let entry = shared.name().as_str();
+    match action {
+        Action::ReadinessOff => log::info!(entry; "drain: readiness is off"),
+        Action::StopAccepting => {
+            callers.stop();
+            shared.drain.refuse();
+            lots::step(shared, lot::Event::Drain);
+            log::info!(entry, left = left(shared); "drain: no new requests");
+        }
+        Action::HandOver => leases::drain(shared),
+        Action::Report { phase, left } => {
+            let phase = format!("{phase:?}");
+            log::warn!(entry, phase = phase.as_str(), left; "drain: the longest wait is over");
+        }
+        Action::Exit => log::info!(entry; "drain: nothing is left to wait for"),
+    }
+}
--- a/crates/pinereel/src/controllers/lots/front.rs
+++ b/crates/pinereel/src/controllers/lots/front.rs
@@ -39,6 +39,8 @@
 const MAX_WAIT: Duration = Duration::from_secs(60);
 /// After the first samples came, how long the other runners may still answer.
 const GRACE: Duration = Duration::from_millis(10);
+/// Longest wait of one round, so that a collect notices a drain and a lost runner.
+const MAX_ROUND: Duration = Duration::from_secs(2);
 /// Pause between rounds of one collect that found nothing.
 const ROUND_PAUSE: Duration = Duration::from_millis(20);
 /// When a trainer that was refused shall come back.
@@ -236,7 +238,7 @@
     let mut away = BTreeSet::new();
     loop {
         let bound = bound(shared, pin, id)?;
-        let left = until.since(shared.now());
+        let left = until.since(shared.now()).min(MAX_ROUND);
         let found = ask_all(shared, id, &token, &collect, bound, left, &mut away).await;
         // The bound may have been tightened while the runners worked.
         let bound = self::bound(shared, pin, id)?.min(bound);
@@ -248,7 +250,8 @@
         };
         let delivery = merge.run(found);
         count(shared, id, &delivery, collect.version);
-        let over = until.since(shared.now()).is_zero();
+        // An entry that stops answers at once; the trainer goes on elsewhere with the same token.
+        let over = until.since(shared.now()).is_zero() || shared.drain.refuses();
         if !delivery.samples.is_empty() || delivery.remaining == 0 || over {
             return Ok(Collected {
                 basis: collect.token,
--- a/crates/pinereel/src/http/mod.rs
+++ b/crates/pinereel/src/http/mod.rs
@@ -5,10 +5,12 @@
 
 mod answer;
 mod body;
+mod hold;
 mod server;
 
 pub use answer::{empty, event_stream, json, problem, problem_status, text};
 pub use body::{Error, read, read_json};
+pub use hold::hold;
 pub use server::{Options, Server};
 
 /// A request as the listeners hand it over.
--- a/crates/pinereel_fakes/tests/path_whole.rs
+++ b/crates/pinereel_fakes/tests/path_whole.rs
@@ -10,6 +10,10 @@
 };
 use serde_json::{Value, json};
 use std::time::Duration;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpStream,
+};
 
 const DRAIN: &str = "[drain]\nbalancer_lag = 10ms\nlongest = 5s\n[log]\ndecisions = false\n";
 
@@ -120,3 +124,37 @@
     let members = site.api.objects("members").items;
     assert_eq!(members.len(), 1);
 }
+
+#[actix_rt::test]
+async fn a_drain_cuts_neither_a_long_stream_nor_a_slow_body() {
+    let mut site = site().await;
+    let address = site.callers()[0].clone();
+    let entry = site.entries.remove(0);
+    let request =
+        json!({ "model": "draft-llm", "prompt": "a long one", "max_tokens": 400, "stream": true });
+    let url = format!("http://{address}/v1/completions");
+    let mut stream = client().post(url).send_json(&request).await.unwrap();
+    // A body that is still on its way when new requests are refused already.
+    let mut upload = TcpStream::connect(&address).await.unwrap();
+    let head =
+        "POST /services/orders-app/echo HTTP/1.1\r\nhost: x\r\ncontent-length: 12\r\n\r\nfirst ";
+    upload.write_all(head.as_bytes()).await.unwrap();
+    pinereel_fakes::site::until(|| entry.shared.drain.in_flight() == 2)
+        .await
+        .unwrap();
+    entry.shared.drain.ask();
+    let shared = std::rc::Rc::clone(&entry.shared);
+    let finished = actix_rt::spawn(async move { entry.finished().await });
+    pinereel_fakes::site::until(|| shared.drain.refuses())
+        .await
+        .unwrap();
+    upload.write_all(b"second").await.unwrap();
+    let mut answer = Vec::new();
+    upload.read_to_end(&mut answer).await.unwrap();
+    let answer = String::from_utf8(answer).unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200 OK"), "{answer}");
+    assert!(answer.contains("first second"), "{answer}");
+    let body = stream.body().await.unwrap();
+    assert!(body.ends_with(b"data: [DONE]\n\n"));
+    finished.await.unwrap();
+}
