Lots: slow endpoints are used last and attempts move away from them

Cause: with one engine four times slower each step waited for what ran there. Change: each runner measures the time of a token by endpoint; beyond 3 times the median it starts there last and moves attempts away with what they made.

--- a/crates/pinereel_core/src/lot/mod.rs
+++ b/crates/pinereel_core/src/lot/mod.rs
@@ -44,6 +44,8 @@
     pub wanted_first: bool,
     /// Most attempts on an endpoint at which a lot that nobody has asked for yet may start one.
     pub ahead_slots: u32,
+    /// Use endpoints that are much slower than most last, and move attempts away from them.
+    pub avoid_slow: bool,
     /// Share slots between trainers by weight instead of by arrival of their lots.
     pub fair: bool,
 }
@@ -61,6 +63,7 @@
         spread: false,
         wanted_first: false,
         ahead_slots: u32::MAX,
+        avoid_slow: false,
         fair: false,
     };
 }
@@ -78,6 +81,7 @@
             spread: true,
             wanted_first: true,
             ahead_slots: 2,
+            avoid_slow: true,
             fair: true,
         }
     }
--- a/crates/pinereel_core/src/lot/runner.rs
+++ b/crates/pinereel_core/src/lot/runner.rs
@@ -29,6 +29,8 @@
     pub void: u64,
     /// Attempts lost.
     pub lost: u64,
+    /// Running attempts moved away from a slow endpoint.
+    pub moved: u64,
     /// Running attempts aborted as too old.
     pub aborted: u64,
     /// Finished samples void as too old.
@@ -132,13 +134,19 @@
     }
 
     fn offer(&mut self, offer: Offer) {
-        let running = self.endpoints.get(&offer.endpoint).map_or(0, |e| e.running);
+        let known = self.endpoints.get(&offer.endpoint);
+        let (running, speed) = known.map_or_else(Default::default, |e| (e.running, e.speed));
         if offer.slots == 0 && running == 0 {
             self.endpoints.remove(&offer.endpoint);
             return;
         }
         let key = offer.endpoint.clone();
-        self.endpoints.insert(key, Endpoint { offer, running });
+        let endpoint = Endpoint {
+            offer,
+            running,
+            speed,
+        };
+        self.endpoints.insert(key, endpoint);
     }
 
     fn chunk(&mut self, now: Time, chunk: super::Chunk) {
@@ -160,7 +168,13 @@
         if let Some(endpoint) = self.endpoints.get_mut(&attempt.endpoint) {
             let served = &mut endpoint.offer.version;
             *served = chunk.stamp.version.unwrap_or_default().max(*served);
+            // The time to the first chunk may be a wait for a slot.
+            if let Some(heard) = attempt.heard.filter(|_| chunk.stamp.tokens > 0) {
+                let took = now.since(heard);
+                endpoint.speed.note(now, took, chunk.stamp.tokens);
+            }
         }
+        attempt.heard = Some(now);
         let reused = chunk.stamp.reused.iter().map(|span| span.version).min();
         if let Some(oldest) = reused {
             self.note_reuse(now, chunk.attempt, oldest);
@@ -341,6 +355,7 @@
         self.ticked = now;
         self.earn(passed.saturating_mul(rate) / 1_000);
         self.unpark();
+        self.move_slow(now);
         self.rescore(now);
         self.drop_idle(now);
     }
--- a/crates/pinereel_core/src/lot/schedule.rs
+++ b/crates/pinereel_core/src/lot/schedule.rs
@@ -12,6 +12,12 @@
 /// Most waiting samples of a lot that are looked at for one slot.
 const MAX_LOOKS: usize = 64;
 
+/// Endpoints of known speed that it takes to call one slow.
+const FEWEST_SPEEDS: usize = 3;
+
+/// Time of a token, against the median endpoint's, beyond which an endpoint is slow; in tenths.
+const SLOW_TENTHS: u64 = 30;
+
 impl Runner {
     /// Fills free slots, least loaded endpoint first.
     pub(super) fn dispatch(&mut self, now: Time) {
@@ -19,7 +25,7 @@
             return;
         }
         let mut useless = BTreeSet::new();
-        while let Some(endpoint) = self.freest(&useless) {
+        while let Some(endpoint) = self.freest(now, &useless) {
             let queued = self.choose(now, &endpoint);
             let twin = || self.straggler(now, &endpoint);
             match queued.or_else(twin) {
@@ -29,22 +35,61 @@
         }
     }
 
-    fn freest(&self, useless: &BTreeSet<CompactString>) -> Option<CompactString> {
+    fn freest(&self, now: Time, useless: &BTreeSet<CompactString>) -> Option<CompactString> {
         let all = self.endpoints.iter();
         let free = all.filter(|(key, e)| e.running < e.offer.slots && !useless.contains(*key));
         // Runners that all prefer the same endpoint among equals would fill it together.
         let turn = self.stats.started;
+        let slow = self.slow(now);
         let best = free.min_by_key(|(key, e)| {
             let tie = if self.policy.spread {
                 hash::score(turn, key)
             } else {
                 0
             };
-            (e.running, Reverse(e.offer.version), tie)
+            let slow = slow.contains(*key);
+            (slow, e.running, Reverse(e.offer.version), tie)
         });
         best.map(|(key, _)| key.clone())
     }
 
+    /// Endpoints that are much slower than most.
+    fn slow(&self, now: Time) -> BTreeSet<CompactString> {
+        let mut slow = BTreeSet::new();
+        if !self.policy.avoid_slow {
+            return slow;
+        }
+        let all = self.endpoints.iter();
+        let known = all.filter_map(|(key, e)| Some((e.speed.known(now)?, key)));
+        let mut known: Vec<_> = known.collect();
+        known.sort_unstable();
+        if known.len() < FEWEST_SPEEDS {
+            return slow;
+        }
+        let limit = known[known.len() / 2].0 * SLOW_TENTHS / 10;
+        let beyond = known.iter().filter(|(token, _)| *token > limit);
+        slow.extend(beyond.map(|(_, key)| (*key).clone()));
+        slow
+    }
+
+    /// Moves attempts away from slow endpoints; what they made goes along.
+    pub(super) fn move_slow(&mut self, now: Time) {
+        let slow = self.slow(now);
+        if slow.is_empty() || !self.policy.resume {
+            return;
+        }
+        let all = self.attempts.iter();
+        let there = all.filter(|(_, a)| slow.contains(&a.endpoint) && a.heard.is_some());
+        let there: Vec<_> = there.map(|(key, _)| key).collect();
+        for key in there {
+            self.cancel(key);
+            if let Some(attempt) = self.end(key) {
+                self.stats.moved += 1;
+                self.again(attempt.sample, Some(attempt.progress));
+            }
+        }
+    }
+
     /// The waiting sample that goes next on `endpoint`.
     fn choose(&self, now: Time, endpoint: &str) -> Option<SampleKey> {
         let model = &self.endpoints[endpoint].offer.model;
@@ -143,6 +188,7 @@
             sample,
             endpoint: endpoint.into(),
             started: now,
+            heard: None,
             base,
             progress,
         });
--- a/crates/pinereel_core/src/lot/state.rs
+++ b/crates/pinereel_core/src/lot/state.rs
@@ -189,6 +189,8 @@
     pub(super) sample: SampleKey,
     pub(super) endpoint: CompactString,
     pub(super) started: Time,
+    /// Its last chunk.
+    pub(super) heard: Option<Time>,
     /// Tokens that it started from.
     pub(super) base: u32,
     pub(super) progress: Progress,
@@ -199,4 +201,35 @@
 pub(super) struct Endpoint {
     pub(super) offer: Offer,
     pub(super) running: u32,
+    pub(super) speed: Speed,
+}
+
+/// Age at which a measured speed counts for nothing any more.
+const SPEED_MEMORY: Duration = Duration::from_secs(3);
+
+/// How fast an endpoint's sequences get their tokens.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Speed {
+    /// Smoothed time of a token of one sequence, in microseconds; zero before the first.
+    token: u64,
+    measured: Time,
+}
+
+impl Speed {
+    /// Notes `tokens` of one sequence that took `took`.
+    pub(super) fn note(&mut self, now: Time, took: Duration, tokens: u32) {
+        let micros = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
+        let each = micros / u64::from(tokens.max(1));
+        self.token = match self.known(now) {
+            Some(old) => (old * 3 + each) / 4,
+            None => each,
+        };
+        self.measured = now;
+    }
+
+    /// Time of a token in microseconds, if that is known well enough.
+    pub(super) fn known(&self, now: Time) -> Option<u64> {
+        let fresh = now.since(self.measured) < SPEED_MEMORY;
+        (self.token > 0 && fresh).then_some(self.token)
+    }
 }
--- a/crates/pinereel_fakes/src/experiment/policy.rs
+++ b/crates/pinereel_fakes/src/experiment/policy.rs
@@ -192,6 +192,7 @@
                 waves: true,
                 ..Self::full()
             },
+            full_without("full-no-avoid-slow", |p| p.lot.avoid_slow = false),
             full_without("full-no-spread", |p| p.lot.spread = false),
             full_without("full-no-wanted-first", |p| p.lot.wanted_first = false),
             full_without("full-ahead-2", |p| p.ahead = Ahead::Collect(2)),
