Experiment: live requests avoid endpoints that the runner finds slow

Cause: an engine that bulk work avoids looks idle to live routing. Change: Runner::slow is public; the experiment excludes those endpoints for live requests (the daemon can do the same).

--- a/crates/pinereel_core/src/lot/schedule.rs
+++ b/crates/pinereel_core/src/lot/schedule.rs
@@ -53,8 +53,9 @@
         best.map(|(key, _)| key.clone())
     }
 
-    /// Endpoints that are much slower than most.
-    fn slow(&self, now: Time) -> BTreeSet<CompactString> {
+    /// Endpoints that are much slower than most, by the attempts of this runner. Live requests
+    /// should avoid them too: they look idle.
+    pub fn slow(&self, now: Time) -> BTreeSet<CompactString> {
         let mut slow = BTreeSet::new();
         if !self.policy.avoid_slow {
             return slow;
--- a/crates/pinereel_fakes/src/experiment/live.rs
+++ b/crates/pinereel_fakes/src/experiment/live.rs
@@ -96,13 +96,19 @@
             return;
         }
         let entry = &self.entries[index];
+        let mut excluded = call.excluded.clone();
+        if self.policy.shun_slow {
+            let slow = entry.runner.slow(self.now);
+            let keys = slow.iter().filter_map(|name| entry.set.find(name));
+            excluded.extend(keys.map(|(key, _)| key));
+        }
         let request = route::Request {
             pool: &self.scenario.model,
             prefix: Some(hash::stable(&(number % 8).to_le_bytes())),
             priority: Priority::Live,
             zone: &self.scenario.zones[entry.zone],
             versions: None,
-            excluded: &call.excluded,
+            excluded: &excluded,
             repeatable: true,
             seed: hash::mix(number ^ self.seed),
         };
--- a/crates/pinereel_fakes/src/experiment/policy.rs
+++ b/crates/pinereel_fakes/src/experiment/policy.rs
@@ -30,6 +30,8 @@
     /// Whether entries tell each other of published versions at once, and read an engine more
     /// often while it serves an older one; else both wait for the next regular read.
     pub eager: bool,
+    /// Whether live requests avoid the endpoints that the entry's runner finds slow.
+    pub shun_slow: bool,
     /// Whether the trainers run; without them only live callers load the engines.
     pub bulk: bool,
 }
@@ -43,6 +45,7 @@
         ahead: Ahead::None,
         waves: false,
         eager: false,
+        shun_slow: false,
         bulk: true,
     };
 
@@ -192,6 +195,7 @@
                 waves: true,
                 ..Self::full()
             },
+            full_without("full-no-shun-slow", |p| p.shun_slow = false),
             full_without("full-no-avoid-slow", |p| p.lot.avoid_slow = false),
             full_without("full-no-spread", |p| p.lot.spread = false),
             full_without("full-no-wanted-first", |p| p.lot.wanted_first = false),
@@ -216,6 +220,7 @@
             ahead: Ahead::Collect(1),
             waves: false,
             eager: true,
+            shun_slow: true,
             bulk: true,
         }
     }
