--- a/crates/pinereel/src/callers.rs
+++ b/crates/pinereel/src/callers.rs
@@ -1,7 +1,7 @@
 //! The callers' listener: live requests, trainers' calls, liveness and readiness.
 
 use crate::{
-    controllers::{config::Pin, lots::front},
+    controllers::{config::Pin, drain::Guard, lots::front},
     filters::{admit, completion, pin, refuse, respond, service},
     http::{self, Request, Response},
     state::Shared,
@@ -17,8 +17,13 @@
 /// Largest body of a collect or publish, in bytes.
 const MAX_SMALL: usize = 64 << 10;
 
-/// Answers one request.
-pub async fn serve(shared: Rc<Shared>, mut request: Request) -> Response {
+/// Answers one request, which is in flight until its answer's last byte is on its way.
+pub async fn serve(shared: Rc<Shared>, request: Request) -> Response {
+    let guard = Guard::new(&shared);
+    guard.hold(dispatch(shared, request).await)
+}
+
+async fn dispatch(shared: Rc<Shared>, mut request: Request) -> Response {
     let path = request.path().to_owned();
     let parts: Vec<_> = path.split('/').skip(1).collect();
     let method = request.method().clone();
@@ -94,7 +99,6 @@
     let pin = pin::pin(shared)?;
     let timeout = shared.settings.limits.read_timeout;
     let lot: trainer::Lot = http::read_json(request, MAX_LOT, timeout).await?;
-    let _guard = shared.drain.enter();
     answer(front::submit(shared, &pin, lot).await)
 }
 
@@ -106,7 +110,6 @@
     let pin = pin::pin(shared)?;
     let timeout = shared.settings.limits.read_timeout;
     let collect: trainer::Collect = http::read_json(request, MAX_SMALL, timeout).await?;
-    let _guard = shared.drain.enter();
     answer(front::collect(shared, &pin, id, collect).await)
 }
 
@@ -118,7 +121,6 @@
     let pin = pin::pin(shared)?;
     let timeout = shared.settings.limits.read_timeout;
     let publish: trainer::Publish = http::read_json(request, MAX_SMALL, timeout).await?;
-    let _guard = shared.drain.enter();
     answer(front::publish(shared, &pin, name, publish).await)
 }
 
--- a/crates/pinereel/src/controllers/claims/mod.rs
+++ b/crates/pinereel/src/controllers/claims/mod.rs
@@ -11,7 +11,10 @@
 
 pub use ask::{Asked, claim, give_up, settle};
 
-use crate::state::{Shared, spawn};
+use crate::{
+    controllers::drain,
+    state::{Shared, spawn},
+};
 use compact_str::CompactString;
 use pinereel_api::wire;
 use pinereel_core::{
@@ -132,7 +135,7 @@
     if shared.drain.refuses() {
         return wire::Reply::Refused("draining".into());
     }
-    let _guard = shared.drain.enter();
+    let _guard = drain::Guard::new(shared);
     match claim_here(shared, &ask, left).await {
         Verdict::Granted => wire::Reply::Granted,
         Verdict::Repeat(record) => wire::Reply::Repeat(sent(record)),
@@ -145,7 +148,7 @@
 
 /// Stores a peer's settlement, also during a drain: what ran must not be forgotten.
 pub async fn serve_settle(shared: &Rc<Shared>, ask: Ask, outcome: Option<Record>) -> wire::Reply {
-    let _guard = shared.drain.enter();
+    let _guard = drain::Guard::new(shared);
     if settle_here(shared, &ask, outcome).await {
         wire::Reply::Done
     } else {
--- a/crates/pinereel/src/controllers/config/propose.rs
+++ b/crates/pinereel/src/controllers/config/propose.rs
@@ -2,7 +2,7 @@
 
 use super::{read_stored, relay, write_stored};
 use crate::{
-    controllers::members,
+    controllers::{drain, members},
     filters::{refuse, unknown},
     state::{Shared, spawn},
 };
@@ -81,7 +81,7 @@
     let id = patch.id.clone();
     spawn(shared, async move |shared| {
         // A graceful stop waits for it.
-        let _guard = shared.drain.enter();
+        let _guard = drain::Guard::new(&shared);
         let driver = Driver::new(Rc::clone(&shared), patch, sender);
         driver.run().await;
         shared.config.open.set(shared.config.open.get() - 1);
--- a/crates/pinereel/src/controllers/drain.rs
+++ b/crates/pinereel/src/controllers/drain.rs
@@ -2,11 +2,19 @@
 
 use crate::{
     controllers::{leases, lots, members},
-    http::Server,
+    http::{Response, Server},
     state::Shared,
 };
+use actix_http::body::{BodySize, BoxBody, MessageBody};
+use bytes::Bytes;
 use pinereel_core::lot::Event;
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{
+    cell::Cell,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll},
+    time::Duration,
+};
 use tokio::time::sleep;
 
 /// Pause between looks at what is in flight.
@@ -24,11 +32,47 @@
 }
 
 /// Counts a request as in flight until dropped.
-pub struct Guard<'a>(&'a Drain);
+pub struct Guard(Rc<Shared>);
 
-impl Drop for Guard<'_> {
+impl Guard {
+    /// Counts a request as in flight.
+    pub fn new(shared: &Rc<Shared>) -> Self {
+        let in_flight = &shared.drain.in_flight;
+        in_flight.set(in_flight.get() + 1);
+        Self(Rc::clone(shared))
+    }
+
+    /// Counts on until the answer's body has been passed on, or its caller is gone.
+    pub fn hold(self, response: Response) -> Response {
+        response.map_body(|_, body| BoxBody::new(Held { body, _guard: self }))
+    }
+}
+
+impl Drop for Guard {
     fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get() - 1);
+        let in_flight = &self.0.drain.in_flight;
+        in_flight.set(in_flight.get() - 1);
+    }
+}
+
+/// A body whose request is in flight until the body is dropped.
+struct Held {
+    body: BoxBody,
+    _guard: Guard,
+}
+
+impl MessageBody for Held {
+    type Error = <BoxBody as MessageBody>::Error;
+
+    fn size(&self) -> BodySize {
+        self.body.size()
+    }
+
+    fn poll_next(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
+        Pin::new(&mut self.body).poll_next(context)
     }
 }
 
@@ -57,12 +101,6 @@
     pub fn in_flight(&self) -> u64 {
         self.in_flight.get()
     }
-
-    /// Counts a request as in flight.
-    pub fn enter(&self) -> Guard<'_> {
-        self.in_flight.set(self.in_flight.get() + 1);
-        Guard(self)
-    }
 }
 
 /// Waits until a stop is asked for, and carries it out: readiness goes off, new requests are served
--- a/crates/pinereel/src/filters/claim.rs
+++ b/crates/pinereel/src/filters/claim.rs
@@ -9,7 +9,10 @@
     unknown,
 };
 use crate::{
-    controllers::claims::{self, Ask, Asked},
+    controllers::{
+        claims::{self, Ask, Asked},
+        drain,
+    },
     http::Response,
     logging::What,
     state::Shared,
@@ -88,7 +91,7 @@
     let shared = Rc::clone(shared);
     let exchange = exchange.clone();
     let task = actix_rt::spawn(async move {
-        let _guard = shared.drain.enter();
+        let _guard = drain::Guard::new(&shared);
         claimed(&shared, &exchange, &call, ask).await
     });
     task.await
@@ -183,7 +186,7 @@
 fn settle(shared: &Rc<Shared>, ask: Ask, outcome: Option<Record>) {
     let shared = Rc::clone(shared);
     actix_rt::spawn(async move {
-        let _guard = shared.drain.enter();
+        let _guard = drain::Guard::new(&shared);
         claims::settle(&shared, &ask, outcome).await;
     });
 }
--- a/crates/pinereel/src/filters/completion.rs
+++ b/crates/pinereel/src/filters/completion.rs
@@ -201,7 +201,6 @@
     request: Request,
     sender: mpsc::Sender<Result<Chunk, Problem>>,
 ) {
-    let _guard = shared.drain.enter();
     let left = exchange.left(shared.now());
     let work = attempts(&shared, &exchange, &request, &sender);
     let result = tokio::select! {
--- a/crates/pinereel/src/filters/service.rs
+++ b/crates/pinereel/src/filters/service.rs
@@ -75,7 +75,6 @@
 
 /// Answers one call.
 pub async fn serve(shared: &Rc<Shared>, exchange: Exchange, call: Call) -> Response {
-    let _guard = shared.drain.enter();
     match run(shared, &exchange, call).await {
         Ok(mut response) => {
             respond::count(shared, &exchange, "answer");
--- a/crates/pinereel/src/metrics.rs
+++ b/crates/pinereel/src/metrics.rs
@@ -60,6 +60,8 @@
     pub peer_bytes: IntCounterVec,
     /// Links to other entries that are up.
     pub links_up: IntGauge,
+    /// Endpoints that are known here, leaving ones included.
+    pub endpoints_known: IntGauge,
     /// Claims of idempotency keys by `verdict`.
     pub claims: IntCounterVec,
     log_dropped: IntCounter,
@@ -114,6 +116,7 @@
             peer_frames: counters(r, "peer_frames_total", "Frames of links.", &["direction"]),
             peer_bytes: counters(r, "peer_bytes_total", "Bytes of links.", &["direction"]),
             links_up: gauge(r, "peer_links_up", "Links that are up."),
+            endpoints_known: gauge(r, "endpoints_known", "Endpoints known here."),
             claims: counters(
                 r,
                 "claims_total",
--- a/crates/pinereel/src/operators/status.rs
+++ b/crates/pinereel/src/operators/status.rs
@@ -40,6 +40,10 @@
     }
     let up = i64::try_from(shared.mesh.linked().len()).unwrap_or(i64::MAX);
     metrics.links_up.set(up);
+    let known = shared.endpoints.set().iter().count();
+    metrics
+        .endpoints_known
+        .set(i64::try_from(known).unwrap_or(i64::MAX));
     let (sent, received) = shared.mesh.bytes();
     for (direction, bytes) in [("out", sent), ("in", received)] {
         let counter = metrics.peer_bytes.with_label_values(&[direction]);
--- a/crates/pinereel/tests/metrics_render.rs
+++ b/crates/pinereel/tests/metrics_render.rs
@@ -53,6 +53,7 @@
     metrics.peer_frames.with_label_values(&["in"]).inc();
     metrics.peer_bytes.with_label_values(&["out"]).inc_by(99);
     metrics.links_up.set(8);
+    metrics.endpoints_known.set(12);
     metrics.claims.with_label_values(&["granted"]).inc();
     let samples = parse(&metrics.render());
     let process = |name: &str| name.starts_with("pinereel_process_");
@@ -66,6 +67,7 @@
     pinereel_claims_total{verdict="granted"} 1
     pinereel_config_number 7
     pinereel_decisions_total{what="route"} 1
+    pinereel_endpoints_known 12
     pinereel_late_chunks_dropped_total 1
     pinereel_log_lines_dropped_total 0
     pinereel_lots_total{event="done",trainer="wording"} 1
--- a/crates/pinereel_fakes/src/bin/pinereel-fakes.rs
+++ b/crates/pinereel_fakes/src/bin/pinereel-fakes.rs
@@ -1,12 +1,13 @@
 //! Runs one stand-in or tool as a process: `pinereel-fakes NAME [flags]`.
 
-use lexopt::Parser;
+use lexopt::{Arg::Long, Parser};
+use pinereel::settings::Settings;
 use pinereel_fakes::{
     demo, engine, experiment, object_api,
     process::{self, Common, Error, value},
-    service, weight_store,
+    service, trainer, weight_store,
 };
-use std::{process::ExitCode, time::Duration};
+use std::{path::PathBuf, process::ExitCode, time::Duration};
 
 /// One row of the table of tools.
 struct Tool {
@@ -63,6 +64,34 @@
         ],
         run: |parser| finish(run_weight_store(parser)),
     },
+    Tool {
+        name: "trainer",
+        summary: "a trainer; prints its report",
+        flags: &["  --entry HOST:PORT      an entry to talk to; once or more
+  --name NAME            its name in the configuration
+  --steps N              steps to run
+  --groups N             groups a step
+  --samples N            samples a group
+  --max-tokens N         most tokens a sample
+  --train-ms N           time that a step's training takes
+  --bound N              its staleness bound, in versions
+  --version N            the version that it starts with
+  --any-text             take texts that the engine stand-in did not make
+  --deadline-ms N        time within which a step's samples are wanted
+  --patience-ms N        how long a call is repeated before the run fails
+  --seed N               makes lots and prompts differ between runs
+  --print-samples        print each sample that is taken
+  --max-seconds N        end by itself after N seconds (default 600)
+  --help                 print this"],
+        run: trainer::process::main,
+    },
+    Tool {
+        name: "entry",
+        summary: "an entry, as `pinereel entry` runs it",
+        flags: &["  --config FILE          its settings
+  --help                 print this"],
+        run: run_entry,
+    },
     Tool {
         name: "service",
         summary: "a plain service",
@@ -181,3 +210,30 @@
     let service = service::Service::start(options).await?;
     common.serve(service.address).await
 }
+
+fn run_entry(parser: Parser) -> ExitCode {
+    let result = entry_config(parser)
+        .map_err(|e| e.to_string())
+        .and_then(|path| Settings::load(path).map_err(|e| e.to_string()))
+        .and_then(|settings| pinereel::entry::run(settings).map_err(|e| e.to_string()));
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("pinereel-fakes: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn entry_config(mut parser: Parser) -> Result<PathBuf, lexopt::Error> {
+    let mut path = None;
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Long("config") => path = Some(PathBuf::from(parser.value()?)),
+            arg => return Err(arg.unexpected()),
+        }
+    }
+    path.ok_or(lexopt::Error::MissingValue {
+        option: Some("--config".into()),
+    })
+}
--- a/crates/pinereel_fakes/src/lib.rs
+++ b/crates/pinereel_fakes/src/lib.rs
@@ -7,11 +7,13 @@
 //! - [`trainer`]: a trainer client and the stand-in that drives it.
 //! - [`demo`]: everything on loopback in one command.
 //! - [`load`]: load generation and latency measurement.
+//! - [`cluster`]: a site of real processes, for tests of failures.
 //! - [`launch`]: starting and signalling processes in tests.
 //! - [`process`]: what the stand-ins' processes have in common.
 //! - [`fault`]: what the stand-ins' faults have in common.
 //! - [`experiment`]: policies against a baseline on the paused clock.
 
+pub mod cluster;
 pub mod demo;
 pub mod engine;
 pub mod experiment;
--- a/crates/pinereel_fakes/src/site.rs
+++ b/crates/pinereel_fakes/src/site.rs
@@ -10,6 +10,7 @@
 use pinereel_core::{config::Document, member::FULL_MESH};
 use std::{
     fs, io,
+    net::SocketAddr,
     os::unix::fs::PermissionsExt as _,
     path::{Path, PathBuf},
     time::Duration,
@@ -17,7 +18,7 @@
 use tokio::time::{sleep, timeout};
 
 /// Pause between looks at whether something has come about.
-const LOOK: Duration = Duration::from_millis(5);
+pub(crate) const LOOK: Duration = Duration::from_millis(5);
 /// Token of the operators' listeners.
 pub const TOKEN: &str = "operators-of-the-demo";
 /// Secret of the links between entries.
@@ -88,7 +89,7 @@
         })
         .await?;
         if options.document != Document::default() {
-            seed(&api, &options.document).await?;
+            seed(api.address, &options.document).await?;
         }
         let folder = folder()?;
         let mut site = Self {
@@ -245,8 +246,8 @@
 }
 
 /// Writes configuration 1 as the operators' first patch would.
-async fn seed(api: &object_api::Handle, document: &Document) -> io::Result<()> {
-    let url = format!("http://{}/objects/{CONFIG}/{CONFIG_NAME}", api.address);
+pub(crate) async fn seed(api: SocketAddr, document: &Document) -> io::Result<()> {
+    let url = format!("http://{api}/objects/{CONFIG}/{CONFIG_NAME}");
     let stored = pinereel_core::config::Stored {
         number: 1,
         document: document.clone(),
@@ -270,7 +271,7 @@
 }
 
 /// A folder of this process's own, with the secrets in it.
-fn folder() -> io::Result<PathBuf> {
+pub(crate) fn folder() -> io::Result<PathBuf> {
     use std::sync::atomic::{AtomicU64, Ordering};
     static NEXT: AtomicU64 = AtomicU64::new(0);
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
--- a/crates/pinereel_fakes/src/trainer/process.rs
+++ b/crates/pinereel_fakes/src/trainer/process.rs
@@ -2,7 +2,7 @@
 //!
 //! Flags: `--entry HOST:PORT` (once or more), `--name NAME`, `--steps N`, `--groups N`,
 //! `--samples N`, `--max-tokens N`, `--train-ms N`, `--bound N`, `--version N`, `--any-text`,
-//! `--deadline-ms N`, `--patience-ms N`, `--seed N`, `--max-seconds N`.
+//! `--deadline-ms N`, `--patience-ms N`, `--seed N`, `--print-samples`, `--max-seconds N`.
 
 use super::{Options, Report, Trainer, client};
 use lexopt::{Arg, Parser, ValueExt as _};
@@ -77,6 +77,7 @@
             "any-text" => options.whole = false,
             "deadline-ms" => options.deadline = millis(&mut args)?,
             "patience-ms" => options.patience = millis(&mut args)?,
+            "print-samples" => options.print = true,
             "seed" => options.seed = args.value()?.parse()?,
             "max-seconds" => limit = Duration::from_secs(args.value()?.parse()?),
             _ => return Err(arg.unexpected()),
--- a/crates/pinereel_fakes/src/trainer/step.rs
+++ b/crates/pinereel_fakes/src/trainer/step.rs
@@ -4,6 +4,7 @@
 use compact_str::{CompactString, format_compact};
 use pinereel_api::trainer::{Group, Lot, Sample};
 use pinereel_core::Version;
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -41,6 +42,8 @@
     pub patience: Duration,
     /// Makes lot ids and prompts differ between runs.
     pub seed: u64,
+    /// Whether each sample that is taken is printed as `sample JSON`, see [`Taken`].
+    pub print: bool,
 }
 
 impl Default for Options {
@@ -59,10 +62,24 @@
             deadline: Duration::from_secs(60),
             patience: Duration::from_secs(60),
             seed: 0,
+            print: false,
         }
     }
 }
 
+/// One sample that was taken, as it is printed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Taken {
+    /// The step.
+    pub step: u64,
+    /// The trainer's version.
+    pub version: Version,
+    /// The prompt.
+    pub prompt: String,
+    /// The sample.
+    pub sample: Sample,
+}
+
 /// A trainer between steps.
 pub struct Trainer {
     options: Options,
@@ -123,6 +140,14 @@
             return;
         };
         let Options { bound, whole, .. } = self.options;
+        if self.options.print {
+            print(&Taken {
+                step: lot.step,
+                version: self.version,
+                prompt: group.prompt.clone(),
+                sample: sample.clone(),
+            });
+        }
         self.report.check(sample, group, self.version, bound, whole);
     }
 
@@ -155,3 +180,9 @@
         }
     }
 }
+
+fn print(taken: &Taken) {
+    if let Ok(json) = serde_json::to_string(taken) {
+        println!("sample {json}");
+    }
+}
