--- a/crates/pinereel/src/controllers/rollout.rs
+++ b/crates/pinereel/src/controllers/rollout.rs
@@ -7,10 +7,10 @@
     state::{Shared, spawn},
 };
 use compact_str::{CompactString, format_compact};
-use pinereel_api::engine::{Order, State};
+use pinereel_api::engine::{self, Order};
 use pinereel_core::{
     config::Kind,
-    endpoint,
+    endpoint::{Endpoint, State},
     rollout::{Action, Controller, Event, Lease, Settings, Sight},
 };
 use std::{
@@ -108,20 +108,15 @@
     }
     let present: Vec<_> = {
         let set = shared.endpoints.set();
-        let engines = set.pool(pool).map(|(_, engine)| Event::Listed {
-            name: engine.name.clone(),
-            zone: engine.zone.clone(),
-            outstanding: engine.outstanding,
-            leaving: engine.state == endpoint::State::Leaving,
-        });
-        engines.collect()
+        set.pool(pool).map(|(_, engine)| told(engine)).collect()
     };
     let mut names = BTreeSet::new();
-    for event in present {
-        if let Event::Listed { name, .. } = &event {
+    for [is_listed, report] in present {
+        if let Event::Listed { name, .. } = &is_listed {
             names.insert(name.clone());
         }
-        step(shared, pool, event);
+        step(shared, pool, is_listed);
+        step(shared, pool, report);
     }
     for name in listed.difference(&names) {
         step(shared, pool, Event::Unlisted { name: name.clone() });
@@ -129,6 +124,22 @@
     *listed = names;
 }
 
+/// What the platform's list and its load reports say of an engine.
+fn told(engine: &Endpoint) -> [Event; 2] {
+    let listed = Event::Listed {
+        name: engine.name.clone(),
+        zone: engine.zone.clone(),
+        outstanding: engine.outstanding,
+        leaving: engine.state == State::Leaving,
+    };
+    let report = Event::Reported {
+        name: engine.name.clone(),
+        version: engine.version,
+        loading: engine.loading,
+    };
+    [listed, report]
+}
+
 fn step(shared: &Rc<Shared>, pool: &CompactString, event: Event) {
     let actions = {
         let mut pools = shared.rollout.pools.borrow_mut();
@@ -225,7 +236,7 @@
     set.find(name).map(|(_, engine)| engine.address.clone())
 }
 
-fn sight(state: &State) -> Sight {
+fn sight(state: &engine::State) -> Sight {
     Sight {
         incarnation: state.incarnation,
         version: state.version,
--- a/crates/pinereel_core/src/rollout/controller.rs
+++ b/crates/pinereel_core/src/rollout/controller.rs
@@ -69,6 +69,15 @@
             Event::Unlisted { name } => {
                 self.engines.remove(&name);
             }
+            Event::Reported {
+                name,
+                version,
+                loading,
+            } => {
+                if let Some(engine) = self.engines.get_mut(&name) {
+                    engine.reported(version, loading);
+                }
+            }
             Event::Seen { name, sight } => self.seen(now, &name, sight, &mut actions),
             Event::Taken { name, fence, sight } => {
                 self.taken(now, &name, fence, sight, &mut actions);
--- a/crates/pinereel_core/src/rollout/engine.rs
+++ b/crates/pinereel_core/src/rollout/engine.rs
@@ -37,6 +37,8 @@
     pub(super) phase: Phase,
     pub(super) sight: Sight,
     pub(super) seen_at: Option<Time>,
+    /// Whether a load report differs from what was seen.
+    pub(super) differs_by_report: bool,
     /// A read in flight, since when.
     pub(super) reading: Option<Time>,
     pub(super) failures: u32,
@@ -58,6 +60,7 @@
             phase: Phase::Unknown { since: now },
             sight: Sight::default(),
             seen_at: None,
+            differs_by_report: false,
             reading: None,
             failures: 0,
             quarantines: 0,
@@ -67,6 +70,20 @@
         }
     }
 
+    /// Notes whether a load report shows something new: weights that nobody here ordered, or the
+    /// end of a load.
+    pub(super) fn reported(&mut self, version: Option<Version>, loading: Option<Version>) {
+        self.differs_by_report = match self.phase {
+            Phase::Unknown { .. } => false,
+            Phase::Ordered {
+                version: ordered, ..
+            } => loading.is_none() && version == Some(ordered),
+            Phase::Rest | Phase::Quarantine => {
+                (version, loading) != (self.sight.version, self.sight.loading)
+            }
+        };
+    }
+
     /// Forgets what was seen; failures and waits stay, since they belong to the engine.
     pub(super) fn forget(&mut self, now: Time) {
         if !matches!(self.phase, Phase::Unknown { .. }) {
@@ -150,9 +167,14 @@
         match self.phase {
             Phase::Unknown { .. } => now >= self.read_after,
             Phase::Ordered { at, answered, .. } => {
-                answered && now.since(at) >= load_time.mul_f64(EARLY) && older(settings.poll)
+                let due = now.since(at) >= load_time.mul_f64(EARLY) || self.differs_by_report;
+                answered && due && older(settings.poll)
+            }
+            Phase::Rest | Phase::Quarantine
+                if self.sight.loading.is_some() || self.differs_by_report =>
+            {
+                older(settings.poll)
             }
-            Phase::Rest | Phase::Quarantine if self.sight.loading.is_some() => older(settings.poll),
             Phase::Rest | Phase::Quarantine => older(settings.recheck),
         }
     }
--- a/crates/pinereel_core/src/rollout/mod.rs
+++ b/crates/pinereel_core/src/rollout/mod.rs
@@ -111,7 +111,17 @@
         /// Its name.
         name: CompactString,
     },
-    /// The engine answered a read, or a load report of it came in.
+    /// A load report of the engine, which may be older than an order. If it differs from what was
+    /// last read, the engine is read soon: only that tells what it serves now.
+    Reported {
+        /// Its name.
+        name: CompactString,
+        /// Version that it served.
+        version: Option<Version>,
+        /// Version that it was loading.
+        loading: Option<Version>,
+    },
+    /// The engine answered a read.
     Seen {
         /// Its name.
         name: CompactString,
