--- a/crates/pinereel/src/controllers/endpoints.rs
+++ b/crates/pinereel/src/controllers/endpoints.rs
@@ -18,7 +18,7 @@
     route::{self, Choice, Policy, Refusal, Request},
 };
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet},
     rc::Rc,
     time::Duration,
@@ -40,6 +40,8 @@
     set: RefCell<Set>,
     policy: RefCell<Policy>,
     polled: RefCell<BTreeSet<CompactString>>,
+    /// Whether the platform's list was read since the start.
+    listed: Cell<bool>,
     /// Told whenever an endpoint may have room that had none.
     pub room: Notify,
 }
@@ -82,6 +84,11 @@
 }
 
 impl Endpoints {
+    /// Whether the platform's list was read since the start.
+    pub fn are_listed(&self) -> bool {
+        self.listed.get()
+    }
+
     /// The endpoints, to look at.
     pub fn set(&self) -> std::cell::Ref<'_, Set> {
         self.set.borrow()
@@ -221,6 +228,7 @@
             spawn(shared, async move |shared| poll(&shared, name).await);
         }
     }
+    shared.endpoints.listed.set(true);
 }
 
 fn listing(name: &CompactString, instance: Instance, slots: u32) -> endpoint::Instance {
--- a/crates/pinereel/src/filters/pin.rs
+++ b/crates/pinereel/src/filters/pin.rs
@@ -36,11 +36,15 @@
 /// The configuration number, if the balancer may send connections here.
 ///
 /// # Errors
-/// `Unavailable` from the start of a drain on, earlier than requests are refused.
+/// `Unavailable` from the start of a drain on, earlier than requests are refused, and before the
+/// endpoints are known.
 pub fn ready(shared: &Shared) -> Result<u64, Problem> {
     if shared.drain.asked() {
         return Err(later("this instance is draining"));
     }
+    if !shared.endpoints.are_listed() {
+        return Err(later("the endpoints are not known yet"));
+    }
     pin(shared).map(|pin| pin.number)
 }
 
--- a/crates/pinereel_fakes/src/cluster.rs
+++ b/crates/pinereel_fakes/src/cluster.rs
@@ -7,7 +7,10 @@
 };
 use awc::http::StatusCode;
 use compact_str::{CompactString, format_compact};
-use pinereel_api::object::{Instance, Presence};
+use pinereel_api::{
+    engine,
+    object::{Instance, Presence},
+};
 use pinereel_core::config::Document;
 use serde::{Serialize, de::DeserializeOwned};
 use std::{
@@ -153,7 +156,7 @@
     async fn start_endpoints(&mut self) -> io::Result<()> {
         for index in 0..self.options.engines.1 {
             let engine = self.start_engine(index)?;
-            self.list_engine(index, &engine, 1, Presence::Live).await?;
+            self.list_engine(index, &engine, Presence::Live).await?;
             self.engines.push(engine);
         }
         for index in 0..self.options.services.1 {
@@ -187,10 +190,12 @@
         &self,
         index: usize,
         engine: &Process,
-        incarnation: u64,
         state: Presence,
     ) -> io::Result<()> {
         let pool = self.options.engines.0.clone();
+        // The platform and the engine name one incarnation alike.
+        let incarnation = get::<engine::State>(engine.address, "/v1/state").await?;
+        let incarnation = incarnation.incarnation;
         let instance = self.instance(index, &pool, engine.address, incarnation, state);
         self.put_instance(&engine.name, &instance).await
     }
--- a/crates/pinereel_fakes/tests/process_requests.rs
+++ b/crates/pinereel_fakes/tests/process_requests.rs
@@ -50,8 +50,7 @@
             .await
             .unwrap();
         let before = decisions(entry, &["\"route\"", SERVICES]);
-        let status = order(entry.callers, entry.name.to_string()).await;
-        assert_eq!(status, Ok(StatusCode::OK));
+        order(entry.callers, entry.name.to_string()).await.unwrap();
         let lines = async || decisions(entry, &["\"route\"", SERVICES]) == before + 1;
         until(lines).await.unwrap();
     }
--- a/crates/pinereel_fakes/tests/process_support/mod.rs
+++ b/crates/pinereel_fakes/tests/process_support/mod.rs
@@ -84,9 +84,10 @@
     let request = json!({ "model": ENGINES, "prompt": prompt, "max_tokens": max, "stream": true });
     let url = format!("http://{entry}/v1/completions");
     let sent = cluster::client().post(url).send_json(&request).await;
-    let response = sent.map_err(|e| e.to_string())?;
+    let mut response = sent.map_err(|e| e.to_string())?;
     if response.status() != StatusCode::OK {
-        return Err(response.status().to_string());
+        let problem = response.body().await.map_err(|e| e.to_string())?;
+        return Err(String::from_utf8_lossy(&problem).into_owned());
     }
     let id = response.headers().get("x-request-id").unwrap();
     let id = id.to_str().unwrap().to_owned();
@@ -110,13 +111,16 @@
     }
 }
 
-/// Books an order; its status and body.
-pub async fn order(entry: SocketAddr, body: String) -> Result<StatusCode, String> {
+/// Books an order; the problem if it was not booked.
+pub async fn order(entry: SocketAddr, body: String) -> Result<(), String> {
     let url = format!("http://{entry}/services/{SERVICES}/orders");
     let sent = cluster::client().post(url).send_body(body).await;
     let mut response = sent.map_err(|e| e.to_string())?;
-    response.body().await.map_err(|e| e.to_string())?;
-    Ok(response.status())
+    let answer = response.body().await.map_err(|e| e.to_string())?;
+    if response.status() == StatusCode::OK {
+        return Ok(());
+    }
+    Err(String::from_utf8_lossy(&answer).into_owned())
 }
 
 /// The report that a trainer prints at its end.
