--- a/crates/pinereel_fakes/src/bin/pinereel-fakes.rs
+++ b/crates/pinereel_fakes/src/bin/pinereel-fakes.rs
@@ -3,7 +3,7 @@
 use lexopt::{Arg::Long, Parser};
 use pinereel::settings::Settings;
 use pinereel_fakes::{
-    demo, engine, experiment, object_api,
+    demo, engine, experiment, load, object_api,
     process::{self, Common, Error, value},
     service, trainer, weight_store,
 };
@@ -114,6 +114,12 @@
         flags: &[demo::HELP],
         run: demo::main,
     },
+    Tool {
+        name: "load",
+        summary: "open-loop load, and the latency that an entry adds",
+        flags: &[load::HELP],
+        run: load::main,
+    },
 ];
 
 fn main() -> ExitCode {
--- a/crates/pinereel_fakes/src/load.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Placeholder.
--- a/crates/pinereel_fakes/src/site.rs
+++ b/crates/pinereel_fakes/src/site.rs
@@ -149,11 +149,11 @@
         Ok(())
     }
 
-    /// Starts one more entry; it is not ready yet.
+    /// Settings of an entry of this site, read back from their file.
     ///
     /// # Errors
-    /// Its settings are at fault or a listener could not be opened.
-    pub async fn start_entry(&mut self, options: &Options, index: usize) -> io::Result<()> {
+    /// They are at fault, or the file could not be written.
+    pub fn settings(&self, options: &Options, index: usize) -> io::Result<Settings> {
         let name = format_compact!("entry-{index}");
         let zone = zone(options, index);
         let path = self.folder.join(format!("{name}.ini"));
@@ -165,7 +165,16 @@
             options.settings
         );
         fs::write(&path, &text)?;
-        let settings = Settings::load(&path).map_err(io::Error::other)?;
+        Settings::load(&path).map_err(io::Error::other)
+    }
+
+    /// Starts one more entry; it is not ready yet.
+    ///
+    /// # Errors
+    /// Its settings are at fault or a listener could not be opened.
+    pub async fn start_entry(&mut self, options: &Options, index: usize) -> io::Result<()> {
+        let settings = self.settings(options, index)?;
+        let name = settings.entry.name.clone();
         let entry = Entry::start(settings).await.map_err(io::Error::other)?;
         // The platform lists the system's own instances too; one that it lacks counts as gone.
         let listed = Instance {
