--- a/crates/pinereel_fakes/src/load/stage.rs
+++ b/crates/pinereel_fakes/src/load/stage.rs
@@ -69,16 +69,18 @@
     /// A listener or the log could not be opened, or a thread was not up in time.
     pub fn start(decisions: bool) -> io::Result<Self> {
         let (up, endpoints) = mpsc::channel();
-        let endpoints_worker = spawn("endpoints", up, async move |up, stopped| {
-            match endpoints_site(decisions).await {
+        let endpoints_worker = spawn(
+            "endpoints",
+            up,
+            async move |up, stopped| match endpoints_site(decisions).await {
                 Ok((site, told)) => {
                     let _ = up.send(Ok(told));
                     let _ = stopped.await;
                     drop(site);
                 }
                 Err(error) => drop(up.send(Err(error))),
-            }
-        })?;
+            },
+        )?;
         let told: Endpoints = receive(&endpoints)??;
         let settings = told.settings;
         logging::init(&settings.log).map_err(io::Error::other)?;
