Metrics of the runner, of attempts and of frames

Cause: families for attempts and frames existed and nothing fed them; what the runner did with samples was not shown at all. Change: pinereel_runner_total by event, attempts by how they ended, frames by direction.

--- a/crates/pinereel/src/controllers/endpoints.rs
+++ b/crates/pinereel/src/controllers/endpoints.rs
@@ -61,11 +61,32 @@
         self.end(end);
     }
 
+    fn count(&self, end: End) {
+        let result = match end {
+            End::Whole => "whole",
+            End::Cancelled => "cancelled",
+            End::Failed => "failed",
+            End::Overloaded => "overloaded",
+            End::ConnectionRefused => "connection_refused",
+            End::ConnectionTimeout => "connection_timeout",
+            End::Leaving => "leaving",
+        };
+        let set = self.shared.endpoints.set();
+        let Some(endpoint) = set.get(self.key) else {
+            return;
+        };
+        let attempts = &self.shared.metrics.attempts;
+        attempts
+            .with_label_values(&[endpoint.pool.as_str(), result])
+            .inc();
+    }
+
     fn end(&mut self, end: End) {
         if std::mem::replace(&mut self.done, true) {
             return;
         }
         let took = self.shared.now().since(self.started);
+        self.count(end);
         let event = Event::Finished {
             key: self.key,
             tokens: self.tokens,
--- a/crates/pinereel/src/controllers/lots/mod.rs
+++ b/crates/pinereel/src/controllers/lots/mod.rs
@@ -20,7 +20,7 @@
 use compact_str::CompactString;
 use pinereel_core::{
     Version, cursor,
-    lot::{Action, AttemptKey, Event, Runner, Sample},
+    lot::{Action, AttemptKey, Event, Runner, Sample, Stats},
 };
 use std::{
     cell::{Cell, RefCell},
@@ -82,6 +82,11 @@
         self.versions.borrow().clone()
     }
 
+    /// What this entry's runner has done.
+    pub fn stats(&self) -> Stats {
+        self.runner.borrow().stats()
+    }
+
     /// Attempts, scorings and handovers under way; a draining entry may leave at 0.
     pub fn in_flight(&self) -> usize {
         self.runner.borrow().in_flight() + self.handing.get()
--- a/crates/pinereel/src/metrics.rs
+++ b/crates/pinereel/src/metrics.rs
@@ -62,6 +62,8 @@
     pub links_up: IntGauge,
     /// Endpoints that are known here, leaving ones included.
     pub endpoints_known: IntGauge,
+    /// What this entry's runner did with samples, by `event`.
+    pub runner: IntCounterVec,
     /// Claims of idempotency keys by `verdict`.
     pub claims: IntCounterVec,
     log_dropped: IntCounter,
@@ -117,6 +119,7 @@
             peer_bytes: counters(r, "peer_bytes_total", "Bytes of links.", &["direction"]),
             links_up: gauge(r, "peer_links_up", "Links that are up."),
             endpoints_known: gauge(r, "endpoints_known", "Endpoints known here."),
+            runner: counters(r, "runner_total", "Work on samples here.", &["event"]),
             claims: counters(
                 r,
                 "claims_total",
--- a/crates/pinereel/src/operators/status.rs
+++ b/crates/pinereel/src/operators/status.rs
@@ -44,11 +44,33 @@
     metrics
         .endpoints_known
         .set(i64::try_from(known).unwrap_or(i64::MAX));
+    let stats = shared.lots.stats();
+    let events = [
+        ("started", stats.started),
+        ("resumed", stats.resumed),
+        ("duplicated", stats.duplicated),
+        ("finished", stats.finished),
+        ("late", stats.late),
+        ("void", stats.void),
+        ("lost", stats.lost),
+        ("moved", stats.moved),
+        ("aborted", stats.aborted),
+        ("stale", stats.stale),
+    ];
+    for (event, count) in events {
+        let counter = metrics.runner.with_label_values(&[event]);
+        counter.inc_by(count.saturating_sub(counter.get()));
+    }
     let (sent, received) = shared.mesh.bytes();
     for (direction, bytes) in [("out", sent), ("in", received)] {
         let counter = metrics.peer_bytes.with_label_values(&[direction]);
         counter.inc_by(bytes.saturating_sub(counter.get()));
     }
+    let (sent, received) = shared.mesh.frames();
+    for (direction, frames) in [("out", sent), ("in", received)] {
+        let counter = metrics.peer_frames.with_label_values(&[direction]);
+        counter.inc_by(frames.saturating_sub(counter.get()));
+    }
 }
 
 /// The known entries. Those that were not heard of lately, or only with a lower number, are asked.
--- a/crates/pinereel/src/peer/mesh.rs
+++ b/crates/pinereel/src/peer/mesh.rs
@@ -75,6 +75,21 @@
 /// Hears a peer's summary.
 pub type Observer = Rc<dyn Fn(&Hello, Summary)>;
 
+/// What went one way over all links.
+#[derive(Clone, Copy, Debug, Default)]
+struct Traffic {
+    bytes: u64,
+    frames: u64,
+}
+
+fn count(traffic: &Cell<Traffic>, size: usize) {
+    let Traffic { bytes, frames } = traffic.get();
+    traffic.set(Traffic {
+        bytes: bytes + size as u64,
+        frames: frames + 1,
+    });
+}
+
 /// The links. Clones share them.
 #[derive(Clone)]
 pub struct Mesh {
@@ -84,8 +99,8 @@
     dialing: Rc<RefCell<BTreeSet<CompactString>>>,
     handler: Rc<RefCell<Option<Handler>>>,
     observer: Rc<RefCell<Option<Observer>>>,
-    sent: Rc<Cell<u64>>,
-    received: Rc<Cell<u64>>,
+    sent: Rc<Cell<Traffic>>,
+    received: Rc<Cell<Traffic>>,
     closed: Rc<Cell<bool>>,
 }
 
@@ -198,7 +213,12 @@
 
     /// Bytes sent and received in frames since the start.
     pub fn bytes(&self) -> (u64, u64) {
-        (self.sent.get(), self.received.get())
+        (self.sent.get().bytes, self.received.get().bytes)
+    }
+
+    /// Frames sent and received since the start.
+    pub fn frames(&self) -> (u64, u64) {
+        (self.sent.get().frames, self.received.get().frames)
     }
 
     /// Closes all links and opens no more.
@@ -303,11 +323,11 @@
         mut frames: mpsc::Receiver<Vec<u8>>,
     ) {
         while let Some(bytes) = frames.recv().await {
-            let size = bytes.len() as u64;
+            let size = bytes.len();
             if !link::write(sink, bytes).await {
                 return;
             }
-            self.sent.set(self.sent.get() + size);
+            count(&self.sent, size);
         }
     }
 
@@ -317,7 +337,7 @@
             if self.closed.get() {
                 return;
             }
-            self.received.set(self.received.get() + size as u64);
+            count(&self.received, size);
             match frame {
                 Frame::Hello(_) => return,
                 Frame::Digest(summary) => {
--- a/crates/pinereel/tests/metrics_render.rs
+++ b/crates/pinereel/tests/metrics_render.rs
@@ -54,6 +54,7 @@
     metrics.peer_bytes.with_label_values(&["out"]).inc_by(99);
     metrics.links_up.set(8);
     metrics.endpoints_known.set(12);
+    metrics.runner.with_label_values(&["finished"]).inc_by(3);
     metrics.claims.with_label_values(&["granted"]).inc();
     let samples = parse(&metrics.render());
     let process = |name: &str| name.starts_with("pinereel_process_");
@@ -82,6 +83,7 @@
     pinereel_requests_total{outcome="answer",pool="draft-llm"} 1
     pinereel_requests_waiting{pool="draft-llm"} 2
     pinereel_retries_total{pool="draft-llm"} 1
+    pinereel_runner_total{event="finished"} 3
     pinereel_samples_total{event="voided",trainer="wording"} 1
     pinereel_staleness_versions_count{trainer="wording"} 1
     pinereel_staleness_versions_sum{trainer="wording"} 1
