--- a/crates/pinereel/src/controllers/claims/ask.rs
+++ b/crates/pinereel/src/controllers/claims/ask.rs
@@ -1,6 +1,6 @@
 //! How an entry claims a key for a request of its own, and settles it.
 
-use super::{Ask, claim_here, place, sent, settle_here, stored};
+use super::{Ask, claim_here, place, settle_here};
 use crate::{peer::Error, state::Shared};
 use pinereel_api::wire::{Call, Reply};
 use pinereel_core::claim::{Record, Verdict};
@@ -55,7 +55,7 @@
         let answer = shared.mesh.call(&name, call.clone(), CLAIM_TIMEOUT).await;
         let verdict = match answer {
             Ok(Reply::Granted) => Verdict::Granted,
-            Ok(Reply::Repeat(record)) => Verdict::Repeat(stored(record)),
+            Ok(Reply::Repeat(record)) => Verdict::Repeat(record),
             Ok(Reply::InProgress) => Verdict::InProgress,
             Ok(Reply::ClaimUnknown) => Verdict::ClaimUnknown,
             Ok(Reply::KeyConflict) => Verdict::KeyConflict,
@@ -103,7 +103,7 @@
         key: ask.key.clone(),
         request: ask.request.clone(),
         digest: ask.digest,
-        outcome: outcome.clone().map(sent),
+        outcome: outcome.clone(),
     };
     for name in shared.members.ranked(place(ask.shard()), CANDIDATES) {
         if name == *shared.name() {
--- a/crates/pinereel/src/controllers/claims/mod.rs
+++ b/crates/pinereel/src/controllers/claims/mod.rs
@@ -135,7 +135,7 @@
     let _guard = shared.drain.enter();
     match claim_here(shared, &ask, left).await {
         Verdict::Granted => wire::Reply::Granted,
-        Verdict::Repeat(record) => wire::Reply::Repeat(sent(record)),
+        Verdict::Repeat(record) => wire::Reply::Repeat(record),
         Verdict::InProgress => wire::Reply::InProgress,
         Verdict::ClaimUnknown => wire::Reply::ClaimUnknown,
         Verdict::KeyConflict => wire::Reply::KeyConflict,
@@ -254,21 +254,3 @@
         let _ = sender.send(stored);
     }
 }
-
-/// A record as links carry it.
-pub fn sent(record: Record) -> wire::Record {
-    wire::Record {
-        status: record.status,
-        content_type: record.content_type,
-        body: record.body,
-    }
-}
-
-/// A record as the log keeps it.
-pub fn stored(record: wire::Record) -> Record {
-    Record {
-        status: record.status,
-        content_type: record.content_type,
-        body: record.body,
-    }
-}
--- /dev/null
+++ b/crates/pinereel/src/controllers/lots/front/publish.rs
@@ -0,0 +1,86 @@
+//! Announces new weights.
+
+use super::{super::published, RETRY_AFTER_MS, refuse};
+use crate::{
+    controllers::config::Pin,
+    objects::{Error as ObjectError, Purpose},
+    state::Shared,
+};
+use compact_str::format_compact;
+use pinereel_api::{
+    Problem,
+    object::WEIGHTS,
+    problem::{Code, Ran},
+    trainer::{Publish, Published},
+};
+use pinereel_core::Version;
+use serde::{Deserialize, Serialize};
+use std::rc::Rc;
+
+/// Object of a model's newest weights.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Weights {
+    /// The newest version.
+    pub version: Version,
+}
+
+/// Announces new weights of a trainer's model. A repeat or an older version changes nothing.
+pub async fn publish(
+    shared: &Rc<Shared>,
+    pin: &Pin,
+    trainer: &str,
+    publish: Publish,
+) -> Result<Published, Problem> {
+    let trainer = pin.document.trainers.get(trainer);
+    let pool = trainer.and_then(|t| pin.document.pools.get(&t.pool));
+    let Some(model) = pool.and_then(|p| p.model.clone()) else {
+        return Err(refuse(Code::NotFound, "unknown trainer"));
+    };
+    let version = raise(shared, &model, publish.version)
+        .await
+        .map_err(|e| Problem {
+            code: Code::ObjectApi,
+            message: format_compact!("{e}"),
+            ran: if e.had_no_effect() {
+                Ran::NotRun
+            } else {
+                Ran::Unknown
+            },
+            retry_after_ms: Some(RETRY_AFTER_MS),
+        })?;
+    published(shared, &model, version);
+    Ok(Published { version })
+}
+
+/// Raises the model's version by conditional update; gives the version that stands.
+async fn raise(shared: &Shared, model: &str, version: Version) -> Result<Version, ObjectError> {
+    let objects = &shared.objects;
+    loop {
+        let present = objects.read(Purpose::Weights, WEIGHTS, model).await?;
+        let weights = Weights { version };
+        let written = match present {
+            Some(object) => {
+                let stands: Weights = serde_json::from_value(object.value)
+                    .map_err(|e| ObjectError::Malformed(e.to_string()))?;
+                if stands.version >= version {
+                    return Ok(stands.version);
+                }
+                let version = object.version;
+                objects
+                    .update(Purpose::Weights, WEIGHTS, model, version, &weights)
+                    .await
+            }
+            None => {
+                objects
+                    .create(Purpose::Weights, WEIGHTS, model, &weights)
+                    .await
+            }
+        };
+        match written {
+            Ok(_) => return Ok(version),
+            // Someone else was first, or the answer was lost: read back.
+            Err(ObjectError::Conflict | ObjectError::NotFound | ObjectError::Unknown(_)) => {}
+            Err(e) => return Err(e),
+        }
+    }
+}
--- a/crates/pinereel/src/controllers/lots/handover.rs
+++ b/crates/pinereel/src/controllers/lots/handover.rs
@@ -1,6 +1,6 @@
 //! Hands finished samples of a stopping runner to the entries that run their groups next.
 
-use super::{placement, runner};
+use super::placement;
 use crate::{logging::What, state::Shared};
 use compact_str::CompactString;
 use pinereel_api::{
@@ -95,7 +95,7 @@
         deadline_ms: spec.deadline.since(shared.now()).as_millis() as u64,
         groups: groups.map(to_wire).collect(),
     };
-    let samples = samples.iter().cloned().map(runner::to_wire).collect();
+    let samples = samples.to_vec();
     let call = Call::Handover { lot, samples };
     matches!(shared.mesh.call(name, call, TIMEOUT).await, Ok(Reply::Done))
 }
--- a/crates/pinereel/src/controllers/lots/runner.rs
+++ b/crates/pinereel/src/controllers/lots/runner.rs
@@ -2,10 +2,7 @@
 
 use super::carry_out;
 use crate::state::Shared;
-use pinereel_api::{
-    trainer,
-    wire::{Ask, Assignment, Reply},
-};
+use pinereel_api::wire::{Ask, Assignment, Reply};
 use pinereel_core::{
     Time, cursor,
     lot::{self, Action, Event, Group, Refusal, Sample, Spec},
@@ -30,10 +27,9 @@
 pub fn take_over(
     shared: &Rc<Shared>,
     assignment: Assignment,
-    samples: Vec<trainer::Sample>,
+    samples: Vec<Sample>,
 ) -> Result<(), String> {
     let spec = spec(shared, assignment)?;
-    let samples = samples.into_iter().map(from_wire).collect();
     let event = Event::Handover { spec, samples };
     let actions = shared.lots.runner.borrow_mut().step(shared.now(), event);
     let refusal = refusal(&actions);
@@ -60,7 +56,6 @@
         };
         let left = until.since(shared.now());
         if !samples.is_empty() || !missing.is_empty() || left.is_zero() {
-            let samples = samples.into_iter().map(to_wire).collect();
             return Reply::Samples { samples, missing };
         }
         let _ = timeout(left, ready).await;
@@ -128,27 +123,3 @@
         groups: groups.collect(),
     })
 }
-
-/// A sample as it travels between entries and to trainers.
-pub(super) fn to_wire(sample: Sample) -> trainer::Sample {
-    trainer::Sample {
-        group: sample.group,
-        index: sample.index,
-        text: sample.text,
-        tokens: sample.tokens,
-        spans: sample.spans,
-        score: sample.score,
-    }
-}
-
-/// A sample as the core knows it.
-pub(super) fn from_wire(sample: trainer::Sample) -> Sample {
-    Sample {
-        group: sample.group,
-        index: sample.index,
-        text: sample.text,
-        tokens: sample.tokens,
-        spans: sample.spans,
-        score: sample.score,
-    }
-}
--- a/crates/pinereel/src/dispatch.rs
+++ b/crates/pinereel/src/dispatch.rs
@@ -43,7 +43,7 @@
                 digest,
                 request,
             };
-            claims::serve_settle(&shared, ask, outcome.map(claims::stored)).await
+            claims::serve_settle(&shared, ask, outcome).await
         }
         Call::Prepare { prepare, leaves } => {
             let confirmed = config::relay::prepare(&shared, *prepare, leaves).await;
--- a/crates/pinereel_api/src/trainer.rs
+++ b/crates/pinereel_api/src/trainer.rs
@@ -7,9 +7,11 @@
 //! | publish | `POST /v1/trainers/{trainer}/versions` [`Publish`] | 200 [`Published`] |
 
 use compact_str::CompactString;
-use pinereel_core::{Span, Version};
+use pinereel_core::Version;
 use serde::{Deserialize, Serialize};
 
+pub use pinereel_core::lot::Sample;
+
 /// The samples that a trainer wants for one step. Idempotent by `id` and content.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Lot {
@@ -73,24 +75,6 @@
     pub remaining: u32,
 }
 
-/// One finished sample.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Sample {
-    /// Index of the group in the lot.
-    pub group: u32,
-    /// Index in the whole lot, groups in order.
-    pub index: u32,
-    /// The text.
-    pub text: String,
-    /// Output tokens.
-    pub tokens: u32,
-    /// The versions that made it: reused prefix first, then output, in order.
-    pub spans: Vec<Span>,
-    /// Score of the scoring service, if the trainer's configuration names one.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub score: Option<f64>,
-}
-
 /// Announces new weights of the trainer's model, which the weight store holds.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Publish {
--- a/crates/pinereel_api/src/wire.rs
+++ b/crates/pinereel_api/src/wire.rs
@@ -5,7 +5,7 @@
 
 use crate::trainer::{Group, Sample};
 use compact_str::CompactString;
-use pinereel_core::{Version, config::Prepare, hash::Digest};
+use pinereel_core::{Version, claim::Record, config::Prepare, hash::Digest};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -182,17 +182,6 @@
     pub wait_ms: u64,
 }
 
-/// What became of a request under an idempotency key.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Record {
-    /// HTTP status of the answer; 0 if the outcome is unknown.
-    pub status: u16,
-    /// Content type of the answer.
-    pub content_type: CompactString,
-    /// The answer's body, if it was small enough to keep.
-    pub body: Option<String>,
-}
-
 /// Answers to calls.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Reply {
--- a/crates/pinereel_core/src/lot/message.rs
+++ b/crates/pinereel_core/src/lot/message.rs
@@ -3,9 +3,10 @@
 use super::{AttemptKey, Spec};
 use crate::{Span, Version, cursor, fair::Class, provenance::Stamp};
 use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
 
-/// A finished sample.
-#[derive(Clone, Debug, PartialEq)]
+/// A finished sample; also what travels between entries and to the trainer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Sample {
     /// Index of the group in the lot.
     pub group: u32,
@@ -17,7 +18,8 @@
     pub tokens: u32,
     /// The versions that made it: what was reused first, then output, in order.
     pub spans: Vec<Span>,
-    /// Score of the scoring service.
+    /// Score of the scoring service, if the trainer's configuration names one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub score: Option<f64>,
 }
 
--- a/crates/pinereel_fakes/tests/process_claims.rs
+++ b/crates/pinereel_fakes/tests/process_claims.rs
@@ -5,7 +5,7 @@
 mod process_support;
 
 use pinereel_api::{
-    header::{DEADLINE_MS, IDEMPOTENCY_KEY},
+    header::IDEMPOTENCY_KEY,
     object::CLAIMS,
     problem::{Code, Problem, Ran},
 };
