--- a/crates/pinereel_fakes/src/load/compare.rs
+++ b/crates/pinereel_fakes/src/load/compare.rs
@@ -22,7 +22,9 @@
 /// Connections of each side.
 const CONNECTIONS: usize = 64;
 /// Rates of the search for the one at which the 99th percentile breaks.
-const LADDER: [u32; 7] = [1_000, 2_000, 3_000, 4_000, 6_000, 8_000, 12_000];
+const LADDER: [u32; 9] = [
+    1_000, 2_000, 3_000, 4_000, 6_000, 8_000, 12_000, 16_000, 24_000,
+];
 /// A 99th percentile beyond this counts as broken, in microseconds.
 const BROKEN: u64 = 20_000;
 /// Bytes of a page, as Linux counts resident memory on this machine's kind.
