Bad input: every refusal is counted and logged once; a second head that never ends no longer holds its connection

Cause: tests of bad input against one entry found five faults. (1) What the HTTP library refuses itself (head too large 431, broken framing 400, slow first head 408) and connections beyond the bound were neither counted nor logged. (2) After a first request, a head that was begun and never finished held its connection: beyond 10 s with the default keep-alive, beyond 5 s with one of 200 ms. (3) Refusals were not logged at all. (4) Refused or closed peer links were not counted. (5) Connections to the peers' listener that had not shown the secret were not bounded in number. Ruled out: the library's own timers (its head timeout covers only the first head, its keep-alive timer does not run while a partial head is buffered); cutting by time since the last byte (a trickle would pass; a long stream would be cut). Change: `http::Server` tells an observer of refusals that no handler saw; `http::idle` ends a connection that has had no request at work for keep-alive plus head timeout, bodies of answers included; one log line and one count a refusal in `filters::respond`; peer links tell secret, malformed and slow apart, and at most 256 may be opening at once. Conclusion: typed status, counted, logged once, others served meanwhile. Left: the library's own refusals carry a status but no problem body, and a connection closed by the library's keep-alive timer within a second head is not counted.

--- a/crates/pinereel/src/entry.rs
+++ b/crates/pinereel/src/entry.rs
@@ -4,6 +4,7 @@
     callers,
     controllers::{claims, config, drain, endpoints, lots, members, rollout, weights},
     dispatch,
+    filters::respond,
     http::{self, Server},
     logging, objects, operators,
     peer::{Identity, Mesh},
@@ -166,11 +167,14 @@
         connections: shared.settings.limits.connections,
         ..http::Options::default()
     };
-    let shared = Rc::clone(shared);
-    Server::start(listener, options, move |request| {
-        handler(Rc::clone(&shared), request)
+    let state = Rc::clone(shared);
+    let server = Server::start(listener, options, move |request| {
+        handler(Rc::clone(&state), request)
     })
-    .await
+    .await?;
+    let state = Rc::clone(shared);
+    server.observe(move |code| respond::refused(&state, code, "by the listener"));
+    Ok(server)
 }
 
 fn serve_peers(shared: &Rc<Shared>) {
@@ -181,6 +185,9 @@
     let summaries = Rc::clone(shared);
     let observer = move |from: &_, summary| dispatch::hear(&summaries, from, summary);
     shared.mesh.serve(Rc::new(handler), Rc::new(observer));
+    let state = Rc::clone(shared);
+    let refusal = move |code| respond::refused(&state, code, "by the peers' listener");
+    shared.mesh.observe(refusal);
     spawn(shared, async |shared: Rc<Shared>| {
         loop {
             shared.mesh.tell(|to| dispatch::summary(&shared, to));
--- a/crates/pinereel/src/filters/respond.rs
+++ b/crates/pinereel/src/filters/respond.rs
@@ -6,14 +6,20 @@
     state::Shared,
 };
 use actix_http::header::{HeaderName, HeaderValue};
-use pinereel_api::{Problem, header};
+use pinereel_api::{Problem, header, problem::Code};
 
-/// The answer for a problem, counted by its code.
+/// The answer for a problem, counted by its code and logged.
 pub fn problem(shared: &Shared, problem: &Problem) -> Response {
-    shared.metrics.refuse(problem.code);
+    refused(shared, problem.code, &problem.message);
     http::problem(problem)
 }
 
+/// Counts and logs a refusal.
+pub fn refused(shared: &Shared, code: Code, why: &str) {
+    shared.metrics.refuse(code);
+    log::info!(entry = shared.name().as_str(), code:serde; "refused: {why}");
+}
+
 /// Adds the request's id and configuration number to an answer.
 pub fn stamp(exchange: &Exchange, response: &mut Response) {
     let headers = response.headers_mut();
--- a/crates/pinereel/src/http/mod.rs
+++ b/crates/pinereel/src/http/mod.rs
@@ -6,6 +6,7 @@
 mod answer;
 mod body;
 mod hold;
+mod idle;
 mod server;
 
 pub use answer::{empty, event_stream, json, problem, problem_status, text};
--- a/crates/pinereel/src/http/server.rs
+++ b/crates/pinereel/src/http/server.rs
@@ -1,10 +1,23 @@
 //! The accept loop of one listener.
 
-use super::{Request, Response};
-use actix_http::{HttpService, KeepAlive};
+use super::{Request, Response, idle::Idle};
+use actix_http::{
+    Extensions, HttpService, KeepAlive,
+    error::{DispatchError, ParseError},
+};
 use actix_service::{Service as _, ServiceFactory as _, fn_service};
+use pinereel_api::problem::Code;
 use std::{
-    cell::Cell, convert::Infallible, future::Future, io, net::SocketAddr, rc::Rc, time::Duration,
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    convert::Infallible,
+    fmt,
+    future::Future,
+    io,
+    net::SocketAddr,
+    os::fd::{AsRawFd as _, RawFd},
+    rc::Rc,
+    time::Duration,
 };
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -39,8 +52,14 @@
     }
 }
 
+/// Hears why the listener itself refused a request or a connection.
+type Observer = Rc<dyn Fn(Code)>;
+
+/// Connections on their way to the library, by file descriptor.
+type Opened = RefCell<BTreeMap<RawFd, Rc<Idle>>>;
+
 /// A running listener. Dropping it does not stop it; [`Server::stop`] does.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Server {
     /// The bound address.
     pub address: SocketAddr,
@@ -52,6 +71,17 @@
     open: Rc<Cell<usize>>,
     /// Connections closed because of the bound.
     refused: Rc<Cell<u64>>,
+    /// Hears the refusals that no handler sees.
+    observer: Rc<RefCell<Option<Observer>>>,
+}
+
+impl fmt::Debug for Server {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Server")
+            .field("address", &self.address)
+            .field("open", &self.open)
+            .finish_non_exhaustive()
+    }
 }
 
 impl Server {
@@ -73,15 +103,30 @@
             close,
             open: Rc::new(Cell::new(0)),
             refused: Rc::new(Cell::new(0)),
+            observer: Rc::default(),
         };
+        let opened: Rc<Opened> = Rc::default();
+        let known = Rc::clone(&opened);
         let factory = HttpService::build()
             .client_request_timeout(options.head_timeout)
             .client_disconnect_timeout(Duration::from_secs(1))
             .keep_alive(KeepAlive::Timeout(options.keep_alive))
             .h1_allow_half_closed(options.half_closed)
+            .on_connect_ext(move |stream: &TcpStream, data: &mut Extensions| {
+                if let Some(idle) = known.borrow_mut().remove(&stream.as_raw_fd()) {
+                    data.insert(idle);
+                }
+            })
             .h1(fn_service(move |request: Request| {
+                let busy = request.conn_data::<Rc<Idle>>().map(Idle::enter);
                 let answer = handler(request);
-                async move { Ok::<_, Infallible>(answer.await) }
+                async move {
+                    let answer = answer.await;
+                    Ok::<_, Infallible>(match busy {
+                        Some(busy) => busy.hold(answer),
+                        None => answer,
+                    })
+                }
             }))
             .tcp();
         let service = factory
@@ -89,11 +134,20 @@
             .await
             .map_err(|()| io::Error::other("listener set-up failed"))?;
         let service = Rc::new(service);
-        let serve = move |stream: TcpStream| {
+        let serve = move |stream: TcpStream, idle: Rc<Idle>| {
             let service = Rc::clone(&service);
+            // Taken out when the library takes the connection, so no descriptor stands here twice.
+            opened
+                .borrow_mut()
+                .insert(stream.as_raw_fd(), Rc::clone(&idle));
             async move {
-                // A connection's error is its client's affair; requests have had their answers.
-                let _ = service.call(stream).await;
+                // Requests that reached the handler have had their answers; the others are told of.
+                match service.call(stream).await {
+                    Err(error) => refusal(error),
+                    Ok(()) => idle
+                        .never_served(options.head_timeout)
+                        .then_some(Code::SlowSender),
+                }
             }
         };
         actix_rt::spawn(accept(
@@ -107,6 +161,19 @@
         Ok(server)
     }
 
+    /// Sets who hears of the requests and connections that the listener refuses before any handler:
+    /// a malformed or too large head, a head that comes too slowly, one connection too many.
+    pub fn observe(&self, observer: impl Fn(Code) + 'static) {
+        self.observer.replace(Some(Rc::new(observer)));
+    }
+
+    fn tell(&self, code: Code) {
+        let observer = self.observer.borrow().clone();
+        if let Some(observer) = observer {
+            observer(code);
+        }
+    }
+
     /// Stops accepting. Open connections go on.
     pub fn stop(&self) {
         self.stop.send_replace(true);
@@ -129,6 +196,18 @@
     }
 }
 
+/// Why the library refused a request that no handler saw, by the error that ended its connection.
+fn refusal(error: DispatchError) -> Option<Code> {
+    match error {
+        DispatchError::Parse(ParseError::TooLarge) => Some(Code::TooLarge),
+        // The client went away between requests or within a head: nobody was refused.
+        DispatchError::Parse(ParseError::Io(_) | ParseError::Incomplete) => None,
+        DispatchError::Parse(_) => Some(Code::BadRequest),
+        DispatchError::SlowRequestTimeout => Some(Code::SlowSender),
+        _ => None,
+    }
+}
+
 /// Accepts until stopped and spawns a task a connection.
 async fn accept<S, F>(
     listener: TcpListener,
@@ -138,8 +217,8 @@
     closed: watch::Receiver<bool>,
     serve: S,
 ) where
-    S: Fn(TcpStream) -> F + 'static,
-    F: Future<Output = ()> + 'static,
+    S: Fn(TcpStream, Rc<Idle>) -> F + 'static,
+    F: Future<Output = Option<Code>> + 'static,
 {
     loop {
         let accepted = tokio::select! {
@@ -152,20 +231,28 @@
         };
         if server.open.get() >= options.connections {
             server.refused.set(server.refused.get() + 1);
+            server.tell(Code::Overloaded);
             continue;
         }
         // Small answers must not wait for more data.
         let _ = stream.set_nodelay(true);
         server.open.set(server.open.get() + 1);
-        let open = Rc::clone(&server.open);
-        let connection = serve(stream);
+        let server = server.clone();
+        let idle = Idle::new();
+        let connection = serve(stream, Rc::clone(&idle));
         let mut closed = closed.clone();
         actix_rt::spawn(async move {
             tokio::select! {
-                () = connection => {}
+                refusal = connection => if let Some(code) = refusal {
+                    server.tell(code);
+                },
+                // The library ends what is idle after `keep_alive`; what is left sends a head slowly.
+                () = idle.over(options.keep_alive + options.head_timeout) => {
+                    server.tell(Code::SlowSender);
+                }
                 _ = closed.wait_for(|close| *close) => {}
             }
-            open.set(open.get() - 1);
+            server.open.set(server.open.get() - 1);
         });
     }
 }
--- a/crates/pinereel/src/peer/link.rs
+++ b/crates/pinereel/src/peer/link.rs
@@ -144,37 +144,52 @@
     matches!(sent, Ok(Ok(())))
 }
 
-/// Reads one frame; `None` if the link is silent, closed or breaks the protocol.
+/// Why no further frame comes over a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Ended {
+    /// It is silent or closed.
+    Gone,
+    /// What came breaks the protocol.
+    Malformed,
+}
+
+/// Reads one frame.
+///
+/// # Errors
+/// The link is to be closed.
 pub(super) async fn read(
     socket: &mut (impl Stream<Item = Result<Message, SocketError>> + Unpin),
-) -> Option<(Frame, usize)> {
+) -> Result<(Frame, usize), Ended> {
     loop {
-        let message = timeout(SILENCE, socket.next()).await.ok()??.ok()?;
-        let Message::Binary(bytes) = message else {
-            // Pings and pongs are the library's affair; text is not of this protocol.
-            if message.is_text() || message.is_close() {
-                return None;
+        let next = timeout(SILENCE, socket.next()).await;
+        let message = match next {
+            Ok(Some(Ok(message))) => message,
+            Ok(Some(Err(SocketError::Capacity(_) | SocketError::Utf8(_)))) => {
+                return Err(Ended::Malformed);
             }
-            continue;
+            _ => return Err(Ended::Gone),
         };
-        return match Frame::decode(&bytes) {
-            Ok(frame) => Some((frame, bytes.len())),
-            Err(e) => {
-                log::warn!("peer link closed: {e}");
-                None
+        match message {
+            Message::Binary(bytes) => {
+                let frame = Frame::decode(&bytes).map_err(|_| Ended::Malformed)?;
+                return Ok((frame, bytes.len()));
             }
-        };
+            Message::Text(_) => return Err(Ended::Malformed),
+            Message::Close(_) => return Err(Ended::Gone),
+            // Pings and pongs are the library's affair.
+            _ => {}
+        }
     }
 }
 
 /// Exchanges `Hello`s on a new socket.
-pub(super) async fn greet(socket: &mut Socket, own: Hello) -> Option<Hello> {
-    let bytes = Frame::Hello(own).encode().ok()?;
+pub(super) async fn greet(socket: &mut Socket, own: Hello) -> Result<Hello, Ended> {
+    let bytes = Frame::Hello(own).encode().map_err(|_| Ended::Gone)?;
     if !write(socket, bytes).await {
-        return None;
+        return Err(Ended::Gone);
     }
     match read(socket).await? {
-        (Frame::Hello(hello), _) if hello.protocol == PROTOCOL => Some(hello),
-        _ => None,
+        (Frame::Hello(hello), _) if hello.protocol == PROTOCOL => Ok(hello),
+        _ => Err(Ended::Malformed),
     }
 }
--- a/crates/pinereel/src/peer/mesh.rs
+++ b/crates/pinereel/src/peer/mesh.rs
@@ -1,6 +1,6 @@
 //! All links of one entry.
 
-use super::link::{self, Call, Error, Link, Socket};
+use super::link::{self, Call, Ended, Error, Link, Socket};
 use compact_str::CompactString;
 use futures_util::{
     StreamExt as _,
@@ -9,6 +9,7 @@
 };
 use pinereel_api::{
     header::AUTHORIZATION,
+    problem::Code,
     wire::{Frame, Hello, PROTOCOL, Reply, Summary},
 };
 use std::{
@@ -42,6 +43,8 @@
 const LINK_PATH: &str = "/peer";
 /// Path of a connection for one call.
 const ONCE_PATH: &str = "/call";
+/// Most connections that are accepted and not links yet; further ones are closed at once.
+const MAX_OPENING: usize = 256;
 /// Most calls from one peer that are carried out at once; further frames wait in the socket.
 const MAX_SERVING: usize = 256;
 
@@ -90,6 +93,9 @@
     });
 }
 
+/// Hears why a link was refused or closed.
+type Refusal = Rc<dyn Fn(Code)>;
+
 /// The links. Clones share them.
 #[derive(Clone)]
 pub struct Mesh {
@@ -99,6 +105,7 @@
     dialing: Rc<RefCell<BTreeSet<CompactString>>>,
     handler: Rc<RefCell<Option<Handler>>>,
     observer: Rc<RefCell<Option<Observer>>>,
+    refusal: Rc<RefCell<Option<Refusal>>>,
     sent: Rc<Cell<Traffic>>,
     received: Rc<Cell<Traffic>>,
     closed: Rc<Cell<bool>>,
@@ -114,6 +121,7 @@
             dialing: Rc::default(),
             handler: Rc::default(),
             observer: Rc::default(),
+            refusal: Rc::default(),
             sent: Rc::default(),
             received: Rc::default(),
             closed: Rc::default(),
@@ -126,20 +134,40 @@
         self.observer.replace(Some(observer));
     }
 
+    /// Sets who hears of links that are refused, or closed for what came over them.
+    pub fn observe(&self, refusal: impl Fn(Code) + 'static) {
+        self.refusal.replace(Some(Rc::new(refusal)));
+    }
+
+    fn refused(&self, code: Code) {
+        let refusal = self.refusal.borrow().clone();
+        if let Some(refusal) = refusal {
+            refusal(code);
+        }
+    }
+
     /// Accepts links on `listener` until closed.
     pub fn listen(&self, listener: TcpListener) {
         let mesh = self.clone();
+        let opening = Arc::new(Semaphore::new(MAX_OPENING));
         actix_rt::spawn(async move {
             while !mesh.closed.get() {
                 let Ok((stream, _)) = listener.accept().await else {
                     sleep(DIAL_PAUSE).await;
                     continue;
                 };
+                let Ok(turn) = Arc::clone(&opening).try_acquire_owned() else {
+                    mesh.refused(Code::Overloaded);
+                    continue;
+                };
                 let mesh = mesh.clone();
                 actix_rt::spawn(async move {
                     let opened = timeout(OPEN_TIMEOUT, mesh.accept(stream)).await;
-                    if let Ok(Some((socket, hello, once))) = opened {
-                        mesh.run(socket, hello, once).await;
+                    drop(turn);
+                    match opened {
+                        Ok(Ok((socket, hello, once))) => mesh.run(socket, hello, once).await,
+                        Ok(Err(code)) => mesh.refused(code),
+                        Err(_) => mesh.refused(Code::SlowSender),
                     }
                 });
             }
@@ -196,7 +224,7 @@
                 return Err(Error::Closed);
             }
             match link::read(&mut socket).await {
-                Some((Frame::Reply { body, .. }, _)) => Ok(body),
+                Ok((Frame::Reply { body, .. }, _)) => Ok(body),
                 _ => Err(Error::Closed),
             }
         };
@@ -260,13 +288,19 @@
         let (mut socket, _) = client_async_with_config(request, stream, config)
             .await
             .ok()?;
-        let hello = link::greet(&mut socket, self.hello()).await?;
+        let hello = link::greet(&mut socket, self.hello()).await.ok()?;
         Some((socket, hello))
     }
 
     /// Takes a connection; also tells whether it is for one call alone.
-    async fn accept(&self, stream: TcpStream) -> Option<(Socket, Hello, bool)> {
-        stream.set_nodelay(true).ok()?;
+    ///
+    /// # Errors
+    /// It is refused, with the code for the counter.
+    async fn accept(&self, stream: TcpStream) -> Result<(Socket, Hello, bool), Code> {
+        // Without it frames are only later.
+        let _ = stream.set_nodelay(true);
+        let stranger = Rc::new(Cell::new(false));
+        let unknown = Rc::clone(&stranger);
         let once = Rc::new(Cell::new(false));
         let seen = Rc::clone(&once);
         let secret = self.identity.secret.clone();
@@ -283,16 +317,23 @@
                 if given.is_some_and(|given| same(given, secret.as_bytes())) {
                     return Ok(response);
                 }
-                log::warn!("peer link refused: wrong secret");
+                unknown.set(true);
                 let mut refusal = ErrorResponse::new(None);
                 *refusal.status_mut() = StatusCode::UNAUTHORIZED;
                 Err(refusal)
             };
         let mut socket = accept_hdr_async_with_config(stream, check, config)
             .await
-            .ok()?;
-        let hello = link::greet(&mut socket, self.hello()).await?;
-        Some((socket, hello, once.get()))
+            .map_err(|_| match stranger.get() {
+                true => Code::Unauthorized,
+                false => Code::BadRequest,
+            })?;
+        let hello = link::greet(&mut socket, self.hello()).await;
+        let hello = hello.map_err(|ended| match ended {
+            Ended::Gone => Code::SlowSender,
+            Ended::Malformed => Code::BadRequest,
+        })?;
+        Ok((socket, hello, once.get()))
     }
 
     /// Runs a link until it ends. One for a single call is not used for calls from here.
@@ -308,7 +349,9 @@
         let (mut sink, mut stream) = socket.split();
         tokio::select! {
             () = self.write_all(&mut sink, frames) => {}
-            () = self.read_all(&mut stream, &link) => {}
+            ended = self.read_all(&mut stream, &link) => if ended == Ended::Malformed {
+                self.refused(Code::BadRequest);
+            },
         }
         link.close();
         let mut links = self.links.borrow_mut();
@@ -331,15 +374,19 @@
         }
     }
 
-    async fn read_all(&self, stream: &mut SplitStream<Socket>, link: &Link) {
+    async fn read_all(&self, stream: &mut SplitStream<Socket>, link: &Link) -> Ended {
         let serving = Arc::new(Semaphore::new(MAX_SERVING));
-        while let Some((frame, size)) = link::read(stream).await {
+        loop {
+            let (frame, size) = match link::read(stream).await {
+                Ok(read) => read,
+                Err(ended) => return ended,
+            };
             if self.closed.get() {
-                return;
+                return Ended::Gone;
             }
             count(&self.received, size);
             match frame {
-                Frame::Hello(_) => return,
+                Frame::Hello(_) => return Ended::Malformed,
                 Frame::Digest(summary) => {
                     let observer = self.observer.borrow().clone();
                     if let Some(observer) = observer {
--- a/crates/pinereel_fakes/src/site.rs
+++ b/crates/pinereel_fakes/src/site.rs
@@ -22,7 +22,7 @@
 /// Token of the operators' listeners.
 pub const TOKEN: &str = "operators-of-the-demo";
 /// Secret of the links between entries.
-const SECRET: &str = "entries-of-the-demo-only";
+pub const SECRET: &str = "entries-of-the-demo-only";
 
 /// What a site is made of.
 #[derive(Clone, Debug)]
