Entries work with a subset of the endpoints and follow the platform's list by watch

Cause: each entry listed instances and weights twice a second, asked every engine four times a second, and its runner looked at each pair of endpoints at each of these reports, also without any work. Ruled out: the number of connections (one entry to one shared listener) and the rollout's ticks; neither shows in the profile. Change: the runner looks for work only while a sample waits or runs. The subset of the settings is in force by endpoint::subset, and a rollout's holder takes engines beyond its own subset from the platform's list. Load reports are at most 64 a second; up to 16 engines stay at four each. An engine that moved to other entries' subsets finishes what runs there.

--- a/crates/pinereel/src/controllers/endpoints.rs
+++ b/crates/pinereel/src/controllers/endpoints.rs
@@ -1,20 +1,20 @@
 //! The endpoints that this entry routes to: the platform's list, load reports, what attempts show.
 
-use super::members;
+use super::instances;
 use crate::{
+    controllers::config::Pin,
     engines,
     logging::{Decision, RunnerUp, What},
-    objects::Purpose,
     settings::Routing,
     state::{Shared, spawn},
 };
 use compact_str::CompactString;
-use pinereel_api::object::{INSTANCES, Instance, Presence};
+use pinereel_api::object::{Instance, Presence};
 use pinereel_core::{
-    Time,
+    Time, Version,
     config::Kind,
     endpoint::{self, Change, End, Event, Key, Report, Set},
-    lot,
+    hash, lot,
     route::{self, Choice, Policy, Refusal, Request},
 };
 use std::{
@@ -25,14 +25,14 @@
 };
 use tokio::{sync::Notify, time::sleep};
 
-/// Pause between lists of the platform's instances.
-const LIST_PAUSE: Duration = Duration::from_millis(500);
-/// Pause between load reports of one engine.
+/// Pause between looks whether the configuration or the entries have changed.
+const LOOK: Duration = Duration::from_millis(500);
+/// Shortest pause between load reports of one engine.
 const REPORT_PAUSE: Duration = Duration::from_millis(250);
+/// Load reports a second of all engines together; more engines report less often.
+const REPORTS_PER_SECOND: u32 = 64;
 /// Longest wait for a load report.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Pool name of the entries themselves in the platform's list.
-const ENTRY_POOL: &str = "entry";
 
 /// The controller's state.
 #[derive(Default)]
@@ -40,8 +40,10 @@
     set: RefCell<Set>,
     policy: RefCell<Policy>,
     polled: RefCell<BTreeSet<CompactString>>,
-    /// Whether the platform's list was read since the start.
-    listed: Cell<bool>,
+    /// The platform's list.
+    pub list: instances::List,
+    /// Revision of the list that the set is in line with.
+    applied: Cell<u64>,
     /// Told whenever an endpoint may have room that had none.
     pub room: Notify,
 }
@@ -107,7 +109,7 @@
 impl Endpoints {
     /// Whether the platform's list was read since the start.
     pub fn are_listed(&self) -> bool {
-        self.listed.get()
+        self.applied.get() > 0
     }
 
     /// The endpoints, to look at.
@@ -115,6 +117,11 @@
         self.set.borrow()
     }
 
+    /// Whether the set is in line with all that the platform's list says.
+    pub fn settled(&self) -> bool {
+        self.applied.get() > 0 && self.applied.get() == self.list.revision()
+    }
+
     /// Chooses an endpoint; changes nothing.
     pub fn choose(&self, shared: &Shared, request: &Request<'_>) -> Result<Choice, Refusal> {
         route::choose(
@@ -194,11 +201,32 @@
 pub fn start(shared: &Rc<Shared>) {
     shared.endpoints.policy.replace(policy(shared));
     spawn(shared, async |shared: Rc<Shared>| {
-        loop {
-            refresh(&shared).await;
-            sleep(LIST_PAUSE).await;
-        }
+        instances::run(&shared).await;
     });
+    spawn(shared, async |shared: Rc<Shared>| keep(&shared).await);
+}
+
+/// Brings the set in line whenever the platform's list, the configuration or the entries change.
+async fn keep(shared: &Rc<Shared>) {
+    let mut last = None;
+    loop {
+        let entries = instances::Entries::of(shared);
+        let revision = shared.endpoints.list.revision();
+        if let Some(pin) = shared.config.pin()
+            && revision > 0
+        {
+            let basis = (revision, pin.number, entries);
+            if last.as_ref() != Some(&basis) {
+                apply(shared, &pin, &basis.2);
+                shared.endpoints.applied.set(revision);
+                last = Some(basis);
+            }
+        }
+        tokio::select! {
+            () = shared.endpoints.list.changed.notified() => {}
+            () = sleep(LOOK) => {}
+        }
+    }
 }
 
 fn policy(shared: &Shared) -> Policy {
@@ -213,34 +241,25 @@
     }
 }
 
-async fn refresh(shared: &Rc<Shared>) {
-    let list = shared.objects.list(Purpose::Instances, INSTANCES, "").await;
-    let (Ok(list), Some(pin)) = (list, shared.config.pin()) else {
-        return;
+fn apply(shared: &Rc<Shared>, pin: &Pin, entries: &instances::Entries) {
+    let held: BTreeMap<_, _> = {
+        let names = instances::held(shared, entries);
+        let listed = shared.endpoints.list.endpoints();
+        let found = names.into_iter().map(|name| {
+            let instance = listed[&name].clone();
+            (name, instance)
+        });
+        found.collect()
     };
-    let mut entries = BTreeMap::new();
-    let mut listed = BTreeMap::new();
-    for object in list.items {
-        let Ok(instance) = serde_json::from_value::<Instance>(object.value) else {
-            log::error!("instance {} unreadable", object.name);
-            continue;
-        };
-        if instance.pool == ENTRY_POOL {
-            entries.insert(object.name, instance);
-        } else {
-            listed.insert(object.name, instance);
-        }
-    }
-    members::platform(shared, &entries);
     let gone: Vec<_> = {
         let set = shared.endpoints.set();
         let names = set.iter().map(|(_, e)| e.name.clone());
-        names.filter(|name| !listed.contains_key(name)).collect()
+        names.filter(|name| !held.contains_key(name)).collect()
     };
     for name in gone {
         step(shared, Event::Unlisted { name });
     }
-    for (name, instance) in listed {
+    for (name, instance) in held {
         let pool = pin.document.pools.get(&instance.pool);
         let slots = pool.map_or(1, |pool| pool.slots);
         let engine = pool.is_some_and(|pool| pool.kind == Kind::Engine);
@@ -249,7 +268,6 @@
             spawn(shared, async move |shared| poll(&shared, name).await);
         }
     }
-    shared.endpoints.listed.set(true);
 }
 
 fn listing(name: &CompactString, instance: Instance, slots: u32) -> endpoint::Instance {
@@ -266,6 +284,8 @@
 
 /// Reads one engine's state until it is no more listed.
 async fn poll(shared: &Rc<Shared>, name: CompactString) {
+    // Engines that were listed together are asked one after the other from the second time on.
+    let mut spread = f64::from(hash::stable(name.as_bytes()) as u32) / f64::from(u32::MAX);
     loop {
         let found = shared
             .endpoints
@@ -294,10 +314,36 @@
             );
         }
         offer(shared, &name);
-        sleep(REPORT_PAUSE).await;
+        sleep(report_pause(shared).mul_f64(spread)).await;
+        spread = 1.0;
     }
     shared.endpoints.polled.borrow_mut().remove(&name);
-    crate::controllers::lots::step(shared, lot::Event::Gone { endpoint: name });
+    withdraw(shared, name);
+}
+
+/// Pause between load reports of one engine, so that all together keep their rate.
+fn report_pause(shared: &Shared) -> Duration {
+    let engines = shared.endpoints.polled.borrow().len();
+    let engines = u32::try_from(engines).unwrap_or(u32::MAX);
+    let pause = Duration::from_secs(1) / REPORTS_PER_SECOND * engines;
+    pause.max(REPORT_PAUSE)
+}
+
+/// Tells the lots' runner that an engine is no more in the set. What runs on one that is still
+/// listed, but went to another entry's subset, may end there.
+fn withdraw(shared: &Rc<Shared>, name: CompactString) {
+    let listed = shared.endpoints.list.endpoints().contains_key(&name);
+    let event = if listed {
+        lot::Event::Offer(lot::Offer {
+            endpoint: name,
+            model: CompactString::default(),
+            version: Version::default(),
+            slots: 0,
+        })
+    } else {
+        lot::Event::Gone { endpoint: name }
+    };
+    crate::controllers::lots::step(shared, event);
 }
 
 /// Tells the lots' runner what an engine has to offer.
--- /dev/null
+++ b/crates/pinereel/src/controllers/instances.rs
@@ -0,0 +1,143 @@
+//! The platform's list of instances, and which of its endpoints this entry works with.
+//!
+//! An entry knows all that are listed, since the holder of a rollout's lease needs them, but keeps
+//! state, connections and load reports only for its subset of each pool.
+
+use super::{
+    follow::{Update, follow},
+    members,
+};
+use crate::{objects::Purpose, state::Shared};
+use compact_str::CompactString;
+use pinereel_api::object::{INSTANCES, Instance, Object};
+use pinereel_core::{
+    endpoint::subset::{self, Cover, Entry},
+    member::State,
+};
+use serde_json::Value;
+use std::{
+    cell::{Cell, Ref, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+};
+use tokio::sync::Notify;
+
+/// Pool name of the entries themselves in the platform's list.
+const ENTRY_POOL: &str = "entry";
+
+/// The list as last told.
+#[derive(Debug, Default)]
+pub struct List {
+    endpoints: RefCell<BTreeMap<CompactString, Instance>>,
+    entries: RefCell<BTreeMap<CompactString, Instance>>,
+    /// Counts what was told; 0 before the list was read.
+    revision: Cell<u64>,
+    /// Told whenever something changed.
+    pub(super) changed: Notify,
+}
+
+impl List {
+    /// Listed endpoints by name, whether this entry works with them or not.
+    pub fn endpoints(&self) -> Ref<'_, BTreeMap<CompactString, Instance>> {
+        self.endpoints.borrow()
+    }
+
+    /// Counts changes; 0 before the list was read.
+    pub const fn revision(&self) -> u64 {
+        self.revision.get()
+    }
+
+    fn put(&self, name: CompactString, value: Option<Value>) {
+        self.endpoints.borrow_mut().remove(&name);
+        self.entries.borrow_mut().remove(&name);
+        let Some(value) = value else { return };
+        match serde_json::from_value::<Instance>(value) {
+            Ok(instance) if instance.pool == ENTRY_POOL => {
+                self.entries.borrow_mut().insert(name, instance);
+            }
+            Ok(instance) => {
+                self.endpoints.borrow_mut().insert(name, instance);
+            }
+            Err(e) => log::error!("instance {name} unreadable: {e}"),
+        }
+    }
+
+    fn replace(&self, objects: Vec<Object>) {
+        self.endpoints.borrow_mut().clear();
+        self.entries.borrow_mut().clear();
+        for object in objects {
+            self.put(object.name, Some(object.value));
+        }
+    }
+}
+
+/// Follows the platform's list.
+pub(super) async fn run(shared: &Rc<Shared>) {
+    follow(shared, Purpose::Instances, INSTANCES, take).await;
+}
+
+fn take(shared: &Rc<Shared>, update: Update) {
+    let list = &shared.endpoints.list;
+    let changed = !matches!(&update, Update::Changes(changes) if changes.is_empty());
+    match update {
+        Update::All(objects) => list.replace(objects),
+        Update::Changes(changes) => {
+            for change in changes {
+                list.put(change.name, change.value);
+            }
+        }
+    }
+    // Also without a change: the list has just been confirmed.
+    members::platform(shared, &list.entries.borrow());
+    if changed {
+        list.revision.set(list.revision.get() + 1);
+        list.changed.notify_one();
+    }
+}
+
+/// The live entries, with their availability zones.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(super) struct Entries(BTreeMap<CompactString, CompactString>);
+
+impl Entries {
+    /// Those that this entry knows of, itself included.
+    pub(super) fn of(shared: &Shared) -> Self {
+        let view = shared.members.view();
+        let live = view
+            .entries()
+            .iter()
+            .filter(|(_, e)| e.state == State::Live);
+        let mut zones: BTreeMap<_, _> = live
+            .map(|(name, e)| (name.clone(), e.object.zone.clone()))
+            .collect();
+        zones.insert(shared.name().clone(), shared.zone().clone());
+        Self(zones)
+    }
+}
+
+/// Names of the endpoints that this entry works with.
+pub(super) fn held(shared: &Shared, entries: &Entries) -> Vec<CompactString> {
+    let listed = shared.endpoints.list.endpoints();
+    let size = shared.settings.policy.subset;
+    let all: Vec<_> = entries
+        .0
+        .iter()
+        .map(|(name, zone)| Entry { name, zone })
+        .collect();
+    let mut counts = BTreeMap::new();
+    for instance in listed.values() {
+        *counts.entry(&instance.pool).or_insert(0) += 1;
+    }
+    let covers: BTreeMap<&CompactString, Cover> = counts
+        .into_iter()
+        .map(|(pool, count)| (pool, subset::cover(all.len(), count, size)))
+        .collect();
+    let me = Entry {
+        name: shared.name(),
+        zone: shared.zone(),
+    };
+    let held = listed.iter().filter(|(name, instance)| {
+        subset::holds(me, &all, name, &instance.zone, covers[&instance.pool])
+    });
+    held.map(|(name, _)| name.clone()).collect()
+}
--- a/crates/pinereel/src/controllers/mod.rs
+++ b/crates/pinereel/src/controllers/mod.rs
@@ -4,6 +4,8 @@
 pub mod config;
 pub mod drain;
 pub mod endpoints;
+mod follow;
+pub mod instances;
 pub mod leases;
 pub mod lots;
 pub mod members;
--- a/crates/pinereel/src/controllers/rollout.rs
+++ b/crates/pinereel/src/controllers/rollout.rs
@@ -7,7 +7,10 @@
     state::{Shared, spawn},
 };
 use compact_str::{CompactString, format_compact};
-use pinereel_api::engine::{self, Order};
+use pinereel_api::{
+    engine::{self, Order},
+    object::Presence,
+};
 use pinereel_core::{
     config::Kind,
     endpoint::{Endpoint, State},
@@ -118,6 +121,12 @@
         step(shared, pool, is_listed);
         step(shared, pool, report);
     }
+    for event in beyond(shared, pool, &names) {
+        if let Event::Listed { name, .. } = &event {
+            names.insert(name.clone());
+        }
+        step(shared, pool, event);
+    }
     for name in listed.difference(&names) {
         step(shared, pool, Event::Unlisted { name: name.clone() });
     }
@@ -140,6 +149,21 @@
     [listed, report]
 }
 
+/// Engines of the pool that are listed, but belong to the subsets of other entries alone.
+fn beyond(shared: &Shared, pool: &str, held: &BTreeSet<CompactString>) -> Vec<Event> {
+    let listed = shared.endpoints.list.endpoints();
+    let others = listed
+        .iter()
+        .filter(|(name, instance)| instance.pool == pool && !held.contains(*name));
+    let events = others.map(|(name, instance)| Event::Listed {
+        name: name.clone(),
+        zone: instance.zone.clone(),
+        outstanding: 0,
+        leaving: instance.state == Presence::Leaving,
+    });
+    events.collect()
+}
+
 fn step(shared: &Rc<Shared>, pool: &CompactString, event: Event) {
     let actions = {
         let mut pools = shared.rollout.pools.borrow_mut();
@@ -232,8 +256,12 @@
 }
 
 fn address(shared: &Shared, name: &str) -> Option<CompactString> {
-    let set = shared.endpoints.set();
-    set.find(name).map(|(_, engine)| engine.address.clone())
+    let held = shared.endpoints.set();
+    if let Some((_, engine)) = held.find(name) {
+        return Some(engine.address.clone());
+    }
+    let listed = shared.endpoints.list.endpoints();
+    listed.get(name).map(|instance| instance.address.clone())
 }
 
 fn sight(state: &engine::State) -> Sight {
--- a/crates/pinereel/src/controllers/weights.rs
+++ b/crates/pinereel/src/controllers/weights.rs
@@ -1,35 +1,46 @@
 //! The newest published version of each model, as the object API tells.
 
-use super::lots::{self, front::Weights};
+use super::{
+    follow::{Update, follow},
+    lots::{self, front::Weights},
+};
 use crate::{
     objects::Purpose,
     state::{Shared, spawn},
 };
+use compact_str::CompactString;
 use pinereel_api::object::WEIGHTS;
-use std::{rc::Rc, time::Duration};
-use tokio::time::sleep;
-
-/// Pause between lists.
-const PAUSE: Duration = Duration::from_millis(500);
+use serde_json::Value;
+use std::rc::Rc;
 
 /// Starts the controller.
 pub fn start(shared: &Rc<Shared>) {
     spawn(shared, async |shared: Rc<Shared>| {
-        loop {
-            refresh(&shared).await;
-            sleep(PAUSE).await;
-        }
+        follow(&shared, Purpose::Weights, WEIGHTS, take).await;
     });
 }
 
-async fn refresh(shared: &Rc<Shared>) {
-    let Ok(list) = shared.objects.list(Purpose::Weights, WEIGHTS, "").await else {
-        return;
-    };
-    for object in list.items {
-        match serde_json::from_value::<Weights>(object.value) {
-            Ok(weights) => lots::published(shared, &object.name, weights.version),
-            Err(e) => log::error!("weights of {} unreadable: {e}", object.name),
+fn take(shared: &Rc<Shared>, update: Update) {
+    match update {
+        Update::All(objects) => {
+            for object in objects {
+                published(shared, &object.name, object.value);
+            }
+        }
+        Update::Changes(changes) => {
+            for change in changes {
+                // A version that was published stays so, also without its object.
+                if let Some(value) = change.value {
+                    published(shared, &change.name, value);
+                }
+            }
         }
     }
 }
+
+fn published(shared: &Rc<Shared>, model: &CompactString, value: Value) {
+    match serde_json::from_value::<Weights>(value) {
+        Ok(weights) => lots::published(shared, model, weights.version),
+        Err(e) => log::error!("weights of {model} unreadable: {e}"),
+    }
+}
--- a/crates/pinereel_core/src/lot/runner.rs
+++ b/crates/pinereel_core/src/lot/runner.rs
@@ -112,7 +112,7 @@
             Event::Tick => self.tick(now),
         }
         // A chunk that ends nothing frees no slot: the common case stays cheap.
-        if !quiet || self.attempts.len() != running {
+        if (!quiet || self.attempts.len() != running) && self.has_work() {
             self.dispatch(now);
         }
         mem::take(&mut self.actions)
@@ -133,6 +133,12 @@
         self.attempts.len() + self.scorings.len()
     }
 
+    /// Whether a sample waits or runs. If not, looking at each endpoint would be in vain.
+    fn has_work(&self) -> bool {
+        let waits = || self.lots.values().any(|lot| !lot.queue.is_empty());
+        !self.attempts.is_empty() || waits()
+    }
+
     fn offer(&mut self, offer: Offer) {
         let known = self.endpoints.get(&offer.endpoint);
         let (running, speed) = known.map_or_else(Default::default, |e| (e.running, e.speed));
--- a/crates/pinereel_core/src/lot/schedule.rs
+++ b/crates/pinereel_core/src/lot/schedule.rs
@@ -24,24 +24,45 @@
         if self.draining {
             return;
         }
+        // A start changes no speed.
+        let slow = self.slow(now);
         let mut useless = BTreeSet::new();
-        while let Some(endpoint) = self.freest(now, &useless) {
+        while let Some((sample, endpoint)) = self.next_start(now, &slow, &mut useless) {
+            self.start(now, sample, &endpoint);
+        }
+    }
+
+    /// What starts next, and where. Endpoints that nothing can start on become `useless`; each is
+    /// looked at once, since that does not change while slots only fill.
+    fn next_start(
+        &self,
+        now: Time,
+        slow: &BTreeSet<CompactString>,
+        useless: &mut BTreeSet<CompactString>,
+    ) -> Option<(SampleKey, CompactString)> {
+        for endpoint in self.free(slow, useless) {
             let queued = self.choose(now, &endpoint);
-            let twin = || self.straggler(now, &endpoint);
-            match queued.or_else(twin) {
-                Some(sample) => self.start(now, sample, &endpoint),
-                None => drop(useless.insert(endpoint)),
+            let sample = queued.or_else(|| self.straggler(now, &endpoint));
+            if let Some(sample) = sample {
+                return Some((sample, endpoint));
             }
+            useless.insert(endpoint);
         }
+        None
     }
 
-    fn freest(&self, now: Time, useless: &BTreeSet<CompactString>) -> Option<CompactString> {
+    /// Endpoints with free slots that are not `useless`, the one to fill first in front.
+    fn free(
+        &self,
+        slow: &BTreeSet<CompactString>,
+        useless: &BTreeSet<CompactString>,
+    ) -> Vec<CompactString> {
         let all = self.endpoints.iter();
         let free = all.filter(|(key, e)| e.running < e.offer.slots && !useless.contains(*key));
         // Runners that all prefer the same endpoint among equals would fill it together.
         let turn = self.stats.started;
-        let slow = self.slow(now);
-        let best = free.min_by_key(|(key, e)| {
+        let mut free: Vec<_> = free.collect();
+        free.sort_by_cached_key(|(key, e)| {
             let tie = if self.policy.spread {
                 hash::score(turn, key)
             } else {
@@ -50,7 +71,7 @@
             let slow = slow.contains(*key);
             (slow, e.running, Reverse(e.offer.version), tie)
         });
-        best.map(|(key, _)| key.clone())
+        free.into_iter().map(|(key, _)| key.clone()).collect()
     }
 
     /// Endpoints that are much slower than most, by the attempts of this runner. Live requests
--- a/crates/pinereel_fakes/src/site.rs
+++ b/crates/pinereel_fakes/src/site.rs
@@ -204,8 +204,9 @@
                 let links = shared.mesh.linked().len() + 1;
                 let linked = links >= count || (count > FULL_MESH && links > 1);
                 let met = shared.members.view().entries().len() >= count;
-                let endpoints = shared.endpoints.set().iter().count();
-                let known = endpoints >= self.engines.len() + self.services.len();
+                let endpoints = shared.endpoints.list.endpoints().len();
+                let all = endpoints >= self.engines.len() + self.services.len();
+                let known = all && shared.endpoints.settled();
                 linked && met && known && pinereel::filters::pin::ready(shared).is_ok()
             })
         };
