--- a/crates/pinereel_fakes/src/bin/pinereel-fakes.rs
+++ b/crates/pinereel_fakes/src/bin/pinereel-fakes.rs
@@ -3,7 +3,7 @@
 use lexopt::{Arg::Long, Parser};
 use pinereel::settings::Settings;
 use pinereel_fakes::{
-    demo, engine, experiment, load, object_api,
+    capacity, demo, engine, experiment, load, object_api,
     process::{self, Common, Error, value},
     service, trainer, weight_store,
 };
@@ -120,6 +120,12 @@
         flags: &[load::HELP],
         run: load::main,
     },
+    Tool {
+        name: "capacity",
+        summary: "slopes of state, messages, time and memory, and the two-year size",
+        flags: &[capacity::HELP],
+        run: capacity::main,
+    },
 ];
 
 fn main() -> ExitCode {
--- a/crates/pinereel_fakes/src/lib.rs
+++ b/crates/pinereel_fakes/src/lib.rs
@@ -11,8 +11,10 @@
 //! - [`launch`]: starting and signalling processes in tests.
 //! - [`process`]: what the stand-ins' processes have in common.
 //! - [`fault`]: what the stand-ins' faults have in common.
+//! - [`capacity`]: slopes of state, messages, processor time and memory.
 //! - [`experiment`]: policies against a baseline on the paused clock.
 
+pub mod capacity;
 pub mod cluster;
 pub mod demo;
 pub mod engine;
