Live requests pass the admission queue and the retry budget

Cause: the core's queue and retry budget were not in the live path: requests waited for room without a bound, retries had no budget, a deadline that passed in the queue was told as unknown, a silent engine used up ten seconds, a lost attempt followed by a refused one was told as not run, a caller that went away kept its engine, a stream that nobody read was counted for ever, a lot filled the room of live requests, a body still passing was not counted by the drain. Ruled out: a background timer for the queue (each waiting request ticks at its own deadline); giving a retry back to the queue (it would hold up all others of its priority until something changes). Change: controllers/queues.rs with one queue and one budget a pool; a turn frees its place when dropped; attempts cancelled at the engine when given up; silence bounded by a third of the time left; callers' listener drops what its caller left, but for calls that may not be repeated; bulk attempts yield room to live ones.

--- a/crates/pinereel/src/callers.rs
+++ b/crates/pinereel/src/callers.rs
@@ -2,13 +2,13 @@
 
 use crate::{
     controllers::{config::Pin, lots::front},
-    filters::{admit, completion, pin, refuse, respond, service},
+    filters::{admit, completion, pin, refuse, respond, service, unknown},
     http::{self, Request, Response},
     state::Shared,
 };
 use actix_http::{HttpMessage as _, Method, StatusCode};
 use compact_str::CompactString;
-use pinereel_api::{Problem, engine, problem::Code, trainer};
+use pinereel_api::{Problem, engine, header, problem::Code, trainer};
 use serde::Serialize;
 use std::rc::Rc;
 
@@ -93,7 +93,26 @@
         body: http::read(request, max, timeout).await?,
         repeatable: service::repeatable(&exchange, request.method(), path),
     };
-    Ok(service::serve(shared, exchange, call).await)
+    if may_be_dropped(&call) {
+        return Ok(service::serve(shared, exchange, call).await);
+    }
+    // A task of its own goes on when the caller is gone: it must not end halfway.
+    let shared = Rc::clone(shared);
+    let task = actix_rt::spawn(async move {
+        let _guard = shared.drain.enter();
+        service::serve(&shared, exchange, call).await
+    });
+    task.await
+        .map_err(|_| unknown(Code::Unknown, "the call ended early"))
+}
+
+/// Whether a call may end where it stands when its caller is gone.
+fn may_be_dropped(call: &service::Call) -> bool {
+    let keyed = call
+        .headers
+        .iter()
+        .any(|(name, _)| name == header::IDEMPOTENCY_KEY);
+    call.repeatable && !keyed
 }
 
 async fn submit(shared: &Rc<Shared>, request: &mut Request) -> Result<Response, Problem> {
--- a/crates/pinereel/src/controllers/endpoints.rs
+++ b/crates/pinereel/src/controllers/endpoints.rs
@@ -52,6 +52,8 @@
     key: Key,
     tokens: u32,
     started: Time,
+    /// Whether it is bulk work that the endpoint puts aside for a live request.
+    yields: bool,
     done: bool,
 }
 
@@ -85,6 +87,10 @@
         if std::mem::replace(&mut self.done, true) {
             return;
         }
+        if self.yields {
+            let key = self.key;
+            step(&self.shared, Event::Yielding { key, change: -1 });
+        }
         let took = self.shared.now().since(self.started);
         self.count(end);
         let event = Event::Finished {
@@ -134,10 +140,19 @@
         key,
         tokens,
         started: shared.now(),
+        yields: false,
         done: false,
     }
 }
 
+/// Counts an attempt of bulk work, which takes no room from live requests.
+pub fn begin_bulk(shared: &Rc<Shared>, key: Key, tokens: u32) -> Ticket {
+    let mut ticket = begin(shared, key, tokens);
+    step(shared, Event::Yielding { key, change: 1 });
+    ticket.yields = true;
+    ticket
+}
+
 /// Logs a routing decision with its runners-up.
 pub fn log_choice(shared: &Shared, request: &str, what: What, choice: &Choice, config: u64) {
     shared.metrics.decide(what);
--- a/crates/pinereel/src/controllers/mod.rs
+++ b/crates/pinereel/src/controllers/mod.rs
@@ -7,5 +7,6 @@
 pub mod leases;
 pub mod lots;
 pub mod members;
+pub mod queues;
 pub mod rollout;
 pub mod weights;
--- a/crates/pinereel/src/entry.rs
+++ b/crates/pinereel/src/entry.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     callers,
-    controllers::{claims, config, drain, endpoints, lots, members, rollout, weights},
+    controllers::{claims, config, drain, endpoints, lots, members, queues, rollout, weights},
     dispatch,
     http::{self, Server},
     logging, objects, operators,
@@ -103,8 +103,8 @@
         let shared = shared(settings);
         shared.mesh.listen(peers);
         serve_peers(&shared);
-        let callers = serve(&shared, callers, callers::serve).await?;
-        let operators = serve(&shared, operators, operators::serve).await?;
+        let callers = serve(&shared, callers, callers::serve, false).await?;
+        let operators = serve(&shared, operators, operators::serve, true).await?;
         let entry = Self {
             shared,
             callers,
@@ -124,6 +124,7 @@
             members::start(&shared);
             config::start(&shared);
             endpoints::start(&shared);
+            queues::start(&shared);
             lots::start(&shared);
             claims::start(&shared);
             weights::start(&shared);
@@ -157,6 +158,7 @@
     shared: &Rc<Shared>,
     listener: TcpListener,
     handler: fn(Rc<Shared>, http::Request) -> F,
+    half_closed: bool,
 ) -> io::Result<Server>
 where
     F: Future<Output = http::Response> + 'static,
@@ -164,6 +166,7 @@
     let options = http::Options {
         head_timeout: shared.settings.limits.read_timeout,
         connections: shared.settings.limits.connections,
+        half_closed,
         ..http::Options::default()
     };
     let shared = Rc::clone(shared);
@@ -223,6 +226,7 @@
         members: Default::default(),
         endpoints: Default::default(),
         lots: lots::Lots::new(Runner::new(Policy::default(), limits)),
+        queues: queues::Queues::new(incarnation),
         leases: Default::default(),
         rollout: Default::default(),
         claims: Default::default(),
--- a/crates/pinereel/src/filters/admit.rs
+++ b/crates/pinereel/src/filters/admit.rs
@@ -1,12 +1,19 @@
-//! Turns a caller's headers into an exchange with a deadline.
+//! Turns a caller's headers into an exchange with a deadline, and has it wait for its turn.
 
 use super::{Exchange, refuse};
-use crate::{controllers::config::Pin, http::Request, state::Shared};
+use crate::{
+    controllers::{
+        config::Pin,
+        queues::{self, Arrival, Refused, Turn},
+    },
+    http::Request,
+    state::Shared,
+};
 use actix_http::HttpMessage as _;
 use compact_str::CompactString;
 use pinereel_api::{Problem, header, problem::Code};
-use pinereel_core::route::Priority;
-use std::time::Duration;
+use pinereel_core::{admit::Reason, route::Priority};
+use std::{rc::Rc, time::Duration};
 
 /// Longest deadline that a caller may ask for.
 const MAX_DEADLINE: Duration = Duration::from_secs(3_600);
@@ -35,6 +42,37 @@
     })
 }
 
+/// Waits for the request's turn in its pool's queue.
+///
+/// # Errors
+/// `Overloaded` or `NoEndpoint`, at once or at the deadline; not run.
+pub async fn wait(shared: &Rc<Shared>, exchange: &Exchange) -> Result<Turn, Problem> {
+    let arrival = Arrival {
+        pool: exchange.pool.clone(),
+        id: exchange.id.clone(),
+        priority: exchange.priority,
+        deadline: exchange.deadline,
+        most: exchange.pin.document.limits.max_queue as usize,
+    };
+    queues::enter(shared, arrival).await.map_err(refused)
+}
+
+/// The answer to a request that was given up while it waited.
+pub fn refused(refused: Refused) -> Problem {
+    let (code, message) = match refused.reason {
+        Reason::QueueFull => (Code::Overloaded, "the queue is at its bound"),
+        Reason::TooLate => (Code::Overloaded, "it would be answered after its deadline"),
+        Reason::Expired => (Code::Overloaded, "the deadline passed while it waited"),
+        Reason::NoCapacity => (Code::NoEndpoint, "no endpoint of the pool takes requests"),
+    };
+    // Rounded up, so that nobody comes back too early.
+    let millis = refused.retry_after.as_micros().div_ceil(1_000);
+    Problem {
+        retry_after_ms: Some(u64::try_from(millis).unwrap_or(u64::MAX)),
+        ..refuse(code, message)
+    }
+}
+
 fn number(request: &Request, name: &'static str) -> Result<Option<u64>, Problem> {
     let Some(value) = request.headers().get(name) else {
         return Ok(None);
--- a/crates/pinereel/src/filters/attempt.rs
+++ b/crates/pinereel/src/filters/attempt.rs
@@ -1,10 +1,25 @@
-//! How attempts end, as far as it speaks about the endpoint.
+//! Attempts: how long one waits, how it ends, and that the engine hears of one that is given up.
 
-use crate::engines;
+use crate::{engines, state::Shared};
+use compact_str::CompactString;
+use pinereel_api::engine;
 use pinereel_core::endpoint::End;
+use std::{rc::Rc, time::Duration};
 
 /// Reason that an endpoint gives when it refuses because it is leaving.
 pub const LEAVING: &str = "leaving";
+/// Share of the time left that one silent endpoint may use up.
+const SHARE: u32 = 3;
+/// Least time that a silent endpoint gets.
+const LEAST: Duration = Duration::from_millis(500);
+/// Longest wait for a cancel.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Longest silence of an endpoint when `left` is left until the deadline, so that another endpoint
+/// can still answer.
+pub fn patience(left: Duration) -> Duration {
+    (left / SHARE).max(LEAST).min(left)
+}
 
 /// What an engine's error says about the engine.
 pub fn end_of(error: &engines::Error) -> End {
@@ -16,3 +31,52 @@
         engines::Error::Lost(_) | engines::Error::Malformed(_) => End::Failed,
     }
 }
+
+/// Whether the attempt may have run in spite of the error.
+pub fn may_have_run(error: &engines::Error) -> bool {
+    match error {
+        engines::Error::NotOpened(_) | engines::Error::Refused(_) => false,
+        engines::Error::Fenced | engines::Error::Lost(_) | engines::Error::Malformed(_) => true,
+    }
+}
+
+/// An attempt at an engine. Dropped before its end, it is cancelled there.
+pub struct Running {
+    shared: Rc<Shared>,
+    address: CompactString,
+    id: CompactString,
+    ended: bool,
+}
+
+impl Running {
+    /// An attempt that is about to be sent.
+    pub fn new(shared: &Rc<Shared>, address: &str, id: CompactString) -> Self {
+        Self {
+            shared: Rc::clone(shared),
+            address: address.into(),
+            id,
+            ended: false,
+        }
+    }
+
+    /// The engine has ended it or never got it.
+    pub fn ended(mut self) {
+        self.ended = true;
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        let shared = Rc::clone(&self.shared);
+        let address = std::mem::take(&mut self.address);
+        let request_id = std::mem::take(&mut self.id);
+        actix_rt::spawn(async move {
+            let cancel = engine::Cancel { request_id };
+            // A cancel that is lost costs tokens, nothing else.
+            let _ = engines::cancel(&shared.http, &address, &cancel, CANCEL_TIMEOUT).await;
+        });
+    }
+}
--- a/crates/pinereel/src/filters/completion.rs
+++ b/crates/pinereel/src/filters/completion.rs
@@ -1,33 +1,38 @@
 //! Live completions: attempts with retry and resume, whole answers or event streams.
 
 use super::{
-    Exchange, attempt, refuse, respond,
+    Exchange, admit,
+    attempt::{self, Running},
+    refuse, respond,
     route::{self, Wish},
+    shape::{self, Whole, stamp},
     unknown,
 };
 use crate::{
+    controllers::queues::Turn,
     engines::{self, Error},
     http::{self, Response},
     state::Shared,
 };
 use actix_http::StatusCode;
 use bytes::Bytes;
-use compact_str::{CompactString, format_compact};
-use futures_util::{StreamExt as _, stream};
+use compact_str::format_compact;
+use futures_util::{Stream, StreamExt as _, future, stream};
 use pinereel_api::{
     Problem,
     engine::{Chunk, Finish, Request},
     problem::Code,
 };
 use pinereel_core::{
-    Span,
     endpoint::{End, Key},
     hash,
-    provenance::{Record, Stamp},
+    provenance::Record,
+};
+use std::{cell::Cell, convert::Infallible, pin::pin, rc::Rc};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::timeout,
 };
-use serde::Serialize;
-use std::{pin::pin, rc::Rc, time::Duration};
-use tokio::{sync::mpsc, time::timeout};
 
 /// Chunks that wait for a caller that reads slowly; then the stream waits.
 const BUFFER: usize = 64;
@@ -37,40 +42,8 @@
 const MAX_ATTEMPTS: usize = 4;
 /// Priority at the engine.
 const LIVE: u8 = 2;
-
-/// A whole completion, in the shape that clients of model engines know.
-#[derive(Debug, Serialize)]
-struct Whole {
-    id: CompactString,
-    object: &'static str,
-    model: CompactString,
-    choices: [Choice; 1],
-    usage: Usage,
-    /// The versions that made the answer: reused prefix first, then output.
-    versions: Vec<Span>,
-}
-
-#[derive(Debug, Serialize)]
-struct Choice {
-    index: u32,
-    text: String,
-    finish_reason: Option<Finish>,
-}
-
-#[derive(Debug, Serialize)]
-struct Usage {
-    completion_tokens: u32,
-}
-
-/// One event of a streamed completion.
-#[derive(Debug, Serialize)]
-struct Event {
-    id: CompactString,
-    object: &'static str,
-    model: CompactString,
-    choices: [Choice; 1],
-    versions: Vec<Span>,
-}
+/// When to come back after every endpoint that was tried refused.
+const RETRY_AFTER_MS: u64 = 1_000;
 
 /// What has been made so far.
 #[derive(Clone, Debug, Default)]
@@ -79,191 +52,273 @@
     record: Record,
 }
 
-/// Answers one completion.
+/// One request on its way through its attempts.
+struct Work<'a> {
+    shared: &'a Rc<Shared>,
+    exchange: &'a Exchange,
+    request: &'a Request,
+    sender: &'a mpsc::Sender<Chunk>,
+    /// Whether an attempt may have run.
+    ran: Cell<bool>,
+}
+
+/// Answers one completion. Dropped when the caller is gone, it ends the work.
 pub async fn serve(shared: &Rc<Shared>, exchange: Exchange, request: Request) -> Response {
     let (sender, chunks) = mpsc::channel(BUFFER);
-    let streaming = request.stream;
-    let work = run(Rc::clone(shared), exchange.clone(), request, sender);
-    if streaming {
-        actix_rt::spawn(work);
-        return streamed(shared, exchange, chunks).await;
+    if request.stream {
+        let (done, end) = oneshot::channel();
+        let work = run(Rc::clone(shared), exchange.clone(), request, sender);
+        actix_rt::spawn(async move {
+            // A caller that is gone hears of no end.
+            let _ = done.send(work.await);
+        });
+        return streamed(shared, exchange, chunks, end).await;
     }
-    // Dropping the answer's future, when the caller is gone, ends the work with it.
-    let (answer, ()) = futures_util::future::join(gather(&exchange, chunks), work).await;
-    match answer {
+    let work = run(Rc::clone(shared), exchange.clone(), request, sender);
+    let (answer, end) = future::join(gather(&exchange, chunks), work).await;
+    match end.and(answer) {
         Ok(whole) => {
-            respond::count(shared, &exchange, "answer");
             let mut response = http::json(StatusCode::OK, &whole);
             respond::stamp(&exchange, &mut response);
             response
         }
-        Err(problem) => {
-            respond::count(shared, &exchange, "problem");
-            respond::problem(shared, &problem)
-        }
+        Err(problem) => respond::problem(shared, &problem),
     }
 }
 
-async fn gather(
-    exchange: &Exchange,
-    mut chunks: mpsc::Receiver<Result<Chunk, Problem>>,
-) -> Result<Whole, Problem> {
+async fn gather(exchange: &Exchange, mut chunks: mpsc::Receiver<Chunk>) -> Result<Whole, Problem> {
     let mut text = String::new();
     let mut record = Record::default();
     while let Some(chunk) = chunks.recv().await {
-        let chunk = chunk?;
         text.push_str(&chunk.text);
-        // Checked where it arrived; an error there never gets here.
-        let _ = record.push(&stamp(&chunk));
+        record = push(record, &chunk);
         if chunk.finish.is_some() {
-            return Ok(Whole {
-                id: exchange.id.clone(),
-                object: "text_completion",
-                model: exchange.pool.clone(),
-                choices: [Choice {
-                    index: 0,
-                    text,
-                    finish_reason: chunk.finish,
-                }],
-                usage: Usage {
-                    completion_tokens: record.tokens(),
-                },
-                versions: record.spans(),
-            });
+            return Ok(Whole::new(exchange, text, &record, chunk.finish));
         }
     }
     Err(unknown(Code::Unknown, "the answer ended early"))
 }
 
+/// The record with a chunk of any attempt. Checked where it arrived, so it has no error here.
+fn push(record: Record, chunk: &Chunk) -> Record {
+    let mut next = if chunk.reused.is_empty() {
+        record
+    } else {
+        record.resume()
+    };
+    let _ = next.push(&stamp(chunk));
+    next
+}
+
 /// A stream whose first chunk decides the status: nothing is promised before there is something.
 async fn streamed(
     shared: &Rc<Shared>,
     exchange: Exchange,
-    mut chunks: mpsc::Receiver<Result<Chunk, Problem>>,
+    mut chunks: mpsc::Receiver<Chunk>,
+    end: oneshot::Receiver<Result<(), Problem>>,
 ) -> Response {
-    let first = match chunks.recv().await {
-        Some(Ok(chunk)) => chunk,
-        Some(Err(problem)) => return respond::problem(shared, &problem),
-        None => return respond::problem(shared, &unknown(Code::Unknown, "no answer")),
+    let Some(first) = chunks.recv().await else {
+        let problem = problem_of(end.await);
+        let problem = problem.unwrap_or_else(|| unknown(Code::Unknown, "no answer"));
+        return respond::problem(shared, &problem);
     };
-    let rest = stream::unfold(chunks, |mut chunks| async move {
-        chunks.recv().await.map(|item| (item, chunks))
-    });
-    let id = exchange.id.clone();
-    let model = exchange.pool.clone();
-    let events = stream::iter([Ok(first)]).chain(rest).map(move |item| {
-        let bytes = match item {
-            Ok(chunk) => event(&id, &model, chunk),
-            // No `[DONE]` follows, so the answer is not taken for a whole one.
-            Err(problem) => line(&serde_json::json!({ "error": problem })),
-        };
-        Ok(bytes)
-    });
+    let events = events(&exchange, first, chunks, end);
     let mut response = http::event_stream(events);
     respond::stamp(&exchange, &mut response);
     response
 }
 
-fn event(id: &CompactString, model: &CompactString, chunk: Chunk) -> Bytes {
-    let mut record = Record::default();
-    let _ = record.push(&Stamp {
-        offset: 0,
-        ..stamp(&chunk)
+/// The chunks as events, then the problem if there is one.
+fn events(
+    exchange: &Exchange,
+    first: Chunk,
+    chunks: mpsc::Receiver<Chunk>,
+    end: oneshot::Receiver<Result<(), Problem>>,
+) -> impl Stream<Item = Result<Bytes, Infallible>> + use<> {
+    let id = exchange.id.clone();
+    let model = exchange.pool.clone();
+    let rest = stream::unfold(chunks, |mut chunks| async move {
+        chunks.recv().await.map(|chunk| (chunk, chunks))
     });
-    let last = chunk.finish.is_some();
-    let event = Event {
-        id: id.clone(),
-        object: "text_completion",
-        model: model.clone(),
-        choices: [Choice {
-            index: 0,
-            text: chunk.text,
-            finish_reason: chunk.finish,
-        }],
-        versions: record.spans(),
-    };
-    let mut bytes = line(&event).to_vec();
-    if last {
-        bytes.extend_from_slice(b"data: [DONE]\n\n");
-    }
-    bytes.into()
+    let events = stream::iter([first])
+        .chain(rest)
+        .map(move |chunk| shape::event(&id, &model, chunk));
+    // The end has a way of its own: it is never stuck behind chunks that nobody reads.
+    let last = stream::once(end)
+        .filter_map(|end| future::ready(problem_of(end).map(|problem| shape::error(&problem))));
+    events.chain(last).map(Ok)
 }
 
-fn line(message: &impl Serialize) -> Bytes {
-    let json = serde_json::to_string(message).unwrap_or_default();
-    format!("data: {json}\n\n").into()
+fn problem_of(end: Result<Result<(), Problem>, oneshot::error::RecvError>) -> Option<Problem> {
+    match end {
+        Ok(result) => result.err(),
+        Err(_) => Some(unknown(Code::Unknown, "the answer ended early")),
+    }
 }
 
-/// Runs attempts until the answer is whole, or gives the final problem at once.
+/// Runs the request until its last chunk is handed on, or gives the final problem at once.
 async fn run(
     shared: Rc<Shared>,
     exchange: Exchange,
     request: Request,
-    sender: mpsc::Sender<Result<Chunk, Problem>>,
-) {
-    let left = exchange.left(shared.now());
-    let work = attempts(&shared, &exchange, &request, &sender);
-    let result = tokio::select! {
-        result = timeout(left, work) => result,
-        // The caller is gone: the attempt's ticket is dropped and the engine told.
-        () = sender.closed() => return,
+    sender: mpsc::Sender<Chunk>,
+) -> Result<(), Problem> {
+    let work = Work {
+        shared: &shared,
+        exchange: &exchange,
+        request: &request,
+        sender: &sender,
+        ran: Cell::new(false),
     };
-    let problem = match result {
-        Ok(Ok(())) => return,
-        Ok(Err(problem)) => problem,
-        Err(_) => unknown(Code::Deadline, "the deadline passed"),
+    let result = tokio::select! {
+        result = work.run() => result,
+        // The turn and the attempt's ticket are dropped, and the engine is told.
+        () = sender.closed() => Err(unknown(Code::Unknown, "the caller is gone")),
     };
-    let _ = sender.send(Err(problem)).await;
+    match &result {
+        Ok(()) => respond::count(&shared, &exchange, "answer"),
+        Err(problem) => respond::count_problem(&shared, &exchange, problem),
+    }
+    result
 }
 
-async fn attempts(
-    shared: &Rc<Shared>,
-    exchange: &Exchange,
-    request: &Request,
-    sender: &mpsc::Sender<Result<Chunk, Problem>>,
-) -> Result<(), Problem> {
-    let mut progress = Progress::default();
-    let mut excluded: Vec<Key> = Vec::new();
-    let mut last = None;
-    for _ in 0..MAX_ATTEMPTS {
-        let seat = route::take(shared, exchange, wish(request, &excluded)).await;
-        let seat = match (seat, last) {
-            (Ok(seat), _) => seat,
-            // Other endpoints were tried before; their error says more.
-            (Err(_), Some(error)) => return Err(failed(error)),
-            (Err(problem), None) => return Err(problem),
-        };
-        excluded.push(seat.key);
-        let outcome = one(shared, &seat.address, request, &mut progress, sender).await;
-        match outcome {
-            Ok(()) => {
-                seat.ticket.finish(End::Whole);
-                return Ok(());
+impl Work<'_> {
+    async fn run(&self) -> Result<(), Problem> {
+        let turn = admit::wait(self.shared, self.exchange).await?;
+        let left = self.exchange.left(self.shared.now());
+        let result = timeout(left, self.attempts(&turn)).await;
+        match result {
+            Ok(Ok(())) => {
+                turn.succeeded();
+                Ok(())
             }
-            Err(error) => {
-                seat.ticket.finish(attempt::end_of(&error));
-                shared
-                    .metrics
-                    .retries
-                    .with_label_values(&[&exchange.pool])
-                    .inc();
-                last = Some(error);
+            Ok(Err(problem)) => Err(problem),
+            Err(_) if self.ran.get() => Err(unknown(Code::Deadline, "the deadline passed")),
+            Err(_) => Err(admit::refused(turn.expired())),
+        }
+    }
+
+    async fn attempts(&self, turn: &Turn) -> Result<(), Problem> {
+        let mut progress = Progress::default();
+        let mut excluded: Vec<Key> = Vec::new();
+        let mut last = None;
+        for _ in 0..MAX_ATTEMPTS {
+            let seat = route::take(
+                self.shared,
+                self.exchange,
+                turn,
+                wish(self.request, &excluded),
+            )
+            .await;
+            let seat = match (seat, last) {
+                (Ok(seat), _) => seat,
+                // Other endpoints were tried before; their error says more.
+                (Err(_), Some(error)) => return Err(self.failed(error)),
+                (Err(problem), None) => return Err(problem),
+            };
+            excluded.push(seat.key);
+            let error = match self.attempt(&seat.address, &mut progress).await {
+                Ok(()) => {
+                    seat.ticket.finish(End::Whole);
+                    return Ok(());
+                }
+                Err(error) => error,
+            };
+            seat.ticket.finish(attempt::end_of(&error));
+            let wish = wish(self.request, &excluded);
+            let over = excluded.len() == MAX_ATTEMPTS;
+            if over || !route::may_retry(self.shared, self.exchange, wish) {
+                return Err(self.failed(error));
             }
+            last = Some(error);
         }
+        Err(last.map_or_else(
+            || refuse(Code::NoEndpoint, "no attempt"),
+            |e| self.failed(e),
+        ))
     }
-    Err(last.map_or_else(|| refuse(Code::NoEndpoint, "no attempt"), failed))
-}
 
-/// The problem for the last attempt's error.
-fn failed(error: Error) -> Problem {
-    let message = format_compact!("{error}");
-    match error {
-        Error::NotOpened(_) | Error::Refused(_) => Problem {
-            retry_after_ms: Some(1_000),
+    /// The problem for the last attempt's error; not run only if no attempt may have run.
+    fn failed(&self, error: Error) -> Problem {
+        let message = format_compact!("{error}");
+        if self.ran.get() {
+            let late = self.exchange.left(self.shared.now()).is_zero();
+            let code = if late { Code::Deadline } else { Code::Unknown };
+            return unknown(code, message);
+        }
+        Problem {
+            retry_after_ms: Some(RETRY_AFTER_MS),
             ..refuse(Code::NoEndpoint, message)
-        },
-        Error::Fenced | Error::Lost(_) | Error::Malformed(_) => unknown(Code::Unknown, message),
+        }
     }
+
+    /// One attempt. It goes on where the last one ended, so the caller sees no gap and no repeat.
+    async fn attempt(&self, address: &str, progress: &mut Progress) -> Result<(), Error> {
+        let id = self.shared.request_id();
+        let before = self.ran.replace(true);
+        let running = Running::new(self.shared, address, id.clone());
+        let request = Request {
+            stream: true,
+            priority: LIVE,
+            request_id: id,
+            resume: progress.text.clone(),
+            resume_tokens: progress.record.tokens(),
+            ..self.request.clone()
+        };
+        let result = self.stream(address, &request, progress).await;
+        match &result {
+            Ok(()) => running.ended(),
+            Err(error) if !attempt::may_have_run(error) => {
+                self.ran.set(before);
+                running.ended();
+            }
+            // Dropped here, it is cancelled at the engine.
+            Err(_) => {}
+        }
+        result
+    }
+
+    async fn stream(
+        &self,
+        address: &str,
+        request: &Request,
+        progress: &mut Progress,
+    ) -> Result<(), Error> {
+        let patience = || attempt::patience(self.exchange.left(self.shared.now()));
+        let mut record = progress.record.resume();
+        let chunks = engines::complete(&self.shared.http, address, request, patience()).await?;
+        let mut chunks = pin!(chunks);
+        loop {
+            let next = timeout(patience(), chunks.next()).await;
+            let next = next.map_err(|_| Error::Lost("silent stream".into()))?;
+            let chunk = next.ok_or_else(|| Error::Lost("stream ended early".into()))??;
+            if chunk.id != request.request_id || seen(&chunk, &record) {
+                self.shared.metrics.late_chunks.inc();
+                continue;
+            }
+            if chunk.finish == Some(Finish::Cancelled) {
+                return Err(Error::Lost("cancelled by the engine".into()));
+            }
+            record
+                .push(&stamp(&chunk))
+                .map_err(|e| Error::Malformed(e.to_string()))?;
+            progress.text.push_str(&chunk.text);
+            progress.record = record.clone();
+            let last = chunk.finish.is_some();
+            if self.sender.send(chunk).await.is_err() {
+                return Err(Error::Lost("the caller is gone".into()));
+            }
+            if last {
+                return Ok(());
+            }
+        }
+    }
+}
+
+/// Whether all of a chunk came before: a repeat that changes nothing.
+fn seen(chunk: &Chunk, record: &Record) -> bool {
+    let end = chunk.offset.saturating_add(chunk.tokens);
+    chunk.tokens > 0 && chunk.finish.is_none() && end <= record.tokens()
 }
 
 fn wish<'a>(request: &Request, excluded: &'a [Key]) -> Wish<'a> {
@@ -276,63 +331,3 @@
         tokens: request.max_tokens,
     }
 }
-
-/// One attempt. It goes on where the last one ended, so the caller sees no gap and no repeat.
-async fn one(
-    shared: &Rc<Shared>,
-    address: &str,
-    request: &Request,
-    progress: &mut Progress,
-    sender: &mpsc::Sender<Result<Chunk, Problem>>,
-) -> Result<(), Error> {
-    let id = shared.request_id();
-    let mut record = progress.record.resume();
-    let request = Request {
-        stream: true,
-        priority: LIVE,
-        request_id: id.clone(),
-        resume: progress.text.clone(),
-        resume_tokens: record.tokens(),
-        ..request.clone()
-    };
-    let chunks = engines::complete(&shared.http, address, &request, HEAD_TIMEOUT).await?;
-    let mut chunks = pin!(chunks);
-    loop {
-        let next = timeout(CHUNK_TIMEOUT, chunks.next()).await;
-        let next = next.map_err(|_| Error::Lost("silent stream".into()))?;
-        let chunk = next.ok_or_else(|| Error::Lost("stream ended early".into()))??;
-        if chunk.id != id {
-            shared.metrics.late_chunks.inc();
-            continue;
-        }
-        if chunk.finish == Some(Finish::Cancelled) {
-            return Err(Error::Lost("cancelled by the engine".into()));
-        }
-        record
-            .push(&stamp(&chunk))
-            .map_err(|e| Error::Malformed(e.to_string()))?;
-        progress.text.push_str(&chunk.text);
-        progress.record = record.clone();
-        let last = chunk.finish.is_some();
-        if sender.send(Ok(chunk)).await.is_err() {
-            return Err(Error::Lost("the caller is gone".into()));
-        }
-        if last {
-            return Ok(());
-        }
-    }
-}
-
-/// Longest wait for a stream's head.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
-/// Longest silence within a stream.
-const CHUNK_TIMEOUT: Duration = Duration::from_secs(10);
-
-fn stamp(chunk: &Chunk) -> Stamp {
-    Stamp {
-        offset: chunk.offset,
-        tokens: chunk.tokens,
-        version: chunk.version,
-        reused: chunk.reused.clone(),
-    }
-}
--- a/crates/pinereel/src/filters/mod.rs
+++ b/crates/pinereel/src/filters/mod.rs
@@ -12,6 +12,7 @@
 pub mod respond;
 pub mod route;
 pub mod service;
+pub mod shape;
 
 use crate::controllers::config::Pin;
 use compact_str::CompactString;
--- a/crates/pinereel/src/filters/respond.rs
+++ b/crates/pinereel/src/filters/respond.rs
@@ -6,7 +6,7 @@
     state::Shared,
 };
 use actix_http::header::{HeaderName, HeaderValue};
-use pinereel_api::{Problem, header};
+use pinereel_api::{Problem, header, problem::Ran};
 
 /// The answer for a problem, counted by its code.
 pub fn problem(shared: &Shared, problem: &Problem) -> Response {
@@ -24,6 +24,15 @@
     headers.insert(HeaderName::from_static(header::CONFIG_NUMBER), number);
 }
 
+/// Counts an exchange that ended with a problem.
+pub fn count_problem(shared: &Shared, exchange: &Exchange, problem: &Problem) {
+    let outcome = match problem.ran {
+        Ran::NotRun => "not_run",
+        Ran::Unknown => "unknown",
+    };
+    count(shared, exchange, outcome);
+}
+
 /// Counts an ended exchange and its time.
 pub fn count(shared: &Shared, exchange: &Exchange, outcome: &str) {
     let took = shared.now().since(exchange.started).as_secs_f64();
--- a/crates/pinereel/src/filters/route.rs
+++ b/crates/pinereel/src/filters/route.rs
@@ -1,8 +1,11 @@
 //! Chooses the endpoint of an attempt; waits for room until the deadline.
 
-use super::{Exchange, refuse};
+use super::{Exchange, admit, refuse};
 use crate::{
-    controllers::endpoints::{self, Ticket},
+    controllers::{
+        endpoints::{self, Ticket},
+        queues::{self, Turn},
+    },
     logging::What,
     state::Shared,
 };
@@ -13,7 +16,7 @@
     hash,
     route::{Refusal, Request},
 };
-use std::rc::Rc;
+use std::{pin::pin, rc::Rc};
 use tokio::time::timeout;
 
 /// When a caller shall come back to a pool without a usable endpoint.
@@ -44,28 +47,22 @@
     pub tokens: u32,
 }
 
-/// Takes a seat at an endpoint.
+/// Takes a seat at an endpoint. If none has room, a first attempt goes back into its queue; a later
+/// one, which leaves out the endpoints that were tried, waits here.
 ///
 /// # Errors
 /// `NoEndpoint` or `Overloaded`, both not run.
 pub async fn take(
     shared: &Rc<Shared>,
     exchange: &Exchange,
+    turn: &Turn,
     wish: Wish<'_>,
 ) -> Result<Seat, Problem> {
     loop {
         // Listening begins before choosing, so that no room is missed between the two.
-        let room = shared.endpoints.room.notified();
-        let request = Request {
-            pool: &exchange.pool,
-            prefix: wish.prefix,
-            priority: exchange.priority,
-            zone: shared.zone(),
-            versions: None,
-            excluded: wish.excluded,
-            repeatable: wish.repeatable,
-            seed: hash::stable(exchange.id.as_bytes()),
-        };
+        let mut room = pin!(shared.endpoints.room.notified());
+        room.as_mut().enable();
+        let request = request(shared, exchange, wish);
         match shared.endpoints.choose(shared, &request) {
             Ok(choice) => {
                 let what = if wish.excluded.is_empty() {
@@ -79,6 +76,9 @@
                     return Ok(seat);
                 }
             }
+            Err(Refusal::Full) if wish.excluded.is_empty() => {
+                turn.again().await.map_err(admit::refused)?;
+            }
             Err(Refusal::Full) => {
                 let left = exchange.left(shared.now());
                 if left.is_zero() || timeout(left, room).await.is_err() {
@@ -93,6 +93,28 @@
     }
 }
 
+/// Whether one more attempt may be made: an endpoint is left that was not tried, and the retry
+/// budget, of which this takes a part, is not used up.
+pub fn may_retry(shared: &Shared, exchange: &Exchange, wish: Wish<'_>) -> bool {
+    let request = request(shared, exchange, wish);
+    let choice = shared.endpoints.choose(shared, &request);
+    let left = matches!(choice, Ok(_) | Err(Refusal::Full));
+    left && queues::retry(shared, &exchange.pool)
+}
+
+fn request<'a>(shared: &'a Shared, exchange: &'a Exchange, wish: Wish<'a>) -> Request<'a> {
+    Request {
+        pool: &exchange.pool,
+        prefix: wish.prefix,
+        priority: exchange.priority,
+        zone: shared.zone(),
+        versions: None,
+        excluded: wish.excluded,
+        repeatable: wish.repeatable,
+        seed: hash::stable(exchange.id.as_bytes()),
+    }
+}
+
 fn seat(shared: &Shared, key: Key, ticket: Ticket) -> Option<Seat> {
     let set = shared.endpoints.set();
     let endpoint = set.get(key)?;
--- a/crates/pinereel/src/filters/service.rs
+++ b/crates/pinereel/src/filters/service.rs
@@ -1,14 +1,14 @@
 //! Plain services: a request is routed by pool and path, and its answer streamed through.
 
 use super::{
-    Exchange,
+    Exchange, admit,
     attempt::LEAVING,
     claim, refuse, respond,
     route::{self, Wish},
     unknown,
 };
 use crate::{
-    controllers::endpoints::Ticket,
+    controllers::{endpoints::Ticket, queues::Turn},
     http::Response,
     state::Shared,
     upstream::{Attempt, Error, Reuse, direct},
@@ -82,7 +82,7 @@
             response
         }
         Err(problem) => {
-            respond::count(shared, &exchange, "problem");
+            respond::count_problem(shared, &exchange, &problem);
             let mut response = respond::problem(shared, &problem);
             respond::stamp(&exchange, &mut response);
             response
@@ -106,16 +106,11 @@
     exchange: &Exchange,
     call: &Call,
 ) -> Result<Response, Problem> {
+    let turn = admit::wait(shared, exchange).await?;
     let mut excluded: Vec<Key> = Vec::new();
     let mut last: Option<Problem> = None;
     for _ in 0..MAX_ATTEMPTS {
-        let wish = Wish {
-            prefix: None,
-            excluded: &excluded,
-            repeatable: call.repeatable,
-            tokens: 0,
-        };
-        let seat = match route::take(shared, exchange, wish).await {
+        let seat = match route::take(shared, exchange, &turn, wish(call, &excluded)).await {
             Ok(seat) => seat,
             Err(problem) => return Err(last.unwrap_or(problem)),
         };
@@ -124,7 +119,7 @@
         let (end, problem, retry) = match sent {
             Ok(response) => match refused(&response) {
                 Some(end) => (end, later("the endpoint refused before running it"), true),
-                None => return Ok(pass_on(shared, exchange, response, seat)),
+                None => return Ok(pass_on(exchange, response, seat, turn)),
             },
             Err(Error::NotOpened(e)) => (End::ConnectionRefused, later(&e), true),
             Err(Error::Invalid(e)) => return Err(refuse(Code::BadRequest, e)),
@@ -139,19 +134,24 @@
             Some(earlier) if earlier.ran == Ran::Unknown => earlier,
             _ => problem,
         };
-        if !retry || exchange.left(shared.now()).is_zero() {
+        let over = excluded.len() == MAX_ATTEMPTS || exchange.left(shared.now()).is_zero();
+        if !retry || over || !route::may_retry(shared, exchange, wish(call, &excluded)) {
             return Err(problem);
         }
-        shared
-            .metrics
-            .retries
-            .with_label_values(&[&exchange.pool])
-            .inc();
         last = Some(problem);
     }
     Err(last.unwrap_or_else(|| refuse(Code::NoEndpoint, "no attempt")))
 }
 
+const fn wish<'a>(call: &Call, excluded: &'a [Key]) -> Wish<'a> {
+    Wish {
+        prefix: None,
+        excluded,
+        repeatable: call.repeatable,
+        tokens: 0,
+    }
+}
+
 fn later(message: &str) -> Problem {
     Problem {
         retry_after_ms: Some(1_000),
@@ -194,16 +194,17 @@
 
 /// Streams the answer through. A body that breaks off breaks off at the caller, too.
 fn pass_on(
-    shared: &Shared,
     exchange: &Exchange,
     response: direct::Response,
     seat: route::Seat,
+    turn: Turn,
 ) -> Response {
     let headers = Call::headers_of(&response.headers);
-    let left = exchange.left(shared.now());
+    let left = exchange.left(turn.shared().now());
     let state = Passing {
         body: response.body,
         ticket: Some(seat.ticket),
+        turn,
         over: Instant::now() + left,
     };
     let body = stream::unfold(state, |mut state| async move {
@@ -232,6 +233,8 @@
     body: direct::Body,
     /// Counts the attempt until the body has ended.
     ticket: Option<Ticket>,
+    /// Holds the request's place in its queue.
+    turn: Turn,
     /// The deadline: a silent endpoint holds nothing longer.
     over: Instant,
 }
@@ -246,6 +249,7 @@
             Ok(Some(part)) => Some(Ok(part)),
             Ok(None) => {
                 self.end(End::Whole);
+                self.turn.succeeded();
                 None
             }
             Err(e) => {
--- /dev/null
+++ b/crates/pinereel/src/filters/shape.rs
@@ -0,0 +1,120 @@
+//! Completions in the shape that clients of model engines know: whole answers and event streams.
+
+use super::Exchange;
+use bytes::Bytes;
+use compact_str::CompactString;
+use pinereel_api::{
+    Problem,
+    engine::{Chunk, Finish},
+};
+use pinereel_core::{
+    Span,
+    provenance::{Record, Stamp},
+};
+use serde::Serialize;
+
+/// What both shapes call themselves.
+const OBJECT: &str = "text_completion";
+/// Last event of a whole stream.
+const DONE: &[u8] = b"data: [DONE]\n\n";
+
+/// A whole completion.
+#[derive(Debug, Serialize)]
+pub struct Whole {
+    id: CompactString,
+    object: &'static str,
+    model: CompactString,
+    choices: [Choice; 1],
+    usage: Usage,
+    /// The versions that made the answer: reused prefix first, then output.
+    versions: Vec<Span>,
+}
+
+#[derive(Debug, Serialize)]
+struct Choice {
+    index: u32,
+    text: String,
+    finish_reason: Option<Finish>,
+}
+
+#[derive(Debug, Serialize)]
+struct Usage {
+    completion_tokens: u32,
+}
+
+/// One event of a streamed completion.
+#[derive(Debug, Serialize)]
+struct Event {
+    id: CompactString,
+    object: &'static str,
+    model: CompactString,
+    choices: [Choice; 1],
+    versions: Vec<Span>,
+}
+
+impl Whole {
+    /// The whole completion of `exchange`.
+    pub fn new(exchange: &Exchange, text: String, record: &Record, finish: Option<Finish>) -> Self {
+        Self {
+            id: exchange.id.clone(),
+            object: OBJECT,
+            model: exchange.pool.clone(),
+            choices: [choice(text, finish)],
+            usage: Usage {
+                completion_tokens: record.tokens(),
+            },
+            versions: record.spans(),
+        }
+    }
+}
+
+/// One chunk as an event; the last one is followed by `[DONE]`.
+pub fn event(id: &CompactString, model: &CompactString, chunk: Chunk) -> Bytes {
+    let mut record = Record::default();
+    // Checked where it arrived; an error there never gets here.
+    let _ = record.push(&Stamp {
+        offset: 0,
+        ..stamp(&chunk)
+    });
+    let last = chunk.finish.is_some();
+    let event = Event {
+        id: id.clone(),
+        object: OBJECT,
+        model: model.clone(),
+        choices: [choice(chunk.text, chunk.finish)],
+        versions: record.spans(),
+    };
+    let mut bytes = line(&event);
+    if last {
+        bytes.extend_from_slice(DONE);
+    }
+    bytes.into()
+}
+
+/// A problem as the last event. No `[DONE]` follows, so the answer is not taken for a whole one.
+pub fn error(problem: &Problem) -> Bytes {
+    line(&serde_json::json!({ "error": problem })).into()
+}
+
+/// A chunk's place and versions.
+pub fn stamp(chunk: &Chunk) -> Stamp {
+    Stamp {
+        offset: chunk.offset,
+        tokens: chunk.tokens,
+        version: chunk.version,
+        reused: chunk.reused.clone(),
+    }
+}
+
+fn choice(text: String, finish_reason: Option<Finish>) -> Choice {
+    Choice {
+        index: 0,
+        text,
+        finish_reason,
+    }
+}
+
+fn line(message: &impl Serialize) -> Vec<u8> {
+    let json = serde_json::to_string(message).unwrap_or_default();
+    format!("data: {json}\n\n").into_bytes()
+}
--- a/crates/pinereel/src/state.rs
+++ b/crates/pinereel/src/state.rs
@@ -3,7 +3,7 @@
 use crate::{
     controllers::{
         claims::Claims, config::Config, drain::Drain, endpoints::Endpoints, leases::Leases,
-        lots::Lots, members::Members, rollout::Rollout,
+        lots::Lots, members::Members, queues::Queues, rollout::Rollout,
     },
     logging::{Decision, What},
     metrics::Metrics,
@@ -66,6 +66,8 @@
     pub endpoints: Endpoints,
     /// Lots: those submitted here, and the groups that run here.
     pub lots: Lots,
+    /// Requests that wait for an endpoint.
+    pub queues: Queues,
     /// Leases that this entry holds or looks after.
     pub leases: Leases,
     /// Weight rollouts.
--- a/crates/pinereel_core/src/admit/queue.rs
+++ b/crates/pinereel_core/src/admit/queue.rs
@@ -62,6 +62,11 @@
         }
     }
 
+    /// Changes the bounds; what waits already stays.
+    pub const fn bound(&mut self, limits: Limits) {
+        self.limits = limits;
+    }
+
     /// Takes in one event; returns what to do, in order.
     pub fn step(&mut self, now: Time, event: Event) -> Vec<Action> {
         let busy = self.is_busy();
--- a/crates/pinereel_core/src/endpoint/event.rs
+++ b/crates/pinereel_core/src/endpoint/event.rs
@@ -58,6 +58,14 @@
         /// Tokens expected.
         tokens: u32,
     },
+    /// Of the attempts in flight there, so many more (or fewer) are bulk work that the endpoint
+    /// puts aside for a live request. They take no room from live requests.
+    Yielding {
+        /// Its endpoint.
+        key: Key,
+        /// By how many the number changes; the last change comes before `Finished`.
+        change: i32,
+    },
     /// An attempt ended. Every `Started` needs exactly one.
     Finished {
         /// Its endpoint.
--- a/crates/pinereel_core/src/endpoint/set.rs
+++ b/crates/pinereel_core/src/endpoint/set.rs
@@ -81,6 +81,11 @@
                     endpoint.start(now, tokens);
                 }
             }
+            Event::Yielding { key, change } => {
+                if let Some(endpoint) = self.arena.get_mut(key) {
+                    endpoint.yielding = endpoint.yielding.saturating_add_signed(change);
+                }
+            }
             Event::Finished {
                 key,
                 tokens,
@@ -188,6 +193,7 @@
         };
         let old = &self.arena[key];
         endpoint.outstanding = old.outstanding;
+        endpoint.yielding = old.yielding;
         endpoint.tokens = old.tokens;
         endpoint.recent = old.recent.clone();
         self.arena[key] = endpoint;
--- a/crates/pinereel_core/src/endpoint/view.rs
+++ b/crates/pinereel_core/src/endpoint/view.rs
@@ -74,6 +74,8 @@
     pub evidence: Option<Evidence>,
     /// This entry's attempts in flight.
     pub outstanding: u32,
+    /// Those of them that are bulk work, which the endpoint puts aside for a live request.
+    pub yielding: u32,
     /// Tokens expected of them.
     pub tokens: u64,
     /// The last load report.
@@ -113,6 +115,7 @@
             state: State::Live,
             evidence: None,
             outstanding: 0,
+            yielding: 0,
             tokens: 0,
             report: None,
             version: None,
@@ -140,6 +143,12 @@
         self.outstanding < self.limit()
     }
 
+    /// Whether one more live attempt stays within the limit. Bulk work that yields to it takes no
+    /// room from it: the endpoint puts that aside.
+    pub fn has_live_room(&self) -> bool {
+        self.outstanding.saturating_sub(self.yielding) < self.limit()
+    }
+
     /// Stable hash of the name, for rendezvous hashing.
     pub const fn hash(&self) -> u64 {
         self.hash
--- a/crates/pinereel_core/src/route/candidate.rs
+++ b/crates/pinereel_core/src/route/candidate.rs
@@ -1,6 +1,6 @@
 //! Sorts a pool's endpoints into those that may be chosen and those that may not.
 
-use super::{Policy, Request};
+use super::{Policy, Priority, Request};
 use crate::{
     Time,
     endpoint::{Endpoint, Key, Set, State},
@@ -104,7 +104,11 @@
             };
             zone.add(&candidate);
         }
-        if !endpoint.has_room() {
+        let room = match request.priority {
+            Priority::Live => endpoint.has_live_room(),
+            Priority::Straggler | Priority::Bulk => endpoint.has_room(),
+        };
+        if !room {
             self.full |= endpoint.state == State::Live;
             return;
         }
