Calls that change something outlive their caller; samples take no room from live requests

Cause: the callers' listener now drops what its caller left, so a submit, publish or a call that may not be repeated could end halfway. Lots that are collected run as stragglers, which took all room in the entry: the runner refills a place before a waiting live request hears of it. Ruled out: counting only the bulk class as yielding: the default policy sends no sample in it while a trainer waits. Change: keep() runs such work in a task of its own, counted by the drain; attempts of all samples yield room to live requests in the entry.

--- a/crates/pinereel/src/callers.rs
+++ b/crates/pinereel/src/callers.rs
@@ -8,7 +8,7 @@
 };
 use actix_http::{HttpMessage as _, Method, StatusCode};
 use compact_str::CompactString;
-use pinereel_api::{Problem, engine, header, problem::Code, trainer};
+use pinereel_api::{Problem, engine, problem::Code, trainer};
 use serde::Serialize;
 use std::rc::Rc;
 
@@ -93,33 +93,38 @@
         body: http::read(request, max, timeout).await?,
         repeatable: service::repeatable(&exchange, request.method(), path),
     };
-    if may_be_dropped(&call) {
+    if call.repeatable {
         return Ok(service::serve(shared, exchange, call).await);
     }
-    // A task of its own goes on when the caller is gone: it must not end halfway.
-    let shared = Rc::clone(shared);
+    let owner = Rc::clone(shared);
+    keep(shared, async move {
+        Ok(service::serve(&owner, exchange, call).await)
+    })
+    .await
+}
+
+/// Does the work in a task of its own, which goes on when the caller is gone: it must not end
+/// halfway.
+async fn keep<T: 'static>(
+    shared: &Shared,
+    work: impl Future<Output = Result<T, Problem>> + 'static,
+) -> Result<T, Problem> {
+    let guard = shared.drain.enter();
     let task = actix_rt::spawn(async move {
-        let _guard = shared.drain.enter();
-        service::serve(&shared, exchange, call).await
+        let _guard = guard;
+        work.await
     });
     task.await
-        .map_err(|_| unknown(Code::Unknown, "the call ended early"))
-}
-
-/// Whether a call may end where it stands when its caller is gone.
-fn may_be_dropped(call: &service::Call) -> bool {
-    let keyed = call
-        .headers
-        .iter()
-        .any(|(name, _)| name == header::IDEMPOTENCY_KEY);
-    call.repeatable && !keyed
+        .unwrap_or_else(|_| Err(unknown(Code::Unknown, "the work ended early")))
 }
 
 async fn submit(shared: &Rc<Shared>, request: &mut Request) -> Result<Response, Problem> {
     let pin = pin::pin(shared)?;
     let timeout = shared.settings.limits.read_timeout;
     let lot: trainer::Lot = http::read_json(request, MAX_LOT, timeout).await?;
-    answer(front::submit(shared, &pin, lot).await)
+    let owner = Rc::clone(shared);
+    let work = async move { front::submit(&owner, &pin, lot).await };
+    answer(keep(shared, work).await)
 }
 
 async fn collect(
@@ -130,7 +135,9 @@
     let pin = pin::pin(shared)?;
     let timeout = shared.settings.limits.read_timeout;
     let collect: trainer::Collect = http::read_json(request, MAX_SMALL, timeout).await?;
-    answer(front::collect(shared, &pin, id, collect).await)
+    let (owner, id) = (Rc::clone(shared), id.to_owned());
+    let work = async move { front::collect(&owner, &pin, &id, collect).await };
+    answer(keep(shared, work).await)
 }
 
 async fn publish(
@@ -141,7 +148,9 @@
     let pin = pin::pin(shared)?;
     let timeout = shared.settings.limits.read_timeout;
     let publish: trainer::Publish = http::read_json(request, MAX_SMALL, timeout).await?;
-    answer(front::publish(shared, &pin, name, publish).await)
+    let (owner, name) = (Rc::clone(shared), name.to_owned());
+    let work = async move { front::publish(&owner, &pin, &name, publish).await };
+    answer(keep(shared, work).await)
 }
 
 fn answer(result: Result<impl Serialize, Problem>) -> Result<Response, Problem> {
--- a/crates/pinereel/src/controllers/endpoints.rs
+++ b/crates/pinereel/src/controllers/endpoints.rs
@@ -52,7 +52,7 @@
     key: Key,
     tokens: u32,
     started: Time,
-    /// Whether it is bulk work that the endpoint puts aside for a live request.
+    /// Whether it is a sample's, behind which no live request waits.
     yields: bool,
     done: bool,
 }
@@ -145,8 +145,8 @@
     }
 }
 
-/// Counts an attempt of bulk work, which takes no room from live requests.
-pub fn begin_bulk(shared: &Rc<Shared>, key: Key, tokens: u32) -> Ticket {
+/// Counts an attempt of a sample, which takes no room from live requests.
+pub fn begin_sample(shared: &Rc<Shared>, key: Key, tokens: u32) -> Ticket {
     let mut ticket = begin(shared, key, tokens);
     step(shared, Event::Yielding { key, change: 1 });
     ticket.yields = true;
--- a/crates/pinereel/src/controllers/lots/attempt.rs
+++ b/crates/pinereel/src/controllers/lots/attempt.rs
@@ -13,7 +13,6 @@
 use pinereel_api::engine::{self, Cancel, Request};
 use pinereel_core::{
     endpoint::{End, Key},
-    fair::Class,
     lot::{AttemptKey, Chunk, Event, Failure, Finish, Start},
     provenance::Stamp,
 };
@@ -90,10 +89,7 @@
     id: CompactString,
 ) {
     let attempt = start.attempt;
-    let ticket = match start.class {
-        Class::Bulk => endpoints::begin_bulk(&shared, key, start.max_tokens),
-        _ => endpoints::begin(&shared, key, start.max_tokens),
-    };
+    let ticket = endpoints::begin_sample(&shared, key, start.max_tokens);
     let result = stream(&shared, start, &address, &id).await;
     shared.lots.running.borrow_mut().remove(&attempt);
     close(&shared, attempt, ticket, result);
--- a/crates/pinereel_core/src/endpoint/event.rs
+++ b/crates/pinereel_core/src/endpoint/event.rs
@@ -58,8 +58,8 @@
         /// Tokens expected.
         tokens: u32,
     },
-    /// Of the attempts in flight there, so many more (or fewer) are bulk work that the endpoint
-    /// puts aside for a live request. They take no room from live requests.
+    /// Of the attempts in flight there, so many more (or fewer) are of samples: a live request
+    /// goes before them at the endpoint, so they take no room from it.
     Yielding {
         /// Its endpoint.
         key: Key,
--- a/crates/pinereel_core/src/endpoint/view.rs
+++ b/crates/pinereel_core/src/endpoint/view.rs
@@ -74,7 +74,7 @@
     pub evidence: Option<Evidence>,
     /// This entry's attempts in flight.
     pub outstanding: u32,
-    /// Those of them that are bulk work, which the endpoint puts aside for a live request.
+    /// Those of them that are of samples, before which a live request goes at the endpoint.
     pub yielding: u32,
     /// Tokens expected of them.
     pub tokens: u64,
@@ -143,8 +143,8 @@
         self.outstanding < self.limit()
     }
 
-    /// Whether one more live attempt stays within the limit. Bulk work that yields to it takes no
-    /// room from it: the endpoint puts that aside.
+    /// Whether one more live attempt stays within the limit. What yields to it takes no room from
+    /// it. Else samples, which follow each other without a gap, would keep it out for ever.
     pub fn has_live_room(&self) -> bool {
         self.outstanding.saturating_sub(self.yielding) < self.limit()
     }
