--- a/crates/pinereel/src/filters/completion.rs
+++ b/crates/pinereel/src/filters/completion.rs
@@ -286,13 +286,14 @@
     ) -> Result<(), Error> {
         let patience = || attempt::patience(self.exchange.left(self.shared.now()));
         let mut record = progress.record.resume();
+        let start = record.tokens();
         let chunks = engines::complete(&self.shared.http, address, request, patience()).await?;
         let mut chunks = pin!(chunks);
         loop {
             let next = timeout(patience(), chunks.next()).await;
             let next = next.map_err(|_| Error::Lost("silent stream".into()))?;
             let chunk = next.ok_or_else(|| Error::Lost("stream ended early".into()))??;
-            if chunk.id != request.request_id || seen(&chunk, &record) {
+            if chunk.id != request.request_id || seen(&chunk, start, &record) {
                 self.shared.metrics.late_chunks.inc();
                 continue;
             }
@@ -315,10 +316,12 @@
     }
 }
 
-/// Whether all of a chunk came before: a repeat that changes nothing.
-fn seen(chunk: &Chunk, record: &Record) -> bool {
+/// Whether all of a chunk came before in the same attempt, which began at `start`: a repeat that
+/// changes nothing. One from before `start` is none: the engine did not go on where it was told to.
+fn seen(chunk: &Chunk, start: u32, record: &Record) -> bool {
     let end = chunk.offset.saturating_add(chunk.tokens);
-    chunk.tokens > 0 && chunk.finish.is_none() && end <= record.tokens()
+    let repeat = chunk.offset >= start && end <= record.tokens();
+    chunk.tokens > 0 && chunk.finish.is_none() && repeat
 }
 
 fn wish<'a>(request: &Request, excluded: &'a [Key]) -> Wish<'a> {
--- a/crates/pinereel_fakes/tests/overload_admit.rs
+++ b/crates/pinereel_fakes/tests/overload_admit.rs
@@ -7,8 +7,9 @@
 use futures_util::future::{join, join_all};
 use overload::{ORDERS, POOL, STALL, Size, attempts, complete, completion, open, queued, site};
 use pinereel_api::engine::Finish;
+use pinereel_core::route::Priority;
 use pinereel_fakes::{
-    engine::{fault::Faults, text},
+    engine::{batch, fault::Faults, text},
     service,
     site::until,
 };
@@ -164,6 +165,37 @@
     assert!(ran > 0, "no request met the engine that cuts");
 }
 
+#[actix_rt::test]
+async fn callers_that_go_away_do_not_shorten_the_estimate() {
+    let size = Size {
+        slots: 1,
+        batch: batch::Options {
+            tokens_per_second: 100.0,
+            ..batch::Options::default()
+        },
+        ..Size::default()
+    };
+    let site = site(size).await;
+    let address = site.callers().remove(0);
+    let enough = |prompt: &String| text::length(prompt, 7, 40) == 40;
+    let prompt = (0..).map(|n| n.to_string()).find(enough).unwrap();
+    let answer = complete(&address, &prompt, 40, LONG).await;
+    assert_eq!(answer.text(), text::whole(&prompt, 7, 40));
+    let body = completion(&prompt, 40, false);
+    for _ in 0..30 {
+        let gone = open(&address, "/v1/completions", &body, LONG).await;
+        queued(&site, POOL, 1, 0).await;
+        drop(gone);
+        queued(&site, POOL, 0, 0).await;
+    }
+    let _runs = open(&address, "/v1/completions", &body, LONG).await;
+    queued(&site, POOL, 1, 0).await;
+    // One takes 400 ms, and another one is before it.
+    let queues = &site.entries[0].shared.queues;
+    assert!(!queues.admits(POOL, Priority::Live, Duration::from_millis(300)));
+    assert!(queues.admits(POOL, Priority::Live, LONG));
+}
+
 #[actix_rt::test]
 async fn caller_that_goes_away_frees_its_place_and_its_engine() {
     for stream in [false, true] {
