--- a/crates/pinereel/src/controllers/lots/attempt.rs
+++ b/crates/pinereel/src/controllers/lots/attempt.rs
@@ -89,7 +89,7 @@
     id: CompactString,
 ) {
     let attempt = start.attempt;
-    let ticket = endpoints::begin(&shared, key, start.max_tokens);
+    let ticket = endpoints::begin_sample(&shared, key, start.max_tokens);
     let result = stream(&shared, start, &address, &id).await;
     shared.lots.running.borrow_mut().remove(&attempt);
     close(&shared, attempt, ticket, result);
--- a/crates/pinereel/src/controllers/mod.rs
+++ b/crates/pinereel/src/controllers/mod.rs
@@ -9,5 +9,6 @@
 pub mod leases;
 pub mod lots;
 pub mod members;
+pub mod queues;
 pub mod rollout;
 pub mod weights;
