A good head is never refused as slow: the head's wait allows for the HTTP library's clock

The library counts the wait for a head from a clock that it reads every 500 ms, so a read_timeout of 300 ms, which the settings allow, could be over before a good head was read, and its sender got 408. Ruled out: only longer waits in the tests, which would leave the setting wrong; a smallest value for the setting, which would refuse files that are valid today. Change: the library is given the wait plus those 500 ms, so it lasts from read_timeout to half a second more. Conclusion: the wait is never shorter than what the setting says.

--- a/crates/pinereel/src/http/idle.rs
+++ b/crates/pinereel/src/http/idle.rs
@@ -16,9 +16,6 @@
 };
 use tokio::time::{Instant, sleep_until};
 
-/// The library's clock is read twice a second, so its waits may end earlier by so much.
-const CLOCK_LAG: Duration = Duration::from_millis(500);
-
 /// One connection, as its guard and its handler see it.
 #[derive(Debug)]
 pub(super) struct Idle {
@@ -63,7 +60,7 @@
 
     /// Whether no request came although `head_timeout` was over.
     pub(super) fn never_served(&self, head_timeout: Duration) -> bool {
-        !self.served.get() && self.since.get().elapsed() + CLOCK_LAG >= head_timeout
+        !self.served.get() && self.since.get().elapsed() >= head_timeout
     }
 }
 
--- a/crates/pinereel/src/http/server.rs
+++ b/crates/pinereel/src/http/server.rs
@@ -27,10 +27,15 @@
 /// Pause after a failed accept (for example out of file descriptors), so that the loop does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// The library reads its clock twice a second and counts its waits from the last reading, so it may
+/// end them earlier by so much.
+const CLOCK_LAG: Duration = Duration::from_millis(500);
+
 /// Bounds of a listener.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
-    /// Longest wait for a request's head, from its first byte.
+    /// Wait for a request's head: for the first one from the connection's start, and up to half a
+    /// second more. A later one may take `keep_alive` besides.
     pub head_timeout: Duration,
     /// Longest idle time of a connection between requests.
     pub keep_alive: Duration,
@@ -108,7 +113,7 @@
         let opened: Rc<Opened> = Rc::default();
         let known = Rc::clone(&opened);
         let factory = HttpService::build()
-            .client_request_timeout(options.head_timeout)
+            .client_request_timeout(options.head_timeout + CLOCK_LAG)
             .client_disconnect_timeout(Duration::from_secs(1))
             .keep_alive(KeepAlive::Timeout(options.keep_alive))
             .h1_allow_half_closed(options.half_closed)
