The strict test of live latency beside a lot stands, known red

Cause: a lot that its trainer waits for runs as stragglers under the default policy, and the engine puts only bulk aside for a live request: live p99 118 ms alone, 465 ms beside it. Ruled out: a wider bound in the test; the weaker test stays beside it, for what the entry itself answers for.

--- a/crates/pinereel_fakes/tests/overload_load.rs
+++ b/crates/pinereel_fakes/tests/overload_load.rs
@@ -18,8 +18,6 @@
 use std::{cell::RefCell, rc::Rc, time::Duration};
 use tokio::time::{Instant, sleep, sleep_until};
 
-/// Name of the lot that its trainer waits for.
-const COLLECTED: &str = "collected";
 const TOKENS: u32 = 10;
 const SLOTS: usize = 4;
 const ENGINES: usize = 2;
@@ -78,8 +76,9 @@
     all[((all.len() - 1) as f64 * share) as usize]
 }
 
-/// Live latency alone, then beside a lot that keeps every slot of every engine busy.
-async fn beside(site: &Site, name: &str) -> [Duration; 2] {
+/// Live latency alone, then beside a lot that its trainer collects and that keeps every slot of
+/// every engine busy.
+async fn beside(site: &Site) -> [Duration; 2] {
     let address = site.callers().remove(0);
     let pause = Duration::from_millis(40);
     let busy = || {
@@ -88,7 +87,7 @@
     };
     let alone = load(&address, 100, pause, Duration::from_secs(10)).await;
     let lot = Lot {
-        id: name.into(),
+        id: "collected".into(),
         trainer: "dispatch".into(),
         step: 1,
         version: Version(1),
@@ -97,9 +96,8 @@
     };
     let mut client = trainer::Client::new(site.callers(), Duration::from_secs(5));
     let mut collection = client.submit(lot).await.unwrap();
-    let waits = name == COLLECTED;
     let collecting = actix_rt::spawn(async move {
-        while waits {
+        loop {
             let wait = Duration::from_secs(10);
             let samples = client.collect(&mut collection, Version(1), 1, wait).await;
             samples.unwrap();
@@ -109,7 +107,7 @@
     let beside = load(&address, 100, pause, Duration::from_secs(10)).await;
     assert!(busy(), "the lot ended before the measurement");
     collecting.abort();
-    println!("| live, {name} | p50 | p99 |\n|---|---|---|");
+    println!("| live | p50 | p99 |\n|---|---|---|");
     for (when, calls) in [("alone", &alone), ("beside the lot", &beside)] {
         assert!(calls.iter().all(|call| call.answer.status == 200));
         let (p50, p99) = (quantile(calls, 0.5), quantile(calls, 0.99));
@@ -127,10 +125,20 @@
     }
 }
 
+#[actix_rt::test]
+async fn live_requests_keep_their_latency_beside_a_lot() {
+    let site = small().await;
+    let [alone, beside] = beside(&site).await;
+    // A lone step is 10 ms long, one with a full batch 11.5 ms. A sample holds its slot for
+    // most of a second: whoever waits for one shows. The rest is room for a busy machine.
+    let most = alone * 3 / 2 + Duration::from_millis(50);
+    assert!(beside <= most, "{beside:?}, more than {most:?}");
+}
+
 #[actix_rt::test]
 async fn live_requests_go_before_the_next_sample_of_a_lot_that_is_collected() {
     let site = small().await;
-    let [alone, beside] = beside(&site, COLLECTED).await;
+    let [alone, beside] = beside(&site).await;
     // Its samples are stragglers, which engines do not put aside: a live request waits until a
     // sample ends, but for no second one.
     let most = alone + Duration::from_millis(800);
