Settings that act; summaries that tell only news; how many engines load at once is configuration

A test counted all waiting watches while instances and weights came to be watched, too, and passed only in passing. Ruled out: keeping unused keys for later, since operators would trust them. Change: limits.body and limits.waiting bound what the configuration asks for; limits.answer and limits.peer_frame are gone; versions and leaving endpoints travel three times after a change and every 12 summaries; pools have loads; the stand-in counts waiting watches by kind.

--- a/crates/pinereel/src/callers.rs
+++ b/crates/pinereel/src/callers.rs
@@ -61,12 +61,18 @@
     Ok(completion::serve(shared, exchange, call).await)
 }
 
+/// The smaller bound of this instance and of the pinned configuration, in bytes.
+fn largest_body(shared: &Shared, pin: &Pin) -> usize {
+    let asked = pin.document.limits.max_body as usize;
+    asked.min(shared.settings.limits.body)
+}
+
 async fn body<T: serde::de::DeserializeOwned>(
     shared: &Shared,
     pin: &Pin,
     request: &mut Request,
 ) -> Result<T, Problem> {
-    let max = pin.document.limits.max_body as usize;
+    let max = largest_body(shared, pin);
     Ok(http::read_json(request, max, shared.settings.limits.read_timeout).await?)
 }
 
@@ -76,7 +82,7 @@
     pool: &str,
 ) -> Result<Response, Problem> {
     let pin = pin::pin(shared)?;
-    let max = pin.document.limits.max_body as usize;
+    let max = largest_body(shared, &pin);
     let timeout = shared.settings.limits.read_timeout;
     let exchange = admit::enter(shared, request, pin, CompactString::from(pool))?;
     let uri = request.uri().clone();
--- a/crates/pinereel/src/controllers/rollout.rs
+++ b/crates/pinereel/src/controllers/rollout.rs
@@ -59,6 +59,7 @@
         }
         let settings = Settings {
             floor: pool.floor,
+            loads: pool.loads as usize,
             ..Settings::default()
         };
         let controller = Controller::new(settings);
--- a/crates/pinereel/src/dispatch.rs
+++ b/crates/pinereel/src/dispatch.rs
@@ -10,8 +10,8 @@
 };
 use compact_str::CompactString;
 use pinereel_api::wire::{Call, Hello, Reply, Summary};
-use pinereel_core::endpoint::Event;
-use std::{rc::Rc, time::Duration};
+use pinereel_core::{Version, endpoint::Event};
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
 /// Carries out one call of the entry `from`.
 pub async fn call(shared: Rc<Shared>, _from: CompactString, call: Call) -> Reply {
@@ -88,16 +88,73 @@
     }
 }
 
+/// Summaries in a row that carry a change, since a full queue drops some.
+const REPEATS: u32 = 3;
+/// Summaries from one full one to the next.
+const REFRESH: u32 = 12;
+
+/// Versions and leaving endpoints, told when they change and now and then: they grow with the
+/// models, and a summary goes out every second.
+#[derive(Default)]
+pub struct News {
+    versions: BTreeMap<CompactString, Version>,
+    leaving: BTreeMap<CompactString, u64>,
+    links: Vec<CompactString>,
+    /// Summaries that still carry the last change.
+    repeats: u32,
+    /// Summaries since the last full one.
+    since: u32,
+}
+
+impl News {
+    /// Looks at what there is to tell in the next summary.
+    pub fn refresh(&mut self, shared: &Shared) {
+        let now = Self {
+            versions: shared.lots.versions(),
+            leaving: shared.endpoints.set().hints(),
+            links: shared.mesh.linked(),
+            repeats: self.repeats.saturating_sub(1),
+            since: self.since + 1,
+        };
+        let same =
+            now.versions == self.versions && now.leaving == self.leaving && now.links == self.links;
+        *self = now;
+        if !same {
+            self.repeats = REPEATS;
+        }
+        if self.since >= REFRESH {
+            self.repeats = self.repeats.max(1);
+        }
+        if self.repeats > 0 {
+            self.since = 0;
+        }
+    }
+
+    /// The versions and leaving endpoints that the next summary carries.
+    fn told(
+        &self,
+    ) -> (
+        BTreeMap<CompactString, Version>,
+        BTreeMap<CompactString, u64>,
+    ) {
+        if self.repeats == 0 {
+            return Default::default();
+        }
+        (self.versions.clone(), self.leaving.clone())
+    }
+}
+
 /// What this entry tells the peer `to`.
-pub fn summary(shared: &Shared, to: &Hello) -> Summary {
+pub fn summary(shared: &Shared, news: &News, to: &Hello) -> Summary {
+    let (versions, leaving) = news.told();
     let now = shared.now();
     Summary {
         number: shared.config.number(),
         vouches: shared.config.vouches(now),
         sent_us: now.0,
         echo: shared.config.echo(to),
-        versions: shared.lots.versions(),
-        leaving: shared.endpoints.set().hints(),
+        versions,
+        leaving,
         draining: shared.drain.asked(),
     }
 }
--- a/crates/pinereel/src/entry.rs
+++ b/crates/pinereel/src/entry.rs
@@ -192,8 +192,10 @@
     let refusal = move |code| respond::refused(&state, code, "by the peers' listener");
     shared.mesh.observe(refusal);
     spawn(shared, async |shared: Rc<Shared>| {
+        let mut news = dispatch::News::default();
         loop {
-            shared.mesh.tell(|to| dispatch::summary(&shared, to));
+            news.refresh(&shared);
+            shared.mesh.tell(|to| dispatch::summary(&shared, &news, to));
             sleep(SUMMARY_PAUSE).await;
         }
     });
--- a/crates/pinereel/src/filters/admit.rs
+++ b/crates/pinereel/src/filters/admit.rs
@@ -52,7 +52,7 @@
         id: exchange.id.clone(),
         priority: exchange.priority,
         deadline: exchange.deadline,
-        most: exchange.pin.document.limits.max_queue as usize,
+        most: (exchange.pin.document.limits.max_queue as usize).min(shared.settings.limits.waiting),
     };
     queues::enter(shared, arrival).await.map_err(refused)
 }
--- a/crates/pinereel/src/settings/mod.rs
+++ b/crates/pinereel/src/settings/mod.rs
@@ -137,16 +137,12 @@
     pub connections: usize,
     /// Longest wait for a whole request from its sender.
     pub read_timeout: Duration,
-    /// Largest request body, in bytes.
+    /// Largest request body, in bytes; the configuration may ask for less.
     pub body: usize,
-    /// Largest answer of an endpoint, in bytes.
-    pub answer: usize,
-    /// Requests that wait for an endpoint.
+    /// Requests that wait for an endpoint of one pool; the configuration may ask for less.
     pub waiting: usize,
     /// Frames that wait on one link to another entry.
     pub peer_queue: usize,
-    /// Largest frame between entries, in bytes.
-    pub peer_frame: usize,
     /// Lots held at once.
     pub lots: usize,
     /// Finished samples held until they are collected, in bytes.
@@ -310,10 +306,8 @@
             connections: section.count("connections", COUNT, 4_096),
             read_timeout: section.duration("read_timeout", WAIT, Duration::from_secs(5)),
             body: section.size("body", BYTES, 1 << 20),
-            answer: section.size("answer", BYTES, 8 << 20),
             waiting: section.count("waiting", COUNT, 1_024),
             peer_queue: section.count("peer_queue", COUNT, 256),
-            peer_frame: section.size("peer_frame", BYTES, 1 << 20),
             lots: section.count("lots", COUNT, 64),
             sample_memory: section.size("sample_memory", BYTES, 64 << 20),
         }
--- a/crates/pinereel/tests/settings_file.rs
+++ b/crates/pinereel/tests/settings_file.rs
@@ -90,10 +90,8 @@
             connections: 4096,
             read_timeout: 5s,
             body: 1048576,
-            answer: 8388608,
             waiting: 1024,
             peer_queue: 256,
-            peer_frame: 1048576,
             lots: 64,
             sample_memory: 67108864,
         },
@@ -124,10 +122,8 @@
 connections = 10
 read_timeout = 1s
 body = 64KiB
-answer = 1MiB
 waiting = 7
 peer_queue = 9
-peer_frame = 2048B
 lots = 3
 sample_memory = 1GiB
 [policy]
@@ -150,7 +146,7 @@
     } = settings;
     insta::assert_snapshot!(format!("{drain:?}\n{limits:?}\n{policy:?}\n{data:?}"), @r#"
     Drain { balancer_lag: 250ms, longest: 120s }
-    Limits { connections: 10, read_timeout: 1s, body: 65536, answer: 1048576, waiting: 7, peer_queue: 9, peer_frame: 2048, lots: 3, sample_memory: 1073741824 }
+    Limits { connections: 10, read_timeout: 1s, body: 65536, waiting: 7, peer_queue: 9, lots: 3, sample_memory: 1073741824 }
     Policy { routing: Baseline, zone_local: false, prefix_affinity: false, subset: 5 }
     Some("/var/lib/pinereel")
     "#);
@@ -209,7 +205,7 @@
 connections = 1000001
 read_timeout = 2d
 body = 64KB
-answer = 2GiB
+sample_memory = 2GiB
 lots = -1
 waiting =
 [policy]
@@ -227,7 +223,7 @@
     pinereel.ini:23: [limits] connections: given "1000001", expected a number from 1 to 1000000
     pinereel.ini:24: [limits] read_timeout: given "2d", expected a duration (ms, s, m, h) from 1ms to 3600s
     pinereel.ini:25: [limits] body: given "64KB", expected a size (B, KiB, MiB, GiB) from 1KiB to 1GiB
-    pinereel.ini:26: [limits] answer: given "2GiB", expected a size (B, KiB, MiB, GiB) from 1KiB to 1GiB
+    pinereel.ini:26: [limits] sample_memory: given "2GiB", expected a size (B, KiB, MiB, GiB) from 1KiB to 1GiB
     pinereel.ini:27: [limits] lots: given "-1", expected a number from 1 to 1000000
     pinereel.ini:28: [limits] waiting: given "", expected a number from 1 to 1000000
     pinereel.ini:30: [policy] routing: given "best", expected full or baseline
--- a/crates/pinereel_api/src/object.rs
+++ b/crates/pinereel_api/src/object.rs
@@ -141,6 +141,8 @@
     pub watches: std::collections::BTreeMap<CompactString, u64>,
     /// Watches waiting now.
     pub waiting: u64,
+    /// Of these, by kind.
+    pub waiting_by_kind: std::collections::BTreeMap<CompactString, u64>,
     /// Calls refused for their rate.
     pub limited: u64,
 }
--- a/crates/pinereel_api/src/wire.rs
+++ b/crates/pinereel_api/src/wire.rs
@@ -62,9 +62,9 @@
     pub sent_us: u64,
     /// The latest summary that the sender had from the receiver.
     pub echo: Option<Echo>,
-    /// Newest published version by model.
+    /// Newest published version by model; empty if nothing changed lately.
     pub versions: BTreeMap<CompactString, Version>,
-    /// Endpoints found leaving: name and incarnation.
+    /// Endpoints found leaving, name and incarnation; empty if nothing changed lately.
     pub leaving: BTreeMap<CompactString, u64>,
     /// Whether the sender is draining.
     pub draining: bool,
--- a/crates/pinereel_core/src/config/document.rs
+++ b/crates/pinereel_core/src/config/document.rs
@@ -47,6 +47,9 @@
     /// Share of the engines (0 to 1) that must stay in service while weights are loaded.
     #[serde(default = "default_floor")]
     pub floor: f64,
+    /// Most engines that load weights at once: the weight store's rate by the rate of one load.
+    #[serde(default = "default_loads")]
+    pub loads: u32,
 }
 
 /// One trainer.
@@ -98,6 +101,10 @@
     0.5
 }
 
+const fn default_loads() -> u32 {
+    64
+}
+
 const fn default_share() -> u32 {
     1
 }
--- a/crates/pinereel_core/src/config/patch.rs
+++ b/crates/pinereel_core/src/config/patch.rs
@@ -203,6 +203,9 @@
         if pool.slots == 0 {
             fault(faults, pointer(&path, "slots"), "must be at least 1");
         }
+        if pool.loads == 0 {
+            fault(faults, pointer(&path, "loads"), "must be at least 1");
+        }
         if !(0.0..=1.0).contains(&pool.floor) {
             fault(faults, pointer(&path, "floor"), "must be from 0 to 1");
         }
--- a/crates/pinereel_core/tests/config_patch.rs
+++ b/crates/pinereel_core/tests/config_patch.rs
@@ -55,7 +55,7 @@
 /limits/max_queues: unknown field `max_queues`, expected one of `max_body`, `max_queue`, `max_samples`, `default_deadline_ms`
 /pool: unknown key
 /pools/a~1b: invalid type: integer `7`, expected struct Pool
-/pools/llm/slot: unknown field `slot`, expected one of `kind`, `model`, `slots`, `non_idempotent`, `checks_fencing`, `floor`
+/pools/llm/slot: unknown field `slot`, expected one of `kind`, `model`, `slots`, `non_idempotent`, `checks_fencing`, `floor`, `loads`
 /trainers/new: missing field `pool`
 /trainers/wording/bound: invalid type: string "two", expected u64
 /trainers/wording/share: invalid value: integer `-1`, expected u32
--- a/crates/pinereel_fakes/src/capacity/control.rs
+++ b/crates/pinereel_fakes/src/capacity/control.rs
@@ -238,6 +238,7 @@
         non_idempotent: vec!["POST /orders".into()],
         checks_fencing: true,
         floor: 0.5,
+        loads: 64,
     }
 }
 
--- a/crates/pinereel_fakes/src/demo/deployment.rs
+++ b/crates/pinereel_fakes/src/demo/deployment.rs
@@ -115,5 +115,6 @@
         non_idempotent: Vec::new(),
         checks_fencing: false,
         floor: 0.5,
+        loads: 64,
     }
 }
--- a/crates/pinereel_fakes/src/load/stage.rs
+++ b/crates/pinereel_fakes/src/load/stage.rs
@@ -196,6 +196,7 @@
         non_idempotent: Vec::new(),
         checks_fencing: true,
         floor: 0.5,
+        loads: 64,
     };
     Document {
         pools: BTreeMap::from([
--- a/crates/pinereel_fakes/src/object_api/serve.rs
+++ b/crates/pinereel_fakes/src/object_api/serve.rs
@@ -115,18 +115,29 @@
 }
 
 /// Counts a waiting watch for as long as it lives, also if its client goes away.
-struct Waiting(Rc<State>);
+struct Waiting {
+    state: Rc<State>,
+    kind: CompactString,
+}
 
 impl Waiting {
-    fn new(state: &Rc<State>) -> Self {
-        state.stats.borrow_mut().waiting += 1;
-        Self(Rc::clone(state))
+    fn new(state: &Rc<State>, kind: &str) -> Self {
+        let mut stats = state.stats.borrow_mut();
+        stats.waiting += 1;
+        *stats.waiting_by_kind.entry(kind.into()).or_default() += 1;
+        Self {
+            state: Rc::clone(state),
+            kind: kind.into(),
+        }
     }
 }
 
 impl Drop for Waiting {
     fn drop(&mut self) {
-        self.0.stats.borrow_mut().waiting -= 1;
+        let mut stats = self.state.stats.borrow_mut();
+        stats.waiting -= 1;
+        let of_kind = stats.waiting_by_kind.get_mut(&self.kind);
+        *of_kind.expect("a waiting watch was counted") -= 1;
     }
 }
 
@@ -138,7 +149,7 @@
         return gone();
     }
     let mut wake = state.wake.subscribe();
-    let _waiting = Waiting::new(state);
+    let _waiting = Waiting::new(state, kind);
     loop {
         if state.down() {
             return down();
--- a/crates/pinereel_fakes/tests/config_patches.rs
+++ b/crates/pinereel_fakes/tests/config_patches.rs
@@ -9,6 +9,7 @@
 use futures_util::future::join_all;
 use pinereel::{controllers::members, objects::Purpose};
 use pinereel_api::{
+    object::CONFIG,
     operator::{Checked, Config},
     wire::{Call, Reply},
 };
@@ -203,7 +204,8 @@
 #[actix_rt::test]
 async fn few_entries_of_each_zone_watch() {
     let site = site(9).await;
-    until(|| site.api.stats().waiting == 6).await.unwrap();
+    let watching = || site.api.stats().waiting_by_kind.get(CONFIG).copied();
+    until(|| watching() == Some(6)).await.unwrap();
 }
 
 /// What an entry spends on its peers and on the object API while nothing happens.
