--- a/crates/pinereel_fakes/src/capacity/fit.rs
+++ b/crates/pinereel_fakes/src/capacity/fit.rs
@@ -76,4 +76,14 @@
             points,
         }
     }
+
+    /// Value at `x`. Beyond the last point a falling line is not followed: nothing measured here
+    /// gets cheaper with size, so the fall is noise.
+    pub fn at(&self, x: f64) -> f64 {
+        let last = self.points.iter().map(|(x, _)| *x).fold(0.0, f64::max);
+        if self.fit.slope < 0.0 && x > last {
+            return self.fit.at(last);
+        }
+        self.fit.at(x)
+    }
 }
--- a/crates/pinereel_fakes/tests/capacity_figures.rs
+++ b/crates/pinereel_fakes/tests/capacity_figures.rs
@@ -28,6 +28,17 @@
     assert_eq!((fit.at(0.0), fit.at(1_000.0)), (4.0, 4.0));
 }
 
+#[test]
+fn falling_line_is_not_followed_beyond_its_points() {
+    let falls = Slope::of("x", "%", "entry", vec![(10.0, 3.0), (20.0, 2.0)]);
+    assert_eq!(
+        (falls.at(15.0), falls.at(20.0), falls.at(350.0)),
+        (2.5, 2.0, 2.0)
+    );
+    let grows = Slope::of("x", "%", "entry", vec![(10.0, 2.0), (20.0, 3.0)]);
+    assert_eq!(grows.at(350.0), 36.0);
+}
+
 #[test]
 fn only_what_was_measured_is_worked_out() {
     let mut measured = Measured::default();
