--- a/crates/pinereel_fakes/src/experiment/collect.rs
+++ b/crates/pinereel_fakes/src/experiment/collect.rs
@@ -78,8 +78,11 @@
             let best = runners
                 .iter()
                 .max_by_key(|(_, e)| hash::score(key, &e.name));
-            if let Some((owner, _)) = best {
-                placed.entry(*owner).or_default().push(group.index);
+            let best = best.map(|(owner, _)| *owner);
+            let moved = self.moved.get(&(trainer, step, group.index)).copied();
+            let moved = moved.filter(|owner| self.policy.sticky && !away.contains(owner));
+            if let Some(owner) = moved.or(best) {
+                placed.entry(owner).or_default().push(group.index);
             }
         }
         placed
@@ -265,7 +268,7 @@
         collect.turn += 1;
         let turn = collect.turn;
         let Some((samples, missing)) = reply else {
-            self.moved(number, owner, &groups);
+            self.move_groups(number, owner, &groups);
             self.finish_round(number);
             return;
         };
@@ -282,7 +285,7 @@
     }
 
     /// The groups of a runner that can't be reached go to the next in rank.
-    fn moved(&mut self, number: u64, owner: usize, groups: &[u32]) {
+    fn move_groups(&mut self, number: u64, owner: usize, groups: &[u32]) {
         let Some(collect) = self.collects.get_mut(&number) else {
             return;
         };
@@ -293,7 +296,11 @@
             let moved: Vec<_> = all.into_iter().filter(|g| groups.contains(g)).collect();
             (!moved.is_empty()).then_some((owner, moved))
         });
-        let again = again.collect();
+        let again: BTreeMap<usize, Vec<u32>> = again.collect();
+        for (owner, groups) in &again {
+            let keys = groups.iter().map(|g| (asked.trainer, asked.step, *g));
+            self.moved.extend(keys.map(|key| (key, *owner)));
+        }
         if let Some(collect) = self.collects.get_mut(&number) {
             collect.again = again;
         }
--- a/crates/pinereel_fakes/src/experiment/policy.rs
+++ b/crates/pinereel_fakes/src/experiment/policy.rs
@@ -32,6 +32,8 @@
     pub eager: bool,
     /// Whether live requests avoid the endpoints that the entry's runner finds slow.
     pub shun_slow: bool,
+    /// Whether groups that moved to another runner stay there when theirs comes back.
+    pub sticky: bool,
     /// Whether the trainers run; without them only live callers load the engines.
     pub bulk: bool,
 }
@@ -46,6 +48,7 @@
         waves: false,
         eager: false,
         shun_slow: false,
+        sticky: false,
         bulk: true,
     };
 
@@ -196,6 +199,7 @@
                 ..Self::full()
             },
             full_without("full-no-shun-slow", |p| p.shun_slow = false),
+            full_without("full-no-sticky", |p| p.sticky = false),
             full_without("full-no-avoid-slow", |p| p.lot.avoid_slow = false),
             full_without("full-no-spread", |p| p.lot.spread = false),
             full_without("full-no-wanted-first", |p| p.lot.wanted_first = false),
@@ -221,6 +225,7 @@
             waves: false,
             eager: true,
             shun_slow: true,
+            sticky: true,
             bulk: true,
         }
     }
--- a/crates/pinereel_fakes/src/experiment/world.rs
+++ b/crates/pinereel_fakes/src/experiment/world.rs
@@ -30,6 +30,8 @@
     pub(super) trainers: Vec<Trainer>,
     pub(super) live: Live,
     pub(super) collects: BTreeMap<u64, Collect>,
+    /// Groups that went to another runner since theirs was lost: trainer, step, group.
+    pub(super) moved: BTreeMap<(usize, u64, u32), usize>,
     pub(super) next_collect: u64,
     pub(super) next_call: u64,
     pub(super) rollout: rollout::Controller,
@@ -71,6 +73,7 @@
             now: Time::ZERO,
             queue: Queue::default(),
             collects: BTreeMap::new(),
+            moved: BTreeMap::new(),
             next_collect: 0,
             next_call: 0,
             renewed: None,
