--- a/crates/pinereel_core/src/lot/state.rs
+++ b/crates/pinereel_core/src/lot/state.rs
@@ -205,7 +205,7 @@
 }
 
 /// Age at which a measured speed counts for nothing any more.
-const SPEED_MEMORY: Duration = Duration::from_secs(3);
+const SPEED_MEMORY: Duration = Duration::from_secs(10);
 
 /// How fast an endpoint's sequences get their tokens.
 #[derive(Clone, Copy, Debug, Default)]
