Lots: a lot that its trainer asked for starts on whatever its bound allows

Cause: path_whole hung: the engines stayed two versions behind, which the bound of 2 allows, and the start bound of 1 kept every sample waiting. Change: the start bound holds only for lots that nobody has asked for.

--- a/crates/pinereel_core/src/lot/mod.rs
+++ b/crates/pinereel_core/src/lot/mod.rs
@@ -36,7 +36,8 @@
     pub early_abort: bool,
     /// Avoid endpoints whose version is expected to be too old at completion.
     pub staleness_aware_start: bool,
-    /// Most versions that a start may be behind, even where the lot's bound is wider.
+    /// Most versions that a start may be behind while nobody has asked for the lot, even where its
+    /// bound is wider.
     pub start_bound: u64,
     /// Choose among equally busy endpoints by hash instead of by name.
     pub spread: bool,
--- a/crates/pinereel_core/src/lot/schedule.rs
+++ b/crates/pinereel_core/src/lot/schedule.rs
@@ -135,7 +135,12 @@
         let offer = &self.endpoints[endpoint].offer;
         let entry = &self.samples[sample];
         let lot = &self.lots[&entry.lot];
-        let bound = lot.spec.bound.min(self.policy.start_bound);
+        // Whoever waits takes all that its bound allows: nothing fresher may ever be served.
+        let bound = if lot.wanted {
+            lot.spec.bound
+        } else {
+            lot.spec.bound.min(self.policy.start_bound)
+        };
         if !staleness::fits(offer.version, lot.spec.version, bound) {
             return false;
         }
