--- a/crates/pinereel_fakes/src/capacity/mod.rs
+++ b/crates/pinereel_fakes/src/capacity/mod.rs
@@ -1,7 +1,7 @@
 //! Slopes of state, messages, processor time and memory, and what they come to at the two-year
 //! size: the figures of `docs/CAPACITY.md`.
 //!
-//! - `routing`, `lots`, `control`: decisions of the core, without I/O.
+//! - `routing`, `lots`, `control`, `rollout`: decisions of the core, without I/O.
 //! - `daemon`: entries at rest, with the platform on a thread of its own.
 //! - `path`: requests and samples through one entry.
 //! - [`target`]: the two-year size and the extrapolation.
@@ -14,6 +14,7 @@
 pub mod meter;
 mod path;
 mod platform;
+mod rollout;
 mod routing;
 pub mod target;
 
