--- a/crates/pinereel/src/entry.rs
+++ b/crates/pinereel/src/entry.rs
@@ -221,6 +221,7 @@
     };
     let limits = Limits {
         lots: settings.limits.lots,
+        text: settings.limits.sample_memory,
         ..Limits::default()
     };
     let config = config::Config::new(clock.now(), settings.entry.name.clone());
--- a/crates/pinereel/src/settings/mod.rs
+++ b/crates/pinereel/src/settings/mod.rs
@@ -145,7 +145,7 @@
     pub peer_queue: usize,
     /// Lots held at once.
     pub lots: usize,
-    /// Finished samples held until they are collected, in bytes.
+    /// Bytes of finished samples' text held, from which on no further groups are taken.
     pub sample_memory: usize,
 }
 
--- a/crates/pinereel_core/src/lot/accept.rs
+++ b/crates/pinereel_core/src/lot/accept.rs
@@ -29,6 +29,9 @@
         if self.samples.len() + samples > self.limits.samples {
             return Err(Refusal::Full);
         }
+        if samples > 0 && self.text() >= self.limits.text {
+            return Err(Refusal::Full);
+        }
         if new {
             self.insert(now, &spec);
         }
@@ -42,6 +45,12 @@
         Ok(())
     }
 
+    /// Bytes of finished text that wait to be collected.
+    fn text(&self) -> usize {
+        let finished = self.samples.values().filter_map(|e| e.finished.as_ref());
+        finished.map(|f| f.sample.text.len()).sum()
+    }
+
     fn check(&self, spec: &Spec) -> Result<(), Refusal> {
         if self.draining {
             return Err(Refusal::Draining);
--- a/crates/pinereel_core/src/lot/mod.rs
+++ b/crates/pinereel_core/src/lot/mod.rs
@@ -95,6 +95,9 @@
     pub lots: usize,
     /// Most samples held over all lots; groups beyond are refused with [`Refusal::Full`].
     pub samples: usize,
+    /// Bytes of finished text held, from which on further groups are refused with
+    /// [`Refusal::Full`]; what was taken before still finishes.
+    pub text: usize,
     /// Steps that a trainer's lots may be ahead of its oldest one here; older ones are dropped.
     pub steps_ahead: u64,
     /// Retries earned by each first attempt, in percent.
@@ -116,6 +119,7 @@
         Self {
             lots: 64,
             samples: 65_536,
+            text: 64 << 20,
             steps_ahead: 1,
             retry_percent: 20,
             retries_per_second: 10,
--- a/crates/pinereel_core/tests/lot_runner.rs
+++ b/crates/pinereel_core/tests/lot_runner.rs
@@ -160,6 +160,28 @@
     assert_eq!(actions, [Action::Dropped { lot, reason }]);
 }
 
+#[test]
+fn finished_text_is_bounded_and_room_comes_back_with_the_collect() {
+    let limits = Limits {
+        text: 3,
+        ..Limits::default()
+    };
+    let mut runner = Runner::new(all_slots(), limits);
+    let mut running = starts(&runner.step(NOW, offer("a", 2)));
+    running.extend(starts(&runner.step(NOW, Event::Assign(spec(7, &[(0, 8)])))));
+    for start in &running {
+        runner.step(NOW, chunk(start.attempt, 0, "ab", Some(Finish::Whole)));
+    }
+    let more = Event::Assign(spec(7, &[(0, 8), (1, 8)]));
+    let actions = runner.step(NOW, more.clone());
+    assert_eq!(refusal(&actions), Some(Refusal::Full));
+    let again = runner.step(NOW, Event::Assign(spec(7, &[(0, 8)])));
+    assert_eq!(refusal(&again), None, "what is known is no new work");
+    let token = Token::first(digest(7), 7, 4).after([0, 1]).unwrap();
+    runner.step(NOW, ask(7, token, 5, 1));
+    assert_eq!(refusal(&runner.step(NOW, more)), None);
+}
+
 /// The full policy for lots that nobody has asked for yet, but on all slots.
 fn all_slots() -> Policy {
     Policy {
--- a/crates/pinereel_fakes/src/engine/batch.rs
+++ b/crates/pinereel_fakes/src/engine/batch.rs
@@ -20,10 +20,8 @@
     time::Duration,
 };
 
-/// Priority of live callers; they may preempt bulk.
+/// Priority of live callers; they may preempt whatever is below.
 const LIVE: u8 = 2;
-/// Priority of bulk work.
-const BULK: u8 = 0;
 /// Shortest step, in seconds.
 const SHORTEST_STEP: f64 = 1e-6;
 /// Longest step, in seconds.
@@ -321,7 +319,7 @@
             return false;
         }
         let last = self.running.last_entry();
-        let Some(entry) = last.filter(|entry| entry.key().0.0 == BULK) else {
+        let Some(entry) = last.filter(|entry| entry.key().0.0 < priority) else {
             return false;
         };
         // It keeps its KV, so it goes on later where it stopped.
