--- a/crates/pinereel_api/src/wire.rs
+++ b/crates/pinereel_api/src/wire.rs
@@ -5,10 +5,12 @@
 
 use crate::trainer::{Group, Sample};
 use compact_str::CompactString;
-use pinereel_core::{Version, claim::Record, config::Prepare, hash::Digest};
+use pinereel_core::{Version, config::Prepare, hash::Digest};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
+pub use pinereel_core::claim::Record;
+
 /// Version of this protocol. Links between different majors are refused.
 pub const PROTOCOL: u16 = 1;
 
