One conversion of an engine's chunk

Cause: the same conversion stood in the lots controller, in the completion filter and in the experiment tool. Change: pinereel::engines::{stamp, of_attempt} serve all three.

--- a/crates/pinereel/src/controllers/lots/attempt.rs
+++ b/crates/pinereel/src/controllers/lots/attempt.rs
@@ -10,11 +10,10 @@
 };
 use compact_str::{CompactString, format_compact};
 use futures_util::StreamExt as _;
-use pinereel_api::engine::{self, Cancel, Request};
+use pinereel_api::engine::{Cancel, Request};
 use pinereel_core::{
     endpoint::{End, Key},
-    lot::{AttemptKey, Chunk, Event, Failure, Finish, Start},
-    provenance::Stamp,
+    lot::{AttemptKey, Event, Failure, Start},
 };
 use std::{pin::pin, rc::Rc, time::Duration};
 use tokio::time::timeout;
@@ -137,7 +136,7 @@
             continue;
         }
         let last = chunk.finish.is_some();
-        step(shared, Event::Chunk(convert(attempt, chunk)));
+        step(shared, Event::Chunk(engines::of_attempt(attempt, chunk)));
         if last {
             return Ok(());
         }
@@ -164,20 +163,3 @@
         resume_tokens: start.resume_tokens,
     }
 }
-
-fn convert(attempt: AttemptKey, chunk: engine::Chunk) -> Chunk {
-    Chunk {
-        attempt,
-        stamp: Stamp {
-            offset: chunk.offset,
-            tokens: chunk.tokens,
-            version: chunk.version,
-            reused: chunk.reused,
-        },
-        text: chunk.text,
-        finish: chunk.finish.map(|finish| match finish {
-            engine::Finish::Stop | engine::Finish::Length => Finish::Whole,
-            engine::Finish::Cancelled => Finish::Cancelled,
-        }),
-    }
-}
--- a/crates/pinereel/src/engines.rs
+++ b/crates/pinereel/src/engines.rs
@@ -9,9 +9,13 @@
 use bytes::Bytes;
 use futures_util::{Stream, StreamExt as _, TryStreamExt as _};
 use pinereel_api::{
-    engine::{Cancel, Chunk, Order, Request, State},
+    engine::{Cancel, Chunk, Finish, Order, Request, State},
     header,
 };
+use pinereel_core::{
+    lot::{self, AttemptKey},
+    provenance::Stamp,
+};
 use serde::{Serialize, de::DeserializeOwned};
 use std::{io, time::Duration};
 use tokio_util::{
@@ -178,3 +182,26 @@
 fn data(line: &str) -> Option<String> {
     line.strip_prefix(DATA).map(|data| data.trim().to_owned())
 }
+
+/// The stamps of a chunk, as the core reads them.
+pub fn stamp(chunk: &Chunk) -> Stamp {
+    Stamp {
+        offset: chunk.offset,
+        tokens: chunk.tokens,
+        version: chunk.version,
+        reused: chunk.reused.clone(),
+    }
+}
+
+/// A chunk of an attempt, as a lot's runner reads it.
+pub fn of_attempt(attempt: AttemptKey, chunk: Chunk) -> lot::Chunk {
+    lot::Chunk {
+        attempt,
+        stamp: stamp(&chunk),
+        text: chunk.text,
+        finish: chunk.finish.map(|finish| match finish {
+            Finish::Stop | Finish::Length => lot::Finish::Whole,
+            Finish::Cancelled => lot::Finish::Cancelled,
+        }),
+    }
+}
--- a/crates/pinereel/src/filters/completion.rs
+++ b/crates/pinereel/src/filters/completion.rs
@@ -5,7 +5,7 @@
     attempt::{self, Running},
     refuse, respond,
     route::{self, Wish},
-    shape::{self, Whole, stamp},
+    shape::{self, Whole},
     unknown,
 };
 use crate::{
@@ -106,7 +106,7 @@
     } else {
         record.resume()
     };
-    let _ = next.push(&stamp(chunk));
+    let _ = next.push(&engines::stamp(chunk));
     next
 }
 
@@ -301,7 +301,7 @@
                 return Err(Error::Lost("cancelled by the engine".into()));
             }
             record
-                .push(&stamp(&chunk))
+                .push(&engines::stamp(&chunk))
                 .map_err(|e| Error::Malformed(e.to_string()))?;
             progress.text.push_str(&chunk.text);
             progress.record = record.clone();
--- a/crates/pinereel/src/filters/shape.rs
+++ b/crates/pinereel/src/filters/shape.rs
@@ -1,6 +1,7 @@
 //! Completions in the shape that clients of model engines know: whole answers and event streams.
 
 use super::Exchange;
+use crate::engines;
 use bytes::Bytes;
 use compact_str::CompactString;
 use pinereel_api::{
@@ -74,7 +75,7 @@
     // Checked where it arrived; an error there never gets here.
     let _ = record.push(&Stamp {
         offset: 0,
-        ..stamp(&chunk)
+        ..engines::stamp(&chunk)
     });
     let last = chunk.finish.is_some();
     let event = Event {
@@ -96,16 +97,6 @@
     line(&serde_json::json!({ "error": problem })).into()
 }
 
-/// A chunk's place and versions.
-pub fn stamp(chunk: &Chunk) -> Stamp {
-    Stamp {
-        offset: chunk.offset,
-        tokens: chunk.tokens,
-        version: chunk.version,
-        reused: chunk.reused.clone(),
-    }
-}
-
 fn choice(text: String, finish_reason: Option<Finish>) -> Choice {
     Choice {
         index: 0,
--- a/crates/pinereel_fakes/src/experiment/entry.rs
+++ b/crates/pinereel_fakes/src/experiment/entry.rs
@@ -7,12 +7,12 @@
     world::World,
 };
 use compact_str::{CompactString, format_compact};
+use pinereel::engines;
 use pinereel_api::engine::{self, Request};
 use pinereel_core::{
     Time, Version, cursor,
     endpoint::{self, End, Key, Report, Set, State},
-    lot::{self, Action, AttemptKey, Chunk, Event, Failure, Finish, Limits, Offer, Runner, Start},
-    provenance::Stamp,
+    lot::{self, Action, AttemptKey, Event, Failure, Limits, Offer, Runner, Start},
 };
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -322,7 +322,7 @@
         if chunk.finish.is_some() {
             self.end(life, attempt, End::Whole);
         }
-        self.step(life, Event::Chunk(convert(attempt, chunk)));
+        self.step(life, Event::Chunk(engines::of_attempt(attempt, chunk)));
     }
 
     /// An attempt broke off.
@@ -361,20 +361,3 @@
         ..Limits::default()
     }
 }
-
-fn convert(attempt: AttemptKey, chunk: engine::Chunk) -> Chunk {
-    Chunk {
-        attempt,
-        stamp: Stamp {
-            offset: chunk.offset,
-            tokens: chunk.tokens,
-            version: chunk.version,
-            reused: chunk.reused,
-        },
-        text: chunk.text,
-        finish: chunk.finish.map(|finish| match finish {
-            engine::Finish::Stop | engine::Finish::Length => Finish::Whole,
-            engine::Finish::Cancelled => Finish::Cancelled,
-        }),
-    }
-}
