One comparison of secrets, one way to abandon an attempt

Cause: two functions compared secrets, one a listener; the peer links kept the shared secret as plain text in a type that can be printed; two places cancelled an attempt at its engine with the same task. Ruled out: one shape for the three stand-ins' handles, whose few lines alike differ in state and bounds. Change: settings::Secret::matches serves operators and peers, and the links hold a Secret; engines::abandon serves both cancels.

--- a/crates/pinereel/src/controllers/lots/attempt.rs
+++ b/crates/pinereel/src/controllers/lots/attempt.rs
@@ -10,7 +10,7 @@
 };
 use compact_str::{CompactString, format_compact};
 use futures_util::StreamExt as _;
-use pinereel_api::engine::{Cancel, Request};
+use pinereel_api::engine::Request;
 use pinereel_core::{
     endpoint::{End, Key},
     lot::{AttemptKey, Event, Failure, Start},
@@ -22,8 +22,6 @@
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Longest silence within a stream.
 const CHUNK_TIMEOUT: Duration = Duration::from_secs(60);
-/// Longest wait for a cancel.
-const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Tokens of one chunk: bulk work costs a chunk by the sample, not by the token.
 const CHUNK_TOKENS: u32 = 32;
 
@@ -70,14 +68,7 @@
         return;
     };
     running.abort.abort();
-    let shared = Rc::clone(shared);
-    actix_rt::spawn(async move {
-        let request = Cancel {
-            request_id: running.id,
-        };
-        // A cancel that is lost costs tokens, nothing else.
-        let _ = engines::cancel(&shared.http, &running.address, &request, CANCEL_TIMEOUT).await;
-    });
+    engines::abandon(&shared.http, running.address, running.id);
 }
 
 async fn run(
--- a/crates/pinereel/src/engines.rs
+++ b/crates/pinereel/src/engines.rs
@@ -7,6 +7,7 @@
 };
 use awc::ClientResponse;
 use bytes::Bytes;
+use compact_str::CompactString;
 use futures_util::{Stream, StreamExt as _, TryStreamExt as _};
 use pinereel_api::{
     engine::{Cancel, Chunk, Finish, Order, Request, State},
@@ -27,6 +28,8 @@
 const MAX_LINE: usize = 1 << 20;
 /// Largest answer that is not a stream, in bytes.
 const MAX_ANSWER: usize = 64 << 10;
+/// Longest wait for a cancel that nobody waits for.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Prefix of a line with data.
 const DATA: &str = "data:";
 /// Data of the last event of a whole stream.
@@ -86,6 +89,15 @@
     accept(response).map(drop)
 }
 
+/// Tells an engine, in a task of its own, that nobody waits for an attempt any more.
+pub fn abandon(client: &Client, address: CompactString, request_id: CompactString) {
+    let client = client.clone();
+    actix_rt::spawn(async move {
+        // A cancel that is lost costs tokens, nothing else.
+        let _ = cancel(&client, &address, &Cancel { request_id }, CANCEL_TIMEOUT).await;
+    });
+}
+
 /// Orders a version to be served.
 pub async fn order(
     client: &Client,
--- a/crates/pinereel/src/entry.rs
+++ b/crates/pinereel/src/entry.rs
@@ -216,7 +216,7 @@
         name: settings.entry.name.clone(),
         incarnation,
         zone: settings.entry.zone.clone(),
-        secret: settings.secrets.peer_secret.reveal().into(),
+        secret: settings.secrets.peer_secret.clone(),
         queue: settings.limits.peer_queue,
     };
     let limits = Limits {
--- a/crates/pinereel/src/filters/attempt.rs
+++ b/crates/pinereel/src/filters/attempt.rs
@@ -2,7 +2,6 @@
 
 use crate::{engines, state::Shared};
 use compact_str::CompactString;
-use pinereel_api::engine;
 use pinereel_core::endpoint::End;
 use std::{rc::Rc, time::Duration};
 
@@ -12,8 +11,6 @@
 const SHARE: u32 = 3;
 /// Least time that a silent endpoint gets.
 const LEAST: Duration = Duration::from_millis(500);
-/// Longest wait for a cancel.
-const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Longest silence of an endpoint when `left` is left until the deadline, so that another endpoint
 /// can still answer.
@@ -70,13 +67,7 @@
         if self.ended {
             return;
         }
-        let shared = Rc::clone(&self.shared);
         let address = std::mem::take(&mut self.address);
-        let request_id = std::mem::take(&mut self.id);
-        actix_rt::spawn(async move {
-            let cancel = engine::Cancel { request_id };
-            // A cancel that is lost costs tokens, nothing else.
-            let _ = engines::cancel(&shared.http, &address, &cancel, CANCEL_TIMEOUT).await;
-        });
+        engines::abandon(&self.shared.http, address, std::mem::take(&mut self.id));
     }
 }
--- a/crates/pinereel/src/operators/mod.rs
+++ b/crates/pinereel/src/operators/mod.rs
@@ -87,12 +87,7 @@
 }
 
 fn authorized(shared: &Shared, request: &Request) -> bool {
-    let expected = format!("Bearer {}", shared.settings.secrets.operator_token.reveal());
+    let token = &shared.settings.secrets.operator_token;
     let given = request.headers().get(header::AUTHORIZATION);
-    given.is_some_and(|given| same(given.as_bytes(), expected.as_bytes()))
-}
-
-/// Compares in a time that does not depend on where the two differ.
-pub(crate) fn same(a: &[u8], b: &[u8]) -> bool {
-    a.len() == b.len() && a.iter().zip(b).fold(0, |acc, (x, y)| acc | (x ^ y)) == 0
+    given.is_some_and(|given| token.matches("Bearer ", given.as_bytes()))
 }
--- a/crates/pinereel/src/peer/mesh.rs
+++ b/crates/pinereel/src/peer/mesh.rs
@@ -1,6 +1,7 @@
 //! All links of one entry.
 
 use super::link::{self, Call, Ended, Error, Link, Socket};
+use crate::settings::Secret;
 use compact_str::CompactString;
 use futures_util::{
     StreamExt as _,
@@ -58,7 +59,7 @@
     /// Its availability zone.
     pub zone: CompactString,
     /// The secret shared by all entries.
-    pub secret: CompactString,
+    pub secret: Secret,
     /// Most frames that wait for one peer.
     pub queue: usize,
 }
@@ -282,7 +283,7 @@
         let stream = TcpStream::connect(address).await.ok()?;
         stream.set_nodelay(true).ok()?;
         let mut request = format!("ws://{address}{path}").into_client_request().ok()?;
-        let secret = HeaderValue::from_str(&self.identity.secret).ok()?;
+        let secret = HeaderValue::from_str(self.identity.secret.reveal()).ok()?;
         request.headers_mut().insert(AUTHORIZATION, secret);
         let config = Some(link::socket_config());
         let (mut socket, _) = client_async_with_config(request, stream, config)
@@ -314,7 +315,7 @@
                     .headers()
                     .get(AUTHORIZATION)
                     .map(HeaderValue::as_bytes);
-                if given.is_some_and(|given| same(given, secret.as_bytes())) {
+                if given.is_some_and(|given| secret.matches("", given)) {
                     return Ok(response);
                 }
                 unknown.set(true);
@@ -434,8 +435,3 @@
         log::warn!("reply to {} not sent: {e}", link.hello.name);
     }
 }
-
-/// Compares in a time that does not depend on where the two differ.
-fn same(a: &[u8], b: &[u8]) -> bool {
-    a.len() == b.len() && a.iter().zip(b).fold(0, |acc, (x, y)| acc | (x ^ y)) == 0
-}
--- a/crates/pinereel/src/settings/secret.rs
+++ b/crates/pinereel/src/settings/secret.rs
@@ -18,6 +18,15 @@
         Self(text.into())
     }
 
+    /// Whether `given` is `prefix` followed by the secret. Takes a time that does not depend on where
+    /// the two differ.
+    pub fn matches(&self, prefix: &str, given: &[u8]) -> bool {
+        let expected = prefix.bytes().chain(self.0.bytes());
+        let length = prefix.len() + self.0.len();
+        let differ = expected.zip(given).fold(0, |acc, (x, y)| acc | (x ^ y));
+        given.len() == length && differ == 0
+    }
+
     /// Reads the file at `path`, without the white space around its content.
     ///
     /// # Errors
--- a/crates/pinereel/tests/peer_links.rs
+++ b/crates/pinereel/tests/peer_links.rs
@@ -3,7 +3,10 @@
 #![allow(clippy::unwrap_used)]
 
 use compact_str::CompactString;
-use pinereel::peer::{Call, Error, Identity, Mesh, Peer};
+use pinereel::{
+    peer::{Call, Error, Identity, Mesh, Peer},
+    settings::Secret,
+};
 use pinereel_api::wire::{MAX_FRAME, Reply};
 use std::{rc::Rc, time::Duration};
 use tokio::{
@@ -20,7 +23,7 @@
         name: name.into(),
         incarnation: 1,
         zone: "erie-hall".into(),
-        secret: secret.into(),
+        secret: Secret::new(secret),
         queue: 4,
     };
     let mesh = Mesh::new(identity);
--- a/crates/pinereel/tests/settings_file.rs
+++ b/crates/pinereel/tests/settings_file.rs
@@ -1,6 +1,6 @@
 //! The settings file: defaults, every kind of fault, and the worked example of the docs.
 
-use pinereel::settings::{Error, Settings};
+use pinereel::settings::{Error, Secret, Settings};
 use std::{
     fs,
     os::unix::fs::PermissionsExt as _,
@@ -303,3 +303,19 @@
     let shown = format!("{settings:?}");
     assert!(!shown.contains("operators-token-1") && !shown.contains("peers-secret-0001"));
 }
+
+#[test]
+fn a_secret_matches_itself_after_its_prefix_and_nothing_else() {
+    let secret = Secret::new("0123456789abcdef");
+    assert!(secret.matches("Bearer ", b"Bearer 0123456789abcdef"));
+    assert!(secret.matches("", b"0123456789abcdef"));
+    for wrong in [
+        "",
+        "0123456789abcdeF",
+        "0123456789abcde",
+        "0123456789abcdef0",
+        "Bearer 0123456789abcdef",
+    ] {
+        assert!(!secret.matches("", wrong.as_bytes()), "{wrong}");
+    }
+}
