A port to the platform, and its adapter

Cause: the product speaks only its own interface; the platform's names must stand in one place. Ruled out: ports with I/O in them, since then a second client of the object store would stand in platform/. Not yet used by the daemon.

--- /dev/null
+++ b/crates/pinereel_port/src/config.rs
@@ -0,0 +1,97 @@
+//! The configuration that the operator wrote.
+
+use compact_str::CompactString;
+use std::time::Duration;
+
+/// The whole configuration.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Document {
+    /// Grows with each change, in uneven steps.
+    pub number: u64,
+    /// Routes in no order that means anything.
+    pub routes: Vec<Route>,
+    /// Services.
+    pub services: Vec<Service>,
+    /// What callers may send.
+    pub limits: Limits,
+}
+
+/// One route.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Name.
+    pub name: CompactString,
+    /// Host that it is for, without a port.
+    pub host: CompactString,
+    /// Start of the paths that it is for, with a slash at both ends.
+    pub prefix: CompactString,
+    /// What may be done with its requests.
+    pub kind: Kind,
+    /// Where its requests go.
+    pub targets: Vec<Target>,
+    /// Longest time that a caller is kept waiting.
+    pub timeout: Duration,
+    /// Latency objective: the time within which an answer is worth most.
+    pub objective: Duration,
+    /// Rank; 0 is the most urgent.
+    pub priority: u32,
+    /// Most endpoints that one request may run on.
+    pub max_attempts: u32,
+    /// How long after a lot's submission its items may be given up; none if never.
+    pub item_ttl: Option<Duration>,
+    /// Whether one sample must come from one version of the weights alone.
+    pub single_version: bool,
+}
+
+/// What may be done with a route's requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// May run more than once.
+    Idempotent,
+    /// At most once.
+    Once,
+    /// Lots of a trainer.
+    Lot,
+}
+
+/// A share of a route's requests.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// Service that runs them.
+    pub service: CompactString,
+    /// Its share, against the sum of all weights.
+    pub weight: u32,
+}
+
+/// One service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Service {
+    /// Name.
+    pub name: CompactString,
+    /// Connections that each of its endpoints takes from all callers together.
+    pub max_connections: u32,
+    /// What its endpoints are told if they are model engines.
+    pub engine: Option<Engine>,
+}
+
+/// What the configuration says of a service of model engines.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Engine {
+    /// Requests that run at once on each.
+    pub slots: u32,
+    /// Names of the models that they serve.
+    pub models: Vec<CompactString>,
+}
+
+/// What callers may send, and how long they may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Bytes of a request's head.
+    pub head: usize,
+    /// Bytes of a request's body.
+    pub body: usize,
+    /// Wait for a whole head.
+    pub head_timeout: Duration,
+    /// Longest idle time of a connection.
+    pub idle: Duration,
+}
--- /dev/null
+++ b/crates/pinereel_port/src/engine.rs
@@ -0,0 +1,68 @@
+//! What model engines are told, and what they tell.
+
+use crate::Fault;
+use actix_http::StatusCode;
+use bytes::Bytes;
+use compact_str::CompactString;
+use std::collections::BTreeMap;
+
+/// An order to load a version of a model's weights. Running requests go on under the new version
+/// unless `whole_runs` is set.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Order<'a> {
+    /// The model.
+    pub model: &'a str,
+    /// The version to load.
+    pub version: u64,
+    /// Whether running requests end under the old version first.
+    pub whole_runs: bool,
+    /// Instance that gives the order.
+    pub holder: &'a str,
+    /// Fencing token of the lease that the order is given under.
+    pub fence: u64,
+    /// Orders that the engine must have accepted before; a later one makes this one void.
+    pub expected_orders: u64,
+}
+
+/// Answer to an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Being carried out.
+    Accepted,
+    /// The engine has that version.
+    Holds,
+    /// Another order is being carried out, or the count of orders differs.
+    Busy,
+    /// The fencing token is older than one that the engine has seen.
+    Fenced,
+    /// Another engine has this address now.
+    OtherEndpoint,
+    /// Refused for another reason.
+    Refused,
+}
+
+/// What an engine reports of itself, some 100 ms old.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// Version by model.
+    pub models: BTreeMap<CompactString, u64>,
+    /// Whether an order is being carried out.
+    pub busy: bool,
+    /// Orders accepted since its start.
+    pub orders: u64,
+}
+
+/// Calls at engines.
+#[derive(Clone, Copy, Debug)]
+pub struct Dialect {
+    /// Path of the report, for a GET.
+    pub report_path: &'static str,
+    /// Reads a report.
+    pub report: fn(&[u8]) -> Result<Report, Fault>,
+    /// Path of orders, for a POST.
+    pub order_path: &'static str,
+    /// Writes an order.
+    pub order: fn(Order<'_>) -> Bytes,
+    /// Reads the answer to an order.
+    pub verdict: fn(StatusCode) -> Verdict,
+}
--- /dev/null
+++ b/crates/pinereel_port/src/lib.rs
@@ -0,0 +1,26 @@
+//! The port between pinereel and the platform that it runs on.
+//!
+//! An adapter is a plain struct of functions, [`Adapter`]. Each function translates between the
+//! platform's bytes or headers and the typed values of this crate; none of them does I/O, keeps
+//! state or decides anything. The daemon calls them, and knows no name of the platform.
+//!
+//! The main types:
+//! - [`Adapter`]: all functions of one platform.
+//! - [`store::Dialect`]: the calls of the object store.
+//! - [`config::Document`]: routes, services and limits, as the operator wrote them.
+//! - [`endpoint::Entry`]: one endpoint of the platform's list.
+//! - [`live::Request`] and [`live::Answer`]: what is read in the heads of live requests.
+//! - [`lot::Submission`] and [`lot::Call`]: what trainers send.
+//! - [`engine::Order`] and [`engine::Report`]: what engines are told and tell.
+
+pub mod adapter;
+pub mod config;
+pub mod endpoint;
+pub mod engine;
+mod fault;
+pub mod live;
+pub mod lot;
+pub mod store;
+
+pub use adapter::Adapter;
+pub use fault::Fault;
--- /dev/null
+++ b/crates/pinereel_port/src/live.rs
@@ -0,0 +1,70 @@
+//! Heads of requests that callers send, of their attempts at endpoints, and of the answers.
+
+use actix_http::{StatusCode, header::HeaderMap};
+use compact_str::CompactString;
+use std::time::Duration;
+
+/// What a caller's head says.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Request {
+    /// Id of the request; each attempt of a caller has its own.
+    pub id: CompactString,
+    /// How long the caller waits from now.
+    pub time_left: Option<Duration>,
+    /// How long the caller lets a read wait for news.
+    pub wait: Option<Duration>,
+}
+
+/// What an attempt's head tells the endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct Attempt<'a> {
+    /// Id of the request.
+    pub id: &'a str,
+    /// Id of the endpoint that it is meant for; any other refuses it.
+    pub endpoint: &'a str,
+    /// The endpoint stops working after it; none lets it work on.
+    pub time_left: Option<Duration>,
+    /// Goes on after this event of a stream.
+    pub after_event: Option<u64>,
+}
+
+/// What an answer's head says.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Answer {
+    /// Id of the request that it answers.
+    pub id: Option<CompactString>,
+    /// Proof that the endpoint made this answer.
+    pub signature: Option<CompactString>,
+    /// The endpoint says that the request did not run there and never will.
+    pub not_run: bool,
+    /// How busy the endpoint was.
+    pub load: Option<Load>,
+    /// Version of the weights at the start of a generation.
+    pub version: Option<u64>,
+    /// Whether the body is encoded; then it is not what the endpoint made.
+    pub encoded: bool,
+    /// After how much idle time the endpoint closes the connection.
+    pub keep_alive: Option<Duration>,
+}
+
+/// An endpoint's own count of its work.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that it runs at once.
+    pub slots: u32,
+}
+
+/// Reads and writes heads.
+#[derive(Clone, Copy, Debug)]
+pub struct Dialect {
+    /// Reads a caller's head.
+    pub request: fn(&HeaderMap) -> Request,
+    /// Writes an attempt into a head that may hold the caller's headers.
+    pub attempt: fn(&mut HeaderMap, Attempt<'_>),
+    /// Reads an answer's head.
+    pub answer: fn(StatusCode, &HeaderMap) -> Answer,
+}
