--- a/crates/pinereel/src/cli/error.rs
+++ b/crates/pinereel/src/cli/error.rs
@@ -1,7 +1,7 @@
 //! Why a command was not done.
 
 use super::Exit;
-use crate::{entry, settings};
+use crate::{entry, hosted, settings};
 use compact_str::CompactString;
 use pinereel_api::problem::{Code, Problem, Ran};
 use std::{io, net::SocketAddr, path::PathBuf};
@@ -26,6 +26,9 @@
     /// The entry ended with an error.
     #[error("entry: {0}")]
     Entry(entry::Error),
+    /// The hosted instance ended with an error.
+    #[error("instance: {0}")]
+    Hosted(hosted::Error),
     /// Nothing reached the entry.
     #[error("{address}: not reached: {reason}")]
     Unreached {
@@ -78,7 +81,7 @@
     pub const fn exit(&self) -> Exit {
         match self {
             Self::Usage(_) | Self::Settings(_) | Self::File { .. } => Exit::Usage,
-            Self::Entry(_) | Self::Unreached { .. } | Self::Io(_) => Exit::Failed,
+            Self::Entry(_) | Self::Hosted(_) | Self::Unreached { .. } | Self::Io(_) => Exit::Failed,
             Self::Lost { changes, .. } | Self::Answer { changes, .. } => unknown_if(*changes),
             Self::Problem { problem, changes } => match problem.code {
                 Code::Conflict | Code::InvalidPatch | Code::NotConfirmed => Exit::Refused,
--- a/crates/pinereel/src/cli/help.rs
+++ b/crates/pinereel/src/cli/help.rs
@@ -7,6 +7,7 @@
 
 commands:
   entry    run an entry
+  hosted   run an instance whose state the platform keeps
   config   show, check or patch the configuration
   status   print what an entry knows of the system
   drain    stop an entry gracefully
@@ -31,6 +32,16 @@
 
 exit codes: 0 done, 1 failed, 2 bad usage or settings";
 
+pub(super) const HOSTED: &str = "\
+usage: pinereel hosted [--config FILE] [--check]
+
+Runs an instance whose state the platform keeps, until it is told to stop.
+
+  --config FILE  settings, or PINEREEL_SETTINGS; see docs/SETTINGS.md
+  --check        read the settings, list all faults, and stop
+
+exit codes: 0 done, 1 failed, 2 bad usage or settings";
+
 pub(super) const CONFIG: &str = "\
 usage: pinereel config show [TARGET]
        pinereel config check --base N FILE [TARGET]
--- a/crates/pinereel/src/cli/mod.rs
+++ b/crates/pinereel/src/cli/mod.rs
@@ -14,13 +14,19 @@
 pub use error::Error;
 pub use parse::parse;
 
-use crate::{entry, settings::Settings};
+use crate::{
+    entry, hosted,
+    settings::{Hosted, Settings},
+};
 use compact_str::CompactString;
 use output::Output;
+use pinereel_port::Adapter;
 use std::{io::Write, net::SocketAddr, path::PathBuf};
 
 /// Environment variable for `--operators`.
 pub const OPERATORS: &str = "PINEREEL_OPERATORS";
+/// Environment variable for `--config` of a hosted instance.
+pub const SETTINGS: &str = "PINEREEL_SETTINGS";
 /// Environment variable for `--token-file`.
 pub const TOKEN_FILE: &str = "PINEREEL_TOKEN_FILE";
 
@@ -53,6 +59,13 @@
         /// Whether to stop after reading the settings.
         check: bool,
     },
+    /// Run an instance on the platform that hosts it.
+    Hosted {
+        /// Its settings file.
+        config: PathBuf,
+        /// Whether to stop after reading the settings.
+        check: bool,
+    },
     /// Print the configuration in force.
     Show(Target),
     /// Ask what a patch would give.
@@ -88,10 +101,17 @@
 }
 
 /// Does `command`, with results on `out` and faults on `err`.
-pub fn run(command: Command, out: &mut impl Write, err: &mut impl Write) -> Exit {
+///
+/// `adapter` speaks to the platform that hosts the process, if the command is to run there.
+pub fn run(
+    command: Command,
+    adapter: Adapter,
+    out: &mut impl Write,
+    err: &mut impl Write,
+) -> Exit {
     let json = command.target().is_some_and(|target| target.json);
     let mut output = Output { out, json };
-    match execute(command, &mut output) {
+    match execute(command, adapter, &mut output) {
         Ok(()) => Exit::Done,
         Err(error) => {
             // Nobody is left to tell if standard error is closed.
@@ -101,7 +121,7 @@
     }
 }
 
-fn execute(command: Command, output: &mut Output<'_>) -> Result<(), Error> {
+fn execute(command: Command, adapter: Adapter, output: &mut Output<'_>) -> Result<(), Error> {
     match command {
         Command::Help(text) => output.text(text),
         Command::Version => output.text(concat!("pinereel ", env!("CARGO_PKG_VERSION"))),
@@ -112,6 +132,13 @@
             }
             entry::run(settings).map_err(Error::Entry)
         }
+        Command::Hosted { config, check } => {
+            let settings = Hosted::load(&config)?;
+            if check {
+                return output.text("settings are valid");
+            }
+            hosted::run(settings, config, adapter).map_err(Error::Hosted)
+        }
         Command::Show(target) => config::show(&target, output),
         Command::Check(target, draft) => config::check(&target, &draft, output),
         Command::Patch(target, draft) => config::patch(&target, &draft, output),
@@ -123,7 +150,7 @@
 impl Command {
     const fn target(&self) -> Option<&Target> {
         match self {
-            Self::Help(_) | Self::Version | Self::Entry { .. } => None,
+            Self::Help(_) | Self::Version | Self::Entry { .. } | Self::Hosted { .. } => None,
             Self::Show(target) | Self::Status(target) | Self::Drain(target) => Some(target),
             Self::Check(target, _) | Self::Patch(target, _) => Some(target),
         }
--- a/crates/pinereel/src/cli/parse.rs
+++ b/crates/pinereel/src/cli/parse.rs
@@ -1,6 +1,6 @@
 //! Reads the command line. Nothing is done here, and no file is opened.
 
-use super::{Command, Draft, Error, OPERATORS, TOKEN_FILE, Target, help};
+use super::{Command, Draft, Error, OPERATORS, SETTINGS, TOKEN_FILE, Target, help};
 use compact_str::{CompactString, format_compact};
 use lexopt::{Arg, Parser, ValueExt as _};
 use std::{ffi::OsString, path::PathBuf};
@@ -27,6 +27,7 @@
 ) -> Result<Command, Error> {
     let text = match name {
         "entry" => help::ENTRY,
+        "hosted" => help::HOSTED,
         "config" => help::CONFIG,
         "status" => help::STATUS,
         "drain" => help::DRAIN,
@@ -39,6 +40,7 @@
     }
     let command = match name {
         "entry" => options.entry()?,
+        "hosted" => options.hosted(&env)?,
         "config" => options.config(&env)?,
         "status" => Command::Status(options.target(&env)?),
         _ => Command::Drain(options.target(&env)?),
@@ -68,12 +70,14 @@
         while let Some(arg) = parser.next()? {
             match (command, arg) {
                 (_, Arg::Long("help") | Arg::Short('h')) => options.help = true,
-                ("entry", Arg::Long("check")) => options.check = true,
-                ("entry", Arg::Long("config")) => options.settings = Some(parser.value()?.into()),
+                ("entry" | "hosted", Arg::Long("check")) => options.check = true,
+                ("entry" | "hosted", Arg::Long("config")) => {
+                    options.settings = Some(parser.value()?.into());
+                }
                 ("config", Arg::Long("base")) => options.base = Some(parser.value()?.parse()?),
                 ("config", Arg::Long("id")) => options.id = Some(parser.value()?.string()?.into()),
                 ("config", Arg::Value(value)) => options.values.insert(0, value),
-                ("entry", arg) => return Err(arg.unexpected().into()),
+                ("entry" | "hosted", arg) => return Err(arg.unexpected().into()),
                 (_, Arg::Long("json")) => options.json = true,
                 (_, Arg::Long("operators")) => options.operators = Some(parser.value()?),
                 (_, Arg::Long("token-file")) => options.token_file = Some(parser.value()?),
@@ -92,6 +96,15 @@
         Ok(Command::Entry { config, check })
     }
 
+    fn hosted(&mut self, env: impl Fn(&str) -> Option<OsString>) -> Result<Command, Error> {
+        let config = self.settings.take();
+        let config = config.or_else(|| env(SETTINGS).map(PathBuf::from));
+        let config =
+            config.ok_or_else(|| usage(format_compact!("--config or {SETTINGS} is missing")))?;
+        let check = self.check;
+        Ok(Command::Hosted { config, check })
+    }
+
     fn config(&mut self, env: impl Fn(&str) -> Option<OsString>) -> Result<Command, Error> {
         let verb = self.values.pop().unwrap_or_default();
         match verb.to_str() {
--- /dev/null
+++ b/crates/pinereel/src/hosted/config.rs
@@ -0,0 +1,97 @@
+//! The configuration in force at this instance.
+
+use super::{
+    follow::{Update, follow},
+    store::Store,
+};
+use crate::objects::Purpose;
+use pinereel_core::table::Table;
+use pinereel_port::{Adapter, store::Object};
+use std::{cell::RefCell, rc::Rc, time::Duration};
+use tokio::{sync::watch, time::Instant};
+
+/// The configuration in force; it never goes back to an older number in one process.
+pub struct Config {
+    in_force: RefCell<Option<InForce>>,
+    changed: watch::Sender<u64>,
+}
+
+#[derive(Clone)]
+struct InForce {
+    table: Rc<Table>,
+    since: Instant,
+}
+
+impl Config {
+    /// Follows the configuration in `store` from now on.
+    pub fn start(store: &Store, adapter: Adapter, wait: Duration) -> Rc<Self> {
+        let config = Rc::new(Self {
+            in_force: RefCell::new(None),
+            changed: watch::channel(0).0,
+        });
+        let (state, store) = (Rc::clone(&config), store.clone());
+        actix_rt::spawn(async move {
+            let kind = adapter.places.config;
+            follow(&store, Purpose::Config, kind, wait, |update| {
+                state.take(adapter, update);
+            })
+            .await;
+        });
+        config
+    }
+
+    /// The configuration in force; none before the first was read.
+    pub fn table(&self) -> Option<Rc<Table>> {
+        let in_force = self.in_force.borrow();
+        in_force.as_ref().map(|in_force| Rc::clone(&in_force.table))
+    }
+
+    /// For how long it has been in force here.
+    pub fn age(&self) -> Option<Duration> {
+        let in_force = self.in_force.borrow();
+        in_force.as_ref().map(|in_force| in_force.since.elapsed())
+    }
+
+    /// Tells the number in force when it changes.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    fn take(&self, adapter: Adapter, update: Update) {
+        let objects = match update {
+            Update::All(objects) => objects,
+            Update::Changes(changes) => {
+                let present = changes.into_iter().filter(|change| !change.deleted);
+                present.map(|change| change.object).collect()
+            }
+        };
+        for object in objects {
+            if object.name == adapter.places.config_name {
+                self.put_in_force(adapter, &object);
+            }
+        }
+    }
+
+    fn put_in_force(&self, adapter: Adapter, object: &Object) {
+        let revision = object.revision;
+        let document = match (adapter.config)(&object.spec) {
+            Ok(document) => document,
+            Err(fault) => {
+                let number = self.table().map(|table| table.number());
+                log::error!(revision, in_force:serde = number; "configuration refused: {fault}");
+                return;
+            }
+        };
+        let number = document.number;
+        let before = self.table().map(|table| table.number());
+        if before.is_some_and(|before| number <= before) {
+            log::debug!(revision, number; "configuration is in force or older");
+            return;
+        }
+        let table = Rc::new(Table::new(document));
+        let since = Instant::now();
+        self.in_force.replace(Some(InForce { table, since }));
+        log::info!(revision, number, before:serde = before; "configuration in force");
+        self.changed.send_replace(number);
+    }
+}
--- /dev/null
+++ b/crates/pinereel/src/hosted/duty.rs
@@ -0,0 +1,254 @@
+//! Duties that one instance has at a time, by leases in the object store.
+
+use super::store::Store;
+use crate::objects::{Error, Purpose};
+use compact_str::{CompactString, format_compact};
+use pinereel_core::{
+    Time,
+    lease::{Action, Event, Holder, Lease, Limits},
+};
+use pinereel_port::store::{Freshness, Object};
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+    time::Duration,
+};
+use tokio::{
+    sync::{Notify, watch},
+    time::sleep,
+};
+
+/// Kind of the leases, one object a duty.
+const KIND: &str = "pinereel-duties";
+
+/// Times of all leases. A holder that dies is replaced after 2.2 s to 3 s: a step is due in 7.5 s,
+/// and an item must not wait for 5 s. A holder renews about every 0.7 s, which is one call; the
+/// others look as often, by stale reads at a tenth of the price.
+const LIMITS: Limits = Limits {
+    duration: Duration::from_millis(2_000),
+    margin: Duration::from_millis(200),
+    retry: Duration::from_millis(700),
+};
+
+/// Shortest sleep between two looks at what is due.
+const SHORTEST_SLEEP: Duration = Duration::from_millis(10);
+
+/// A lease that this instance holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Grant {
+    /// Its fencing token.
+    pub fence: u64,
+    /// Moment on [`Duties::now`]'s clock from which it must not be acted on.
+    pub until: Time,
+    /// When this instance got it.
+    pub since: Time,
+}
+
+/// The duties that this instance takes part in.
+pub struct Duties {
+    store: Store,
+    instance: CompactString,
+    id: CompactString,
+    clock: Rc<dyn Fn() -> Time>,
+    joined: RefCell<BTreeMap<CompactString, watch::Sender<Option<Grant>>>>,
+    /// Duties that are not released yet after a drain.
+    unreleased: Cell<usize>,
+    draining: Cell<bool>,
+    drain: Notify,
+}
+
+impl Duties {
+    /// No duties yet. `clock` must go on while the machine is suspended.
+    pub fn new(
+        store: &Store,
+        instance: &CompactString,
+        incarnation: u64,
+        clock: impl Fn() -> Time + 'static,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            store: store.clone(),
+            instance: instance.clone(),
+            id: format_compact!("{instance}/{incarnation:x}"),
+            clock: Rc::new(clock),
+            joined: RefCell::default(),
+            unreleased: Cell::new(0),
+            draining: Cell::new(false),
+            drain: Notify::new(),
+        })
+    }
+
+    /// The time on the leases' clock.
+    pub fn now(&self) -> Time {
+        (self.clock)()
+    }
+
+    /// Name of this instance.
+    pub fn instance(&self) -> &CompactString {
+        &self.instance
+    }
+
+    /// Takes part in a duty from now on, and tells when its lease comes and goes. The receiver may
+    /// lag: ask [`Duties::acts`] right before each act.
+    pub fn join(self: &Rc<Self>, duty: &CompactString) -> watch::Receiver<Option<Grant>> {
+        let mut joined = self.joined.borrow_mut();
+        if let Some(sender) = joined.get(duty) {
+            return sender.subscribe();
+        }
+        let (sender, receiver) = watch::channel(None);
+        joined.insert(duty.clone(), sender);
+        self.unreleased.set(self.unreleased.get() + 1);
+        let (state, duty) = (Rc::clone(self), duty.clone());
+        actix_rt::spawn(async move { state.run(&duty).await });
+        receiver
+    }
+
+    /// The lease of a duty if this instance may act on it now.
+    pub fn acts(&self, duty: &str) -> Option<Grant> {
+        let joined = self.joined.borrow();
+        let grant = (*joined.get(duty)?.borrow())?;
+        (self.now() < grant.until).then_some(grant)
+    }
+
+    /// Gives up all leases.
+    pub fn drain(&self) {
+        self.draining.set(true);
+        self.drain.notify_waiters();
+    }
+
+    /// Whether a drained instance is rid of all leases.
+    pub fn released(&self) -> bool {
+        self.unreleased.get() == 0
+    }
+
+    async fn run(&self, duty: &CompactString) {
+        let prefix = format_compact!("{}/", self.instance);
+        let mut holder = Holder::new(self.now(), self.id.clone(), LIMITS).succeeding(prefix);
+        let mut told = false;
+        loop {
+            let event = if self.draining.get() && !told {
+                told = true;
+                Event::Drain
+            } else {
+                Event::Tick
+            };
+            self.tick(&mut holder, duty, event).await;
+            if told && holder.is_released() {
+                log::info!(duty = duty.as_str(); "lease released");
+                self.unreleased.set(self.unreleased.get() - 1);
+                return;
+            }
+            let now = self.now();
+            let mut next = holder.due().since(now);
+            if holder.acts(now).is_some() {
+                next = next.min(holder.until().since(now));
+            }
+            tokio::select! {
+                () = sleep(next.max(SHORTEST_SLEEP)) => {}
+                () = self.drain.notified() => {}
+            }
+            self.tell(duty, &holder);
+        }
+    }
+
+    /// One event, and the calls that it leads to. Each action is carried out and answered.
+    async fn tick(&self, holder: &mut Holder, duty: &CompactString, event: Event) {
+        let mut actions = holder.step(self.now(), event);
+        while let Some(action) = actions.pop() {
+            let event = self.call(holder, duty, action).await;
+            actions.extend(holder.step(self.now(), event));
+            self.tell(duty, holder);
+        }
+    }
+
+    /// Publishes what the holder may do now.
+    fn tell(&self, duty: &CompactString, holder: &Holder) {
+        let now = self.now();
+        let joined = self.joined.borrow();
+        let Some(sender) = joined.get(duty) else {
+            return;
+        };
+        let before = *sender.borrow();
+        let since = before.map_or(now, |grant| grant.since);
+        let grant = holder.acts(now).map(|fence| Grant {
+            fence,
+            until: holder.until(),
+            since,
+        });
+        if before.map(|grant| grant.fence) != grant.map(|grant| grant.fence) {
+            match grant {
+                Some(grant) => log::info!(duty = duty.as_str(), fence = grant.fence; "lease taken"),
+                None => log::info!(duty = duty.as_str(); "lease lost"),
+            }
+        }
+        if before != grant {
+            sender.send_replace(grant);
+        }
+    }
+
+    async fn call(&self, holder: &Holder, duty: &str, action: Action) -> Event {
+        match action {
+            Action::Read => self.read(holder, duty).await,
+            Action::Write { expected, lease } => self.write(duty, expected, &lease).await,
+        }
+    }
+
+    async fn read(&self, holder: &Holder, duty: &str) -> Event {
+        let freshness = if holder.watches(self.now()) {
+            Freshness::Stale
+        } else {
+            Freshness::Current
+        };
+        let read = self.store.read(Purpose::Leases, KIND, duty, freshness);
+        match read.await {
+            Ok(None) => Event::Read(None),
+            Ok(Some(object)) => decode(duty, object),
+            Err(error) => {
+                log::debug!(duty, error:% = error; "lease not read");
+                Event::Failed
+            }
+        }
+    }
+
+    async fn write(&self, duty: &str, expected: Option<u64>, lease: &Lease) -> Event {
+        let spec = match serde_json::to_value(lease) {
+            Ok(spec) => spec,
+            Err(error) => {
+                log::error!(duty, error:% = error; "lease not written");
+                return Event::Unknown;
+            }
+        };
+        let written = match expected {
+            Some(revision) => {
+                let update = self
+                    .store
+                    .update(Purpose::Leases, KIND, duty, revision, &spec);
+                update.await
+            }
+            None => {
+                let spec = spec.to_string();
+                let create = self.store.create(Purpose::Leases, KIND, duty, &spec);
+                create.await
+            }
+        };
+        match written {
+            Ok(object) => Event::Written(object.revision),
+            Err(Error::Conflict | Error::NotFound) => Event::Conflict,
+            Err(error) => {
+                // Also when it certainly had no effect: the holder reads back in any case.
+                log::debug!(duty, error:% = error; "lease not written");
+                Event::Unknown
+            }
+        }
+    }
+}
+
+fn decode(duty: &str, object: Object) -> Event {
+    match serde_json::from_value::<Lease>(object.spec) {
+        Ok(lease) => Event::Read(Some((object.revision, lease))),
+        Err(error) => {
+            log::error!(duty, error:% = error; "lease unreadable");
+            Event::Failed
+        }
+    }
+}
--- /dev/null
+++ b/crates/pinereel/src/hosted/endpoints.rs
@@ -0,0 +1,325 @@
+//! The endpoints, as the platform lists them and as this instance has found them.
+
+use super::{
+    follow::{Update, follow},
+    store::Store,
+};
+use crate::{objects::Purpose, state::Clock};
+use compact_str::CompactString;
+use pinereel_core::{
+    Time,
+    endpoint::{self, End, Event, Instance, Key, Set},
+    hash,
+    route::{self, Choice, Policy, Priority, Refusal, Request},
+};
+use pinereel_port::{Adapter, endpoint::Entry, live::Load, store::Object};
+use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep},
+};
+
+/// After the store was away, an endpoint that is missing in its list may be back within about two
+/// seconds (the platform's figure); until then it counts as listed. Kept below the two seconds
+/// after which an endpoint that is gone must get no request.
+const MISSING: Duration = Duration::from_millis(1_800);
+/// So long after a failed call entries may still be missing because of it: three of the endpoints'
+/// heartbeats, and their way back.
+const AWAY: Duration = Duration::from_secs(6);
+/// Requests that an endpoint may have from this instance, as a multiple of its slots: it queues a
+/// few itself.
+const QUEUED: u32 = 2;
+
+/// The endpoint list and the view of live requests.
+pub struct Endpoints {
+    adapter: Adapter,
+    clock: Clock,
+    store: Store,
+    zone: CompactString,
+    /// Requests of one instance prefer the same endpoints, whose connections lie idle.
+    affinity: u64,
+    entries: RefCell<BTreeMap<CompactString, Listed>>,
+    set: RefCell<Set>,
+    /// When the list last changed here.
+    updated: RefCell<Option<Instant>>,
+    changed: watch::Sender<u64>,
+}
+
+struct Listed {
+    entry: Entry,
+    /// Removed from the list at this moment, and maybe back soon.
+    missing_since: Option<Instant>,
+}
+
+/// An endpoint that was chosen for an attempt.
+#[derive(Clone, Debug)]
+pub struct Picked {
+    /// Its key in the view.
+    pub key: Key,
+    /// Its id.
+    pub id: CompactString,
+    /// Where it serves.
+    pub address: SocketAddr,
+    /// Why this one.
+    pub reason: route::Reason,
+}
+
+impl Endpoints {
+    /// Follows the list in `store` from now on.
+    pub fn start(
+        store: &Store,
+        adapter: Adapter,
+        clock: Clock,
+        name: &str,
+        zone: &CompactString,
+        wait: Duration,
+    ) -> Rc<Self> {
+        let endpoints = Rc::new(Self {
+            adapter,
+            clock,
+            store: store.clone(),
+            zone: zone.clone(),
+            affinity: hash::stable(name.as_bytes()),
+            entries: RefCell::default(),
+            set: RefCell::default(),
+            updated: RefCell::default(),
+            changed: watch::channel(0).0,
+        });
+        let state = Rc::clone(&endpoints);
+        actix_rt::spawn(async move {
+            let kind = adapter.places.endpoints;
+            let store = state.store.clone();
+            let taker = Rc::clone(&state);
+            follow(&store, Purpose::Instances, kind, wait, move |update| {
+                taker.take(update);
+            })
+            .await;
+        });
+        endpoints
+    }
+
+    /// Whether a list was read.
+    pub fn is_known(&self) -> bool {
+        self.updated.borrow().is_some()
+    }
+
+    /// Time since the list last changed here.
+    pub fn age(&self) -> Option<Duration> {
+        self.updated.borrow().map(|at| at.elapsed())
+    }
+
+    /// Tells each change of the list.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// The listed endpoints of a service.
+    pub fn of(&self, service: &str) -> Vec<Entry> {
+        let entries = self.entries.borrow();
+        let of_service = entries.values().filter(|l| l.entry.service == service);
+        of_service.map(|listed| listed.entry.clone()).collect()
+    }
+
+    /// Chooses an endpoint of `service` for a live request.
+    ///
+    /// # Errors
+    /// Why none may get it.
+    pub fn choose(
+        &self,
+        service: &str,
+        excluded: &[Key],
+        repeatable: bool,
+        seed: u64,
+    ) -> Result<Picked, Refusal> {
+        let request = Request {
+            pool: service,
+            prefix: Some(self.affinity),
+            priority: Priority::Live,
+            zone: &self.zone,
+            versions: None,
+            excluded,
+            repeatable,
+            seed,
+        };
+        let set = self.set.borrow();
+        let choice = route::choose(&set, &request, self.clock.now(), &Policy::FULL)?;
+        self.picked(&set, &choice).ok_or(Refusal::NoEndpoint)
+    }
+
+    fn picked(&self, set: &Set, choice: &Choice) -> Option<Picked> {
+        let id = &set.get(choice.key)?.name;
+        let entries = self.entries.borrow();
+        Some(Picked {
+            key: choice.key,
+            id: id.clone(),
+            address: entries.get(id)?.entry.address,
+            reason: choice.reason,
+        })
+    }
+
+    /// An attempt begins there.
+    pub fn started(&self, key: Key) {
+        self.step(Event::Started { key, tokens: 0 });
+    }
+
+    /// An attempt ended there.
+    pub fn finished(&self, key: Key, took: Duration, end: End) {
+        self.step(Event::Finished {
+            key,
+            tokens: 0,
+            took,
+            end,
+        });
+    }
+
+    /// An answer told the endpoint's load.
+    pub fn reported(&self, key: Key, load: Load) {
+        let report = endpoint::Report {
+            at: self.clock.now(),
+            running: load.running,
+            waiting: load.waiting,
+            version: None,
+            loading: None,
+            leaving: false,
+        };
+        self.step(Event::Reported {
+            key,
+            incarnation: INCARNATION,
+            report,
+        });
+    }
+
+    fn step(&self, event: Event) {
+        let now = self.clock.now();
+        let changes = self.set.borrow_mut().step(now, event);
+        for change in changes {
+            let endpoint = change.name.as_str();
+            log::info!(endpoint, what:serde = change.what; "endpoint changed");
+        }
+    }
+
+    fn take(self: &Rc<Self>, update: Update) {
+        match update {
+            Update::All(objects) => {
+                let present: BTreeMap<_, _> = objects.iter().map(|o| (&o.name, ())).collect();
+                let known: Vec<_> = self.entries.borrow().keys().cloned().collect();
+                for id in known {
+                    if !present.contains_key(&id) {
+                        self.removed(&id);
+                    }
+                }
+                for object in &objects {
+                    self.listed(object);
+                }
+            }
+            Update::Changes(changes) => {
+                for change in changes {
+                    if change.deleted {
+                        self.removed(&change.object.name);
+                    } else {
+                        self.listed(&change.object);
+                    }
+                }
+            }
+        }
+        self.note_change();
+    }
+
+    fn note_change(&self) {
+        self.updated.replace(Some(Instant::now()));
+        self.changed.send_modify(|changes| *changes += 1);
+    }
+
+    fn listed(&self, object: &Object) {
+        let entry = match (self.adapter.endpoint)(&object.name, &object.spec) {
+            Ok(entry) => entry,
+            Err(fault) => {
+                log::error!(endpoint = object.name.as_str(); "list entry refused: {fault}");
+                return;
+            }
+        };
+        let before = self
+            .entries
+            .borrow()
+            .get(&entry.id)
+            .map(|l| l.entry.clone());
+        if before.as_ref() != Some(&entry) {
+            log::info!(
+                endpoint = entry.id.as_str(),
+                service = entry.service.as_str(),
+                leaving = entry.leaving,
+                versions:serde = entry.models,
+                revision = object.revision;
+                "endpoint listed"
+            );
+        }
+        let instance = instance(&entry);
+        let listed = Listed {
+            entry,
+            missing_since: None,
+        };
+        let id = listed.entry.id.clone();
+        self.entries.borrow_mut().insert(id, listed);
+        self.step(Event::Listed(instance));
+    }
+
+    /// An entry is gone from the list. It is dropped at once, unless the store's own trouble may
+    /// have let it lapse.
+    fn removed(self: &Rc<Self>, id: &CompactString) {
+        let now = Instant::now();
+        let wait = {
+            let mut entries = self.entries.borrow_mut();
+            let Some(listed) = entries.get_mut(id) else {
+                return;
+            };
+            if listed.missing_since.is_some() {
+                return;
+            }
+            listed.missing_since = Some(now);
+            !listed.entry.leaving && self.store.was_away_within(AWAY)
+        };
+        log::info!(endpoint = id.as_str(), may_return = wait; "endpoint not listed any more");
+        if !wait {
+            self.drop_missing(id, now);
+            return;
+        }
+        let (state, id) = (Rc::clone(self), id.clone());
+        actix_rt::spawn(async move {
+            sleep(MISSING).await;
+            state.drop_missing(&id, now);
+            state.note_change();
+        });
+    }
+
+    fn drop_missing(&self, id: &CompactString, since: Instant) {
+        {
+            let mut entries = self.entries.borrow_mut();
+            let missing = entries.get(id).and_then(|listed| listed.missing_since);
+            if missing != Some(since) {
+                return;
+            }
+            entries.remove(id);
+        }
+        self.step(Event::Unlisted { name: id.clone() });
+    }
+
+    /// The time now on the clock of the view.
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+}
+
+/// Each start of an endpoint has an id of its own, so that no second number is needed.
+const INCARNATION: u64 = 0;
+
+fn instance(entry: &Entry) -> Instance {
+    Instance {
+        name: entry.id.clone(),
+        incarnation: INCARNATION,
+        address: entry.address.to_string().into(),
+        zone: entry.zone.clone(),
+        pool: entry.service.clone(),
+        slots: entry.slots * QUEUED,
+        leaving: entry.leaving,
+    }
+}
--- /dev/null
+++ b/crates/pinereel/src/hosted/lots/mod.rs
@@ -0,0 +1,15 @@
+//! Lots of samples whose results are kept in the object store.
+//!
+//! [`Desk`] answers trainers at every instance; [`Runner`] makes the samples at the one instance
+//! that holds the duty for their model.
+
+mod commit;
+mod desk;
+mod record;
+mod run;
+mod runner;
+mod score;
+mod stream;
+
+pub use desk::{Desk, Reply};
+pub use runner::{Parts, Runner};
--- /dev/null
+++ b/crates/pinereel/src/hosted/lots/record.rs
@@ -0,0 +1,101 @@
+//! How lots and their results lie in the object store.
+//!
+//! | kind | name | spec | status |
+//! |---|---|---|---|
+//! | `pinereel-lots` | lot's id | [`Accepted`], never changed | [`Standing`] |
+//! | `pinereel-results-LOT` | position of the first sample, six digits | [`Segment`], never changed | |
+//!
+//! Both are created only if they do not exist; that create is the acceptance of a lot, and the
+//! commit of results.
+
+use compact_str::{CompactString, format_compact};
+use pinereel_port::{
+    Adapter, Fault,
+    lot::{Sample, Submission},
+    store::Object,
+};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, value::RawValue};
+
+/// Most samples of one segment, so that a reader finds the one that holds a position by one list.
+pub(super) const SEGMENT_SAMPLES: usize = 16;
+
+/// Kind of the accepted lots.
+pub(super) const LOTS: &str = "pinereel-lots";
+
+/// An accepted lot, as it is written.
+#[derive(Serialize)]
+pub(super) struct Accepting<'a> {
+    /// Host that it was sent to.
+    pub(super) host: &'a str,
+    /// Path that it was sent to.
+    pub(super) path: &'a str,
+    /// The lot as its trainer sent it.
+    pub(super) lot: &'a RawValue,
+}
+
+/// An accepted lot, as it is read.
+#[derive(Debug)]
+pub(super) struct Accepted {
+    /// Host that it was sent to.
+    pub(super) host: CompactString,
+    /// Path that it was sent to.
+    pub(super) path: CompactString,
+    /// The lot.
+    pub(super) submission: Submission,
+}
+
+/// How a lot stands.
+#[derive(Debug, Default, Serialize, Deserialize)]
+pub(super) struct Standing {
+    /// Whether its trainer has ended it.
+    pub(super) ended: bool,
+}
+
+/// Some results, at positions one after the other.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct Segment {
+    /// Items of the whole lot.
+    pub(super) total: usize,
+    /// The results.
+    pub(super) samples: Vec<Sample>,
+}
+
+/// Kind of the results of a lot.
+pub(super) fn results(lot: &str) -> CompactString {
+    format_compact!("pinereel-results-{lot}")
+}
+
+/// Name of the segment that begins at a position.
+pub(super) fn segment_name(from: usize) -> CompactString {
+    format_compact!("{from:06}")
+}
+
+/// Reads an accepted lot.
+pub(super) fn accepted(adapter: &Adapter, object: &Object) -> Result<Accepted, Fault> {
+    let text = |field: &str| {
+        let value = object.spec.get(field).and_then(Value::as_str);
+        let value = value.ok_or_else(|| Fault::new("accepted lot", format!("no {field}")));
+        value.map(CompactString::from)
+    };
+    let lot = object.spec.get("lot").unwrap_or(&Value::Null);
+    Ok(Accepted {
+        host: text("host")?,
+        path: text("path")?,
+        submission: (adapter.lot.submission)(lot)?,
+    })
+}
+
+/// Whether a lot is ended.
+pub(super) fn is_ended(object: &Object) -> bool {
+    // No status yet is a lot that goes on.
+    Standing::deserialize(&object.status).is_ok_and(|standing| standing.ended)
+}
+
+/// Reads a segment, with the position of its first sample.
+pub(super) fn segment(object: &Object) -> Result<(usize, Segment), Fault> {
+    let from = object.name.parse();
+    let from = from.map_err(|_| Fault::new("segment", format!("name {}", object.name)))?;
+    let segment = Segment::deserialize(&object.spec).map_err(|e| Fault::new("segment", e))?;
+    Ok((from, segment))
+}
--- /dev/null
+++ b/crates/pinereel/src/hosted/lots/run.rs
@@ -0,0 +1,114 @@
+//! The way of one item: engine, scoring, result.
+
+use super::{
+    runner::{Runner, Work},
+    score,
+    stream::{End, Place, stream},
+};
+use pinereel_core::batch::{Failure, Fate, Halt};
+use pinereel_port::{
+    config::Route,
+    lot::{Item, Made, Sample},
+};
+use std::rc::Rc;
+use tokio::time::Instant;
+
+/// Counts a run at its engine; one that is dropped counts as cancelled.
+struct Running {
+    runner: Rc<Runner>,
+    service: compact_str::CompactString,
+    place: Place,
+    halt: Halt,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let (service, key) = (&self.service, self.place.key);
+        self.runner.run_ended(service, key, self.halt);
+    }
+}
+
+/// Runs an item at `place`, and scores it if its text is whole.
+pub(super) async fn run(runner: Rc<Runner>, work: Work, route: Route, place: Place) {
+    if let Some(item) = runner.item(&work) {
+        run_item(&runner, &work, &item, &route, &place).await;
+    }
+    runner.task_ended(&work);
+}
+
+async fn run_item(runner: &Rc<Runner>, work: &Work, item: &Item, route: &Route, place: &Place) {
+    let began = Instant::now();
+    let mut running = Running {
+        runner: Rc::clone(runner),
+        service: work.service.clone(),
+        place: place.clone(),
+        halt: Halt::Cancelled,
+    };
+    let end = stream(runner, work, item, route, place).await;
+    running.halt = match end {
+        End::Complete | End::Failed | End::Impossible => Halt::Finished,
+        End::Left => Halt::Cancelled,
+        End::Refused | End::Outdated => Halt::Full,
+        End::Broken => Halt::Broken,
+    };
+    drop(running);
+    report(work, place, end, began, runner.progress(work).0);
+    let failure = match end {
+        End::Complete => {
+            finish(runner, work, item).await;
+            return;
+        }
+        End::Failed => Failure::Failed,
+        End::Impossible => Failure::Impossible,
+        End::Refused | End::Broken | End::Left | End::Outdated => Failure::Interrupted,
+    };
+    if runner.run_failed(work, failure, route.max_attempts) == Fate::GivenUp {
+        give_up(runner, work, item, "its engine refuses it or fails on it");
+    }
+}
+
+fn report(work: &Work, place: &Place, end: End, began: Instant, last: Option<u64>) {
+    log::info!(
+        id = work.item.as_str(),
+        lot = work.lot.as_str(),
+        endpoint = place.id.as_str(),
+        outcome:? = end,
+        last_event:serde = last,
+        ms = began.elapsed().as_millis() as u64;
+        "item run"
+    );
+}
+
+/// The text is whole: it is scored and becomes a result.
+async fn finish(runner: &Rc<Runner>, work: &Work, item: &Item) {
+    let score = match &item.scorer {
+        Some(scorer) => match score::score(runner, work, scorer).await {
+            Some(score) => Some(score),
+            None => {
+                give_up(runner, work, item, "its scorer fails on it");
+                return;
+            }
+        },
+        None => None,
+    };
+    let draft = runner.draft(work);
+    let made = Made {
+        text: draft.text,
+        versions: draft.versions.into_iter().collect(),
+        score,
+    };
+    let sample = Sample {
+        item: item.id.clone(),
+        made: Some(made),
+    };
+    runner.finished(work, sample);
+}
+
+fn give_up(runner: &Rc<Runner>, work: &Work, item: &Item, why: &str) {
+    log::warn!(id = item.id.as_str(), lot = work.lot.as_str(), why; "item given up");
+    let sample = Sample {
+        item: item.id.clone(),
+        made: None,
+    };
+    runner.finished(work, sample);
+}
--- /dev/null
+++ b/crates/pinereel/src/hosted/lots/stream.rs
@@ -0,0 +1,223 @@
+//! One run of an item at an engine, event by event.
+
+use super::runner::{Runner, Work};
+use crate::upstream::pool::{Body, Error, Exchange};
+use actix_http::{
+    Method, RequestHead, StatusCode,
+    header::{HOST, HeaderMap, HeaderName, HeaderValue},
+};
+use bytes::BytesMut;
+use compact_str::CompactString;
+use pinereel_core::batch::Key;
+use pinereel_port::{config::Route, live::Attempt, lot::Item};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+use tokio::time::{Instant, timeout};
+
+/// An engine that sends nothing for so long is left. Engines make an event every 40 ms and pause
+/// for a load of weights, which takes about a second.
+const SILENCE: Duration = Duration::from_millis(1_500);
+/// The longest event; an engine that sends a longer one sends no events.
+const MAX_EVENT: usize = 1 << 20;
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum End {
+    /// The text is whole.
+    Complete,
+    /// The engine failed on it.
+    Failed,
+    /// The engine says that it can never be done.
+    Impossible,
+    /// The engine did not take it now.
+    Refused,
+    /// Broken off, silent, out of reach, or not in the protocol.
+    Broken,
+    /// Another engine is much faster.
+    Left,
+    /// The engine's weights are older than the lot admits.
+    Outdated,
+}
+
+/// The engine that a run goes to.
+#[derive(Clone, Debug)]
+pub(super) struct Place {
+    pub(super) key: Key,
+    pub(super) id: CompactString,
+    pub(super) address: SocketAddr,
+}
+
+/// Runs the item at `place` from where its draft ends.
+pub(super) async fn stream(
+    runner: &Rc<Runner>,
+    work: &Work,
+    item: &Item,
+    route: &Route,
+    place: &Place,
+) -> End {
+    let (last, made_by) = runner.progress(work);
+    let exchange = Exchange {
+        address: place.address,
+        head: head(runner, work, item, place, last),
+        body: item.body.clone(),
+        // A run may be repeated, so it may travel on a connection that carried another one.
+        reuse: true,
+    };
+    let response = match timeout(SILENCE, runner.parts.pool.send(exchange)).await {
+        Ok(Ok(response)) => response,
+        Ok(Err(Error::Stale(_))) => return End::Refused,
+        Ok(Err(_)) | Err(_) => return End::Broken,
+    };
+    let said = (runner.parts.adapter.live.answer)(response.status, &response.headers);
+    if said.not_run {
+        let _ = timeout(SILENCE, response.body.whole()).await;
+        return End::Refused;
+    }
+    if said.id.as_ref().is_some_and(|id| *id != item.id) || said.encoded {
+        return End::Broken;
+    }
+    match response.status {
+        StatusCode::OK => {}
+        StatusCode::UNPROCESSABLE_ENTITY => return End::Impossible,
+        StatusCode::INTERNAL_SERVER_ERROR => return End::Failed,
+        _ => return End::Broken,
+    }
+    let Some(version) = said.version else {
+        return End::Broken;
+    };
+    let reader = Reader {
+        runner,
+        work,
+        route,
+        place,
+        oldest: work.oldest_version,
+        version,
+        last,
+        made_by,
+    };
+    reader.read(response.body).await
+}
+
+fn head(
+    runner: &Runner,
+    work: &Work,
+    item: &Item,
+    place: &Place,
+    after_event: Option<u64>,
+) -> RequestHead {
+    let mut head = RequestHead::default();
+    head.method = Method::POST;
+    head.uri = item.path.parse().unwrap_or_default();
+    head.headers = item_headers(item);
+    if let Ok(host) = HeaderValue::from_str(&work.host) {
+        head.headers.insert(HOST, host);
+    }
+    let attempt = Attempt {
+        id: &item.id,
+        endpoint: &place.id,
+        time_left: None,
+        after_event,
+    };
+    (runner.parts.adapter.live.attempt)(&mut head.headers, attempt);
+    head
+}
+
+fn item_headers(item: &Item) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    for (name, value) in &item.headers {
+        let name = name.parse::<HeaderName>();
+        let value = HeaderValue::from_str(value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            headers.append(name, value);
+        } else {
+            log::warn!(id = item.id.as_str(); "item header is not valid and left out");
+        }
+    }
+    headers
+}
+
+/// Reads the events of one run.
+struct Reader<'a> {
+    runner: &'a Rc<Runner>,
+    work: &'a Work,
+    route: &'a Route,
+    place: &'a Place,
+    oldest: u64,
+    /// Version of the weights that make the next event.
+    version: u64,
+    /// Number of the last event, of this run or an earlier one.
+    last: Option<u64>,
+    /// Version that made the last event.
+    made_by: Option<u64>,
+}
+
+impl Reader<'_> {
+    async fn read(mut self, mut body: Body) -> End {
+        let mut buffer = BytesMut::new();
+        let mut last_event: Option<Instant> = None;
+        if self.version < self.oldest {
+            return End::Outdated;
+        }
+        loop {
+            let part = match timeout(SILENCE, body.part()).await {
+                Ok(Ok(Some(part))) => part,
+                Ok(Ok(None)) if buffer.is_empty() && self.last.is_some() => {
+                    return End::Complete;
+                }
+                // Silent, cut, or ended within an event: what is torn off is not kept.
+                _ => return End::Broken,
+            };
+            buffer.extend_from_slice(&part);
+            while let Some((event, rest)) = next_event(&buffer) {
+                let event = std::str::from_utf8(&buffer[..event]).map(ToOwned::to_owned);
+                let _ = buffer.split_to(rest);
+                let now = Instant::now();
+                let gap = last_event.map(|at| now - at);
+                last_event = Some(now);
+                let Ok(event) = event else {
+                    return End::Broken;
+                };
+                if let Some(end) = self.take(&event, gap) {
+                    return end;
+                }
+            }
+            if buffer.len() > MAX_EVENT {
+                return End::Broken;
+            }
+        }
+    }
+
+    /// Takes one event in; says if the run ends with it.
+    fn take(&mut self, text: &str, gap: Option<Duration>) -> Option<End> {
+        let event = match (self.runner.parts.adapter.lot.event)(text) {
+            Ok(event) => event,
+            Err(fault) => {
+                let (id, endpoint) = (self.work.item.as_str(), self.place.id.as_str());
+                log::warn!(id, endpoint; "event refused: {fault}");
+                return Some(End::Broken);
+            }
+        };
+        if self.last.is_some_and(|last| event.number != last + 1) {
+            return Some(End::Broken);
+        }
+        self.version = event.version.unwrap_or(self.version);
+        if self.version < self.oldest {
+            return Some(End::Outdated);
+        }
+        if self.route.single_version && self.made_by.is_some_and(|v| v != self.version) {
+            // Nothing of it can be used.
+            self.runner.drop_text(self.work);
+            return Some(End::Broken);
+        }
+        self.last = Some(event.number);
+        self.made_by = Some(self.version);
+        self.runner.add_event(self.work, &event, self.version);
+        let moved = self.runner.progressed(self.work, self.place.key, gap);
+        moved.then_some(End::Left)
+    }
+}
+
+/// Length of the first whole event in `buffer`, and where the next one begins.
+fn next_event(buffer: &[u8]) -> Option<(usize, usize)> {
+    let end = buffer.windows(2).position(|pair| pair == b"\n\n")?;
+    Some((end, end + 2))
+}
--- /dev/null
+++ b/crates/pinereel/src/hosted/mod.rs
@@ -0,0 +1,27 @@
+//! An instance whose state is kept by the platform that it runs on.
+//!
+//! The platform's object store holds the configuration, the endpoint list, the leases, the lots and
+//! their results. An instance keeps nothing that it cannot read again there, so that any of them may
+//! be killed, replaced or cut off. Instances do not talk to each other.
+//!
+//! Each part has its own state and knows only the parts that it is given:
+//!
+//! ```text
+//! Store ─ follow ─ Config, Endpoints ─ Relay ─ Desk, Runner, Orders ─ Front (callers)
+//!        └ Duties (leases) ───────────────────┘
+//! ```
+
+mod config;
+mod duty;
+mod endpoints;
+mod follow;
+mod lots;
+mod orders;
+mod relay;
+mod run;
+mod serve;
+mod stop;
+mod store;
+
+pub use run::{Error, run};
+pub use store::Store;
--- /dev/null
+++ b/crates/pinereel/src/hosted/relay.rs
@@ -0,0 +1,445 @@
+//! One request of a caller, brought to an endpoint and answered with that endpoint's whole answer.
+
+use super::endpoints::{Endpoints, Picked};
+use crate::upstream::pool::{Error, Exchange, Pool};
+use actix_http::{
+    Method, RequestHead, StatusCode, Uri,
+    header::{HeaderMap, HeaderName},
+};
+use bytes::Bytes;
+use compact_str::CompactString;
+use futures_util::{StreamExt as _, future::LocalBoxFuture, stream::FuturesUnordered};
+use pinereel_core::{
+    endpoint::{End, Key},
+    hash,
+    relay::{Attempts, Ended, Limits, Step, Verdict},
+    route::Refusal,
+    table,
+};
+use pinereel_port::{
+    Adapter,
+    config::{Kind, Route},
+    live::Attempt,
+};
+use std::{cell::Cell, rc::Rc, time::Duration};
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
+
+/// Attempts that lost against another one may end by themselves for so long: their connections can
+/// be used again. The endpoint's work is short; a longer wait would look like work for nobody.
+const LINGER: Duration = Duration::from_millis(400);
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// A request on its way.
+pub struct Call {
+    /// Its id.
+    pub id: CompactString,
+    /// Number of the configuration that it is served under.
+    pub config: u64,
+    /// Its route.
+    pub route: Route,
+    /// Method.
+    pub method: Method,
+    /// Path with query.
+    pub target: CompactString,
+    /// The sender's headers.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+    /// When it is given up.
+    pub give_up: Instant,
+}
+
+/// An endpoint's whole answer.
+#[derive(Debug)]
+pub struct Answer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers, without those of one connection.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// The endpoint's signature.
+    pub signature: Option<CompactString>,
+}
+
+/// What became of a request.
+#[derive(Debug)]
+pub enum Outcome {
+    /// The endpoint's answer.
+    Answer(Answer),
+    /// It did not run, and will not.
+    NotRun {
+        /// Why.
+        why: CompactString,
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// It may have run.
+    Unknown {
+        /// Why.
+        why: CompactString,
+        /// Whether its time ran out.
+        late: bool,
+    },
+}
+
+/// Brings requests to endpoints.
+pub struct Relay {
+    adapter: Adapter,
+    endpoints: Rc<Endpoints>,
+    pool: Rc<Pool>,
+    /// Makes the choices of one process differ from request to request.
+    next: Cell<u64>,
+}
+
+/// One attempt that ended.
+struct Tried {
+    picked: Picked,
+    took: Duration,
+    ended: Result<Answer, Ended>,
+}
+
+type Attempting = FuturesUnordered<LocalBoxFuture<'static, Tried>>;
+
+impl Relay {
+    /// A relay to `endpoints` over the connections of `pool`.
+    pub fn new(adapter: Adapter, endpoints: &Rc<Endpoints>, pool: &Rc<Pool>) -> Rc<Self> {
+        Rc::new(Self {
+            adapter,
+            endpoints: Rc::clone(endpoints),
+            pool: Rc::clone(pool),
+            next: Cell::new(0),
+        })
+    }
+
+    /// Brings `call` to an endpoint. Dropped, it breaks its attempts off.
+    pub async fn run(self: &Rc<Self>, call: Call) -> Outcome {
+        let began = Instant::now();
+        let seed = self.seed(&call);
+        let call = Rc::new(call);
+        let mut attempts = Attempts::new(limits(&call.route));
+        let mut used: Vec<Key> = Vec::new();
+        let mut trail = Vec::new();
+        let mut running = Attempting::new();
+        let Some(service) = table::service(&call.route, seed) else {
+            return self.refuse(&call, "no service", began, &trail);
+        };
+        let outcome = loop {
+            match attempts.next(began.elapsed()) {
+                Step::Send => {
+                    let repeatable = call.route.kind == Kind::Idempotent;
+                    match self.endpoints.choose(service, &used, repeatable, seed) {
+                        Ok(picked) => {
+                            used.push(picked.key);
+                            attempts.sent(began.elapsed());
+                            running.push(self.attempt(&call, picked));
+                        }
+                        Err(refusal) if running.is_empty() && used.is_empty() => {
+                            let why = refusal_name(refusal);
+                            return self.refuse(&call, why, began, &trail);
+                        }
+                        Err(_) => attempts.exhausted(),
+                    }
+                }
+                Step::Wait(until) => {
+                    let wake = until.map_or(call.give_up, |at| (began + at).min(call.give_up));
+                    tokio::select! {
+                        Some(tried) = running.next() => {
+                            trail.push(trace(&tried));
+                            self.note(&tried);
+                            match tried.ended {
+                                Ok(answer) if attempts.accepts(answer.status.as_u16()) => {
+                                    break Outcome::Answer(answer);
+                                }
+                                Ok(answer) => attempts.keep(answer),
+                                Err(ended) => attempts.ended(ended),
+                            }
+                        }
+                        () = sleep_until(wake) => {
+                            if Instant::now() >= call.give_up {
+                                let why = "time ran out".into();
+                                break Outcome::Unknown { why, late: true };
+                            }
+                        }
+                    }
+                }
+                Step::Done(Verdict::Kept(answer)) => break Outcome::Answer(answer),
+                Step::Done(Verdict::NotRun) => {
+                    let why = "refused by every endpoint".into();
+                    let retry_after = RETRY_AFTER;
+                    break Outcome::NotRun { why, retry_after };
+                }
+                Step::Done(Verdict::Unknown) => {
+                    let why = "answer lost".into();
+                    break Outcome::Unknown { why, late: false };
+                }
+            }
+        };
+        if !running.is_empty() && matches!(outcome, Outcome::Answer(_)) {
+            self.linger(running);
+        }
+        report(&call, &outcome, began, &trail);
+        outcome
+    }
+
+    fn seed(&self, call: &Call) -> u64 {
+        let number = self.next.get();
+        self.next.set(number + 1);
+        hash::stable(call.id.as_bytes()) ^ hash::mix(number)
+    }
+
+    fn refuse(&self, call: &Call, why: &str, began: Instant, trail: &[String]) -> Outcome {
+        let outcome = Outcome::NotRun {
+            why: why.into(),
+            retry_after: RETRY_AFTER,
+        };
+        report(call, &outcome, began, trail);
+        outcome
+    }
+
+    /// Lets attempts that are not needed any more end by themselves for a moment.
+    fn linger(self: &Rc<Self>, mut running: Attempting) {
+        let relay = Rc::clone(self);
+        actix_rt::spawn(async move {
+            let end = Instant::now() + LINGER;
+            while let Ok(Some(tried)) = timeout_at(end, running.next()).await {
+                relay.note(&tried);
+            }
+        });
+    }
+
+    fn attempt(
+        self: &Rc<Self>,
+        call: &Rc<Call>,
+        picked: Picked,
+    ) -> LocalBoxFuture<'static, Tried> {
+        let (relay, call) = (Rc::clone(self), Rc::clone(call));
+        Box::pin(async move {
+            let began = Instant::now();
+            let guard = Running::enter(&relay.endpoints, picked.key, began);
+            let wait = call.give_up.saturating_duration_since(began);
+            let exchange = relay.exchange(&call, &picked, wait);
+            let ended = timeout(wait, exchange).await;
+            let ended = ended.unwrap_or(Err(Ended::Lost));
+            guard.disarm();
+            Tried {
+                picked,
+                took: began.elapsed(),
+                ended,
+            }
+        })
+    }
+
+    async fn exchange(
+        &self,
+        call: &Call,
+        picked: &Picked,
+        wait: Duration,
+    ) -> Result<Answer, Ended> {
+        let head = self.head(call, picked, wait);
+        let repeatable = call.route.kind == Kind::Idempotent;
+        let mut reuse = repeatable;
+        loop {
+            let exchange = Exchange {
+                address: picked.address,
+                head: head(),
+                body: call.body.clone(),
+                reuse,
+            };
+            match self.pool.send(exchange).await {
+                Ok(response) => return self.judge(call, picked, response).await,
+                // The endpoint closed an idle connection: one more try there, on a fresh one.
+                Err(Error::Stale(_)) => reuse = false,
+                Err(Error::NotOpened(_)) => return Err(Ended::NotOpened),
+                Err(Error::Lost(_)) => return Err(Ended::Lost),
+            }
+        }
+    }
+
+    /// What makes the head of each send of one attempt.
+    fn head<'a>(
+        &'a self,
+        call: &'a Call,
+        picked: &'a Picked,
+        wait: Duration,
+    ) -> impl Fn() -> RequestHead + 'a {
+        let began = Instant::now();
+        move || {
+            let mut head = RequestHead::default();
+            head.method = call.method.clone();
+            head.uri = call.target.parse::<Uri>().unwrap_or_default();
+            head.headers = end_to_end(&call.headers);
+            let attempt = Attempt {
+                id: &call.id,
+                endpoint: &picked.id,
+                time_left: Some(wait.saturating_sub(began.elapsed())),
+                after_event: None,
+            };
+            (self.adapter.live.attempt)(&mut head.headers, attempt);
+            head
+        }
+    }
+
+    async fn judge(
+        &self,
+        call: &Call,
+        picked: &Picked,
+        response: crate::upstream::pool::Response,
+    ) -> Result<Answer, Ended> {
+        let said = (self.adapter.live.answer)(response.status, &response.headers);
+        if let Some(load) = said.load {
+            self.endpoints.reported(picked.key, load);
+        }
+        let foreign = said.id.as_ref().is_some_and(|id| *id != call.id);
+        if foreign || said.encoded {
+            return Err(Ended::Garbled);
+        }
+        if said.not_run {
+            // Read to its end, so that the connection can be used again.
+            let misdirected = response.status == StatusCode::MISDIRECTED_REQUEST;
+            let _ = response.body.whole().await;
+            return Err(if misdirected {
+                Ended::OtherEndpoint
+            } else {
+                Ended::Refused
+            });
+        }
+        let signed = said.signature.is_some() && said.id.is_some();
+        if response.status.is_success() && !signed {
+            return Err(Ended::Garbled);
+        }
+        let (status, headers) = (response.status, end_to_end(&response.headers));
+        let body = response.body.whole().await.map_err(|_| Ended::Lost)?;
+        Ok(Answer {
+            status,
+            headers,
+            body,
+            signature: said.signature,
+        })
+    }
+
+    /// Notes what an attempt says about its endpoint.
+    fn note(&self, tried: &Tried) {
+        let end = match &tried.ended {
+            Ok(answer) if answer.status.is_server_error() => End::Failed,
+            Ok(_) => End::Whole,
+            Err(Ended::Refused) => End::Overloaded,
+            Err(Ended::OtherEndpoint) => End::Leaving,
+            Err(Ended::NotOpened) => End::ConnectionRefused,
+            Err(Ended::Lost | Ended::Garbled) => End::Failed,
+        };
+        self.endpoints.finished(tried.picked.key, tried.took, end);
+    }
+}
+
+/// When a refused caller should come back: places free up within a few requests' work.
+const RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// Counts an attempt at its endpoint; one that is dropped counts as cancelled.
+struct Running {
+    endpoints: Rc<Endpoints>,
+    key: Option<Key>,
+    began: Instant,
+}
+
+impl Running {
+    fn enter(endpoints: &Rc<Endpoints>, key: Key, began: Instant) -> Self {
+        endpoints.started(key);
+        Self {
+            endpoints: Rc::clone(endpoints),
+            key: Some(key),
+            began,
+        }
+    }
+
+    fn disarm(mut self) {
+        self.key = None;
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        if let Some(key) = self.key {
+            let took = self.began.elapsed();
+            self.endpoints.finished(key, took, End::Cancelled);
+        }
+    }
+}
+
+fn limits(route: &Route) -> Limits {
+    Limits {
+        repeatable: route.kind == Kind::Idempotent,
+        max_attempts: route.max_attempts,
+        objective: route.objective,
+    }
+}
+
+/// The headers without those of one connection, and without those that framing sets.
+fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let mut kept = HeaderMap::with_capacity(headers.len());
+    let named = connection_headers(headers);
+    for (name, value) in headers {
+        let hop = HOP_BY_HOP.contains(&name.as_str()) || name == "content-length";
+        if !hop && !named.contains(name) {
+            kept.append(name.clone(), value.clone());
+        }
+    }
+    kept
+}
+
+/// The headers that `Connection` names.
+fn connection_headers(headers: &HeaderMap) -> Vec<HeaderName> {
+    let values = headers.get_all("connection");
+    let texts = values.filter_map(|value| value.to_str().ok());
+    let names = texts.flat_map(|text| text.split(',').map(str::trim));
+    names.filter_map(|name| name.parse().ok()).collect()
+}
+
+const fn refusal_name(refusal: Refusal) -> &'static str {
+    match refusal {
+        Refusal::UnknownPool => "no endpoint listed",
+        Refusal::NoEndpoint => "no endpoint takes requests",
+        Refusal::NoVersion => "no endpoint has the version",
+        Refusal::Full => "every endpoint is full",
+    }
+}
+
+/// One attempt, for the log.
+fn trace(tried: &Tried) -> String {
+    let result = match &tried.ended {
+        Ok(answer) => answer.status.as_u16().to_string(),
+        Err(ended) => ended.to_string(),
+    };
+    let (id, millis) = (&tried.picked.id, tried.took.as_millis());
+    let reason = tried.picked.reason;
+    format!("{id} {result} {millis}ms {reason:?}")
+}
+
+fn report(call: &Call, outcome: &Outcome, began: Instant, trail: &[String]) {
+    let (outcome, why) = match outcome {
+        Outcome::Answer(answer) => (answer.status.as_u16().to_string(), ""),
+        Outcome::NotRun { why, .. } => ("not run".into(), why.as_str()),
+        Outcome::Unknown { why, .. } => ("unknown".into(), why.as_str()),
+    };
+    log::info!(
+        id = call.id.as_str(),
+        route = call.route.name.as_str(),
+        config = call.config,
+        outcome = outcome.as_str(),
+        why,
+        attempts:serde = trail,
+        ms = began.elapsed().as_millis() as u64;
+        "request"
+    );
+}
--- /dev/null
+++ b/crates/pinereel/src/hosted/run.rs
@@ -0,0 +1,320 @@
+//! The running process.
+
+use super::{
+    config::Config,
+    duty::Duties,
+    endpoints::Endpoints,
+    lots::{self, Desk, Runner},
+    orders::{self, Orders},
+    relay::Relay,
+    serve::{Front, serve},
+    stop::{Stop, Times},
+    store::Store,
+};
+use crate::{
+    http::{self, Server},
+    logging, objects,
+    settings::Hosted,
+    state::Clock,
+    upstream::pool::Pool,
+};
+use actix_http::{Method, StatusCode};
+use pinereel_core::Time;
+use pinereel_port::Adapter;
+use rustix::time::{ClockId, clock_gettime};
+use std::{
+    io,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    rc::Rc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+    time::sleep,
+};
+
+/// Calls to the object store at once, watches not counted.
+const STORE_CALLS: usize = 32;
+/// Longest idle time of a caller's connection. The operator's own bound may change while it is
+/// open; this one is above any of them, so that a caller's next request never crosses a close.
+const CALLER_IDLE: Duration = Duration::from_secs(120);
+/// An instance whose calls to the store have failed for so long says that it is not ready: callers'
+/// new connections then go to one that can accept lots and knows the newest configuration.
+const AWAY: Duration = Duration::from_millis(1_500);
+/// Pause between two looks whether the settings file has changed without a signal.
+const SETTINGS_LOOK: Duration = Duration::from_secs(2);
+
+/// Why an instance did not run.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A listener could not be opened.
+    #[error("cannot listen on {address}: {error}")]
+    Listen {
+        /// The address in the settings.
+        address: SocketAddr,
+        /// What the system said.
+        error: io::Error,
+    },
+    /// The log could not be opened.
+    #[error(transparent)]
+    Log(#[from] logging::Error),
+    /// The system refused something else.
+    #[error(transparent)]
+    Io(#[from] io::Error),
+}
+
+/// Runs an instance as this process until it is told to stop.
+///
+/// # Errors
+/// See [`Error`].
+pub fn run(settings: Hosted, path: PathBuf, adapter: Adapter) -> Result<(), Error> {
+    let handle = logging::init(&settings.log)?;
+    let result = actix_rt::System::new().block_on(serve_until_told(settings, path, adapter));
+    handle.flush(Duration::from_secs(1));
+    result
+}
+
+async fn serve_until_told(
+    settings: Hosted,
+    path: PathBuf,
+    adapter: Adapter,
+) -> Result<(), Error> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let incarnation = incarnation();
+    log::info!(
+        instance = settings.instance.name.as_str(),
+        zone = settings.instance.zone.as_str(),
+        incarnation,
+        build = env!("CARGO_PKG_VERSION"),
+        settings:? = settings;
+        "started"
+    );
+    actix_rt::spawn(look_at_settings(settings.clone(), path));
+    let stop = Rc::new(Stop::default());
+    let signalled = Rc::clone(&stop);
+    actix_rt::spawn(async move {
+        loop {
+            // A second signal asks for what is under way already.
+            tokio::select! {
+                _ = terminate.recv() => signalled.ask(),
+                _ = interrupt.recv() => signalled.ask(),
+            }
+        }
+    });
+    match settings.instance.callers {
+        Some(callers) => Instance::start(&settings, adapter, callers, incarnation, &stop)
+            .await?
+            .finished(&settings)
+            .await,
+        // Nothing lies on an instance without callers: it stands by, and stops at once.
+        None => stop.wait().await,
+    }
+    log::info!(instance = settings.instance.name.as_str(); "stopped");
+    Ok(())
+}
+
+/// An instance that serves callers.
+struct Instance {
+    callers: Server,
+    stop: Rc<Stop>,
+    duties: Rc<Duties>,
+    runner: Rc<Runner>,
+}
+
+impl Instance {
+    async fn start(
+        settings: &Hosted,
+        adapter: Adapter,
+        callers: SocketAddr,
+        incarnation: u64,
+        stop: &Rc<Stop>,
+    ) -> Result<Self, Error> {
+        let clock = Clock::new();
+        let callers = listen(callers).await?;
+        let (name, zone) = (&settings.instance.name, &settings.instance.zone);
+        let store = Store::new(objects::Client::new(options(settings), clock), adapter.store);
+        let watch = settings.store.watch;
+        let config = Config::start(&store, adapter, watch);
+        let endpoints = Endpoints::start(&store, adapter, clock, name, zone, watch);
+        let duties = Duties::new(&store, name, incarnation, boot_time);
+        let pool = Rc::new(Pool::default());
+        let relay = Relay::new(adapter, &endpoints, &pool);
+        let runner = Runner::start(lots::Parts {
+            adapter,
+            store: store.clone(),
+            config: Rc::clone(&config),
+            endpoints: Rc::clone(&endpoints),
+            duties: Rc::clone(&duties),
+            pool: Rc::clone(&pool),
+            relay: Rc::clone(&relay),
+            clock,
+            watch,
+            kept: settings.lots.kept,
+        });
+        Orders::start(orders::Parts {
+            adapter,
+            store: store.clone(),
+            config: Rc::clone(&config),
+            endpoints: Rc::clone(&endpoints),
+            duties: Rc::clone(&duties),
+            pool,
+            settings: settings.orders.clone(),
+            watch,
+        });
+        if let Some(readiness) = settings.instance.readiness {
+            let readiness = listen(readiness).await?;
+            let ready = Ready {
+                store: store.clone(),
+                config: Rc::clone(&config),
+                endpoints: Rc::clone(&endpoints),
+                stop: Rc::clone(stop),
+            };
+            ready.serve(readiness, adapter.readiness_path).await?;
+        }
+        let front = Rc::new(Front {
+            adapter,
+            config,
+            relay,
+            desk: Desk::new(adapter, &store),
+            stop: Rc::clone(stop),
+        });
+        let options = http::Options {
+            connections: settings.instance.connections,
+            keep_alive: CALLER_IDLE,
+            half_closed: false,
+            ..http::Options::default()
+        };
+        let server = Server::start(callers, options, move |request| {
+            serve(Rc::clone(&front), request)
+        })
+        .await?;
+        server.observe(|code| log::info!(code:serde = code; "refused by the listener"));
+        Ok(Self {
+            callers: server,
+            stop: Rc::clone(stop),
+            duties,
+            runner,
+        })
+    }
+
+    /// Waits until a stop was asked for, and carries it out.
+    async fn finished(&self, settings: &Hosted) {
+        self.stop.wait().await;
+        self.runner.drain();
+        self.duties.drain();
+        let times = Times {
+            balancer_lag: settings.stop.balancer_lag,
+            killed_after: settings.stop.killed_after,
+        };
+        let others = || self.runner.in_flight() + usize::from(!self.duties.released());
+        self.stop.finish(times, others).await;
+        self.callers.close();
+    }
+}
+
+fn options(settings: &Hosted) -> objects::Options {
+    objects::Options {
+        address: settings.store.address.to_string(),
+        agent: settings.instance.name.clone(),
+        concurrency: STORE_CALLS,
+        timeout: settings.store.timeout,
+        reads: f64::from(settings.store.reads_per_second),
+        writes: f64::from(settings.store.writes_per_second),
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|error| Error::Listen { address, error })
+}
+
+/// What readiness is told by.
+struct Ready {
+    store: Store,
+    config: Rc<Config>,
+    endpoints: Rc<Endpoints>,
+    stop: Rc<Stop>,
+}
+
+impl Ready {
+    async fn serve(self, listener: TcpListener, path: &'static str) -> io::Result<()> {
+        let ready = Rc::new(self);
+        let answer = move |request: http::Request| {
+            let known = request.method() == Method::GET && request.path() == path;
+            let why = ready.why_not();
+            async move {
+                match why {
+                    _ if !known => http::empty(StatusCode::NOT_FOUND),
+                    None => http::text(StatusCode::OK, "ready\n"),
+                    Some(why) => http::text(StatusCode::SERVICE_UNAVAILABLE, why),
+                }
+            }
+        };
+        Server::start(listener, http::Options::default(), answer).await?;
+        Ok(())
+    }
+
+    /// Why this instance should get no new connections.
+    fn why_not(&self) -> Option<&'static str> {
+        if self.stop.asked() {
+            return Some("stopping\n");
+        }
+        if self.config.table().is_none() {
+            return Some("no configuration\n");
+        }
+        if !self.endpoints.is_known() {
+            return Some("no endpoint list\n");
+        }
+        let away = self.store.away_since();
+        let away = away.is_some_and(|since| since.elapsed() >= AWAY);
+        away.then_some("no contact with the object store\n")
+    }
+}
+
+/// Tells when the settings file changes. What it says is in force from the next start on.
+async fn look_at_settings(settings: Hosted, path: PathBuf) {
+    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
+        log::error!("settings: no signal will be heard");
+        return;
+    };
+    let mut last = settings;
+    loop {
+        tokio::select! {
+            _ = hangup.recv() => {}
+            () = sleep(SETTINGS_LOOK) => {}
+        }
+        last = reload(last, &path);
+    }
+}
+
+fn reload(last: Hosted, path: &Path) -> Hosted {
+    match Hosted::load(path) {
+        Ok(settings) if settings == last => last,
+        Ok(settings) => {
+            log::info!(settings:? = settings; "settings changed, in force from the next start on");
+            settings
+        }
+        Err(error) => {
+            log::error!(error:% = error; "settings changed and are at fault, the last good ones stay");
+            last
+        }
+    }
+}
+
+/// Differs between starts of one instance's process; the wall clock is used for nothing else.
+fn incarnation() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_micros() as u64)
+}
+
+/// The time since the machine's start, the time while it was suspended included: a lease runs out
+/// during it.
+fn boot_time() -> Time {
+    let time = clock_gettime(ClockId::Boottime);
+    let micros = time.tv_sec * 1_000_000 + time.tv_nsec / 1_000;
+    Time(u64::try_from(micros).unwrap_or(0))
+}
--- /dev/null
+++ b/crates/pinereel/src/hosted/serve.rs
@@ -0,0 +1,201 @@
+//! The callers' listener: trainers' calls and live requests.
+
+use super::{
+    config::Config,
+    lots::{Desk, Reply},
+    relay::{Call, Outcome, Relay},
+    stop::Stop,
+};
+use crate::http::{self, Request, Response};
+use actix_http::{
+    ConnectionType, HttpMessage as _, Method, StatusCode,
+    body::BoxBody,
+    header::{CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER},
+};
+use bytes::Bytes;
+use compact_str::CompactString;
+use pinereel_core::table::Table;
+use pinereel_port::{
+    Adapter,
+    config::{Kind, Route},
+    live, lot,
+};
+use std::{rc::Rc, time::Duration};
+use tokio::time::Instant;
+
+/// A request whose head says nothing of its deadline gets the route's timeout, and a call for which
+/// there is no route so long.
+const USUAL_TIMEOUT: Duration = Duration::from_secs(5);
+/// A final answer leaves so long before the caller's deadline or the route's timeout, to be there
+/// in time.
+const ANSWER_MARGIN: Duration = Duration::from_millis(30);
+/// Longest wait for the rest of a body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// When a caller should come back while no configuration is known: it is read within a second.
+const NOT_CONFIGURED: Duration = Duration::from_millis(500);
+
+/// What callers' requests are served with.
+pub struct Front {
+    /// Translates.
+    pub adapter: Adapter,
+    /// The configuration.
+    pub config: Rc<Config>,
+    /// Live requests.
+    pub relay: Rc<Relay>,
+    /// Trainers' calls.
+    pub desk: Desk,
+    /// The graceful stop.
+    pub stop: Rc<Stop>,
+}
+
+/// Answers one request, which is in flight until the last byte of its answer has been sent.
+pub async fn serve(front: Rc<Front>, request: Request) -> Response {
+    let guard = front.stop.enter();
+    let mut answer = front.answer(request).await;
+    if front.stop.asked() {
+        // The caller opens its next connection elsewhere.
+        answer.head_mut().set_connection_type(ConnectionType::Close);
+    }
+    http::hold(answer, guard)
+}
+
+impl Front {
+    async fn answer(&self, mut request: Request) -> Response {
+        let arrived = Instant::now();
+        let said = (self.adapter.live.request)(request.headers());
+        let path = request.path().to_owned();
+        let query = request.uri().query().unwrap_or_default().to_owned();
+        match (self.adapter.lot.call)(request.method(), &path, &query) {
+            lot::Call::Other => {}
+            call => return self.lot_call(call, &said, arrived).await,
+        }
+        let host = request.headers().get(HOST);
+        let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
+        let host = CompactString::from(host);
+        let Some(table) = self.config.table() else {
+            log::warn!(id = said.id.as_str(); "refused: no configuration is known yet");
+            return not_run(StatusCode::SERVICE_UNAVAILABLE, NOT_CONFIGURED);
+        };
+        let Some(route) = table.find(&host, &path).cloned() else {
+            log::info!(
+                id = said.id.as_str(),
+                host = host.as_str(),
+                path,
+                config = table.number();
+                "refused: no such route"
+            );
+            return http::empty(StatusCode::NOT_FOUND);
+        };
+        let max = table.document().limits.body;
+        let body = match http::read(&mut request, max, BODY_TIMEOUT).await {
+            Ok(body) => body,
+            Err(error) => return refuse_body(&said, &error),
+        };
+        if route.kind == Kind::Lot && request.method() == Method::POST {
+            let give_up = give_up(&said, route.timeout, arrived);
+            let reply = self
+                .desk
+                .submit(&said.id, &host, &path, &body, give_up)
+                .await;
+            return respond(reply);
+        }
+        self.relay_call(request, &table, route, &said, body, arrived)
+            .await
+    }
+
+    async fn relay_call(
+        &self,
+        request: Request,
+        table: &Table,
+        route: Route,
+        said: &live::Request,
+        body: Bytes,
+        arrived: Instant,
+    ) -> Response {
+        let target = request.uri().path_and_query();
+        let target = target.map_or("/", |target| target.as_str()).into();
+        let call = Call {
+            id: said.id.clone(),
+            config: table.number(),
+            give_up: give_up(said, route.timeout, arrived),
+            route,
+            method: request.method().clone(),
+            target,
+            headers: request.headers().clone(),
+            body,
+        };
+        match self.relay.run(call).await {
+            Outcome::Answer(answer) => {
+                let mut response = Response::new(answer.status)
+                    .set_body(BoxBody::new(answer.body));
+                for (name, value) in answer.headers {
+                    response.headers_mut().append(name, value);
+                }
+                response
+            }
+            Outcome::NotRun { retry_after, .. } => {
+                not_run(StatusCode::SERVICE_UNAVAILABLE, retry_after)
+            }
+            Outcome::Unknown { late: true, .. } => http::empty(StatusCode::GATEWAY_TIMEOUT),
+            Outcome::Unknown { late: false, .. } => http::empty(StatusCode::BAD_GATEWAY),
+        }
+    }
+
+    async fn lot_call(&self, call: lot::Call, said: &live::Request, arrived: Instant) -> Response {
+        let wait = said.wait.unwrap_or_default();
+        let wait = wait.min(self.adapter.lot.longest_wait);
+        let reply = match call {
+            lot::Call::Read { lot, from } => self.desk.read(&lot, from, wait).await,
+            lot::Call::Body { lot, item } => self.desk.body(&lot, &item).await,
+            lot::Call::End { lot } => {
+                let give_up = give_up(said, USUAL_TIMEOUT, arrived);
+                self.desk.end(&lot, give_up).await
+            }
+            lot::Call::Other => Reply::NotFound,
+        };
+        respond(reply)
+    }
+}
+
+/// When a request is answered in any case.
+fn give_up(said: &live::Request, timeout: Duration, arrived: Instant) -> Instant {
+    let left = said.time_left.map_or(timeout, |left| left.min(timeout));
+    arrived + left.saturating_sub(ANSWER_MARGIN)
+}
+
+fn refuse_body(said: &live::Request, error: &http::Error) -> Response {
+    log::info!(id = said.id.as_str(), error:% = error; "refused: body");
+    http::empty(match error {
+        http::Error::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
+        http::Error::Slow(_) => StatusCode::REQUEST_TIMEOUT,
+        http::Error::Broken(_) | http::Error::Malformed(_) => StatusCode::BAD_REQUEST,
+    })
+}
+
+/// A refusal of something that did not run, with when to come back.
+fn not_run(status: StatusCode, retry_after: Duration) -> Response {
+    let mut response = http::empty(status);
+    let seconds = format!("{:.3}", retry_after.as_secs_f64());
+    if let Ok(seconds) = HeaderValue::from_str(&seconds) {
+        response.headers_mut().insert(RETRY_AFTER, seconds);
+    }
+    response
+}
+
+fn respond(reply: Reply) -> Response {
+    match reply {
+        Reply::Accepted => http::empty(StatusCode::ACCEPTED),
+        Reply::Ended => http::empty(StatusCode::OK),
+        Reply::Results(bytes) => {
+            let mut response = Response::new(StatusCode::OK).set_body(BoxBody::new(bytes));
+            let json = HeaderValue::from_static("application/json");
+            response.headers_mut().insert(CONTENT_TYPE, json);
+            response
+        }
+        Reply::Body(bytes) => Response::new(StatusCode::OK).set_body(BoxBody::new(bytes)),
+        Reply::NotFound => http::empty(StatusCode::NOT_FOUND),
+        Reply::Malformed(why) => http::text(StatusCode::BAD_REQUEST, why.as_str()),
+        Reply::NotDone(retry_after) => not_run(StatusCode::SERVICE_UNAVAILABLE, retry_after),
+        Reply::Unknown => http::empty(StatusCode::GATEWAY_TIMEOUT),
+    }
+}
--- /dev/null
+++ b/crates/pinereel/src/hosted/store.rs
@@ -0,0 +1,274 @@
+//! The platform's object store, in typed calls.
+
+use crate::objects::{Access, Client, Error, Purpose};
+use actix_http::StatusCode;
+use bytes::Bytes;
+use pinereel_port::{
+    Fault,
+    store::{Call, Changes, Dialect, Freshness, Object, Page},
+};
+use serde_json::Value;
+use std::{cell::Cell, rc::Rc, time::Duration};
+use tokio::{sync::watch, time::Instant};
+
+/// The store's calls; clones share budget and contact.
+#[derive(Clone)]
+pub struct Store {
+    client: Client,
+    dialect: Dialect,
+    contact: Rc<Contact>,
+}
+
+/// What this process knows of its contact with the store.
+struct Contact {
+    /// Since when every call has failed; none while calls are answered.
+    away_since: Cell<Option<Instant>>,
+    /// When a call last failed.
+    failed_at: Cell<Option<Instant>>,
+    /// Grows each time that the contact is back: whoever waits for news asks anew.
+    returns: watch::Sender<u64>,
+}
+
+impl Store {
+    /// The store behind `client`, in `dialect`.
+    pub fn new(client: Client, dialect: Dialect) -> Self {
+        let contact = Contact {
+            away_since: Cell::new(None),
+            failed_at: Cell::new(None),
+            returns: watch::channel(0).0,
+        };
+        Self {
+            client,
+            dialect,
+            contact: Rc::new(contact),
+        }
+    }
+
+    /// Since when every call has failed; none while calls are answered.
+    pub fn away_since(&self) -> Option<Instant> {
+        self.contact.away_since.get()
+    }
+
+    /// Whether a call failed within the last `span`.
+    pub fn was_away_within(&self, span: Duration) -> bool {
+        let failed = self.contact.failed_at.get();
+        failed.is_some_and(|at| at.elapsed() < span)
+    }
+
+    /// Tells each time that the contact is back after failures.
+    pub fn returns(&self) -> watch::Receiver<u64> {
+        self.contact.returns.subscribe()
+    }
+
+    /// Calls since the start.
+    pub fn client(&self) -> &Client {
+        &self.client
+    }
+
+    /// Reads one object; `None` if it does not exist.
+    ///
+    /// # Errors
+    /// If the store did not answer so.
+    pub async fn read(
+        &self,
+        purpose: Purpose,
+        kind: &str,
+        name: &str,
+        freshness: Freshness,
+    ) -> Result<Option<Object>, Error> {
+        let call = (self.dialect.read)(kind, name, freshness);
+        match self.ask(purpose, access(freshness), call).await {
+            Ok(body) => decode(self.dialect.object, &body).map(Some),
+            Err(Error::NotFound) => Ok(None),
+            Err(e) => Err(e),
+        }
+    }
+
+    /// One page of a kind, of the names after `after`.
+    ///
+    /// # Errors
+    /// If the store did not answer so.
+    pub async fn page(
+        &self,
+        purpose: Purpose,
+        kind: &str,
+        after: Option<&str>,
+        freshness: Freshness,
+    ) -> Result<Page, Error> {
+        let call = (self.dialect.list)(kind, after, freshness);
+        let body = self.ask(purpose, access(freshness), call).await?;
+        decode(self.dialect.page, &body)
+    }
+
+    /// All objects of a kind of the names after `after`, and the revision to watch from.
+    ///
+    /// # Errors
+    /// If the store did not answer so.
+    pub async fn list(
+        &self,
+        purpose: Purpose,
+        kind: &str,
+        after: Option<&str>,
+    ) -> Result<(Vec<Object>, u64), Error> {
+        let mut page = self.page(purpose, kind, after, Freshness::Current).await?;
+        // Changes during the list are told by a watch from its first page on.
+        let revision = page.revision;
+        let mut objects = std::mem::take(&mut page.objects);
+        while page.more {
+            let Some(last) = objects.last().map(|object| object.name.clone()) else {
+                break;
+            };
+            page = self
+                .page(purpose, kind, Some(&last), Freshness::Current)
+                .await?;
+            objects.append(&mut page.objects);
+        }
+        Ok((objects, revision))
+    }
+
+    /// Waits for changes of a kind after a revision.
+    ///
+    /// # Errors
+    /// [`Error::Gone`] if the store does not know that history any more.
+    pub async fn watch(
+        &self,
+        purpose: Purpose,
+        kind: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Result<Changes, Error> {
+        let call = (self.dialect.watch)(kind, after, wait);
+        let answer = self
+            .client
+            .exchange(purpose, Access::Watch, call, wait)
+            .await;
+        let body = self.judge(answer)?;
+        decode(self.dialect.changes, &body)
+    }
+
+    /// Creates an object that must not exist; `spec` is JSON text.
+    ///
+    /// # Errors
+    /// [`Error::Conflict`] if it exists.
+    pub async fn create(
+        &self,
+        purpose: Purpose,
+        kind: &str,
+        name: &str,
+        spec: &str,
+    ) -> Result<Object, Error> {
+        let call = (self.dialect.create)(kind, name, spec);
+        let body = self.ask(purpose, Access::Write, call).await?;
+        decode(self.dialect.object, &body)
+    }
+
+    /// Replaces the spec of an object that must have `revision`.
+    ///
+    /// # Errors
+    /// [`Error::Conflict`] if it has another one.
+    pub async fn update(
+        &self,
+        purpose: Purpose,
+        kind: &str,
+        name: &str,
+        revision: u64,
+        spec: &Value,
+    ) -> Result<Object, Error> {
+        let call = (self.dialect.update)(kind, name, revision, spec);
+        let body = self.ask(purpose, Access::Write, call).await?;
+        decode(self.dialect.object, &body)
+    }
+
+    /// Replaces the status of an object.
+    ///
+    /// # Errors
+    /// [`Error::NotFound`] if there is no such object.
+    pub async fn report(
+        &self,
+        purpose: Purpose,
+        kind: &str,
+        name: &str,
+        status: &Value,
+    ) -> Result<(), Error> {
+        let call = (self.dialect.report)(kind, name, status);
+        self.ask(purpose, Access::Write, call).await.map(drop)
+    }
+
+    /// Deletes an object; one that does not exist is no error.
+    ///
+    /// # Errors
+    /// If the store did not answer so.
+    pub async fn delete(&self, purpose: Purpose, kind: &str, name: &str) -> Result<(), Error> {
+        let call = (self.dialect.delete)(kind, name);
+        match self.ask(purpose, Access::Write, call).await {
+            Ok(_) | Err(Error::NotFound) => Ok(()),
+            Err(e) => Err(e),
+        }
+    }
+
+    async fn ask(&self, purpose: Purpose, access: Access, call: Call) -> Result<Bytes, Error> {
+        let answer = self
+            .client
+            .exchange(purpose, access, call, Duration::ZERO)
+            .await;
+        self.judge(answer)
+    }
+
+    /// Notes whether the store is in contact, and what the status means.
+    fn judge(&self, answer: Result<(StatusCode, Bytes), Error>) -> Result<Bytes, Error> {
+        let result = answer.and_then(|(status, body)| meaning(status).map(|()| body));
+        match &result {
+            Err(Error::NotSent(_) | Error::Refused(_) | Error::Unknown(_)) => self.contact.failed(),
+            _ => self.contact.answered(),
+        }
+        result
+    }
+}
+
+impl Contact {
+    fn failed(&self) {
+        let now = Instant::now();
+        self.failed_at.set(Some(now));
+        if self.away_since.get().is_none() {
+            self.away_since.set(Some(now));
+            log::warn!("object store: contact lost");
+        }
+    }
+
+    fn answered(&self) {
+        if let Some(since) = self.away_since.take() {
+            let millis = since.elapsed().as_millis() as u64;
+            log::info!(away_ms = millis; "object store: contact regained");
+            self.returns.send_modify(|returns| *returns += 1);
+        }
+    }
+}
+
+/// Only 429 and 503 promise that nothing was done.
+fn meaning(status: StatusCode) -> Result<(), Error> {
+    match status {
+        StatusCode::OK | StatusCode::CREATED | StatusCode::NO_CONTENT => Ok(()),
+        StatusCode::NOT_FOUND => Err(Error::NotFound),
+        StatusCode::CONFLICT => Err(Error::Conflict),
+        StatusCode::GONE => Err(Error::Gone),
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
+            Err(Error::Refused(status.to_string()))
+        }
+        status if status.is_server_error() => Err(Error::Unknown(status.to_string())),
+        status => Err(Error::Malformed(status.to_string())),
+    }
+}
+
+fn decode<T>(decode: fn(&[u8]) -> Result<T, Fault>, body: &[u8]) -> Result<T, Error> {
+    decode(body).map_err(|fault| {
+        log::error!("object store: {fault}");
+        Error::Malformed(fault.to_string())
+    })
+}
+
+const fn access(freshness: Freshness) -> Access {
+    match freshness {
+        Freshness::Current => Access::Read,
+        Freshness::Stale => Access::Stale,
+    }
+}
--- a/crates/pinereel/src/lib.rs
+++ b/crates/pinereel/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod engines;
 pub mod entry;
 pub mod filters;
+pub mod hosted;
 pub mod http;
 pub mod logging;
 pub mod metrics;
--- a/crates/pinereel/src/logging/mod.rs
+++ b/crates/pinereel/src/logging/mod.rs
@@ -101,6 +101,9 @@
 
 fn sink(settings: &settings::Log) -> Result<Box<dyn Write + Send>, Error> {
     let Some(path) = &settings.file else {
+        if settings.stdout {
+            return Ok(Box::new(io::stdout()));
+        }
         return Ok(Box::new(io::stderr()));
     };
     let file = OpenOptions::new().create(true).append(true).open(path);
--- a/crates/pinereel/src/main.rs
+++ b/crates/pinereel/src/main.rs
@@ -1,12 +1,13 @@
 //! The one binary.
 
 use pinereel::cli;
+use pinereel_platform::adapter;
 use std::{env, io, process::ExitCode};
 
 fn main() -> ExitCode {
     let args = env::args_os().skip(1);
     let exit = match cli::parse(args, |name| env::var_os(name)) {
-        Ok(command) => cli::run(command, &mut io::stdout(), &mut io::stderr()),
+        Ok(command) => cli::run(command, adapter(), &mut io::stdout(), &mut io::stderr()),
         Err(error) => {
             eprintln!("pinereel: {error}");
             error.exit()
--- a/crates/pinereel/src/objects/client.rs
+++ b/crates/pinereel/src/objects/client.rs
@@ -14,6 +14,7 @@
 use compact_str::CompactString;
 use pinereel_api::object::{Changes, List, MAX_VALUE, Object, Write, Written};
 use pinereel_core::hash;
+use pinereel_port::store::Call;
 use serde::{Serialize, de::DeserializeOwned};
 use std::{cell::RefCell, collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
 use tokio::{
@@ -59,6 +60,10 @@
     Leases,
     /// Idempotency claims.
     Claims,
+    /// Lots and their results.
+    Lots,
+    /// Requests to empty an instance.
+    Retirements,
 }
 
 impl Purpose {
@@ -71,6 +76,33 @@
             Self::Weights => "weights",
             Self::Leases => "leases",
             Self::Claims => "claims",
+            Self::Lots => "lots",
+            Self::Retirements => "retirements",
+        }
+    }
+}
+
+/// What a call does; the store's rates and prices differ by it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Access {
+    /// A linearizable read or list.
+    Read,
+    /// A read that may be somewhat old.
+    Stale,
+    /// A waiting call.
+    Watch,
+    /// Any write.
+    Write,
+}
+
+impl Access {
+    /// The access as a label.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Read => "read",
+            Self::Stale => "stale",
+            Self::Watch => "watch",
+            Self::Write => "write",
         }
     }
 }
@@ -231,6 +263,37 @@
         check(status)
     }
 
+    /// One call in the dialect of whoever makes it, within this client's budget.
+    ///
+    /// # Errors
+    /// [`Error::NotSent`] if nothing left, [`Error::Unknown`] if the answer was lost. Any status is
+    /// an answer.
+    pub async fn exchange(
+        &self,
+        purpose: Purpose,
+        access: Access,
+        call: Call,
+        wait: Duration,
+    ) -> Result<(StatusCode, Bytes), Error> {
+        let turn = match access {
+            Access::Watch => {
+                self.enter(purpose, access.as_str()).await?;
+                None
+            }
+            _ => Some(self.turn(purpose, access.as_str()).await?),
+        };
+        let mut headers = Vec::new();
+        if !call.body.is_empty() {
+            headers.push((CONTENT_TYPE, HeaderValue::from_static("application/json")));
+        }
+        let timeout = wait + self.options.timeout;
+        let answer = self
+            .call(call.method, call.path, headers, call.body, timeout)
+            .await;
+        drop(turn);
+        answer
+    }
+
     async fn get<T: DeserializeOwned>(&self, purpose: Purpose, path: String) -> Result<T, Error> {
         let _turn = self.turn(purpose, "read").await?;
         let timeout = self.options.timeout;
--- a/crates/pinereel/src/objects/mod.rs
+++ b/crates/pinereel/src/objects/mod.rs
@@ -9,4 +9,4 @@
 mod client;
 mod rate;
 
-pub use client::{Client, Error, Options, Purpose};
+pub use client::{Access, Client, Error, Options, Purpose};
--- /dev/null
+++ b/crates/pinereel/src/settings/hosted.rs
@@ -0,0 +1,198 @@
+//! Settings of an instance whose state is kept by the platform that it runs on.
+
+use super::{
+    Error, Faults, Log, WAIT,
+    reader::Reader,
+    unit,
+};
+use compact_str::CompactString;
+use std::{fs, net::SocketAddr, path::Path, time::Duration};
+
+/// All settings of one hosted instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Hosted {
+    /// Who it is and where it listens.
+    pub instance: Instance,
+    /// The platform's object store.
+    pub store: Store,
+    /// Graceful stop.
+    pub stop: Stop,
+    /// Orders to model engines.
+    pub orders: Orders,
+    /// Lots.
+    pub lots: Lots,
+    /// The log.
+    pub log: Log,
+}
+
+/// Who the instance is and where it listens.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Instance {
+    /// Name, unique in the system.
+    pub name: CompactString,
+    /// Its availability zone.
+    pub zone: CompactString,
+    /// Where callers connect; none on an instance that serves none.
+    pub callers: Option<SocketAddr>,
+    /// Where the balancer asks for readiness.
+    pub readiness: Option<SocketAddr>,
+    /// Where metrics are read.
+    pub metrics: Option<SocketAddr>,
+    /// Most open connections of callers.
+    pub connections: usize,
+}
+
+/// The platform's object store and this process's budget of calls to it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Store {
+    /// Where it serves.
+    pub address: SocketAddr,
+    /// Longest wait for one answer, a watch's own wait not counted.
+    pub timeout: Duration,
+    /// Longest wait of a watch.
+    pub watch: Duration,
+    /// Reads a second.
+    pub reads_per_second: u32,
+    /// Writes a second.
+    pub writes_per_second: u32,
+}
+
+/// Graceful stop.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Stop {
+    /// How long the balancer may still send connections after readiness is off.
+    pub balancer_lag: Duration,
+    /// After so long the process is killed; it ends by itself before.
+    pub killed_after: Duration,
+}
+
+/// Orders to model engines.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Orders {
+    /// Shortest time between orders of two instances to one engine.
+    pub gap: Duration,
+    /// Most engines that load weights at once.
+    pub loads: usize,
+}
+
+/// Lots.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Lots {
+    /// How long a lot can be read after its submission.
+    pub kept: Duration,
+}
+
+impl Hosted {
+    /// Reads and checks the file at `path`.
+    ///
+    /// # Errors
+    /// If it cannot be read, or its content is at fault.
+    pub fn load(path: impl AsRef<Path>) -> Result<Self, Error> {
+        let path = path.as_ref();
+        let text = fs::read_to_string(path).map_err(|source| Error::Read {
+            path: path.to_owned(),
+            source,
+        })?;
+        Self::parse(path, &text).map_err(Error::Invalid)
+    }
+
+    /// Checks `text` as the content of the file `path`.
+    ///
+    /// # Errors
+    /// All faults of the text.
+    pub fn parse(path: impl AsRef<Path>, text: &str) -> Result<Self, Faults> {
+        let mut reader = Reader::new(path.as_ref(), text)?;
+        let instance = Instance::read(&mut reader);
+        let store = Store::read(&mut reader);
+        let stop = Stop::read(&mut reader);
+        let orders = Orders::read(&mut reader);
+        let lots = Lots::read(&mut reader);
+        let log = Log::read(&mut reader);
+        let faults = reader.finish();
+        match (instance, store) {
+            (Some(instance), Some(store)) if faults.is_empty() => Ok(Self {
+                instance,
+                store,
+                stop,
+                orders,
+                lots,
+                log,
+            }),
+            _ => Err(faults),
+        }
+    }
+}
+
+impl Instance {
+    fn read(reader: &mut Reader) -> Option<Self> {
+        let mut section = reader.section("instance");
+        let name = section.required("name", unit::NAME, unit::name);
+        let zone = section.required("zone", unit::NAME, unit::name);
+        let callers = section.optional("callers", unit::ADDRESS, unit::address);
+        let readiness = section.optional("readiness", unit::ADDRESS, unit::address);
+        let metrics = section.optional("metrics", unit::ADDRESS, unit::address);
+        section.no_clash(&[
+            ("callers", callers),
+            ("readiness", readiness),
+            ("metrics", metrics),
+        ]);
+        // Half of the descriptors are left for endpoints, the store and files.
+        let descriptors = section.count("file_descriptors", 64..=1_000_000, 1_024);
+        Some(Self {
+            name: name?,
+            zone: zone?,
+            callers,
+            readiness,
+            metrics,
+            connections: descriptors / 2,
+        })
+    }
+}
+
+impl Store {
+    fn read(reader: &mut Reader) -> Option<Self> {
+        let mut section = reader.section("store");
+        let address = section.required("address", unit::ADDRESS, unit::address);
+        Some(Self {
+            timeout: section.duration("timeout", WAIT, Duration::from_millis(1_500)),
+            watch: section.duration("watch", WAIT, Duration::from_secs(20)),
+            reads_per_second: section.number("reads_per_second", 1..=10_000, 100),
+            writes_per_second: section.number("writes_per_second", 1..=10_000, 50),
+            address: address?,
+        })
+    }
+}
+
+impl Stop {
+    fn read(reader: &mut Reader) -> Self {
+        let mut section = reader.section("stop");
+        let lag = section.duration("balancer_lag", WAIT, Duration::from_millis(2_500));
+        let killed_after = section.duration("killed_after", WAIT, Duration::from_secs(8));
+        if killed_after <= lag {
+            section.fault("killed_after", "longer than balancer_lag");
+        }
+        Self {
+            balancer_lag: lag,
+            killed_after,
+        }
+    }
+}
+
+impl Orders {
+    fn read(reader: &mut Reader) -> Self {
+        let mut section = reader.section("orders");
+        Self {
+            gap: section.duration("gap", WAIT, Duration::from_secs(3)),
+            loads: section.count("loads", 1..=1_000, 2),
+        }
+    }
+}
+
+impl Lots {
+    fn read(reader: &mut Reader) -> Self {
+        let mut section = reader.section("lots");
+        Self {
+            kept: section.duration("kept", WAIT, Duration::from_secs(120)),
+        }
+    }
+}
--- a/crates/pinereel/src/settings/mod.rs
+++ b/crates/pinereel/src/settings/mod.rs
@@ -4,11 +4,13 @@
 //! line, so that one look at the output is enough to mend the file.
 
 mod fault;
+mod hosted;
 mod reader;
 mod secret;
 mod unit;
 
 pub use fault::{Fault, Faults};
+pub use hosted::{Hosted, Instance, Lots, Orders, Stop, Store};
 pub use secret::Secret;
 
 use compact_str::CompactString;
@@ -122,8 +124,10 @@
 pub struct Log {
     /// Least severe level that is written.
     pub level: log::LevelFilter,
-    /// The file to append to; standard error if absent.
+    /// The file to append to; standard output or error if absent.
     pub file: Option<PathBuf>,
+    /// Whether lines go to standard output in place of standard error.
+    pub stdout: bool,
     /// Lines that wait for a slow sink before further ones are dropped.
     pub queue: usize,
     /// Whether each routing and placement decision has a line.
@@ -293,6 +297,7 @@
         Self {
             level: level.unwrap_or(log::LevelFilter::Info),
             file,
+            stdout: section.switch("stdout", false),
             queue: section.count("queue", COUNT, 8_192),
             decisions: section.switch("decisions", true),
         }
--- a/crates/pinereel/src/upstream/mod.rs
+++ b/crates/pinereel/src/upstream/mod.rs
@@ -8,6 +8,7 @@
 //! (JSON documents, event streams with a last event). [`direct`] is for all others.
 
 pub mod direct;
+pub mod pool;
 
 use actix_http::{
     Method, Uri,
@@ -29,6 +30,13 @@
 /// The library's own timer around our connector; never the one that ends first.
 const LIBRARY_CONNECT_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Pause before the first probe of a quiet connection, and between probes. The system counts it in
+/// whole seconds.
+const PROBE_PAUSE: Duration = Duration::from_secs(1);
+
+/// Probes without an answer after which a connection counts as gone.
+const PROBES: u32 = 3;
+
 /// Idle time after which a pooled connection is not used again; below usual servers' own.
 const IDLE: Duration = Duration::from_secs(4);
 
@@ -169,9 +177,26 @@
         .as_str()
         .parse()
         .map_err(|_| io::Error::other(format!("{authority} is not IP:PORT")))?;
+    connect_to(address).await
+}
+
+async fn connect_to(address: SocketAddr) -> io::Result<TcpStream> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     stream.set_nodelay(true)?;
+    watch_silence(&stream)?;
     Ok(stream)
 }
+
+/// Lets the system end a connection whose peer has gone silent: without it, a waiting call on such
+/// a connection would wait for its whole timeout.
+fn watch_silence(stream: &TcpStream) -> io::Result<()> {
+    let socket = socket2::SockRef::from(stream);
+    let probes = socket2::TcpKeepalive::new()
+        .with_time(PROBE_PAUSE)
+        .with_interval(PROBE_PAUSE)
+        .with_retries(PROBES);
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(PROBE_PAUSE * PROBES))
+}
--- a/crates/pinereel/tests/cli_calls.rs
+++ b/crates/pinereel/tests/cli_calls.rs
@@ -1,6 +1,7 @@
 //! What the commands send, what they print, and how they end, against a scripted entry.
 
 use pinereel::cli::{self, Exit};
+use pinereel_platform::adapter;
 use std::{
     fs,
     io::{BufRead as _, BufReader, Read as _, Write as _},
@@ -85,7 +86,7 @@
     };
     let command = cli::parse(line.split_whitespace(), env).expect("a command");
     let (mut out, mut err) = (Vec::new(), Vec::new());
-    let exit = cli::run(command, &mut out, &mut err);
+    let exit = cli::run(command, adapter(), &mut out, &mut err);
     let text = [out, err].concat();
     let text = String::from_utf8(text).expect("text");
     (exit, text.replace(&address.to_string(), "ENTRY"))
--- /dev/null
+++ b/crates/pinereel_core/src/batch/fleet.rs
@@ -0,0 +1,212 @@
+//! The engines of one service, as the runner of its lots sees them.
+//!
+//! One instance runs all lots of a model, so it knows the runs at each engine exactly. What counts
+//! for a step is its last sample: engines differ in pace, and some turn slow for seconds. So the
+//! fastest engine with a free slot comes first, and a run on a slow engine is moved to a fast one
+//! as soon as that has a slot that nothing waits for.
+
+use crate::Time;
+use compact_str::CompactString;
+use slotmap::SlotMap;
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+slotmap::new_key_type! {
+    /// One start of one engine in a [`Fleet`].
+    pub struct Key;
+}
+
+/// Share of a new gap between events in the moving average of an engine's pace.
+const PACE_GAIN: f64 = 0.25;
+/// Pace of an engine that has made no event yet, in milliseconds an event: about that of the
+/// engines measured on 2026-12-02 (56 tokens at 0.7 ms).
+const USUAL_PACE: f64 = 40.0;
+/// A run is moved if its engine takes so many times as long as the one that it would go to. Reading
+/// the prompt and text again costs a few events, so a smaller gain is not worth it.
+const MOVE_FACTOR: f64 = 1.8;
+/// What a full engine costs against an empty one of the same pace: enough to spread runs over equal
+/// engines, too little to prefer a slow one.
+const FULL_COST: f64 = 0.25;
+/// First wait after an engine broke a run off or could not be reached; doubles with each further one.
+const FIRST_PAUSE: Duration = Duration::from_millis(300);
+/// Longest such wait: an engine that is back is found again soon.
+const LONGEST_PAUSE: Duration = Duration::from_millis(2_400);
+/// Wait after an engine said that it is full or loads weights: a load takes about a second.
+const FULL_PAUSE: Duration = Duration::from_millis(120);
+
+/// What the endpoint list says of an engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Listed {
+    /// Id of this start of the engine.
+    pub id: CompactString,
+    /// Where it serves.
+    pub address: SocketAddr,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it gets no new work.
+    pub leaving: bool,
+    /// Version of the model's weights that it serves; none if it does not serve the model.
+    pub version: Option<u64>,
+}
+
+/// How a run at an engine ended, as far as it speaks about the engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Halt {
+    /// Finished, or an answer that is not the engine's fault.
+    Finished,
+    /// Given up here.
+    Cancelled,
+    /// The engine did not take it now: full, or loading weights.
+    Full,
+    /// Broken off, silent, or out of reach.
+    Broken,
+}
+
+/// One engine.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    /// What the list says of it.
+    pub listed: Listed,
+    /// Runs there.
+    pub runs: u32,
+    /// Moving average of the time between two events of a run, in milliseconds; none before the first.
+    pub pace: Option<f64>,
+    /// Breaks in a row.
+    breaks: u32,
+    /// No new run before.
+    not_before: Time,
+    /// No longer listed; kept until its last run ends.
+    gone: bool,
+}
+
+impl Engine {
+    /// Milliseconds an event.
+    fn pace(&self) -> f64 {
+        self.pace.unwrap_or(USUAL_PACE)
+    }
+
+    fn takes(&self, now: Time, oldest_version: u64) -> bool {
+        let fits = self.listed.version.is_some_and(|v| v >= oldest_version);
+        let free = self.runs < self.listed.slots;
+        !self.gone && !self.listed.leaving && fits && free && now >= self.not_before
+    }
+
+    fn cost(&self) -> f64 {
+        let used = f64::from(self.runs) / f64::from(self.listed.slots.max(1));
+        self.pace() * (1.0 + FULL_COST * used)
+    }
+}
+
+/// The engines of one service.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    arena: SlotMap<Key, Engine>,
+    ids: BTreeMap<CompactString, Key>,
+}
+
+impl Fleet {
+    /// Takes over the endpoint list.
+    pub fn sync(&mut self, listed: impl IntoIterator<Item = Listed>) {
+        let mut left = std::mem::take(&mut self.ids);
+        for listed in listed {
+            let id = listed.id.clone();
+            let key = match left.remove(&id) {
+                Some(key) => key,
+                None => self.arena.insert(Engine {
+                    listed: listed.clone(),
+                    runs: 0,
+                    pace: None,
+                    breaks: 0,
+                    not_before: Time::ZERO,
+                    gone: false,
+                }),
+            };
+            self.arena[key].listed = listed;
+            self.ids.insert(id, key);
+        }
+        for key in left.into_values() {
+            self.arena[key].gone = true;
+            self.forget_if_idle(key);
+        }
+    }
+
+    /// The engine, if it is still known.
+    pub fn get(&self, key: Key) -> Option<&Engine> {
+        self.arena.get(key)
+    }
+
+    /// All listed engines.
+    pub fn iter(&self) -> impl Iterator<Item = (Key, &Engine)> {
+        self.ids.values().map(|key| (*key, &self.arena[*key]))
+    }
+
+    /// Slots of all engines that may get work, and those that are in use.
+    pub fn usage(&self) -> (u32, u32) {
+        let open = self.iter().filter(|(_, engine)| !engine.listed.leaving);
+        open.fold((0, 0), |(slots, runs), (_, engine)| {
+            (slots + engine.listed.slots, runs + engine.runs)
+        })
+    }
+
+    /// The engine for a run that needs weights of `oldest_version` or newer.
+    pub fn pick(&self, now: Time, oldest_version: u64, except: Option<Key>) -> Option<Key> {
+        let open = self
+            .iter()
+            .filter(|(key, engine)| Some(*key) != except && engine.takes(now, oldest_version));
+        let best = open.min_by(|(_, a), (_, b)| a.cost().total_cmp(&b.cost()));
+        best.map(|(key, _)| key)
+    }
+
+    /// Where a run at `from` should go instead, if that is much faster.
+    pub fn better(&self, now: Time, from: Key, oldest_version: u64) -> Option<Key> {
+        let pace = self.arena.get(from)?.pace?;
+        let to = self.pick(now, oldest_version, Some(from))?;
+        (pace > MOVE_FACTOR * self.arena[to].pace()).then_some(to)
+    }
+
+    /// A run begins at the engine.
+    pub fn started(&mut self, key: Key) {
+        if let Some(engine) = self.arena.get_mut(key) {
+            engine.runs += 1;
+        }
+    }
+
+    /// A run at the engine made an event, `gap` after the one before.
+    pub fn made(&mut self, key: Key, gap: Duration) {
+        let Some(engine) = self.arena.get_mut(key) else {
+            return;
+        };
+        let gap = gap.as_secs_f64() * 1_000.0;
+        engine.breaks = 0;
+        engine.pace = Some(match engine.pace {
+            Some(pace) => pace + PACE_GAIN * (gap - pace),
+            None => gap,
+        });
+    }
+
+    /// A run ended. Every `started` needs exactly one.
+    pub fn ended(&mut self, now: Time, key: Key, halt: Halt) {
+        let Some(engine) = self.arena.get_mut(key) else {
+            return;
+        };
+        engine.runs = engine.runs.saturating_sub(1);
+        match halt {
+            Halt::Finished => engine.breaks = 0,
+            Halt::Cancelled => {}
+            Halt::Full => engine.not_before = engine.not_before.max(now + FULL_PAUSE),
+            Halt::Broken => {
+                let pause = FIRST_PAUSE * 2u32.pow(engine.breaks.min(8));
+                engine.breaks += 1;
+                let until = now + pause.min(LONGEST_PAUSE);
+                engine.not_before = engine.not_before.max(until);
+            }
+        }
+        self.forget_if_idle(key);
+    }
+
+    fn forget_if_idle(&mut self, key: Key) {
+        let idle = self.arena.get(key).is_some_and(|e| e.gone && e.runs == 0);
+        if idle {
+            self.arena.remove(key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/pinereel_core/src/batch/mod.rs
@@ -0,0 +1,14 @@
+//! One trainer step whose results are kept in the platform's object store.
+//!
+//! Results have fixed positions. They are committed as numbered segments, each created only if it
+//! does not exist: whoever wins the number of a segment has fixed its positions for good, however
+//! many instances believe that they run the lot. [`Ledger`] holds what is committed; [`Lot`] holds
+//! what is still to be done; [`Fleet`] picks the engines that do it.
+
+mod fleet;
+mod ledger;
+mod lot;
+
+pub use fleet::{Engine, Fleet, Halt, Key, Listed};
+pub use ledger::{Gap, Ledger};
+pub use lot::{Failure, Fate, Lot};
--- a/crates/pinereel_core/src/lease.rs
+++ b/crates/pinereel_core/src/lease.rs
@@ -117,6 +117,8 @@
     /// Until when this candidate may act.
     until: Time,
     draining: bool,
+    /// Start of the ids that earlier starts of this instance had; empty if there are none.
+    own_prefix: CompactString,
 }
 
 impl Holder {
@@ -134,9 +136,38 @@
             due: now,
             until: Time::ZERO,
             draining: false,
+            own_prefix: CompactString::default(),
         }
     }
 
+    /// Takes a lease at once if its holder's id starts with `prefix`: that is an earlier start of
+    /// this instance, which has ended.
+    #[must_use]
+    pub fn succeeding(mut self, prefix: impl Into<CompactString>) -> Self {
+        self.own_prefix = prefix.into();
+        self
+    }
+
+    /// When the next call is due.
+    pub const fn due(&self) -> Time {
+        self.due
+    }
+
+    /// Whether this candidate only watches another's lease that is not about to run out. A read
+    /// that is somewhat old serves it as well, since it only shows the lease younger than it is.
+    pub fn watches(&self, now: Time) -> bool {
+        let Some(view) = &self.view else {
+            return false;
+        };
+        let other = view.lease.holder != self.id && !view.lease.holder.is_empty();
+        let early = now < view.since + Duration::from_millis(view.lease.duration_ms);
+        other && early && self.sent.is_none() && !self.is_predecessor(&view.lease.holder)
+    }
+
+    fn is_predecessor(&self, holder: &str) -> bool {
+        !self.own_prefix.is_empty() && holder != self.id && holder.starts_with(&*self.own_prefix)
+    }
+
     /// The fencing token if this candidate may act at `now`. Ask right before every action.
     pub fn acts(&self, now: Time) -> Option<u64> {
         let view = self.view.as_ref()?;
@@ -200,7 +231,7 @@
         if !own {
             self.until = Time::ZERO;
         }
-        let ripe = if own || lease.holder.is_empty() {
+        let ripe = if own || lease.holder.is_empty() || self.is_predecessor(&lease.holder) {
             now
         } else {
             since + self.wait(&lease)
@@ -269,7 +300,9 @@
         if self.draining {
             return Some(self.write(now, Some(version), lease.fence, CompactString::default()));
         }
-        let free = lease.holder.is_empty() || now >= since + self.wait(&lease);
+        let free = lease.holder.is_empty()
+            || self.is_predecessor(&lease.holder)
+            || now >= since + self.wait(&lease);
         if !own && !free {
             return Some(self.read());
         }
--- a/crates/pinereel_core/src/lib.rs
+++ b/crates/pinereel_core/src/lib.rs
@@ -12,8 +12,11 @@
 //! - [`cursor::Token`]: what the trainer already holds of a lot.
 //! - [`config::Document`]: the configuration that operators patch.
 //! - [`claim::Log`]: the idempotency keys of one shard.
+//! - [`table::Table`]: which route a request takes, on a platform whose operator writes the routes.
+//! - [`batch::Lot`]: one trainer step whose results are kept in the platform's object store.
 
 pub mod admit;
+pub mod batch;
 pub mod budget;
 pub mod claim;
 pub mod config;
@@ -27,9 +30,11 @@
 pub mod member;
 pub mod outcome;
 pub mod provenance;
+pub mod relay;
 pub mod rollout;
 pub mod route;
 pub mod staleness;
+pub mod table;
 pub mod time;
 pub mod version;
 
--- a/crates/pinereel_port/src/live.rs
+++ b/crates/pinereel_port/src/live.rs
@@ -43,8 +43,6 @@
     pub version: Option<u64>,
     /// Whether the body is encoded; then it is not what the endpoint made.
     pub encoded: bool,
-    /// After how much idle time the endpoint closes the connection.
-    pub keep_alive: Option<Duration>,
 }
 
 /// An endpoint's own count of its work.
