Rollout: a dead engine that is still listed holds up no other; the furthest behind loads first

Ruled out: leaving out engines that are silent: one whose answers are lost may still serve or load, and the floor broke in the property test's terms (out of service and not counted). A connection that cannot be opened twice in a row is evidence that neither goes on. Change: Event::Unreached; candidates sorted by version first; Settings::replaces. Tests: a_dead_engine_that_stays_listed_holds_up_no_other, the_engine_furthest_behind_loads_first, an_engine_that_takes_no_order_while_it_loads_gets_none; the first two failed before.

--- a/crates/pinereel/src/controllers/rollout.rs
+++ b/crates/pinereel/src/controllers/rollout.rs
@@ -205,14 +205,13 @@
 }
 
 async fn read(shared: &Rc<Shared>, pool: &CompactString, name: CompactString) {
-    let state = match address(shared, &name) {
-        Some(address) => engines::state(&shared.http, &address, TIMEOUT).await.ok(),
-        None => None,
-    };
-    let event = match state {
-        Some(state) => Event::Seen {
-            sight: sight(&state),
-            name,
+    let event = match address(shared, &name) {
+        Some(address) => match engines::state(&shared.http, &address, TIMEOUT).await {
+            Ok(state) => Event::Seen {
+                sight: sight(&state),
+                name,
+            },
+            Err(error) => failed(name, &error),
         },
         None => Event::Silent { name },
     };
@@ -252,7 +251,15 @@
             fence,
         },
         Err(Error::Fenced) => Event::Refused { name, fence },
-        Err(_) => Event::Silent { name },
+        Err(error) => failed(name, &error),
+    }
+}
+
+/// What a call without an answer says of its engine.
+fn failed(name: CompactString, error: &Error) -> Event {
+    match error {
+        Error::NotOpened(_) => Event::Unreached { name },
+        _ => Event::Silent { name },
     }
 }
 
--- a/crates/pinereel/src/hosted/orders.rs
+++ b/crates/pinereel/src/hosted/orders.rs
@@ -13,7 +13,7 @@
 use crate::{
     objects::Purpose,
     settings,
-    upstream::pool::{Exchange, Pool},
+    upstream::pool::{Error, Exchange, Pool},
 };
 use actix_http::{
     Method, RequestHead, StatusCode,
@@ -180,6 +180,8 @@
             load_timeout: LOAD_TIMEOUT,
             answer_timeout: ANSWER + TICK,
             poll: POLL,
+            // An engine that loads answers that it is busy.
+            replaces: false,
             ..Settings::default()
         }
     }
@@ -203,14 +205,14 @@
         }
     }
 
-    /// One call at an engine; `None` if no answer came.
+    /// One call at an engine.
     async fn call(
         &self,
         entry: &Entry,
         method: Method,
         path: &str,
         body: Bytes,
-    ) -> Option<(StatusCode, Bytes)> {
+    ) -> Result<(StatusCode, Bytes), NoAnswer> {
         let mut head = RequestHead::default();
         head.method = method;
         head.uri = path.parse().unwrap_or_default();
@@ -234,27 +236,31 @@
             reuse: true,
         };
         let exchange = async {
-            let response = self.parts.pool.send(exchange).await.ok()?;
+            let response = self.parts.pool.send(exchange).await;
+            let response = response.map_err(|error| match error {
+                Error::NotOpened(_) => NoAnswer::NotOpened,
+                Error::Lost(_) | Error::Stale(_) => NoAnswer::Lost,
+            })?;
             let status = response.status;
-            Some((status, response.body.whole().await.ok()?))
+            let body = response.body.whole().await;
+            Ok((status, body.map_err(|_| NoAnswer::Lost)?))
         };
-        timeout(ANSWER, exchange).await.ok().flatten()
+        timeout(ANSWER, exchange)
+            .await
+            .unwrap_or(Err(NoAnswer::Lost))
     }
 
-    async fn report(&self, entry: &Entry) -> Option<Report> {
+    async fn report(&self, entry: &Entry) -> Result<Report, NoAnswer> {
         let engine = self.parts.adapter.engine;
         let answer = self.call(entry, Method::GET, engine.report_path, Bytes::new());
         let (status, body) = answer.await?;
         if status != StatusCode::OK {
-            return None;
-        }
-        match (engine.report)(&body) {
-            Ok(report) => Some(report),
-            Err(fault) => {
-                log::warn!(endpoint = entry.id.as_str(); "{fault}");
-                None
-            }
+            return Err(NoAnswer::Lost);
         }
+        (engine.report)(&body).map_err(|fault| {
+            log::warn!(endpoint = entry.id.as_str(); "{fault}");
+            NoAnswer::Lost
+        })
     }
 }
 
@@ -373,14 +379,14 @@
     async fn read(self: Rc<Self>, name: CompactString) {
         let report = match self.entry(&name) {
             Some(entry) => self.orders.report(&entry).await,
-            None => None,
+            None => Err(NoAnswer::Lost),
         };
         let event = match report {
-            Some(report) => Event::Seen {
+            Ok(report) => Event::Seen {
                 sight: self.sight(&name, &report),
                 name,
             },
-            None => Event::Silent { name },
+            Err(no_answer) => no_answer.event(name),
         };
         self.step(event);
     }
@@ -398,12 +404,17 @@
 
     async fn order(self: Rc<Self>, name: CompactString, version: Version, fence: u64) {
         let event = self.send_order(&name, version, fence).await;
-        self.step(event.unwrap_or(Event::Silent { name }));
+        self.step(event.unwrap_or_else(|no_answer| no_answer.event(name)));
     }
 
-    /// Gives an order; `None` if no answer came.
-    async fn send_order(&self, name: &CompactString, version: Version, fence: u64) -> Option<Event> {
-        let entry = self.entry(name)?;
+    /// Gives an order.
+    async fn send_order(
+        &self,
+        name: &CompactString,
+        version: Version,
+        fence: u64,
+    ) -> Result<Event, NoAnswer> {
+        let entry = self.entry(name).ok_or(NoAnswer::Lost)?;
         let engine = self.orders.parts.adapter.engine;
         let before = self.orders.report(&entry).await?;
         let single = self.single_version();
@@ -417,10 +428,13 @@
         });
         // The lease may have run out during the read.
         if self.grant().is_none_or(|grant| grant.fence != fence) {
-            return None;
+            return Err(NoAnswer::Lost);
         }
-        let answer = self.orders.call(&entry, Method::POST, engine.order_path, body);
-        let verdict = answer.await.map(|(status, _)| (engine.verdict)(status));
+        let answer = self
+            .orders
+            .call(&entry, Method::POST, engine.order_path, body);
+        let verdict = answer.await;
+        let verdict = verdict.map(|(status, _)| (engine.verdict)(status));
         log::info!(
             endpoint = name.as_str(),
             model = self.model.as_str(),
@@ -435,15 +449,15 @@
         match verdict? {
             Verdict::Accepted => {
                 sight.loading = Some(version);
-                Some(Event::Taken { name, fence, sight })
+                Ok(Event::Taken { name, fence, sight })
             }
             Verdict::Holds => {
                 sight.version = Some(version);
                 sight.loading = None;
-                Some(Event::Taken { name, fence, sight })
+                Ok(Event::Taken { name, fence, sight })
             }
-            Verdict::Fenced => Some(Event::Refused { name, fence }),
-            Verdict::Busy | Verdict::OtherEndpoint | Verdict::Refused => None,
+            Verdict::Fenced => Ok(Event::Refused { name, fence }),
+            Verdict::Busy | Verdict::OtherEndpoint | Verdict::Refused => Err(NoAnswer::Lost),
         }
     }
 
@@ -460,5 +474,23 @@
     }
 }
 
+/// Why a call at an engine brought nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum NoAnswer {
+    /// No connection could be opened.
+    NotOpened,
+    /// It may have been taken, or the answer says nothing.
+    Lost,
+}
+
+impl NoAnswer {
+    const fn event(self, name: CompactString) -> Event {
+        match self {
+            Self::NotOpened => Event::Unreached { name },
+            Self::Lost => Event::Silent { name },
+        }
+    }
+}
+
 /// The fencing token of a duty's first holder, before which nobody gave an order.
 const FIRST_FENCE: u64 = 1;
--- a/crates/pinereel_core/src/rollout/controller.rs
+++ b/crates/pinereel_core/src/rollout/controller.rs
@@ -86,6 +86,13 @@
             Event::Silent { name } => {
                 if let Some(engine) = self.engines.get_mut(&name) {
                     engine.silent(now, &self.settings);
+                    engine.unreached = 0;
+                }
+            }
+            Event::Unreached { name } => {
+                if let Some(engine) = self.engines.get_mut(&name) {
+                    engine.silent(now, &self.settings);
+                    engine.unreached += 1;
                 }
             }
             Event::Tick => {}
@@ -174,6 +181,7 @@
         };
         engine.reading = None;
         engine.silences = 0;
+        engine.unreached = 0;
         let before = engine.sight;
         if before.incarnation != sight.incarnation {
             self.restarted(now, name, sight, actions);
--- a/crates/pinereel_core/src/rollout/engine.rs
+++ b/crates/pinereel_core/src/rollout/engine.rs
@@ -9,6 +9,10 @@
 /// shorter are noticed.
 const EARLY: f64 = 0.8;
 
+/// Connections in a row that could not be opened, after which an engine counts as dead: one may
+/// fail by chance.
+const UNREACHED: u32 = 2;
+
 /// What the holder waits for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Phase {
@@ -47,6 +51,8 @@
     pub(super) not_before: Time,
     /// Reads and orders in a row without an answer.
     pub(super) silences: u32,
+    /// Connections in a row that could not be opened.
+    pub(super) unreached: u32,
     /// No read before.
     pub(super) read_after: Time,
 }
@@ -66,6 +72,7 @@
             quarantines: 0,
             not_before: Time::ZERO,
             silences: 0,
+            unreached: 0,
             read_after: Time::ZERO,
         }
     }
@@ -100,6 +107,12 @@
         self.silences += 1;
     }
 
+    /// Whether nothing listens at its address: it serves nobody and loads nothing, so that it
+    /// counts neither for the floor nor against the store's rate.
+    pub(super) fn is_dead(&self) -> bool {
+        self.unreached >= UNREACHED
+    }
+
     /// Takes over what a first read shows.
     pub(super) fn adopt(&mut self, sight: Sight, now: Time, settings: &Settings) {
         self.phase = match sight.loading {
@@ -126,6 +139,7 @@
     /// answer would use up the store's rate for good.
     pub(super) fn may_load(&self, now: Time, settings: &Settings) -> bool {
         match self.phase {
+            Phase::Unknown { .. } if self.is_dead() => false,
             Phase::Unknown { since } => now.since(since) < settings.load_timeout,
             Phase::Ordered { .. } => true,
             Phase::Rest | Phase::Quarantine => self.sight.loading.is_some(),
@@ -135,16 +149,19 @@
     /// Whether it needs an order to serve `target`, and one may be given now.
     ///
     /// None is given while a read is under way: its answer could be taken for the order's effect.
-    pub(super) fn wants(&self, target: Version, now: Time) -> bool {
+    pub(super) fn wants(&self, target: Version, now: Time, settings: &Settings) -> bool {
         if self.leaving || self.reading.is_some() || now < self.not_before {
             return false;
         }
         match self.phase {
-            Phase::Rest | Phase::Quarantine => self.differs(target),
+            Phase::Rest | Phase::Quarantine => {
+                let loads = self.sight.loading.is_some();
+                self.differs(target) && (settings.replaces || !loads)
+            }
             // Its load is of no use any more: straight to the newest.
             Phase::Ordered {
                 version, answered, ..
-            } => answered && version < target,
+            } => settings.replaces && answered && version < target,
             Phase::Unknown { .. } => false,
         }
     }
--- a/crates/pinereel_core/src/rollout/mod.rs
+++ b/crates/pinereel_core/src/rollout/mod.rs
@@ -45,6 +45,8 @@
     pub quarantine: Duration,
     /// Longest wait in quarantine.
     pub max_quarantine: Duration,
+    /// Whether an engine takes an order while it loads; if not, it gets none until then.
+    pub replaces: bool,
 }
 
 impl Default for Settings {
@@ -62,6 +64,7 @@
             backoff: Duration::from_millis(500),
             quarantine: Duration::from_secs(30),
             max_quarantine: Duration::from_secs(600),
+            replaces: true,
         }
     }
 }
@@ -149,6 +152,11 @@
         /// Its name.
         name: CompactString,
     },
+    /// No connection to the engine could be opened: nothing was taken.
+    Unreached {
+        /// Its name.
+        name: CompactString,
+    },
     /// Time passed: wanted every 50 ms or so while the lease is held.
     Tick,
 }
--- a/crates/pinereel_core/src/rollout/order.rs
+++ b/crates/pinereel_core/src/rollout/order.rs
@@ -9,8 +9,9 @@
 use compact_str::CompactString;
 use std::collections::BTreeMap;
 
-/// An engine that may be ordered: what that costs, its requests, its name. The least comes first.
-type Candidate = (Cost, u32, CompactString);
+/// An engine that may be ordered: what that costs, the version that it serves, its requests, its
+/// name. The least comes first: an engine that is far behind is of the least use.
+type Candidate = (Cost, Option<Version>, u32, CompactString);
 
 /// What an order takes away.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -30,14 +31,21 @@
             return;
         };
         let settings = self.settings;
-        let present = || self.engines.values().filter(|e| !e.leaving);
+        let present = || {
+            let engines = self.engines.values();
+            engines.filter(|e| !e.leaving && !e.is_dead())
+        };
         let loading = self
             .engines
             .values()
             .filter(|e| e.may_load(now, &settings))
             .count();
         let mut room = settings.loads.saturating_sub(loading);
-        if !self.engines.values().any(|e| e.wants(target, now)) {
+        if !self
+            .engines
+            .values()
+            .any(|e| e.wants(target, now, &settings))
+        {
             return;
         }
         let needed = required(present().count(), self.settings.floor);
@@ -80,8 +88,10 @@
         let mut zones: BTreeMap<CompactString, Vec<Candidate>> = BTreeMap::new();
         for (name, engine) in &self.engines {
             let cost = self.cost(engine, now);
-            if engine.wants(target, now) && (replaces || cost != Cost::Nothing) {
-                let candidate = (cost, engine.outstanding, name.clone());
+            let wants = engine.wants(target, now, &self.settings);
+            if wants && (replaces || cost != Cost::Nothing) {
+                let version = engine.sight.version;
+                let candidate = (cost, version, engine.outstanding, name.clone());
                 zones
                     .entry(engine.zone.clone())
                     .or_default()
@@ -113,7 +123,8 @@
     }
 }
 
-/// The next engine to order: of the zone with the fewest engines out.
+/// The next engine to order: the furthest behind, and of these one of the zone with the fewest
+/// engines out.
 fn next(
     zones: &mut BTreeMap<CompactString, Vec<Candidate>>,
     out: &BTreeMap<CompactString, usize>,
@@ -129,6 +140,9 @@
     let (_, queue) = zones
         .iter_mut()
         .filter(|(_, queue)| allowed(queue))
-        .min_by_key(|(zone, _)| out.get(*zone).copied().unwrap_or_default())?;
-    queue.pop().map(|(_, _, name)| name)
+        .min_by_key(|(zone, queue)| {
+            let version = queue.last().map(|(_, version, ..)| *version);
+            (version, out.get(*zone).copied().unwrap_or_default())
+        })?;
+    queue.pop().map(|(.., name)| name)
 }
--- a/crates/pinereel_core/tests/rollout_controller.rs
+++ b/crates/pinereel_core/tests/rollout_controller.rs
@@ -46,6 +46,8 @@
     load_time: Duration,
     /// Engines whose loads always fail.
     broken: Option<String>,
+    /// Engines at whose address nothing listens.
+    dead: Option<String>,
     inbox: Vec<Event>,
     log: Vec<Action>,
     /// Orders given at each step that gave any.
@@ -65,6 +67,7 @@
             faults: 0.0,
             load_time: Duration::from_secs(3),
             broken: None,
+            dead: None,
             inbox: Vec::new(),
             log: Vec::new(),
             orders: Vec::new(),
@@ -126,7 +129,16 @@
         self.faults > 0.0 && self.rng.random_bool(self.faults)
     }
 
+    fn is_dead(&self, name: &str) -> bool {
+        self.dead.as_deref() == Some(name)
+    }
+
     fn read(&mut self, name: &str) {
+        if self.is_dead(name) {
+            let name = name.into();
+            self.inbox.push(Event::Unreached { name });
+            return;
+        }
         let lost = self.fault();
         let event = match self.engines.get(name) {
             Some(engine) if !lost => Event::Seen {
@@ -139,6 +151,11 @@
     }
 
     fn order(&mut self, name: &str, version: Version, fence: u64) {
+        if self.is_dead(name) {
+            let name = name.into();
+            self.inbox.push(Event::Unreached { name });
+            return;
+        }
         let (lost, answer_lost) = (self.fault(), self.fault());
         let taken = if lost {
             None
@@ -523,3 +540,53 @@
     }
     assert_eq!(zones, BTreeMap::from([(0, 2), (1, 2), (2, 2)]));
 }
+
+#[test]
+fn a_dead_engine_that_stays_listed_holds_up_no_other() {
+    let mut world = World::new(1, 3, Settings::default());
+    world.dead = Some("engine-0001".into());
+    world.tell(Event::Published(Version(2)));
+    world.take_lease(1, LONG);
+    let others = |world: &World| {
+        let mut engines = world.engines.iter();
+        engines.all(|(name, e)| world.is_dead(name) || e.sight.version == Some(Version(2)))
+    };
+    // Two loads of 3 s, one after the other, and the time to find it dead.
+    assert!(world.run_until(Duration::from_secs(9), others));
+}
+
+#[test]
+fn the_engine_furthest_behind_loads_first() {
+    let settings = Settings {
+        loads: 1,
+        ..Settings::default()
+    };
+    let mut world = World::new(1, 6, settings);
+    for (name, engine) in &mut world.engines {
+        engine.sight.version = Some(Version(if name == "engine-0004" { 1 } else { 3 }));
+    }
+    world.tell(Event::Published(Version(4)));
+    world.take_lease(1, LONG);
+    world.run_until(Duration::from_secs(1), |_| false);
+    let first = world.log.iter().find_map(|action| match action {
+        Action::Order { name, .. } => Some(name.as_str()),
+        _ => None,
+    });
+    assert_eq!(first, Some("engine-0004"));
+}
+
+#[test]
+fn an_engine_that_takes_no_order_while_it_loads_gets_none() {
+    let settings = Settings {
+        replaces: false,
+        ..Settings::default()
+    };
+    let mut world = World::new(1, 4, settings);
+    world.tell(Event::Published(Version(2)));
+    world.take_lease(1, LONG);
+    world.run_until(Duration::from_secs(1), |_| false);
+    world.tell(Event::Published(Version(3)));
+    world.run_until(Duration::from_secs(1), |_| false);
+    assert_eq!(world.orders, [2]);
+    assert!(world.run_until(Duration::from_secs(30), |w| w.all_serve(3)));
+}
