Lots: a whole text is recognised when its run is resumed; one trial run at an engine that refused

Change: the version is asked for only when an event comes; an engine that refused or broke gets one trial run first.

--- a/crates/pinereel/src/cli/mod.rs
+++ b/crates/pinereel/src/cli/mod.rs
@@ -103,12 +103,7 @@
 /// Does `command`, with results on `out` and faults on `err`.
 ///
 /// `adapter` speaks to the platform that hosts the process, if the command is to run there.
-pub fn run(
-    command: Command,
-    adapter: Adapter,
-    out: &mut impl Write,
-    err: &mut impl Write,
-) -> Exit {
+pub fn run(command: Command, adapter: Adapter, out: &mut impl Write, err: &mut impl Write) -> Exit {
     let json = command.target().is_some_and(|target| target.json);
     let mut output = Output { out, json };
     match execute(command, adapter, &mut output) {
--- a/crates/pinereel/src/hosted/lots/desk.rs
+++ b/crates/pinereel/src/hosted/lots/desk.rs
@@ -164,10 +164,7 @@
                 return Ok(None);
             };
             if from < total && !wait.is_zero() {
-                let changes = self
-                    .store
-                    .watch(Purpose::Lots, &kind, revision, wait)
-                    .await;
+                let changes = self.store.watch(Purpose::Lots, &kind, revision, wait).await;
                 let changes = match changes {
                     Ok(changes) => changes.changes,
                     // History is gone, or the watch was cut: the caller asks again.
@@ -275,11 +272,7 @@
             if Instant::now() >= give_up {
                 break;
             }
-            match self
-                .store
-                .report(Purpose::Lots, LOTS, lot, &status)
-                .await
-            {
+            match self.store.report(Purpose::Lots, LOTS, lot, &status).await {
                 Ok(()) => {
                     reply = Reply::Ended;
                     break;
--- a/crates/pinereel/src/hosted/lots/run.rs
+++ b/crates/pinereel/src/hosted/lots/run.rs
@@ -49,7 +49,7 @@
         End::Complete | End::Failed | End::Impossible => Halt::Finished,
         End::Left => Halt::Cancelled,
         End::Refused | End::Outdated => Halt::Full,
-        End::Broken => Halt::Broken,
+        End::Broken(_) => Halt::Broken,
     };
     drop(running);
     report(work, place, end, began, runner.progress(work).0);
@@ -60,7 +60,7 @@
         }
         End::Failed => Failure::Failed,
         End::Impossible => Failure::Impossible,
-        End::Refused | End::Broken | End::Left | End::Outdated => Failure::Interrupted,
+        End::Refused | End::Broken(_) | End::Left | End::Outdated => Failure::Interrupted,
     };
     if runner.run_failed(work, failure, route.max_attempts) == Fate::GivenUp {
         give_up(runner, work, item, "its engine refuses it or fails on it");
--- a/crates/pinereel/src/hosted/lots/runner.rs
+++ b/crates/pinereel/src/hosted/lots/runner.rs
@@ -237,9 +237,8 @@
     fn drop_model(&self, model: &CompactString) {
         let mut state = self.state.borrow_mut();
         let lots = std::mem::take(&mut state.lots);
-        let (dropped, kept): (BTreeMap<_, _>, _) = lots
-            .into_iter()
-            .partition(|(_, open)| open.model == *model);
+        let (dropped, kept): (BTreeMap<_, _>, _) =
+            lots.into_iter().partition(|(_, open)| open.model == *model);
         state.lots = kept;
         state.opening.clear();
         drop(state);
@@ -249,13 +248,9 @@
 
     async fn work(self: &Rc<Self>, model: &CompactString) {
         let store = self.parts.store.clone();
-        let lots = follow(
-            &store,
-            Purpose::Lots,
-            LOTS,
-            self.parts.watch,
-            |update| self.take(model, update),
-        );
+        let lots = follow(&store, Purpose::Lots, LOTS, self.parts.watch, |update| {
+            self.take(model, update)
+        });
         tokio::select! {
             () = lots => {}
             () = self.dispatch() => {}
@@ -592,8 +587,9 @@
         let Some(fleet) = state.fleets.get_mut(&work.service) else {
             return false;
         };
-        if let Some(gap) = gap {
-            fleet.made(key, gap);
+        match gap {
+            Some(gap) => fleet.made(key, gap),
+            None => fleet.began(key),
         }
         let waiting = state.lots.values().any(|open| open.lot.waiting() > 0);
         if waiting || fleet.better(now, key, work.oldest_version).is_none() {
--- a/crates/pinereel/src/hosted/lots/stream.rs
+++ b/crates/pinereel/src/hosted/lots/stream.rs
@@ -30,14 +30,35 @@
     Impossible,
     /// The engine did not take it now.
     Refused,
-    /// Broken off, silent, out of reach, or not in the protocol.
-    Broken,
+    /// Broken off, silent, out of reach, or not in the protocol; with what was seen.
+    Broken(Break),
     /// Another engine is much faster.
     Left,
     /// The engine's weights are older than the lot admits.
     Outdated,
 }
 
+/// What broke a run off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Break {
+    /// No connection, or no head of an answer in time.
+    NoAnswer,
+    /// An answer to another request, or with an encoded body.
+    Foreign,
+    /// A status that engines do not answer with.
+    Status(u16),
+    /// An event of which no version is known.
+    NoVersion,
+    /// Nothing came for too long.
+    Silent,
+    /// The connection broke, or ended within an event.
+    Cut,
+    /// An event that is malformed or does not follow the one before.
+    Event,
+    /// Another version went on with a text that must come from one.
+    Mixed,
+}
+
 /// The engine that a run goes to.
 #[derive(Clone, Debug)]
 pub(super) struct Place {
@@ -65,7 +86,7 @@
     let response = match timeout(SILENCE, runner.parts.pool.send(exchange)).await {
         Ok(Ok(response)) => response,
         Ok(Err(Error::Stale(_))) => return End::Refused,
-        Ok(Err(_)) | Err(_) => return End::Broken,
+        Ok(Err(_)) | Err(_) => return End::Broken(Break::NoAnswer),
     };
     let said = (runner.parts.adapter.live.answer)(response.status, &response.headers);
     if said.not_run {
@@ -73,24 +94,21 @@
         return End::Refused;
     }
     if said.id.as_ref().is_some_and(|id| *id != item.id) || said.encoded {
-        return End::Broken;
+        return End::Broken(Break::Foreign);
     }
     match response.status {
         StatusCode::OK => {}
         StatusCode::UNPROCESSABLE_ENTITY => return End::Impossible,
         StatusCode::INTERNAL_SERVER_ERROR => return End::Failed,
-        _ => return End::Broken,
+        status => return End::Broken(Break::Status(status.as_u16())),
     }
-    let Some(version) = said.version else {
-        return End::Broken;
-    };
     let reader = Reader {
         runner,
         work,
         route,
         place,
         oldest: work.oldest_version,
-        version,
+        version: said.version,
         last,
         made_by,
     };
@@ -142,8 +160,9 @@
     route: &'a Route,
     place: &'a Place,
     oldest: u64,
-    /// Version of the weights that make the next event.
-    version: u64,
+    /// Version of the weights that make the next event; none if the engine has nothing to add to
+    /// a text that is whole already.
+    version: Option<u64>,
     /// Number of the last event, of this run or an earlier one.
     last: Option<u64>,
     /// Version that made the last event.
@@ -154,7 +173,7 @@
     async fn read(mut self, mut body: Body) -> End {
         let mut buffer = BytesMut::new();
         let mut last_event: Option<Instant> = None;
-        if self.version < self.oldest {
+        if self.version.is_some_and(|version| version < self.oldest) {
             return End::Outdated;
         }
         loop {
@@ -163,8 +182,9 @@
                 Ok(Ok(None)) if buffer.is_empty() && self.last.is_some() => {
                     return End::Complete;
                 }
-                // Silent, cut, or ended within an event: what is torn off is not kept.
-                _ => return End::Broken,
+                Err(_) => return End::Broken(Break::Silent),
+                // What is torn off is not kept.
+                _ => return End::Broken(Break::Cut),
             };
             buffer.extend_from_slice(&part);
             while let Some((event, rest)) = next_event(&buffer) {
@@ -174,14 +194,14 @@
                 let gap = last_event.map(|at| now - at);
                 last_event = Some(now);
                 let Ok(event) = event else {
-                    return End::Broken;
+                    return End::Broken(Break::Event);
                 };
                 if let Some(end) = self.take(&event, gap) {
                     return end;
                 }
             }
             if buffer.len() > MAX_EVENT {
-                return End::Broken;
+                return End::Broken(Break::Event);
             }
         }
     }
@@ -193,24 +213,27 @@
             Err(fault) => {
                 let (id, endpoint) = (self.work.item.as_str(), self.place.id.as_str());
                 log::warn!(id, endpoint; "event refused: {fault}");
-                return Some(End::Broken);
+                return Some(End::Broken(Break::Event));
             }
         };
         if self.last.is_some_and(|last| event.number != last + 1) {
-            return Some(End::Broken);
+            return Some(End::Broken(Break::Event));
         }
-        self.version = event.version.unwrap_or(self.version);
-        if self.version < self.oldest {
+        self.version = event.version.or(self.version);
+        let Some(version) = self.version else {
+            return Some(End::Broken(Break::NoVersion));
+        };
+        if version < self.oldest {
             return Some(End::Outdated);
         }
-        if self.route.single_version && self.made_by.is_some_and(|v| v != self.version) {
+        if self.route.single_version && self.made_by.is_some_and(|made_by| made_by != version) {
             // Nothing of it can be used.
             self.runner.drop_text(self.work);
-            return Some(End::Broken);
+            return Some(End::Broken(Break::Mixed));
         }
         self.last = Some(event.number);
-        self.made_by = Some(self.version);
-        self.runner.add_event(self.work, &event, self.version);
+        self.made_by = Some(version);
+        self.runner.add_event(self.work, &event, version);
         let moved = self.runner.progressed(self.work, self.place.key, gap);
         moved.then_some(End::Left)
     }
--- a/crates/pinereel/src/hosted/relay.rs
+++ b/crates/pinereel/src/hosted/relay.rs
@@ -219,11 +219,7 @@
         });
     }
 
-    fn attempt(
-        self: &Rc<Self>,
-        call: &Rc<Call>,
-        picked: Picked,
-    ) -> LocalBoxFuture<'static, Tried> {
+    fn attempt(self: &Rc<Self>, call: &Rc<Call>, picked: Picked) -> LocalBoxFuture<'static, Tried> {
         let (relay, call) = (Rc::clone(self), Rc::clone(call));
         Box::pin(async move {
             let began = Instant::now();
--- a/crates/pinereel/src/hosted/run.rs
+++ b/crates/pinereel/src/hosted/run.rs
@@ -76,11 +76,7 @@
     result
 }
 
-async fn serve_until_told(
-    settings: Hosted,
-    path: PathBuf,
-    adapter: Adapter,
-) -> Result<(), Error> {
+async fn serve_until_told(settings: Hosted, path: PathBuf, adapter: Adapter) -> Result<(), Error> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let incarnation = incarnation();
@@ -105,10 +101,12 @@
         }
     });
     match settings.instance.callers {
-        Some(callers) => Instance::start(&settings, adapter, callers, incarnation, &stop)
-            .await?
-            .finished(&settings)
-            .await,
+        Some(callers) => {
+            Instance::start(&settings, adapter, callers, incarnation, &stop)
+                .await?
+                .finished(&settings)
+                .await
+        }
         // Nothing lies on an instance without callers: it stands by, and stops at once.
         None => stop.wait().await,
     }
@@ -135,7 +133,10 @@
         let clock = Clock::new();
         let callers = listen(callers).await?;
         let (name, zone) = (&settings.instance.name, &settings.instance.zone);
-        let store = Store::new(objects::Client::new(options(settings), clock), adapter.store);
+        let store = Store::new(
+            objects::Client::new(options(settings), clock),
+            adapter.store,
+        );
         let watch = settings.store.watch;
         let config = Config::start(&store, adapter, watch);
         let endpoints = Endpoints::start(&store, adapter, clock, name, zone, watch);
--- a/crates/pinereel/src/hosted/serve.rs
+++ b/crates/pinereel/src/hosted/serve.rs
@@ -126,8 +126,7 @@
         };
         match self.relay.run(call).await {
             Outcome::Answer(answer) => {
-                let mut response = Response::new(answer.status)
-                    .set_body(BoxBody::new(answer.body));
+                let mut response = Response::new(answer.status).set_body(BoxBody::new(answer.body));
                 for (name, value) in answer.headers {
                     response.headers_mut().append(name, value);
                 }
--- a/crates/pinereel/src/settings/hosted.rs
+++ b/crates/pinereel/src/settings/hosted.rs
@@ -1,10 +1,6 @@
 //! Settings of an instance whose state is kept by the platform that it runs on.
 
-use super::{
-    Error, Faults, Log, WAIT,
-    reader::Reader,
-    unit,
-};
+use super::{Error, Faults, Log, WAIT, reader::Reader, unit};
 use compact_str::CompactString;
 use std::{fs, net::SocketAddr, path::Path, time::Duration};
 
--- a/crates/pinereel_core/src/batch/fleet.rs
+++ b/crates/pinereel_core/src/batch/fleet.rs
@@ -74,6 +74,8 @@
     breaks: u32,
     /// No new run before.
     not_before: Time,
+    /// Its last run was refused or broke: one run tries it before others follow.
+    suspect: bool,
     /// No longer listed; kept until its last run ends.
     gone: bool,
 }
@@ -86,7 +88,8 @@
 
     fn takes(&self, now: Time, oldest_version: u64) -> bool {
         let fits = self.listed.version.is_some_and(|v| v >= oldest_version);
-        let free = self.runs < self.listed.slots;
+        let slots = if self.suspect { 1 } else { self.listed.slots };
+        let free = self.runs < slots;
         !self.gone && !self.listed.leaving && fits && free && now >= self.not_before
     }
 
@@ -117,6 +120,7 @@
                     pace: None,
                     breaks: 0,
                     not_before: Time::ZERO,
+                    suspect: false,
                     gone: false,
                 }),
             };
@@ -170,13 +174,20 @@
         }
     }
 
+    /// A run at the engine made its first event: the engine takes work.
+    pub fn began(&mut self, key: Key) {
+        if let Some(engine) = self.arena.get_mut(key) {
+            engine.breaks = 0;
+            engine.suspect = false;
+        }
+    }
+
     /// A run at the engine made an event, `gap` after the one before.
     pub fn made(&mut self, key: Key, gap: Duration) {
         let Some(engine) = self.arena.get_mut(key) else {
             return;
         };
         let gap = gap.as_secs_f64() * 1_000.0;
-        engine.breaks = 0;
         engine.pace = Some(match engine.pace {
             Some(pace) => pace + PACE_GAIN * (gap - pace),
             None => gap,
@@ -190,10 +201,17 @@
         };
         engine.runs = engine.runs.saturating_sub(1);
         match halt {
-            Halt::Finished => engine.breaks = 0,
+            Halt::Finished => {
+                engine.breaks = 0;
+                engine.suspect = false;
+            }
             Halt::Cancelled => {}
-            Halt::Full => engine.not_before = engine.not_before.max(now + FULL_PAUSE),
+            Halt::Full => {
+                engine.suspect = true;
+                engine.not_before = engine.not_before.max(now + FULL_PAUSE);
+            }
             Halt::Broken => {
+                engine.suspect = true;
                 let pause = FIRST_PAUSE * 2u32.pow(engine.breaks.min(8));
                 engine.breaks += 1;
                 let until = now + pause.min(LONGEST_PAUSE);
--- a/crates/pinereel_core/src/batch/lot.rs
+++ b/crates/pinereel_core/src/batch/lot.rs
@@ -183,7 +183,8 @@
             self.note_listed(&id);
         }
         let ledger = &self.ledger;
-        self.unlisted.retain(|sample| !ledger.contains(&sample.item));
+        self.unlisted
+            .retain(|sample| !ledger.contains(&sample.item));
         Ok(())
     }
 
@@ -219,7 +220,9 @@
         }
         let whole = |(group, done): &(&Group, &usize)| **done >= group.items;
         let groups = || self.groups.iter().zip(&done);
-        let carried = groups().filter(|(group, _)| group.carried).all(|g| whole(&g));
+        let carried = groups()
+            .filter(|(group, _)| group.carried)
+            .all(|g| whole(&g));
         carried && groups().filter(whole).count() >= self.wanted_groups
     }
 }
--- /dev/null
+++ b/crates/pinereel_core/tests/batch_fleet.rs
@@ -0,0 +1,137 @@
+//! Which engine gets the next run of a lot, and when a run is moved.
+
+use pinereel_core::{
+    Time,
+    batch::{Fleet, Halt, Key, Listed},
+};
+use std::time::Duration;
+
+const NOW: Time = Time::from_millis(1_000);
+
+fn listed(number: u16, version: u64) -> Listed {
+    Listed {
+        id: format!("engine-{number}").into(),
+        address: ([127, 0, 0, 1], 9_000 + number).into(),
+        slots: 8,
+        leaving: false,
+        version: Some(version),
+    }
+}
+
+fn fleet(count: u16) -> Fleet {
+    let mut fleet = Fleet::default();
+    fleet.sync((0..count).map(|number| listed(number, 5)));
+    fleet
+}
+
+fn key(fleet: &Fleet, id: &str) -> Key {
+    let mut engines = fleet.iter();
+    let (key, _) = engines.find(|(_, e)| e.listed.id == id).expect("listed");
+    key
+}
+
+/// Lets a run at the engine show its pace.
+fn pace(fleet: &mut Fleet, id: &str, millis: u64) {
+    let key = key(fleet, id);
+    for _ in 0..8 {
+        fleet.made(key, Duration::from_millis(millis));
+    }
+}
+
+#[test]
+fn runs_spread_over_equal_engines() {
+    let mut fleet = fleet(4);
+    for _ in 0..32 {
+        let key = fleet.pick(NOW, 5, None).expect("a free slot");
+        fleet.started(key);
+    }
+    let runs: Vec<_> = fleet.iter().map(|(_, e)| e.runs).collect();
+    assert_eq!(runs, [8, 8, 8, 8]);
+    assert_eq!(fleet.pick(NOW, 5, None), None);
+}
+
+#[test]
+fn a_slow_engine_is_used_last() {
+    let mut fleet = fleet(3);
+    for id in ["engine-0", "engine-2"] {
+        pace(&mut fleet, id, 40);
+    }
+    pace(&mut fleet, "engine-1", 140);
+    let slow = key(&fleet, "engine-1");
+    for _ in 0..16 {
+        let key = fleet.pick(NOW, 5, None).expect("a free slot");
+        assert_ne!(key, slow);
+        fleet.started(key);
+    }
+    assert_eq!(fleet.pick(NOW, 5, None), Some(slow));
+}
+
+#[test]
+fn old_weights_and_leaving_engines_get_nothing() {
+    let mut fleet = Fleet::default();
+    let leaving = Listed {
+        leaving: true,
+        ..listed(1, 9)
+    };
+    fleet.sync([listed(0, 3), leaving]);
+    assert_eq!(fleet.pick(NOW, 4, None), None);
+    assert_eq!(fleet.pick(NOW, 3, None), Some(key(&fleet, "engine-0")));
+}
+
+#[test]
+fn a_run_moves_only_where_it_is_much_faster() {
+    let mut fleet = fleet(2);
+    pace(&mut fleet, "engine-0", 60);
+    pace(&mut fleet, "engine-1", 40);
+    let (slow, fast) = (key(&fleet, "engine-0"), key(&fleet, "engine-1"));
+    assert_eq!(fleet.better(NOW, slow, 5), None);
+    pace(&mut fleet, "engine-0", 160);
+    assert_eq!(fleet.better(NOW, slow, 5), Some(fast));
+    assert_eq!(fleet.better(NOW, fast, 5), None);
+}
+
+#[test]
+fn an_engine_that_refused_is_tried_by_one_run_after_a_pause() {
+    let mut fleet = fleet(1);
+    let only = key(&fleet, "engine-0");
+    fleet.started(only);
+    fleet.ended(NOW, only, Halt::Full);
+    assert_eq!(fleet.pick(NOW, 5, None), None);
+    let later = NOW + Duration::from_millis(200);
+    assert_eq!(fleet.pick(later, 5, None), Some(only));
+    fleet.started(only);
+    assert_eq!(fleet.pick(later, 5, None), None);
+    fleet.began(only);
+    assert_eq!(fleet.pick(later, 5, None), Some(only));
+}
+
+#[test]
+fn an_engine_that_keeps_breaking_is_tried_less_and_less_often() {
+    let mut fleet = fleet(1);
+    let only = key(&fleet, "engine-0");
+    let mut now = NOW;
+    let mut pauses = Vec::new();
+    for _ in 0..5 {
+        fleet.started(only);
+        fleet.ended(now, only, Halt::Broken);
+        let mut pause = 0;
+        while fleet.pick(now, 5, None).is_none() {
+            now = now + Duration::from_millis(100);
+            pause += 100;
+        }
+        pauses.push(pause);
+    }
+    assert_eq!(pauses, [300, 600, 1_200, 2_400, 2_400]);
+}
+
+#[test]
+fn an_engine_that_left_the_list_is_forgotten_with_its_last_run() {
+    let mut fleet = fleet(1);
+    let gone = key(&fleet, "engine-0");
+    fleet.started(gone);
+    fleet.sync([listed(1, 5)]);
+    assert!(fleet.get(gone).is_some());
+    assert_eq!(fleet.pick(NOW, 5, None), Some(key(&fleet, "engine-1")));
+    fleet.ended(NOW, gone, Halt::Finished);
+    assert!(fleet.get(gone).is_none());
+}
