--- a/crates/pinereel/src/hosted/endpoints.rs
+++ b/crates/pinereel/src/hosted/endpoints.rs
@@ -7,7 +7,6 @@
 use crate::{objects::Purpose, state::Clock};
 use compact_str::CompactString;
 use pinereel_core::{
-    Time,
     endpoint::{self, End, Event, Instance, Key, Set},
     hash,
     route::{self, Choice, Policy, Priority, Refusal, Request},
@@ -302,11 +301,6 @@
         }
         self.step(Event::Unlisted { name: id.clone() });
     }
-
-    /// The time now on the clock of the view.
-    pub fn now(&self) -> Time {
-        self.clock.now()
-    }
 }
 
 /// Each start of an endpoint has an id of its own, so that no second number is needed.
--- a/crates/pinereel/src/hosted/lots/mod.rs
+++ b/crates/pinereel/src/hosted/lots/mod.rs
@@ -10,6 +10,7 @@
 mod runner;
 mod score;
 mod stream;
+mod sweep;
 
 pub use desk::{Desk, Reply};
 pub use runner::{Parts, Runner};
--- a/crates/pinereel/src/hosted/lots/runner.rs
+++ b/crates/pinereel/src/hosted/lots/runner.rs
@@ -5,6 +5,7 @@
     record::{self, LOTS, accepted, is_ended, results, segment},
     run, score,
     stream::Place,
+    sweep::{self, Ages},
 };
 use crate::{
     hosted::{
@@ -93,6 +94,8 @@
     opening: BTreeMap<CompactString, Task>,
     /// Lots that need no work any more.
     closed: BTreeSet<CompactString>,
+    /// When each lot was first seen.
+    ages: Ages,
     /// Engines by service.
     fleets: BTreeMap<CompactString, Fleet>,
     /// Unfinished texts of ended lots, by item.
@@ -249,11 +252,12 @@
     async fn work(self: &Rc<Self>, model: &CompactString) {
         let store = self.parts.store.clone();
         let lots = follow(&store, Purpose::Lots, LOTS, self.parts.watch, |update| {
-            self.take(model, update)
+            self.take(model, update);
         });
         tokio::select! {
             () = lots => {}
             () = self.dispatch() => {}
+            () = sweep::sweep(self) => {}
         }
     }
 
@@ -272,6 +276,7 @@
 
     fn take_lot(self: &Rc<Self>, model: &CompactString, object: Object) {
         let id = object.name.clone();
+        self.ages(|ages| ages.seen(&id));
         if is_ended(&object) {
             self.close(&id, "ended by its trainer");
             return;
@@ -301,6 +306,17 @@
         self.state.borrow_mut().opening.insert(id, Task(task));
     }
 
+    /// The ages of the lots that this instance has seen.
+    pub(super) fn ages<T>(&self, look: impl FnOnce(&mut Ages) -> T) -> T {
+        look(&mut self.state.borrow_mut().ages)
+    }
+
+    /// Whether there is still work to do for a lot.
+    pub(super) fn is_open(&self, lot: &str) -> bool {
+        let state = self.state.borrow();
+        state.lots.contains_key(lot) || state.opening.contains_key(lot)
+    }
+
     /// Reads what is committed of a lot, and begins to work on it.
     async fn open(self: Rc<Self>, id: CompactString, accepted: record::Accepted) {
         let kind = results(&id);
--- a/crates/pinereel/src/hosted/lots/score.rs
+++ b/crates/pinereel/src/hosted/lots/score.rs
@@ -95,6 +95,7 @@
     Some(Call {
         id: scorer.id.clone(),
         config: table.number(),
+        config_age: runner.parts.config.age().unwrap_or_default(),
         give_up: Instant::now() + route.timeout,
         route,
         method: Method::POST,
--- /dev/null
+++ b/crates/pinereel/src/hosted/lots/sweep.rs
@@ -0,0 +1,72 @@
+//! Lots that nobody may read any more are removed from the object store.
+
+use super::{
+    record::{LOTS, results},
+    runner::Runner,
+};
+use crate::objects::{Error, Purpose};
+use compact_str::CompactString;
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
+use tokio::time::{Instant, sleep};
+
+/// Pause between two looks for lots that are over.
+const LOOK: Duration = Duration::from_secs(10);
+/// A lot is kept so much longer than it must be: instances count from when they first saw it.
+const MARGIN: Duration = Duration::from_secs(60);
+
+/// When this instance first saw each lot. A later holder of the duty begins anew, so that a lot is
+/// never removed too early.
+#[derive(Debug, Default)]
+pub(super) struct Ages(BTreeMap<CompactString, Instant>);
+
+impl Ages {
+    /// Notes a lot.
+    pub(super) fn seen(&mut self, lot: &CompactString) {
+        let now = Instant::now();
+        self.0.entry(lot.clone()).or_insert(now);
+    }
+
+    /// Forgets a lot that is gone.
+    pub(super) fn forget(&mut self, lot: &str) {
+        self.0.remove(lot);
+    }
+
+    /// Lots that are older than `age`.
+    fn older(&self, age: Duration) -> Vec<CompactString> {
+        let older = self.0.iter().filter(|(_, since)| since.elapsed() >= age);
+        older.map(|(lot, _)| lot.clone()).collect()
+    }
+}
+
+/// Removes lots that are over, until dropped.
+pub(super) async fn sweep(runner: &Rc<Runner>) {
+    let kept = runner.parts.kept + MARGIN;
+    loop {
+        sleep(LOOK).await;
+        for lot in runner.ages(|ages| ages.older(kept)) {
+            if runner.is_open(&lot) {
+                continue;
+            }
+            match remove(runner, &lot).await {
+                Ok(count) => {
+                    log::info!(id = lot.as_str(), segments = count; "lot removed");
+                    runner.ages(|ages| ages.forget(&lot));
+                }
+                // The next look tries again.
+                Err(error) => log::warn!(id = lot.as_str(), error:% = error; "lot not removed"),
+            }
+        }
+    }
+}
+
+/// Removes the results first: without its lot object nobody would look for them.
+async fn remove(runner: &Runner, lot: &str) -> Result<usize, Error> {
+    let store = &runner.parts.store;
+    let kind = results(lot);
+    let (segments, _) = store.list(Purpose::Lots, &kind, None).await?;
+    for segment in &segments {
+        store.delete(Purpose::Lots, &kind, &segment.name).await?;
+    }
+    store.delete(Purpose::Lots, LOTS, lot).await?;
+    Ok(segments.len())
+}
--- a/crates/pinereel/src/hosted/relay.rs
+++ b/crates/pinereel/src/hosted/relay.rs
@@ -46,6 +46,8 @@
     pub id: CompactString,
     /// Number of the configuration that it is served under.
     pub config: u64,
+    /// For how long that has been in force here.
+    pub config_age: Duration,
     /// Its route.
     pub route: Route,
     /// Method.
@@ -128,6 +130,7 @@
         let began = Instant::now();
         let seed = self.seed(&call);
         let call = Rc::new(call);
+        let list_age = self.endpoints.age().unwrap_or_default();
         let mut attempts = Attempts::new(limits(&call.route));
         let mut used: Vec<Key> = Vec::new();
         let mut trail = Vec::new();
@@ -189,7 +192,7 @@
         if !running.is_empty() && matches!(outcome, Outcome::Answer(_)) {
             self.linger(running);
         }
-        report(&call, &outcome, began, &trail);
+        report(&call, &outcome, began, list_age, &trail);
         outcome
     }
 
@@ -204,7 +207,8 @@
             why: why.into(),
             retry_after: RETRY_AFTER,
         };
-        report(call, &outcome, began, trail);
+        let list_age = self.endpoints.age().unwrap_or_default();
+        report(call, &outcome, began, list_age, trail);
         outcome
     }
 
@@ -422,7 +426,8 @@
     format!("{id} {result} {millis}ms {reason:?}")
 }
 
-fn report(call: &Call, outcome: &Outcome, began: Instant, trail: &[String]) {
+/// One line for the request: what it was decided by, how old that was, and what came of it.
+fn report(call: &Call, outcome: &Outcome, began: Instant, list_age: Duration, trail: &[String]) {
     let (outcome, why) = match outcome {
         Outcome::Answer(answer) => (answer.status.as_u16().to_string(), ""),
         Outcome::NotRun { why, .. } => ("not run".into(), why.as_str()),
@@ -432,6 +437,8 @@
         id = call.id.as_str(),
         route = call.route.name.as_str(),
         config = call.config,
+        config_age_ms = call.config_age.as_millis() as u64,
+        list_age_ms = list_age.as_millis() as u64,
         outcome = outcome.as_str(),
         why,
         attempts:serde = trail,
--- a/crates/pinereel/src/hosted/run.rs
+++ b/crates/pinereel/src/hosted/run.rs
@@ -105,7 +105,7 @@
             Instance::start(&settings, adapter, callers, incarnation, &stop)
                 .await?
                 .finished(&settings)
-                .await
+                .await;
         }
         // Nothing lies on an instance without callers: it stands by, and stops at once.
         None => stop.wait().await,
--- a/crates/pinereel/src/hosted/serve.rs
+++ b/crates/pinereel/src/hosted/serve.rs
@@ -117,6 +117,7 @@
         let call = Call {
             id: said.id.clone(),
             config: table.number(),
+            config_age: self.config.age().unwrap_or_default(),
             give_up: give_up(said, route.timeout, arrived),
             route,
             method: request.method().clone(),
--- a/crates/pinereel/tests/cli_parse.rs
+++ b/crates/pinereel/tests/cli_parse.rs
@@ -117,6 +117,7 @@
 
     commands:
       entry    run an entry
+      hosted   run an instance whose state the platform keeps
       config   show, check or patch the configuration
       status   print what an entry knows of the system
       drain    stop an entry gracefully
--- a/crates/pinereel/tests/logging_lines.rs
+++ b/crates/pinereel/tests/logging_lines.rs
@@ -22,6 +22,7 @@
     settings::Log {
         level,
         file: None,
+        stdout: false,
         queue: 16,
         decisions,
     }
--- a/crates/pinereel/tests/settings_file.rs
+++ b/crates/pinereel/tests/settings_file.rs
@@ -83,6 +83,7 @@
         log: Log {
             level: Info,
             file: None,
+            stdout: false,
             queue: 8192,
             decisions: true,
         },
--- a/crates/pinereel_core/tests/batch_lot.rs
+++ b/crates/pinereel_core/tests/batch_lot.rs
@@ -140,7 +140,8 @@
     fn new(name: usize, submission: &Submission, store: &Store) -> Self {
         let mut lot = Lot::new(submission, &BTreeSet::new());
         for (from, samples) in &store.segments {
-            lot.list(*from, samples.clone()).unwrap();
+            lot.list(*from, samples.clone())
+                .expect("segments come in order");
         }
         Self {
             name,
@@ -166,7 +167,9 @@
                 store.create(from, &samples);
                 self.look(store);
             }
-            _ if store.create(from, &samples) => self.lot.list(from, samples).unwrap(),
+            _ if store.create(from, &samples) => {
+                self.lot.list(from, samples).expect("it is the next one");
+            }
             _ => self.look(store),
         }
     }
@@ -174,7 +177,9 @@
     fn look(&mut self, store: &Store) {
         let from = self.lot.ledger().next();
         if let Some(samples) = store.segments.get(&from) {
-            self.lot.list(from, samples.clone()).unwrap();
+            self.lot
+                .list(from, samples.clone())
+                .expect("segments come in order");
         }
     }
 
