The hosting platform's stand-in, the whole path in tests, and a fault soak with real processes

Change: pinereel_fakes::hosting has the object store in the platform's protocol, engines, services, a balancer, a loopback proxy and checking clients; tests start the real binary with deploy/instance.ini. pinereel-fakes soak runs seeds of signals, cuts, silences, store and endpoint faults, changes and bad settings, in series and overlapping. Checked from outside: whole own answers, once at most, true refusals, positions, texts, versions, scores, fences, leaving endpoints, planned stops, recovery. Not in the soak: clocks (the system uses the time of day only to number its starts) and disks (none is used).

--- a/crates/pinereel_fakes/src/bin/pinereel-fakes.rs
+++ b/crates/pinereel_fakes/src/bin/pinereel-fakes.rs
@@ -3,7 +3,7 @@
 use lexopt::{Arg::Long, Parser};
 use pinereel::settings::Settings;
 use pinereel_fakes::{
-    capacity, demo, engine, experiment, load, object_api,
+    capacity, demo, engine, experiment, hosting, load, object_api,
     process::{self, Common, Error, value},
     service, trainer, weight_store,
 };
@@ -120,6 +120,12 @@
         flags: &[load::HELP],
         run: load::main,
     },
+    Tool {
+        name: "soak",
+        summary: "the hosted instances as real processes, under seeded faults",
+        flags: &[hosting::cli::HELP],
+        run: hosting::cli::main,
+    },
     Tool {
         name: "capacity",
         summary: "slopes of state, messages, time and memory, and the two-year size",
--- /dev/null
+++ b/crates/pinereel_fakes/src/hosting/cli.rs
@@ -0,0 +1,107 @@
+//! `pinereel-fakes soak`: seeds of the fault soak, one after the other.
+
+use super::soak::{Options, Report, run};
+use lexopt::{Arg::Long, Parser};
+use std::{fs, io, path::PathBuf, process::ExitCode, time::Duration};
+
+/// Help on the flags.
+pub const HELP: &str = "  --seed N               first seed (default 1)
+  --runs N               seeds to run, one after the other (default 1)
+  --seconds N            how long faults go on in each (default 20)
+  --instances N          instances of pinereel (default 4)
+  --engines N            model engines (default 4)
+  --services N           endpoints of the plain service (default 3)
+  --callers N            live callers of each kind (default 4)
+  --pause-ms N           mean pause between two faults (default 900)
+  --logs FOLDER          where the logs of failed seeds are written
+  --help                 print this";
+
+struct Flags {
+    options: Options,
+    runs: u64,
+    logs: Option<PathBuf>,
+}
+
+/// Runs the tool; it fails if a promise was broken.
+pub fn main(parser: Parser) -> ExitCode {
+    let flags = match flags(parser) {
+        Ok(flags) => flags,
+        Err(error) => {
+            eprintln!("pinereel-fakes: {error}; see --help");
+            return ExitCode::from(2);
+        }
+    };
+    let mut failed = Vec::new();
+    for seed in flags.options.seed..flags.options.seed + flags.runs {
+        let options = Options {
+            seed,
+            ..flags.options
+        };
+        match actix_rt::System::new().block_on(run(options)) {
+            Ok(report) => {
+                println!("{report}");
+                if !report.broken.is_empty() {
+                    failed.push(seed);
+                    if let Err(error) = keep(&flags, &report) {
+                        eprintln!("pinereel-fakes: logs of seed {seed}: {error}");
+                    }
+                }
+            }
+            Err(error) => {
+                println!("seed {seed}: not run: {error}");
+                failed.push(seed);
+            }
+        }
+    }
+    println!(
+        "{} of {} seeds failed: {failed:?}",
+        failed.len(),
+        flags.runs
+    );
+    ExitCode::from(u8::from(!failed.is_empty()))
+}
+
+/// Writes what is needed to trace a failed seed.
+fn keep(flags: &Flags, report: &Report) -> io::Result<()> {
+    let Some(folder) = &flags.logs else {
+        return Ok(());
+    };
+    fs::create_dir_all(folder)?;
+    let mut text = format!("{report}\n\nbroken:\n{}\n", report.broken.join("\n"));
+    text += &format!("\ninjected:\n{}\n", report.injected.join("\n"));
+    text += &format!("\nlogs:\n{}\n", report.logs.join("\n"));
+    fs::write(folder.join(format!("seed-{}.log", report.seed)), text)
+}
+
+fn flags(mut parser: Parser) -> Result<Flags, lexopt::Error> {
+    let mut options = Options::default();
+    let (mut runs, mut logs) = (1, None);
+    while let Some(arg) = parser.next()? {
+        let Long(name) = arg else {
+            return Err(arg.unexpected());
+        };
+        let name = name.to_owned();
+        if name == "logs" {
+            logs = Some(PathBuf::from(parser.value()?));
+            continue;
+        }
+        let number: u64 = crate::process::value(&mut parser)?;
+        let count = usize::try_from(number).unwrap_or(usize::MAX);
+        match name.as_str() {
+            "seed" => options.seed = number,
+            "runs" => runs = number,
+            "seconds" => options.length = Duration::from_secs(number),
+            "instances" => options.size.instances = count,
+            "engines" => options.size.engines = count,
+            "services" => options.size.services = count,
+            "callers" => options.callers = count,
+            "pause-ms" => options.pause = Duration::from_millis(number.max(4)),
+            _ => return Err(Long(&name).unexpected()),
+        }
+    }
+    Ok(Flags {
+        options,
+        runs,
+        logs,
+    })
+}
--- /dev/null
+++ b/crates/pinereel_fakes/src/hosting/site.rs
@@ -0,0 +1,353 @@
+//! A site: the store, the endpoints and the real processes, each behind proxies of its own.
+
+use super::{
+    book::Book,
+    engine::Engine,
+    proxy::{self, Proxy},
+    service::Service,
+    settings::fill,
+    store::Store,
+};
+use crate::launch::{Child, Signal};
+use serde_json::{Value, json};
+use std::{
+    env, fs, io,
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+    process::Command,
+    rc::Rc,
+    time::Duration,
+};
+use tokio::time::{Instant, sleep};
+
+/// Host of all routes.
+pub const HOST: &str = "site.example";
+/// Model of the engines.
+pub const MODEL: &str = "model-a";
+/// Service of the engines.
+const ENGINES: &str = "engines";
+/// Service that answers live requests and scores.
+const PLAIN: &str = "plain";
+/// The second service, to which changes of the configuration move a route.
+const OTHER: &str = "other";
+/// Longest wait for a process to become ready.
+const READY: Duration = Duration::from_secs(10);
+
+/// Sizes of a site.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    /// Instances of pinereel.
+    pub instances: usize,
+    /// Model engines.
+    pub engines: usize,
+    /// Endpoints of the plain service; the other one has one.
+    pub services: usize,
+}
+
+/// One instance of pinereel.
+pub struct Instance {
+    /// Its name.
+    pub name: String,
+    /// Where callers connect, through a proxy.
+    pub callers: Proxy,
+    /// Its way to the store.
+    pub store: Proxy,
+    /// Where readiness is asked for.
+    pub readiness: SocketAddr,
+    settings: PathBuf,
+    /// The settings as they should be.
+    good_settings: String,
+    child: Option<Child>,
+    /// What earlier processes of the instance logged.
+    earlier: Vec<String>,
+    /// Whether it is stopped by SIGSTOP.
+    pub paused: bool,
+}
+
+/// One endpoint behind its proxy.
+pub struct Fronted<E> {
+    /// The endpoint.
+    pub endpoint: E,
+    /// Where instances connect.
+    pub proxy: Proxy,
+}
+
+/// The running site.
+pub struct Site {
+    /// The object store.
+    pub store: Store,
+    /// What was seen.
+    pub book: Rc<Book>,
+    /// The engines.
+    pub engines: Vec<Fronted<Engine>>,
+    /// The plain services.
+    pub services: Vec<Fronted<Service>>,
+    /// The instances.
+    pub instances: Vec<Instance>,
+    /// Number of the configuration.
+    pub config: u64,
+    folder: PathBuf,
+    next: u64,
+}
+
+impl Site {
+    /// Starts everything and waits until all instances are ready.
+    ///
+    /// # Errors
+    /// If something cannot be started.
+    pub async fn start(size: Size, seed: u64) -> io::Result<Self> {
+        let store = Store::start(seed).await?;
+        let folder = env::temp_dir().join(format!("pinereel-site-{}-{seed}", std::process::id()));
+        fs::create_dir_all(&folder)?;
+        let mut site = Self {
+            store,
+            book: Book::new(),
+            engines: Vec::new(),
+            services: Vec::new(),
+            instances: Vec::new(),
+            config: 0,
+            folder,
+            next: 0,
+        };
+        site.configure(PLAIN, Duration::from_secs(2));
+        for _ in 0..size.engines {
+            site.add_engine(1).await?;
+        }
+        for _ in 0..size.services {
+            site.add_service(PLAIN).await?;
+        }
+        site.add_service(OTHER).await?;
+        for _ in 0..size.instances {
+            site.add_instance().await?;
+        }
+        for instance in &site.instances {
+            instance.wait_ready().await?;
+        }
+        Ok(site)
+    }
+
+    fn number(&mut self) -> u64 {
+        self.next += 1;
+        self.next
+    }
+
+    /// Writes the next configuration: the live route goes to `live`, with `timeout`.
+    pub fn configure(&mut self, live: &str, timeout: Duration) {
+        self.config += 2;
+        let route = |name: &str, kind: &str, service: &str, attempts: u32| {
+            json!({
+                "name": name, "host": HOST, "pathPrefix": format!("/{name}/"), "kind": kind,
+                "timeoutMs": timeout.as_millis() as u64, "targetLatencyMs": 150,
+                "priority": 1, "service": service, "maxAttempts": attempts, "itemTtlS": 60.0,
+            })
+        };
+        let document = json!({
+            "version": self.config,
+            "routes": [
+                route("live", "safe", live, 3),
+                route("once", "unsafe", PLAIN, 2),
+                route("score", "safe", PLAIN, 4),
+                route("lots", "rollout", ENGINES, 3),
+                route(&format!("only-{}", self.config), "safe", PLAIN, 2),
+            ],
+            "services": [
+                {"name": ENGINES, "healthPath": "/health", "maxConns": 100,
+                 "engine": {"slots": super::engine::SLOTS, "models": [{"name": MODEL}]}},
+                {"name": PLAIN, "healthPath": "/health", "maxConns": 100},
+                {"name": OTHER, "healthPath": "/health", "maxConns": 100},
+            ],
+            "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 1_048_576,
+                       "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000},
+        });
+        self.store.put("config", "main", document);
+    }
+
+    /// Adds an engine that serves `version`.
+    ///
+    /// # Errors
+    /// If it cannot be started.
+    pub async fn add_engine(&mut self, version: u64) -> io::Result<()> {
+        let id = format!("e-{}", self.number());
+        let engine = Engine::start(&id, (ENGINES, MODEL), version, &self.store, &self.book).await?;
+        let proxy = Proxy::start(engine.address).await?;
+        engine.list(proxy.address);
+        self.engines.push(Fronted {
+            endpoint: engine,
+            proxy,
+        });
+        Ok(())
+    }
+
+    /// Adds an endpoint of a plain service.
+    ///
+    /// # Errors
+    /// If it cannot be started.
+    pub async fn add_service(&mut self, service: &str) -> io::Result<()> {
+        let id = format!("s-{}", self.number());
+        let endpoint = Service::start(&id, service, &self.store, &self.book).await?;
+        let proxy = Proxy::start(endpoint.address).await?;
+        endpoint.list(proxy.address);
+        self.services.push(Fronted { endpoint, proxy });
+        Ok(())
+    }
+
+    /// Adds and starts an instance of pinereel.
+    ///
+    /// # Errors
+    /// If it cannot be started.
+    pub async fn add_instance(&mut self) -> io::Result<()> {
+        self.add(proxy::Fault::default()).await
+    }
+
+    /// Adds and starts an instance that does not reach the store.
+    ///
+    /// # Errors
+    /// If it cannot be started.
+    pub async fn add_instance_cut_off(&mut self) -> io::Result<()> {
+        self.add(proxy::Fault::SILENT).await
+    }
+
+    async fn add(&mut self, to_store: proxy::Fault) -> io::Result<()> {
+        let name = format!("front-{}", self.number());
+        let [callers, readiness] = free_addresses()?;
+        let store = Proxy::start(self.store.address).await?;
+        store.set(to_store);
+        let settings = self.folder.join(format!("{name}.ini"));
+        let template = include_str!("../../../../deploy/instance.ini");
+        let good_settings = fill(template, &fields(&name, callers, readiness, store.address));
+        fs::write(&settings, &good_settings)?;
+        let mut instance = Instance {
+            name,
+            callers: Proxy::start(callers).await?,
+            store,
+            readiness,
+            settings,
+            good_settings,
+            child: None,
+            earlier: Vec::new(),
+            paused: false,
+        };
+        instance.start()?;
+        self.instances.push(instance);
+        Ok(())
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        // Only settings lie there.
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Instance {
+    /// Starts the process.
+    ///
+    /// # Errors
+    /// If it cannot be started.
+    pub fn start(&mut self) -> io::Result<()> {
+        self.earlier.extend(self.lines());
+        self.mend_settings();
+        let mut command = Command::new(binary()?);
+        command.arg("hosted").arg("--config").arg(&self.settings);
+        self.child = Some(Child::start(&mut command)?);
+        self.paused = false;
+        Ok(())
+    }
+
+    /// Whether the process runs.
+    pub fn is_running(&mut self) -> bool {
+        let ended = self.child.as_mut().map(|child| child.wait(Duration::ZERO));
+        matches!(ended, Some(Ok(None)))
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&mut self, signal: Signal) {
+        if let Some(child) = &mut self.child {
+            // It may just have ended.
+            let _ = child.signal(signal);
+        }
+    }
+
+    /// Lines that the process has logged so far.
+    pub fn lines(&self) -> Vec<String> {
+        self.child.as_ref().map(Child::lines).unwrap_or_default()
+    }
+
+    /// Lines that all processes of the instance have logged.
+    pub fn all_lines(&self) -> Vec<String> {
+        [self.earlier.clone(), self.lines()].concat()
+    }
+
+    /// Writes nonsense into the settings file, as storage that fails does.
+    pub fn spoil_settings(&self) {
+        // Best effort: what fails here is what is to be tested.
+        let _ = fs::write(&self.settings, "[instance\nname = ");
+    }
+
+    /// Writes the good settings back.
+    pub fn mend_settings(&self) {
+        let _ = fs::write(&self.settings, &self.good_settings);
+    }
+
+    /// Waits until the process is ready.
+    ///
+    /// # Errors
+    /// If it is not within ten seconds.
+    pub async fn wait_ready(&self) -> io::Result<()> {
+        let end = Instant::now() + READY;
+        let headers = [("host", "here".to_owned())];
+        while Instant::now() < end {
+            let answer = super::http::call(
+                self.readiness,
+                actix_http::Method::GET,
+                "/v1/readiness",
+                &headers,
+                bytes::Bytes::new(),
+                Duration::from_secs(1),
+            );
+            if answer.await.is_ok_and(|answer| answer.status.is_success()) {
+                return Ok(());
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        let lines = self.lines().join("\n");
+        Err(io::Error::other(format!(
+            "{} is not ready: {lines}",
+            self.name
+        )))
+    }
+}
+
+/// The binary under test lies beside the one of this crate.
+fn binary() -> io::Result<PathBuf> {
+    let own = env::current_exe()?;
+    let mut folder = own.parent();
+    while let Some(path) = folder {
+        let binary = path.join("pinereel");
+        if binary.is_file() {
+            return Ok(binary);
+        }
+        folder = path.parent().filter(|path| *path != Path::new("/"));
+    }
+    Err(io::Error::other("the binary pinereel is not built"))
+}
+
+/// What the platform fills the template with.
+fn fields(name: &str, callers: SocketAddr, readiness: SocketAddr, store: SocketAddr) -> Value {
+    json!({
+        "node": name,
+        "zone": "here",
+        "listen": {"front": callers.to_string(), "ready": readiness.to_string()},
+        "limits": {"maxFds": 1_024},
+        "provider": {"addr": store.to_string()},
+        "bounds": {"graceS": 8, "leaseMs": 1_000, "statusS": 120},
+    })
+}
+
+/// Two addresses on which nothing listens. Both are held until both are known.
+fn free_addresses() -> io::Result<[SocketAddr; 2]> {
+    let bind = || TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
+    let (one, two) = (bind()?, bind()?);
+    Ok([one.local_addr()?, two.local_addr()?])
+}
--- /dev/null
+++ b/crates/pinereel_fakes/src/hosting/store.rs
@@ -0,0 +1,339 @@
+//! The platform's object store: revisions, conditions, watches, and faults on request.
+
+use actix_http::{Method, StatusCode};
+use compact_str::CompactString;
+use pinereel::http::{self, Request, Response, Server};
+use rand::{Rng as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+use serde_json::{Value, json};
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, VecDeque},
+    io,
+    net::{Ipv4Addr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
+use tokio::{net::TcpListener, sync::watch, time::sleep};
+
+/// Largest body that is read.
+const MAX_BODY: usize = 8 << 20;
+/// Objects of one page of a list.
+const PAGE: usize = 500;
+
+/// What the store does wrong.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Fault {
+    /// Answers 503 to everything.
+    pub down: bool,
+    /// Holds every answer for so long.
+    pub delay: Duration,
+    /// Chance that a write's answer is lost.
+    pub lost: f64,
+    /// Whether a write whose answer is lost is carried out only later.
+    pub late: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Stored {
+    revision: u64,
+    created: u64,
+    spec: Value,
+    status: Value,
+}
+
+#[derive(Debug, Default)]
+struct Data {
+    revision: u64,
+    kinds: BTreeMap<CompactString, BTreeMap<CompactString, Stored>>,
+    /// Revision, kind and event of the changes that watches can still read.
+    history: VecDeque<(u64, CompactString, Value)>,
+    /// Newest revision that is no longer in `history`.
+    forgotten: u64,
+}
+
+/// The running store.
+#[derive(Clone)]
+pub struct Store {
+    /// Where it serves.
+    pub address: SocketAddr,
+    data: Rc<RefCell<Data>>,
+    fault: Rc<Cell<Fault>>,
+    rng: Rc<RefCell<ChaCha8Rng>>,
+    changed: Rc<watch::Sender<u64>>,
+    calls: Rc<Cell<u64>>,
+}
+
+/// Why a write was not taken.
+enum Refusal {
+    NotFound,
+    Conflict(Value),
+}
+
+impl Store {
+    /// Starts an empty store on a free port.
+    ///
+    /// # Errors
+    /// If no port can be bound.
+    pub async fn start(seed: u64) -> io::Result<Self> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        let store = Self {
+            address: listener.local_addr()?,
+            data: Rc::default(),
+            fault: Rc::default(),
+            rng: Rc::new(RefCell::new(ChaCha8Rng::seed_from_u64(seed))),
+            changed: Rc::new(watch::channel(0).0),
+            calls: Rc::default(),
+        };
+        let state = store.clone();
+        Server::start(listener, http::Options::default(), move |request| {
+            let state = state.clone();
+            async move { state.serve(request).await }
+        })
+        .await?;
+        Ok(store)
+    }
+
+    /// Sets what goes wrong from now on.
+    pub fn set(&self, fault: Fault) {
+        self.fault.set(fault);
+    }
+
+    /// Forgets the history that watches read.
+    pub fn compact(&self) {
+        let mut data = self.data.borrow_mut();
+        data.forgotten = data.revision;
+        data.history.clear();
+    }
+
+    /// Calls answered since the start.
+    pub fn calls(&self) -> u64 {
+        self.calls.get()
+    }
+
+    /// The spec of an object.
+    pub fn spec(&self, kind: &str, name: &str) -> Option<Value> {
+        let data = self.data.borrow();
+        Some(data.kinds.get(kind)?.get(name)?.spec.clone())
+    }
+
+    /// The status of an object.
+    pub fn status(&self, kind: &str, name: &str) -> Option<Value> {
+        let data = self.data.borrow();
+        Some(data.kinds.get(kind)?.get(name)?.status.clone())
+    }
+
+    /// Writes a spec as the operator, an endpoint or a trainer does.
+    pub fn put(&self, kind: &str, name: &str, spec: Value) {
+        self.write(kind, name, |stored| stored.spec = spec);
+    }
+
+    /// Removes an object.
+    pub fn remove(&self, kind: &str, name: &str) {
+        let mut data = self.data.borrow_mut();
+        let removed = data.kinds.get_mut(kind).and_then(|k| k.remove(name));
+        if let Some(stored) = removed {
+            data.revision += 1;
+            let event = json!({"deleted": true, "object": object(name, &stored)});
+            let revision = data.revision;
+            data.history.push_back((revision, kind.into(), event));
+            drop(data);
+            self.changed.send_replace(revision);
+        }
+    }
+
+    fn write(&self, kind: &str, name: &str, change: impl FnOnce(&mut Stored)) -> Value {
+        let mut data = self.data.borrow_mut();
+        let revision = data.revision + 1;
+        let objects = data.kinds.entry(kind.into()).or_default();
+        let before = objects.get(name).cloned();
+        let mut stored = before.clone().unwrap_or(Stored {
+            revision,
+            created: revision,
+            spec: Value::Null,
+            status: Value::Null,
+        });
+        change(&mut stored);
+        let same = before.is_some_and(|b| b.spec == stored.spec && b.status == stored.status);
+        if same {
+            return object(name, &stored);
+        }
+        stored.revision = revision;
+        objects.insert(name.into(), stored.clone());
+        data.revision = revision;
+        let written = object(name, &stored);
+        let event = json!({"deleted": false, "object": written});
+        data.history.push_back((revision, kind.into(), event));
+        drop(data);
+        self.changed.send_replace(revision);
+        written
+    }
+
+    async fn serve(&self, mut request: Request) -> Response {
+        self.calls.set(self.calls.get() + 1);
+        let fault = self.fault.get();
+        if !fault.delay.is_zero() {
+            sleep(fault.delay).await;
+        }
+        if fault.down {
+            return http::empty(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        let path = request.path().to_owned();
+        let parts: Vec<_> = path.trim_start_matches("/v1/objects/").split('/').collect();
+        let query = request.uri().query().unwrap_or_default().to_owned();
+        let body = http::read_json(&mut request, MAX_BODY, Duration::from_secs(5)).await;
+        let body: Value = body.unwrap_or_default();
+        let method = request.method().clone();
+        if method == Method::GET {
+            return self.get(&parts, &query).await;
+        }
+        let lost = fault.lost > 0.0 && self.rng.borrow_mut().random_bool(fault.lost);
+        if lost && fault.late {
+            let (state, wait) = (self.clone(), self.rng.borrow_mut().random_range(500..3_000));
+            let parts: Vec<_> = parts.iter().map(|part| (*part).to_owned()).collect();
+            actix_rt::spawn(async move {
+                sleep(Duration::from_millis(wait)).await;
+                let parts: Vec<_> = parts.iter().map(String::as_str).collect();
+                state.change(&method, &parts, &body);
+            });
+            return silence().await;
+        }
+        let answer = self.change(&method, &parts, &body);
+        if lost {
+            return silence().await;
+        }
+        answer
+    }
+
+    async fn get(&self, parts: &[&str], query: &str) -> Response {
+        if let [kind, name] = parts {
+            let data = self.data.borrow();
+            let found = data.kinds.get(*kind).and_then(|k| k.get(*name));
+            return match found {
+                Some(stored) => http::json(StatusCode::OK, &object(name, stored)),
+                None => http::empty(StatusCode::NOT_FOUND),
+            };
+        }
+        let kind = parts[0];
+        let Some(after) = parameter(query, "watch").and_then(|text| text.parse().ok()) else {
+            return self.list(kind, parameter(query, "after").unwrap_or_default());
+        };
+        let wait = parameter(query, "waitMs").and_then(|text| text.parse().ok());
+        let mut changed = self.changed.subscribe();
+        let seen = async {
+            while self
+                .events(kind, after)
+                .is_some_and(|events| events.is_empty())
+            {
+                if changed.changed().await.is_err() {
+                    return;
+                }
+            }
+        };
+        let _ = tokio::time::timeout(Duration::from_millis(wait.unwrap_or(0)), seen).await;
+        let revision = self.data.borrow().revision;
+        match self.events(kind, after) {
+            Some(events) => {
+                let answer = json!({"events": events, "currentRev": revision});
+                http::json(StatusCode::OK, &answer)
+            }
+            None => http::empty(StatusCode::GONE),
+        }
+    }
+
+    fn events(&self, kind: &str, after: u64) -> Option<Vec<Value>> {
+        let data = self.data.borrow();
+        if after < data.forgotten {
+            return None;
+        }
+        let newer = data
+            .history
+            .iter()
+            .filter(|(r, k, _)| *r > after && k == kind);
+        Some(newer.map(|(_, _, event)| event.clone()).collect())
+    }
+
+    fn list(&self, kind: &str, after: &str) -> Response {
+        let data = self.data.borrow();
+        let all = data.kinds.get(kind).into_iter().flatten();
+        let mut rest = all.filter(|(name, _)| name.as_str() > after);
+        let items: Vec<_> = rest
+            .by_ref()
+            .take(PAGE)
+            .map(|(n, s)| object(n, s))
+            .collect();
+        let more = rest.next().is_some();
+        let answer = json!({"items": items, "more": more, "currentRev": data.revision});
+        http::json(StatusCode::OK, &answer)
+    }
+
+    fn change(&self, method: &Method, parts: &[&str], body: &Value) -> Response {
+        let result = match (method.as_str(), parts) {
+            ("POST", [kind]) => self.create(kind, body),
+            ("PUT", [kind, name]) => self.update(kind, name, body),
+            ("PUT", [kind, name, "status"]) => self.report(kind, name, body),
+            ("DELETE", [kind, name]) => {
+                self.remove(kind, name);
+                Ok(Value::Null)
+            }
+            _ => Err(Refusal::NotFound),
+        };
+        match result {
+            Ok(object) => http::json(StatusCode::OK, &object),
+            Err(Refusal::NotFound) => http::empty(StatusCode::NOT_FOUND),
+            Err(Refusal::Conflict(object)) => http::json(StatusCode::CONFLICT, &object),
+        }
+    }
+
+    fn standing(&self, kind: &str, name: &str) -> Option<Stored> {
+        let data = self.data.borrow();
+        data.kinds.get(kind)?.get(name).cloned()
+    }
+
+    fn create(&self, kind: &str, body: &Value) -> Result<Value, Refusal> {
+        let name = body["metadata"]["name"].as_str().unwrap_or_default();
+        if let Some(stored) = self.standing(kind, name) {
+            return Err(Refusal::Conflict(object(name, &stored)));
+        }
+        Ok(self.write(kind, name, |stored| stored.spec = body["spec"].clone()))
+    }
+
+    fn update(&self, kind: &str, name: &str, body: &Value) -> Result<Value, Refusal> {
+        let stored = self.standing(kind, name).ok_or(Refusal::NotFound)?;
+        let wanted = body["metadata"]["revision"].as_u64();
+        if wanted.is_some_and(|wanted| wanted != stored.revision) {
+            return Err(Refusal::Conflict(object(name, &stored)));
+        }
+        Ok(self.write(kind, name, |stored| stored.spec = body["spec"].clone()))
+    }
+
+    fn report(&self, kind: &str, name: &str, body: &Value) -> Result<Value, Refusal> {
+        self.standing(kind, name).ok_or(Refusal::NotFound)?;
+        Ok(self.write(kind, name, |stored| stored.status = body["status"].clone()))
+    }
+}
+
+/// The connection stays open and nothing more comes over it.
+async fn silence() -> Response {
+    sleep(Duration::from_secs(600)).await;
+    http::empty(StatusCode::GATEWAY_TIMEOUT)
+}
+
+fn object(name: &str, stored: &Stored) -> Value {
+    json!({
+        "metadata": {
+            "name": name,
+            "revision": stored.revision,
+            "createRev": stored.created,
+            "finalizers": [],
+            "deleting": false,
+        },
+        "spec": stored.spec,
+        "status": stored.status,
+    })
+}
+
+fn parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find_map(|(key, value)| (key == name).then_some(value))
+}
--- /dev/null
+++ b/crates/pinereel_fakes/src/hosting/trainer.rs
@@ -0,0 +1,298 @@
+//! A trainer that submits lots, reads them at any instance and checks every position.
+
+use super::{
+    balance::Balance,
+    book::Book,
+    engine,
+    http::{Answer, call},
+    site::{HOST, MODEL},
+    store::Store,
+};
+use actix_http::{Method, StatusCode};
+use bytes::Bytes;
+use rand::{Rng as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+use serde_json::{Value, json};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    time::Duration,
+};
+use tokio::time::{Instant, sleep};
+
+/// How long a call may take.
+const PATIENCE: Duration = Duration::from_secs(3);
+/// Longest wait for a step.
+const STEP: Duration = Duration::from_secs(25);
+/// After the end of a lot its items must not come to an engine any more.
+const CANCEL: Duration = Duration::from_secs(3);
+
+/// One step's shape.
+#[derive(Clone, Copy, Debug)]
+pub struct Shape {
+    /// Groups of a lot.
+    pub groups: usize,
+    /// Items of a group.
+    pub size: usize,
+    /// Whole groups that are waited for.
+    pub wanted: usize,
+}
+
+/// A trainer.
+pub struct Trainer {
+    balance: Rc<Balance>,
+    store: Store,
+    book: Rc<Book>,
+    rng: ChaCha8Rng,
+    shape: Shape,
+    name: String,
+    /// Newest version that was named.
+    version: u64,
+    /// Steps that were done in time.
+    pub done: u64,
+    /// Steps that were given up.
+    pub given_up: u64,
+    /// Lots that were never accepted.
+    pub refused: u64,
+}
+
+/// Positions of a lot that were seen.
+type Seen = BTreeMap<usize, Value>;
+
+impl Trainer {
+    /// A trainer that talks to the instances behind `balance`.
+    pub fn new(
+        name: &str,
+        balance: &Rc<Balance>,
+        store: &Store,
+        book: &Rc<Book>,
+        shape: Shape,
+        seed: u64,
+    ) -> Self {
+        Self {
+            balance: Rc::clone(balance),
+            store: store.clone(),
+            book: Rc::clone(book),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            shape,
+            name: name.into(),
+            version: 1,
+            done: 0,
+            given_up: 0,
+            refused: 0,
+        }
+    }
+
+    /// Runs steps until `end`.
+    pub async fn run(&mut self, end: Instant) {
+        let mut step = 0;
+        while Instant::now() < end {
+            self.step(step).await;
+            step += 1;
+        }
+    }
+
+    /// One step: submit, read, end, name the next version.
+    pub async fn step(&mut self, step: u64) {
+        let lot = format!("{}-{step}", self.name);
+        let oldest = self.version.saturating_sub(1).max(1);
+        let (items, body) = self.lot(&lot, oldest);
+        if !self.submit(&lot, &body).await {
+            self.refused += 1;
+            sleep(Duration::from_millis(300)).await;
+            return;
+        }
+        let mut seen = Seen::new();
+        let end = Instant::now() + STEP;
+        let mut whole = false;
+        while !whole && Instant::now() < end {
+            self.read(&lot, &mut seen).await;
+            whole = self.is_whole(&items, &seen);
+        }
+        if whole {
+            self.done += 1;
+        } else {
+            self.given_up += 1;
+        }
+        self.check(&lot, oldest, &items, &seen);
+        self.end(&lot, &items).await;
+        self.version += 1;
+        let version = json!({"model": MODEL, "version": self.version});
+        self.store.put("versions", MODEL, version);
+    }
+
+    fn lot(&mut self, lot: &str, oldest: u64) -> (BTreeMap<String, usize>, Bytes) {
+        let mut ids = BTreeMap::new();
+        let mut items = Vec::new();
+        for group in 0..self.shape.groups {
+            for at in 0..self.shape.size {
+                let id = format!("{lot}.{group}.{at}");
+                items.push(json!({
+                    "id": id, "path": "/lots/x", "headers": {"X-Model": MODEL},
+                    "body": "cHJvbXB0", "tokens": 10, "group": format!("{lot}.{group}"),
+                    "scorer": {"id": format!("{id}.s"), "host": HOST, "path": "/score/x", "body": "eA=="},
+                }));
+                ids.insert(id, group);
+            }
+        }
+        let body = json!({
+            "step": 1, "model": MODEL, "minVersion": oldest,
+            "desiredCount": self.shape.wanted, "items": items,
+        });
+        (ids, body.to_string().into())
+    }
+
+    async fn call(
+        &mut self,
+        method: Method,
+        target: &str,
+        id: &str,
+        body: Bytes,
+    ) -> Option<Answer> {
+        let headers = [
+            ("host", HOST.to_owned()),
+            ("x-request-id", id.to_owned()),
+            ("x-deadline-ms", PATIENCE.as_millis().to_string()),
+            ("x-wait-ms", "500".to_owned()),
+        ];
+        let address = self.balance.next().callers;
+        let wait = PATIENCE + Duration::from_millis(500);
+        call(address, method, target, &headers, body, wait)
+            .await
+            .ok()
+    }
+
+    /// Submits until it is accepted; tells whether it was.
+    async fn submit(&mut self, lot: &str, body: &Bytes) -> bool {
+        let end = Instant::now() + STEP;
+        while Instant::now() < end {
+            let answer = self
+                .call(Method::POST, "/lots/new", lot, body.clone())
+                .await;
+            match answer.map(|answer| answer.status) {
+                Some(StatusCode::ACCEPTED) => return true,
+                Some(status) if status.is_client_error() => {
+                    self.book.fault(format!("lot {lot} got {status}"));
+                    return false;
+                }
+                _ => sleep(Duration::from_millis(200)).await,
+            }
+        }
+        false
+    }
+
+    /// Reads on from what was seen, at times from an earlier position.
+    async fn read(&mut self, lot: &str, seen: &mut Seen) {
+        let next = seen.len();
+        let from = if self.rng.random_bool(0.2) {
+            self.rng.random_range(0..=next)
+        } else {
+            next
+        };
+        let target = format!("/v1/lots/{lot}?after={from}");
+        let answer = self.call(Method::GET, &target, lot, Bytes::new()).await;
+        let Some(answer) = answer else {
+            return;
+        };
+        if answer.status == StatusCode::NOT_FOUND {
+            self.book
+                .fault(format!("lot {lot} is not found after its acceptance"));
+        }
+        if !answer.status.is_success() {
+            sleep(Duration::from_millis(100)).await;
+            return;
+        }
+        let reading: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+        let total = reading["total"].as_u64();
+        if total != Some((self.shape.groups * self.shape.size) as u64) {
+            self.book
+                .fault(format!("lot {lot} has a total of {total:?}"));
+        }
+        let results = reading["results"].as_array().cloned().unwrap_or_default();
+        if from < next && results.is_empty() {
+            self.book
+                .fault(format!("lot {lot}: position {from} went away"));
+        }
+        for (at, result) in results.into_iter().enumerate() {
+            let before = seen.insert(from + at, result.clone());
+            if before.is_some_and(|before| before != result) {
+                self.book
+                    .fault(format!("lot {lot}: position {} changed", from + at));
+            }
+        }
+    }
+
+    fn is_whole(&self, items: &BTreeMap<String, usize>, seen: &Seen) -> bool {
+        let mut listed = vec![0; self.shape.groups];
+        for result in seen.values() {
+            let id = result["id"].as_str().unwrap_or_default();
+            if let Some(group) = items.get(id) {
+                listed[*group] += 1;
+            }
+        }
+        let whole = listed.iter().filter(|count| **count >= self.shape.size);
+        whole.count() >= self.shape.wanted
+    }
+
+    /// Checks every result against what engines and scorers did.
+    fn check(&self, lot: &str, oldest: u64, items: &BTreeMap<String, usize>, seen: &Seen) {
+        let mut ids = BTreeSet::new();
+        for result in seen.values() {
+            let id = result["id"].as_str().unwrap_or_default();
+            if !items.contains_key(id) {
+                self.book
+                    .fault(format!("lot {lot} lists {id}, which is not its item"));
+            }
+            if !ids.insert(id) {
+                self.book.fault(format!("lot {lot} lists {id} twice"));
+            }
+            if result["state"] == "completed" {
+                self.check_sample(id, oldest, result);
+            }
+        }
+    }
+
+    fn check_sample(&self, id: &str, oldest: u64, result: &Value) {
+        if result["output"].as_str() != Some(&engine::text(id)) {
+            self.book.fault(format!("{id}: the text is not whole"));
+        }
+        let versions = result["versions"].as_array().cloned().unwrap_or_default();
+        let versions: BTreeSet<_> = versions.iter().filter_map(Value::as_u64).collect();
+        if versions.is_empty() || !versions.is_subset(&self.book.versions(id)) {
+            self.book
+                .fault(format!("{id}: versions {versions:?} did not make it"));
+        }
+        if versions.iter().any(|version| *version < oldest) {
+            self.book.fault(format!(
+                "{id}: versions {versions:?} are older than {oldest}"
+            ));
+        }
+        let score = result["score"].as_str().unwrap_or_default();
+        if !score.ends_with(&format!("{id}.s")) {
+            self.book
+                .fault(format!("{id}: score {score:?} is not its scorer's"));
+        }
+    }
+
+    /// Ends a lot and checks later that nothing of it is still sent to engines.
+    async fn end(&mut self, lot: &str, items: &BTreeMap<String, usize>) {
+        let target = format!("/v1/lots/{lot}");
+        let end = Instant::now() + STEP;
+        while Instant::now() < end {
+            let answer = self.call(Method::DELETE, &target, lot, Bytes::new()).await;
+            if answer.is_some_and(|answer| answer.status.is_success()) {
+                let (book, items) = (Rc::clone(&self.book), items.keys().cloned().collect());
+                let limit = Instant::now() + CANCEL;
+                let lot = lot.to_owned();
+                actix_rt::spawn(async move {
+                    sleep(CANCEL + Duration::from_secs(2)).await;
+                    if book.arrived_after(&items, limit) {
+                        book.fault(format!("lot {lot}: an item was run long after its end"));
+                    }
+                });
+                return;
+            }
+            sleep(Duration::from_millis(100)).await;
+        }
+    }
+}
--- a/crates/pinereel_fakes/src/lib.rs
+++ b/crates/pinereel_fakes/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`cluster`]: a site of real processes, for tests of failures.
 //! - [`launch`]: starting and signalling processes in tests.
 //! - [`process`]: what the stand-ins' processes have in common.
+//! - [`hosting`]: the platform that hosts pinereel, with the real processes, and the soak.
 //! - [`fault`]: what the stand-ins' faults have in common.
 //! - [`capacity`]: slopes of state, messages, processor time and memory.
 //! - [`experiment`]: policies against a baseline on the paused clock.
@@ -20,6 +21,7 @@
 pub mod engine;
 pub mod experiment;
 pub mod fault;
+pub mod hosting;
 pub mod launch;
 pub mod load;
 pub mod object_api;
--- /dev/null
+++ b/crates/pinereel_fakes/tests/hosting_path.rs
@@ -0,0 +1,165 @@
+//! The whole path on the platform's stand-in: the real binary with the deployment's template.
+
+use actix_http::{Method, StatusCode};
+use bytes::Bytes;
+use pinereel_fakes::hosting::{
+    balance::Balance,
+    caller::{self, Kind, Tally},
+    http::call,
+    site::{HOST, Site, Size},
+    trainer::{Shape, Trainer},
+};
+use std::{rc::Rc, time::Duration};
+use tokio::time::{Instant, sleep};
+
+const SMALL: Size = Size {
+    instances: 3,
+    engines: 3,
+    services: 2,
+};
+const SHAPE: Shape = Shape {
+    groups: 4,
+    size: 4,
+    wanted: 3,
+};
+const WAIT: Duration = Duration::from_secs(3);
+
+fn balance(site: &Site) -> Rc<Balance> {
+    let balance = Rc::new(Balance::default());
+    for (index, instance) in site.instances.iter().enumerate() {
+        balance.add(index, instance.callers.address, instance.readiness);
+    }
+    balance
+}
+
+#[actix_rt::test]
+async fn a_calm_site_serves_callers_and_steps() {
+    let site = Site::start(SMALL, 101).await.unwrap();
+    let (balance, book) = (balance(&site), Rc::clone(&site.book));
+    let tally = Rc::new(Tally::default());
+    for kind in [Kind::Repeatable, Kind::Once] {
+        let (balance, book, tally) = (Rc::clone(&balance), Rc::clone(&book), Rc::clone(&tally));
+        let end = Instant::now() + Duration::from_secs(4);
+        let name = format!("{kind:?}");
+        actix_rt::spawn(async move { caller::run(balance, kind, &name, end, book, tally).await });
+    }
+    let mut trainer = Trainer::new("calm", &balance, &site.store, &book, SHAPE, 1);
+    for step in 0..4 {
+        trainer.step(step).await;
+    }
+    sleep(Duration::from_millis(500)).await;
+    assert_eq!((trainer.done, trainer.given_up, trainer.refused), (4, 0, 0));
+    assert!(tally.good.get() > 50, "{tally:?}");
+    assert_eq!((tally.not_run.get(), tally.unknown.get()), (0, 0));
+    assert!(book.accepted_orders() > 0, "new versions are rolled out");
+    book.check_orders();
+    assert_eq!(book.faults(), Vec::<String>::new());
+}
+
+#[actix_rt::test]
+async fn a_change_of_routes_is_in_force_at_every_instance() {
+    let mut site = Site::start(SMALL, 102).await.unwrap();
+    for _ in 0..3 {
+        site.configure("other", Duration::from_secs(2));
+        sleep(Duration::from_millis(300)).await;
+        let only = format!("/only-{}/x", site.config);
+        for instance in &site.instances {
+            let headers = [
+                ("host", HOST.to_owned()),
+                ("x-request-id", format!("{}-{}", instance.name, site.config)),
+            ];
+            let address = instance.callers.address;
+            let new = call(address, Method::POST, &only, &headers, Bytes::new(), WAIT).await;
+            assert_eq!(new.map(|a| a.status), Ok(StatusCode::OK), "the new route");
+            let old = format!("/only-{}/x", site.config - 2);
+            let old = call(address, Method::POST, &old, &headers, Bytes::new(), WAIT).await;
+            assert_eq!(
+                old.map(|a| a.status),
+                Ok(StatusCode::NOT_FOUND),
+                "the old one"
+            );
+        }
+    }
+}
+
+#[actix_rt::test]
+async fn a_lot_is_accepted_once_and_readable_at_every_instance() {
+    let site = Site::start(SMALL, 103).await.unwrap();
+    let headers = [
+        ("host", HOST.to_owned()),
+        ("x-request-id", "lot-1".to_owned()),
+        ("x-deadline-ms", "2000".to_owned()),
+    ];
+    let body = serde_json::json!({
+        "step": 0, "model": "model-a", "minVersion": 1, "desiredCount": 1,
+        "items": [{"id": "only", "path": "/lots/x", "body": "cHJvbXB0", "tokens": 3, "group": "g"}],
+    });
+    let body = Bytes::from(body.to_string());
+    for instance in &site.instances {
+        let address = instance.callers.address;
+        let answer = call(
+            address,
+            Method::POST,
+            "/lots/1",
+            &headers,
+            body.clone(),
+            WAIT,
+        )
+        .await;
+        assert_eq!(answer.map(|a| a.status), Ok(StatusCode::ACCEPTED));
+    }
+    sleep(Duration::from_secs(1)).await;
+    let mut readings = Vec::new();
+    for instance in &site.instances {
+        let address = instance.callers.address;
+        let path = "/v1/lots/lot-1?after=0";
+        let answer = call(address, Method::GET, path, &headers, Bytes::new(), WAIT).await;
+        readings.push(answer.unwrap().body);
+        let path = "/v1/items/lot-1?id=only";
+        let answer = call(address, Method::GET, path, &headers, Bytes::new(), WAIT).await;
+        assert_eq!(answer.unwrap().body, "prompt");
+        let path = "/v1/lots/unknown?after=0";
+        let answer = call(address, Method::GET, path, &headers, Bytes::new(), WAIT).await;
+        assert_eq!(answer.unwrap().status, StatusCode::NOT_FOUND);
+    }
+    assert!(readings.iter().all(|reading| *reading == readings[0]));
+    let reading: serde_json::Value = serde_json::from_slice(&readings[0]).unwrap();
+    assert_eq!(reading["results"][0]["state"], "completed");
+    assert_eq!(reading["nextToken"], 1);
+}
+
+#[actix_rt::test]
+async fn without_a_configuration_nothing_is_refused_as_unknown() {
+    let site = Site::start(SMALL, 104).await.unwrap();
+    let headers = [
+        ("host", HOST.to_owned()),
+        ("x-request-id", "early".to_owned()),
+    ];
+    // The store has never answered this instance.
+    let mut site = site;
+    site.add_instance_cut_off().await.unwrap();
+    let instance = site.instances.last().unwrap();
+    sleep(Duration::from_millis(500)).await;
+    let address = instance.callers.address;
+    let answer = call(
+        address,
+        Method::POST,
+        "/live/x",
+        &headers,
+        Bytes::new(),
+        WAIT,
+    )
+    .await;
+    let answer = answer.unwrap();
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(answer.header("retry-after").is_some());
+    let ready = call(
+        instance.readiness,
+        Method::GET,
+        "/v1/readiness",
+        &headers,
+        Bytes::new(),
+        WAIT,
+    );
+    assert_eq!(ready.await.unwrap().status, StatusCode::SERVICE_UNAVAILABLE);
+}
