Models share the engines of a service; followers ask the store less often

Cause: on the grown sites four models share 44 engines. Change: rollout::share gives each engine one model that it is kept up to date for; loads at once are a fifth of the engines; changes of the endpoint list are gathered for 0.9 s at instances without duties; a follower looks at a lease when it would run out; duties go to instances with cores and without other duties first. Ruled out: a quicker look after loads alone: 44 loads of 0.9 s at 9 at once take 4.4 s already for one model.

--- a/crates/pinereel/src/hosted/config.rs
+++ b/crates/pinereel/src/hosted/config.rs
@@ -1,7 +1,7 @@
 //! The configuration in force at this instance.
 
 use super::{
-    follow::{Update, follow},
+    follow::{Manner, Update, follow},
     store::Store,
 };
 use crate::objects::Purpose;
@@ -32,7 +32,11 @@
         let (state, store) = (Rc::clone(&config), store.clone());
         actix_rt::spawn(async move {
             let kind = adapter.places.config;
-            follow(&store, Purpose::Config, kind, wait, |update| {
+            let manner = || Manner {
+                wait,
+                gather: Duration::ZERO,
+            };
+            follow(&store, Purpose::Config, kind, manner, |update| {
                 state.take(adapter, update);
             })
             .await;
--- a/crates/pinereel/src/hosted/duty.rs
+++ b/crates/pinereel/src/hosted/duty.rs
@@ -28,9 +28,19 @@
 const LIMITS: Limits = Limits {
     duration: Duration::from_millis(2_000),
     margin: Duration::from_millis(200),
-    retry: Duration::from_millis(700),
+    // A follower looks again when the lease that it saw would have run out: those of all instances
+    // together find a dead holder soon, however seldom each of them looks.
+    retry: Duration::from_millis(2_500),
 };
 
+/// Each duty that an instance holds already lets it wait so much longer before it takes another, so
+/// that they spread.
+const HELD_DELAY: Duration = Duration::from_millis(150);
+/// An instance waits so long for each part that it lacks to [`AMPLE_CORES`].
+const SMALL_DELAY: Duration = Duration::from_millis(300);
+/// Cores with which an instance does not wait: lots of a few hundred items run well on it.
+const AMPLE_CORES: f64 = 0.25;
+
 /// Shortest sleep between two looks at what is due.
 const SHORTEST_SLEEP: Duration = Duration::from_millis(10);
 
@@ -54,6 +64,8 @@
     joined: RefCell<BTreeMap<CompactString, watch::Sender<Option<Grant>>>>,
     /// Duties that are not released yet after a drain.
     unreleased: Cell<usize>,
+    /// Cores of this instance.
+    cores: f64,
     draining: Cell<bool>,
     drain: Notify,
 }
@@ -64,6 +76,7 @@
         store: &Store,
         instance: &CompactString,
         incarnation: u64,
+        cores: f64,
         clock: impl Fn() -> Time + 'static,
     ) -> Rc<Self> {
         Rc::new(Self {
@@ -73,6 +86,7 @@
             clock: Rc::new(clock),
             joined: RefCell::default(),
             unreleased: Cell::new(0),
+            cores,
             draining: Cell::new(false),
             drain: Notify::new(),
         })
@@ -110,6 +124,12 @@
         (self.now() < grant.until).then_some(grant)
     }
 
+    /// Duties that this instance holds.
+    pub fn held(&self) -> usize {
+        let joined = self.joined.borrow();
+        joined.values().filter(|grant| grant.borrow().is_some()).count()
+    }
+
     /// Gives up all leases.
     pub fn drain(&self) {
         self.draining.set(true);
@@ -189,10 +209,23 @@
     async fn call(&self, holder: &Holder, duty: &str, action: Action) -> Event {
         match action {
             Action::Read => self.read(holder, duty).await,
-            Action::Write { expected, lease } => self.write(duty, expected, &lease).await,
+            Action::Write { expected, lease } => {
+                let takes = lease.holder == self.id && self.acts(duty).is_none();
+                if takes {
+                    sleep(self.modesty()).await;
+                }
+                self.write(duty, expected, &lease).await
+            }
         }
     }
 
+    /// How long this instance lets others go first.
+    fn modesty(&self) -> Duration {
+        let held = u32::try_from(self.held()).unwrap_or(u32::MAX);
+        let lacks = (1.0 - self.cores / AMPLE_CORES).max(0.0);
+        HELD_DELAY * held + SMALL_DELAY.mul_f64(lacks)
+    }
+
     async fn read(&self, holder: &Holder, duty: &str) -> Event {
         let freshness = if holder.watches(self.now()) {
             Freshness::Stale
--- a/crates/pinereel/src/hosted/endpoints.rs
+++ b/crates/pinereel/src/hosted/endpoints.rs
@@ -1,13 +1,13 @@
 //! The endpoints, as the platform lists them and as this instance has found them.
 
 use super::{
-    follow::{Update, follow},
+    follow::{Manner, Update, follow},
     store::Store,
 };
-use crate::{objects::Purpose, state::Clock};
+use crate::{objects::Purpose, settings::Instance, state::Clock};
 use compact_str::CompactString;
 use pinereel_core::{
-    endpoint::{self, End, Event, Instance, Key, Set},
+    endpoint::{self, End, Event, Key, Set},
     hash,
     route::{self, Choice, Policy, Priority, Refusal, Request},
 };
@@ -25,6 +25,12 @@
 /// So long after a failed call entries may still be missing because of it: three of the endpoints'
 /// heartbeats, and their way back.
 const AWAY: Duration = Duration::from_secs(6);
+/// Pause after changes of the list, so that those that come together cost one call: with many
+/// engines their versions change all the time. Well below the two seconds after which an endpoint
+/// that leaves must get no request.
+const GATHER: Duration = Duration::from_millis(900);
+/// The same at an instance that runs lots or gives orders.
+const HURRIED: Duration = Duration::from_millis(40);
 /// Requests that an endpoint may have from this instance, as a multiple of its slots: it queues a
 /// few itself.
 const QUEUED: u32 = 2;
@@ -64,15 +70,17 @@
 }
 
 impl Endpoints {
-    /// Follows the list in `store` from now on.
+    /// Follows the list in `store` from now on; `hurried` tells whether this instance has duties
+    /// that need every change at once.
     pub fn start(
         store: &Store,
         adapter: Adapter,
         clock: Clock,
-        name: &str,
-        zone: &CompactString,
+        instance: &Instance,
         wait: Duration,
+        hurried: impl Fn() -> bool + 'static,
     ) -> Rc<Self> {
+        let (name, zone) = (&instance.name, &instance.zone);
         let endpoints = Rc::new(Self {
             adapter,
             clock,
@@ -89,7 +97,11 @@
             let kind = adapter.places.endpoints;
             let store = state.store.clone();
             let taker = Rc::clone(&state);
-            follow(&store, Purpose::Instances, kind, wait, move |update| {
+            let manner = || Manner {
+                wait,
+                gather: if hurried() { HURRIED } else { GATHER },
+            };
+            follow(&store, Purpose::Instances, kind, manner, move |update| {
                 taker.take(update);
             })
             .await;
@@ -252,7 +264,7 @@
                 "endpoint listed"
             );
         }
-        let instance = instance(&entry);
+        let instance = listed_instance(&entry);
         let listed = Listed {
             entry,
             missing_since: None,
@@ -306,8 +318,8 @@
 /// Each start of an endpoint has an id of its own, so that no second number is needed.
 const INCARNATION: u64 = 0;
 
-fn instance(entry: &Entry) -> Instance {
-    Instance {
+fn listed_instance(entry: &Entry) -> endpoint::Instance {
+    endpoint::Instance {
         name: entry.id.clone(),
         incarnation: INCARNATION,
         address: entry.address.to_string().into(),
--- a/crates/pinereel/src/hosted/follow.rs
+++ b/crates/pinereel/src/hosted/follow.rs
@@ -19,12 +19,22 @@
     Changes(Vec<Change>),
 }
 
-/// Follows the objects of `kind` until dropped, and tells `take` of each answer.
+/// How the objects of a kind are followed.
+#[derive(Clone, Copy, Debug)]
+pub struct Manner {
+    /// Longest wait of one watch.
+    pub wait: Duration,
+    /// Pause after changes, so that what comes together is told by one call.
+    pub gather: Duration,
+}
+
+/// Follows the objects of `kind` until dropped, and tells `take` of each answer. `manner` is asked
+/// before each watch.
 pub async fn follow(
     store: &Store,
     purpose: Purpose,
     kind: &str,
-    wait: Duration,
+    manner: impl Fn() -> Manner,
     mut take: impl FnMut(Update),
 ) {
     let mut returns = store.returns();
@@ -32,7 +42,7 @@
     loop {
         returns.mark_unchanged();
         let answer = tokio::select! {
-            answer = once(store, purpose, kind, wait, revision) => answer,
+            answer = once(store, purpose, kind, manner().wait, revision) => answer,
             // A watch that began before the contact was lost may never hear of anything.
             _ = returns.changed() => continue,
         };
@@ -47,6 +57,7 @@
                 revision = Some(next);
                 if let Some(update) = update {
                     take(update);
+                    sleep(manner().gather).await;
                 }
             }
             Err(error) => {
--- a/crates/pinereel/src/hosted/lots/runner.rs
+++ b/crates/pinereel/src/hosted/lots/runner.rs
@@ -12,7 +12,7 @@
         config::Config,
         duty::Duties,
         endpoints::Endpoints,
-        follow::{Update, follow},
+        follow::{Manner, Update, follow},
         relay::Relay,
         store::Store,
     },
@@ -251,7 +251,11 @@
 
     async fn work(self: &Rc<Self>, model: &CompactString) {
         let store = self.parts.store.clone();
-        let lots = follow(&store, Purpose::Lots, LOTS, self.parts.watch, |update| {
+        let manner = || Manner {
+            wait: self.parts.watch,
+            gather: Duration::ZERO,
+        };
+        let lots = follow(&store, Purpose::Lots, LOTS, manner, |update| {
             self.take(model, update);
         });
         tokio::select! {
--- a/crates/pinereel/src/hosted/orders.rs
+++ b/crates/pinereel/src/hosted/orders.rs
@@ -7,7 +7,7 @@
     config::Config,
     duty::{Duties, Grant},
     endpoints::Endpoints,
-    follow::{Update, follow},
+    follow::{Manner, Update, follow},
     store::Store,
 };
 use crate::{
@@ -23,7 +23,7 @@
 use compact_str::{CompactString, format_compact};
 use pinereel_core::{
     Time, Version, hash,
-    rollout::{Action, Controller, Event, Lease, Settings, Sight},
+    rollout::{self, Action, Controller, Event, Lease, Settings, Sight},
 };
 use pinereel_port::{
     Adapter,
@@ -78,6 +78,17 @@
     parts: Parts,
     /// Newest named version by model.
     named: RefCell<BTreeMap<CompactString, u64>>,
+    /// The model that each engine is kept up to date for, by service.
+    shares: RefCell<BTreeMap<CompactString, Shares>>,
+}
+
+/// The models' shares of a service's engines.
+#[derive(Default)]
+struct Shares {
+    /// The change of the endpoint list that they were made from.
+    made_from: Option<u64>,
+    by_engine: BTreeMap<CompactString, CompactString>,
+    models: usize,
 }
 
 /// The rollout of one model at one service.
@@ -95,6 +106,7 @@
         let orders = Rc::new(Self {
             parts,
             named: RefCell::default(),
+            shares: RefCell::default(),
         });
         let state = Rc::clone(&orders);
         actix_rt::spawn(async move { state.join_duties().await });
@@ -126,6 +138,22 @@
         engines.map(|service| service.name.clone()).collect()
     }
 
+    /// Brings the shares of a service up to date.
+    fn share(&self, service: &CompactString) {
+        let change = *self.parts.endpoints.changes().borrow();
+        let mut all = self.shares.borrow_mut();
+        let shares = all.entry(service.clone()).or_default();
+        if shares.made_from == Some(change) {
+            return;
+        }
+        let entries = self.parts.endpoints.of(service).into_iter();
+        let engines = entries.filter(|entry| !entry.leaving).map(|entry| entry.id);
+        let models = self.models(service);
+        shares.by_engine = rollout::share(engines, &models);
+        shares.models = models.len();
+        shares.made_from = Some(change);
+    }
+
     fn models(&self, service: &str) -> Vec<CompactString> {
         let table = self.parts.config.table();
         let engine = table.and_then(|table| table.service(service)?.engine.clone());
@@ -154,7 +182,11 @@
     async fn work(self: &Rc<Self>, service: &CompactString, duty: &CompactString) {
         let store = self.parts.store.clone();
         let (kind, wait) = (self.parts.adapter.places.versions, self.parts.watch);
-        let versions = follow(&store, Purpose::Weights, kind, wait, |update| {
+        let manner = || Manner {
+            wait,
+            gather: Duration::ZERO,
+        };
+        let versions = follow(&store, Purpose::Weights, kind, manner, |update| {
             self.take(update);
         });
         let models = self.models(service).into_iter().map(|model| {
@@ -305,11 +337,25 @@
         if let Some(version) = named {
             self.step(Event::Published(Version(version)));
         }
+        self.orders.share(&self.service);
+        let shares = self.orders.shares.borrow();
+        let Some(shares) = shares.get(&self.service) else {
+            return;
+        };
+        let loads = rollout::loads(
+            shares.by_engine.len(),
+            shares.models,
+            self.orders.parts.settings.loads,
+        );
+        self.controller.borrow_mut().set_loads(loads);
         let mut present = BTreeSet::new();
         for entry in self.entries() {
             let Some(version) = entry.models.get(&self.model).copied() else {
                 continue;
             };
+            if shares.by_engine.get(&entry.id) != Some(&self.model) {
+                continue;
+            }
             present.insert(entry.id.clone());
             self.step(Event::Listed {
                 name: entry.id.clone(),
--- a/crates/pinereel/src/hosted/run.rs
+++ b/crates/pinereel/src/hosted/run.rs
@@ -132,15 +132,17 @@
     ) -> Result<Self, Error> {
         let clock = Clock::new();
         let callers = listen(callers).await?;
-        let (name, zone) = (&settings.instance.name, &settings.instance.zone);
         let store = Store::new(
             objects::Client::new(options(settings), clock),
             adapter.store,
         );
         let watch = settings.store.watch;
         let config = Config::start(&store, adapter, watch);
-        let endpoints = Endpoints::start(&store, adapter, clock, name, zone, watch);
-        let duties = Duties::new(&store, name, incarnation, boot_time);
+        let instance = &settings.instance;
+        let duties = Duties::new(&store, &instance.name, incarnation, instance.cores, boot_time);
+        let held = Rc::clone(&duties);
+        let hurried = move || held.held() > 0;
+        let endpoints = Endpoints::start(&store, adapter, clock, instance, watch, hurried);
         let pool = Rc::new(Pool::default());
         let relay = Relay::new(adapter, &endpoints, &pool);
         let runner = Runner::start(lots::Parts {
--- a/crates/pinereel/src/settings/hosted.rs
+++ b/crates/pinereel/src/settings/hosted.rs
@@ -5,7 +5,7 @@
 use std::{fs, net::SocketAddr, path::Path, time::Duration};
 
 /// All settings of one hosted instance.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Hosted {
     /// Who it is and where it listens.
     pub instance: Instance,
@@ -22,7 +22,7 @@
 }
 
 /// Who the instance is and where it listens.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Instance {
     /// Name, unique in the system.
     pub name: CompactString,
@@ -36,6 +36,8 @@
     pub metrics: Option<SocketAddr>,
     /// Most open connections of callers.
     pub connections: usize,
+    /// Cores that it may use; duties go to instances with more of them.
+    pub cores: f64,
 }
 
 /// The platform's object store and this process's budget of calls to it.
@@ -133,6 +135,7 @@
             ("metrics", metrics),
         ]);
         // Half of the descriptors are left for endpoints, the store and files.
+        let cores = section.optional("cores", unit::CORES, unit::cores);
         let descriptors = section.count("file_descriptors", 64..=1_000_000, 1_024);
         Some(Self {
             name: name?,
@@ -141,6 +144,7 @@
             readiness,
             metrics,
             connections: descriptors / 2,
+            cores: cores.unwrap_or(1.0),
         })
     }
 }
--- a/crates/pinereel/src/settings/unit.rs
+++ b/crates/pinereel/src/settings/unit.rs
@@ -10,6 +10,7 @@
 pub(super) const URL: &str = "http://IP:PORT";
 pub(super) const LEVEL: &str = "off, error, warn, info, debug or trace";
 pub(super) const ROUTING: &str = "full or baseline";
+pub(super) const CORES: &str = "a number of cores above 0, such as 0.25";
 pub(super) const SWITCH: &str = "true or false";
 
 const NAME_MAX: usize = 63;
@@ -49,6 +50,10 @@
     text.parse().ok()
 }
 
+pub(super) fn cores(text: &str) -> Option<f64> {
+    text.parse().ok().filter(|cores: &f64| cores.is_finite() && *cores > 0.0)
+}
+
 pub(super) fn number(text: &str) -> Option<u64> {
     let digits = !text.is_empty() && text.bytes().all(|b| b.is_ascii_digit());
     digits.then(|| text.parse().ok()).flatten()
--- a/crates/pinereel_core/src/rollout/controller.rs
+++ b/crates/pinereel_core/src/rollout/controller.rs
@@ -106,6 +106,11 @@
         actions
     }
 
+    /// Sets how many engines may load at once from now on.
+    pub const fn set_loads(&mut self, loads: usize) {
+        self.settings.loads = loads;
+    }
+
     /// Whether orders may be given now.
     pub fn acts(&self, now: Time) -> bool {
         self.lease.is_some_and(|lease| now < lease.until)
--- a/crates/pinereel_core/src/rollout/mod.rs
+++ b/crates/pinereel_core/src/rollout/mod.rs
@@ -9,9 +9,11 @@
 mod engine;
 mod order;
 mod plan;
+mod share;
 
 pub use controller::Controller;
 pub use plan::Plan;
+pub use share::{loads, share};
 
 use crate::{Time, Version};
 use compact_str::CompactString;
--- a/crates/pinereel_fakes/src/hosting/site.rs
+++ b/crates/pinereel_fakes/src/hosting/site.rs
@@ -339,7 +339,7 @@
         "node": name,
         "zone": "here",
         "listen": {"front": callers.to_string(), "ready": readiness.to_string()},
-        "limits": {"maxFds": 1_024},
+        "limits": {"maxFds": 1_024, "cpuShare": 0.5},
         "provider": {"addr": store.to_string()},
         "bounds": {"graceS": 8, "leaseMs": 1_000, "statusS": 120},
     })
