Engines by service and model; a version is known from the list; leases are not taken on old reads; metrics; bounded logs

(2) A rollout learned of a load's end from the engine's report, 200 to 400 ms late. (3) A stale read that hangs made followers write and lose. Tests: lease_holder (2 new).

--- a/crates/pinereel/src/hosted/duty.rs
+++ b/crates/pinereel/src/hosted/duty.rs
@@ -1,10 +1,10 @@
 //! Duties that one instance has at a time, by leases in the object store.
 
-use super::store::Store;
+use super::{metrics::Metrics, store::Store};
 use crate::objects::{Error, Purpose};
 use compact_str::{CompactString, format_compact};
 use pinereel_core::{
-    Time,
+    Time, hash,
     lease::{Action, Event, Holder, Lease, Limits},
 };
 use pinereel_port::store::{Freshness, Object};
@@ -28,16 +28,21 @@
 const LIMITS: Limits = Limits {
     duration: Duration::from_millis(2_000),
     margin: Duration::from_millis(200),
-    // A follower looks again when the lease that it saw would have run out: those of all instances
-    // together find a dead holder soon, however seldom each of them looks.
-    retry: Duration::from_millis(2_500),
+    // A follower looks by a stale read before the lease that it saw would run out, and by a current
+    // one only then.
+    retry: Duration::from_millis(1_400),
 };
 
+/// For how long one stale list serves the candidates of this instance.
+const GLIMPSE_LIFE: Duration = Duration::from_millis(800);
+
 /// Each duty that an instance holds already lets it wait so much longer before it takes another, so
 /// that they spread.
 const HELD_DELAY: Duration = Duration::from_millis(150);
 /// An instance waits so long for each part that it lacks to [`AMPLE_CORES`].
 const SMALL_DELAY: Duration = Duration::from_millis(300);
+/// The first looks of instances that start together spread over this time.
+const FIRST_LOOKS: Duration = Duration::from_millis(400);
 /// Cores with which an instance does not wait: lots of a few hundred items run well on it.
 const AMPLE_CORES: f64 = 0.25;
 
@@ -66,8 +71,11 @@
     unreleased: Cell<usize>,
     /// Cores of this instance.
     cores: f64,
+    metrics: Metrics,
     draining: Cell<bool>,
     drain: Notify,
+    /// The leases as last listed by a stale read, and when.
+    glimpsed: RefCell<Option<(Time, Vec<Object>)>>,
 }
 
 impl Duties {
@@ -77,6 +85,7 @@
         instance: &CompactString,
         incarnation: u64,
         cores: f64,
+        metrics: &Metrics,
         clock: impl Fn() -> Time + 'static,
     ) -> Rc<Self> {
         Rc::new(Self {
@@ -87,6 +96,8 @@
             joined: RefCell::default(),
             unreleased: Cell::new(0),
             cores,
+            metrics: metrics.clone(),
+            glimpsed: RefCell::default(),
             draining: Cell::new(false),
             drain: Notify::new(),
         })
@@ -127,7 +138,10 @@
     /// Duties that this instance holds.
     pub fn held(&self) -> usize {
         let joined = self.joined.borrow();
-        joined.values().filter(|grant| grant.borrow().is_some()).count()
+        joined
+            .values()
+            .filter(|grant| grant.borrow().is_some())
+            .count()
     }
 
     /// Gives up all leases.
@@ -145,6 +159,8 @@
         let prefix = format_compact!("{}/", self.instance);
         let mut holder = Holder::new(self.now(), self.id.clone(), LIMITS).succeeding(prefix);
         let mut told = false;
+        // Those that should hold it look first, and find nothing; the others find their lease.
+        sleep(self.modesty() + self.jitter(duty)).await;
         loop {
             let event = if self.draining.get() && !told {
                 told = true;
@@ -196,6 +212,8 @@
             since,
         });
         if before.map(|grant| grant.fence) != grant.map(|grant| grant.fence) {
+            let event = if grant.is_some() { "taken" } else { "lost" };
+            self.metrics.count(&self.metrics.leases, &[event]);
             match grant {
                 Some(grant) => log::info!(duty = duty.as_str(), fence = grant.fence; "lease taken"),
                 None => log::info!(duty = duty.as_str(); "lease lost"),
@@ -219,6 +237,12 @@
         }
     }
 
+    /// Keeps instances that start together from looking together.
+    fn jitter(&self, duty: &str) -> Duration {
+        let chance = hash::score(hash::stable(duty.as_bytes()), &self.instance);
+        FIRST_LOOKS.mul_f64((chance % 1_000) as f64 / 1_000.0)
+    }
+
     /// How long this instance lets others go first.
     fn modesty(&self) -> Duration {
         let held = u32::try_from(self.held()).unwrap_or(u32::MAX);
@@ -227,15 +251,17 @@
     }
 
     async fn read(&self, holder: &Holder, duty: &str) -> Event {
-        let freshness = if holder.watches(self.now()) {
-            Freshness::Stale
-        } else {
-            Freshness::Current
-        };
-        let read = self.store.read(Purpose::Leases, KIND, duty, freshness);
+        if holder.watches(self.now()) {
+            return self.glimpse(duty).await;
+        }
+        let read = self
+            .store
+            .read(Purpose::Leases, KIND, duty, Freshness::Current);
         match read.await {
             Ok(None) => Event::Read(None),
-            Ok(Some(object)) => decode(duty, object),
+            Ok(Some(object)) => {
+                decode(duty, object).map_or(Event::Failed, |l| Event::Read(Some(l)))
+            }
             Err(error) => {
                 log::debug!(duty, error:% = error; "lease not read");
                 Event::Failed
@@ -243,6 +269,35 @@
         }
     }
 
+    /// A look at a lease that may be somewhat old. One list tells all leases, and serves all
+    /// candidates of this instance for a moment.
+    async fn glimpse(&self, duty: &str) -> Event {
+        let fresh = self.glimpsed.borrow().as_ref().is_some_and(|(at, _)| {
+            let age = self.now().since(*at);
+            age < GLIMPSE_LIFE
+        });
+        if !fresh {
+            let page = self
+                .store
+                .page(Purpose::Leases, KIND, None, Freshness::Stale);
+            match page.await {
+                Ok(page) => {
+                    let now = self.now();
+                    self.glimpsed.replace(Some((now, page.objects)));
+                }
+                Err(error) => {
+                    log::debug!(duty, error:% = error; "leases not listed");
+                    return Event::Failed;
+                }
+            }
+        }
+        let glimpsed = self.glimpsed.borrow();
+        let mut objects = glimpsed.iter().flat_map(|(_, objects)| objects);
+        let found = objects.find(|object| object.name == duty).cloned();
+        drop(glimpsed);
+        Event::Glimpsed(found.and_then(|object| decode(duty, object)))
+    }
+
     async fn write(&self, duty: &str, expected: Option<u64>, lease: &Lease) -> Event {
         let spec = match serde_json::to_value(lease) {
             Ok(spec) => spec,
@@ -276,12 +331,12 @@
     }
 }
 
-fn decode(duty: &str, object: Object) -> Event {
+fn decode(duty: &str, object: Object) -> Option<(u64, Lease)> {
     match serde_json::from_value::<Lease>(object.spec) {
-        Ok(lease) => Event::Read(Some((object.revision, lease))),
+        Ok(lease) => Some((object.revision, lease)),
         Err(error) => {
             log::error!(duty, error:% = error; "lease unreadable");
-            Event::Failed
+            None
         }
     }
 }
--- a/crates/pinereel/src/hosted/lots/commit.rs
+++ b/crates/pinereel/src/hosted/lots/commit.rs
@@ -86,6 +86,8 @@
         Ok(object) => {
             let count = segment.samples.len();
             log::info!(id = lot, from, count, revision = object.revision; "results committed");
+            let metrics = &runner.parts.metrics;
+            metrics.count(&metrics.committed, &["own"]);
             runner.listed(lot, from, segment.samples);
         }
         Err(Error::Conflict) => adopt(runner, lot, from).await,
@@ -111,6 +113,8 @@
             Ok((_, segment)) => {
                 let count = segment.samples.len();
                 log::info!(id = lot, from, count, revision = object.revision; "results found");
+                let metrics = &runner.parts.metrics;
+                metrics.count(&metrics.committed, &["found"]);
                 runner.listed(lot, from, segment.samples);
             }
             Err(fault) => {
--- a/crates/pinereel/src/hosted/lots/desk.rs
+++ b/crates/pinereel/src/hosted/lots/desk.rs
@@ -52,6 +52,22 @@
     Unknown,
 }
 
+impl Reply {
+    /// The name in metrics.
+    pub const fn as_str(&self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Ended => "ended",
+            Self::Results(_) => "results",
+            Self::Body(_) => "body",
+            Self::NotFound => "not found",
+            Self::Malformed(_) => "malformed",
+            Self::NotDone(_) => "not done",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// Answers trainers' calls.
 pub struct Desk {
     adapter: Adapter,
--- a/crates/pinereel/src/hosted/lots/run.rs
+++ b/crates/pinereel/src/hosted/lots/run.rs
@@ -1,7 +1,7 @@
 //! The way of one item: engine, scoring, result.
 
 use super::{
-    runner::{Runner, Work},
+    runner::{FleetName, Runner, Work},
     score,
     stream::{End, Place, stream},
 };
@@ -16,15 +16,15 @@
 /// Counts a run at its engine; one that is dropped counts as cancelled.
 struct Running {
     runner: Rc<Runner>,
-    service: compact_str::CompactString,
+    fleet: FleetName,
     place: Place,
     halt: Halt,
 }
 
 impl Drop for Running {
     fn drop(&mut self) {
-        let (service, key) = (&self.service, self.place.key);
-        self.runner.run_ended(service, key, self.halt);
+        let key = self.place.key;
+        self.runner.run_ended(&self.fleet, key, self.halt);
     }
 }
 
@@ -40,7 +40,7 @@
     let began = Instant::now();
     let mut running = Running {
         runner: Rc::clone(runner),
-        service: work.service.clone(),
+        fleet: work.fleet.clone(),
         place: place.clone(),
         halt: Halt::Cancelled,
     };
@@ -52,6 +52,8 @@
         End::Broken(_) => Halt::Broken,
     };
     drop(running);
+    let metrics = &runner.parts.metrics;
+    metrics.count(&metrics.runs, &[end.as_str()]);
     report(work, place, end, began, runner.progress(work).0);
     let failure = match end {
         End::Complete => {
--- a/crates/pinereel/src/hosted/lots/runner.rs
+++ b/crates/pinereel/src/hosted/lots/runner.rs
@@ -13,6 +13,7 @@
         duty::Duties,
         endpoints::Endpoints,
         follow::{Manner, Update, follow},
+        metrics::Metrics,
         relay::Relay,
         store::Store,
     },
@@ -68,6 +69,8 @@
     pub pool: Rc<Pool>,
     /// Brings scorings to their service.
     pub relay: Rc<Relay>,
+    /// Figures.
+    pub metrics: Metrics,
     /// The clock.
     pub clock: Clock,
     /// Longest wait of a watch.
@@ -96,14 +99,21 @@
     closed: BTreeSet<CompactString>,
     /// When each lot was first seen.
     ages: Ages,
-    /// Engines by service.
-    fleets: BTreeMap<CompactString, Fleet>,
+    /// Engines by service and model.
+    fleets: BTreeMap<FleetName, Fleet>,
     /// Unfinished texts of ended lots, by item.
     drafts: BTreeMap<CompactString, Draft>,
     /// Items of lots that were ended, which may come again.
     known: BTreeSet<CompactString>,
 }
 
+/// The engines of a service, as far as they serve one model.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct FleetName {
+    pub(super) service: CompactString,
+    pub(super) model: CompactString,
+}
+
 /// A lot that is being worked on.
 struct Open {
     host: CompactString,
@@ -157,7 +167,7 @@
     pub(super) at: usize,
     pub(super) item: CompactString,
     pub(super) host: CompactString,
-    pub(super) service: CompactString,
+    pub(super) fleet: FleetName,
     pub(super) oldest_version: u64,
 }
 
@@ -282,7 +292,7 @@
         let id = object.name.clone();
         self.ages(|ages| ages.seen(&id));
         if is_ended(&object) {
-            self.close(&id, "ended by its trainer");
+            self.close(&id, "ended");
             return;
         }
         let new = {
@@ -360,6 +370,8 @@
             texts_reused = reused;
             "lot opened"
         );
+        let metrics = &self.parts.metrics;
+        metrics.count(&metrics.lots, &["opened"]);
         let more = Rc::new(Notify::new());
         let committer = commit::commit(Rc::clone(&self), id.clone(), Rc::clone(&more));
         let open = Open {
@@ -408,6 +420,9 @@
             }
         }
         drop(state);
+        let metrics = &self.parts.metrics;
+        metrics.count(&metrics.lots, &[why]);
+        metrics.observe(&metrics.lot_seconds, why, open.opened.elapsed());
         log::info!(
             id = id.as_str(),
             why,
@@ -438,21 +453,22 @@
 
     fn sync_fleets(&self) {
         let mut state = self.state.borrow_mut();
-        let wanted: Vec<_> = state
+        let wanted: BTreeSet<_> = state
             .lots
             .values()
-            .filter_map(|open| Some((self.service(open)?, open.model.clone())))
+            .filter_map(|open| self.fleet(open))
             .collect();
-        for (service, model) in wanted {
-            let entries = self.parts.endpoints.of(&service);
+        for name in wanted {
+            let entries = self.parts.endpoints.of(&name.service);
             let listed = entries.into_iter().map(|entry| Listed {
-                version: entry.models.get(&model).copied(),
+                version: entry.models.get(&name.model).copied(),
                 id: entry.id,
                 address: entry.address,
                 slots: entry.slots,
                 leaving: entry.leaving,
             });
-            state.fleets.entry(service).or_default().sync(listed);
+            let listed: Vec<_> = listed.collect();
+            state.fleets.entry(name).or_default().sync(listed);
         }
     }
 
@@ -463,10 +479,14 @@
         (route.kind == Kind::Lot).then(|| route.clone())
     }
 
-    fn service(&self, open: &Open) -> Option<CompactString> {
+    /// The engines that a lot's items go to.
+    fn fleet(&self, open: &Open) -> Option<FleetName> {
         let route = self.route(open)?;
         let seed = hash::stable(open.path.as_bytes());
-        table::service(&route, seed).map(CompactString::from)
+        Some(FleetName {
+            service: table::service(&route, seed)?.into(),
+            model: open.model.clone(),
+        })
     }
 
     /// Starts the next item of the oldest lot that has one, if an engine takes it.
@@ -490,10 +510,10 @@
             if open.lot.waiting() == 0 {
                 continue;
             }
-            let (Some(route), Some(service)) = (self.route(open), self.service(open)) else {
+            let (Some(route), Some(name)) = (self.route(open), self.fleet(open)) else {
                 continue;
             };
-            let Some(fleet) = state.fleets.get_mut(&service) else {
+            let Some(fleet) = state.fleets.get_mut(&name) else {
                 continue;
             };
             let oldest_version = open.submission.oldest_version;
@@ -514,7 +534,7 @@
                 host: open.host.clone(),
                 lot: id,
                 at,
-                service,
+                fleet: name,
                 oldest_version,
             };
             let task = run::run(Rc::clone(self), work, route, place);
@@ -604,7 +624,7 @@
         let now = self.parts.clock.now();
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
-        let Some(fleet) = state.fleets.get_mut(&work.service) else {
+        let Some(fleet) = state.fleets.get_mut(&work.fleet) else {
             return false;
         };
         match gap {
@@ -626,10 +646,10 @@
         true
     }
 
-    pub(super) fn run_ended(&self, service: &str, key: Key, halt: Halt) {
+    pub(super) fn run_ended(&self, fleet: &FleetName, key: Key, halt: Halt) {
         let now = self.parts.clock.now();
         let mut state = self.state.borrow_mut();
-        if let Some(fleet) = state.fleets.get_mut(service) {
+        if let Some(fleet) = state.fleets.get_mut(fleet) {
             fleet.ended(now, key, halt);
         }
         drop(state);
--- a/crates/pinereel/src/hosted/lots/stream.rs
+++ b/crates/pinereel/src/hosted/lots/stream.rs
@@ -38,6 +38,21 @@
     Outdated,
 }
 
+impl End {
+    /// The name in metrics.
+    pub(super) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Complete => "complete",
+            Self::Failed => "failed",
+            Self::Impossible => "impossible",
+            Self::Refused => "refused",
+            Self::Broken(_) => "broken",
+            Self::Left => "left",
+            Self::Outdated => "outdated",
+        }
+    }
+}
+
 /// What broke a run off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Break {
--- a/crates/pinereel/src/hosted/lots/sweep.rs
+++ b/crates/pinereel/src/hosted/lots/sweep.rs
@@ -50,6 +50,8 @@
             match remove(runner, &lot).await {
                 Ok(count) => {
                     log::info!(id = lot.as_str(), segments = count; "lot removed");
+                    let metrics = &runner.parts.metrics;
+                    metrics.count(&metrics.lots, &["removed"]);
                     runner.ages(|ages| ages.forget(&lot));
                 }
                 // The next look tries again.
--- a/crates/pinereel/src/hosted/mod.rs
+++ b/crates/pinereel/src/hosted/mod.rs
@@ -16,6 +16,7 @@
 mod endpoints;
 mod follow;
 mod lots;
+mod metrics;
 mod orders;
 mod relay;
 mod run;
@@ -23,5 +24,6 @@
 mod stop;
 mod store;
 
+pub use metrics::Metrics;
 pub use run::{Error, run};
 pub use store::Store;
--- a/crates/pinereel/src/hosted/orders.rs
+++ b/crates/pinereel/src/hosted/orders.rs
@@ -8,6 +8,7 @@
     duty::{Duties, Grant},
     endpoints::Endpoints,
     follow::{Manner, Update, follow},
+    metrics::Metrics,
     store::Store,
 };
 use crate::{
@@ -69,6 +70,8 @@
     pub pool: Rc<Pool>,
     /// Bounds.
     pub settings: settings::Orders,
+    /// Figures.
+    pub metrics: Metrics,
     /// Longest wait of a watch.
     pub watch: Duration,
 }
@@ -298,7 +301,7 @@
 
 impl Rollout {
     async fn run(self: Rc<Self>) {
-        let mut listed = BTreeSet::new();
+        let mut listed = BTreeMap::new();
         loop {
             let lease = self.lease();
             self.step(Event::Lease(lease));
@@ -332,7 +335,7 @@
     }
 
     /// Tells the controller what is known.
-    fn inform(self: &Rc<Self>, listed: &mut BTreeSet<CompactString>) {
+    fn inform(self: &Rc<Self>, listed: &mut BTreeMap<CompactString, u64>) {
         let named = self.orders.named.borrow().get(&self.model).copied();
         if let Some(version) = named {
             self.step(Event::Published(Version(version)));
@@ -348,7 +351,7 @@
             self.orders.parts.settings.loads,
         );
         self.controller.borrow_mut().set_loads(loads);
-        let mut present = BTreeSet::new();
+        let mut present = BTreeMap::new();
         for entry in self.entries() {
             let Some(version) = entry.models.get(&self.model).copied() else {
                 continue;
@@ -356,21 +359,32 @@
             if shares.by_engine.get(&entry.id) != Some(&self.model) {
                 continue;
             }
-            present.insert(entry.id.clone());
+            let before = listed.get(&entry.id).copied();
             self.step(Event::Listed {
                 name: entry.id.clone(),
                 zone: entry.zone,
                 outstanding: 0,
                 leaving: entry.leaving,
             });
-            self.step(Event::Reported {
-                name: entry.id,
-                version: Some(Version(version)),
-                loading: None,
-            });
+            // An engine lists a new version as soon as it serves it; its report lags behind.
+            if before.is_some_and(|before| before != version) {
+                let sight = Sight {
+                    incarnation: hash::stable(entry.id.as_bytes()),
+                    version: Some(Version(version)),
+                    loading: None,
+                    failed: false,
+                };
+                self.step(Event::Seen {
+                    name: entry.id.clone(),
+                    sight,
+                });
+            }
+            present.insert(entry.id, version);
         }
-        for name in listed.difference(&present) {
-            self.step(Event::Unlisted { name: name.clone() });
+        for name in listed.keys() {
+            if !present.contains_key(name) {
+                self.step(Event::Unlisted { name: name.clone() });
+            }
         }
         *listed = present;
     }
@@ -490,6 +504,11 @@
             outcome:? = verdict;
             "order given"
         );
+        let metrics = &self.orders.parts.metrics;
+        metrics.count(
+            &metrics.orders,
+            &[verdict.map_or("no answer", Verdict::as_str)],
+        );
         let name = name.clone();
         let mut sight = self.sight(&name, &before);
         match verdict? {
--- a/crates/pinereel/src/hosted/relay.rs
+++ b/crates/pinereel/src/hosted/relay.rs
@@ -1,6 +1,9 @@
 //! One request of a caller, brought to an endpoint and answered with that endpoint's whole answer.
 
-use super::endpoints::{Endpoints, Picked};
+use super::{
+    endpoints::{Endpoints, Picked},
+    metrics::Metrics,
+};
 use crate::upstream::pool::{Error, Exchange, Pool};
 use actix_http::{
     Method, RequestHead, StatusCode, Uri,
@@ -101,6 +104,7 @@
     adapter: Adapter,
     endpoints: Rc<Endpoints>,
     pool: Rc<Pool>,
+    metrics: Metrics,
     /// Makes the choices of one process differ from request to request.
     next: Cell<u64>,
 }
@@ -116,11 +120,17 @@
 
 impl Relay {
     /// A relay to `endpoints` over the connections of `pool`.
-    pub fn new(adapter: Adapter, endpoints: &Rc<Endpoints>, pool: &Rc<Pool>) -> Rc<Self> {
+    pub fn new(
+        adapter: Adapter,
+        endpoints: &Rc<Endpoints>,
+        pool: &Rc<Pool>,
+        metrics: &Metrics,
+    ) -> Rc<Self> {
         Rc::new(Self {
             adapter,
             endpoints: Rc::clone(endpoints),
             pool: Rc::clone(pool),
+            metrics: metrics.clone(),
             next: Cell::new(0),
         })
     }
@@ -136,7 +146,7 @@
         let mut trail = Vec::new();
         let mut running = Attempting::new();
         let Some(service) = table::service(&call.route, seed) else {
-            return self.refuse(&call, "no service", began, &trail);
+            return self.refuse(&call, "", "no service", began);
         };
         let outcome = loop {
             match attempts.next(began.elapsed()) {
@@ -150,7 +160,7 @@
                         }
                         Err(refusal) if running.is_empty() && used.is_empty() => {
                             let why = refusal_name(refusal);
-                            return self.refuse(&call, why, began, &trail);
+                            return self.refuse(&call, service, why, began);
                         }
                         Err(_) => attempts.exhausted(),
                     }
@@ -192,23 +202,43 @@
         if !running.is_empty() && matches!(outcome, Outcome::Answer(_)) {
             self.linger(running);
         }
+        self.count(service, &outcome, began);
+        self.metrics
+            .observe(&self.metrics.ages, "config", call.config_age);
+        self.metrics
+            .observe(&self.metrics.ages, "endpoints", list_age);
         report(&call, &outcome, began, list_age, &trail);
         outcome
     }
 
+    fn count(&self, service: &str, outcome: &Outcome, began: Instant) {
+        let label = match outcome {
+            Outcome::Answer(answer) if answer.status.is_server_error() => "failure",
+            Outcome::Answer(_) => "answer",
+            Outcome::NotRun { .. } => "not_run",
+            Outcome::Unknown { late: true, .. } => "late",
+            Outcome::Unknown { late: false, .. } => "unknown",
+        };
+        let metrics = &self.metrics;
+        metrics.count(&metrics.requests, &[service, label]);
+        metrics.observe(&metrics.latency, service, began.elapsed());
+    }
+
     fn seed(&self, call: &Call) -> u64 {
         let number = self.next.get();
         self.next.set(number + 1);
         hash::stable(call.id.as_bytes()) ^ hash::mix(number)
     }
 
-    fn refuse(&self, call: &Call, why: &str, began: Instant, trail: &[String]) -> Outcome {
+    fn refuse(&self, call: &Call, service: &str, why: &str, began: Instant) -> Outcome {
         let outcome = Outcome::NotRun {
             why: why.into(),
             retry_after: RETRY_AFTER,
         };
         let list_age = self.endpoints.age().unwrap_or_default();
-        report(call, &outcome, began, list_age, trail);
+        self.metrics.count(&self.metrics.refused, &[why]);
+        self.count(service, &outcome, began);
+        report(call, &outcome, began, list_age, &[]);
         outcome
     }
 
@@ -339,6 +369,11 @@
             Err(Ended::NotOpened) => End::ConnectionRefused,
             Err(Ended::Lost | Ended::Garbled) => End::Failed,
         };
+        let result = match &tried.ended {
+            Ok(answer) => status_class(answer.status),
+            Err(ended) => ended.as_str(),
+        };
+        self.metrics.count(&self.metrics.attempts, &[result]);
         self.endpoints.finished(tried.picked.key, tried.took, end);
     }
 }
@@ -406,6 +441,15 @@
     names.filter_map(|name| name.parse().ok()).collect()
 }
 
+fn status_class(status: StatusCode) -> &'static str {
+    match status.as_u16() / 100 {
+        2 => "2xx",
+        4 => "4xx",
+        5 => "5xx",
+        _ => "other",
+    }
+}
+
 const fn refusal_name(refusal: Refusal) -> &'static str {
     match refusal {
         Refusal::UnknownPool => "no endpoint listed",
--- a/crates/pinereel/src/hosted/run.rs
+++ b/crates/pinereel/src/hosted/run.rs
@@ -5,6 +5,7 @@
     duty::Duties,
     endpoints::Endpoints,
     lots::{self, Desk, Runner},
+    metrics::{Metrics, Sources},
     orders::{self, Orders},
     relay::Relay,
     serve::{Front, serve},
@@ -19,10 +20,12 @@
     upstream::pool::Pool,
 };
 use actix_http::{Method, StatusCode};
+use compact_str::format_compact;
 use pinereel_core::Time;
 use pinereel_port::Adapter;
 use rustix::time::{ClockId, clock_gettime};
 use std::{
+    collections::BTreeMap,
     io,
     net::SocketAddr,
     path::{Path, PathBuf},
@@ -43,6 +46,8 @@
 /// An instance whose calls to the store have failed for so long says that it is not ready: callers'
 /// new connections then go to one that can accept lots and knows the newest configuration.
 const AWAY: Duration = Duration::from_millis(1_500);
+/// Pause between two summaries of calls to the store.
+const SUMMARY: Duration = Duration::from_secs(20);
 /// Pause between two looks whether the settings file has changed without a signal.
 const SETTINGS_LOOK: Duration = Duration::from_secs(2);
 
@@ -136,15 +141,24 @@
             objects::Client::new(options(settings), clock),
             adapter.store,
         );
+        actix_rt::spawn(summarise(store.client().clone()));
         let watch = settings.store.watch;
         let config = Config::start(&store, adapter, watch);
         let instance = &settings.instance;
-        let duties = Duties::new(&store, &instance.name, incarnation, instance.cores, boot_time);
+        let metrics = Metrics::new();
+        let duties = Duties::new(
+            &store,
+            &instance.name,
+            incarnation,
+            instance.cores,
+            &metrics,
+            boot_time,
+        );
         let held = Rc::clone(&duties);
         let hurried = move || held.held() > 0;
         let endpoints = Endpoints::start(&store, adapter, clock, instance, watch, hurried);
         let pool = Rc::new(Pool::default());
-        let relay = Relay::new(adapter, &endpoints, &pool);
+        let relay = Relay::new(adapter, &endpoints, &pool, &metrics);
         let runner = Runner::start(lots::Parts {
             adapter,
             store: store.clone(),
@@ -153,6 +167,7 @@
             duties: Rc::clone(&duties),
             pool: Rc::clone(&pool),
             relay: Rc::clone(&relay),
+            metrics: metrics.clone(),
             clock,
             watch,
             kept: settings.lots.kept,
@@ -163,7 +178,8 @@
             config: Rc::clone(&config),
             endpoints: Rc::clone(&endpoints),
             duties: Rc::clone(&duties),
-            pool,
+            pool: Rc::clone(&pool),
+            metrics: metrics.clone(),
             settings: settings.orders.clone(),
             watch,
         });
@@ -177,12 +193,22 @@
             };
             ready.serve(readiness, adapter.readiness_path).await?;
         }
+        if let Some(address) = instance.metrics {
+            let (pool, config) = (Rc::clone(&pool), Rc::clone(&config));
+            let sources = Sources {
+                store: store.client().clone(),
+                connections: Box::new(move || pool.opened()),
+                config: Box::new(move || config.table().map_or(0, |table| table.number())),
+            };
+            metrics.serve(listen(address).await?, sources).await?;
+        }
         let front = Rc::new(Front {
             adapter,
             config,
             relay,
             desk: Desk::new(adapter, &store),
             stop: Rc::clone(stop),
+            metrics,
         });
         let options = http::Options {
             connections: settings.instance.connections,
@@ -308,6 +334,21 @@
     }
 }
 
+/// Tells from time to time what this instance has asked of the store, since each call is priced.
+async fn summarise(client: objects::Client) {
+    loop {
+        sleep(SUMMARY).await;
+        let calls: BTreeMap<_, _> = client
+            .calls()
+            .into_iter()
+            .map(|((purpose, access), count)| {
+                (format_compact!("{} {access}", purpose.as_str()), count)
+            })
+            .collect();
+        log::info!(calls:serde = calls; "object store: calls so far");
+    }
+}
+
 /// Differs between starts of one instance's process; the wall clock is used for nothing else.
 fn incarnation() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/crates/pinereel/src/hosted/serve.rs
+++ b/crates/pinereel/src/hosted/serve.rs
@@ -3,6 +3,7 @@
 use super::{
     config::Config,
     lots::{Desk, Reply},
+    metrics::Metrics,
     relay::{Call, Outcome, Relay},
     stop::Stop,
 };
@@ -46,6 +47,8 @@
     pub desk: Desk,
     /// The graceful stop.
     pub stop: Rc<Stop>,
+    /// Figures.
+    pub metrics: Metrics,
 }
 
 /// Answers one request, which is in flight until the last byte of its answer has been sent.
@@ -73,10 +76,13 @@
         let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
         let host = CompactString::from(host);
         let Some(table) = self.config.table() else {
+            self.metrics
+                .count(&self.metrics.refused, &["no configuration"]);
             log::warn!(id = said.id.as_str(); "refused: no configuration is known yet");
             return not_run(StatusCode::SERVICE_UNAVAILABLE, NOT_CONFIGURED);
         };
         let Some(route) = table.find(&host, &path).cloned() else {
+            self.metrics.count(&self.metrics.refused, &["no route"]);
             log::info!(
                 id = said.id.as_str(),
                 host = host.as_str(),
@@ -89,7 +95,10 @@
         let max = table.document().limits.body;
         let body = match http::read(&mut request, max, BODY_TIMEOUT).await {
             Ok(body) => body,
-            Err(error) => return refuse_body(&said, &error),
+            Err(error) => {
+                self.metrics.count(&self.metrics.refused, &["body"]);
+                return refuse_body(&said, &error);
+            }
         };
         if route.kind == Kind::Lot && request.method() == Method::POST {
             let give_up = give_up(&said, route.timeout, arrived);
@@ -97,7 +106,7 @@
                 .desk
                 .submit(&said.id, &host, &path, &body, give_up)
                 .await;
-            return respond(reply);
+            return self.respond("submit", reply);
         }
         self.relay_call(request, &table, route, &said, body, arrived)
             .await
@@ -144,15 +153,21 @@
     async fn lot_call(&self, call: lot::Call, said: &live::Request, arrived: Instant) -> Response {
         let wait = said.wait.unwrap_or_default();
         let wait = wait.min(self.adapter.lot.longest_wait);
-        let reply = match call {
-            lot::Call::Read { lot, from } => self.desk.read(&lot, from, wait).await,
-            lot::Call::Body { lot, item } => self.desk.body(&lot, &item).await,
+        let (name, reply) = match call {
+            lot::Call::Read { lot, from } => ("read", self.desk.read(&lot, from, wait).await),
+            lot::Call::Body { lot, item } => ("body", self.desk.body(&lot, &item).await),
             lot::Call::End { lot } => {
                 let give_up = give_up(said, USUAL_TIMEOUT, arrived);
-                self.desk.end(&lot, give_up).await
+                ("end", self.desk.end(&lot, give_up).await)
             }
-            lot::Call::Other => Reply::NotFound,
+            lot::Call::Other => ("other", Reply::NotFound),
         };
+        self.respond(name, reply)
+    }
+
+    fn respond(&self, call: &str, reply: Reply) -> Response {
+        let family = &self.metrics.trainer_calls;
+        self.metrics.count(family, &[call, reply.as_str()]);
         respond(reply)
     }
 }
--- a/crates/pinereel/src/logging/line.rs
+++ b/crates/pinereel/src/logging/line.rs
@@ -45,6 +45,21 @@
     line.to_json()
 }
 
+/// The line that tells of `count` lines of a kind that were left out by their bound.
+pub(super) fn left_out(now: SystemTime, kind: &str, count: u64) -> String {
+    let line = Line {
+        now,
+        level: Level::Warn,
+        target: module_path!(),
+        message: format_args!("log lines left out"),
+        fields: BTreeMap::from([
+            ("kind".into(), kind.into()),
+            ("left_out".into(), count.into()),
+        ]),
+    };
+    line.to_json()
+}
+
 /// `time` in UTC as RFC 3339 with milliseconds, such as `1970-01-01T00:00:00.000Z`.
 pub fn timestamp(time: SystemTime) -> CompactString {
     let since = time.duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/crates/pinereel/src/logging/mod.rs
+++ b/crates/pinereel/src/logging/mod.rs
@@ -4,6 +4,7 @@
 //! it full are dropped and counted. Ordinary lines carry fields in the way of `log`:
 //! `log::info!(entry = name, zone = zone; "listening")`. Decisions have a type: [`Decision`].
 
+mod bound;
 mod decision;
 mod line;
 mod queue;
@@ -13,13 +14,14 @@
 pub use queue::Queue;
 
 use crate::settings;
+use bound::{Bound, Verdict};
 use log::LevelFilter;
 use std::{
     fs::OpenOptions,
     io::{self, Write},
     path::PathBuf,
     sync::{Mutex, PoisonError},
-    time::{Duration, SystemTime},
+    time::{Duration, Instant, SystemTime},
 };
 
 /// The process's log, once [`init`] has set it up.
@@ -92,7 +94,17 @@
     } else {
         LevelFilter::Off
     };
-    let write = move |record: &log::Record<'_>| queue.push(line::format(SystemTime::now(), record));
+    let bound = Bound::default();
+    let write = move |record: &log::Record<'_>| {
+        // A message that is made up of parts has no constant text; those are rare.
+        let kind = record.args().as_str().unwrap_or("");
+        if let Verdict::Write { left_out } = bound.judge(record.target(), kind, Instant::now()) {
+            if left_out > 0 {
+                queue.push(line::left_out(SystemTime::now(), kind, left_out));
+            }
+            queue.push(line::format(SystemTime::now(), record));
+        }
+    };
     fern::Dispatch::new()
         .level(settings.level)
         .level_for(TARGET, decisions)
--- a/crates/pinereel/src/metrics.rs
+++ b/crates/pinereel/src/metrics.rs
@@ -184,7 +184,7 @@
 }
 
 /// User and system time of the process so far.
-fn cpu_seconds() -> Option<f64> {
+pub(crate) fn cpu_seconds() -> Option<f64> {
     let stat = fs::read_to_string("/proc/self/stat").ok()?;
     // The second field, the program's name, may hold spaces and ends with the last `)`.
     let (_, rest) = stat.rsplit_once(')')?;
@@ -194,7 +194,7 @@
     Some((user + system) / TICKS_PER_SECOND)
 }
 
-fn resident_bytes() -> Option<f64> {
+pub(crate) fn resident_bytes() -> Option<f64> {
     let status = fs::read_to_string("/proc/self/status").ok()?;
     let line = status
         .lines()
--- a/crates/pinereel/src/settings/unit.rs
+++ b/crates/pinereel/src/settings/unit.rs
@@ -51,7 +51,9 @@
 }
 
 pub(super) fn cores(text: &str) -> Option<f64> {
-    text.parse().ok().filter(|cores: &f64| cores.is_finite() && *cores > 0.0)
+    text.parse()
+        .ok()
+        .filter(|cores: &f64| cores.is_finite() && *cores > 0.0)
 }
 
 pub(super) fn number(text: &str) -> Option<u64> {
--- a/crates/pinereel_core/src/batch/fleet.rs
+++ b/crates/pinereel_core/src/batch/fleet.rs
@@ -16,13 +16,16 @@
 }
 
 /// Share of a new gap between events in the moving average of an engine's pace.
-const PACE_GAIN: f64 = 0.25;
+const PACE_GAIN: f64 = 0.1;
 /// Pace of an engine that has made no event yet, in milliseconds an event: about that of the
 /// engines measured on 2026-12-02 (56 tokens at 0.7 ms).
 const USUAL_PACE: f64 = 40.0;
 /// A run is moved if its engine takes so many times as long as the one that it would go to. Reading
 /// the prompt and text again costs a few events, so a smaller gain is not worth it.
-const MOVE_FACTOR: f64 = 1.8;
+const MOVE_FACTOR: f64 = 2.0;
+/// Gaps that an engine's pace must rest on before it decides about a move: the arrival of single
+/// events depends on this process as well.
+const MOVE_GAPS: u32 = 12;
 /// What a full engine costs against an empty one of the same pace: enough to spread runs over equal
 /// engines, too little to prefer a slow one.
 const FULL_COST: f64 = 0.25;
@@ -70,6 +73,8 @@
     pub runs: u32,
     /// Moving average of the time between two events of a run, in milliseconds; none before the first.
     pub pace: Option<f64>,
+    /// Gaps that the pace rests on.
+    gaps: u32,
     /// Breaks in a row.
     breaks: u32,
     /// No new run before.
@@ -118,6 +123,7 @@
                     listed: listed.clone(),
                     runs: 0,
                     pace: None,
+                    gaps: 0,
                     breaks: 0,
                     not_before: Time::ZERO,
                     suspect: false,
@@ -162,7 +168,8 @@
 
     /// Where a run at `from` should go instead, if that is much faster.
     pub fn better(&self, now: Time, from: Key, oldest_version: u64) -> Option<Key> {
-        let pace = self.arena.get(from)?.pace?;
+        let engine = self.arena.get(from)?;
+        let pace = engine.pace.filter(|_| engine.gaps >= MOVE_GAPS)?;
         let to = self.pick(now, oldest_version, Some(from))?;
         (pace > MOVE_FACTOR * self.arena[to].pace()).then_some(to)
     }
@@ -188,6 +195,7 @@
             return;
         };
         let gap = gap.as_secs_f64() * 1_000.0;
+        engine.gaps = engine.gaps.saturating_add(1);
         engine.pace = Some(match engine.pace {
             Some(pace) => pace + PACE_GAIN * (gap - pace),
             None => gap,
--- a/crates/pinereel_core/src/lease.rs
+++ b/crates/pinereel_core/src/lease.rs
@@ -49,6 +49,8 @@
 pub enum Event {
     /// The lease as read, with its object version; `None` if absent.
     Read(Option<(u64, Lease)>),
+    /// The lease as it stands or stood a while ago: never evidence that it has not changed since.
+    Glimpsed(Option<(u64, Lease)>),
     /// The write succeeded and made this object version.
     Written(u64),
     /// The object had another version.
@@ -117,6 +119,9 @@
     /// Until when this candidate may act.
     until: Time,
     draining: bool,
+    /// Whether what is known comes from a read that may be old: a current one must confirm it before
+    /// another's lease is taken.
+    glimpsed: bool,
     /// Start of the ids that earlier starts of this instance had; empty if there are none.
     own_prefix: CompactString,
 }
@@ -136,6 +141,7 @@
             due: now,
             until: Time::ZERO,
             draining: false,
+            glimpsed: false,
             own_prefix: CompactString::default(),
         }
     }
@@ -192,7 +198,11 @@
     /// Takes one event and returns what to do.
     pub fn step(&mut self, now: Time, event: Event) -> Vec<Action> {
         match event {
-            Event::Read(found) => self.on_read(now, found),
+            Event::Read(found) => {
+                self.glimpsed = false;
+                self.on_read(now, found);
+            }
+            Event::Glimpsed(found) => self.on_glimpsed(now, found),
             Event::Written(version) => self.on_written(now, version),
             Event::Conflict | Event::Unknown => self.on_undecided(now),
             Event::Failed => self.on_failed(now),
@@ -249,6 +259,23 @@
         });
     }
 
+    /// Only a newer version than the known one is news.
+    fn on_glimpsed(&mut self, now: Time, found: Option<(u64, Lease)>) {
+        let known = self.view.as_ref().map(|view| view.version);
+        match found {
+            Some((version, lease)) if known.is_none_or(|known| version > known) => {
+                self.on_read(now, Some((version, lease)));
+            }
+            _ => {
+                self.call = Call::None;
+                let look = now + self.jittered(self.limits.retry);
+                let ripe = self.view.as_ref().map(|v| v.since + self.wait(&v.lease));
+                self.due = ripe.map_or(look, |ripe| look.min(ripe.max(now)));
+            }
+        }
+        self.glimpsed = true;
+    }
+
     fn on_written(&mut self, now: Time, version: u64) {
         if let Call::Write(sent) = mem::replace(&mut self.call, Call::None) {
             self.hold(now, version, sent);
@@ -303,7 +330,7 @@
         let free = lease.holder.is_empty()
             || self.is_predecessor(&lease.holder)
             || now >= since + self.wait(&lease);
-        if !own && !free {
+        if !own && (!free || self.glimpsed) {
             return Some(self.read());
         }
         let fence = lease.fence + u64::from(!own);
--- a/crates/pinereel_core/src/relay.rs
+++ b/crates/pinereel_core/src/relay.rs
@@ -46,15 +46,22 @@
     }
 }
 
-impl fmt::Display for Ended {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
+impl Ended {
+    /// The name in logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
             Self::Refused => "refused",
             Self::OtherEndpoint => "other endpoint",
             Self::NotOpened => "not opened",
             Self::Lost => "lost",
             Self::Garbled => "garbled",
-        })
+        }
+    }
+}
+
+impl fmt::Display for Ended {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
     }
 }
 
--- a/crates/pinereel_core/tests/batch_fleet.rs
+++ b/crates/pinereel_core/tests/batch_fleet.rs
@@ -33,7 +33,7 @@
 /// Lets a run at the engine show its pace.
 fn pace(fleet: &mut Fleet, id: &str, millis: u64) {
     let key = key(fleet, id);
-    for _ in 0..8 {
+    for _ in 0..40 {
         fleet.made(key, Duration::from_millis(millis));
     }
 }
--- a/crates/pinereel_core/tests/lease_holder.rs
+++ b/crates/pinereel_core/tests/lease_holder.rs
@@ -395,3 +395,60 @@
     world.flush(1);
     assert_eq!(world.acts(1), Some(2), "taken without a wait");
 }
+
+#[test]
+fn a_read_that_may_be_old_is_never_enough_to_take_a_lease() {
+    use pinereel_core::lease::{Action, Event, Holder, Lease, Limits};
+    let limits = Limits {
+        duration: Duration::from_secs(2),
+        margin: Duration::from_millis(200),
+        retry: Duration::from_millis(1_400),
+    };
+    let held = |fence: u64| Lease {
+        holder: "other".into(),
+        fence,
+        duration_ms: 2_000,
+        write_id: "w".into(),
+    };
+    let mut now = Time::from_millis(1);
+    let mut holder = Holder::new(now, "own", limits);
+    assert_eq!(holder.step(now, Event::Tick), [Action::Read]);
+    assert!(holder.step(now, Event::Read(Some((7, held(1))))).is_empty());
+    // A replica that hangs shows the same version for ever.
+    let mut reads = 0;
+    for _ in 0..40 {
+        now = now + Duration::from_millis(100);
+        for action in holder.step(now, Event::Tick) {
+            assert_eq!(action, Action::Read, "nothing is written on old news");
+            reads += 1;
+            let old = holder.watches(now);
+            let event = if old {
+                Event::Glimpsed(Some((7, held(1))))
+            } else {
+                // The current read tells that the holder has renewed all along.
+                Event::Read(Some((7 + reads, held(1))))
+            };
+            assert!(holder.step(now, event).is_empty());
+        }
+    }
+    assert!(reads >= 3, "it goes on looking");
+}
+
+#[test]
+fn an_instance_takes_its_own_earlier_lease_at_once() {
+    use pinereel_core::lease::{Action, Event, Holder, Lease, Limits};
+    let now = Time::from_millis(1);
+    let mut holder = Holder::new(now, "front-1/b", Limits::default()).succeeding("front-1/");
+    assert_eq!(holder.step(now, Event::Tick), [Action::Read]);
+    let lease = Lease {
+        holder: "front-1/a".into(),
+        fence: 4,
+        duration_ms: 15_000,
+        write_id: "w".into(),
+    };
+    let actions = holder.step(now, Event::Read(Some((9, lease))));
+    assert!(
+        matches!(&actions[..], [Action::Write { expected: Some(9), lease }] if lease.fence == 5),
+        "{actions:?}"
+    );
+}
--- a/crates/pinereel_core/tests/rollout_share.rs
+++ b/crates/pinereel_core/tests/rollout_share.rs
@@ -39,7 +39,9 @@
     for gone in &all {
         let left = all.iter().filter(|engine| *engine != gone).cloned();
         let after = share(left, &models);
-        let moved = after.iter().filter(|(engine, model)| before[*engine] != **model);
+        let moved = after
+            .iter()
+            .filter(|(engine, model)| before[*engine] != **model);
         assert!(moved.count() <= 4, "without {gone}");
     }
 }
--- a/crates/pinereel_fakes/src/hosting/site.rs
+++ b/crates/pinereel_fakes/src/hosting/site.rs
@@ -16,6 +16,7 @@
     path::{Path, PathBuf},
     process::Command,
     rc::Rc,
+    sync::atomic::{AtomicU32, Ordering},
     time::Duration,
 };
 use tokio::time::{Instant, sleep};
@@ -30,6 +31,8 @@
 const PLAIN: &str = "plain";
 /// The second service, to which changes of the configuration move a route.
 const OTHER: &str = "other";
+/// Port of the metrics in the deployment's template.
+pub const METRICS_PORT: u16 = 9_464;
 /// Longest wait for a process to become ready.
 const READY: Duration = Duration::from_secs(10);
 
@@ -210,11 +213,15 @@
     async fn add(&mut self, to_store: proxy::Fault) -> io::Result<()> {
         let name = format!("front-{}", self.number());
         let [callers, readiness] = free_addresses()?;
+        let metrics = SocketAddr::new(callers.ip(), METRICS_PORT);
         let store = Proxy::start(self.store.address).await?;
         store.set(to_store);
         let settings = self.folder.join(format!("{name}.ini"));
         let template = include_str!("../../../../deploy/instance.ini");
-        let good_settings = fill(template, &fields(&name, callers, readiness, store.address));
+        let good_settings = fill(
+            template,
+            &fields(&name, [callers, readiness, metrics], store.address),
+        );
         fs::write(&settings, &good_settings)?;
         let mut instance = Instance {
             name,
@@ -334,10 +341,12 @@
 }
 
 /// What the platform fills the template with.
-fn fields(name: &str, callers: SocketAddr, readiness: SocketAddr, store: SocketAddr) -> Value {
+fn fields(name: &str, own: [SocketAddr; 3], store: SocketAddr) -> Value {
+    let [callers, readiness, metrics] = own;
     json!({
         "node": name,
         "zone": "here",
+        "ip": metrics.ip().to_string(),
         "listen": {"front": callers.to_string(), "ready": readiness.to_string()},
         "limits": {"maxFds": 1_024, "cpuShare": 0.5},
         "provider": {"addr": store.to_string()},
@@ -345,9 +354,15 @@
     })
 }
 
-/// Two addresses on which nothing listens. Both are held until both are known.
+/// Two free ports on a loopback address that no other instance has: what else is bound takes ports of
+/// 127.0.0.1, and would race for those of a process that has not started yet.
 fn free_addresses() -> io::Result<[SocketAddr; 2]> {
-    let bind = || TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
+    static NEXT: AtomicU32 = AtomicU32::new(1);
+    let own = NEXT.fetch_add(1, Ordering::Relaxed);
+    let process = std::process::id();
+    let [_, _, high, low] = process.to_be_bytes();
+    let ip = Ipv4Addr::new(127, 2 + high % 250, low, (own % 254) as u8 + 1);
+    let bind = || TcpListener::bind((ip, 0));
     let (one, two) = (bind()?, bind()?);
     Ok([one.local_addr()?, two.local_addr()?])
 }
--- a/crates/pinereel_fakes/tests/hosting_soak.rs
+++ b/crates/pinereel_fakes/tests/hosting_soak.rs
@@ -10,7 +10,7 @@
         length: Duration::from_secs(10),
         ..Options::default()
     };
-    let report = run(options).await.unwrap();
+    let report = run(options).await.expect("the site starts");
     println!("{report}");
     assert!(
         report.broken.is_empty(),
--- a/crates/pinereel_port/src/engine.rs
+++ b/crates/pinereel_port/src/engine.rs
@@ -41,6 +41,20 @@
     Refused,
 }
 
+impl Verdict {
+    /// The name in logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Holds => "holds",
+            Self::Busy => "busy",
+            Self::Fenced => "fenced",
+            Self::OtherEndpoint => "other endpoint",
+            Self::Refused => "refused",
+        }
+    }
+}
+
 /// What an engine reports of itself, some 100 ms old.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Report {
