Retirements are answered by the holder of the orders' duty

Ruled out: readiness (no instance in touch was unready for long); the standby itself (one watch for each of them costs more calls than one at the holder). Change: hosted::retire. Test: an_instance_that_is_to_be_emptied_may_go_at_once, failed before.

--- a/crates/pinereel/src/hosted/mod.rs
+++ b/crates/pinereel/src/hosted/mod.rs
@@ -19,6 +19,7 @@
 mod metrics;
 mod orders;
 mod relay;
+mod retire;
 mod run;
 mod serve;
 mod stop;
--- a/crates/pinereel/src/hosted/orders.rs
+++ b/crates/pinereel/src/hosted/orders.rs
@@ -9,6 +9,7 @@
     endpoints::Endpoints,
     follow::{Manner, Update, follow},
     metrics::Metrics,
+    retire,
     store::Store,
 };
 use crate::{
@@ -203,8 +204,11 @@
             };
             Rc::new(rollout).run()
         });
+        // One instance is enough to answer retirements; the holder of this duty is one.
+        let retirements = retire::serve(&store, self.parts.adapter, wait);
         tokio::select! {
             () = versions => {}
+            () = retirements => {}
             _ = futures_util::future::join_all(models) => {}
         }
     }
--- /dev/null
+++ b/crates/pinereel/src/hosted/retire.rs
@@ -0,0 +1,72 @@
+//! Instances that are to be emptied before they are taken away.
+//!
+//! Nothing lies on an instance that is not in the object store, so each request is answered at once.
+
+use super::{
+    follow::{Manner, Update, follow},
+    store::Store,
+};
+use crate::objects::Purpose;
+use pinereel_port::{Adapter, store::Object};
+use std::time::Duration;
+use tokio::{sync::mpsc, time::sleep};
+
+/// Pause after an answer that was not written.
+const RETRY: Duration = Duration::from_millis(200);
+
+/// Answers the requests until dropped.
+pub async fn serve(store: &Store, adapter: Adapter, wait: Duration) {
+    let (sender, mut asked) = mpsc::unbounded_channel();
+    let manner = || Manner {
+        wait,
+        gather: Duration::ZERO,
+    };
+    let kind = adapter.places.retirements;
+    let requests = follow(store, Purpose::Retirements, kind, manner, |update| {
+        for object in open(update) {
+            // The receiver lives as long as this function.
+            let _ = sender.send(object);
+        }
+    });
+    let answers = async {
+        while let Some(object) = asked.recv().await {
+            answer(store, adapter, &object).await;
+        }
+    };
+    tokio::select! {
+        () = requests => {}
+        () = answers => {}
+    }
+}
+
+/// The requests that nobody has answered.
+fn open(update: Update) -> Vec<Object> {
+    let objects: Vec<_> = match update {
+        Update::All(objects) => objects,
+        Update::Changes(changes) => {
+            let present = changes.into_iter().filter(|change| !change.deleted);
+            present.map(|change| change.object).collect()
+        }
+    };
+    let open = objects.into_iter().filter(|object| object.status.is_null());
+    open.collect()
+}
+
+async fn answer(store: &Store, adapter: Adapter, object: &Object) {
+    let (kind, status) = (adapter.places.retirements, (adapter.retired)());
+    loop {
+        let written = store.report(Purpose::Retirements, kind, &object.name, &status);
+        match written.await {
+            Ok(()) => {
+                let instance = object.name.as_str();
+                log::info!(instance, revision = object.revision; "instance may be taken away");
+                return;
+            }
+            Err(crate::objects::Error::NotFound) => return,
+            Err(error) => {
+                log::warn!(instance = object.name.as_str(), error:% = error; "retirement not answered");
+                sleep(RETRY).await;
+            }
+        }
+    }
+}
--- a/crates/pinereel_fakes/tests/hosting_path.rs
+++ b/crates/pinereel_fakes/tests/hosting_path.rs
@@ -163,3 +163,20 @@
     );
     assert_eq!(ready.await.unwrap().status, StatusCode::SERVICE_UNAVAILABLE);
 }
+
+#[actix_rt::test]
+async fn an_instance_that_is_to_be_emptied_may_go_at_once() {
+    let site = Site::start(SMALL, 105).await.unwrap();
+    let asked = serde_json::json!({"durationS": 10});
+    site.store.put("retirements", "store-1", asked);
+    let end = Instant::now() + Duration::from_secs(6);
+    let answered = || {
+        site.store
+            .status("retirements", "store-1")
+            .unwrap_or_default()
+    };
+    while answered().is_null() && Instant::now() < end {
+        sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(answered()["state"], "completed");
+}
