One instance reads the configuration, the endpoint list and the leases for all

Ruled out: a tree over zones (the grown sites fit one holder; 128 links a holder are the bound, see CAPACITY.md); sparser watches (a leaving endpoint must be left within two seconds). Change: hosted::bulletin, a duty whose holder follows the store and tells linked instances, over WebSocket with CBOR. An instance whose link is silent for 1.2 s or breaks goes on by itself from the revision that it knows; the holder gives signs of life only while the store answers it. Results are gathered for 0.3 s.

--- /dev/null
+++ b/crates/pinereel/src/hosted/bulletin/frame.rs
@@ -0,0 +1,65 @@
+//! What goes over a link.
+
+use pinereel_port::store::{Change, Object};
+use serde::{Deserialize, Serialize};
+
+/// What is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Topic {
+    /// The configuration.
+    Config,
+    /// The endpoint list.
+    Endpoints,
+    /// The leases of all duties.
+    Leases,
+}
+
+/// One message on a link.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Frame {
+    /// All objects of a topic, as of a revision.
+    All {
+        /// The topic.
+        topic: Topic,
+        /// The store's revision.
+        revision: u64,
+        /// The objects.
+        objects: Vec<Object>,
+    },
+    /// What changed up to a revision.
+    Changes {
+        /// The topic.
+        topic: Topic,
+        /// The store's revision after them.
+        revision: u64,
+        /// Oldest first.
+        changes: Vec<Change>,
+    },
+    /// The sender is in contact with the store.
+    Alive,
+}
+
+impl Frame {
+    /// The frame as bytes; none if it cannot be written.
+    pub fn encode(&self) -> Option<Vec<u8>> {
+        let mut bytes = Vec::new();
+        match ciborium::into_writer(self, &mut bytes) {
+            Ok(()) => Some(bytes),
+            Err(error) => {
+                log::error!(error:% = error; "bulletin: frame not written");
+                None
+            }
+        }
+    }
+
+    /// Reads a frame.
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        match ciborium::from_reader(bytes) {
+            Ok(frame) => Some(frame),
+            Err(error) => {
+                log::warn!(error:% = error; "bulletin: frame not read");
+                None
+            }
+        }
+    }
+}
--- a/crates/pinereel/src/hosted/config.rs
+++ b/crates/pinereel/src/hosted/config.rs
@@ -1,6 +1,7 @@
 //! The configuration in force at this instance.
 
 use super::{
+    bulletin::{Feed, Topic},
     follow::{Manner, Update, follow},
     store::Store,
 };
@@ -24,19 +25,20 @@
 
 impl Config {
     /// Follows the configuration in `store` from now on.
-    pub fn start(store: &Store, adapter: Adapter, wait: Duration) -> Rc<Self> {
+    pub fn start(store: &Store, adapter: Adapter, wait: Duration, feed: &Feed) -> Rc<Self> {
         let config = Rc::new(Self {
             in_force: RefCell::new(None),
             changed: watch::channel(0).0,
         });
         let (state, store) = (Rc::clone(&config), store.clone());
+        let fed = Some(feed.hear(Topic::Config));
         actix_rt::spawn(async move {
             let kind = adapter.places.config;
             let manner = || Manner {
                 wait,
                 gather: Duration::ZERO,
             };
-            follow(&store, Purpose::Config, kind, manner, |update| {
+            follow(&store, Purpose::Config, kind, manner, fed, |update, _| {
                 state.take(adapter, update);
             })
             .await;
--- a/crates/pinereel/src/hosted/duty.rs
+++ b/crates/pinereel/src/hosted/duty.rs
@@ -1,6 +1,11 @@
 //! Duties that one instance has at a time, by leases in the object store.
 
-use super::{metrics::Metrics, store::Store};
+use super::{
+    bulletin::{Fed, Feed, Topic},
+    follow::Update,
+    metrics::Metrics,
+    store::Store,
+};
 use crate::objects::{Error, Purpose};
 use compact_str::{CompactString, format_compact};
 use pinereel_core::{
@@ -15,12 +20,16 @@
     time::Duration,
 };
 use tokio::{
-    sync::{Notify, watch},
+    sync::{
+        Notify,
+        broadcast::{self, error::RecvError},
+        watch,
+    },
     time::sleep,
 };
 
 /// Kind of the leases, one object a duty.
-const KIND: &str = "pinereel-duties";
+pub const KIND: &str = "pinereel-duties";
 
 /// Times of all leases. A holder that dies is replaced after 2.2 s to 3 s: a step is due in 7.5 s,
 /// and an item must not wait for 5 s. A holder renews about every 0.7 s, which is one call.
@@ -69,6 +78,8 @@
     store: Store,
     instance: CompactString,
     id: CompactString,
+    /// Where other instances reach this one; empty if nowhere.
+    own_address: CompactString,
     clock: Rc<dyn Fn() -> Time>,
     joined: RefCell<BTreeMap<CompactString, watch::Sender<Standing>>>,
     /// Duties that are not released yet after a drain.
@@ -91,14 +102,16 @@
         store: &Store,
         instance: &CompactString,
         incarnation: u64,
-        cores: f64,
+        (cores, own_address): (f64, CompactString),
         metrics: &Metrics,
+        feed: &Feed,
         clock: impl Fn() -> Time + 'static,
     ) -> Rc<Self> {
         let duties = Rc::new(Self {
             store: store.clone(),
             instance: instance.clone(),
             id: format_compact!("{instance}/{incarnation:x}"),
+            own_address,
             clock: Rc::new(clock),
             joined: RefCell::default(),
             unreleased: Cell::new(0),
@@ -111,28 +124,28 @@
             drain: Notify::new(),
         });
         let looking = Rc::clone(&duties);
-        actix_rt::spawn(async move { looking.look_out().await });
+        let fed = feed.hear(Topic::Leases);
+        actix_rt::spawn(async move { looking.look_out(fed).await });
         duties
     }
 
     /// Lists all leases now and then, for the candidates that follow others.
-    async fn look_out(&self) {
+    async fn look_out(&self, mut fed: broadcast::Receiver<Fed>) {
         let seed = hash::stable(self.id.as_bytes());
         let mut looks = Looks::new(self.cores >= AMPLE_CORES, seed);
         let mut returns = self.store.returns();
+        let mut told = false;
         loop {
+            while told {
+                told = self.take_told(fed.recv().await, &mut looks);
+            }
             if self.waiting.get() == 0 {
                 sleep(SHORTEST_SLEEP * 10).await;
                 continue;
             }
             let list = self.store.list(Purpose::Leases, KIND, None).await;
             let due = match list {
-                Ok((objects, _)) => {
-                    let due = looks.looked(self.now(), glances(&objects));
-                    self.page.replace(objects);
-                    self.look.send_modify(|looks| *looks += 1);
-                    due
-                }
+                Ok((objects, _)) => self.looked(objects, &mut looks),
                 Err(error) => {
                     log::debug!(error:% = error; "leases not listed");
                     self.now() + LIMITS.retry
@@ -143,10 +156,45 @@
                 () = sleep(due.since(self.now())) => {}
                 _ = returns.changed() => {}
                 () = self.drain.notified() => {}
+                heard = fed.recv() => told = self.take_told(heard, &mut looks),
             }
         }
     }
 
+    /// A look shows these leases; returns when the next one is due.
+    fn looked(&self, objects: Vec<Object>, looks: &mut Looks) -> Time {
+        let due = looks.looked(self.now(), glances(&objects));
+        self.page.replace(objects);
+        self.look.send_modify(|looks| *looks += 1);
+        due
+    }
+
+    /// The bulletin tells of the leases, or is lost; says whether it goes on telling.
+    fn take_told(&self, heard: Result<Fed, RecvError>, looks: &mut Looks) -> bool {
+        match heard {
+            Ok(Fed::Told(update, _)) => {
+                if let Update::All(objects) = &*update {
+                    self.looked(objects.clone(), looks);
+                }
+                true
+            }
+            // What was missed is told again soon.
+            Err(RecvError::Lagged(_)) => true,
+            Ok(Fed::Lost) | Err(RecvError::Closed) => false,
+        }
+    }
+
+    /// Where the holder of a duty can be reached, as far as this instance has seen.
+    pub fn address(&self, duty: &str) -> Option<CompactString> {
+        if self.acts(duty).is_some() {
+            return Some(self.own_address.clone());
+        }
+        let page = self.page.borrow();
+        let object = page.iter().find(|object| object.name == duty)?;
+        let (_, lease) = decode(duty, object.clone())?;
+        (!lease.address.is_empty()).then_some(lease.address)
+    }
+
     /// What the next look shows of a duty.
     async fn next_look(&self, duty: &str) -> Event {
         let mut look = self.look.subscribe();
@@ -221,7 +269,9 @@
 
     async fn run(&self, duty: &CompactString) {
         let prefix = format_compact!("{}/", self.instance);
-        let mut holder = Holder::new(self.now(), self.id.clone(), LIMITS).succeeding(prefix);
+        let mut holder = Holder::new(self.now(), self.id.clone(), LIMITS)
+            .succeeding(prefix)
+            .reached_at(self.own_address.clone());
         let mut told = false;
         let mut returns = self.store.returns();
         // Those that should hold it look first, and find nothing; the others find their lease.
--- a/crates/pinereel/src/hosted/endpoints.rs
+++ b/crates/pinereel/src/hosted/endpoints.rs
@@ -1,6 +1,7 @@
 //! The endpoints, as the platform lists them and as this instance has found them.
 
 use super::{
+    bulletin::{Feed, Topic},
     follow::{Manner, Update, follow},
     store::Store,
 };
@@ -82,6 +83,7 @@
         clock: Clock,
         instance: &Instance,
         settings: &settings::Store,
+        feed: &Feed,
         hurried: impl Fn() -> bool + 'static,
     ) -> Rc<Self> {
         let (name, zone) = (&instance.name, &instance.zone);
@@ -98,6 +100,7 @@
             changed: watch::channel(0).0,
         });
         let state = Rc::clone(&endpoints);
+        let fed = Some(feed.hear(Topic::Endpoints));
         actix_rt::spawn(async move {
             let kind = adapter.places.endpoints;
             let store = state.store.clone();
@@ -106,10 +109,8 @@
                 wait,
                 gather: if hurried() { HURRIED } else { gather },
             };
-            follow(&store, Purpose::Instances, kind, manner, move |update| {
-                taker.take(update);
-            })
-            .await;
+            let take = move |update, _| taker.take(update);
+            follow(&store, Purpose::Instances, kind, manner, fed, take).await;
         });
         endpoints
     }
--- a/crates/pinereel/src/hosted/follow.rs
+++ b/crates/pinereel/src/hosted/follow.rs
@@ -1,17 +1,17 @@
-//! Following all objects of a kind: one list, then watches.
+//! Following all objects of a kind: one list, then watches, or what the bulletin tells.
 
-use super::store::Store;
+use super::{bulletin::Fed, store::Store};
 use crate::objects::{Error, Purpose};
 use pinereel_port::store::{Change, Object};
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::{sync::broadcast, time::sleep};
 
 /// Pause after a failed call. A change must be in force within two seconds, and the breaker of the
 /// store's client spares a store that is down.
 const RETRY: Duration = Duration::from_millis(200);
 
 /// What the store told.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub enum Update {
     /// All objects of the kind as they stand.
     All(Vec<Object>),
@@ -28,23 +28,36 @@
     pub gather: Duration,
 }
 
-/// Follows the objects of `kind` until dropped, and tells `take` of each answer. `manner` is asked
-/// before each watch.
+/// Follows the objects of `kind` until dropped, and tells `take` of each answer with its revision.
+/// `manner` is asked before each watch. While `fed` tells, the store is not asked.
 pub async fn follow(
     store: &Store,
     purpose: Purpose,
     kind: &str,
     manner: impl Fn() -> Manner,
-    mut take: impl FnMut(Update),
+    fed: Option<broadcast::Receiver<Fed>>,
+    mut take: impl FnMut(Update, u64),
 ) {
     let mut returns = store.returns();
+    let mut fed = Hearing::new(fed);
     let mut revision = None;
     loop {
         returns.mark_unchanged();
         let answer = tokio::select! {
-            answer = once(store, purpose, kind, manner().wait, revision) => answer,
+            biased;
+            told = fed.next(), if fed.is_open() => {
+                if let Some((update, told)) = told {
+                    // The holder may lag behind what is known here.
+                    if revision.is_none_or(|known| told >= known) {
+                        revision = Some(told);
+                        take(update, told);
+                    }
+                }
+                continue;
+            }
+            answer = once(store, purpose, kind, manner().wait, revision), if !fed.tells() => answer,
             // A watch that began before the contact was lost may never hear of anything.
-            _ = returns.changed() => continue,
+            _ = returns.changed(), if !fed.tells() => continue,
         };
         match answer {
             Ok((next, update)) => {
@@ -56,7 +69,7 @@
                 }
                 revision = Some(next);
                 if let Some(update) = update {
-                    take(update);
+                    take(update, next);
                     sleep(manner().gather).await;
                 }
             }
@@ -74,6 +87,54 @@
     }
 }
 
+/// What is heard of the bulletin.
+struct Hearing {
+    receiver: Option<broadcast::Receiver<Fed>>,
+    tells: bool,
+}
+
+impl Hearing {
+    const fn new(receiver: Option<broadcast::Receiver<Fed>>) -> Self {
+        Self {
+            receiver,
+            tells: false,
+        }
+    }
+
+    const fn is_open(&self) -> bool {
+        self.receiver.is_some()
+    }
+
+    /// Whether all changes come from there now.
+    const fn tells(&self) -> bool {
+        self.tells
+    }
+
+    /// The next update and its revision; none if the link is lost or this part lagged behind.
+    async fn next(&mut self) -> Option<(Update, u64)> {
+        let heard = match &mut self.receiver {
+            Some(receiver) => receiver.recv().await,
+            None => std::future::pending().await,
+        };
+        match heard {
+            Ok(Fed::Told(update, revision)) => {
+                // Changes alone may follow on what this part has missed.
+                self.tells |= matches!(*update, Update::All(_));
+                self.tells.then(|| ((*update).clone(), revision))
+            }
+            Ok(Fed::Lost) | Err(broadcast::error::RecvError::Lagged(_)) => {
+                self.tells = false;
+                None
+            }
+            Err(broadcast::error::RecvError::Closed) => {
+                self.tells = false;
+                self.receiver = None;
+                None
+            }
+        }
+    }
+}
+
 async fn once(
     store: &Store,
     purpose: Purpose,
--- a/crates/pinereel/src/hosted/lots/commit.rs
+++ b/crates/pinereel/src/hosted/lots/commit.rs
@@ -11,7 +11,7 @@
 
 /// How long a result waits for others that may be committed with it. Trainers read twice a second,
 /// and each commit is a priced write.
-const GATHER: Duration = Duration::from_millis(150);
+const GATHER: Duration = Duration::from_millis(300);
 /// Pause after a write that failed or whose answer was lost.
 const RETRY: Duration = Duration::from_millis(100);
 /// Most bytes of text in one segment; the store takes a megabyte, and JSON may double the text.
--- a/crates/pinereel/src/hosted/lots/runner.rs
+++ b/crates/pinereel/src/hosted/lots/runner.rs
@@ -266,7 +266,7 @@
             wait: self.parts.watch,
             gather: Duration::ZERO,
         };
-        let lots = follow(&store, Purpose::Lots, LOTS, manner, |update| {
+        let lots = follow(&store, Purpose::Lots, LOTS, manner, None, |update, _| {
             self.take(model, update);
         });
         tokio::select! {
--- a/crates/pinereel/src/hosted/mod.rs
+++ b/crates/pinereel/src/hosted/mod.rs
@@ -11,6 +11,7 @@
 //!        └ Duties (leases) ───────────────────┘
 //! ```
 
+mod bulletin;
 mod config;
 mod duty;
 mod endpoints;
--- a/crates/pinereel/src/hosted/orders.rs
+++ b/crates/pinereel/src/hosted/orders.rs
@@ -191,7 +191,7 @@
             wait,
             gather: Duration::ZERO,
         };
-        let versions = follow(&store, Purpose::Weights, kind, manner, |update| {
+        let versions = follow(&store, Purpose::Weights, kind, manner, None, |update, _| {
             self.take(update);
         });
         let models = self.models(service).into_iter().map(|model| {
--- a/crates/pinereel/src/hosted/retire.rs
+++ b/crates/pinereel/src/hosted/retire.rs
@@ -22,12 +22,19 @@
         gather: Duration::ZERO,
     };
     let kind = adapter.places.retirements;
-    let requests = follow(store, Purpose::Retirements, kind, manner, |update| {
-        for object in open(update) {
-            // The receiver lives as long as this function.
-            let _ = sender.send(object);
-        }
-    });
+    let requests = follow(
+        store,
+        Purpose::Retirements,
+        kind,
+        manner,
+        None,
+        |update, _| {
+            for object in open(update) {
+                // The receiver lives as long as this function.
+                let _ = sender.send(object);
+            }
+        },
+    );
     let answers = async {
         while let Some(object) = asked.recv().await {
             answer(store, adapter, &object).await;
--- a/crates/pinereel/src/hosted/run.rs
+++ b/crates/pinereel/src/hosted/run.rs
@@ -1,6 +1,7 @@
 //! The running process.
 
 use super::{
+    bulletin::{Board, Feed},
     config::Config,
     duty::Duties,
     endpoints::Endpoints,
@@ -143,21 +144,36 @@
         );
         actix_rt::spawn(summarise(store.client().clone()));
         let watch = settings.store.watch;
-        let config = Config::start(&store, adapter, watch);
+        let feed = Rc::new(Feed::default());
+        let config = Config::start(&store, adapter, watch, &feed);
         let instance = &settings.instance;
         let metrics = Metrics::new();
+        let links = instance.peers.map(|peers| peers.to_string().into());
+        let standing = (instance.cores, links.unwrap_or_default());
         let duties = Duties::new(
             &store,
             &instance.name,
             incarnation,
-            instance.cores,
+            standing,
             &metrics,
+            &feed,
             boot_time,
         );
+        if let Some(peers) = instance.peers {
+            Board::start(&store, adapter, &duties, watch, listen(peers).await?);
+            feed.start(&duties);
+        }
         let held = Rc::clone(&duties);
         let hurried = move || held.held() > 0;
-        let endpoints =
-            Endpoints::start(&store, adapter, clock, instance, &settings.store, hurried);
+        let endpoints = Endpoints::start(
+            &store,
+            adapter,
+            clock,
+            instance,
+            &settings.store,
+            &feed,
+            hurried,
+        );
         let pool = Rc::new(Pool::default());
         let relay = Relay::new(adapter, &endpoints, &pool, &metrics);
         let runner = Runner::start(lots::Parts {
--- a/crates/pinereel/src/hosted/store.rs
+++ b/crates/pinereel/src/hosted/store.rs
@@ -25,6 +25,8 @@
     away_since: Cell<Option<Instant>>,
     /// When a call last failed.
     failed_at: Cell<Option<Instant>>,
+    /// When a call was last answered.
+    answered_at: Cell<Option<Instant>>,
     /// Grows each time that the contact is back: whoever waits for news asks anew.
     returns: watch::Sender<u64>,
 }
@@ -35,6 +37,7 @@
         let contact = Contact {
             away_since: Cell::new(None),
             failed_at: Cell::new(None),
+            answered_at: Cell::new(None),
             returns: watch::channel(0).0,
         };
         Self {
@@ -55,6 +58,12 @@
         failed.is_some_and(|at| at.elapsed() < span)
     }
 
+    /// Whether a call was answered within the last `span`.
+    pub fn answered_within(&self, span: Duration) -> bool {
+        let answered = self.contact.answered_at.get();
+        answered.is_some_and(|at| at.elapsed() < span)
+    }
+
     /// Tells each time that the contact is back after failures.
     pub fn returns(&self) -> watch::Receiver<u64> {
         self.contact.returns.subscribe()
@@ -236,6 +245,7 @@
     }
 
     fn answered(&self) {
+        self.answered_at.set(Some(Instant::now()));
         if let Some(since) = self.away_since.take() {
             let millis = since.elapsed().as_millis() as u64;
             log::info!(away_ms = millis; "object store: contact regained");
--- a/crates/pinereel/src/settings/hosted.rs
+++ b/crates/pinereel/src/settings/hosted.rs
@@ -34,6 +34,8 @@
     pub readiness: Option<SocketAddr>,
     /// Where metrics are read.
     pub metrics: Option<SocketAddr>,
+    /// Where other instances connect; without it each reads the store for itself.
+    pub peers: Option<SocketAddr>,
     /// Most open connections of callers.
     pub connections: usize,
     /// Cores that it may use; duties go to instances with more of them.
@@ -131,10 +133,12 @@
         let callers = section.optional("callers", unit::ADDRESS, unit::address);
         let readiness = section.optional("readiness", unit::ADDRESS, unit::address);
         let metrics = section.optional("metrics", unit::ADDRESS, unit::address);
+        let peers = section.optional("peers", unit::ADDRESS, unit::address);
         section.no_clash(&[
             ("callers", callers),
             ("readiness", readiness),
             ("metrics", metrics),
+            ("peers", peers),
         ]);
         // Half of the descriptors are left for endpoints, the store and files.
         let cores = section.optional("cores", unit::CORES, unit::cores);
@@ -145,6 +149,7 @@
             callers,
             readiness,
             metrics,
+            peers,
             connections: descriptors / 2,
             cores: cores.unwrap_or(1.0),
         })
--- a/crates/pinereel_core/src/lease/mod.rs
+++ b/crates/pinereel_core/src/lease/mod.rs
@@ -25,6 +25,9 @@
     pub duration_ms: u64,
     /// Unique to each write; tells after a lost answer whose write it is.
     pub write_id: CompactString,
+    /// Where the holder can be reached on account of the duty; empty if nowhere.
+    #[serde(default, skip_serializing_if = "CompactString::is_empty")]
+    pub address: CompactString,
 }
 
 /// Times of a lease.
@@ -123,6 +126,8 @@
     draining: bool,
     /// Start of the ids that earlier starts of this instance had; empty if there are none.
     own_prefix: CompactString,
+    /// Where this candidate can be reached while it holds the lease.
+    address: CompactString,
 }
 
 impl Holder {
@@ -141,9 +146,17 @@
             until: Time::ZERO,
             draining: false,
             own_prefix: CompactString::default(),
+            address: CompactString::default(),
         }
     }
 
+    /// Names the address in the lease while this candidate holds it.
+    #[must_use]
+    pub fn reached_at(mut self, address: impl Into<CompactString>) -> Self {
+        self.address = address.into();
+        self
+    }
+
     /// Takes a lease at once if its holder's id starts with `prefix`: that is an earlier start of
     /// this instance, which has ended.
     #[must_use]
@@ -353,6 +366,7 @@
             fence,
             duration_ms,
             write_id,
+            address: self.address.clone(),
         };
         self.call = Call::Write(Sent {
             at: now,
--- a/crates/pinereel_fakes/src/hosting/settings.rs
+++ b/crates/pinereel_fakes/src/hosting/settings.rs
@@ -32,7 +32,10 @@
 fn find<'a>(fields: &'a Value, name: &str) -> Option<&'a Value> {
     let mut found = fields;
     for part in name.split('.') {
-        found = found.get(part)?;
+        found = match part.parse::<usize>() {
+            Ok(index) if found.is_array() => found.get(index)?,
+            _ => found.get(part)?,
+        };
     }
     Some(found)
 }
--- a/crates/pinereel_fakes/src/hosting/site.rs
+++ b/crates/pinereel_fakes/src/hosting/site.rs
@@ -33,6 +33,8 @@
 const OTHER: &str = "other";
 /// Port of the metrics in the deployment's template.
 pub const METRICS_PORT: u16 = 9_464;
+/// First port for the system's own use.
+const PEERS_PORT: u16 = 9_470;
 /// Longest wait for a process to become ready.
 const READY: Duration = Duration::from_secs(10);
 
@@ -347,6 +349,7 @@
         "node": name,
         "zone": "here",
         "ip": metrics.ip().to_string(),
+        "portRange": [PEERS_PORT, PEERS_PORT + 15],
         "listen": {"front": callers.to_string(), "ready": readiness.to_string()},
         "limits": {"maxFds": 1_024, "cpuShare": 0.5},
         "provider": {"addr": store.to_string()},
--- a/crates/pinereel_port/src/store.rs
+++ b/crates/pinereel_port/src/store.rs
@@ -4,11 +4,12 @@
 use actix_http::Method;
 use bytes::Bytes;
 use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::time::Duration;
 
 /// One object.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Object {
     /// Name within its kind.
     pub name: CompactString,
@@ -32,7 +33,7 @@
 }
 
 /// One change of one object.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Change {
     /// The object after the change, or as it last was.
     pub object: Object,
