--- a/check.sh
+++ b/check.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Checks the whole project: format, lints, tests, demo. CI runs just this.
+# Checks the whole project: names, format, lints, tests, demo. CI runs just this.
 #   ./check.sh          everything
 #   ./check.sh tests    only the tests
 # Tests named in KNOWN-RED.txt may fail; they are run and printed, any other failure fails the check.
@@ -30,6 +30,20 @@
   printf 'KNOWN RED (listed in KNOWN-RED.txt): %s\n' $failed
 }
 
+# The names of the users' platform stand in platform/ and in the stand-ins alone.
+names() {
+  local pattern found
+  # Names that the own interface has as well (x-deadline-ms, /v1/lots) are left out.
+  pattern='x-response-stamp|x-expect-instance|x-not-executed|x-weight-versions|x-server-load|x-wait-ms|x-length-hint'
+  pattern+='|currentrev|staleok|waitms|pathprefix|fencetoken|coldremainingms|desiredcount|minversion'
+  pattern+='|/v1/readiness|/v1/objects|/v1/order"|/v1/report|/v1/items'
+  found=$(git ls-files 'crates/*/src/*.rs' | grep -v '^crates/pinereel_fakes/' | xargs grep -niE "$pattern")
+  if [ -n "$found" ]; then
+    printf 'FAILED: names of the platform outside platform/:\n%s\n' "$found"
+    return 1
+  fi
+}
+
 lints() {
   cargo fmt --all --check && cargo clippy --workspace --all-targets --locked -- -D warnings
 }
@@ -41,7 +55,8 @@
 case "${1:-all}" in
   tests) tests ;;
   lints) lints ;;
+  names) names ;;
   demo) demo ;;
-  all) lints && tests && demo ;;
-  *) echo "usage: $0 [all|lints|tests|demo]" >&2; exit 2 ;;
+  all) names && lints && tests && demo ;;
+  *) echo "usage: $0 [all|names|lints|tests|demo]" >&2; exit 2 ;;
 esac
--- a/crates/pinereel/src/hosted/endpoints.rs
+++ b/crates/pinereel/src/hosted/endpoints.rs
@@ -36,6 +36,11 @@
 const GATHER: f64 = 0.45;
 /// The same at an instance that runs lots or gives orders.
 const HURRIED: Duration = Duration::from_millis(80);
+/// Endpoints say themselves when they are full, so that no limit of this instance's own refuses.
+const POLICY: Policy = Policy {
+    adaptive: false,
+    ..Policy::FULL
+};
 /// Requests that an endpoint may have from this instance, as a multiple of its slots: it queues a
 /// few itself.
 const QUEUED: u32 = 2;
@@ -159,7 +164,7 @@
             seed,
         };
         let set = self.set.borrow();
-        let choice = route::choose(&set, &request, self.clock.now(), &Policy::FULL)?;
+        let choice = route::choose(&set, &request, self.clock.now(), &POLICY)?;
         self.picked(&set, &choice).ok_or(Refusal::NoEndpoint)
     }
 
--- a/crates/pinereel_core/src/route/candidate.rs
+++ b/crates/pinereel_core/src/route/candidate.rs
@@ -105,6 +105,7 @@
             zone.add(&candidate);
         }
         let room = match request.priority {
+            _ if !policy.adaptive => endpoint.outstanding < endpoint.slots,
             Priority::Live => endpoint.has_live_room(),
             Priority::Straggler | Priority::Bulk => endpoint.has_room(),
         };
--- a/crates/pinereel_core/src/route/mod.rs
+++ b/crates/pinereel_core/src/route/mod.rs
@@ -69,6 +69,10 @@
     pub spill_at: f64,
     /// Give less to endpoints that just started or came back.
     pub slow_start: bool,
+    /// Hold back by the adaptive limit of each endpoint; without it only its slots bound the work.
+    /// Where endpoints themselves say that they are full, and a refusal there costs a retry
+    /// elsewhere, a limit that was cut by lost answers would refuse callers while slots are idle.
+    pub adaptive: bool,
     /// One of so many requests probes an ejected endpoint whose time is over; 0 never probes.
     pub probe_every: u64,
 }
@@ -83,6 +87,7 @@
         zone_local: false,
         spill_at: 0.8,
         slow_start: false,
+        adaptive: true,
         probe_every: 32,
     };
 
--- a/crates/pinereel_core/tests/route_choose.rs
+++ b/crates/pinereel_core/tests/route_choose.rs
@@ -397,3 +397,40 @@
     assert_eq!(first(now), old);
     assert_eq!(first(now + Duration::from_secs(10)), new);
 }
+
+#[test]
+fn a_limit_that_lost_answers_have_cut_refuses_nobody_where_endpoints_say_themselves_that_they_are_full()
+ {
+    let mut set = set_of(1);
+    let own = Policy {
+        adaptive: false,
+        ..Policy::FULL
+    };
+    let first = choose(&set, &request(0), Time::ZERO, &own)
+        .expect("it is idle")
+        .key;
+    for millis in 1..=4 {
+        start(&mut set, first);
+        let now = Time::from_millis(millis);
+        set.step(
+            now,
+            Event::Finished {
+                key: first,
+                tokens: 1,
+                took: Duration::from_micros(10),
+                end: End::Overloaded,
+            },
+        );
+    }
+    start(&mut set, first);
+    let now = Time::from_millis(5);
+    assert_eq!(
+        choose(&set, &request(0), now, &Policy::FULL),
+        Err(Refusal::Full)
+    );
+    for _ in 1..SLOTS {
+        assert!(choose(&set, &request(0), now, &own).is_ok());
+        start(&mut set, first);
+    }
+    assert_eq!(choose(&set, &request(0), now, &own), Err(Refusal::Full));
+}
