--- a/check.sh
+++ b/check.sh
@@ -37,7 +37,7 @@
   pattern='x-response-stamp|x-expect-instance|x-not-executed|x-weight-versions|x-server-load|x-wait-ms|x-length-hint'
   pattern+='|currentrev|staleok|waitms|pathprefix|fencetoken|coldremainingms|desiredcount|minversion'
   pattern+='|/v1/readiness|/v1/objects|/v1/order"|/v1/report|/v1/items'
-  found=$(git ls-files 'crates/*/src/*.rs' | grep -v '^crates/pinereel_fakes/' | xargs grep -niE "$pattern")
+  found=$(git ls-files 'crates/*/src/*.rs' | grep -v '^crates/pinereel_fakes/' | xargs grep -sniE "$pattern")
   if [ -n "$found" ]; then
     printf 'FAILED: names of the platform outside platform/:\n%s\n' "$found"
     return 1
--- a/crates/pinereel/src/hosted/bulletin/board.rs
+++ b/crates/pinereel/src/hosted/bulletin/board.rs
@@ -3,7 +3,7 @@
 use super::{DUTY, Frame, HEARTBEAT, Topic};
 use crate::{
     hosted::{
-        duty::{self, Duties},
+        duty::{self, Duties, Standing},
         follow::{Manner, Update, follow},
         store::Store,
     },
@@ -85,23 +85,16 @@
 
     /// Follows the store whenever this instance holds the duty.
     async fn serve(self: Rc<Self>) {
-        let mut standing = self.duties.join(&DUTY.into());
-        loop {
-            if standing.wait_for(|s| s.grant.is_some()).await.is_err() {
-                return;
-            }
-            let mut watched = standing.clone();
-            let lost = async {
-                // An error means that the process is ending.
-                let _ = watched.wait_for(|s| s.grant.is_none()).await;
-            };
-            tokio::select! {
-                () = self.work() => {}
-                () = lost => {}
-            }
+        let (board, duties) = (&self, Rc::clone(&self.duties));
+        let work = async || board.work().await;
+        let goes_on = || {
             // Whoever is linked finds the next holder.
-            self.state.replace(State::default());
-        }
+            board.state.replace(State::default());
+            true
+        };
+        duties
+            .whenever_held(&DUTY.into(), Standing::is_lost, work, goes_on)
+            .await;
     }
 
     async fn work(&self) {
--- a/crates/pinereel/src/hosted/config.rs
+++ b/crates/pinereel/src/hosted/config.rs
@@ -6,9 +6,10 @@
     store::Store,
 };
 use crate::objects::Purpose;
+use compact_str::CompactString;
 use pinereel_core::table::Table;
 use pinereel_port::{Adapter, store::Object};
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{cell::RefCell, collections::BTreeSet, rc::Rc, time::Duration};
 use tokio::{sync::watch, time::Instant};
 
 /// The configuration in force; it never goes back to an older number in one process.
@@ -63,6 +64,27 @@
         self.changed.subscribe()
     }
 
+    /// Calls `start` once for each name that `names` gives under this configuration or a later one.
+    pub async fn for_each_new(
+        &self,
+        names: impl Fn(&Table) -> Vec<CompactString>,
+        start: impl Fn(CompactString),
+    ) {
+        let mut changes = self.changes();
+        let mut known = BTreeSet::new();
+        loop {
+            let now = self.table().map(|table| names(&table)).unwrap_or_default();
+            for name in now {
+                if known.insert(name.clone()) {
+                    start(name);
+                }
+            }
+            if changes.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
     fn take(&self, adapter: Adapter, update: Update) {
         let objects = match update {
             Update::All(objects) => objects,
--- /dev/null
+++ b/crates/pinereel/src/hosted/duty/look.rs
@@ -0,0 +1,125 @@
+//! Looks at the leases that others hold.
+
+use super::{AMPLE_CORES, Duties, KIND, LIMITS, SHORTEST_SLEEP};
+use crate::{
+    hosted::{bulletin::Fed, follow::Update},
+    objects::Purpose,
+};
+use compact_str::CompactString;
+use pinereel_core::{
+    Time, hash,
+    lease::{Event, Glance, Lease, Looks},
+};
+use pinereel_port::store::Object;
+use std::time::Duration;
+use tokio::{
+    sync::broadcast::{self, error::RecvError},
+    time::sleep,
+};
+
+impl Duties {
+    /// Lists all leases now and then, for the candidates that follow others.
+    pub(super) async fn look_out(&self, mut fed: broadcast::Receiver<Fed>) {
+        let seed = hash::stable(self.id.as_bytes());
+        let mut looks = Looks::new(self.cores >= AMPLE_CORES, seed);
+        let mut returns = self.store.returns();
+        let mut told = false;
+        loop {
+            while told {
+                told = self.take_told(fed.recv().await, &mut looks);
+            }
+            if self.waiting.get() == 0 {
+                sleep(SHORTEST_SLEEP * 10).await;
+                continue;
+            }
+            let list = self.store.list(Purpose::Leases, KIND, None).await;
+            let due = match list {
+                Ok((objects, _)) => self.looked(objects, &mut looks),
+                Err(error) => {
+                    log::debug!(error:% = error; "leases not listed");
+                    self.now() + LIMITS.retry
+                }
+            };
+            returns.mark_unchanged();
+            tokio::select! {
+                () = sleep(due.since(self.now())) => {}
+                _ = returns.changed() => {}
+                () = self.drain.notified() => {}
+                heard = fed.recv() => told = self.take_told(heard, &mut looks),
+            }
+        }
+    }
+
+    /// A look shows these leases; returns when the next one is due.
+    fn looked(&self, objects: Vec<Object>, looks: &mut Looks) -> Time {
+        let due = looks.looked(self.now(), glances(&objects));
+        self.page.replace(objects);
+        self.look.send_modify(|looks| *looks += 1);
+        due
+    }
+
+    /// The bulletin tells of the leases, or is lost; says whether it goes on telling.
+    fn take_told(&self, heard: Result<Fed, RecvError>, looks: &mut Looks) -> bool {
+        match heard {
+            Ok(Fed::Told(update, _)) => {
+                if let Update::All(objects) = &*update {
+                    self.looked(objects.clone(), looks);
+                }
+                true
+            }
+            // What was missed is told again soon.
+            Err(RecvError::Lagged(_)) => true,
+            Ok(Fed::Lost) | Err(RecvError::Closed) => false,
+        }
+    }
+
+    /// Where the holder of a duty can be reached, as far as this instance has seen.
+    pub fn address(&self, duty: &str) -> Option<CompactString> {
+        if self.acts(duty).is_some() {
+            return Some(self.own_address.clone());
+        }
+        let page = self.page.borrow();
+        let object = page.iter().find(|object| object.name == duty)?;
+        let (_, lease) = decode(duty, object.clone())?;
+        (!lease.address.is_empty()).then_some(lease.address)
+    }
+
+    /// What the next look shows of a duty.
+    pub(super) async fn next_look(&self, duty: &str) -> Event {
+        let mut look = self.look.subscribe();
+        self.waiting.set(self.waiting.get() + 1);
+        let seen = tokio::select! {
+            changed = look.changed() => changed.is_ok(),
+            () = self.drain.notified() => false,
+        };
+        self.waiting.set(self.waiting.get() - 1);
+        if !seen {
+            return Event::Failed;
+        }
+        let page = self.page.borrow();
+        let object = page.iter().find(|object| object.name == duty).cloned();
+        match object {
+            Some(object) => decode(duty, object).map_or(Event::Failed, |l| Event::Read(Some(l))),
+            None => Event::Read(None),
+        }
+    }
+}
+
+fn glances(objects: &[Object]) -> Vec<(CompactString, Glance)> {
+    let glance = |object: &Object| {
+        let (version, lease) = decode(&object.name, object.clone())?;
+        let wait = Duration::from_millis(lease.duration_ms) + LIMITS.margin;
+        (!lease.holder.is_empty()).then(|| (object.name.clone(), Glance { version, wait }))
+    };
+    objects.iter().filter_map(glance).collect()
+}
+
+pub(super) fn decode(duty: &str, object: Object) -> Option<(u64, Lease)> {
+    match serde_json::from_value::<Lease>(object.spec) {
+        Ok(lease) => Some((object.revision, lease)),
+        Err(error) => {
+            log::error!(duty, error:% = error; "lease unreadable");
+            None
+        }
+    }
+}
--- a/crates/pinereel/src/hosted/duty.rs
+++ b/crates/pinereel/src/hosted/duty/mod.rs
@@ -1,16 +1,18 @@
 //! Duties that one instance has at a time, by leases in the object store.
 
+mod look;
+
 use super::{
-    bulletin::{Fed, Feed, Topic},
-    follow::Update,
+    bulletin::{Feed, Topic},
     metrics::Metrics,
     store::Store,
 };
 use crate::objects::{Error, Purpose};
 use compact_str::{CompactString, format_compact};
+use look::decode;
 use pinereel_core::{
     Time, hash,
-    lease::{Action, Event, Glance, Holder, Lease, Limits, Looks},
+    lease::{Action, Event, Holder, Lease, Limits},
 };
 use pinereel_port::store::{Freshness, Object};
 use std::{
@@ -20,11 +22,7 @@
     time::Duration,
 };
 use tokio::{
-    sync::{
-        Notify,
-        broadcast::{self, error::RecvError},
-        watch,
-    },
+    sync::{Notify, watch},
     time::sleep,
 };
 
@@ -43,7 +41,7 @@
 /// that they spread.
 const HELD_DELAY: Duration = Duration::from_millis(150);
 /// An instance waits so long for each part that it lacks to [`AMPLE_CORES`].
-const SMALL_DELAY: Duration = Duration::from_millis(300);
+const SMALL_DELAY: Duration = Duration::from_millis(1_000);
 /// The first looks of instances that start together spread over this time.
 const FIRST_LOOKS: Duration = Duration::from_millis(400);
 /// Cores with which an instance does not wait: lots of a few hundred items run well on it.
@@ -73,6 +71,18 @@
     pub presumed: bool,
 }
 
+impl Standing {
+    /// Whether the lease may not be acted on.
+    pub const fn is_lost(&self) -> bool {
+        self.grant.is_none()
+    }
+
+    /// Whether another instance is known to have the duty, or this one has given it up.
+    pub const fn is_superseded(&self) -> bool {
+        !self.presumed
+    }
+}
+
 /// The duties that this instance takes part in.
 pub struct Duties {
     store: Store,
@@ -92,6 +102,8 @@
     /// The last look at all leases, counted from 1; 0 before the first.
     look: watch::Sender<u64>,
     page: RefCell<Vec<Object>>,
+    /// Duties that this instance is about to take.
+    taking: Cell<usize>,
     /// Candidates that wait for the next look.
     waiting: Cell<usize>,
 }
@@ -119,6 +131,7 @@
             metrics: metrics.clone(),
             look: watch::channel(0).0,
             page: RefCell::default(),
+            taking: Cell::new(0),
             waiting: Cell::new(0),
             draining: Cell::new(false),
             drain: Notify::new(),
@@ -129,92 +142,6 @@
         duties
     }
 
-    /// Lists all leases now and then, for the candidates that follow others.
-    async fn look_out(&self, mut fed: broadcast::Receiver<Fed>) {
-        let seed = hash::stable(self.id.as_bytes());
-        let mut looks = Looks::new(self.cores >= AMPLE_CORES, seed);
-        let mut returns = self.store.returns();
-        let mut told = false;
-        loop {
-            while told {
-                told = self.take_told(fed.recv().await, &mut looks);
-            }
-            if self.waiting.get() == 0 {
-                sleep(SHORTEST_SLEEP * 10).await;
-                continue;
-            }
-            let list = self.store.list(Purpose::Leases, KIND, None).await;
-            let due = match list {
-                Ok((objects, _)) => self.looked(objects, &mut looks),
-                Err(error) => {
-                    log::debug!(error:% = error; "leases not listed");
-                    self.now() + LIMITS.retry
-                }
-            };
-            returns.mark_unchanged();
-            tokio::select! {
-                () = sleep(due.since(self.now())) => {}
-                _ = returns.changed() => {}
-                () = self.drain.notified() => {}
-                heard = fed.recv() => told = self.take_told(heard, &mut looks),
-            }
-        }
-    }
-
-    /// A look shows these leases; returns when the next one is due.
-    fn looked(&self, objects: Vec<Object>, looks: &mut Looks) -> Time {
-        let due = looks.looked(self.now(), glances(&objects));
-        self.page.replace(objects);
-        self.look.send_modify(|looks| *looks += 1);
-        due
-    }
-
-    /// The bulletin tells of the leases, or is lost; says whether it goes on telling.
-    fn take_told(&self, heard: Result<Fed, RecvError>, looks: &mut Looks) -> bool {
-        match heard {
-            Ok(Fed::Told(update, _)) => {
-                if let Update::All(objects) = &*update {
-                    self.looked(objects.clone(), looks);
-                }
-                true
-            }
-            // What was missed is told again soon.
-            Err(RecvError::Lagged(_)) => true,
-            Ok(Fed::Lost) | Err(RecvError::Closed) => false,
-        }
-    }
-
-    /// Where the holder of a duty can be reached, as far as this instance has seen.
-    pub fn address(&self, duty: &str) -> Option<CompactString> {
-        if self.acts(duty).is_some() {
-            return Some(self.own_address.clone());
-        }
-        let page = self.page.borrow();
-        let object = page.iter().find(|object| object.name == duty)?;
-        let (_, lease) = decode(duty, object.clone())?;
-        (!lease.address.is_empty()).then_some(lease.address)
-    }
-
-    /// What the next look shows of a duty.
-    async fn next_look(&self, duty: &str) -> Event {
-        let mut look = self.look.subscribe();
-        self.waiting.set(self.waiting.get() + 1);
-        let seen = tokio::select! {
-            changed = look.changed() => changed.is_ok(),
-            () = self.drain.notified() => false,
-        };
-        self.waiting.set(self.waiting.get() - 1);
-        if !seen {
-            return Event::Failed;
-        }
-        let page = self.page.borrow();
-        let object = page.iter().find(|object| object.name == duty).cloned();
-        match object {
-            Some(object) => decode(duty, object).map_or(Event::Failed, |l| Event::Read(Some(l))),
-            None => Event::Read(None),
-        }
-    }
-
     /// The time on the leases' clock.
     pub fn now(&self) -> Time {
         (self.clock)()
@@ -261,6 +188,32 @@
         held.count()
     }
 
+    /// Does `work` whenever this instance has the duty, until `lost` says that it has it no more;
+    /// then asks `goes_on` whether to wait for the next time.
+    pub async fn whenever_held(
+        self: &Rc<Self>,
+        duty: &CompactString,
+        lost: fn(&Standing) -> bool,
+        work: impl AsyncFn(),
+        goes_on: impl Fn() -> bool,
+    ) {
+        let mut standing = self.join(duty);
+        while standing.wait_for(|s| s.grant.is_some()).await.is_ok() {
+            let mut watched = standing.clone();
+            let lost = async {
+                // An error means that the process is ending.
+                let _ = watched.wait_for(lost).await;
+            };
+            tokio::select! {
+                () = work() => {}
+                () = lost => {}
+            }
+            if !goes_on() {
+                return;
+            }
+        }
+    }
+
     /// Gives up all leases.
     pub fn drain(&self) {
         self.draining.set(true);
@@ -356,7 +309,10 @@
             Action::Write { expected, lease } => {
                 let takes = lease.holder == self.id && self.acts(duty).is_none();
                 if takes {
-                    sleep(self.modesty()).await;
+                    let modesty = self.modesty();
+                    self.taking.set(self.taking.get() + 1);
+                    sleep(modesty).await;
+                    self.taking.set(self.taking.get() - 1);
                 }
                 self.write(duty, expected, &lease).await
             }
@@ -371,7 +327,8 @@
 
     /// How long this instance lets others go first.
     fn modesty(&self) -> Duration {
-        let held = u32::try_from(self.held()).unwrap_or(u32::MAX);
+        let held = self.held() + self.taking.get();
+        let held = u32::try_from(held).unwrap_or(u32::MAX);
         let lacks = (1.0 - self.cores / AMPLE_CORES).max(0.0);
         HELD_DELAY * held + SMALL_DELAY.mul_f64(lacks)
     }
@@ -427,22 +384,3 @@
         }
     }
 }
-
-fn glances(objects: &[Object]) -> Vec<(CompactString, Glance)> {
-    let glance = |object: &Object| {
-        let (version, lease) = decode(&object.name, object.clone())?;
-        let wait = Duration::from_millis(lease.duration_ms) + LIMITS.margin;
-        (!lease.holder.is_empty()).then(|| (object.name.clone(), Glance { version, wait }))
-    };
-    objects.iter().filter_map(glance).collect()
-}
-
-fn decode(duty: &str, object: Object) -> Option<(u64, Lease)> {
-    match serde_json::from_value::<Lease>(object.spec) {
-        Ok(lease) => Some((object.revision, lease)),
-        Err(error) => {
-            log::error!(duty, error:% = error; "lease unreadable");
-            None
-        }
-    }
-}
--- a/crates/pinereel/src/hosted/lots/handover.rs
+++ b/crates/pinereel/src/hosted/lots/handover.rs
@@ -6,7 +6,8 @@
 
 use super::{
     record::{drafts, results},
-    runner::{Draft, Runner},
+    runner::Runner,
+    state::Draft,
 };
 use crate::objects::{Error, Purpose};
 use compact_str::CompactString;
--- a/crates/pinereel/src/hosted/lots/mod.rs
+++ b/crates/pinereel/src/hosted/lots/mod.rs
@@ -6,10 +6,14 @@
 mod commit;
 mod desk;
 mod handover;
+mod opening;
+mod placing;
+mod progress;
 mod record;
 mod run;
 mod runner;
 mod score;
+mod state;
 mod stream;
 mod sweep;
 
--- /dev/null
+++ b/crates/pinereel/src/hosted/lots/opening.rs
@@ -0,0 +1,183 @@
+//! Lots on their way in and out of a runner.
+
+use super::{
+    commit,
+    handover::{self, Drafts},
+    record::{self, accepted, is_ended, results, segment},
+    runner::Runner,
+    state::{Draft, Open, Task},
+};
+use crate::objects::{Error, Purpose};
+use compact_str::CompactString;
+use pinereel_core::batch::Lot;
+use pinereel_port::store::Object;
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
+use tokio::{
+    sync::Notify,
+    time::{Instant, sleep},
+};
+
+/// Pause after a lot's results could not be read.
+const RETRY: Duration = Duration::from_millis(150);
+/// Texts of ended lots that are kept for groups that come again.
+const DRAFTS: usize = 2_048;
+
+impl Runner {
+    pub(super) fn take_lot(
+        self: &Rc<Self>,
+        model: &CompactString,
+        object: Object,
+        inherited: bool,
+    ) {
+        let id = object.name.clone();
+        self.ages(|ages| ages.seen(&id));
+        if is_ended(&object) {
+            self.close(&id, "ended");
+            return;
+        }
+        let new = {
+            let state = self.state.borrow();
+            !state.closed.contains(&id)
+                && !state.lots.contains_key(&id)
+                && !state.opening.contains_key(&id)
+        };
+        if !new {
+            return;
+        }
+        let lot = match accepted(&self.parts.adapter, &object) {
+            Ok(lot) => lot,
+            Err(fault) => {
+                log::error!(id = id.as_str(), revision = object.revision; "{fault}");
+                return;
+            }
+        };
+        if lot.submission.model != *model {
+            return;
+        }
+        let runner = Rc::clone(self);
+        let opening = id.clone();
+        let task = actix_rt::spawn(async move { runner.open(opening, lot, inherited).await });
+        self.state.borrow_mut().opening.insert(id, Task(task));
+    }
+
+    /// Reads what is committed of a lot, and begins to work on it.
+    async fn open(self: Rc<Self>, id: CompactString, accepted: record::Accepted, inherited: bool) {
+        let (objects, mut texts) = loop {
+            match self.read_lot(&id, inherited).await {
+                Ok(read) => break read,
+                Err(error) => {
+                    log::warn!(id = id.as_str(), error:% = error; "lot's results not read");
+                    sleep(RETRY).await;
+                }
+            }
+        };
+        let submission = accepted.submission;
+        let mut state = self.state.borrow_mut();
+        let mut lot = Lot::new(&submission, &state.known);
+        for object in &objects {
+            let adopted = segment(object).map(|(from, segment)| lot.list(from, segment.samples));
+            match adopted {
+                Ok(Ok(())) => {}
+                Ok(Err(gap)) => log::error!(id = id.as_str(); "{gap}"),
+                Err(fault) => log::error!(id = id.as_str(); "{fault}"),
+            }
+        }
+        let oldest = submission.oldest_version;
+        let mut drafts = Vec::new();
+        for item in &submission.items {
+            let kept = state.drafts.remove(&item.id);
+            let draft = texts.remove(&item.id).or(kept).unwrap_or_default();
+            let fits = draft.versions.iter().all(|version| *version >= oldest);
+            drafts.push(if fits { draft } else { Draft::default() });
+        }
+        let reused = drafts.iter().filter(|draft| draft.last.is_some()).count();
+        log::info!(
+            id = id.as_str(),
+            items = submission.items.len(),
+            listed = lot.ledger().next(),
+            oldest_version = oldest,
+            texts_reused = reused;
+            "lot opened"
+        );
+        let metrics = &self.parts.metrics;
+        metrics.count(&metrics.lots, &["opened"]);
+        let more = Rc::new(Notify::new());
+        let committer = commit::commit(Rc::clone(&self), id.clone(), Rc::clone(&more));
+        let open = Open {
+            host: accepted.host,
+            path: accepted.path,
+            model: submission.model.clone(),
+            submission: Rc::new(submission),
+            lot,
+            drafts,
+            moved: BTreeMap::new(),
+            tasks: BTreeMap::new(),
+            more,
+            opened: Instant::now(),
+            _committer: Task(actix_rt::spawn(committer)),
+        };
+        let ended = state.closed.contains(&id);
+        if !ended {
+            state.lots.insert(id.clone(), open);
+        }
+        drop(state);
+        self.wake.notify_one();
+        // Last: it ends this very task.
+        let task = self.state.borrow_mut().opening.remove(&id);
+        drop(task);
+    }
+
+    /// What is committed of a lot, and the texts that earlier runners left.
+    async fn read_lot(
+        &self,
+        id: &CompactString,
+        inherited: bool,
+    ) -> Result<(Vec<Object>, Drafts), Error> {
+        let store = &self.parts.store;
+        let (objects, _) = store.list(Purpose::Lots, &results(id), None).await?;
+        let texts = if inherited {
+            handover::inherit(self, id).await?
+        } else {
+            Drafts::new()
+        };
+        Ok((objects, texts))
+    }
+
+    /// Ends the work on a lot, keeping unfinished texts for groups that come again.
+    pub(super) fn close(&self, id: &CompactString, why: &str) {
+        let mut state = self.state.borrow_mut();
+        state.closed.insert(id.clone());
+        let opening = state.opening.remove(id);
+        let Some(mut open) = state.lots.remove(id) else {
+            drop(state);
+            drop(opening);
+            return;
+        };
+        let drafts = std::mem::take(&mut open.drafts);
+        for (at, draft) in drafts.into_iter().enumerate() {
+            let item = &open.submission.items[at];
+            if open.lot.ledger().contains(&item.id) {
+                continue;
+            }
+            state.known.insert(item.id.clone());
+            if draft.last.is_some() && state.drafts.len() < DRAFTS {
+                state.drafts.insert(item.id.clone(), draft);
+            }
+        }
+        drop(state);
+        let metrics = &self.parts.metrics;
+        metrics.count(&metrics.lots, &[why]);
+        metrics.observe(&metrics.lot_seconds, why, open.opened.elapsed());
+        log::info!(
+            id = id.as_str(),
+            why,
+            listed = open.lot.ledger().next(),
+            items = open.lot.total(),
+            running = open.tasks.len(),
+            ms = open.opened.elapsed().as_millis() as u64;
+            "lot closed"
+        );
+        drop(open);
+        self.wake.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/pinereel/src/hosted/lots/placing.rs
@@ -0,0 +1,153 @@
+//! Which item starts next, and at which engine.
+
+use super::{
+    run,
+    runner::Runner,
+    state::{FleetName, Open, Task, Work},
+    stream::Place,
+};
+use pinereel_core::{batch::Listed, hash, table};
+use pinereel_port::{
+    config::{Kind, Route},
+    lot::Sample,
+};
+use std::{collections::BTreeSet, rc::Rc, time::Duration};
+use tokio::time::sleep;
+
+/// Longest pause between two looks for engines that may take an item again.
+const LOOK: Duration = Duration::from_millis(60);
+
+impl Runner {
+    /// Places items at engines as long as there are both.
+    pub(super) async fn dispatch(self: &Rc<Self>) {
+        let mut endpoints = self.parts.endpoints.changes();
+        loop {
+            self.sync_fleets();
+            self.give_up_old();
+            while self.place_one() {}
+            tokio::select! {
+                () = self.wake.notified() => {}
+                _ = endpoints.changed() => {}
+                () = sleep(LOOK) => {}
+            }
+        }
+    }
+
+    fn sync_fleets(&self) {
+        let mut state = self.state.borrow_mut();
+        let wanted: BTreeSet<_> = state
+            .lots
+            .values()
+            .filter_map(|open| self.fleet(open))
+            .collect();
+        for name in wanted {
+            let entries = self.parts.endpoints.of(&name.service);
+            let listed = entries.into_iter().map(|entry| Listed {
+                version: entry.models.get(&name.model).copied(),
+                id: entry.id,
+                address: entry.address,
+                slots: entry.slots,
+                leaving: entry.leaving,
+            });
+            let listed: Vec<_> = listed.collect();
+            state.fleets.entry(name).or_default().sync(listed);
+        }
+    }
+
+    /// The lot's route under the configuration in force.
+    fn route(&self, open: &Open) -> Option<Route> {
+        let table = self.parts.config.table()?;
+        let route = table.find(&open.host, &open.path)?;
+        (route.kind == Kind::Lot).then(|| route.clone())
+    }
+
+    /// The engines that a lot's items go to.
+    fn fleet(&self, open: &Open) -> Option<FleetName> {
+        let route = self.route(open)?;
+        let seed = hash::stable(open.path.as_bytes());
+        Some(FleetName {
+            service: table::service(&route, seed)?.into(),
+            model: open.model.clone(),
+        })
+    }
+
+    /// Starts the next item of the oldest lot that has one, if an engine takes it.
+    fn place_one(self: &Rc<Self>) -> bool {
+        if self.draining.get() {
+            return false;
+        }
+        let now = self.parts.clock.now();
+        let mut state = self.state.borrow_mut();
+        let mut by_age: Vec<_> = state
+            .lots
+            .iter()
+            .map(|(id, open)| (open.opened, id.clone()))
+            .collect();
+        by_age.sort();
+        for (_, id) in by_age {
+            let state = &mut *state;
+            let Some(open) = state.lots.get_mut(&id) else {
+                continue;
+            };
+            if open.lot.waiting() == 0 {
+                continue;
+            }
+            let (Some(route), Some(name)) = (self.route(open), self.fleet(open)) else {
+                continue;
+            };
+            let Some(fleet) = state.fleets.get_mut(&name) else {
+                continue;
+            };
+            let oldest_version = open.submission.oldest_version;
+            let Some(key) = fleet.pick(now, oldest_version, None) else {
+                continue;
+            };
+            let (Some(engine), Some(at)) = (fleet.get(key), open.lot.start()) else {
+                continue;
+            };
+            let place = Place {
+                key,
+                id: engine.listed.id.clone(),
+                address: engine.listed.address,
+            };
+            fleet.started(key);
+            let work = Work {
+                item: open.submission.items[at].id.clone(),
+                host: open.host.clone(),
+                lot: id,
+                at,
+                fleet: name,
+                oldest_version,
+            };
+            let task = run::run(Rc::clone(self), work, route, place);
+            // One that ended before is replaced.
+            open.tasks.insert(at, Task(actix_rt::spawn(task)));
+            return true;
+        }
+        false
+    }
+
+    /// Lists items whose time is over as given up.
+    fn give_up_old(&self) {
+        let mut state = self.state.borrow_mut();
+        let mut ended = Vec::new();
+        for open in state.lots.values_mut() {
+            let Some(ttl) = self.route(open).and_then(|route| route.item_ttl) else {
+                continue;
+            };
+            if open.opened.elapsed() < ttl {
+                continue;
+            }
+            for at in 0..open.lot.total() {
+                if !open.lot.is_done(at) {
+                    let item = open.submission.items[at].id.clone();
+                    open.lot.finish(at, Sample { item, made: None });
+                    ended.extend(open.tasks.remove(&at));
+                }
+            }
+            open.more.notify_one();
+        }
+        drop(state);
+        drop(ended);
+    }
+}
--- a/crates/pinereel/src/hosted/lots/run.rs
+++ b/crates/pinereel/src/hosted/lots/run.rs
@@ -1,8 +1,9 @@
 //! The way of one item: engine, scoring, result.
 
 use super::{
-    runner::{FleetName, Runner, Work},
+    runner::Runner,
     score,
+    state::{FleetName, Work},
     stream::{End, Place, stream},
 };
 use pinereel_core::batch::{Failure, Fate, Halt};
--- a/crates/pinereel/src/hosted/lots/score.rs
+++ b/crates/pinereel/src/hosted/lots/score.rs
@@ -1,6 +1,6 @@
 //! The scoring of a finished text.
 
-use super::runner::{Runner, Work};
+use super::{runner::Runner, state::Work};
 use crate::hosted::relay::{Call, Outcome};
 use actix_http::{
     Method,
--- /dev/null
+++ b/crates/pinereel/src/hosted/lots/state.rs
@@ -0,0 +1,93 @@
+//! What a runner knows of its lots.
+
+use super::sweep::Ages;
+use compact_str::CompactString;
+use pinereel_core::batch::{Fleet, Lot};
+use pinereel_port::lot::{Event, Submission};
+use serde::{Deserialize, Serialize};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+};
+use tokio::{sync::Notify, task::JoinHandle, time::Instant};
+
+#[derive(Default)]
+pub(super) struct State {
+    /// Lots that are neither ended nor complete, and those whose results are being read.
+    pub(super) lots: BTreeMap<CompactString, Open>,
+    pub(super) opening: BTreeMap<CompactString, Task>,
+    /// Lots that need no work any more.
+    pub(super) closed: BTreeSet<CompactString>,
+    /// When each lot was first seen.
+    pub(super) ages: Ages,
+    /// Engines by service and model.
+    pub(super) fleets: BTreeMap<FleetName, Fleet>,
+    /// Unfinished texts of ended lots, by item.
+    pub(super) drafts: BTreeMap<CompactString, Draft>,
+    /// Items of lots that were ended, which may come again.
+    pub(super) known: BTreeSet<CompactString>,
+}
+
+/// The engines of a service, as far as they serve one model.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct FleetName {
+    pub(super) service: CompactString,
+    pub(super) model: CompactString,
+}
+
+/// A lot that is being worked on.
+pub(super) struct Open {
+    pub(super) host: CompactString,
+    pub(super) path: CompactString,
+    pub(super) model: CompactString,
+    pub(super) submission: Rc<Submission>,
+    pub(super) lot: Lot,
+    pub(super) drafts: Vec<Draft>,
+    pub(super) moved: BTreeMap<usize, Instant>,
+    pub(super) tasks: BTreeMap<usize, Task>,
+    pub(super) more: Rc<Notify>,
+    pub(super) opened: Instant,
+    pub(super) _committer: Task,
+}
+
+/// A task that ends with its handle.
+pub(super) struct Task(pub(super) JoinHandle<()>);
+
+impl Drop for Task {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// The text of an item so far.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Draft {
+    /// Number of its last event.
+    pub(super) last: Option<u64>,
+    /// Data of its events, one a line.
+    pub(super) text: String,
+    /// Versions that made a part of it.
+    pub(super) versions: BTreeSet<u64>,
+}
+
+impl Draft {
+    pub(super) fn add(&mut self, event: &Event, version: u64) {
+        if self.last.is_some() {
+            self.text.push('\n');
+        }
+        self.text.push_str(&event.data);
+        self.last = Some(event.number);
+        self.versions.insert(version);
+    }
+}
+
+/// One item of one lot.
+#[derive(Clone, Debug)]
+pub(super) struct Work {
+    pub(super) lot: CompactString,
+    pub(super) at: usize,
+    pub(super) item: CompactString,
+    pub(super) host: CompactString,
+    pub(super) fleet: FleetName,
+    pub(super) oldest_version: u64,
+}
--- a/crates/pinereel/src/hosted/lots/stream.rs
+++ b/crates/pinereel/src/hosted/lots/stream.rs
@@ -1,6 +1,6 @@
 //! One run of an item at an engine, event by event.
 
-use super::runner::{Runner, Work};
+use super::{runner::Runner, state::Work};
 use crate::upstream::pool::{Body, Error, Exchange};
 use actix_http::{
     Method, RequestHead, StatusCode,
--- /dev/null
+++ b/crates/pinereel/src/hosted/orders/call.rs
@@ -0,0 +1,96 @@
+//! Calls at engines.
+
+use super::Orders;
+use crate::upstream::pool::{Error, Exchange};
+use actix_http::{
+    Method, RequestHead, StatusCode,
+    header::{CONTENT_TYPE, HOST, HeaderValue},
+};
+use bytes::Bytes;
+use compact_str::{CompactString, format_compact};
+use pinereel_core::rollout::Event;
+use pinereel_port::{endpoint::Entry, engine::Report, live::Attempt};
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Longest wait for an engine's answer. An order without an answer may be carried out later; the
+/// count of orders in the next one makes it void.
+pub(super) const ANSWER: Duration = Duration::from_millis(1_000);
+
+/// Why a call at an engine brought nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum NoAnswer {
+    /// No connection could be opened.
+    NotOpened,
+    /// It may have been taken, or the answer says nothing.
+    Lost,
+}
+
+impl NoAnswer {
+    pub(super) const fn event(self, name: CompactString) -> Event {
+        match self {
+            Self::NotOpened => Event::Unreached { name },
+            Self::Lost => Event::Silent { name },
+        }
+    }
+}
+
+impl Orders {
+    /// One call at an engine.
+    pub(super) async fn call(
+        &self,
+        entry: &Entry,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<(StatusCode, Bytes), NoAnswer> {
+        let mut head = RequestHead::default();
+        head.method = method;
+        head.uri = path.parse().unwrap_or_default();
+        let host = HeaderValue::from_str(&entry.address.to_string());
+        if let Ok(host) = host {
+            head.headers.insert(HOST, host);
+        }
+        let json = HeaderValue::from_static("application/json");
+        head.headers.insert(CONTENT_TYPE, json);
+        let attempt = Attempt {
+            id: &format_compact!("order-{}", entry.id),
+            endpoint: &entry.id,
+            time_left: None,
+            after_event: None,
+        };
+        (self.parts.adapter.live.attempt)(&mut head.headers, attempt);
+        let exchange = Exchange {
+            address: entry.address,
+            head,
+            body,
+            reuse: true,
+        };
+        let exchange = async {
+            let response = self.parts.pool.send(exchange).await;
+            let response = response.map_err(|error| match error {
+                Error::NotOpened(_) => NoAnswer::NotOpened,
+                Error::Lost(_) | Error::Stale(_) => NoAnswer::Lost,
+            })?;
+            let status = response.status;
+            let body = response.body.whole().await;
+            Ok((status, body.map_err(|_| NoAnswer::Lost)?))
+        };
+        timeout(ANSWER, exchange)
+            .await
+            .unwrap_or(Err(NoAnswer::Lost))
+    }
+
+    pub(super) async fn report(&self, entry: &Entry) -> Result<Report, NoAnswer> {
+        let engine = self.parts.adapter.engine;
+        let answer = self.call(entry, Method::GET, engine.report_path, Bytes::new());
+        let (status, body) = answer.await?;
+        if status != StatusCode::OK {
+            return Err(NoAnswer::Lost);
+        }
+        (engine.report)(&body).map_err(|fault| {
+            log::warn!(endpoint = entry.id.as_str(); "{fault}");
+            NoAnswer::Lost
+        })
+    }
+}
--- /dev/null
+++ b/crates/pinereel/src/hosted/orders/mod.rs
@@ -0,0 +1,197 @@
+//! Orders to the engines: which version of the weights they load.
+//!
+//! One instance gives the orders of a service, under a lease with a fencing token. The decisions are
+//! those of [`Controller`]; here they are carried out in the platform's calls.
+
+mod call;
+mod rollout;
+
+use super::{
+    config::Config,
+    duty::{Duties, Standing},
+    endpoints::Endpoints,
+    follow::{Manner, Update, follow},
+    metrics::Metrics,
+    retire,
+    store::Store,
+};
+use crate::{objects::Purpose, settings, upstream::pool::Pool};
+use call::ANSWER;
+use compact_str::{CompactString, format_compact};
+use pinereel_core::{
+    rollout::{Controller, Settings, share},
+    table::Table,
+};
+use pinereel_port::{Adapter, store::Object};
+use rollout::{Rollout, TICK};
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
+
+/// Expected time of one load until one was seen; the users' sheets say 0.9 s.
+const LOAD_TIME: Duration = Duration::from_millis(900);
+/// A load that takes so long has failed: several times the usual one, which is longer while more
+/// engines load.
+const LOAD_TIMEOUT: Duration = Duration::from_secs(6);
+/// Time between reads of an engine whose load should be over. The list tells it as well, later.
+const POLL: Duration = Duration::from_millis(250);
+
+/// What orders are given with.
+pub struct Parts {
+    /// Translates.
+    pub adapter: Adapter,
+    /// The object store.
+    pub store: Store,
+    /// The configuration.
+    pub config: Rc<Config>,
+    /// The endpoint list.
+    pub endpoints: Rc<Endpoints>,
+    /// Duties.
+    pub duties: Rc<Duties>,
+    /// Connections to endpoints.
+    pub pool: Rc<Pool>,
+    /// Bounds.
+    pub settings: settings::Orders,
+    /// Figures.
+    pub metrics: Metrics,
+    /// Longest wait of a watch.
+    pub watch: Duration,
+}
+
+/// Gives the orders of all services whose duty this instance holds.
+pub struct Orders {
+    parts: Parts,
+    /// Newest named version by model.
+    named: RefCell<BTreeMap<CompactString, u64>>,
+    /// The model that each engine is kept up to date for, by service.
+    shares: RefCell<BTreeMap<CompactString, Shares>>,
+}
+
+/// The models' shares of a service's engines.
+#[derive(Default)]
+struct Shares {
+    /// The change of the endpoint list that they were made from.
+    made_from: Option<u64>,
+    by_engine: BTreeMap<CompactString, CompactString>,
+    models: usize,
+}
+
+impl Orders {
+    /// Takes part in the duty of each service of engines from now on.
+    pub fn start(parts: Parts) -> Rc<Self> {
+        let orders = Rc::new(Self {
+            parts,
+            named: RefCell::default(),
+            shares: RefCell::default(),
+        });
+        let state = Rc::clone(&orders);
+        actix_rt::spawn(async move { state.join_duties().await });
+        orders
+    }
+
+    async fn join_duties(self: Rc<Self>) {
+        let start = |service: CompactString| {
+            let orders = Rc::clone(&self);
+            actix_rt::spawn(async move { orders.serve(&service).await });
+        };
+        self.parts.config.for_each_new(services, start).await;
+    }
+
+    /// Brings the shares of a service up to date.
+    fn share(&self, service: &CompactString) {
+        let change = *self.parts.endpoints.changes().borrow();
+        let mut all = self.shares.borrow_mut();
+        let shares = all.entry(service.clone()).or_default();
+        if shares.made_from == Some(change) {
+            return;
+        }
+        let entries = self.parts.endpoints.of(service).into_iter();
+        let engines = entries.filter(|entry| !entry.leaving).map(|entry| entry.id);
+        let models = self.models(service);
+        shares.by_engine = share(engines, &models);
+        shares.models = models.len();
+        shares.made_from = Some(change);
+    }
+
+    fn models(&self, service: &str) -> Vec<CompactString> {
+        let table = self.parts.config.table();
+        let engine = table.and_then(|table| table.service(service)?.engine.clone());
+        engine.map(|engine| engine.models).unwrap_or_default()
+    }
+
+    /// Gives the orders of a service whenever this instance holds its duty.
+    async fn serve(self: Rc<Self>, service: &CompactString) {
+        let duty = format_compact!("orders-{service}");
+        let (orders, duties) = (&self, Rc::clone(&self.parts.duties));
+        let work = async || orders.work(service, &duty).await;
+        duties
+            .whenever_held(&duty, Standing::is_lost, work, || true)
+            .await;
+    }
+
+    async fn work(self: &Rc<Self>, service: &CompactString, duty: &CompactString) {
+        let store = self.parts.store.clone();
+        let (kind, wait) = (self.parts.adapter.places.versions, self.parts.watch);
+        let manner = || Manner {
+            wait,
+            gather: Duration::ZERO,
+        };
+        let versions = follow(&store, Purpose::Weights, kind, manner, None, |update, _| {
+            self.take(update);
+        });
+        let models = self.models(service).into_iter().map(|model| {
+            let rollout = Rollout {
+                orders: Rc::clone(self),
+                service: service.clone(),
+                model,
+                duty: duty.clone(),
+                controller: RefCell::new(Controller::new(self.settings())),
+            };
+            Rc::new(rollout).run()
+        });
+        // One instance is enough to answer retirements; the holder of this duty is one.
+        let retirements = retire::serve(&store, self.parts.adapter, wait);
+        tokio::select! {
+            () = versions => {}
+            () = retirements => {}
+            _ = futures_util::future::join_all(models) => {}
+        }
+    }
+
+    fn settings(&self) -> Settings {
+        Settings {
+            loads: self.parts.settings.loads,
+            load_time: LOAD_TIME,
+            load_timeout: LOAD_TIMEOUT,
+            answer_timeout: ANSWER + TICK,
+            poll: POLL,
+            // An engine that loads answers that it is busy.
+            replaces: false,
+            ..Settings::default()
+        }
+    }
+
+    fn take(&self, update: Update) {
+        let objects: Vec<Object> = match update {
+            Update::All(objects) => objects,
+            Update::Changes(changes) => changes.into_iter().map(|c| c.object).collect(),
+        };
+        for object in objects {
+            match (self.parts.adapter.version)(&object.spec) {
+                Ok((model, version)) => {
+                    let revision = object.revision;
+                    log::info!(model = model.as_str(), version, revision; "version named");
+                    let mut named = self.named.borrow_mut();
+                    let known = named.entry(model).or_default();
+                    *known = version.max(*known);
+                }
+                Err(fault) => log::error!(object = object.name.as_str(); "{fault}"),
+            }
+        }
+    }
+}
+
+/// The services whose endpoints are engines.
+fn services(table: &Table) -> Vec<CompactString> {
+    let services = table.document().services.iter();
+    let engines = services.filter(|service| service.engine.is_some());
+    engines.map(|service| service.name.clone()).collect()
+}
--- /dev/null
+++ b/crates/pinereel/src/hosted/orders/rollout.rs
@@ -0,0 +1,271 @@
+//! The rollout of one model at one service: what its controller decides is carried out here.
+
+use super::{Orders, call::NoAnswer};
+use crate::hosted::duty::Grant;
+use actix_http::Method;
+use compact_str::CompactString;
+use pinereel_core::{
+    Time, Version, hash,
+    rollout::{Action, Controller, Event, Lease, Sight, loads},
+};
+use pinereel_port::{
+    endpoint::Entry,
+    engine::{Order, Report, Verdict},
+};
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
+use tokio::time::sleep;
+
+/// Pause between ticks of a controller.
+pub(super) const TICK: Duration = Duration::from_millis(50);
+
+/// The rollout of one model at one service.
+pub(super) struct Rollout {
+    pub(super) orders: Rc<Orders>,
+    pub(super) service: CompactString,
+    pub(super) model: CompactString,
+    pub(super) duty: CompactString,
+    pub(super) controller: RefCell<Controller>,
+}
+
+impl Rollout {
+    pub(super) async fn run(self: Rc<Self>) {
+        let mut listed = BTreeMap::new();
+        loop {
+            let lease = self.lease();
+            self.step(Event::Lease(lease));
+            self.inform(&mut listed);
+            self.step(Event::Tick);
+            sleep(TICK).await;
+        }
+    }
+
+    fn grant(&self) -> Option<Grant> {
+        self.orders.parts.duties.acts(&self.duty)
+    }
+
+    fn now(&self) -> Time {
+        self.orders.parts.duties.now()
+    }
+
+    /// The lease, once the holder before may not have given an order for the gap that engines ask.
+    fn lease(&self) -> Option<Lease> {
+        let grant = self.grant()?;
+        let settled = self.now() >= grant.since + self.orders.parts.settings.gap;
+        let first = grant.fence == FIRST_FENCE;
+        (first || settled).then_some(Lease {
+            fence: grant.fence,
+            until: grant.until,
+        })
+    }
+
+    fn entries(&self) -> Vec<Entry> {
+        self.orders.parts.endpoints.of(&self.service)
+    }
+
+    /// Tells the controller what is known.
+    fn inform(self: &Rc<Self>, listed: &mut BTreeMap<CompactString, u64>) {
+        let named = self.orders.named.borrow().get(&self.model).copied();
+        if let Some(version) = named {
+            self.step(Event::Published(Version(version)));
+        }
+        self.orders.share(&self.service);
+        let shares = self.orders.shares.borrow();
+        let Some(shares) = shares.get(&self.service) else {
+            return;
+        };
+        let at_once = loads(
+            shares.by_engine.len(),
+            shares.models,
+            self.orders.parts.settings.loads,
+        );
+        self.controller.borrow_mut().set_loads(at_once);
+        let mut present = BTreeMap::new();
+        for entry in self.entries() {
+            let Some(version) = entry.models.get(&self.model).copied() else {
+                continue;
+            };
+            if shares.by_engine.get(&entry.id) != Some(&self.model) {
+                continue;
+            }
+            let before = listed.get(&entry.id).copied();
+            self.step(Event::Listed {
+                name: entry.id.clone(),
+                zone: entry.zone,
+                outstanding: 0,
+                leaving: entry.leaving,
+            });
+            // An engine lists a new version as soon as it serves it; its report lags behind.
+            if before.is_some_and(|before| before != version) {
+                let sight = Sight {
+                    incarnation: hash::stable(entry.id.as_bytes()),
+                    version: Some(Version(version)),
+                    loading: None,
+                    failed: false,
+                };
+                self.step(Event::Seen {
+                    name: entry.id.clone(),
+                    sight,
+                });
+            }
+            present.insert(entry.id, version);
+        }
+        for name in listed.keys() {
+            if !present.contains_key(name) {
+                self.step(Event::Unlisted { name: name.clone() });
+            }
+        }
+        *listed = present;
+    }
+
+    fn step(self: &Rc<Self>, event: Event) {
+        let actions = self.controller.borrow_mut().step(self.now(), event);
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn act(self: &Rc<Self>, action: Action) {
+        let service = self.service.as_str();
+        match action {
+            Action::Read { name } => {
+                let rollout = Rc::clone(self);
+                actix_rt::spawn(async move { rollout.read(name).await });
+            }
+            Action::Order {
+                name,
+                version,
+                fence,
+            } => {
+                let rollout = Rc::clone(self);
+                actix_rt::spawn(async move { rollout.order(name, version, fence).await });
+            }
+            Action::Quarantined {
+                name,
+                failures,
+                until,
+            } => {
+                let until = until.to_string();
+                log::warn!(service, endpoint = name.as_str(), failures, until = until.as_str(); "engine's loads fail");
+            }
+            Action::Strayed { name, version } => {
+                log::warn!(service, endpoint = name.as_str(), version:serde = version; "engine strayed");
+            }
+            Action::LeaseLost { fence } => {
+                log::warn!(service, fence; "an engine has seen a newer fencing token");
+            }
+            Action::Complete { version, took } => {
+                let millis = took.as_millis() as u64;
+                log::info!(service, version:serde = version, ms = millis; "rollout complete");
+            }
+        }
+    }
+
+    fn entry(&self, name: &str) -> Option<Entry> {
+        self.entries().into_iter().find(|entry| entry.id == name)
+    }
+
+    async fn read(self: Rc<Self>, name: CompactString) {
+        let report = match self.entry(&name) {
+            Some(entry) => self.orders.report(&entry).await,
+            None => Err(NoAnswer::Lost),
+        };
+        let event = match report {
+            Ok(report) => Event::Seen {
+                sight: self.sight(&name, &report),
+                name,
+            },
+            Err(no_answer) => no_answer.event(name),
+        };
+        self.step(event);
+    }
+
+    fn sight(&self, name: &str, report: &Report) -> Sight {
+        let named = self.orders.named.borrow().get(&self.model).copied();
+        Sight {
+            incarnation: hash::stable(name.as_bytes()),
+            version: report.models.get(&self.model).copied().map(Version),
+            // The report does not say which version is loaded; orders are given for the newest.
+            loading: report.busy.then(|| Version(named.unwrap_or_default())),
+            failed: false,
+        }
+    }
+
+    async fn order(self: Rc<Self>, name: CompactString, version: Version, fence: u64) {
+        let event = self.send_order(&name, version, fence).await;
+        self.step(event.unwrap_or_else(|no_answer| no_answer.event(name)));
+    }
+
+    /// Gives an order.
+    async fn send_order(
+        &self,
+        name: &CompactString,
+        version: Version,
+        fence: u64,
+    ) -> Result<Event, NoAnswer> {
+        let entry = self.entry(name).ok_or(NoAnswer::Lost)?;
+        let engine = self.orders.parts.adapter.engine;
+        let before = self.orders.report(&entry).await?;
+        let single = self.single_version();
+        let body = (engine.order)(Order {
+            model: &self.model,
+            version: version.0,
+            whole_runs: single,
+            holder: self.orders.parts.duties.instance(),
+            fence,
+            expected_orders: before.orders,
+        });
+        // The lease may have run out during the read.
+        if self.grant().is_none_or(|grant| grant.fence != fence) {
+            return Err(NoAnswer::Lost);
+        }
+        let answer = self
+            .orders
+            .call(&entry, Method::POST, engine.order_path, body);
+        let verdict = answer.await;
+        let verdict = verdict.map(|(status, _)| (engine.verdict)(status));
+        log::info!(
+            endpoint = name.as_str(),
+            model = self.model.as_str(),
+            version = version.0,
+            fence,
+            orders_before = before.orders,
+            outcome:? = verdict;
+            "order given"
+        );
+        let metrics = &self.orders.parts.metrics;
+        metrics.count(
+            &metrics.orders,
+            &[verdict.map_or("no answer", Verdict::as_str)],
+        );
+        let name = name.clone();
+        let mut sight = self.sight(&name, &before);
+        match verdict? {
+            Verdict::Accepted => {
+                sight.loading = Some(version);
+                Ok(Event::Taken { name, fence, sight })
+            }
+            Verdict::Holds => {
+                sight.version = Some(version);
+                sight.loading = None;
+                Ok(Event::Taken { name, fence, sight })
+            }
+            Verdict::Fenced => Ok(Event::Refused { name, fence }),
+            Verdict::Busy | Verdict::OtherEndpoint | Verdict::Refused => Err(NoAnswer::Lost),
+        }
+    }
+
+    /// Whether a route of the service wants samples of one version alone.
+    fn single_version(&self) -> bool {
+        let Some(table) = self.orders.parts.config.table() else {
+            return false;
+        };
+        let mut routes = table.document().routes.iter();
+        routes.any(|route| {
+            let here = route.targets.iter().any(|t| t.service == self.service);
+            here && route.single_version
+        })
+    }
+}
+
+/// The fencing token of a duty's first holder, before which nobody gave an order.
+const FIRST_FENCE: u64 = 1;
--- a/crates/pinereel/src/hosted/relay.rs
+++ b/crates/pinereel/src/hosted/relay/mod.rs
@@ -1,22 +1,22 @@
 //! One request of a caller, brought to an endpoint and answered with that endpoint's whole answer.
 
+mod head;
+mod report;
+
 use super::{
     endpoints::{Endpoints, Picked},
     metrics::Metrics,
 };
 use crate::upstream::pool::{Error, Exchange, Pool};
-use actix_http::{
-    Method, RequestHead, StatusCode, Uri,
-    header::{HeaderMap, HeaderName},
-};
+use actix_http::{Method, RequestHead, StatusCode, Uri, header::HeaderMap};
 use bytes::Bytes;
 use compact_str::CompactString;
 use futures_util::{StreamExt as _, future::LocalBoxFuture, stream::FuturesUnordered};
+use head::end_to_end;
 use pinereel_core::{
     endpoint::{End, Key},
     hash,
     relay::{Attempts, Ended, Limits, Step, Verdict},
-    route::Refusal,
     table,
 };
 use pinereel_port::{
@@ -24,25 +24,13 @@
     config::{Kind, Route},
     live::Attempt,
 };
+use report::{refusal_name, report, status_class, trace};
 use std::{cell::Cell, rc::Rc, time::Duration};
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
 /// Attempts that lost against another one may end by themselves for so long: their connections can
 /// be used again. The endpoint's work is short; a longer wait would look like work for nobody.
 const LINGER: Duration = Duration::from_millis(400);
-/// Headers that concern one connection only.
-const HOP_BY_HOP: [&str; 9] = [
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
 /// A request on its way.
 pub struct Call {
     /// Its id.
@@ -419,74 +407,3 @@
         objective: route.objective,
     }
 }
-
-/// The headers without those of one connection, and without those that framing sets.
-fn end_to_end(headers: &HeaderMap) -> HeaderMap {
-    let mut kept = HeaderMap::with_capacity(headers.len());
-    let named = connection_headers(headers);
-    for (name, value) in headers {
-        let hop = HOP_BY_HOP.contains(&name.as_str()) || name == "content-length";
-        if !hop && !named.contains(name) {
-            kept.append(name.clone(), value.clone());
-        }
-    }
-    kept
-}
-
-/// The headers that `Connection` names.
-fn connection_headers(headers: &HeaderMap) -> Vec<HeaderName> {
-    let values = headers.get_all("connection");
-    let texts = values.filter_map(|value| value.to_str().ok());
-    let names = texts.flat_map(|text| text.split(',').map(str::trim));
-    names.filter_map(|name| name.parse().ok()).collect()
-}
-
-fn status_class(status: StatusCode) -> &'static str {
-    match status.as_u16() / 100 {
-        2 => "2xx",
-        4 => "4xx",
-        5 => "5xx",
-        _ => "other",
-    }
-}
-
-const fn refusal_name(refusal: Refusal) -> &'static str {
-    match refusal {
-        Refusal::UnknownPool => "no endpoint listed",
-        Refusal::NoEndpoint => "no endpoint takes requests",
-        Refusal::NoVersion => "no endpoint has the version",
-        Refusal::Full => "every endpoint is full",
-    }
-}
-
-/// One attempt, for the log.
-fn trace(tried: &Tried) -> String {
-    let result = match &tried.ended {
-        Ok(answer) => answer.status.as_u16().to_string(),
-        Err(ended) => ended.to_string(),
-    };
-    let (id, millis) = (&tried.picked.id, tried.took.as_millis());
-    let reason = tried.picked.reason;
-    format!("{id} {result} {millis}ms {reason:?}")
-}
-
-/// One line for the request: what it was decided by, how old that was, and what came of it.
-fn report(call: &Call, outcome: &Outcome, began: Instant, list_age: Duration, trail: &[String]) {
-    let (outcome, why) = match outcome {
-        Outcome::Answer(answer) => (answer.status.as_u16().to_string(), ""),
-        Outcome::NotRun { why, .. } => ("not run".into(), why.as_str()),
-        Outcome::Unknown { why, .. } => ("unknown".into(), why.as_str()),
-    };
-    log::info!(
-        id = call.id.as_str(),
-        route = call.route.name.as_str(),
-        config = call.config,
-        config_age_ms = call.config_age.as_millis() as u64,
-        list_age_ms = list_age.as_millis() as u64,
-        outcome = outcome.as_str(),
-        why,
-        attempts:serde = trail,
-        ms = began.elapsed().as_millis() as u64;
-        "request"
-    );
-}
--- /dev/null
+++ b/crates/pinereel_fakes/src/hosting/soak/inject.rs
@@ -0,0 +1,247 @@
+//! How each fault is brought about, and ended.
+
+use super::{
+    AFTERMATH, Soak, start,
+    trouble::{Trouble, engine_fault, service_fault},
+};
+use crate::{
+    hosting::{engine, proxy, service, store},
+    launch::Signal,
+};
+use rand::Rng as _;
+use std::{io, rc::Rc, time::Duration};
+use tokio::time::sleep;
+
+impl Soak {
+    pub(super) async fn inject(&mut self, trouble: Trouble, length: Duration) {
+        let site = Rc::clone(&self.site);
+        let counts = {
+            let site = site.borrow();
+            [
+                site.instances.len(),
+                site.engines.len(),
+                site.services.len(),
+            ]
+        };
+        let [instance, engine, service] = counts.map(|count| self.rng.random_range(0..count));
+        let index = match trouble {
+            Trouble::EngineSlow
+            | Trouble::EngineCuts
+            | Trouble::EngineLateOrders
+            | Trouble::EngineDark
+            | Trouble::EngineLapses
+            | Trouble::EngineLeaves => engine,
+            Trouble::ServiceLoses
+            | Trouble::ServiceCuts
+            | Trouble::ServiceSlow
+            | Trouble::ServiceLeaves => service,
+            _ => instance,
+        };
+        self.note(trouble, index, length);
+        match trouble {
+            Trouble::Kill | Trouble::Terminate | Trouble::Pause => {
+                self.signal(trouble, index, length);
+            }
+            Trouble::CutFromStore
+            | Trouble::ResetStoreConnections
+            | Trouble::DelayCallers
+            | Trouble::ResetCallers
+            | Trouble::BadSettings => self.instance_fault(trouble, index, length),
+            Trouble::StoreDown
+            | Trouble::StoreSlow
+            | Trouble::StoreLoses
+            | Trouble::StoreForgets => self.store_fault(trouble, length),
+            Trouble::EngineLeaves | Trouble::ServiceLeaves => self.replace(trouble, index).await,
+            Trouble::Configure => self.configure(),
+            _ => self.endpoint_fault(trouble, index, length),
+        }
+    }
+
+    fn signal(&mut self, trouble: Trouble, index: usize, length: Duration) {
+        let planned = matches!(trouble, Trouble::Terminate);
+        let mut site = self.site.borrow_mut();
+        let instance = &mut site.instances[index];
+        if !instance.is_running() || instance.paused {
+            return;
+        }
+        match trouble {
+            Trouble::Kill => instance.signal(Signal::KILL),
+            Trouble::Pause => {
+                instance.signal(Signal::STOP);
+                instance.paused = true;
+            }
+            _ => instance.signal(Signal::TERM),
+        }
+        drop(site);
+        if planned {
+            // It ends by itself; then it is started again.
+            self.span(Some(index), true, Duration::from_secs(9));
+            self.restart_when_ended(index);
+        } else {
+            self.span(Some(index), false, length + AFTERMATH);
+            self.later(length, move |site| {
+                let instance = &mut site.instances[index];
+                if instance.paused {
+                    instance.signal(Signal::CONT);
+                    instance.paused = false;
+                } else if !instance.is_running() {
+                    start(site, index);
+                }
+            });
+        }
+    }
+
+    fn restart_when_ended(&self, index: usize) {
+        let site = Rc::clone(&self.site);
+        actix_rt::spawn(async move {
+            loop {
+                sleep(Duration::from_millis(50)).await;
+                let site = &mut *site.borrow_mut();
+                if !site.instances[index].is_running() {
+                    start(site, index);
+                    return;
+                }
+            }
+        });
+    }
+
+    fn instance_fault(&mut self, trouble: Trouble, index: usize, length: Duration) {
+        let one_way = self.rng.random_bool(0.4);
+        self.span(Some(index), false, length + AFTERMATH);
+        let site = self.site.borrow();
+        let instance = &site.instances[index];
+        match trouble {
+            Trouble::CutFromStore => {
+                let fault = proxy::Fault {
+                    mute_requests: !one_way,
+                    ..proxy::Fault::SILENT
+                };
+                instance.store.set(fault);
+                self.later(length, move |site| {
+                    site.instances[index].store.set(proxy::Fault::default());
+                });
+            }
+            Trouble::ResetStoreConnections => instance.store.reset(),
+            Trouble::DelayCallers => {
+                let delay = Duration::from_millis(60);
+                instance.callers.set(proxy::Fault {
+                    delay,
+                    ..proxy::Fault::default()
+                });
+                self.later(length, move |site| {
+                    site.instances[index].callers.set(proxy::Fault::default());
+                });
+            }
+            Trouble::BadSettings => {
+                instance.spoil_settings();
+                self.later(length, move |site| site.instances[index].mend_settings());
+            }
+            _ => instance.callers.reset(),
+        }
+    }
+
+    fn store_fault(&mut self, trouble: Trouble, length: Duration) {
+        self.span(None, false, length + AFTERMATH);
+        let late = self.rng.random_bool(0.5);
+        let site = self.site.borrow();
+        let fault = match trouble {
+            Trouble::StoreDown => store::Fault {
+                down: true,
+                ..store::Fault::default()
+            },
+            Trouble::StoreSlow => store::Fault {
+                delay: Duration::from_millis(200),
+                ..store::Fault::default()
+            },
+            Trouble::StoreLoses => store::Fault {
+                lost: 0.35,
+                late,
+                ..store::Fault::default()
+            },
+            _ => {
+                site.store.compact();
+                return;
+            }
+        };
+        site.store.set(fault);
+        self.later(length, |site| site.store.set(store::Fault::default()));
+    }
+
+    fn endpoint_fault(&self, trouble: Trouble, index: usize, length: Duration) {
+        self.span(None, false, length + AFTERMATH);
+        let site = self.site.borrow();
+        if let Some(fault) = service_fault(trouble) {
+            site.services[index].endpoint.set(fault);
+            self.later(length, move |site| {
+                site.services[index].endpoint.set(service::Fault::default());
+            });
+            return;
+        }
+        let fronted = &site.engines[index];
+        match trouble {
+            Trouble::EngineDark => {
+                fronted.proxy.set(proxy::Fault::SILENT);
+                self.later(length, move |site| {
+                    site.engines[index].proxy.set(proxy::Fault::default());
+                });
+            }
+            Trouble::EngineLapses => {
+                fronted.endpoint.unlist();
+                self.later(length.min(Duration::from_millis(1_500)), move |site| {
+                    let fronted = &site.engines[index];
+                    fronted.endpoint.list(fronted.proxy.address);
+                });
+            }
+            _ => {
+                fronted.endpoint.set(engine_fault(trouble));
+                self.later(length, move |site| {
+                    site.engines[index].endpoint.set(engine::Fault::default());
+                });
+            }
+        }
+    }
+
+    /// An endpoint leaves in good order, and a new one comes first.
+    async fn replace(&mut self, trouble: Trouble, index: usize) {
+        let mut site = self.site.borrow_mut();
+        if matches!(trouble, Trouble::EngineLeaves) {
+            let version = site.engines[index].endpoint.version();
+            // A site that can't add an endpoint keeps the old one.
+            if add(site.add_engine(version)) {
+                site.engines[index].endpoint.leave();
+                let last = site.engines.len() - 1;
+                site.engines.swap(index, last);
+                let old = site.engines.pop().expect("one was just added");
+                end_later(move || old.endpoint.unlist());
+            }
+        } else if index + 1 < site.services.len() && add(site.add_service("plain")) {
+            let fronted = &site.services[index];
+            fronted.endpoint.leave(fronted.proxy.address);
+            let last = site.services.len() - 1;
+            site.services.swap(index, last);
+            let old = site.services.pop().expect("one was just added");
+            end_later(move || old.endpoint.unlist());
+        }
+    }
+
+    fn configure(&mut self) {
+        let other = self.rng.random_bool(0.5);
+        let timeout = Duration::from_millis(self.rng.random_range(1_500..2_500));
+        let service = if other { "other" } else { "plain" };
+        self.site.borrow_mut().configure(service, timeout);
+    }
+}
+
+/// Binding a loopback port never waits, so that the future is done at once.
+fn add(adding: impl Future<Output = io::Result<()>>) -> bool {
+    let done = futures_util::FutureExt::now_or_never(adding);
+    matches!(done, Some(Ok(())))
+}
+
+/// An endpoint that has announced its leave goes off the list when its last requests are over.
+fn end_later(end: impl FnOnce() + 'static) {
+    actix_rt::spawn(async move {
+        sleep(Duration::from_secs(4)).await;
+        end();
+    });
+}
