An instance that the bulletin tells of all changes looks for the store while it is away

Change: Store::look_out, a stale read every 0.4 s while the store is away. Test: a_store_that_is_back_is_found_without_any_other_call (without the look nothing could end the absence).

--- a/crates/pinereel/src/hosted/run.rs
+++ b/crates/pinereel/src/hosted/run.rs
@@ -144,6 +144,11 @@
         );
         actix_rt::spawn(summarise(store.client().clone()));
         let watch = settings.store.watch;
+        let looking = store.clone();
+        actix_rt::spawn(async move {
+            let places = adapter.places;
+            looking.look_out(places.config, places.config_name).await;
+        });
         let feed = Rc::new(Feed::default());
         let config = Config::start(&store, adapter, watch, &feed);
         let instance = &settings.instance;
--- a/crates/pinereel/src/hosted/store.rs
+++ b/crates/pinereel/src/hosted/store.rs
@@ -9,7 +9,13 @@
 };
 use serde_json::Value;
 use std::{cell::Cell, rc::Rc, time::Duration};
-use tokio::{sync::watch, time::Instant};
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep},
+};
+
+/// Pause between two looks whether the store is back; each costs a tenth of a call.
+const LOOK: Duration = Duration::from_millis(400);
 
 /// The store's calls; clones share budget and contact.
 #[derive(Clone)]
@@ -69,6 +75,19 @@
         self.contact.returns.subscribe()
     }
 
+    /// While the store is away, looks whether it is back: an instance that the bulletin tells of all
+    /// changes may have no other call to make for a long time. Never returns.
+    pub async fn look_out(&self, kind: &str, name: &str) {
+        loop {
+            sleep(LOOK).await;
+            if self.away_since().is_some() {
+                // What it reads is of no interest, and may be old; `judge` notes the contact.
+                let read = self.read(Purpose::Config, kind, name, Freshness::Stale);
+                drop(read.await);
+            }
+        }
+    }
+
     /// Calls since the start.
     pub fn client(&self) -> &Client {
         &self.client
--- /dev/null
+++ b/crates/pinereel_fakes/tests/hosting_store.rs
@@ -0,0 +1,74 @@
+//! The hosted instance's view of the object store, against the stand-in.
+
+use pinereel::{
+    hosted::Store,
+    objects::{Client, Options, Purpose},
+    state::Clock,
+};
+use pinereel_fakes::hosting::store;
+use pinereel_platform::adapter;
+use pinereel_port::store::Freshness;
+use std::time::Duration;
+use tokio::time::sleep;
+
+async fn start() -> (store::Store, Store) {
+    let stand_in = store::Store::start(1).await.expect("a free port");
+    let clock = Clock::new();
+    let options = Options {
+        address: stand_in.address.to_string(),
+        agent: "front-1".into(),
+        concurrency: 8,
+        timeout: Duration::from_millis(500),
+        reads: 100.0,
+        writes: 100.0,
+    };
+    let client = Client::new(options, clock);
+    (stand_in, Store::new(client, adapter().store))
+}
+
+async fn read(store: &Store) -> bool {
+    let read = store.read(Purpose::Config, "config", "main", Freshness::Current);
+    read.await.is_ok()
+}
+
+#[actix_rt::test]
+async fn a_store_that_is_back_is_found_without_any_other_call() {
+    let (stand_in, store) = start().await;
+    stand_in.set(store::Fault {
+        down: true,
+        ..store::Fault::default()
+    });
+    assert!(!read(&store).await);
+    assert!(store.away_since().is_some());
+    let looking = store.clone();
+    actix_rt::spawn(async move { looking.look_out("config", "main").await });
+    stand_in.set(store::Fault::default());
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(store.away_since(), None);
+    let calls = stand_in.calls();
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(stand_in.calls(), calls, "no calls while it is there");
+}
+
+#[actix_rt::test]
+async fn only_a_promise_counts_as_not_done() {
+    let (stand_in, store) = start().await;
+    let first = store.create(Purpose::Lots, "lots", "a", r#"{"x":1}"#).await;
+    assert_eq!(first.map(|object| object.spec["x"].clone()), Ok(1.into()));
+    let again = store.create(Purpose::Lots, "lots", "a", "{}").await;
+    assert_eq!(again, Err(pinereel::objects::Error::Conflict));
+    stand_in.set(store::Fault {
+        lost: 1.0,
+        ..store::Fault::default()
+    });
+    let lost = store.create(Purpose::Lots, "lots", "b", "{}").await;
+    assert!(lost.is_err_and(|error| !error.had_no_effect()));
+    stand_in.set(store::Fault {
+        down: true,
+        ..store::Fault::default()
+    });
+    let down = store.create(Purpose::Lots, "lots", "c", "{}").await;
+    assert!(down.is_err_and(|error| error.had_no_effect()));
+    assert!(stand_in.spec("lots", "b").is_some(), "it was done");
+    assert!(stand_in.spec("lots", "c").is_none());
+}
