--- a/crates/pinereel/src/hosted/lots/desk.rs
+++ b/crates/pinereel/src/hosted/lots/desk.rs
@@ -12,7 +12,6 @@
 };
 use bytes::Bytes;
 use compact_str::CompactString;
-use pinereel_core::relay::come_back;
 use pinereel_port::{
     Adapter,
     lot::{Reading, Sample},
@@ -24,6 +23,9 @@
 
 /// Lots whose number of items is remembered, so that reading one costs one call.
 const REMEMBERED: usize = 256;
+/// What the store's refusals ask the caller to wait: it answers again within about this time of its
+/// return.
+const RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Tries of one write whose outcome is not known, each followed by a look.
 const WRITES: u32 = 4;
 /// Pause before a look at a write whose answer was lost.
@@ -83,12 +85,6 @@
         }
     }
 
-    /// When a caller whose call the store did not take should come back.
-    fn come_back(&self) -> Duration {
-        let away = self.store.away_since();
-        come_back(away.map(|since| since.elapsed()).unwrap_or_default())
-    }
-
     /// Accepts a lot: it is kept from the moment at which its object was created.
     pub async fn submit(
         &self,
@@ -145,7 +141,7 @@
         if sent {
             Reply::Unknown
         } else {
-            Reply::NotDone(self.come_back())
+            Reply::NotDone(RETRY_AFTER)
         }
     }
 
@@ -160,7 +156,7 @@
             }
             Err(error) => {
                 log::warn!(id = lot, from, error:% = error; "lot not read");
-                Reply::NotDone(self.come_back())
+                Reply::NotDone(RETRY_AFTER)
             }
         }
     }
@@ -268,7 +264,7 @@
             Ok(None) => return Reply::NotFound,
             Err(error) => {
                 log::warn!(id = lot, item, error:% = error; "item not read");
-                return Reply::NotDone(self.come_back());
+                return Reply::NotDone(RETRY_AFTER);
             }
         };
         match accepted(&self.adapter, &object) {
@@ -279,7 +275,7 @@
             }
             Err(fault) => {
                 log::error!(id = lot, item; "{fault}");
-                Reply::NotDone(self.come_back())
+                Reply::NotDone(RETRY_AFTER)
             }
         }
     }
@@ -287,7 +283,7 @@
     /// Ends a lot. Ending it again changes nothing.
     pub async fn end(&self, lot: &str, give_up: Instant) -> Reply {
         let status = serde_json::json!(Standing { ended: true });
-        let mut reply = Reply::NotDone(self.come_back());
+        let mut reply = Reply::NotDone(RETRY_AFTER);
         for _ in 0..WRITES {
             if Instant::now() >= give_up {
                 break;
--- a/crates/pinereel_core/src/relay.rs
+++ b/crates/pinereel_core/src/relay.rs
@@ -14,17 +14,6 @@
 /// is full.
 const MAX_REFUSED: u32 = 4;
 
-/// Shortest wait that a caller is asked for while something that its request needs is away.
-const SOONEST: Duration = Duration::from_millis(500);
-/// Longest such wait: a trainer has some twelve seconds for a step's submission.
-const LATEST: Duration = Duration::from_millis(1_500);
-
-/// When a caller should come back whose request needs something that has been away for so long: an
-/// absence that has lasted goes on about as long again, and callers have only so many tries.
-pub fn come_back(away: Duration) -> Duration {
-    away.clamp(SOONEST, LATEST)
-}
-
 /// Bounds of one request.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
--- a/crates/pinereel_core/tests/relay_attempts.rs
+++ b/crates/pinereel_core/tests/relay_attempts.rs
@@ -1,6 +1,6 @@
 //! When a request is sent again, waited for or given up.
 
-use pinereel_core::relay::{Attempts, Ended, Limits, Step, Verdict, come_back};
+use pinereel_core::relay::{Attempts, Ended, Limits, Step, Verdict};
 use proptest::{prelude::*, test_runner::Config};
 use std::time::Duration;
 
@@ -67,24 +67,6 @@
     assert!(attempts(true, 2).accepts(404), "a caller's own fault");
 }
 
-/// A trainer whose step falls into an outage of 6.4 s, one second after its begin (prairie trouble-3),
-/// and who comes back when it is told to.
-#[test]
-fn a_step_submitted_in_an_outage_needs_few_tries() {
-    let (begin, end) = (ms(1_000), ms(6_400));
-    let (mut now, mut tries) = (begin, 1);
-    while now < end {
-        now += come_back(now);
-        tries += 1;
-    }
-    assert!(tries <= 7, "{tries} tries");
-    assert!(
-        now <= end + ms(1_500),
-        "back {now:?} after the outage began"
-    );
-    assert_eq!(come_back(Duration::ZERO), ms(500));
-}
-
 proptest! {
     #![proptest_config(Config { cases: 256, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(11), ..Config::default() })]
     /// Whatever happens: never more runs than allowed, what may run once runs once, and "not run" is
