objects: a lot's write need not wait for the breaker's long back-off

The trainer offers its step until about 9.8 s; its tries at 9.45 and 9.81 s were refused untried, since those instances' breakers were open for up to 1.25 s more. Change: a lot's write may go out 0.2 s after the last failure; its answer closes the breaker for all other calls. Test: objects_breaker.

--- a/crates/pinereel/src/objects/breaker.rs
+++ b/crates/pinereel/src/objects/breaker.rs
@@ -10,6 +10,11 @@
 /// Longest back-off: an API that is back is found within about this time.
 const LONGEST: Duration = Duration::from_secs(1);
 
+/// An urgent call may go out this long after the last failure, however long the back-off is. A
+/// trainer offers a step again for about 6 s after a refusal, every 0.3 s, so one that comes back in
+/// its last second must still find an API that has just returned.
+const URGENT: Duration = Duration::from_millis(200);
+
 /// The state of one breaker.
 #[derive(Clone, Debug, Default)]
 pub struct Breaker {
@@ -17,6 +22,8 @@
     failures: u32,
     /// Calls fail at once until then.
     until: Option<Time>,
+    /// Urgent calls fail at once until then.
+    urgent_until: Option<Time>,
     /// Makes the jitter differ between instances.
     seed: u64,
 }
@@ -30,15 +37,21 @@
         }
     }
 
-    /// Whether a call may go out.
-    pub fn allows(&self, now: Time) -> bool {
-        self.until.is_none_or(|until| now >= until)
+    /// Whether a call may go out. An urgent one has a caller that gives up soon.
+    pub fn allows(&self, urgent: bool, now: Time) -> bool {
+        let until = if urgent {
+            self.urgent_until
+        } else {
+            self.until
+        };
+        until.is_none_or(|until| now >= until)
     }
 
     /// Notes a call that was answered by the API, whatever the answer.
     pub fn success(&mut self) {
         self.failures = 0;
         self.until = None;
+        self.urgent_until = None;
     }
 
     /// Notes a call that was not answered, or answered as down.
@@ -52,6 +65,8 @@
         let jitter = hash::stable(&(self.seed ^ u64::from(self.failures)).to_le_bytes()) % 50;
         // Between 75% and 125% of the back-off.
         let percent = 75 + u32::try_from(jitter).unwrap_or(0);
-        self.until = Some(now + wait * percent / 100);
+        let wait = wait * percent / 100;
+        self.until = Some(now + wait);
+        self.urgent_until = Some(now + wait.min(URGENT));
     }
 }
--- a/crates/pinereel/src/objects/client.rs
+++ b/crates/pinereel/src/objects/client.rs
@@ -350,7 +350,8 @@
         let wait = {
             let now = self.clock.now();
             let mut inner = self.inner.borrow_mut();
-            if !inner.breaker.allows(now) {
+            let urgent = purpose == Purpose::Lots && kind == "write";
+            if !inner.breaker.allows(urgent, now) {
                 return Err(Error::NotSent("the circuit breaker is open".into()));
             }
             match kind {
--- a/crates/pinereel/src/objects/mod.rs
+++ b/crates/pinereel/src/objects/mod.rs
@@ -9,4 +9,5 @@
 mod client;
 mod rate;
 
+pub use breaker::Breaker;
 pub use client::{Access, Client, Error, Options, Purpose};
--- /dev/null
+++ b/crates/pinereel/tests/objects_breaker.rs
@@ -0,0 +1,40 @@
+//! The circuit breaker of the object API on virtual time.
+
+use pinereel::objects::Breaker;
+use pinereel_core::Time;
+use std::time::Duration;
+
+fn after_failures(failures: u32) -> (Breaker, Time) {
+    let mut breaker = Breaker::new(7);
+    let mut now = Time::ZERO;
+    for _ in 0..failures {
+        now = now + Duration::from_secs(2);
+        breaker.failure(now);
+    }
+    (breaker, now)
+}
+
+#[test]
+fn two_failures_do_not_open_it() {
+    let (breaker, now) = after_failures(2);
+    assert!(breaker.allows(false, now));
+    assert!(breaker.allows(true, now));
+}
+
+#[test]
+fn an_urgent_call_need_not_wait_for_the_long_back_off() {
+    let (breaker, now) = after_failures(12);
+    let soon = now + Duration::from_millis(200);
+    assert!(!breaker.allows(true, now));
+    assert!(breaker.allows(true, soon));
+    assert!(!breaker.allows(false, soon));
+    assert!(breaker.allows(false, now + Duration::from_millis(1_250)));
+}
+
+#[test]
+fn an_answer_closes_it_for_all() {
+    let (mut breaker, now) = after_failures(12);
+    breaker.success();
+    assert!(breaker.allows(false, now));
+    assert!(breaker.allows(true, now));
+}
