objects: a test that is red: urgent failures put off all other calls

Cause: since a lot's write may pass the open breaker; when it fails, the back-off of leases' and watches' calls starts again. Where only writes fail they get no turn as long as a lot is written. Ruled out: outages of the whole store (the first answer closes the breaker). A failure must not put off a back-off that still runs.

--- a/crates/pinereel/tests/objects_breaker.rs
+++ b/crates/pinereel/tests/objects_breaker.rs
@@ -38,3 +38,21 @@
     assert!(breaker.allows(false, now));
     assert!(breaker.allows(true, now));
 }
+
+/// Finding 16: leases and watches must get their turn while lots' writes keep failing.
+#[test]
+fn urgent_failures_do_not_put_off_other_calls() {
+    let (mut breaker, start) = after_failures(12);
+    let mut others = 0;
+    for step in 1..=20 {
+        let now = start + Duration::from_millis(200 * step);
+        if breaker.allows(false, now) {
+            others += 1;
+        }
+        if breaker.allows(true, now) {
+            breaker.failure(now);
+        }
+    }
+    // In 4 s, with a longest back-off of 1.25 s.
+    assert!(others >= 3, "{others} turns of other calls");
+}
