hosted: a process that stood still waits for the news before it sends anything

Ruled out: dropping the link and listing anew; it costs a call an instance, and what lies unread is read within milliseconds. Change: a look at the clock that counts suspension every 0.2 s and before each send; one that comes 0.7 s late holds all sends back for 0.25 s.

--- a/crates/pinereel/src/hosted/lots/runner.rs
+++ b/crates/pinereel/src/hosted/lots/runner.rs
@@ -15,6 +15,7 @@
         follow::{Manner, Update, follow},
         metrics::Metrics,
         relay::Relay,
+        stall::Stall,
         store::Store,
     },
     objects::Purpose,
@@ -48,6 +49,8 @@
     pub pool: Rc<Pool>,
     /// Brings scorings to their service.
     pub relay: Rc<Relay>,
+    /// Whether what is known may be old.
+    pub stall: Rc<Stall>,
     /// Figures.
     pub metrics: Metrics,
     /// The clock.
--- a/crates/pinereel/src/hosted/mod.rs
+++ b/crates/pinereel/src/hosted/mod.rs
@@ -23,9 +23,11 @@
 mod retire;
 mod run;
 mod serve;
+mod stall;
 mod stop;
 mod store;
 
 pub use metrics::Metrics;
 pub use run::{Error, run};
+pub use stall::Stall;
 pub use store::Store;
--- a/crates/pinereel/src/hosted/relay/mod.rs
+++ b/crates/pinereel/src/hosted/relay/mod.rs
@@ -6,6 +6,7 @@
 use super::{
     endpoints::{Endpoints, Picked},
     metrics::Metrics,
+    stall::Stall,
 };
 use crate::upstream::pool::{Error, Exchange, Pool};
 use actix_http::{Method, RequestHead, StatusCode, Uri, header::HeaderMap};
@@ -92,6 +93,7 @@
     adapter: Adapter,
     endpoints: Rc<Endpoints>,
     pool: Rc<Pool>,
+    stall: Rc<Stall>,
     metrics: Metrics,
     /// Makes the choices of one process differ from request to request.
     next: Cell<u64>,
@@ -112,12 +114,14 @@
         adapter: Adapter,
         endpoints: &Rc<Endpoints>,
         pool: &Rc<Pool>,
+        stall: &Rc<Stall>,
         metrics: &Metrics,
     ) -> Rc<Self> {
         Rc::new(Self {
             adapter,
             endpoints: Rc::clone(endpoints),
             pool: Rc::clone(pool),
+            stall: Rc::clone(stall),
             metrics: metrics.clone(),
             next: Cell::new(0),
         })
@@ -139,6 +143,7 @@
         let outcome = loop {
             match attempts.next(began.elapsed()) {
                 Step::Send => {
+                    self.stall.caught_up().await;
                     let repeatable = call.route.kind == Kind::Idempotent;
                     match self.endpoints.choose(service, &used, repeatable, seed) {
                         Ok(picked) => {
--- a/crates/pinereel/src/hosted/run.rs
+++ b/crates/pinereel/src/hosted/run.rs
@@ -10,6 +10,7 @@
     orders::{self, Orders},
     relay::Relay,
     serve::{Front, serve},
+    stall::Stall,
     stop::{Stop, Times},
     store::Store,
 };
@@ -180,7 +181,8 @@
             hurried,
         );
         let pool = Rc::new(Pool::default());
-        let relay = Relay::new(adapter, &endpoints, &pool, &metrics);
+        let stall = Stall::start(boot_time);
+        let relay = Relay::new(adapter, &endpoints, &pool, &stall, &metrics);
         let runner = Runner::start(lots::Parts {
             adapter,
             store: store.clone(),
@@ -189,6 +191,7 @@
             duties: Rc::clone(&duties),
             pool: Rc::clone(&pool),
             relay: Rc::clone(&relay),
+            stall: Rc::clone(&stall),
             metrics: metrics.clone(),
             clock,
             watch,
@@ -226,6 +229,7 @@
         }
         let front = Rc::new(Front {
             adapter,
+            stall,
             config,
             relay,
             desk: Desk::new(adapter, &store),
--- a/crates/pinereel/src/hosted/serve.rs
+++ b/crates/pinereel/src/hosted/serve.rs
@@ -5,6 +5,7 @@
     lots::{Desk, Reply},
     metrics::Metrics,
     relay::{Call, Outcome, Relay},
+    stall::Stall,
     stop::Stop,
 };
 use crate::http::{self, Request, Response};
@@ -39,6 +40,8 @@
 pub struct Front {
     /// Translates.
     pub adapter: Adapter,
+    /// Whether what is known may be old.
+    pub stall: Rc<Stall>,
     /// The configuration.
     pub config: Rc<Config>,
     /// Live requests.
@@ -75,6 +78,7 @@
         let host = request.headers().get(HOST);
         let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
         let host = CompactString::from(host);
+        self.stall.caught_up().await;
         let Some(table) = self.config.table() else {
             self.metrics
                 .count(&self.metrics.refused, &["no configuration"]);
