orders: models share the engines by the size of their lots

Cause: with equal shares steps with long texts (jacket, invoice; rotor, stator) had 66 slots for 112 items while engines of the others idled, and their rollouts took six turns of loads, 5.8 s of the 4 s between steps. Change: a runner tells the mean tokens of its lots in its lease, at no call; shares and loads at once go by it; engines change hands for three or more. Loads bind: 44 engines need 4.4 s for a round of 4 s.

--- a/crates/pinereel/src/hosted/duty/look.rs
+++ b/crates/pinereel/src/hosted/duty/look.rs
@@ -102,6 +102,14 @@
         (!lease.address.is_empty()).then_some(lease.address)
     }
 
+    /// Tokens of a lot of a duty, as its holder says; 0 if that is not known.
+    pub fn demand(&self, duty: &str) -> u64 {
+        let page = self.page.borrow();
+        let object = page.iter().find(|object| object.name == duty);
+        let demand = object.and_then(|object| object.spec.get("demand")?.as_u64());
+        demand.unwrap_or_default()
+    }
+
     /// Tells each look at the leases.
     pub fn looks(&self) -> watch::Receiver<u64> {
         self.look.subscribe()
--- a/crates/pinereel/src/hosted/duty/mod.rs
+++ b/crates/pinereel/src/hosted/duty/mod.rs
@@ -15,6 +15,7 @@
     lease::{Action, Event, Holder, Lease, Limits, Place},
 };
 use pinereel_port::store::{Freshness, Object};
+use serde::Serialize;
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet},
@@ -62,6 +63,15 @@
     pub since: Time,
 }
 
+/// A lease as it lies in the store.
+#[derive(Serialize)]
+struct Stored<'a> {
+    #[serde(flatten)]
+    lease: &'a Lease,
+    /// Tokens of a lot of the duty; 0 if that is not known.
+    demand: u64,
+}
+
 /// How this instance stands to a duty.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Standing {
@@ -105,6 +115,8 @@
     page: RefCell<Vec<Object>>,
     /// When that was looked at.
     looked_at: Cell<Option<Time>>,
+    /// Tokens of a lot, by duty of this instance; told in their leases.
+    demands: RefCell<BTreeMap<CompactString, u64>>,
     /// Somebody wants a look now.
     wanted: Notify,
     /// The place of this instance among all candidates, as it was last told.
@@ -139,6 +151,7 @@
             look: watch::channel(0).0,
             page: RefCell::default(),
             looked_at: Cell::default(),
+            demands: RefCell::default(),
             wanted: Notify::new(),
             place: Cell::default(),
             taking: RefCell::default(),
@@ -194,6 +207,11 @@
         self.cores >= AMPLE_CORES
     }
 
+    /// Tells in the lease of a duty, from its next renewal on, how large its lots are, in tokens.
+    pub fn set_demand(&self, duty: CompactString, tokens: u64) {
+        self.demands.borrow_mut().insert(duty, tokens);
+    }
+
     /// Duties that this instance holds.
     pub fn held(&self) -> usize {
         let joined = self.joined.borrow();
@@ -379,7 +397,8 @@
     }
 
     async fn write(&self, duty: &str, expected: Option<u64>, lease: &Lease) -> Event {
-        let spec = match serde_json::to_value(lease) {
+        let demand = self.demands.borrow().get(duty).copied().unwrap_or_default();
+        let spec = match serde_json::to_value(Stored { lease, demand }) {
             Ok(spec) => spec,
             Err(error) => {
                 log::error!(duty, error:% = error; "lease not written");
--- a/crates/pinereel/src/hosted/lots/mod.rs
+++ b/crates/pinereel/src/hosted/lots/mod.rs
@@ -18,4 +18,4 @@
 mod sweep;
 
 pub use desk::{Desk, Reply};
-pub use runner::{Parts, Runner};
+pub use runner::{Parts, Runner, duty};
--- a/crates/pinereel/src/hosted/lots/opening.rs
+++ b/crates/pinereel/src/hosted/lots/opening.rs
@@ -4,8 +4,8 @@
     commit,
     handover::{self, Drafts},
     record::{self, accepted, is_ended, results, segment},
-    runner::Runner,
-    state::{Draft, Open, Task},
+    runner::{self, Runner},
+    state::{Draft, Open, State, Task},
 };
 use crate::objects::{Error, Purpose};
 use compact_str::CompactString;
@@ -19,6 +19,8 @@
 
 /// Pause after a lot's results could not be read.
 const RETRY: Duration = Duration::from_millis(150);
+/// Tokens of an item without an estimate: about the middle.
+const USUAL_LENGTH: u32 = 500;
 /// Texts of ended lots that are kept for groups that come again.
 const DRAFTS: usize = 2_048;
 
@@ -118,6 +120,7 @@
         };
         let ended = state.closed.contains(&id);
         if !ended {
+            self.note_demand(&mut state, &open);
             state.lots.insert(id.clone(), open);
         }
         drop(state);
@@ -127,6 +130,17 @@
         drop(task);
     }
 
+    /// Tells how much work the model's trainers ask for, so that it gets its share of the engines.
+    fn note_demand(&self, state: &mut State, open: &Open) {
+        let now = self.parts.clock.now();
+        let items = open.submission.items.iter();
+        let tokens = items.map(|item| u64::from(item.length_hint.unwrap_or(USUAL_LENGTH)));
+        let asked = state.asked.entry(open.model.clone()).or_default();
+        asked.add(now, tokens.sum());
+        let duties = &self.parts.duties;
+        duties.set_demand(runner::duty(&open.model), asked.mean(now));
+    }
+
     /// What is committed of a lot, and the texts that earlier runners left.
     async fn read_lot(
         &self,
--- a/crates/pinereel/src/hosted/lots/runner.rs
+++ b/crates/pinereel/src/hosted/lots/runner.rs
@@ -134,7 +134,7 @@
 
     /// Works for a model whenever this instance holds its duty.
     async fn serve(self: Rc<Self>, model: &CompactString) {
-        let duty = format_compact!("lots-{model}");
+        let duty = duty(model);
         let (runner, duties) = (&self, Rc::clone(&self.parts.duties));
         let work = async || runner.work(model).await;
         let goes_on = || {
@@ -207,6 +207,11 @@
     }
 }
 
+/// The duty of running the lots of a model.
+pub fn duty(model: &str) -> CompactString {
+    format_compact!("lots-{model}")
+}
+
 /// The models of all engines.
 fn models(table: &Table) -> Vec<CompactString> {
     let services = table.document().services.iter();
--- a/crates/pinereel/src/hosted/lots/state.rs
+++ b/crates/pinereel/src/hosted/lots/state.rs
@@ -2,7 +2,7 @@
 
 use super::sweep::Ages;
 use compact_str::CompactString;
-use pinereel_core::batch::{Fleet, Lot};
+use pinereel_core::batch::{Asked, Fleet, Lot};
 use pinereel_port::lot::{Event, Submission};
 use serde::{Deserialize, Serialize};
 use std::{
@@ -18,6 +18,8 @@
     pub(super) opening: BTreeMap<CompactString, Task>,
     /// Lots that need no work any more.
     pub(super) closed: BTreeSet<CompactString>,
+    /// What was asked for lately, by model.
+    pub(super) asked: BTreeMap<CompactString, Asked>,
     /// When each lot was first seen.
     pub(super) ages: Ages,
     /// Engines by service and model.
--- a/crates/pinereel/src/hosted/orders/mod.rs
+++ b/crates/pinereel/src/hosted/orders/mod.rs
@@ -11,6 +11,7 @@
     duty::{Duties, Standing},
     endpoints::Endpoints,
     follow::{Manner, Update, follow},
+    lots,
     metrics::Metrics,
     retire,
     store::Store,
@@ -19,7 +20,8 @@
 use call::ANSWER;
 use compact_str::{CompactString, format_compact};
 use pinereel_core::{
-    rollout::{Controller, Settings, share},
+    Time,
+    rollout::{Controller, Demand, Settings, is_worth_a_change, share},
     table::Table,
 };
 use pinereel_port::{Adapter, store::Object};
@@ -34,6 +36,9 @@
 /// Time between reads of an engine whose load should be over. The list tells it as well, later.
 const POLL: Duration = Duration::from_millis(250);
 
+/// Pause between two looks at what the models ask for; their leases are heard every 0.7 s.
+const DEMANDS: Duration = Duration::from_millis(500);
+
 /// What orders are given with.
 pub struct Parts {
     /// Translates.
@@ -71,7 +76,10 @@
     /// The change of the endpoint list that they were made from.
     made_from: Option<u64>,
     by_engine: BTreeMap<CompactString, CompactString>,
-    models: usize,
+    /// What the models asked for when engines last changed hands.
+    demands: Vec<Demand>,
+    /// When the demands were last looked at.
+    looked_at: Time,
 }
 
 impl Orders {
@@ -97,18 +105,40 @@
 
     /// Brings the shares of a service up to date.
     fn share(&self, service: &CompactString) {
-        let change = *self.parts.endpoints.changes().borrow();
+        let (now, change) = (
+            self.parts.duties.now(),
+            *self.parts.endpoints.changes().borrow(),
+        );
         let mut all = self.shares.borrow_mut();
         let shares = all.entry(service.clone()).or_default();
-        if shares.made_from == Some(change) {
+        let listed_anew = shares.made_from != Some(change);
+        if !listed_anew && now.since(shares.looked_at) < DEMANDS {
             return;
         }
+        shares.looked_at = now;
         let entries = self.parts.endpoints.of(service).into_iter();
         let engines = entries.filter(|entry| !entry.leaving).map(|entry| entry.id);
-        let models = self.models(service);
-        shares.by_engine = share(engines, &models);
-        shares.models = models.len();
-        shares.made_from = Some(change);
+        let engines: Vec<_> = engines.collect();
+        let demands = self.demands(service);
+        let changed = is_worth_a_change(engines.len(), &shares.demands, &demands);
+        if changed {
+            log::info!(service = service.as_str(), demands:? = demands, engines = engines.len(); "engines shared anew");
+            shares.demands = demands;
+        }
+        if changed || listed_anew {
+            shares.by_engine = share(engines, &shares.demands);
+            shares.made_from = Some(change);
+        }
+    }
+
+    /// What the models of a service ask for, as their runners say in their leases.
+    fn demands(&self, service: &str) -> Vec<Demand> {
+        let models = self.models(service).into_iter();
+        let demand = |model: CompactString| Demand {
+            tokens: self.parts.duties.demand(&lots::duty(&model)),
+            model,
+        };
+        models.map(demand).collect()
     }
 
     fn models(&self, service: &str) -> Vec<CompactString> {
--- a/crates/pinereel/src/hosted/orders/rollout.rs
+++ b/crates/pinereel/src/hosted/orders/rollout.rs
@@ -73,9 +73,11 @@
         let Some(shares) = shares.get(&self.service) else {
             return;
         };
+        let own = shares.by_engine.values();
+        let own = own.filter(|model| **model == self.model).count();
         let at_once = loads(
             shares.by_engine.len(),
-            shares.models,
+            own,
             self.orders.parts.settings.loads,
         );
         self.controller.borrow_mut().set_loads(at_once);
--- a/crates/pinereel_core/src/batch/mod.rs
+++ b/crates/pinereel_core/src/batch/mod.rs
@@ -5,10 +5,12 @@
 //! many instances believe that they run the lot. [`Ledger`] holds what is committed; [`Lot`] holds
 //! what is still to be done; [`Fleet`] picks the engines that do it.
 
+mod asked;
 mod fleet;
 mod ledger;
 mod lot;
 
+pub use asked::Asked;
 pub use fleet::{Engine, Fleet, Halt, Key, Listed};
 pub use ledger::{Gap, Ledger};
 pub use lot::{Failure, Fate, Lot};
--- a/crates/pinereel_core/src/rollout/mod.rs
+++ b/crates/pinereel_core/src/rollout/mod.rs
@@ -13,7 +13,7 @@
 
 pub use controller::Controller;
 pub use plan::Plan;
-pub use share::{loads, share};
+pub use share::{Demand, is_worth_a_change, loads, share};
 
 use crate::{Time, Version};
 use compact_str::CompactString;
--- a/crates/pinereel_core/src/rollout/share.rs
+++ b/crates/pinereel_core/src/rollout/share.rs
@@ -3,7 +3,9 @@
 //! An engine loads one version of one model at a time. With new versions of four models every four
 //! seconds and loads of a second, keeping all engines at the newest version of all models would
 //! take several times the loads that the weight store allows, and no engine would be up to date for
-//! any. So each engine is kept up to date for one model, and the models share the engines alike.
+//! any. So each engine is kept up to date for one model, and the models share the engines by the work
+//! that they have: with equal shares the steps with long texts waited for slots while engines of others
+//! idled.
 
 use crate::hash;
 use compact_str::CompactString;
@@ -13,43 +15,82 @@
 /// The users' sheets say 2 of 8 and 9 of 44.
 const LOADING: usize = 5;
 
+/// A model that asks for little keeps this part of an equal share: its next step may be a large one.
+const LEAST: f64 = 0.4;
+/// Engines that a model's share must change by before engines change hands: each costs a load, and
+/// the mean of four lots differs by a tenth from that of the next four.
+const WORTH_A_CHANGE: usize = 3;
+
+/// How much work there is for a model.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Demand {
+    /// The model.
+    pub model: CompactString,
+    /// Tokens of a lot; 0 if nothing is known of it, which counts as the mean of the others.
+    pub tokens: u64,
+}
+
 /// The model that each engine is kept up to date for.
 ///
 /// Stable: an engine that comes or goes changes few others.
 pub fn share(
     engines: impl IntoIterator<Item = CompactString>,
-    models: &[CompactString],
+    demands: &[Demand],
 ) -> BTreeMap<CompactString, CompactString> {
     let mut ordered: Vec<_> = engines
         .into_iter()
         .map(|engine| (hash::stable(engine.as_bytes()), engine))
         .collect();
     ordered.sort();
-    let mut room = rooms(ordered.len(), models.len());
+    let mut room = rooms(ordered.len(), demands);
     let mut shares = BTreeMap::new();
     for (key, engine) in ordered {
-        let open = models.iter().enumerate().filter(|(at, _)| room[*at] > 0);
-        let best = open.max_by_key(|(_, model)| hash::score(key, model));
-        if let Some((at, model)) = best {
+        let open = demands.iter().enumerate().filter(|(at, _)| room[*at] > 0);
+        let best = open.max_by_key(|(_, demand)| hash::score(key, &demand.model));
+        if let Some((at, demand)) = best {
             room[at] -= 1;
-            shares.insert(engine, model.clone());
+            shares.insert(engine, demand.model.clone());
         }
     }
     shares
 }
 
-/// Engines for each model: as even as can be, and one for each model in any case.
-fn rooms(engines: usize, models: usize) -> Vec<usize> {
-    let models = models.max(1);
-    let rest = engines % models;
-    (0..models)
-        .map(|at| engines / models + usize::from(at < rest))
-        .collect()
+/// Whether `new` demands of the same models are worth that engines change hands.
+pub fn is_worth_a_change(engines: usize, old: &[Demand], new: &[Demand]) -> bool {
+    let (old, new) = (rooms(engines, old), rooms(engines, new));
+    let changes = old.iter().zip(&new).map(|(old, new)| old.abs_diff(*new));
+    old.len() != new.len() || changes.max().unwrap_or_default() >= WORTH_A_CHANGE
+}
+
+/// Engines for each model: by what it asks for, and one for each in any case.
+fn rooms(engines: usize, demands: &[Demand]) -> Vec<usize> {
+    let known = demands.iter().filter(|demand| demand.tokens > 0);
+    let total: u64 = known.clone().map(|demand| demand.tokens).sum();
+    let mean = (total as f64 / known.count().max(1) as f64).max(1.0);
+    let weight = |demand: &Demand| match demand.tokens {
+        0 => mean,
+        tokens => (tokens as f64).max(LEAST * mean),
+    };
+    let weights: Vec<f64> = demands.iter().map(weight).collect();
+    let all: f64 = weights.iter().sum();
+    let ideal: Vec<f64> = (weights.iter())
+        .map(|weight| engines as f64 * weight / all)
+        .collect();
+    let mut rooms: Vec<usize> = ideal.iter().map(|ideal| (*ideal as usize).max(1)).collect();
+    // What is left goes to those that lack most.
+    while rooms.iter().sum::<usize>() < engines {
+        let lack = |at: &usize| ideal[*at] - rooms[*at] as f64;
+        let neediest = (0..rooms.len()).max_by(|a, b| lack(a).total_cmp(&lack(b)).then(b.cmp(a)));
+        let Some(at) = neediest else { break };
+        rooms[at] += 1;
+    }
+    rooms
 }
 
-/// Most engines that may load at once for one of `models` models on `engines` engines; `least` is
+/// Most engines that may load at once for a model that has `own` of all `engines`; `least` is
 /// allowed for all models together in any case.
-pub fn loads(engines: usize, models: usize, least: usize) -> usize {
+pub fn loads(engines: usize, own: usize, least: usize) -> usize {
     let all = engines.div_ceil(LOADING).max(least);
-    (all / models.max(1)).max(1)
+    // To the nearest.
+    ((2 * all * own + engines) / (2 * engines).max(1)).max(1)
 }
