lots: a runner writes its long unfinished texts every two seconds

Cause: a runner that was killed or lost power began all texts anew; a text of 150 events takes 7 s, so that its step came 11 s and more after it was asked for, or not. Change: one object a lot and runner, replaced by its revision, the longest texts up to 400 kB; a planned stop replaces the same one. Both were unbounded before.

--- a/crates/pinereel/src/hosted/lots/opening.rs
+++ b/crates/pinereel/src/hosted/lots/opening.rs
@@ -105,6 +105,7 @@
         metrics.count(&metrics.lots, &["opened"]);
         let more = Rc::new(Notify::new());
         let committer = commit::commit(Rc::clone(&self), id.clone(), Rc::clone(&more));
+        let keeper = handover::keep(Rc::clone(&self), id.clone());
         let open = Open {
             host: accepted.host,
             path: accepted.path,
@@ -116,7 +117,9 @@
             tasks: BTreeMap::new(),
             more,
             opened: Instant::now(),
+            texts_revision: None,
             _committer: Task(actix_rt::spawn(committer)),
+            _keeper: Task(actix_rt::spawn(keeper)),
         };
         let ended = state.closed.contains(&id);
         if !ended {
--- a/crates/pinereel/src/hosted/lots/record.rs
+++ b/crates/pinereel/src/hosted/lots/record.rs
@@ -5,7 +5,7 @@
 //! | `pinereel-lots` | lot's id | [`Accepted`], never changed | [`Standing`] |
 //! | `pinereel-results-LOT` | position of the first sample, six digits | [`Segment`], never changed | |
 //!
-//! | `pinereel-drafts-LOT` | the runner that stopped | unfinished texts by item | |
+//! | `pinereel-drafts-LOT` | its runner, in this start | unfinished texts by item | |
 //!
 //! All are created only if they do not exist; that create is the acceptance of a
 //! lot, and the commit of results.
@@ -68,7 +68,7 @@
     format_compact!("pinereel-results-{lot}")
 }
 
-/// Kind of the unfinished texts of a lot that runners handed over.
+/// Kind of the unfinished texts of a lot, as its runners wrote them.
 pub(super) fn drafts(lot: &str) -> CompactString {
     format_compact!("pinereel-drafts-{lot}")
 }
--- a/crates/pinereel/src/hosted/lots/runner.rs
+++ b/crates/pinereel/src/hosted/lots/runner.rs
@@ -1,7 +1,7 @@
 //! The runner: makes the samples of all open lots of a model, while it holds the model's duty.
 
 use super::{
-    handover::{self, Drafts},
+    handover::{self, Left},
     record::LOTS,
     score,
     state::State,
@@ -98,26 +98,36 @@
     }
 
     /// Ends all runs; returns the texts that are not listed, by lot.
-    pub(super) fn leave(&self) -> BTreeMap<CompactString, Drafts> {
+    pub(super) fn leave(&self) -> BTreeMap<CompactString, Left> {
         let mut left = BTreeMap::new();
         let mut ended = Vec::new();
         for (id, open) in &mut self.state.borrow_mut().lots {
             ended.append(&mut std::mem::take(&mut open.tasks).into_values().collect());
             // What is made is committed at once.
             open.more.notify_one();
-            let items = open.submission.items.iter().zip(&open.drafts);
-            let unlisted = items.filter(|(item, draft)| {
-                draft.last.is_some() && !open.lot.ledger().contains(&item.id)
-            });
-            let texts: Drafts = unlisted.map(|(i, d)| (i.id.clone(), d.clone())).collect();
-            if !texts.is_empty() {
-                left.insert(id.clone(), texts);
+            let unlisted = open.unlisted(0);
+            if !unlisted.texts.is_empty() {
+                left.insert(id.clone(), unlisted);
             }
         }
         drop(ended);
         left
     }
 
+    /// The long texts of a lot that are not listed; none if they need not be kept any more.
+    pub(super) fn long_texts(&self, lot: &str) -> Option<Left> {
+        let state = self.state.borrow();
+        let open = state.lots.get(lot).filter(|_| !self.draining.get())?;
+        Some(open.unlisted(handover::LONG_TEXT))
+    }
+
+    /// The texts of a lot were written.
+    pub(super) fn texts_kept(&self, lot: &str, revision: u64) {
+        if let Some(open) = self.state.borrow_mut().lots.get_mut(lot) {
+            open.texts_revision = Some(revision);
+        }
+    }
+
     /// Runs and scorings under way.
     pub fn in_flight(&self) -> usize {
         let state = self.state.borrow();
--- a/crates/pinereel/src/hosted/lots/state.rs
+++ b/crates/pinereel/src/hosted/lots/state.rs
@@ -1,6 +1,9 @@
 //! What a runner knows of its lots.
 
-use super::sweep::Ages;
+use super::{
+    handover::{Left, fitting},
+    sweep::Ages,
+};
 use compact_str::CompactString;
 use pinereel_core::batch::{Asked, Fleet, Lot};
 use pinereel_port::lot::{Event, Submission};
@@ -49,7 +52,24 @@
     pub(super) tasks: BTreeMap<usize, Task>,
     pub(super) more: Rc<Notify>,
     pub(super) opened: Instant,
+    /// Revision of the object with its unfinished texts.
+    pub(super) texts_revision: Option<u64>,
     pub(super) _committer: Task,
+    pub(super) _keeper: Task,
+}
+
+impl Open {
+    /// The texts that are not listed, of those that have come to event `least`.
+    pub(super) fn unlisted(&self, least: u64) -> Left {
+        let items = self.submission.items.iter().zip(&self.drafts);
+        let unlisted = items.filter(|(item, draft)| {
+            draft.last.is_some_and(|last| last >= least) && !self.lot.ledger().contains(&item.id)
+        });
+        Left {
+            texts: fitting(unlisted.map(|(item, draft)| (&item.id, draft))),
+            revision: self.texts_revision,
+        }
+    }
 }
 
 /// A task that ends with its handle.
--- a/crates/pinereel_fakes/src/hosting/store.rs
+++ b/crates/pinereel_fakes/src/hosting/store.rs
@@ -68,6 +68,8 @@
 enum Refusal {
     NotFound,
     Conflict(Value),
+    /// The name cannot stand in a path.
+    Name,
 }
 
 impl Store {
@@ -281,6 +283,7 @@
         match result {
             Ok(object) => http::json(StatusCode::OK, &object),
             Err(Refusal::NotFound) => http::empty(StatusCode::NOT_FOUND),
+            Err(Refusal::Name) => http::empty(StatusCode::BAD_REQUEST),
             Err(Refusal::Conflict(object)) => http::json(StatusCode::CONFLICT, &object),
         }
     }
@@ -292,6 +295,9 @@
 
     fn create(&self, kind: &str, body: &Value) -> Result<Value, Refusal> {
         let name = body["metadata"]["name"].as_str().unwrap_or_default();
+        if name.contains('/') {
+            return Err(Refusal::Name);
+        }
         if let Some(stored) = self.standing(kind, name) {
             return Err(Refusal::Conflict(object(name, &stored)));
         }
--- a/crates/pinereel_fakes/tests/hosting_path.rs
+++ b/crates/pinereel_fakes/tests/hosting_path.rs
@@ -223,3 +223,52 @@
         "{made} events made for {needed}"
     );
 }
+
+/// Texts that a runner has at its death are begun again from what it wrote last, not from nothing.
+#[actix_rt::test]
+async fn texts_go_on_at_the_next_runner_after_a_kill() {
+    let mut site = Site::start(SMALL, 107).await.unwrap();
+    for fronted in &site.engines {
+        // A text of 24 events takes about 4.6 s.
+        fronted.endpoint.set(engine::Fault {
+            slow: 16,
+            ..engine::Fault::default()
+        });
+    }
+    let (balance, book) = (balance(&site), Rc::clone(&site.book));
+    let shape = Shape {
+        groups: 8,
+        wanted: 8,
+        ..SHAPE
+    };
+    let mut trainer = Trainer::new("killed", &balance, &site.store, &book, shape, 2);
+    let kill = async {
+        // After the second write, which replaces the first.
+        sleep(Duration::from_millis(4_400)).await;
+        let index = runner(&site).expect("a lot was opened");
+        site.instances[index].signal(pinereel_fakes::launch::Signal::KILL);
+        index
+    };
+    let (_, killed) = tokio::join!(trainer.step(0), kill);
+    assert_eq!(trainer.done, 1);
+    assert_eq!(book.faults(), Vec::<String>::new());
+    let lines = site.instances[killed].all_lines();
+    assert!(!lines.iter().any(|line| line.contains("texts not kept")));
+    let others = site
+        .instances
+        .iter()
+        .enumerate()
+        .filter(|(at, _)| *at != killed);
+    let opened = others.flat_map(|(_, instance)| instance.lines());
+    let opened: Vec<_> = opened.filter(|line| line.contains("lot opened")).collect();
+    assert_eq!(opened.len(), 1, "{opened:?}");
+    let kept: Vec<_> = lines
+        .iter()
+        .filter(|line| line.contains("texts kept"))
+        .collect();
+    assert!(
+        !opened[0].contains("\"texts_reused\":0"),
+        "{opened:?} {kept:?}"
+    );
+    assert!(kept.len() >= 2, "{kept:?}");
+}
