leases: a holder that could not renew in an outage has a head start

Ruled out: a longer lease (each death would cost it); a look asked for before the outage and answered after it took leases as well, and a call that failed as one's own. Change: while the store is away nothing is taken; for 1.2 s after its return only by the holder; the turn counts from then on.

--- a/crates/pinereel/src/hosted/duty/mod.rs
+++ b/crates/pinereel/src/hosted/duty/mod.rs
@@ -308,7 +308,14 @@
         let place = self.place.get();
         let turn = place.map(|place| place.delay(duty)).unwrap_or_default();
         holder.set_turn(turn + self.modesty(duty));
+        if self.store.away_since().is_some() {
+            holder.note_away();
+        }
         let now = self.now();
+        // A look that was asked for before the store was away may be answered now.
+        if let Some(ago) = self.store.returned_ago() {
+            holder.note_return(now, ago);
+        }
         let actions = holder.step(now, event);
         let takes = !holder.presumes() && actions.iter().any(|a| matches!(a, Action::Write { .. }));
         let mut taking = self.taking.borrow_mut();
--- a/crates/pinereel/src/hosted/store.rs
+++ b/crates/pinereel/src/hosted/store.rs
@@ -33,6 +33,8 @@
     failed_at: Cell<Option<Instant>>,
     /// When a call was last answered.
     answered_at: Cell<Option<Instant>>,
+    /// When the contact was last back.
+    returned_at: Cell<Option<Instant>>,
     /// Grows each time that the contact is back: whoever waits for news asks anew.
     returns: watch::Sender<u64>,
 }
@@ -44,6 +46,7 @@
             away_since: Cell::new(None),
             failed_at: Cell::new(None),
             answered_at: Cell::new(None),
+            returned_at: Cell::new(None),
             returns: watch::channel(0).0,
         };
         Self {
@@ -58,6 +61,11 @@
         self.contact.away_since.get()
     }
 
+    /// How long ago the contact was last back after failures.
+    pub fn returned_ago(&self) -> Option<Duration> {
+        self.contact.returned_at.get().map(|at| at.elapsed())
+    }
+
     /// Whether a call failed within the last `span`.
     pub fn was_away_within(&self, span: Duration) -> bool {
         let failed = self.contact.failed_at.get();
@@ -268,6 +276,7 @@
         if let Some(since) = self.away_since.take() {
             let millis = since.elapsed().as_millis() as u64;
             log::info!(away_ms = millis; "object store: contact regained");
+            self.returned_at.set(Some(Instant::now()));
             self.returns.send_modify(|returns| *returns += 1);
         }
     }
--- a/crates/pinereel_core/src/lease/mod.rs
+++ b/crates/pinereel_core/src/lease/mod.rs
@@ -16,6 +16,11 @@
 use serde::{Deserialize, Serialize};
 use std::{mem, time::Duration};
 
+/// After the object API was away, a holder that could not renew meanwhile and still lives has so long
+/// to do it before its lease is taken: it finds the API within about a second, and has work in memory
+/// that another one would begin anew.
+const HEAD_START: Duration = Duration::from_millis(1_200);
+
 /// The stored lease of one duty.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Lease {
@@ -120,6 +125,10 @@
     absent_since: Option<Time>,
     /// How long this candidate lets others go first once the lease is free.
     turn: Duration,
+    /// Whether the object API is away: calls failed, and none has been answered since.
+    away: bool,
+    /// When the object API was last back after it was away.
+    returned_at: Option<Time>,
     /// The last write, kept while its outcome is open.
     sent: Option<Sent>,
     call: Call,
@@ -145,6 +154,8 @@
             view: None,
             absent_since: None,
             turn: Duration::ZERO,
+            away: false,
+            returned_at: None,
             sent: None,
             call: Call::None,
             due: now,
@@ -190,6 +201,16 @@
         self.absent_since.is_some() || self.view.is_some()
     }
 
+    /// The object API is away, as other calls of this instance have shown.
+    pub const fn note_away(&mut self) {
+        self.away = true;
+    }
+
+    /// The object API was back `ago` before now.
+    pub fn note_return(&mut self, now: Time, ago: Duration) {
+        self.returned_at = self.returned_at.max(Some(now.before(ago)));
+    }
+
     /// How long this candidate lets others go first once the lease is free.
     pub const fn set_turn(&mut self, turn: Duration) {
         self.turn = turn;
@@ -213,7 +234,9 @@
         } else if holder.is_empty() {
             Some(view.since)
         } else {
-            Some(view.since + self.wait(&view.lease))
+            let unrenewed = view.since + self.wait(&view.lease);
+            let settled = self.returned_at.map(|at| at + HEAD_START);
+            Some(settled.map_or(unrenewed, |settled| unrenewed.max(settled)))
         }
     }
 
@@ -226,6 +249,7 @@
 
     /// Makes the next call due now: the object API is back after it was away.
     pub fn hurry(&mut self, now: Time) {
+        self.returned_at = Some(now);
         self.due = self.due.min(now);
     }
 
@@ -256,6 +280,13 @@
 
     /// Takes one event and returns what to do.
     pub fn step(&mut self, now: Time, event: Event) -> Vec<Action> {
+        match &event {
+            Event::Unknown | Event::Failed => self.away = true,
+            Event::Read(_) | Event::Written(_) if mem::take(&mut self.away) => {
+                self.returned_at = Some(now);
+            }
+            _ => {}
+        }
         match event {
             Event::Read(found) => self.on_read(now, found),
             Event::Written(version) => self.on_written(now, version),
@@ -350,7 +381,10 @@
         if self.sent.is_some() {
             return Some(self.read());
         }
-        let may_take = self.free_since().is_none_or(|free| now >= free + self.turn);
+        let free = self.free_since();
+        let own_turn = free.is_none_or(|free| now >= free + self.turn);
+        // While the API is away nobody can renew, so that what was seen before says nothing.
+        let may_take = own_turn && (free.is_none() || !self.away);
         let Some(View { version, lease, .. }) = self.view.clone() else {
             return Some(self.first(now, may_take));
         };
--- a/crates/pinereel_core/src/time.rs
+++ b/crates/pinereel_core/src/time.rs
@@ -28,6 +28,12 @@
     pub const fn since(self, earlier: Self) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
+
+    /// The moment `span` earlier; the clock's start if that is later.
+    pub fn before(self, span: Duration) -> Self {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
 }
 
 impl Add<Duration> for Time {
--- a/crates/pinereel_core/tests/lease_turn.rs
+++ b/crates/pinereel_core/tests/lease_turn.rs
@@ -102,3 +102,81 @@
             .find(|a| matches!(a, Action::Write { .. }));
     }
 }
+
+/// An outage must not cost a live holder its duty: a follower that found the API first took it.
+#[test]
+fn a_holder_that_could_not_renew_in_an_outage_has_a_head_start() {
+    let mut holder = follower();
+    let found = Some((3, lease("b", 1)));
+    holder.step(Time::ZERO, Event::Tick);
+    holder.step(Time::ZERO, Event::Read(found.clone()));
+    let back = Time::from_millis(6_000);
+    holder.hurry(back);
+    let mut now = back;
+    loop {
+        let actions = holder.step(now, Event::Tick);
+        match actions.first() {
+            Some(Action::Write { .. }) => break,
+            Some(Action::Read) => drop(holder.step(now, Event::Read(found.clone()))),
+            None => {}
+        }
+        now = now + Duration::from_millis(10);
+    }
+    assert_eq!(
+        now.since(back).as_millis(),
+        1_800,
+        "a head start and a turn"
+    );
+}
+
+/// The call that fails in the outage may be the follower's own, and the first that succeeds as well.
+#[test]
+fn the_first_answer_after_failures_is_a_return() {
+    let mut holder = follower();
+    let found = Some((3, lease("b", 1)));
+    holder.step(Time::ZERO, Event::Tick);
+    holder.step(Time::ZERO, Event::Read(found.clone()));
+    let later = Time::from_millis(2_900);
+    let writes = holder.step(later, Event::Tick);
+    assert!(matches!(writes[..], [Action::Write { .. }]));
+    holder.step(later, Event::Unknown);
+    holder.step(later, Event::Failed);
+    let back = Time::from_millis(6_000);
+    assert_eq!(holder.step(back, Event::Tick), vec![Action::Read]);
+    holder.step(back, Event::Read(found.clone()));
+    let soon = back + Duration::from_millis(1_500);
+    assert_eq!(holder.step(soon, Event::Tick), vec![Action::Read]);
+    holder.step(soon, Event::Read(found));
+    let then = back + Duration::from_millis(2_500);
+    let writes = holder.step(then, Event::Tick);
+    assert!(matches!(writes[..], [Action::Write { .. }]));
+}
+
+/// While the API is away a follower does not try to take what nobody can renew.
+#[test]
+fn nothing_is_taken_while_the_api_is_away() {
+    let mut holder = follower();
+    let found = Some((3, lease("b", 1)));
+    holder.step(Time::ZERO, Event::Tick);
+    holder.step(Time::ZERO, Event::Read(found.clone()));
+    holder.note_away();
+    let back = Time::from_millis(6_000);
+    assert_eq!(holder.step(back, Event::Tick), vec![Action::Read]);
+    holder.step(back, Event::Read(found));
+    let soon = back + Duration::from_millis(1_100);
+    assert_eq!(holder.step(soon, Event::Tick), vec![Action::Read]);
+}
+
+/// A look that was asked for before the outage may be answered right after it.
+#[test]
+fn a_look_that_outlasts_an_outage_is_no_reason_to_take_the_lease() {
+    let mut holder = follower();
+    let found = Some((3, lease("b", 1)));
+    holder.step(Time::ZERO, Event::Tick);
+    holder.step(Time::ZERO, Event::Read(found.clone()));
+    let asked = Time::from_millis(900);
+    assert_eq!(holder.step(asked, Event::Tick), vec![Action::Read]);
+    let back = Time::from_millis(6_000);
+    holder.note_return(back, Duration::from_millis(10));
+    assert_eq!(holder.step(back, Event::Read(found)), vec![]);
+}
