--- a/crates/pinereel/src/hosted/bulletin/mod.rs
+++ b/crates/pinereel/src/hosted/bulletin/mod.rs
@@ -6,6 +6,8 @@
 //! breaks or goes silent follows the store itself, from the revision that it knows, until the link
 //! is back.
 //!
+//! Whoever starts looks at the leases once, finds the holder there, and is told all the rest.
+//!
 //! - [`Board`]: the holder's side.
 //! - [`Feed`]: the side of all instances, the holder's own parts included.
 //! - [`frame`]: what goes over a link.
--- a/crates/pinereel_core/src/lease/mod.rs
+++ b/crates/pinereel_core/src/lease/mod.rs
@@ -206,7 +206,7 @@
         self.away = true;
     }
 
-    /// The object API was back `ago` before now.
+    /// Contact with the object API was regained so long ago.
     pub fn note_return(&mut self, now: Time, ago: Duration) {
         self.returned_at = self.returned_at.max(Some(now.before(ago)));
     }
