--- a/crates/pinereel_fakes/tests/hosting_soak.rs
+++ b/crates/pinereel_fakes/tests/hosting_soak.rs
@@ -31,3 +31,27 @@
 async fn seed_803_sends_nothing_to_a_leaving_endpoint() {
     soak(803, Duration::from_secs(20)).await;
 }
+
+/// Finding 7: the stand-in gave a port back before the process took it.
+#[actix_rt::test]
+async fn seed_8_binds_its_addresses() {
+    soak(8, Duration::from_secs(20)).await;
+}
+
+/// Finding 13: the soak's own callers ended before all was checked.
+#[actix_rt::test]
+async fn seed_1104_is_answered_after_the_last_fault() {
+    soak(1104, Duration::from_secs(20)).await;
+}
+
+/// Finding 15: an instance that was cut off 0.5 s after its start had no link to the bulletin.
+#[actix_rt::test]
+async fn seed_1214_sends_nothing_to_a_leaving_endpoint() {
+    soak(1214, Duration::from_secs(20)).await;
+}
+
+/// Finding 20: an endpoint that left during an outage is taken for one whose entry has lapsed.
+#[actix_rt::test]
+async fn seed_2207_sends_nothing_to_a_leaving_endpoint() {
+    soak(2207, Duration::from_secs(20)).await;
+}
