objects: probes past the breaker find the store's return within 0.15 s

Load pattern: the store is away for 6.6 s, everything is killed meanwhile; callers and trainers are refused all along. Trainers offer a lot for 6 s. Ruled out: the store itself (it answered the first call at 37.60 s). Change: a probe, a stale read every 0.15 s while calls fail, goes past the breaker and never puts other calls off. The test fails before.

--- a/crates/pinereel/src/hosted/store.rs
+++ b/crates/pinereel/src/hosted/store.rs
@@ -14,8 +14,11 @@
     time::{Instant, sleep},
 };
 
-/// Pause between two looks whether the store is back; each costs a tenth of a call.
-const LOOK: Duration = Duration::from_millis(400);
+/// Pause between two probes while the store is away; each costs a tenth of a call. With pauses of
+/// 0.4 s behind a back-off of up to 1.25 s, instances found it back 0.05 s to 0.7 s after its return,
+/// and a lot that was offered 0.15 s after it for the last time was refused. Now they find it
+/// within 0.15 s, for 0.7 calls a second and instance.
+const PROBE: Duration = Duration::from_millis(150);
 
 /// The store's calls; clones share budget and contact.
 #[derive(Clone)]
@@ -85,13 +88,18 @@
 
     /// While the store is away, looks whether it is back: an instance that the bulletin tells of all
     /// changes may have no other call to make for a long time. Never returns.
-    pub async fn look_out(&self, kind: &str, name: &str) {
+    pub async fn look_out(&self, kind: &'static str, name: &'static str) {
         loop {
-            sleep(LOOK).await;
+            sleep(PROBE).await;
             if self.away_since().is_some() {
-                // What it reads is of no interest, and may be old; `judge` notes the contact.
-                let read = self.read(Purpose::Config, kind, name, Freshness::Stale);
-                drop(read.await);
+                // A store that is silent holds a probe until it times out: the next one goes out
+                // meanwhile.
+                let store = self.clone();
+                actix_rt::spawn(async move {
+                    // What it reads is of no interest, and may be old; `judge` notes the contact.
+                    let read = store.read(Purpose::Config, kind, name, Freshness::Stale);
+                    drop(read.await);
+                });
             }
         }
     }
@@ -307,6 +315,6 @@
 const fn access(freshness: Freshness) -> Access {
     match freshness {
         Freshness::Current => Access::Read,
-        Freshness::Stale => Access::Stale,
+        Freshness::Stale => Access::Probe,
     }
 }
--- a/crates/pinereel/src/objects/client.rs
+++ b/crates/pinereel/src/objects/client.rs
@@ -87,8 +87,9 @@
 pub enum Access {
     /// A linearizable read or list.
     Read,
-    /// A read that may be somewhat old.
-    Stale,
+    /// A read that may be somewhat old, which looks whether the API is back. It goes out while the
+    /// breaker is open, too: whoever makes it paces it.
+    Probe,
     /// A waiting call.
     Watch,
     /// Any write.
@@ -100,7 +101,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Read => "read",
-            Self::Stale => "stale",
+            Self::Probe => "probe",
             Self::Watch => "watch",
             Self::Write => "write",
         }
@@ -288,9 +289,13 @@
         }
         let timeout = wait + self.options.timeout;
         let answer = self
-            .call(call.method, call.path, headers, call.body, timeout)
+            .send(call.method, call.path, headers, call.body, timeout)
             .await;
         drop(turn);
+        // Probes fail all through an outage; they must not put off the calls that wait for its end.
+        if access != Access::Probe || answered(&answer) {
+            self.note(&answer);
+        }
         answer
     }
 
@@ -351,7 +356,8 @@
             let now = self.clock.now();
             let mut inner = self.inner.borrow_mut();
             let urgent = purpose == Purpose::Lots && kind == "write";
-            if !inner.breaker.allows(urgent, now) {
+            let probe = kind == Access::Probe.as_str();
+            if !probe && !inner.breaker.allows(urgent, now) {
                 return Err(Error::NotSent("the circuit breaker is open".into()));
             }
             match kind {
@@ -372,7 +378,21 @@
         Ok(())
     }
 
+    /// One call, whose end the breaker hears of.
     async fn call(
+        &self,
+        method: Method,
+        path: String,
+        headers: Vec<(HeaderName, HeaderValue)>,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<(StatusCode, Bytes), Error> {
+        let answer = self.send(method, path, headers, body, timeout).await;
+        self.note(&answer);
+        answer
+    }
+
+    async fn send(
         &self,
         method: Method,
         path: String,
@@ -400,20 +420,27 @@
             read(response).await
         };
         // The timeout covers the body as well as the head.
-        let result = tokio::time::timeout(timeout, exchange)
+        tokio::time::timeout(timeout, exchange)
             .await
-            .unwrap_or_else(|_| Err(Error::Unknown("timeout".into())));
+            .unwrap_or_else(|_| Err(Error::Unknown("timeout".into())))
+    }
+
+    /// Tells the breaker how a call ended.
+    fn note(&self, answer: &Result<(StatusCode, Bytes), Error>) {
         let mut inner = self.inner.borrow_mut();
-        match &result {
-            Ok((status, _)) if *status != StatusCode::SERVICE_UNAVAILABLE => {
-                inner.breaker.success();
-            }
-            _ => inner.breaker.failure(self.clock.now()),
+        if answered(answer) {
+            inner.breaker.success();
+        } else {
+            inner.breaker.failure(self.clock.now());
         }
-        result
     }
 }
 
+/// Whether the API answered, and not that it is down.
+fn answered(answer: &Result<(StatusCode, Bytes), Error>) -> bool {
+    matches!(answer, Ok((status, _)) if *status != StatusCode::SERVICE_UNAVAILABLE)
+}
+
 async fn read(mut response: ClientResponse) -> Result<(StatusCode, Bytes), Error> {
     let status = response.status();
     let body = response
--- a/crates/pinereel_fakes/tests/hosting_store.rs
+++ b/crates/pinereel_fakes/tests/hosting_store.rs
@@ -50,6 +50,32 @@
     assert_eq!(stand_in.calls(), calls, "no calls while it is there");
 }
 
+/// Load pattern: callers refused all through an outage; trainers offer their lot for the last time
+/// soon after its end. With probes behind the breaker's back-off the return was found 0.05 s to 0.7 s
+/// late.
+#[actix_rt::test]
+async fn the_end_of_an_outage_is_found_within_two_probes() {
+    let (stand_in, store) = start().await;
+    stand_in.set(store::Fault {
+        down: true,
+        ..store::Fault::default()
+    });
+    // The back-off of all other calls grows to its longest, and one of them has just failed.
+    let mut sent = 0;
+    while sent < 8 {
+        let calls = stand_in.calls();
+        assert!(!read(&store).await);
+        sent += stand_in.calls() - calls;
+        sleep(Duration::from_millis(if sent < 8 { 20 } else { 0 })).await;
+    }
+    stand_in.set(store::Fault::default());
+    let looking = store.clone();
+    actix_rt::spawn(async move { looking.look_out("config", "main").await });
+    sleep(Duration::from_millis(330)).await;
+    assert_eq!(store.away_since(), None);
+    assert!(read(&store).await, "other calls go out at once");
+}
+
 #[actix_rt::test]
 async fn only_a_promise_counts_as_not_done() {
     let (stand_in, store) = start().await;
