store: while it is away only probes and lots' writes go out

Load pattern: the store turns 25 of 70 instances away for 9 s and serves the others; each call is paid for, a refused one as well. Ruled out: probes (1,340, of a tenth of the price). Change: after 1 s without an answer all calls but probes and lots' writes fail at once, until a probe succeeds; one probe of ten is a linearizable read. The test fails before.

--- a/crates/pinereel/src/hosted/store.rs
+++ b/crates/pinereel/src/hosted/store.rs
@@ -20,6 +20,13 @@
 /// within 0.15 s, for 0.7 calls a second and instance.
 const PROBE: Duration = Duration::from_millis(150);
 
+/// After so long without an answer only probes and lots' writes go out; all else waits for a probe's
+/// success. A quarter of the instances may be turned away while the others are served, and each call
+/// is paid for, a refused one as well.
+const ONLY_PROBES: Duration = Duration::from_millis(1_000);
+/// One probe of so many is a linearizable read, for a store that answers those alone.
+const FULL_PROBE: u32 = 10;
+
 /// The store's calls; clones share budget and contact.
 #[derive(Clone)]
 pub struct Store {
@@ -40,6 +47,8 @@
     returned_at: Cell<Option<Instant>>,
     /// Grows each time that the contact is back: whoever waits for news asks anew.
     returns: watch::Sender<u64>,
+    /// Whether probes are sent while the store is away.
+    probed: Cell<bool>,
 }
 
 impl Store {
@@ -51,6 +60,7 @@
             answered_at: Cell::new(None),
             returned_at: Cell::new(None),
             returns: watch::channel(0).0,
+            probed: Cell::new(false),
         };
         Self {
             client,
@@ -64,6 +74,12 @@
         self.contact.away_since.get()
     }
 
+    /// Whether calls wait for a probe's success.
+    fn holds_back(&self) -> bool {
+        let away = self.away_since();
+        self.contact.probed.get() && away.is_some_and(|since| since.elapsed() >= ONLY_PROBES)
+    }
+
     /// How long ago the contact was last back after failures.
     pub fn returned_ago(&self) -> Option<Duration> {
         self.contact.returned_at.get().map(|at| at.elapsed())
@@ -89,16 +105,26 @@
     /// While the store is away, looks whether it is back: an instance that the bulletin tells of all
     /// changes may have no other call to make for a long time. Never returns.
     pub async fn look_out(&self, kind: &'static str, name: &'static str) {
+        self.contact.probed.set(true);
+        let mut probes = 0_u32;
         loop {
             sleep(PROBE).await;
             if self.away_since().is_some() {
+                probes = probes.wrapping_add(1);
+                let freshness = match probes % FULL_PROBE {
+                    0 => Freshness::Current,
+                    _ => Freshness::Stale,
+                };
                 // A store that is silent holds a probe until it times out: the next one goes out
                 // meanwhile.
                 let store = self.clone();
                 actix_rt::spawn(async move {
                     // What it reads is of no interest, and may be old; `judge` notes the contact.
-                    let read = store.read(Purpose::Config, kind, name, Freshness::Stale);
-                    drop(read.await);
+                    let call = (store.dialect.read)(kind, name, freshness);
+                    let client = &store.client;
+                    let probe =
+                        client.exchange(Purpose::Config, Access::Probe, call, Duration::ZERO);
+                    drop(store.judge(probe.await));
                 });
             }
         }
@@ -182,11 +208,7 @@
         wait: Duration,
     ) -> Result<Changes, Error> {
         let call = (self.dialect.watch)(kind, after, wait);
-        let answer = self
-            .client
-            .exchange(purpose, Access::Watch, call, wait)
-            .await;
-        let body = self.judge(answer)?;
+        let body = self.exchange(purpose, Access::Watch, call, wait).await?;
         decode(self.dialect.changes, &body)
     }
 
@@ -251,10 +273,20 @@
     }
 
     async fn ask(&self, purpose: Purpose, access: Access, call: Call) -> Result<Bytes, Error> {
-        let answer = self
-            .client
-            .exchange(purpose, access, call, Duration::ZERO)
-            .await;
+        self.exchange(purpose, access, call, Duration::ZERO).await
+    }
+
+    async fn exchange(
+        &self,
+        purpose: Purpose,
+        access: Access,
+        call: Call,
+        wait: Duration,
+    ) -> Result<Bytes, Error> {
+        if !purpose.is_urgent(access) && self.holds_back() {
+            return Err(Error::NotSent("the store is away".into()));
+        }
+        let answer = self.client.exchange(purpose, access, call, wait).await;
         self.judge(answer)
     }
 
--- a/crates/pinereel/src/objects/client.rs
+++ b/crates/pinereel/src/objects/client.rs
@@ -67,6 +67,12 @@
 }
 
 impl Purpose {
+    /// Whether such a call has a caller that gives up soon: a trainer offers its lot for some
+    /// seconds only.
+    pub const fn is_urgent(self, access: Access) -> bool {
+        matches!((self, access), (Self::Lots, Access::Write))
+    }
+
     /// The purpose as a label.
     pub const fn as_str(self) -> &'static str {
         match self {
@@ -213,7 +219,7 @@
         wait: Duration,
     ) -> Result<Changes, Error> {
         let path = format!("/objects/{kind}?after={after}&wait_ms={}", wait.as_millis());
-        self.enter(purpose, "watch").await?;
+        self.enter(purpose, Access::Watch).await?;
         let timeout = wait + self.options.timeout;
         let (status, body) = self
             .call(Method::GET, path, Vec::new(), Bytes::new(), timeout)
@@ -256,7 +262,7 @@
     ) -> Result<(), Error> {
         let path = format!("/objects/{kind}/{name}");
         let headers = vec![(IF_MATCH, HeaderValue::from(version))];
-        let _turn = self.turn(purpose, "write").await?;
+        let _turn = self.turn(purpose, Access::Write).await?;
         let timeout = self.options.timeout;
         let (status, _) = self
             .call(Method::DELETE, path, headers, Bytes::new(), timeout)
@@ -278,10 +284,10 @@
     ) -> Result<(StatusCode, Bytes), Error> {
         let turn = match access {
             Access::Watch => {
-                self.enter(purpose, access.as_str()).await?;
+                self.enter(purpose, access).await?;
                 None
             }
-            _ => Some(self.turn(purpose, access.as_str()).await?),
+            _ => Some(self.turn(purpose, access).await?),
         };
         let mut headers = Vec::new();
         if !call.body.is_empty() {
@@ -300,7 +306,7 @@
     }
 
     async fn get<T: DeserializeOwned>(&self, purpose: Purpose, path: String) -> Result<T, Error> {
-        let _turn = self.turn(purpose, "read").await?;
+        let _turn = self.turn(purpose, Access::Read).await?;
         let timeout = self.options.timeout;
         let (status, body) = self
             .call(Method::GET, path, Vec::new(), Bytes::new(), timeout)
@@ -321,7 +327,7 @@
             serde_json::to_vec(&Write { value }).map_err(|e| Error::NotSent(e.to_string()))?;
         let json = (CONTENT_TYPE, HeaderValue::from_static("application/json"));
         let path = format!("/objects/{kind}/{name}");
-        let _turn = self.turn(purpose, "write").await?;
+        let _turn = self.turn(purpose, Access::Write).await?;
         let timeout = self.options.timeout;
         let (status, body) = self
             .call(
@@ -336,32 +342,27 @@
     }
 
     /// Waits for a turn under the concurrency bound, and counts the call.
-    async fn turn(
-        &self,
-        purpose: Purpose,
-        kind: &'static str,
-    ) -> Result<OwnedSemaphorePermit, Error> {
+    async fn turn(&self, purpose: Purpose, access: Access) -> Result<OwnedSemaphorePermit, Error> {
         let turns = Arc::clone(&self.turns);
         let permit = tokio::select! {
             permit = turns.acquire_owned() => permit.expect("the semaphore is never closed"),
             () = sleep(LONGEST_TURN) => return Err(Error::NotSent("too many calls at once".into())),
         };
-        self.enter(purpose, kind).await?;
+        self.enter(purpose, access).await?;
         Ok(permit)
     }
 
     /// Passes the breaker and the rate limit, and counts the call.
-    async fn enter(&self, purpose: Purpose, kind: &'static str) -> Result<(), Error> {
+    async fn enter(&self, purpose: Purpose, access: Access) -> Result<(), Error> {
         let wait = {
             let now = self.clock.now();
             let mut inner = self.inner.borrow_mut();
-            let urgent = purpose == Purpose::Lots && kind == "write";
-            let probe = kind == Access::Probe.as_str();
-            if !probe && !inner.breaker.allows(urgent, now) {
+            let urgent = purpose.is_urgent(access);
+            if access != Access::Probe && !inner.breaker.allows(urgent, now) {
                 return Err(Error::NotSent("the circuit breaker is open".into()));
             }
-            match kind {
-                "write" => inner.writes.reserve(now),
+            match access {
+                Access::Write => inner.writes.reserve(now),
                 _ => inner.reads.reserve(now),
             }
         };
@@ -373,7 +374,7 @@
             .inner
             .borrow_mut()
             .calls
-            .entry((purpose, kind))
+            .entry((purpose, access.as_str()))
             .or_default() += 1;
         Ok(())
     }
--- a/crates/pinereel_fakes/tests/hosting_store.rs
+++ b/crates/pinereel_fakes/tests/hosting_store.rs
@@ -2,7 +2,7 @@
 
 use pinereel::{
     hosted::Store,
-    objects::{Client, Options, Purpose},
+    objects::{Client, Error, Options, Purpose},
     state::Clock,
 };
 use pinereel_fakes::hosting::store;
@@ -76,6 +76,41 @@
     assert!(read(&store).await, "other calls go out at once");
 }
 
+/// Load pattern: a third of the instances are turned away by a store that serves the others. Their
+/// calls are paid for though they are refused.
+#[actix_rt::test]
+async fn only_probes_and_lots_go_out_while_the_store_is_away() {
+    let (stand_in, store) = start().await;
+    let looking = store.clone();
+    actix_rt::spawn(async move { looking.look_out("config", "main").await });
+    stand_in.set(store::Fault {
+        down: true,
+        ..store::Fault::default()
+    });
+    assert!(!read(&store).await);
+    sleep(Duration::from_millis(1_200)).await;
+    let calls = stand_in.calls();
+    let mut refused = Vec::new();
+    for _ in 0..40 {
+        let read = store.read(Purpose::Leases, "leases", "a", Freshness::Current);
+        refused.extend(read.await.err());
+        sleep(Duration::from_millis(50)).await;
+    }
+    let away = Error::NotSent("the store is away".into());
+    assert!(refused.iter().all(|error| *error == away), "{refused:?}");
+    assert_eq!(refused.len(), 40);
+    let probes = stand_in.calls() - calls;
+    assert!((11..=15).contains(&probes), "{probes} in 2 s");
+    let lot = store.create(Purpose::Lots, "lots", "a", "{}").await;
+    assert!(
+        matches!(lot, Err(Error::Refused(_))),
+        "it was sent: {lot:?}"
+    );
+    stand_in.set(store::Fault::default());
+    sleep(Duration::from_millis(330)).await;
+    assert!(read(&store).await);
+}
+
 #[actix_rt::test]
 async fn only_a_promise_counts_as_not_done() {
     let (stand_in, store) = start().await;
