--- a/crates/pinereel/src/hosted/duty/mod.rs
+++ b/crates/pinereel/src/hosted/duty/mod.rs
@@ -1,5 +1,6 @@
 //! Duties that one instance has at a time, by leases in the object store.
 
+mod call;
 mod look;
 
 use super::{
@@ -7,15 +8,12 @@
     metrics::Metrics,
     store::Store,
 };
-use crate::objects::{Error, Purpose};
 use compact_str::{CompactString, format_compact};
-use look::decode;
 use pinereel_core::{
     Time, hash,
-    lease::{Action, Event, Holder, Lease, Limits, Place},
+    lease::{Action, Event, Holder, Limits, Place},
 };
-use pinereel_port::store::{Freshness, Object};
-use serde::Serialize;
+use pinereel_port::store::Object;
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet},
@@ -63,15 +61,6 @@
     pub since: Time,
 }
 
-/// A lease as it lies in the store.
-#[derive(Serialize)]
-struct Stored<'a> {
-    #[serde(flatten)]
-    lease: &'a Lease,
-    /// Tokens of a lot of the duty; 0 if that is not known.
-    demand: u64,
-}
-
 /// How this instance stands to a duty.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Standing {
@@ -359,13 +348,6 @@
         }
     }
 
-    async fn call(&self, holder: &Holder, duty: &str, action: Action) -> Event {
-        match action {
-            Action::Read => self.read(holder, duty).await,
-            Action::Write { expected, lease } => self.write(duty, expected, &lease).await,
-        }
-    }
-
     /// Keeps instances that start together from looking together.
     fn jitter(&self, duty: &str) -> Duration {
         let chance = hash::score(hash::stable(duty.as_bytes()), &self.instance);
@@ -380,59 +362,4 @@
         let lacks = (1.0 - self.cores / AMPLE_CORES).max(0.0);
         HELD_DELAY * held + SMALL_DELAY.mul_f64(lacks)
     }
-
-    async fn read(&self, holder: &Holder, duty: &str) -> Event {
-        if !holder.has_looked() {
-            return self.first_look(duty).await;
-        }
-        if holder.follows() {
-            return self.next_look(duty, holder.ripe()).await;
-        }
-        let read = self
-            .store
-            .read(Purpose::Leases, KIND, duty, Freshness::Current);
-        match read.await {
-            Ok(None) => Event::Read(None),
-            Ok(Some(object)) => {
-                decode(duty, object).map_or(Event::Failed, |l| Event::Read(Some(l)))
-            }
-            Err(error) => {
-                log::debug!(duty, error:% = error; "lease not read");
-                Event::Failed
-            }
-        }
-    }
-
-    async fn write(&self, duty: &str, expected: Option<u64>, lease: &Lease) -> Event {
-        let demand = self.demands.borrow().get(duty).copied().unwrap_or_default();
-        let spec = match serde_json::to_value(Stored { lease, demand }) {
-            Ok(spec) => spec,
-            Err(error) => {
-                log::error!(duty, error:% = error; "lease not written");
-                return Event::Unknown;
-            }
-        };
-        let written = match expected {
-            Some(revision) => {
-                let update = self
-                    .store
-                    .update(Purpose::Leases, KIND, duty, revision, &spec);
-                update.await
-            }
-            None => {
-                let spec = spec.to_string();
-                let create = self.store.create(Purpose::Leases, KIND, duty, &spec);
-                create.await
-            }
-        };
-        match written {
-            Ok(object) => Event::Written(object.revision),
-            Err(Error::Conflict | Error::NotFound) => Event::Conflict,
-            Err(error) => {
-                // Also when it certainly had no effect: the holder reads back in any case.
-                log::debug!(duty, error:% = error; "lease not written");
-                Event::Unknown
-            }
-        }
-    }
 }
--- a/crates/pinereel/src/objects/client.rs
+++ b/crates/pinereel/src/objects/client.rs
@@ -1,6 +1,11 @@
 //! The calls.
 
-use super::{breaker::Breaker, rate::Bucket};
+use super::{
+    breaker::Breaker,
+    call::{Access, Purpose},
+    error::Error,
+    rate::Bucket,
+};
 use crate::{
     state::Clock,
     upstream::{Attempt, Client as Http, Error as HttpError, Reuse},
@@ -45,108 +50,6 @@
     pub writes: f64,
 }
 
-/// What a call is for; calls are counted by it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Purpose {
-    /// Configuration and patches.
-    Config,
-    /// Membership objects.
-    Members,
-    /// The platform's instance list.
-    Instances,
-    /// Newest weights.
-    Weights,
-    /// Leases.
-    Leases,
-    /// Idempotency claims.
-    Claims,
-    /// Lots and their results.
-    Lots,
-    /// Requests to empty an instance.
-    Retirements,
-}
-
-impl Purpose {
-    /// Whether such a call has a caller that gives up soon: a trainer offers its lot for some
-    /// seconds only.
-    pub const fn is_urgent(self, access: Access) -> bool {
-        matches!((self, access), (Self::Lots, Access::Write))
-    }
-
-    /// The purpose as a label.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Config => "config",
-            Self::Members => "members",
-            Self::Instances => "instances",
-            Self::Weights => "weights",
-            Self::Leases => "leases",
-            Self::Claims => "claims",
-            Self::Lots => "lots",
-            Self::Retirements => "retirements",
-        }
-    }
-}
-
-/// What a call does; the store's rates and prices differ by it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Access {
-    /// A linearizable read or list.
-    Read,
-    /// A read that may be somewhat old, which looks whether the API is back. It goes out while the
-    /// breaker is open, too: whoever makes it paces it.
-    Probe,
-    /// A waiting call.
-    Watch,
-    /// Any write.
-    Write,
-}
-
-impl Access {
-    /// The access as a label.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Read => "read",
-            Self::Probe => "probe",
-            Self::Watch => "watch",
-            Self::Write => "write",
-        }
-    }
-}
-
-/// Why a call gave no result.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum Error {
-    /// Nothing left: the breaker is open, the budget is spent, or no connection could be opened.
-    #[error("object API not reached: {0}")]
-    NotSent(String),
-    /// The API answered that it did not do it (down or limiting).
-    #[error("object API refused: {0}")]
-    Refused(String),
-    /// The answer was lost: a write may have taken effect.
-    #[error("object API's answer was lost: {0}")]
-    Unknown(String),
-    /// The condition does not hold.
-    #[error("conflict")]
-    Conflict,
-    /// No such object.
-    #[error("not found")]
-    NotFound,
-    /// The watch's revision is too old: list again.
-    #[error("revision too old")]
-    Gone,
-    /// The answer is not what the protocol says.
-    #[error("malformed answer: {0}")]
-    Malformed(String),
-}
-
-impl Error {
-    /// Whether a write that ended so certainly had no effect.
-    pub const fn had_no_effect(&self) -> bool {
-        !matches!(self, Self::Unknown(_) | Self::Malformed(_))
-    }
-}
-
 /// The client. Clones share their budget.
 #[derive(Clone)]
 pub struct Client {
--- a/crates/pinereel/src/objects/mod.rs
+++ b/crates/pinereel/src/objects/mod.rs
@@ -6,8 +6,12 @@
 //! else.
 
 mod breaker;
+mod call;
 mod client;
+mod error;
 mod rate;
 
 pub use breaker::Breaker;
-pub use client::{Access, Client, Error, Options, Purpose};
+pub use call::{Access, Purpose};
+pub use client::{Client, Options};
+pub use error::Error;
--- a/crates/pinereel/src/settings/hosted.rs
+++ b/crates/pinereel/src/settings/hosted.rs
@@ -2,7 +2,7 @@
 
 use super::{Error, Faults, Log, WAIT, reader::Reader, unit};
 use compact_str::CompactString;
-use std::{fs, net::SocketAddr, path::Path, time::Duration};
+use std::{net::SocketAddr, path::Path, time::Duration};
 
 /// All settings of one hosted instance.
 #[derive(Clone, Debug, PartialEq)]
@@ -91,11 +91,7 @@
     /// If it cannot be read, or its content is at fault.
     pub fn load(path: impl AsRef<Path>) -> Result<Self, Error> {
         let path = path.as_ref();
-        let text = fs::read_to_string(path).map_err(|source| Error::Read {
-            path: path.to_owned(),
-            source,
-        })?;
-        Self::parse(path, &text).map_err(Error::Invalid)
+        Self::parse(path, &super::text_of(path)?).map_err(Error::Invalid)
     }
 
     /// Checks `text` as the content of the file `path`.
--- a/crates/pinereel/src/settings/mod.rs
+++ b/crates/pinereel/src/settings/mod.rs
@@ -179,11 +179,7 @@
     /// Reads and checks the file at `path`, and the secrets that it names.
     pub fn load(path: impl AsRef<Path>) -> Result<Self, Error> {
         let path = path.as_ref();
-        let text = fs::read_to_string(path).map_err(|source| Error::Read {
-            path: path.to_owned(),
-            source,
-        })?;
-        Self::parse(path, &text).map_err(Error::Invalid)
+        Self::parse(path, &text_of(path)?).map_err(Error::Invalid)
     }
 
     /// Checks `text` as the content of the file `path`, and reads the secrets that it names.
@@ -331,3 +327,11 @@
         }
     }
 }
+
+/// The content of a settings file.
+fn text_of(path: &Path) -> Result<String, Error> {
+    fs::read_to_string(path).map_err(|source| Error::Read {
+        path: path.to_owned(),
+        source,
+    })
+}
--- a/crates/pinereel_fakes/src/hosting/store.rs
+++ b/crates/pinereel_fakes/src/hosting/store.rs
@@ -2,7 +2,10 @@
 
 use actix_http::{Method, StatusCode};
 use compact_str::CompactString;
-use pinereel::http::{self, Request, Response, Server};
+use pinereel::{
+    http::{self, Request, Response, Server},
+    objects::Options,
+};
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
@@ -98,6 +101,18 @@
         Ok(store)
     }
 
+    /// Options of a client of this store, as an instance has them.
+    pub fn client_options(&self) -> Options {
+        Options {
+            address: self.address.to_string(),
+            agent: "front-1".into(),
+            concurrency: 8,
+            timeout: Duration::from_millis(500),
+            reads: 100.0,
+            writes: 100.0,
+        }
+    }
+
     /// Sets what goes wrong from now on.
     pub fn set(&self, fault: Fault) {
         self.fault.set(fault);
--- a/crates/pinereel_fakes/tests/hosting_follow.rs
+++ b/crates/pinereel_fakes/tests/hosting_follow.rs
@@ -2,7 +2,7 @@
 
 use pinereel::{
     hosted::{Fed, Manner, Store, Update, follow},
-    objects::{Client, Options, Purpose},
+    objects::{Client, Purpose},
     state::Clock,
 };
 use pinereel_fakes::hosting::store::{self, Fault};
@@ -25,14 +25,7 @@
     fed: Option<broadcast::Receiver<Fed>>,
 ) -> (store::Store, Store, Told) {
     let stand_in = store::Store::start(1).await.expect("a free port");
-    let options = Options {
-        address: stand_in.address.to_string(),
-        agent: "front-1".into(),
-        concurrency: 8,
-        timeout: Duration::from_millis(500),
-        reads: 100.0,
-        writes: 100.0,
-    };
+    let options = stand_in.client_options();
     let store = Store::new(Client::new(options, Clock::new()), adapter().store);
     let told = Told::default();
     let (following, telling) = (store.clone(), Rc::clone(&told));
--- a/crates/pinereel_fakes/tests/hosting_store.rs
+++ b/crates/pinereel_fakes/tests/hosting_store.rs
@@ -2,7 +2,7 @@
 
 use pinereel::{
     hosted::Store,
-    objects::{Client, Error, Options, Purpose},
+    objects::{Client, Error, Purpose},
     state::Clock,
 };
 use pinereel_fakes::hosting::store;
@@ -14,14 +14,7 @@
 async fn start() -> (store::Store, Store) {
     let stand_in = store::Store::start(1).await.expect("a free port");
     let clock = Clock::new();
-    let options = Options {
-        address: stand_in.address.to_string(),
-        agent: "front-1".into(),
-        concurrency: 8,
-        timeout: Duration::from_millis(500),
-        reads: 100.0,
-        writes: 100.0,
-    };
+    let options = stand_in.client_options();
     let client = Client::new(options, clock);
     (stand_in, Store::new(client, adapter().store))
 }
