--- a/crates/pinereel/src/hosted/bulletin/board.rs
+++ b/crates/pinereel/src/hosted/bulletin/board.rs
@@ -1,65 +1,57 @@
-//! The holder's side: follows the store and tells all who are linked.
+//! What this instance has been told, and whom it tells.
 
-use super::{DUTY, Frame, HEARTBEAT, Topic};
-use crate::{
-    hosted::{
-        duty::{self, Duties, Standing},
-        follow::{Manner, Update, follow},
-        store::Store,
-    },
-    objects::Purpose,
-};
+use super::{Feed, Frame, HEARTBEAT, Topic};
+use crate::hosted::{duty::Duties, follow::Update, metrics::Metrics, store::Store};
 use bytes::Bytes;
 use compact_str::CompactString;
-use futures_util::{SinkExt as _, StreamExt as _};
-use pinereel_core::lease::Place;
+use pinereel_core::{
+    Time,
+    tree::{Branch, Key, Own, Peer, Ranks, Uplink},
+};
 use pinereel_port::{Adapter, store::Object};
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     rc::Rc,
     time::Duration,
 };
-use tokio::{
-    net::{TcpListener, TcpStream},
-    sync::mpsc,
-    time::sleep,
-};
-use tokio_tungstenite::{accept_async, tungstenite::Message};
+use tokio::{net::TcpListener, sync::mpsc, time::sleep};
 
-/// Most instances that are told; one more follows the store itself. Each costs a send a change.
-const SUBSCRIBERS: usize = 128;
-/// Frames that may wait for a slow link before it is cut.
-const QUEUE: usize = 256;
-/// Pause after changes of the endpoint list, for those that come together.
-const GATHER: Duration = Duration::from_millis(80);
-/// Pause between two lists of the leases: those of a holder that died are found by it.
-const LEASES: Duration = Duration::from_millis(700);
-/// A sign of life is sent only if the store answered within this time: the lease of this duty alone
-/// is renewed more often.
-const CONTACT: Duration = Duration::from_millis(1_000);
+/// What an instance in the tree works with.
+pub struct Parts {
+    /// The object store.
+    pub store: Store,
+    /// Translates.
+    pub adapter: Adapter,
+    /// Duties.
+    pub duties: Rc<Duties>,
+    /// What the parts of this process hear.
+    pub feed: Rc<Feed>,
+    /// Figures.
+    pub metrics: Metrics,
+    /// Longest wait of a watch.
+    pub watch: Duration,
+    /// This instance, as others see it.
+    pub peer: Peer,
+}
 
-/// What the holder of the duty knows and whom it tells.
-pub struct Board {
-    store: Store,
-    adapter: Adapter,
-    duties: Rc<Duties>,
-    watch: Duration,
-    state: RefCell<State>,
-    next: Cell<u64>,
+/// One instance in the tree.
+pub struct Bulletin {
+    pub(super) parts: Parts,
+    pub(super) state: RefCell<State>,
+    pub(super) uplink: RefCell<Uplink>,
+    /// Whether no child is taken any more.
+    pub(super) leaving: Cell<bool>,
 }
 
+/// What is known, and the links to children.
 #[derive(Default)]
-struct State {
+pub(super) struct State {
     topics: BTreeMap<Topic, Known>,
-    links: BTreeMap<u64, Link>,
-}
-
-/// One instance that is told.
-struct Link {
-    frames: mpsc::Sender<Bytes>,
-    /// Whether it should rather hold duties than others.
-    preferred: bool,
+    /// Topics that were listed since this instance began to read the store.
+    listed: BTreeSet<Topic>,
+    pub(super) branch: Branch,
+    links: BTreeMap<Key, mpsc::Sender<Bytes>>,
 }
 
 /// The objects of a topic.
@@ -69,241 +61,248 @@
     objects: BTreeMap<CompactString, Object>,
 }
 
-impl Board {
-    /// Takes part in the duty, and serves links at `listener` while it holds it.
-    pub fn start(
-        store: &Store,
-        adapter: Adapter,
-        duties: &Rc<Duties>,
-        watch: Duration,
-        listener: TcpListener,
-    ) {
-        let board = Rc::new(Self {
-            store: store.clone(),
-            adapter,
-            duties: Rc::clone(duties),
-            watch,
+impl Known {
+    fn take(&mut self, update: &Update, revision: u64) {
+        self.revision = revision;
+        match update {
+            Update::All(objects) => {
+                let named = objects.iter().map(|o| (o.name.clone(), o.clone()));
+                self.objects = named.collect();
+            }
+            Update::Changes(changes) => {
+                for change in changes {
+                    let object = change.object.clone();
+                    if change.deleted {
+                        self.objects.remove(&object.name);
+                    } else {
+                        self.objects.insert(object.name.clone(), object);
+                    }
+                }
+            }
+        }
+    }
+}
+
+impl Bulletin {
+    /// Takes part in the tree from now on; children link to `listener`.
+    pub fn start(parts: Parts, listener: TcpListener) -> Rc<Self> {
+        let own = parts.peer.address.clone();
+        let bulletin = Rc::new(Self {
+            parts,
             state: RefCell::default(),
-            next: Cell::new(0),
+            uplink: RefCell::new(Uplink::new(own)),
+            leaving: Cell::new(false),
         });
-        let accepting = Rc::clone(&board);
+        let accepting = Rc::clone(&bulletin);
         actix_rt::spawn(async move { accepting.accept(listener).await });
-        actix_rt::spawn(async move { board.serve().await });
+        let beating = Rc::clone(&bulletin);
+        actix_rt::spawn(async move { beating.beat().await });
+        let linking = Rc::clone(&bulletin);
+        actix_rt::spawn(async move { linking.run().await });
+        bulletin
     }
 
-    /// Follows the store whenever this instance holds the duty.
-    async fn serve(self: Rc<Self>) {
-        let (board, duties) = (&self, Rc::clone(&self.duties));
-        let work = async || board.work().await;
-        let goes_on = || {
-            // Whoever is linked finds the next holder.
-            board.state.replace(State::default());
-            true
-        };
-        duties
-            .whenever_held(&DUTY.into(), Standing::is_lost, work, goes_on)
-            .await;
+    /// Sends all children to other parents, before this instance ends.
+    pub fn leave(&self) {
+        self.leaving.set(true);
+        let refer = Frame::Refer(self.targets());
+        self.tell(&refer);
+        self.state.borrow_mut().links.clear();
     }
 
-    async fn work(&self) {
-        let places = self.adapter.places;
-        let config = self.follow(Topic::Config, Purpose::Config, places.config);
-        let endpoints = self.follow(Topic::Endpoints, Purpose::Instances, places.endpoints);
-        tokio::select! {
-            () = config => {}
-            () = endpoints => {}
-            () = self.follow_leases() => {}
-            () = self.beat() => {}
+    pub(super) fn now(&self) -> Time {
+        self.parts.duties.now()
+    }
+
+    /// What this instance knows of the store itself: nothing before it has read every topic.
+    pub(super) fn own(&self) -> Own {
+        let listed = self.state.borrow().listed.len() == Topic::ALL.len();
+        let store = &self.parts.store;
+        Own {
+            age: store.answered_ago().filter(|_| listed),
+            calm: store.calm(),
         }
     }
 
-    async fn follow(&self, topic: Topic, purpose: Purpose, kind: &str) {
-        let gather = match topic {
-            Topic::Endpoints => GATHER,
-            Topic::Config | Topic::Leases => Duration::ZERO,
-        };
-        let manner = || Manner {
-            wait: self.watch,
-            gather,
-        };
-        let take = |update, revision| self.take(topic, update, revision);
-        follow(&self.store, purpose, kind, manner, None, take).await;
+    /// Whether the news here are fresh enough to be passed on.
+    pub(super) fn is_fresh(&self) -> bool {
+        self.uplink.borrow().is_fresh(self.now(), self.own())
     }
 
-    async fn follow_leases(&self) {
-        loop {
-            match self.store.list(Purpose::Leases, duty::KIND, None).await {
-                Ok((objects, revision)) => {
-                    self.take(Topic::Leases, Update::All(objects), revision);
-                }
-                Err(error) => log::debug!(error:% = error; "leases not listed"),
-            }
-            sleep(LEASES).await;
-        }
+    /// This instance begins to read the store itself.
+    pub(super) fn begin_to_read(&self) {
+        self.state.borrow_mut().listed.clear();
+        self.uplink.borrow_mut().lead(true);
     }
 
-    /// Tells all that this instance lives and reaches the store.
-    async fn beat(&self) {
-        loop {
-            if self.store.answered_within(CONTACT) {
-                self.tell_alive();
-            }
-            sleep(HEARTBEAT).await;
+    /// The store has told of a topic.
+    pub(super) fn read(&self, topic: Topic, update: Update, revision: u64) {
+        if matches!(update, Update::All(_)) {
+            self.state.borrow_mut().listed.insert(topic);
         }
+        self.take(topic, update, revision, self.parts.store.calm());
     }
 
-    fn take(&self, topic: Topic, update: Update, revision: u64) {
-        let calm = self.store.calm();
-        let frame = {
-            let mut state = self.state.borrow_mut();
-            let known = state.topics.entry(topic).or_default();
-            known.revision = revision;
-            match update {
-                Update::All(objects) => {
-                    let named = objects.iter().map(|o| (o.name.clone(), o.clone()));
-                    known.objects = named.collect();
-                    Frame::All {
-                        topic,
-                        revision,
-                        objects,
-                        calm,
-                    }
-                }
-                Update::Changes(changes) => {
-                    for change in &changes {
-                        let object = change.object.clone();
-                        if change.deleted {
-                            known.objects.remove(&object.name);
-                        } else {
-                            known.objects.insert(object.name.clone(), object);
-                        }
-                    }
-                    Frame::Changes {
-                        topic,
-                        revision,
-                        changes,
-                        calm,
-                    }
-                }
-            }
+    /// The parent has told of a topic.
+    pub(super) fn hear(&self, topic: Topic, update: Update, revision: u64, calm: Duration) {
+        // Another parent may lag behind the one before.
+        let known = {
+            let state = self.state.borrow();
+            state.topics.get(&topic).map_or(0, |known| known.revision)
         };
-        self.tell(&frame);
+        if revision >= known {
+            self.take(topic, update, revision, calm);
+        }
+    }
+
+    /// Takes news in and passes them on.
+    fn take(&self, topic: Topic, update: Update, revision: u64, calm: Duration) {
+        let mut state = self.state.borrow_mut();
+        let known = state.topics.entry(topic).or_default();
+        known.take(&update, revision);
+        drop(state);
+        self.tell(&frame(topic, update.clone(), revision, calm));
+        self.parts.feed.set_calm(calm);
+        self.parts.feed.tell(topic, update, revision);
+    }
+
+    /// The parts of this process are told all again, if they were told nothing for a while.
+    pub(super) fn resume(&self) {
+        let feed = &self.parts.feed;
+        if feed.is_told() {
+            return;
+        }
+        let state = self.state.borrow();
+        for (topic, known) in &state.topics {
+            let objects = known.objects.values().cloned().collect();
+            feed.tell(*topic, Update::All(objects), known.revision);
+        }
+        log::info!("bulletin: news again");
+    }
+
+    /// All that is known, as frames.
+    pub(super) fn known(&self) -> Vec<Frame> {
+        let calm = self.parts.feed.calm();
+        let state = self.state.borrow();
+        let frames = state.topics.iter().map(|(topic, known)| Frame::All {
+            topic: *topic,
+            revision: known.revision,
+            objects: known.objects.values().cloned().collect(),
+            calm,
+        });
+        frames.collect()
     }
 
-    /// Sends a frame to all links; one that cannot take it is cut.
-    fn tell(&self, frame: &Frame) {
+    /// Sends a frame to all children; one that cannot take it is cut.
+    pub(super) fn tell(&self, frame: &Frame) {
+        let mut state = self.state.borrow_mut();
+        if state.links.is_empty() {
+            return;
+        }
         let Some(bytes) = frame.encode().map(Bytes::from) else {
             return;
         };
-        let mut state = self.state.borrow_mut();
         state
             .links
-            .retain(|_, link| link.frames.try_send(bytes.clone()).is_ok());
+            .retain(|_, link| link.try_send(bytes.clone()).is_ok());
+    }
+
+    /// A child is linked.
+    pub(super) fn linked(&self, key: Key, frames: mpsc::Sender<Bytes>) {
+        self.state.borrow_mut().links.insert(key, frames);
     }
 
-    /// Tells each link its place among all.
-    fn tell_alive(&self) {
+    /// A child is gone.
+    pub(super) fn unlinked(&self, key: Key) {
         let mut state = self.state.borrow_mut();
-        let of = count(state.links.values());
-        let preferred = count(state.links.values().filter(|link| link.preferred));
-        let (mut next_preferred, mut next) = (0, preferred);
-        state.links.retain(|_, link| {
-            let next = if link.preferred {
-                &mut next_preferred
-            } else {
-                &mut next
-            };
-            let number = *next;
-            *next += 1;
-            let place = Place {
-                number,
-                preferred,
-                of,
-            };
-            let bytes = Frame::Alive { place }.encode();
-            bytes.is_some_and(|bytes| link.frames.try_send(bytes.into()).is_ok())
-        });
+        state.links.remove(&key);
+        state.branch.remove(key);
     }
 
-    async fn accept(self: Rc<Self>, listener: TcpListener) {
+    /// Tells from time to time that this instance lives, and how old its news are.
+    async fn beat(&self) {
         loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                sleep(HEARTBEAT).await;
-                continue;
-            };
-            let full = self.state.borrow().links.len() >= SUBSCRIBERS;
-            if full || self.duties.acts(DUTY).is_none() {
-                continue;
-            }
-            let board = Rc::clone(&self);
-            actix_rt::spawn(async move { board.link(stream).await });
+            self.tell_alive();
+            sleep(HEARTBEAT).await;
         }
     }
 
-    /// Serves one link: all that is known first, then each frame as it comes.
-    async fn link(&self, stream: TcpStream) {
-        // Signs of life must not wait for more.
-        let _ = stream.set_nodelay(true);
-        let Ok(mut socket) = accept_async(stream).await else {
+    /// Tells each child that this instance lives, with its place, and this process its own.
+    pub(super) fn tell_alive(&self) {
+        let Some(ranks) = self.ranks() else {
             return;
         };
-        let (sender, mut frames) = mpsc::channel::<Bytes>(QUEUE);
-        let number = self.next.get();
-        self.next.set(number + 1);
-        for frame in self.known() {
-            // An empty queue takes these few.
-            let _ = frame.encode().map(|bytes| sender.try_send(bytes.into()));
+        let preferred = self.parts.peer.preferred;
+        self.parts.feed.place(ranks.place(preferred));
+        if self.uplink.borrow().leads() {
+            self.parts.feed.set_calm(self.own().calm);
         }
-        let link = Link {
-            frames: sender,
-            preferred: false,
-        };
-        self.state.borrow_mut().links.insert(number, link);
-        loop {
-            tokio::select! {
-                frame = frames.recv() => {
-                    // The duty is lost, or the queue was full.
-                    let Some(frame) = frame else { break };
-                    if socket.send(Message::Binary(frame)).await.is_err() {
-                        break;
-                    }
-                }
-                said = socket.next() => {
-                    match said {
-                        Some(Ok(Message::Binary(bytes))) => self.hear(number, &bytes),
-                        Some(Ok(_)) => {}
-                        Some(Err(_)) | None => break,
-                    }
-                }
+        let places = self.state.borrow().branch.ranks(ranks, preferred);
+        for (key, ranks) in places {
+            let Some(bytes) = self.alive(ranks).and_then(|alive| alive.encode()) else {
+                continue;
+            };
+            let mut state = self.state.borrow_mut();
+            let sent = state
+                .links
+                .get(&key)
+                .map(|link| link.try_send(bytes.into()));
+            if matches!(sent, Some(Err(_))) {
+                state.links.remove(&key);
             }
         }
-        self.state.borrow_mut().links.remove(&number);
     }
 
-    /// Takes in what a linked instance says.
-    fn hear(&self, number: u64, bytes: &[u8]) {
-        let mut state = self.state.borrow_mut();
-        if let (Some(Frame::Hello { preferred }), Some(link)) =
-            (Frame::decode(bytes), state.links.get_mut(&number))
-        {
-            link.preferred = preferred;
-        }
+    /// The sign of life for a child; none while there are no news.
+    pub(super) fn alive(&self, ranks: Ranks) -> Option<Frame> {
+        let (now, own) = (self.now(), self.own());
+        let uplink = self.uplink.borrow();
+        uplink.age(now, own)?;
+        let deputies = match uplink.leads() {
+            true => self.deputies(),
+            false => Vec::new(),
+        };
+        Some(Frame::Alive(uplink.alive(now, own, ranks, deputies)))
     }
 
-    fn known(&self) -> Vec<Frame> {
-        let calm = self.store.calm();
+    fn deputies(&self) -> Vec<CompactString> {
         let state = self.state.borrow();
-        let topics = state.topics.iter();
-        let frames = topics.map(|(topic, known)| Frame::All {
-            topic: *topic,
-            revision: known.revision,
-            objects: known.objects.values().cloned().collect(),
-            calm,
-        });
-        frames.collect()
+        state.branch.deputies(&self.parts.peer.zone)
+    }
+
+    /// The places of this instance and all below it; none without news.
+    fn ranks(&self) -> Option<Ranks> {
+        let uplink = self.uplink.borrow();
+        if !uplink.leads() {
+            return uplink.ranks();
+        }
+        let preferred = self.parts.peer.preferred;
+        Some(Ranks {
+            of: self.state.borrow().branch.census(preferred),
+            ..Ranks::default()
+        })
+    }
+
+    /// Whom this instance may turn to for news.
+    pub(super) fn targets(&self) -> Vec<CompactString> {
+        let holder = self.parts.duties.address(super::DUTY);
+        self.uplink.borrow().targets(holder)
     }
 }
 
-fn count<'a>(links: impl Iterator<Item = &'a Link>) -> u32 {
-    u32::try_from(links.count()).unwrap_or(u32::MAX)
+fn frame(topic: Topic, update: Update, revision: u64, calm: Duration) -> Frame {
+    match update {
+        Update::All(objects) => Frame::All {
+            topic,
+            revision,
+            objects,
+            calm,
+        },
+        Update::Changes(changes) => Frame::Changes {
+            topic,
+            revision,
+            changes,
+            calm,
+        },
+    }
 }
--- a/crates/pinereel/src/hosted/bulletin/feed.rs
+++ b/crates/pinereel/src/hosted/bulletin/feed.rs
@@ -1,8 +1,7 @@
-//! The side of all instances: a link to the holder, and what comes over it.
+//! What the parts of this process hear.
 
-use super::{DUTY, Frame, SILENCE, Topic};
-use crate::hosted::{duty::Duties, follow::Update};
-use futures_util::{SinkExt as _, StreamExt as _};
+use super::Topic;
+use crate::hosted::follow::Update;
 use pinereel_core::lease::Place;
 use std::{
     cell::{Cell, RefCell},
@@ -10,140 +9,99 @@
     rc::Rc,
     time::Duration,
 };
-use tokio::{
-    net::TcpStream,
-    sync::broadcast,
-    time::{sleep, timeout},
-};
-use tokio_tungstenite::{MaybeTlsStream, WebSocketStream, connect_async, tungstenite::Message};
+use tokio::sync::broadcast;
 
-/// Pause before the next try after a link ended or could not be opened.
-const RETRY: Duration = Duration::from_millis(250);
-/// Longest wait for a link to open.
-const OPEN: Duration = Duration::from_millis(800);
 /// Updates that may wait for a part of this process; one that lags further follows the store again.
 const QUEUE: usize = 64;
 
 /// What a part of this process hears.
 #[derive(Clone, Debug)]
 pub enum Fed {
-    /// What the holder told, as of a revision.
+    /// What was told, as of a revision.
     Told(Rc<Update>, u64),
-    /// The place of this instance among all that are linked; told to those who hear of leases.
+    /// The place of this instance among all; told to those who hear of leases.
     Place(Place),
-    /// The link is gone.
+    /// Nothing is told any more.
     Lost,
 }
 
-/// What comes over the link, by topic.
+/// What this process is told, by topic.
 pub struct Feed {
     topics: RefCell<BTreeMap<Topic, broadcast::Sender<Fed>>>,
-    /// For how long the store had answered the holder when it last told something.
+    /// For how long the store had answered the root when it last told something.
     calm: Cell<Duration>,
+    /// Whether something was told since nothing was told any more.
+    told: Cell<bool>,
+    /// Whether a parent tells, and its news are fresh.
+    has_parent: Cell<bool>,
 }
 
 impl Default for Feed {
     fn default() -> Self {
-        let topics = [Topic::Config, Topic::Endpoints, Topic::Leases];
-        let topics = topics.map(|topic| (topic, broadcast::channel(QUEUE).0));
+        let topics = Topic::ALL.map(|topic| (topic, broadcast::channel(QUEUE).0));
         Self {
             topics: RefCell::new(topics.into()),
             calm: Cell::default(),
+            told: Cell::default(),
+            has_parent: Cell::default(),
         }
     }
 }
 
 impl Feed {
-    /// Links this process to the holder from now on, whoever that is.
-    pub fn start(self: &Rc<Self>, duties: &Rc<Duties>) {
-        let (feed, duties) = (Rc::clone(self), Rc::clone(duties));
-        actix_rt::spawn(async move { feed.run(&duties).await });
-    }
-
     /// Hears what is told of a topic.
     pub fn hear(&self, topic: Topic) -> broadcast::Receiver<Fed> {
         let topics = self.topics.borrow();
         topics[&topic].subscribe()
     }
 
-    /// For how long the store had answered all calls of the holder when it last told something; zero
-    /// if that is not known, or the link is lost.
+    /// For how long the store had answered all calls of the root when it last told something; zero
+    /// if that is not known, or nothing is told any more.
     pub fn calm(&self) -> Duration {
         self.calm.get()
     }
 
-    async fn run(&self, duties: &Duties) {
-        let mut looks = duties.looks();
-        loop {
-            looks.mark_unchanged();
-            if let Some(address) = duties.address(DUTY) {
-                let url = format!("ws://{address}/");
-                if let Ok(Ok((socket, _))) = timeout(OPEN, connect_async(url)).await {
-                    log::info!(address = address.as_str(); "bulletin: linked");
-                    self.read(socket, duties.is_preferred()).await;
-                    log::info!(address = address.as_str(); "bulletin: link lost");
-                }
-                // Also if it did not open: nothing is to be expected from a holder that is gone.
-                self.tell_all(&Fed::Lost);
-            }
-            // The first look tells where the holder is.
-            tokio::select! {
-                () = sleep(RETRY) => {}
-                _ = looks.changed() => {}
-            }
-        }
+    /// Whether another instance tells this one all that changes.
+    pub fn has_parent(&self) -> bool {
+        self.has_parent.get()
     }
 
-    async fn read(&self, mut socket: WebSocketStream<MaybeTlsStream<TcpStream>>, preferred: bool) {
-        let hello = Frame::Hello { preferred }.encode().unwrap_or_default();
-        if let Err(error) = socket.send(Message::Binary(hello.into())).await {
-            log::info!(error:% = error; "bulletin: link broke at its start");
-            return;
-        }
-        while let Ok(Some(Ok(message))) = timeout(SILENCE, socket.next()).await {
-            let Message::Binary(bytes) = message else {
-                continue;
-            };
-            match Frame::decode(&bytes) {
-                Some(Frame::All {
-                    topic,
-                    revision,
-                    objects,
-                    calm,
-                }) => {
-                    self.calm.set(calm);
-                    self.tell(topic, Update::All(objects), revision);
-                }
-                Some(Frame::Changes {
-                    topic,
-                    revision,
-                    changes,
-                    calm,
-                }) => {
-                    self.calm.set(calm);
-                    self.tell(topic, Update::Changes(changes), revision);
-                }
-                Some(Frame::Alive { place }) => self.send(Topic::Leases, Fed::Place(place)),
-                Some(Frame::Hello { .. }) => {}
-                None => return,
-            }
-        }
+    pub(super) fn set_has_parent(&self, has_parent: bool) {
+        self.has_parent.set(has_parent);
+    }
+
+    pub(super) fn set_calm(&self, calm: Duration) {
+        self.calm.set(calm);
     }
 
-    fn tell(&self, topic: Topic, update: Update, revision: u64) {
+    pub(super) fn is_told(&self) -> bool {
+        self.told.get()
+    }
+
+    pub(super) fn tell(&self, topic: Topic, update: Update, revision: u64) {
+        self.told.set(true);
         self.send(topic, Fed::Told(Rc::new(update), revision));
     }
 
-    fn send(&self, topic: Topic, fed: Fed) {
-        let topics = self.topics.borrow();
-        // Nobody hears it if that part has not started yet; it asks the store itself.
-        let _ = topics[&topic].send(fed);
+    pub(super) fn place(&self, place: Place) {
+        self.send(Topic::Leases, Fed::Place(place));
     }
 
-    fn tell_all(&self, fed: &Fed) {
+    /// Nothing is told any more; said once only.
+    pub(super) fn lose(&self) {
+        if !self.told.replace(false) {
+            return;
+        }
+        log::info!("bulletin: no news");
         self.calm.set(Duration::ZERO);
-        for sender in self.topics.borrow().values() {
-            let _ = sender.send(fed.clone());
+        for topic in Topic::ALL {
+            self.send(topic, Fed::Lost);
         }
     }
+
+    fn send(&self, topic: Topic, fed: Fed) {
+        let topics = self.topics.borrow();
+        // Nobody hears it if that part has not started yet; it asks the store itself.
+        let _ = topics[&topic].send(fed);
+    }
 }
--- a/crates/pinereel/src/hosted/bulletin/frame.rs
+++ b/crates/pinereel/src/hosted/bulletin/frame.rs
@@ -1,6 +1,7 @@
 //! What goes over a link.
 
-use pinereel_core::lease::Place;
+use compact_str::CompactString;
+use pinereel_core::tree::{Alive, Census, Peer};
 use pinereel_port::store::{Change, Object};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -16,6 +17,11 @@
     Leases,
 }
 
+impl Topic {
+    /// Every topic.
+    pub const ALL: [Self; 3] = [Self::Config, Self::Endpoints, Self::Leases];
+}
+
 /// One message on a link.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Frame {
@@ -27,9 +33,8 @@
         revision: u64,
         /// The objects.
         objects: Vec<Object>,
-        /// For how long the store has answered all calls of the sender; zero if an earlier release
-        /// sent this.
-        #[serde(default)]
+        /// For how long the store has answered all calls of the root: an endpoint that is not listed
+        /// soon after an outage may only have lapsed.
         calm: Duration,
     },
     /// What changed up to a revision.
@@ -41,19 +46,16 @@
         /// Oldest first.
         changes: Vec<Change>,
         /// As in [`Frame::All`].
-        #[serde(default)]
         calm: Duration,
     },
-    /// The sender is in contact with the store.
-    Alive {
-        /// The receiver's place among all that are linked.
-        place: Place,
-    },
-    /// The receiver of all the rest says who it is.
-    Hello {
-        /// Whether it should rather hold duties than others.
-        preferred: bool,
-    },
+    /// The parent lives; the first frame that a child gets.
+    Alive(Alive),
+    /// The first frame of a newcomer: who it is.
+    Hello(Peer),
+    /// A child says how many it and those below it are.
+    Below(Census),
+    /// The sender takes no child, or none any more; these may.
+    Refer(Vec<CompactString>),
 }
 
 impl Frame {
--- a/crates/pinereel/src/hosted/bulletin/mod.rs
+++ b/crates/pinereel/src/hosted/bulletin/mod.rs
@@ -1,22 +1,29 @@
-//! One instance reads what all need, and tells the others.
+//! One instance reads what all need, and the others pass it on.
 //!
 //! Every call to the object store is priced, a waiting watch as one, and its rates grow more slowly
 //! than the fleet. So the holder of one duty follows the configuration, the endpoint list and the
-//! leases, and passes each change on over a link to every other instance. An instance whose link
-//! breaks or goes silent follows the store itself, from the revision that it knows, until the link
-//! is back.
+//! leases, and passes each change on over links to other instances, which pass it on in turn: a tree
+//! in which nobody has more than 32 children (`pinereel_core::tree`).
 //!
-//! Whoever starts looks at the leases once, finds the holder there, and is told all the rest.
+//! Whoever starts finds the holder in the leases, is referred to a parent with room, and is told all
+//! the rest. If the holder falls silent, a few instances that it has named before read the store in its
+//! place until the duty has a holder again; only an instance that finds no parent reads the store for
+//! itself.
 //!
-//! - [`Board`]: the holder's side.
-//! - [`Feed`]: the side of all instances, the holder's own parts included.
+//! - [`Bulletin`]: the instance in the tree; its parts are the state (`board`), the links to children
+//!   (`children`), the way to a parent (`uplink`, `search`), and reading the store (`source`).
+//! - [`Feed`]: what the parts of this process hear.
 //! - [`frame`]: what goes over a link.
 
 mod board;
+mod children;
 mod feed;
 mod frame;
+mod search;
+mod source;
+mod uplink;
 
-pub use board::Board;
+pub use board::{Bulletin, Parts};
 pub use feed::{Fed, Feed};
 pub use frame::{Frame, Topic};
 
@@ -24,8 +31,7 @@
 
 /// The duty of the instance that reads for all.
 pub const DUTY: &str = "bulletin";
-/// Pause between two signs of life on a link.
-const HEARTBEAT: Duration = Duration::from_millis(400);
-/// A link that is silent for so long is given up: three signs of life are missing, well within the
-/// two seconds in which a change must be in force.
-const SILENCE: Duration = Duration::from_millis(1_200);
+/// Pause between two signs of life on a link: five are missing before news count as too old.
+const HEARTBEAT: Duration = Duration::from_millis(300);
+/// Longest wait for a link to open, and for its first frame.
+const OPEN: Duration = Duration::from_millis(800);
--- /dev/null
+++ b/crates/pinereel/src/hosted/bulletin/search.rs
@@ -0,0 +1,116 @@
+//! Looking for a parent.
+
+use super::{Bulletin, Frame, OPEN};
+use compact_str::CompactString;
+use futures_util::{SinkExt as _, StreamExt as _, stream::FuturesUnordered};
+use pinereel_core::tree::Alive;
+use std::time::Duration;
+use tokio::{
+    net::TcpStream,
+    time::{sleep, timeout},
+};
+use tokio_tungstenite::{MaybeTlsStream, WebSocketStream, connect_async, tungstenite::Message};
+
+/// Pause between the first rounds.
+const RETRY: Duration = Duration::from_millis(250);
+/// Rounds after which the pause doubles with each further one: a holder is there by then, unless the
+/// store is away.
+const QUICK_ROUNDS: u32 = 6;
+/// Longest pause.
+const LONGEST_RETRY: Duration = Duration::from_secs(1);
+/// Each further target is tried so much later, so that the first one is taken if it is there.
+const STAGGER: Duration = Duration::from_millis(60);
+/// Referrals that are followed: with 32 children each, four levels reach a million instances.
+const REFERRALS: usize = 12;
+
+/// A link to a parent.
+pub(super) struct Link {
+    pub(super) socket: WebSocketStream<MaybeTlsStream<TcpStream>>,
+    pub(super) address: CompactString,
+    /// The parent's first sign of life.
+    pub(super) alive: Alive,
+}
+
+/// What became of one try.
+enum Opened {
+    Linked(Box<Link>),
+    Referred(Vec<CompactString>),
+}
+
+impl Bulletin {
+    /// Looks for a parent until there is one.
+    pub(super) async fn search(&self) -> Link {
+        let mut looks = self.parts.duties.looks();
+        let mut rounds = 0;
+        loop {
+            looks.mark_unchanged();
+            if let Some(link) = self.search_once().await {
+                return link;
+            }
+            rounds += 1;
+            // A look may show where the holder is.
+            tokio::select! {
+                () = sleep(pause(rounds)) => {}
+                _ = looks.changed() => {}
+            }
+        }
+    }
+
+    /// Tries all targets; none if no one takes this instance.
+    pub(super) async fn search_once(&self) -> Option<Link> {
+        let targets = self.targets().into_iter().enumerate();
+        let mut tries: FuturesUnordered<_> = targets
+            .map(async |(at, target)| {
+                let at = u32::try_from(at).unwrap_or(u32::MAX);
+                sleep(STAGGER.saturating_mul(at)).await;
+                self.follow_referrals(target).await
+            })
+            .collect();
+        while let Some(found) = tries.next().await {
+            if found.is_some() {
+                return found;
+            }
+        }
+        None
+    }
+
+    /// Goes from a target to those that it refers to, until one takes this instance.
+    async fn follow_referrals(&self, target: CompactString) -> Option<Link> {
+        let mut left = vec![target];
+        for _ in 0..REFERRALS {
+            let address = left.pop()?;
+            match timeout(OPEN, self.open(&address)).await {
+                Ok(Some(Opened::Linked(link))) => return Some(*link),
+                // The first one named comes next.
+                Ok(Some(Opened::Referred(addresses))) => left.extend(addresses.into_iter().rev()),
+                Ok(None) | Err(_) => {}
+            }
+        }
+        None
+    }
+
+    async fn open(&self, address: &CompactString) -> Option<Opened> {
+        let (mut socket, _) = connect_async(format!("ws://{address}/")).await.ok()?;
+        let hello = Frame::Hello(self.parts.peer.clone()).encode()?;
+        socket.send(Message::Binary(hello.into())).await.ok()?;
+        loop {
+            let Message::Binary(bytes) = socket.next().await?.ok()? else {
+                continue;
+            };
+            return match Frame::decode(&bytes)? {
+                Frame::Alive(alive) => Some(Opened::Linked(Box::new(Link {
+                    socket,
+                    address: address.clone(),
+                    alive,
+                }))),
+                Frame::Refer(addresses) => Some(Opened::Referred(addresses)),
+                _ => None,
+            };
+        }
+    }
+}
+
+fn pause(rounds: u32) -> Duration {
+    let doublings = rounds.saturating_sub(QUICK_ROUNDS).min(8);
+    (RETRY * 2u32.pow(doublings)).min(LONGEST_RETRY)
+}
--- /dev/null
+++ b/crates/pinereel/src/hosted/bulletin/uplink.rs
@@ -0,0 +1,268 @@
+//! Where this instance gets its news from: a parent, or the store itself.
+
+use super::{Bulletin, DUTY, Frame, search::Link};
+use crate::hosted::{duty::Standing, follow::Update};
+use futures_util::{FutureExt as _, SinkExt as _, StreamExt as _, future::OptionFuture};
+use pinereel_core::tree::Census;
+use pinereel_port::store::Freshness;
+use std::{rc::Rc, time::Duration};
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep, timeout},
+};
+use tokio_tungstenite::tungstenite::Message;
+
+/// So long after its parent's loss an instance looks for another one before it reads the store itself
+/// or goes without news: a few tries.
+const PATIENCE: Duration = Duration::from_millis(500);
+/// A parent that says nothing for so long is gone: four signs of life are missing.
+const SILENCE: Duration = Duration::from_millis(1_200);
+/// Pause between two looks at the age of the news.
+const LOOK: Duration = Duration::from_millis(200);
+/// Pause between two looks of a deputy whether the store answers it while the root hears nothing.
+const DEPUTY_PROBE: Duration = Duration::from_millis(150);
+/// The same for the others: in an outage for all, 165 of them would look 7 times a second each.
+const PROBE: Duration = Duration::from_millis(1_000);
+
+/// Why a link to a parent ended.
+enum Left {
+    /// The parent is gone, or must not be followed.
+    Lost,
+    /// This instance has the duty.
+    Leads,
+    /// Another parent has fresher news.
+    Better(Box<Link>),
+    /// The store answers this instance, and the root has heard nothing of it for too long.
+    Answered,
+}
+
+impl Bulletin {
+    pub(super) async fn run(self: Rc<Self>) {
+        let mut standing = self.parts.duties.join(&DUTY.into());
+        let mut found = None;
+        loop {
+            if standing.borrow_and_update().grant.is_some() {
+                self.lead(has_lost(&mut standing)).await;
+                continue;
+            }
+            let link = match found.take() {
+                Some(link) => Some(link),
+                None => self.find(&mut standing).await,
+            };
+            let Some(link) = link else { continue };
+            match self.stay(link, &mut standing).await {
+                Left::Lost | Left::Leads => {}
+                Left::Better(link) => found = Some(*link),
+                Left::Answered => found = self.go_on_alone(&mut standing).await,
+            }
+        }
+    }
+
+    /// Finds a parent; reads the store meanwhile if others wait for its news. None if this instance has
+    /// the duty.
+    async fn find(&self, standing: &mut watch::Receiver<Standing>) -> Option<Link> {
+        tokio::select! {
+            found = timeout(PATIENCE, self.search_patiently()) => match found {
+                Ok(Some(link)) => return Some(link),
+                // Nobody else stands in before this one.
+                Ok(None) => return self.stand_in(standing).await,
+                Err(_) => {}
+            },
+            () = has_taken(standing) => return None,
+        }
+        self.go_on_alone(standing).await
+    }
+
+    /// Reads the store if others wait for its news, and goes without news else, until there is a parent
+    /// again; none if this instance has the duty.
+    async fn go_on_alone(&self, standing: &mut watch::Receiver<Standing>) -> Option<Link> {
+        let has_children = !self.state.borrow().branch.is_empty();
+        let is_needed = has_children || self.uplink.borrow().is_deputy();
+        if is_needed && !self.leaving.get() {
+            return self.stand_in(standing).await;
+        }
+        self.parts.feed.lose();
+        tokio::select! {
+            link = self.search() => Some(link),
+            () = has_taken(standing) => None,
+        }
+    }
+
+    /// Looks for a parent; none if this instance is the first to stand in for a root that is gone.
+    async fn search_patiently(&self) -> Option<Link> {
+        if self.uplink.borrow().is_first_deputy() && !self.leaving.get() {
+            return self.search_once().await;
+        }
+        Some(self.search().await)
+    }
+
+    /// Reads the store for those below until there is a parent again; none if this instance has the duty.
+    async fn stand_in(&self, standing: &mut watch::Receiver<Standing>) -> Option<Link> {
+        log::info!("bulletin: standing in");
+        let end = async {
+            tokio::select! {
+                link = self.search() => Some(link),
+                () = has_taken(standing) => None,
+            }
+        };
+        self.lead(end).await
+    }
+
+    /// Reads the store for all until `end`.
+    async fn lead<T>(&self, end: impl Future<Output = T>) -> T {
+        self.begin_to_read();
+        let ended = tokio::select! {
+            ended = end => ended,
+            () = self.read_store() => unreachable!("the store is followed for good"),
+        };
+        self.uplink.borrow_mut().lead(false);
+        ended
+    }
+
+    /// Hears a parent's news as long as they are fresh.
+    async fn stay(&self, mut link: Link, standing: &mut watch::Receiver<Standing>) -> Left {
+        let address = link.address.clone();
+        if !self.uplink.borrow_mut().heard(self.now(), link.alive) {
+            return Left::Lost;
+        }
+        let level = self.uplink.borrow().level();
+        log::info!(address = address.as_str(), level; "bulletin: linked");
+        let mut told = Census::default();
+        let mut better = OptionFuture::from(None);
+        let mut is_stale = false;
+        let mut heard_at = Instant::now();
+        let why = loop {
+            tokio::select! {
+                message = link.socket.next() => {
+                    let goes_on = message.is_some_and(|message| message.is_ok_and(|message| self.hear_parent(message)));
+                    if !goes_on {
+                        break Left::Lost;
+                    }
+                    heard_at = Instant::now();
+                    let census = self.census();
+                    if census != told {
+                        told = census;
+                        let below = Frame::Below(census).encode().unwrap_or_default();
+                        if link.socket.send(Message::Binary(below.into())).await.is_err() {
+                            break Left::Lost;
+                        }
+                    }
+                }
+                () = sleep(LOOK) => if heard_at.elapsed() > SILENCE {
+                    break Left::Lost;
+                },
+                Some(left) = &mut better => break left,
+                () = has_taken(standing) => break Left::Leads,
+            }
+            let is_fresh = self.is_fresh();
+            self.parts.feed.set_has_parent(is_fresh);
+            if is_fresh {
+                better = OptionFuture::from(None);
+                is_stale = false;
+                self.resume();
+                continue;
+            }
+            if !is_stale {
+                is_stale = true;
+                better = OptionFuture::from(Some(self.search_better().boxed_local()));
+            }
+        };
+        self.parts.feed.set_has_parent(false);
+        self.uplink.borrow_mut().lost();
+        let why_text = why.as_str();
+        log::info!(address = address.as_str(), why = why_text; "bulletin: link lost");
+        why
+    }
+
+    /// Looks for fresher news than the parent's. While the store answers nobody there are none, and a
+    /// parent with old ones is kept: it will have the first new ones.
+    async fn search_better(&self) -> Left {
+        // Those further down are helped by the parent's own search.
+        let is_below_root = self.uplink.borrow().level() == 1;
+        tokio::select! {
+            link = self.search(), if is_below_root => Left::Better(Box::new(link)),
+            () = self.until_answered() => Left::Answered,
+        }
+    }
+
+    /// Waits until the store answers this instance itself; deputies look first, in their order.
+    async fn until_answered(&self) {
+        let (is_first, is_deputy) = {
+            let uplink = self.uplink.borrow();
+            (uplink.is_first_deputy(), uplink.is_deputy())
+        };
+        if !is_first {
+            sleep(PATIENCE).await;
+        }
+        let pause = if is_deputy { DEPUTY_PROBE } else { PROBE };
+        let places = self.parts.adapter.places;
+        let (kind, name) = (places.config, places.config_name);
+        while !self.parts.store.probe(kind, name, Freshness::Stale).await {
+            sleep(pause).await;
+        }
+    }
+
+    fn census(&self) -> Census {
+        let state = self.state.borrow();
+        state.branch.census(self.parts.peer.preferred)
+    }
+
+    /// Takes in what the parent says; says whether to stay with it.
+    fn hear_parent(&self, message: Message) -> bool {
+        let Message::Binary(bytes) = message else {
+            return true;
+        };
+        match Frame::decode(&bytes) {
+            Some(Frame::All {
+                topic,
+                revision,
+                objects,
+                calm,
+            }) => self.hear(topic, Update::All(objects), revision, calm),
+            Some(Frame::Changes {
+                topic,
+                revision,
+                changes,
+                calm,
+            }) => self.hear(topic, Update::Changes(changes), revision, calm),
+            Some(Frame::Alive(alive)) => {
+                let metrics = &self.parts.metrics;
+                metrics.observe(&metrics.ages, "news", alive.age);
+                self.parts.feed.set_calm(alive.calm);
+                if !self.uplink.borrow_mut().heard(self.now(), alive) {
+                    return false;
+                }
+                self.tell_alive();
+            }
+            Some(Frame::Refer(_)) | None => return false,
+            Some(Frame::Hello(_) | Frame::Below(_)) => {}
+        }
+        true
+    }
+}
+
+impl Left {
+    const fn as_str(&self) -> &'static str {
+        match self {
+            Self::Lost => "lost",
+            Self::Leads => "leads itself",
+            Self::Better(_) => "another has fresher news",
+            Self::Answered => "its news are old, and the store answers",
+        }
+    }
+}
+
+/// Waits until this instance has the duty.
+async fn has_taken(standing: &mut watch::Receiver<Standing>) {
+    if standing.wait_for(|s| s.grant.is_some()).await.is_err() {
+        // The process is ending.
+        std::future::pending::<()>().await;
+    }
+}
+
+/// Waits until this instance does not have the duty any more.
+async fn has_lost(standing: &mut watch::Receiver<Standing>) {
+    if standing.wait_for(Standing::is_lost).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
--- a/crates/pinereel/src/hosted/duty/look.rs
+++ b/crates/pinereel/src/hosted/duty/look.rs
@@ -1,6 +1,6 @@
 //! Looks at the leases that others hold.
 
-use super::{Duties, KIND, LIMITS, SHORTEST_SLEEP};
+use super::{Duties, FIRST_LOOKS, KIND, LIMITS, SHORTEST_SLEEP};
 use crate::{
     hosted::{bulletin::Fed, follow::Update},
     objects::Purpose,
@@ -23,15 +23,20 @@
 /// A look that is no older may count as the first one of a duty.
 const FRESH: Duration = Duration::from_millis(100);
 
+/// Those that should rather hold duties have a holder of the bulletin by then.
+const FIRST_PAUSE: Duration = Duration::from_millis(500);
+
 impl Duties {
     /// Lists all leases now and then, for the candidates that follow others.
     pub(super) async fn look_out(&self, mut fed: broadcast::Receiver<Fed>) {
         let seed = hash::stable(self.id.as_bytes());
         let mut looks = Looks::new(self.is_preferred(), seed);
         let mut returns = self.store.returns();
+        // The first look is for the holder of the bulletin, who is there only after those that should
+        // rather hold it have looked.
         let mut told = false;
-        // The first look is for the holder of the bulletin, who tells all the rest.
         let mut first = true;
+        sleep(self.first_pause(seed)).await;
         loop {
             while told {
                 told = self.take_told(fed.recv().await, &mut looks);
@@ -63,6 +68,16 @@
         }
     }
 
+    /// How long an instance that should rather not hold duties waits before it looks for the first time: of
+    /// 165 that start together each would look twice.
+    fn first_pause(&self, seed: u64) -> Duration {
+        if self.is_preferred() {
+            return Duration::ZERO;
+        }
+        let chance = hash::mix(seed) % 1_000;
+        FIRST_PAUSE + FIRST_LOOKS.mul_f64(chance as f64 / 1_000.0)
+    }
+
     /// A look shows these leases; returns when the next one is due.
     fn looked(&self, objects: Vec<Object>, looks: &mut Looks) -> Time {
         let due = looks.looked(self.now(), glances(&objects));
--- a/crates/pinereel/src/hosted/run.rs
+++ b/crates/pinereel/src/hosted/run.rs
@@ -1,7 +1,7 @@
 //! The running process.
 
 use super::{
-    bulletin::{Board, Feed},
+    bulletin::{self, Bulletin, Feed},
     config::Config,
     duty::Duties,
     endpoints::Endpoints,
@@ -23,7 +23,7 @@
 };
 use actix_http::{Method, StatusCode};
 use compact_str::format_compact;
-use pinereel_core::Time;
+use pinereel_core::{Time, tree::Peer};
 use pinereel_port::Adapter;
 use rustix::time::{ClockId, clock_gettime};
 use std::{
@@ -126,6 +126,8 @@
     callers: Server,
     stop: Rc<Stop>,
     duties: Rc<Duties>,
+    /// None without an address for other instances.
+    bulletin: Option<Rc<Bulletin>>,
     runner: Rc<Runner>,
 }
 
@@ -145,12 +147,13 @@
         );
         actix_rt::spawn(summarise(store.client().clone()));
         let watch = settings.store.watch;
-        let looking = store.clone();
+        let feed = Rc::new(Feed::default());
+        let (looking, told) = (store.clone(), Rc::clone(&feed));
         actix_rt::spawn(async move {
-            let places = adapter.places;
-            looking.look_out(places.config, places.config_name).await;
+            let (places, is_told) = (adapter.places, || told.has_parent());
+            let look_out = looking.look_out(places.config, places.config_name, is_told);
+            look_out.await;
         });
-        let feed = Rc::new(Feed::default());
         let config = Config::start(&store, adapter, watch, &feed);
         let instance = &settings.instance;
         let metrics = Metrics::new();
@@ -165,9 +168,22 @@
             &feed,
             boot_time,
         );
+        let mut bulletin = None;
         if let Some(peers) = instance.peers {
-            Board::start(&store, adapter, &duties, watch, listen(peers).await?);
-            feed.start(&duties);
+            let parts = bulletin::Parts {
+                store: store.clone(),
+                adapter,
+                duties: Rc::clone(&duties),
+                feed: Rc::clone(&feed),
+                metrics: metrics.clone(),
+                watch,
+                peer: Peer {
+                    address: peers.to_string().into(),
+                    zone: instance.zone.clone(),
+                    preferred: duties.is_preferred(),
+                },
+            };
+            bulletin = Some(Bulletin::start(parts, listen(peers).await?));
         }
         let held = Rc::clone(&duties);
         let hurried = move || held.held() > 0;
@@ -253,6 +269,7 @@
             callers: server,
             stop: Rc::clone(stop),
             duties,
+            bulletin,
             runner,
         })
     }
@@ -261,6 +278,9 @@
     async fn finished(&self, settings: &Hosted) {
         self.stop.wait().await;
         self.runner.drain();
+        if let Some(bulletin) = &self.bulletin {
+            bulletin.leave();
+        }
         self.runner.hand_over().await;
         self.duties.drain();
         let times = Times {
--- a/crates/pinereel/src/hosted/store.rs
+++ b/crates/pinereel/src/hosted/store.rs
@@ -19,6 +19,10 @@
 /// (times in the logs of nine instances), and lots are refused whose trainers offer them for the last time.
 const PROBE: Duration = Duration::from_millis(150);
 
+/// The same for an instance that another one tells of all changes: its news do not wait for the store, and
+/// of 165 instances that are told 7 a second each would look for nothing.
+const TOLD_PROBE: Duration = Duration::from_millis(1_000);
+
 /// After so long without an answer only probes and lots' writes go out; all else waits for a probe's
 /// success. A quarter of the instances may be turned away while the others are served, and each call
 /// is paid for, a refused one as well.
@@ -100,10 +104,9 @@
         since.unwrap_or(self.contact.began_at).elapsed()
     }
 
-    /// Whether a call was answered within the last `span`.
-    pub fn answered_within(&self, span: Duration) -> bool {
-        let answered = self.contact.answered_at.get();
-        answered.is_some_and(|at| at.elapsed() < span)
+    /// Time since a call was last answered; none if none ever was.
+    pub fn answered_ago(&self) -> Option<Duration> {
+        self.contact.answered_at.get().map(|at| at.elapsed())
     }
 
     /// Tells each time that the contact is back after failures.
@@ -112,13 +115,22 @@
     }
 
     /// While the store is away, looks whether it is back: an instance that the bulletin tells of all
-    /// changes may have no other call to make for a long time. Never returns.
-    pub async fn look_out(&self, kind: &'static str, name: &'static str) {
+    /// changes may have no other call to make for a long time. `is_told` says whether it is told now.
+    /// Never returns.
+    pub async fn look_out(
+        &self,
+        kind: &'static str,
+        name: &'static str,
+        is_told: impl Fn() -> bool,
+    ) {
         self.contact.probed.set(true);
         let mut probes = 0_u32;
+        let mut last = Instant::now();
         loop {
             sleep(PROBE).await;
-            if self.away_since().is_some() {
+            let pause = if is_told() { TOLD_PROBE } else { PROBE };
+            if self.away_since().is_some() && last.elapsed() >= pause {
+                last = Instant::now();
                 probes = probes.wrapping_add(1);
                 let freshness = match probes % FULL_PROBE {
                     0 => Freshness::Current,
@@ -127,18 +139,20 @@
                 // A store that is silent holds a probe until it times out: the next one goes out
                 // meanwhile.
                 let store = self.clone();
-                actix_rt::spawn(async move {
-                    // What it reads is of no interest, and may be old; `judge` notes the contact.
-                    let call = (store.dialect.read)(kind, name, freshness);
-                    let client = &store.client;
-                    let probe =
-                        client.exchange(Purpose::Config, Access::Probe, call, Duration::ZERO);
-                    drop(store.judge(probe.await));
-                });
+                actix_rt::spawn(async move { store.probe(kind, name, freshness).await });
             }
         }
     }
 
+    /// Looks whether the store answers this instance, past the breaker.
+    pub async fn probe(&self, kind: &str, name: &str, freshness: Freshness) -> bool {
+        // What it reads is of no interest, and may be old; `judge` notes the contact.
+        let call = (self.dialect.read)(kind, name, freshness);
+        let client = &self.client;
+        let probe = client.exchange(Purpose::Config, Access::Probe, call, Duration::ZERO);
+        self.judge(probe.await).is_ok()
+    }
+
     /// Calls since the start.
     pub fn client(&self) -> &Client {
         &self.client
--- a/crates/pinereel_core/src/lib.rs
+++ b/crates/pinereel_core/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`config::Document`]: the configuration that operators patch.
 //! - [`claim::Log`]: the idempotency keys of one shard.
 //! - [`table::Table`]: which route a request takes, on a platform whose operator writes the routes.
+//! - [`tree::Branch`]: the tree over which instances pass on what one of them reads.
 //! - [`batch::Lot`]: one trainer step whose results are kept in the platform's object store.
 
 pub mod admit;
@@ -36,6 +37,7 @@
 pub mod staleness;
 pub mod table;
 pub mod time;
+pub mod tree;
 pub mod version;
 
 pub use outcome::Outcome;
--- /dev/null
+++ b/crates/pinereel_core/src/tree/branch.rs
@@ -0,0 +1,137 @@
+//! The side of a parent: whom it takes, and whereto it refers the rest.
+
+use super::{CHILDREN, Census, DEPUTIES, Ranks};
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use slotmap::SlotMap;
+
+slotmap::new_key_type! {
+    /// One child of a [`Branch`].
+    pub struct Key;
+}
+
+/// Parents that a newcomer is referred to: one may just have gone.
+const REFERRED: usize = 3;
+
+/// An instance as it introduces itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Peer {
+    /// Where others link to it.
+    pub address: CompactString,
+    /// Its availability zone.
+    pub zone: CompactString,
+    /// Whether it should rather hold duties than others.
+    pub preferred: bool,
+}
+
+/// What becomes of a newcomer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// It is a child now.
+    Child(Key),
+    /// There is no room; these may have some.
+    Referred(Vec<CompactString>),
+}
+
+struct Child {
+    peer: Peer,
+    /// The child and all below it, as it last said; newcomers that were referred to it included.
+    census: Census,
+}
+
+/// The children of one instance.
+#[derive(Default)]
+pub struct Branch {
+    children: SlotMap<Key, Child>,
+}
+
+impl Branch {
+    /// Takes a newcomer if there is room, and refers it to children else.
+    pub fn admit(&mut self, peer: Peer) -> Admission {
+        // Its old link may have broken without a word.
+        self.children
+            .retain(|_, child| child.peer.address != peer.address);
+        if self.children.len() < CHILDREN {
+            let census = Census::one(peer.preferred);
+            return Admission::Child(self.children.insert(Child { peer, census }));
+        }
+        Admission::Referred(self.refer(&peer))
+    }
+
+    /// The children with the fewest below them, those of the newcomer's zone first.
+    fn refer(&mut self, peer: &Peer) -> Vec<CompactString> {
+        let mut by_room: Vec<_> = self.children.iter().collect();
+        by_room.sort_by_key(|(_, child)| {
+            let below = child.census.all();
+            let full = below as usize > CHILDREN;
+            (full, child.peer.zone != peer.zone, below)
+        });
+        let chosen: Vec<Key> = by_room.iter().take(REFERRED).map(|(key, _)| *key).collect();
+        // Many come at once, before the child can say that it has taken them.
+        if let Some(child) = chosen.first().and_then(|key| self.children.get_mut(*key)) {
+            child.census = child.census.plus(Census::one(peer.preferred));
+        }
+        let addresses = chosen.iter().filter_map(|key| self.children.get(*key));
+        addresses.map(|child| child.peer.address.clone()).collect()
+    }
+
+    /// A child says how many it and those below it are.
+    pub fn report(&mut self, key: Key, census: Census) {
+        if let Some(child) = self.children.get_mut(key) {
+            child.census = census;
+        }
+    }
+
+    /// A child is gone.
+    pub fn remove(&mut self, key: Key) {
+        self.children.remove(key);
+    }
+
+    /// Whether a child has not been replaced by a newer link of the same instance.
+    pub fn contains(&self, key: Key) -> bool {
+        self.children.contains_key(key)
+    }
+
+    /// Number of children.
+    pub fn len(&self) -> usize {
+        self.children.len()
+    }
+
+    /// Whether there are no children.
+    pub fn is_empty(&self) -> bool {
+        self.children.is_empty()
+    }
+
+    /// All below this instance, and itself.
+    pub fn census(&self, preferred: bool) -> Census {
+        let below = self.children.values().map(|child| child.census);
+        below.fold(Census::one(preferred), Census::plus)
+    }
+
+    /// The places of each child and those below it, out of `ranks`, whose first is this instance's.
+    pub fn ranks(&self, ranks: Ranks, preferred: bool) -> Vec<(Key, Ranks)> {
+        let mut next = ranks.after(Census::one(preferred));
+        let mut places = Vec::new();
+        for (key, child) in &self.children {
+            places.push((key, next));
+            next = next.after(child.census);
+        }
+        places
+    }
+
+    /// Who stands in for this instance if it is the root: those with ample processor time first, and
+    /// each in another zone if there are such.
+    pub fn deputies(&self, own_zone: &str) -> Vec<CompactString> {
+        let mut left: Vec<_> = self.children.values().map(|child| &child.peer).collect();
+        left.sort_by_key(|peer| (!peer.preferred, &peer.address));
+        let mut zones = vec![own_zone];
+        let mut deputies = Vec::new();
+        while deputies.len() < DEPUTIES && !left.is_empty() {
+            let elsewhere = left.iter().position(|peer| !zones.contains(&&*peer.zone));
+            let peer = left.remove(elsewhere.unwrap_or(0));
+            zones.push(&peer.zone);
+            deputies.push(peer.address.clone());
+        }
+        deputies
+    }
+}
--- /dev/null
+++ b/crates/pinereel_core/src/tree/mod.rs
@@ -0,0 +1,42 @@
+//! The tree over which one instance tells all others what it reads from the object store.
+//!
+//! Load pattern: hundreds of instances need the same news, and each call to the store is paid for. In a
+//! star the one that reads has a link, and a send a change, for each instance, and those beyond its
+//! room read for themselves. So every instance passes the news on to at most [`CHILDREN`] others; two
+//! levels reach 1,056 instances, three 33,824.
+//!
+//! Nobody assigns places: an instance that is full refers a newcomer to its children, those of its own
+//! availability zone first. If the root falls silent, its [`Branch::deputies`] stand in for it, so that
+//! its loss costs calls at a few instances and not at all of them.
+//!
+//! - [`Branch`]: the side of a parent.
+//! - [`Uplink`]: the side of a child.
+//! - [`Alive`]: the sign of life that goes down the tree, with the age of the news.
+
+mod alive;
+mod branch;
+mod census;
+mod uplink;
+
+pub use alive::Alive;
+pub use branch::{Admission, Branch, Key, Peer};
+pub use census::{Census, Ranks};
+pub use uplink::{Own, Uplink};
+
+use std::time::Duration;
+
+/// Most children of one instance, so that a change costs it as many sends whatever the fleet's size. With
+/// fewer the tree gets a third level at 350 instances, and each level adds to the age of the news.
+pub const CHILDREN: usize = 32;
+
+/// Instances that stand in for the root, in this order: two that are lost together with it leave one.
+pub const DEPUTIES: usize = 3;
+
+/// News that are older are no good for taking a child or staying with a parent. The root makes a call
+/// every 0.7 s at the least, each takes up to 0.3 s at a slow store, and signs of life come every 0.3 s.
+/// With the time to find another parent, a leave or a configuration is in force after 2.2 s at most.
+pub const STALE: Duration = Duration::from_millis(1_600);
+
+/// News may be so much older at each level below the first: the level above finds another parent first,
+/// and its children stay.
+pub const LEVEL: Duration = Duration::from_millis(400);
--- /dev/null
+++ b/crates/pinereel_core/src/tree/uplink.rs
@@ -0,0 +1,145 @@
+//! The side of a child: how old its news are, and whom it turns to when they are too old.
+
+use super::{Alive, Ranks, STALE};
+use crate::Time;
+use compact_str::CompactString;
+use std::time::Duration;
+
+/// What an instance that reads the store itself knows of that.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Own {
+    /// Time since the store last answered; none if it never did.
+    pub age: Option<Duration>,
+    /// For how long it has answered all calls.
+    pub calm: Duration,
+}
+
+/// Where the news of one instance come from.
+#[derive(Clone, Debug)]
+pub struct Uplink {
+    own: CompactString,
+    /// The parent's last sign of life, and when it came; none while there is no parent.
+    heard: Option<(Alive, Time)>,
+    /// Whom to turn to, as last heard: the root, then its deputies.
+    ways: Vec<CompactString>,
+    /// Whether this instance reads the store for those below it.
+    leads: bool,
+}
+
+impl Uplink {
+    /// No parent yet; `own` is the address of this instance.
+    pub const fn new(own: CompactString) -> Self {
+        Self {
+            own,
+            heard: None,
+            ways: Vec::new(),
+            leads: false,
+        }
+    }
+
+    /// The parent lives. Says whether this instance may stay with it: not if it is above the parent.
+    pub fn heard(&mut self, now: Time, alive: Alive) -> bool {
+        if alive.lineage.contains(&self.own) {
+            return false;
+        }
+        let root = alive.lineage.first().cloned();
+        self.ways = root.into_iter().chain(alive.deputies.clone()).collect();
+        self.heard = Some((alive, now));
+        true
+    }
+
+    /// The parent is gone.
+    pub fn lost(&mut self) {
+        self.heard = None;
+    }
+
+    /// This instance reads the store itself from now on, or no longer.
+    pub const fn lead(&mut self, leads: bool) {
+        self.leads = leads;
+    }
+
+    /// Whether this instance reads the store for those below it.
+    pub const fn leads(&self) -> bool {
+        self.leads
+    }
+
+    /// Levels above this instance; 0 at a root.
+    pub fn level(&self) -> u32 {
+        self.heard.as_ref().map_or(0, |(alive, _)| alive.level())
+    }
+
+    /// Age of the news here; none if there are none.
+    pub fn age(&self, now: Time, own: Own) -> Option<Duration> {
+        if self.leads {
+            return own.age;
+        }
+        let (alive, at) = self.heard.as_ref()?;
+        Some(alive.age + now.since(*at))
+    }
+
+    /// Whether the news are fresh enough to take children and to stay with the parent.
+    pub fn is_fresh(&self, now: Time, own: Own) -> bool {
+        let bound = match &self.heard {
+            Some((alive, _)) if !self.leads => alive.bound(),
+            _ => STALE,
+        };
+        self.age(now, own).is_some_and(|age| age < bound)
+    }
+
+    /// Whether this instance stands in for the root if no other deputy does.
+    pub fn is_deputy(&self) -> bool {
+        self.ways.iter().skip(1).any(|way| *way == self.own)
+    }
+
+    /// Whether no other deputy stands in before this one.
+    pub fn is_first_deputy(&self) -> bool {
+        self.ways.get(1).is_some_and(|way| *way == self.own)
+    }
+
+    /// Whom to turn to for news: the holder of the duty, then the root and the deputies before this
+    /// instance itself, as last heard. So two deputies never wait for each other. A parent whose news are
+    /// too old is no target.
+    pub fn targets(&self, holder: Option<CompactString>) -> Vec<CompactString> {
+        let parent = self
+            .heard
+            .as_ref()
+            .and_then(|(alive, _)| alive.lineage.last());
+        let before = self.ways.iter().take_while(|way| **way != self.own);
+        let mut targets: Vec<CompactString> = Vec::new();
+        for target in holder.into_iter().chain(before.cloned()) {
+            if target != self.own && Some(&target) != parent && !targets.contains(&target) {
+                targets.push(target);
+            }
+        }
+        targets
+    }
+
+    /// What to tell the children; their places are filled in for each. `deputies` counts at a root.
+    pub fn alive(&self, now: Time, own: Own, ranks: Ranks, deputies: Vec<CompactString>) -> Alive {
+        let age = self.age(now, own).unwrap_or(Duration::MAX);
+        match &self.heard {
+            Some((alive, _)) if !self.leads => {
+                let mut alive = alive.clone();
+                alive.lineage.push(self.own.clone());
+                Alive {
+                    age,
+                    ranks,
+                    ..alive
+                }
+            }
+            _ => Alive {
+                lineage: vec![self.own.clone()],
+                deputies,
+                age,
+                calm: own.calm,
+                ranks,
+            },
+        }
+    }
+
+    /// The places of this instance and of all below it, out of what the parent told.
+    pub fn ranks(&self) -> Option<Ranks> {
+        let heard = self.heard.as_ref().filter(|_| !self.leads);
+        heard.map(|(alive, _)| alive.ranks)
+    }
+}
--- /dev/null
+++ b/crates/pinereel_core/tests/tree_fleet.rs
@@ -0,0 +1,397 @@
+//! A fleet in virtual time: instances that start together, lose relays and lose their root.
+//!
+//! The decisions are those of the daemon ([`Branch`], [`Uplink`]); links are calls that take
+//! [`HOP`], and the store answers the root at once.
+
+use pinereel_core::{
+    Time,
+    tree::{Admission, Alive, Branch, CHILDREN, Key, Own, Peer, Ranks, Uplink},
+};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+const STEP: Duration = Duration::from_millis(50);
+const BEAT: Duration = Duration::from_millis(300);
+const HOP: Duration = Duration::from_millis(20);
+const PATIENCE: Duration = Duration::from_millis(500);
+const ZONES: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
+
+struct Node {
+    peer: Peer,
+    branch: Branch,
+    uplink: Uplink,
+    parent: Option<(String, Key)>,
+    children: BTreeMap<Key, String>,
+    alone_since: Option<Time>,
+    alive: bool,
+    /// Whether its way to the store is open.
+    reaches: bool,
+}
+
+struct Fleet {
+    now: Time,
+    nodes: BTreeMap<String, Node>,
+    holder: Option<String>,
+    /// Tries to link, by target.
+    tries: BTreeMap<String, u32>,
+    /// Steps in which an instance read the store itself, by instance.
+    readers: BTreeMap<String, u32>,
+}
+
+impl Fleet {
+    fn new(count: usize) -> Self {
+        let nodes = (0..count).map(|number| {
+            let name = format!("i-{number:04}");
+            let peer = Peer {
+                address: name.as_str().into(),
+                zone: ZONES[number % ZONES.len()].into(),
+                preferred: number % 9 == 0,
+            };
+            let node = Node {
+                uplink: Uplink::new(peer.address.clone()),
+                peer,
+                branch: Branch::default(),
+                parent: None,
+                children: BTreeMap::new(),
+                alone_since: None,
+                alive: true,
+                reaches: true,
+            };
+            (name, node)
+        });
+        Self {
+            now: Time::ZERO,
+            nodes: nodes.collect(),
+            holder: Some("i-0000".into()),
+            tries: BTreeMap::new(),
+            readers: BTreeMap::new(),
+        }
+    }
+
+    fn own(&self, name: &str) -> Own {
+        let reaches = self.nodes[name].reaches;
+        Own {
+            age: Some(if reaches {
+                HOP
+            } else {
+                Duration::from_secs(60)
+            }),
+            calm: Duration::ZERO,
+        }
+    }
+
+    fn fresh(&self, name: &str) -> bool {
+        let node = &self.nodes[name];
+        node.alive && node.uplink.is_fresh(self.now, self.own(name))
+    }
+
+    fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.step();
+            self.now = self.now + STEP;
+        }
+    }
+
+    fn step(&mut self) {
+        let names: Vec<String> = self.nodes.keys().cloned().collect();
+        for name in &names {
+            if !self.nodes[name].alive {
+                continue;
+            }
+            if self.holder.as_ref() == Some(name) {
+                self.unlink(name);
+                self.nodes.get_mut(name).expect("known").uplink.lead(true);
+            } else if !self.has_fresh_parent(name) {
+                self.seek(name);
+            }
+            if self.nodes[name].uplink.leads() {
+                *self.readers.entry(name.clone()).or_default() += 1;
+            }
+        }
+        if self.now.since(Time::ZERO).as_millis().is_multiple_of(BEAT.as_millis()) {
+            let roots: Vec<_> = names
+                .iter()
+                .filter(|name| self.nodes[*name].alive && self.nodes[*name].uplink.leads())
+                .cloned()
+                .collect();
+            for root in roots {
+                let node = &self.nodes[&root];
+                let of = node.branch.census(node.peer.preferred);
+                let ranks = Ranks {
+                    of,
+                    ..Ranks::default()
+                };
+                self.beat(&root, ranks);
+            }
+        }
+    }
+
+    fn has_fresh_parent(&self, name: &str) -> bool {
+        let parent = self.nodes[name].parent.as_ref();
+        parent.is_some_and(|(parent, _)| self.nodes[parent].alive) && self.fresh(name)
+    }
+
+    /// Tells all below that the root lives; children say how many they are on the way back.
+    fn beat(&mut self, name: &str, ranks: Ranks) {
+        let own = self.own(name);
+        let node = &self.nodes[name];
+        let deputies = node.branch.deputies(&node.peer.zone);
+        let places = node.branch.ranks(ranks, node.peer.preferred);
+        for (key, ranks) in places {
+            let node = &self.nodes[name];
+            let alive: Alive = node.uplink.alive(self.now, own, ranks, deputies.clone());
+            let Some(child) = node.children.get(&key).cloned() else {
+                continue;
+            };
+            if !self.nodes[&child].alive {
+                continue;
+            }
+            let stays = {
+                let child = self.nodes.get_mut(&child).expect("known");
+                child.uplink.heard(self.now, alive)
+            };
+            if !stays {
+                self.unlink(&child);
+                continue;
+            }
+            self.beat(&child, ranks);
+            let below = &self.nodes[&child];
+            let census = below.branch.census(below.peer.preferred);
+            let parent = self.nodes.get_mut(name).expect("known");
+            parent.branch.report(key, census);
+        }
+    }
+
+    /// Leaves the parent.
+    fn unlink(&mut self, name: &str) {
+        let node = self.nodes.get_mut(name).expect("known");
+        node.uplink.lost();
+        if let Some((parent, key)) = node.parent.take() {
+            let parent = self.nodes.get_mut(&parent).expect("known");
+            parent.branch.remove(key);
+            parent.children.remove(&key);
+        }
+    }
+
+    fn seek(&mut self, name: &str) {
+        let now = self.now;
+        let holder = self.holder.as_deref().map(Into::into);
+        let targets = self.nodes[name].uplink.targets(holder);
+        for target in targets {
+            if self.link(name, &target) {
+                let node = self.nodes.get_mut(name).expect("known");
+                node.uplink.lead(false);
+                node.alone_since = None;
+                return;
+            }
+        }
+        let node = self.nodes.get_mut(name).expect("known");
+        let since = *node.alone_since.get_or_insert(now);
+        let needed = !node.branch.is_empty() || node.uplink.is_deputy();
+        let patience = if node.uplink.is_first_deputy() {
+            Duration::ZERO
+        } else {
+            PATIENCE
+        };
+        if needed && now.since(since) >= patience && self.nodes[name].reaches {
+            self.unlink(name);
+            self.nodes.get_mut(name).expect("known").uplink.lead(true);
+        }
+    }
+
+    /// Goes from a target to those that it refers to, until one takes it.
+    fn link(&mut self, name: &str, target: &str) -> bool {
+        let mut left = vec![target.to_owned()];
+        for _ in 0..12 {
+            let Some(target) = left.pop() else {
+                return false;
+            };
+            *self.tries.entry(target.clone()).or_default() += 1;
+            if target == name || !self.fresh(&target) {
+                continue;
+            }
+            let peer = self.nodes[name].peer.clone();
+            let parent = self.nodes.get_mut(&target).expect("known");
+            match parent.branch.admit(peer) {
+                Admission::Child(key) => {
+                    let own = self.own(&target);
+                    let parent = &self.nodes[&target];
+                    let alive = parent
+                        .uplink
+                        .alive(self.now, own, Ranks::default(), Vec::new());
+                    let node = self.nodes.get_mut(name).expect("known");
+                    let ranks = node.uplink.clone();
+                    if !node.uplink.heard(self.now, alive) {
+                        node.uplink = ranks;
+                        let parent = self.nodes.get_mut(&target).expect("known");
+                        parent.branch.remove(key);
+                        continue;
+                    }
+                    let fresh = node.uplink.clone();
+                    self.unlink(name);
+                    let node = self.nodes.get_mut(name).expect("known");
+                    node.uplink = fresh;
+                    node.parent = Some((target.clone(), key));
+                    let parent = self.nodes.get_mut(&target).expect("known");
+                    parent.children.insert(key, name.to_owned());
+                    return true;
+                }
+                Admission::Referred(addresses) => {
+                    left.extend(addresses.iter().rev().map(ToString::to_string));
+                }
+            }
+        }
+        false
+    }
+
+    fn kill(&mut self, name: &str) {
+        self.unlink(name);
+        let node = self.nodes.get_mut(name).expect("known");
+        node.alive = false;
+        // Its links end with it.
+        for child in std::mem::take(&mut node.children).into_values() {
+            let child = self.nodes.get_mut(&child).expect("known");
+            child.uplink.lost();
+            child.parent = None;
+        }
+    }
+
+    fn living(&self) -> impl Iterator<Item = (&String, &Node)> {
+        self.nodes.iter().filter(|(_, node)| node.alive)
+    }
+
+    /// Instances that have no fresh news.
+    fn in_the_dark(&self) -> Vec<&String> {
+        let dark = self.living().filter(|(name, _)| !self.fresh(name));
+        dark.map(|(name, _)| name).collect()
+    }
+
+    fn most_children(&self) -> usize {
+        let children = self.living().map(|(_, node)| node.branch.len());
+        children.max().unwrap_or_default()
+    }
+
+    fn deepest(&self) -> u32 {
+        let levels = self.living().map(|(_, node)| node.uplink.level());
+        levels.max().unwrap_or_default()
+    }
+
+    fn readers_since(&mut self) -> BTreeSet<String> {
+        std::mem::take(&mut self.readers).into_keys().collect()
+    }
+}
+
+const SIZES: [usize; 5] = [9, 30, 165, 350, 1_000];
+
+#[test]
+fn all_are_told_with_few_links_each_whatever_the_size() {
+    for size in SIZES {
+        let mut fleet = Fleet::new(size);
+        fleet.run(Duration::from_secs(3));
+        assert_eq!(fleet.in_the_dark(), Vec::<&String>::new(), "of {size}");
+        assert!(fleet.most_children() <= CHILDREN);
+        assert!(fleet.deepest() <= 2, "{} levels of {size}", fleet.deepest());
+        assert_eq!(fleet.readers_since().len(), 1, "one reads for {size}");
+        // One try at the root, and one where it was referred to.
+        let tries: u32 = fleet.tries.values().sum();
+        assert!(tries as usize <= 2 * size, "{tries} tries of {size}");
+    }
+}
+
+#[test]
+fn each_has_a_place_of_its_own() {
+    let mut fleet = Fleet::new(165);
+    fleet.run(Duration::from_secs(3));
+    let places = fleet.living().filter_map(|(name, node)| {
+        let ranks = node.uplink.ranks()?;
+        let place = ranks.place(node.peer.preferred);
+        assert_eq!((place.preferred, place.of), (19, 165), "{name}");
+        assert_eq!(place.number < 19, node.peer.preferred);
+        Some(place.number)
+    });
+    // The root has the first one.
+    assert_eq!(places.collect::<BTreeSet<_>>().len(), 164);
+}
+
+/// Load pattern: an instance that passes news on is killed or cut off; those below it must neither go
+/// without news nor ask the store.
+#[test]
+fn the_loss_of_a_relay_costs_links_alone() {
+    for size in [165, 350, 1_000] {
+        let mut fleet = Fleet::new(size);
+        fleet.run(Duration::from_secs(3));
+        fleet.readers_since();
+        let relay = fleet.nodes["i-0000"].children.values().next().cloned();
+        fleet.kill(&relay.expect("the root has children"));
+        fleet.run(STEP * 4);
+        assert_eq!(fleet.in_the_dark(), Vec::<&String>::new(), "of {size}");
+        assert_eq!(fleet.readers_since().len(), 1);
+        assert!(fleet.most_children() <= CHILDREN);
+    }
+}
+
+/// Load pattern: the root is killed. In a star each of 165 instances listed and watched the store.
+#[test]
+fn the_loss_of_the_root_is_borne_by_its_deputies() {
+    for size in SIZES {
+        let mut fleet = Fleet::new(size);
+        fleet.run(Duration::from_secs(3));
+        fleet.readers_since();
+        fleet.kill("i-0000");
+        fleet.run(Duration::from_secs(2));
+        let dark = fleet.in_the_dark();
+        assert_eq!(dark, Vec::<&String>::new(), "of {size}");
+        let readers = fleet.readers_since();
+        assert!(readers.len() <= 3, "{readers:?} read of {size}");
+        // The next holder may be anyone; all are told again, and one reads.
+        fleet.holder = Some("i-0009".into())
+            .filter(|_| size > 9)
+            .or(Some("i-0004".into()));
+        fleet.run(Duration::from_secs(2));
+        fleet.readers_since();
+        fleet.run(Duration::from_secs(1));
+        assert_eq!(fleet.in_the_dark(), Vec::<&String>::new(), "of {size}");
+        assert_eq!(fleet.readers_since().len(), 1, "of {size}");
+        assert!(fleet.most_children() <= CHILDREN);
+    }
+}
+
+/// Load pattern: the root is cut off from the store and keeps its links. Its news grow old, and those that
+/// reach the store take over within two seconds.
+#[test]
+fn a_root_that_the_store_does_not_answer_is_left() {
+    for size in SIZES {
+        let mut fleet = Fleet::new(size);
+        fleet.run(Duration::from_secs(3));
+        fleet.nodes.get_mut("i-0000").expect("it is there").reaches = false;
+        fleet.run(Duration::from_millis(2_500));
+        let dark: Vec<_> = fleet.in_the_dark().into_iter().cloned().collect();
+        // The root itself keeps its duty until its lease ends.
+        assert_eq!(dark, vec!["i-0000".to_owned()], "of {size}");
+    }
+}
+
+/// Load pattern: one instance after the other is stopped and comes back, as in a rolling restart.
+#[test]
+fn a_rolling_restart_leaves_nobody_behind() {
+    let mut fleet = Fleet::new(165);
+    fleet.run(Duration::from_secs(3));
+    for number in 1..60 {
+        let name = format!("i-{number:04}");
+        fleet.kill(&name);
+        fleet.run(STEP * 2);
+        let node = fleet.nodes.get_mut(&name).expect("it is there");
+        let own = node.peer.address.clone();
+        node.uplink = Uplink::new(own);
+        node.branch = Branch::default();
+        node.alive = true;
+        fleet.run(STEP * 2);
+    }
+    fleet.run(Duration::from_secs(1));
+    assert_eq!(fleet.in_the_dark(), Vec::<&String>::new());
+    assert!(fleet.most_children() <= CHILDREN);
+    assert!(fleet.deepest() <= 3, "{} levels", fleet.deepest());
+}
--- a/crates/pinereel_fakes/tests/hosting_follow.rs
+++ b/crates/pinereel_fakes/tests/hosting_follow.rs
@@ -38,7 +38,7 @@
         follow(&following, Purpose::Config, KIND, manner, fed, take).await;
     });
     let looking = store.clone();
-    actix_rt::spawn(async move { looking.look_out(KIND, "a").await });
+    actix_rt::spawn(async move { looking.look_out(KIND, "a", || false).await });
     (stand_in, store, told)
 }
 
