bulletin: a child that says nothing for 3.5 s is gone

Cause: a parent noticed a child that vanished without a reset only when 256 frames waited for it, up to a minute: until then it counted, and might be named a deputy. Change: children say at least each second how many they are; a parent waits 3.5 s. Ruled out: TCP keep-alive alone; it does not show a process that stands still.

--- a/crates/pinereel/src/hosted/bulletin/children.rs
+++ b/crates/pinereel/src/hosted/bulletin/children.rs
@@ -1,6 +1,6 @@
 //! Links to children.
 
-use super::{Bulletin, Frame, HEARTBEAT, OPEN};
+use super::{Bulletin, CHILD_SILENCE, Frame, HEARTBEAT, OPEN};
 use bytes::Bytes;
 use compact_str::CompactString;
 use futures_util::{SinkExt as _, StreamExt as _};
@@ -9,7 +9,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{Semaphore, mpsc},
-    time::{sleep, timeout},
+    time::{Instant, sleep, sleep_until, timeout},
 };
 use tokio_tungstenite::{WebSocketStream, accept_async, tungstenite::Message};
 
@@ -73,6 +73,7 @@
             let _ = frame.encode().map(|bytes| sender.try_send(bytes.into()));
         }
         self.linked(key, sender);
+        let mut heard_at = Instant::now();
         loop {
             tokio::select! {
                 frame = frames.recv() => {
@@ -81,7 +82,9 @@
                         return "not sent";
                     }
                 }
+                () = sleep_until(heard_at + CHILD_SILENCE) => return "silent",
                 said = socket.next() => {
+                    heard_at = Instant::now();
                     match said {
                         Some(Ok(Message::Binary(bytes))) => self.hear_child(key, &bytes),
                         Some(Ok(_)) => {}
--- a/crates/pinereel/src/hosted/bulletin/mod.rs
+++ b/crates/pinereel/src/hosted/bulletin/mod.rs
@@ -33,5 +33,10 @@
 pub const DUTY: &str = "bulletin";
 /// Pause between two signs of life on a link: five are missing before news count as too old.
 const HEARTBEAT: Duration = Duration::from_millis(300);
+/// A child says at least so often how many it and those below it are.
+const REPORT: Duration = Duration::from_millis(1_000);
+/// A child that says nothing for so long is gone: else it would count, and might be a deputy, until its queue
+/// is full.
+const CHILD_SILENCE: Duration = Duration::from_millis(3_500);
 /// Longest wait for a link to open, and for its first frame.
 const OPEN: Duration = Duration::from_millis(800);
--- a/crates/pinereel/src/hosted/bulletin/uplink.rs
+++ b/crates/pinereel/src/hosted/bulletin/uplink.rs
@@ -1,6 +1,6 @@
 //! Where this instance gets its news from: a parent, or the store itself.
 
-use super::{Bulletin, DUTY, Frame, search::Link};
+use super::{Bulletin, DUTY, Frame, REPORT, search::Link};
 use crate::hosted::{duty::Standing, follow::Update};
 use futures_util::{FutureExt as _, SinkExt as _, StreamExt as _, future::OptionFuture};
 use pinereel_core::tree::Census;
@@ -131,6 +131,7 @@
         let mut better = OptionFuture::from(None);
         let mut is_stale = false;
         let mut heard_at = Instant::now();
+        let mut told_at = heard_at;
         let why = loop {
             tokio::select! {
                 message = link.socket.next() => {
@@ -140,8 +141,8 @@
                     }
                     heard_at = Instant::now();
                     let census = self.census();
-                    if census != told {
-                        told = census;
+                    if census != told || told_at.elapsed() >= REPORT {
+                        (told, told_at) = (census, heard_at);
                         let below = Frame::Below(census).encode().unwrap_or_default();
                         if link.socket.send(Message::Binary(below.into())).await.is_err() {
                             break Left::Lost;
--- a/crates/pinereel_core/src/tree/branch.rs
+++ b/crates/pinereel_core/src/tree/branch.rs
@@ -87,11 +87,6 @@
         self.children.remove(key);
     }
 
-    /// Whether a child has not been replaced by a newer link of the same instance.
-    pub fn contains(&self, key: Key) -> bool {
-        self.children.contains_key(key)
-    }
-
     /// Number of children.
     pub fn len(&self) -> usize {
         self.children.len()
