orders: given for 0.8 s after a renewal, so that the next holder waits from then on

Change: a lease may tell for how long after a write its holder acts; that of the orders does for 0.8 s and is renewed every 0.5 s. What is known of the engines is kept while a renewal is late. Ruled out: a shorter gap (a rule of the engines); fewer renewals; a word over the links that a holder gives up, which gains no more than this. Test: one_that_acts_for_a_part_of_the_lease_is_succeeded_sooner (1.0 s sooner).

--- a/crates/pinereel/src/hosted/duty/mod.rs
+++ b/crates/pinereel/src/hosted/duty/mod.rs
@@ -106,6 +106,8 @@
     looked_at: Cell<Option<Time>>,
     /// Tokens of a lot, by duty of this instance; told in their leases.
     demands: RefCell<BTreeMap<CompactString, u64>>,
+    /// How long after a renewal this instance acts at most, by duty.
+    acts: RefCell<BTreeMap<CompactString, Duration>>,
     /// Until when acts must rest after this holder, by duty: its own next start's, and others'.
     rests: RefCell<BTreeMap<CompactString, (Time, Time)>>,
     /// Somebody wants a look now.
@@ -143,6 +145,7 @@
             page: RefCell::default(),
             looked_at: Cell::default(),
             demands: RefCell::default(),
+            acts: RefCell::default(),
             rests: RefCell::default(),
             wanted: Notify::new(),
             place: Cell::default(),
@@ -204,6 +207,12 @@
         self.demands.borrow_mut().insert(duty, tokens);
     }
 
+    /// Lets this instance act for `span` after a renewal at most; to be called before it takes part in the
+    /// duty.
+    pub fn act_for(&self, duty: &CompactString, span: Duration) {
+        self.acts.borrow_mut().insert(duty.clone(), span);
+    }
+
     /// Tells in the lease of a duty until when acts must rest after this holder: those of its own next
     /// start on this machine, and those of others once it has released the lease.
     pub fn set_rests(&self, duty: &CompactString, own: Time, others: Time) {
@@ -261,6 +270,9 @@
         let mut holder = Holder::new(self.now(), self.id.clone(), LIMITS)
             .succeeding(prefix)
             .reached_at(self.own_address.clone());
+        if let Some(span) = self.acts.borrow().get(duty) {
+            holder = holder.acting_for(*span);
+        }
         let mut told = false;
         let mut returns = self.store.returns();
         // Those that should hold it look first, and find nothing; the others find their lease.
--- a/crates/pinereel/src/hosted/orders/mod.rs
+++ b/crates/pinereel/src/hosted/orders/mod.rs
@@ -41,6 +41,10 @@
 /// that is lost once is sent again after 0.2 s.
 const ARRIVAL: Duration = Duration::from_millis(500);
 
+/// Orders are given for so long after a renewal at most. The next holder waits the engines' gap from then
+/// on: with the whole lease, 1.8 s, engines got no order for 5.5 s after a holder was cut off.
+const ACTS: Duration = Duration::from_millis(800);
+
 /// Pause between two looks at what the models ask for; their leases are heard every 0.7 s.
 const DEMANDS: Duration = Duration::from_millis(500);
 
@@ -184,8 +188,10 @@
         let duty = format_compact!("orders-{service}");
         let (orders, duties) = (&self, Rc::clone(&self.parts.duties));
         let work = async || orders.work(service, &duty).await;
+        duties.act_for(&duty, ACTS);
+        // What is known of the engines is kept while a renewal is late; each order asks for the grant.
         duties
-            .whenever_held(&duty, Standing::is_lost, work, || true)
+            .whenever_held(&duty, Standing::is_superseded, work, || true)
             .await;
     }
 
--- a/crates/pinereel_core/src/lease/holder/mod.rs
+++ b/crates/pinereel_core/src/lease/holder/mod.rs
@@ -68,6 +68,8 @@
     own_prefix: CompactString,
     /// Where this candidate can be reached while it holds the lease.
     address: CompactString,
+    /// How long after a write this candidate acts at most; none if as long as the lease lasts.
+    acts: Option<Duration>,
 }
 
 impl Holder {
@@ -92,9 +94,22 @@
             rests: None,
             own_prefix: CompactString::default(),
             address: CompactString::default(),
+            acts: None,
         }
     }
 
+    /// Acts for `span` after a write at most, and renews more often than that. For a duty whose next
+    /// holder must wait from the last moment at which this one may have acted.
+    ///
+    /// Load pattern: the holder is cut off from the object API. The next one takes the lease once it has
+    /// not been renewed for its duration, and then waits out the gap from the end of the holder's time: a
+    /// second less of that time is a second less in which nobody acts.
+    #[must_use]
+    pub fn acting_for(mut self, span: Duration) -> Self {
+        self.acts = Some(span.min(self.lasts(self.limits.duration)));
+        self
+    }
+
     /// Names the address in the lease while this candidate holds it.
     #[must_use]
     pub fn reached_at(mut self, address: impl Into<CompactString>) -> Self {
--- a/crates/pinereel_core/src/lease/holder/step.rs
+++ b/crates/pinereel_core/src/lease/holder/step.rs
@@ -83,11 +83,11 @@
     /// The write stands: the time counts from when it was sent.
     fn hold(&mut self, now: Time, version: u64, sent: Sent) {
         if sent.lease.holder == self.id {
-            let lasts = self.lasts(self.limits.duration);
+            let lasts = self.acts.unwrap_or(self.lasts(self.limits.duration));
             self.until = self.until.max(sent.at + lasts);
             self.clear = Some((sent.lease.fence, sent.clear));
         }
-        self.due = sent.at + self.jittered(self.limits.duration / 3);
+        self.due = sent.at + self.jittered(self.pause());
         self.view = Some(View {
             version,
             lease: sent.lease,
@@ -162,6 +162,7 @@
             duration_ms,
             write_id,
             address: self.address.clone(),
+            acts_ms: self.acts.map(millis),
             rests: self.rests.map(|(own, others)| Rests {
                 own_ms: millis(own.since(now)),
                 other_ms: millis(others.since(now)),
@@ -191,12 +192,21 @@
         } else {
             Writer::Namesake
         };
-        let lasts = self.lasts(Duration::from_millis(lease.duration_ms));
+        let lasts = match lease.acts_ms {
+            Some(acts_ms) => Duration::from_millis(acts_ms),
+            None => self.lasts(Duration::from_millis(lease.duration_ms)),
+        };
         Clear::after(lease, writer, *since, lasts, now)
     }
 
+    /// Pause between renewals; the longest that jitter makes of it is shorter than the holder acts.
+    fn pause(&self) -> Duration {
+        let third = self.limits.duration / 3;
+        self.acts.map_or(third, |acts| third.min(acts * 5 / 8))
+    }
+
     /// How long a holder may act after a write of this duration.
-    const fn lasts(&self, duration: Duration) -> Duration {
+    pub(super) const fn lasts(&self, duration: Duration) -> Duration {
         duration.saturating_sub(self.limits.margin)
     }
 
--- a/crates/pinereel_core/src/lease/message.rs
+++ b/crates/pinereel_core/src/lease/message.rs
@@ -19,6 +19,9 @@
     /// Where the holder can be reached on account of the duty; empty if nowhere.
     #[serde(default, skip_serializing_if = "CompactString::is_empty")]
     pub address: CompactString,
+    /// How long after this write its holder may act, in milliseconds; none if as long as the lease lasts.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub acts_ms: Option<u64>,
     /// How long the duty's acts must rest from this write on; none if that is not known.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub rests: Option<Rests>,
--- a/crates/pinereel_core/tests/lease_holder.rs
+++ b/crates/pinereel_core/tests/lease_holder.rs
@@ -431,6 +431,7 @@
         duration_ms: 15_000,
         write_id: "w".into(),
         address: "".into(),
+        acts_ms: None,
         rests: None,
     };
     let actions = holder.step(now, Event::Read(Some((9, lease))));
--- a/crates/pinereel_core/tests/lease_turn.rs
+++ b/crates/pinereel_core/tests/lease_turn.rs
@@ -20,6 +20,7 @@
         duration_ms: 2_000,
         write_id: "w".into(),
         address: "".into(),
+        acts_ms: None,
         rests: None,
     }
 }
@@ -314,3 +315,25 @@
     first.step(Time::from_millis(10), Event::Written(1));
     assert_eq!(first.clear(), Some(Clear::From(Time::ZERO)));
 }
+
+/// Load pattern: the holder is cut off from the object API just after a renewal. With the whole lease as its
+/// time to act the next one acted 4.8 s after that renewal.
+#[test]
+fn one_that_acts_for_a_part_of_the_lease_is_succeeded_sooner() {
+    let acts = Duration::from_millis(800);
+    let mut first = Holder::new(Time::ZERO, "b", LIMITS).acting_for(acts);
+    first.step(Time::ZERO, Event::Tick);
+    let actions = first.step(Time::ZERO, Event::Read(Some((3, lease("", 1)))));
+    let Some(Action::Write { lease: written, .. }) = actions.into_iter().next() else {
+        panic!("it takes the lease");
+    };
+    first.step(Time::ZERO, Event::Written(4));
+    assert!(first.acts(Time::from_millis(799)).is_some());
+    assert!(first.acts(Time::from_millis(800)).is_none());
+    assert!(first.due() < Time::from_millis(700), "it renews before");
+    assert!(first.presumes(), "it goes on knowing what it knows");
+    let mut next = Holder::new(Time::ZERO, "a", LIMITS).acting_for(acts);
+    let taken = take(&mut next, Time::ZERO, &(4, written));
+    assert_eq!(taken, Time::from_millis(2_200));
+    assert_eq!(next.clear(), Some(Clear::Idle(Time::from_millis(800))));
+}
