--- a/crates/pinereel/src/hosted/bulletin/board.rs
+++ b/crates/pinereel/src/hosted/bulletin/board.rs
@@ -1,6 +1,6 @@
 //! What this instance has been told, and whom it tells.
 
-use super::{Feed, Frame, HEARTBEAT, Topic};
+use super::{Feed, Frame, HEARTBEAT, Topic, known::Known};
 use crate::hosted::{duty::Duties, follow::Update, metrics::Metrics, store::Store};
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -8,7 +8,7 @@
     Time,
     tree::{Branch, Key, Own, Peer, Ranks, Uplink},
 };
-use pinereel_port::{Adapter, store::Object};
+use pinereel_port::Adapter;
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet},
@@ -54,35 +54,6 @@
     links: BTreeMap<Key, mpsc::Sender<Bytes>>,
 }
 
-/// The objects of a topic.
-#[derive(Default)]
-struct Known {
-    revision: u64,
-    objects: BTreeMap<CompactString, Object>,
-}
-
-impl Known {
-    fn take(&mut self, update: &Update, revision: u64) {
-        self.revision = revision;
-        match update {
-            Update::All(objects) => {
-                let named = objects.iter().map(|o| (o.name.clone(), o.clone()));
-                self.objects = named.collect();
-            }
-            Update::Changes(changes) => {
-                for change in changes {
-                    let object = change.object.clone();
-                    if change.deleted {
-                        self.objects.remove(&object.name);
-                    } else {
-                        self.objects.insert(object.name.clone(), object);
-                    }
-                }
-            }
-        }
-    }
-}
-
 impl Bulletin {
     /// Takes part in the tree from now on; children link to `listener`.
     pub fn start(parts: Parts, listener: TcpListener) -> Rc<Self> {
@@ -140,28 +111,40 @@
         if matches!(update, Update::All(_)) {
             self.state.borrow_mut().listed.insert(topic);
         }
-        self.take(topic, update, revision, self.parts.store.calm());
+        let calm = self.parts.store.calm();
+        if !self.state.borrow().links.is_empty() {
+            self.tell(&frame(topic, update.clone(), revision, calm));
+        }
+        self.take(topic, update, revision, calm);
     }
 
-    /// The parent has told of a topic.
-    pub(super) fn hear(&self, topic: Topic, update: Update, revision: u64, calm: Duration) {
+    /// The parent has told of a topic; `bytes` is how it did, and how children are told.
+    pub(super) fn hear(
+        &self,
+        topic: Topic,
+        update: Update,
+        (revision, calm): (u64, Duration),
+        bytes: Bytes,
+    ) {
         // Another parent may lag behind the one before.
         let known = {
             let state = self.state.borrow();
             state.topics.get(&topic).map_or(0, |known| known.revision)
         };
         if revision >= known {
+            self.send(&bytes);
             self.take(topic, update, revision, calm);
         }
     }
 
-    /// Takes news in and passes them on.
+    /// Takes news in.
     fn take(&self, topic: Topic, update: Update, revision: u64, calm: Duration) {
-        let mut state = self.state.borrow_mut();
-        let known = state.topics.entry(topic).or_default();
-        known.take(&update, revision);
-        drop(state);
-        self.tell(&frame(topic, update.clone(), revision, calm));
+        self.state
+            .borrow_mut()
+            .topics
+            .entry(topic)
+            .or_default()
+            .take(&update, revision);
         self.parts.feed.set_calm(calm);
         self.parts.feed.tell(topic, update, revision);
     }
@@ -174,8 +157,7 @@
         }
         let state = self.state.borrow();
         for (topic, known) in &state.topics {
-            let objects = known.objects.values().cloned().collect();
-            feed.tell(*topic, Update::All(objects), known.revision);
+            feed.tell(*topic, Update::All(known.objects()), known.revision);
         }
         log::info!("bulletin: news again");
     }
@@ -187,7 +169,7 @@
         let frames = state.topics.iter().map(|(topic, known)| Frame::All {
             topic: *topic,
             revision: known.revision,
-            objects: known.objects.values().cloned().collect(),
+            objects: known.objects(),
             calm,
         });
         frames.collect()
@@ -195,13 +177,14 @@
 
     /// Sends a frame to all children; one that cannot take it is cut.
     pub(super) fn tell(&self, frame: &Frame) {
-        let mut state = self.state.borrow_mut();
-        if state.links.is_empty() {
-            return;
+        if let Some(bytes) = frame.encode() {
+            self.send(&bytes.into());
         }
-        let Some(bytes) = frame.encode().map(Bytes::from) else {
-            return;
-        };
+    }
+
+    /// Sends an encoded frame to all children; one that cannot take it is cut.
+    fn send(&self, bytes: &Bytes) {
+        let mut state = self.state.borrow_mut();
         state
             .links
             .retain(|_, link| link.try_send(bytes.clone()).is_ok());
--- a/crates/pinereel/src/hosted/bulletin/mod.rs
+++ b/crates/pinereel/src/hosted/bulletin/mod.rs
@@ -19,6 +19,7 @@
 mod children;
 mod feed;
 mod frame;
+mod known;
 mod search;
 mod source;
 mod uplink;
--- a/crates/pinereel/src/hosted/bulletin/uplink.rs
+++ b/crates/pinereel/src/hosted/bulletin/uplink.rs
@@ -219,13 +219,13 @@
                 revision,
                 objects,
                 calm,
-            }) => self.hear(topic, Update::All(objects), revision, calm),
+            }) => self.hear(topic, Update::All(objects), (revision, calm), bytes),
             Some(Frame::Changes {
                 topic,
                 revision,
                 changes,
                 calm,
-            }) => self.hear(topic, Update::Changes(changes), revision, calm),
+            }) => self.hear(topic, Update::Changes(changes), (revision, calm), bytes),
             Some(Frame::Alive(alive)) => {
                 let metrics = &self.parts.metrics;
                 metrics.observe(&metrics.ages, "news", alive.age);
