--- a/crates/pinereel/src/hosted/bulletin/known.rs
+++ b/crates/pinereel/src/hosted/bulletin/known.rs
@@ -5,8 +5,8 @@
 use pinereel_port::store::Object;
 use std::collections::BTreeMap;
 
-/// The objects of a topic, encoded: each instance keeps them for children that it may get, and the list of
-/// 3,000 endpoints takes 30 MB as values.
+/// The objects of a topic, encoded: each instance keeps them for children that it may get. Before 3,000
+/// endpoints an instance took 25 MB so, and 31 MB with values (the middle of 304 instances, one run each).
 #[derive(Default)]
 pub(super) struct Known {
     /// The store's revision.
--- a/crates/pinereel/src/hosted/endpoints/listing.rs
+++ b/crates/pinereel/src/hosted/endpoints/listing.rs
@@ -151,7 +151,7 @@
 }
 
 /// A change of the versions alone is told by whoever gives the orders: on a fleet of 165 instances it made
-/// 44,000 of 70,000 lines.
+/// 45,000 of 66,000 lines.
 fn log_listed(before: Option<&Entry>, entry: &Entry, revision: u64) {
     let same = before.is_some_and(|before| {
         let versions = before.models.clone();
--- a/crates/pinereel/src/hosted/orders/mod.rs
+++ b/crates/pinereel/src/hosted/orders/mod.rs
@@ -43,7 +43,7 @@
 
 /// Orders are given for so long after a renewal at most. The next holder waits the engines' gap from then
 /// on: with the whole lease, 1.8 s, engines got no order for 5.5 s after a holder was cut off. Renewals come
-/// every 0.5 s to 0.84 s; a holder that has little processor time left is late by some 0.1 s.
+/// every 0.5 s to 0.84 s, so that a late one ends no order at once.
 const ACTS: Duration = Duration::from_millis(1_200);
 
 /// Pause between two looks at what the models ask for; their leases are heard every 0.7 s.
