sight: a connection that breaks under a request is told with the request's identity

What the lines could not tell: whether two lines are of the same request, and that a break came before a 'not opened'. One line a break, nothing while none breaks; no change of logic.

--- a/crates/pinereel/src/hosted/relay/call.rs
+++ b/crates/pinereel/src/hosted/relay/call.rs
@@ -1,8 +1,12 @@
 //! A request of a caller, and what becomes of it.
 
-use actix_http::{Method, StatusCode, header::HeaderMap};
+use actix_http::{
+    Method, StatusCode,
+    header::{AUTHORIZATION, HOST, HeaderMap, HeaderValue},
+};
 use bytes::Bytes;
 use compact_str::CompactString;
+use pinereel_core::crash::{Identity, Parts};
 use pinereel_port::config::Route;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -29,6 +33,23 @@
     pub give_up: Instant,
 }
 
+impl Call {
+    /// What makes it the same request when it comes again.
+    pub fn identity(&self) -> Identity {
+        let header = |name| {
+            let value = self.headers.get(name);
+            value.map(HeaderValue::as_bytes).unwrap_or_default()
+        };
+        Identity::of(Parts {
+            caller: header(AUTHORIZATION),
+            method: self.method.as_str(),
+            host: std::str::from_utf8(header(HOST)).unwrap_or_default(),
+            target: &self.target,
+            body: &self.body,
+        })
+    }
+}
+
 /// An endpoint's whole answer.
 #[derive(Debug)]
 pub struct Answer {
--- a/crates/pinereel/src/hosted/relay/mod.rs
+++ b/crates/pinereel/src/hosted/relay/mod.rs
@@ -26,7 +26,7 @@
     config::{Kind, Route},
     live::Attempt,
 };
-use report::{refusal_name, report, status_class, trace};
+use report::{refusal_name, report, report_break, status_class, trace};
 use std::{cell::Cell, rc::Rc, time::Duration};
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
@@ -217,6 +217,7 @@
         wait: Duration,
     ) -> Result<Answer, Ended> {
         let head = self.head(call, picked, wait);
+        let began = Instant::now();
         let repeatable = call.route.kind == Kind::Idempotent;
         let mut reuse = repeatable;
         loop {
@@ -229,9 +230,15 @@
             match self.pool.send(exchange).await {
                 Ok(response) => return self.judge(call, picked, response).await,
                 // The endpoint closed an idle connection: one more try there, on a fresh one.
-                Err(Error::Stale(_)) => reuse = false,
+                Err(Error::Stale(why)) => {
+                    report_break(call, picked, began, &why);
+                    reuse = false;
+                }
                 Err(Error::NotOpened(_)) => return Err(Ended::NotOpened),
-                Err(Error::Lost(_)) => return Err(Ended::Lost),
+                Err(Error::Lost(why)) => {
+                    report_break(call, picked, began, &why);
+                    return Err(Ended::Lost);
+                }
             }
         }
     }
--- a/crates/pinereel/src/hosted/relay/report.rs
+++ b/crates/pinereel/src/hosted/relay/report.rs
@@ -1,6 +1,6 @@
 //! What is said of a request in the log.
 
-use super::{Call, Outcome, Tried};
+use super::{Call, Outcome, Picked, Tried};
 use actix_http::StatusCode;
 use pinereel_core::route::Refusal;
 use std::time::Duration;
@@ -35,6 +35,19 @@
     format!("{id} {result} {millis}ms {reason:?}")
 }
 
+/// A connection broke under a request: whether its endpoint has crashed under it is seen by what
+/// became of others with the same identity, and of others at the same endpoint.
+pub(super) fn report_break(call: &Call, picked: &Picked, began: Instant, why: &str) {
+    log::info!(
+        id = call.id.as_str(),
+        identity:% = call.identity(),
+        endpoint = picked.id.as_str(),
+        ms = began.elapsed().as_millis() as u64,
+        why;
+        "attempt: connection broke"
+    );
+}
+
 /// One line for the request: what it was decided by, how old that was, and what came of it.
 pub(super) fn report(
     call: &Call,
--- /dev/null
+++ b/crates/pinereel_core/src/crash/identity.rs
@@ -0,0 +1,69 @@
+//! Which requests are the same one.
+
+use crate::hash::Digest;
+use serde::{Deserialize, Serialize};
+use std::{fmt, str::FromStr};
+
+/// What makes a request the same one when it comes again: its caller, where it goes and what it
+/// carries. The id is left out, since each attempt of a caller has its own.
+#[derive(Clone, Copy, Debug)]
+pub struct Parts<'a> {
+    /// The caller's credential; empty if it gives none. One caller's requests so never count against
+    /// another one that can be told apart.
+    pub caller: &'a [u8],
+    /// Method.
+    pub method: &'a str,
+    /// Host.
+    pub host: &'a str,
+    /// Path with query.
+    pub target: &'a str,
+    /// The whole body.
+    pub body: &'a [u8],
+}
+
+/// First 128 bits of the SHA-256 of a request's [`Parts`]: alike on all instances and builds, and the
+/// only thing about a request that is kept or passed on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Identity(Digest);
+
+/// A text that is no identity.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("an identity has 32 hexadecimal digits")]
+pub struct Malformed;
+
+impl Identity {
+    /// The identity of a request.
+    pub fn of(parts: Parts<'_>) -> Self {
+        let texts = [parts.method, parts.host, parts.target].map(str::as_bytes);
+        let [method, host, target] = texts;
+        let mut bytes = Vec::new();
+        // Each length comes first, so that no two requests have the same bytes.
+        for part in [parts.caller, method, host, target, parts.body] {
+            bytes.extend_from_slice(&(part.len() as u64).to_be_bytes());
+            bytes.extend_from_slice(part);
+        }
+        Self(Digest::of(&bytes))
+    }
+}
+
+impl fmt::Display for Identity {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for Identity {
+    type Err = Malformed;
+
+    fn from_str(text: &str) -> Result<Self, Malformed> {
+        if text.len() != 32 || !text.is_ascii() {
+            return Err(Malformed);
+        }
+        let mut bytes = [0; 16];
+        for (at, byte) in bytes.iter_mut().enumerate() {
+            let digits = &text[at * 2..at * 2 + 2];
+            *byte = u8::from_str_radix(digits, 16).map_err(|_| Malformed)?;
+        }
+        Ok(Self(Digest(bytes)))
+    }
+}
--- a/crates/pinereel_core/src/lib.rs
+++ b/crates/pinereel_core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod budget;
 pub mod claim;
 pub mod config;
+pub mod crash;
 pub mod cursor;
 pub mod drain;
 pub mod endpoint;
