--- a/crates/pinereel_fakes/src/bin/pinereel-fakes.rs
+++ b/crates/pinereel_fakes/src/bin/pinereel-fakes.rs
@@ -126,6 +126,12 @@
         flags: &[hosting::cli::HELP],
         run: hosting::cli::main,
     },
+    Tool {
+        name: "fragile",
+        summary: "an endpoint that crashes when a request tells it to",
+        flags: &[hosting::fragile::HELP],
+        run: hosting::fragile::main,
+    },
     Tool {
         name: "capacity",
         summary: "slopes of state, messages, time and memory, and the two-year size",
--- a/crates/pinereel_fakes/src/hosting/mod.rs
+++ b/crates/pinereel_fakes/src/hosting/mod.rs
@@ -5,6 +5,7 @@
 //!
 //! - [`store`]: the object store.
 //! - [`engine`], [`service`]: endpoints, which list themselves in the store.
+//! - [`fragile`]: an endpoint in a process of its own, which crashes when a request tells it to.
 //! - [`proxy`]: a loopback proxy with faults.
 //! - [`settings`]: fills in the deployment's template.
 //! - [`site`]: all of it, with the real processes.
@@ -19,6 +20,7 @@
 pub mod caller;
 pub mod cli;
 pub mod engine;
+pub mod fragile;
 pub mod http;
 pub mod proxy;
 pub mod service;
--- a/crates/pinereel_fakes/src/hosting/site.rs
+++ b/crates/pinereel_fakes/src/hosting/site.rs
@@ -343,18 +343,23 @@
     }
 }
 
-/// The binary under test lies beside the one of this crate.
+/// The binary under test.
 fn binary() -> io::Result<PathBuf> {
+    beside("pinereel")
+}
+
+/// A binary of this workspace: it lies beside the one that runs, or above it.
+pub(super) fn beside(name: &str) -> io::Result<PathBuf> {
     let own = env::current_exe()?;
     let mut folder = own.parent();
     while let Some(path) = folder {
-        let binary = path.join("pinereel");
+        let binary = path.join(name);
         if binary.is_file() {
             return Ok(binary);
         }
         folder = path.parent().filter(|path| *path != Path::new("/"));
     }
-    Err(io::Error::other("the binary pinereel is not built"))
+    Err(io::Error::other(format!("the binary {name} is not built")))
 }
 
 /// What the platform fills the template with.
@@ -378,7 +383,7 @@
 /// begins: until its `exec`, a process that is being started beside holds a copy of the listener. With
 /// four starters and six busy processes 107 of 26,667 second binds failed so, without starters none of
 /// 28,838.
-fn own_ip() -> Ipv4Addr {
+pub(super) fn own_ip() -> Ipv4Addr {
     static NEXT: AtomicU32 = AtomicU32::new(1);
     let own = NEXT.fetch_add(1, Ordering::Relaxed);
     let process = std::process::id();
