--- /dev/null
+++ b/crates/pinereel_core/tests/crash_register.rs
@@ -0,0 +1,300 @@
+//! What counts against a request, whoever tells it, in whatever order and however often.
+
+use pinereel_core::{
+    Time,
+    crash::{
+        CAP, Change, Identity, KEPT, LIMIT, MOST_RECORDS, Parts, Register, Report, Standing, Start,
+        What,
+    },
+};
+use proptest::{collection::vec, prelude::*, test_runner::Config};
+use std::{collections::BTreeSet, time::Duration};
+
+fn request(body: &str) -> Identity {
+    Identity::of(Parts {
+        caller: b"",
+        method: "POST",
+        host: "site.example",
+        target: "/live/x",
+        body: body.as_bytes(),
+    })
+}
+
+fn start(number: usize) -> Start {
+    Start {
+        endpoint: format!("e-{number:02}").into(),
+        incarnation: 0,
+    }
+}
+
+fn at(millis: u64) -> Time {
+    Time::ZERO + KEPT + Duration::from_millis(millis)
+}
+
+fn is_refused(register: &Register, now: Time, identity: Identity) -> bool {
+    matches!(
+        register.standing(now, &identity),
+        Standing::Convicted { .. }
+    )
+}
+
+/// First half of the SHA-256 of the five parts, each after its length as eight bytes.
+#[test]
+fn an_identity_is_the_same_on_every_build() {
+    assert_eq!(request("x").to_string(), "199e37bab93d5d87fcfc3ba159755556");
+}
+
+#[test]
+fn what_makes_a_request_another_one() {
+    let usual = Parts {
+        caller: b"key a",
+        method: "POST",
+        host: "h",
+        target: "/p",
+        body: b"b",
+    };
+    let others = [
+        Parts {
+            caller: b"key b",
+            ..usual
+        },
+        Parts {
+            method: "PUT",
+            ..usual
+        },
+        Parts { host: "i", ..usual },
+        Parts {
+            target: "/p?q",
+            ..usual
+        },
+        Parts { body: b"", ..usual },
+        // The same bytes in a row, divided otherwise.
+        Parts {
+            host: "h/",
+            target: "p",
+            ..usual
+        },
+    ];
+    let identities: BTreeSet<_> = others.into_iter().map(Identity::of).collect();
+    assert_eq!(identities.len(), others.len());
+    assert!(!identities.contains(&Identity::of(usual)));
+    let text = Identity::of(usual).to_string();
+    assert_eq!(text.parse(), Ok(Identity::of(usual)));
+    assert!("no identity".parse::<Identity>().is_err());
+}
+
+#[test]
+fn three_endpoints_are_a_verdict_and_sends_are_not_counted() {
+    let (mut register, culprit) = (Register::default(), request("c"));
+    for _ in 0..9 {
+        register.crashed(at(0), culprit, start(1));
+    }
+    assert!(!is_refused(&register, at(1), culprit));
+    register.crashed(at(2), culprit, start(2));
+    let changes = register.crashed(at(3), culprit, start(3));
+    let whats: Vec<_> = changes.iter().map(|change| change.what).collect();
+    assert_eq!(whats, [What::Verdict, What::Doubt]);
+    let standing = register.standing(at(13), &culprit);
+    let expected = Standing::Convicted {
+        endpoints: 3,
+        age: Duration::from_millis(10),
+        forgotten_in: KEPT - Duration::from_millis(10),
+    };
+    assert_eq!(standing, expected);
+}
+
+#[test]
+fn a_run_that_ends_clears_and_late_news_of_before_do_not_count() {
+    let (mut register, innocent) = (Register::default(), request("i"));
+    register.crashed(at(0), innocent, start(1));
+    register.crashed(at(1), innocent, start(2));
+    let late = register.all(at(2));
+    register.clear(at(3), innocent);
+    assert_eq!(register.standing(at(4), &innocent), Standing::Free);
+    register.heard(at(5), late);
+    assert_eq!(register.standing(at(6), &innocent), Standing::Free);
+    register.crashed(at(7), innocent, start(3));
+    let standing = register.standing(at(8), &innocent);
+    assert!(matches!(standing, Standing::Doubted { endpoints: 1, .. }));
+}
+
+/// A cut link that resets connections looks like a crash from one instance. Others still reach the endpoint.
+#[test]
+fn an_answer_clears_the_endpoint_if_it_was_asked_for_after_the_news() {
+    let (mut register, request) = (Register::default(), request("x"));
+    for number in 1..=LIMIT {
+        register.crashed(at(0), request, start(number));
+    }
+    assert!(is_refused(&register, at(1), request));
+    // On its way when the endpoint crashed.
+    register.answered(at(20), &start(1), at(10));
+    assert!(is_refused(&register, at(21), request));
+    register.answered(at(400), &start(1), at(300));
+    assert!(!is_refused(&register, at(401), request));
+}
+
+#[test]
+fn whoever_ran_beside_a_culprit_is_acquitted() {
+    let mut register = Register::default();
+    let (culprit, beside) = (request("c"), request("beside"));
+    for number in 1..=2 {
+        register.crashed(at(0), culprit, start(number));
+        register.crashed(at(0), beside, start(number));
+    }
+    // A third one by itself, while it ran there alone.
+    register.crashed(at(1), beside, start(9));
+    assert!(is_refused(&register, at(2), beside));
+    let mut changes = register.crashed(at(3), culprit, start(3));
+    changes.extend(register.crashed(at(4), culprit, start(4)));
+    let acquitted = |c: &Change| c.identity == beside && c.what == What::Acquitted;
+    assert!(changes.iter().any(acquitted));
+    assert!(is_refused(&register, at(5), culprit));
+    let standing = register.standing(at(5), &beside);
+    assert!(matches!(standing, Standing::Doubted { endpoints: 1, .. }));
+}
+
+/// Two that always crash together must not hide behind each other.
+#[test]
+fn two_culprits_are_both_refused_soon() {
+    let mut register = Register::default();
+    let both = [request("c"), request("d")];
+    for number in 1..=CAP {
+        for culprit in both {
+            register.crashed(at(0), culprit, start(number));
+        }
+    }
+    assert!(
+        both.iter()
+            .all(|culprit| is_refused(&register, at(1), *culprit))
+    );
+}
+
+#[test]
+fn what_is_too_old_is_forgotten() {
+    let (mut register, culprit) = (Register::default(), request("c"));
+    for number in 1..=LIMIT {
+        register.crashed(at(0), culprit, start(number));
+    }
+    let almost = at(0) + (KEPT - Duration::from_millis(1));
+    assert!(!register.expire(almost));
+    assert!(is_refused(&register, almost, culprit));
+    let told = register.all(almost);
+    assert!(register.expire(at(0) + KEPT));
+    assert!(register.is_empty());
+    // Another instance may tell of it once more: it is as old there.
+    register.heard(at(0) + KEPT, told);
+    assert!(register.expire(at(2) + KEPT));
+}
+
+/// Load pattern: a thousand requests a second crash an endpoint each, for five seconds.
+#[test]
+fn thousands_of_requests_take_bounded_memory() {
+    let mut register = Register::default();
+    let culprit = request("c");
+    for number in 1..=LIMIT {
+        register.crashed(at(0), culprit, start(number));
+    }
+    for number in 0..5_000 {
+        let other = request(&format!("once {number}"));
+        register.crashed(at(number), other, start(100 + number as usize));
+    }
+    assert_eq!(register.len(), (MOST_RECORDS, 1));
+    assert!(is_refused(&register, at(6_000), culprit), "the worst stay");
+    // Each is told of once, in messages of a bounded size.
+    let (mut told, mut messages) = (0, 0);
+    while register.has_untold() {
+        let reports = register.untold(at(6_000), 128);
+        assert!(reports.len() <= 128);
+        (told, messages) = (told + reports.len(), messages + 1);
+    }
+    assert!(told <= MOST_RECORDS && messages <= MOST_RECORDS.div_ceil(128) + 1);
+}
+
+/// One thing that happens at one of three instances.
+#[derive(Clone, Debug)]
+enum Step {
+    /// An endpoint crashes under a request.
+    Crash(usize, usize, usize),
+    /// A run of a request ends.
+    End(usize, usize),
+    /// An instance tells its news, which wait with all others'.
+    Tell(usize),
+    /// One of the waiting messages arrives at an instance, and may arrive again.
+    Arrive(usize, usize),
+    /// One of them is lost.
+    Lose(usize),
+    /// An instance starts again and knows nothing.
+    Restart(usize),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        4 => (0..3usize, 0..6usize, 0..9usize).prop_map(|(i, r, e)| Step::Crash(i, r, e)),
+        1 => (0..3usize, 0..6usize).prop_map(|(i, r)| Step::End(i, r)),
+        4 => (0..3usize).prop_map(Step::Tell),
+        4 => (0..3usize, any::<usize>()).prop_map(|(i, m)| Step::Arrive(i, m)),
+        1 => any::<usize>().prop_map(Step::Lose),
+        1 => (0..3usize).prop_map(Step::Restart),
+    ];
+    vec(step, 1..120)
+}
+
+/// What must hold at any moment: a verdict rests on three endpoints that really crashed under the request.
+fn assert_sound(register: &Register, now: Time, crashes: &BTreeSet<(usize, Start)>) {
+    for number in 0..6 {
+        let identity = request(&number.to_string());
+        if is_refused(register, now, identity) {
+            let own = crashes.iter().filter(|(request, _)| *request == number);
+            assert!(own.count() >= LIMIT);
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(Config::with_cases(400))]
+
+    #[test]
+    fn instances_that_have_told_each_other_all_decide_the_same(steps in steps()) {
+        let mut instances = vec![Register::default(); 3];
+        let mut waiting: Vec<Vec<Report>> = Vec::new();
+        let mut crashes = BTreeSet::new();
+        let mut now = at(0);
+        for step in steps {
+            now = now + Duration::from_millis(7);
+            match step {
+                Step::Crash(at, number, endpoint) => {
+                    // Endpoints are shared, so that requests crash beside each other.
+                    crashes.insert((number, start(endpoint)));
+                    instances[at].crashed(now, request(&number.to_string()), start(endpoint));
+                }
+                Step::End(at, number) => {
+                    instances[at].clear(now, request(&number.to_string()));
+                }
+                Step::Tell(at) => waiting.push(instances[at].untold(now, 4)),
+                Step::Arrive(at, message) if !waiting.is_empty() => {
+                    let message = waiting[message % waiting.len()].clone();
+                    instances[at].heard(now, message);
+                }
+                Step::Lose(message) if !waiting.is_empty() => {
+                    let at = message % waiting.len();
+                    waiting.remove(at);
+                }
+                Step::Restart(at) => instances[at] = Register::default(),
+                Step::Arrive(..) | Step::Lose(_) => {}
+            }
+            for register in &instances {
+                assert_sound(register, now, &crashes);
+            }
+        }
+        // New links: each tells all that it knows, in a ring, twice.
+        for from in [0, 1, 2, 0, 1, 2] {
+            let all = instances[from].all(now);
+            instances[(from + 1) % 3].heard(now, all);
+        }
+        for number in 0..6 {
+            let identity = request(&number.to_string());
+            let refused: BTreeSet<_> = instances.iter().map(|i| is_refused(i, now, identity)).collect();
+            prop_assert_eq!(refused.len(), 1);
+        }
+    }
+}
