crash: a request that crashes some endpoints and ends at others is refused after five; the older way of running knows them, too

Now five crashes without four times as many ends are a verdict; a request that runs often has far more ends. pinereel entry: live completions and calls of plain services ask the same register; news go with the summary, at once.

--- a/crates/pinereel/src/controllers/mod.rs
+++ b/crates/pinereel/src/controllers/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod claims;
 pub mod config;
+pub mod crashes;
 pub mod drain;
 pub mod endpoints;
 mod follow;
--- a/crates/pinereel/src/dispatch.rs
+++ b/crates/pinereel/src/dispatch.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     controllers::{
-        claims, config,
+        claims, config, crashes,
         lots::{self, runner},
         members,
     },
@@ -10,7 +10,7 @@
 };
 use compact_str::CompactString;
 use pinereel_api::wire::{Call, Hello, Reply, Summary};
-use pinereel_core::{Version, endpoint::Event};
+use pinereel_core::{Version, crash::Report, endpoint::Event};
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
 /// Carries out one call of the entry `from`.
@@ -83,6 +83,9 @@
     for (model, version) in summary.versions {
         lots::published(shared, &model, version);
     }
+    if !summary.crashes.is_empty() {
+        crashes::hear(shared, summary.crashes);
+    }
     for (name, incarnation) in summary.leaving {
         crate::controllers::endpoints::step(shared, Event::Hinted { name, incarnation });
     }
@@ -100,6 +103,7 @@
     versions: BTreeMap<CompactString, Version>,
     leaving: BTreeMap<CompactString, u64>,
     links: Vec<CompactString>,
+    crashes: Vec<Report>,
     /// Summaries that still carry the last change.
     repeats: u32,
     /// Summaries since the last full one.
@@ -109,15 +113,22 @@
 impl News {
     /// Looks at what there is to tell in the next summary.
     pub fn refresh(&mut self, shared: &Shared) {
+        let changed = crashes::untold(shared);
         let now = Self {
+            crashes: match changed.is_empty() {
+                true => crashes::all(shared),
+                false => changed,
+            },
             versions: shared.lots.versions(),
             leaving: shared.endpoints.set().hints(),
             links: shared.mesh.linked(),
             repeats: self.repeats.saturating_sub(1),
             since: self.since + 1,
         };
-        let same =
-            now.versions == self.versions && now.leaving == self.leaving && now.links == self.links;
+        let same = now.versions == self.versions
+            && now.leaving == self.leaving
+            && now.links == self.links
+            && now.crashes.len() == self.crashes.len();
         *self = now;
         if !same {
             self.repeats = REPEATS;
@@ -155,6 +166,10 @@
         echo: shared.config.echo(to),
         versions,
         leaving,
+        crashes: match news.repeats {
+            0 => Vec::new(),
+            _ => news.crashes.clone(),
+        },
         draining: shared.drain.asked(),
     }
 }
--- a/crates/pinereel/src/entry.rs
+++ b/crates/pinereel/src/entry.rs
@@ -24,7 +24,7 @@
 use tokio::{
     net::TcpListener,
     signal::unix::{SignalKind, signal},
-    time::sleep,
+    time::timeout,
 };
 
 /// Pause between summaries to peers; also the heartbeat of links.
@@ -196,7 +196,9 @@
         loop {
             news.refresh(&shared);
             shared.mesh.tell(|to| dispatch::summary(&shared, &news, to));
-            sleep(SUMMARY_PAUSE).await;
+            // News of crashes do not wait.
+            let news_of_crashes = shared.crashes.news.notified();
+            let _ = timeout(SUMMARY_PAUSE, news_of_crashes).await;
         }
     });
 }
@@ -234,6 +236,7 @@
         mesh: Mesh::new(identity),
         config,
         members: Default::default(),
+        crashes: Default::default(),
         endpoints: Default::default(),
         lots: lots::Lots::new(Runner::new(Policy::default(), limits)),
         queues: queues::Queues::new(incarnation),
--- a/crates/pinereel/src/filters/completion.rs
+++ b/crates/pinereel/src/filters/completion.rs
@@ -4,19 +4,22 @@
     Exchange, admit,
     attempt::{self, Running},
     refuse, respond,
-    route::{self, Wish},
+    route::{self, Seat, Wish},
     shape::{self, Whole},
     unknown,
 };
 use crate::{
-    controllers::queues::Turn,
+    controllers::{
+        crashes::{self, Next},
+        queues::Turn,
+    },
     engines::{self, Error},
     http::{self, Response},
     state::Shared,
 };
 use actix_http::StatusCode;
 use bytes::Bytes;
-use compact_str::format_compact;
+use compact_str::{CompactString, format_compact};
 use futures_util::{Stream, StreamExt as _, future, stream};
 use pinereel_api::{
     Problem,
@@ -24,6 +27,7 @@
     problem::Code,
 };
 use pinereel_core::{
+    crash::{Identity, Parts},
     endpoint::{End, Key},
     hash,
     provenance::Record,
@@ -203,13 +207,7 @@
         let mut excluded: Vec<Key> = Vec::new();
         let mut last = None;
         for _ in 0..MAX_ATTEMPTS {
-            let seat = route::take(
-                self.shared,
-                self.exchange,
-                turn,
-                wish(self.request, &excluded),
-            )
-            .await;
+            let seat = self.seat(turn, &excluded).await;
             let seat = match (seat, last) {
                 (Ok(seat), _) => seat,
                 // Other endpoints were tried before; their error says more.
@@ -217,13 +215,18 @@
                 (Err(problem), None) => return Err(problem),
             };
             excluded.push(seat.key);
+            let sent_at = self.shared.now();
             let error = match self.attempt(&seat.address, &mut progress).await {
                 Ok(()) => {
+                    crashes::answered(self.shared, seat.key, || self.identity(), sent_at);
                     seat.ticket.finish(End::Whole);
                     return Ok(());
                 }
                 Err(error) => error,
             };
+            if matches!(error, Error::Lost(_)) {
+                crashes::broke(self.shared, seat.key, self.identity()).await;
+            }
             seat.ticket.finish(attempt::end_of(&error));
             let wish = wish(self.request, &excluded);
             let over = excluded.len() == MAX_ATTEMPTS;
@@ -238,6 +241,38 @@
         ))
     }
 
+    /// A seat for the next attempt.
+    async fn seat(&self, turn: &Turn, excluded: &[Key]) -> Result<Seat, Problem> {
+        let (shared, exchange) = (self.shared, self.exchange);
+        match crashes::next(shared, &exchange.pool, || self.identity()).await? {
+            Next::Any => {
+                let wish = wish(self.request, excluded);
+                route::take(shared, exchange, turn, wish).await
+            }
+            Next::At(key) if excluded.contains(&key) => {
+                Err(refuse(Code::NoEndpoint, "it was tried there"))
+            }
+            Next::At(key) => route::take_at(shared, exchange, key),
+        }
+    }
+
+    /// What makes it the same request when it comes again.
+    fn identity(&self) -> Identity {
+        let request = Request {
+            request_id: CompactString::default(),
+            ..self.request.clone()
+        };
+        // One that cannot be written is refused before it is sent.
+        let body = serde_json::to_vec(&request).unwrap_or_default();
+        Identity::of(Parts {
+            caller: &[],
+            method: "POST",
+            host: &self.exchange.pool,
+            target: "/v1/completions",
+            body: &body,
+        })
+    }
+
     /// The problem for the last attempt's error; not run only if no attempt may have run.
     fn failed(&self, error: Error) -> Problem {
         let message = format_compact!("{error}");
--- a/crates/pinereel/src/filters/route.rs
+++ b/crates/pinereel/src/filters/route.rs
@@ -93,6 +93,17 @@
     }
 }
 
+/// Takes a seat at one endpoint, however busy: the request is in doubt, and runs there alone.
+///
+/// # Errors
+/// `NoEndpoint`, not run, if it is gone.
+pub fn take_at(shared: &Rc<Shared>, exchange: &Exchange, key: Key) -> Result<Seat, Problem> {
+    let ticket = endpoints::begin(shared, key, 0);
+    let seat = seat(shared, key, ticket).ok_or_else(|| later(Code::NoEndpoint, "it has gone"))?;
+    shared.decide(What::Route, &exchange.id, Some(&seat.name), "in doubt");
+    Ok(seat)
+}
+
 /// Whether one more attempt may be made: an endpoint is left that was not tried, and the retry
 /// budget, of which this takes a part, is not used up.
 pub fn may_retry(shared: &Shared, exchange: &Exchange, wish: Wish<'_>) -> bool {
--- a/crates/pinereel/src/filters/service.rs
+++ b/crates/pinereel/src/filters/service.rs
@@ -8,7 +8,11 @@
     unknown,
 };
 use crate::{
-    controllers::{endpoints::Ticket, queues::Turn},
+    controllers::{
+        crashes::{self, Next},
+        endpoints::Ticket,
+        queues::Turn,
+    },
     http::Response,
     state::Shared,
     upstream::{Attempt, Error, Reuse, direct},
@@ -17,7 +21,8 @@
     Method, StatusCode,
     body::{BodyStream, BoxBody, SizedStream},
     header::{
-        CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING,
+        AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue,
+        TRANSFER_ENCODING,
     },
 };
 use bytes::Bytes;
@@ -27,7 +32,11 @@
     Problem, header,
     problem::{Code, Ran},
 };
-use pinereel_core::endpoint::{End, Key};
+use pinereel_core::{
+    Time,
+    crash::{Identity, Parts},
+    endpoint::{End, Key},
+};
 use std::{io, rc::Rc};
 use tokio::time::{Instant, timeout_at};
 
@@ -62,6 +71,24 @@
     }
 }
 
+impl Call {
+    /// What makes it the same request when it comes again. The way by which requests come here names a pool, and no
+    /// host.
+    fn identity(&self, pool: &str) -> Identity {
+        let mut caller = self
+            .headers
+            .iter()
+            .filter(|(name, _)| name == AUTHORIZATION);
+        Identity::of(Parts {
+            caller: caller.next().map_or(&[], |(_, value)| value.as_bytes()),
+            method: self.method.as_str(),
+            host: pool,
+            target: &self.path,
+            body: &self.body,
+        })
+    }
+}
+
 /// Whether a call may run twice, by the pinned configuration.
 pub fn repeatable(exchange: &Exchange, method: &Method, path: &str) -> bool {
     let Some(pool) = exchange.pin.document.pools.get(&exchange.pool) else {
@@ -110,20 +137,36 @@
     let mut excluded: Vec<Key> = Vec::new();
     let mut last: Option<Problem> = None;
     for _ in 0..MAX_ATTEMPTS {
-        let seat = match route::take(shared, exchange, &turn, wish(call, &excluded)).await {
+        let identity = || call.identity(&exchange.pool);
+        let seat = match crashes::next(shared, &exchange.pool, identity).await {
+            Ok(Next::Any) => route::take(shared, exchange, &turn, wish(call, &excluded)).await,
+            Ok(Next::At(key)) if excluded.contains(&key) => Err(later("it was tried there")),
+            Ok(Next::At(key)) => route::take_at(shared, exchange, key),
+            Err(problem) => Err(problem),
+        };
+        let seat = match seat {
             Ok(seat) => seat,
             Err(problem) => return Err(last.unwrap_or(problem)),
         };
         excluded.push(seat.key);
+        let sent_at = shared.now();
         let sent = direct::send(attempt(shared, exchange, call, &seat.address)).await;
         let (end, problem, retry) = match sent {
             Ok(response) => match refused(&response) {
                 Some(end) => (end, later("the endpoint refused before running it"), true),
-                None => return Ok(pass_on(exchange, response, seat, turn)),
+                None => {
+                    let sent = Sent {
+                        key: seat.key,
+                        identity: identity(),
+                        at: sent_at,
+                    };
+                    return Ok(pass_on(exchange, response, seat, turn, sent));
+                }
             },
             Err(Error::NotOpened(e)) => (End::ConnectionRefused, later(&e), true),
             Err(Error::Invalid(e)) => return Err(refuse(Code::BadRequest, e)),
             Err(Error::Lost(e)) => {
+                crashes::broke(shared, seat.key, identity()).await;
                 let problem = unknown(Code::Unknown, format_compact!("{e}"));
                 (End::Failed, problem, call.repeatable)
             }
@@ -198,6 +241,7 @@
     response: direct::Response,
     seat: route::Seat,
     turn: Turn,
+    sent: Sent,
 ) -> Response {
     let headers = Call::headers_of(&response.headers);
     let left = exchange.left(turn.shared().now());
@@ -205,6 +249,7 @@
         body: response.body,
         ticket: Some(seat.ticket),
         turn,
+        sent,
         over: Instant::now() + left,
     };
     let body = stream::unfold(state, |mut state| async move {
@@ -228,6 +273,13 @@
     answer
 }
 
+/// An attempt that is being answered.
+struct Sent {
+    key: Key,
+    identity: Identity,
+    at: Time,
+}
+
 /// An answer's body on its way to the caller.
 struct Passing {
     body: direct::Body,
@@ -235,6 +287,8 @@
     ticket: Option<Ticket>,
     /// Holds the request's place in its queue.
     turn: Turn,
+    /// What was sent, and when.
+    sent: Sent,
     /// The deadline: a silent endpoint holds nothing longer.
     over: Instant,
 }
@@ -248,11 +302,15 @@
         match part {
             Ok(Some(part)) => Some(Ok(part)),
             Ok(None) => {
+                let Sent { key, identity, at } = self.sent;
+                crashes::answered(self.turn.shared(), key, || identity, at);
                 self.end(End::Whole);
                 self.turn.succeeded();
                 None
             }
             Err(e) => {
+                let Sent { key, identity, .. } = self.sent;
+                crashes::broke(self.turn.shared(), key, identity).await;
                 self.end(End::Failed);
                 Some(Err(e))
             }
--- a/crates/pinereel/src/state.rs
+++ b/crates/pinereel/src/state.rs
@@ -2,8 +2,8 @@
 
 use crate::{
     controllers::{
-        claims::Claims, config::Config, drain::Drain, endpoints::Endpoints, leases::Leases,
-        lots::Lots, members::Members, queues::Queues, rollout::Rollout,
+        claims::Claims, config::Config, crashes::Crashes, drain::Drain, endpoints::Endpoints,
+        leases::Leases, lots::Lots, members::Members, queues::Queues, rollout::Rollout,
     },
     logging::{Decision, What},
     metrics::Metrics,
@@ -64,6 +64,8 @@
     pub members: Members,
     /// The endpoints that this entry routes to.
     pub endpoints: Endpoints,
+    /// Requests under which endpoints crash.
+    pub crashes: Crashes,
     /// Lots: those submitted here, and the groups that run here.
     pub lots: Lots,
     /// Requests that wait for an endpoint.
--- a/crates/pinereel/src/upstream/probe.rs
+++ b/crates/pinereel/src/upstream/probe.rs
@@ -34,6 +34,14 @@
     }
 }
 
+/// Whether the endpoint at `IP:PORT` is gone: the address is reached, and nobody listens there.
+pub async fn is_gone(address: &str) -> bool {
+    match address.parse() {
+        Ok(address) => matches!(probe(address).await, Found::Nobody),
+        Err(_) => false,
+    }
+}
+
 async fn open(address: SocketAddr) -> Found {
     match timeout(OPEN, connect_to(address)).await {
         Ok(Ok(stream)) => Found::Listening(stream),
--- a/crates/pinereel_api/src/wire.rs
+++ b/crates/pinereel_api/src/wire.rs
@@ -5,7 +5,7 @@
 
 use crate::trainer::{Group, Sample};
 use compact_str::CompactString;
-use pinereel_core::{Version, config::Prepare, hash::Digest};
+use pinereel_core::{Version, config::Prepare, crash::Report, hash::Digest};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -68,6 +68,9 @@
     pub versions: BTreeMap<CompactString, Version>,
     /// Endpoints found leaving, name and incarnation; empty if nothing changed lately.
     pub leaving: BTreeMap<CompactString, u64>,
+    /// Requests under which endpoints crash; empty if nothing changed lately.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<Report>,
     /// Whether the sender is draining.
     pub draining: bool,
 }
--- a/crates/pinereel_core/src/crash/mod.rs
+++ b/crates/pinereel_core/src/crash/mod.rs
@@ -36,8 +36,10 @@
 /// at most 0.3 a minute; a caller who has mended it waits so long, or asks an operator.
 pub const KEPT: Duration = Duration::from_secs(600);
 
-/// How long it is kept that a request was cleared, for news that come late: links are given up after 3.5 s.
-pub const CLEARED_KEPT: Duration = Duration::from_secs(30);
+/// Runs that come to their end for each crash of a request that is innocent, though it was there often: runs take a
+/// tenth of a second, and endpoints seldom crash by themselves more than once in some seconds. A request that crashes
+/// every other endpoint has one.
+pub const ENDS_A_CRASH: u32 = 4;
 
 /// An answer clears an endpoint only if it was asked for so long after its crash was told here: answers that were
 /// on their way at the crash come within some milliseconds.
--- a/crates/pinereel_core/src/crash/record.rs
+++ b/crates/pinereel_core/src/crash/record.rs
@@ -1,6 +1,6 @@
 //! What is known of one request.
 
-use super::{Identity, Start};
+use super::{CAP, ENDS_A_CRASH, Identity, Start};
 use crate::Time;
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeMap, time::Duration};
@@ -25,6 +25,8 @@
     pub identity: Identity,
     /// Starts that crashed while it ran there.
     pub starts: Vec<(Start, Mark)>,
+    /// Runs of it that came to their end since the first, as far as one instance has seen.
+    pub ends: u32,
     /// Time since the last one.
     pub age: Duration,
 }
@@ -37,6 +39,8 @@
 pub(super) struct Record {
     /// Starts that crashed while it ran there.
     pub(super) starts: BTreeMap<Start, Mark>,
+    /// Runs that came to their end since the first crash, the most that one instance has seen.
+    pub(super) ends: u32,
     /// When the last one crashed, as far as this instance knows.
     pub(super) crashed_at: Time,
     /// When each was heard of here.
@@ -47,6 +51,7 @@
     pub(super) const fn new(now: Time) -> Self {
         Self {
             starts: BTreeMap::new(),
+            ends: 0,
             crashed_at: Time::ZERO,
             heard_at: now,
         }
@@ -80,6 +85,13 @@
         counted
     }
 
+    /// Whether it crashes some endpoints again and again, though runs of it end at others. Whoever just runs often has
+    /// far more runs that end than crashes.
+    pub(super) fn relapses(&self) -> bool {
+        let crashes = u32::try_from(self.starts.len()).unwrap_or(u32::MAX);
+        self.starts.len() >= CAP && self.ends < crashes * ENDS_A_CRASH
+    }
+
     /// Starts that count.
     pub(super) fn counting(&self) -> impl Iterator<Item = (&Start, usize)> {
         let counting = self.starts.iter().filter(|(_, mark)| mark.counts);
@@ -91,6 +103,7 @@
         Report {
             identity,
             starts: starts.map(|(start, mark)| (start.clone(), *mark)).collect(),
+            ends: self.ends,
             age: now.since(self.crashed_at),
         }
     }
--- a/crates/pinereel_core/src/crash/register.rs
+++ b/crates/pinereel_core/src/crash/register.rs
@@ -1,8 +1,8 @@
 //! All requests under which endpoints have crashed.
 
 use super::{
-    CAP, CLEARED_KEPT, GRACE, Identity, KEPT, LAST_CHANCE, LIMIT, MOST_RECORDS, Mark, Report,
-    Start, record::Record,
+    CAP, GRACE, Identity, KEPT, LAST_CHANCE, LIMIT, MOST_RECORDS, Mark, Report, Start,
+    record::Record,
 };
 use crate::Time;
 use serde::Serialize;
@@ -99,6 +99,7 @@
         let report = Report {
             identity,
             starts: vec![(start, mark)],
+            ends: 0,
             age: Duration::ZERO,
         };
         self.heard(now, [report])
@@ -122,17 +123,31 @@
         self.judge(now, &touched)
     }
 
-    /// A run of the request came to its end, or an operator says so: nothing that is known now counts
-    /// against it any more.
+    /// A run of the request came to its end: nothing that is known now counts against it any more, unless that goes on
+    /// and on.
+    pub fn ended(&mut self, now: Time, identity: Identity) -> Vec<Change> {
+        let Some(record) = self.records.get_mut(&identity) else {
+            return Vec::new();
+        };
+        record.ends = record.ends.saturating_add(1);
+        self.acquit(now, identity)
+    }
+
+    /// An operator says that the request may run again.
     pub fn clear(&mut self, now: Time, identity: Identity) -> Vec<Change> {
+        if let Some(record) = self.records.get_mut(&identity) {
+            record.ends = u32::MAX;
+        }
+        self.acquit(now, identity)
+    }
+
+    fn acquit(&mut self, now: Time, identity: Identity) -> Vec<Change> {
         let before = self.counting(&identity).count();
         let record = self.records.get_mut(&identity);
-        if !record.is_some_and(Record::clear) {
+        let counted = record.is_some_and(Record::clear);
+        if !counted && !self.convicted.contains(&identity) {
             return Vec::new();
         }
-        if let Some(record) = self.records.get_mut(&identity) {
-            record.heard_at = now;
-        }
         self.untold.insert(identity);
         self.judge(now, &BTreeMap::from([(identity, before)]))
     }
@@ -159,13 +174,8 @@
     /// Forgets what is too old to count; says whether anything was.
     pub fn expire(&mut self, now: Time) -> bool {
         let known = self.records.len();
-        self.records.retain(|_, record| {
-            let counts = record.counting().next().is_some();
-            match counts {
-                true => now.since(record.crashed_at) < KEPT,
-                false => now.since(record.heard_at) < CLEARED_KEPT,
-            }
-        });
+        self.records
+            .retain(|_, record| now.since(record.crashed_at) < KEPT);
         let forgot = self.records.len() < known;
         if forgot {
             self.judge(now, &BTreeMap::new());
@@ -181,7 +191,7 @@
         let age = now.since(record.crashed_at);
         if self.convicted.contains(identity) {
             return Standing::Convicted {
-                endpoints: record.counting().count(),
+                endpoints: record.starts.len(),
                 age,
                 forgotten_in: KEPT.saturating_sub(age),
             };
@@ -256,6 +266,8 @@
         for (start, mark) in report.starts {
             is_news |= record.add(start, mark);
         }
+        is_news |= report.ends == u32::MAX && record.ends != u32::MAX;
+        record.ends = record.ends.max(report.ends);
         if is_news {
             record.heard_at = now;
             record.crashed_at = record.crashed_at.max(now.before(report.age));
@@ -291,6 +303,7 @@
         self.convict(|register, identity| {
             register.counting(identity).count() >= CAP && register.own_crashes(identity) > 0
         });
+        self.convict(|register, identity| register.relapses(identity));
         let acquitted = before.difference(&self.convicted);
         let mut changes: Vec<_> = acquitted
             .map(|identity| self.change(now, *identity, What::Acquitted))
@@ -316,7 +329,7 @@
     /// along all that runs there, and crashes that a convicted request accounts for count against nobody else.
     fn convict(&mut self, is_guilty: impl Fn(&Self, &Identity) -> bool) {
         let enough = self.records.iter().filter(|(identity, record)| {
-            record.counting().count() >= LIMIT && !self.convicted.contains(*identity)
+            record.starts.len() >= LIMIT && !self.convicted.contains(*identity)
         });
         let suspects = enough.map(|(identity, _)| (Reverse(self.own_crashes(identity)), *identity));
         let mut suspects: Vec<_> = suspects.collect();
@@ -341,6 +354,11 @@
         before.len() >= LIMIT && before.iter().any(|before| *before >= LAST_CHANCE)
     }
 
+    fn relapses(&self, identity: &Identity) -> bool {
+        let record = self.records.get(identity);
+        record.is_some_and(Record::relapses)
+    }
+
     /// Whether another request may as well be to blame: it was at two of the same endpoints.
     fn has_rival(&self, identity: &Identity) -> bool {
         let own: BTreeSet<_> = self.counting(identity).map(|(start, _)| start).collect();
@@ -370,7 +388,7 @@
         Change {
             identity,
             what,
-            endpoints: self.counting(&identity).count(),
+            endpoints: record.map_or(0, |record| record.starts.len()),
             age: record.map_or(Duration::ZERO, |record| now.since(record.crashed_at)),
         }
     }
--- a/crates/pinereel_core/tests/crash_innocent.rs
+++ b/crates/pinereel_core/tests/crash_innocent.rs
@@ -140,7 +140,7 @@
             let runs = load.remove(&start).unwrap_or_default();
             if !crashes {
                 for identity in runs {
-                    self.register.clear(self.now, identity);
+                    self.register.ended(self.now, identity);
                     outcome.served += 1;
                     done.insert(identity);
                 }
--- a/crates/pinereel_core/tests/crash_register.rs
+++ b/crates/pinereel_core/tests/crash_register.rs
@@ -115,7 +115,7 @@
     register.crashed(at(0), innocent, start(1));
     register.crashed(at(1), innocent, start(2));
     let late = register.all(at(2));
-    register.clear(at(3), innocent);
+    register.ended(at(3), innocent);
     assert_eq!(register.standing(at(4), &innocent), Standing::Free);
     register.heard(at(5), late);
     assert_eq!(register.standing(at(6), &innocent), Standing::Free);
@@ -164,6 +164,7 @@
     let crash = |number| Report {
         identity: culprit,
         starts: vec![(start(number), FIRST)],
+        ends: 0,
         age: Duration::ZERO,
     };
     here.heard(at(0), (1..=3).map(crash));
@@ -200,6 +201,43 @@
     assert!(both.into_iter().all(refused));
 }
 
+/// Endpoints differ: some crash under the request, and at others its runs end.
+#[test]
+fn a_request_that_crashes_every_other_endpoint_is_refused_after_five() {
+    let (mut register, culprit) = (Register::default(), request("c"));
+    for number in 1..=CAP {
+        assert!(!is_refused(&register, at(0), culprit), "{number}");
+        register.crashed(at(number as u64), culprit, start(number));
+        register.ended(at(number as u64), culprit);
+    }
+    assert!(is_refused(&register, at(10), culprit));
+    // Others hear of it as of any other.
+    let mut there = Register::default();
+    there.heard(at(10), register.all(at(10)));
+    assert!(is_refused(&there, at(10), culprit));
+    register.clear(at(11), culprit);
+    assert!(!is_refused(&register, at(11), culprit));
+    there.heard(at(12), register.untold(at(12), 9));
+    assert!(
+        !is_refused(&there, at(12), culprit),
+        "an operator's word is told, too"
+    );
+}
+
+/// Load pattern: a request that many send all the time is at each endpoint that crashes by itself.
+#[test]
+fn a_request_that_runs_often_is_not_refused_for_endpoints_that_crash_by_themselves() {
+    let (mut register, popular) = (Register::default(), request("p"));
+    for number in 1..=40 {
+        for _ in 0..10 {
+            register.ended(at(number), popular);
+        }
+        register.crashed(at(number), popular, start(number as usize));
+        register.ended(at(number), popular);
+        assert!(!is_refused(&register, at(number), popular), "{number}");
+    }
+}
+
 #[test]
 fn what_is_too_old_is_forgotten() {
     let (mut register, culprit) = (Register::default(), request("c"));
@@ -299,7 +337,7 @@
                     instances[at].crashed(now, request(&number.to_string()), start(endpoint));
                 }
                 Step::End(at, number) => {
-                    instances[at].clear(now, request(&number.to_string()));
+                    instances[at].ended(now, request(&number.to_string()));
                 }
                 Step::Tell(at) => waiting.push(instances[at].untold(now, 4)),
                 Step::Arrive(at, message) if !waiting.is_empty() => {
--- a/crates/pinereel_fakes/src/capacity/control.rs
+++ b/crates/pinereel_fakes/src/capacity/control.rs
@@ -362,6 +362,7 @@
         }),
         versions: versions.collect::<BTreeMap<_, _>>(),
         leaving: leaving.collect(),
+        crashes: Vec::new(),
         draining: false,
     };
     Frame::Digest(summary)
