--- /dev/null
+++ b/crates/pinereel/tests/upstream_probe.rs
@@ -0,0 +1,78 @@
+//! Whether an endpoint that broke a connection is gone.
+
+use pinereel::upstream::pool::Pool;
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+use tokio::net::TcpListener;
+
+async fn listener() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    (listener, address)
+}
+
+#[actix_rt::test]
+async fn nobody_listens_any_more() {
+    let (listener, address) = listener().await;
+    drop(listener);
+    assert!(Rc::new(Pool::default()).is_gone(address).await);
+}
+
+/// A lost answer, a reset, an answer that was cut: the connection that was opened to look is kept.
+#[actix_rt::test]
+async fn an_endpoint_that_listens_is_not_gone() {
+    let (listener, address) = listener().await;
+    let pool = Rc::new(Pool::default());
+    assert!(!pool.is_gone(address).await);
+    assert!(pool.has_idle(address));
+    drop(listener);
+}
+
+/// An endpoint with too many connections closes the next one at once, and lives.
+#[actix_rt::test]
+async fn an_endpoint_that_closes_connections_is_not_gone() {
+    let (listener, address) = listener().await;
+    let closing = actix_rt::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            drop(stream);
+        }
+    });
+    assert!(!Rc::new(Pool::default()).is_gone(address).await);
+    closing.abort();
+}
+
+/// A process that ends closes its connections and its listener one after the other.
+#[actix_rt::test]
+async fn an_endpoint_that_is_just_ending_is_gone() {
+    let (listener, address) = listener().await;
+    let pool = Rc::new(Pool::default());
+    let end = async move {
+        // The connection was taken, and ends with the listener.
+        let taken = listener.accept().await;
+        drop((taken, listener));
+    };
+    let (gone, ()) = tokio::join!(pool.is_gone(address), end);
+    assert!(gone);
+}
+
+/// A machine without power, or behind a cut: no answer in time is no crash.
+#[actix_rt::test]
+async fn silence_is_no_crash() {
+    // A full queue of connections: the next one gets no answer.
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None);
+    let socket = socket.expect("a socket");
+    let address: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    socket.bind(&address.into()).expect("a port");
+    socket.listen(0).expect("it listens");
+    let address = socket
+        .local_addr()
+        .expect("an address")
+        .as_socket()
+        .expect("an IP");
+    let mut held = Vec::new();
+    for _ in 0..3 {
+        let stream = tokio::net::TcpStream::connect(address);
+        let opened = tokio::time::timeout(Duration::from_millis(200), stream).await;
+        held.extend(opened.ok().and_then(Result::ok));
+    }
+    assert!(!Rc::new(Pool::default()).is_gone(address).await);
+}
--- a/crates/pinereel_fakes/src/hosting/fragile.rs
+++ b/crates/pinereel_fakes/src/hosting/fragile.rs
@@ -87,6 +87,26 @@
 /// The crashes of all endpoints of a test.
 pub type Crashes = Rc<RefCell<Vec<Crash>>>;
 
+/// A change of the platform's list.
+#[derive(Clone, Debug)]
+pub enum Listed {
+    /// A start of an endpoint is there.
+    There {
+        /// Its id.
+        id: String,
+        /// Where it serves.
+        address: SocketAddr,
+    },
+    /// It is not listed any more.
+    Gone {
+        /// Its id.
+        id: String,
+    },
+}
+
+/// Writes the platform's list.
+pub type List = Rc<dyn Fn(Listed)>;
+
 /// The keeper of one endpoint.
 pub struct Fragile {
     /// Where it serves.
@@ -96,10 +116,9 @@
 
 struct State {
     base: String,
-    service: String,
     mode: Mode,
     address: SocketAddr,
-    store: Store,
+    list: List,
     down: Cell<Duration>,
     starts: Cell<u32>,
     child: RefCell<Option<Child>>,
@@ -109,7 +128,7 @@
 }
 
 impl Fragile {
-    /// Starts an endpoint of `service` that is back `down` after each crash.
+    /// Starts an endpoint of `service` in the object store's list, that is back `down` after each crash.
     ///
     /// # Errors
     /// If it cannot be started.
@@ -119,13 +138,27 @@
         down: Duration,
         crashes: &Crashes,
     ) -> io::Result<Self> {
+        let (store, service) = (store.clone(), service.to_owned());
+        let list = move |listed| match listed {
+            Listed::There { id, address } => {
+                store.put("servers", &id, entry(&service, mode, address));
+            }
+            Listed::Gone { id } => store.remove("servers", &id),
+        };
+        Self::listed(Rc::new(list), mode, down, crashes)
+    }
+
+    /// Starts an endpoint that `list` hears of, and that is back `down` after each crash.
+    ///
+    /// # Errors
+    /// If it cannot be started.
+    pub fn listed(list: List, mode: Mode, down: Duration, crashes: &Crashes) -> io::Result<Self> {
         let address = SocketAddr::from((own_ip(), PORT));
         let state = Rc::new(State {
             base: format!("f-{}", address.ip()),
-            service: service.into(),
             mode,
             address,
-            store: store.clone(),
+            list,
             down: Cell::new(down),
             starts: Cell::new(0),
             child: RefCell::default(),
@@ -186,15 +219,10 @@
             return Err(io::Error::other(format!("no endpoint: {lines}")));
         }
         self.child.replace(Some(child));
-        let entry = json!({
-            "service": self.service, "addr": self.address.to_string(), "zone": "here",
-            "version": "v1", "slots": SLOTS, "state": "ready", "coldRemainingMs": 0, "seq": 0,
-            "models": match self.mode {
-                Mode::Plain => json!([]),
-                Mode::Engine => json!([{"name": MODEL, "version": 1, "adapters": []}]),
-            },
+        (self.list)(Listed::There {
+            id: self.id(),
+            address: self.address,
         });
-        self.store.put("servers", &self.id(), entry);
         Ok(())
     }
 
@@ -211,12 +239,12 @@
             }
             self.note_crash();
             if self.down.get() == Duration::MAX {
-                self.store.remove("servers", &self.id());
+                (self.list)(Listed::Gone { id: self.id() });
                 return;
             }
             sleep(self.down.get()).await;
             // A crash says nothing to the store: the entry goes after some silence.
-            self.store.remove("servers", &self.id());
+            (self.list)(Listed::Gone { id: self.id() });
             let lines = self.lines();
             self.earlier.replace(lines);
             self.child.replace(None);
@@ -241,6 +269,18 @@
     }
 }
 
+/// An endpoint's entry in the object store's list.
+fn entry(service: &str, mode: Mode, address: SocketAddr) -> Value {
+    json!({
+        "service": service, "addr": address.to_string(), "zone": "here",
+        "version": "v1", "slots": SLOTS, "state": "ready", "coldRemainingMs": 0, "seq": 0,
+        "models": match mode {
+            Mode::Plain => json!([]),
+            Mode::Engine => json!([{"name": MODEL, "version": 1, "adapters": []}]),
+        },
+    })
+}
+
 /// The tools' binary lies beside the tests'.
 fn binary() -> io::Result<std::path::PathBuf> {
     super::site::beside("pinereel-fakes")
--- /dev/null
+++ b/crates/pinereel_fakes/tests/entry_crash.rs
@@ -0,0 +1,109 @@
+//! The older way of running: a call of a plain service that crashes each endpoint that begins to run it. Nothing kept
+//! what it had done there either: each call was sent to up to three endpoints, one after the other, at every entry.
+
+#![allow(clippy::unwrap_used)]
+
+use pinereel_api::object::{Instance, Presence};
+use pinereel_core::config::Document;
+use pinereel_fakes::{
+    hosting::fragile::{CRASH, Crashes, Fragile, Listed, Mode},
+    site::{Options, Site},
+};
+use serde_json::{Value, json};
+use std::{rc::Rc, time::Duration};
+use tokio::time::{Instant, sleep};
+
+const POOL: &str = "orders-app";
+const ENDPOINTS: usize = 5;
+const MOST: usize = 3;
+const DOWN: Duration = Duration::from_secs(2);
+
+fn document() -> Document {
+    let pools = json!({ "pools": { POOL: { "kind": "service" } } });
+    serde_json::from_value(pools).unwrap()
+}
+
+async fn site() -> Site {
+    let options = Options {
+        zones: vec!["toledo-hall".into()],
+        entries: 2,
+        engines: Vec::new(),
+        batch: Default::default(),
+        services: Vec::new(),
+        document: document(),
+        lag: Duration::from_millis(50),
+        settings: "[drain]\nbalancer_lag = 10ms\nlongest = 5s\n".into(),
+    };
+    Site::start(options).await.unwrap()
+}
+
+fn endpoints(site: &Rc<Site>, crashes: &Crashes) -> Vec<Fragile> {
+    let start = |_| {
+        let site = Rc::clone(site);
+        let list = move |listed| match listed {
+            Listed::There { id, address } => {
+                let instance = Instance {
+                    incarnation: 1,
+                    address: address.to_string().into(),
+                    zone: "toledo-hall".into(),
+                    pool: POOL.into(),
+                    state: Presence::Live,
+                };
+                site.api.put_instance(&id, instance);
+            }
+            Listed::Gone { id } => site.api.remove_instance(&id),
+        };
+        Fragile::listed(Rc::new(list), Mode::Plain, DOWN, crashes).unwrap()
+    };
+    (0..ENDPOINTS).map(start).collect()
+}
+
+/// One call; the status and the body.
+async fn call(entry: &str, body: &str) -> (u16, Vec<u8>) {
+    let client = awc::Client::builder()
+        .timeout(Duration::from_secs(5))
+        .finish();
+    let url = format!("http://{entry}/services/{POOL}/x");
+    let mut response = client.put(url).send_body(body.to_owned()).await.unwrap();
+    let bytes = response.body().await.unwrap();
+    (response.status().as_u16(), bytes.to_vec())
+}
+
+#[actix_rt::test]
+async fn a_call_that_crashes_endpoints_takes_three_and_others_are_served() {
+    let site = Rc::new(site().await);
+    let crashes = Crashes::default();
+    let _endpoints = endpoints(&site, &crashes);
+    site.api.settle_instances();
+    sleep(Duration::from_millis(1_500)).await;
+    let body = format!("{CRASH} g");
+    let end = Instant::now() + Duration::from_secs(7);
+    let (mut good, mut bad) = (0, 0);
+    while Instant::now() < end {
+        for entry in site.callers() {
+            call(&entry, &body).await;
+            match call(&entry, "other").await {
+                (200, _) => good += 1,
+                _ => bad += 1,
+            }
+        }
+        sleep(Duration::from_millis(40)).await;
+    }
+    let under: Vec<_> = crashes
+        .borrow()
+        .iter()
+        .map(|crash| crash.under.clone())
+        .collect();
+    assert!((1..=MOST).contains(&under.len()), "{under:?}");
+    for entry in site.callers() {
+        let (status, answer) = call(&entry, &body).await;
+        let problem: Value = serde_json::from_slice(&answer).unwrap();
+        assert_eq!(status, 503, "{problem}");
+        assert_eq!(problem["ran"], "not_run");
+        assert!(
+            problem["retry_after_ms"].as_u64() > Some(1_000),
+            "{problem}"
+        );
+    }
+    assert!(bad * 10 < good, "{good} good, {bad} not");
+}
