--- a/crates/pinereel/src/hosted/bulletin/board.rs
+++ b/crates/pinereel/src/hosted/bulletin/board.rs
@@ -2,17 +2,12 @@
 
 use super::{Feed, Frame, HEARTBEAT, Topic, known::Known};
 use crate::hosted::{
-    crashes::{Crashes, Source},
-    duty::Duties,
-    follow::Update,
-    metrics::Metrics,
-    store::Store,
+    crashes::Crashes, duty::Duties, follow::Update, metrics::Metrics, store::Store,
 };
 use bytes::Bytes;
 use compact_str::CompactString;
 use pinereel_core::{
     Time,
-    crash::Report,
     tree::{Alive, Branch, Key, Own, Peer, Ranks, Uplink},
 };
 use pinereel_port::Adapter;
@@ -183,32 +178,6 @@
         log::info!("bulletin: news again");
     }
 
-    /// Tells all neighbours what is news here about requests that crash endpoints. Whoever told it hears it
-    /// again, and has nothing to pass on.
-    async fn tell_crashes(&self) {
-        loop {
-            let reports = self.parts.crashes.untold().await;
-            if let Some(bytes) = Frame::Crashes(reports).encode() {
-                let bytes = Bytes::from(bytes);
-                self.send(&bytes);
-                // Nobody hears it if there is no parent.
-                let _ = self.up.send(bytes);
-            }
-            Crashes::gather().await;
-        }
-    }
-
-    /// All that is known of requests that crash endpoints, for a new link; none if that is nothing.
-    pub(super) fn known_crashes(&self) -> Option<Frame> {
-        let reports = self.parts.crashes.all();
-        (!reports.is_empty()).then_some(Frame::Crashes(reports))
-    }
-
-    /// A neighbour tells of requests that crash endpoints.
-    pub(super) fn hear_crashes(&self, reports: Vec<Report>) {
-        self.parts.crashes.heard(Source::Link, reports);
-    }
-
     /// All that is known, as frames.
     pub(super) fn known(&self) -> Vec<Frame> {
         let calm = self.parts.feed.calm();
@@ -230,7 +199,7 @@
     }
 
     /// Sends an encoded frame to all children; one that cannot take it is cut.
-    fn send(&self, bytes: &Bytes) {
+    pub(super) fn send(&self, bytes: &Bytes) {
         let mut state = self.state.borrow_mut();
         state
             .links
--- a/crates/pinereel/src/hosted/bulletin/mod.rs
+++ b/crates/pinereel/src/hosted/bulletin/mod.rs
@@ -11,7 +11,7 @@
 //! itself.
 //!
 //! - [`Bulletin`]: the instance in the tree; its parts are the state (`board`), the links to children
-//!   (`children`), the way to a parent (`uplink`, `search`), and reading the store (`source`).
+//!   (`children`), what goes both ways (`gossip`), the way to a parent (`uplink`, `search`), and reading the store (`source`).
 //! - [`Feed`]: what the parts of this process hear.
 //! - [`frame`]: what goes over a link.
 
@@ -19,6 +19,7 @@
 mod children;
 mod feed;
 mod frame;
+mod gossip;
 mod known;
 mod search;
 mod source;
--- a/crates/pinereel/src/hosted/relay/mod.rs
+++ b/crates/pinereel/src/hosted/relay/mod.rs
@@ -1,5 +1,6 @@
 //! One request of a caller, brought to an endpoint and answered with that endpoint's whole answer.
 
+mod attempt;
 mod call;
 mod doubt;
 mod head;
@@ -13,14 +14,10 @@
     metrics::Metrics,
     stall::Stall,
 };
-use crate::upstream::{
-    pool::{Error, Exchange, Pool},
-    probe::says_nobody,
-};
-use actix_http::{RequestHead, StatusCode, Uri};
+use crate::upstream::pool::Pool;
+use attempt::Tried;
 use doubt::{Next, convicted};
 use futures_util::{StreamExt as _, future::LocalBoxFuture, stream::FuturesUnordered};
-use head::end_to_end;
 use pinereel_core::{
     crash::Standing,
     endpoint::{End, Key},
@@ -32,11 +29,10 @@
 use pinereel_port::{
     Adapter,
     config::{Kind, Route},
-    live::Attempt,
 };
-use report::{refusal_name, report, report_break, report_refusal, status_class, trace};
+use report::{refusal_name, report, report_refusal, status_class, trace};
 use std::{cell::Cell, rc::Rc, time::Duration};
-use tokio::time::{Instant, sleep_until, timeout, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 /// Attempts that lost against another one may end by themselves for so long: their connections can
 /// be used again. The endpoint's work is short; a longer wait would look like work for nobody.
@@ -65,13 +61,6 @@
     next: Cell<u64>,
 }
 
-/// One attempt that ended.
-struct Tried {
-    picked: Picked,
-    took: Duration,
-    ended: Result<Answer, Ended>,
-}
-
 type Attempting = FuturesUnordered<LocalBoxFuture<'static, Tried>>;
 
 impl Relay {
@@ -251,142 +240,6 @@
         });
     }
 
-    fn attempt(self: &Rc<Self>, call: &Rc<Call>, picked: Picked) -> LocalBoxFuture<'static, Tried> {
-        let (relay, call) = (Rc::clone(self), Rc::clone(call));
-        Box::pin(async move {
-            let began = Instant::now();
-            let guard = Running::enter(&relay.parts.endpoints, picked.key, began);
-            let wait = call.give_up.saturating_duration_since(began);
-            let exchange = relay.exchange(&call, &picked, wait);
-            let ended = timeout(wait, exchange).await;
-            let ended = ended.unwrap_or(Err(Ended::Lost));
-            guard.disarm();
-            Tried {
-                picked,
-                took: began.elapsed(),
-                ended,
-            }
-        })
-    }
-
-    async fn exchange(
-        &self,
-        call: &Call,
-        picked: &Picked,
-        wait: Duration,
-    ) -> Result<Answer, Ended> {
-        let head = self.head(call, picked, wait);
-        let began = Instant::now();
-        let repeatable = call.route.kind == Kind::Idempotent;
-        let mut reuse = repeatable;
-        let mut broke = false;
-        loop {
-            let exchange = Exchange {
-                address: picked.address,
-                head: head(),
-                body: call.body.clone(),
-                reuse,
-            };
-            match self.parts.pool.send(exchange).await {
-                Ok(response) => {
-                    let judged = self.judge(call, picked, response).await;
-                    return match judged {
-                        Err(Ended::Lost) => Err(self.after_break(picked).await),
-                        judged => judged,
-                    };
-                }
-                // The endpoint closed an idle connection: one more try there, on a fresh one.
-                Err(Error::Stale(why)) => {
-                    report_break(call, picked, began, &why);
-                    (reuse, broke) = (false, true);
-                }
-                // What the first connection carried may have run: a refused second one said "not run" of an
-                // endpoint that had run it for 88 ms and crashed.
-                Err(Error::NotOpened(error)) if broke => {
-                    return Err(match says_nobody(&error) {
-                        true => Ended::Crashed,
-                        false => Ended::Lost,
-                    });
-                }
-                Err(Error::NotOpened(_)) => return Err(Ended::NotOpened),
-                Err(Error::Lost(why)) => {
-                    report_break(call, picked, began, &why);
-                    return Err(self.after_break(picked).await);
-                }
-            }
-        }
-    }
-
-    /// What it means that a connection broke under a request: an endpoint that listens has not crashed.
-    async fn after_break(&self, picked: &Picked) -> Ended {
-        match self.parts.pool.is_gone(picked.address).await {
-            true => Ended::Crashed,
-            false => Ended::Lost,
-        }
-    }
-
-    /// What makes the head of each send of one attempt.
-    fn head<'a>(
-        &'a self,
-        call: &'a Call,
-        picked: &'a Picked,
-        wait: Duration,
-    ) -> impl Fn() -> RequestHead + 'a {
-        let began = Instant::now();
-        move || {
-            let mut head = RequestHead::default();
-            head.method = call.method.clone();
-            head.uri = call.target.parse::<Uri>().unwrap_or_default();
-            head.headers = end_to_end(&call.headers);
-            let attempt = Attempt {
-                id: &call.id,
-                endpoint: &picked.id,
-                time_left: Some(wait.saturating_sub(began.elapsed())),
-                after_event: None,
-            };
-            (self.parts.adapter.live.attempt)(&mut head.headers, attempt);
-            head
-        }
-    }
-
-    async fn judge(
-        &self,
-        call: &Call,
-        picked: &Picked,
-        response: crate::upstream::pool::Response,
-    ) -> Result<Answer, Ended> {
-        let said = (self.parts.adapter.live.answer)(response.status, &response.headers);
-        if let Some(load) = said.load {
-            self.parts.endpoints.reported(picked.key, load);
-        }
-        let foreign = said.id.as_ref().is_some_and(|id| *id != call.id);
-        if foreign || said.encoded {
-            return Err(Ended::Garbled);
-        }
-        if said.not_run {
-            // Read to its end, so that the connection can be used again.
-            let misdirected = response.status == StatusCode::MISDIRECTED_REQUEST;
-            let _ = response.body.whole().await;
-            return Err(if misdirected {
-                Ended::OtherEndpoint
-            } else {
-                Ended::Refused
-            });
-        }
-        let signed = said.signature.is_some() && said.id.is_some();
-        if response.status.is_success() && !signed {
-            return Err(Ended::Garbled);
-        }
-        let (status, headers) = (response.status, end_to_end(&response.headers));
-        let body = response.body.whole().await.map_err(|_| Ended::Lost)?;
-        Ok(Answer {
-            status,
-            headers,
-            body,
-            signature: said.signature,
-        })
-    }
-
     /// Notes what an attempt says about its endpoint, and about the request.
     fn note(&self, call: &Call, tried: &Tried) {
         let end = match &tried.ended {
@@ -426,37 +279,6 @@
 /// When a refused caller should come back: places free up within a few requests' work.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// Counts an attempt at its endpoint; one that is dropped counts as cancelled.
-struct Running {
-    endpoints: Rc<Endpoints>,
-    key: Option<Key>,
-    began: Instant,
-}
-
-impl Running {
-    fn enter(endpoints: &Rc<Endpoints>, key: Key, began: Instant) -> Self {
-        endpoints.started(key);
-        Self {
-            endpoints: Rc::clone(endpoints),
-            key: Some(key),
-            began,
-        }
-    }
-
-    fn disarm(mut self) {
-        self.key = None;
-    }
-}
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        if let Some(key) = self.key {
-            let took = self.began.elapsed();
-            self.endpoints.finished(key, took, End::Cancelled);
-        }
-    }
-}
-
 fn limits(route: &Route) -> Limits {
     Limits {
         repeatable: route.kind == Kind::Idempotent,
--- a/crates/pinereel/src/hosted/relay/report.rs
+++ b/crates/pinereel/src/hosted/relay/report.rs
@@ -1,6 +1,6 @@
 //! What is said of a request in the log.
 
-use super::{Call, Outcome, Picked, Tried};
+use super::{Call, Outcome, Picked, attempt::Tried};
 use actix_http::StatusCode;
 use pinereel_core::{crash::Standing, route::Refusal};
 use std::time::Duration;
--- a/crates/pinereel_core/src/crash/mod.rs
+++ b/crates/pinereel_core/src/crash/mod.rs
@@ -8,15 +8,18 @@
 //! accounts for counts against no other.
 
 mod identity;
+mod judge;
 mod record;
 mod register;
 mod seat;
+mod standing;
 mod start;
 
 pub use identity::{Identity, Malformed, Parts};
 pub use record::{Mark, Report};
-pub use register::{Change, Register, Standing, What};
+pub use register::Register;
 pub use seat::Seat;
+pub use standing::{Change, Standing, What};
 pub use start::Start;
 
 use std::time::Duration;
--- a/crates/pinereel_core/src/crash/register.rs
+++ b/crates/pinereel_core/src/crash/register.rs
@@ -1,67 +1,16 @@
 //! All requests under which endpoints have crashed.
 
 use super::{
-    CAP, GRACE, Identity, KEPT, LAST_CHANCE, LIMIT, MOST_RECORDS, Mark, Report, Start,
+    Change, GRACE, Identity, KEPT, MOST_RECORDS, Mark, Report, Standing, Start, What,
     record::Record,
 };
 use crate::Time;
-use serde::Serialize;
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
-/// How a request stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Standing {
-    /// Nothing counts against it.
-    Free,
-    /// Endpoints have crashed while it ran there: it may be to blame, or have run beside another.
-    Doubted {
-        /// How many count against it.
-        endpoints: usize,
-        /// Time since the last one.
-        age: Duration,
-    },
-    /// It crashes endpoints: it must not run any more.
-    Convicted {
-        /// How many count against it.
-        endpoints: usize,
-        /// Time since the last one.
-        age: Duration,
-        /// When it is forgotten, and may be tried again.
-        forgotten_in: Duration,
-    },
-}
-
-/// What changed about a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum What {
-    /// Another endpoint counts against it.
-    Doubt,
-    /// It must not run any more.
-    Verdict,
-    /// It must not be refused any more: others are to blame, or it has been cleared.
-    Acquitted,
-    /// A run of it came to its end, the endpoints live, or an operator said so.
-    Cleared,
-}
-
-/// A change of one request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Change {
-    /// The request.
-    pub identity: Identity,
-    /// What changed.
-    pub what: What,
-    /// Endpoints that count against it now.
-    pub endpoints: usize,
-    /// Time since the last of them.
-    pub age: Duration,
-}
-
 /// All requests under which endpoints have crashed, as one instance knows them.
 ///
 /// It takes in what this instance saw and what others tell, and every instance that has heard the same
@@ -70,11 +19,11 @@
 pub struct Register {
     pub(super) records: BTreeMap<Identity, Record>,
     /// Requests that must not run.
-    convicted: BTreeSet<Identity>,
+    pub(super) convicted: BTreeSet<Identity>,
     /// Crashes that convicted requests account for: they count against nobody else.
-    accounted: BTreeSet<Start>,
+    pub(super) accounted: BTreeSet<Start>,
     /// The most that counted before against any request that ran at a crashed endpoint.
-    most_before: BTreeMap<Start, usize>,
+    pub(super) most_before: BTreeMap<Start, usize>,
     /// Requests of which others are to be told.
     untold: BTreeSet<Identity>,
 }
@@ -154,6 +103,9 @@
 
     /// An endpoint has answered a request that was sent to it at `sent_at`: it had not crashed before.
     pub fn answered(&mut self, now: Time, start: &Start, sent_at: Time) -> Vec<Change> {
+        if !self.has_crashed(start) {
+            return Vec::new();
+        }
         let mut touched = BTreeMap::new();
         for (identity, record) in &mut self.records {
             let before = record.counting().count();
@@ -202,27 +154,6 @@
         }
     }
 
-    /// Endpoints that count against a request that may run, less those that others account for. It stays in doubt
-    /// for those, too, until a run of it ends: two that crash endpoints may have met at one.
-    pub(super) fn doubts(&self, identity: &Identity) -> usize {
-        let counting = self.counting(identity).count();
-        self.own_crashes(identity).max(counting.min(1))
-    }
-
-    /// Endpoints for whose crash a request is to blame, as far as no convicted one accounts for it.
-    fn own_crashes(&self, identity: &Identity) -> usize {
-        let counting = self.counting(identity);
-        let own = counting.filter(|(start, before)| {
-            self.is_blamed(start, *before) && !self.accounted.contains(*start)
-        });
-        own.count()
-    }
-
-    /// Whether a start has crashed, as far as is known.
-    pub(super) fn has_crashed(&self, start: &Start) -> bool {
-        self.most_before.contains_key(start)
-    }
-
     /// Whether others are to be told something.
     pub fn has_untold(&self) -> bool {
         !self.untold.is_empty()
@@ -250,7 +181,8 @@
             .collect()
     }
 
-    fn counting(&self, identity: &Identity) -> impl Iterator<Item = (&Start, usize)> {
+    /// Crashes that count against a request, and what counted against it before each.
+    pub(super) fn counting(&self, identity: &Identity) -> impl Iterator<Item = (&Start, usize)> {
         let record = self.records.get(identity);
         record.into_iter().flat_map(Record::counting)
     }
@@ -290,100 +222,8 @@
         }
     }
 
-    /// Decides anew who must not run; tells what changed. `touched` has the requests that there was news
-    /// of, with the number that counted against each before.
-    fn judge(&mut self, now: Time, touched: &BTreeMap<Identity, usize>) -> Vec<Change> {
-        let before = std::mem::take(&mut self.convicted);
-        self.accounted.clear();
-        self.find_blame();
-        self.convict(Self::is_proved);
-        self.convict(|register, identity| {
-            register.own_crashes(identity) >= LIMIT && !register.has_rival(identity)
-        });
-        self.convict(|register, identity| {
-            register.counting(identity).count() >= CAP && register.own_crashes(identity) > 0
-        });
-        self.convict(|register, identity| register.relapses(identity));
-        let acquitted = before.difference(&self.convicted);
-        let mut changes: Vec<_> = acquitted
-            .map(|identity| self.change(now, *identity, What::Acquitted))
-            .collect();
-        for identity in self.convicted.difference(&before) {
-            changes.push(self.change(now, *identity, What::Verdict));
-        }
-        for (identity, before) in touched {
-            let counting = self.counting(identity).count();
-            let what = if counting > *before {
-                What::Doubt
-            } else {
-                What::Cleared
-            };
-            if counting != *before {
-                changes.push(self.change(now, *identity, what));
-            }
-        }
-        changes
-    }
-
-    /// Convicts those of whom `is_guilty` holds, whoever is to blame for the most first: an endpoint that crashes takes
-    /// along all that runs there, and crashes that a convicted request accounts for count against nobody else.
-    fn convict(&mut self, is_guilty: impl Fn(&Self, &Identity) -> bool) {
-        let enough = self.records.iter().filter(|(identity, record)| {
-            record.starts.len() >= LIMIT && !self.convicted.contains(*identity)
-        });
-        let suspects = enough.map(|(identity, _)| (Reverse(self.own_crashes(identity)), *identity));
-        let mut suspects: Vec<_> = suspects.collect();
-        suspects.sort();
-        for (_, identity) in suspects {
-            if is_guilty(self, &identity) {
-                let starts = self.counting(&identity).map(|(start, _)| start.clone());
-                let starts: Vec<_> = starts.collect();
-                self.accounted.extend(starts);
-                self.convicted.insert(identity);
-            }
-        }
-    }
-
-    /// Whether a request is to blame for enough crashes, one of them under its last chance: there it was alone
-    /// among those in doubt, so that what others account for does not matter.
-    fn is_proved(&self, identity: &Identity) -> bool {
-        let blamed = self
-            .counting(identity)
-            .filter(|(start, before)| self.is_blamed(start, *before));
-        let before: Vec<_> = blamed.map(|(_, before)| before).collect();
-        before.len() >= LIMIT && before.iter().any(|before| *before >= LAST_CHANCE)
-    }
-
-    fn relapses(&self, identity: &Identity) -> bool {
-        let record = self.records.get(identity);
-        record.is_some_and(Record::relapses)
-    }
-
-    /// Whether another request may as well be to blame: it was at two of the same endpoints.
-    fn has_rival(&self, identity: &Identity) -> bool {
-        let own: BTreeSet<_> = self.counting(identity).map(|(start, _)| start).collect();
-        self.records.iter().any(|(other, record)| {
-            let shared = record.counting().filter(|(start, _)| own.contains(start));
-            other != identity && !self.convicted.contains(other) && shared.count() >= LAST_CHANCE
-        })
-    }
-
-    /// Whether a request, against which so many counted before, is to blame for a crash: of those that ran there, it
-    /// had the most against it.
-    fn is_blamed(&self, start: &Start, before: usize) -> bool {
-        let most = self.most_before.get(start);
-        before >= most.copied().unwrap_or_default()
-    }
-
-    fn find_blame(&mut self) {
-        self.most_before.clear();
-        for (start, before) in self.records.values().flat_map(Record::counting) {
-            let most = self.most_before.entry(start.clone()).or_default();
-            *most = before.max(*most);
-        }
-    }
-
-    fn change(&self, now: Time, identity: Identity, what: What) -> Change {
+    /// What is told of a request that changed.
+    pub(super) fn change(&self, now: Time, identity: Identity, what: What) -> Change {
         let record = self.records.get(&identity);
         Change {
             identity,
