--- a/crates/pinereel/src/controllers/crashes.rs
+++ b/crates/pinereel/src/controllers/crashes.rs
@@ -87,6 +87,16 @@
     }
 }
 
+/// Whether a request must not run any more.
+pub fn is_refused(shared: &Shared, identity: impl Fn() -> Identity) -> bool {
+    let register = shared.crashes.register.borrow();
+    if register.is_empty() {
+        return false;
+    }
+    let standing = register.standing(now(shared), &identity());
+    matches!(standing, Standing::Convicted { .. })
+}
+
 /// The endpoint for a request in doubt, or when to look again.
 fn seat(shared: &Shared, pool: &str, identity: &Identity) -> Result<Key, Duration> {
     let set = shared.endpoints.set();
--- a/crates/pinereel/src/controllers/lots/score.rs
+++ b/crates/pinereel/src/controllers/lots/score.rs
@@ -2,17 +2,19 @@
 
 use super::step;
 use crate::{
-    controllers::endpoints,
+    controllers::{crashes, endpoints},
     logging::What,
     state::Shared,
-    upstream::{Attempt, Reuse},
+    upstream::{Attempt, Error, Reuse},
 };
 use actix_http::{
     Method,
     header::{CONTENT_TYPE, HeaderValue},
 };
+use bytes::Bytes;
 use compact_str::CompactString;
 use pinereel_core::{
+    crash::{Identity, Parts},
     endpoint::End,
     hash,
     lot::Event,
@@ -20,9 +22,14 @@
 };
 use serde::{Deserialize, Serialize};
 use std::{rc::Rc, time::Duration};
+use tokio::time::{sleep, timeout};
 
 /// Longest wait for a score.
 const TIMEOUT: Duration = Duration::from_secs(10);
+/// Path at the scoring service.
+const PATH: &str = "/score";
+/// Pause before a scoring that endpoints crash under is looked at again.
+const REFUSED_PAUSE: Duration = Duration::from_secs(1);
 /// Largest answer, in bytes.
 const MAX_ANSWER: usize = 64 << 10;
 
@@ -72,8 +79,29 @@
     let choice = shared.endpoints.choose(shared, &request).ok()?;
     endpoints::log_choice(shared, &id, What::Route, &choice, pin.number);
     let address = shared.endpoints.set().get(choice.key)?.address.clone();
+    let question = serde_json::to_vec(&Question { prompt, text }).ok()?;
+    let identity = || {
+        Identity::of(Parts {
+            caller: &[],
+            method: "POST",
+            host: &pool,
+            target: PATH,
+            body: &question,
+        })
+    };
+    if crashes::is_refused(shared, identity) {
+        sleep(REFUSED_PAUSE).await;
+        return None;
+    }
+    let sent_at = shared.now();
     let counted = endpoints::begin(shared, choice.key, 0);
-    let answer = ask(shared, &address, &Question { prompt, text }).await;
+    let answer = ask(shared, &address, question.clone().into()).await;
+    match &answer {
+        Ok(_) => crashes::answered(shared, choice.key, identity, sent_at),
+        Err(Unscored::Lost) => crashes::broke(shared, choice.key, identity()).await,
+        Err(Unscored::Other) => {}
+    }
+    let answer = answer.ok();
     counted.finish(if answer.is_some() {
         End::Whole
     } else {
@@ -82,20 +110,36 @@
     answer.map(|answer| answer.score)
 }
 
-async fn ask(shared: &Shared, address: &str, question: &Question<'_>) -> Option<Answer> {
+/// Why there is no score.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Unscored {
+    /// No whole answer came.
+    Lost,
+    /// The service was not reached, or answered otherwise.
+    Other,
+}
+
+async fn ask(shared: &Shared, address: &str, question: Bytes) -> Result<Answer, Unscored> {
     let attempt = Attempt {
         method: Method::POST,
         address: address.into(),
-        path: "/score".into(),
+        path: PATH.into(),
         headers: vec![(CONTENT_TYPE, HeaderValue::from_static("application/json"))],
-        body: serde_json::to_vec(question).ok()?.into(),
+        body: question,
         timeout: TIMEOUT,
         reuse: Reuse::Allowed,
     };
-    let mut response = shared.http.send(attempt).await.ok()?;
+    let sent = shared.http.send(attempt).await;
+    let mut response = sent.map_err(|error| match error {
+        Error::Lost(_) => Unscored::Lost,
+        Error::NotOpened(_) | Error::Invalid(_) => Unscored::Other,
+    })?;
     if !response.status().is_success() {
-        return None;
+        return Err(Unscored::Other);
     }
-    let body = tokio::time::timeout(TIMEOUT, response.body().limit(MAX_ANSWER)).await;
-    serde_json::from_slice(&body.ok()?.ok()?).ok()
+    let body = timeout(TIMEOUT, response.body().limit(MAX_ANSWER)).await;
+    let Ok(Ok(body)) = body else {
+        return Err(Unscored::Lost);
+    };
+    serde_json::from_slice(&body).map_err(|_| Unscored::Other)
 }
