--- a/crates/pinereel/src/hosted/lots/placing.rs
+++ b/crates/pinereel/src/hosted/lots/placing.rs
@@ -7,7 +7,7 @@
     stream::{Place, identity},
 };
 use pinereel_core::{
-    batch::Listed,
+    batch::{Fleet, Key, Listed},
     crash::{Standing, Start},
     hash, table,
 };
@@ -99,12 +99,28 @@
         }
     }
 
+    /// The next item of a lot, its engine, and how many endpoints have crashed under it. One that may not run now is
+    /// held back, and the next one is looked at.
+    fn next_item(&self, open: &mut Open, fleet: &Fleet) -> Option<(usize, Key, usize)> {
+        let now = self.parts.clock.now();
+        let oldest_version = open.submission.oldest_version;
+        fleet.pick(now, oldest_version, None)?;
+        loop {
+            let at = open.lot.start()?;
+            let doubts = self.doubts(open, at);
+            let pick = |doubts| fleet.pick_in_doubt(now, oldest_version, doubts);
+            match doubts.zip(doubts.and_then(pick)) {
+                Some((doubts, key)) => return Some((at, key, doubts)),
+                None => open.lot.hold(at),
+            }
+        }
+    }
+
     /// Starts the next item of the oldest lot that has one, if an engine takes it.
     fn place_one(self: &Rc<Self>) -> bool {
         if self.draining.get() {
             return false;
         }
-        let now = self.parts.clock.now();
         let mut state = self.state.borrow_mut();
         let mut by_age: Vec<_> = state
             .lots
@@ -127,27 +143,7 @@
                 continue;
             };
             let oldest_version = open.submission.oldest_version;
-            if fleet.pick(now, oldest_version, None).is_none() {
-                continue;
-            }
-            let mut next = || {
-                let at = open.lot.start()?;
-                let doubts = self.doubts(open, at);
-                let key =
-                    doubts.and_then(|doubts| fleet.pick_in_doubt(now, oldest_version, doubts));
-                if key.is_none() {
-                    open.lot.hold(at);
-                }
-                Some((at, key.zip(doubts)))
-            };
-            let found = loop {
-                match next() {
-                    Some((_, None)) => {}
-                    Some((at, Some((key, doubts)))) => break Some((at, key, doubts)),
-                    None => break None,
-                }
-            };
-            let Some((at, key, doubts)) = found else {
+            let Some((at, key, doubts)) = self.next_item(open, fleet) else {
                 continue;
             };
             let Some(engine) = fleet.get(key) else {
--- a/crates/pinereel/src/hosted/relay/doubt.rs
+++ b/crates/pinereel/src/hosted/relay/doubt.rs
@@ -1,53 +1,51 @@
 //! The way of a request under which endpoints have crashed.
 
-use super::{Answer, Call, Outcome, Picked, RETRY_AFTER, Relay};
+use super::{Answer, Course, Outcome, Picked, RETRY_AFTER, Relay};
 use pinereel_core::{
     crash::{SETTLE, Seat},
-    endpoint::Key,
     relay::Attempts,
 };
 use std::time::Duration;
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
-/// What to do with a request in doubt.
+/// Why a request in doubt is refused unsent: its turn is too far off, or no endpoint is open to it.
+const IN_DOUBT: &str = "endpoints have crashed under it";
+
+/// What to do with a request that may be sent.
 pub(super) enum Next {
     /// Send it there.
     Send(Picked),
     /// It waited for a moment: look again how it stands.
     LookAgain,
-    /// Its turn comes after so long, which is too long to wait here.
-    Decline(Duration),
+    /// No endpoint takes it now: why, and when it should come back.
+    Decline(&'static str, Duration),
 }
 
 impl Relay {
-    /// The next endpoint of a request in doubt that began at a moment, and whose last crash was so long ago.
-    pub(super) async fn in_doubt(
-        &self,
-        call: &Call,
-        service: &str,
-        used: &[Key],
-        (began, age): (Instant, Duration),
-    ) -> Next {
+    /// The next endpoint of a request in doubt, whose last crash was so long ago.
+    pub(super) async fn in_doubt(&self, course: &Course<'_>, age: Duration) -> Next {
         if let Some(left) = SETTLE.checked_sub(age).filter(|left| !left.is_zero()) {
             sleep(left).await;
             return Next::LookAgain;
         }
+        let Course { call, began, .. } = course;
         let endpoints = &self.parts.endpoints;
-        let open = endpoints.open(service);
+        let open = endpoints.open(course.service);
         let starts: Vec<_> = open.iter().map(|(_, start)| start.clone()).collect();
         match self.parts.crashes.seat(&call.identity(), &starts) {
             Seat::At(seat) => {
                 let key = open.iter().find(|(_, start)| *start == seat);
-                let key = key.map(|(key, _)| *key).filter(|key| !used.contains(key));
-                let picked = key.and_then(|key| endpoints.pick(key));
-                picked.map_or(Next::Decline(RETRY_AFTER), Next::Send)
+                let key = key.map(|(key, _)| *key);
+                let untried = key.filter(|key| !course.used.contains(key));
+                let picked = untried.and_then(|key| endpoints.pick(key));
+                picked.map_or(Next::Decline(IN_DOUBT, RETRY_AFTER), Next::Send)
             }
             Seat::After(wait) if began.elapsed() + wait < call.route.objective => {
                 sleep(wait).await;
                 Next::LookAgain
             }
-            Seat::After(wait) => Next::Decline(wait),
-            Seat::None => Next::Decline(RETRY_AFTER),
+            Seat::After(wait) => Next::Decline(IN_DOUBT, wait),
+            Seat::None => Next::Decline(IN_DOUBT, RETRY_AFTER),
         }
     }
 }
--- a/crates/pinereel/src/hosted/relay/mod.rs
+++ b/crates/pinereel/src/hosted/relay/mod.rs
@@ -23,7 +23,6 @@
     endpoint::{End, Key},
     hash,
     relay::{Attempts, Ended, Limits, Step, Verdict},
-    route::Refusal,
     table,
 };
 use pinereel_port::{
@@ -61,6 +60,18 @@
     next: Cell<u64>,
 }
 
+/// A request on its way through its attempts.
+struct Course<'a> {
+    call: Rc<Call>,
+    service: &'a str,
+    seed: u64,
+    began: Instant,
+    attempts: Attempts<Answer>,
+    /// Endpoints that it was sent to.
+    used: Vec<Key>,
+    running: Attempting,
+}
+
 type Attempting = FuturesUnordered<LocalBoxFuture<'static, Tried>>;
 
 impl Relay {
@@ -78,70 +89,51 @@
         let seed = self.seed(&call);
         let call = Rc::new(call);
         let list_age = self.parts.endpoints.age().unwrap_or_default();
-        let mut attempts = Attempts::new(limits(&call.route));
-        let mut used: Vec<Key> = Vec::new();
-        let mut trail = Vec::new();
-        let mut running = Attempting::new();
         let mut news = self.parts.crashes.changes();
         let Some(service) = table::service(&call.route, seed) else {
             return self.refuse(&call, "", ("no service", RETRY_AFTER), began);
         };
+        let mut course = Course {
+            call: Rc::clone(&call),
+            service,
+            seed,
+            began,
+            attempts: Attempts::new(limits(&call.route)),
+            used: Vec::new(),
+            running: Attempting::new(),
+        };
+        let mut trail = Vec::new();
         let outcome = loop {
             // A request that endpoints crash under went on to the next one within 1 ms, and to a second one
             // beside it: 20 starts of five endpoints ended in 8 s under one that came again.
             let standing = self.parts.crashes.standing(|| call.identity());
             match standing {
                 Standing::Free => {}
-                Standing::Doubted { .. } => attempts.alone(),
+                Standing::Doubted { .. } => course.attempts.alone(),
                 Standing::Convicted { forgotten_in, .. } => {
                     self.parts.crashes.count("refusal");
                     report_refusal(&call, standing);
-                    break convicted(&attempts, forgotten_in);
+                    break convicted(&course.attempts, forgotten_in);
                 }
             }
-            match attempts.next(began.elapsed()) {
+            match course.attempts.next(began.elapsed()) {
                 Step::Send => {
-                    self.parts.stall.caught_up().await;
-                    if let Standing::Doubted { age, .. } = standing {
-                        match self.in_doubt(&call, service, &used, (began, age)).await {
-                            Next::Send(picked) => {
-                                used.push(picked.key);
-                                attempts.sent(began.elapsed());
-                                running.push(self.attempt(&call, picked));
-                            }
-                            Next::LookAgain => {}
-                            Next::Decline(wait) if used.is_empty() => {
-                                return self.refuse(&call, service, ("in doubt", wait), began);
-                            }
-                            Next::Decline(_) => attempts.exhausted(),
-                        }
-                        continue;
-                    }
-                    match self.choose(&call, service, &used, seed) {
-                        Ok(picked) => {
-                            used.push(picked.key);
-                            attempts.sent(began.elapsed());
-                            running.push(self.attempt(&call, picked));
-                        }
-                        Err(refusal) if running.is_empty() && used.is_empty() => {
-                            let why = refusal_name(refusal);
-                            return self.refuse(&call, service, (why, RETRY_AFTER), began);
-                        }
-                        Err(_) => attempts.exhausted(),
+                    if let Some(refusal) = self.send(&mut course, standing).await {
+                        return self.refuse(&call, service, refusal, began);
                     }
                 }
                 Step::Wait(until) => {
                     let wake = until.map_or(call.give_up, |at| (began + at).min(call.give_up));
                     tokio::select! {
-                        Some(tried) = running.next() => {
+                        Some(tried) = course.running.next() => {
                             trail.push(trace(&tried));
                             self.note(&call, &tried);
                             match tried.ended {
-                                Ok(answer) if attempts.accepts(answer.status.as_u16()) => {
+                                Ok(answer) if course.attempts.accepts(answer.status.as_u16()) => {
                                     break Outcome::Answer(answer);
                                 }
-                                Ok(answer) => attempts.keep(answer),
-                                Err(ended) => attempts.ended(ended),
+                                Ok(answer) => course.attempts.keep(answer),
+                                Err(ended) => course.attempts.ended(ended),
                             }
                         }
                         // What is running is broken off if the request must not run any more.
@@ -166,6 +158,7 @@
                 }
             }
         };
+        let running = course.running;
         if !running.is_empty() && matches!(outcome, Outcome::Answer(_)) {
             self.linger(&call, running);
         }
@@ -177,17 +170,44 @@
         outcome
     }
 
-    /// Chooses the endpoint of the next attempt.
-    fn choose(
-        &self,
-        call: &Call,
-        service: &str,
-        used: &[Key],
-        seed: u64,
-    ) -> Result<Picked, Refusal> {
-        let repeatable = call.route.kind == Kind::Idempotent;
+    /// Makes the next attempt; gives the reason, and when to come back, if the request is refused unsent.
+    async fn send(
+        self: &Rc<Self>,
+        course: &mut Course<'_>,
+        standing: Standing,
+    ) -> Option<(&'static str, Duration)> {
+        self.parts.stall.caught_up().await;
+        let next = match standing {
+            Standing::Doubted { age, .. } => self.in_doubt(course, age).await,
+            Standing::Free | Standing::Convicted { .. } => self.choose(course),
+        };
+        match next {
+            Next::Send(picked) => {
+                course.used.push(picked.key);
+                course.attempts.sent(course.began.elapsed());
+                let attempt = self.attempt(&course.call, picked);
+                course.running.push(attempt);
+                None
+            }
+            Next::LookAgain => None,
+            Next::Decline(why, wait) if course.running.is_empty() && course.used.is_empty() => {
+                Some((why, wait))
+            }
+            Next::Decline(..) => {
+                course.attempts.exhausted();
+                None
+            }
+        }
+    }
+
+    /// The endpoint of the next attempt of a request that nothing counts against.
+    fn choose(&self, course: &Course<'_>) -> Next {
+        let repeatable = course.call.route.kind == Kind::Idempotent;
         let endpoints = &self.parts.endpoints;
-        endpoints.choose(service, used, repeatable, seed)
+        match endpoints.choose(course.service, &course.used, repeatable, course.seed) {
+            Ok(picked) => Next::Send(picked),
+            Err(refusal) => Next::Decline(refusal_name(refusal), RETRY_AFTER),
+        }
     }
 
     fn count(&self, service: &str, outcome: &Outcome, began: Instant) {
--- a/crates/pinereel_core/src/lib.rs
+++ b/crates/pinereel_core/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`lot::Lot`]: one trainer step's samples on their way to the trainer.
 //! - [`cursor::Token`]: what the trainer already holds of a lot.
 //! - [`config::Document`]: the configuration that operators patch.
+//! - [`crash::Register`]: requests under which endpoints crash.
 //! - [`claim::Log`]: the idempotency keys of one shard.
 //! - [`table::Table`]: which route a request takes, on a platform whose operator writes the routes.
 //! - [`tree::Branch`]: the tree over which instances pass on what one of them reads.
--- a/crates/pinereel_fakes/src/hosting/soak/crash.rs
+++ b/crates/pinereel_fakes/src/hosting/soak/crash.rs
@@ -21,7 +21,8 @@
 const ALLOWED: usize = 3;
 /// How long a caller waits.
 const PATIENCE: Duration = Duration::from_secs(2);
-const TARGET: &str = "/live/x";
+/// This route goes to them under every configuration of the soak.
+const TARGET: &str = "/score/x";
 
 /// Endpoints that may crash, and the requests that crash them.
 pub(super) struct Crashing {
