entry: each further crash under a known request is told at once

Cause: a summary was repeated for another number of requests alone, so that a second or third crash under the same one waited for the next full summary, 12 s. Found by reading. Now any news begin the repeats, and what a summary carries of crashes is decided where the rest is. The new test fails without: the other entry knows 1 crash of 2 after 4 s.

--- a/crates/pinereel/src/dispatch.rs
+++ b/crates/pinereel/src/dispatch.rs
@@ -113,11 +113,12 @@
 impl News {
     /// Looks at what there is to tell in the next summary.
     pub fn refresh(&mut self, shared: &Shared) {
-        let changed = crashes::untold(shared);
+        let untold = crashes::untold(shared);
+        let is_news = !untold.is_empty();
         let now = Self {
-            crashes: match changed.is_empty() {
-                true => crashes::all(shared),
-                false => changed,
+            crashes: match is_news {
+                true => untold,
+                false => crashes::all(shared),
             },
             versions: shared.lots.versions(),
             leaving: shared.endpoints.set().hints(),
@@ -125,12 +126,10 @@
             repeats: self.repeats.saturating_sub(1),
             since: self.since + 1,
         };
-        let same = now.versions == self.versions
-            && now.leaving == self.leaving
-            && now.links == self.links
-            && now.crashes.len() == self.crashes.len();
+        let same =
+            now.versions == self.versions && now.leaving == self.leaving && now.links == self.links;
         *self = now;
-        if !same {
+        if is_news || !same {
             self.repeats = REPEATS;
         }
         if self.since >= REFRESH {
@@ -141,23 +140,28 @@
         }
     }
 
-    /// The versions and leaving endpoints that the next summary carries.
+    /// The versions, leaving endpoints and crashes that the next summary carries.
     fn told(
         &self,
     ) -> (
         BTreeMap<CompactString, Version>,
         BTreeMap<CompactString, u64>,
+        Vec<Report>,
     ) {
         if self.repeats == 0 {
             return Default::default();
         }
-        (self.versions.clone(), self.leaving.clone())
+        (
+            self.versions.clone(),
+            self.leaving.clone(),
+            self.crashes.clone(),
+        )
     }
 }
 
 /// What this entry tells the peer `to`.
 pub fn summary(shared: &Shared, news: &News, to: &Hello) -> Summary {
-    let (versions, leaving) = news.told();
+    let (versions, leaving, crashes) = news.told();
     let now = shared.now();
     Summary {
         number: shared.config.number(),
@@ -166,10 +170,7 @@
         echo: shared.config.echo(to),
         versions,
         leaving,
-        crashes: match news.repeats {
-            0 => Vec::new(),
-            _ => news.crashes.clone(),
-        },
+        crashes,
         draining: shared.drain.asked(),
     }
 }
--- a/crates/pinereel_fakes/tests/entry_crash.rs
+++ b/crates/pinereel_fakes/tests/entry_crash.rs
@@ -3,8 +3,12 @@
 
 #![allow(clippy::unwrap_used)]
 
+use pinereel::controllers::crashes;
 use pinereel_api::object::{Instance, Presence};
-use pinereel_core::config::Document;
+use pinereel_core::{
+    config::Document,
+    crash::{Identity, Mark, Parts, Report, Start},
+};
 use pinereel_fakes::{
     hosting::fragile::{CRASH, Crashes, Fragile, Listed, Mode},
     site::{Options, Site},
@@ -107,3 +111,40 @@
     }
     assert!(bad * 10 < good, "{good} good, {bad} not");
 }
+
+/// A later crash under a request that the other entries know already was told by the next full summary only, 12 s
+/// later: the news were as many as before, and a summary was repeated for another number of them alone.
+#[actix_rt::test]
+async fn each_further_crash_is_told_at_once() {
+    let site = site().await;
+    let (here, there) = (&site.entries[0].shared, &site.entries[1].shared);
+    let identity = Identity::of(Parts {
+        caller: &[],
+        method: "PUT",
+        host: POOL,
+        target: "/x",
+        body: b"news",
+    });
+    for number in 1..=MOST {
+        let start = Start {
+            endpoint: format!("e-{number}").into(),
+            incarnation: 1,
+        };
+        let mark = Mark {
+            counts: true,
+            before: 0,
+        };
+        let report = Report {
+            identity,
+            starts: vec![(start, mark)],
+            ends: 0,
+            age: Duration::ZERO,
+        };
+        crashes::hear(here, vec![report]);
+        // Longer than the summaries that repeat the last change.
+        sleep(Duration::from_secs(4)).await;
+        let known = crashes::all(there);
+        assert_eq!(known[0].starts.len(), number);
+    }
+    assert!(crashes::is_refused(there, || identity));
+}
