--- a/crates/pinereel/src/controllers/crashes.rs
+++ b/crates/pinereel/src/controllers/crashes.rs
@@ -7,8 +7,8 @@
 use pinereel_api::{Problem, problem::Code};
 use pinereel_core::{
     Time,
-    crash::{Change, Identity, KEPT, Register, Report, SETTLE, Seat, Standing, Start},
-    endpoint::{Endpoint, Key, State},
+    crash::{Change, Identity, Register, Report, Seat, Standing, Start},
+    endpoint::{Key, State},
 };
 use std::{cell::RefCell, time::Duration};
 use tokio::{sync::Notify, time::sleep};
@@ -17,6 +17,8 @@
 const BATCH: usize = 64;
 /// Longest wait of a request in doubt for its turn; longer ones are refused with when it comes.
 const PATIENCE: Duration = Duration::from_millis(500);
+/// Pause before a sample or scoring that endpoints crash under is looked at again.
+const REFUSED_PAUSE: Duration = Duration::from_secs(1);
 /// When a request in doubt may come back that no endpoint is open to.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -37,11 +39,6 @@
     At(Key),
 }
 
-/// The register's time: late enough that what still counts lies after the clock's start.
-fn now(shared: &Shared) -> Time {
-    shared.now() + KEPT
-}
-
 /// Where the next attempt of a request may go; waits for its turn for a moment.
 ///
 /// # Errors
@@ -59,17 +56,17 @@
     loop {
         let standing = {
             let register = shared.crashes.register.borrow();
-            register.standing(now(shared), identity)
+            register.standing(shared.now(), identity)
         };
-        let age = match standing {
+        match standing {
             Standing::Free => return Ok(Next::Any),
             Standing::Convicted { forgotten_in, .. } => {
                 log::warn!(identity:% = identity; "refused: endpoints crash under it");
                 return Err(later("endpoints crash under it", forgotten_in));
             }
-            Standing::Doubted { age, .. } => age,
-        };
-        let wait = match SETTLE.checked_sub(age).filter(|left| !left.is_zero()) {
+            Standing::Doubted { .. } => {}
+        }
+        let wait = match standing.settles_in() {
             Some(left) => left,
             None => match seat(shared, pool, identity) {
                 Ok(key) => return Ok(Next::At(key)),
@@ -87,13 +84,22 @@
     }
 }
 
+/// Whether a sample or scoring must not run any more; then it is looked at again after a pause.
+pub async fn holds_back(shared: &Shared, identity: impl Fn() -> Identity) -> bool {
+    let refused = is_refused(shared, identity);
+    if refused {
+        sleep(REFUSED_PAUSE).await;
+    }
+    refused
+}
+
 /// Whether a request must not run any more.
 pub fn is_refused(shared: &Shared, identity: impl Fn() -> Identity) -> bool {
     let register = shared.crashes.register.borrow();
     if register.is_empty() {
         return false;
     }
-    let standing = register.standing(now(shared), &identity());
+    let standing = register.standing(shared.now(), &identity());
     matches!(standing, Standing::Convicted { .. })
 }
 
@@ -103,10 +109,12 @@
     let live = set
         .pool(pool)
         .filter(|(_, endpoint)| endpoint.state == State::Live);
-    let open: Vec<_> = live.map(|(key, endpoint)| (key, start(endpoint))).collect();
+    let open: Vec<_> = live
+        .map(|(key, endpoint)| (key, Start::from(endpoint)))
+        .collect();
     let starts: Vec<_> = open.iter().map(|(_, start)| start.clone()).collect();
     let register = shared.crashes.register.borrow();
-    match register.seat(now(shared), identity, &starts) {
+    match register.seat(shared.now(), identity, &starts) {
         Seat::At(seat) => {
             let found = open.into_iter().find(|(_, start)| *start == seat);
             found.map(|(key, _)| key).ok_or(RETRY_AFTER)
@@ -131,7 +139,7 @@
         let live = set
             .get(key)
             .filter(|endpoint| endpoint.state == State::Live);
-        live.map(|endpoint| (start(endpoint), endpoint.address.clone()))
+        live.map(|endpoint| (Start::from(endpoint), endpoint.address.clone()))
     };
     let Some((start, address)) = found else {
         return;
@@ -152,11 +160,11 @@
         return;
     }
     let identity = identity();
-    let found = shared.endpoints.set().get(key).map(start);
+    let found = shared.endpoints.set().get(key).map(Start::from);
     step(shared, |register, now| {
         let mut changes = register.ended(now, identity);
         if let Some(start) = found {
-            changes.extend(register.answered(now, &start, sent_at + KEPT));
+            changes.extend(register.answered(now, &start, sent_at));
         }
         changes
     });
@@ -170,20 +178,20 @@
 /// What is to be told with the next summaries.
 pub fn untold(shared: &Shared) -> Vec<Report> {
     let mut register = shared.crashes.register.borrow_mut();
-    let now = now(shared);
+    let now = shared.now();
     register.expire(now);
     register.untold(now, BATCH)
 }
 
 /// All that is known, for summaries that are told now and then.
 pub fn all(shared: &Shared) -> Vec<Report> {
-    let mut all = shared.crashes.register.borrow().all(now(shared));
+    let mut all = shared.crashes.register.borrow().all(shared.now());
     all.truncate(BATCH);
     all
 }
 
 fn step(shared: &Shared, step: impl FnOnce(&mut Register, Time) -> Vec<Change>) {
-    let changes = step(&mut shared.crashes.register.borrow_mut(), now(shared));
+    let changes = step(&mut shared.crashes.register.borrow_mut(), shared.now());
     for change in changes {
         log::warn!(
             identity:% = change.identity,
@@ -196,10 +204,3 @@
         shared.crashes.news.notify_one();
     }
 }
-
-fn start(endpoint: &Endpoint) -> Start {
-    Start {
-        endpoint: endpoint.name.clone(),
-        incarnation: endpoint.incarnation,
-    }
-}
--- a/crates/pinereel/src/controllers/lots/attempt.rs
+++ b/crates/pinereel/src/controllers/lots/attempt.rs
@@ -15,19 +15,16 @@
 use futures_util::StreamExt as _;
 use pinereel_api::engine::Request;
 use pinereel_core::{
-    crash::{Identity, Parts},
     endpoint::{End, Key},
     lot::{AttemptKey, Event, Failure, Start},
 };
 use std::{pin::pin, rc::Rc, time::Duration};
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 /// Longest wait for a stream's head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Longest silence within a stream.
 const CHUNK_TIMEOUT: Duration = Duration::from_secs(60);
-/// Pause before a sample that engines crash under is looked at again.
-const REFUSED_PAUSE: Duration = Duration::from_secs(1);
 /// Tokens of one chunk: bulk work costs a chunk by the sample, not by the token.
 const CHUNK_TOKENS: u32 = 32;
 
@@ -86,10 +83,15 @@
 ) {
     let attempt = start.attempt;
     let sent = start.clone();
-    let identity = || identity(&shared, &sent);
-    if crashes::is_refused(&shared, identity) {
-        // It takes its turn again and again until it is forgotten or an operator clears it.
-        sleep(REFUSED_PAUSE).await;
+    let identity = || {
+        let request = request(&shared, sent.clone(), &CompactString::default());
+        // It names the version that the engine has now.
+        engines::identity(Request {
+            cache_salt: CompactString::default(),
+            ..request
+        })
+    };
+    if crashes::holds_back(&shared, identity).await {
         shared.lots.running.borrow_mut().remove(&attempt);
         failed(&shared, attempt, Failure::NotRun);
         return;
@@ -106,26 +108,6 @@
     close(&shared, attempt, ticket, result);
 }
 
-/// What makes a sample the same request when it comes again: what its engine is asked, whatever was made before.
-fn identity(shared: &Shared, start: &Start) -> Identity {
-    let request = Request {
-        cache_salt: CompactString::default(),
-        resume: String::default(),
-        resume_tokens: 0,
-        priority: 0,
-        ..request(shared, start.clone(), &CompactString::default())
-    };
-    // One that cannot be written is never sent.
-    let body = serde_json::to_vec(&request).unwrap_or_default();
-    Identity::of(Parts {
-        caller: &[],
-        method: "POST",
-        host: &request.model,
-        target: "/v1/completions",
-        body: &body,
-    })
-}
-
 /// Reports the attempt's end to the endpoint's record and to the runner.
 fn close(shared: &Rc<Shared>, attempt: AttemptKey, ticket: Ticket, result: Result<(), Error>) {
     let Err(error) = result else {
--- a/crates/pinereel/src/controllers/lots/score.rs
+++ b/crates/pinereel/src/controllers/lots/score.rs
@@ -22,14 +22,12 @@
 };
 use serde::{Deserialize, Serialize};
 use std::{rc::Rc, time::Duration};
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 /// Longest wait for a score.
 const TIMEOUT: Duration = Duration::from_secs(10);
 /// Path at the scoring service.
 const PATH: &str = "/score";
-/// Pause before a scoring that endpoints crash under is looked at again.
-const REFUSED_PAUSE: Duration = Duration::from_secs(1);
 /// Largest answer, in bytes.
 const MAX_ANSWER: usize = 64 << 10;
 
@@ -89,8 +87,7 @@
             body: &question,
         })
     };
-    if crashes::is_refused(shared, identity) {
-        sleep(REFUSED_PAUSE).await;
+    if crashes::holds_back(shared, identity).await {
         return None;
     }
     let sent_at = shared.now();
--- a/crates/pinereel/src/engines.rs
+++ b/crates/pinereel/src/engines.rs
@@ -14,6 +14,7 @@
     header,
 };
 use pinereel_core::{
+    crash::{Identity, Parts},
     lot::{self, AttemptKey},
     provenance::Stamp,
 };
@@ -30,6 +31,8 @@
 const MAX_ANSWER: usize = 64 << 10;
 /// Longest wait for a cancel that nobody waits for.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Path of completions.
+const COMPLETIONS: &str = "/v1/completions";
 /// Prefix of a line with data.
 const DATA: &str = "data:";
 /// Data of the last event of a whole stream.
@@ -65,6 +68,26 @@
     }
 }
 
+/// What makes a completion the same request when it comes again, whatever earlier attempts of it have made.
+pub fn identity(request: Request) -> Identity {
+    let request = Request {
+        request_id: CompactString::default(),
+        priority: 0,
+        resume: String::default(),
+        resume_tokens: 0,
+        ..request
+    };
+    // One that cannot be written is refused before it is sent.
+    let body = serde_json::to_vec(&request).unwrap_or_default();
+    Identity::of(Parts {
+        caller: &[],
+        method: "POST",
+        host: &request.model,
+        target: COMPLETIONS,
+        body: &body,
+    })
+}
+
 /// Starts a completion. The stream ends after the chunk with a `finish`; an error item means that
 /// the answer is not whole.
 pub async fn complete(
@@ -73,7 +96,7 @@
     request: &Request,
     timeout: Duration,
 ) -> Result<impl Stream<Item = Result<Chunk, Error>> + use<>, Error> {
-    let response = post(client, address, "/v1/completions", request, timeout).await?;
+    let response = post(client, address, COMPLETIONS, request, timeout).await?;
     let response = accept(response)?;
     Ok(chunks(response))
 }
--- a/crates/pinereel/src/filters/completion.rs
+++ b/crates/pinereel/src/filters/completion.rs
@@ -4,22 +4,19 @@
     Exchange, admit,
     attempt::{self, Running},
     refuse, respond,
-    route::{self, Seat, Wish},
+    route::{self, Wish},
     shape::{self, Whole},
     unknown,
 };
 use crate::{
-    controllers::{
-        crashes::{self, Next},
-        queues::Turn,
-    },
+    controllers::{crashes, queues::Turn},
     engines::{self, Error},
     http::{self, Response},
     state::Shared,
 };
 use actix_http::StatusCode;
 use bytes::Bytes;
-use compact_str::{CompactString, format_compact};
+use compact_str::format_compact;
 use futures_util::{Stream, StreamExt as _, future, stream};
 use pinereel_api::{
     Problem,
@@ -27,7 +24,7 @@
     problem::Code,
 };
 use pinereel_core::{
-    crash::{Identity, Parts},
+    crash::Identity,
     endpoint::{End, Key},
     hash,
     provenance::Record,
@@ -207,7 +204,9 @@
         let mut excluded: Vec<Key> = Vec::new();
         let mut last = None;
         for _ in 0..MAX_ATTEMPTS {
-            let seat = self.seat(turn, &excluded).await;
+            let wish_now = wish(self.request, &excluded);
+            let identity = || self.identity();
+            let seat = route::take_next(self.shared, self.exchange, turn, wish_now, identity).await;
             let seat = match (seat, last) {
                 (Ok(seat), _) => seat,
                 // Other endpoints were tried before; their error says more.
@@ -218,14 +217,14 @@
             let sent_at = self.shared.now();
             let error = match self.attempt(&seat.address, &mut progress).await {
                 Ok(()) => {
-                    crashes::answered(self.shared, seat.key, || self.identity(), sent_at);
+                    crashes::answered(self.shared, seat.key, identity, sent_at);
                     seat.ticket.finish(End::Whole);
                     return Ok(());
                 }
                 Err(error) => error,
             };
             if matches!(error, Error::Lost(_)) {
-                crashes::broke(self.shared, seat.key, self.identity()).await;
+                crashes::broke(self.shared, seat.key, identity()).await;
             }
             seat.ticket.finish(attempt::end_of(&error));
             let wish = wish(self.request, &excluded);
@@ -241,36 +240,9 @@
         ))
     }
 
-    /// A seat for the next attempt.
-    async fn seat(&self, turn: &Turn, excluded: &[Key]) -> Result<Seat, Problem> {
-        let (shared, exchange) = (self.shared, self.exchange);
-        match crashes::next(shared, &exchange.pool, || self.identity()).await? {
-            Next::Any => {
-                let wish = wish(self.request, excluded);
-                route::take(shared, exchange, turn, wish).await
-            }
-            Next::At(key) if excluded.contains(&key) => {
-                Err(refuse(Code::NoEndpoint, "it was tried there"))
-            }
-            Next::At(key) => route::take_at(shared, exchange, key),
-        }
-    }
-
     /// What makes it the same request when it comes again.
     fn identity(&self) -> Identity {
-        let request = Request {
-            request_id: CompactString::default(),
-            ..self.request.clone()
-        };
-        // One that cannot be written is refused before it is sent.
-        let body = serde_json::to_vec(&request).unwrap_or_default();
-        Identity::of(Parts {
-            caller: &[],
-            method: "POST",
-            host: &self.exchange.pool,
-            target: "/v1/completions",
-            body: &body,
-        })
+        engines::identity(self.request.clone())
     }
 
     /// The problem for the last attempt's error; not run only if no attempt may have run.
--- a/crates/pinereel/src/filters/route.rs
+++ b/crates/pinereel/src/filters/route.rs
@@ -3,6 +3,7 @@
 use super::{Exchange, admit, refuse};
 use crate::{
     controllers::{
+        crashes::{self, Next},
         endpoints::{self, Ticket},
         queues::{self, Turn},
     },
@@ -12,6 +13,7 @@
 use compact_str::CompactString;
 use pinereel_api::{Problem, problem::Code};
 use pinereel_core::{
+    crash::Identity,
     endpoint::Key,
     hash,
     route::{Refusal, Request},
@@ -52,7 +54,7 @@
 ///
 /// # Errors
 /// `NoEndpoint` or `Overloaded`, both not run.
-pub async fn take(
+async fn take(
     shared: &Rc<Shared>,
     exchange: &Exchange,
     turn: &Turn,
@@ -93,12 +95,26 @@
     }
 }
 
-/// Takes a seat at one endpoint, however busy: the request is in doubt, and runs there alone.
+/// Takes a seat for the next attempt of a request: at any endpoint, or at the one where it runs alone, however busy,
+/// if it is in doubt.
 ///
 /// # Errors
-/// `NoEndpoint`, not run, if it is gone.
-pub fn take_at(shared: &Rc<Shared>, exchange: &Exchange, key: Key) -> Result<Seat, Problem> {
-    let ticket = endpoints::begin(shared, key, 0);
+/// As [`take`]; `NoEndpoint`, not run, also if endpoints crash under the request.
+pub async fn take_next(
+    shared: &Rc<Shared>,
+    exchange: &Exchange,
+    turn: &Turn,
+    wish: Wish<'_>,
+    identity: impl Fn() -> Identity,
+) -> Result<Seat, Problem> {
+    let key = match crashes::next(shared, &exchange.pool, identity).await? {
+        Next::Any => return take(shared, exchange, turn, wish).await,
+        Next::At(key) => key,
+    };
+    if wish.excluded.contains(&key) {
+        return Err(later(Code::NoEndpoint, "it was tried there"));
+    }
+    let ticket = endpoints::begin(shared, key, wish.tokens);
     let seat = seat(shared, key, ticket).ok_or_else(|| later(Code::NoEndpoint, "it has gone"))?;
     shared.decide(What::Route, &exchange.id, Some(&seat.name), "in doubt");
     Ok(seat)
--- a/crates/pinereel/src/filters/service.rs
+++ b/crates/pinereel/src/filters/service.rs
@@ -8,11 +8,7 @@
     unknown,
 };
 use crate::{
-    controllers::{
-        crashes::{self, Next},
-        endpoints::Ticket,
-        queues::Turn,
-    },
+    controllers::{crashes, endpoints::Ticket, queues::Turn},
     http::Response,
     state::Shared,
     upstream::{Attempt, Error, Reuse, direct},
@@ -26,7 +22,7 @@
     },
 };
 use bytes::Bytes;
-use compact_str::format_compact;
+use compact_str::{CompactString, format_compact};
 use futures_util::stream;
 use pinereel_api::{
     Problem, header,
@@ -138,13 +134,8 @@
     let mut last: Option<Problem> = None;
     for _ in 0..MAX_ATTEMPTS {
         let identity = || call.identity(&exchange.pool);
-        let seat = match crashes::next(shared, &exchange.pool, identity).await {
-            Ok(Next::Any) => route::take(shared, exchange, &turn, wish(call, &excluded)).await,
-            Ok(Next::At(key)) if excluded.contains(&key) => Err(later("it was tried there")),
-            Ok(Next::At(key)) => route::take_at(shared, exchange, key),
-            Err(problem) => Err(problem),
-        };
-        let seat = match seat {
+        let wish_now = wish(call, &excluded);
+        let seat = match route::take_next(shared, exchange, &turn, wish_now, identity).await {
             Ok(seat) => seat,
             Err(problem) => return Err(last.unwrap_or(problem)),
         };
@@ -157,7 +148,8 @@
                 None => {
                     let sent = Sent {
                         key: seat.key,
-                        identity: identity(),
+                        call: call.clone(),
+                        pool: exchange.pool.clone(),
                         at: sent_at,
                     };
                     return Ok(pass_on(exchange, response, seat, turn, sent));
@@ -273,13 +265,20 @@
     answer
 }
 
-/// An attempt that is being answered.
+/// An attempt that is being answered. What makes it the same request is seldom asked for, and costs a hash of its body.
 struct Sent {
     key: Key,
-    identity: Identity,
+    call: Call,
+    pool: CompactString,
     at: Time,
 }
 
+impl Sent {
+    fn identity(&self) -> Identity {
+        self.call.identity(&self.pool)
+    }
+}
+
 /// An answer's body on its way to the caller.
 struct Passing {
     body: direct::Body,
@@ -302,15 +301,15 @@
         match part {
             Ok(Some(part)) => Some(Ok(part)),
             Ok(None) => {
-                let Sent { key, identity, at } = self.sent;
-                crashes::answered(self.turn.shared(), key, || identity, at);
+                let sent = &self.sent;
+                crashes::answered(self.turn.shared(), sent.key, || sent.identity(), sent.at);
                 self.end(End::Whole);
                 self.turn.succeeded();
                 None
             }
             Err(e) => {
-                let Sent { key, identity, .. } = self.sent;
-                crashes::broke(self.turn.shared(), key, identity).await;
+                let sent = &self.sent;
+                crashes::broke(self.turn.shared(), sent.key, sent.identity()).await;
                 self.end(End::Failed);
                 Some(Err(e))
             }
--- a/crates/pinereel/src/hosted/crashes/kept.rs
+++ b/crates/pinereel/src/hosted/crashes/kept.rs
@@ -19,7 +19,7 @@
 const MOST: usize = 200;
 
 /// The object's content.
-#[derive(Debug, Default, Serialize, Deserialize)]
+#[derive(Debug, Serialize, Deserialize)]
 struct Content {
     reports: Vec<Report>,
 }
@@ -45,18 +45,17 @@
 }
 
 impl Crashes {
-    /// The store's object was read.
-    pub fn read(&self, object: Object) -> bool {
-        match serde_json::from_value::<Content>(object.spec) {
-            Ok(content) => {
-                self.heard(Source::Store, content.reports);
-                true
-            }
+    /// The store's object was read; gives what it tells.
+    pub fn read(&self, object: Object) -> Vec<Report> {
+        let reports = match serde_json::from_value::<Content>(object.spec) {
+            Ok(content) => content.reports,
             Err(error) => {
                 log::error!(revision = object.revision, error:% = error; "requests that crash endpoints: object unreadable");
-                false
+                Vec::new()
             }
-        }
+        };
+        self.heard(Source::Store, reports.clone());
+        reports
     }
 }
 
@@ -72,9 +71,7 @@
         if known == Some(revision) {
             return;
         }
-        let content = serde_json::from_value::<Content>(object.spec.clone());
-        let facts = facts(&content.unwrap_or_default().reports);
-        crashes.read(object);
+        let facts = facts(&crashes.read(object));
         self.seen.replace(Some(Seen { revision, facts }));
     }
 
@@ -91,7 +88,7 @@
             .as_ref()
             .map(|seen| (seen.revision, seen.facts == own));
         let (purpose, kind) = (Purpose::Leases, duty::KIND);
-        let spec = serde_json::json!(Content { reports });
+        let spec = || serde_json::json!(Content { reports });
         let written = match seen {
             None if own.is_empty() => return Ok(()),
             Some((_, true)) => return Ok(()),
@@ -100,8 +97,12 @@
                 self.seen.replace(None);
                 return Ok(());
             }
-            None => store.create(purpose, kind, NAME, &spec.to_string()).await?,
-            Some((revision, _)) => store.update(purpose, kind, NAME, revision, &spec).await?,
+            None => {
+                store
+                    .create(purpose, kind, NAME, &spec().to_string())
+                    .await?
+            }
+            Some((revision, _)) => store.update(purpose, kind, NAME, revision, &spec()).await?,
         };
         let revision = written.revision;
         self.seen.replace(Some(Seen {
--- a/crates/pinereel/src/hosted/crashes/mod.rs
+++ b/crates/pinereel/src/hosted/crashes/mod.rs
@@ -12,13 +12,10 @@
 use crate::state::Clock;
 use pinereel_core::{
     Time,
-    crash::{Change, Identity, KEPT, Register, Report, Seat, Standing, Start, What},
+    crash::{Change, Identity, Register, Report, Seat, Standing, Start, What},
 };
 use std::{cell::RefCell, rc::Rc, time::Duration};
-use tokio::{
-    sync::watch,
-    time::{Instant, sleep},
-};
+use tokio::{sync::watch, time::sleep};
 
 /// Requests of one message: 200 bytes each.
 const BATCH: usize = 128;
@@ -75,9 +72,8 @@
         crashes
     }
 
-    /// The time of this register: late enough that anything which still counts lies after the clock's start.
     fn now(&self) -> Time {
-        self.clock.now() + KEPT
+        self.clock.now()
     }
 
     /// Whether nothing is known of any request.
@@ -227,8 +223,7 @@
                 }
                 continue;
             }
-            let at = Instant::now() + SWEEP;
-            tokio::time::sleep_until(at).await;
+            sleep(SWEEP).await;
             let forgot = self.register.borrow_mut().expire(self.now());
             if forgot {
                 self.note_change();
--- a/crates/pinereel/src/hosted/endpoints/mod.rs
+++ b/crates/pinereel/src/hosted/endpoints/mod.rs
@@ -17,7 +17,7 @@
 use compact_str::CompactString;
 use pinereel_core::{
     crash::Start,
-    endpoint::{self, End, Endpoint, Event, Key, Set, State},
+    endpoint::{self, End, Event, Key, Set, State},
     hash,
     route::{self, Policy, Priority, Reason, Refusal, Request},
 };
@@ -179,7 +179,7 @@
         let listed = set
             .pool(service)
             .filter(|(_, endpoint)| matches!(endpoint.state, State::Live | State::Ejected { .. }));
-        let starts = listed.map(|(key, endpoint)| (key, start(endpoint)));
+        let starts = listed.map(|(key, endpoint)| (key, Start::from(endpoint)));
         starts.filter(|(_, start)| self.is_current(start)).collect()
     }
 
@@ -204,7 +204,7 @@
         Some(Picked {
             key,
             id: endpoint.name.clone(),
-            start: start(endpoint),
+            start: endpoint.into(),
             address: entries.get(&endpoint.name)?.entry.address,
             reason,
         })
@@ -259,11 +259,3 @@
         self.changed.send_modify(|changes| *changes += 1);
     }
 }
-
-/// The start of an endpoint.
-fn start(endpoint: &Endpoint) -> Start {
-    Start {
-        endpoint: endpoint.name.clone(),
-        incarnation: endpoint.incarnation,
-    }
-}
--- a/crates/pinereel/src/hosted/lots/score.rs
+++ b/crates/pinereel/src/hosted/lots/score.rs
@@ -9,7 +9,11 @@
 use compact_str::CompactString;
 use pinereel_core::batch::{Failure, Fate};
 use pinereel_port::lot::Scorer;
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, OnceCell},
+    rc::Rc,
+    time::Duration,
+};
 use tokio::{
     sync::Notify,
     time::{Instant, sleep},
@@ -111,5 +115,6 @@
         target: scorer.path.clone(),
         headers,
         body: scorer.body.clone(),
+        known: OnceCell::new(),
     })
 }
--- a/crates/pinereel/src/hosted/relay/call.rs
+++ b/crates/pinereel/src/hosted/relay/call.rs
@@ -8,7 +8,7 @@
 use compact_str::CompactString;
 use pinereel_core::crash::{Identity, Parts};
 use pinereel_port::config::Route;
-use std::time::Duration;
+use std::{cell::OnceCell, time::Duration};
 use tokio::time::Instant;
 
 /// A request on its way.
@@ -31,11 +31,17 @@
     pub body: Bytes,
     /// When it is given up.
     pub give_up: Instant,
+    /// What makes it the same request when it comes again, once that was asked for.
+    pub known: OnceCell<Identity>,
 }
 
 impl Call {
     /// What makes it the same request when it comes again.
     pub fn identity(&self) -> Identity {
+        *self.known.get_or_init(|| self.make_identity())
+    }
+
+    fn make_identity(&self) -> Identity {
         let header = |name| {
             let value = self.headers.get(name);
             value.map(HeaderValue::as_bytes).unwrap_or_default()
--- a/crates/pinereel/src/hosted/relay/doubt.rs
+++ b/crates/pinereel/src/hosted/relay/doubt.rs
@@ -2,7 +2,7 @@
 
 use super::{Answer, Course, Outcome, Picked, RETRY_AFTER, Relay};
 use pinereel_core::{
-    crash::{SETTLE, Seat},
+    crash::{Seat, Standing},
     relay::Attempts,
 };
 use std::time::Duration;
@@ -22,9 +22,9 @@
 }
 
 impl Relay {
-    /// The next endpoint of a request in doubt, whose last crash was so long ago.
-    pub(super) async fn in_doubt(&self, course: &Course<'_>, age: Duration) -> Next {
-        if let Some(left) = SETTLE.checked_sub(age).filter(|left| !left.is_zero()) {
+    /// The next endpoint of a request in doubt.
+    pub(super) async fn in_doubt(&self, course: &Course<'_>, standing: Standing) -> Next {
+        if let Some(left) = standing.settles_in() {
             sleep(left).await;
             return Next::LookAgain;
         }
--- a/crates/pinereel/src/hosted/relay/mod.rs
+++ b/crates/pinereel/src/hosted/relay/mod.rs
@@ -178,7 +178,7 @@
     ) -> Option<(&'static str, Duration)> {
         self.parts.stall.caught_up().await;
         let next = match standing {
-            Standing::Doubted { age, .. } => self.in_doubt(course, age).await,
+            Standing::Doubted { .. } => self.in_doubt(course, standing).await,
             Standing::Free | Standing::Convicted { .. } => self.choose(course),
         };
         match next {
--- a/crates/pinereel/src/hosted/serve.rs
+++ b/crates/pinereel/src/hosted/serve.rs
@@ -24,7 +24,7 @@
     config::{Kind, Route},
     live, lot,
 };
-use std::{rc::Rc, time::Duration};
+use std::{cell::OnceCell, rc::Rc, time::Duration};
 use tokio::time::{Instant, sleep};
 
 /// A request whose head says nothing of its deadline gets the route's timeout, and a call for which
@@ -163,6 +163,7 @@
             target,
             headers: request.headers().clone(),
             body,
+            known: OnceCell::new(),
         };
         match self.relay.run(call).await {
             Outcome::Answer(answer) => {
--- a/crates/pinereel/src/upstream/probe.rs
+++ b/crates/pinereel/src/upstream/probe.rs
@@ -35,7 +35,7 @@
 }
 
 /// Whether the error says that the address is reached and nobody listens there.
-pub fn says_nobody(error: &io::Error) -> bool {
+fn says_nobody(error: &io::Error) -> bool {
     error.kind() == io::ErrorKind::ConnectionRefused
 }
 
--- a/crates/pinereel_core/src/crash/record.rs
+++ b/crates/pinereel_core/src/crash/record.rs
@@ -1,6 +1,6 @@
 //! What is known of one request.
 
-use super::{CAP, ENDS_A_CRASH, Identity, Start};
+use super::{CAP, ENDS_A_CRASH, Identity, KEPT, Start};
 use crate::Time;
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeMap, time::Duration};
@@ -41,8 +41,10 @@
     pub(super) starts: BTreeMap<Start, Mark>,
     /// Runs that came to their end since the first crash, the most that one instance has seen.
     pub(super) ends: u32,
-    /// When the last one crashed, as far as this instance knows.
-    pub(super) crashed_at: Time,
+    /// Time since the last one crashed, as far as this instance knows, as of `aged_at`: it may have been before the
+    /// clock's start.
+    age: Duration,
+    aged_at: Time,
     /// When each was heard of here.
     pub(super) heard_at: Time,
 }
@@ -52,11 +54,23 @@
         Self {
             starts: BTreeMap::new(),
             ends: 0,
-            crashed_at: Time::ZERO,
+            age: KEPT,
+            aged_at: now,
             heard_at: now,
         }
     }
 
+    /// Time since the last crash.
+    pub(super) fn age(&self, now: Time) -> Duration {
+        self.age + now.since(self.aged_at)
+    }
+
+    /// A crash was so long ago.
+    pub(super) fn note_age(&mut self, now: Time, age: Duration) {
+        self.age = self.age(now).min(age);
+        self.aged_at = now;
+    }
+
     /// Takes a start in; says whether that is news.
     pub(super) fn add(&mut self, start: Start, mark: Mark) -> bool {
         if let Some(known) = self.starts.get_mut(&start) {
@@ -104,7 +118,7 @@
             identity,
             starts: starts.map(|(start, mark)| (start.clone(), *mark)).collect(),
             ends: self.ends,
-            age: now.since(self.crashed_at),
+            age: self.age(now),
         }
     }
 }
--- a/crates/pinereel_core/src/crash/register.rs
+++ b/crates/pinereel_core/src/crash/register.rs
@@ -68,7 +68,7 @@
         if touched.is_empty() {
             return Vec::new();
         }
-        self.make_room();
+        self.make_room(now);
         self.judge(now, &touched)
     }
 
@@ -126,8 +126,7 @@
     /// Forgets what is too old to count; says whether anything was.
     pub fn expire(&mut self, now: Time) -> bool {
         let known = self.records.len();
-        self.records
-            .retain(|_, record| now.since(record.crashed_at) < KEPT);
+        self.records.retain(|_, record| record.age(now) < KEPT);
         let forgot = self.records.len() < known;
         if forgot {
             self.judge(now, &BTreeMap::new());
@@ -140,7 +139,7 @@
         let Some(record) = self.records.get(identity) else {
             return Standing::Free;
         };
-        let age = now.since(record.crashed_at);
+        let age = record.age(now);
         if self.convicted.contains(identity) {
             return Standing::Convicted {
                 endpoints: record.starts.len(),
@@ -202,17 +201,21 @@
         record.ends = record.ends.max(report.ends);
         if is_news {
             record.heard_at = now;
-            record.crashed_at = record.crashed_at.max(now.before(report.age));
+            record.note_age(now, report.age);
         }
         is_news
     }
 
     /// Forgets the requests that matter least while there are too many.
-    fn make_room(&mut self) {
+    fn make_room(&mut self, now: Time) {
         while self.records.len() > MOST_RECORDS {
             let least = self.records.iter().min_by_key(|(identity, record)| {
                 let convicted = self.convicted.contains(*identity);
-                (convicted, record.counting().count(), record.crashed_at)
+                (
+                    convicted,
+                    record.counting().count(),
+                    Reverse(record.age(now)),
+                )
             });
             let Some(identity) = least.map(|(identity, _)| *identity) else {
                 return;
@@ -229,7 +232,7 @@
             identity,
             what,
             endpoints: record.map_or(0, |record| record.starts.len()),
-            age: record.map_or(Duration::ZERO, |record| now.since(record.crashed_at)),
+            age: record.map_or(Duration::ZERO, |record| record.age(now)),
         }
     }
 }
--- a/crates/pinereel_core/src/crash/seat.rs
+++ b/crates/pinereel_core/src/crash/seat.rs
@@ -16,14 +16,13 @@
 }
 
 /// The place of a request among those in doubt.
-#[derive(Default)]
 struct Order {
     /// Its place among those with as much against them.
     own: usize,
     /// How many have a last chance.
     last_chances: usize,
-    /// When the last crash under one of those was.
-    since: Time,
+    /// Time since the last crash under one of those.
+    age: Duration,
 }
 
 /// Turns that come round again and again, from the last crash on.
@@ -48,7 +47,7 @@
             return Seat::None;
         }
         let doubts = self.doubts(identity).min(LAST_CHANCE);
-        let order = self.order(identity, doubts);
+        let order = self.order(now, identity, doubts);
         let groups = order.last_chances.div_ceil(seats.len());
         let turns = Turns {
             own: if doubts == LAST_CHANCE {
@@ -60,7 +59,7 @@
         };
         let wait = match groups {
             0 => Duration::ZERO,
-            _ => turns.wait(now.since(order.since)),
+            _ => turns.wait(order.age),
         };
         if wait > Duration::ZERO {
             return Seat::After(wait);
@@ -68,8 +67,12 @@
         Seat::At(seats[order.own % seats.len()].clone())
     }
 
-    fn order(&self, identity: &Identity, doubts: usize) -> Order {
-        let mut order = Order::default();
+    fn order(&self, now: Time, identity: &Identity, doubts: usize) -> Order {
+        let mut order = Order {
+            own: 0,
+            last_chances: 0,
+            age: Duration::MAX,
+        };
         for (other, record) in &self.records {
             let against = self.doubts(other).min(LAST_CHANCE);
             if against == doubts && other < identity {
@@ -77,7 +80,7 @@
             }
             if against == LAST_CHANCE {
                 order.last_chances += 1;
-                order.since = order.since.max(record.crashed_at);
+                order.age = order.age.min(record.age(now));
             }
         }
         order
--- a/crates/pinereel_core/src/crash/standing.rs
+++ b/crates/pinereel_core/src/crash/standing.rs
@@ -1,6 +1,6 @@
 //! How a request stands, and what changes about it.
 
-use super::Identity;
+use super::{Identity, SETTLE};
 use serde::Serialize;
 use std::time::Duration;
 
@@ -27,6 +27,16 @@
     },
 }
 
+impl Standing {
+    /// How long a request in doubt waits until all instances know of the last crash under it.
+    pub fn settles_in(&self) -> Option<Duration> {
+        match self {
+            Self::Doubted { age, .. } => SETTLE.checked_sub(*age).filter(|left| !left.is_zero()),
+            Self::Free | Self::Convicted { .. } => None,
+        }
+    }
+}
+
 /// What changed about a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/pinereel_core/src/crash/start.rs
+++ b/crates/pinereel_core/src/crash/start.rs
@@ -1,5 +1,6 @@
 //! One start of an endpoint.
 
+use crate::endpoint::Endpoint;
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
@@ -11,3 +12,12 @@
     /// Differs between starts under one id.
     pub incarnation: u64,
 }
+
+impl From<&Endpoint> for Start {
+    fn from(endpoint: &Endpoint) -> Self {
+        Self {
+            endpoint: endpoint.name.clone(),
+            incarnation: endpoint.incarnation,
+        }
+    }
+}
--- a/crates/pinereel_core/tests/crash_register.rs
+++ b/crates/pinereel_core/tests/crash_register.rs
@@ -255,6 +255,28 @@
     assert!(register.expire(at(2) + KEPT));
 }
 
+/// A process that has just started hears of a crash from before its clock began.
+#[test]
+fn what_is_older_than_the_clock_is_forgotten_in_time() {
+    let culprit = request("c");
+    let crash = |number| Report {
+        identity: culprit,
+        starts: vec![(start(number), FIRST)],
+        ends: 0,
+        age: KEPT - Duration::from_secs(100),
+    };
+    let (began, later) = (Time::from_millis(1_000), Time::from_millis(101_000));
+    let mut register = Register::default();
+    register.heard(began, (1..=LIMIT).map(crash));
+    let standing = register.standing(began, &culprit);
+    assert!(
+        matches!(standing, Standing::Convicted { age, .. } if age == KEPT - Duration::from_secs(100))
+    );
+    assert!(!register.expire(Time::from_millis(100_999)));
+    assert!(register.expire(later));
+    assert!(register.is_empty());
+}
+
 /// Load pattern: a thousand requests a second crash an endpoint each, for five seconds.
 #[test]
 fn thousands_of_requests_take_bounded_memory() {
--- a/crates/pinereel_fakes/tests/hosting_crash.rs
+++ b/crates/pinereel_fakes/tests/hosting_crash.rs
@@ -60,6 +60,21 @@
     ((0..count).map(start).collect(), crashes)
 }
 
+/// So many callers send other requests for `span`.
+fn callers(site: &Site, count: usize, span: Duration) -> Rc<Tally> {
+    let (balance, end) = (site.balance(), Instant::now() + span);
+    let tally = Rc::new(Tally::default());
+    for number in 0..count {
+        let (balance, book) = (Rc::clone(&balance), Rc::clone(&site.book));
+        let tally = Rc::clone(&tally);
+        actix_rt::spawn(async move {
+            let name = format!("c{number}");
+            caller::run(balance, Kind::Repeatable, &name, end, book, tally).await;
+        });
+    }
+    tally
+}
+
 /// Sends the request at each instance in turn for `span`.
 async fn repeat(site: &Site, body: &str, span: Duration) {
     let end = Instant::now() + span;
@@ -100,16 +115,10 @@
     let site = Site::start(SIZE, 160).await.unwrap();
     let (_endpoints, crashes) = endpoints(&site, ENDPOINTS);
     sleep(Duration::from_millis(1_500)).await;
-    let (balance, book) = (site.balance(), Rc::clone(&site.book));
-    let tally = Rc::new(Tally::default());
-    for number in 0..3 {
-        let (balance, book, tally) = (Rc::clone(&balance), Rc::clone(&book), Rc::clone(&tally));
-        let end = Instant::now() + Duration::from_secs(9);
-        let name = format!("c{number}");
-        actix_rt::spawn(async move {
-            caller::run(balance, Kind::Repeatable, &name, end, book, tally).await;
-        });
-    }
+    let (tally, book) = (
+        callers(&site, 3, Duration::from_secs(9)),
+        Rc::clone(&site.book),
+    );
     let body = format!("{CRASH} a");
     repeat(&site, &body, Duration::from_secs(8)).await;
     let taken = crashed_under(&crashes, &body);
@@ -302,16 +311,10 @@
     let site = Site::start(SIZE, 166).await.unwrap();
     let (endpoints, crashes) = endpoints(&site, ENDPOINTS);
     sleep(Duration::from_millis(1_500)).await;
-    let (balance, book) = (site.balance(), Rc::clone(&site.book));
-    let tally = Rc::new(Tally::default());
-    for number in 0..6 {
-        let (balance, book, tally) = (Rc::clone(&balance), Rc::clone(&book), Rc::clone(&tally));
-        let end = Instant::now() + Duration::from_secs(8);
-        actix_rt::spawn(async move {
-            let name = format!("c{number}");
-            caller::run(balance, Kind::Repeatable, &name, end, book, tally).await;
-        });
-    }
+    let (tally, book) = (
+        callers(&site, 6, Duration::from_secs(8)),
+        Rc::clone(&site.book),
+    );
     for round in 0..12 {
         endpoints[round % ENDPOINTS].crash();
         sleep(Duration::from_millis(600)).await;
