crash: one in doubt an endpoint, and a last chance alone: three endpoints each, also for several at once

Cause: an endpoint that crashes takes along all that runs there, and those in doubt ran together again. Change: a request in doubt shares no endpoint with another one in doubt of the same instance; one with a last chance runs where nothing else begins: at a seat that all instances reserve in its turn, a third of the endpoints at the most, or at an engine that its runner keeps free. A crash there is proof. What counts against a request counts until a run of it ends, whoever else was there.

--- a/crates/pinereel/src/controllers/crashes.rs
+++ b/crates/pinereel/src/controllers/crashes.rs
@@ -10,7 +10,7 @@
     crash::{Change, Identity, Register, Report, Seat, Standing, Start},
     endpoint::{Key, State},
 };
-use std::{cell::RefCell, time::Duration};
+use std::{cell::RefCell, collections::BTreeSet, time::Duration};
 use tokio::{sync::Notify, time::sleep};
 
 /// Requests that one summary tells of.
@@ -114,7 +114,7 @@
         .collect();
     let starts: Vec<_> = open.iter().map(|(_, start)| start.clone()).collect();
     let register = shared.crashes.register.borrow();
-    match register.seat(shared.now(), identity, &starts) {
+    match register.seat(shared.now(), identity, &starts, &BTreeSet::new()) {
         Seat::At(seat) => {
             let found = open.into_iter().find(|(_, start)| *start == seat);
             found.map(|(key, _)| key).ok_or(RETRY_AFTER)
--- a/crates/pinereel/src/hosted/crashes/mod.rs
+++ b/crates/pinereel/src/hosted/crashes/mod.rs
@@ -14,7 +14,7 @@
     Time,
     crash::{Change, Identity, Register, Report, Seat, Standing, Start, What},
 };
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{cell::RefCell, collections::BTreeSet, rc::Rc, time::Duration};
 use tokio::{sync::watch, time::sleep};
 
 /// Requests of one message: 200 bytes each.
@@ -56,6 +56,20 @@
     metrics: Metrics,
     /// Grows with each change of what is known.
     changed: watch::Sender<u64>,
+    /// Endpoints where requests in doubt of this instance run now.
+    occupied: RefCell<BTreeSet<Start>>,
+}
+
+/// A request in doubt runs at an endpoint; until this is dropped, no other one of this instance does.
+pub struct Occupied {
+    crashes: Rc<Crashes>,
+    start: Start,
+}
+
+impl Drop for Occupied {
+    fn drop(&mut self) {
+        self.crashes.occupied.borrow_mut().remove(&self.start);
+    }
 }
 
 impl Crashes {
@@ -66,6 +80,7 @@
             clock,
             metrics: metrics.clone(),
             changed: watch::channel(0).0,
+            occupied: RefCell::default(),
         });
         let swept = Rc::clone(&crashes);
         actix_rt::spawn(async move { swept.sweep().await });
@@ -97,7 +112,27 @@
 
     /// Where a request in doubt may run, of the endpoints that are `open`.
     pub fn seat(&self, identity: &Identity, open: &[Start]) -> Seat {
-        self.register.borrow().seat(self.now(), identity, open)
+        let occupied = self.occupied.borrow();
+        let register = self.register.borrow();
+        register.seat(self.now(), identity, open, &occupied)
+    }
+
+    /// A request in doubt begins to run there.
+    pub fn occupy(self: &Rc<Self>, start: &Start) -> Occupied {
+        self.occupied.borrow_mut().insert(start.clone());
+        Occupied {
+            crashes: Rc::clone(self),
+            start: start.clone(),
+        }
+    }
+
+    /// The endpoints, of those that are `open`, where nothing may begin now but a request with a last chance.
+    pub fn reserved(&self, open: impl FnOnce() -> Vec<Start>) -> BTreeSet<Start> {
+        let register = self.register.borrow();
+        if !register.has_last_chance() {
+            return BTreeSet::new();
+        }
+        register.reserved(self.now(), &open())
     }
 
     /// Waits while a request must not run; says whether it had to.
@@ -113,12 +148,13 @@
         waited
     }
 
-    /// An endpoint crashed while a request ran there.
-    pub fn crashed(&self, identity: Identity, start: Start) {
-        log::warn!(identity:% = identity, endpoint = start.endpoint.as_str(), incarnation = start.incarnation; "endpoint crashed under a request");
+    /// An endpoint crashed while a request ran there; `alone` if it had its last chance.
+    pub fn crashed(&self, identity: Identity, start: Start, alone: bool) {
+        log::warn!(identity:% = identity, endpoint = start.endpoint.as_str(), incarnation = start.incarnation, alone; "endpoint crashed under a request");
         self.count("crash");
-        self.step(Source::Own, |register, now| {
-            register.crashed(now, identity, start)
+        self.step(Source::Own, |register, now| match alone {
+            true => register.crashed_alone(now, identity, start),
+            false => register.crashed(now, identity, start),
         });
     }
 
--- a/crates/pinereel/src/hosted/lots/placing.rs
+++ b/crates/pinereel/src/hosted/lots/placing.rs
@@ -8,7 +8,7 @@
 };
 use pinereel_core::{
     batch::{Fleet, Key, Listed},
-    crash::{Standing, Start},
+    crash::{LAST_CHANCE, Standing, Start},
     hash, table,
 };
 use pinereel_port::{
@@ -101,10 +101,12 @@
 
     /// The next item of a lot, its engine, and how many endpoints have crashed under it. One that may not run now is
     /// held back, and the next one is looked at.
-    fn next_item(&self, open: &mut Open, fleet: &Fleet) -> Option<(usize, Key, usize)> {
+    fn next_item(&self, open: &mut Open, fleet: &mut Fleet) -> Option<(usize, Key, usize)> {
         let now = self.parts.clock.now();
         let oldest_version = open.submission.oldest_version;
-        fleet.pick(now, oldest_version, None)?;
+        if !fleet.has_room(now, oldest_version) {
+            return None;
+        }
         loop {
             let at = open.lot.start()?;
             let doubts = self.doubts(open, at);
@@ -113,6 +115,9 @@
                 Some((doubts, key)) => return Some((at, key, doubts)),
                 None => open.lot.hold(at),
             }
+            if doubts.is_some_and(|doubts| doubts >= LAST_CHANCE) {
+                fleet.reserve(now, oldest_version);
+            }
         }
     }
 
@@ -156,9 +161,9 @@
                     incarnation: engine.listed.incarnation,
                 },
                 address: engine.listed.address,
-                in_doubt: doubts > 0,
+                doubts,
             };
-            fleet.started_in_doubt(key, doubts);
+            fleet.started(self.parts.clock.now(), key, doubts);
             let work = Work {
                 item: open.submission.items[at].id.clone(),
                 host: open.host.clone(),
--- a/crates/pinereel/src/hosted/lots/run.rs
+++ b/crates/pinereel/src/hosted/lots/run.rs
@@ -6,7 +6,10 @@
     state::{FleetName, Work},
     stream::{Break, End, Place, identity, stream},
 };
-use pinereel_core::batch::{Failure, Fate, Halt};
+use pinereel_core::{
+    batch::{Failure, Fate, Halt},
+    crash::LAST_CHANCE,
+};
 use pinereel_port::{
     config::Route,
     lot::{Item, Made, Sample},
@@ -26,7 +29,7 @@
     fn drop(&mut self) {
         let key = self.place.key;
         self.runner.run_ended(&self.fleet, key, self.halt);
-        if self.place.in_doubt {
+        if self.place.doubts > 0 {
             self.runner.doubt_ended(&self.fleet, key);
         }
     }
@@ -86,7 +89,7 @@
     match end {
         // One that was leaving, or is listed no more, ends by itself.
         End::Broken(Break::Crashed) if endpoints.is_current(&place.start) => {
-            crashes.crashed(identity(), place.start.clone());
+            crashes.crashed(identity(), place.start.clone(), place.doubts >= LAST_CHANCE);
         }
         End::Complete | End::Failed | End::Impossible => {
             crashes.answered(identity, place.start.clone(), began.elapsed());
--- a/crates/pinereel/src/hosted/lots/stream.rs
+++ b/crates/pinereel/src/hosted/lots/stream.rs
@@ -90,8 +90,8 @@
     pub(super) key: Key,
     pub(super) start: Start,
     pub(super) address: SocketAddr,
-    /// Whether endpoints have crashed under the item.
-    pub(super) in_doubt: bool,
+    /// How many endpoints have crashed under the item.
+    pub(super) doubts: usize,
 }
 
 /// What makes an item the same request when it comes again.
--- a/crates/pinereel/src/hosted/relay/attempt.rs
+++ b/crates/pinereel/src/hosted/relay/attempt.rs
@@ -2,7 +2,7 @@
 
 use super::{Answer, Call, Picked, Relay, head::end_to_end, report::report_break};
 use crate::{
-    hosted::endpoints::Endpoints,
+    hosted::{crashes::Occupied, endpoints::Endpoints},
     upstream::pool::{Error, Exchange, Response},
 };
 use actix_http::{RequestHead, StatusCode, Uri};
@@ -18,16 +18,20 @@
 /// One attempt that ended.
 pub(super) struct Tried {
     pub(super) picked: Picked,
+    /// Whether it was the last chance of its request.
+    pub(super) alone: bool,
     pub(super) took: Duration,
     pub(super) ended: Result<Answer, Ended>,
 }
 
 impl Relay {
-    /// One attempt at an endpoint.
+    /// One attempt at an endpoint, which a request in doubt has `occupied`; `alone` if it is its last chance.
     pub(super) fn attempt(
         self: &Rc<Self>,
         call: &Rc<Call>,
         picked: Picked,
+        occupied: Option<Occupied>,
+        alone: bool,
     ) -> LocalBoxFuture<'static, Tried> {
         let (relay, call) = (Rc::clone(self), Rc::clone(call));
         Box::pin(async move {
@@ -38,8 +42,10 @@
             let ended = timeout(wait, exchange).await;
             let ended = ended.unwrap_or(Err(Ended::Lost));
             guard.disarm();
+            drop(occupied);
             Tried {
                 picked,
+                alone,
                 took: began.elapsed(),
                 ended,
             }
--- a/crates/pinereel/src/hosted/relay/mod.rs
+++ b/crates/pinereel/src/hosted/relay/mod.rs
@@ -183,9 +183,12 @@
         };
         match next {
             Next::Send(picked) => {
+                let in_doubt = matches!(standing, Standing::Doubted { .. });
+                let occupied = in_doubt.then(|| self.parts.crashes.occupy(&picked.start));
                 course.used.push(picked.key);
                 course.attempts.sent(course.began.elapsed());
-                let attempt = self.attempt(&course.call, picked);
+                let attempt =
+                    self.attempt(&course.call, picked, occupied, standing.is_last_chance());
                 course.running.push(attempt);
                 None
             }
@@ -200,16 +203,43 @@
         }
     }
 
-    /// The endpoint of the next attempt of a request that nothing counts against.
+    /// The endpoint of the next attempt of a request that nothing counts against: one that is reserved for a request
+    /// with a last chance only if no other takes it.
     fn choose(&self, course: &Course<'_>) -> Next {
         let repeatable = course.call.route.kind == Kind::Idempotent;
-        let endpoints = &self.parts.endpoints;
-        match endpoints.choose(course.service, &course.used, repeatable, course.seed) {
+        let choose = |excluded: &[Key]| {
+            let endpoints = &self.parts.endpoints;
+            endpoints.choose(course.service, excluded, repeatable, course.seed)
+        };
+        let reserved = self.reserved(course.service);
+        let spared = (!reserved.is_empty())
+            .then(|| choose(&[course.used.clone(), reserved].concat()).ok())
+            .flatten();
+        match spared.map_or_else(|| choose(&course.used), Ok) {
             Ok(picked) => Next::Send(picked),
             Err(refusal) => Next::Decline(refusal_name(refusal), RETRY_AFTER),
         }
     }
 
+    /// Endpoints of a service where nothing else should begin now.
+    fn reserved(&self, service: &str) -> Vec<Key> {
+        let Parts {
+            crashes, endpoints, ..
+        } = &self.parts;
+        let starts = || {
+            let open = endpoints.open(service);
+            open.into_iter().map(|(_, start)| start).collect()
+        };
+        let reserved = crashes.reserved(starts);
+        if reserved.is_empty() {
+            return Vec::new();
+        }
+        let open = endpoints.open(service).into_iter();
+        open.filter(|(_, start)| reserved.contains(start))
+            .map(|(key, _)| key)
+            .collect()
+    }
+
     fn count(&self, service: &str, outcome: &Outcome, began: Instant) {
         let label = match outcome {
             Outcome::Answer(answer) if answer.status.is_server_error() => "failure",
@@ -288,7 +318,7 @@
             }
             // One that was leaving, or is listed no more, ends by itself.
             Err(Ended::Crashed) if endpoints.is_current(&picked.start) => {
-                crashes.crashed(call.identity(), picked.start.clone());
+                crashes.crashed(call.identity(), picked.start.clone(), tried.alone);
             }
             _ => {}
         }
--- a/crates/pinereel_core/src/batch/fleet.rs
+++ b/crates/pinereel_core/src/batch/fleet.rs
@@ -5,7 +5,10 @@
 //! fastest engine with a free slot comes first, and a run on a slow engine is moved to a fast one
 //! as soon as that has a slot that nothing waits for.
 
-use crate::{Time, crash::LAST_CHANCE};
+use crate::{
+    Time,
+    crash::{FRESH_RUN, LAST_CHANCE},
+};
 use compact_str::CompactString;
 use slotmap::SlotMap;
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
@@ -42,6 +45,9 @@
 /// Wait after an engine said that it is full or loads weights: a load takes about a second.
 const FULL_PAUSE: Duration = Duration::from_millis(120);
 
+/// An engine is kept free for an item with a last chance for so long: the runs that are there leave a slot by then.
+const RESERVATION: Duration = Duration::from_millis(1_500);
+
 /// What the endpoint list says of an engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Listed {
@@ -97,6 +103,10 @@
     doubted: u32,
     /// Whether one of them has a last chance.
     last_chance: bool,
+    /// When a run last began there.
+    last_began: Time,
+    /// Kept free until then for an item with a last chance.
+    reserved_until: Time,
 }
 
 impl Engine {
@@ -113,6 +123,8 @@
             restarted: false,
             doubted: 0,
             last_chance: false,
+            last_began: Time::ZERO,
+            reserved_until: Time::ZERO,
         }
     }
 
@@ -133,13 +145,16 @@
         !self.gone && !self.listed.leaving && fits && free && now >= self.not_before
     }
 
-    /// Whether an item that so many endpoints have crashed under may run beside those that run there. One with a last
-    /// chance is the only one in doubt, so that a crash tells which was to blame.
-    const fn admits(&self, doubts: usize) -> bool {
+    /// Whether an item that so many endpoints have crashed under may run beside those that run there. One in doubt is the
+    /// only such one, and with a last chance nothing else begins beside it: so a crash tells which was to blame.
+    fn admits(&self, now: Time, doubts: usize) -> bool {
+        let is_kept_free = self.last_chance || now < self.reserved_until;
         match doubts {
-            0 => true,
-            doubts if doubts >= LAST_CHANCE => self.doubted == 0,
-            _ => !self.last_chance,
+            0 => !is_kept_free,
+            doubts if doubts >= LAST_CHANCE => {
+                self.doubted == 0 && now.since(self.last_began) >= FRESH_RUN
+            }
+            _ => self.doubted == 0 && !is_kept_free,
         }
     }
 
@@ -215,12 +230,36 @@
 
     /// The engine for a run that needs weights of `oldest_version` or newer.
     pub fn pick(&self, now: Time, oldest_version: u64, except: Option<Key>) -> Option<Key> {
-        self.best(now, oldest_version, |key, _| Some(key) != except)
+        let admits = |key, engine: &Engine| Some(key) != except && engine.admits(now, 0);
+        self.best(now, oldest_version, admits)
+    }
+
+    /// Whether any engine takes a run that needs weights of `oldest_version` or newer, of whatever item.
+    pub fn has_room(&self, now: Time, oldest_version: u64) -> bool {
+        self.best(now, oldest_version, |_, _| true).is_some()
     }
 
     /// The engine for a run of an item that so many endpoints have crashed under.
     pub fn pick_in_doubt(&self, now: Time, oldest_version: u64, doubts: usize) -> Option<Key> {
-        self.best(now, oldest_version, |_, engine| engine.admits(doubts))
+        self.best(now, oldest_version, |_, engine| engine.admits(now, doubts))
+    }
+
+    /// Keeps an engine free for an item with a last chance: nothing begins there until that item can run alone. One engine at a
+    /// time, the one whose last run began first.
+    pub fn reserve(&mut self, now: Time, oldest_version: u64) {
+        let waits = |engine: &Engine| engine.last_chance || now < engine.reserved_until;
+        if self.iter().any(|(_, engine)| waits(engine)) {
+            return;
+        }
+        let fits = |engine: &Engine| engine.listed.version.is_some_and(|v| v >= oldest_version);
+        let open = self.iter().filter(|(_, engine)| {
+            fits(engine) && !engine.listed.leaving && now >= engine.not_before
+        });
+        let idle = open.filter(|(_, engine)| engine.doubted == 0);
+        let first = idle.min_by_key(|(_, engine)| engine.last_began);
+        if let Some(key) = first.map(|(key, _)| key) {
+            self.arena[key].reserved_until = now + RESERVATION;
+        }
     }
 
     fn best(
@@ -249,19 +288,19 @@
         (pace > factor * self.arena[to].pace()).then_some(to)
     }
 
-    /// A run begins at the engine.
-    pub fn started(&mut self, key: Key) {
-        if let Some(engine) = self.arena.get_mut(key) {
-            engine.runs += 1;
-        }
-    }
-
     /// A run begins at the engine, of an item that so many endpoints have crashed under.
-    pub fn started_in_doubt(&mut self, key: Key, doubts: usize) {
-        self.started(key);
-        if let Some(engine) = self.arena.get_mut(key).filter(|_| doubts > 0) {
+    pub fn started(&mut self, now: Time, key: Key, doubts: usize) {
+        let Some(engine) = self.arena.get_mut(key) else {
+            return;
+        };
+        engine.runs += 1;
+        engine.last_began = now;
+        if doubts > 0 {
             engine.doubted += 1;
-            engine.last_chance |= doubts >= LAST_CHANCE;
+        }
+        if doubts >= LAST_CHANCE {
+            engine.last_chance = true;
+            engine.reserved_until = Time::ZERO;
         }
     }
 
--- a/crates/pinereel_core/src/crash/judge.rs
+++ b/crates/pinereel_core/src/crash/judge.rs
@@ -3,7 +3,7 @@
 //! An endpoint that crashes takes along all that runs there. Of those, the one with the most against it before is to
 //! blame. A verdict is made of the surest first:
 //!
-//! 1. A request was to blame three times, once under its last chance, when it was alone among those in doubt.
+//! 1. Three count against a request, one of them under its last chance, when nothing else began there.
 //! 2. It was to blame three times, and no other was at two of the same endpoints.
 //! 3. Five endpoints count against it, and others account for some of them only.
 //! 4. Five have crashed under it, though runs of it ended in between.
@@ -30,6 +30,7 @@
             register.counting(identity).count() >= CAP && register.own_crashes(identity) > 0
         });
         self.convict(|register, identity| register.relapses(identity));
+        self.last_chances = self.find_last_chances();
         let acquitted = before.difference(&self.convicted);
         let mut changes: Vec<_> = acquitted
             .map(|identity| self.change(now, *identity, What::Acquitted))
@@ -70,14 +71,13 @@
         }
     }
 
-    /// Whether a request is to blame for enough crashes, one of them under its last chance: there it was alone
-    /// among those in doubt, so that what others account for does not matter.
+    /// Whether enough crashes count against a request, and it is to blame for one under its last chance: there it was
+    /// alone, so that what others account for does not matter.
     fn is_proved(&self, identity: &Identity) -> bool {
-        let blamed = self
-            .counting(identity)
-            .filter(|(start, before)| self.is_blamed(start, *before));
-        let before: Vec<_> = blamed.map(|(_, before)| before).collect();
-        before.len() >= LIMIT && before.iter().any(|before| *before >= LAST_CHANCE)
+        let mut counting = self.counting(identity);
+        let under_last_chance =
+            counting.any(|(start, before)| before >= LAST_CHANCE && self.is_blamed(start, before));
+        under_last_chance && self.counting(identity).count() >= LIMIT
     }
 
     fn relapses(&self, identity: &Identity) -> bool {
@@ -101,6 +101,15 @@
         before >= most.copied().unwrap_or_default()
     }
 
+    fn find_last_chances(&self) -> Vec<Identity> {
+        let may_run = self
+            .records
+            .keys()
+            .filter(|id| !self.convicted.contains(*id));
+        let last = may_run.filter(|identity| self.doubts(identity) >= LAST_CHANCE);
+        last.copied().collect()
+    }
+
     fn find_blame(&mut self) {
         self.most_before.clear();
         for (start, before) in self.records.values().flat_map(Record::counting) {
@@ -109,11 +118,17 @@
         }
     }
 
-    /// Endpoints that count against a request that may run, less those that others account for. It stays in doubt
-    /// for those, too, until a run of it ends: two that crash endpoints may have met at one.
+    /// Endpoints that count against a request that may run. Those that others account for count, too, until a run of it
+    /// ends: two that crash endpoints may have met at one.
     pub(super) fn doubts(&self, identity: &Identity) -> usize {
-        let counting = self.counting(identity).count();
-        self.own_crashes(identity).max(counting.min(1))
+        self.counting(identity).count()
+    }
+
+    /// Those of them that no convicted request accounts for; one at least.
+    pub(super) fn unaccounted(&self, identity: &Identity) -> usize {
+        let counting = self.counting(identity);
+        let unaccounted = counting.filter(|(start, _)| !self.accounted.contains(*start));
+        unaccounted.count().max(self.doubts(identity).min(1))
     }
 
     /// Endpoints for whose crash a request is to blame, as far as no convicted one accounts for it.
--- a/crates/pinereel_core/src/crash/mod.rs
+++ b/crates/pinereel_core/src/crash/mod.rs
@@ -5,7 +5,8 @@
 //! crashed while it ran there, and tells the others ([`Report`]). Three of them, and it is refused; before that
 //! it runs at one endpoint at a time ([`Register::seat`]). An endpoint takes along all that runs there: a run that
 //! comes to its end clears a request, an answer clears an endpoint, and what a convicted request
-//! accounts for counts against no other.
+//! accounts for counts against no other. So that a crash tells who was to blame, those in doubt run one at an endpoint, and
+//! one with a last chance runs where nothing else begins ([`Register::reserved`]).
 
 mod identity;
 mod judge;
@@ -52,10 +53,21 @@
 /// apart: four hops of 5 ms and less on calm links.
 pub const SETTLE: Duration = Duration::from_millis(40);
 
-/// Length of a turn of requests in doubt. A run of a plain request takes 25 ms to 200 ms and begins in the first half:
-/// the next one finds its endpoint without it.
+/// Length of a turn of requests with a last chance. A run of a plain request takes 25 ms to 200 ms and begins in the second
+/// quarter: what ran at its endpoint before has ended by then, and the next one finds it without it.
 pub const TURN: Duration = Duration::from_millis(400);
 
+/// Endpoints of so many are reserved at once for requests with a last chance: the others serve everyone else.
+pub const RESERVED_SHARE: usize = 3;
+
+/// An endpoint is reserved for a request with a last chance so long after its last crash: one whose caller has given up
+/// must not keep it from others.
+pub const RESERVED_FOR: Duration = Duration::from_secs(30);
+
+/// An endpoint that crashes under a request does so soon after the run's begin: a run of a tenth of a second, and the way
+/// there. What has run for longer is not suspected of a crash to come.
+pub const FRESH_RUN: Duration = Duration::from_millis(300);
+
 /// Requests that are kept: by the size of its fields one takes about 0.3 kB, all of them 0.3 MB of the 160 MB of
 /// the smallest instance.
 pub const MOST_RECORDS: usize = 1_024;
--- a/crates/pinereel_core/src/crash/register.rs
+++ b/crates/pinereel_core/src/crash/register.rs
@@ -20,6 +20,8 @@
     pub(super) records: BTreeMap<Identity, Record>,
     /// Requests that must not run.
     pub(super) convicted: BTreeSet<Identity>,
+    /// Requests that have a last chance, in the order of their turns.
+    pub(super) last_chances: Vec<Identity>,
     /// Crashes that convicted requests account for: they count against nobody else.
     pub(super) accounted: BTreeSet<Start>,
     /// The most that counted before against any request that ran at a crashed endpoint.
@@ -39,11 +41,29 @@
         (self.records.len(), self.convicted.len())
     }
 
-    /// An endpoint crashed while the request ran there.
+    /// An endpoint crashed while the request ran there beside others. What convicted requests account for does not tell
+    /// against it.
     pub fn crashed(&mut self, now: Time, identity: Identity, start: Start) -> Vec<Change> {
+        let before = self.unaccounted(&identity);
+        self.crashed_after(now, identity, start, before)
+    }
+
+    /// An endpoint crashed while the request had its last chance there: nothing else began beside it.
+    pub fn crashed_alone(&mut self, now: Time, identity: Identity, start: Start) -> Vec<Change> {
+        let before = self.doubts(&identity);
+        self.crashed_after(now, identity, start, before)
+    }
+
+    fn crashed_after(
+        &mut self,
+        now: Time,
+        identity: Identity,
+        start: Start,
+        before: usize,
+    ) -> Vec<Change> {
         let mark = Mark {
             counts: true,
-            before: self.doubts(&identity),
+            before,
         };
         let report = Report {
             identity,
@@ -153,6 +173,11 @@
         }
     }
 
+    /// Whether any request has a last chance.
+    pub fn has_last_chance(&self) -> bool {
+        !self.last_chances.is_empty()
+    }
+
     /// Whether others are to be told something.
     pub fn has_untold(&self) -> bool {
         !self.untold.is_empty()
--- a/crates/pinereel_core/src/crash/seat.rs
+++ b/crates/pinereel_core/src/crash/seat.rs
@@ -1,8 +1,8 @@
 //! Where and when a request in doubt may run.
 
-use super::{Identity, LAST_CHANCE, Register, Start, TURN};
-use crate::Time;
-use std::time::Duration;
+use super::{Identity, LAST_CHANCE, RESERVED_FOR, RESERVED_SHARE, Register, Start, TURN};
+use crate::{Time, hash};
+use std::{collections::BTreeSet, time::Duration};
 
 /// Where a request in doubt may run.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -15,93 +15,158 @@
     None,
 }
 
-/// The place of a request among those in doubt.
-struct Order {
-    /// Its place among those with as much against them.
-    own: usize,
-    /// How many have a last chance.
-    last_chances: usize,
-    /// Time since the last crash under one of those.
+/// Longest wait until another one in doubt has left an endpoint: about a run.
+const OCCUPIED: Duration = Duration::from_millis(30);
+
+/// One with a last chance waits so long after the last crash for a second endpoint: crashed ones are back by then. It runs beside
+/// others after that, since some services have one endpoint.
+const ALONE: Duration = Duration::from_secs(10);
+
+/// The requests with a last chance, in the order of their turns.
+struct Chances {
+    order: Vec<Identity>,
+    /// Time since the last crash under one of them.
     age: Duration,
 }
 
 /// Turns that come round again and again, from the last crash on.
 #[derive(Clone, Copy)]
 struct Turns {
-    /// The turn of the request.
-    own: usize,
     count: usize,
 }
 
 impl Register {
-    /// Where a request in doubt may run, of the endpoints that are `open`.
+    /// Where a request in doubt may run, of the endpoints that are `open`; at those `occupied` another one in doubt runs.
     ///
     /// All instances that know the same choose the same endpoint, so that the request runs at one at a time. Those
-    /// with a last chance take turns, one at each endpoint, and the others in doubt have a turn of their own: so a
-    /// crash under a last chance tells who was to blame. Nobody has to be there for others to have their turn.
-    pub fn seat(&self, now: Time, identity: &Identity, open: &[Start]) -> Seat {
-        let crashed = |start: &&Start| self.has_crashed(start);
-        let mut seats: Vec<_> = open.iter().filter(|start| !crashed(start)).collect();
-        seats.sort();
+    /// with a last chance take turns, each at an endpoint where nothing else begins meanwhile; the others in doubt run one
+    /// at an endpoint. So a crash tells who was to blame. Nobody has to be there for others to have their turn.
+    pub fn seat(
+        &self,
+        now: Time,
+        identity: &Identity,
+        open: &[Start],
+        occupied: &BTreeSet<Start>,
+    ) -> Seat {
+        let seats = self.seats(open);
         if seats.is_empty() {
             return Seat::None;
         }
-        let doubts = self.doubts(identity).min(LAST_CHANCE);
-        let order = self.order(now, identity, doubts);
-        let groups = order.last_chances.div_ceil(seats.len());
-        let turns = Turns {
-            own: if doubts == LAST_CHANCE {
-                order.own / seats.len()
-            } else {
-                groups
-            },
-            count: groups + 1,
+        if self.doubts(identity) >= LAST_CHANCE {
+            return self.last_seat(now, identity, &seats);
+        }
+        let reserved = self.reserved(now, open);
+        let free: Vec<_> = seats.iter().filter(|s| !reserved.contains(**s)).collect();
+        // One with a last chance has the only endpoint.
+        let Some(last) = free.len().checked_sub(1) else {
+            return Seat::After(TURN);
         };
-        let wait = match groups {
-            0 => Duration::ZERO,
-            _ => turns.wait(order.age),
+        let at = hash::stable(identity.to_string().as_bytes()) % (last as u64 + 1);
+        let seat = free[at as usize];
+        if occupied.contains(*seat) {
+            return Seat::After(OCCUPIED);
+        }
+        Seat::At((*seat).clone())
+    }
+
+    /// The endpoints, of those that are `open`, where nothing may begin now but a request with a last chance.
+    pub fn reserved(&self, now: Time, open: &[Start]) -> BTreeSet<Start> {
+        let chances = self.chances(now);
+        let seats = self.seats(open);
+        if chances.order.is_empty() || seats.len() < 2 {
+            return BTreeSet::new();
+        }
+        let width = width(&seats);
+        let turns = Turns::of(&chances, width);
+        let current = chances
+            .order
+            .iter()
+            .skip(turns.current(chances.age) * width);
+        let waits = |identity: &&Identity| {
+            let record = self.records.get(*identity);
+            record.is_some_and(|record| record.age(now) < RESERVED_FOR)
         };
+        let taken = current.take(width).enumerate();
+        taken
+            .filter(|(_, identity)| waits(identity))
+            .map(|(at, _)| seats[at].clone())
+            .collect()
+    }
+
+    /// The seat of a request with a last chance, in its turn. While there is one endpoint alone, others go on there.
+    fn last_seat(&self, now: Time, identity: &Identity, seats: &[&Start]) -> Seat {
+        let chances = self.chances(now);
+        if seats.len() < 2 && chances.age < ALONE {
+            return Seat::After(TURN);
+        }
+        let own = chances.order.iter().position(|other| other == identity);
+        let own = own.unwrap_or_default();
+        let width = width(seats);
+        let wait = Turns::of(&chances, width).wait(own / width, chances.age);
         if wait > Duration::ZERO {
             return Seat::After(wait);
         }
-        Seat::At(seats[order.own % seats.len()].clone())
+        Seat::At(seats[own % width].clone())
+    }
+
+    /// The open endpoints that have not crashed, in the order that all instances give them.
+    fn seats<'a>(&self, open: &'a [Start]) -> Vec<&'a Start> {
+        let mut seats: Vec<_> = open.iter().filter(|s| !self.has_crashed(s)).collect();
+        seats.sort();
+        seats
     }
 
-    fn order(&self, now: Time, identity: &Identity, doubts: usize) -> Order {
-        let mut order = Order {
-            own: 0,
-            last_chances: 0,
+    fn chances(&self, now: Time) -> Chances {
+        let mut chances = Chances {
+            order: Vec::new(),
             age: Duration::MAX,
         };
-        for (other, record) in &self.records {
-            let against = self.doubts(other).min(LAST_CHANCE);
-            if against == doubts && other < identity {
-                order.own += 1;
-            }
-            if against == LAST_CHANCE {
-                order.last_chances += 1;
-                order.age = order.age.min(record.age(now));
+        for identity in &self.last_chances {
+            if let Some(record) = self.records.get(identity) {
+                chances.order.push(*identity);
+                chances.age = chances.age.min(record.age(now));
             }
         }
-        order
+        chances
     }
 }
 
+/// Endpoints that requests with a last chance have at once.
+fn width(seats: &[&Start]) -> usize {
+    (seats.len() / RESERVED_SHARE).max(1)
+}
+
 impl Turns {
-    /// How long the request waits for its turn, so long after the begin of the first one; nothing within the first
-    /// half of its turn, so that it is done before the next one.
-    fn wait(self, since: Duration) -> Duration {
+    fn of(chances: &Chances, width: usize) -> Self {
+        Self {
+            count: chances.order.len().div_ceil(width).max(1),
+        }
+    }
+
+    /// Whose turn it is, so long after the begin of the first one.
+    fn current(self, since: Duration) -> usize {
+        let number = since.as_micros() / TURN.as_micros();
+        (number % self.count as u128) as usize
+    }
+
+    /// How long the one whose turn is `own` waits, so long after the begin of the first turn. It begins in the
+    /// second quarter of its turn: what was there before has ended, and it is done before the next one.
+    fn wait(self, own: usize, since: Duration) -> Duration {
         let turn = TURN.as_micros();
-        let (number, within) = (since.as_micros() / turn, since.as_micros() % turn);
-        let current = (number % self.count as u128) as usize;
-        if current == self.own && within < turn / 2 {
-            return Duration::ZERO;
+        let within = since.as_micros() % turn;
+        let current = self.current(since);
+        let (opens, closes) = (turn / 4, turn / 2);
+        if current == own && within < closes {
+            return micros(opens.saturating_sub(within));
         }
-        let ahead = match (self.own + self.count - current) % self.count {
+        let ahead = match (own + self.count - current) % self.count {
             0 => self.count,
             ahead => ahead,
         };
-        let micros = ahead as u128 * turn - within;
-        Duration::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+        micros(ahead as u128 * turn + opens - within)
     }
 }
+
+fn micros(micros: u128) -> Duration {
+    Duration::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+}
--- a/crates/pinereel_core/src/crash/standing.rs
+++ b/crates/pinereel_core/src/crash/standing.rs
@@ -1,6 +1,6 @@
 //! How a request stands, and what changes about it.
 
-use super::{Identity, SETTLE};
+use super::{Identity, LAST_CHANCE, SETTLE};
 use serde::Serialize;
 use std::time::Duration;
 
@@ -28,6 +28,11 @@
 }
 
 impl Standing {
+    /// Whether it may run once more, where nothing else begins.
+    pub const fn is_last_chance(&self) -> bool {
+        matches!(self, Self::Doubted { endpoints, .. } if *endpoints >= LAST_CHANCE)
+    }
+
     /// How long a request in doubt waits until all instances know of the last crash under it.
     pub fn settles_in(&self) -> Option<Duration> {
         match self {
