usage: requests of each workspace are counted and reported, once a window

Change: each instance counts its own requests by workspace and window when they are first sent (one that turns out not to have run is taken back), and tells its whole count of a window up the tree whenever it changes, with a serial number, at most each 0.2 s. Windows are of true time, that of the machine's first look carried on by the steady clock, so that a jump moves none. The root's own counts go down to its children, and a new root is told all again.

--- a/crates/pinereel/src/hosted/bulletin/board.rs
+++ b/crates/pinereel/src/hosted/bulletin/board.rs
@@ -2,7 +2,7 @@
 
 use super::{Feed, Frame, HEARTBEAT, Topic, known::Known};
 use crate::hosted::{
-    crashes::Crashes, duty::Duties, follow::Update, metrics::Metrics, store::Store,
+    crashes::Crashes, duty::Duties, follow::Update, metrics::Metrics, store::Store, usage::Usage,
 };
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -35,6 +35,8 @@
     pub feed: Rc<Feed>,
     /// Requests under which endpoints crash.
     pub crashes: Rc<Crashes>,
+    /// Counts of requests that began to run.
+    pub usage: Rc<Usage>,
     /// Figures.
     pub metrics: Metrics,
     /// Longest wait of a watch.
@@ -84,6 +86,8 @@
         actix_rt::spawn(async move { beating.beat().await });
         let telling = Rc::clone(&bulletin);
         actix_rt::spawn(async move { telling.tell_crashes().await });
+        let counting = Rc::clone(&bulletin);
+        actix_rt::spawn(async move { counting.tell_usage().await });
         let linking = Rc::clone(&bulletin);
         actix_rt::spawn(async move { linking.run().await });
         bulletin
@@ -283,8 +287,10 @@
             return uplink.ranks();
         }
         let preferred = self.parts.peer.preferred;
+        let census = self.state.borrow().branch.census(preferred);
+        self.parts.usage.note_instances(census.all() as usize);
         Some(Ranks {
-            of: self.state.borrow().branch.census(preferred),
+            of: census,
             ..Ranks::default()
         })
     }
--- a/crates/pinereel/src/hosted/bulletin/children.rs
+++ b/crates/pinereel/src/hosted/bulletin/children.rs
@@ -101,6 +101,7 @@
         match Frame::decode(bytes) {
             Some(Frame::Below(census)) => self.state.borrow_mut().branch.report(key, census),
             Some(Frame::Crashes(reports)) => self.hear_crashes(reports),
+            Some(Frame::Usage(reports)) => self.parts.usage.heard(reports),
             _ => {}
         }
     }
--- a/crates/pinereel/src/hosted/bulletin/frame.rs
+++ b/crates/pinereel/src/hosted/bulletin/frame.rs
@@ -4,6 +4,7 @@
 use pinereel_core::{
     crash::Report,
     tree::{Alive, Census, Peer},
+    usage,
 };
 use pinereel_port::store::{Change, Object};
 use serde::{Deserialize, Serialize};
@@ -60,6 +61,9 @@
     /// Requests under which endpoints crash: what is news to the sender, or all that it knows when the link
     /// is new. Goes up and down.
     Crashes(Vec<Report>),
+    /// Counts of requests that began to run: what is news to the sender, or all that it knows when the link is new. Goes up;
+    /// the root's own goes down, so that it outlasts the root.
+    Usage(Vec<usage::Report>),
     /// The sender takes no child, or none any more; these may.
     Refer(Vec<CompactString>),
 }
--- a/crates/pinereel/src/hosted/bulletin/gossip.rs
+++ b/crates/pinereel/src/hosted/bulletin/gossip.rs
@@ -1,7 +1,10 @@
-//! News of requests that crash endpoints, which go up and down the tree.
+//! News that go up the tree: requests that crash endpoints, which go down as well, and counts of requests.
 
 use super::{Bulletin, Frame};
-use crate::hosted::crashes::{Crashes, Source};
+use crate::hosted::{
+    crashes::{Crashes, Source},
+    usage::Usage,
+};
 use bytes::Bytes;
 use pinereel_core::crash::Report;
 
@@ -31,4 +34,35 @@
     pub(super) fn hear_crashes(&self, reports: Vec<Report>) {
         self.parts.crashes.heard(Source::Link, reports);
     }
+
+    /// Tells the parent what is news here about counts of requests; as the root, tells the children its own.
+    pub(super) async fn tell_usage(&self) {
+        let usage = &self.parts.usage;
+        loop {
+            let mut reports = usage.untold().await;
+            let leads = self.uplink.borrow().leads();
+            if leads {
+                reports.retain(|report| report.source == self.parts.duties.id());
+            }
+            let frame = Frame::Usage(reports).encode().map(Bytes::from);
+            match frame {
+                Some(bytes) if leads => self.send(&bytes),
+                // Nobody hears it if there is no parent; the next one is told all.
+                Some(bytes) => drop(self.up.send(bytes)),
+                None => {}
+            }
+            Usage::gather().await;
+        }
+    }
+
+    /// What a new parent is told first.
+    pub(super) fn first_news(&self) -> Vec<Bytes> {
+        let usage = self.parts.usage.all();
+        let usage = (!usage.is_empty()).then_some(Frame::Usage(usage));
+        let frames = self.known_crashes().into_iter().chain(usage);
+        frames
+            .filter_map(|frame| frame.encode())
+            .map(Bytes::from)
+            .collect()
+    }
 }
--- a/crates/pinereel/src/hosted/bulletin/uplink.rs
+++ b/crates/pinereel/src/hosted/bulletin/uplink.rs
@@ -133,15 +133,13 @@
         let mut heard_at = Instant::now();
         let mut told_at = heard_at;
         let mut up = self.up.subscribe();
-        let mut first = self.known_crashes().and_then(|frame| frame.encode());
+        let mut first = self.first_news();
         let why = loop {
-            if let Some(bytes) = first.take()
-                && link
-                    .socket
-                    .send(Message::Binary(bytes.into()))
-                    .await
-                    .is_err()
-            {
+            let mut sent = true;
+            for bytes in first.drain(..) {
+                sent &= link.socket.send(Message::Binary(bytes)).await.is_ok();
+            }
+            if !sent {
                 break Left::Lost;
             }
             tokio::select! {
@@ -165,7 +163,7 @@
                         break Left::Lost;
                     },
                     // What was missed is told with all the rest.
-                    Err(_) => first = self.known_crashes().and_then(|frame| frame.encode()),
+                    Err(_) => first = self.first_news(),
                 },
                 () = sleep(LOOK) => if heard_at.elapsed() > SILENCE {
                     break Left::Lost;
@@ -254,6 +252,7 @@
                 self.tell_alive();
             }
             Some(Frame::Crashes(reports)) => self.hear_crashes(reports),
+            Some(Frame::Usage(reports)) => self.parts.usage.heard(reports),
             Some(Frame::Refer(_)) | None => return false,
             Some(Frame::Hello(_) | Frame::Below(_)) => {}
         }
--- a/crates/pinereel/src/hosted/metrics.rs
+++ b/crates/pinereel/src/hosted/metrics.rs
@@ -57,6 +57,8 @@
     pub committed: IntCounterVec,
     /// Orders to engines by `outcome`.
     pub orders: IntCounterVec,
+    /// Calls toward the platform that are a duty, by `call` and `status`.
+    pub duty_calls: IntCounterVec,
     /// Leases by `event` (`taken`, `lost`).
     pub leases: IntCounterVec,
     /// Entries of the endpoint list by `event` (`refused`: it names no endpoint to use).
@@ -107,6 +109,7 @@
             lot_seconds: histograms(&r, "lot_seconds", "Open to close.", "why", &LATENCY),
             committed: counters(&r, "results_total", "Committed results.", &["whose"]),
             orders: counters(&r, "orders_total", "Orders to engines.", &["outcome"]),
+            duty_calls: counters(&r, "duty_calls_total", "Calls.", &["call", "status"]),
             leases: counters(&r, "leases_total", "Leases.", &["event"]),
             entries: counters(&r, "endpoint_entries_total", "Entries.", &["event"]),
             crashes: counters(&r, "crashes_total", "Crashes under requests.", &["event"]),
--- a/crates/pinereel/src/hosted/mod.rs
+++ b/crates/pinereel/src/hosted/mod.rs
@@ -30,6 +30,7 @@
 mod stall;
 mod stop;
 mod store;
+mod usage;
 
 pub use bulletin::Fed;
 pub use follow::{Manner, Update, follow};
--- a/crates/pinereel/src/hosted/relay/mod.rs
+++ b/crates/pinereel/src/hosted/relay/mod.rs
@@ -13,6 +13,7 @@
     endpoints::{Endpoints, Picked},
     metrics::Metrics,
     stall::Stall,
+    usage::{Begun, Usage},
 };
 use crate::upstream::pool::Pool;
 use attempt::Tried;
@@ -49,6 +50,8 @@
     pub stall: Rc<Stall>,
     /// Requests under which endpoints crash.
     pub crashes: Rc<Crashes>,
+    /// Counts of requests that began to run.
+    pub usage: Rc<Usage>,
     /// Figures.
     pub metrics: Metrics,
 }
@@ -70,6 +73,8 @@
     /// Endpoints that it was sent to.
     used: Vec<Key>,
     running: Attempting,
+    /// How it counts for its workspace, once it was sent.
+    begun: Option<Begun>,
 }
 
 type Attempting = FuturesUnordered<LocalBoxFuture<'static, Tried>>;
@@ -101,6 +106,7 @@
             attempts: Attempts::new(limits(&call.route)),
             used: Vec::new(),
             running: Attempting::new(),
+            begun: None,
         };
         let mut trail = Vec::new();
         let outcome = loop {
@@ -158,6 +164,11 @@
                 }
             }
         };
+        if matches!(outcome, Outcome::NotRun { .. })
+            && let Some(begun) = course.begun
+        {
+            self.parts.usage.undo(begun);
+        }
         let running = course.running;
         if !running.is_empty() && matches!(outcome, Outcome::Answer(_)) {
             self.linger(&call, running);
@@ -185,6 +196,9 @@
             Next::Send(picked) => {
                 let in_doubt = matches!(standing, Standing::Doubted { .. });
                 let occupied = in_doubt.then(|| self.parts.crashes.occupy(&picked.start));
+                if course.used.is_empty() {
+                    course.begun = self.parts.usage.begin(&course.call.caller);
+                }
                 course.used.push(picked.key);
                 course.attempts.sent(course.began.elapsed());
                 let attempt =
--- a/crates/pinereel/src/hosted/run.rs
+++ b/crates/pinereel/src/hosted/run.rs
@@ -16,6 +16,7 @@
     stall::Stall,
     stop::{Stop, Times},
     store::Store,
+    usage::{self, Usage},
 };
 use crate::{
     http::{self, Server},
@@ -167,6 +168,9 @@
             crashes: Rc::clone(&crashes),
             clock: boot_time,
         });
+        let platform = settings.platform.as_ref();
+        let reported = platform.and_then(|platform| platform.usage.clone());
+        let usage = Usage::start(reported.as_ref(), duties.id(), boot_time);
         let mut bulletin = None;
         if let Some(peers) = instance.peers {
             let parts = bulletin::Parts {
@@ -175,6 +179,7 @@
                 duties: Rc::clone(&duties),
                 feed: Rc::clone(&feed),
                 crashes: Rc::clone(&crashes),
+                usage: Rc::clone(&usage),
                 metrics: metrics.clone(),
                 watch,
                 peer: Peer {
@@ -204,8 +209,23 @@
             pool: Rc::clone(&pool),
             stall: Rc::clone(&stall),
             crashes: Rc::clone(&crashes),
+            usage: Rc::clone(&usage),
             metrics: metrics.clone(),
         });
+        if let (Some(platform), Some(reported)) = (platform, reported) {
+            let parts = usage::Parts {
+                adapter,
+                store: store.clone(),
+                duties: Rc::clone(&duties),
+                pool: Rc::clone(&pool),
+                metrics: metrics.clone(),
+                address: platform.address,
+                settings: reported,
+                gap: settings.orders.gap,
+                usage,
+            };
+            actix_rt::spawn(usage::report(parts));
+        }
         let runner = Runner::start(lots::Parts {
             adapter,
             store: store.clone(),
--- /dev/null
+++ b/crates/pinereel/src/hosted/usage/report.rs
@@ -0,0 +1,275 @@
+//! Adding up all instances' counts, and reporting them to the platform.
+//!
+//! A window must never be reported twice with other counts. So its sum lies in the store before it is sent, in one object that is
+//! only written over the revision that was read: whoever has the duty later finds it there and sends the same.
+
+use super::Usage;
+use crate::{
+    hosted::{
+        bulletin,
+        duty::{Duties, Grant},
+        metrics::Metrics,
+        store::Store,
+    },
+    objects::{Error, Purpose},
+    settings,
+    upstream::pool::{Exchange, Pool},
+};
+use actix_http::{
+    RequestHead,
+    header::{HOST, HeaderValue},
+};
+use pinereel_core::{
+    lease::Clear,
+    usage::{Collector, Counts, Patience, Window},
+};
+use pinereel_port::{
+    Adapter,
+    duty::{Call, Holder, Verdict},
+    store::Freshness,
+};
+use serde::{Deserialize, Serialize};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+use tokio::time::{sleep, timeout};
+
+/// Kind of the sums that were made.
+const KIND: &str = "pinereel-usage";
+/// Name of the object.
+const NAME: &str = "sums";
+/// Sums that are kept: more than may still be sent.
+const KEPT: usize = 8;
+/// Pause between two looks at what is due.
+const LOOK: Duration = Duration::from_millis(150);
+/// Longest wait for the platform's answer.
+const ANSWER: Duration = Duration::from_millis(1_500);
+/// Pause after a report that was not taken.
+const RETRY: Duration = Duration::from_millis(400);
+/// Counts of a window are on their way for so long after its end: closing, two hops with a pause each.
+const LEAST: Duration = Duration::from_millis(700);
+/// Part of the time until a report is late that is waited for counts that are missing: the rest is for a successor, should this
+/// instance be lost, and for a platform that is slow.
+const WAIT_SHARE: f64 = 0.5;
+
+/// What usage is reported with.
+pub struct Parts {
+    /// Translates.
+    pub adapter: Adapter,
+    /// The object store.
+    pub store: Store,
+    /// Duties.
+    pub duties: Rc<Duties>,
+    /// Connections to the platform.
+    pub pool: Rc<Pool>,
+    /// Figures.
+    pub metrics: Metrics,
+    /// Where the platform takes reports.
+    pub address: SocketAddr,
+    /// What is reported, and when.
+    pub settings: settings::Usage,
+    /// Time between the last call of one holder and the first of the next.
+    pub gap: Duration,
+    /// Counts.
+    pub usage: Rc<Usage>,
+}
+
+/// The object's content.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct Content {
+    sums: BTreeMap<Window, Counts>,
+}
+
+/// The sums that were made, as this holder knows them.
+#[derive(Default)]
+struct Sums {
+    revision: Option<u64>,
+    by_window: BTreeMap<Window, Counts>,
+}
+
+/// Reports usage whenever this instance reads the store for all.
+pub async fn report(parts: Parts) {
+    let parts = Rc::new(parts);
+    let duties = Rc::clone(&parts.duties);
+    let work = async || parts.work().await;
+    let duty = bulletin::DUTY.into();
+    duties.whenever_held(&duty, work, || true).await;
+}
+
+impl Parts {
+    async fn work(&self) {
+        let mut sums = self.read().await;
+        let mut collector = Collector::new(self.patience(), self.usage.now(), &sums.by_window);
+        let mut sent = BTreeSet::new();
+        loop {
+            sleep(LOOK).await;
+            if let Some((window, counts)) = self.due(&mut collector) {
+                match self.fix(&mut sums, window, counts).await {
+                    Ok(()) => collector.fixed(window),
+                    Err(error) => {
+                        log::info!(window = window.0, error:% = error; "usage: sum not kept yet");
+                        // It may be there after all, or another holder's.
+                        sums = self.read().await;
+                        collector =
+                            Collector::new(self.patience(), self.usage.now(), &sums.by_window);
+                    }
+                }
+            }
+            self.send_all(&sums, &mut sent).await;
+        }
+    }
+
+    fn due(&self, collector: &mut Collector) -> Option<(Window, Counts)> {
+        let ledger = self.usage.ledger.borrow();
+        collector.due(self.usage.now(), &ledger, self.usage.instances.get())
+    }
+
+    fn patience(&self) -> Patience {
+        let late = self.settings.late;
+        Patience {
+            window: self.settings.window,
+            least: LEAST,
+            most: late.mul_f64(WAIT_SHARE),
+            late,
+        }
+    }
+
+    /// Reads the sums that were made, as long as it takes.
+    async fn read(&self) -> Sums {
+        loop {
+            let store = &self.store;
+            let read = store.read(Purpose::Usage, KIND, NAME, Freshness::Current);
+            match read.await {
+                Ok(None) => return Sums::default(),
+                Ok(Some(object)) => match serde_json::from_value::<Content>(object.spec) {
+                    Ok(content) => {
+                        return Sums {
+                            revision: Some(object.revision),
+                            by_window: content.sums,
+                        };
+                    }
+                    Err(error) => log::error!(error:% = error; "usage: sums unreadable"),
+                },
+                Err(error) => log::debug!(error:% = error; "usage: sums not read"),
+            }
+            sleep(RETRY).await;
+        }
+    }
+
+    /// Keeps the sum of a window for good.
+    async fn fix(&self, sums: &mut Sums, window: Window, counts: Counts) -> Result<(), Error> {
+        let mut by_window = sums.by_window.clone();
+        by_window.insert(window, counts.clone());
+        while by_window.len() > KEPT {
+            by_window.pop_first();
+        }
+        let content = Content { sums: by_window };
+        let spec = serde_json::to_value(&content).map_err(|e| Error::Malformed(e.to_string()))?;
+        let (store, purpose) = (&self.store, Purpose::Usage);
+        let object = match sums.revision {
+            Some(revision) => store.update(purpose, KIND, NAME, revision, &spec).await?,
+            None => store.create(purpose, KIND, NAME, &spec.to_string()).await?,
+        };
+        let ledger = self.usage.ledger.borrow();
+        log::info!(
+            window = window.0,
+            requests = counts.values().sum::<u64>(),
+            workspaces = counts.len(),
+            instances = self.usage.instances.get(),
+            closed = ledger.closed(window),
+            after_ms = self.usage.now().0.saturating_sub(window.end(self.settings.window).0),
+            revision = object.revision;
+            "usage: window added up"
+        );
+        *sums = Sums {
+            revision: Some(object.revision),
+            by_window: content.sums,
+        };
+        Ok(())
+    }
+
+    /// Sends the sums that the platform has not taken yet, oldest first.
+    async fn send_all(&self, sums: &Sums, sent: &mut BTreeSet<Window>) {
+        for (window, counts) in &sums.by_window {
+            let late = window.end(self.settings.window).after(self.settings.late);
+            if sent.contains(window) || self.usage.now() > late {
+                continue;
+            }
+            let Some(grant) = self.grant() else {
+                return;
+            };
+            let verdict = self.send(&grant, *window, counts).await;
+            log::info!(
+                window = window.0,
+                fence = grant.fence,
+                outcome = verdict.map_or("no answer", Verdict::as_str);
+                "usage: window sent"
+            );
+            match verdict {
+                // A later holder sends it.
+                Some(Verdict::Done | Verdict::Declined) => {
+                    sent.insert(*window);
+                }
+                Some(Verdict::NotNow) | None => {
+                    sleep(RETRY).await;
+                    return;
+                }
+            }
+        }
+    }
+
+    /// The lease, if a call may be made under it now.
+    fn grant(&self) -> Option<Grant> {
+        let grant = self.duties.acts(bulletin::DUTY)?;
+        let clear = match grant.clear {
+            Clear::From(clear) => clear,
+            Clear::Idle(idle) => idle + self.gap,
+        };
+        (self.duties.now() >= clear).then_some(grant)
+    }
+
+    async fn send(&self, grant: &Grant, window: Window, counts: &Counts) -> Option<Verdict> {
+        let holder = Holder {
+            instance: self.duties.instance(),
+            fence: grant.fence,
+        };
+        let call = (self.adapter.duty.usage)(holder, window.0, counts);
+        let status = exchange(&self.pool, self.address, call).await?;
+        self.metrics
+            .count(&self.metrics.duty_calls, &["usage", status.as_str()]);
+        Some((self.adapter.duty.verdict)(status))
+    }
+}
+
+/// Makes a call to the platform; none if no answer came in time.
+async fn exchange(
+    pool: &Rc<Pool>,
+    address: SocketAddr,
+    call: Call,
+) -> Option<actix_http::StatusCode> {
+    let mut head = RequestHead::default();
+    head.method = call.method;
+    head.uri = call.path.parse().unwrap_or_default();
+    head.headers = call.headers;
+    let host = HeaderValue::from_str(&address.to_string());
+    if let Ok(host) = host {
+        head.headers.insert(HOST, host);
+    }
+    let exchange = Exchange {
+        address,
+        head,
+        body: call.body,
+        // A kept connection may be broken, and the call may be made again.
+        reuse: false,
+    };
+    let exchange = async {
+        let response = pool.send(exchange).await.ok()?;
+        let status = response.status;
+        response.body.whole().await.ok()?;
+        Some(status)
+    };
+    timeout(ANSWER, exchange).await.ok().flatten()
+}
--- a/crates/pinereel/src/objects/call.rs
+++ b/crates/pinereel/src/objects/call.rs
@@ -19,6 +19,8 @@
     Lots,
     /// Requests to empty an instance.
     Retirements,
+    /// Sums of the requests of each workspace.
+    Usage,
 }
 
 impl Purpose {
@@ -39,6 +41,7 @@
             Self::Claims => "claims",
             Self::Lots => "lots",
             Self::Retirements => "retirements",
+            Self::Usage => "usage",
         }
     }
 }
--- a/crates/pinereel/src/settings/hosted.rs
+++ b/crates/pinereel/src/settings/hosted.rs
@@ -17,6 +17,8 @@
     pub orders: Orders,
     /// Lots.
     pub lots: Lots,
+    /// Duties toward the platform; none if there are none.
+    pub platform: Option<Platform>,
     /// The log.
     pub log: Log,
 }
@@ -84,6 +86,26 @@
     pub kept: Duration,
 }
 
+/// Duties toward the platform.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Platform {
+    /// Where it takes calls.
+    pub address: SocketAddr,
+    /// Reports of usage; none if they are no duty.
+    pub usage: Option<Usage>,
+    /// Whether endpoints are to be asked for.
+    pub autoscale: bool,
+}
+
+/// Reports of the requests of each workspace.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Usage {
+    /// Length of a window, counted from the start of 1970.
+    pub window: Duration,
+    /// A report that comes so long after its window's end is late.
+    pub late: Duration,
+}
+
 impl Hosted {
     /// Reads and checks the file at `path`.
     ///
@@ -105,6 +127,7 @@
         let stop = Stop::read(&mut reader);
         let orders = Orders::read(&mut reader);
         let lots = Lots::read(&mut reader);
+        let platform = Platform::read(&mut reader);
         let log = Log::read(&mut reader);
         let faults = reader.finish();
         match (instance, store) {
@@ -114,6 +137,7 @@
                 stop,
                 orders,
                 lots,
+                platform,
                 log,
             }),
             _ => Err(faults),
@@ -200,3 +224,19 @@
         }
     }
 }
+
+impl Platform {
+    fn read(reader: &mut Reader) -> Option<Self> {
+        let mut section = reader.section("platform");
+        let address = section.optional("address", unit::ADDRESS, unit::address);
+        let duties = section.optional("duties", unit::DUTIES, unit::duties);
+        let window = section.duration("usage_window", WAIT, Duration::from_secs(5));
+        let late = section.duration("usage_late", WAIT, Duration::from_secs(10));
+        let duties = duties.unwrap_or_default();
+        Some(Self {
+            address: address?,
+            usage: duties.usage.then_some(Usage { window, late }),
+            autoscale: duties.autoscale,
+        })
+    }
+}
--- a/crates/pinereel/src/settings/mod.rs
+++ b/crates/pinereel/src/settings/mod.rs
@@ -10,7 +10,7 @@
 mod unit;
 
 pub use fault::{Fault, Faults};
-pub use hosted::{Hosted, Instance, Lots, Orders, Stop, Store};
+pub use hosted::{Hosted, Instance, Lots, Orders, Platform, Stop, Store, Usage};
 pub use secret::Secret;
 
 use compact_str::CompactString;
--- a/crates/pinereel/src/settings/unit.rs
+++ b/crates/pinereel/src/settings/unit.rs
@@ -11,6 +11,7 @@
 pub(super) const LEVEL: &str = "off, error, warn, info, debug or trace";
 pub(super) const ROUTING: &str = "full or baseline";
 pub(super) const CORES: &str = "a number of cores above 0, such as 0.25";
+pub(super) const DUTIES: &str = "a list of usage and autoscale, joined by commas";
 pub(super) const SWITCH: &str = "true or false";
 
 const NAME_MAX: usize = 63;
@@ -46,6 +47,22 @@
     }
 }
 
+/// Duties toward the platform.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Duties {
+    pub(super) usage: bool,
+    pub(super) autoscale: bool,
+}
+
+/// Duties that are not known here are left to others.
+pub(super) fn duties(text: &str) -> Option<Duties> {
+    let names: Vec<_> = text.split(',').map(str::trim).collect();
+    Some(Duties {
+        usage: names.contains(&"usage"),
+        autoscale: names.contains(&"autoscale"),
+    })
+}
+
 pub(super) fn switch(text: &str) -> Option<bool> {
     text.parse().ok()
 }
--- a/crates/pinereel_core/src/lib.rs
+++ b/crates/pinereel_core/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`claim::Log`]: the idempotency keys of one shard.
 //! - [`table::Table`]: which route a request takes, on a platform whose operator writes the routes.
 //! - [`tree::Branch`]: the tree over which instances pass on what one of them reads.
+//! - [`usage::Ledger`]: how many requests of each workspace began to run.
 //! - [`batch::Lot`]: one trainer step whose results are kept in the platform's object store.
 
 pub mod admit;
@@ -40,6 +41,7 @@
 pub mod table;
 pub mod time;
 pub mod tree;
+pub mod usage;
 pub mod version;
 
 pub use outcome::Outcome;
--- /dev/null
+++ b/crates/pinereel_core/tests/usage_count.rs
@@ -0,0 +1,227 @@
+//! Counts of requests on their way to one report a window.
+//!
+//! No window's usage was ever reported: of the worth of a day 0.20 to 0.27 went so. Two reports of one window with other counts break a
+//! rule, so that what was once added up is never added up again.
+
+use compact_str::{CompactString, format_compact};
+use pinereel_core::{
+    Time,
+    usage::{Clock, Collector, Counts, Ledger, Patience, Report, Wall, Window},
+};
+use proptest::prelude::{Just, Strategy, prop, prop_assert_eq, prop_oneof, proptest};
+use std::{collections::BTreeMap, time::Duration};
+
+const LENGTH: Duration = Duration::from_secs(5);
+const PATIENCE: Patience = Patience {
+    window: LENGTH,
+    least: Duration::from_millis(700),
+    most: Duration::from_secs(5),
+    late: Duration::from_secs(10),
+};
+/// A window, and its end in milliseconds.
+const WINDOW: Window = Window(100);
+const END: u64 = 505_000;
+
+fn counts(pairs: &[(&str, u64)]) -> Counts {
+    let pairs = pairs.iter();
+    pairs
+        .map(|(name, n)| (CompactString::from(*name), *n))
+        .collect()
+}
+
+#[test]
+fn what_all_instances_counted_is_added_up() {
+    let (mut a, mut b, mut root) = (Ledger::new("a"), Ledger::new("b"), Ledger::new("root"));
+    a.count(WINDOW, "w", 2);
+    b.count(WINDOW, "w", 1);
+    b.count(WINDOW, "x", 1);
+    root.count(WINDOW, "x", 3);
+    // One turns out not to have run.
+    b.count(WINDOW, "x", -1);
+    for ledger in [&mut a, &mut b, &mut root] {
+        ledger.close(WINDOW);
+    }
+    b.heard(a.untold(9));
+    root.heard(b.untold(9));
+    assert_eq!(root.closed(WINDOW), 3);
+    assert_eq!(root.total(WINDOW), counts(&[("w", 3), ("x", 3)]));
+}
+
+#[test]
+fn a_window_without_requests_is_closed_too_and_a_late_one_goes_to_the_next() {
+    let mut ledger = Ledger::new("a");
+    ledger.close(Window(98));
+    ledger.close(WINDOW);
+    assert_eq!(ledger.closed(Window(99)), 1);
+    assert_eq!(ledger.total(WINDOW), counts(&[]));
+    ledger.count(WINDOW, "w", 1);
+    assert_eq!(ledger.total(WINDOW), counts(&[]));
+    assert_eq!(ledger.total(WINDOW.next()), counts(&[("w", 1)]));
+}
+
+#[test]
+fn a_window_is_added_up_once_all_have_closed_it_or_after_some_patience() {
+    let (mut ledger, mut other) = (Ledger::new("root"), Ledger::new("a"));
+    let mut collector = Collector::new(PATIENCE, Wall(END - 1_000), &BTreeMap::new());
+    ledger.count(WINDOW, "w", 1);
+    ledger.close(WINDOW);
+    let due = |collector: &mut Collector, ledger: &Ledger, at| collector.due(Wall(at), ledger, 2);
+    assert_eq!(
+        due(&mut collector, &ledger, END + 4_000),
+        None,
+        "one is missing"
+    );
+    let mut late = collector.clone();
+    let after_patience = due(&mut late, &ledger, END + 5_001);
+    assert_eq!(after_patience, Some((WINDOW, counts(&[("w", 1)]))));
+    other.count(WINDOW, "w", 1);
+    other.close(WINDOW);
+    ledger.heard(other.untold(9));
+    assert_eq!(due(&mut collector, &ledger, END + 600), None, "too soon");
+    let whole = due(&mut collector, &ledger, END + 800);
+    assert_eq!(whole, Some((WINDOW, counts(&[("w", 2)]))));
+    collector.fixed(WINDOW);
+    assert_eq!(due(&mut collector, &ledger, END + 800), None, "once");
+}
+
+/// The holder dies between fixing and sending: its successor has the sum from the store, and goes on after it.
+#[test]
+fn a_successor_adds_nothing_up_again() {
+    let fixed = BTreeMap::from([(WINDOW, counts(&[("w", 1)]))]);
+    let mut collector = Collector::new(PATIENCE, Wall(END + 2_000), &fixed);
+    let mut ledger = Ledger::new("successor");
+    ledger.count(WINDOW, "w", 7);
+    assert_eq!(collector.due(Wall(END + 9_000), &ledger, 1), None);
+    let next = collector.due(Wall(END + 5_000 + 5_001), &ledger, 1);
+    assert_eq!(next, Some((WINDOW.next(), counts(&[]))));
+    // Nobody collected for a long time: what is too late is left.
+    let much_later = Wall(END + 60_000);
+    let mut collector = Collector::new(PATIENCE, much_later, &fixed);
+    let first = collector
+        .due(much_later, &ledger, 0)
+        .map(|(window, _)| window);
+    assert_eq!(first, Some(Window(WINDOW.0 + 10)));
+}
+
+#[test]
+fn what_a_dead_instance_and_a_dead_root_told_is_not_lost() {
+    let (mut dead, mut relay) = (Ledger::new("dead"), Ledger::new("relay"));
+    dead.count(WINDOW, "w", 2);
+    relay.heard(dead.untold(9));
+    // Told to a root that is gone; the next one is told all again.
+    relay.untold(9);
+    let mut root = Ledger::new("next root");
+    root.heard(relay.all());
+    assert_eq!(root.total(WINDOW), counts(&[("w", 2)]));
+}
+
+#[test]
+fn a_time_of_day_that_jumps_and_goes_back_moves_no_window() {
+    let at = |millis| Time::from_millis(millis);
+    let mut clock = Clock::new(at(1_000), 500_000);
+    clock.look(at(1_100), 500_105);
+    clock.look(at(2_000), 503_400);
+    clock.look(at(7_000), 508_400);
+    let now = clock.at(at(7_000)).0;
+    assert!(now.abs_diff(506_000) <= 40, "{now}");
+    clock.look(at(8_000), 507_000);
+    assert!(clock.at(at(8_000)).0.abs_diff(507_000) <= 40);
+    // It was set right, for good.
+    clock.look(at(9_000), 518_000);
+    clock.look(at(130_000), 639_000);
+    assert_eq!(clock.at(at(130_000)).0, 639_000);
+}
+
+/// What may happen to three instances and the way between them.
+#[derive(Clone, Debug)]
+enum Event {
+    Count {
+        at: usize,
+        window: u64,
+        workspace: u8,
+    },
+    Undo {
+        at: usize,
+        window: u64,
+        workspace: u8,
+    },
+    /// What is untold goes from one to the other; lost, once or twice.
+    Tell {
+        from: usize,
+        to: usize,
+        times: usize,
+    },
+    TellAll {
+        from: usize,
+        to: usize,
+    },
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let (at, window, workspace) = (0..3_usize, 100..103_u64, 0..3_u8);
+    prop_oneof![
+        4 => (at.clone(), window.clone(), workspace.clone())
+            .prop_map(|(at, window, workspace)| Event::Count { at, window, workspace }),
+        1 => (at.clone(), window, workspace)
+            .prop_map(|(at, window, workspace)| Event::Undo { at, window, workspace }),
+        3 => (at.clone(), at.clone(), 0..3_usize)
+            .prop_map(|(from, to, times)| Event::Tell { from, to, times }),
+        1 => (at, Just(0_usize)).prop_map(|(from, to)| Event::TellAll { from, to }),
+    ]
+}
+
+proptest! {
+    /// However news were lost, doubled and reordered: once all have told all, everyone has the same true sums.
+    #[test]
+    fn all_instances_come_to_the_same_sums(events in prop::collection::vec(event(), 0..120)) {
+        let mut ledgers = ["a", "b", "c"].map(Ledger::new);
+        let mut truth: BTreeMap<(u64, u8), [i64; 3]> = BTreeMap::new();
+        let mut late: Vec<Report> = Vec::new();
+        for event in events {
+            match event {
+                Event::Count { at, window, workspace } => {
+                    let name = format_compact!("w{workspace}");
+                    ledgers[at].count(Window(window), &name, 1);
+                    truth.entry((window, workspace)).or_default()[at] += 1;
+                }
+                Event::Undo { at, window, workspace } => {
+                    let known = truth.entry((window, workspace)).or_default();
+                    if known[at] > 0 {
+                        known[at] -= 1;
+                        let name = format_compact!("w{workspace}");
+                        ledgers[at].count(Window(window), &name, -1);
+                    }
+                }
+                Event::Tell { from, to, times } => {
+                    let told = ledgers[from].untold(2);
+                    late.extend(told.clone());
+                    for _ in 0..times {
+                        ledgers[to].heard(told.clone());
+                    }
+                }
+                Event::TellAll { from, to } => {
+                    let all = ledgers[from].all();
+                    ledgers[to].heard(all);
+                }
+            }
+        }
+        // Old reports that come last change nothing.
+        for from in 0..3 {
+            for to in 0..3 {
+                let all = ledgers[from].all();
+                ledgers[to].heard(all);
+                ledgers[to].heard(late.clone());
+            }
+        }
+        for window in 100..103 {
+            let sum = |workspace| truth.get(&(window, workspace)).map_or(0, |c| c.iter().sum::<i64>());
+            let expected: Counts = (0..3_u8)
+                .filter(|workspace| sum(*workspace) > 0)
+                .map(|workspace| (format_compact!("w{workspace}"), sum(workspace) as u64))
+                .collect();
+            for ledger in &ledgers {
+                prop_assert_eq!(ledger.total(Window(window)), expected.clone());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/pinereel_fakes/src/hosting/platform.rs
@@ -0,0 +1,163 @@
+//! The platform's side of the calls that one instance makes at a time: it takes reports and checks them.
+
+use super::{book::Book, engine::header};
+use actix_http::{HttpMessage as _, StatusCode};
+use pinereel::http::{self, Request, Response, Server};
+use serde_json::Value;
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    io,
+    net::{Ipv4Addr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
+use tokio::{net::TcpListener, time::sleep};
+
+/// Longest body.
+const MAX_BODY: usize = 1 << 20;
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Fault {
+    /// Nothing.
+    #[default]
+    None,
+    /// Calls are answered 503, and nothing is done.
+    Down,
+    /// Calls are carried out, and not answered.
+    Lost,
+}
+
+/// Requests of each workspace in a window.
+pub type Counts = BTreeMap<String, u64>;
+
+/// The running stand-in.
+#[derive(Clone)]
+pub struct Platform {
+    /// Where it serves.
+    pub address: SocketAddr,
+    state: Rc<State>,
+}
+
+struct State {
+    book: Rc<Book>,
+    fault: Cell<Fault>,
+    reports: RefCell<BTreeMap<u64, Counts>>,
+    /// Highest fencing token that was seen, with its holder.
+    newest: RefCell<(u64, String)>,
+    calls: Cell<u64>,
+}
+
+impl Platform {
+    /// Starts on a free port.
+    ///
+    /// # Errors
+    /// If no port can be bound.
+    pub async fn start(book: &Rc<Book>) -> io::Result<Self> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        let address = listener.local_addr()?;
+        let state = Rc::new(State {
+            book: Rc::clone(book),
+            fault: Cell::default(),
+            reports: RefCell::default(),
+            newest: RefCell::default(),
+            calls: Cell::new(0),
+        });
+        let serving = Rc::clone(&state);
+        Server::start(listener, http::Options::default(), move |request| {
+            let state = Rc::clone(&serving);
+            async move { state.serve(request).await }
+        })
+        .await?;
+        Ok(Self { address, state })
+    }
+
+    /// Sets what goes wrong from now on.
+    pub fn set(&self, fault: Fault) {
+        self.state.fault.set(fault);
+    }
+
+    /// The reports that were taken, by window.
+    pub fn reports(&self) -> BTreeMap<u64, Counts> {
+        self.state.reports.borrow().clone()
+    }
+
+    /// Requests of a workspace in all reports.
+    pub fn total(&self, workspace: &str) -> u64 {
+        let reports = self.state.reports.borrow();
+        let counts = reports.values().filter_map(|counts| counts.get(workspace));
+        counts.sum()
+    }
+
+    /// Calls that came.
+    pub fn calls(&self) -> u64 {
+        self.state.calls.get()
+    }
+
+    /// Who called last.
+    pub fn holder(&self) -> String {
+        self.state.newest.borrow().1.clone()
+    }
+}
+
+impl State {
+    async fn serve(&self, mut request: Request) -> Response {
+        self.calls.set(self.calls.get() + 1);
+        let fault = self.fault.get();
+        if fault == Fault::Down {
+            return http::empty(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        let status = self.take(&mut request).await;
+        if fault == Fault::Lost {
+            sleep(Duration::from_secs(60)).await;
+        }
+        http::empty(status)
+    }
+
+    async fn take(&self, request: &mut Request) -> StatusCode {
+        let path = request.path().to_owned();
+        let holder = header(request.headers(), "x-lease-holder").unwrap_or_default();
+        let fence = header(request.headers(), "x-fence-token").and_then(|f| f.parse().ok());
+        let body = http::read_json(request, MAX_BODY, Duration::from_secs(2)).await;
+        let (Some(fence), Ok(body)) = (fence, body) else {
+            self.book.fault(format!("{path} without a fence or a body"));
+            return StatusCode::BAD_REQUEST;
+        };
+        if !self.admit(fence, &holder) {
+            return StatusCode::CONFLICT;
+        }
+        if path == "/usage" {
+            self.note_usage(&body);
+        }
+        StatusCode::OK
+    }
+
+    /// Whether no higher fencing token was seen.
+    fn admit(&self, fence: u64, holder: &str) -> bool {
+        let mut newest = self.newest.borrow_mut();
+        if fence == newest.0 && holder != newest.1 {
+            let other = &newest.1;
+            self.book.fault(format!(
+                "{holder} and {other} both called under fence {fence}"
+            ));
+        }
+        if fence < newest.0 {
+            return false;
+        }
+        *newest = (fence, holder.into());
+        true
+    }
+
+    fn note_usage(&self, body: &Value) {
+        let window = body["window"].as_u64().unwrap_or_default();
+        let counts: Counts = serde_json::from_value(body["counts"].clone()).unwrap_or_default();
+        let mut reports = self.reports.borrow_mut();
+        let known = reports.entry(window).or_insert_with(|| counts.clone());
+        if *known != counts {
+            self.book.fault(format!(
+                "window {window} was reported as {known:?} and as {counts:?}"
+            ));
+        }
+    }
+}
--- a/crates/pinereel_fakes/src/hosting/settings.rs
+++ b/crates/pinereel_fakes/src/hosting/settings.rs
@@ -43,6 +43,12 @@
 fn value(fields: &Value, name: &str) -> String {
     match find(fields, name) {
         Some(Value::String(text)) => text.clone(),
+        Some(Value::Array(list)) => {
+            let texts = list
+                .iter()
+                .map(|entry| entry.as_str().map_or(entry.to_string(), Into::into));
+            texts.collect::<Vec<String>>().join(",")
+        }
         Some(other) => other.to_string(),
         None => String::new(),
     }
--- a/crates/pinereel_fakes/src/hosting/site.rs
+++ b/crates/pinereel_fakes/src/hosting/site.rs
@@ -4,6 +4,7 @@
     balance::Balance,
     book::Book,
     engine::Engine,
+    platform::Platform,
     proxy::{self, Proxy},
     service::Service,
     settings::fill,
@@ -86,6 +87,8 @@
 pub struct Site {
     /// The object store.
     pub store: Store,
+    /// The platform's side of calls that one instance makes at a time.
+    pub platform: Platform,
     /// What was seen.
     pub book: Rc<Book>,
     /// The engines.
@@ -111,9 +114,11 @@
         let store = Store::start(seed).await?;
         let folder = env::temp_dir().join(format!("pinereel-site-{}-{seed}", std::process::id()));
         fs::create_dir_all(&folder)?;
+        let book = Book::new();
         let mut site = Self {
             store,
-            book: Book::new(),
+            platform: Platform::start(&book).await?,
+            book,
             engines: Vec::new(),
             services: Vec::new(),
             instances: Vec::new(),
@@ -244,7 +249,11 @@
         let template = include_str!("../../../../deploy/instance.ini");
         let good_settings = fill(
             template,
-            &fields(&name, [callers, readiness], store.address),
+            &fields(
+                &name,
+                [callers, readiness],
+                [store.address, self.platform.address],
+            ),
         );
         fs::write(&settings, &good_settings)?;
         let mut instance = Instance {
@@ -370,7 +379,7 @@
 }
 
 /// What the platform fills the template with.
-fn fields(name: &str, own: [SocketAddr; 2], store: SocketAddr) -> Value {
+fn fields(name: &str, own: [SocketAddr; 2], [store, platform]: [SocketAddr; 2]) -> Value {
     let [callers, readiness] = own;
     json!({
         "node": name,
@@ -380,7 +389,11 @@
         "listen": {"front": callers.to_string(), "ready": readiness.to_string()},
         "limits": {"maxFds": 1_024, "cpuShare": 0.5},
         "provider": {"addr": store.to_string()},
-        "bounds": {"graceS": 8, "drainMs": 2_000, "leaseMs": 1_000, "statusS": 120},
+        "cloud": {"addr": platform.to_string(), "duties": ["usage", "autoscale"]},
+        "bounds": {
+            "graceS": 8, "drainMs": 2_000, "leaseMs": 1_000, "statusS": 120,
+            "usageWindowS": 2, "usageLateS": 10,
+        },
     })
 }
 
--- a/crates/pinereel_port/src/adapter.rs
+++ b/crates/pinereel_port/src/adapter.rs
@@ -1,6 +1,6 @@
 //! All functions of one platform.
 
-use crate::{Fault, config, endpoint, engine, live, lot, store};
+use crate::{Fault, config, duty, endpoint, engine, live, lot, store};
 use compact_str::CompactString;
 use serde_json::Value;
 
@@ -17,6 +17,8 @@
     pub lot: lot::Dialect,
     /// Calls at engines.
     pub engine: engine::Dialect,
+    /// Calls that one instance makes at a time.
+    pub duty: duty::Dialect,
     /// Reads the configuration document.
     pub config: fn(&Value) -> Result<config::Document, Fault>,
     /// Reads one endpoint of the list; the name of its object is its id.
--- a/crates/pinereel_port/src/lib.rs
+++ b/crates/pinereel_port/src/lib.rs
@@ -12,10 +12,12 @@
 //! - [`endpoint::Entry`]: one endpoint of the platform's list.
 //! - [`live::Request`] and [`live::Answer`]: what is read in the heads of live requests.
 //! - [`lot::Submission`] and [`lot::Call`]: what trainers send.
+//! - [`duty::Dialect`]: calls toward the platform that one instance makes at a time.
 //! - [`engine::Order`] and [`engine::Report`]: what engines are told and tell.
 
 pub mod adapter;
 pub mod config;
+pub mod duty;
 pub mod endpoint;
 pub mod engine;
 mod fault;
