engines: one that falls silent is left after some of its usual gaps

Change: a run whose engine has shown its pace waits for eight of its gaps, 0.5 s to 1.5 s, for the next event.

--- a/crates/pinereel/src/hosted/duty/call.rs
+++ b/crates/pinereel/src/hosted/duty/call.rs
@@ -13,6 +13,8 @@
     lease: &'a Lease,
     /// Tokens of a lot of the duty; 0 if that is not known.
     demand: u64,
+    /// Items of a lot of the duty that found no slot in time.
+    short: u64,
 }
 
 impl Duties {
@@ -47,8 +49,12 @@
     }
 
     async fn write(&self, duty: &str, expected: Option<u64>, lease: &Lease) -> Event {
-        let demand = self.demands.borrow().get(duty).copied().unwrap_or_default();
-        let spec = match serde_json::to_value(Stored { lease, demand }) {
+        let size = self.demands.borrow().get(duty).copied().unwrap_or_default();
+        let spec = match serde_json::to_value(Stored {
+            lease,
+            demand: size.tokens,
+            short: size.short,
+        }) {
             Ok(spec) => spec,
             Err(error) => {
                 log::error!(duty, error:% = error; "lease not written");
--- a/crates/pinereel/src/hosted/duty/look.rs
+++ b/crates/pinereel/src/hosted/duty/look.rs
@@ -7,7 +7,9 @@
 };
 use compact_str::CompactString;
 use pinereel_core::{
-    Time, hash,
+    Time,
+    batch::Size,
+    hash,
     lease::{Event, Glance, Lease, Looks},
 };
 use pinereel_port::store::Object;
@@ -119,12 +121,18 @@
         (!lease.address.is_empty()).then_some(lease.address)
     }
 
-    /// Tokens of a lot of a duty, as its holder says; 0 if that is not known.
-    pub fn demand(&self, duty: &str) -> u64 {
+    /// What a lot of a duty needs, as its holder says; nothing if that is not known.
+    pub fn demand(&self, duty: &str) -> Size {
         let page = self.page.borrow();
         let object = page.iter().find(|object| object.name == duty);
-        let demand = object.and_then(|object| object.spec.get("demand")?.as_u64());
-        demand.unwrap_or_default()
+        let number = |field: &str| {
+            let number = object.and_then(|object| object.spec.get(field)?.as_u64());
+            number.unwrap_or_default()
+        };
+        Size {
+            tokens: number("demand"),
+            short: number("short"),
+        }
     }
 
     /// Tells each look at the leases.
--- a/crates/pinereel/src/hosted/duty/mod.rs
+++ b/crates/pinereel/src/hosted/duty/mod.rs
@@ -14,7 +14,9 @@
 };
 use compact_str::{CompactString, format_compact};
 use pinereel_core::{
-    Time, hash,
+    Time,
+    batch::Size,
+    hash,
     lease::{Action, Clear, Event, Holder, Limits, Place},
 };
 use pinereel_port::store::Object;
@@ -99,8 +101,8 @@
     page: RefCell<Vec<Object>>,
     /// When that was looked at.
     looked_at: Cell<Option<Time>>,
-    /// Tokens of a lot, by duty of this instance; told in their leases.
-    demands: RefCell<BTreeMap<CompactString, u64>>,
+    /// What a lot needs, by duty of this instance; told in their leases.
+    demands: RefCell<BTreeMap<CompactString, Size>>,
     /// How long after a renewal this instance acts at most, by duty.
     acts: RefCell<BTreeMap<CompactString, Duration>>,
     /// Until when acts must rest after this holder, by duty: its own next start's, and others'.
@@ -201,9 +203,9 @@
         self.cores >= AMPLE_CORES
     }
 
-    /// Tells in the lease of a duty, from its next renewal on, how large its lots are, in tokens.
-    pub fn set_demand(&self, duty: CompactString, tokens: u64) {
-        self.demands.borrow_mut().insert(duty, tokens);
+    /// Tells in the lease of a duty, from its next renewal on, what its lots need.
+    pub fn set_demand(&self, duty: CompactString, size: Size) {
+        self.demands.borrow_mut().insert(duty, size);
     }
 
     /// Lets this instance act for `span` after a renewal at most; to be called before it takes part in the
--- a/crates/pinereel/src/hosted/endpoints/listing.rs
+++ b/crates/pinereel/src/hosted/endpoints/listing.rs
@@ -185,6 +185,7 @@
         slots,
         leaving,
         models: _,
+        spot: _,
     } = entry;
     (id, incarnation, service, address, zone, slots, leaving)
 }
--- a/crates/pinereel/src/hosted/lots/opening.rs
+++ b/crates/pinereel/src/hosted/lots/opening.rs
@@ -9,7 +9,10 @@
 };
 use crate::objects::{Error, Purpose};
 use compact_str::CompactString;
-use pinereel_core::batch::{Lot, USUAL_LENGTH};
+use pinereel_core::{
+    Time,
+    batch::{Asked, Lot, USUAL_LENGTH},
+};
 use pinereel_port::store::Object;
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
 use tokio::{
@@ -19,6 +22,8 @@
 
 /// Pause after a lot's results could not be read.
 const RETRY: Duration = Duration::from_millis(150);
+/// An item that has no slot so long after its lot came had to wait for others: most texts take less.
+const IN_TIME: Duration = Duration::from_millis(1_500);
 /// Texts of ended lots that are kept for groups that come again.
 const DRAFTS: usize = 2_048;
 
@@ -148,6 +153,7 @@
         if !ended {
             self.note_demand(&mut state, &open);
             state.lots.insert(id.clone(), open);
+            actix_rt::spawn(Rc::clone(&self).note_shortage(id.clone()));
         }
         drop(state);
         self.wake.notify_one();
@@ -158,13 +164,37 @@
 
     /// Tells how much work the model's trainers ask for, so that it gets its share of the engines.
     fn note_demand(&self, state: &mut State, open: &Open) {
-        let now = self.parts.clock.now();
         let items = open.submission.items.iter();
         let tokens = items.map(|item| u64::from(item.length_hint.unwrap_or(USUAL_LENGTH)));
-        let asked = state.asked.entry(open.model.clone()).or_default();
-        asked.add(now, tokens.sum());
+        self.add_demand(state, &open.model, |asked, now| {
+            asked.add(now, tokens.sum());
+        });
+    }
+
+    /// Tells how many items of a lot found no slot in time, so that there are more engines for the next ones.
+    async fn note_shortage(self: Rc<Self>, id: CompactString) {
+        sleep(IN_TIME).await;
+        let mut state = self.state.borrow_mut();
+        let Some(open) = state.lots.get(&id) else {
+            return;
+        };
+        let (model, waiting) = (open.model.clone(), open.lot.waiting());
+        self.add_demand(&mut state, &model, |asked, now| {
+            asked.add_short(now, waiting as u64);
+        });
+    }
+
+    fn add_demand(
+        &self,
+        state: &mut State,
+        model: &CompactString,
+        add: impl FnOnce(&mut Asked, Time),
+    ) {
+        let now = self.parts.clock.now();
+        let asked = state.asked.entry(model.clone()).or_default();
+        add(asked, now);
         let duties = &self.parts.duties;
-        duties.set_demand(runner::duty(&open.model), asked.mean(now));
+        duties.set_demand(runner::duty(model), asked.mean(now));
     }
 
     /// What is committed of a lot, and the texts that earlier runners left.
--- a/crates/pinereel/src/hosted/lots/progress.rs
+++ b/crates/pinereel/src/hosted/lots/progress.rs
@@ -93,6 +93,13 @@
         true
     }
 
+    /// How long a run waits for the next event.
+    pub(super) fn patience(&self, work: &Work, key: Key) -> Duration {
+        let state = self.state.borrow();
+        let fleet = state.fleets.get(&work.fleet);
+        fleet.map_or(Duration::MAX, |fleet| fleet.patience(key))
+    }
+
     /// Waits until a run at an engine is lost, since that has started again.
     pub(super) async fn lost(&self, fleet: &FleetName, key: Key) {
         let mut restarts = self.restarts.subscribe();
--- a/crates/pinereel/src/hosted/lots/stream.rs
+++ b/crates/pinereel/src/hosted/lots/stream.rs
@@ -19,8 +19,7 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 use tokio::time::{Instant, timeout};
 
-/// An engine that sends nothing for so long is left. Engines make an event every 40 ms and pause
-/// for a load of weights, which takes about a second.
+/// An engine that has sent nothing at all for so long is left: it may load weights first, which takes about a second.
 const SILENCE: Duration = Duration::from_millis(1_500);
 /// The longest event; an engine that sends a longer one sends no events.
 const MAX_EVENT: usize = 1 << 20;
@@ -244,7 +243,11 @@
             return End::Outdated;
         }
         loop {
-            let part = match timeout(SILENCE, body.part()).await {
+            let patience = match last_event {
+                Some(_) => self.runner.patience(self.work, self.place.key),
+                None => SILENCE,
+            };
+            let part = match timeout(patience, body.part()).await {
                 Ok(Ok(Some(part))) => part,
                 Ok(Ok(None)) if buffer.is_empty() && self.last.is_some() => {
                     return End::Complete;
--- a/crates/pinereel/src/hosted/mod.rs
+++ b/crates/pinereel/src/hosted/mod.rs
@@ -21,6 +21,7 @@
 mod lots;
 mod metrics;
 mod orders;
+mod platform;
 mod ready;
 mod relay;
 mod reload;
--- a/crates/pinereel/src/hosted/orders/mod.rs
+++ b/crates/pinereel/src/hosted/orders/mod.rs
@@ -5,6 +5,7 @@
 
 mod call;
 mod rollout;
+mod sizing;
 
 use super::{
     config::Config,
@@ -19,6 +20,7 @@
 use crate::{objects::Purpose, settings, upstream::pool::Pool};
 use call::ANSWER;
 use compact_str::{CompactString, format_compact};
+use futures_util::future::OptionFuture;
 use pinereel_core::{
     Time,
     lease::Clear,
@@ -27,7 +29,8 @@
 };
 use pinereel_port::{Adapter, store::Object};
 use rollout::{Rollout, TICK};
-use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
+use sizing::Sizing;
+use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
 /// Expected time of one load until one was seen: what the users' engines take while few load.
 const LOAD_TIME: Duration = Duration::from_millis(900);
@@ -65,6 +68,8 @@
     pub pool: Rc<Pool>,
     /// Bounds.
     pub settings: settings::Orders,
+    /// Where the platform takes orders for endpoints; none if they are no duty.
+    pub platform: Option<SocketAddr>,
     /// Figures.
     pub metrics: Metrics,
     /// Longest wait of a watch.
@@ -136,6 +141,12 @@
         self.parts.settings.gap + ARRIVAL
     }
 
+    /// An order is about to be given: the next holder waits the gap from now on.
+    fn note_order(&self, service: &CompactString) {
+        let now = self.parts.duties.now();
+        self.last_order.borrow_mut().insert(service.clone(), now);
+    }
+
     fn note_settled(&self, service: &CompactString, fence: u64) {
         self.settled.borrow_mut().insert(service.clone(), fence);
     }
@@ -172,7 +183,7 @@
     fn demands(&self, service: &str) -> Vec<Demand> {
         let models = self.models(service).into_iter();
         let demand = |model: CompactString| Demand {
-            tokens: self.parts.duties.demand(&lots::duty(&model)),
+            tokens: self.parts.duties.demand(&lots::duty(&model)).tokens,
             model,
         };
         models.map(demand).collect()
@@ -216,7 +227,17 @@
         });
         // One instance is enough to answer retirements; the holder of this duty is one.
         let retirements = retire::serve(&store, self.parts.adapter, wait);
+        let sizing = self.parts.platform.map(|address| {
+            let sizing = Sizing {
+                orders: Rc::clone(self),
+                service: service.clone(),
+                duty: duty.clone(),
+                address,
+            };
+            sizing.run()
+        });
         tokio::select! {
+            Some(()) = OptionFuture::from(sizing) => {}
             () = versions => {}
             () = retirements => {}
             _ = futures_util::future::join_all(models) => {}
--- a/crates/pinereel/src/hosted/orders/rollout.rs
+++ b/crates/pinereel/src/hosted/orders/rollout.rs
@@ -243,8 +243,7 @@
         if self.grant().is_none_or(|grant| grant.fence != fence) {
             return Err(NoAnswer::Lost);
         }
-        let last_order = (self.service.clone(), self.now());
-        self.orders.last_order.borrow_mut().extend([last_order]);
+        self.orders.note_order(&self.service);
         self.tell_rests(Time::ZERO);
         let answer = self
             .orders
--- /dev/null
+++ b/crates/pinereel/src/hosted/orders/sizing.rs
@@ -0,0 +1,137 @@
+//! Orders for endpoints: how many of them each availability zone should have.
+
+use super::Orders;
+use crate::hosted::{duty::Grant, lots, platform};
+use compact_str::CompactString;
+use pinereel_core::scale::{Order, Sizer, Terms, Zone};
+use pinereel_port::{
+    config::{Scale, Service},
+    duty::{Holder, Size, Verdict},
+};
+use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+use tokio::time::sleep;
+
+/// Pause between two looks at what is wanted; leases with the models' demands are heard every 0.7 s.
+const LOOK: Duration = Duration::from_millis(300);
+
+/// Orders for endpoints of one service.
+pub(super) struct Sizing {
+    pub(super) orders: Rc<Orders>,
+    pub(super) service: CompactString,
+    pub(super) duty: CompactString,
+    pub(super) address: SocketAddr,
+}
+
+impl Sizing {
+    /// Gives orders as long as they are this instance's to give.
+    pub(super) async fn run(self) {
+        let mut sizer = Sizer::default();
+        loop {
+            sleep(LOOK).await;
+            let Some(grant) = self.grant() else { continue };
+            let table = self.orders.parts.config.table();
+            let service = table.and_then(|table| table.service(&self.service).cloned());
+            let Some((service, scale)) = service.and_then(with_scale) else {
+                continue;
+            };
+            let (lacking, zones) = (self.lacking(&service), self.zones(&scale));
+            let terms = Terms {
+                most: scale.most,
+                start: scale.start,
+                spot: scale.spot_price.is_some(),
+            };
+            let now = self.orders.parts.duties.now();
+            for order in sizer.due(now, terms, lacking, &zones) {
+                let done = self.order(&grant, &order, (lacking, &zones)).await;
+                let now = self.orders.parts.duties.now();
+                sizer.answered(now, &order.zone, done);
+            }
+        }
+    }
+
+    /// The lease, if an order may be given under it now.
+    fn grant(&self) -> Option<Grant> {
+        let duties = &self.orders.parts.duties;
+        let grant = duties.acts(&self.duty)?;
+        let clear = self.orders.clear(&self.service, &grant);
+        (duties.now() >= clear).then_some(grant)
+    }
+
+    /// Endpoints beyond the usual ones, so that items which found no slot in time have one.
+    fn lacking(&self, service: &Service) -> u32 {
+        let Some(engine) = &service.engine else {
+            return 0;
+        };
+        let duties = &self.orders.parts.duties;
+        let short = |model| duties.demand(&lots::duty(model)).short;
+        let items = engine.models.iter().map(|model| short(model));
+        let endpoints = items.sum::<u64>().div_ceil(u64::from(engine.slots.max(1)));
+        u32::try_from(endpoints).unwrap_or(u32::MAX)
+    }
+
+    fn zones(&self, scale: &Scale) -> BTreeMap<CompactString, Zone> {
+        let mut zones: BTreeMap<CompactString, Zone> = BTreeMap::new();
+        for (name, price) in &scale.prices {
+            zones.entry(name.clone()).or_default().price = *price;
+        }
+        for entry in self.orders.parts.endpoints.of(&self.service) {
+            let zone = zones.entry(entry.zone).or_default();
+            match (entry.leaving, entry.spot) {
+                (true, _) => {}
+                (false, true) => zone.spot += 1,
+                (false, false) => zone.regular += 1,
+            }
+        }
+        zones
+    }
+
+    async fn order(
+        &self,
+        grant: &Grant,
+        order: &Order,
+        (lacking, zones): (u32, &BTreeMap<CompactString, Zone>),
+    ) -> bool {
+        let parts = &self.orders.parts;
+        let holder = Holder {
+            instance: parts.duties.instance(),
+            fence: grant.fence,
+        };
+        let size = Size {
+            service: &self.service,
+            zone: &order.zone,
+            count: order.count,
+            spot: order.spot,
+        };
+        // The lease may have run out during the call before.
+        if self.grant().is_none_or(|now| now.fence != grant.fence) {
+            return false;
+        }
+        self.orders.note_order(&self.service);
+        let call = (parts.adapter.duty.size)(holder, size);
+        let status = platform::call(&parts.pool, self.address, call).await;
+        let verdict = status.map(parts.adapter.duty.verdict);
+        let has = zones.get(&order.zone).copied().unwrap_or_default();
+        log::info!(
+            service = self.service.as_str(),
+            zone = order.zone.as_str(),
+            count = order.count,
+            spot = order.spot,
+            lacking,
+            listed = has.regular,
+            listed_spot = has.spot,
+            fence = grant.fence,
+            outcome = verdict.map_or("no answer", Verdict::as_str);
+            "endpoints ordered"
+        );
+        let label = status.map_or("none".into(), |status| status.as_str().to_owned());
+        parts
+            .metrics
+            .count(&parts.metrics.duty_calls, &["size", &label]);
+        verdict == Some(Verdict::Done)
+    }
+}
+
+fn with_scale(service: Service) -> Option<(Service, Scale)> {
+    let scale = service.scale.clone()?;
+    Some((service, scale))
+}
--- a/crates/pinereel/src/hosted/run.rs
+++ b/crates/pinereel/src/hosted/run.rs
@@ -170,6 +170,8 @@
         });
         let platform = settings.platform.as_ref();
         let reported = platform.and_then(|platform| platform.usage.clone());
+        let ordered = platform.filter(|platform| platform.autoscale);
+        let ordered = ordered.map(|platform| platform.address);
         let usage = Usage::start(reported.as_ref(), duties.id(), boot_time);
         let mut bulletin = None;
         if let Some(peers) = instance.peers {
@@ -250,6 +252,7 @@
             pool: Rc::clone(&pool),
             metrics: metrics.clone(),
             settings: settings.orders.clone(),
+            platform: ordered,
             watch,
         });
         if let Some(readiness) = settings.instance.readiness {
--- a/crates/pinereel/src/hosted/usage/report.rs
+++ b/crates/pinereel/src/hosted/usage/report.rs
@@ -9,15 +9,12 @@
         bulletin,
         duty::{Duties, Grant},
         metrics::Metrics,
+        platform,
         store::Store,
     },
     objects::{Error, Purpose},
     settings,
-    upstream::pool::{Exchange, Pool},
-};
-use actix_http::{
-    RequestHead,
-    header::{HOST, HeaderValue},
+    upstream::pool::Pool,
 };
 use pinereel_core::{
     lease::Clear,
@@ -25,7 +22,7 @@
 };
 use pinereel_port::{
     Adapter,
-    duty::{Call, Holder, Verdict},
+    duty::{Holder, Verdict},
     store::Freshness,
 };
 use serde::{Deserialize, Serialize};
@@ -35,7 +32,7 @@
     rc::Rc,
     time::Duration,
 };
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 /// Kind of the sums that were made.
 const KIND: &str = "pinereel-usage";
@@ -45,8 +42,6 @@
 const KEPT: usize = 8;
 /// Pause between two looks at what is due.
 const LOOK: Duration = Duration::from_millis(150);
-/// Longest wait for the platform's answer.
-const ANSWER: Duration = Duration::from_millis(1_500);
 /// Pause after a report that was not taken.
 const RETRY: Duration = Duration::from_millis(400);
 /// Counts of a window are on their way for so long after its end: closing, two hops with a pause each.
@@ -237,39 +232,9 @@
             fence: grant.fence,
         };
         let call = (self.adapter.duty.usage)(holder, window.0, counts);
-        let status = exchange(&self.pool, self.address, call).await?;
+        let status = platform::call(&self.pool, self.address, call).await?;
         self.metrics
             .count(&self.metrics.duty_calls, &["usage", status.as_str()]);
         Some((self.adapter.duty.verdict)(status))
     }
 }
-
-/// Makes a call to the platform; none if no answer came in time.
-async fn exchange(
-    pool: &Rc<Pool>,
-    address: SocketAddr,
-    call: Call,
-) -> Option<actix_http::StatusCode> {
-    let mut head = RequestHead::default();
-    head.method = call.method;
-    head.uri = call.path.parse().unwrap_or_default();
-    head.headers = call.headers;
-    let host = HeaderValue::from_str(&address.to_string());
-    if let Ok(host) = host {
-        head.headers.insert(HOST, host);
-    }
-    let exchange = Exchange {
-        address,
-        head,
-        body: call.body,
-        // A kept connection may be broken, and the call may be made again.
-        reuse: false,
-    };
-    let exchange = async {
-        let response = pool.send(exchange).await.ok()?;
-        let status = response.status;
-        response.body.whole().await.ok()?;
-        Some(status)
-    };
-    timeout(ANSWER, exchange).await.ok().flatten()
-}
--- a/crates/pinereel_core/src/batch/asked.rs
+++ b/crates/pinereel_core/src/batch/asked.rs
@@ -7,27 +7,52 @@
 /// four seconds.
 const WINDOW: Duration = Duration::from_secs(15);
 
+/// What a model's lots need.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Size {
+    /// Tokens of a lot, as far as its trainer can tell.
+    pub tokens: u64,
+    /// Items of a lot that found no slot in time.
+    pub short: u64,
+}
+
 /// The work asked for one model.
 #[derive(Clone, Debug, Default)]
 pub struct Asked {
-    /// When, and how many tokens; oldest first.
-    lots: VecDeque<(Time, u64)>,
+    /// When a lot was opened, and its tokens; oldest first.
+    tokens: VecDeque<(Time, u64)>,
+    /// When it was looked at again, and its items that had found no slot.
+    short: VecDeque<(Time, u64)>,
 }
 
 impl Asked {
     /// A lot of about `tokens` was opened.
     pub fn add(&mut self, now: Time, tokens: u64) {
-        self.lots.push_back((now, tokens));
-        self.lots.retain(|(at, _)| now.since(*at) < WINDOW);
+        add(&mut self.tokens, now, tokens);
+    }
+
+    /// So many items of a lot found no slot in time.
+    pub fn add_short(&mut self, now: Time, items: u64) {
+        add(&mut self.short, now, items);
     }
 
-    /// Tokens of a lot, on the mean of those opened lately; 0 if there are none. A step's lot comes
+    /// What a lot needs, on the mean of those opened lately; nothing if there are none. A step's lot comes
     /// at once, so that its size says more of the slots that it needs than its trainer's pace.
-    pub fn mean(&self, now: Time) -> u64 {
-        let lately = self.lots.iter().filter(|(at, _)| now.since(*at) < WINDOW);
-        let tokens = lately.clone().map(|(_, tokens)| tokens).sum::<u64>();
-        tokens
-            .checked_div(lately.count() as u64)
-            .unwrap_or_default()
+    pub fn mean(&self, now: Time) -> Size {
+        Size {
+            tokens: mean(&self.tokens, now),
+            short: mean(&self.short, now),
+        }
     }
 }
+
+fn add(lots: &mut VecDeque<(Time, u64)>, now: Time, number: u64) {
+    lots.push_back((now, number));
+    lots.retain(|(at, _)| now.since(*at) < WINDOW);
+}
+
+fn mean(lots: &VecDeque<(Time, u64)>, now: Time) -> u64 {
+    let lately = lots.iter().filter(|(at, _)| now.since(*at) < WINDOW);
+    let sum = lately.clone().map(|(_, number)| number).sum::<u64>();
+    sum.checked_div(lately.count() as u64).unwrap_or_default()
+}
--- a/crates/pinereel_core/src/batch/fleet.rs
+++ b/crates/pinereel_core/src/batch/fleet.rs
@@ -48,6 +48,13 @@
 /// An engine is kept free for an item with a last chance for so long: the runs that are there leave a slot by then.
 const RESERVATION: Duration = Duration::from_millis(1_500);
 
+/// A run whose engine makes no event for so many of its usual gaps has lost it.
+const SILENT_GAPS: f64 = 8.0;
+/// But not sooner: a slow engine takes up to eight times its usual gap from one event to the next.
+const LEAST_SILENCE: Duration = Duration::from_millis(500);
+/// Nor later.
+const MOST_SILENCE: Duration = Duration::from_millis(1_500);
+
 /// What the endpoint list says of an engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Listed {
@@ -288,6 +295,20 @@
         (pace > factor * self.arena[to].pace()).then_some(to)
     }
 
+    /// How long a run at an engine that has made events waits for the next one. The longest texts decide about a step and have
+    /// less than a second to spare: 1.5 s at an engine that fell silent made them late.
+    pub fn patience(&self, key: Key) -> Duration {
+        let engine = self
+            .arena
+            .get(key)
+            .filter(|engine| engine.gaps >= MOVE_GAPS);
+        let Some(pace) = engine.and_then(|engine| engine.pace) else {
+            return MOST_SILENCE;
+        };
+        let silence = Duration::from_secs_f64(SILENT_GAPS * pace / 1_000.0);
+        silence.clamp(LEAST_SILENCE, MOST_SILENCE)
+    }
+
     /// A run begins at the engine, of an item that so many endpoints have crashed under.
     pub fn started(&mut self, now: Time, key: Key, doubts: usize) {
         let Some(engine) = self.arena.get_mut(key) else {
--- a/crates/pinereel_core/src/batch/mod.rs
+++ b/crates/pinereel_core/src/batch/mod.rs
@@ -10,7 +10,7 @@
 mod ledger;
 mod lot;
 
-pub use asked::Asked;
+pub use asked::{Asked, Size};
 pub use fleet::{Engine, Fleet, Halt, Key, Listed};
 pub use ledger::{Gap, Ledger};
 pub use lot::{Failure, Fate, Lot, USUAL_LENGTH};
--- a/crates/pinereel_core/src/lib.rs
+++ b/crates/pinereel_core/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod relay;
 pub mod rollout;
 pub mod route;
+pub mod scale;
 pub mod staleness;
 pub mod table;
 pub mod time;
--- a/crates/pinereel_core/src/usage/ledger.rs
+++ b/crates/pinereel_core/src/usage/ledger.rs
@@ -124,7 +124,9 @@
     /// What was counted here in a window.
     pub fn own_counts(&self, window: Window) -> Counts {
         let report = self.reports.get(&window).and_then(|r| r.get(&self.own));
-        report.map(|report| report.counts.clone()).unwrap_or_default()
+        report
+            .map(|report| report.counts.clone())
+            .unwrap_or_default()
     }
 
     /// How many instances have closed a window.
--- a/crates/pinereel_core/tests/batch_fleet.rs
+++ b/crates/pinereel_core/tests/batch_fleet.rs
@@ -207,3 +207,20 @@
     fleet.doubt_ended(alone);
     assert_eq!(fleet.pick(later, 5, None), Some(alone));
 }
+
+/// Load pattern: an engine falls silent under the longest texts of a step, which have less than a second to spare.
+#[test]
+fn a_silent_engine_is_left_after_some_of_its_usual_gaps() {
+    let mut fleet = fleet(3);
+    pace(&mut fleet, "engine-0", 46);
+    pace(&mut fleet, "engine-1", 150);
+    let patience = |id: &str| fleet.patience(key(&fleet, id));
+    assert_eq!(patience("engine-0"), Duration::from_millis(500));
+    let slow = patience("engine-1").as_millis();
+    assert!((1_000..=1_200).contains(&slow), "{slow}");
+    assert_eq!(
+        patience("engine-2"),
+        Duration::from_millis(1_500),
+        "nothing known"
+    );
+}
--- a/crates/pinereel_fakes/src/hosting/platform.rs
+++ b/crates/pinereel_fakes/src/hosting/platform.rs
@@ -44,8 +44,10 @@
     book: Rc<Book>,
     fault: Cell<Fault>,
     reports: RefCell<BTreeMap<u64, Counts>>,
-    /// Highest fencing token that was seen, with its holder.
-    newest: RefCell<(u64, String)>,
+    /// Endpoints of the cheap kind that were asked for last, by zone.
+    asked: RefCell<BTreeMap<String, u64>>,
+    /// Highest fencing token that was seen by path, with its holder.
+    newest: RefCell<BTreeMap<String, (u64, String)>>,
     calls: Cell<u64>,
 }
 
@@ -61,6 +63,7 @@
             book: Rc::clone(book),
             fault: Cell::default(),
             reports: RefCell::default(),
+            asked: RefCell::default(),
             newest: RefCell::default(),
             calls: Cell::new(0),
         });
@@ -90,14 +93,23 @@
         counts.sum()
     }
 
+    /// Endpoints of the cheap kind that were asked for last, by zone.
+    pub fn asked(&self) -> BTreeMap<String, u64> {
+        self.state.asked.borrow().clone()
+    }
+
     /// Calls that came.
     pub fn calls(&self) -> u64 {
         self.state.calls.get()
     }
 
-    /// Who called last.
+    /// Who reported usage last.
     pub fn holder(&self) -> String {
-        self.state.newest.borrow().1.clone()
+        let newest = self.state.newest.borrow();
+        newest
+            .get("/usage")
+            .map(|(_, holder)| holder.clone())
+            .unwrap_or_default()
     }
 }
 
@@ -124,18 +136,21 @@
             self.book.fault(format!("{path} without a fence or a body"));
             return StatusCode::BAD_REQUEST;
         };
-        if !self.admit(fence, &holder) {
+        if !self.admit(&path, fence, &holder) {
             return StatusCode::CONFLICT;
         }
-        if path == "/usage" {
-            self.note_usage(&body);
+        match path.as_str() {
+            "/usage" => self.note_usage(&body),
+            "/scale" => self.note_asked(&body),
+            _ => self.book.fault(format!("a call to {path}")),
         }
         StatusCode::OK
     }
 
     /// Whether no higher fencing token was seen.
-    fn admit(&self, fence: u64, holder: &str) -> bool {
+    fn admit(&self, path: &str, fence: u64, holder: &str) -> bool {
         let mut newest = self.newest.borrow_mut();
+        let newest = newest.entry(path.into()).or_default();
         if fence == newest.0 && holder != newest.1 {
             let other = &newest.1;
             self.book.fault(format!(
@@ -149,6 +164,17 @@
         true
     }
 
+    fn note_asked(&self, body: &Value) {
+        let zone = body["zone"].as_str().unwrap_or_default();
+        let count = body["desiredCount"].as_u64().unwrap_or_default();
+        if body["spot"] != true {
+            self.book.fault(format!(
+                "endpoints of the usual kind were asked for: {body}"
+            ));
+        }
+        self.asked.borrow_mut().insert(zone.into(), count);
+    }
+
     fn note_usage(&self, body: &Value) {
         let window = body["window"].as_u64().unwrap_or_default();
         let counts: Counts = serde_json::from_value(body["counts"].clone()).unwrap_or_default();
--- a/crates/pinereel_fakes/src/hosting/site.rs
+++ b/crates/pinereel_fakes/src/hosting/site.rs
@@ -179,7 +179,8 @@
             ],
             "services": [
                 {"name": ENGINES, "healthPath": "/health", "maxConns": 100,
-                 "engine": {"slots": super::engine::SLOTS, "models": [{"name": MODEL}]}},
+                 "engine": {"slots": super::engine::SLOTS, "models": [{"name": MODEL}]},
+                 "scale": {"min": 1, "max": 4, "bootS": 1.0, "spotPrice": 0.2, "zonePrices": {"here": 1.0, "there": 0.9}}},
                 {"name": PLAIN, "healthPath": "/health", "maxConns": 100},
                 {"name": OTHER, "healthPath": "/health", "maxConns": 100},
             ],
--- a/crates/pinereel_port/src/config.rs
+++ b/crates/pinereel_port/src/config.rs
@@ -2,7 +2,7 @@
 
 use crate::KeyDigest;
 use compact_str::CompactString;
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 /// The whole configuration.
 #[derive(Clone, Debug, PartialEq)]
@@ -80,7 +80,7 @@
 }
 
 /// One service.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Service {
     /// Name.
     pub name: CompactString,
@@ -88,6 +88,23 @@
     pub max_connections: u32,
     /// What its endpoints are told if they are model engines.
     pub engine: Option<Engine>,
+    /// How many endpoints may be asked for; none if that is not this system's to decide.
+    pub scale: Option<Scale>,
+}
+
+/// How many endpoints of a service may be asked for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Scale {
+    /// Fewest in a zone.
+    pub least: u32,
+    /// Most in a zone, of both kinds together.
+    pub most: u32,
+    /// Time from an order until its endpoints serve.
+    pub start: Duration,
+    /// Price of an endpoint that may be taken away at short notice, against that of others; none if there are none such.
+    pub spot_price: Option<f64>,
+    /// Price of an endpoint, by zone.
+    pub prices: BTreeMap<CompactString, f64>,
 }
 
 /// What the configuration says of a service of model engines.
--- a/crates/pinereel_port/src/endpoint.rs
+++ b/crates/pinereel_port/src/endpoint.rs
@@ -19,6 +19,8 @@
     pub zone: CompactString,
     /// Requests that it runs at once.
     pub slots: u32,
+    /// Whether it may be taken away at short notice.
+    pub spot: bool,
     /// Whether it is leaving: no new work for it.
     pub leaving: bool,
     /// Version of the weights that it serves, by model.
