--- a/crates/pinereel/src/hosted/crashes/mod.rs
+++ b/crates/pinereel/src/hosted/crashes/mod.rs
@@ -8,7 +8,7 @@
 
 pub use kept::{Kept, take_out};
 
-use super::metrics::Metrics;
+use super::{metrics::Metrics, news};
 use crate::state::Clock;
 use pinereel_core::{
     Time,
@@ -191,16 +191,8 @@
 
     /// Waits until others are to be told something, and gives it.
     pub async fn untold(&self) -> Vec<Report> {
-        let mut changes = self.changes();
-        loop {
-            let reports = self.register.borrow_mut().untold(self.now(), BATCH);
-            if !reports.is_empty() {
-                return reports;
-            }
-            if changes.changed().await.is_err() {
-                std::future::pending::<()>().await;
-            }
-        }
+        let untold = || self.register.borrow_mut().untold(self.now(), BATCH);
+        news::next(self.changes(), untold).await
     }
 
     /// What is untold is gathered for a moment between two messages.
--- a/crates/pinereel/src/hosted/mod.rs
+++ b/crates/pinereel/src/hosted/mod.rs
@@ -20,6 +20,7 @@
 mod follow;
 mod lots;
 mod metrics;
+mod news;
 mod orders;
 mod platform;
 mod ready;
--- a/crates/pinereel/src/hosted/usage/mod.rs
+++ b/crates/pinereel/src/hosted/usage/mod.rs
@@ -8,6 +8,7 @@
 
 pub use report::{Parts, report};
 
+use super::news;
 use crate::settings;
 use pinereel_core::{
     Time,
@@ -110,16 +111,8 @@
 
     /// Waits until others are to be told something, and gives it.
     pub async fn untold(&self) -> Vec<Report> {
-        let mut changes = self.changed.subscribe();
-        loop {
-            let reports = self.ledger.borrow_mut().untold(BATCH);
-            if !reports.is_empty() {
-                return reports;
-            }
-            if changes.changed().await.is_err() {
-                std::future::pending::<()>().await;
-            }
-        }
+        let untold = || self.ledger.borrow_mut().untold(BATCH);
+        news::next(self.changed.subscribe(), untold).await
     }
 
     /// What is untold is gathered for a moment between two messages.
--- a/crates/pinereel_core/src/batch/fleet.rs
+++ b/crates/pinereel_core/src/batch/fleet.rs
@@ -5,13 +5,11 @@
 //! fastest engine with a free slot comes first, and a run on a slow engine is moved to a fast one
 //! as soon as that has a slot that nothing waits for.
 
-use crate::{
-    Time,
-    crash::{FRESH_RUN, LAST_CHANCE},
-};
+use super::{Engine, Halt, Listed};
+use crate::{Time, crash::LAST_CHANCE};
 use compact_str::CompactString;
 use slotmap::SlotMap;
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, time::Duration};
 
 slotmap::new_key_type! {
     /// One start of one engine in a [`Fleet`].
@@ -20,9 +18,6 @@
 
 /// Share of a new gap between events in the moving average of an engine's pace.
 const PACE_GAIN: f64 = 0.06;
-/// Pace of an engine that has made no event yet, in milliseconds an event: 56 tokens at 0.7 ms, as
-/// measured on one kind of engine.
-const USUAL_PACE: f64 = 40.0;
 /// A run is moved if its engine takes so many times as long as the one that it would go to. Engines
 /// differ by 1.3 (47 ms and 60 ms an event, measured), and reading the prompt and the
 /// text again takes less than an event.
@@ -35,9 +30,6 @@
 /// Gaps that an engine's pace must rest on before it decides about a move: the arrival of single
 /// events depends on this process as well.
 const MOVE_GAPS: u32 = 12;
-/// What a full engine costs against an empty one of the same pace: enough to spread runs over equal
-/// engines, too little to prefer a slow one.
-const FULL_COST: f64 = 0.25;
 /// First wait after an engine broke a run off or could not be reached; doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(300);
 /// Longest such wait: an engine that is back is found again soon.
@@ -55,122 +47,6 @@
 /// Nor later.
 const MOST_SILENCE: Duration = Duration::from_millis(1_500);
 
-/// What the endpoint list says of an engine.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Listed {
-    /// Id of the engine.
-    pub id: CompactString,
-    /// Differs between its starts.
-    pub incarnation: u64,
-    /// Where it serves.
-    pub address: SocketAddr,
-    /// Requests that it runs at once.
-    pub slots: u32,
-    /// Whether it gets no new work.
-    pub leaving: bool,
-    /// Version of the model's weights that it serves; none if it does not serve the model.
-    pub version: Option<u64>,
-}
-
-/// How a run at an engine ended, as far as it speaks about the engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Halt {
-    /// Finished, or an answer that is not the engine's fault.
-    Finished,
-    /// Given up here.
-    Cancelled,
-    /// The engine did not take it now: full, or loading weights.
-    Full,
-    /// Broken off, silent, or out of reach.
-    Broken,
-}
-
-/// One engine.
-#[derive(Clone, Debug)]
-pub struct Engine {
-    /// What the list says of it.
-    pub listed: Listed,
-    /// Runs there.
-    pub runs: u32,
-    /// Moving average of the time between two events of a run, in milliseconds; none before the first.
-    pub pace: Option<f64>,
-    /// Gaps that the pace rests on.
-    gaps: u32,
-    /// Breaks in a row.
-    breaks: u32,
-    /// No new run before.
-    not_before: Time,
-    /// Its last run was refused or broke: one run tries it before others follow.
-    suspect: bool,
-    /// No longer listed; kept until its last run ends.
-    gone: bool,
-    /// It has started again: its runs are lost.
-    restarted: bool,
-    /// Runs there of items that endpoints may have crashed under.
-    doubted: u32,
-    /// Whether one of them has a last chance.
-    last_chance: bool,
-    /// When a run last began there.
-    last_began: Time,
-    /// Kept free until then for an item with a last chance.
-    reserved_until: Time,
-}
-
-impl Engine {
-    const fn new(listed: Listed) -> Self {
-        Self {
-            listed,
-            runs: 0,
-            pace: None,
-            gaps: 0,
-            breaks: 0,
-            not_before: Time::ZERO,
-            suspect: false,
-            gone: false,
-            restarted: false,
-            doubted: 0,
-            last_chance: false,
-            last_began: Time::ZERO,
-            reserved_until: Time::ZERO,
-        }
-    }
-
-    /// Milliseconds an event.
-    fn pace(&self) -> f64 {
-        self.pace.unwrap_or(USUAL_PACE)
-    }
-
-    /// Whether one run has to try it before others follow.
-    pub const fn is_suspect(&self) -> bool {
-        self.suspect
-    }
-
-    fn takes(&self, now: Time, oldest_version: u64) -> bool {
-        let fits = self.listed.version.is_some_and(|v| v >= oldest_version);
-        let slots = if self.suspect { 1 } else { self.listed.slots };
-        let free = self.runs < slots;
-        !self.gone && !self.listed.leaving && fits && free && now >= self.not_before
-    }
-
-    /// Whether an item that so many endpoints have crashed under may run beside those that run there. One in doubt is the
-    /// only such one, and with a last chance nothing else begins beside it: so a crash tells which was to blame.
-    fn admits(&self, now: Time, doubts: usize) -> bool {
-        let is_kept_free = self.last_chance || now < self.reserved_until;
-        match doubts {
-            0 => !is_kept_free,
-            doubts if doubts >= LAST_CHANCE => {
-                self.doubted == 0 && now.since(self.last_began) >= FRESH_RUN
-            }
-            _ => self.doubted == 0 && !is_kept_free,
-        }
-    }
-
-    fn cost(&self) -> f64 {
-        let used = f64::from(self.runs) / f64::from(self.listed.slots.max(1));
-        self.pace() * (1.0 + FULL_COST * used)
-    }
-}
-
 /// The engines of one service.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
--- a/crates/pinereel_core/src/batch/mod.rs
+++ b/crates/pinereel_core/src/batch/mod.rs
@@ -6,11 +6,13 @@
 //! what is still to be done; [`Fleet`] picks the engines that do it.
 
 mod asked;
+mod engine;
 mod fleet;
 mod ledger;
 mod lot;
 
 pub use asked::{Asked, Size};
-pub use fleet::{Engine, Fleet, Halt, Key, Listed};
+pub use engine::{Engine, Halt, Listed};
+pub use fleet::{Fleet, Key};
 pub use ledger::{Gap, Ledger};
 pub use lot::{Failure, Fate, Lot, USUAL_LENGTH};
--- a/crates/pinereel_fakes/src/hosting/book.rs
+++ b/crates/pinereel_fakes/src/hosting/book.rs
@@ -170,6 +170,22 @@
         }
     }
 
+    /// Checks what endpoints were told of callers: no key, and no workspace but theirs.
+    pub fn check_callers(&self, workspace: &str) {
+        let told = self.inner.borrow().told.clone();
+        for (id, told) in told {
+            for told in told {
+                let is_true = told
+                    .workspace
+                    .as_deref()
+                    .is_none_or(|told| told == workspace);
+                if !is_true || told.credential.is_some() {
+                    self.fault(format!("{id} came to an endpoint as {told:?}"));
+                }
+            }
+        }
+    }
+
     /// Orders that were accepted.
     pub fn accepted_orders(&self) -> usize {
         let inner = self.inner.borrow();
--- a/crates/pinereel_fakes/src/hosting/caller.rs
+++ b/crates/pinereel_fakes/src/hosting/caller.rs
@@ -5,7 +5,7 @@
     book::Book,
     http::{Answer, Failure, call},
     service,
-    site::HOST,
+    site::{HOST, KEY},
 };
 use actix_http::{Method, StatusCode};
 use bytes::Bytes;
@@ -65,6 +65,7 @@
         ("host", HOST.into()),
         ("x-request-id", id.into()),
         ("x-deadline-ms", PATIENCE.as_millis().to_string()),
+        ("authorization", format!("Bearer {KEY}")),
     ];
     let body = Bytes::from(format!("from {id}"));
     // A little longer than the deadline, which the answer should keep.
@@ -105,6 +106,7 @@
                 book.fault(format!("{id} was refused without a time to come back"));
             }
         }
+        StatusCode::UNAUTHORIZED => book.fault(format!("{id} was refused its key")),
         StatusCode::NOT_FOUND => book.fault(format!("{id} found no route")),
         _ => bump(&tally.unknown),
     }
--- a/crates/pinereel_fakes/src/hosting/mod.rs
+++ b/crates/pinereel_fakes/src/hosting/mod.rs
@@ -22,6 +22,7 @@
 pub mod engine;
 pub mod fragile;
 pub mod http;
+pub mod instance;
 pub mod platform;
 pub mod proxy;
 pub mod service;
--- a/crates/pinereel_fakes/src/hosting/site.rs
+++ b/crates/pinereel_fakes/src/hosting/site.rs
@@ -4,27 +4,31 @@
     balance::Balance,
     book::Book,
     engine::Engine,
+    instance,
     platform::Platform,
     proxy::{self, Proxy},
     service::Service,
     settings::fill,
     store::Store,
 };
-use crate::launch::{Child, Signal};
 use serde_json::{Value, json};
 use std::{
     env, fs, io,
     net::{IpAddr, Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
-    process::Command,
     rc::Rc,
     sync::atomic::{AtomicU32, Ordering},
     time::Duration,
 };
-use tokio::time::{Instant, sleep};
+
+pub use instance::Instance;
 
 /// Host of all routes.
 pub const HOST: &str = "site.example";
+/// Workspace of the callers and trainers, where the configuration knows workspaces.
+pub const WORKSPACE: &str = "w";
+/// Key of theirs.
+pub const KEY: &str = "key-of-w-5b1e";
 /// Model of the engines.
 pub const MODEL: &str = "model-a";
 /// Service of the engines.
@@ -41,9 +45,6 @@
 const READINESS_PORT: u16 = 9_466;
 /// First port for the system's own use.
 const PEERS_PORT: u16 = 9_470;
-/// Longest wait for a process to become ready.
-const READY: Duration = Duration::from_secs(10);
-
 /// Sizes of a site.
 #[derive(Clone, Copy, Debug)]
 pub struct Size {
@@ -55,26 +56,6 @@
     pub services: usize,
 }
 
-/// One instance of pinereel.
-pub struct Instance {
-    /// Its name.
-    pub name: String,
-    /// Where callers connect, through a proxy.
-    pub callers: Proxy,
-    /// Its way to the store.
-    pub store: Proxy,
-    /// Where readiness is asked for.
-    pub readiness: SocketAddr,
-    settings: PathBuf,
-    /// The settings as they should be.
-    good_settings: String,
-    child: Option<Child>,
-    /// What earlier processes of the instance logged.
-    earlier: Vec<String>,
-    /// Whether it is stopped by SIGSTOP.
-    pub paused: bool,
-}
-
 /// One endpoint behind its proxy.
 pub struct Fronted<E> {
     /// The endpoint.
@@ -257,17 +238,13 @@
             ),
         );
         fs::write(&settings, &good_settings)?;
-        let mut instance = Instance {
+        let mut instance = Instance::new(
             name,
-            callers: Proxy::start(callers).await?,
+            Proxy::start(callers).await?,
             store,
             readiness,
-            settings,
-            good_settings,
-            child: None,
-            earlier: Vec::new(),
-            paused: false,
-        };
+            (settings, good_settings),
+        );
         instance.start()?;
         self.instances.push(instance);
         Ok(())
@@ -281,90 +258,6 @@
     }
 }
 
-impl Instance {
-    /// Starts the process.
-    ///
-    /// # Errors
-    /// If it cannot be started.
-    pub fn start(&mut self) -> io::Result<()> {
-        self.earlier.extend(self.lines());
-        self.mend_settings();
-        let mut command = Command::new(binary()?);
-        command.arg("hosted").arg("--config").arg(&self.settings);
-        self.child = Some(Child::start(&mut command)?);
-        self.paused = false;
-        Ok(())
-    }
-
-    /// Whether the process runs.
-    pub fn is_running(&mut self) -> bool {
-        let ended = self.child.as_mut().map(|child| child.wait(Duration::ZERO));
-        matches!(ended, Some(Ok(None)))
-    }
-
-    /// Sends a signal to the process.
-    pub fn signal(&mut self, signal: Signal) {
-        if let Some(child) = &mut self.child {
-            // It may just have ended.
-            let _ = child.signal(signal);
-        }
-    }
-
-    /// Lines that the process has logged so far.
-    pub fn lines(&self) -> Vec<String> {
-        self.child.as_ref().map(Child::lines).unwrap_or_default()
-    }
-
-    /// Lines that all processes of the instance have logged.
-    pub fn all_lines(&self) -> Vec<String> {
-        [self.earlier.clone(), self.lines()].concat()
-    }
-
-    /// Writes nonsense into the settings file, as storage that fails does.
-    pub fn spoil_settings(&self) {
-        // Best effort: what fails here is what is to be tested.
-        let _ = fs::write(&self.settings, "[instance\nname = ");
-    }
-
-    /// Writes the good settings back.
-    pub fn mend_settings(&self) {
-        let _ = fs::write(&self.settings, &self.good_settings);
-    }
-
-    /// Waits until the process is ready.
-    ///
-    /// # Errors
-    /// If it is not within ten seconds.
-    pub async fn wait_ready(&self) -> io::Result<()> {
-        let end = Instant::now() + READY;
-        let headers = [("host", "here".to_owned())];
-        while Instant::now() < end {
-            let answer = super::http::call(
-                self.readiness,
-                actix_http::Method::GET,
-                "/v1/readiness",
-                &headers,
-                bytes::Bytes::new(),
-                Duration::from_secs(1),
-            );
-            if answer.await.is_ok_and(|answer| answer.status.is_success()) {
-                return Ok(());
-            }
-            sleep(Duration::from_millis(20)).await;
-        }
-        let lines = self.lines().join("\n");
-        Err(io::Error::other(format!(
-            "{} is not ready: {lines}",
-            self.name
-        )))
-    }
-}
-
-/// The binary under test.
-fn binary() -> io::Result<PathBuf> {
-    beside("pinereel")
-}
-
 /// A binary of this workspace: it lies beside the one that runs, or above it.
 pub(super) fn beside(name: &str) -> io::Result<PathBuf> {
     let own = env::current_exe()?;
--- a/crates/pinereel_fakes/src/hosting/soak/crash.rs
+++ b/crates/pinereel_fakes/src/hosting/soak/crash.rs
@@ -3,7 +3,7 @@
 use crate::hosting::{
     fragile::{CRASH, Crashes, Fragile, Mode},
     http::call,
-    site::{HOST, Site},
+    site::{HOST, KEY, Site, WORKSPACE},
 };
 use actix_http::Method;
 use bytes::Bytes;
@@ -72,6 +72,7 @@
                         ("host", HOST.to_owned()),
                         ("x-request-id", id),
                         ("x-deadline-ms", PATIENCE.as_millis().to_string()),
+                        ("authorization", format!("Bearer {KEY}")),
                     ];
                     // What comes back is of no interest.
                     let _ = call(address, Method::POST, TARGET, &headers, body, PATIENCE).await;
@@ -118,7 +119,7 @@
 
 fn identity(body: &str) -> String {
     let identity = Identity::of(Parts {
-        caller: b"",
+        caller: WORKSPACE.as_bytes(),
         method: "POST",
         host: HOST,
         target: TARGET,
--- a/crates/pinereel_fakes/src/hosting/soak/inject.rs
+++ b/crates/pinereel_fakes/src/hosting/soak/inject.rs
@@ -5,10 +5,15 @@
     trouble::{Trouble, engine_fault, service_fault},
 };
 use crate::{
-    hosting::{engine, proxy, service, store},
+    hosting::{
+        engine, proxy, service,
+        site::{KEY, Site, WORKSPACE},
+        store,
+    },
     launch::Signal,
 };
 use rand::Rng as _;
+use serde_json::json;
 use std::{io, rc::Rc, time::Duration};
 use tokio::time::sleep;
 
@@ -225,10 +230,21 @@
         let other = self.rng.random_bool(0.5);
         let timeout = Duration::from_millis(self.rng.random_range(1_500..2_500));
         let service = if other { "other" } else { "plain" };
-        self.site.borrow_mut().configure(service, timeout);
+        let mut site = self.site.borrow_mut();
+        change_keys(&mut site);
+        site.configure(service, timeout);
     }
 }
 
+/// The next configuration has other keys beside the one that callers use.
+pub(super) fn change_keys(site: &mut Site) {
+    let next = format!("key-of-w-{}", site.config);
+    site.workspaces = Some(json!([
+        {"name": WORKSPACE, "apiKeys": [KEY, next]},
+        {"name": "nobody", "apiKeys": []},
+    ]));
+}
+
 /// Binding a loopback port never waits, so that the future is done at once.
 fn add(adding: impl Future<Output = io::Result<()>>) -> bool {
     let done = futures_util::FutureExt::now_or_never(adding);
--- a/crates/pinereel_fakes/src/hosting/soak/mod.rs
+++ b/crates/pinereel_fakes/src/hosting/soak/mod.rs
@@ -11,7 +11,7 @@
 
 use super::{
     caller::{self, Kind, Tally},
-    site::{Site, Size},
+    site::{Site, Size, WORKSPACE},
     trainer::{Shape, Trainer},
 };
 use crash::Crashing;
@@ -28,6 +28,8 @@
 /// Callers go on until all is checked, and no longer than this. A trainer's last step may end long
 /// after the last fault, so their end is not a time but the check's.
 const LONGEST: Duration = Duration::from_secs(600);
+/// Keys are in force everywhere after so long.
+const KEYS: Duration = Duration::from_secs(1);
 /// Trainers' steps while the site is checked after the last fault.
 const STEPS_AFTER: u64 = 2;
 
@@ -133,7 +135,10 @@
 /// # Errors
 /// If the site cannot be started.
 pub async fn run(options: Options) -> io::Result<Report> {
-    let site = Site::start(options.size, options.seed).await?;
+    let mut site = Site::start(options.size, options.seed).await?;
+    inject::change_keys(&mut site);
+    site.configure("plain", Duration::from_secs(2));
+    sleep(KEYS).await;
     let balance = site.balance();
     let book = Rc::clone(&site.book);
     let tally = Rc::new(Tally::default());
@@ -188,6 +193,7 @@
         soak.taken = taken.into_values().collect();
     }
     book.check_orders();
+    book.check_callers(WORKSPACE);
     for caller in callers {
         caller.abort();
     }
--- a/crates/pinereel_fakes/src/hosting/trainer.rs
+++ b/crates/pinereel_fakes/src/hosting/trainer.rs
@@ -5,7 +5,7 @@
     book::Book,
     engine,
     http::{Answer, call},
-    site::{HOST, MODEL},
+    site::{HOST, KEY, MODEL},
     store::Store,
 };
 use actix_http::{Method, StatusCode};
@@ -154,6 +154,7 @@
             ("x-request-id", id.to_owned()),
             ("x-deadline-ms", PATIENCE.as_millis().to_string()),
             ("x-wait-ms", "500".to_owned()),
+            ("authorization", format!("Bearer {KEY}")),
         ];
         let address = self.balance.next().callers;
         let wait = PATIENCE + Duration::from_millis(500);
