tree: a root that leaves goes on as a child of whoever stands in; usage waits for those that have not come to a new root yet

Found by reading: a sum of usage was made as soon as all instances that were linked had closed the window; at a new root, or at one whose children had just been sent away, these are few, and the sum would have been wrong for good. The most instances that were seen within 15 s are waited for now, a child counts them as well.

--- a/crates/pinereel/src/hosted/bulletin/board.rs
+++ b/crates/pinereel/src/hosted/bulletin/board.rs
@@ -12,14 +12,14 @@
 };
 use pinereel_port::Adapter;
 use std::{
-    cell::{Cell, RefCell},
+    cell::RefCell,
     collections::{BTreeMap, BTreeSet},
     rc::Rc,
     time::Duration,
 };
 use tokio::{
     net::TcpListener,
-    sync::{broadcast, mpsc},
+    sync::{broadcast, mpsc, watch},
     time::sleep,
 };
 
@@ -51,7 +51,7 @@
     pub(super) state: RefCell<State>,
     pub(super) uplink: RefCell<Uplink>,
     /// Whether no child is taken any more.
-    pub(super) leaving: Cell<bool>,
+    pub(super) leaving: watch::Sender<bool>,
     /// Frames for the parent.
     pub(super) up: broadcast::Sender<Bytes>,
 }
@@ -77,7 +77,7 @@
             parts,
             state: RefCell::default(),
             uplink: RefCell::new(Uplink::new(own)),
-            leaving: Cell::new(false),
+            leaving: watch::channel(false).0,
             up: broadcast::channel(QUEUE_UP).0,
         });
         let accepting = Rc::clone(&bulletin);
@@ -95,12 +95,21 @@
 
     /// Sends all children to other parents, before this instance ends.
     pub fn leave(&self) {
-        self.leaving.set(true);
+        self.leaving.send_replace(true);
+        if self.uplink.borrow().leads() {
+            // Until its end it hears and tells as a child of whoever stands in.
+            let deputies = self.deputies();
+            self.uplink.borrow_mut().turn_to(deputies);
+        }
         let refer = Frame::Refer(self.targets());
         self.tell(&refer);
         self.state.borrow_mut().links.clear();
     }
 
+    pub(super) fn is_leaving(&self) -> bool {
+        *self.leaving.borrow()
+    }
+
     pub(super) fn now(&self) -> Time {
         self.parts.duties.now()
     }
@@ -282,15 +291,19 @@
 
     /// The places of this instance and all below it; none without news.
     fn ranks(&self) -> Option<Ranks> {
+        let ranks = self.find_ranks()?;
+        self.parts.usage.note_instances(ranks.of.all() as usize);
+        Some(ranks)
+    }
+
+    fn find_ranks(&self) -> Option<Ranks> {
         let uplink = self.uplink.borrow();
         if !uplink.leads() {
             return uplink.ranks();
         }
         let preferred = self.parts.peer.preferred;
-        let census = self.state.borrow().branch.census(preferred);
-        self.parts.usage.note_instances(census.all() as usize);
         Some(Ranks {
-            of: census,
+            of: self.state.borrow().branch.census(preferred),
             ..Ranks::default()
         })
     }
--- a/crates/pinereel/src/hosted/bulletin/children.rs
+++ b/crates/pinereel/src/hosted/bulletin/children.rs
@@ -46,7 +46,7 @@
     /// Takes a newcomer as a child, or refers it to others.
     async fn receive(&self, socket: Socket, peer: Peer) {
         let address = peer.address.clone();
-        let refused = self.leaving.get() || !self.is_fresh();
+        let refused = self.is_leaving() || !self.is_fresh();
         let admission = if refused {
             Admission::Referred(Vec::new())
         } else {
--- a/crates/pinereel/src/hosted/bulletin/uplink.rs
+++ b/crates/pinereel/src/hosted/bulletin/uplink.rs
@@ -41,8 +41,16 @@
         let mut standing = self.parts.duties.join(&DUTY.into());
         let mut found = None;
         loop {
-            if standing.borrow_and_update().grant.is_some() {
-                self.lead(has_lost(&mut standing)).await;
+            let leads = standing.borrow_and_update().grant.is_some();
+            if leads && !self.is_leaving() {
+                let mut leaving = self.leaving.subscribe();
+                let end = async {
+                    tokio::select! {
+                        () = has_lost(&mut standing) => {}
+                        _ = leaving.wait_for(|leaving| *leaving) => {}
+                    }
+                };
+                self.lead(end).await;
                 continue;
             }
             let link = match found.take() {
@@ -68,7 +76,7 @@
                 Ok(None) => return self.stand_in(standing).await,
                 Err(_) => {}
             },
-            () = has_taken(standing) => return None,
+            () = self.has_taken(standing) => return None,
         }
         self.go_on_alone(standing).await
     }
@@ -78,19 +86,19 @@
     async fn go_on_alone(&self, standing: &mut watch::Receiver<Standing>) -> Option<Link> {
         let has_children = !self.state.borrow().branch.is_empty();
         let is_needed = has_children || self.uplink.borrow().is_deputy();
-        if is_needed && !self.leaving.get() {
+        if is_needed && !self.is_leaving() {
             return self.stand_in(standing).await;
         }
         self.parts.feed.lose();
         tokio::select! {
             link = self.search() => Some(link),
-            () = has_taken(standing) => None,
+            () = self.has_taken(standing) => None,
         }
     }
 
     /// Looks for a parent; none if this instance is the first to stand in for a root that is gone.
     async fn search_patiently(&self) -> Option<Link> {
-        if self.uplink.borrow().is_first_deputy() && !self.leaving.get() {
+        if self.uplink.borrow().is_first_deputy() && !self.is_leaving() {
             return self.search_once().await;
         }
         Some(self.search().await)
@@ -102,7 +110,7 @@
         let end = async {
             tokio::select! {
                 link = self.search() => Some(link),
-                () = has_taken(standing) => None,
+                () = self.has_taken(standing) => None,
             }
         };
         self.lead(end).await
@@ -169,7 +177,7 @@
                     break Left::Lost;
                 },
                 Some(left) = &mut better => break left,
-                () = has_taken(standing) => break Left::Leads,
+                () = self.has_taken(standing) => break Left::Leads,
             }
             let is_fresh = self.is_fresh();
             self.parts.feed.set_has_parent(is_fresh);
@@ -219,6 +227,15 @@
         }
     }
 
+    /// Waits until this instance has the duty; for good if it is leaving.
+    async fn has_taken(&self, standing: &mut watch::Receiver<Standing>) {
+        let taken = standing.wait_for(|s| s.grant.is_some()).await.is_ok();
+        if !taken || self.is_leaving() {
+            // The process is ending.
+            std::future::pending::<()>().await;
+        }
+    }
+
     fn census(&self) -> Census {
         let state = self.state.borrow();
         state.branch.census(self.parts.peer.preferred)
@@ -271,14 +288,6 @@
     }
 }
 
-/// Waits until this instance has the duty.
-async fn has_taken(standing: &mut watch::Receiver<Standing>) {
-    if standing.wait_for(|s| s.grant.is_some()).await.is_err() {
-        // The process is ending.
-        std::future::pending::<()>().await;
-    }
-}
-
 /// Waits until this instance does not have the duty any more.
 async fn has_lost(standing: &mut watch::Receiver<Standing>) {
     if standing.wait_for(Standing::is_lost).await.is_err() {
--- a/crates/pinereel/src/hosted/usage/mod.rs
+++ b/crates/pinereel/src/hosted/usage/mod.rs
@@ -12,11 +12,11 @@
 use crate::settings;
 use pinereel_core::{
     Time,
-    usage::{Clock, Ledger, Report, Wall, Window},
+    usage::{Attendance, Clock, Ledger, Report, Wall, Window},
 };
 use pinereel_port::live::Caller;
 use std::{
-    cell::{Cell, RefCell},
+    cell::RefCell,
     rc::Rc,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
@@ -41,8 +41,8 @@
     wall: RefCell<Clock>,
     clock: fn() -> Time,
     changed: watch::Sender<u64>,
-    /// Instances in all, as far as this one knows as the root.
-    instances: Cell<usize>,
+    /// Instances in all, as far as this one knows.
+    attendance: RefCell<Attendance>,
 }
 
 /// A request that counts as begun.
@@ -61,7 +61,7 @@
             wall: RefCell::new(Clock::new(clock(), time_of_day())),
             clock,
             changed: watch::channel(0).0,
-            instances: Cell::new(0),
+            attendance: RefCell::default(),
         });
         if let Some(length) = usage.length {
             let state = Rc::clone(&usage);
@@ -120,9 +120,15 @@
         sleep(GATHER).await;
     }
 
-    /// So many instances are in touch with this one, the root.
+    /// So many instances are in the tree now.
     pub fn note_instances(&self, count: usize) {
-        self.instances.set(count);
+        let now = (self.clock)();
+        self.attendance.borrow_mut().note(now, count);
+    }
+
+    /// Instances whose counts are waited for.
+    fn instances(&self) -> usize {
+        self.attendance.borrow().count()
     }
 
     fn note_change(&self) {
--- a/crates/pinereel/src/hosted/usage/report.rs
+++ b/crates/pinereel/src/hosted/usage/report.rs
@@ -119,7 +119,7 @@
 
     fn due(&self, collector: &mut Collector) -> Option<(Window, Counts)> {
         let ledger = self.usage.ledger.borrow();
-        collector.due(self.usage.now(), &ledger, self.usage.instances.get())
+        collector.due(self.usage.now(), &ledger, self.usage.instances())
     }
 
     fn patience(&self) -> Patience {
@@ -173,7 +173,7 @@
             window = window.0,
             requests = counts.values().sum::<u64>(),
             workspaces = counts.len(),
-            instances = self.usage.instances.get(),
+            instances = self.usage.instances(),
             closed = ledger.closed(window),
             after_ms = self.usage.now().0.saturating_sub(window.end(self.settings.window).0),
             revision = object.revision;
--- a/crates/pinereel_core/src/tree/uplink.rs
+++ b/crates/pinereel_core/src/tree/uplink.rs
@@ -48,6 +48,11 @@
         true
     }
 
+    /// A root that leaves turns to its deputies: one of them stands in.
+    pub fn turn_to(&mut self, deputies: Vec<CompactString>) {
+        self.ways = deputies;
+    }
+
     /// The parent is gone.
     pub fn lost(&mut self) {
         self.heard = None;
--- a/crates/pinereel_core/tests/tree_fleet.rs
+++ b/crates/pinereel_core/tests/tree_fleet.rs
@@ -400,3 +400,18 @@
     assert!(fleet.most_children() <= CHILDREN);
     assert!(fleet.deepest() <= 3, "{} levels", fleet.deepest());
 }
+
+/// A root that was told to stop knew nobody to turn to: for up to 2.5 s it told nobody of the crashes that it saw, and the others began
+/// anew with a request that had crashed three endpoints.
+#[test]
+fn a_root_that_leaves_turns_to_its_deputies() {
+    let mut uplink = Uplink::new("root".into());
+    uplink.lead(true);
+    assert_eq!(
+        uplink.targets(Some("root".into())),
+        Vec::<compact_str::CompactString>::new()
+    );
+    uplink.turn_to(vec!["first".into(), "second".into()]);
+    uplink.lead(false);
+    assert_eq!(uplink.targets(Some("root".into())), ["first", "second"]);
+}
--- a/crates/pinereel_core/tests/usage_count.rs
+++ b/crates/pinereel_core/tests/usage_count.rs
@@ -6,7 +6,7 @@
 use compact_str::{CompactString, format_compact};
 use pinereel_core::{
     Time,
-    usage::{Clock, Collector, Counts, Ledger, Patience, Report, Wall, Window},
+    usage::{Attendance, Clock, Collector, Counts, Ledger, Patience, Report, Wall, Window},
 };
 use proptest::prelude::{Just, Strategy, prop, prop_assert_eq, prop_oneof, proptest};
 use std::{collections::BTreeMap, time::Duration};
@@ -103,6 +103,20 @@
     assert_eq!(first, Some(Window(WINDOW.0 + 10)));
 }
 
+/// The root is stopped: its successor first counts itself alone, then the others as they come. A sum of the few that have come
+/// would stand for good.
+#[test]
+fn a_new_root_waits_for_those_that_have_not_come_to_it_yet() {
+    let mut attendance = Attendance::default();
+    attendance.note(Time::from_millis(1_000), 67);
+    for (millis, count) in [(3_000, 1), (3_300, 9), (3_600, 40)] {
+        attendance.note(Time::from_millis(millis), count);
+        assert_eq!(attendance.count(), 67);
+    }
+    attendance.note(Time::from_millis(16_000), 66);
+    assert_eq!(attendance.count(), 66, "one is gone for good");
+}
+
 #[test]
 fn what_a_dead_instance_and_a_dead_root_told_is_not_lost() {
     let (mut dead, mut relay) = (Ledger::new("dead"), Ledger::new("relay"));
