--- a/crates/pinereel/src/hosted/usage/report.rs
+++ b/crates/pinereel/src/hosted/usage/report.rs
@@ -108,8 +108,7 @@
                         log::info!(window = window.0, error:% = error; "usage: sum not kept yet");
                         // It may be there after all, or another holder's.
                         sums = self.read().await;
-                        collector =
-                            Collector::new(self.patience(), self.usage.now(), &sums.by_window);
+                        collector.resume(&sums.by_window);
                     }
                 }
             }
--- a/crates/pinereel_core/src/usage/collector.rs
+++ b/crates/pinereel_core/src/usage/collector.rs
@@ -27,9 +27,21 @@
 impl Collector {
     /// Goes on after the last of the windows that were `fixed` before; with the window that `now` is in if there are none.
     pub fn new(patience: Patience, now: Wall, fixed: &BTreeMap<Window, Counts>) -> Self {
-        let last = fixed.last_key_value();
-        let next = last.map_or_else(|| now.window(patience.window), |(last, _)| last.next());
-        Self { patience, next }
+        let mut collector = Self {
+            patience,
+            next: now.window(patience.window),
+        };
+        if let Some((last, _)) = fixed.last_key_value() {
+            collector.next = last.next();
+        }
+        collector
+    }
+
+    /// What is `fixed` was read again, after a sum that may not have been kept: another holder may have made some.
+    pub fn resume(&mut self, fixed: &BTreeMap<Window, Counts>) {
+        if let Some((last, _)) = fixed.last_key_value() {
+            self.fixed(*last);
+        }
     }
 
     /// The next window and its counts, if it can be added up, with `instances` in all. It counts as added up with
--- a/crates/pinereel_core/tests/usage_count.rs
+++ b/crates/pinereel_core/tests/usage_count.rs
@@ -103,6 +103,22 @@
     assert_eq!(first, Some(Window(WINDOW.0 + 10)));
 }
 
+/// The store takes no sum while a window ends, and none was ever kept: the window is still added up once it is back.
+#[test]
+fn a_sum_that_was_not_kept_is_made_again() {
+    let mut ledger = Ledger::new("root");
+    let mut collector = Collector::new(PATIENCE, Wall(END - 1_000), &BTreeMap::new());
+    ledger.count(WINDOW, "w", 1);
+    assert!(collector.due(Wall(END + 5_001), &ledger, 0).is_some());
+    collector.resume(&BTreeMap::new());
+    let again = collector.due(Wall(END + 9_000), &ledger, 0);
+    assert_eq!(again, Some((WINDOW, counts(&[("w", 1)]))));
+    // Another holder has kept it.
+    collector.resume(&BTreeMap::from([(WINDOW, counts(&[("w", 2)]))]));
+    let next = collector.due(Wall(END + 9_000), &ledger, 0);
+    assert_eq!(next, None);
+}
+
 /// The root is stopped: its successor first counts itself alone, then the others as they come. A sum of the few that have come
 /// would stand for good.
 #[test]
