--- a/check.sh
+++ b/check.sh
@@ -36,6 +36,7 @@
   # Names that the own interface has as well (x-deadline-ms, /v1/lots) are left out.
   pattern='x-response-stamp|x-expect-instance|x-not-executed|x-weight-versions|x-server-load|x-wait-ms|x-length-hint'
   pattern+='|currentrev|staleok|waitms|pathprefix|fencetoken|coldremainingms|desiredcount|minversion'
+  pattern+='|x-tenant|x-lease-holder|x-fence-token|apikeys|zoneprices|spotprice|"/scale"|"/usage"'
   pattern+='|/v1/readiness|/v1/objects|/v1/order"|/v1/report|/v1/items'
   found=$(git ls-files 'crates/*/src/*.rs' | grep -v '^crates/pinereel_fakes/' | xargs grep -sniE "$pattern")
   if [ -n "$found" ]; then
--- a/crates/pinereel_fakes/tests/hosting_crash.rs
+++ b/crates/pinereel_fakes/tests/hosting_crash.rs
@@ -271,18 +271,24 @@
     read["results"].as_array().cloned().unwrap_or_default()
 }
 
-/// Plays a lot whose first item crashes what it comes to, at engines or at scorers. It takes three, and waits for the
-/// end of its time without an answer that would not be true; the others are done.
-async fn play_lot(seed: u64, lot: &str, bad: &serde_json::Value) {
+/// A site whose endpoints and engines crash under some requests, its endpoints and engines, and their crashes.
+async fn fragile_site(seed: u64) -> (Site, Vec<Fragile>, Crashes) {
     let size = Size { engines: 0, ..SIZE };
     let site = Site::start(size, seed).await.expect("it starts");
-    let (_endpoints, crashes) = endpoints(&site, ENDPOINTS);
+    let (mut fragile, crashes) = endpoints(&site, ENDPOINTS);
     let engine = |_| {
         let service = ("engines", Mode::Engine);
         Fragile::start(&site.store, service, DOWN, &crashes).expect("it starts")
     };
-    let _engines: Vec<_> = (0..ENDPOINTS).map(engine).collect();
+    fragile.extend((0..ENDPOINTS).map(engine));
     sleep(Duration::from_millis(1_500)).await;
+    (site, fragile, crashes)
+}
+
+/// Plays a lot whose first item crashes what it comes to, at engines or at scorers. It takes three, and waits for the
+/// end of its time without an answer that would not be true; the others are done.
+async fn play_lot(seed: u64, lot: &str, bad: &serde_json::Value) {
+    let (site, _fragile, crashes) = fragile_site(seed).await;
     submit(&site, lot, bad).await;
     sleep(Duration::from_secs(9)).await;
     let results = listed(&site, lot).await;
@@ -321,15 +327,7 @@
 /// which three had ended was sent 10 times more, 37 and 38 endpoints ended in a day of 40 s, and 41 % and 65 % of the
 /// callers' work was not done.
 async fn play_crowd(seed: u64, change: impl Fn(&mut serde_json::Value, &str)) {
-    let size = Size { engines: 0, ..SIZE };
-    let site = Site::start(size, seed).await.expect("it starts");
-    let (_endpoints, crashes) = endpoints(&site, ENDPOINTS);
-    let engine = |_| {
-        let service = ("engines", Mode::Engine);
-        Fragile::start(&site.store, service, DOWN, &crashes).expect("it starts")
-    };
-    let _engines: Vec<_> = (0..ENDPOINTS).map(engine).collect();
-    sleep(Duration::from_millis(1_500)).await;
+    let (site, _fragile, crashes) = fragile_site(seed).await;
     let mut items: Vec<_> = (0..CROWD)
         .map(|number| item(&format!("lot-{seed}-{number}")))
         .collect();
