duty: from when on a grant may be acted on stands once

Read again: the reporter of usage and the giver of orders each worked out the gap after the holder before. Behaviour as it was: the same match, and each keeps its own gap. Checked with format, lints, names and the page of log lines; the tests were not run again.

--- a/crates/pinereel/src/hosted/duty/standing.rs
+++ b/crates/pinereel/src/hosted/duty/standing.rs
@@ -1,6 +1,7 @@
 //! How this instance stands to a duty.
 
 use pinereel_core::{Time, lease::Clear};
+use std::time::Duration;
 
 /// A lease that this instance holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -13,6 +14,16 @@
     pub clear: Clear,
 }
 
+impl Grant {
+    /// From when on it may be acted on, if so much time must lie between the acts of two holders.
+    pub fn clear_from(&self, gap: Duration) -> Time {
+        match self.clear {
+            Clear::From(clear) => clear,
+            Clear::Idle(idle) => idle + gap,
+        }
+    }
+}
+
 /// How this instance stands to a duty.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Standing {
--- a/crates/pinereel/src/hosted/orders/mod.rs
+++ b/crates/pinereel/src/hosted/orders/mod.rs
@@ -23,7 +23,6 @@
 use futures_util::future::OptionFuture;
 use pinereel_core::{
     Time,
-    lease::Clear,
     rollout::{Controller, Demand, Settings, is_worth_a_change, share},
     table::Table,
 };
@@ -130,10 +129,7 @@
             // It lapsed in between, and nobody else had it.
             return Time::ZERO;
         }
-        match grant.clear {
-            Clear::From(clear) => clear,
-            Clear::Idle(idle) => idle + self.gap(),
-        }
+        grant.clear_from(self.gap())
     }
 
     /// Time between the last order of one holder and the first of the next.
--- a/crates/pinereel/src/hosted/usage/report.rs
+++ b/crates/pinereel/src/hosted/usage/report.rs
@@ -16,10 +16,7 @@
     settings,
     upstream::pool::Pool,
 };
-use pinereel_core::{
-    lease::Clear,
-    usage::{Collector, Counts, Patience, Window},
-};
+use pinereel_core::usage::{Collector, Counts, Patience, Window};
 use pinereel_port::{
     Adapter,
     duty::{Holder, Verdict},
@@ -218,11 +215,7 @@
     /// The lease, if a call may be made under it now.
     fn grant(&self) -> Option<Grant> {
         let grant = self.duties.acts(bulletin::DUTY)?;
-        let clear = match grant.clear {
-            Clear::From(clear) => clear,
-            Clear::Idle(idle) => idle + self.gap,
-        };
-        (self.duties.now() >= clear).then_some(grant)
+        (self.duties.now() >= grant.clear_from(self.gap)).then_some(grant)
     }
 
     async fn send(&self, grant: &Grant, window: Window, counts: &Counts) -> Option<Verdict> {
