--- a/crates/pinereel/src/hosted/bulletin/board.rs
+++ b/crates/pinereel/src/hosted/bulletin/board.rs
@@ -1,14 +1,12 @@
 //! What this instance has been told, and whom it tells.
 
-use super::{Feed, Frame, HEARTBEAT, Topic, known::Known};
-use crate::hosted::{
-    crashes::Crashes, duty::Duties, follow::Update, metrics::Metrics, store::Store, usage::Usage,
-};
+use super::{Feed, Frame, HEARTBEAT, Topic, known::Known, topics::Link};
+use crate::hosted::{crashes::Crashes, duty::Duties, metrics::Metrics, store::Store, usage::Usage};
 use bytes::Bytes;
 use compact_str::CompactString;
 use pinereel_core::{
     Time,
-    tree::{Alive, Branch, Key, Own, Peer, Ranks, Uplink},
+    tree::{Alive, Branch, Gate, Key, LEVEL, Own, Peer, Ranks, STALE, Uplink},
 };
 use pinereel_port::Adapter;
 use std::{
@@ -19,7 +17,7 @@
 };
 use tokio::{
     net::TcpListener,
-    sync::{broadcast, mpsc, watch},
+    sync::{broadcast, watch},
     time::sleep,
 };
 
@@ -41,6 +39,8 @@
     pub metrics: Metrics,
     /// Longest wait of a watch.
     pub watch: Duration,
+    /// Time after a change of the endpoint list within which it must be in force.
+    pub leave_after: Duration,
     /// This instance, as others see it.
     pub peer: Peer,
 }
@@ -62,11 +62,21 @@
 /// What is known, and the links to children.
 #[derive(Default)]
 pub(super) struct State {
-    topics: BTreeMap<Topic, Known>,
+    pub(super) topics: BTreeMap<Topic, Known>,
+    /// Topics beyond the base that this instance or one below it wants.
+    pub(super) wanted: BTreeSet<Topic>,
     /// Topics that were listed since this instance began to read the store.
-    listed: BTreeSet<Topic>,
+    pub(super) listed: BTreeSet<Topic>,
     pub(super) branch: Branch,
-    links: BTreeMap<Key, mpsc::Sender<Bytes>>,
+    pub(super) gate: Gate,
+    pub(super) links: BTreeMap<Key, Link>,
+}
+
+impl State {
+    /// The revision as of which a topic is known; 0 if it is not.
+    pub(super) fn revision(&self, topic: Topic) -> u64 {
+        self.topics.get(&topic).map_or(0, |known| known.revision)
+    }
 }
 
 impl Bulletin {
@@ -88,6 +98,12 @@
         actix_rt::spawn(async move { telling.tell_crashes().await });
         let counting = Rc::clone(&bulletin);
         actix_rt::spawn(async move { counting.tell_usage().await });
+        let wanting = Rc::clone(&bulletin);
+        actix_rt::spawn(async move {
+            wanting.parts.feed.engines_wanted().await;
+            wanting.want(Topic::Engines);
+            wanting.resume();
+        });
         let linking = Rc::clone(&bulletin);
         actix_rt::spawn(async move { linking.run().await });
         bulletin
@@ -126,82 +142,32 @@
 
     /// Whether the news here are fresh enough to be passed on.
     pub(super) fn is_fresh(&self) -> bool {
-        self.uplink.borrow().is_fresh(self.now(), self.own())
-    }
-
-    /// This instance begins to read the store itself.
-    pub(super) fn begin_to_read(&self) {
-        self.state.borrow_mut().listed.clear();
-        self.uplink.borrow_mut().lead(true);
-    }
-
-    /// The store has told of a topic.
-    pub(super) fn read(&self, topic: Topic, update: Update, revision: u64) {
-        if matches!(update, Update::All(_)) {
-            self.state.borrow_mut().listed.insert(topic);
-        }
-        let calm = self.parts.store.calm();
-        if !self.state.borrow().links.is_empty() {
-            self.tell(&frame(topic, update.clone(), revision, calm));
-        }
-        self.take(topic, update, revision, calm);
+        let (now, own) = (self.now(), self.own());
+        let mut uplink = self.uplink.borrow_mut();
+        uplink.observe(now, own);
+        uplink.is_fresh(now, own)
     }
 
-    /// The parent has told of a topic; `bytes` is how it did, and how children are told.
-    pub(super) fn hear(
-        &self,
-        topic: Topic,
-        update: Update,
-        (revision, calm): (u64, Duration),
-        bytes: Bytes,
-    ) {
-        // Another parent may lag behind the one before.
-        let known = {
-            let state = self.state.borrow();
-            state.topics.get(&topic).map_or(0, |known| known.revision)
-        };
-        if revision >= known {
-            self.send(&bytes);
-            self.take(topic, update, revision, calm);
-        }
+    /// Whether children may be kept although the news here are not fresh.
+    pub(super) fn is_hopeful(&self) -> bool {
+        let (now, own) = (self.now(), self.own());
+        self.uplink.borrow().is_hopeful(now, own, self.spare())
     }
 
-    /// Takes news in.
-    fn take(&self, topic: Topic, update: Update, revision: u64, calm: Duration) {
-        self.state
-            .borrow_mut()
-            .topics
-            .entry(topic)
-            .or_default()
-            .take(&update, revision);
-        self.parts.feed.set_calm(calm);
-        self.parts.feed.tell(topic, update, revision);
+    /// How much longer this instance stays with a parent whose news are not fresh.
+    pub(super) fn patience(&self) -> Duration {
+        self.uplink.borrow().patience(self.now(), self.spare())
     }
 
-    /// The parts of this process are told all again, if they were told nothing for a while.
-    pub(super) fn resume(&self) {
-        let feed = &self.parts.feed;
-        if feed.is_told() {
-            return;
-        }
-        let state = self.state.borrow();
-        for (topic, known) in &state.topics {
-            feed.tell(*topic, Update::All(known.objects()), known.revision);
-        }
-        log::info!("bulletin: news again");
+    /// Half of what the bound on a change leaves beyond the usual age of news; the other half is for finding another parent.
+    fn spare(&self) -> Duration {
+        self.parts.leave_after.saturating_sub(STALE + LEVEL) / 2
     }
 
-    /// All that is known, as frames.
-    pub(super) fn known(&self) -> Vec<Frame> {
-        let calm = self.parts.feed.calm();
-        let state = self.state.borrow();
-        let frames = state.topics.iter().map(|(topic, known)| Frame::All {
-            topic: *topic,
-            revision: known.revision,
-            objects: known.objects(),
-            calm,
-        });
-        frames.collect()
+    /// This instance begins to read the store itself.
+    pub(super) fn begin_to_read(&self) {
+        self.state.borrow_mut().listed.clear();
+        self.uplink.borrow_mut().lead(true);
     }
 
     /// Sends a frame to all children; one that cannot take it is cut.
@@ -216,12 +182,15 @@
         let mut state = self.state.borrow_mut();
         state
             .links
-            .retain(|_, link| link.try_send(bytes.clone()).is_ok());
+            .retain(|_, link| link.frames.try_send(bytes.clone()).is_ok());
     }
 
     /// A child is linked.
-    pub(super) fn linked(&self, key: Key, frames: mpsc::Sender<Bytes>) {
-        self.state.borrow_mut().links.insert(key, frames);
+    pub(super) fn linked(&self, key: Key, link: Link) {
+        let topics: Vec<Topic> = link.topics.keys().copied().collect();
+        self.state.borrow_mut().links.insert(key, link);
+        topics.into_iter().for_each(|topic| self.want(topic));
+        self.catch_up();
     }
 
     /// A child is gone.
@@ -235,17 +204,19 @@
     async fn beat(&self) {
         loop {
             self.tell_alive();
+            self.catch_up();
             sleep(HEARTBEAT).await;
         }
     }
 
     /// Tells each child that this instance lives, with its place, and this process its own.
     pub(super) fn tell_alive(&self) {
-        let Some(ranks) = self.ranks() else {
-            return;
-        };
         let preferred = self.parts.peer.preferred;
-        self.parts.feed.place(ranks.place(preferred));
+        let ranks = self.ranks();
+        if let Some(ranks) = ranks {
+            self.parts.feed.place(ranks.place(preferred));
+        }
+        let ranks = ranks.unwrap_or_default();
         if self.uplink.borrow().leads() {
             self.parts.feed.set_calm(self.own().calm);
         }
@@ -265,18 +236,21 @@
             let sent = state
                 .links
                 .get(&key)
-                .map(|link| link.try_send(bytes.into()));
+                .map(|link| link.frames.try_send(bytes.into()));
             if matches!(sent, Some(Err(_))) {
                 state.links.remove(&key);
             }
         }
     }
 
-    /// The sign of life for children; none while there are no news.
+    /// The heartbeat for children; none while there are no news, and none to be expected.
     pub(super) fn alive(&self, ranks: Ranks) -> Option<Alive> {
         let (now, own) = (self.now(), self.own());
+        let has_news = self.uplink.borrow().age(now, own).is_some();
+        if !has_news && !self.is_fresh() && !self.is_hopeful() {
+            return None;
+        }
         let uplink = self.uplink.borrow();
-        uplink.age(now, own)?;
         let deputies = match uplink.leads() {
             true => self.deputies(),
             false => Vec::new(),
@@ -314,20 +288,3 @@
         self.uplink.borrow().targets(holder)
     }
 }
-
-fn frame(topic: Topic, update: Update, revision: u64, calm: Duration) -> Frame {
-    match update {
-        Update::All(objects) => Frame::All {
-            topic,
-            revision,
-            objects,
-            calm,
-        },
-        Update::Changes(changes) => Frame::Changes {
-            topic,
-            revision,
-            changes,
-            calm,
-        },
-    }
-}
--- a/crates/pinereel/src/hosted/bulletin/children.rs
+++ b/crates/pinereel/src/hosted/bulletin/children.rs
@@ -1,17 +1,18 @@
 //! Links to children.
 
-use super::{Bulletin, CHILD_SILENCE, Frame, HEARTBEAT, OPEN};
+use super::{
+    Bulletin, CHILD_SILENCE, Frame, HEARTBEAT, Hello, OPEN, Topic, link_config, topics::Link,
+};
 use bytes::Bytes;
-use compact_str::CompactString;
 use futures_util::{SinkExt as _, StreamExt as _};
-use pinereel_core::tree::{Admission, Key, Peer, Ranks};
-use std::{rc::Rc, sync::Arc};
+use pinereel_core::tree::{Admission, Key, Ranks};
+use std::{collections::BTreeMap, rc::Rc, sync::Arc};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{Semaphore, mpsc},
     time::{Instant, sleep, sleep_until, timeout},
 };
-use tokio_tungstenite::{WebSocketStream, accept_async, tungstenite::Message};
+use tokio_tungstenite::{WebSocketStream, accept_async_with_config, tungstenite::Message};
 
 /// Frames that may wait for a slow link before it is cut.
 const QUEUE: usize = 256;
@@ -36,45 +37,61 @@
             actix_rt::spawn(async move {
                 let greeting = timeout(OPEN, greet(stream)).await;
                 drop(permit);
-                if let Ok(Some((socket, peer))) = greeting {
-                    bulletin.receive(socket, peer).await;
+                if let Ok(Some((socket, hello))) = greeting {
+                    bulletin.receive(socket, hello).await;
                 }
             });
         }
     }
 
-    /// Takes a newcomer as a child, or refers it to others.
-    async fn receive(&self, socket: Socket, peer: Peer) {
+    /// Takes a newcomer as a child, or refers it to others. One that comes before there is anything to tell is kept:
+    /// it need not come again.
+    async fn receive(&self, socket: Socket, hello: Hello) {
+        let Hello { peer, topics } = hello;
         let address = peer.address.clone();
-        let refused = self.is_leaving() || !self.is_fresh();
-        let admission = if refused {
-            Admission::Referred(Vec::new())
-        } else {
-            self.state.borrow_mut().branch.admit(peer)
-        };
+        if self.is_leaving() {
+            return refuse(socket, &Frame::Refer(Vec::new())).await;
+        }
+        if !self.is_fresh() && !self.is_hopeful() {
+            let wait = self.state.borrow_mut().gate.turn_away(self.now());
+            return refuse(socket, &Frame::Later(wait)).await;
+        }
+        let admission = self.state.borrow_mut().branch.admit(peer);
         match admission {
             Admission::Child(key) => {
                 log::info!(child = address.as_str(); "bulletin: child linked");
-                let why = self.serve(socket, key).await;
+                let why = self.serve(socket, key, topics).await;
                 self.unlinked(key);
                 log::info!(child = address.as_str(), why; "bulletin: child lost");
             }
-            Admission::Referred(addresses) => refer(socket, addresses).await,
+            Admission::Referred(addresses) => refuse(socket, &Frame::Refer(addresses)).await,
         }
     }
 
-    /// Serves one child: a sign of life and all that is known first, then each frame as it comes.
-    async fn serve(&self, mut socket: Socket, key: Key) -> &'static str {
+    /// Serves one child, which knows `topics` as of a revision each: a heartbeat and what it has missed first, then each
+    /// frame as it comes.
+    async fn serve(
+        &self,
+        mut socket: Socket,
+        key: Key,
+        topics: BTreeMap<Topic, u64>,
+    ) -> &'static str {
         let (sender, mut frames) = mpsc::channel::<Bytes>(QUEUE);
         // Its place follows with the next sign of life.
         let alive = self.alive(Ranks::default()).map(Frame::Alive);
         // Before the configuration and the list: what must not run is known before anything can.
         let crashes = self.known_crashes();
-        for frame in alive.into_iter().chain(crashes).chain(self.known()) {
+        for frame in alive.into_iter().chain(crashes) {
             // An empty queue takes these few.
             let _ = frame.encode().map(|bytes| sender.try_send(bytes.into()));
         }
-        self.linked(key, sender);
+        let topics = topics.into_iter();
+        let topics = topics.map(|(topic, revision)| (topic, Some(revision)));
+        let link = Link {
+            frames: sender,
+            topics: topics.collect(),
+        };
+        self.linked(key, link);
         let mut heard_at = Instant::now();
         loop {
             tokio::select! {
@@ -100,6 +117,7 @@
     fn hear_child(&self, key: Key, bytes: &[u8]) {
         match Frame::decode(bytes) {
             Some(Frame::Below(census)) => self.state.borrow_mut().branch.report(key, census),
+            Some(Frame::Want { topic, revision }) => self.wanted_by(key, topic, revision),
             Some(Frame::Crashes(reports)) => self.hear_crashes(reports),
             Some(Frame::Usage(reports)) => self.parts.usage.heard(reports),
             _ => {}
@@ -108,15 +126,17 @@
 }
 
 /// Opens a link from its other end's side; gives who that is.
-async fn greet(stream: TcpStream) -> Option<(Socket, Peer)> {
+async fn greet(stream: TcpStream) -> Option<(Socket, Hello)> {
     // Signs of life must not wait for more.
     let _ = stream.set_nodelay(true);
-    let mut socket = accept_async(stream).await.ok()?;
+    let mut socket = accept_async_with_config(stream, Some(link_config()))
+        .await
+        .ok()?;
     loop {
         match socket.next().await?.ok()? {
             Message::Binary(bytes) => {
                 return match Frame::decode(&bytes)? {
-                    Frame::Hello(peer) => Some((socket, peer)),
+                    Frame::Hello(hello) => Some((socket, hello)),
                     _ => None,
                 };
             }
@@ -125,8 +145,9 @@
     }
 }
 
-async fn refer(mut socket: Socket, addresses: Vec<CompactString>) {
-    if let Some(bytes) = Frame::Refer(addresses).encode() {
+/// Tells a newcomer where, or when, to try instead.
+async fn refuse(mut socket: Socket, answer: &Frame) {
+    if let Some(bytes) = answer.encode() {
         // A newcomer that hears nothing tries again.
         let _ = timeout(OPEN, socket.send(Message::Binary(bytes.into()))).await;
     }
--- a/crates/pinereel/src/hosted/bulletin/feed.rs
+++ b/crates/pinereel/src/hosted/bulletin/feed.rs
@@ -3,8 +3,16 @@
 use super::Topic;
 use crate::hosted::follow::Update;
 use pinereel_core::lease::Place;
-use std::{cell::Cell, collections::BTreeMap, rc::Rc, time::Duration};
-use tokio::sync::broadcast;
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    time::Duration,
+};
+use tokio::{
+    sync::{broadcast, watch},
+    time::Instant,
+};
 
 /// Updates that may wait for a part of this process; one that lags further follows the store again.
 const QUEUE: usize = 64;
@@ -16,6 +24,8 @@
     Told(Rc<Update>, u64),
     /// The place of this instance among all; told to those who hear of leases.
     Place(Place),
+    /// Something will be told until then, as far as can be seen.
+    Expected(Instant),
     /// Nothing is told any more.
     Lost,
 }
@@ -25,8 +35,10 @@
     topics: BTreeMap<Topic, broadcast::Sender<Fed>>,
     /// For how long the store had answered the root when it last told something.
     calm: Cell<Duration>,
-    /// Whether something was told since nothing was told any more.
-    told: Cell<bool>,
+    /// Topics that were told since nothing was told any more.
+    told: RefCell<BTreeSet<Topic>>,
+    /// Whether this process wants to know of engines.
+    engines: watch::Sender<bool>,
     /// Whether a parent tells, and its news are fresh.
     has_parent: Cell<bool>,
 }
@@ -37,7 +49,8 @@
         Self {
             topics: topics.into(),
             calm: Cell::default(),
-            told: Cell::default(),
+            told: RefCell::default(),
+            engines: watch::channel(false).0,
             has_parent: Cell::default(),
         }
     }
@@ -68,22 +81,60 @@
         self.calm.set(calm);
     }
 
-    pub(super) fn is_told(&self) -> bool {
-        self.told.get()
+    /// This process wants to know of engines from now on.
+    pub fn want_engines(&self) {
+        self.engines
+            .send_if_modified(|wanted| !std::mem::replace(wanted, true));
+    }
+
+    /// Whether this process wants to know of engines.
+    pub fn wants_engines(&self) -> bool {
+        *self.engines.borrow()
+    }
+
+    /// Waits until this process wants to know of engines.
+    pub async fn engines_wanted(&self) {
+        // The sender lives as long as this.
+        let _ = self.engines.subscribe().wait_for(|wanted| *wanted).await;
+    }
+
+    /// Whether a part of this process wants to know of a topic.
+    pub(super) fn wants(&self, topic: Topic) -> bool {
+        topic != Topic::Engines || self.wants_engines()
+    }
+
+    /// Whether a topic is told to the parts of this process.
+    pub(super) fn is_told(&self, topic: Topic) -> bool {
+        self.told.borrow().contains(&topic)
+    }
+
+    /// A part of this process has missed something of a topic: it is told all again.
+    pub fn miss(&self, topic: Topic) {
+        self.told.borrow_mut().remove(&topic);
     }
 
     pub(super) fn tell(&self, topic: Topic, update: Update, revision: u64) {
-        self.told.set(true);
+        self.told.borrow_mut().insert(topic);
         self.send(topic, Fed::Told(Rc::new(update), revision));
     }
 
+    /// A parent will have news within `wait`; said before the first ones only.
+    pub(super) fn expect(&self, wait: Duration) {
+        if self.is_told(Topic::Config) {
+            return;
+        }
+        for topic in [Topic::Config, Topic::Endpoints] {
+            self.send(topic, Fed::Expected(Instant::now() + wait));
+        }
+    }
+
     pub(super) fn place(&self, place: Place) {
         self.send(Topic::Leases, Fed::Place(place));
     }
 
     /// Nothing is told any more; said once only.
     pub(super) fn lose(&self) {
-        if !self.told.replace(false) {
+        if std::mem::take(&mut *self.told.borrow_mut()).is_empty() {
             return;
         }
         log::info!("bulletin: no news");
--- a/crates/pinereel/src/hosted/bulletin/frame.rs
+++ b/crates/pinereel/src/hosted/bulletin/frame.rs
@@ -1,29 +1,42 @@
 //! What goes over a link.
 
+use super::packed::Packed;
 use compact_str::CompactString;
 use pinereel_core::{
     crash::Report,
     tree::{Alive, Census, Peer},
     usage,
 };
-use pinereel_port::store::{Change, Object};
 use serde::{Deserialize, Serialize};
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 /// What is told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Topic {
     /// The configuration.
     Config,
-    /// The endpoint list.
+    /// The endpoint list but for engines.
     Endpoints,
+    /// The engines of the endpoint list.
+    Engines,
     /// The leases of all duties.
     Leases,
 }
 
 impl Topic {
     /// Every topic.
-    pub const ALL: [Self; 3] = [Self::Config, Self::Endpoints, Self::Leases];
+    pub const ALL: [Self; 4] = [Self::Config, Self::Endpoints, Self::Engines, Self::Leases];
+    /// Those that every instance is told of.
+    pub const BASE: [Self; 3] = [Self::Config, Self::Endpoints, Self::Leases];
+}
+
+/// The first frame of a newcomer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Hello {
+    /// Who it is.
+    pub peer: Peer,
+    /// The topics that it wants, and the revision as of which it knows each; 0 if it does not.
+    pub topics: BTreeMap<Topic, u64>,
 }
 
 /// One message on a link.
@@ -36,7 +49,7 @@
         /// The store's revision.
         revision: u64,
         /// The objects.
-        objects: Vec<Object>,
+        objects: Vec<Packed>,
         /// For how long the store has answered all calls of the root: an endpoint that is not listed
         /// soon after an outage may only have lapsed.
         calm: Duration,
@@ -48,14 +61,21 @@
         /// The store's revision after them.
         revision: u64,
         /// Oldest first.
-        changes: Vec<Change>,
+        changes: Vec<Packed>,
         /// As in [`Frame::All`].
         calm: Duration,
     },
     /// The parent lives; the first frame that a child gets.
     Alive(Alive),
-    /// The first frame of a newcomer: who it is.
-    Hello(Peer),
+    /// The first frame of a newcomer.
+    Hello(Hello),
+    /// A child wants one more topic, which it knows as of a revision.
+    Want {
+        /// The topic.
+        topic: Topic,
+        /// The store's revision; 0 if the child knows nothing of the topic.
+        revision: u64,
+    },
     /// A child says how many it and those below it are.
     Below(Census),
     /// Requests under which endpoints crash: what is news to the sender, or all that it knows when the link
@@ -66,6 +86,8 @@
     Usage(Vec<usage::Report>),
     /// The sender takes no child, or none any more; these may.
     Refer(Vec<CompactString>),
+    /// The sender has nothing to tell yet: the newcomer may return after this time.
+    Later(Duration),
 }
 
 impl Frame {
--- a/crates/pinereel/src/hosted/bulletin/gossip.rs
+++ b/crates/pinereel/src/hosted/bulletin/gossip.rs
@@ -1,6 +1,6 @@
 //! News that go up the tree: requests that crash endpoints, which go down as well, and counts of requests.
 
-use super::{Bulletin, Frame};
+use super::{Bulletin, Frame, Topic};
 use crate::hosted::{
     crashes::{Crashes, Source},
     usage::Usage,
@@ -60,6 +60,11 @@
         let usage = self.parts.usage.all();
         let usage = (!usage.is_empty()).then_some(Frame::Usage(usage));
         let frames = self.known_crashes().into_iter().chain(usage);
+        // What began to be wanted while the link was set up.
+        let wishes = self.wishes().into_iter();
+        let wishes = wishes.filter(|(topic, _)| !Topic::BASE.contains(topic));
+        let wishes = wishes.map(|(topic, revision)| Frame::Want { topic, revision });
+        let frames = frames.chain(wishes);
         frames
             .filter_map(|frame| frame.encode())
             .map(Bytes::from)
--- a/crates/pinereel/src/hosted/bulletin/known.rs
+++ b/crates/pinereel/src/hosted/bulletin/known.rs
@@ -1,65 +1,115 @@
 //! All objects of a topic, as an instance was told.
 
-use crate::hosted::follow::Update;
+use super::{
+    Frame, Topic,
+    packed::{Packed, decode},
+};
+use bytes::Bytes;
 use compact_str::CompactString;
+use pinereel_core::tree::Replay;
 use pinereel_port::store::Object;
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
-/// The objects of a topic, encoded: each instance keeps them for children that it may get. Before 3,000
-/// endpoints an instance took 25 MB so, and 31 MB with values (the middle of 304 instances, one run each).
+/// Bytes of changes that are kept beside a snapshot, as a part of it (one of so many): beyond that it is made anew.
+const REPLAYED_PART: usize = 4;
+/// But at least so many bytes.
+const REPLAYED_LEAST: usize = 64 * 1024;
+
+/// The objects of a topic, encoded: each instance keeps them for children that it may get.
 #[derive(Default)]
 pub(super) struct Known {
     /// The store's revision.
     pub(super) revision: u64,
-    objects: BTreeMap<CompactString, Box<[u8]>>,
+    objects: BTreeMap<CompactString, Bytes>,
+    /// Changes that came after what children may have.
+    replay: Replay,
+    /// All objects as one frame, and the revision as of which.
+    snapshot: Option<(u64, Bytes)>,
 }
 
 impl Known {
-    /// Takes news in.
-    pub(super) fn take(&mut self, update: &Update, revision: u64) {
+    /// Takes over all objects of the topic.
+    pub(super) fn set(&mut self, objects: Vec<Packed>, revision: u64) {
         self.revision = revision;
-        match update {
-            Update::All(objects) => {
-                self.objects.clear();
-                for object in objects {
-                    self.insert(object);
-                }
-            }
-            Update::Changes(changes) => {
-                for change in changes {
-                    if change.deleted {
-                        self.objects.remove(&change.object.name);
-                    } else {
-                        self.insert(&change.object);
-                    }
-                }
+        let objects = objects.into_iter();
+        self.objects = objects.map(|packed| (packed.name, packed.object)).collect();
+        self.replay.reset(revision);
+        self.snapshot = None;
+    }
+
+    /// Takes over changes; `frame` tells children of them.
+    pub(super) fn change(&mut self, changes: Vec<Packed>, revision: u64, frame: Bytes) {
+        self.revision = revision;
+        for packed in changes {
+            if packed.deleted {
+                self.objects.remove(&packed.name);
+            } else {
+                self.objects.insert(packed.name, packed.object);
             }
         }
+        let snapshot = self.snapshot.as_ref();
+        let size = snapshot.map_or(0, |(_, bytes)| bytes.len());
+        let most = REPLAYED_LEAST.max(size / REPLAYED_PART);
+        self.replay.push(revision, frame, most);
     }
 
-    fn insert(&mut self, object: &Object) {
-        let mut bytes = Vec::new();
-        match ciborium::into_writer(object, &mut bytes) {
-            Ok(()) => {
-                self.objects.insert(object.name.clone(), bytes.into());
-            }
-            Err(error) => {
-                log::error!(object = object.name.as_str(), error:% = error; "bulletin: object not kept");
-            }
+    /// What differs from `objects`, which are all that there are.
+    pub(super) fn differences(&self, objects: &[Packed]) -> Vec<Packed> {
+        let present: BTreeMap<_, _> = objects.iter().map(|o| (&o.name, o)).collect();
+        let gone = self.objects.iter();
+        let gone = gone.filter(|(name, _)| !present.contains_key(name));
+        let deleted = gone.map(|(name, bytes)| Packed {
+            name: name.clone(),
+            deleted: true,
+            object: bytes.clone(),
+        });
+        let changed = objects
+            .iter()
+            .filter(|packed| self.objects.get(&packed.name) != Some(&packed.object));
+        deleted.chain(changed.cloned()).collect()
+    }
+
+    /// Whether an object is among them.
+    pub(super) fn contains(&self, name: &str) -> bool {
+        self.objects.contains_key(name)
+    }
+
+    /// What a child that knows the topic as of `revision` has missed, as frames.
+    pub(super) fn frames(&mut self, topic: Topic, revision: u64, calm: Duration) -> Vec<Bytes> {
+        if let Some(missed) = self.replay.since(revision) {
+            return missed;
+        }
+        let usable = self.snapshot.take().and_then(|(revision, snapshot)| {
+            let later = self.replay.since(revision)?;
+            Some((revision, snapshot, later))
+        });
+        if let Some((revision, snapshot, later)) = usable {
+            self.snapshot = Some((revision, snapshot.clone()));
+            return std::iter::once(snapshot).chain(later).collect();
         }
+        let objects = self.objects.iter().map(|(name, bytes)| Packed {
+            name: name.clone(),
+            deleted: false,
+            object: bytes.clone(),
+        });
+        let frame = Frame::All {
+            topic,
+            revision: self.revision,
+            objects: objects.collect(),
+            calm,
+        };
+        let Some(bytes) = frame.encode().map(Bytes::from) else {
+            return Vec::new();
+        };
+        self.snapshot = Some((self.revision, bytes.clone()));
+        vec![bytes]
     }
 
     /// All objects, decoded.
     pub(super) fn objects(&self) -> Vec<Object> {
-        let objects = self.objects.iter().filter_map(|(name, bytes)| {
-            match ciborium::from_reader(&**bytes) {
-                Ok(object) => Some(object),
-                Err(error) => {
-                    log::error!(object = name.as_str(), error:% = error; "bulletin: object not kept");
-                    None
-                }
-            }
-        });
-        objects.collect()
+        let objects = self.objects.iter();
+        objects
+            .filter_map(|(name, bytes)| decode(name, bytes))
+            .collect()
     }
 }
--- a/crates/pinereel/src/hosted/bulletin/mod.rs
+++ b/crates/pinereel/src/hosted/bulletin/mod.rs
@@ -12,6 +12,7 @@
 //!
 //! - [`Bulletin`]: the instance in the tree; its parts are the state (`board`), the links to children
 //!   (`children`), what goes both ways (`gossip`), the way to a parent (`uplink`, `search`), and reading the store (`source`).
+//! - `topics`, `known`, `packed`: what is told, kept encoded for children, and passed on to those that want it.
 //! - [`Feed`]: what the parts of this process hear.
 //! - [`frame`]: what goes over a link.
 
@@ -21,15 +22,18 @@
 mod frame;
 mod gossip;
 mod known;
+mod packed;
 mod search;
 mod source;
+mod topics;
 mod uplink;
 
 pub use board::{Bulletin, Parts};
 pub use feed::{Fed, Feed};
-pub use frame::{Frame, Topic};
+pub use frame::{Frame, Hello, Topic};
 
 use std::time::Duration;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
 /// The duty of the instance that reads for all.
 pub const DUTY: &str = "bulletin";
@@ -40,5 +44,14 @@
 /// A child that says nothing for so long is gone: else it would count, and might be a deputy, until its queue
 /// is full.
 const CHILD_SILENCE: Duration = Duration::from_millis(3_500);
+/// Buffer of a link for each direction: frames are mostly small, and an instance has up to 33 links.
+const BUFFER: usize = 4 * 1024;
 /// Longest wait for a link to open, and for its first frame.
 const OPEN: Duration = Duration::from_millis(800);
+
+/// How links are set up.
+fn link_config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .read_buffer_size(BUFFER)
+        .write_buffer_size(BUFFER)
+}
--- /dev/null
+++ b/crates/pinereel/src/hosted/bulletin/packed.rs
@@ -0,0 +1,57 @@
+//! Objects as they go over links, and as they are kept for children: encoded once, by whoever reads them.
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use pinereel_port::store::{Change, Object};
+use serde::{Deserialize, Serialize};
+
+/// An encoded object.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Packed {
+    /// Name of the object.
+    pub name: CompactString,
+    /// Whether it was deleted.
+    pub deleted: bool,
+    /// The object in CBOR.
+    pub object: Bytes,
+}
+
+impl Packed {
+    /// Encodes an object; none if it cannot be encoded.
+    pub fn new(object: &Object, deleted: bool) -> Option<Self> {
+        let mut bytes = Vec::new();
+        match ciborium::into_writer(object, &mut bytes) {
+            Ok(()) => Some(Self {
+                name: object.name.clone(),
+                deleted,
+                object: bytes.into(),
+            }),
+            Err(error) => {
+                log::error!(object = object.name.as_str(), error:% = error; "bulletin: object not kept");
+                None
+            }
+        }
+    }
+
+    /// The object; none if it cannot be decoded.
+    pub fn object(&self) -> Option<Object> {
+        decode(&self.name, &self.object)
+    }
+
+    /// The change of the object.
+    pub fn change(&self) -> Option<Change> {
+        let object = self.object()?;
+        let deleted = self.deleted;
+        Some(Change { object, deleted })
+    }
+}
+
+pub(super) fn decode(name: &str, bytes: &[u8]) -> Option<Object> {
+    match ciborium::from_reader(bytes) {
+        Ok(object) => Some(object),
+        Err(error) => {
+            log::error!(object = name, error:% = error; "bulletin: object not kept");
+            None
+        }
+    }
+}
--- a/crates/pinereel/src/hosted/bulletin/search.rs
+++ b/crates/pinereel/src/hosted/bulletin/search.rs
@@ -1,6 +1,6 @@
 //! Looking for a parent.
 
-use super::{Bulletin, Frame, OPEN};
+use super::{Bulletin, Frame, Hello, OPEN, link_config};
 use compact_str::CompactString;
 use futures_util::{SinkExt as _, StreamExt as _, stream::FuturesUnordered};
 use pinereel_core::tree::Alive;
@@ -9,7 +9,9 @@
     net::TcpStream,
     time::{sleep, timeout},
 };
-use tokio_tungstenite::{MaybeTlsStream, WebSocketStream, connect_async, tungstenite::Message};
+use tokio_tungstenite::{
+    MaybeTlsStream, WebSocketStream, connect_async_with_config, tungstenite::Message,
+};
 
 /// Pause between the first rounds.
 const RETRY: Duration = Duration::from_millis(250);
@@ -36,6 +38,8 @@
 enum Opened {
     Linked(Box<Link>),
     Referred(Vec<CompactString>),
+    /// The target has nothing to tell before then.
+    Later(Duration),
 }
 
 impl Bulletin {
@@ -45,21 +49,32 @@
         let mut rounds = 0;
         loop {
             looks.mark_unchanged();
-            if let Some(link) = self.search_once().await {
-                return link;
-            }
+            let targets = self.targets();
+            let later = match self.search_among(targets.clone()).await {
+                Ok(link) => return link,
+                Err(later) => later,
+            };
             rounds += 1;
-            // A look may show where the holder is.
+            let next = sleep(later.unwrap_or_default().max(pause(rounds)));
+            // A look may show another holder.
+            let other_target =
+                async { while looks.changed().await.is_ok() && self.targets() == targets {} };
             tokio::select! {
-                () = sleep(pause(rounds)) => {}
-                _ = looks.changed() => {}
+                () = next => {}
+                () = other_target => {}
             }
         }
     }
 
     /// Tries all targets; none if no one takes this instance.
     pub(super) async fn search_once(&self) -> Option<Link> {
-        let targets = self.targets().into_iter().enumerate();
+        self.search_among(self.targets()).await.ok()
+    }
+
+    /// Tries targets; if none takes this instance, when one of them may, as far as they said.
+    async fn search_among(&self, targets: Vec<CompactString>) -> Result<Link, Option<Duration>> {
+        let targets = targets.into_iter().enumerate();
+        let mut later = None;
         let mut tries: FuturesUnordered<_> = targets
             .map(async |(at, target)| {
                 let at = u32::try_from(at).unwrap_or(u32::MAX);
@@ -68,37 +83,50 @@
             })
             .collect();
         while let Some(found) = tries.next().await {
-            if found.is_some() {
-                return found;
+            match found {
+                Ok(link) => return Ok(link),
+                Err(wait) => later = later.max(wait),
             }
         }
-        None
+        Err(later)
     }
 
-    /// Goes from a target to those that it refers to, until one takes this instance.
-    async fn follow_referrals(&self, target: CompactString) -> Option<Link> {
+    /// Goes from a target to those that it refers to, until one takes this instance; if none does, when one may.
+    async fn follow_referrals(&self, target: CompactString) -> Result<Link, Option<Duration>> {
         let mut left = vec![target];
+        let mut later = None;
         for _ in 0..REFERRALS {
-            let address = left.pop()?;
+            let Some(address) = left.pop() else {
+                break;
+            };
             match timeout(OPEN, self.open(&address)).await {
-                Ok(Some(Opened::Linked(link))) => return Some(*link),
+                Ok(Some(Opened::Linked(link))) => return Ok(*link),
+                Ok(Some(Opened::Later(wait))) => later = later.max(Some(wait)),
                 // The first one named comes next.
                 Ok(Some(Opened::Referred(addresses))) => left.extend(addresses.into_iter().rev()),
                 Ok(None) | Err(_) => {}
             }
         }
-        None
+        Err(later)
     }
 
     async fn open(&self, address: &CompactString) -> Option<Opened> {
-        let (mut socket, _) = connect_async(format!("ws://{address}/")).await.ok()?;
-        let hello = Frame::Hello(self.parts.peer.clone()).encode()?;
+        let (mut socket, _) =
+            connect_async_with_config(format!("ws://{address}/"), Some(link_config()), true)
+                .await
+                .ok()?;
+        let hello = Frame::Hello(Hello {
+            peer: self.parts.peer.clone(),
+            topics: self.wishes(),
+        });
+        let hello = hello.encode()?;
         socket.send(Message::Binary(hello.into())).await.ok()?;
         loop {
             let Message::Binary(bytes) = socket.next().await?.ok()? else {
                 continue;
             };
             return match Frame::decode(&bytes)? {
+                Frame::Later(wait) => Some(Opened::Later(wait)),
                 Frame::Alive(alive) => Some(Opened::Linked(Box::new(Link {
                     socket,
                     address: address.clone(),
--- a/crates/pinereel/src/hosted/bulletin/source.rs
+++ b/crates/pinereel/src/hosted/bulletin/source.rs
@@ -29,7 +29,7 @@
     async fn follow(&self, topic: Topic, purpose: Purpose, kind: &str) {
         let gather = match topic {
             Topic::Endpoints => GATHER,
-            Topic::Config | Topic::Leases => Duration::ZERO,
+            Topic::Config | Topic::Engines | Topic::Leases => Duration::ZERO,
         };
         let manner = || Manner {
             wait: self.parts.watch,
--- /dev/null
+++ b/crates/pinereel/src/hosted/bulletin/topics.rs
@@ -0,0 +1,306 @@
+//! What is told of each topic: taken in, kept for children, and passed on to those that want it.
+
+use super::{Bulletin, Frame, Topic, board::State, packed::Packed};
+use crate::hosted::follow::Update;
+use bytes::Bytes;
+use pinereel_core::tree::Key;
+use pinereel_port::store::{Change, Object};
+use std::{collections::BTreeMap, time::Duration};
+use tokio::sync::mpsc;
+
+/// The link to a child.
+pub(super) struct Link {
+    pub(super) frames: mpsc::Sender<Bytes>,
+    /// The topics that the child wants. Until it is brought up to date: the revision as of which it knows the topic.
+    pub(super) topics: BTreeMap<Topic, Option<u64>>,
+}
+
+/// When something was told.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Stamp {
+    /// The store's revision.
+    pub(super) revision: u64,
+    /// For how long the store had answered all calls of the root.
+    pub(super) calm: Duration,
+}
+
+/// What is told of a topic, encoded.
+pub(super) struct News {
+    pub(super) topic: Topic,
+    /// Whether these are all objects of the topic, and not changes alone.
+    pub(super) whole: bool,
+    pub(super) objects: Vec<Packed>,
+}
+
+impl News {
+    /// The same for the parts of this process.
+    fn update(&self) -> Update {
+        if self.whole {
+            Update::All(self.objects.iter().filter_map(Packed::object).collect())
+        } else {
+            Update::Changes(self.objects.iter().filter_map(Packed::change).collect())
+        }
+    }
+
+    fn frame(&self, stamp: Stamp) -> Frame {
+        let Stamp { revision, calm } = stamp;
+        let (topic, objects) = (self.topic, self.objects.clone());
+        if self.whole {
+            Frame::All {
+                topic,
+                revision,
+                objects,
+                calm,
+            }
+        } else {
+            Frame::Changes {
+                topic,
+                revision,
+                changes: objects,
+                calm,
+            }
+        }
+    }
+}
+
+impl Bulletin {
+    /// The store has told of a topic.
+    pub(super) fn read(&self, topic: Topic, update: Update, revision: u64) {
+        let calm = self.parts.store.calm();
+        for (topic, update) in self.split(topic, update) {
+            if matches!(update, Update::All(_)) {
+                self.state.borrow_mut().listed.insert(topic);
+            }
+            let news = self.narrow(pack(topic, &update), revision);
+            // A change that nobody would notice is no news, but the topic is known as of a later revision.
+            if !news.whole && news.objects.is_empty() {
+                self.state
+                    .borrow_mut()
+                    .topics
+                    .entry(topic)
+                    .or_default()
+                    .revision = revision;
+                self.resume();
+                continue;
+            }
+            let stamp = Stamp { revision, calm };
+            let frame = news.frame(stamp).encode().unwrap_or_default();
+            self.take(news, stamp, frame.into());
+        }
+        self.catch_up();
+    }
+
+    /// The parent has told of a topic; `frame` is how it did, and how children are told.
+    pub(super) fn hear(&self, news: News, stamp: Stamp, frame: Bytes) {
+        // Another parent may lag behind the one before.
+        let known = {
+            let state = self.state.borrow();
+            let known = state.topics.get(&news.topic);
+            known.map_or(0, |known| known.revision)
+        };
+        if stamp.revision >= known {
+            self.take(news, stamp, frame);
+            self.catch_up();
+        }
+    }
+
+    /// Takes news in and passes them on.
+    fn take(&self, news: News, stamp: Stamp, frame: Bytes) {
+        let topic = news.topic;
+        self.send_of(topic, &frame);
+        let feed = &self.parts.feed;
+        feed.set_calm(stamp.calm);
+        // Changes alone say nothing to a part that has not been told the rest.
+        let told = feed.wants(topic) && (news.whole || feed.is_told(topic));
+        if told {
+            feed.tell(topic, news.update(), stamp.revision);
+        }
+        let mut state = self.state.borrow_mut();
+        let known = state.topics.entry(topic).or_default();
+        if news.whole {
+            known.set(news.objects, stamp.revision);
+        } else {
+            known.change(news.objects, stamp.revision, frame);
+        }
+        drop(state);
+        if !told {
+            self.resume();
+        }
+    }
+
+    /// Tells the parts of this process all that they want and were not told.
+    pub(super) fn resume(&self) {
+        let feed = &self.parts.feed;
+        let state = self.state.borrow();
+        for (topic, known) in &state.topics {
+            if feed.wants(*topic) && !feed.is_told(*topic) {
+                feed.tell(*topic, Update::All(known.objects()), known.revision);
+                log::info!(topic:serde = topic, revision = known.revision; "bulletin: news again");
+            }
+        }
+    }
+
+    /// Engines are told to those alone that want to know of them: their versions change all the time, and most instances
+    /// have nothing to do with them.
+    fn split(&self, topic: Topic, update: Update) -> Vec<(Topic, Update)> {
+        if topic != Topic::Endpoints {
+            return vec![(topic, update)];
+        }
+        match update {
+            Update::All(objects) => {
+                let engines = |object: &Object| self.is_engine(object);
+                let (engines, others) = objects.into_iter().partition(engines);
+                vec![
+                    (Topic::Endpoints, Update::All(others)),
+                    (Topic::Engines, Update::All(engines)),
+                ]
+            }
+            Update::Changes(changes) => {
+                let mut by_topic = [Topic::Endpoints, Topic::Engines].map(|topic| (topic, vec![]));
+                for change in changes {
+                    let was = self.topic_of(&change.object.name);
+                    let is = match was {
+                        Some(was) if change.deleted => was,
+                        _ if self.is_engine(&change.object) => Topic::Engines,
+                        _ => Topic::Endpoints,
+                    };
+                    for (topic, changes) in &mut by_topic {
+                        if *topic == is {
+                            changes.push(change.clone());
+                        } else if was == Some(*topic) {
+                            let object = change.object.clone();
+                            let deleted = true;
+                            changes.push(Change { object, deleted });
+                        }
+                    }
+                }
+                let changed = by_topic.into_iter().filter(|(_, c)| !c.is_empty());
+                changed
+                    .map(|(topic, changes)| (topic, Update::Changes(changes)))
+                    .collect()
+            }
+        }
+    }
+
+    /// Whether an entry of the endpoint list is an engine's.
+    fn is_engine(&self, object: &Object) -> bool {
+        let entry = (self.parts.adapter.endpoint)(&object.name, &object.spec);
+        entry.is_ok_and(|entry| !entry.models.is_empty())
+    }
+
+    /// The topic that an entry of the endpoint list is told under.
+    fn topic_of(&self, name: &str) -> Option<Topic> {
+        let state = self.state.borrow();
+        let holds = |topic: &Topic| state.topics.get(topic).is_some_and(|k| k.contains(name));
+        [Topic::Endpoints, Topic::Engines].into_iter().find(holds)
+    }
+
+    /// A list that was read again is told as what has changed in it.
+    fn narrow(&self, news: News, revision: u64) -> News {
+        let state = self.state.borrow();
+        let known = state.topics.get(&news.topic);
+        match known.filter(|known| known.revision > 0 && known.revision <= revision) {
+            // Those who hear of leases need all of them.
+            Some(known) if news.whole && news.topic != Topic::Leases => News {
+                topic: news.topic,
+                whole: false,
+                objects: known.differences(&news.objects),
+            },
+            _ => news,
+        }
+    }
+
+    /// This instance, or one below it, wants a topic from now on.
+    pub(super) fn want(&self, topic: Topic) {
+        if Topic::BASE.contains(&topic) {
+            return;
+        }
+        let mut state = self.state.borrow_mut();
+        if state.wanted.insert(topic) {
+            let revision = state.revision(topic);
+            drop(state);
+            if let Some(bytes) = (Frame::Want { topic, revision }).encode() {
+                // A parent that is found later is told with the first frame.
+                let _ = self.up.send(bytes.into());
+            }
+        }
+    }
+
+    /// What this instance wants to be told, and as of which revision it knows that.
+    pub(super) fn wishes(&self) -> BTreeMap<Topic, u64> {
+        let state = self.state.borrow();
+        let topics = Topic::BASE.iter().chain(&state.wanted);
+        topics
+            .map(|topic| (*topic, state.revision(*topic)))
+            .collect()
+    }
+
+    /// Forgets the topics that no parent will tell of.
+    pub(super) fn forget_unwanted(&self) {
+        let state = &mut *self.state.borrow_mut();
+        let wanted = &state.wanted;
+        state
+            .topics
+            .retain(|topic, _| Topic::BASE.contains(topic) || wanted.contains(topic));
+    }
+
+    /// Brings children up to date that wait for it, once the news here are fresh.
+    pub(super) fn catch_up(&self) {
+        if !self.is_fresh() {
+            return;
+        }
+        let calm = self.parts.feed.calm();
+        let State { links, topics, .. } = &mut *self.state.borrow_mut();
+        links.retain(|_, link| {
+            let mut sent = true;
+            for (topic, missed) in &mut link.topics {
+                let Some(known) = topics.get_mut(topic) else {
+                    continue;
+                };
+                let Some(revision) = missed.take() else {
+                    continue;
+                };
+                let mut frames = known.frames(*topic, revision, calm).into_iter();
+                sent &= frames.all(|frame| link.frames.try_send(frame).is_ok());
+            }
+            sent
+        });
+    }
+
+    /// Sends what is told of a topic to the children that want it; one that cannot take it is cut.
+    fn send_of(&self, topic: Topic, frame: &Bytes) {
+        let mut state = self.state.borrow_mut();
+        state.links.retain(|_, link| {
+            let wants = link.topics.get(&topic) == Some(&None);
+            !wants || link.frames.try_send(frame.clone()).is_ok()
+        });
+    }
+
+    /// A child wants a topic, which it knows as of a revision.
+    pub(super) fn wanted_by(&self, key: Key, topic: Topic, revision: u64) {
+        if let Some(link) = self.state.borrow_mut().links.get_mut(&key) {
+            link.topics.entry(topic).or_insert(Some(revision));
+        }
+        self.want(topic);
+        self.catch_up();
+    }
+}
+
+fn pack(topic: Topic, update: &Update) -> News {
+    let (whole, objects) = match update {
+        Update::All(objects) => {
+            let packed = objects.iter().filter_map(|o| Packed::new(o, false));
+            (true, packed.collect())
+        }
+        Update::Changes(changes) => {
+            let packed = changes.iter();
+            let packed = packed.filter_map(|change| Packed::new(&change.object, change.deleted));
+            (false, packed.collect())
+        }
+    };
+    News {
+        topic,
+        whole,
+        objects,
+    }
+}
--- a/crates/pinereel/src/hosted/bulletin/uplink.rs
+++ b/crates/pinereel/src/hosted/bulletin/uplink.rs
@@ -1,7 +1,11 @@
 //! Where this instance gets its news from: a parent, or the store itself.
 
-use super::{Bulletin, DUTY, Frame, REPORT, search::Link};
-use crate::hosted::{duty::Standing, follow::Update};
+use super::{
+    Bulletin, DUTY, Frame, REPORT,
+    search::Link,
+    topics::{News, Stamp},
+};
+use crate::hosted::duty::Standing;
 use futures_util::{FutureExt as _, SinkExt as _, StreamExt as _, future::OptionFuture};
 use pinereel_core::tree::Census;
 use pinereel_port::store::Freshness;
@@ -141,6 +145,7 @@
         let mut heard_at = Instant::now();
         let mut told_at = heard_at;
         let mut up = self.up.subscribe();
+        self.forget_unwanted();
         let mut first = self.first_news();
         let why = loop {
             let mut sent = true;
@@ -187,6 +192,11 @@
                 self.resume();
                 continue;
             }
+            let patience = self.patience();
+            if !patience.is_zero() {
+                self.parts.feed.expect(patience);
+                continue;
+            }
             if !is_stale {
                 is_stale = true;
                 better = OptionFuture::from(Some(self.search_better().boxed_local()));
@@ -212,11 +222,13 @@
 
     /// Waits until the store answers this instance itself; deputies look first, in their order.
     async fn until_answered(&self) {
-        let (is_first, is_deputy) = {
+        let (is_first, is_deputy, is_below_root) = {
             let uplink = self.uplink.borrow();
-            (uplink.is_first_deputy(), uplink.is_deputy())
+            let is_below_root = uplink.level() == 1;
+            (uplink.is_first_deputy(), uplink.is_deputy(), is_below_root)
         };
-        if !is_first {
+        // Those further down have waited already.
+        if !is_first && is_below_root {
             sleep(PATIENCE).await;
         }
         let pause = if is_deputy { DEPUTY_PROBE } else { PROBE };
@@ -252,16 +264,33 @@
                 revision,
                 objects,
                 calm,
-            }) => self.hear(topic, Update::All(objects), (revision, calm), bytes),
+            }) => {
+                let whole = true;
+                let news = News {
+                    topic,
+                    whole,
+                    objects,
+                };
+                self.hear(news, Stamp { revision, calm }, bytes);
+            }
             Some(Frame::Changes {
                 topic,
                 revision,
                 changes,
                 calm,
-            }) => self.hear(topic, Update::Changes(changes), (revision, calm), bytes),
+            }) => {
+                let news = News {
+                    topic,
+                    whole: false,
+                    objects: changes,
+                };
+                self.hear(news, Stamp { revision, calm }, bytes);
+            }
             Some(Frame::Alive(alive)) => {
                 let metrics = &self.parts.metrics;
-                metrics.observe(&metrics.ages, "news", alive.age);
+                if let Some(age) = alive.age {
+                    metrics.observe(&metrics.ages, "news", age);
+                }
                 self.parts.feed.set_calm(alive.calm);
                 if !self.uplink.borrow_mut().heard(self.now(), alive) {
                     return false;
@@ -270,8 +299,8 @@
             }
             Some(Frame::Crashes(reports)) => self.hear_crashes(reports),
             Some(Frame::Usage(reports)) => self.parts.usage.heard(reports),
-            Some(Frame::Refer(_)) | None => return false,
-            Some(Frame::Hello(_) | Frame::Below(_)) => {}
+            Some(Frame::Refer(_) | Frame::Later(_)) | None => return false,
+            Some(Frame::Hello(_) | Frame::Below(_) | Frame::Want { .. }) => {}
         }
         true
     }
--- a/crates/pinereel/src/hosted/duty/look.rs
+++ b/crates/pinereel/src/hosted/duty/look.rs
@@ -104,6 +104,7 @@
                 self.place.set(Some(place));
                 true
             }
+            Ok(Fed::Expected(_)) => false,
             // What was missed is told again soon.
             Err(RecvError::Lagged(_)) => true,
             Ok(Fed::Lost) | Err(RecvError::Closed) => false,
--- a/crates/pinereel/src/hosted/endpoints/listing.rs
+++ b/crates/pinereel/src/hosted/endpoints/listing.rs
@@ -1,12 +1,12 @@
 //! What the platform's list says, taken over.
 
-use super::{Endpoints, Listed};
+use super::{Endpoints, Listed, Scope};
 use crate::hosted::follow::Update;
 use compact_str::CompactString;
 use log::Level;
 use pinereel_core::endpoint::{self, Event};
 use pinereel_port::{Fault, endpoint::Entry, store::Object};
-use std::{collections::BTreeMap, rc::Rc, time::Duration};
+use std::{collections::BTreeSet, rc::Rc, time::Duration};
 use tokio::time::{Instant, sleep};
 
 /// After the store was away, an endpoint that is missing in its list may be back within about two
@@ -24,18 +24,22 @@
 const QUEUED: u32 = 2;
 
 impl Endpoints {
-    pub(super) fn take(self: &Rc<Self>, update: Update) {
+    pub(super) fn take(self: &Rc<Self>, update: Update, scope: Scope) {
+        if scope == Scope::Others && !self.parts.feed.wants_engines() {
+            self.drop_engines();
+        }
         match update {
             Update::All(objects) => {
-                let present: BTreeMap<_, _> = objects.iter().map(|o| (&o.name, ())).collect();
-                let known: Vec<_> = self.entries.borrow().keys().cloned().collect();
-                for id in known {
-                    if !present.contains_key(&id) {
-                        self.removed(&id);
-                    }
-                }
+                let present: BTreeSet<_> = objects.iter().map(|o| &o.name).collect();
+                let entries = self.entries.borrow();
+                let known = entries.iter().filter(|(_, l)| scope.contains(&l.entry));
+                let gone = known.filter(|(id, _)| !present.contains(id));
+                let gone: Vec<_> = gone.map(|(id, _)| id.clone()).collect();
+                drop(entries);
+                gone.iter().for_each(|id| self.removed(id));
+                log::info!(scope:? = scope, listed = objects.len(), gone = gone.len(); "endpoints listed");
                 for object in &objects {
-                    self.listed(object);
+                    self.listed(object, Level::Debug);
                 }
             }
             Update::Changes(changes) => {
@@ -43,7 +47,7 @@
                     if change.deleted {
                         self.removed(&change.object.name);
                     } else {
-                        self.listed(&change.object);
+                        self.listed(&change.object, Level::Info);
                     }
                 }
             }
@@ -51,7 +55,8 @@
         self.note_change();
     }
 
-    fn listed(&self, object: &Object) {
+    /// Takes an entry over; what is new in it is logged at `level`.
+    fn listed(&self, object: &Object, level: Level) {
         let entry = match (self.parts.adapter.endpoint)(&object.name, &object.spec) {
             Ok(entry) => entry,
             Err(fault) => {
@@ -73,7 +78,7 @@
             }
             self.parts.pool.forget(before.address);
         }
-        log_listed(before.as_ref(), &entry, object.revision);
+        log_listed(before.as_ref(), &entry, object.revision, level);
         let instance = listed_instance(&entry);
         let listed = Listed {
             entry,
@@ -81,7 +86,7 @@
         };
         let id = listed.entry.id.clone();
         self.entries.borrow_mut().insert(id, listed);
-        self.step(Event::Listed(instance));
+        self.step_at(level, Event::Listed(instance));
     }
 
     /// An entry names no endpoint to use, also when it was a good one before: another writer may have
@@ -137,6 +142,17 @@
         self.parts.store.was_away_within(AWAY) && self.parts.feed.calm() < BACK
     }
 
+    /// Forgets engines that the store told of while there was no bulletin.
+    fn drop_engines(&self) {
+        let mut entries = self.entries.borrow_mut();
+        let engines = entries.extract_if(.., |_, listed| Scope::Engines.contains(&listed.entry));
+        let ids: Vec<_> = engines.map(|(id, _)| id).collect();
+        drop(entries);
+        for id in ids {
+            self.step_at(Level::Debug, Event::Unlisted { name: id });
+        }
+    }
+
     fn drop_missing(&self, id: &CompactString, since: Instant) {
         {
             let mut entries = self.entries.borrow_mut();
@@ -152,16 +168,12 @@
 
 /// Tells what is new in an entry. A change of the versions alone is told by whoever gives the orders: on a
 /// fleet of 165 instances it made 45,000 of 66,000 lines.
-fn log_listed(before: Option<&Entry>, entry: &Entry, revision: u64) {
+fn log_listed(before: Option<&Entry>, entry: &Entry, revision: u64, level: Level) {
     if before == Some(entry) {
         return;
     }
     let versions_alone = before.is_some_and(|before| standing(before) == standing(entry));
-    let level = if versions_alone {
-        Level::Debug
-    } else {
-        Level::Info
-    };
+    let level = if versions_alone { Level::Debug } else { level };
     log::log!(
         level,
         endpoint = entry.id.as_str(),
--- a/crates/pinereel/src/hosted/endpoints/mod.rs
+++ b/crates/pinereel/src/hosted/endpoints/mod.rs
@@ -3,8 +3,8 @@
 mod listing;
 
 use super::{
-    bulletin::{Feed, Topic},
-    follow::{Manner, follow},
+    bulletin::{Fed, Feed, Topic},
+    follow::{Manner, Origin, follow_from},
     metrics::Metrics,
     store::Store,
 };
@@ -15,6 +15,7 @@
     upstream::pool::Pool,
 };
 use compact_str::CompactString;
+use log::Level;
 use pinereel_core::{
     crash::Start,
     endpoint::{self, End, Event, Key, Set, State},
@@ -23,7 +24,10 @@
 };
 use pinereel_port::{Adapter, endpoint::Entry, live::Load};
 use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
-use tokio::{sync::watch, time::Instant};
+use tokio::{
+    sync::{broadcast::error::RecvError, watch},
+    time::Instant,
+};
 
 /// Pause after changes of the list, so that those that come together cost one call: with many
 /// engines their versions change all the time. A part of the time after which an endpoint that
@@ -68,6 +72,27 @@
     changed: watch::Sender<u64>,
 }
 
+/// The endpoints that a list speaks of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Scope {
+    /// All.
+    All,
+    /// Engines alone.
+    Engines,
+    /// All but engines.
+    Others,
+}
+
+impl Scope {
+    fn contains(self, entry: &Entry) -> bool {
+        match self {
+            Self::All => true,
+            Self::Engines => !entry.models.is_empty(),
+            Self::Others => entry.models.is_empty(),
+        }
+    }
+}
+
 struct Listed {
     entry: Entry,
     /// Removed from the list at this moment, and maybe back soon.
@@ -118,12 +143,42 @@
                 wait,
                 gather: if hurried() { HURRIED } else { gather },
             };
-            let take = move |update, _| state.take(update);
-            follow(&store, Purpose::Instances, kind, manner, fed, take).await;
+            let take = move |update, _, origin| state.take(update, Self::scope(origin));
+            follow_from(&store, Purpose::Instances, kind, manner, fed, take).await;
         });
+        let state = Rc::clone(&endpoints);
+        actix_rt::spawn(async move { state.hear_engines().await });
         endpoints
     }
 
+    /// This instance has to do with engines from now on.
+    pub fn want_engines(&self) {
+        self.parts.feed.want_engines();
+    }
+
+    /// What a list of that origin speaks of; it says nothing of the rest.
+    const fn scope(origin: Origin) -> Scope {
+        match origin {
+            Origin::Bulletin => Scope::Others,
+            Origin::Store => Scope::All,
+        }
+    }
+
+    /// Hears of engines from the bulletin, once this instance has to do with them.
+    async fn hear_engines(self: Rc<Self>) {
+        let feed = &self.parts.feed;
+        let mut told = feed.hear(Topic::Engines);
+        loop {
+            match told.recv().await {
+                Ok(Fed::Told(update, _)) => self.take((*update).clone(), Scope::Engines),
+                // While nothing is told the whole list is read.
+                Ok(Fed::Lost | Fed::Expected(_) | Fed::Place(_)) => {}
+                Err(RecvError::Lagged(_)) => feed.miss(Topic::Engines),
+                Err(RecvError::Closed) => return,
+            }
+        }
+    }
+
     /// Whether a list was read.
     pub fn is_known(&self) -> bool {
         self.updated.borrow().is_some()
@@ -246,11 +301,16 @@
     }
 
     fn step(&self, event: Event) {
+        self.step_at(Level::Info, event);
+    }
+
+    /// Takes an event in; what it changes is logged at `level`.
+    fn step_at(&self, level: Level, event: Event) {
         let now = self.parts.clock.now();
         let changes = self.set.borrow_mut().step(now, event);
         for change in changes {
             let endpoint = change.name.as_str();
-            log::info!(endpoint, what:serde = change.what; "endpoint changed");
+            log::log!(level, endpoint, what:serde = change.what; "endpoint changed");
         }
     }
 
--- a/crates/pinereel/src/hosted/follow.rs
+++ b/crates/pinereel/src/hosted/follow.rs
@@ -36,6 +36,15 @@
     pub gather: Duration,
 }
 
+/// Who told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// The bulletin.
+    Bulletin,
+    /// The store, which has all objects of the kind.
+    Store,
+}
+
 /// Follows the objects of `kind` until dropped, and tells `take` of each answer with its revision.
 /// `manner` is asked before each watch. While `fed` tells, the store is not asked.
 pub async fn follow(
@@ -45,6 +54,19 @@
     manner: impl Fn() -> Manner,
     fed: Option<broadcast::Receiver<Fed>>,
     mut take: impl FnMut(Update, u64),
+) {
+    let take = |update, revision, _| take(update, revision);
+    follow_from(store, purpose, kind, manner, fed, take).await;
+}
+
+/// The same as [`follow`], where it matters who told.
+pub async fn follow_from(
+    store: &Store,
+    purpose: Purpose,
+    kind: &str,
+    manner: impl Fn() -> Manner,
+    fed: Option<broadcast::Receiver<Fed>>,
+    mut take: impl FnMut(Update, u64, Origin),
 ) {
     let mut returns = store.returns();
     let mut fed = Hearing::new(fed);
@@ -65,7 +87,7 @@
                     if revision.is_none_or(|known| told >= known) {
                         revision = Some(told);
                         must_list = false;
-                        take(update, told);
+                        take(update, told, Origin::Bulletin);
                     }
                 }
                 continue;
@@ -93,7 +115,7 @@
                 revision = Some(next);
                 must_list = false;
                 if let Some(update) = update {
-                    take(update, next);
+                    take(update, next, Origin::Store);
                     sleep(manner().gather).await;
                 }
             }
@@ -177,6 +199,12 @@
                         return Some(((*update).clone(), revision));
                     }
                 }
+                Ok(Fed::Expected(until)) => {
+                    if self.expected_until().is_some() {
+                        self.voice = Voice::Expected(until);
+                        return None;
+                    }
+                }
                 Ok(Fed::Place(_)) => {}
                 Ok(Fed::Lost) | Err(broadcast::error::RecvError::Lagged(_)) => {
                     if !self.is_silent() {
--- a/crates/pinereel/src/hosted/run.rs
+++ b/crates/pinereel/src/hosted/run.rs
@@ -184,6 +184,7 @@
                 usage: Rc::clone(&usage),
                 metrics: metrics.clone(),
                 watch,
+                leave_after: settings.store.leave_after,
                 peer: Peer {
                     address: peers.to_string().into(),
                     zone: instance.zone.clone(),
--- a/crates/pinereel_core/src/tree/alive.rs
+++ b/crates/pinereel_core/src/tree/alive.rs
@@ -12,8 +12,11 @@
     pub lineage: Vec<CompactString>,
     /// Who stands in for the root, in this order.
     pub deputies: Vec<CompactString>,
-    /// Time since the store last answered the root, with what it took to pass that on.
-    pub age: Duration,
+    /// Time since the store last answered the root, with what it took to pass that on; none while the head of this
+    /// part of the tree has nothing to pass on yet.
+    pub age: Option<Duration>,
+    /// Whether that head reads the store; if not, it looks for a parent.
+    pub reads: bool,
     /// For how long the store has answered all calls of the root.
     pub calm: Duration,
     /// Places of the receiver and of all below it.
@@ -26,6 +29,11 @@
         u32::try_from(self.lineage.len()).unwrap_or(u32::MAX)
     }
 
+    /// Whether news are still to come: the head has begun to read the store.
+    pub const fn is_reading(&self) -> bool {
+        self.age.is_none() && self.reads
+    }
+
     /// How old the news may be at the sender's children.
     pub fn bound(&self) -> Duration {
         STALE + LEVEL * self.level().saturating_sub(1)
--- a/crates/pinereel_core/src/tree/mod.rs
+++ b/crates/pinereel_core/src/tree/mod.rs
@@ -11,16 +11,22 @@
 //!
 //! - [`Branch`]: the side of a parent.
 //! - [`Uplink`]: the side of a child.
+//! - [`Gate`]: when a newcomer that is turned away may return.
+//! - [`Replay`]: the last changes, for children that have missed no more.
 //! - [`Alive`]: the sign of life that goes down the tree, with the age of the news.
 
 mod alive;
 mod branch;
 mod census;
+mod gate;
+mod replay;
 mod uplink;
 
 pub use alive::Alive;
 pub use branch::{Admission, Branch, Key, Peer};
 pub use census::{Census, Ranks};
+pub use gate::Gate;
+pub use replay::Replay;
 pub use uplink::{Own, Uplink};
 
 use std::time::Duration;
@@ -40,3 +46,10 @@
 /// News may be so much older at each level below the first: the level above finds another parent first,
 /// and its children stay.
 pub const LEVEL: Duration = Duration::from_millis(400);
+
+/// Those below the first level stay with a parent whose news are not fresh for so long at least: it looks for another
+/// parent itself.
+pub const FOLLOWED: Duration = Duration::from_millis(500);
+
+/// Longest time that a root takes to read the store before it has news: ten thousand endpoints are fifty pages.
+pub const READING: Duration = Duration::from_secs(3);
--- /dev/null
+++ b/crates/pinereel_core/src/tree/replay.rs
@@ -0,0 +1,50 @@
+//! The last changes of a topic, for children that have missed no more than these.
+
+use bytes::Bytes;
+use std::collections::VecDeque;
+
+/// Most frames that are kept: a child that has missed more is sent the whole topic.
+const FRAMES: usize = 64;
+
+/// Encoded changes since a revision.
+///
+/// Load pattern: a relay or a root is lost, and hundreds of instances find another parent, each of which has missed a
+/// second's changes of a list that is thousands of times as long.
+#[derive(Clone, Debug, Default)]
+pub struct Replay {
+    /// The revision that the oldest frame follows.
+    from: u64,
+    /// Frames with the revision after each, the oldest first.
+    frames: VecDeque<(u64, Bytes)>,
+    /// Bytes of all frames.
+    bytes: usize,
+}
+
+impl Replay {
+    /// The whole topic is known anew as of a revision.
+    pub fn reset(&mut self, revision: u64) {
+        *self = Self {
+            from: revision,
+            ..Self::default()
+        };
+    }
+
+    /// Changes up to a revision, of which so many bytes are kept in all.
+    pub fn push(&mut self, revision: u64, frame: Bytes, most_bytes: usize) {
+        self.bytes += frame.len();
+        self.frames.push_back((revision, frame));
+        while self.bytes > most_bytes || self.frames.len() > FRAMES {
+            let Some((revision, frame)) = self.frames.pop_front() else {
+                return;
+            };
+            self.bytes -= frame.len();
+            self.from = revision;
+        }
+    }
+
+    /// What has changed after a revision; none if that is not known any more.
+    pub fn since(&self, revision: u64) -> Option<Vec<Bytes>> {
+        let later = self.frames.iter().filter(|(after, _)| *after > revision);
+        (revision >= self.from).then(|| later.map(|(_, frame)| frame.clone()).collect())
+    }
+}
--- a/crates/pinereel_core/src/tree/uplink.rs
+++ b/crates/pinereel_core/src/tree/uplink.rs
@@ -1,6 +1,6 @@
 //! The side of a child: how old its news are, and whom it turns to when they are too old.
 
-use super::{Alive, Ranks, STALE};
+use super::{Alive, FOLLOWED, READING, Ranks, STALE};
 use crate::Time;
 use compact_str::CompactString;
 use std::time::Duration;
@@ -24,6 +24,8 @@
     ways: Vec<CompactString>,
     /// Whether this instance reads the store for those below it.
     leads: bool,
+    /// Since when the news here are not fresh, as far as was observed.
+    stale_since: Option<Time>,
 }
 
 impl Uplink {
@@ -34,6 +36,7 @@
             heard: None,
             ways: Vec::new(),
             leads: false,
+            stale_since: None,
         }
     }
 
@@ -63,6 +66,8 @@
         self.leads = leads;
         if leads {
             self.lost();
+            // The time that reading takes counts from now on.
+            self.stale_since = None;
         }
     }
 
@@ -79,7 +84,7 @@
     /// Age of the news here; none if there are none.
     pub fn age(&self, now: Time, own: Own) -> Option<Duration> {
         match &self.heard {
-            Some((alive, at)) => Some(alive.age + now.since(*at)),
+            Some((alive, at)) => alive.age.map(|age| age + now.since(*at)),
             None if self.leads => own.age,
             None => None,
         }
@@ -94,6 +99,49 @@
         self.age(now, own).is_some_and(|age| age < bound)
     }
 
+    /// Notes whether the news are fresh; to be called several times a second.
+    pub fn observe(&mut self, now: Time, own: Own) {
+        if self.is_fresh(now, own) {
+            self.stale_since = None;
+        } else {
+            self.stale_since.get_or_insert(now);
+        }
+    }
+
+    /// How much longer a child with stale news stays with its parent before it looks for fresher ones; zero if it
+    /// should look now. `spare` is what the bound on a leave allows beyond the usual age of news.
+    ///
+    /// Load pattern: the root of hundreds of instances is lost or cut off. Those right below it look for its
+    /// successor, and all others stay with them, so that it gets a few links and not one from every instance.
+    pub fn patience(&self, now: Time, spare: Duration) -> Duration {
+        let Some((alive, _)) = &self.heard else {
+            return Duration::ZERO;
+        };
+        let limit = match alive.age {
+            None if alive.reads => READING,
+            None => spare,
+            Some(_) if alive.level() > 1 => spare.max(FOLLOWED),
+            Some(_) => Duration::ZERO,
+        };
+        limit.saturating_sub(self.stale_for(now))
+    }
+
+    /// Whether children may be taken, and kept, although the news are not fresh: they soon will be.
+    pub fn is_hopeful(&self, now: Time, own: Own, spare: Duration) -> bool {
+        let limit = match &self.heard {
+            Some(_) => return !self.patience(now, spare).is_zero(),
+            None if self.leads && own.age.is_none() => READING,
+            None if self.leads => Duration::ZERO,
+            None => spare,
+        };
+        self.stale_for(now) < limit
+    }
+
+    fn stale_for(&self, now: Time) -> Duration {
+        self.stale_since
+            .map_or(Duration::ZERO, |since| now.since(since))
+    }
+
     /// Whether this instance stands in for the root if no other deputy does.
     pub fn is_deputy(&self) -> bool {
         self.ways.iter().skip(1).any(|way| *way == self.own)
@@ -125,7 +173,7 @@
     /// What to tell the children, with places that are to be filled in for each. `deputies` counts at a
     /// root.
     pub fn alive(&self, now: Time, own: Own, ranks: Ranks, deputies: Vec<CompactString>) -> Alive {
-        let age = self.age(now, own).unwrap_or(Duration::MAX);
+        let age = self.age(now, own);
         match &self.heard {
             Some((alive, _)) => {
                 let mut alive = alive.clone();
@@ -140,14 +188,18 @@
                 lineage: vec![self.own.clone()],
                 deputies,
                 age,
+                reads: self.leads,
                 calm: own.calm,
                 ranks,
             },
         }
     }
 
-    /// The places of this instance and of all below it, out of what the parent told.
+    /// The places of this instance and of all below it, out of what the parent told; none while the parent has no news.
     pub fn ranks(&self) -> Option<Ranks> {
-        self.heard.as_ref().map(|(alive, _)| alive.ranks)
+        let alive = self.heard.as_ref().map(|(alive, _)| alive);
+        alive
+            .filter(|alive| alive.age.is_some())
+            .map(|alive| alive.ranks)
     }
 }
--- a/crates/pinereel_core/tests/tree_fleet.rs
+++ b/crates/pinereel_core/tests/tree_fleet.rs
@@ -5,7 +5,7 @@
 
 use pinereel_core::{
     Time,
-    tree::{Admission, Alive, Branch, CHILDREN, Key, Own, Peer, Ranks, Uplink},
+    tree::{Admission, Alive, Branch, CHILDREN, Gate, Key, Own, Peer, Ranks, Uplink},
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -28,6 +28,11 @@
     alive: bool,
     /// Whether its way to the store is open.
     reaches: bool,
+    /// Since when it reads the store.
+    reads_since: Option<Time>,
+    /// Not before then: it was turned away.
+    seeks_from: Time,
+    gate: Gate,
 }
 
 struct Fleet {
@@ -38,6 +43,10 @@
     tries: BTreeMap<String, u32>,
     /// Steps in which an instance read the store itself, by instance.
     readers: BTreeMap<String, u32>,
+    /// Time that it takes to read the store.
+    reading: Duration,
+    /// What the bound on a leave allows beyond the usual age of news.
+    spare: Duration,
 }
 
 impl Fleet {
@@ -58,6 +67,9 @@
                 alone_since: None,
                 alive: true,
                 reaches: true,
+                reads_since: None,
+                seeks_from: Time::ZERO,
+                gate: Gate::default(),
             };
             (name, node)
         });
@@ -67,21 +79,48 @@
             holder: Some("i-0000".into()),
             tries: BTreeMap::new(),
             readers: BTreeMap::new(),
+            reading: Duration::ZERO,
+            spare: Duration::ZERO,
         }
     }
 
     fn own(&self, name: &str) -> Own {
-        let reaches = self.nodes[name].reaches;
+        let node = &self.nodes[name];
+        let age = if node.reaches {
+            HOP
+        } else {
+            Duration::from_secs(60)
+        };
+        let reads_since = node.reads_since.unwrap_or(Time::ZERO);
+        let has_read = self.now.since(reads_since) >= self.reading;
         Own {
-            age: Some(if reaches {
-                HOP
-            } else {
-                Duration::from_secs(60)
-            }),
+            age: has_read.then_some(age),
             calm: Duration::ZERO,
         }
     }
 
+    fn lead(&mut self, name: &str) {
+        let now = self.now;
+        let node = self.nodes.get_mut(name).expect("known");
+        if !node.uplink.leads() {
+            node.uplink.lead(true);
+        }
+        node.reads_since.get_or_insert(now);
+    }
+
+    /// Whether it has something to say to its children, or will have soon.
+    fn beats(&self, name: &str) -> bool {
+        let age = self.nodes[name].uplink.age(self.now, self.own(name));
+        self.nodes[name].alive && age.is_some() || self.admits(name)
+    }
+
+    /// Whether it takes newcomers.
+    fn admits(&self, name: &str) -> bool {
+        let node = &self.nodes[name];
+        let is_hopeful = node.uplink.is_hopeful(self.now, self.own(name), self.spare);
+        node.alive && (self.fresh(name) || is_hopeful)
+    }
+
     fn fresh(&self, name: &str) -> bool {
         let node = &self.nodes[name];
         node.alive && node.uplink.is_fresh(self.now, self.own(name))
@@ -103,10 +142,14 @@
             }
             if self.holder.as_ref() == Some(name) {
                 self.unlink(name);
-                self.nodes.get_mut(name).expect("known").uplink.lead(true);
-            } else if !self.has_fresh_parent(name) {
+                self.lead(name);
+            } else if !self.stays(name) && self.now >= self.nodes[name].seeks_from {
                 self.seek(name);
             }
+            let own = self.own(name);
+            let now = self.now;
+            let node = self.nodes.get_mut(name).expect("known");
+            node.uplink.observe(now, own);
             if self.nodes[name].uplink.leads() {
                 *self.readers.entry(name.clone()).or_default() += 1;
             }
@@ -119,7 +162,7 @@
         {
             let roots: Vec<_> = names
                 .iter()
-                .filter(|name| self.nodes[*name].alive && self.nodes[*name].uplink.leads())
+                .filter(|name| self.nodes[*name].parent.is_none() && self.beats(name))
                 .cloned()
                 .collect();
             for root in roots {
@@ -134,9 +177,12 @@
         }
     }
 
-    fn has_fresh_parent(&self, name: &str) -> bool {
-        let parent = self.nodes[name].parent.as_ref();
-        parent.is_some_and(|(parent, _)| self.nodes[parent].alive) && self.fresh(name)
+    fn stays(&self, name: &str) -> bool {
+        let node = &self.nodes[name];
+        let parent = node.parent.as_ref();
+        let waits = !node.uplink.patience(self.now, self.spare).is_zero();
+        let has_parent = parent.is_some_and(|(parent, _)| self.nodes[parent].alive);
+        has_parent && (self.fresh(name) || waits)
     }
 
     /// Tells all below that the root lives; children say how many they are on the way back.
@@ -189,6 +235,7 @@
             if self.link(name, &target) {
                 let node = self.nodes.get_mut(name).expect("known");
                 node.uplink.lead(false);
+                node.reads_since = None;
                 node.alone_since = None;
                 return;
             }
@@ -203,7 +250,7 @@
         };
         if needed && now.since(since) >= patience && self.nodes[name].reaches {
             self.unlink(name);
-            self.nodes.get_mut(name).expect("known").uplink.lead(true);
+            self.lead(name);
         }
     }
 
@@ -215,7 +262,19 @@
                 return false;
             };
             *self.tries.entry(target.clone()).or_default() += 1;
-            if target == name || !self.fresh(&target) {
+            if target == name || !self.nodes[&target].alive {
+                continue;
+            }
+            if !self.admits(&target) {
+                let now = self.now;
+                let wait = self
+                    .nodes
+                    .get_mut(&target)
+                    .expect("known")
+                    .gate
+                    .turn_away(now);
+                let node = self.nodes.get_mut(name).expect("known");
+                node.seeks_from = node.seeks_from.max(now + wait);
                 continue;
             }
             let peer = self.nodes[name].peer.clone();
@@ -415,3 +474,57 @@
     uplink.lead(false);
     assert_eq!(uplink.targets(Some("root".into())), ["first", "second"]);
 }
+
+/// Load pattern: all instances start, and the root reads thousands of endpoints before it has anything to tell. When it
+/// turned newcomers away until then, each came four times a second.
+#[test]
+fn a_start_costs_each_instance_two_links_however_long_the_root_reads() {
+    for size in [420, 841, 1_682] {
+        let mut fleet = Fleet::new(size);
+        fleet.reading = Duration::from_millis(1_500);
+        fleet.spare = Duration::from_millis(1_500);
+        fleet.run(Duration::from_secs(4));
+        assert_eq!(fleet.in_the_dark(), Vec::<&String>::new(), "of {size}");
+        let tries: u32 = fleet.tries.values().sum();
+        assert!(tries as usize <= 3 * size, "{tries} tries of {size}");
+        assert_eq!(fleet.readers_since().len(), 1, "one reads for {size}");
+    }
+}
+
+/// Load pattern: the root is killed, and its successor reads thousands of endpoints first. Its children alone look for
+/// the successor; when all those below them did as well, the links grew with the fleet.
+#[test]
+fn the_loss_of_a_root_costs_the_links_of_its_children() {
+    for size in [420, 841, 1_682] {
+        let mut fleet = Fleet::new(size);
+        fleet.reading = Duration::from_millis(1_500);
+        fleet.spare = Duration::from_millis(1_500);
+        fleet.run(Duration::from_secs(4));
+        fleet.tries.clear();
+        fleet.kill("i-0000");
+        fleet.run(Duration::from_secs(4));
+        assert_eq!(fleet.in_the_dark(), Vec::<&String>::new(), "of {size}");
+        let tries: u32 = fleet.tries.values().sum();
+        assert!(tries as usize <= 8 * CHILDREN, "{tries} tries of {size}");
+    }
+}
+
+/// Load pattern: hundreds look for an instance that has nothing to tell. Its work a second is bounded whatever their number.
+#[test]
+fn those_turned_away_return_in_turns() {
+    for newcomers in [400, 800, 1_600] {
+        let mut gate = Gate::default();
+        let now = Time::ZERO + Duration::from_secs(1);
+        let mut returns: Vec<_> = (0..newcomers).map(|_| gate.turn_away(now)).collect();
+        returns.dedup();
+        assert_eq!(returns.len(), newcomers, "each has a turn of its own");
+        let most = (0..20)
+            .map(|second| {
+                let second = Duration::from_secs(second);
+                let within = second..second + Duration::from_secs(1);
+                returns.iter().filter(|wait| within.contains(wait)).count()
+            })
+            .max();
+        assert!(most <= Some(501), "{most:?} of {newcomers}");
+    }
+}
