duties: an instance that does not know its place lets the preferred ones go first

Cause: small instances without a place waited 0.52 s for their lack of cores, preferred ones with a place up to 0.8 s for their turn: while links were lost, the holder of orders was four or five times an instance with 0.12 cores. Change: without a place, such an instance waits for all turns of the preferred ones. Not measured by itself.

--- a/crates/pinereel/src/hosted/duty/mod.rs
+++ b/crates/pinereel/src/hosted/duty/mod.rs
@@ -17,7 +17,7 @@
     Time,
     batch::Size,
     hash,
-    lease::{Action, Clear, Event, Holder, Limits, Place},
+    lease::{Action, Clear, Event, Holder, Limits, Place, unplaced_delay},
 };
 use pinereel_port::store::Object;
 use std::{
@@ -316,7 +316,10 @@
 
     fn step(&self, holder: &mut Holder, duty: &CompactString, event: Event) -> Vec<Action> {
         let place = self.place.get();
-        let turn = place.map(|place| place.delay(duty)).unwrap_or_default();
+        let turn = place.map_or_else(
+            || unplaced_delay(self.is_preferred()),
+            |place| place.delay(duty),
+        );
         if let Some((own, others)) = self.rests.borrow().get(duty) {
             holder.set_rests(*own, *others);
         }
--- a/crates/pinereel_core/src/lease/mod.rs
+++ b/crates/pinereel_core/src/lease/mod.rs
@@ -15,4 +15,4 @@
 pub use holder::Holder;
 pub use looks::{Glance, Looks};
 pub use message::{Action, Event, Lease, Limits};
-pub use place::Place;
+pub use place::{Place, unplaced_delay};
--- a/crates/pinereel_core/src/lease/place.rs
+++ b/crates/pinereel_core/src/lease/place.rs
@@ -39,6 +39,16 @@
     }
 }
 
+/// How long a follower that does not know its place lets others go first: those that should rather hold duties have
+/// had all their turns by then.
+pub fn unplaced_delay(preferred: bool) -> Duration {
+    if preferred {
+        Duration::ZERO
+    } else {
+        TURN * (TURNS + 1)
+    }
+}
+
 /// The turn of a number, rotated by the duty.
 fn turn(number: u32, of: u32, duty: &str) -> u32 {
     let rotated = u64::from(number) + hash::stable(duty.as_bytes());
