orders, lots: a working set of engines that grows with the work and not with the list

Cause: orders, reads, loads, shares and each runner's view covered all listed engines, while the steps fill a few hundred slots.

Change: the engines of a service that do its work are the first ones in a stable order of their ids, twice the slots that the largest lots of 15 s and the items without a slot need, in coarse steps. All instances agree on it from the list and the leases, where runners tell the items of their lots. The controller and the runners are told only when the list or the set has changed; endpoints are indexed by service; engines change hands for a fifth of a model's share. What may load at once still follows from all that are listed.

--- a/crates/pinereel/src/hosted/duty/call.rs
+++ b/crates/pinereel/src/hosted/duty/call.rs
@@ -15,6 +15,8 @@
     demand: u64,
     /// Items of a lot of the duty that found no slot in time.
     short: u64,
+    /// Items of the largest lot of the duty lately; 0 if that is not known.
+    items: u64,
 }
 
 impl Duties {
@@ -54,6 +56,7 @@
             lease,
             demand: size.tokens,
             short: size.short,
+            items: size.items,
         }) {
             Ok(spec) => spec,
             Err(error) => {
--- a/crates/pinereel/src/hosted/duty/look.rs
+++ b/crates/pinereel/src/hosted/duty/look.rs
@@ -124,6 +124,9 @@
 
     /// What a lot of a duty needs, as its holder says; nothing if that is not known.
     pub fn demand(&self, duty: &str) -> Size {
+        if self.acts(duty).is_some() {
+            return self.demands.borrow().get(duty).copied().unwrap_or_default();
+        }
         let page = self.page.borrow();
         let object = page.iter().find(|object| object.name == duty);
         let number = |field: &str| {
@@ -133,6 +136,7 @@
         Size {
             tokens: number("demand"),
             short: number("short"),
+            items: number("items"),
         }
     }
 
--- a/crates/pinereel/src/hosted/endpoints/listing.rs
+++ b/crates/pinereel/src/hosted/endpoints/listing.rs
@@ -85,6 +85,13 @@
             missing_since: None,
         };
         let id = listed.entry.id.clone();
+        let mut index = self.index.borrow_mut();
+        if listed.entry.leaving {
+            index.remove(&id);
+        } else {
+            index.insert(&id, &listed.entry.service, listed.entry.slots);
+        }
+        drop(index);
         self.entries.borrow_mut().insert(id, listed);
         self.step_at(level, Event::Listed(instance));
     }
@@ -103,6 +110,7 @@
         }
         let used = self.entries.borrow_mut().remove(id).is_some();
         if used {
+            self.index.borrow_mut().remove(id);
             self.step(Event::Unlisted { name: id.clone() });
         }
     }
@@ -149,6 +157,7 @@
         let ids: Vec<_> = engines.map(|(id, _)| id).collect();
         drop(entries);
         for id in ids {
+            self.index.borrow_mut().remove(&id);
             self.step_at(Level::Debug, Event::Unlisted { name: id });
         }
     }
@@ -161,6 +170,7 @@
                 return;
             }
             entries.remove(id);
+            self.index.borrow_mut().remove(id);
         }
         self.step(Event::Unlisted { name: id.clone() });
     }
--- a/crates/pinereel/src/hosted/endpoints/mod.rs
+++ b/crates/pinereel/src/hosted/endpoints/mod.rs
@@ -18,12 +18,18 @@
 use log::Level;
 use pinereel_core::{
     crash::Start,
-    endpoint::{self, End, Event, Key, Set, State},
+    endpoint::{self, End, Event, Index, Key, Set, State},
     hash,
     route::{self, Policy, Priority, Reason, Refusal, Request},
 };
 use pinereel_port::{Adapter, endpoint::Entry, live::Load};
-use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 use tokio::{
     sync::{broadcast::error::RecvError, watch},
     time::Instant,
@@ -64,6 +70,8 @@
     /// Requests of one instance prefer the same endpoints, whose connections lie idle.
     affinity: u64,
     entries: RefCell<BTreeMap<CompactString, Listed>>,
+    /// Those of the entries that take work.
+    index: RefCell<Index>,
     /// Revision at which an entry was refused last, by id: each is told of once.
     refused: RefCell<BTreeMap<CompactString, u64>>,
     set: RefCell<Set>,
@@ -131,6 +139,7 @@
             zone: instance.zone.clone(),
             affinity: hash::stable(instance.name.as_bytes()),
             entries: RefCell::default(),
+            index: RefCell::default(),
             refused: RefCell::default(),
             set: RefCell::default(),
             updated: RefCell::default(),
@@ -194,6 +203,11 @@
         self.changed.subscribe()
     }
 
+    /// Number of the last change of the list.
+    pub fn change(&self) -> u64 {
+        *self.changed.borrow()
+    }
+
     /// The listed endpoints of a service.
     pub fn of(&self, service: &str) -> Vec<Entry> {
         let entries = self.entries.borrow();
@@ -201,6 +215,39 @@
         of_service.map(|listed| listed.entry.clone()).collect()
     }
 
+    /// The entry of an endpoint.
+    pub fn get(&self, id: &str) -> Option<Entry> {
+        let entries = self.entries.borrow();
+        entries.get(id).map(|listed| listed.entry.clone())
+    }
+
+    /// Number of endpoints of a service that take work.
+    pub fn count(&self, service: &str) -> usize {
+        self.index.borrow().count(service)
+    }
+
+    /// Slots of the endpoints of a service that take work.
+    pub fn slots(&self, service: &str) -> u64 {
+        self.index.borrow().slots(service)
+    }
+
+    /// The first `count` endpoints of a service that take work, in an order that all instances share, and those of
+    /// `others` that are not among them; each as `read` sees it.
+    pub fn first<T>(
+        &self,
+        service: &str,
+        count: usize,
+        others: impl IntoIterator<Item = CompactString>,
+        read: impl Fn(&Entry) -> T,
+    ) -> Vec<T> {
+        let (entries, index) = (self.entries.borrow(), self.index.borrow());
+        let mut ids: BTreeSet<&CompactString> = index.ranked(service).take(count).collect();
+        let others: Vec<CompactString> = others.into_iter().collect();
+        ids.extend(&others);
+        let listed = ids.into_iter().filter_map(|id| entries.get(id));
+        listed.map(|listed| read(&listed.entry)).collect()
+    }
+
     /// Chooses an endpoint of `service` for a live request.
     ///
     /// # Errors
--- a/crates/pinereel/src/hosted/lots/opening.rs
+++ b/crates/pinereel/src/hosted/lots/opening.rs
@@ -164,10 +164,11 @@
 
     /// Tells how much work the model's trainers ask for, so that it gets its share of the engines.
     fn note_demand(&self, state: &mut State, open: &Open) {
-        let items = open.submission.items.iter();
-        let tokens = items.map(|item| u64::from(item.length_hint.unwrap_or(USUAL_LENGTH)));
+        let items = &open.submission.items;
+        let hints = items.iter().map(|item| item.length_hint);
+        let tokens = hints.map(|hint| u64::from(hint.unwrap_or(USUAL_LENGTH)));
         self.add_demand(state, &open.model, |asked, now| {
-            asked.add(now, tokens.sum());
+            asked.add(now, items.len() as u64, tokens.sum());
         });
     }
 
@@ -194,7 +195,7 @@
         let asked = state.asked.entry(model.clone()).or_default();
         add(asked, now);
         let duties = &self.parts.duties;
-        duties.set_demand(runner::duty(model), asked.mean(now));
+        duties.set_demand(runner::duty(model), asked.size(now));
     }
 
     /// What is committed of a lot, and the texts that earlier runners left.
--- a/crates/pinereel/src/hosted/lots/placing.rs
+++ b/crates/pinereel/src/hosted/lots/placing.rs
@@ -1,6 +1,7 @@
 //! Which item starts next, and at which engine.
 
 use super::{
+    super::demand,
     run,
     runner::Runner,
     state::{FleetName, Open, Task, Work},
@@ -13,6 +14,7 @@
 };
 use pinereel_port::{
     config::{Kind, Route},
+    endpoint::Entry,
     lot::Sample,
 };
 use std::{collections::BTreeSet, rc::Rc, time::Duration};
@@ -39,6 +41,7 @@
         }
     }
 
+    /// Brings each model's view of its engines up to date, where the list or its working set has changed.
     fn sync_fleets(&self) {
         let mut lost = false;
         let mut state = self.state.borrow_mut();
@@ -48,17 +51,31 @@
             .filter_map(|open| self.fleet(open))
             .collect();
         for name in wanted {
-            let entries = self.parts.endpoints.of(&name.service);
-            let listed = entries.into_iter().map(|entry| Listed {
-                version: entry.models.get(&name.model).copied(),
-                id: entry.id,
+            let parts = &self.parts;
+            let count = demand::working_set(
+                &parts.config,
+                &parts.duties,
+                &parts.endpoints,
+                &name.service,
+            );
+            let source = (parts.endpoints.change(), count);
+            if state.synced.insert(name.clone(), source) == Some(source) {
+                continue;
+            }
+            let fleet = state.fleets.entry(name.clone()).or_default();
+            let read = |entry: &Entry| Listed {
+                id: entry.id.clone(),
                 incarnation: entry.incarnation,
                 address: entry.address,
                 slots: entry.slots,
                 leaving: entry.leaving,
-            });
-            let listed: Vec<_> = listed.collect();
-            lost |= state.fleets.entry(name).or_default().sync(listed);
+                version: entry.models.get(&name.model).copied(),
+            };
+            // A run goes on at an engine that is not in the set any more.
+            let listed = parts
+                .endpoints
+                .first(&name.service, count, fleet.busy(), read);
+            lost |= fleet.sync(listed);
         }
         drop(state);
         if lost {
--- a/crates/pinereel/src/hosted/lots/score.rs
+++ b/crates/pinereel/src/hosted/lots/score.rs
@@ -95,8 +95,8 @@
 /// Slots of the endpoints that may score.
 fn slots(runner: &Runner, call: &Call) -> u32 {
     let targets = call.route.targets.iter();
-    let entries = targets.flat_map(|target| runner.parts.endpoints.of(&target.service));
-    entries.filter(|e| !e.leaving).map(|e| e.slots).sum()
+    let slots = targets.map(|target| runner.parts.endpoints.slots(&target.service));
+    u32::try_from(slots.sum::<u64>()).unwrap_or(u32::MAX)
 }
 
 fn call(runner: &Runner, work: &Work, scorer: &Scorer) -> Option<Call> {
--- a/crates/pinereel/src/hosted/lots/state.rs
+++ b/crates/pinereel/src/hosted/lots/state.rs
@@ -33,6 +33,8 @@
     pub(super) ages: Ages,
     /// Engines by service and model.
     pub(super) fleets: BTreeMap<FleetName, Fleet>,
+    /// The change of the endpoint list, and the size of the working set, that each fleet was last brought up to date with.
+    pub(super) synced: BTreeMap<FleetName, (u64, usize)>,
     /// Unfinished texts of ended lots, by the name of the item.
     pub(super) drafts: BTreeMap<CompactString, Draft>,
     /// Names of the items of lots that were ended, which may come again.
--- a/crates/pinereel/src/hosted/mod.rs
+++ b/crates/pinereel/src/hosted/mod.rs
@@ -15,6 +15,7 @@
 mod bulletin;
 mod config;
 mod crashes;
+mod demand;
 mod duty;
 mod endpoints;
 mod follow;
--- a/crates/pinereel/src/hosted/orders/mod.rs
+++ b/crates/pinereel/src/hosted/orders/mod.rs
@@ -5,6 +5,7 @@
 
 mod call;
 mod rollout;
+mod shares;
 mod sizing;
 
 use super::{
@@ -12,7 +13,6 @@
     duty::{Duties, Grant},
     endpoints::Endpoints,
     follow::{Manner, Update, follow},
-    lots,
     metrics::Metrics,
     retire,
     store::Store,
@@ -23,11 +23,12 @@
 use futures_util::future::OptionFuture;
 use pinereel_core::{
     Time,
-    rollout::{Controller, Demand, Settings, is_worth_a_change, share},
+    rollout::{Controller, Settings},
     table::Table,
 };
 use pinereel_port::{Adapter, store::Object};
 use rollout::{Rollout, TICK};
+use shares::Shares;
 use sizing::Sizing;
 use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
@@ -88,18 +89,6 @@
     shares: RefCell<BTreeMap<CompactString, Shares>>,
 }
 
-/// The models' shares of a service's engines.
-#[derive(Default)]
-struct Shares {
-    /// The change of the endpoint list that they were made from.
-    made_from: Option<u64>,
-    by_engine: BTreeMap<CompactString, CompactString>,
-    /// What the models asked for when engines last changed hands.
-    demands: Vec<Demand>,
-    /// When the demands were last looked at.
-    looked_at: Time,
-}
-
 impl Orders {
     /// Takes part in the duty of each service of engines from now on.
     pub fn start(parts: Parts) -> Rc<Self> {
@@ -147,44 +136,6 @@
         self.settled.borrow_mut().insert(service.clone(), fence);
     }
 
-    /// Brings the shares of a service up to date.
-    fn share(&self, service: &CompactString) {
-        let (now, change) = (
-            self.parts.duties.now(),
-            *self.parts.endpoints.changes().borrow(),
-        );
-        let mut all = self.shares.borrow_mut();
-        let shares = all.entry(service.clone()).or_default();
-        let listed_anew = shares.made_from != Some(change);
-        if !listed_anew && now.since(shares.looked_at) < DEMANDS {
-            return;
-        }
-        shares.looked_at = now;
-        let entries = self.parts.endpoints.of(service).into_iter();
-        let engines = entries.filter(|entry| !entry.leaving).map(|entry| entry.id);
-        let engines: Vec<_> = engines.collect();
-        let demands = self.demands(service);
-        let changed = is_worth_a_change(engines.len(), &shares.demands, &demands);
-        if changed {
-            log::info!(service = service.as_str(), demands:? = demands, engines = engines.len(); "engines shared anew");
-            shares.demands = demands;
-        }
-        if changed || listed_anew {
-            shares.by_engine = share(engines, &shares.demands);
-            shares.made_from = Some(change);
-        }
-    }
-
-    /// What the models of a service ask for, as their runners say in their leases.
-    fn demands(&self, service: &str) -> Vec<Demand> {
-        let models = self.models(service).into_iter();
-        let demand = |model: CompactString| Demand {
-            tokens: self.parts.duties.demand(&lots::duty(&model)).tokens,
-            model,
-        };
-        models.map(demand).collect()
-    }
-
     fn models(&self, service: &str) -> Vec<CompactString> {
         let table = self.parts.config.table();
         let engine = table.and_then(|table| table.service(service)?.engine.clone());
--- a/crates/pinereel/src/hosted/orders/rollout.rs
+++ b/crates/pinereel/src/hosted/orders/rollout.rs
@@ -21,6 +21,17 @@
 /// The engines that were listed: incarnation and version of the model, by id.
 type Known = BTreeMap<CompactString, (u64, u64)>;
 
+/// What the controller was last told of the list.
+#[derive(Default)]
+struct Listed {
+    /// The change of the list that it was told up to.
+    change: Option<u64>,
+    /// The model's engines then.
+    own: Vec<CompactString>,
+    /// What the list showed of them.
+    known: Known,
+}
+
 /// The rollout of one model at one service.
 pub(super) struct Rollout {
     pub(super) orders: Rc<Orders>,
@@ -32,7 +43,7 @@
 
 impl Rollout {
     pub(super) async fn run(self: Rc<Self>) {
-        let mut listed = Known::new();
+        let mut listed = Listed::default();
         loop {
             let lease = self.lease();
             self.step(Event::Lease(lease));
@@ -75,12 +86,8 @@
             .set_rests(&self.duty, clear, others);
     }
 
-    fn entries(&self) -> Vec<Entry> {
-        self.orders.parts.endpoints.of(&self.service)
-    }
-
     /// Tells the controller what is known.
-    fn inform(self: &Rc<Self>, listed: &mut Known) {
+    fn inform(self: &Rc<Self>, listed: &mut Listed) {
         let named = self.orders.named.borrow().get(&self.model).copied();
         if let Some(version) = named {
             self.step(Event::Published(Version(version)));
@@ -90,56 +97,67 @@
         let Some(shares) = shares.get(&self.service) else {
             return;
         };
-        let own = shares.by_engine.values();
-        let own = own.filter(|model| **model == self.model).count();
-        let at_once = loads(
-            shares.by_engine.len(),
-            own,
-            self.orders.parts.settings.loads,
-        );
+        let own = shares.of(&self.model);
+        let least = self.orders.parts.settings.loads;
+        let at_once = loads(shares.listed, shares.len(), own.len(), least);
         self.controller.borrow_mut().set_loads(at_once);
-        let mut present = Known::new();
-        for entry in self.entries() {
-            let Some(version) = entry.models.get(&self.model).copied() else {
-                continue;
-            };
-            if shares.by_engine.get(&entry.id) != Some(&self.model) {
-                continue;
-            }
-            let mut before = listed.get(&entry.id).copied();
-            // A new start knows nothing of orders: what was seen of the one before says nothing.
-            if before.is_some_and(|(incarnation, _)| incarnation != entry.incarnation) {
-                before = None;
-                let name = entry.id.clone();
-                self.step(Event::Unlisted { name });
-            }
-            self.step(Event::Listed {
-                name: entry.id.clone(),
-                zone: entry.zone,
-                outstanding: 0,
-                leaving: entry.leaving,
-            });
-            // An engine lists a new version as soon as it serves it; its report lags behind.
-            if before.is_some_and(|(_, before)| before != version) {
-                let sight = Sight {
-                    incarnation: entry.incarnation,
-                    version: Some(Version(version)),
-                    loading: None,
-                    failed: false,
-                };
-                self.step(Event::Seen {
-                    name: entry.id.clone(),
-                    sight,
-                });
+        let change = self.orders.parts.endpoints.change();
+        if listed.change == Some(change) && listed.own == own {
+            return;
+        }
+        let mut known = Known::new();
+        for name in own {
+            let before = listed.known.get(name).copied();
+            if let Some(entry) = self.entry(name)
+                && let Some(now) = self.inform_of(entry, before)
+            {
+                known.insert(name.clone(), now);
             }
-            present.insert(entry.id, (entry.incarnation, version));
         }
-        for name in listed.keys() {
-            if !present.contains_key(name) {
+        for name in listed.known.keys() {
+            if !known.contains_key(name) {
                 self.step(Event::Unlisted { name: name.clone() });
             }
         }
-        *listed = present;
+        *listed = Listed {
+            change: Some(change),
+            own: own.to_vec(),
+            known,
+        };
+    }
+
+    /// Tells the controller what the list shows of an engine; `before` is what it showed last. Returns what it shows
+    /// now; none if the engine does not serve the model.
+    fn inform_of(
+        self: &Rc<Self>,
+        entry: Entry,
+        mut before: Option<(u64, u64)>,
+    ) -> Option<(u64, u64)> {
+        let version = entry.models.get(&self.model).copied()?;
+        // A new start knows nothing of orders: what was seen of the one before says nothing.
+        if before.is_some_and(|(incarnation, _)| incarnation != entry.incarnation) {
+            before = None;
+            let name = entry.id.clone();
+            self.step(Event::Unlisted { name });
+        }
+        self.step(Event::Listed {
+            name: entry.id.clone(),
+            zone: entry.zone,
+            outstanding: 0,
+            leaving: entry.leaving,
+        });
+        // An engine lists a new version as soon as it serves it; its report lags behind.
+        if before.is_some_and(|(_, before)| before != version) {
+            let sight = Sight {
+                incarnation: entry.incarnation,
+                version: Some(Version(version)),
+                loading: None,
+                failed: false,
+            };
+            let name = entry.id;
+            self.step(Event::Seen { name, sight });
+        }
+        Some((entry.incarnation, version))
     }
 
     fn step(self: &Rc<Self>, event: Event) {
@@ -186,7 +204,7 @@
     }
 
     fn entry(&self, name: &str) -> Option<Entry> {
-        self.entries().into_iter().find(|entry| entry.id == name)
+        self.orders.parts.endpoints.get(name)
     }
 
     async fn read(self: Rc<Self>, name: CompactString) {
--- a/crates/pinereel_core/src/batch/asked.rs
+++ b/crates/pinereel_core/src/batch/asked.rs
@@ -14,6 +14,8 @@
     pub tokens: u64,
     /// Items of a lot that found no slot in time.
     pub short: u64,
+    /// Items of the largest lot.
+    pub items: u64,
 }
 
 /// The work asked for one model.
@@ -21,13 +23,16 @@
 pub struct Asked {
     /// When a lot was opened, and its tokens; oldest first.
     tokens: VecDeque<(Time, u64)>,
+    /// When a lot was opened, and its items.
+    items: VecDeque<(Time, u64)>,
     /// When it was looked at again, and its items that had found no slot.
     short: VecDeque<(Time, u64)>,
 }
 
 impl Asked {
-    /// A lot of about `tokens` was opened.
-    pub fn add(&mut self, now: Time, tokens: u64) {
+    /// A lot of so many `items` and about `tokens` was opened.
+    pub fn add(&mut self, now: Time, items: u64, tokens: u64) {
+        add(&mut self.items, now, items);
         add(&mut self.tokens, now, tokens);
     }
 
@@ -36,12 +41,13 @@
         add(&mut self.short, now, items);
     }
 
-    /// What a lot needs, on the mean of those opened lately; nothing if there are none. A step's lot comes
+    /// What a lot needs, by those opened lately; nothing if there are none. A step's lot comes
     /// at once, so that its size says more of the slots that it needs than its trainer's pace.
-    pub fn mean(&self, now: Time) -> Size {
+    pub fn size(&self, now: Time) -> Size {
         Size {
             tokens: mean(&self.tokens, now),
             short: mean(&self.short, now),
+            items: largest(&self.items, now),
         }
     }
 }
@@ -51,8 +57,17 @@
     lots.retain(|(at, _)| now.since(*at) < WINDOW);
 }
 
+fn lately(lots: &VecDeque<(Time, u64)>, now: Time) -> impl Iterator<Item = u64> + Clone {
+    let lately = lots.iter().filter(move |(at, _)| now.since(*at) < WINDOW);
+    lately.map(|(_, number)| *number)
+}
+
 fn mean(lots: &VecDeque<(Time, u64)>, now: Time) -> u64 {
-    let lately = lots.iter().filter(|(at, _)| now.since(*at) < WINDOW);
-    let sum = lately.clone().map(|(_, number)| number).sum::<u64>();
+    let lately = lately(lots, now);
+    let sum = lately.clone().sum::<u64>();
     sum.checked_div(lately.count() as u64).unwrap_or_default()
 }
+
+fn largest(lots: &VecDeque<(Time, u64)>, now: Time) -> u64 {
+    lately(lots, now).max().unwrap_or_default()
+}
--- a/crates/pinereel_core/src/batch/fleet.rs
+++ b/crates/pinereel_core/src/batch/fleet.rs
@@ -82,6 +82,12 @@
         lost
     }
 
+    /// Ids of the engines with runs.
+    pub fn busy(&self) -> Vec<CompactString> {
+        let busy = self.arena.values().filter(|engine| engine.runs > 0);
+        busy.map(|engine| engine.listed.id.clone()).collect()
+    }
+
     /// An engine is not listed any more.
     fn drop(&mut self, key: Key) {
         self.arena[key].gone = true;
--- /dev/null
+++ b/crates/pinereel_core/src/endpoint/index.rs
@@ -0,0 +1,65 @@
+//! The endpoints that take work, by service.
+
+use crate::rollout::rank;
+use compact_str::CompactString;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Ids of the endpoints that take work, so that the few that are asked for are found without a look at all others.
+#[derive(Clone, Debug, Default)]
+pub struct Index {
+    services: BTreeMap<CompactString, Service>,
+    /// Service and slots of each endpoint.
+    places: BTreeMap<CompactString, (CompactString, u32)>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Service {
+    /// By rank, the least first.
+    ranked: BTreeSet<(u64, CompactString)>,
+    /// Slots of all of them.
+    slots: u64,
+}
+
+impl Index {
+    /// An endpoint takes work of a service, with so many slots.
+    pub fn insert(&mut self, id: &CompactString, service: &CompactString, slots: u32) {
+        let place = (service.clone(), slots);
+        if self.places.get(id) == Some(&place) {
+            return;
+        }
+        self.remove(id);
+        let entry = self.services.entry(service.clone()).or_default();
+        entry.ranked.insert((rank(id), id.clone()));
+        entry.slots += u64::from(slots);
+        self.places.insert(id.clone(), place);
+    }
+
+    /// An endpoint takes no work any more.
+    pub fn remove(&mut self, id: &CompactString) {
+        let Some((service, slots)) = self.places.remove(id) else {
+            return;
+        };
+        if let Some(entry) = self.services.get_mut(&service) {
+            entry.ranked.remove(&(rank(id), id.clone()));
+            entry.slots -= u64::from(slots);
+        }
+    }
+
+    /// Number of endpoints of a service.
+    pub fn count(&self, service: &str) -> usize {
+        let service = self.services.get(service);
+        service.map_or(0, |service| service.ranked.len())
+    }
+
+    /// Slots of all endpoints of a service.
+    pub fn slots(&self, service: &str) -> u64 {
+        let service = self.services.get(service);
+        service.map_or(0, |service| service.slots)
+    }
+
+    /// The endpoints of a service in the order in which they join its working set.
+    pub fn ranked(&self, service: &str) -> impl Iterator<Item = &CompactString> {
+        let service = self.services.get(service).into_iter();
+        service.flat_map(|service| service.ranked.iter().map(|(_, id)| id))
+    }
+}
--- a/crates/pinereel_core/src/endpoint/mod.rs
+++ b/crates/pinereel_core/src/endpoint/mod.rs
@@ -5,11 +5,13 @@
 //! has its own [`Key`], so a late event of an old incarnation can't touch the new one.
 
 mod event;
+mod index;
 mod set;
 pub mod subset;
 mod view;
 
 pub use event::{Change, End, Event, Evidence, Instance, What};
+pub use index::Index;
 pub use set::Set;
 pub use view::{Endpoint, Report, State};
 
--- a/crates/pinereel_core/src/rollout/mod.rs
+++ b/crates/pinereel_core/src/rollout/mod.rs
@@ -10,10 +10,12 @@
 mod order;
 mod plan;
 mod share;
+mod working_set;
 
 pub use controller::Controller;
 pub use plan::Plan;
 pub use share::{Demand, is_worth_a_change, loads, share};
+pub use working_set::{rank, working_set};
 
 use crate::{Time, Version};
 use compact_str::CompactString;
--- a/crates/pinereel_core/src/rollout/share.rs
+++ b/crates/pinereel_core/src/rollout/share.rs
@@ -7,6 +7,7 @@
 //! that they have: with equal shares the steps with long texts waited for slots while engines of others
 //! idled.
 
+use super::rank;
 use crate::hash;
 use compact_str::CompactString;
 use std::collections::BTreeMap;
@@ -20,6 +21,8 @@
 /// Engines that a model's share must change by before engines change hands: each costs a load, and
 /// the mean of four lots differs by a tenth from that of the next four.
 const WORTH_A_CHANGE: usize = 3;
+/// The same as a part of the share (one of so many), where that is more.
+const WORTH_A_CHANGE_PART: usize = 5;
 
 /// How much work there is for a model.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -28,6 +31,10 @@
     pub model: CompactString,
     /// Tokens of a lot; 0 if nothing is known of it, which counts as the mean of the others.
     pub tokens: u64,
+    /// Items of the largest lot lately; 0 if nothing is known of it, which counts as the mean of the others.
+    pub items: u64,
+    /// Items of a lot that found no slot in time.
+    pub short: u64,
 }
 
 /// The model that each engine is kept up to date for.
@@ -39,7 +46,7 @@
 ) -> BTreeMap<CompactString, CompactString> {
     let mut ordered: Vec<_> = engines
         .into_iter()
-        .map(|engine| (hash::stable(engine.as_bytes()), engine))
+        .map(|engine| (rank(&engine), engine))
         .collect();
     ordered.sort();
     let mut room = rooms(ordered.len(), demands);
@@ -58,8 +65,10 @@
 /// Whether `new` demands of the same models are worth that engines change hands.
 pub fn is_worth_a_change(engines: usize, old: &[Demand], new: &[Demand]) -> bool {
     let (old, new) = (rooms(engines, old), rooms(engines, new));
-    let changes = old.iter().zip(&new).map(|(old, new)| old.abs_diff(*new));
-    old.len() != new.len() || changes.max().unwrap_or_default() >= WORTH_A_CHANGE
+    let is_worth = |(old, new): (&usize, &usize)| {
+        old.abs_diff(*new) >= WORTH_A_CHANGE.max(old / WORTH_A_CHANGE_PART)
+    };
+    old.len() != new.len() || old.iter().zip(&new).any(is_worth)
 }
 
 /// Engines for each model: by what it asks for, and one for each in any case.
@@ -87,10 +96,10 @@
     rooms
 }
 
-/// Most engines that may load at once for a model that has `own` of all `engines`; `least` is
-/// allowed for all models together in any case.
-pub fn loads(engines: usize, own: usize, least: usize) -> usize {
-    let all = engines.div_ceil(LOADING).max(least);
+/// Most engines that may load at once for a model that has `own` of the `shared` engines; `least` is
+/// allowed for all models together in any case. What the weight store bears follows from all engines `listed`.
+pub fn loads(listed: usize, shared: usize, own: usize, least: usize) -> usize {
+    let all = listed.div_ceil(LOADING).max(least);
     // To the nearest.
-    ((2 * all * own + engines) / (2 * engines).max(1)).max(1)
+    ((2 * all * own + shared) / (2 * shared).max(1)).max(1)
 }
--- a/crates/pinereel_core/tests/rollout_share.rs
+++ b/crates/pinereel_core/tests/rollout_share.rs
@@ -12,6 +12,8 @@
     let demand = |(n, tokens): (usize, &u64)| Demand {
         model: format_compact!("model-{n}"),
         tokens: *tokens,
+        items: 0,
+        short: 0,
     };
     tokens.iter().enumerate().map(demand).collect()
 }
@@ -84,10 +86,10 @@
 
 #[test]
 fn loads_stay_within_what_the_store_bears() {
-    assert_eq!(loads(8, 8, 2), 2);
-    assert_eq!(loads(44, 11, 2), 2);
-    assert_eq!(loads(44, 44, 2), 9);
-    assert_eq!(loads(1, 1, 2), 2);
-    let shared: Vec<_> = [6, 15, 15, 8].map(|own| loads(44, own, 2)).into();
+    assert_eq!(loads(8, 8, 8, 2), 2);
+    assert_eq!(loads(44, 44, 11, 2), 2);
+    assert_eq!(loads(44, 44, 44, 2), 9);
+    assert_eq!(loads(1, 1, 1, 2), 2);
+    let shared: Vec<_> = [6, 15, 15, 8].map(|own| loads(44, 44, own, 2)).into();
     assert_eq!(shared, [1, 3, 3, 2]);
 }
