fleet: an engine that nothing is known of has the usual pace of its fleet; bounded lines for large changes of the list

With 74 ms an event and more engines in the working set than runs, each run of more than twelve events moved to an engine that had made none: 1,139 of 10,517 runs ended so, all at event 13, and read their prompts again. A small fleet soon knows all its engines; a large one never does.

Change: a moving average of all engines' gaps stands for an unknown pace. Names of the tree's topics: publication, subscription.

--- a/crates/pinereel/src/hosted/bulletin/board.rs
+++ b/crates/pinereel/src/hosted/bulletin/board.rs
@@ -64,7 +64,7 @@
 pub(super) struct State {
     pub(super) topics: BTreeMap<Topic, Known>,
     /// Topics beyond the base that this instance or one below it wants.
-    pub(super) wanted: BTreeSet<Topic>,
+    pub(super) subscribed: BTreeSet<Topic>,
     /// Topics that were listed since this instance began to read the store.
     pub(super) listed: BTreeSet<Topic>,
     pub(super) branch: Branch,
@@ -98,11 +98,11 @@
         actix_rt::spawn(async move { telling.tell_crashes().await });
         let counting = Rc::clone(&bulletin);
         actix_rt::spawn(async move { counting.tell_usage().await });
-        let wanting = Rc::clone(&bulletin);
+        let subscribing = Rc::clone(&bulletin);
         actix_rt::spawn(async move {
-            wanting.parts.feed.engines_wanted().await;
-            wanting.want(Topic::Engines);
-            wanting.resume();
+            subscribing.parts.feed.engines_subscribed().await;
+            subscribing.subscribe(Topic::Engines);
+            subscribing.resume();
         });
         let linking = Rc::clone(&bulletin);
         actix_rt::spawn(async move { linking.run().await });
@@ -149,9 +149,9 @@
     }
 
     /// Whether children may be kept although the news here are not fresh.
-    pub(super) fn is_hopeful(&self) -> bool {
+    pub(super) fn is_recovering(&self) -> bool {
         let (now, own) = (self.now(), self.own());
-        self.uplink.borrow().is_hopeful(now, own, self.spare())
+        self.uplink.borrow().is_recovering(now, own, self.spare())
     }
 
     /// How much longer this instance stays with a parent whose news are not fresh.
@@ -189,7 +189,7 @@
     pub(super) fn linked(&self, key: Key, link: Link) {
         let topics: Vec<Topic> = link.topics.keys().copied().collect();
         self.state.borrow_mut().links.insert(key, link);
-        topics.into_iter().for_each(|topic| self.want(topic));
+        topics.into_iter().for_each(|topic| self.subscribe(topic));
         self.catch_up();
     }
 
@@ -247,7 +247,7 @@
     pub(super) fn alive(&self, ranks: Ranks) -> Option<Alive> {
         let (now, own) = (self.now(), self.own());
         let has_news = self.uplink.borrow().age(now, own).is_some();
-        if !has_news && !self.is_fresh() && !self.is_hopeful() {
+        if !has_news && !self.is_fresh() && !self.is_recovering() {
             return None;
         }
         let uplink = self.uplink.borrow();
--- a/crates/pinereel/src/hosted/bulletin/children.rs
+++ b/crates/pinereel/src/hosted/bulletin/children.rs
@@ -52,7 +52,7 @@
         if self.is_leaving() {
             return refuse(socket, &Frame::Refer(Vec::new())).await;
         }
-        if !self.is_fresh() && !self.is_hopeful() {
+        if !self.is_fresh() && !self.is_recovering() {
             let wait = self.state.borrow_mut().gate.turn_away(self.now());
             return refuse(socket, &Frame::Later(wait)).await;
         }
@@ -117,7 +117,7 @@
     fn hear_child(&self, key: Key, bytes: &[u8]) {
         match Frame::decode(bytes) {
             Some(Frame::Below(census)) => self.state.borrow_mut().branch.report(key, census),
-            Some(Frame::Want { topic, revision }) => self.wanted_by(key, topic, revision),
+            Some(Frame::Subscribe { topic, revision }) => self.subscribed_by(key, topic, revision),
             Some(Frame::Crashes(reports)) => self.hear_crashes(reports),
             Some(Frame::Usage(reports)) => self.parts.usage.heard(reports),
             _ => {}
--- a/crates/pinereel/src/hosted/bulletin/feed.rs
+++ b/crates/pinereel/src/hosted/bulletin/feed.rs
@@ -82,25 +82,25 @@
     }
 
     /// This process wants to know of engines from now on.
-    pub fn want_engines(&self) {
+    pub fn subscribe_engines(&self) {
         self.engines
             .send_if_modified(|wanted| !std::mem::replace(wanted, true));
     }
 
     /// Whether this process wants to know of engines.
-    pub fn wants_engines(&self) -> bool {
+    pub fn subscribes_engines(&self) -> bool {
         *self.engines.borrow()
     }
 
     /// Waits until this process wants to know of engines.
-    pub async fn engines_wanted(&self) {
+    pub async fn engines_subscribed(&self) {
         // The sender lives as long as this.
         let _ = self.engines.subscribe().wait_for(|wanted| *wanted).await;
     }
 
     /// Whether a part of this process wants to know of a topic.
     pub(super) fn wants(&self, topic: Topic) -> bool {
-        topic != Topic::Engines || self.wants_engines()
+        topic != Topic::Engines || self.subscribes_engines()
     }
 
     /// Whether a topic is told to the parts of this process.
--- a/crates/pinereel/src/hosted/bulletin/frame.rs
+++ b/crates/pinereel/src/hosted/bulletin/frame.rs
@@ -70,7 +70,7 @@
     /// The first frame of a newcomer.
     Hello(Hello),
     /// A child wants one more topic, which it knows as of a revision.
-    Want {
+    Subscribe {
         /// The topic.
         topic: Topic,
         /// The store's revision; 0 if the child knows nothing of the topic.
--- a/crates/pinereel/src/hosted/bulletin/gossip.rs
+++ b/crates/pinereel/src/hosted/bulletin/gossip.rs
@@ -1,4 +1,4 @@
-//! News that go up the tree: requests that crash endpoints, which go down as well, and counts of requests.
+//! Publication that go up the tree: requests that crash endpoints, which go down as well, and counts of requests.
 
 use super::{Bulletin, Frame, Topic};
 use crate::hosted::{
@@ -61,10 +61,11 @@
         let usage = (!usage.is_empty()).then_some(Frame::Usage(usage));
         let frames = self.known_crashes().into_iter().chain(usage);
         // What began to be wanted while the link was set up.
-        let wishes = self.wishes().into_iter();
-        let wishes = wishes.filter(|(topic, _)| !Topic::BASE.contains(topic));
-        let wishes = wishes.map(|(topic, revision)| Frame::Want { topic, revision });
-        let frames = frames.chain(wishes);
+        let subscriptions = self.subscriptions().into_iter();
+        let subscriptions = subscriptions.filter(|(topic, _)| !Topic::BASE.contains(topic));
+        let subscriptions =
+            subscriptions.map(|(topic, revision)| Frame::Subscribe { topic, revision });
+        let frames = frames.chain(subscriptions);
         frames
             .filter_map(|frame| frame.encode())
             .map(Bytes::from)
--- a/crates/pinereel/src/hosted/bulletin/search.rs
+++ b/crates/pinereel/src/hosted/bulletin/search.rs
@@ -117,7 +117,7 @@
                 .ok()?;
         let hello = Frame::Hello(Hello {
             peer: self.parts.peer.clone(),
-            topics: self.wishes(),
+            topics: self.subscriptions(),
         });
         let hello = hello.encode()?;
         socket.send(Message::Binary(hello.into())).await.ok()?;
--- a/crates/pinereel/src/hosted/bulletin/topics.rs
+++ b/crates/pinereel/src/hosted/bulletin/topics.rs
@@ -25,14 +25,14 @@
 }
 
 /// What is told of a topic, encoded.
-pub(super) struct News {
+pub(super) struct Publication {
     pub(super) topic: Topic,
     /// Whether these are all objects of the topic, and not changes alone.
     pub(super) whole: bool,
     pub(super) objects: Vec<Packed>,
 }
 
-impl News {
+impl Publication {
     /// The same for the parts of this process.
     fn update(&self) -> Update {
         if self.whole {
@@ -71,9 +71,9 @@
             if matches!(update, Update::All(_)) {
                 self.state.borrow_mut().listed.insert(topic);
             }
-            let news = self.narrow(pack(topic, &update), revision);
-            // A change that nobody would notice is no news, but the topic is known as of a later revision.
-            if !news.whole && news.objects.is_empty() {
+            let publication = self.narrow(pack(topic, &update), revision);
+            // Nothing differs, but the topic is known as of a later revision.
+            if !publication.whole && publication.objects.is_empty() {
                 self.state
                     .borrow_mut()
                     .topics
@@ -84,43 +84,43 @@
                 continue;
             }
             let stamp = Stamp { revision, calm };
-            let frame = news.frame(stamp).encode().unwrap_or_default();
-            self.take(news, stamp, frame.into());
+            let frame = publication.frame(stamp).encode().unwrap_or_default();
+            self.take(publication, stamp, frame.into());
         }
         self.catch_up();
     }
 
     /// The parent has told of a topic; `frame` is how it did, and how children are told.
-    pub(super) fn hear(&self, news: News, stamp: Stamp, frame: Bytes) {
+    pub(super) fn hear(&self, publication: Publication, stamp: Stamp, frame: Bytes) {
         // Another parent may lag behind the one before.
         let known = {
             let state = self.state.borrow();
-            let known = state.topics.get(&news.topic);
+            let known = state.topics.get(&publication.topic);
             known.map_or(0, |known| known.revision)
         };
         if stamp.revision >= known {
-            self.take(news, stamp, frame);
+            self.take(publication, stamp, frame);
             self.catch_up();
         }
     }
 
-    /// Takes news in and passes them on.
-    fn take(&self, news: News, stamp: Stamp, frame: Bytes) {
-        let topic = news.topic;
+    /// Takes a publication in and passes it on.
+    fn take(&self, publication: Publication, stamp: Stamp, frame: Bytes) {
+        let topic = publication.topic;
         self.send_of(topic, &frame);
         let feed = &self.parts.feed;
         feed.set_calm(stamp.calm);
         // Changes alone say nothing to a part that has not been told the rest.
-        let told = feed.wants(topic) && (news.whole || feed.is_told(topic));
+        let told = feed.wants(topic) && (publication.whole || feed.is_told(topic));
         if told {
-            feed.tell(topic, news.update(), stamp.revision);
+            feed.tell(topic, publication.update(), stamp.revision);
         }
         let mut state = self.state.borrow_mut();
         let known = state.topics.entry(topic).or_default();
-        if news.whole {
-            known.set(news.objects, stamp.revision);
+        if publication.whole {
+            known.set(publication.objects, stamp.revision);
         } else {
-            known.change(news.objects, stamp.revision, frame);
+            known.change(publication.objects, stamp.revision, frame);
         }
         drop(state);
         if !told {
@@ -135,7 +135,7 @@
         for (topic, known) in &state.topics {
             if feed.wants(*topic) && !feed.is_told(*topic) {
                 feed.tell(*topic, Update::All(known.objects()), known.revision);
-                log::info!(topic:serde = topic, revision = known.revision; "bulletin: news again");
+                log::info!(topic:serde = topic, revision = known.revision; "bulletin: updates resumed");
             }
         }
     }
@@ -196,30 +196,30 @@
     }
 
     /// A list that was read again is told as what has changed in it.
-    fn narrow(&self, news: News, revision: u64) -> News {
+    fn narrow(&self, publication: Publication, revision: u64) -> Publication {
         let state = self.state.borrow();
-        let known = state.topics.get(&news.topic);
+        let known = state.topics.get(&publication.topic);
         match known.filter(|known| known.revision > 0 && known.revision <= revision) {
             // Those who hear of leases need all of them.
-            Some(known) if news.whole && news.topic != Topic::Leases => News {
-                topic: news.topic,
+            Some(known) if publication.whole && publication.topic != Topic::Leases => Publication {
+                topic: publication.topic,
                 whole: false,
-                objects: known.differences(&news.objects),
+                objects: known.differences(&publication.objects),
             },
-            _ => news,
+            _ => publication,
         }
     }
 
     /// This instance, or one below it, wants a topic from now on.
-    pub(super) fn want(&self, topic: Topic) {
+    pub(super) fn subscribe(&self, topic: Topic) {
         if Topic::BASE.contains(&topic) {
             return;
         }
         let mut state = self.state.borrow_mut();
-        if state.wanted.insert(topic) {
+        if state.subscribed.insert(topic) {
             let revision = state.revision(topic);
             drop(state);
-            if let Some(bytes) = (Frame::Want { topic, revision }).encode() {
+            if let Some(bytes) = (Frame::Subscribe { topic, revision }).encode() {
                 // A parent that is found later is told with the first frame.
                 let _ = self.up.send(bytes.into());
             }
@@ -227,24 +227,24 @@
     }
 
     /// What this instance wants to be told, and as of which revision it knows that.
-    pub(super) fn wishes(&self) -> BTreeMap<Topic, u64> {
+    pub(super) fn subscriptions(&self) -> BTreeMap<Topic, u64> {
         let state = self.state.borrow();
-        let topics = Topic::BASE.iter().chain(&state.wanted);
+        let topics = Topic::BASE.iter().chain(&state.subscribed);
         topics
             .map(|topic| (*topic, state.revision(*topic)))
             .collect()
     }
 
     /// Forgets the topics that no parent will tell of.
-    pub(super) fn forget_unwanted(&self) {
+    pub(super) fn forget_unsubscribed(&self) {
         let state = &mut *self.state.borrow_mut();
-        let wanted = &state.wanted;
+        let subscribed = &state.subscribed;
         state
             .topics
-            .retain(|topic, _| Topic::BASE.contains(topic) || wanted.contains(topic));
+            .retain(|topic, _| Topic::BASE.contains(topic) || subscribed.contains(topic));
     }
 
-    /// Brings children up to date that wait for it, once the news here are fresh.
+    /// Brings children up to date that wait for it, once what is known here is fresh.
     pub(super) fn catch_up(&self) {
         if !self.is_fresh() {
             return;
@@ -277,16 +277,16 @@
     }
 
     /// A child wants a topic, which it knows as of a revision.
-    pub(super) fn wanted_by(&self, key: Key, topic: Topic, revision: u64) {
+    pub(super) fn subscribed_by(&self, key: Key, topic: Topic, revision: u64) {
         if let Some(link) = self.state.borrow_mut().links.get_mut(&key) {
             link.topics.entry(topic).or_insert(Some(revision));
         }
-        self.want(topic);
+        self.subscribe(topic);
         self.catch_up();
     }
 }
 
-fn pack(topic: Topic, update: &Update) -> News {
+fn pack(topic: Topic, update: &Update) -> Publication {
     let (whole, objects) = match update {
         Update::All(objects) => {
             let packed = objects.iter().filter_map(|o| Packed::new(o, false));
@@ -298,7 +298,7 @@
             (false, packed.collect())
         }
     };
-    News {
+    Publication {
         topic,
         whole,
         objects,
--- a/crates/pinereel/src/hosted/bulletin/uplink.rs
+++ b/crates/pinereel/src/hosted/bulletin/uplink.rs
@@ -3,7 +3,7 @@
 use super::{
     Bulletin, DUTY, Frame, REPORT,
     search::Link,
-    topics::{News, Stamp},
+    topics::{Publication, Stamp},
 };
 use crate::hosted::duty::Standing;
 use futures_util::{FutureExt as _, SinkExt as _, StreamExt as _, future::OptionFuture};
@@ -145,7 +145,7 @@
         let mut heard_at = Instant::now();
         let mut told_at = heard_at;
         let mut up = self.up.subscribe();
-        self.forget_unwanted();
+        self.forget_unsubscribed();
         let mut first = self.first_news();
         let why = loop {
             let mut sent = true;
@@ -266,12 +266,12 @@
                 calm,
             }) => {
                 let whole = true;
-                let news = News {
+                let publication = Publication {
                     topic,
                     whole,
                     objects,
                 };
-                self.hear(news, Stamp { revision, calm }, bytes);
+                self.hear(publication, Stamp { revision, calm }, bytes);
             }
             Some(Frame::Changes {
                 topic,
@@ -279,12 +279,12 @@
                 changes,
                 calm,
             }) => {
-                let news = News {
+                let publication = Publication {
                     topic,
                     whole: false,
                     objects: changes,
                 };
-                self.hear(news, Stamp { revision, calm }, bytes);
+                self.hear(publication, Stamp { revision, calm }, bytes);
             }
             Some(Frame::Alive(alive)) => {
                 let metrics = &self.parts.metrics;
@@ -300,7 +300,7 @@
             Some(Frame::Crashes(reports)) => self.hear_crashes(reports),
             Some(Frame::Usage(reports)) => self.parts.usage.heard(reports),
             Some(Frame::Refer(_) | Frame::Later(_)) | None => return false,
-            Some(Frame::Hello(_) | Frame::Below(_) | Frame::Want { .. }) => {}
+            Some(Frame::Hello(_) | Frame::Below(_) | Frame::Subscribe { .. }) => {}
         }
         true
     }
--- a/crates/pinereel/src/hosted/endpoints/listing.rs
+++ b/crates/pinereel/src/hosted/endpoints/listing.rs
@@ -19,13 +19,15 @@
 /// So long after a failed call entries may still be missing because of it: three of the endpoints'
 /// heartbeats, and their way back.
 const AWAY: Duration = Duration::from_secs(6);
+/// Changes that come together are logged one by one up to this number, and counted beyond it.
+const MANY: usize = 16;
 /// Requests that an endpoint may have from this instance, as a multiple of its slots: it queues a
 /// few itself.
 const QUEUED: u32 = 2;
 
 impl Endpoints {
     pub(super) fn take(self: &Rc<Self>, update: Update, scope: Scope) {
-        if scope == Scope::Others && !self.parts.feed.wants_engines() {
+        if scope == Scope::Others && !self.parts.feed.subscribes_engines() {
             self.drop_engines();
         }
         match update {
@@ -43,11 +45,17 @@
                 }
             }
             Update::Changes(changes) => {
+                let level = if changes.len() > MANY {
+                    log::info!(changes = changes.len(); "endpoint list changed");
+                    Level::Debug
+                } else {
+                    Level::Info
+                };
                 for change in changes {
                     if change.deleted {
                         self.removed(&change.object.name);
                     } else {
-                        self.listed(&change.object, Level::Info);
+                        self.listed(&change.object, level);
                     }
                 }
             }
--- a/crates/pinereel/src/hosted/endpoints/mod.rs
+++ b/crates/pinereel/src/hosted/endpoints/mod.rs
@@ -161,8 +161,8 @@
     }
 
     /// This instance has to do with engines from now on.
-    pub fn want_engines(&self) {
-        self.parts.feed.want_engines();
+    pub fn subscribe_engines(&self) {
+        self.parts.feed.subscribe_engines();
     }
 
     /// What a list of that origin speaks of; it says nothing of the rest.
--- a/crates/pinereel/src/hosted/lots/runner.rs
+++ b/crates/pinereel/src/hosted/lots/runner.rs
@@ -179,7 +179,7 @@
     }
 
     async fn work(self: &Rc<Self>, model: &CompactString) {
-        self.parts.endpoints.want_engines();
+        self.parts.endpoints.subscribe_engines();
         let store = self.parts.store.clone();
         let manner = || Manner {
             wait: self.parts.watch,
--- a/crates/pinereel/src/hosted/orders/mod.rs
+++ b/crates/pinereel/src/hosted/orders/mod.rs
@@ -153,7 +153,7 @@
     }
 
     async fn work(self: &Rc<Self>, service: &CompactString, duty: &CompactString) {
-        self.parts.endpoints.want_engines();
+        self.parts.endpoints.subscribe_engines();
         let store = self.parts.store.clone();
         let (kind, wait) = (self.parts.adapter.places.versions, self.parts.watch);
         let manner = || Manner {
--- a/crates/pinereel_core/src/batch/engine.rs
+++ b/crates/pinereel_core/src/batch/engine.rs
@@ -7,9 +7,8 @@
 use compact_str::CompactString;
 use std::net::SocketAddr;
 
-/// Pace of an engine that has made no event yet, in milliseconds an event: 56 tokens at 0.7 ms, as
-/// measured on one kind of engine.
-const USUAL_PACE: f64 = 40.0;
+/// Pace of engines before any of the fleet has made an event, in milliseconds an event.
+const FIRST_PACE: f64 = 40.0;
 /// What a full engine costs against an empty one of the same pace: enough to spread runs over equal
 /// engines, too little to prefer a slow one.
 const FULL_COST: f64 = 0.25;
@@ -94,9 +93,9 @@
         }
     }
 
-    /// Milliseconds an event.
-    pub(super) fn pace(&self) -> f64 {
-        self.pace.unwrap_or(USUAL_PACE)
+    /// Milliseconds an event; of an engine that has made none yet, what is `usual` in its fleet.
+    pub(super) fn pace(&self, usual: Option<f64>) -> f64 {
+        self.pace.or(usual).unwrap_or(FIRST_PACE)
     }
 
     /// Whether one run has to try it before others follow.
@@ -124,8 +123,8 @@
         }
     }
 
-    pub(super) fn cost(&self) -> f64 {
+    pub(super) fn cost(&self, usual: Option<f64>) -> f64 {
         let used = f64::from(self.runs) / f64::from(self.listed.slots.max(1));
-        self.pace() * (1.0 + FULL_COST * used)
+        self.pace(usual) * (1.0 + FULL_COST * used)
     }
 }
--- a/crates/pinereel_core/src/batch/fleet.rs
+++ b/crates/pinereel_core/src/batch/fleet.rs
@@ -18,6 +18,8 @@
 
 /// Share of a new gap between events in the moving average of an engine's pace.
 const PACE_GAIN: f64 = 0.06;
+/// The same in the moving average of all engines.
+const FLEET_PACE_GAIN: f64 = 0.01;
 /// A run is moved if its engine takes so many times as long as the one that it would go to. Engines
 /// differ by 1.3 (47 ms and 60 ms an event, measured), and reading the prompt and the
 /// text again takes less than an event.
@@ -52,6 +54,8 @@
 pub struct Fleet {
     arena: SlotMap<Key, Engine>,
     ids: BTreeMap<CompactString, Key>,
+    /// Moving average of the time between two events of a run at any engine, in milliseconds; none before the first.
+    pace: Option<f64>,
 }
 
 impl Fleet {
@@ -160,7 +164,7 @@
         let open = self
             .iter()
             .filter(|(key, engine)| engine.takes(now, oldest_version) && admits(*key, engine));
-        let best = open.min_by(|(_, a), (_, b)| a.cost().total_cmp(&b.cost()));
+        let best = open.min_by(|(_, a), (_, b)| a.cost(self.pace).total_cmp(&b.cost(self.pace)));
         best.map(|(key, _)| key)
     }
 
@@ -174,7 +178,7 @@
         } else {
             MOVE_FACTOR
         };
-        (pace > factor * self.arena[to].pace()).then_some(to)
+        (pace > factor * self.arena[to].pace(self.pace)).then_some(to)
     }
 
     /// How long a run at an engine that has made events waits for the next one. The longest texts decide about a step and have
@@ -230,10 +234,8 @@
         };
         let gap = gap.as_secs_f64() * 1_000.0;
         engine.gaps = engine.gaps.saturating_add(1);
-        engine.pace = Some(match engine.pace {
-            Some(pace) => pace + PACE_GAIN * (gap - pace),
-            None => gap,
-        });
+        engine.pace = Some(averaged(engine.pace, gap, PACE_GAIN));
+        self.pace = Some(averaged(self.pace, gap, FLEET_PACE_GAIN));
     }
 
     /// A run ended. Every `started` needs exactly one.
@@ -270,3 +272,8 @@
         }
     }
 }
+
+/// A moving average with one more value in it.
+fn averaged(average: Option<f64>, value: f64, gain: f64) -> f64 {
+    average.map_or(value, |average| average + gain * (value - average))
+}
--- a/crates/pinereel_core/src/tree/mod.rs
+++ b/crates/pinereel_core/src/tree/mod.rs
@@ -38,12 +38,12 @@
 /// Instances that stand in for the root, in this order: two that are lost together with it leave one.
 pub const DEPUTIES: usize = 3;
 
-/// News that are older are no good for taking a child or staying with a parent. The root makes a call
+/// Publication that are older are no good for taking a child or staying with a parent. The root makes a call
 /// every 0.7 s at the least, each takes up to 0.3 s at a slow store, and signs of life come every 0.3 s.
 /// With the time to find another parent, a leave or a configuration is in force after 2.2 s at most.
 pub const STALE: Duration = Duration::from_millis(1_600);
 
-/// News may be so much older at each level below the first: the level above finds another parent first,
+/// Publication may be so much older at each level below the first: the level above finds another parent first,
 /// and its children stay.
 pub const LEVEL: Duration = Duration::from_millis(400);
 
--- a/crates/pinereel_core/src/tree/uplink.rs
+++ b/crates/pinereel_core/src/tree/uplink.rs
@@ -127,7 +127,7 @@
     }
 
     /// Whether children may be taken, and kept, although the news are not fresh: they soon will be.
-    pub fn is_hopeful(&self, now: Time, own: Own, spare: Duration) -> bool {
+    pub fn is_recovering(&self, now: Time, own: Own, spare: Duration) -> bool {
         let limit = match &self.heard {
             Some(_) => return !self.patience(now, spare).is_zero(),
             None if self.leads && own.age.is_none() => READING,
--- a/crates/pinereel_core/tests/batch_fleet.rs
+++ b/crates/pinereel_core/tests/batch_fleet.rs
@@ -224,3 +224,29 @@
         "nothing known"
     );
 }
+
+/// Load pattern: more engines than runs, and a pace that no engine was assumed to have. Each run that was long enough
+/// moved to an engine that had made nothing yet, and read its prompt again there.
+#[test]
+fn no_run_moves_to_an_engine_only_because_nothing_is_known_of_it() {
+    for engines in [8, 16, 32] {
+        let mut fleet = fleet(engines);
+        let now = Time::ZERO;
+        let runs: Vec<_> = (0..engines / 4)
+            .map(|_| {
+                let key = fleet.pick(now, 1, None).expect("there is room");
+                fleet.started(now, key, 0);
+                key
+            })
+            .collect();
+        for _ in 0..20 {
+            for key in &runs {
+                fleet.made(*key, Duration::from_millis(74));
+            }
+        }
+        let moves = runs
+            .iter()
+            .filter(|key| fleet.better(now, **key, 1, 20).is_some());
+        assert_eq!(moves.count(), 0, "of {engines} engines");
+    }
+}
--- a/crates/pinereel_core/tests/tree_fleet.rs
+++ b/crates/pinereel_core/tests/tree_fleet.rs
@@ -117,8 +117,10 @@
     /// Whether it takes newcomers.
     fn admits(&self, name: &str) -> bool {
         let node = &self.nodes[name];
-        let is_hopeful = node.uplink.is_hopeful(self.now, self.own(name), self.spare);
-        node.alive && (self.fresh(name) || is_hopeful)
+        let is_recovering = node
+            .uplink
+            .is_recovering(self.now, self.own(name), self.spare);
+        node.alive && (self.fresh(name) || is_recovering)
     }
 
     fn fresh(&self, name: &str) -> bool {
