tree: an instance that the store turns away takes no newcomer, and one that reads accepts fresh news alone

A root that the store had turned away began to read, so that it counted as about to have news, and an instance that the store did answer gave up reading to become its child. Change: reading counts only while the store answers, and who reads itself takes a parent with fresh news alone.

--- a/crates/pinereel/src/hosted/bulletin/board.rs
+++ b/crates/pinereel/src/hosted/bulletin/board.rs
@@ -134,8 +134,10 @@
     pub(super) fn own(&self) -> Own {
         let listed = self.state.borrow().listed.len() == Topic::ALL.len();
         let store = &self.parts.store;
+        let answered_ago = store.answered_ago();
         Own {
-            age: store.answered_ago().filter(|_| listed),
+            age: answered_ago.filter(|_| listed),
+            answers: answered_ago.is_some_and(|ago| ago < STALE),
             calm: store.calm(),
         }
     }
--- a/crates/pinereel/src/hosted/bulletin/search.rs
+++ b/crates/pinereel/src/hosted/bulletin/search.rs
@@ -34,6 +34,21 @@
     pub(super) alive: Alive,
 }
 
+/// What a parent must have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Needed {
+    /// Fresh news: this instance reads the store, or others wait for what it finds.
+    Fresh,
+    /// Fresh news, or the prospect of some.
+    Any,
+}
+
+impl Needed {
+    fn is_met_by(self, alive: &Alive) -> bool {
+        self == Self::Any || alive.is_fresh()
+    }
+}
+
 /// What became of one try.
 enum Opened {
     Linked(Box<Link>),
@@ -44,13 +59,13 @@
 
 impl Bulletin {
     /// Looks for a parent until there is one.
-    pub(super) async fn search(&self) -> Link {
+    pub(super) async fn search(&self, needed: Needed) -> Link {
         let mut looks = self.parts.duties.looks();
         let mut rounds = 0;
         loop {
             looks.mark_unchanged();
             let targets = self.targets();
-            let later = match self.search_among(targets.clone()).await {
+            let later = match self.search_among(targets.clone(), needed).await {
                 Ok(link) => return link,
                 Err(later) => later,
             };
@@ -68,18 +83,23 @@
 
     /// Tries all targets; none if no one takes this instance.
     pub(super) async fn search_once(&self) -> Option<Link> {
-        self.search_among(self.targets()).await.ok()
+        let found = self.search_among(self.targets(), Needed::Fresh).await;
+        found.ok()
     }
 
     /// Tries targets; if none takes this instance, when one of them may, as far as they said.
-    async fn search_among(&self, targets: Vec<CompactString>) -> Result<Link, Option<Duration>> {
+    async fn search_among(
+        &self,
+        targets: Vec<CompactString>,
+        needed: Needed,
+    ) -> Result<Link, Option<Duration>> {
         let targets = targets.into_iter().enumerate();
         let mut later = None;
         let mut tries: FuturesUnordered<_> = targets
             .map(async |(at, target)| {
                 let at = u32::try_from(at).unwrap_or(u32::MAX);
                 sleep(STAGGER.saturating_mul(at)).await;
-                self.follow_referrals(target).await
+                self.follow_referrals(target, needed).await
             })
             .collect();
         while let Some(found) = tries.next().await {
@@ -92,7 +112,11 @@
     }
 
     /// Goes from a target to those that it refers to, until one takes this instance; if none does, when one may.
-    async fn follow_referrals(&self, target: CompactString) -> Result<Link, Option<Duration>> {
+    async fn follow_referrals(
+        &self,
+        target: CompactString,
+        needed: Needed,
+    ) -> Result<Link, Option<Duration>> {
         let mut left = vec![target];
         let mut later = None;
         for _ in 0..REFERRALS {
@@ -100,7 +124,11 @@
                 break;
             };
             match timeout(OPEN, self.open(&address)).await {
-                Ok(Some(Opened::Linked(link))) => return Ok(*link),
+                Ok(Some(Opened::Linked(link))) if needed.is_met_by(&link.alive) => {
+                    return Ok(*link);
+                }
+                // It may be behind this instance itself.
+                Ok(Some(Opened::Linked(_))) => {}
                 Ok(Some(Opened::Later(wait))) => later = later.max(Some(wait)),
                 // The first one named comes next.
                 Ok(Some(Opened::Referred(addresses))) => left.extend(addresses.into_iter().rev()),
--- a/crates/pinereel/src/hosted/bulletin/uplink.rs
+++ b/crates/pinereel/src/hosted/bulletin/uplink.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Bulletin, DUTY, Frame, REPORT,
-    search::Link,
+    search::{Link, Needed},
     topics::{Publication, Stamp},
 };
 use crate::hosted::duty::Standing;
@@ -95,7 +95,7 @@
         }
         self.parts.feed.lose();
         tokio::select! {
-            link = self.search() => Some(link),
+            link = self.search(Needed::Any) => Some(link),
             () = self.has_taken(standing) => None,
         }
     }
@@ -105,7 +105,7 @@
         if self.uplink.borrow().is_first_deputy() && !self.is_leaving() {
             return self.search_once().await;
         }
-        Some(self.search().await)
+        Some(self.search(Needed::Any).await)
     }
 
     /// Reads the store for those below until there is a parent again; none if this instance has the duty.
@@ -113,7 +113,7 @@
         log::info!("bulletin: standing in");
         let end = async {
             tokio::select! {
-                link = self.search() => Some(link),
+                link = self.search(Needed::Fresh) => Some(link),
                 () = self.has_taken(standing) => None,
             }
         };
@@ -215,7 +215,7 @@
         // Those further down are helped by the parent's own search.
         let is_below_root = self.uplink.borrow().level() == 1;
         tokio::select! {
-            link = self.search(), if is_below_root => Left::Better(Box::new(link)),
+            link = self.search(Needed::Fresh), if is_below_root => Left::Better(Box::new(link)),
             () = self.until_answered() => Left::Answered,
         }
     }
--- a/crates/pinereel_core/src/tree/alive.rs
+++ b/crates/pinereel_core/src/tree/alive.rs
@@ -15,7 +15,7 @@
     /// Time since the store last answered the root, with what it took to pass that on; none while the head of this
     /// part of the tree has nothing to pass on yet.
     pub age: Option<Duration>,
-    /// Whether that head reads the store; if not, it looks for a parent.
+    /// Whether that head reads the store, and is answered; if not, it looks for a parent.
     pub reads: bool,
     /// For how long the store has answered all calls of the root.
     pub calm: Duration,
@@ -34,6 +34,11 @@
         self.age.is_none() && self.reads
     }
 
+    /// Whether the news are fresh enough for the receiver.
+    pub fn is_fresh(&self) -> bool {
+        self.age.is_some_and(|age| age < self.bound())
+    }
+
     /// How old the news may be at the sender's children.
     pub fn bound(&self) -> Duration {
         STALE + LEVEL * self.level().saturating_sub(1)
--- a/crates/pinereel_core/src/tree/uplink.rs
+++ b/crates/pinereel_core/src/tree/uplink.rs
@@ -12,6 +12,8 @@
     pub age: Option<Duration>,
     /// For how long it has answered all calls.
     pub calm: Duration,
+    /// Whether it has answered a call lately, also if not all is read yet.
+    pub answers: bool,
 }
 
 /// Where the news of one instance come from.
@@ -130,7 +132,7 @@
     pub fn is_recovering(&self, now: Time, own: Own, spare: Duration) -> bool {
         let limit = match &self.heard {
             Some(_) => return !self.patience(now, spare).is_zero(),
-            None if self.leads && own.age.is_none() => READING,
+            None if self.leads && own.age.is_none() && own.answers => READING,
             None if self.leads => Duration::ZERO,
             None => spare,
         };
@@ -188,7 +190,7 @@
                 lineage: vec![self.own.clone()],
                 deputies,
                 age,
-                reads: self.leads,
+                reads: self.leads && own.answers,
                 calm: own.calm,
                 ranks,
             },
--- a/crates/pinereel_core/tests/tree_fleet.rs
+++ b/crates/pinereel_core/tests/tree_fleet.rs
@@ -95,6 +95,7 @@
         let has_read = self.now.since(reads_since) >= self.reading;
         Own {
             age: has_read.then_some(age),
+            answers: node.reaches,
             calm: Duration::ZERO,
         }
     }
@@ -264,7 +265,9 @@
                 return false;
             };
             *self.tries.entry(target.clone()).or_default() += 1;
-            if target == name || !self.nodes[&target].alive {
+            let reads = self.nodes[name].uplink.leads();
+            let is_of_use = self.nodes[&target].alive && (!reads || self.fresh(&target));
+            if target == name || !is_of_use {
                 continue;
             }
             if !self.admits(&target) {
@@ -530,3 +533,27 @@
         assert!(most <= Some(501), "{most:?} of {newcomers}");
     }
 }
+
+/// Load pattern: the store turns half of the instances away, the root among them, and serves the others. One that it does
+/// not answer has nothing to read, so that nobody may wait for its news.
+#[test]
+fn an_instance_that_the_store_turns_away_takes_no_newcomer() {
+    let now = Time::ZERO + Duration::from_secs(10);
+    let own = |answers| Own {
+        age: None,
+        calm: Duration::ZERO,
+        answers,
+    };
+    let mut uplink = Uplink::new("turned-away".into());
+    uplink.lead(true);
+    uplink.observe(now, own(false));
+    assert!(!uplink.is_recovering(now, own(false), Duration::ZERO));
+    assert!(uplink.is_recovering(now, own(true), Duration::ZERO));
+    let alive = |answers| uplink.alive(now, own(answers), Ranks::default(), Vec::new());
+    assert!(!alive(false).is_reading());
+    assert!(alive(true).is_reading());
+    assert!(
+        !alive(true).is_fresh(),
+        "it is no reason to give up reading"
+    );
+}
