tree: an instance with old news takes no newcomer

Change: newcomers are taken with fresh news, or while there are none yet; a link with old news is no link.

--- a/crates/pinereel/src/hosted/bulletin/search.rs
+++ b/crates/pinereel/src/hosted/bulletin/search.rs
@@ -45,7 +45,7 @@
 
 impl Needed {
     fn is_met_by(self, alive: &Alive) -> bool {
-        self == Self::Any || alive.is_fresh()
+        alive.is_fresh() || (self == Self::Any && alive.age.is_none())
     }
 }
 
--- a/crates/pinereel_core/src/tree/uplink.rs
+++ b/crates/pinereel_core/src/tree/uplink.rs
@@ -131,6 +131,8 @@
     /// Whether children may be taken, and kept, although the news are not fresh: they soon will be.
     pub fn is_recovering(&self, now: Time, own: Own, spare: Duration) -> bool {
         let limit = match &self.heard {
+            // Those below a parent with old news would wait as long again.
+            Some((alive, _)) if alive.age.is_some() => Duration::ZERO,
             Some(_) => return !self.patience(now, spare).is_zero(),
             None if self.leads && own.age.is_none() && own.answers => READING,
             None if self.leads => Duration::ZERO,
--- a/crates/pinereel_core/tests/tree_fleet.rs
+++ b/crates/pinereel_core/tests/tree_fleet.rs
@@ -557,3 +557,24 @@
         "it is no reason to give up reading"
     );
 }
+
+/// Load pattern: the news of a whole branch grow old. Who joins it there would learn of a change later than its bound allows.
+#[test]
+fn an_instance_with_old_news_takes_no_newcomer() {
+    let spare = Duration::from_millis(1_500);
+    let own = Own::default();
+    let mut uplink = Uplink::new("relay".into());
+    let now = Time::ZERO + Duration::from_secs(10);
+    let alive = Alive {
+        lineage: vec!["root".into(), "parent".into()],
+        deputies: Vec::new(),
+        age: Some(Duration::from_secs(3)),
+        reads: false,
+        calm: Duration::ZERO,
+        ranks: Ranks::default(),
+    };
+    assert!(uplink.heard(now, alive));
+    uplink.observe(now, own);
+    assert!(!uplink.patience(now, spare).is_zero(), "it stays itself");
+    assert!(!uplink.is_recovering(now, own, spare));
+}
