--- a/crates/pinereel_core/src/tree/mod.rs
+++ b/crates/pinereel_core/src/tree/mod.rs
@@ -51,5 +51,5 @@
 /// parent itself.
 pub const FOLLOWED: Duration = Duration::from_millis(500);
 
-/// Longest time that a root takes to read the store before it has news: ten thousand endpoints are fifty pages.
+/// Longest time that a newcomer waits for a root that reads the store: ten thousand endpoints are some twenty pages.
 pub const READING: Duration = Duration::from_secs(3);
--- a/crates/pinereel_core/src/tree/uplink.rs
+++ b/crates/pinereel_core/src/tree/uplink.rs
@@ -28,6 +28,8 @@
     leads: bool,
     /// Since when the news here are not fresh, as far as was observed.
     stale_since: Option<Time>,
+    /// Whether the news here were ever fresh.
+    had_news: bool,
 }
 
 impl Uplink {
@@ -39,6 +41,7 @@
             ways: Vec::new(),
             leads: false,
             stale_since: None,
+            had_news: false,
         }
     }
 
@@ -68,8 +71,6 @@
         self.leads = leads;
         if leads {
             self.lost();
-            // The time that reading takes counts from now on.
-            self.stale_since = None;
         }
     }
 
@@ -105,6 +106,7 @@
     pub fn observe(&mut self, now: Time, own: Own) {
         if self.is_fresh(now, own) {
             self.stale_since = None;
+            self.had_news = true;
         } else {
             self.stale_since.get_or_insert(now);
         }
@@ -120,7 +122,8 @@
             return Duration::ZERO;
         };
         let limit = match alive.age {
-            None if alive.reads => READING,
+            // Without any news so far, nothing grows old meanwhile.
+            None if alive.reads && !self.had_news => READING,
             None => spare,
             Some(_) if alive.level() > 1 => spare.max(FOLLOWED),
             Some(_) => Duration::ZERO,
@@ -134,8 +137,7 @@
             // Those below a parent with old news would wait as long again.
             Some((alive, _)) if alive.age.is_some() => Duration::ZERO,
             Some(_) => return !self.patience(now, spare).is_zero(),
-            None if self.leads && own.age.is_none() && own.answers => READING,
-            None if self.leads => Duration::ZERO,
+            None if self.leads => return own.age.is_none() && own.answers,
             None => spare,
         };
         self.stale_for(now) < limit
