tree: the revision of a topic is looked up in one place; words

A reader's pass: hear() wrote State::revision again; a doc comment was garbled by a rename; a test's first line in the field's words. Tests were not run on this commit.

--- a/crates/pinereel/src/hosted/bulletin/gossip.rs
+++ b/crates/pinereel/src/hosted/bulletin/gossip.rs
@@ -1,4 +1,4 @@
-//! Publication that go up the tree: requests that crash endpoints, which go down as well, and counts of requests.
+//! What goes up the tree: requests that crash endpoints, which go down as well, and counts of requests.
 
 use super::{Bulletin, Frame, Topic};
 use crate::hosted::{
--- a/crates/pinereel/src/hosted/bulletin/topics.rs
+++ b/crates/pinereel/src/hosted/bulletin/topics.rs
@@ -93,11 +93,7 @@
     /// The parent has told of a topic; `frame` is how it did, and how children are told.
     pub(super) fn hear(&self, publication: Publication, stamp: Stamp, frame: Bytes) {
         // Another parent may lag behind the one before.
-        let known = {
-            let state = self.state.borrow();
-            let known = state.topics.get(&publication.topic);
-            known.map_or(0, |known| known.revision)
-        };
+        let known = self.state.borrow().revision(publication.topic);
         if stamp.revision >= known {
             self.take(publication, stamp, frame);
             self.catch_up();
--- a/crates/pinereel_fakes/tests/hosting_topics.rs
+++ b/crates/pinereel_fakes/tests/hosting_topics.rs
@@ -1,4 +1,4 @@
-//! Who is told of what over the tree, with real processes.
+//! Which instances receive which topics of the tree, with real processes.
 
 use pinereel_fakes::hosting::site::{Instance, Site, Size};
 use std::time::Duration;
