lots: each endpoint that fails on a scoring counts as an attempt

Cause: a scoring is sent to up to max_attempts endpoints, and each such round counted as one attempt, so that a scoring that always fails ran on 16 endpoints one after the other, 1.3 s a round. One item in a hundred is such; its group, and with it the step, was listed 3 s to 7 s after its texts were complete. Ruled out: slow commits (0.1 s to 0.3 s) and slow reads (0.1 s to 1 s) explain the rest of that time only. Change: the proxy reports how many endpoints answered with status 500, and these count.

--- a/crates/pinereel/src/hosted/lots/score.rs
+++ b/crates/pinereel/src/hosted/lots/score.rs
@@ -3,11 +3,11 @@
 use super::{runner::Runner, state::ItemTask};
 use crate::hosted::proxy::{Outcome, ProxyRequest};
 use actix_http::{
-    Method,
+    Method, StatusCode,
     header::{HOST, HeaderMap, HeaderValue},
 };
 use compact_str::CompactString;
-use pinereel_core::batch::{Failure, RetryDecision};
+use pinereel_core::batch::RetryDecision;
 use pinereel_port::lot::Scorer;
 use std::{
     cell::{Cell, OnceCell},
@@ -80,17 +80,17 @@
         let max_attempts = call.route.max_attempts;
         let max_permits = scoring_slots(runner, &call) / SLOTS_PER_SCORING;
         let permit = runner.scoring_limiter.acquire(max_permits).await;
-        let outcome = runner.deps.proxy.run(call).await;
+        let (outcome, internal_errors) = runner.deps.proxy.run_counted(call).await;
         drop(permit);
-        let failure = match outcome {
+        let is_failure = match outcome {
             Outcome::Answer(answer) if answer.status.is_success() => return answer.signature,
-            Outcome::Answer(answer) if answer.status.as_u16() == 500 => Failure::Failed,
-            _ => Failure::Interrupted,
+            Outcome::Answer(answer) => answer.status == StatusCode::INTERNAL_SERVER_ERROR,
+            _ => false,
         };
-        if runner.score_failed(task, failure, max_attempts) == RetryDecision::GiveUp {
+        if runner.scorings_failed(task, internal_errors, max_attempts) == RetryDecision::GiveUp {
             return None;
         }
-        if failure == Failure::Interrupted {
+        if !is_failure {
             sleep(RETRY_DELAY).await;
         }
     }
--- a/crates/pinereel/src/hosted/lots/task_state.rs
+++ b/crates/pinereel/src/hosted/lots/task_state.rs
@@ -163,16 +163,16 @@
         decision
     }
 
-    /// Records that a scoring ended without a score.
-    pub(super) fn score_failed(
+    /// Records that a scoring ended without a score, after `failures` endpoints had failed on it.
+    pub(super) fn scorings_failed(
         &self,
         task: &ItemTask,
-        failure: Failure,
+        failures: u32,
         max_attempts: u32,
     ) -> RetryDecision {
         let mut state = self.state.borrow_mut();
         match state.open_lots.get_mut(&task.lot_id) {
-            Some(open) => open.lot.score_failed(task.index, failure, max_attempts),
+            Some(open) => open.lot.scorings_failed(task.index, failures, max_attempts),
             None => RetryDecision::Retry,
         }
     }
--- a/crates/pinereel/src/hosted/proxy/mod.rs
+++ b/crates/pinereel/src/hosted/proxy/mod.rs
@@ -98,13 +98,20 @@
     /// Forwards `request` and returns its outcome by its deadline. Dropping the future cancels the
     /// attempts in flight.
     pub async fn run(self: &Rc<Self>, request: ProxyRequest) -> Outcome {
+        self.run_counted(request).await.0
+    }
+
+    /// Like [`Proxy::run`], and also returns how many endpoints answered with status 500, the
+    /// returned answer included.
+    pub async fn run_counted(self: &Rc<Self>, request: ProxyRequest) -> (Outcome, u32) {
         let started = Instant::now();
         let seed = self.next_seed(&request);
         let request = Rc::new(request);
         let list_age = self.deps.endpoints.age().unwrap_or_default();
         let mut crash_changes = self.deps.crashes.changes();
         let Some(service) = routing_table::pick_service(&request.route, seed) else {
-            return self.refuse(&request, "", ("no service", RETRY_AFTER), started);
+            let outcome = self.refuse(&request, "", ("no service", RETRY_AFTER), started);
+            return (outcome, 0);
         };
         let mut state = RequestState {
             request: Rc::clone(&request),
@@ -134,7 +141,7 @@
             match state.attempts.next_step(started.elapsed()) {
                 Step::Send => {
                     if let Some(refusal) = self.send_next(&mut state, status).await {
-                        return self.refuse(&request, service, refusal, started);
+                        return (self.refuse(&request, service, refusal, started), 0);
                     }
                 }
                 Step::Wait(end) => {
@@ -195,7 +202,7 @@
         metrics.observe(&metrics.input_ages, "config", request.config_age);
         metrics.observe(&metrics.input_ages, "endpoints", list_age);
         log_request(&request, &outcome, started, list_age, &attempt_log);
-        outcome
+        (outcome, state.attempts.internal_errors())
     }
 
     /// Starts the next attempt. Returns the reason and the retry delay if the request is refused
--- a/crates/pinereel_core/src/batch/lot.rs
+++ b/crates/pinereel_core/src/batch/lot.rs
@@ -9,14 +9,14 @@
 use pinereel_port::lot::{Sample, Submission};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Why a run or a scoring of an item gave no result.
+/// Why a run of an item gave no result.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
     /// The endpoint answered with a failure; counts as an attempt.
     Failed,
     /// The endpoint answered that the item can never succeed; it is not retried.
     Impossible,
-    /// The run or scoring broke off or found no slot; does not count as an attempt of the item.
+    /// The run broke off or found no slot; does not count as an attempt of the item.
     Interrupted,
 }
 
@@ -47,8 +47,8 @@
     phase: Phase,
     /// Runs that ended in [`Failure::Failed`].
     failed_runs: u32,
-    /// Scorings that ended in [`Failure::Failed`].
-    failed_scores: u32,
+    /// Endpoints that have failed on its scoring.
+    failed_scorings: u32,
     /// Order of starts, smallest first: resubmitted groups, then longest items, then input order.
     priority: (bool, u32, usize),
 }
@@ -95,7 +95,7 @@
                 group,
                 phase: Phase::Queued,
                 failed_runs: 0,
-                failed_scores: 0,
+                failed_scorings: 0,
                 priority: (true, 0, index),
             });
         }
@@ -171,16 +171,19 @@
         retry_decision(failure, item.failed_runs, max_attempts)
     }
 
-    /// Records that a scoring ended without a score; the caller scores the same text again.
-    pub fn score_failed(
+    /// Records that a scoring ended without a score, after `failures` endpoints had failed on it;
+    /// the caller scores the same text again. One scoring is sent to several endpoints, and each
+    /// of them is an attempt: counting scorings instead ran a scoring that always fails on
+    /// `max_attempts` squared endpoints, and its group was listed seconds later.
+    pub fn scorings_failed(
         &mut self,
         index: usize,
-        failure: Failure,
+        failures: u32,
         max_attempts: u32,
     ) -> RetryDecision {
         let item = &mut self.items[index];
-        item.failed_scores += u32::from(failure == Failure::Failed);
-        retry_decision(failure, item.failed_scores, max_attempts)
+        item.failed_scorings += failures;
+        give_up_after(item.failed_scorings, max_attempts)
     }
 
     /// Records the result of an item, or that it is given up. The first result of an item stays.
@@ -264,7 +267,15 @@
 const fn retry_decision(failure: Failure, failures: u32, max_attempts: u32) -> RetryDecision {
     match failure {
         Failure::Impossible => RetryDecision::GiveUp,
-        Failure::Failed if failures >= max_attempts => RetryDecision::GiveUp,
-        Failure::Failed | Failure::Interrupted => RetryDecision::Retry,
+        Failure::Failed => give_up_after(failures, max_attempts),
+        Failure::Interrupted => RetryDecision::Retry,
+    }
+}
+
+const fn give_up_after(failures: u32, max_attempts: u32) -> RetryDecision {
+    if failures >= max_attempts {
+        RetryDecision::GiveUp
+    } else {
+        RetryDecision::Retry
     }
 }
--- a/crates/pinereel_core/src/retry.rs
+++ b/crates/pinereel_core/src/retry.rs
@@ -12,6 +12,8 @@
 const HEDGE_FRACTION: f64 = 0.5;
 /// Refusals by endpoints after which the request itself is refused: by then every endpoint is full.
 const MAX_REFUSALS: u32 = 4;
+/// Status of an endpoint that has run the request and failed.
+const INTERNAL_ERROR: u16 = 500;
 
 /// Limits of one request.
 #[derive(Clone, Copy, Debug)]
@@ -98,6 +100,8 @@
     refusals: u32,
     /// Attempts that may have run and brought no good answer.
     failures: u32,
+    /// Answers with status 500.
+    internal_errors: u32,
     /// Time of the last send since the start of the request.
     sent_at: Duration,
     /// Whether no further endpoint is available.
@@ -115,6 +119,7 @@
             in_flight: 0,
             refusals: 0,
             failures: 0,
+            internal_errors: 0,
             sent_at: Duration::ZERO,
             exhausted: false,
             hedging_disabled: false,
@@ -188,9 +193,15 @@
         }
         self.in_flight -= 1;
         self.failures += 1;
+        self.internal_errors += u32::from(status == INTERNAL_ERROR);
         !(self.limits.repeatable && (self.in_flight > 0 || self.may_send()))
     }
 
+    /// Number of endpoints that have run the request and answered with status 500.
+    pub const fn internal_errors(&self) -> u32 {
+        self.internal_errors
+    }
+
     /// Keeps an error answer that [`Attempts::accept`] rejected, in case no better one arrives.
     pub fn keep_error_answer(&mut self, answer: A) {
         self.error_answer = Some(answer);
--- a/crates/pinereel_core/tests/batch_lot.rs
+++ b/crates/pinereel_core/tests/batch_lot.rs
@@ -69,6 +69,29 @@
     );
 }
 
+/// Guards against counting requests instead of endpoints: a scoring that always fails ran on 16
+/// endpoints one after the other, and held back its group for 5 s, where four attempts are allowed.
+#[test]
+fn a_scoring_that_always_fails_is_given_up_after_its_allowed_endpoints() {
+    const MAX_ATTEMPTS: u32 = 4;
+    let mut lot = Lot::new(&submission(1, 1, 1), &BTreeSet::new());
+    let index = lot.start().expect("one item is queued");
+    assert_eq!(
+        lot.scorings_failed(index, MAX_ATTEMPTS, MAX_ATTEMPTS),
+        RetryDecision::GiveUp
+    );
+    let mut lot = Lot::new(&submission(1, 1, 1), &BTreeSet::new());
+    let index = lot.start().expect("one item is queued");
+    // Lost answers and rejections are no attempts.
+    for (failures, expected) in [
+        (3, RetryDecision::Retry),
+        (0, RetryDecision::Retry),
+        (1, RetryDecision::GiveUp),
+    ] {
+        assert_eq!(lot.scorings_failed(index, failures, MAX_ATTEMPTS), expected);
+    }
+}
+
 #[test]
 fn a_trainer_is_satisfied_by_complete_groups_including_resubmitted_ones() {
     let submission = submission(3, 2, 2);
--- a/crates/pinereel_core/tests/retry_attempts.rs
+++ b/crates/pinereel_core/tests/retry_attempts.rs
@@ -78,6 +78,7 @@
         request.next_step(ms(9)),
         Step::Done(Resolution::ErrorAnswer(500))
     );
+    assert_eq!(request.internal_errors(), 1, "an invalid answer is none");
     assert!(attempts(true, 2).accept(404), "a client error is final");
 }
 
