Divide load slots among the models that have engines to load

Cause: each model of a service has a fixed share of the load slots, also while the other models load nothing. A rollout to 15 of 44 engines with 3 of 9 slots takes five loads one after another.

Change: rollout::load_slots::divide gives the slots to the models by what their engines wait for, once for all models of a service at each tick. A service with one model keeps its former limit and settings.

Two other limits held the rollout back and are changed for services of two models or more: - Half of a model's engines had to stay in service, so that 7 of 15 engines loaded at a time, and the last one alone. Four in ten stay now. - The read before an order to an engine that hangs has no answer. The engine then counted as loading for the load timeout of 6 s, although no order was sent. Event::OrderNotSent frees its slot. Ruled out: the tick interval (at most 50 ms a load) and the poll interval (the endpoint list shows the end of a load first).

The slot is freed only if the engine was idle when the order was issued under the present lease.

At most 11 loads run at a time for up to one load time, as a model gets its first slot while loads of others are in progress.

--- a/crates/pinereel/src/hosted/metrics.rs
+++ b/crates/pinereel/src/hosted/metrics.rs
@@ -11,6 +11,7 @@
     objects,
 };
 use actix_http::{Method, StatusCode};
+use pinereel_core::rollout::load_slots::Claim;
 use prometheus::{
     Gauge, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
     TextEncoder, core::Collector,
@@ -59,6 +60,7 @@
     pub committed_results: IntCounterVec,
     /// Orders to engines by `outcome`.
     pub orders: IntCounterVec,
+    load_slots: IntGaugeVec,
     /// Calls that lease holders make to the platform, by `call` and `status`.
     pub platform_calls: IntCounterVec,
     /// Leases by `event` (`taken`, `lost`).
@@ -129,6 +131,13 @@
             ),
             committed_results: counter_vec(&r, "results_total", "Committed results.", &["whose"]),
             orders: counter_vec(&r, "orders_total", "Orders to engines.", &["outcome"]),
+            load_slots: register(
+                &r,
+                IntGaugeVec::new(
+                    Opts::new(full_name("load_slots"), "Load slots of a model."),
+                    &["model", "state"],
+                ),
+            ),
             platform_calls: counter_vec(&r, "duty_calls_total", "Calls.", &["call", "status"]),
             lease_events: counter_vec(&r, "leases_total", "Leases.", &["event"]),
             endpoint_entries: counter_vec(&r, "endpoint_entries_total", "Entries.", &["event"]),
@@ -202,6 +211,19 @@
         }
     }
 
+    /// Sets a model's limit of concurrent loads, and the loads that it is based on.
+    pub fn set_load_slots(&self, model: &str, limit: usize, claim: &Claim) {
+        let states = [
+            ("limit", limit),
+            ("pending", claim.pending),
+            ("loading", claim.loading),
+        ];
+        for (state, count) in states {
+            let gauge = self.load_slots.with_label_values(&[model, state]);
+            gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+        }
+    }
+
     /// Records a duration in a histogram.
     pub fn observe(&self, metric: &HistogramVec, label: &str, duration: Duration) {
         metric
--- a/crates/pinereel/src/hosted/orders/mod.rs
+++ b/crates/pinereel/src/hosted/orders/mod.rs
@@ -7,6 +7,7 @@
 
 mod assignment;
 mod engine_call;
+mod load_slots;
 mod rollout;
 mod scaler;
 
@@ -24,13 +25,14 @@
 use compact_str::{CompactString, format_compact};
 use engine_call::ANSWER_TIMEOUT;
 use futures_util::future::OptionFuture;
+use load_slots::{Rollouts, TICK_INTERVAL};
 use pinereel_core::{
     Time,
     rollout::{Controller, Settings},
     routing_table::RoutingTable,
 };
 use pinereel_port::{Adapter, store::Object};
-use rollout::{Rollout, TICK_INTERVAL};
+use rollout::Rollout;
 use scaler::ServiceScaler;
 use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
@@ -43,6 +45,11 @@
 /// the end of a load too, but later.
 const LOAD_POLL_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Share of a model's engines that stays in service while others load, where several models share the
+/// service. With the default of half, 7 of 15 engines load at a time and the last one alone, 3.1 s in
+/// place of 2.0 s; with this share, all engines but one of three can load in two rounds.
+const MIN_SERVING_SHARE_OF_MODEL: f64 = 0.4;
+
 /// Maximum time until an order that was sent reaches its engine, unless its connection is lost. A TCP
 /// segment that is lost once is retransmitted after 0.2 s.
 const MAX_DELIVERY_TIME: Duration = Duration::from_millis(500);
@@ -186,16 +193,21 @@
                 self.apply_versions(update);
             },
         );
-        let models = self.models_of(service).into_iter().map(|model| {
+        let models = self.models_of(service);
+        let settings = self.controller_settings(models.len());
+        let shares_slots = models.len() > 1;
+        let rollouts = models.into_iter().map(|model| {
             let rollout = Rollout {
                 orders: Rc::clone(self),
                 service: service.clone(),
                 model,
                 duty: duty.clone(),
-                controller: RefCell::new(Controller::new(self.controller_settings())),
+                shares_slots,
+                controller: RefCell::new(Controller::new(settings)),
             };
-            Rc::new(rollout).run()
+            Rc::new(rollout)
         });
+        let rollouts = Rollouts::new(Rc::clone(self), service.clone(), rollouts.collect());
         // One instance suffices to answer retirement requests, so the lease holder does it.
         let retirements = retirement::answer_requests(&store, self.deps.adapter, watch_time);
         let scaler = self.deps.platform_address.map(|address| {
@@ -211,12 +223,18 @@
             Some(()) = OptionFuture::from(scaler) => {}
             () = versions => {}
             () = retirements => {}
-            _ = futures_util::future::join_all(models) => {}
+            () = rollouts.run() => {}
         }
     }
 
-    fn controller_settings(&self) -> Settings {
+    fn controller_settings(&self, models: usize) -> Settings {
+        let defaults = Settings::default();
+        let min_serving_share = match models {
+            0 | 1 => defaults.min_serving_share,
+            _ => MIN_SERVING_SHARE_OF_MODEL,
+        };
         Settings {
+            min_serving_share,
             max_loads: self.deps.settings.loads,
             initial_load_time: INITIAL_LOAD_TIME,
             load_timeout: LOAD_TIMEOUT,
@@ -224,7 +242,7 @@
             poll_interval: LOAD_POLL_INTERVAL,
             // An engine refuses orders as busy while it loads.
             can_replace_load: false,
-            ..Settings::default()
+            ..defaults
         }
     }
 
--- a/crates/pinereel/src/hosted/orders/rollout.rs
+++ b/crates/pinereel/src/hosted/orders/rollout.rs
@@ -7,24 +7,20 @@
 use compact_str::CompactString;
 use pinereel_core::{
     Time, Version,
-    rollout::{Action, Controller, Event, Lease, Status, max_loads},
+    rollout::{Action, Controller, Event, Lease, Status},
 };
 use pinereel_port::{
     endpoint::Entry,
     engine::{LoadOutcome, LoadRequest, StatusReport},
 };
-use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
-use tokio::time::sleep;
-
-/// Interval between ticks of a controller.
-pub(super) const TICK_INTERVAL: Duration = Duration::from_millis(50);
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc};
 
 /// Incarnation and version of the model of each listed engine, by endpoint id.
 type ListedEngines = BTreeMap<CompactString, (u64, u64)>;
 
 /// The state of the endpoint list that the controller was last informed of.
 #[derive(Default)]
-struct Snapshot {
+pub(super) struct Snapshot {
     /// Number of the last change of the list.
     change: Option<u64>,
     /// The engines that were assigned to the model.
@@ -39,21 +35,12 @@
     pub(super) service: CompactString,
     pub(super) model: CompactString,
     pub(super) duty: CompactString,
+    /// Whether the service has other models, which share its load slots.
+    pub(super) shares_slots: bool,
     pub(super) controller: RefCell<Controller>,
 }
 
 impl Rollout {
-    pub(super) async fn run(self: Rc<Self>) {
-        let mut snapshot = Snapshot::default();
-        loop {
-            let lease = self.lease();
-            self.step(Event::Lease(lease));
-            self.update_controller(&mut snapshot);
-            self.step(Event::Tick);
-            sleep(TICK_INTERVAL).await;
-        }
-    }
-
     fn held_lease(&self) -> Option<HeldLease> {
         self.orders.deps.duties.held_lease(&self.duty)
     }
@@ -62,6 +49,18 @@
         self.orders.deps.duties.now()
     }
 
+    /// Informs the controller of the lease, the published version, and changes of the endpoint list.
+    pub(super) fn update(self: &Rc<Self>, snapshot: &mut Snapshot) {
+        let lease = self.lease();
+        self.step(Event::Lease(lease));
+        self.update_controller(snapshot);
+    }
+
+    /// Lets the controller issue orders and reads.
+    pub(super) fn tick(self: &Rc<Self>) {
+        self.step(Event::Tick);
+    }
+
     /// The lease, if the gap after the last possible order of the previous holder has passed.
     fn lease(&self) -> Option<Lease> {
         let lease = self.held_lease()?;
@@ -93,8 +92,7 @@
             .set_cooldown_ends(&self.duty, own, others);
     }
 
-    /// Informs the controller of the published version, its limit of loads, and changes of the endpoint
-    /// list.
+    /// Informs the controller of the published version and of changes of the endpoint list.
     fn update_controller(self: &Rc<Self>, snapshot: &mut Snapshot) {
         let published = self
             .orders
@@ -111,14 +109,6 @@
             return;
         };
         let assigned = assignment.engines_of(&self.model);
-        let min_loads = self.orders.deps.settings.loads;
-        let limit = max_loads(
-            assignment.listed_count,
-            assignment.engine_count(),
-            assigned.len(),
-            min_loads,
-        );
-        self.controller.borrow_mut().set_max_loads(limit);
         let change = self.orders.deps.endpoints.change_count();
         if snapshot.change == Some(change) && snapshot.assigned == assigned {
             return;
@@ -272,7 +262,24 @@
     ) -> Result<Event, NoAnswer> {
         let entry = self.entry(name).ok_or(NoAnswer::Lost)?;
         let engine = self.orders.deps.adapter.engine;
-        let before = self.orders.read_status_report(&entry).await?;
+        let before = match self.orders.read_status_report(&entry).await {
+            // An engine that hangs would otherwise keep a load slot from the other models for the
+            // whole load timeout.
+            Err(NoAnswer::Lost) if self.shares_slots => {
+                log::info!(
+                    endpoint = name.as_str(),
+                    model = self.model.as_str(),
+                    version = version.0,
+                    fence;
+                    "load order not sent"
+                );
+                let metrics = &self.orders.deps.metrics;
+                metrics.count(&metrics.orders, &["not sent"]);
+                let name = name.clone();
+                return Ok(Event::OrderNotSent { name, fence });
+            }
+            before => before?,
+        };
         let needs_single_version = self.needs_single_version();
         let body = (engine.encode_load_request)(LoadRequest {
             model: &self.model,
--- a/crates/pinereel_core/src/rollout/assignment.rs
+++ b/crates/pinereel_core/src/rollout/assignment.rs
@@ -7,15 +7,11 @@
 //! the work of the models: with equal shares, the steps with long texts wait for slots while
 //! engines of other models are idle.
 
-use super::rank;
+use super::{load_slots, rank};
 use crate::hash;
 use compact_str::CompactString;
 use std::collections::BTreeMap;
 
-/// One engine in this many may load at the same time. With more loads at a time, each takes longer,
-/// in pools of 8 as well as of 44 engines.
-const ENGINES_PER_LOAD: usize = 5;
-
 /// Minimum work that a model is counted with, as a fraction of the mean of all models. A model with
 /// little work keeps some engines, as its next step may be large.
 const MIN_WEIGHT_SHARE: f64 = 0.4;
@@ -103,12 +99,13 @@
 }
 
 /// Maximum number of engines that may load at the same time for a model that has `own` of the
-/// `shared` engines, at least one.
+/// `shared` engines, at least one. Fixed, whatever other models load; [`load_slots::divide`]
+/// follows what they load.
 ///
 /// The limit for all models together follows from the number of all `listed` engines and is at
 /// least `min_loads`.
 pub fn max_loads(listed: usize, shared: usize, own: usize, min_loads: usize) -> usize {
-    let total_loads = listed.div_ceil(ENGINES_PER_LOAD).max(min_loads);
+    let total_loads = load_slots::total(listed, min_loads);
     // Rounds to the nearest integer.
     ((2 * total_loads * own + shared) / (2 * shared).max(1)).max(1)
 }
--- a/crates/pinereel_core/src/rollout/controller.rs
+++ b/crates/pinereel_core/src/rollout/controller.rs
@@ -18,7 +18,7 @@
     pub(super) lease: Option<Lease>,
     pub(super) target: Option<Version>,
     /// When the target became known or the lease was acquired, whichever was later.
-    target_since: Time,
+    pub(super) target_since: Time,
     /// Whether [`Action::Complete`] was returned for the target.
     is_complete: bool,
     /// Moving average of the time that a load takes.
@@ -99,6 +99,15 @@
                     engine.failed_connects = 0;
                 }
             }
+            Event::OrderNotSent { name, fence } => {
+                let is_current = self.lease.is_some_and(|lease| lease.fence == fence);
+                if let Some(engine) = self.engines.get_mut(&name) {
+                    let was_idle = engine.was_idle_before_order();
+                    engine.note_no_answer(now, &self.settings);
+                    engine.failed_connects = 0;
+                    engine.load_ruled_out = is_current && was_idle;
+                }
+            }
             Event::Unreachable { name } => {
                 if let Some(engine) = self.engines.get_mut(&name) {
                     engine.note_no_answer(now, &self.settings);
@@ -172,7 +181,10 @@
         // after a late renewal delays the next renewal as well, and the holder never issues an
         // order.
         if self.last_fence.replace(lease.fence) != Some(lease.fence) {
-            self.engines.values_mut().for_each(|e| e.reset_phase(now));
+            for engine in self.engines.values_mut() {
+                engine.reset_phase(now);
+                engine.load_ruled_out = false;
+            }
             self.target_since = now;
             self.is_complete = false;
         }
@@ -199,6 +211,7 @@
         engine.read_since = None;
         engine.unanswered_calls = 0;
         engine.failed_connects = 0;
+        engine.load_ruled_out = false;
         let before = engine.status;
         if before.incarnation != status.incarnation {
             self.on_restart(now, name, status, actions);
--- a/crates/pinereel_core/src/rollout/engine.rs
+++ b/crates/pinereel_core/src/rollout/engine.rs
@@ -61,6 +61,11 @@
     pub(super) unanswered_calls: u32,
     /// Consecutive failed connection attempts.
     pub(super) failed_connects: u32,
+    /// Whether it did not load when the last order was issued.
+    pub(super) idle_before_order: bool,
+    /// Whether it is known not to load while its phase is unknown: the last order under this lease was
+    /// not sent, and it was idle before.
+    pub(super) load_ruled_out: bool,
     /// No read is issued before this time while the phase is unknown.
     pub(super) next_read_at: Time,
 }
@@ -82,6 +87,8 @@
             next_order_at: Time::ZERO,
             unanswered_calls: 0,
             failed_connects: 0,
+            idle_before_order: false,
+            load_ruled_out: false,
             next_read_at: Time::ZERO,
         }
     }
@@ -117,6 +124,18 @@
         self.unanswered_calls += 1;
     }
 
+    /// Whether an order to it is unanswered, and it did not load when that was issued.
+    pub(super) fn was_idle_before_order(&self) -> bool {
+        let is_unanswered = matches!(
+            self.phase,
+            Phase::Ordered {
+                is_accepted: false,
+                ..
+            }
+        );
+        is_unanswered && self.idle_before_order
+    }
+
     /// Whether connections to it keep failing. Such an engine neither serves nor loads, so it
     /// counts neither as an engine in service nor as a load in progress.
     pub(super) fn is_unreachable(&self) -> bool {
@@ -158,7 +177,7 @@
     /// engines that never answer would otherwise occupy the weight store's load slots forever.
     pub(super) fn may_load(&self, now: Time, settings: &Settings) -> bool {
         match self.phase {
-            Phase::Unknown { .. } if self.is_unreachable() => false,
+            Phase::Unknown { .. } if self.is_unreachable() || self.load_ruled_out => false,
             Phase::Unknown { since } => now.since(since) < settings.load_timeout,
             Phase::Ordered { .. } => true,
             Phase::Idle | Phase::Quarantine => self.status.loading.is_some(),
@@ -188,6 +207,14 @@
         }
     }
 
+    /// Whether it does not load now and an order to load `target` is due, now or after the read in
+    /// flight.
+    pub(super) fn waits_for_load(&self, target: Version, now: Time, settings: &Settings) -> bool {
+        let is_idle = matches!(self.phase, Phase::Idle | Phase::Quarantine);
+        let is_due = is_idle && now >= self.next_order_at && self.differs(target);
+        is_due && !self.leaving && !self.is_unreachable() && !self.may_load(now, settings)
+    }
+
     /// Whether it serves another version than `target`, or will after its current load.
     pub(super) fn differs(&self, target: Version) -> bool {
         match self.status.loading {
--- a/crates/pinereel_core/src/rollout/mod.rs
+++ b/crates/pinereel_core/src/rollout/mod.rs
@@ -6,11 +6,13 @@
 //! a load there, so the effect of a late order from a former holder is detected and corrected.
 //!
 //! Where several models share the engines of a service, [`working_set_size`] says how many engines
-//! are kept up to date and [`assign_models`] for which model each.
+//! are kept up to date and [`assign_models`] for which model each, and [`load_slots`] divides the
+//! concurrent loads among the models.
 
 mod assignment;
 mod controller;
 mod engine;
+pub mod load_slots;
 mod plan;
 mod schedule;
 mod working_set;
@@ -167,6 +169,14 @@
         /// Name of the engine.
         name: CompactString,
     },
+    /// An order was not sent, as the engine did not answer the read before it. The engine does not
+    /// load, unless it did so before, unlike after [`Event::NoAnswer`].
+    OrderNotSent {
+        /// Name of the engine.
+        name: CompactString,
+        /// Fencing token of the order.
+        fence: u64,
+    },
     /// No connection to the engine could be opened, so an order was not accepted.
     Unreachable {
         /// Name of the engine.
@@ -187,7 +197,7 @@
         name: CompactString,
     },
     /// Order the engine to load a version; answered with [`Event::Accepted`], [`Event::Fenced`],
-    /// [`Event::NoAnswer`] or [`Event::Unreachable`].
+    /// [`Event::NoAnswer`], [`Event::OrderNotSent`] or [`Event::Unreachable`].
     Order {
         /// Name of the engine.
         name: CompactString,
--- a/crates/pinereel_core/src/rollout/schedule.rs
+++ b/crates/pinereel_core/src/rollout/schedule.rs
@@ -4,6 +4,7 @@
 use super::{
     Action, Controller,
     engine::{Engine, Phase},
+    load_slots::Claim,
     plan::min_serving,
 };
 use crate::{Time, Version};
@@ -27,21 +28,56 @@
 }
 
 impl Controller {
+    /// The load slots that this model can use now, for [`load_slots::divide`](super::load_slots::divide).
+    ///
+    /// Engines that may not be ordered now are not pending, as slots for them would stay unused:
+    /// those that are unreachable, in quarantine or backed off, and those that must stay in service.
+    pub fn claim(&self, now: Time) -> Claim {
+        let settings = self.settings;
+        let loading = self.loading_count(now);
+        let waits = |engine: &&Engine| {
+            let target = self.target;
+            target.is_some_and(|target| engine.waits_for_load(target, now, &settings))
+        };
+        let waiting = || self.engines.values().filter(waits);
+        let waiting_in_service = waiting().filter(|e| e.serves()).count();
+        let waiting_out_of_service = waiting().count() - waiting_in_service;
+        let (serving, needed) = self.serving_and_needed();
+        let may_leave_service = waiting_in_service.min(serving.saturating_sub(needed));
+        Claim {
+            engines: self.engines.values().filter(|e| !e.leaving).count(),
+            pending: loading + waiting_out_of_service + may_leave_service,
+            loading,
+            published_at: self.target_since,
+        }
+    }
+
+    /// Number of engines that are loading, or may be.
+    fn loading_count(&self, now: Time) -> usize {
+        let engines = self.engines.values();
+        engines.filter(|e| e.may_load(now, &self.settings)).count()
+    }
+
+    /// Number of engines in service, and how many must stay so.
+    fn serving_and_needed(&self) -> (usize, usize) {
+        let engines = self.engines.values();
+        let reachable = engines.filter(|e| !e.leaving && !e.is_unreachable());
+        let (mut count, mut serving) = (0, 0);
+        for engine in reachable {
+            count += 1;
+            serving += usize::from(engine.serves());
+        }
+        let needed = min_serving(count, self.settings.min_serving_share);
+        (serving, needed)
+    }
+
     /// Orders as many engines as the free load slots and the minimum in service allow.
     pub(super) fn issue_orders(&mut self, now: Time, actions: &mut Vec<Action>) {
         let (Some(target), Some(lease)) = (self.target, self.lease) else {
             return;
         };
         let settings = self.settings;
-        let reachable = || {
-            let engines = self.engines.values();
-            engines.filter(|e| !e.leaving && !e.is_unreachable())
-        };
-        let loading = self
-            .engines
-            .values()
-            .filter(|e| e.may_load(now, &settings))
-            .count();
+        let loading = self.loading_count(now);
         let mut load_slots = settings.max_loads.saturating_sub(loading);
         if !self
             .engines
@@ -50,8 +86,7 @@
         {
             return;
         }
-        let needed = min_serving(reachable().count(), self.settings.min_serving_share);
-        let serving = reachable().filter(|e| e.serves()).count();
+        let (serving, needed) = self.serving_and_needed();
         let mut spare_serving = serving.saturating_sub(needed);
         // A load in progress may have ended since the last status. Replacing it is then a new load
         // of an engine in service, so it must fit the limits too; late orders of a former holder
@@ -66,6 +101,8 @@
             spare_serving -= usize::from(engine.serves());
             load_slots -= usize::from(!engine.may_load(now, &settings));
             *out_of_service.entry(engine.zone.clone()).or_default() += 1;
+            engine.idle_before_order = !engine.may_load(now, &settings);
+            engine.load_ruled_out = false;
             engine.phase = Phase::Ordered {
                 version: target,
                 ordered_at: now,
