Keep runners to the engines assigned to their model

Cause: in the first steps all engines have the initial version, and each runner knows only its own runs. The runners of several models choose the same engines, which reject runs or let them wait.

Change: batch::Listing::assigned says whether an engine is kept up to date for the runner's model, computed with assign_models from the demands that all instances see. EngineShares applies the same minimum change as the holder of the orders' lease, so that both keep the same division while the demands vary. Fleet uses another engine only if no assigned engine that is listed and not leaving serves the version that is needed; moves and reservations follow the same rule. With one model all engines are assigned.

Ruled out: computing the shares from the current demands at each change. The mean work of four lots differs by a tenth from that of the next four, and the holder of the orders does not follow such changes.

Not proved at real processes: the fakes of the hosting platform have one model.

--- a/crates/pinereel/src/hosted/lots/dispatch.rs
+++ b/crates/pinereel/src/hosted/lots/dispatch.rs
@@ -10,7 +10,9 @@
 use pinereel_core::{
     batch::{EngineKey, Fleet, Listing},
     crash::{EndpointStart, ISOLATE_AT_CRASHES, RequestStatus},
-    hash, routing_table,
+    hash,
+    rollout::EngineShares,
+    routing_table,
 };
 use pinereel_port::{
     config::{Route, RouteKind},
@@ -45,7 +47,8 @@
     /// Updates each fleet for which the endpoint list or the size of the working set has changed.
     fn sync_fleets(&self) {
         let mut restarted = false;
-        let mut state = self.state.borrow_mut();
+        let mut guard = self.state.borrow_mut();
+        let state = &mut *guard;
         let keys: BTreeSet<_> = state
             .open_lots
             .values()
@@ -55,10 +58,31 @@
             let deps = &self.deps;
             let count =
                 demand::working_set_size(&deps.config, &deps.duties, &deps.endpoints, &key.service);
-            let source = (deps.endpoints.change_count(), count);
-            if state.fleet_sources.insert(key.clone(), source) == Some(source) {
+            let demands = demand::model_demands(&deps.config, &deps.duties, &key.service);
+            let shares = state.engine_shares.entry(key.service.clone()).or_default();
+            shares.update(count, demands);
+            let source = (deps.endpoints.change_count(), count, shares.revision());
+            let previous = state.fleet_sources.insert(key.clone(), source);
+            if previous == Some(source) {
                 continue;
             }
+            let ids = || {
+                deps.endpoints
+                    .ranked(&key.service, count, [], |e| e.id.clone())
+            };
+            let assigned = shares.engines_of(&key.model, ids);
+            if let Some(assigned) = &assigned
+                && previous.map(|(_, _, revision)| revision) != Some(shares.revision())
+            {
+                log::info!(
+                    service = key.service.as_str(),
+                    model = key.model.as_str(),
+                    demands:? = shares.demands(),
+                    engines = assigned.len(),
+                    listed = count;
+                    "engines assigned to runner"
+                );
+            }
             let fleet = state.fleets.entry(key.clone()).or_default();
             let to_listing = |entry: &Entry| Listing {
                 id: entry.id.clone(),
@@ -66,6 +90,7 @@
                 address: entry.address,
                 slots: entry.slots,
                 leaving: entry.draining,
+                assigned: assigned.as_ref().is_none_or(|ids| ids.contains(&entry.id)),
                 version: entry.models.get(&key.model).copied(),
             };
             // Engines with runs stay in the fleet after they leave the working set.
@@ -74,7 +99,7 @@
                 .ranked(&key.service, count, fleet.busy_ids(), to_listing);
             restarted |= fleet.update(listings);
         }
-        drop(state);
+        drop(guard);
         if restarted {
             self.restarts.send_modify(|restarts| *restarts += 1);
         }
@@ -185,7 +210,14 @@
                 address: engine.listing.address,
                 crashes,
             };
+            let is_assigned = engine.listing.assigned;
             fleet.run_started(self.deps.clock.now(), key, crashes);
+            let shares = state.engine_shares.get(&fleet_key.service);
+            if shares.is_some_and(EngineShares::is_shared) {
+                let metrics = &self.deps.metrics;
+                let engine = if is_assigned { "assigned" } else { "other" };
+                metrics.count(&metrics.run_starts, &[engine]);
+            }
             let task = ItemTask {
                 caller: open.caller.clone(),
                 item_id: open.submission.items[index].id.clone(),
--- a/crates/pinereel/src/hosted/lots/state.rs
+++ b/crates/pinereel/src/hosted/lots/state.rs
@@ -6,7 +6,10 @@
     schema::Tombstone,
 };
 use compact_str::CompactString;
-use pinereel_core::batch::{DemandWindow, Fleet, Lot};
+use pinereel_core::{
+    batch::{DemandWindow, Fleet, Lot},
+    rollout::EngineShares,
+};
 use pinereel_port::{
     headers::Caller,
     lot::{Event, Submission},
@@ -35,9 +38,11 @@
     pub(super) first_seen: FirstSeen,
     /// Engines by service and model.
     pub(super) fleets: BTreeMap<FleetKey, Fleet>,
-    /// The revision of the endpoint list and the size of the working set from which each fleet was
-    /// last updated.
-    pub(super) fleet_sources: BTreeMap<FleetKey, (u64, usize)>,
+    /// The revision of the endpoint list, the size of the working set and the revision of the engine
+    /// shares from which each fleet was last updated.
+    pub(super) fleet_sources: BTreeMap<FleetKey, (u64, usize, u64)>,
+    /// How the models of each service share its engines, by service.
+    pub(super) engine_shares: BTreeMap<CompactString, EngineShares>,
     /// Partial outputs of items of ended lots, by [`scoped_id`](super::schema::scoped_id); an item
     /// that is submitted again continues from there.
     pub(super) kept_outputs: BTreeMap<CompactString, PartialOutput>,
--- a/crates/pinereel/src/hosted/metrics.rs
+++ b/crates/pinereel/src/hosted/metrics.rs
@@ -60,6 +60,9 @@
     pub committed_results: IntCounterVec,
     /// Orders to engines by `outcome`.
     pub orders: IntCounterVec,
+    /// Starts of runs at services that several models share, by `engine` (`assigned` to the model of
+    /// the run, or `other`).
+    pub run_starts: IntCounterVec,
     load_slots: IntGaugeVec,
     /// Calls that lease holders make to the platform, by `call` and `status`.
     pub platform_calls: IntCounterVec,
@@ -131,6 +134,7 @@
             ),
             committed_results: counter_vec(&r, "results_total", "Committed results.", &["whose"]),
             orders: counter_vec(&r, "orders_total", "Orders to engines.", &["outcome"]),
+            run_starts: counter_vec(&r, "run_starts_total", "Starts of runs.", &["engine"]),
             load_slots: register(
                 &r,
                 IntGaugeVec::new(
--- a/crates/pinereel_core/src/batch/engine.rs
+++ b/crates/pinereel_core/src/batch/engine.rs
@@ -26,6 +26,9 @@
     pub slots: u32,
     /// Whether it is being shut down and gets no new runs.
     pub leaving: bool,
+    /// Whether it is kept up to date for the model of these runs. Other engines work for other
+    /// models, and get runs only while no assigned engine serves the version that is needed.
+    pub assigned: bool,
     /// Version of the model's weights that it serves; `None` if it does not serve the model.
     pub version: Option<u64>,
 }
@@ -107,6 +110,12 @@
         self.probe_needed
     }
 
+    /// Whether it is assigned to the model, not leaving, and serves `oldest_version` or newer.
+    pub(super) fn is_assigned_with(&self, oldest_version: u64) -> bool {
+        let has_version = self.listing.version.is_some_and(|v| v >= oldest_version);
+        self.listing.assigned && !self.listing.leaving && has_version
+    }
+
     /// Whether the engine is healthy, serves `oldest_version` or newer and has a free slot.
     pub(super) fn accepts(&self, now: Time, oldest_version: u64) -> bool {
         let has_version = self.listing.version.is_some_and(|v| v >= oldest_version);
--- a/crates/pinereel_core/src/batch/fleet.rs
+++ b/crates/pinereel_core/src/batch/fleet.rs
@@ -3,8 +3,10 @@
 //! A single instance runs all lots of a model, so the load of each engine is known exactly. A step
 //! completes with its last sample, engines differ in speed, and some become slow for seconds.
 //! Therefore a run goes to the fastest engine with a free slot, and a run on a slow engine moves
-//! to a fast one that has a free slot while nothing is queued. Callers must pair each
-//! [`Fleet::run_started`] with one [`Fleet::run_ended`].
+//! to a fast one that has a free slot while nothing is queued. Where other models share the
+//! engines, runs use the engines assigned to their model while one of them serves the version that
+//! is needed: other runners fill the other engines, and their load is not known here. Callers must
+//! pair each [`Fleet::run_started`] with one [`Fleet::run_ended`].
 
 use super::{Engine, Listing, RunOutcome};
 use crate::{Time, crash::ISOLATE_AT_CRASHES};
@@ -164,8 +166,12 @@
         }
         let has_version =
             |engine: &Engine| engine.listing.version.is_some_and(|v| v >= oldest_version);
+        let only_assigned = self.uses_only_assigned(oldest_version);
         let available = self.iter().filter(|(_, engine)| {
-            has_version(engine) && !engine.listing.leaving && now >= engine.backoff_until
+            (engine.listing.assigned || !only_assigned)
+                && has_version(engine)
+                && !engine.listing.leaving
+                && now >= engine.backoff_until
         });
         let without_suspects = available.filter(|(_, engine)| engine.suspect_runs == 0);
         let first = without_suspects.min_by_key(|(_, engine)| engine.last_run_started);
@@ -174,6 +180,12 @@
         }
     }
 
+    /// Whether an assigned engine serves `oldest_version` or newer, so that no other engine is used.
+    fn uses_only_assigned(&self, oldest_version: u64) -> bool {
+        let mut engines = self.iter();
+        engines.any(|(_, engine)| engine.is_assigned_with(oldest_version))
+    }
+
     /// The engine of least cost among those that accept a run and that `admits` allows.
     fn cheapest(
         &self,
@@ -181,9 +193,12 @@
         oldest_version: u64,
         admits: impl Fn(EngineKey, &Engine) -> bool,
     ) -> Option<EngineKey> {
-        let candidates = self
-            .iter()
-            .filter(|(key, engine)| engine.accepts(now, oldest_version) && admits(*key, engine));
+        let only_assigned = self.uses_only_assigned(oldest_version);
+        let candidates = self.iter().filter(|(key, engine)| {
+            (engine.listing.assigned || !only_assigned)
+                && engine.accepts(now, oldest_version)
+                && admits(*key, engine)
+        });
         let cheapest =
             candidates.min_by(|(_, a), (_, b)| a.cost(self.avg_ms).total_cmp(&b.cost(self.avg_ms)));
         cheapest.map(|(key, _)| key)
--- a/crates/pinereel_core/src/rollout/mod.rs
+++ b/crates/pinereel_core/src/rollout/mod.rs
@@ -12,6 +12,7 @@
 mod assignment;
 mod controller;
 mod engine;
+mod engine_shares;
 pub mod load_slots;
 mod plan;
 mod schedule;
@@ -19,6 +20,7 @@
 
 pub use assignment::{Demand, assign_models, max_loads, should_reassign};
 pub use controller::Controller;
+pub use engine_shares::EngineShares;
 pub use plan::Plan;
 pub use working_set::{rank, working_set_size};
 
--- a/crates/pinereel_core/tests/batch_fleet.rs
+++ b/crates/pinereel_core/tests/batch_fleet.rs
@@ -15,6 +15,7 @@
         address: ([127, 0, 0, 1], 9_000 + number).into(),
         slots: 8,
         leaving: false,
+        assigned: true,
         version: Some(version),
     }
 }
