Test two models as processes, and omit the first empty division

Cause: the fakes of the hosting platform had one model, so that neither the division of load slots nor the engine shares ran in a process test. The test showed a log line "load slots divided" with no engines at each start of a lease holder.

The first division counts as changed only if a model gets a slot.

--- a/crates/pinereel/src/hosted/orders/load_slots.rs
+++ b/crates/pinereel/src/hosted/orders/load_slots.rs
@@ -52,12 +52,13 @@
         service: CompactString,
         rollouts: Vec<Rc<Rollout>>,
     ) -> Self {
+        let limits = vec![0; rollouts.len()];
         let with_snapshot = rollouts.into_iter().map(|r| (r, Snapshot::default()));
         Self {
             orders,
             service,
             rollouts: with_snapshot.collect(),
-            published: Default::default(),
+            published: (Vec::new(), limits),
             logged_at: None,
         }
     }
--- a/crates/pinereel_fakes/src/hosting/site.rs
+++ b/crates/pinereel_fakes/src/hosting/site.rs
@@ -84,6 +84,8 @@
     /// Workspaces with their API keys, in the format of the configuration. Without any, requests
     /// need no key.
     pub workspaces: Option<Value>,
+    /// Names of the models that all engines serve besides [`MODEL`].
+    other_models: Vec<String>,
     /// Folder of the settings files.
     folder: PathBuf,
     /// Last number used in the id of an endpoint or the name of an instance.
@@ -96,6 +98,19 @@
     /// # Errors
     /// If a part of the site cannot be started.
     pub async fn start(size: Size, seed: u64) -> io::Result<Self> {
+        Self::start_with_models(size, seed, &[]).await
+    }
+
+    /// Starts a site whose engines also serve `other_models`, and waits until all instances are
+    /// ready.
+    ///
+    /// # Errors
+    /// If a part of the site cannot be started.
+    pub async fn start_with_models(
+        size: Size,
+        seed: u64,
+        other_models: &[&str],
+    ) -> io::Result<Self> {
         let store = Store::start(seed).await?;
         let folder = env::temp_dir().join(format!("pinereel-site-{}-{seed}", std::process::id()));
         fs::create_dir_all(&folder)?;
@@ -109,6 +124,7 @@
             instances: Vec::new(),
             config_version: 0,
             workspaces: None,
+            other_models: other_models.iter().map(ToString::to_string).collect(),
             folder,
             last_number: 0,
         };
@@ -151,6 +167,9 @@
     /// routes get `timeout`, and the route `/only-N/` exists only in version N.
     pub fn configure(&mut self, live: &str, timeout: Duration) {
         self.config_version += 2;
+        let others = self.other_models.iter().map(String::as_str);
+        let models = [MODEL].into_iter().chain(others);
+        let models: Vec<_> = models.map(|name| json!({"name": name})).collect();
         let route = |name: &str, kind: &str, service: &str, attempts: u32| {
             json!({
                 "name": name, "host": HOST, "pathPrefix": format!("/{name}/"), "kind": kind,
@@ -169,7 +188,7 @@
             ],
             "services": [
                 {"name": ENGINE_SERVICE, "healthPath": "/health", "maxConns": 100,
-                 "engine": {"slots": super::engine::SLOTS, "models": [{"name": MODEL}]},
+                 "engine": {"slots": super::engine::SLOTS, "models": models},
                  "scale": {"min": 1, "max": 4, "bootS": 1.0, "spotPrice": 0.2, "zonePrices": {"here": 1.0, "there": 0.9}}},
                 {"name": PLAIN_SERVICE, "healthPath": "/health", "maxConns": 100},
                 {"name": OTHER_SERVICE, "healthPath": "/health", "maxConns": 100},
@@ -198,6 +217,9 @@
             &self.recorder,
         )
         .await?;
+        for model in &self.other_models {
+            engine.add_model(model, version);
+        }
         let proxy = Proxy::start(engine.address).await?;
         engine.register(proxy.address);
         self.engines.push(Proxied {
