--- a/crates/pinereel_core/src/rollout/mod.rs
+++ b/crates/pinereel_core/src/rollout/mod.rs
@@ -6,17 +6,21 @@
 //! a load there, so the effect of a late order from a former holder is detected and corrected.
 //!
 //! Where several models share the engines of a service, [`working_set_size`] says how many engines
-//! are kept up to date and [`assign_models`] for which model each.
+//! are kept up to date and [`assign_models`] for which model each, and [`load_slots`] divides the
+//! concurrent loads among the models.
 
 mod assignment;
 mod controller;
 mod engine;
+mod engine_shares;
+pub mod load_slots;
 mod plan;
 mod schedule;
 mod working_set;
 
 pub use assignment::{Demand, assign_models, max_loads, should_reassign};
 pub use controller::Controller;
+pub use engine_shares::EngineShares;
 pub use plan::Plan;
 pub use working_set::{rank, working_set_size};
 
@@ -167,6 +171,14 @@
         /// Name of the engine.
         name: CompactString,
     },
+    /// An order was not sent, as the engine did not answer the read before it. The engine does not
+    /// load, unless it did so before, unlike after [`Event::NoAnswer`].
+    OrderNotSent {
+        /// Name of the engine.
+        name: CompactString,
+        /// Fencing token of the order.
+        fence: u64,
+    },
     /// No connection to the engine could be opened, so an order was not accepted.
     Unreachable {
         /// Name of the engine.
@@ -187,7 +199,7 @@
         name: CompactString,
     },
     /// Order the engine to load a version; answered with [`Event::Accepted`], [`Event::Fenced`],
-    /// [`Event::NoAnswer`] or [`Event::Unreachable`].
+    /// [`Event::NoAnswer`], [`Event::OrderNotSent`] or [`Event::Unreachable`].
     Order {
         /// Name of the engine.
         name: CompactString,
