Delay loads until the step that follows a version has started

Cause: a trainer publishes a version and submits the next step 0.11 s to 0.15 s later. Engines start no run while they load, and with all load slots of the service used by one model, 9 of its 15 engines load by then. Ruled out: more runs rejected by other models' runners (each keeps to its own engines now). Change: Settings::load_delay, 300 ms where several models share a service, zero otherwise.

--- a/crates/pinereel/src/hosted/orders/mod.rs
+++ b/crates/pinereel/src/hosted/orders/mod.rs
@@ -50,6 +50,11 @@
 /// place of 2.0 s; with this share, all engines but one of three can load in two rounds.
 const MIN_SERVING_SHARE_OF_MODEL: f64 = 0.4;
 
+/// Time from the publication of a version until its first load, where several models share the service.
+/// Trainers submit the next step 0.11 s to 0.15 s after a version; a load that begins before that rejects
+/// the step's first runs, which are those of its longest texts.
+const LOAD_DELAY: Duration = Duration::from_millis(300);
+
 /// Maximum time until an order that was sent reaches its engine, unless its connection is lost. A TCP
 /// segment that is lost once is retransmitted after 0.2 s.
 const MAX_DELIVERY_TIME: Duration = Duration::from_millis(500);
@@ -229,12 +234,13 @@
 
     fn controller_settings(&self, models: usize) -> Settings {
         let defaults = Settings::default();
-        let min_serving_share = match models {
-            0 | 1 => defaults.min_serving_share,
-            _ => MIN_SERVING_SHARE_OF_MODEL,
+        let (min_serving_share, load_delay) = match models {
+            0 | 1 => (defaults.min_serving_share, defaults.load_delay),
+            _ => (MIN_SERVING_SHARE_OF_MODEL, LOAD_DELAY),
         };
         Settings {
             min_serving_share,
+            load_delay,
             max_loads: self.deps.settings.loads,
             initial_load_time: INITIAL_LOAD_TIME,
             load_timeout: LOAD_TIMEOUT,
--- a/crates/pinereel_core/src/rollout/mod.rs
+++ b/crates/pinereel_core/src/rollout/mod.rs
@@ -37,6 +37,10 @@
     pub max_loads: usize,
     /// Fraction of the engines (0 to 1) that must stay in service during the rollout.
     pub min_serving_share: f64,
+    /// Time from the publication of a version, or from the acquisition of the lease if that is later,
+    /// until its first load. Trainers submit a step right after they publish a version, and engines
+    /// start no run while they load: the step's first runs start before the loads.
+    pub load_delay: Duration,
     /// Initial value of the moving average of load times.
     pub initial_load_time: Duration,
     /// A load that takes longer than this counts as failed.
@@ -70,6 +74,7 @@
         Self {
             max_loads: 64,
             min_serving_share: 0.5,
+            load_delay: Duration::ZERO,
             initial_load_time: Duration::from_secs(3),
             load_timeout: Duration::from_secs(30),
             answer_timeout: Duration::from_secs(2),
--- a/crates/pinereel_core/src/rollout/schedule.rs
+++ b/crates/pinereel_core/src/rollout/schedule.rs
@@ -31,12 +31,13 @@
     /// The load slots that this model can use now, for [`load_slots::divide`](super::load_slots::divide).
     ///
     /// Engines that may not be ordered now are not pending, as slots for them would stay unused:
-    /// those that are unreachable, in quarantine or backed off, and those that must stay in service.
+    /// those that are unreachable, in quarantine or backed off, those that must stay in service, and
+    /// all during the load delay.
     pub fn claim(&self, now: Time) -> Claim {
         let settings = self.settings;
         let loading = self.loading_count(now);
+        let target = self.target.filter(|_| self.load_delay_is_over(now));
         let waits = |engine: &&Engine| {
-            let target = self.target;
             target.is_some_and(|target| engine.waits_for_load(target, now, &settings))
         };
         let waiting = || self.engines.values().filter(waits);
@@ -71,11 +72,19 @@
         (serving, needed)
     }
 
+    /// Whether loads of the target may start.
+    fn load_delay_is_over(&self, now: Time) -> bool {
+        now >= self.target_since + self.settings.load_delay
+    }
+
     /// Orders as many engines as the free load slots and the minimum in service allow.
     pub(super) fn issue_orders(&mut self, now: Time, actions: &mut Vec<Action>) {
         let (Some(target), Some(lease)) = (self.target, self.lease) else {
             return;
         };
+        if !self.load_delay_is_over(now) {
+            return;
+        }
         let settings = self.settings;
         let loading = self.loading_count(now);
         let mut load_slots = settings.max_loads.saturating_sub(loading);
--- a/crates/pinereel_core/tests/rollout_load_slots.rs
+++ b/crates/pinereel_core/tests/rollout_load_slots.rs
@@ -93,13 +93,6 @@
         for (model, count) in engines.iter().enumerate() {
             for number in 0..*count {
                 let name = format_compact!("engine-{model}-{number:02}");
-                let event = Event::Listed {
-                    name: name.clone(),
-                    zone: format_compact!("zone-{}", number % 3),
-                    outstanding: 0,
-                    leaving: false,
-                };
-                site.controllers[model].step(site.now, event);
                 let engine = Engine {
                     model,
                     version: 1,
@@ -108,12 +101,26 @@
                 site.engines.insert(name, engine);
             }
         }
+        site.list_engines();
         site.take_lease(1);
         // The controllers read all engines first.
         site.run(Duration::from_secs(1));
         site
     }
 
+    /// Informs the controllers of their engines.
+    fn list_engines(&mut self) {
+        for (number, (name, engine)) in self.engines.iter().enumerate() {
+            let event = Event::Listed {
+                name: name.clone(),
+                zone: format_compact!("zone-{}", number % 3),
+                outstanding: 0,
+                leaving: false,
+            };
+            self.controllers[engine.model].step(self.now, event);
+        }
+    }
+
     fn take_lease(&mut self, fence: u64) {
         self.lease = Some(Lease {
             fence,
@@ -316,6 +323,35 @@
     times[0]
 }
 
+/// Number of engines of one model of three that load `after` a version of it was published.
+fn loading_after(load_delay: Duration, after: Duration) -> usize {
+    let mut site = Site::new(Policy::Divided, 0.4, &[15, 15, 14]);
+    let settings = Settings {
+        load_delay,
+        ..settings(0.4)
+    };
+    for controller in &mut site.controllers {
+        *controller = Controller::new(settings);
+    }
+    site.list_engines();
+    site.run(Duration::from_secs(1));
+    site.publish(0);
+    site.run(after);
+    site.loading()
+}
+
+/// Guards against loads that start between a version and the step that its trainer submits 0.15 s
+/// later: the engines reject the step's first runs, those of its longest texts, until they have loaded.
+#[test]
+fn a_step_that_is_submitted_with_its_version_finds_no_loading_engine() {
+    let delay = Duration::from_millis(300);
+    let submission = Duration::from_millis(150);
+    assert_eq!(loading_after(Duration::ZERO, submission), 9, "as before");
+    assert_eq!(loading_after(delay, submission), 0);
+    // The loads begin at the next tick and take all slots of the service.
+    assert_eq!(loading_after(delay, delay + TICK * 2), 9);
+}
+
 /// Fails if a model with a new version leaves the slots of idle models unused, so that a lot waits
 /// for engines longer than the time between two versions.
 #[test]
