Decode the slowdown that endpoints report with their load

Cause: endpoints send a fourth figure in the load header, and the adapter ignored it. Change: Load::slowdown_percent holds the figure; a value that is not a whole number from 1 to 10,000 counts as absent, with one log line for each start of an endpoint. No decision uses the figure yet. Ruled out: to reject the whole header for a bad fourth figure, since the other figures are independent of it.

--- a/crates/pinereel/src/hosted/endpoints/mod.rs
+++ b/crates/pinereel/src/hosted/endpoints/mod.rs
@@ -5,6 +5,7 @@
 //! and reports each attempt with [`Endpoints::record_start`] and [`Endpoints::record_end`].
 
 mod listing;
+mod load_report;
 
 use super::{
     list_watch::{Origin, WatchOptions, list_and_watch_with_origin},
@@ -22,11 +23,11 @@
 use log::Level;
 use pinereel_core::{
     crash::EndpointStart,
-    endpoint::{self, AttemptEnd, Event, Key, ServiceIndex, Set, State},
+    endpoint::{AttemptEnd, Event, Key, ServiceIndex, Set, State},
     hash,
     route::{self, Policy, Priority, Reason, Refusal, Request},
 };
-use pinereel_port::{Adapter, endpoint::Entry, headers::Load};
+use pinereel_port::{Adapter, endpoint::Entry};
 use std::{
     cell::RefCell,
     collections::{BTreeMap, BTreeSet},
@@ -81,6 +82,8 @@
     index: RefCell<ServiceIndex>,
     /// Revision of the last rejected entry by id, so that each is logged once.
     rejected: RefCell<BTreeMap<CompactString, u64>>,
+    /// Endpoints whose invalid slowdowns were logged.
+    malformed_slowdowns: load_report::MalformedSlowdowns,
     /// Load and health of the listed endpoints.
     set: RefCell<Set>,
     /// When the list was last updated here.
@@ -153,6 +156,7 @@
             entries: RefCell::default(),
             index: RefCell::default(),
             rejected: RefCell::default(),
+            malformed_slowdowns: load_report::MalformedSlowdowns::default(),
             set: RefCell::default(),
             updated_at: RefCell::default(),
             change_count: watch::channel(0).0,
@@ -355,26 +359,6 @@
         });
     }
 
-    /// Records the load that an endpoint reported with an answer.
-    pub fn record_load(&self, key: Key, load: Load) {
-        let report = endpoint::LoadReport {
-            at: self.deps.clock.now(),
-            running: load.running,
-            waiting: load.waiting,
-            version: None,
-            loading: None,
-            leaving: false,
-        };
-        let incarnation = self.set.borrow().get(key).map(|e| e.incarnation);
-        if let Some(incarnation) = incarnation {
-            self.apply_event(Event::Reported {
-                key,
-                incarnation,
-                report,
-            });
-        }
-    }
-
     fn apply_event(&self, event: Event) {
         self.apply_event_at(Level::Info, event);
     }
--- a/crates/pinereel/src/hosted/lots/stream.rs
+++ b/crates/pinereel/src/hosted/lots/stream.rs
@@ -163,6 +163,9 @@
         Ok(Err(Error::NotOpened(_))) | Err(_) => return RunEnd::Broken(RunError::NoAnswer),
     };
     let answer = (runner.deps.adapter.headers.decode_response)(response.status, &response.headers);
+    if answer.malformed_slowdown {
+        (runner.deps.endpoints).log_malformed_slowdown(&placement.start);
+    }
     if answer.not_executed {
         let _ = timeout(RESPONSE_TIMEOUT, response.body.read_all()).await;
         return RunEnd::Refused;
--- a/crates/pinereel/src/hosted/metrics.rs
+++ b/crates/pinereel/src/hosted/metrics.rs
@@ -63,7 +63,8 @@
     pub platform_calls: IntCounterVec,
     /// Leases by `event` (`taken`, `lost`).
     pub lease_events: IntCounterVec,
-    /// Entries of the endpoint list by `event` (`refused`: it names no endpoint to use).
+    /// Entries of the endpoint list by `event` (`refused`: it names no endpoint to use;
+    /// `invalid_slowdown`: the endpoint reports an invalid slowdown).
     pub endpoint_entries: IntCounterVec,
     /// Events of requests that crash endpoints, by `event` (`crash`, `doubt`, `verdict`, `refusal`,
     /// `acquitted`, `cleared`).
--- a/crates/pinereel/src/hosted/proxy/attempt.rs
+++ b/crates/pinereel/src/hosted/proxy/attempt.rs
@@ -152,6 +152,9 @@
         if let Some(load) = parsed.load {
             self.deps.endpoints.record_load(selected.key, load);
         }
+        if parsed.malformed_slowdown {
+            (self.deps.endpoints).log_malformed_slowdown(&selected.start);
+        }
         let foreign = parsed.id.as_ref().is_some_and(|id| *id != request.id);
         if foreign || parsed.content_encoded {
             return Err(Failure::InvalidAnswer);
--- a/crates/pinereel_port/src/headers.rs
+++ b/crates/pinereel_port/src/headers.rs
@@ -68,6 +68,8 @@
     pub not_executed: bool,
     /// Load of the endpoint when it responded.
     pub load: Option<Load>,
+    /// Whether the load has a slowdown that was ignored because it is not a valid figure.
+    pub malformed_slowdown: bool,
     /// Version of the weights at the start of a generation.
     pub weights_version: Option<u64>,
     /// Whether the body has a content encoding, so that its bytes are not those the endpoint
@@ -84,6 +86,9 @@
     pub waiting: u32,
     /// Number of requests that the endpoint runs concurrently.
     pub slots: u32,
+    /// Time that work takes on its machine now, in percent of the usual time; `None` if it reports
+    /// none or no valid one.
+    pub slowdown_percent: Option<u32>,
 }
 
 /// Decodes and encodes headers.
