End a run without a first event after eight usual intervals

Cause: a run on an engine that hangs from its first byte was ended only after 1.5 s for the response head and again for the first event. Change: Fleet::first_event_timeout uses the timeout between two events (eight usual intervals, 0.5 s to 1.5 s) where the engine's interval is known, its last report names no queue, and its slots suffice for this runner's runs and the requests of others in the last 300 ms. The wait is computed again when it elapses, since another run may have been told of a queue. Ruled out: to apply it without any load report, since a run in the queue of an engine that several runners share would be taken for lost. No other decision changes.

--- a/crates/pinereel/src/hosted/lots/stream.rs
+++ b/crates/pinereel/src/hosted/lots/stream.rs
@@ -19,12 +19,12 @@
     headers::{AttemptHeaders, Caller},
     lot::Item,
 };
-use std::{net::SocketAddr, rc::Rc, time::Duration};
-use tokio::time::{Instant, timeout};
+use std::{net::SocketAddr, pin::pin, rc::Rc, time::Duration};
+use tokio::time::{Instant, timeout, timeout_at};
 
-/// Timeout for the response head, and again for the first event or the body of a rejection. The
-/// engine may have to load weights first, which takes about a second.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Timeout for the body of a rejection, and upper bound of that for the response head and again for
+/// the first event. The engine may have to load weights first, which takes about a second.
+pub(super) const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Upper bound of the size of an event; beyond it, the stream is taken for malformed.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
@@ -156,21 +156,26 @@
         // A run may be repeated, so a reused connection that turns out to be closed does no harm.
         reuse: true,
     };
-    let response = match timeout(RESPONSE_TIMEOUT, runner.deps.pool.send(request)).await {
-        Ok(Ok(response)) => response,
-        Ok(Err(Error::Stale(_))) => return RunEnd::Broken(RunError::Stale),
-        Ok(Err(Error::Lost(_))) => return RunEnd::Broken(RunError::Lost),
-        Ok(Err(Error::NotOpened(_))) | Err(_) => return RunEnd::Broken(RunError::NoAnswer),
+    let send = runner.deps.pool.send(request);
+    let response = match before_first_event(runner, task, placement, send).await {
+        Some(Ok(response)) => response,
+        Some(Err(Error::Stale(_))) => return RunEnd::Broken(RunError::Stale),
+        Some(Err(Error::Lost(_))) => return RunEnd::Broken(RunError::Lost),
+        Some(Err(Error::NotOpened(_))) | None => return RunEnd::Broken(RunError::NoAnswer),
     };
     let answer = (runner.deps.adapter.headers.decode_response)(response.status, &response.headers);
     if answer.malformed_slowdown {
         (runner.deps.endpoints).log_malformed_slowdown(&placement.start);
     }
+    let foreign = answer.id.as_ref().is_some_and(|id| *id != item.id);
+    if let Some(load) = answer.load.filter(|_| !foreign) {
+        runner.load_reported(task, placement.key, load);
+    }
     if answer.not_executed {
         let _ = timeout(RESPONSE_TIMEOUT, response.body.read_all()).await;
         return RunEnd::Refused;
     }
-    if answer.id.as_ref().is_some_and(|id| *id != item.id) || answer.content_encoded {
+    if foreign || answer.content_encoded {
         return RunEnd::Broken(RunError::Foreign);
     }
     match response.status {
@@ -192,6 +197,33 @@
     reader.read(response.body).await
 }
 
+/// Waits for the response head or the first event; `None` if the wait timed out. The timeout is
+/// computed again when it elapses, since other runs' reports of a queue may have extended it.
+async fn before_first_event<T>(
+    runner: &Runner,
+    task: &ItemTask,
+    placement: &Placement,
+    future: impl Future<Output = T>,
+) -> Option<T> {
+    let started = Instant::now();
+    let mut future = pin!(future);
+    let mut wait = runner.first_event_timeout(task, placement.key);
+    loop {
+        if let Ok(output) = timeout_at(started + wait, &mut future).await {
+            return Some(output);
+        }
+        let extended = runner.first_event_timeout(task, placement.key);
+        if extended <= wait {
+            break;
+        }
+        wait = extended;
+    }
+    if wait < RESPONSE_TIMEOUT {
+        runner.log_first_event_timeout(task, placement, wait);
+    }
+    None
+}
+
 fn request_head(
     runner: &Runner,
     task: &ItemTask,
@@ -258,16 +290,20 @@
             return RunEnd::Outdated;
         }
         loop {
-            let stall_timeout = match last_event_at {
-                Some(_) => self.runner.stall_timeout(self.task, self.placement.key),
-                None => RESPONSE_TIMEOUT,
+            let (runner, task, placement) = (self.runner, self.task, self.placement);
+            let part = match last_event_at {
+                Some(_) => {
+                    let stall_timeout = runner.stall_timeout(task, placement.key);
+                    timeout(stall_timeout, body.next_part()).await.ok()
+                }
+                None => before_first_event(runner, task, placement, body.next_part()).await,
             };
-            let chunk = match timeout(stall_timeout, body.next_part()).await {
-                Ok(Ok(Some(chunk))) => chunk,
-                Ok(Ok(None)) if buffer.is_empty() && self.last_event.is_some() => {
+            let chunk = match part {
+                Some(Ok(Some(chunk))) => chunk,
+                Some(Ok(None)) if buffer.is_empty() && self.last_event.is_some() => {
                     return RunEnd::Complete;
                 }
-                Err(_) => return RunEnd::Broken(RunError::Silent),
+                None => return RunEnd::Broken(RunError::Silent),
                 // An incomplete event is discarded.
                 _ => return RunEnd::Broken(RunError::Cut),
             };
--- a/crates/pinereel/src/hosted/lots/task_state.rs
+++ b/crates/pinereel/src/hosted/lots/task_state.rs
@@ -4,9 +4,13 @@
     commit::{PendingSegment, first_segment},
     runner::Runner,
     state::{FleetKey, ItemTask, PartialOutput},
+    stream::{Placement, RESPONSE_TIMEOUT},
 };
 use pinereel_core::batch::{EngineKey, Failure, RetryDecision, RunOutcome};
-use pinereel_port::lot::{Event, Item, Sample};
+use pinereel_port::{
+    headers::Load,
+    lot::{Event, Item, Sample},
+};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -112,6 +116,49 @@
         fleet.map_or(Duration::MAX, |fleet| fleet.stall_timeout(key))
     }
 
+    /// How long a run waits for its response head, and again for its first event.
+    pub(super) fn first_event_timeout(&self, task: &ItemTask, key: EngineKey) -> Duration {
+        let now = self.deps.clock.now();
+        let state = self.state.borrow();
+        let fleet = state.fleets.get(&task.fleet);
+        fleet.map_or(RESPONSE_TIMEOUT, |fleet| {
+            fleet.first_event_timeout(now, key)
+        })
+    }
+
+    /// Logs that a run got no first event within a timeout that follows from the engine's interval.
+    pub(super) fn log_first_event_timeout(
+        &self,
+        task: &ItemTask,
+        placement: &Placement,
+        waited: Duration,
+    ) {
+        let now = self.deps.clock.now();
+        let state = self.state.borrow();
+        let fleet = state.fleets.get(&task.fleet);
+        let engine = fleet.and_then(|fleet| fleet.get(placement.key));
+        let age = engine.and_then(|engine| engine.report_age(now));
+        log::info!(
+            id = task.item_id.as_str(),
+            endpoint = placement.start.endpoint.as_str(),
+            waited_ms = waited.as_millis() as u64,
+            interval_ms:serde = engine.and_then(|engine| engine.event_interval_ms),
+            report_age_ms:serde = age.map(|age| age.as_millis() as u64);
+            "no first event in time"
+        );
+        let metrics = &self.deps.metrics;
+        metrics.count(&metrics.engine_speed, &["first_event_timeout"]);
+    }
+
+    /// Records the load that an engine reported with the response head of a run.
+    pub(super) fn load_reported(&self, task: &ItemTask, key: EngineKey, load: Load) {
+        let now = self.deps.clock.now();
+        let mut state = self.state.borrow_mut();
+        if let Some(fleet) = state.fleets.get_mut(&task.fleet) {
+            fleet.load_reported(now, key, load);
+        }
+    }
+
     /// Waits until the engine has restarted, so that a run on it is lost.
     pub(super) async fn wait_for_restart(&self, fleet: &FleetKey, key: EngineKey) {
         let mut restarts = self.restarts.subscribe();
--- a/crates/pinereel/src/hosted/metrics.rs
+++ b/crates/pinereel/src/hosted/metrics.rs
@@ -51,6 +51,9 @@
     pub trainer_calls: IntCounterVec,
     /// Runs of items by `outcome`.
     pub item_runs: IntCounterVec,
+    /// Decisions that follow from the speed of engines, by `event` (`first_event_timeout`: a run was
+    /// ended before the longest wait for its first event).
+    pub engine_speed: IntCounterVec,
     /// Lots by `event` (`opened`, `ended`, `complete`, `removed`).
     pub lot_events: IntCounterVec,
     /// Seconds from the opening of a lot to its closing at this instance, by `why`.
@@ -120,6 +123,7 @@
             ),
             trainer_calls: counter_vec(&r, "trainer_calls_total", "Calls.", &["call", "outcome"]),
             item_runs: counter_vec(&r, "item_runs_total", "Runs of items.", &["outcome"]),
+            engine_speed: counter_vec(&r, "engine_speed_total", "Decisions.", &["event"]),
             lot_events: counter_vec(&r, "lots_total", "Lots.", &["event"]),
             lot_seconds: histogram_vec(
                 &r,
--- a/crates/pinereel_core/src/batch/engine.rs
+++ b/crates/pinereel_core/src/batch/engine.rs
@@ -1,11 +1,12 @@
 //! State of one engine as seen by the scheduler of its lots: load, speed, health and reservations.
 
+use super::reported_load::ReportedLoad;
 use crate::{
     Time,
     crash::{ISOLATE_AT_CRASHES, MAX_SUSPECT_RUN_AGE},
 };
 use compact_str::CompactString;
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 /// Assumed interval between two events of a run, before any engine of the fleet has sent one.
 const DEFAULT_EVENT_INTERVAL_MS: f64 = 40.0;
@@ -73,6 +74,8 @@
     pub(super) last_run_started: Time,
     /// Until this time only an item on its last attempt may start on it.
     pub(super) reserved_until: Time,
+    /// Its latest load report; `None` before the first.
+    pub(super) reported_load: Option<ReportedLoad>,
 }
 
 impl Engine {
@@ -91,9 +94,16 @@
             has_isolated_run: false,
             last_run_started: Time::ZERO,
             reserved_until: Time::ZERO,
+            reported_load: None,
         }
     }
 
+    /// Number of requests of other runners at it, by its latest report; 0 if that is too old.
+    pub(super) fn other_requests(&self, now: Time) -> u32 {
+        self.reported_load
+            .map_or(0, |load| load.other_requests(now))
+    }
+
     /// Expected interval between two events of a run: the engine's own average, or that of the fleet
     /// while it has none.
     pub(super) fn estimated_interval_ms(&self, fleet_average: Option<f64>) -> f64 {
@@ -102,6 +112,11 @@
             .unwrap_or(DEFAULT_EVENT_INTERVAL_MS)
     }
 
+    /// Age of its latest load report; `None` before the first.
+    pub fn report_age(&self, now: Time) -> Option<Duration> {
+        self.reported_load.map(|load| now.since(load.at))
+    }
+
     /// Whether a single run must succeed on it before others may start.
     pub const fn needs_probe(&self) -> bool {
         self.probe_needed
--- a/crates/pinereel_core/src/batch/fleet.rs
+++ b/crates/pinereel_core/src/batch/fleet.rs
@@ -6,9 +6,14 @@
 //! to a fast one that has a free slot while nothing is queued. Callers must pair each
 //! [`Fleet::run_started`] with one [`Fleet::run_ended`].
 
-use super::{Engine, Listing, RunOutcome};
+use super::{
+    Engine, Listing, RunOutcome,
+    reported_load::ReportedLoad,
+    timeout::{self, MIN_INTERVAL_SAMPLES},
+};
 use crate::{Time, crash::ISOLATE_AT_CRASHES};
 use compact_str::CompactString;
+use pinereel_port::headers::Load;
 use slotmap::SlotMap;
 use std::{collections::BTreeMap, time::Duration};
 
@@ -30,9 +35,6 @@
 const LONG_RUN_EVENTS: u64 = 10;
 /// A shorter run moves if its engine's interval exceeds that of the target by this factor.
 const SHORT_RUN_MOVE_RATIO: f64 = 2.0;
-/// Number of intervals before an engine's average is used to move a run or to time it out: the
-/// arrival of single events also depends on the load of this process.
-const MIN_INTERVAL_SAMPLES: u32 = 12;
 /// Backoff after an engine's first failed run; doubles with each further one in a row.
 const MIN_FAILURE_BACKOFF: Duration = Duration::from_millis(300);
 /// Upper bound of that backoff, so that a recovered engine is used again soon.
@@ -43,14 +45,6 @@
 /// Time after which a reservation lapses; the runs in progress free a slot by then.
 const RESERVATION_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Stall timeout of a run, in average intervals of its engine.
-const STALL_TIMEOUT_INTERVALS: f64 = 8.0;
-/// Lower bound of the stall timeout: a slow engine takes up to eight times its usual interval
-/// from one event to the next.
-const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(500);
-/// Upper bound of the stall timeout, and its value while the average has too few intervals.
-const MAX_STALL_TIMEOUT: Duration = Duration::from_millis(1_500);
-
 /// The engines of one service, with their load and health.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
@@ -210,19 +204,26 @@
         (interval_ms > ratio * self.engines[to].estimated_interval_ms(self.avg_ms)).then_some(to)
     }
 
-    /// How long a run waits for its next event before it is taken for lost. The longest texts decide
-    /// when a step completes and have less than a second to spare: waiting 1.5 s for a silent engine
-    /// made them late.
+    /// How long a run waits for its next event before it is taken for lost.
     pub fn stall_timeout(&self, key: EngineKey) -> Duration {
-        let engine = self
-            .engines
-            .get(key)
-            .filter(|engine| engine.interval_samples >= MIN_INTERVAL_SAMPLES);
-        let Some(interval_ms) = engine.and_then(|engine| engine.event_interval_ms) else {
-            return MAX_STALL_TIMEOUT;
-        };
-        let timeout = Duration::from_secs_f64(STALL_TIMEOUT_INTERVALS * interval_ms / 1_000.0);
-        timeout.clamp(MIN_STALL_TIMEOUT, MAX_STALL_TIMEOUT)
+        let engine = self.engines.get(key);
+        engine.map_or(timeout::MAX_TIMEOUT, timeout::between_events)
+    }
+
+    /// How long a run waits for its response head, and again for its first event, before it is taken
+    /// for lost. A later report of a queue extends it.
+    pub fn first_event_timeout(&self, now: Time, key: EngineKey) -> Duration {
+        let engine = self.engines.get(key);
+        engine.map_or(timeout::MAX_TIMEOUT, |engine| {
+            timeout::before_first_event(now, engine)
+        })
+    }
+
+    /// Records the load that the engine reported with a response head of one of its runs.
+    pub fn load_reported(&mut self, now: Time, key: EngineKey, load: Load) {
+        if let Some(engine) = self.engines.get_mut(key) {
+            engine.reported_load = Some(ReportedLoad::new(now, load, engine.active_runs));
+        }
     }
 
     /// Records that a run starts, of an item under which `crashes` engines have crashed.
--- a/crates/pinereel_core/src/batch/mod.rs
+++ b/crates/pinereel_core/src/batch/mod.rs
@@ -12,6 +12,8 @@
 mod engine;
 mod fleet;
 mod lot;
+mod reported_load;
+mod timeout;
 
 pub use commit_log::{CommitLog, Gap};
 pub use demand::{DemandWindow, LotDemand};
