Rate engines by their lasting speed where they report their slowdown

Cause: on engines that report a slowdown, the average over the last 16 events follows every moment of 2.5 times the usual interval, and an engine of 50 ms differs from one of 23 ms by more than the factor for short runs (2.0). A fifth of the runs moved, and each had its prompt read again. Change: endpoint::speed estimates what lasts: the lowest mean of 250 ms within about 1 s, or after two means the value of a fault (4 times as slow). An engine with few intervals is rated by the fleet's average and its reports, which expire after 5 s. Requests of other runners count as load for 300 ms. A run moves for the lasting interval alone; a run of less than 8 events moves only for a factor of 4. All of it holds only for engines whose last report has a slowdown. Ruled out: rating an engine in a moment as slower for the placement (weights 0.3, 0.6 and 1.0): steps were not earlier.

--- a/crates/pinereel/src/hosted/lots/task_state.rs
+++ b/crates/pinereel/src/hosted/lots/task_state.rs
@@ -6,7 +6,10 @@
     state::{FleetKey, ItemTask, PartialOutput},
     stream::{Placement, RESPONSE_TIMEOUT},
 };
-use pinereel_core::batch::{EngineKey, Failure, RetryDecision, RunOutcome};
+use pinereel_core::{
+    Time,
+    batch::{EngineKey, Failure, Fleet, RetryDecision, RunOutcome},
+};
 use pinereel_port::{
     headers::Load,
     lot::{Event, Item, Sample},
@@ -85,7 +88,7 @@
             return false;
         };
         match interval {
-            Some(interval) => fleet.event_received(key, interval),
+            Some(interval) => fleet.event_received(now, key, interval),
             None => fleet.first_event_received(key),
         }
         let has_queued_items = state.open_lots.values().any(|open| open.lot.queued() > 0);
@@ -93,19 +96,23 @@
             return false;
         };
         let last_event = open.outputs[task.index].last_event.unwrap_or_default();
-        let oldest_version = task.oldest_version;
-        if has_queued_items
-            || fleet
-                .move_target(now, key, oldest_version, last_event)
-                .is_none()
-        {
+        if has_queued_items {
             return false;
         }
+        let target = fleet.move_target(now, key, task.oldest_version, last_event);
+        let Some(target) = target else {
+            return false;
+        };
         let last_move = open.last_moves.get(&task.index);
         if last_move.is_some_and(|at| at.elapsed() < MIN_MOVE_INTERVAL) {
             return false;
         }
         open.last_moves.insert(task.index, Instant::now());
+        log_move(now, task, fleet, key, target);
+        if fleet.reported_speed(now, key).is_some() {
+            let metrics = &self.deps.metrics;
+            metrics.count(&metrics.engine_speed, &["move"]);
+        }
         true
     }
 
@@ -279,3 +286,22 @@
         }
     }
 }
+
+/// Logs the speeds for which a run moves, if its engine reports its slowdown.
+fn log_move(now: Time, task: &ItemTask, fleet: &Fleet, from: EngineKey, target: EngineKey) {
+    let Some(speed) = fleet.reported_speed(now, from) else {
+        return;
+    };
+    let target_speed = fleet.reported_speed(now, target);
+    let id = |key| fleet.get(key).map(|engine| engine.listing.id.as_str());
+    log::info!(
+        id = task.item_id.as_str(),
+        endpoint = id(from),
+        target = id(target),
+        interval_ms = speed.interval_ms,
+        slowdown:serde = speed.slowdown,
+        report_age_ms = speed.report_age.as_millis() as u64,
+        target_interval_ms:serde = target_speed.map(|speed| speed.interval_ms);
+        "run moves to a faster engine"
+    );
+}
--- a/crates/pinereel/src/hosted/metrics.rs
+++ b/crates/pinereel/src/hosted/metrics.rs
@@ -52,7 +52,8 @@
     /// Runs of items by `outcome`.
     pub item_runs: IntCounterVec,
     /// Decisions that follow from the speed of engines, by `event` (`first_event_timeout`: a run was
-    /// ended before the longest wait for its first event).
+    /// ended before the longest wait for its first event; `move`: a run leaves an engine that reports its
+    /// slowdown).
     pub engine_speed: IntCounterVec,
     /// Lots by `event` (`opened`, `ended`, `complete`, `removed`).
     pub lot_events: IntCounterVec,
--- a/crates/pinereel_core/src/batch/engine.rs
+++ b/crates/pinereel_core/src/batch/engine.rs
@@ -1,15 +1,17 @@
 //! State of one engine as seen by the scheduler of its lots: load, speed, health and reservations.
 
-use super::reported_load::ReportedLoad;
+use super::{
+    placement::{FleetAverage, expected_interval_ms},
+    reported_load::ReportedLoad,
+};
 use crate::{
     Time,
     crash::{ISOLATE_AT_CRASHES, MAX_SUSPECT_RUN_AGE},
+    endpoint::speed::{Intervals, Slowdown},
 };
 use compact_str::CompactString;
 use std::{net::SocketAddr, time::Duration};
 
-/// Assumed interval between two events of a run, before any engine of the fleet has sent one.
-const DEFAULT_EVENT_INTERVAL_MS: f64 = 40.0;
 /// Share by which a full engine costs more than an empty one of the same speed. Spreads runs over
 /// equally fast engines without preferring a slow one.
 const FULL_LOAD_PENALTY: f64 = 0.25;
@@ -76,10 +78,14 @@
     pub(super) reserved_until: Time,
     /// Its latest load report; `None` before the first.
     pub(super) reported_load: Option<ReportedLoad>,
+    /// The slowdown of its machine, by its load reports.
+    pub(super) slowdown: Slowdown,
+    /// The observed intervals between events.
+    pub(super) intervals: Intervals,
 }
 
 impl Engine {
-    pub(super) const fn new(listing: Listing) -> Self {
+    pub(super) fn new(listing: Listing) -> Self {
         Self {
             listing,
             active_runs: 0,
@@ -95,6 +101,8 @@
             last_run_started: Time::ZERO,
             reserved_until: Time::ZERO,
             reported_load: None,
+            slowdown: Slowdown::default(),
+            intervals: Intervals::default(),
         }
     }
 
@@ -104,14 +112,6 @@
             .map_or(0, |load| load.other_requests(now))
     }
 
-    /// Expected interval between two events of a run: the engine's own average, or that of the fleet
-    /// while it has none.
-    pub(super) fn estimated_interval_ms(&self, fleet_average: Option<f64>) -> f64 {
-        self.event_interval_ms
-            .or(fleet_average)
-            .unwrap_or(DEFAULT_EVENT_INTERVAL_MS)
-    }
-
     /// Age of its latest load report; `None` before the first.
     pub fn report_age(&self, now: Time) -> Option<Duration> {
         self.reported_load.map(|load| now.since(load.at))
@@ -130,7 +130,7 @@
         } else {
             self.listing.slots
         };
-        let free = self.active_runs < slots;
+        let free = self.active_runs.saturating_add(self.counted_requests(now)) < slots;
         !self.delisted && !self.listing.leaving && has_version && free && now >= self.backoff_until
     }
 
@@ -148,9 +148,20 @@
         }
     }
 
+    /// Requests of other runners that count as its load. Only where it reports its slowdown; other
+    /// engines are rated by this runner's runs alone.
+    fn counted_requests(&self, now: Time) -> u32 {
+        if self.slowdown.is_reported() {
+            self.other_requests(now)
+        } else {
+            0
+        }
+    }
+
     /// Cost of placing a run on it: the expected interval, weighted by the load. Lower is better.
-    pub(super) fn cost(&self, fleet_average: Option<f64>) -> f64 {
-        let load = f64::from(self.active_runs) / f64::from(self.listing.slots.max(1));
-        self.estimated_interval_ms(fleet_average) * (1.0 + FULL_LOAD_PENALTY * load)
+    pub(super) fn cost(&self, now: Time, average: FleetAverage) -> f64 {
+        let requests = self.active_runs.saturating_add(self.counted_requests(now));
+        let load = f64::from(requests) / f64::from(self.listing.slots.max(1));
+        expected_interval_ms(now, self, average) * (1.0 + FULL_LOAD_PENALTY * load)
     }
 }
--- a/crates/pinereel_core/src/batch/fleet.rs
+++ b/crates/pinereel_core/src/batch/fleet.rs
@@ -8,8 +8,12 @@
 
 use super::{
     Engine, Listing, RunOutcome,
+    placement::{
+        FleetAverage, ReportedSpeed, expected_interval_ms, interval_for_moves_ms, move_ratio,
+        moving_average,
+    },
     reported_load::ReportedLoad,
-    timeout::{self, MIN_INTERVAL_SAMPLES},
+    timeout,
 };
 use crate::{Time, crash::ISOLATE_AT_CRASHES};
 use compact_str::CompactString;
@@ -24,17 +28,6 @@
 
 /// Weight of a new interval in the moving average of one engine.
 const ENGINE_AVERAGE_WEIGHT: f64 = 0.06;
-/// Weight of a new interval in the moving average over all engines.
-const FLEET_AVERAGE_WEIGHT: f64 = 0.01;
-/// A long run moves if its engine's interval exceeds that of the target by this factor. Engines
-/// differ by a factor of 1.3 (47 ms and 60 ms an event), and processing the prompt and the text
-/// again on the target takes less than one event.
-const LONG_RUN_MOVE_RATIO: f64 = 1.2;
-/// Number of events from which a run counts as long. Long runs delay their step, so they move for
-/// less than [`SHORT_RUN_MOVE_RATIO`].
-const LONG_RUN_EVENTS: u64 = 10;
-/// A shorter run moves if its engine's interval exceeds that of the target by this factor.
-const SHORT_RUN_MOVE_RATIO: f64 = 2.0;
 /// Backoff after an engine's first failed run; doubles with each further one in a row.
 const MIN_FAILURE_BACKOFF: Duration = Duration::from_millis(300);
 /// Upper bound of that backoff, so that a recovered engine is used again soon.
@@ -50,9 +43,7 @@
 pub struct Fleet {
     engines: SlotMap<EngineKey, Engine>,
     keys_by_id: BTreeMap<CompactString, EngineKey>,
-    /// Moving average of the interval between two events over all engines, in milliseconds; `None`
-    /// before the first interval.
-    avg_ms: Option<f64>,
+    average: FleetAverage,
 }
 
 impl Fleet {
@@ -178,8 +169,8 @@
         let candidates = self
             .iter()
             .filter(|(key, engine)| engine.accepts(now, oldest_version) && admits(*key, engine));
-        let cheapest =
-            candidates.min_by(|(_, a), (_, b)| a.cost(self.avg_ms).total_cmp(&b.cost(self.avg_ms)));
+        let cost = |engine: &Engine| engine.cost(now, self.average);
+        let cheapest = candidates.min_by(|(_, a), (_, b)| cost(a).total_cmp(&cost(b)));
         cheapest.map(|(key, _)| key)
     }
 
@@ -192,16 +183,11 @@
         events: u64,
     ) -> Option<EngineKey> {
         let engine = self.engines.get(from)?;
-        let interval_ms = engine
-            .event_interval_ms
-            .filter(|_| engine.interval_samples >= MIN_INTERVAL_SAMPLES)?;
+        let interval_ms = interval_for_moves_ms(engine)?;
         let to = self.pick(now, oldest_version, Some(from))?;
-        let ratio = if events < LONG_RUN_EVENTS {
-            SHORT_RUN_MOVE_RATIO
-        } else {
-            LONG_RUN_MOVE_RATIO
-        };
-        (interval_ms > ratio * self.engines[to].estimated_interval_ms(self.avg_ms)).then_some(to)
+        let ratio = move_ratio(engine, events);
+        let target_ms = expected_interval_ms(now, &self.engines[to], self.average);
+        (interval_ms > ratio * target_ms).then_some(to)
     }
 
     /// How long a run waits for its next event before it is taken for lost.
@@ -223,9 +209,21 @@
     pub fn load_reported(&mut self, now: Time, key: EngineKey, load: Load) {
         if let Some(engine) = self.engines.get_mut(key) {
             engine.reported_load = Some(ReportedLoad::new(now, load, engine.active_runs));
+            engine.slowdown.report(now, load.slowdown_percent);
         }
     }
 
+    /// The speed of an engine; `None` unless it reports its slowdown.
+    pub fn reported_speed(&self, now: Time, key: EngineKey) -> Option<ReportedSpeed> {
+        let engine = self.engines.get(key)?;
+        let reported_at = engine.slowdown.reported_at()?;
+        Some(ReportedSpeed {
+            interval_ms: expected_interval_ms(now, engine, self.average),
+            slowdown: engine.slowdown.lasting(now),
+            report_age: now.since(reported_at),
+        })
+    }
+
     /// Records that a run starts, of an item under which `crashes` engines have crashed.
     pub fn run_started(&mut self, now: Time, key: EngineKey, crashes: usize) {
         let Some(engine) = self.engines.get_mut(key) else {
@@ -260,18 +258,19 @@
     }
 
     /// Records a further event of a run, `interval` after the one before.
-    pub fn event_received(&mut self, key: EngineKey, interval: Duration) {
+    pub fn event_received(&mut self, now: Time, key: EngineKey, interval: Duration) {
         let Some(engine) = self.engines.get_mut(key) else {
             return;
         };
-        let interval = interval.as_secs_f64() * 1_000.0;
+        let interval_ms = interval.as_secs_f64() * 1_000.0;
         engine.interval_samples = engine.interval_samples.saturating_add(1);
         engine.event_interval_ms = Some(moving_average(
             engine.event_interval_ms,
-            interval,
+            interval_ms,
             ENGINE_AVERAGE_WEIGHT,
         ));
-        self.avg_ms = Some(moving_average(self.avg_ms, interval, FLEET_AVERAGE_WEIGHT));
+        engine.intervals.observe(now, interval_ms);
+        self.average.add(now, engine, interval);
     }
 
     /// Records that a run ended. Each [`Fleet::run_started`] needs exactly one call.
@@ -311,8 +310,3 @@
         }
     }
 }
-
-/// The exponential moving average after one more value.
-fn moving_average(average: Option<f64>, value: f64, weight: f64) -> f64 {
-    average.map_or(value, |average| average + weight * (value - average))
-}
--- a/crates/pinereel_core/src/batch/mod.rs
+++ b/crates/pinereel_core/src/batch/mod.rs
@@ -12,6 +12,7 @@
 mod engine;
 mod fleet;
 mod lot;
+mod placement;
 mod reported_load;
 mod timeout;
 
@@ -20,3 +21,4 @@
 pub use engine::{Engine, Listing, RunOutcome};
 pub use fleet::{EngineKey, Fleet};
 pub use lot::{DEFAULT_LENGTH_TOKENS, Failure, Lot, RetryDecision};
+pub use placement::ReportedSpeed;
--- a/crates/pinereel_core/src/endpoint/mod.rs
+++ b/crates/pinereel_core/src/endpoint/mod.rs
@@ -7,6 +7,7 @@
 mod event;
 mod index;
 mod set;
+pub mod speed;
 mod state;
 pub mod subset;
 
--- a/crates/pinereel_core/tests/batch_first_event.rs
+++ b/crates/pinereel_core/tests/batch_first_event.rs
@@ -25,7 +25,7 @@
     let keys: Vec<_> = fleet.iter().map(|(key, _)| key).collect();
     for key in &keys {
         for _ in 0..if millis.is_some() { 12 } else { 0 } {
-            fleet.event_received(*key, Duration::from_millis(millis.unwrap_or_default()));
+            fleet.event_received(NOW, *key, Duration::from_millis(millis.unwrap_or_default()));
         }
     }
     (fleet, keys)
--- a/crates/pinereel_core/tests/batch_fleet.rs
+++ b/crates/pinereel_core/tests/batch_fleet.rs
@@ -35,7 +35,7 @@
 fn set_interval(fleet: &mut Fleet, id: &str, millis: u64) {
     let key = key(fleet, id);
     for _ in 0..80 {
-        fleet.event_received(key, Duration::from_millis(millis));
+        fleet.event_received(NOW, key, Duration::from_millis(millis));
     }
 }
 
@@ -271,7 +271,7 @@
             .collect();
         for _ in 0..20 {
             for key in &runs {
-                fleet.event_received(*key, Duration::from_millis(74));
+                fleet.event_received(now, *key, Duration::from_millis(74));
             }
         }
         let moves = runs
