Prefer endpoints that report to be fast now

Cause: routing ignored the slowdown of an endpoint's machine, so an endpoint on a slow machine got as many live requests and scorings as a fast one. Change: a candidate's weight is divided by the slowdown of the last report, discounted with its age like the reported load. For a prefix, the score in the rendezvous hash is weighted with it too, since the load bound does not move a request off an endpoint that is idle. Ruled out: the weight alone, since at 12 calls per second of 25 ms endpoints are mostly idle and a prefix stays at its first endpoint. Conclusion: idle endpoints get prefixes in inverse proportion to their slowdown.

--- a/crates/pinereel/src/hosted/endpoints/load_report.rs
+++ b/crates/pinereel/src/hosted/endpoints/load_report.rs
@@ -32,6 +32,10 @@
                 incarnation,
                 report,
             });
+            self.apply_event(Event::SlowdownReported {
+                key,
+                percent: load.slowdown_percent,
+            });
         }
     }
 
--- a/crates/pinereel_core/src/endpoint/event.rs
+++ b/crates/pinereel_core/src/endpoint/event.rs
@@ -52,6 +52,14 @@
         /// The figures.
         report: LoadReport,
     },
+    /// A response of the endpoint arrived, with its load.
+    SlowdownReported {
+        /// Endpoint that responded.
+        key: Key,
+        /// Time that work takes on its machine now, in percent of the usual time; `None` if it
+        /// reports none.
+        percent: Option<u32>,
+    },
     /// An attempt was sent. It counts from the time the endpoint was chosen.
     Started {
         /// The chosen endpoint.
--- a/crates/pinereel_core/src/endpoint/set.rs
+++ b/crates/pinereel_core/src/endpoint/set.rs
@@ -79,6 +79,11 @@
                 incarnation,
                 report,
             } => self.apply_report(now, key, incarnation, report, &mut changes),
+            Event::SlowdownReported { key, percent } => {
+                if let Some(endpoint) = self.arena.get_mut(key) {
+                    endpoint.slowdown.report(now, percent);
+                }
+            }
             Event::Started { key, tokens } => {
                 if let Some(endpoint) = self.arena.get_mut(key) {
                     endpoint.start(now, tokens);
--- a/crates/pinereel_core/src/endpoint/speed.rs
+++ b/crates/pinereel_core/src/endpoint/speed.rs
@@ -11,7 +11,7 @@
 
 /// Time for which a higher figure must hold before it counts: moments seldom last longer.
 pub const LASTING_PERIOD: Duration = Duration::from_millis(1_000);
-/// Time after which a report no longer counts. Reports come with responses, and while all slots run
+/// Age at which a report of load or of a slowdown no longer counts. Reports come with responses, and while all slots run
 /// long texts there is none for several seconds.
 pub const REPORT_TTL: Duration = Duration::from_secs(5);
 /// Time over which values are averaged. Four slices cover [`LASTING_PERIOD`], and one of them holds
@@ -125,13 +125,13 @@
         value.filter(|_| now.since(at) < REPORT_TTL)
     }
 
-    /// The factor now: that of the last report, discounted linearly to 1 over [`REPORT_TTL`].
-    pub fn current(&self, now: Time) -> f64 {
-        let Some((at, factor)) = self.last else {
-            return 1.0;
-        };
-        let relative_age = now.since(at).as_secs_f64() / REPORT_TTL.as_secs_f64();
-        1.0 + (factor - 1.0) * (1.0 - relative_age).max(0.0)
+    /// The factor now: that of the last report, discounted linearly to 1 over [`REPORT_TTL`]. `None`
+    /// without a report of that age.
+    pub fn current(&self, now: Time) -> Option<f64> {
+        let (at, factor) = self.last?;
+        let age = now.since(at);
+        let relative_age = age.as_secs_f64() / REPORT_TTL.as_secs_f64();
+        (age < REPORT_TTL).then_some(1.0 + (factor - 1.0) * (1.0 - relative_age))
     }
 }
 
--- a/crates/pinereel_core/src/endpoint/state.rs
+++ b/crates/pinereel_core/src/endpoint/state.rs
@@ -1,6 +1,9 @@
 //! State of one endpoint, and the load, latency and concurrency figures that routing uses.
 
-use super::LeavingSource;
+use super::{
+    LeavingSource,
+    speed::{REPORT_TTL, Slowdown},
+};
 use crate::{Time, Version, hash};
 use compact_str::CompactString;
 use serde::Serialize;
@@ -12,8 +15,6 @@
 const LIMIT_DECREASE_FACTOR: f64 = 0.7;
 /// Most attempt starts and ends kept to correct delayed load reports; older ones are dropped.
 const MAX_RECENT_CHANGES: usize = 512;
-/// Age at which a load report no longer counts.
-const REPORT_TTL: Duration = Duration::from_secs(5);
 /// Duration of slow start.
 const SLOW_START_PERIOD: Duration = Duration::from_secs(10);
 /// Weight at the beginning of slow start.
@@ -104,6 +105,8 @@
     pub(super) refused_since: Option<Time>,
     /// Consecutive refused connections.
     pub(super) refusals: u32,
+    /// Slowdown of its machine, by its responses.
+    pub(super) slowdown: Slowdown,
 }
 
 impl Endpoint {
@@ -135,6 +138,7 @@
             recent_changes: VecDeque::new(),
             refused_since: None,
             refusals: 0,
+            slowdown: Slowdown::default(),
         }
     }
 
@@ -169,6 +173,12 @@
         f64::from(self.other_load) * (1.0 - relative_age).max(0.0)
     }
 
+    /// Factor of the slowdown that it reported last, discounted linearly to 1 with the report's age;
+    /// `None` if it reports none, or if the report no longer counts.
+    pub fn slowdown(&self, now: Time) -> Option<f64> {
+        self.slowdown.current(now)
+    }
+
     /// Estimated requests at the endpoint: the exact number of own attempts plus the load from
     /// others.
     ///
--- a/crates/pinereel_core/src/route/candidate.rs
+++ b/crates/pinereel_core/src/route/candidate.rs
@@ -19,9 +19,11 @@
     pub(super) load: f64,
     /// Its slots: the maximum number of concurrent requests.
     pub(super) slots: f64,
-    /// Slots times the fractions for slow start and for loading weights; the load is compared to
-    /// it.
+    /// Slots times the fractions for slow start and for loading weights, divided by the slowdown; the
+    /// load is compared to it.
     pub(super) weight: f64,
+    /// Slowdown of its machine, as a factor; `None` if it reports none.
+    pub(super) slowdown: Option<f64>,
     /// Whether it is in the entry's own zone.
     pub(super) local: bool,
 }
@@ -147,6 +149,10 @@
             weight *= LOADING_WEIGHT;
         }
     }
+    let slowdown = endpoint.slowdown(now).filter(|_| policy.load_reports);
+    if let Some(factor) = slowdown {
+        weight /= factor;
+    }
     let load = if policy.load_reports {
         endpoint.load(now)
     } else {
@@ -158,6 +164,7 @@
         load,
         slots,
         weight,
+        slowdown,
         local: endpoint.zone == request.zone,
     }
 }
--- a/crates/pinereel_core/src/route/pick.rs
+++ b/crates/pinereel_core/src/route/pick.rs
@@ -32,7 +32,7 @@
     let mut owner = (0, None);
     let mut top = TopCandidates::default();
     for c in candidates {
-        let score = hash::mix(prefix ^ c.hash);
+        let score = score(prefix, c);
         if owner.1.is_none() || score > owner.0 {
             owner = (score, Some(c.key));
         }
@@ -52,6 +52,18 @@
     Selection { order, reason }
 }
 
+/// Score of a candidate for a prefix. The score of an endpoint that reports its slowdown is raised to
+/// the power of it, which is weighted rendezvous hashing: its share of all prefixes is inversely
+/// proportional to the slowdown. The load bound alone would not move a request off a slow endpoint
+/// while that is idle.
+fn score(prefix: u64, candidate: &Candidate) -> u64 {
+    let score = hash::mix(prefix ^ candidate.hash);
+    candidate.slowdown.map_or(score, |factor| {
+        let max = u64::MAX as f64;
+        ((score as f64 / max).powf(factor) * max) as u64
+    })
+}
+
 fn by_two_choices(candidates: &[Candidate], seed: u64) -> Selection {
     let len = candidates.len() as u64;
     if len < 2 {
