--- a/crates/pinereel/src/hosted/lots/task_state.rs
+++ b/crates/pinereel/src/hosted/lots/task_state.rs
@@ -297,11 +297,11 @@
     log::info!(
         id = task.item_id.as_str(),
         endpoint = id(from),
-        target = id(target),
+        to = id(target),
         interval_ms = speed.interval_ms,
         slowdown:serde = speed.slowdown,
         report_age_ms = speed.report_age.as_millis() as u64,
-        target_interval_ms:serde = target_speed.map(|speed| speed.interval_ms);
+        to_interval_ms:serde = target_speed.map(|speed| speed.interval_ms);
         "run moves to a faster engine"
     );
 }
--- a/crates/pinereel_fakes/src/hosting/engine.rs
+++ b/crates/pinereel_fakes/src/hosting/engine.rs
@@ -45,6 +45,10 @@
     pub slow_factor: u32,
     /// Number of events after which each stream is aborted.
     pub cut_after: Option<u64>,
+    /// Fourth figure of the load that each response reports; without one no load is reported.
+    pub slowdown: Option<&'static str>,
+    /// Whether items are accepted and never answered.
+    pub hangs: bool,
     /// Whether orders are carried out after 1 s and answered only a minute after that.
     pub late_orders: bool,
 }
@@ -283,6 +287,10 @@
             }
             http::empty(state.handle_order(&order))
         }
+        _ if state.faults.get().hangs => {
+            sleep(Duration::from_secs(60)).await;
+            http::empty(StatusCode::SERVICE_UNAVAILABLE)
+        }
         _ => generate(&state, &request),
     }
 }
@@ -320,6 +328,10 @@
         "x-response-stamp",
         &response_stamp(&state.id, &item),
     );
+    if let Some(slowdown) = state.faults.get().slowdown {
+        let load = format!("{},0,{SLOTS},{slowdown}", state.running.get());
+        set_header(&mut answer, "x-server-load", &load);
+    }
     if first <= event_count(&item) {
         set_header(&mut answer, "x-weight-versions", &version.to_string());
     }
