Extend the wait for a first event by the delay of the process

Cause: a runner with a tenth of a core that starts over a hundred runs at once reads answers late, and the shorter timeout would take healthy engines for ones that hang. Found by review, not measured.

--- a/crates/pinereel/src/hosted/lots/stream.rs
+++ b/crates/pinereel/src/hosted/lots/stream.rs
@@ -11,7 +11,7 @@
 };
 use bytes::BytesMut;
 use pinereel_core::{
-    batch::EngineKey,
+    batch::{EngineKey, extended_wait},
     crash::{Content, EndpointStart, Identity, RequestParts},
 };
 use pinereel_port::{
@@ -198,7 +198,7 @@
 }
 
 /// Waits for the response head or the first event; `None` if the wait timed out. The timeout is
-/// computed again when it elapses, since other runs' reports of a queue may have extended it.
+/// computed again when it elapses, since other runs' reports of a queue, or a late timer, may extend it.
 async fn before_first_event<T>(
     runner: &Runner,
     task: &ItemTask,
@@ -212,11 +212,11 @@
         if let Ok(output) = timeout_at(started + wait, &mut future).await {
             return Some(output);
         }
-        let extended = runner.first_event_timeout(task, placement.key);
-        if extended <= wait {
-            break;
+        let timeout = runner.first_event_timeout(task, placement.key);
+        match extended_wait(wait, started.elapsed(), timeout) {
+            Some(extended) => wait = extended,
+            None => break,
         }
-        wait = extended;
     }
     if wait < RESPONSE_TIMEOUT {
         runner.log_first_event_timeout(task, placement, wait);
--- a/crates/pinereel_core/src/batch/mod.rs
+++ b/crates/pinereel_core/src/batch/mod.rs
@@ -22,3 +22,4 @@
 pub use fleet::{EngineKey, Fleet};
 pub use lot::{DEFAULT_LENGTH_TOKENS, Failure, Lot, RetryDecision};
 pub use placement::ReportedSpeed;
+pub use timeout::extended_wait;
--- a/crates/pinereel_core/src/batch/timeout.rs
+++ b/crates/pinereel_core/src/batch/timeout.rs
@@ -45,3 +45,22 @@
         MAX_TIMEOUT
     }
 }
+
+/// Delay of a timer from which this process, not the engine, counts as late.
+const MAX_TIMER_DELAY: Duration = Duration::from_millis(50);
+
+/// The longer wait of a run whose wait of `waited` for the first event has elapsed, `elapsed` after its
+/// start; `None` if the run has timed out. `timeout` is what
+/// [`Fleet::first_event_timeout`](super::Fleet::first_event_timeout) returns now.
+///
+/// A runner with a tenth of a core starts over a hundred runs at once and then reads answers late. If
+/// its timer is late, answers may be there unread, so the run gets as long again as the delay.
+pub fn extended_wait(waited: Duration, elapsed: Duration, timeout: Duration) -> Option<Duration> {
+    let delay = elapsed.saturating_sub(waited);
+    let wait = if delay > MAX_TIMER_DELAY {
+        timeout.max(elapsed + delay)
+    } else {
+        timeout
+    };
+    Some(wait.min(MAX_TIMEOUT)).filter(|wait| *wait > elapsed)
+}
