--- a/crates/pinereel/src/hosted/lots/task_state.rs
+++ b/crates/pinereel/src/hosted/lots/task_state.rs
@@ -4,9 +4,16 @@
     commit::{PendingSegment, first_segment},
     runner::Runner,
     state::{FleetKey, ItemTask, PartialOutput},
+    stream::{Placement, RESPONSE_TIMEOUT},
+};
+use pinereel_core::{
+    Time,
+    batch::{EngineKey, Failure, Fleet, RetryDecision, RunOutcome},
+};
+use pinereel_port::{
+    headers::Load,
+    lot::{Event, Item, Sample},
 };
-use pinereel_core::batch::{EngineKey, Failure, RetryDecision, RunOutcome};
-use pinereel_port::lot::{Event, Item, Sample};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -81,7 +88,7 @@
             return false;
         };
         match interval {
-            Some(interval) => fleet.event_received(key, interval),
+            Some(interval) => fleet.event_received(now, key, interval),
             None => fleet.first_event_received(key),
         }
         let has_queued_items = state.open_lots.values().any(|open| open.lot.queued() > 0);
@@ -89,19 +96,23 @@
             return false;
         };
         let last_event = open.outputs[task.index].last_event.unwrap_or_default();
-        let oldest_version = task.oldest_version;
-        if has_queued_items
-            || fleet
-                .move_target(now, key, oldest_version, last_event)
-                .is_none()
-        {
+        if has_queued_items {
             return false;
         }
+        let target = fleet.move_target(now, key, task.oldest_version, last_event);
+        let Some(target) = target else {
+            return false;
+        };
         let last_move = open.last_moves.get(&task.index);
         if last_move.is_some_and(|at| at.elapsed() < MIN_MOVE_INTERVAL) {
             return false;
         }
         open.last_moves.insert(task.index, Instant::now());
+        log_move(now, task, fleet, key, target);
+        if fleet.reported_speed(now, key).is_some() {
+            let metrics = &self.deps.metrics;
+            metrics.count(&metrics.engine_speed, &["move"]);
+        }
         true
     }
 
@@ -112,6 +123,49 @@
         fleet.map_or(Duration::MAX, |fleet| fleet.stall_timeout(key))
     }
 
+    /// How long a run waits for its response head, and again for its first event.
+    pub(super) fn first_event_timeout(&self, task: &ItemTask, key: EngineKey) -> Duration {
+        let now = self.deps.clock.now();
+        let state = self.state.borrow();
+        let fleet = state.fleets.get(&task.fleet);
+        fleet.map_or(RESPONSE_TIMEOUT, |fleet| {
+            fleet.first_event_timeout(now, key)
+        })
+    }
+
+    /// Logs that a run got no first event within a timeout that follows from the engine's interval.
+    pub(super) fn log_first_event_timeout(
+        &self,
+        task: &ItemTask,
+        placement: &Placement,
+        waited: Duration,
+    ) {
+        let now = self.deps.clock.now();
+        let state = self.state.borrow();
+        let fleet = state.fleets.get(&task.fleet);
+        let engine = fleet.and_then(|fleet| fleet.get(placement.key));
+        let age = engine.and_then(|engine| engine.report_age(now));
+        log::info!(
+            id = task.item_id.as_str(),
+            endpoint = placement.start.endpoint.as_str(),
+            waited_ms = waited.as_millis() as u64,
+            interval_ms:serde = engine.and_then(|engine| engine.event_interval_ms),
+            report_age_ms:serde = age.map(|age| age.as_millis() as u64);
+            "no first event in time"
+        );
+        let metrics = &self.deps.metrics;
+        metrics.count(&metrics.engine_speed, &["first_event_timeout"]);
+    }
+
+    /// Records the load that an engine reported with the response head of a run.
+    pub(super) fn load_reported(&self, task: &ItemTask, key: EngineKey, load: Load) {
+        let now = self.deps.clock.now();
+        let mut state = self.state.borrow_mut();
+        if let Some(fleet) = state.fleets.get_mut(&task.fleet) {
+            fleet.load_reported(now, key, load);
+        }
+    }
+
     /// Waits until the engine has restarted, so that a run on it is lost.
     pub(super) async fn wait_for_restart(&self, fleet: &FleetKey, key: EngineKey) {
         let mut restarts = self.restarts.subscribe();
@@ -232,3 +286,22 @@
         }
     }
 }
+
+/// Logs the speeds for which a run moves, if its engine reports its slowdown.
+fn log_move(now: Time, task: &ItemTask, fleet: &Fleet, from: EngineKey, target: EngineKey) {
+    let Some(speed) = fleet.reported_speed(now, from) else {
+        return;
+    };
+    let target_speed = fleet.reported_speed(now, target);
+    let id = |key| fleet.get(key).map(|engine| engine.listing.id.as_str());
+    log::info!(
+        id = task.item_id.as_str(),
+        endpoint = id(from),
+        to = id(target),
+        interval_ms = speed.interval_ms,
+        slowdown:serde = speed.slowdown,
+        report_age_ms = speed.report_age.as_millis() as u64,
+        to_interval_ms:serde = target_speed.map(|speed| speed.interval_ms);
+        "run moves to a faster engine"
+    );
+}
--- a/crates/pinereel_core/src/batch/mod.rs
+++ b/crates/pinereel_core/src/batch/mod.rs
@@ -12,9 +12,14 @@
 mod engine;
 mod fleet;
 mod lot;
+mod placement;
+mod reported_load;
+mod timeout;
 
 pub use commit_log::{CommitLog, Gap};
 pub use demand::{DemandWindow, LotDemand};
 pub use engine::{Engine, Listing, RunOutcome};
 pub use fleet::{EngineKey, Fleet};
 pub use lot::{DEFAULT_LENGTH_TOKENS, Failure, Lot, RetryDecision};
+pub use placement::ReportedSpeed;
+pub use timeout::extended_wait;
--- a/crates/pinereel_core/tests/batch_shared_engines.rs
+++ b/crates/pinereel_core/tests/batch_shared_engines.rs
@@ -112,7 +112,7 @@
     let keys: Vec<_> = (ids.iter().take(3)).map(|id| key(&fleet, id)).collect();
     for (key, millis) in keys.iter().zip([160, 60, 46]) {
         for _ in 0..80 {
-            fleet.event_received(*key, Duration::from_millis(millis));
+            fleet.event_received(NOW, *key, Duration::from_millis(millis));
         }
     }
     assert_eq!(fleet.move_target(NOW, keys[0], 5, 30), Some(keys[1]));
