--- a/crates/pinereel_core/tests/batch_shared_engines.rs
+++ b/crates/pinereel_core/tests/batch_shared_engines.rs
@@ -261,7 +261,7 @@
                 let key = key(&fleets[model], id);
                 fleets[model].first_event_received(key);
                 for _ in 0..events {
-                    fleets[model].event_received(key, Duration::from_millis(EVENT_MS));
+                    fleets[model].event_received(now, key, Duration::from_millis(EVENT_MS));
                 }
                 fleets[model].run_ended(now, key, RunOutcome::Finished);
                 let (groups, items, ..) = sizes[model];
