Limit and order of scorings by load reports, in the core

Cause: each runner may use half of the service's slots for scorings, so three runners use 1.5 times the slots, and scorings start first in, first out. Ruled out: starting a busy period at the last limit, or at its mean while the service was full: one of three runners then always started with most of the slots (last scorings after 0.9 s to 1.8 s). Always starting at a quarter of the slots: a single runner took 1,052 ms instead of 695 ms. Change: pinereel_core::scoring (Limit, Rank, next); Lot::unfinished_in_group.

--- a/crates/pinereel_core/src/batch/lot.rs
+++ b/crates/pinereel_core/src/batch/lot.rs
@@ -56,6 +56,8 @@
 #[derive(Clone, Debug, Default)]
 struct Group {
     items: usize,
+    /// Items with a result or given up, committed or not.
+    finished_items: usize,
     committed_items: usize,
     /// Whether it has items of an earlier lot, so that the trainer waits for this group in any case.
     resubmitted: bool,
@@ -193,9 +195,16 @@
             return;
         }
         item.phase = Phase::Finished;
+        self.groups[item.group].finished_items += 1;
         self.uncommitted.push(sample);
     }
 
+    /// Number of items of the group of an item that have no result yet.
+    pub fn unfinished_in_group(&self, index: usize) -> usize {
+        let group = &self.groups[self.items[index].group];
+        group.items - group.finished_items
+    }
+
     /// Finished samples for the next segments.
     pub fn uncommitted(&self) -> &[Sample] {
         &self.uncommitted
@@ -227,8 +236,10 @@
         };
         let item = &mut self.items[*index];
         if item.phase != Phase::Committed {
+            let group = &mut self.groups[item.group];
+            group.finished_items += usize::from(item.phase != Phase::Finished);
+            group.committed_items += 1;
             item.phase = Phase::Committed;
-            self.groups[item.group].committed_items += 1;
         }
     }
 
--- a/crates/pinereel_core/src/lib.rs
+++ b/crates/pinereel_core/src/lib.rs
@@ -8,7 +8,7 @@
 //!
 //! Both commands of the daemon use `crash`, `endpoint`, `lease`, `rollout` and `route`. The modules
 //! `admit`, `budget`, `claim`, `config`, `cursor`, `drain`, `lot`, `member` and `provenance` serve
-//! `pinereel entry` alone; `batch`, `retry`, `routing_table`, `scale`, `tree` and `usage` serve
+//! `pinereel entry` alone; `batch`, `retry`, `routing_table`, `scale`, `scoring`, `tree` and `usage` serve
 //! `pinereel hosted` alone.
 //!
 //! The main types:
@@ -49,6 +49,7 @@
 pub mod route;
 pub mod routing_table;
 pub mod scale;
+pub mod scoring;
 pub mod staleness;
 pub mod time;
 pub mod tree;
