Scorings of a runner start by load reports and by the step that they delay

Cause: hosted/lots/score.rs limited them to half of the slots and started them first in, first out. Ruled out: granting permits where one is returned: that place may hold the runner's state, so a task of its own grants them.

--- a/crates/pinereel/src/hosted/lots/mod.rs
+++ b/crates/pinereel/src/hosted/lots/mod.rs
@@ -13,6 +13,7 @@
 mod runner;
 mod schema;
 mod score;
+mod scoring_permits;
 mod state;
 mod stream;
 mod task_state;
--- a/crates/pinereel/src/hosted/lots/runner.rs
+++ b/crates/pinereel/src/hosted/lots/runner.rs
@@ -4,7 +4,7 @@
     checkpoint::{self, Checkpoint},
     cleanup::{self, FirstSeen},
     schema::LOT_KIND,
-    score,
+    scoring_permits::Permits,
     state::State,
 };
 use crate::{
@@ -71,7 +71,7 @@
     /// Notified when an item may have become startable.
     pub(super) wake: Notify,
     /// Bounds the concurrent scorings of this instance.
-    pub(super) scoring_limiter: Rc<score::Limiter>,
+    pub(super) scoring_permits: Rc<Permits>,
     /// Incremented when an engine with runs has restarted.
     pub(super) restarts: watch::Sender<u64>,
     /// Whether no further runs are started.
@@ -81,16 +81,18 @@
 impl Runner {
     /// Starts to compete for the lease of each model in the configuration, and to run its lots.
     pub fn start(deps: Dependencies) -> Rc<Self> {
+        let scoring_permits = Permits::new(deps.clock);
         let runner = Rc::new(Self {
             deps,
             state: RefCell::default(),
             wake: Notify::new(),
-            scoring_limiter: Rc::default(),
+            scoring_permits: Rc::clone(&scoring_permits),
             restarts: watch::channel(0).0,
             draining: Cell::new(false),
         });
         let serving = Rc::clone(&runner);
         actix_rt::spawn(async move { serving.serve_models().await });
+        actix_rt::spawn(scoring_permits.serve(Rc::clone(&runner)));
         runner
     }
 
--- a/crates/pinereel/src/hosted/lots/score.rs
+++ b/crates/pinereel/src/hosted/lots/score.rs
@@ -7,51 +7,13 @@
     header::{HOST, HeaderMap, HeaderValue},
 };
 use compact_str::CompactString;
-use pinereel_core::batch::RetryDecision;
+use pinereel_core::{batch::RetryDecision, scoring::Scope};
 use pinereel_port::lot::Scorer;
-use std::{
-    cell::{Cell, OnceCell},
-    rc::Rc,
-    time::Duration,
-};
-use tokio::{
-    sync::Notify,
-    time::{Instant, sleep},
-};
+use std::{cell::OnceCell, rc::Rc, time::Duration};
+use tokio::time::{Instant, sleep};
 
 /// Pause before a scoring that found no free slot, or whose response was lost, is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
-/// Slots of the scoring service per concurrent scoring. Bounds the scorings to a part of the slots:
-/// live callers share the service, and the outputs of a step finish close together.
-const SLOTS_PER_SCORING: u32 = 2;
-
-/// Limits the number of concurrent scorings.
-#[derive(Default)]
-pub(super) struct Limiter {
-    permits_in_use: Cell<u32>,
-    permit_returned: Notify,
-}
-
-/// Permit for one scoring, returned when dropped.
-struct Permit(Rc<Limiter>);
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        self.0.permits_in_use.set(self.0.permits_in_use.get() - 1);
-        self.0.permit_returned.notify_one();
-    }
-}
-
-impl Limiter {
-    async fn acquire(self: &Rc<Self>, max_permits: u32) -> Permit {
-        while self.permits_in_use.get() >= max_permits.max(1) {
-            self.permit_returned.notified().await;
-        }
-        self.permits_in_use.set(self.permits_in_use.get() + 1);
-        Permit(Rc::clone(self))
-    }
-}
-
 /// Scores an item. Returns the signature of the scoring response; `None` if the item is to be given
 /// up.
 pub(super) async fn score(
@@ -78,8 +40,12 @@
             continue;
         }
         let max_attempts = call.route.max_attempts;
-        let max_permits = scoring_slots(runner, &call) / SLOTS_PER_SCORING;
-        let permit = runner.scoring_limiter.acquire(max_permits).await;
+        let scope = Scope {
+            slots: scoring_slots(runner, &call),
+            models: runner.open_models(),
+        };
+        let permits = &runner.scoring_permits;
+        let permit = permits.acquire(&task.lot_id, task.index, scope).await;
         let (outcome, internal_errors) = runner.deps.proxy.run_counted(call).await;
         drop(permit);
         let is_failure = match outcome {
@@ -107,6 +73,7 @@
     let table = runner.deps.config.table()?;
     let path = scorer.path.split('?').next().unwrap_or_default();
     let route = table.route_for(&scorer.host, path)?.clone();
+    let permits = Rc::clone(&runner.scoring_permits);
     let mut headers = HeaderMap::new();
     headers.insert(HOST, HeaderValue::from_str(&scorer.host).ok()?);
     Some(ProxyRequest {
@@ -122,6 +89,7 @@
         headers,
         body: scorer.body.clone(),
         prompt: None,
+        load_observer: Some(Rc::new(move |load| permits.record_report(load))),
         cached_identity: OnceCell::new(),
     })
 }
--- /dev/null
+++ b/crates/pinereel/src/hosted/lots/scoring_permits.rs
@@ -0,0 +1,236 @@
+//! Permits for concurrent scorings: grants them within the limit, to the most urgent scoring first.
+
+use super::runner::Runner;
+use crate::state::Clock;
+use compact_str::CompactString;
+use pinereel_core::{
+    Time,
+    scoring::{self, Limit, Rank, Scope},
+};
+use pinereel_port::headers::Load;
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    rc::Rc,
+    time::Duration,
+};
+use tokio::{
+    sync::{Notify, oneshot},
+    time::{Instant, sleep},
+};
+
+/// Upper bound of the time until waiting scorings are checked again, since nothing notifies them when
+/// load reports become too old.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Minimum time between two log lines with the limit.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Permits for the concurrent scorings of one instance.
+pub(super) struct Permits {
+    clock: Clock,
+    /// Time from which the ages of lots are counted.
+    epoch: Instant,
+    limit: RefCell<Limit>,
+    waiting: RefCell<VecDeque<Waiting>>,
+    /// Notified when a permit may have become free.
+    changed: Notify,
+    /// The limit's inputs of the last scoring.
+    scope: Cell<Scope>,
+    invalid_report_logged: Cell<bool>,
+    logged_at: Cell<Option<Instant>>,
+}
+
+/// A scoring that waits for a permit.
+struct Waiting {
+    lot: CompactString,
+    /// Index of its item in the lot.
+    index: usize,
+    scope: Scope,
+    granted: oneshot::Sender<Permit>,
+}
+
+/// Permit for one scoring, returned when dropped.
+pub(super) struct Permit(Rc<Permits>);
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let permits = &self.0;
+        let (now, scope) = (permits.clock.now(), permits.scope.get());
+        permits.limit.borrow_mut().record_end(now, scope);
+        permits.changed.notify_one();
+    }
+}
+
+impl Permits {
+    /// Returns permits without a limit learned from load reports.
+    pub(super) fn new(clock: Clock) -> Rc<Self> {
+        Rc::new(Self {
+            clock,
+            epoch: Instant::now(),
+            limit: RefCell::default(),
+            waiting: RefCell::default(),
+            changed: Notify::new(),
+            scope: Cell::new(Scope {
+                slots: 0,
+                models: 0,
+            }),
+            invalid_report_logged: Cell::new(false),
+            logged_at: Cell::new(None),
+        })
+    }
+
+    /// Waits for a permit for the scoring of an item. Dropping the future gives up the place.
+    pub(super) async fn acquire(
+        self: &Rc<Self>,
+        lot: &CompactString,
+        index: usize,
+        scope: Scope,
+    ) -> Permit {
+        loop {
+            if self.waiting.borrow().is_empty() && self.has_room(scope) {
+                return self.take(scope);
+            }
+            let (granted, permit) = oneshot::channel();
+            self.waiting.borrow_mut().push_back(Waiting {
+                lot: lot.clone(),
+                index,
+                scope,
+                granted,
+            });
+            self.changed.notify_one();
+            if let Ok(permit) = permit.await {
+                return permit;
+            }
+        }
+    }
+
+    /// Follows the load that an endpoint reported with a response to a scoring.
+    pub(super) fn record_report(&self, load: Load) {
+        let report = scoring::Load {
+            running: load.running,
+            waiting: load.waiting,
+            slots: load.slots,
+        };
+        let has_waiting = !self.waiting.borrow().is_empty();
+        let (now, scope) = (self.clock.now(), self.scope.get());
+        let mut limit = self.limit.borrow_mut();
+        if limit.record_report(now, report, scope, has_waiting) {
+            self.changed.notify_one();
+        } else if !self.invalid_report_logged.replace(true) {
+            log::warn!(load:? = load; "invalid load report of a scoring endpoint ignored");
+        }
+    }
+
+    /// Grants permits to waiting scorings, until dropped.
+    pub(super) async fn serve(self: Rc<Self>, runner: Rc<Runner>) {
+        loop {
+            self.changed.notified().await;
+            self.grant(&runner);
+            while !self.waiting.borrow().is_empty() {
+                tokio::select! {
+                    () = self.changed.notified() => {}
+                    () = sleep(CHECK_INTERVAL) => {}
+                }
+                self.grant(&runner);
+            }
+        }
+    }
+
+    fn grant(self: &Rc<Self>, runner: &Runner) {
+        self.waiting
+            .borrow_mut()
+            .retain(|waiting| !waiting.granted.is_closed());
+        while let Some(waiting) = self.next_to_grant(runner) {
+            // If the scoring was cancelled meanwhile, this drops the permit, which returns it.
+            let _ = waiting.granted.send(self.take(waiting.scope));
+        }
+        self.publish(runner);
+    }
+
+    fn next_to_grant(&self, runner: &Runner) -> Option<Waiting> {
+        let mut waiting = self.waiting.borrow_mut();
+        let ordered = self.limit.borrow().has_reports();
+        let position = if ordered {
+            let items = waiting.iter().map(|w| (&w.lot, w.index));
+            scoring::next(runner.scoring_ranks(items, self.epoch), true)
+        } else {
+            (!waiting.is_empty()).then_some(0)
+        }?;
+        let has_room = self.has_room(waiting[position].scope);
+        has_room.then(|| waiting.remove(position)).flatten()
+    }
+
+    fn has_room(&self, scope: Scope) -> bool {
+        self.limit.borrow().has_room(self.clock.now(), scope)
+    }
+
+    fn take(self: &Rc<Self>, scope: Scope) -> Permit {
+        self.scope.set(scope);
+        self.limit.borrow_mut().record_start(self.clock.now());
+        Permit(Rc::clone(self))
+    }
+
+    /// Updates the metrics, and logs the limit while it follows load reports and scorings wait.
+    fn publish(&self, runner: &Runner) {
+        let limit = self.limit.borrow();
+        let Some(report_age) = limit.report_age(self.clock.now()) else {
+            return;
+        };
+        let current = limit.current(self.clock.now(), self.scope.get());
+        let waiting = self.waiting.borrow().len();
+        let metrics = &runner.deps.metrics;
+        metrics.set_scorings(current, limit.in_flight(), waiting);
+        let is_due = self
+            .logged_at
+            .get()
+            .is_none_or(|at| at.elapsed() >= LOG_INTERVAL);
+        if waiting == 0 || !is_due {
+            return;
+        }
+        self.logged_at.set(Some(Instant::now()));
+        log::info!(
+            limit = current,
+            in_flight = limit.in_flight(),
+            waiting,
+            slots = self.scope.get().slots,
+            load_percent = (limit.utilization().unwrap_or_default() * 100.0) as u64,
+            report_age_ms = report_age.as_millis() as u64;
+            "limit of scorings"
+        );
+    }
+}
+
+impl Runner {
+    /// Number of models with an open lot.
+    pub(super) fn open_models(&self) -> u32 {
+        let state = self.state.borrow();
+        let models: BTreeSet<_> = state.open_lots.values().map(|open| &open.model).collect();
+        u32::try_from(models.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Ranks of the scorings of these items. The items of closed lots come last.
+    fn scoring_ranks<'a>(
+        &self,
+        items: impl Iterator<Item = (&'a CompactString, usize)>,
+        epoch: Instant,
+    ) -> Vec<Rank> {
+        let state = self.state.borrow();
+        let mut satisfied = BTreeMap::new();
+        items
+            .map(|(lot, index)| match state.open_lots.get(lot) {
+                Some(open) => Rank {
+                    step_satisfied: *satisfied
+                        .entry(lot)
+                        .or_insert_with(|| open.lot.will_satisfy_trainer()),
+                    opened_at: Time::ZERO + open.opened_at.saturating_duration_since(epoch),
+                    unfinished_in_group: open.lot.unfinished_in_group(index),
+                },
+                None => Rank {
+                    step_satisfied: true,
+                    opened_at: Time(u64::MAX),
+                    unfinished_in_group: usize::MAX,
+                },
+            })
+            .collect()
+    }
+}
--- a/crates/pinereel/src/hosted/metrics.rs
+++ b/crates/pinereel/src/hosted/metrics.rs
@@ -69,6 +69,7 @@
     /// `acquitted`, `cleared`).
     pub crash_events: IntCounterVec,
     crash_suspects: IntGaugeVec,
+    scorings: IntGaugeVec,
     store_calls: IntCounterVec,
     connections_opened: IntGauge,
     config_number: IntGauge,
@@ -134,6 +135,7 @@
             endpoint_entries: counter_vec(&r, "endpoint_entries_total", "Entries.", &["event"]),
             crash_events: counter_vec(&r, "crashes_total", "Crashes under requests.", &["event"]),
             crash_suspects: gauge_vec(&r, "crash_suspects", "Requests known.", "standing"),
+            scorings: gauge_vec(&r, "scorings", "Scorings by load reports.", "what"),
             store_calls: counter_vec(&r, "store_calls_total", "Calls.", &["purpose", "access"]),
             connections_opened: int_gauge(&r, "endpoint_connections_opened", "Since the start."),
             config_number: int_gauge(&r, "config_number", "Configuration in force."),
@@ -202,6 +204,20 @@
         }
     }
 
+    /// Sets the limit of concurrent scorings that follows load reports, and the numbers of scorings in
+    /// flight and waiting.
+    pub fn set_scorings(&self, limit: u32, in_flight: u32, waiting: usize) {
+        let waiting = i64::try_from(waiting).unwrap_or(i64::MAX);
+        let values = [
+            ("limit", i64::from(limit)),
+            ("in_flight", i64::from(in_flight)),
+            ("waiting", waiting),
+        ];
+        for (what, value) in values {
+            self.scorings.with_label_values(&[what]).set(value);
+        }
+    }
+
     /// Records a duration in a histogram.
     pub fn observe(&self, metric: &HistogramVec, label: &str, duration: Duration) {
         metric
--- a/crates/pinereel/src/hosted/proxy/attempt.rs
+++ b/crates/pinereel/src/hosted/proxy/attempt.rs
@@ -151,6 +151,9 @@
             (self.deps.adapter.headers.decode_response)(response.status, &response.headers);
         if let Some(load) = parsed.load {
             self.deps.endpoints.record_load(selected.key, load);
+            if let Some(observer) = &request.load_observer {
+                observer(load);
+            }
         }
         let foreign = parsed.id.as_ref().is_some_and(|id| *id != request.id);
         if foreign || parsed.content_encoded {
--- a/crates/pinereel/src/hosted/proxy/request.rs
+++ b/crates/pinereel/src/hosted/proxy/request.rs
@@ -7,10 +7,16 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use pinereel_core::crash::{Content, Identity, RequestParts};
-use pinereel_port::{config::Route, headers::Caller};
-use std::{cell::OnceCell, time::Duration};
+use pinereel_port::{
+    config::Route,
+    headers::{Caller, Load},
+};
+use std::{cell::OnceCell, rc::Rc, time::Duration};
 use tokio::time::Instant;
 
+/// Receives the load reports in the responses to one request.
+pub type LoadObserver = Rc<dyn Fn(Load)>;
+
 /// A request to be forwarded to an endpoint: a caller's live request, or the scoring of a sample.
 pub struct ProxyRequest {
     /// Request id.
@@ -37,6 +43,8 @@
     pub prompt: Option<CompactString>,
     /// When the request is answered as timed out.
     pub deadline: Instant,
+    /// Called with the load that an endpoint reports in a response to the request.
+    pub load_observer: Option<LoadObserver>,
     /// Result of [`ProxyRequest::identity`], computed on the first call.
     pub cached_identity: OnceCell<Identity>,
 }
--- a/crates/pinereel/src/hosted/serve.rs
+++ b/crates/pinereel/src/hosted/serve.rs
@@ -217,6 +217,7 @@
             headers: request.headers().clone(),
             body,
             prompt: metadata.prompt_id.clone(),
+            load_observer: None,
             cached_identity: OnceCell::new(),
         };
         match self.proxy.run(proxy_request).await {
--- a/crates/pinereel_fakes/src/hosting/service.rs
+++ b/crates/pinereel_fakes/src/hosting/service.rs
@@ -36,6 +36,10 @@
     pub cut_every: u64,
     /// Delay of every answer.
     pub delay: Duration,
+    /// Every request is answered with status 500 after it ran.
+    pub fail: bool,
+    /// Running requests, waiting requests and slots that every answer reports; `None` for no report.
+    pub reported_load: Option<[u32; 3]>,
 }
 
 /// A running fake endpoint of a plain service.
@@ -156,8 +160,16 @@
     if is_nth(faults.cut_every) {
         body.truncate(length / 2);
     }
-    let mut answer = Response::new(StatusCode::OK).set_body(BoxBody::new(body));
+    let status = match faults.fail {
+        true => StatusCode::INTERNAL_SERVER_ERROR,
+        false => StatusCode::OK,
+    };
+    let mut answer = Response::new(status).set_body(BoxBody::new(body));
     set_header(&mut answer, "x-request-id", &id);
+    if let Some([running, waiting, slots]) = faults.reported_load {
+        let load = format!("{running},{waiting},{slots}");
+        set_header(&mut answer, "x-server-load", &load);
+    }
     if !is_nth(faults.cut_every) {
         set_header(
             &mut answer,
--- /dev/null
+++ b/crates/pinereel_fakes/tests/hosting_scorings.rs
@@ -0,0 +1,151 @@
+//! Scorings end to end: the real binary on the fakes of the platform.
+
+use actix_http::{Method, StatusCode};
+use bytes::Bytes;
+use pinereel_fakes::hosting::{
+    http::call,
+    service::Faults,
+    site::{HOST, Site, Size},
+    trainer::{Shape, Trainer},
+};
+use serde_json::{Value, json};
+use std::{rc::Rc, time::Duration};
+use tokio::time::{Instant, sleep};
+
+const SITE_SIZE: Size = Size {
+    instances: 2,
+    engines: 2,
+    services: 6,
+};
+const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+/// Maximum attempts of the route of scorings.
+const MAX_ATTEMPTS: usize = 4;
+
+async fn send(site: &Site, method: Method, path: &str, body: Bytes) -> (StatusCode, Bytes) {
+    let headers = [
+        ("host", HOST.to_owned()),
+        ("x-request-id", "lot-s".to_owned()),
+        ("x-deadline-ms", "2000".to_owned()),
+        ("x-wait-ms", "200".to_owned()),
+    ];
+    let address = site.instances[0].caller_proxy.address;
+    let answer = call(address, method, path, &headers, body, CALL_TIMEOUT).await;
+    let answer = answer.unwrap();
+    (answer.status, answer.body)
+}
+
+fn set_faults(site: &Site, faults: Faults) {
+    for service in &site.services {
+        service.endpoint.set_faults(faults);
+    }
+}
+
+/// Submits a lot with one item and returns its result once it is listed.
+async fn run_lot(site: &Site) -> Value {
+    let item = json!({
+        "id": "only", "path": "/lots/x", "body": "cHJvbXB0", "tokens": 3, "group": "g",
+        "scorer": {"id": "only.s", "host": HOST, "path": "/score/x", "body": "eA=="},
+    });
+    let body = json!({
+        "step": 0, "model": "model-a", "minVersion": 1, "desiredCount": 1, "items": [item],
+    });
+    let (status, _) = send(site, Method::POST, "/lots/1", body.to_string().into()).await;
+    assert_eq!(status, StatusCode::ACCEPTED);
+    let end = Instant::now() + Duration::from_secs(20);
+    while Instant::now() < end {
+        let (_, body) = send(site, Method::GET, "/v1/lots/lot-s?after=0", Bytes::new()).await;
+        let page: Value = serde_json::from_slice(&body).unwrap();
+        if page["nextToken"] == 1 {
+            return page["results"][0].clone();
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    panic!("the item was not listed within 20 s");
+}
+
+/// A scoring that always fails ran on the square of `max_attempts` endpoints, when each of
+/// `max_attempts` scorings was sent to as many endpoints.
+async fn check_failing_scoring(seed: u64, reported_load: Option<[u32; 3]>) {
+    let site = Site::start(SITE_SIZE, seed).await.unwrap();
+    let faults = Faults {
+        fail: true,
+        reported_load,
+        ..Faults::default()
+    };
+    set_faults(&site, faults);
+    let result = run_lot(&site).await;
+    assert_ne!(result["state"], "completed", "{result}");
+    // Attempts that still run would be recorded by then.
+    sleep(Duration::from_secs(1)).await;
+    let runs = site.recorder.run_count("only.s");
+    assert!((1..=MAX_ATTEMPTS).contains(&runs), "{runs} runs");
+}
+
+#[actix_rt::test]
+async fn a_failing_scoring_runs_on_at_most_max_attempts_endpoints() {
+    check_failing_scoring(171, None).await;
+}
+
+#[actix_rt::test]
+async fn a_failing_scoring_runs_on_at_most_max_attempts_endpoints_beside_free_slots() {
+    check_failing_scoring(172, Some([0, 0, 6])).await;
+}
+
+/// Lines with the limit of scorings of a site whose endpoints report `load` during two steps.
+async fn limit_lines(seed: u64, reported_load: Option<[u32; 3]>) -> Vec<Value> {
+    let site = Site::start(SITE_SIZE, seed).await.unwrap();
+    let faults = Faults {
+        delay: Duration::from_millis(50),
+        reported_load,
+        ..Faults::default()
+    };
+    set_faults(&site, faults);
+    let shape = Shape {
+        groups: 8,
+        group_size: 8,
+        wanted_groups: 7,
+    };
+    let (load_balancer, recorder) = (site.load_balancer(), Rc::clone(&site.recorder));
+    let mut trainer = Trainer::new("s", &load_balancer, &site.store, &recorder, shape, 1);
+    for step in 0..2 {
+        trainer.step(step).await;
+    }
+    assert_eq!((trainer.done, trainer.given_up, trainer.refused), (2, 0, 0));
+    assert_eq!(recorder.violations(), Vec::<String>::new());
+    let lines = site.instances.iter().flat_map(|instance| instance.lines());
+    let lines = lines.filter_map(|line| serde_json::from_str::<Value>(&line).ok());
+    lines
+        .filter(|line| {
+            let message = line["msg"].as_str().unwrap_or_default();
+            message == "limit of scorings" || message.starts_with("invalid load report")
+        })
+        .collect()
+}
+
+/// Beside full endpoints steps must still make progress, with the minimum of concurrent scorings.
+#[actix_rt::test]
+async fn steps_make_progress_while_all_endpoints_report_queues() {
+    let lines = limit_lines(173, Some([6, 12, 6])).await;
+    assert!(!lines.is_empty(), "no limit was logged");
+    let lowest = lines.iter().filter_map(|line| line["limit"].as_u64()).min();
+    assert!(
+        lowest.is_some_and(|limit| (3..18).contains(&limit)),
+        "{lines:?}"
+    );
+}
+
+#[actix_rt::test]
+async fn without_load_reports_no_limit_is_logged() {
+    assert_eq!(limit_lines(174, None).await, Vec::<Value>::new());
+}
+
+/// A report without slots must not stop the scorings.
+#[actix_rt::test]
+async fn invalid_load_reports_are_ignored_with_one_line() {
+    let lines = limit_lines(175, Some([1, 1, 0])).await;
+    assert_eq!(lines.len(), 1, "{lines:?}");
+    assert_eq!(
+        lines[0]["level"].as_str().map(str::to_lowercase).as_deref(),
+        Some("warn")
+    );
+}
