Live requests that cannot be answered in time are rejected unsent, less urgent ones first

Cause: a live request was sent although every endpoint had a queue longer than its caller waits, it ran and was answered as timed out; Retry-After was 300 ms for every load; Workspace::priority was decoded and not used. Ruled out: the average latency as the time that a request runs, since it contains the wait: the wait would count twice. Endpoint::work_time takes the reported queue out. A short Retry-After where an endpoint reports a free slot and yet refused: the refusal has another reason, 300 ms stay. Scorings are exempt: they wait for their slot.

--- a/crates/pinereel/src/hosted/endpoints/mod.rs
+++ b/crates/pinereel/src/hosted/endpoints/mod.rs
@@ -24,6 +24,7 @@
     crash::EndpointStart,
     endpoint::{self, AttemptEnd, Event, Key, ServiceIndex, Set, State},
     hash,
+    overload::{self, Demand, Rejection},
     route::{self, Policy, Priority, Reason, Refusal, Request},
 };
 use pinereel_port::{Adapter, endpoint::Entry, headers::Load};
@@ -303,6 +304,17 @@
             .ok_or(Refusal::NoEndpoint)
     }
 
+    /// Returns the rejection of a live request that cannot be answered in time according to the load
+    /// reports of the service's endpoints.
+    pub fn check_overload(&self, service: &str, demand: Demand) -> Option<Rejection> {
+        overload::check(&self.set.borrow(), service, self.deps.clock.now(), demand)
+    }
+
+    /// Expected time until an endpoint of the service has a free slot; `None` if that is unknown.
+    pub fn retry_after(&self, service: &str) -> Option<Duration> {
+        overload::retry_after(&self.set.borrow(), service, self.deps.clock.now())
+    }
+
     /// The endpoints of a service that may get a suspected request, regardless of their load.
     pub fn open_endpoints(&self, service: &str) -> Vec<(Key, EndpointStart)> {
         let set = self.set.borrow();
--- a/crates/pinereel/src/hosted/lots/score.rs
+++ b/crates/pinereel/src/hosted/lots/score.rs
@@ -84,6 +84,7 @@
         route,
         caller: table.internal_caller(),
         workspace: task.caller.workspace().map(Into::into),
+        priority_level: None,
         method: Method::POST,
         target: scorer.path.clone(),
         headers,
--- a/crates/pinereel/src/hosted/proxy/mod.rs
+++ b/crates/pinereel/src/hosted/proxy/mod.rs
@@ -27,14 +27,18 @@
     crash::RequestStatus,
     endpoint::{AttemptEnd, Key},
     hash,
+    overload::Demand,
     retry::{Attempts, Failure, Limits, Resolution, Step},
+    route::Refusal,
     routing_table,
 };
 use pinereel_port::{
     Adapter,
     config::{Route, RouteKind},
 };
-use request_log::{describe_attempt, log_blocked, log_request, refusal_text, status_class};
+use request_log::{
+    describe_attempt, log_blocked, log_overload, log_request, refusal_text, status_class,
+};
 use std::{cell::Cell, rc::Rc, time::Duration};
 use suspected::{Selection, blocked_outcome};
 use tokio::time::{Instant, sleep_until, timeout_at};
@@ -173,7 +177,7 @@
                 Step::Done(Resolution::ErrorAnswer(answer)) => break Outcome::Answer(answer),
                 Step::Done(Resolution::NotRun) => {
                     let reason = "refused by every endpoint".into();
-                    let retry_after = RETRY_AFTER;
+                    let retry_after = self.retry_after(service);
                     break Outcome::NotRun {
                         reason,
                         retry_after,
@@ -251,6 +255,9 @@
     /// Selects the endpoint for the next attempt of an unrestricted request. An endpoint that is
     /// reserved for an isolated request is used only if no other takes it.
     fn select(&self, state: &RequestState<'_>) -> Selection {
+        if let Some(retry_after) = self.check_overload(state) {
+            return Selection::Unavailable(OVERLOADED, retry_after);
+        }
         let repeatable = state.request.route.kind == RouteKind::Idempotent;
         let choose = |excluded: &[Key]| {
             let endpoints = &self.deps.endpoints;
@@ -262,10 +269,38 @@
             .flatten();
         match unreserved.map_or_else(|| choose(&state.used_endpoints), Ok) {
             Ok(selected) => Selection::Endpoint(selected),
-            Err(refusal) => Selection::Unavailable(refusal_text(refusal), RETRY_AFTER),
+            Err(refusal) => {
+                let wait = (refusal == Refusal::Full).then(|| self.retry_after(state.service));
+                Selection::Unavailable(refusal_text(refusal), wait.unwrap_or(RETRY_AFTER))
+            }
         }
     }
 
+    /// Returns the retry delay of a live request that was not sent yet and cannot be answered in time.
+    fn check_overload(&self, state: &RequestState<'_>) -> Option<Duration> {
+        let RequestState {
+            request, service, ..
+        } = state;
+        let level = request.priority_level?;
+        if !state.used_endpoints.is_empty() {
+            return None;
+        }
+        let demand = Demand {
+            time_left: request.deadline.saturating_duration_since(Instant::now()),
+            objective: request.route.latency_objective,
+            level,
+        };
+        let rejection = self.deps.endpoints.check_overload(service, demand)?;
+        log_overload(request, demand, rejection);
+        Some(rejection.retry_after)
+    }
+
+    /// Delay after which a request that all endpoints refuse should be retried.
+    fn retry_after(&self, service: &str) -> Duration {
+        let known = self.deps.endpoints.retry_after(service);
+        known.unwrap_or(RETRY_AFTER)
+    }
+
     /// Endpoints of a service that are reserved for isolated requests now.
     fn reserved_endpoints(&self, service: &str) -> Vec<Key> {
         let Dependencies {
@@ -385,8 +420,10 @@
     }
 }
 
-/// Delay after which a refused caller should retry: slots become free after the work of a few
-/// requests.
+/// Refusal reason of a request that would wait for a slot longer than its caller does.
+const OVERLOADED: &str = "no slot is free in time";
+/// Delay after which a refused caller should retry if no load reports tell when a slot is free: slots
+/// become free after the work of a few requests.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
 fn retry_limits(route: &Route) -> Limits {
--- a/crates/pinereel/src/hosted/proxy/request.rs
+++ b/crates/pinereel/src/hosted/proxy/request.rs
@@ -31,6 +31,9 @@
     pub caller: Caller,
     /// Workspace that crashes are attributed to, also if it is not sent to the endpoints.
     pub workspace: Option<CompactString>,
+    /// Priority levels below the most urgent live requests; `None` for a scoring, which waits for its
+    /// slot and is never rejected for overload.
+    pub priority_level: Option<u32>,
     /// HTTP method.
     pub method: Method,
     /// Path and query.
--- a/crates/pinereel/src/hosted/proxy/request_log.rs
+++ b/crates/pinereel/src/hosted/proxy/request_log.rs
@@ -2,7 +2,11 @@
 
 use super::{Outcome, ProxyRequest, SelectedEndpoint, attempt::AttemptResult};
 use actix_http::StatusCode;
-use pinereel_core::{crash::RequestStatus, route::Refusal};
+use pinereel_core::{
+    crash::RequestStatus,
+    overload::{Demand, Rejection},
+    route::Refusal,
+};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -75,6 +79,18 @@
     );
 }
 
+/// Logs that a live request was rejected because it would wait too long.
+pub(super) fn log_overload(request: &ProxyRequest, demand: Demand, rejection: Rejection) {
+    log::info!(
+        id = request.id.as_str(),
+        priority_level = demand.level,
+        left_ms = demand.time_left.as_millis() as u64,
+        wait_ms = rejection.expected_wait.as_millis() as u64,
+        report_age_ms = rejection.report_age.as_millis() as u64;
+        "refused: no slot is free in time"
+    );
+}
+
 /// Logs one line for each request: its outcome, its attempts, and the age of the configuration and
 /// endpoint list that it was routed by.
 pub(super) fn log_request(
--- a/crates/pinereel/src/hosted/serve.rs
+++ b/crates/pinereel/src/hosted/serve.rs
@@ -209,6 +209,7 @@
             config_number: table.number(),
             config_age: self.config.age().unwrap_or_default(),
             deadline: deadline(metadata, route.timeout, received_at),
+            priority_level: Some(table.priority_level(&route, &caller)),
             route,
             workspace: caller.workspace().map(Into::into),
             caller,
--- a/crates/pinereel_core/src/endpoint/set.rs
+++ b/crates/pinereel_core/src/endpoint/set.rs
@@ -310,7 +310,7 @@
 
     fn record_success(&mut self, now: Time, key: Key, took: Duration, changes: &mut Vec<Change>) {
         let endpoint = &mut self.arena[key];
-        endpoint.record_latency(took);
+        endpoint.record_latency(now, took);
         endpoint.increase_limit();
         endpoint.failures = 0;
         let State::Ejected { .. } = endpoint.state else {
--- a/crates/pinereel_core/src/endpoint/state.rs
+++ b/crates/pinereel_core/src/endpoint/state.rs
@@ -14,6 +14,8 @@
 const MAX_RECENT_CHANGES: usize = 512;
 /// Age at which a load report no longer counts.
 const REPORT_TTL: Duration = Duration::from_secs(5);
+/// Most queued requests per slot that a report is believed to state; the largest queue in use has four.
+const MAX_QUEUED_SHARE: f64 = 1_000.0;
 /// Duration of slow start.
 const SLOW_START_PERIOD: Duration = Duration::from_secs(10);
 /// Weight at the beginning of slow start.
@@ -90,6 +92,9 @@
     pub ejections: u32,
     /// Moving average of the time to a complete answer, in microseconds; zero before the first one.
     pub latency: f64,
+    /// Moving average of the time that a request runs, without its wait, in microseconds; zero before
+    /// the first answer.
+    pub(super) work: f64,
     pub(super) hash: u64,
     pub(super) slow_start_since: Option<Time>,
     /// Adaptive concurrency limit; `limit()` is the value in force.
@@ -128,6 +133,7 @@
             failures: 0,
             ejections: 0,
             latency: 0.0,
+            work: 0.0,
             slow_start_since,
             limit_decreased_at: None,
             ejected_at: None,
@@ -177,6 +183,28 @@
         f64::from(self.outstanding) + self.other_load(now)
     }
 
+    /// Number of requests that must end before a new one runs, in relation to the slots, according to the
+    /// last report; zero if it shows a free slot or is too old.
+    pub fn queued_share(&self, now: Time) -> f64 {
+        let report = self
+            .report
+            .filter(|report| now.since(report.at) < REPORT_TTL);
+        let Some(report) = report else {
+            return 0.0;
+        };
+        if report.waiting == 0 && report.running < self.slots {
+            return 0.0;
+        }
+        let queued = f64::from(report.waiting) + 1.0;
+        (queued / f64::from(self.slots)).min(MAX_QUEUED_SHARE)
+    }
+
+    /// Average time that a request runs at the endpoint, without its wait; `None` before the first
+    /// answer.
+    pub fn work_time(&self) -> Option<Duration> {
+        (self.work > 0.0).then(|| Duration::from_secs_f64(self.work / 1e6))
+    }
+
     /// Fraction of its usual load that the endpoint should get: 1, or less during slow start.
     pub fn slow_start_weight(&self, now: Time) -> f64 {
         let Some(since) = self.slow_start_since else {
@@ -199,8 +227,15 @@
         self.record_recent(now, -1);
     }
 
-    pub(super) fn record_latency(&mut self, took: Duration) {
+    pub(super) fn record_latency(&mut self, now: Time, took: Duration) {
         let took = took.as_micros() as f64;
+        // The queue reported with the answer is about as long as the one that the request waited in.
+        let work = took / (1.0 + self.queued_share(now));
+        if self.work == 0.0 {
+            self.work = work;
+        } else {
+            self.work += LATENCY_EWMA_WEIGHT * (work - self.work);
+        }
         if self.latency == 0.0 {
             self.latency = took;
         } else {
--- a/crates/pinereel_core/src/lib.rs
+++ b/crates/pinereel_core/src/lib.rs
@@ -8,7 +8,7 @@
 //!
 //! Both commands of the daemon use `crash`, `endpoint`, `lease`, `rollout` and `route`. The modules
 //! `admit`, `budget`, `claim`, `config`, `cursor`, `drain`, `lot`, `member` and `provenance` serve
-//! `pinereel entry` alone; `batch`, `retry`, `routing_table`, `scale`, `scoring`, `tree` and `usage` serve
+//! `pinereel entry` alone; `batch`, `overload`, `retry`, `routing_table`, `scale`, `scoring`, `tree` and `usage` serve
 //! `pinereel hosted` alone.
 //!
 //! The main types:
@@ -43,6 +43,7 @@
 pub mod lot;
 pub mod member;
 pub mod outcome;
+pub mod overload;
 pub mod provenance;
 pub mod retry;
 pub mod rollout;
--- a/crates/pinereel_core/src/routing_table.rs
+++ b/crates/pinereel_core/src/routing_table.rs
@@ -5,7 +5,7 @@
 use compact_str::CompactString;
 use pinereel_port::{
     KeyDigest,
-    config::{Document, Route, Service},
+    config::{Document, Route, RouteKind, Service},
     headers::Caller,
 };
 use std::collections::BTreeMap;
@@ -16,6 +16,10 @@
     document: Document,
     /// The workspace of each API key; `None` if the configuration has no workspaces.
     workspace_by_key: Option<BTreeMap<KeyDigest, CompactString>>,
+    /// Priority of each workspace that has one.
+    priority_by_workspace: BTreeMap<CompactString, u32>,
+    /// The most urgent priority that a live request can have.
+    most_urgent_priority: u32,
 }
 
 /// Why a request to a route that is not public is refused.
@@ -43,9 +47,21 @@
             });
             keys.collect()
         });
+        let workspaces = document.workspaces.iter().flatten();
+        let priority_by_workspace: BTreeMap<_, _> = workspaces
+            .filter_map(|workspace| Some((workspace.name.clone(), workspace.priority?)))
+            .collect();
+        let live_routes = document.routes.iter().filter(|r| r.kind != RouteKind::Lot);
+        let priorities = live_routes.map(|route| route.priority);
+        let most_urgent_priority = priorities
+            .chain(priority_by_workspace.values().copied())
+            .min()
+            .unwrap_or_default();
         Self {
             document,
             workspace_by_key,
+            priority_by_workspace,
+            most_urgent_priority,
         }
     }
 
@@ -78,6 +94,15 @@
         }
     }
 
+    /// Number of priority levels by which a live request is less urgent than the most urgent one that the
+    /// configuration admits. The priority of its workspace takes precedence over that of its route.
+    pub fn priority_level(&self, route: &Route, caller: &Caller) -> u32 {
+        let workspace = caller.workspace();
+        let own = workspace.and_then(|name| self.priority_by_workspace.get(name));
+        let priority = own.copied().unwrap_or(route.priority);
+        priority.saturating_sub(self.most_urgent_priority)
+    }
+
     /// Version number of the configuration.
     pub const fn number(&self) -> u64 {
         self.document.version
--- a/crates/pinereel_core/tests/routing_table_access.rs
+++ b/crates/pinereel_core/tests/routing_table_access.rs
@@ -7,7 +7,7 @@
 use pinereel_core::routing_table::{AccessError, RoutingTable};
 use pinereel_port::{
     KeyDigest,
-    config::{Document, Limits, Workspace},
+    config::{Document, Limits, Route, RouteKind, Workspace},
     headers::Caller,
 };
 use std::time::Duration;
@@ -79,3 +79,48 @@
     assert_eq!(with_key, Ok(Caller::PassThrough));
     assert_eq!(table.internal_caller(), Caller::PassThrough);
 }
+
+/// Guards against a priority of a workspace that is decoded but not used.
+#[test]
+fn the_priority_of_a_workspace_takes_precedence_over_that_of_the_route() {
+    let mut workspaces = vec![
+        workspace("urgent", &[]),
+        workspace("late", &[]),
+        workspace("none", &[]),
+    ];
+    workspaces[0].priority = Some(1);
+    workspaces[1].priority = Some(4);
+    let route = Route {
+        name: "r".into(),
+        host: "h".into(),
+        path_prefix: "/".into(),
+        kind: RouteKind::Idempotent,
+        targets: Vec::new(),
+        timeout: Duration::from_secs(1),
+        latency_objective: Duration::from_millis(100),
+        priority: 2,
+        max_attempts: 1,
+        item_ttl: None,
+        single_version: false,
+        public: false,
+    };
+    let lots = Route {
+        kind: RouteKind::Lot,
+        priority: 0,
+        ..route.clone()
+    };
+    let mut document = table(Some(workspaces)).document().clone();
+    document.routes = vec![route.clone(), lots];
+    let with_workspaces = RoutingTable::new(document.clone());
+    let level =
+        |name: &str| with_workspaces.priority_level(&route, &Caller::Workspace(name.into()));
+    assert_eq!((level("urgent"), level("none"), level("late")), (0, 1, 3));
+    assert_eq!(
+        with_workspaces.priority_level(&route, &Caller::Anonymous),
+        1
+    );
+    // Without workspaces, all requests of one route are equally urgent.
+    document.workspaces = None;
+    let without = RoutingTable::new(document);
+    assert_eq!(without.priority_level(&route, &Caller::PassThrough), 0);
+}
--- a/crates/pinereel_core/tests/scoring_limit.rs
+++ b/crates/pinereel_core/tests/scoring_limit.rs
@@ -247,7 +247,11 @@
                 };
                 set.step(Time::ZERO, Event::Listed(listing));
             }
-            let number_of = |name: &str| name[1..].parse().unwrap();
+            let number_of = |name: &str| {
+                name[1..]
+                    .parse()
+                    .expect("a number follows the first letter")
+            };
             let keys = set.iter().map(|(key, e)| (key, number_of(&e.name)));
             Client {
                 keys: keys.collect(),
@@ -391,7 +395,7 @@
         let Ok(choice) = choice else {
             return;
         };
-        let call = self.calls.get_mut(&id).unwrap();
+        let call = self.calls.get_mut(&id).expect("calls are kept");
         call.used.push(choice.key);
         let client = &mut self.clients[call.client];
         let event = Event::Started {
@@ -444,7 +448,11 @@
         let call = &self.calls[&id];
         let (client_number, is_live, sent_at) = (call.client, call.is_live, call.sent_at);
         let client = &mut self.clients[client_number];
-        let (key, _) = client.keys.iter().find(|(_, at)| **at == number).unwrap();
+        let (key, _) = client
+            .keys
+            .iter()
+            .find(|(_, at)| **at == number)
+            .expect("all are listed");
         let key = *key;
         if end != AttemptEnd::Cancelled && self.now < self.reports_until {
             let report = LoadReport {
@@ -485,7 +493,7 @@
         self.endpoints[number].running -= 1;
         self.start_queued(number);
         self.end_attempt(id, number, AttemptEnd::Completed);
-        let call = self.calls.get_mut(&id).unwrap();
+        let call = self.calls.get_mut(&id).expect("calls are kept");
         if std::mem::replace(&mut call.is_done, true) {
             return;
         }
@@ -516,7 +524,7 @@
             outcome.live_percentile(90),
             outcome.live_percentile(99),
             outcome.mean_step(),
-            outcome.steps.iter().max().unwrap(),
+            outcome.steps.iter().max().expect("steps are complete"),
             outcome.max_waiting
         );
     }
--- a/crates/pinereel_fakes/tests/hosting_scorings.rs
+++ b/crates/pinereel_fakes/tests/hosting_scorings.rs
@@ -30,7 +30,7 @@
     ];
     let address = site.instances[0].caller_proxy.address;
     let answer = call(address, method, path, &headers, body, CALL_TIMEOUT).await;
-    let answer = answer.unwrap();
+    let answer = answer.expect("an answer");
     (answer.status, answer.body)
 }
 
@@ -54,7 +54,7 @@
     let end = Instant::now() + Duration::from_secs(20);
     while Instant::now() < end {
         let (_, body) = send(site, Method::GET, "/v1/lots/lot-s?after=0", Bytes::new()).await;
-        let page: Value = serde_json::from_slice(&body).unwrap();
+        let page: Value = serde_json::from_slice(&body).expect("a page");
         if page["nextToken"] == 1 {
             return page["results"][0].clone();
         }
@@ -66,7 +66,7 @@
 /// A scoring that always fails ran on the square of `max_attempts` endpoints, when each of
 /// `max_attempts` scorings was sent to as many endpoints.
 async fn check_failing_scoring(seed: u64, reported_load: Option<[u32; 3]>) {
-    let site = Site::start(SITE_SIZE, seed).await.unwrap();
+    let site = Site::start(SITE_SIZE, seed).await.expect("a site");
     let faults = Faults {
         fail: true,
         reported_load,
@@ -93,7 +93,7 @@
 
 /// Lines with the limit of scorings of a site whose endpoints report `load` during two steps.
 async fn limit_lines(seed: u64, reported_load: Option<[u32; 3]>) -> Vec<Value> {
-    let site = Site::start(SITE_SIZE, seed).await.unwrap();
+    let site = Site::start(SITE_SIZE, seed).await.expect("a site");
     let faults = Faults {
         delay: Duration::from_millis(50),
         reported_load,
@@ -149,3 +149,105 @@
         Some("warn")
     );
 }
+
+/// Registered slots of an endpoint, all running, and a queue of five requests per slot.
+const FULL: Option<[u32; 3]> = Some([6, 30, 6]);
+
+/// A site with one endpoint that answers after 308 ms and reports `reported_load`, and that has
+/// answered a request of each kind.
+async fn slow_site(seed: u64, workspaces: Option<Value>, load: Option<[u32; 3]>) -> Site {
+    let size = Size {
+        instances: 1,
+        engines: 1,
+        services: 1,
+    };
+    let mut site = Site::start(size, seed).await.expect("a site");
+    let faults = Faults {
+        delay: Duration::from_millis(300),
+        reported_load: load,
+        ..Faults::default()
+    };
+    set_faults(&site, faults);
+    if workspaces.is_some() {
+        site.workspaces = workspaces;
+        site.configure("plain", Duration::from_secs(2));
+        sleep(Duration::from_millis(500)).await;
+    }
+    site
+}
+
+/// Sends a live request; returns its status, its `Retry-After` in seconds, and the time to the answer.
+async fn live(site: &Site, id: &str, key: &str, deadline_ms: u64) -> (StatusCode, f64, Duration) {
+    let headers = [
+        ("host", HOST.to_owned()),
+        ("x-request-id", id.to_owned()),
+        ("x-deadline-ms", deadline_ms.to_string()),
+        ("authorization", format!("Bearer {key}")),
+    ];
+    let (address, started) = (site.instances[0].caller_proxy.address, Instant::now());
+    let body = Bytes::from_static(b"x");
+    let answer = call(
+        address,
+        Method::POST,
+        "/live/x",
+        &headers,
+        body,
+        CALL_TIMEOUT,
+    )
+    .await;
+    let answer = answer.expect("an answer");
+    let retry_after = answer.header("retry-after").unwrap_or_default().parse();
+    (
+        answer.status,
+        retry_after.unwrap_or_default(),
+        started.elapsed(),
+    )
+}
+
+/// Such requests were sent, ran at the endpoint and were answered as timed out.
+#[actix_rt::test]
+async fn a_live_request_that_cannot_be_answered_in_time_is_rejected_unsent() {
+    let site = slow_site(176, None, FULL).await;
+    let (status, ..) = live(&site, "first", "", 2_000).await;
+    assert_eq!(status, StatusCode::OK);
+    let (status, retry_after, took) = live(&site, "hasty", "", 150).await;
+    let lines = site.instances[0].lines().join("\n");
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{lines}");
+    // 31 requests are ahead on 6 slots; the answers took 308 ms including that wait.
+    assert!((0.15..0.3).contains(&retry_after), "{retry_after}");
+    assert!(took < Duration::from_millis(100), "{took:?}");
+    assert_eq!(site.recorder.run_count("hasty"), 0);
+    let (status, ..) = live(&site, "patient", "", 2_000).await;
+    assert_eq!(status, StatusCode::OK);
+    assert!(lines.contains("refused: no slot is free in time"));
+}
+
+#[actix_rt::test]
+async fn without_load_reports_no_live_request_is_rejected() {
+    let site = slow_site(177, None, None).await;
+    let (status, ..) = live(&site, "first", "", 2_000).await;
+    assert_eq!(status, StatusCode::OK);
+    let (status, ..) = live(&site, "hasty", "", 150).await;
+    // The timeouts of the request and of its attempt end at the same time; either may be first.
+    let unknown = [StatusCode::GATEWAY_TIMEOUT, StatusCode::BAD_GATEWAY];
+    assert!(unknown.contains(&status), "{status}");
+    assert_eq!(site.recorder.run_count("hasty"), 1);
+}
+
+/// The priority of a workspace was decoded and not used.
+#[actix_rt::test]
+async fn the_less_urgent_workspace_is_rejected_first() {
+    let workspaces = json!([
+        {"name": "urgent", "apiKeys": ["key-u"], "priority": 0},
+        {"name": "later", "apiKeys": ["key-l"], "priority": 3},
+    ]);
+    let site = slow_site(178, Some(workspaces), FULL).await;
+    let (status, ..) = live(&site, "first", "key-u", 2_000).await;
+    assert_eq!(status, StatusCode::OK);
+    let (status, ..) = live(&site, "later", "key-l", 900).await;
+    let lines = site.instances[0].lines().join("\n");
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{lines}");
+    let (status, ..) = live(&site, "urgent", "key-u", 900).await;
+    assert_eq!(status, StatusCode::OK);
+    assert_eq!(site.recorder.run_count("later"), 0);
+}
