Attempts of a failing scoring run together beside free slots

Cause: a scoring that fails with status 500 at every endpoint took four attempts of 0.33 s one after the other, and its group was listed 1.3 s later; one scoring in a hundred is such. Ruled out: attempts together without reports or beside queues, where they would add to the load; for requests under which endpoints have crashed, which run at one endpoint at a time. Change: Attempts::retry_in_parallel after the first 500, if recent reports show a utilization below the target; at most max_attempts run as before. The line test waits for its log line, which came after the answer in one of six runs of the program. The fakes' scoring route may have another objective. Conclusion: steps with a failing scoring are complete sooner, and no more than max_attempts endpoints run it.

--- a/crates/pinereel/src/hosted/lots/score.rs
+++ b/crates/pinereel/src/hosted/lots/score.rs
@@ -1,7 +1,7 @@
 //! Scoring of complete outputs, by a request to the scoring service.
 
 use super::{runner::Runner, state::ItemTask};
-use crate::hosted::proxy::{Outcome, ProxyRequest};
+use crate::hosted::proxy::{LoadObserver, Outcome, ProxyRequest};
 use actix_http::{
     Method, StatusCode,
     header::{HOST, HeaderMap, HeaderValue},
@@ -73,7 +73,10 @@
     let table = runner.deps.config.table()?;
     let path = scorer.path.split('?').next().unwrap_or_default();
     let route = table.route_for(&scorer.host, path)?.clone();
-    let permits = Rc::clone(&runner.scoring_permits);
+    let (recording, deciding) = (
+        Rc::clone(&runner.scoring_permits),
+        Rc::clone(&runner.scoring_permits),
+    );
     let mut headers = HeaderMap::new();
     headers.insert(HOST, HeaderValue::from_str(&scorer.host).ok()?);
     Some(ProxyRequest {
@@ -90,7 +93,10 @@
         headers,
         body: scorer.body.clone(),
         prompt: None,
-        load_observer: Some(Rc::new(move |load| permits.record_report(load))),
+        load_observer: Some(LoadObserver {
+            record: Box::new(move |load| recording.record_report(load)),
+            has_spare_slots: Box::new(move || deciding.has_spare_slots()),
+        }),
         cached_identity: OnceCell::new(),
     })
 }
--- a/crates/pinereel/src/hosted/lots/scoring_permits.rs
+++ b/crates/pinereel/src/hosted/lots/scoring_permits.rs
@@ -121,6 +121,11 @@
         }
     }
 
+    /// Whether recent reports show free slots beyond the reserve for live requests.
+    pub(super) fn has_spare_slots(&self) -> bool {
+        self.limit.borrow().has_spare_slots(self.clock.now())
+    }
+
     /// Grants permits to waiting scorings, until dropped.
     pub(super) async fn serve(self: Rc<Self>, runner: Rc<Runner>) {
         loop {
--- a/crates/pinereel/src/hosted/proxy/attempt.rs
+++ b/crates/pinereel/src/hosted/proxy/attempt.rs
@@ -152,7 +152,7 @@
         if let Some(load) = parsed.load {
             self.deps.endpoints.record_load(selected.key, load);
             if let Some(observer) = &request.load_observer {
-                observer(load);
+                (observer.record)(load);
             }
         }
         let foreign = parsed.id.as_ref().is_some_and(|id| *id != request.id);
--- a/crates/pinereel/src/hosted/proxy/mod.rs
+++ b/crates/pinereel/src/hosted/proxy/mod.rs
@@ -11,7 +11,7 @@
 mod request_log;
 mod suspected;
 
-pub use request::{Answer, Outcome, ProxyRequest};
+pub use request::{Answer, LoadObserver, Outcome, ProxyRequest};
 
 use super::{
     crashes::CrashTracker,
@@ -159,7 +159,13 @@
                                 Ok(answer) if state.attempts.accept(answer.status.as_u16()) => {
                                     break Outcome::Answer(answer);
                                 }
-                                Ok(answer) => state.attempts.keep_error_answer(answer),
+                                Ok(answer) => {
+                                    state.attempts.keep_error_answer(answer);
+                                    let observer = request.load_observer.as_ref();
+                                    if observer.is_some_and(|o| (o.has_spare_slots)()) {
+                                        state.attempts.retry_in_parallel();
+                                    }
+                                }
                                 Err(failure) => state.attempts.record_failure(failure),
                             }
                         }
--- a/crates/pinereel/src/hosted/proxy/request.rs
+++ b/crates/pinereel/src/hosted/proxy/request.rs
@@ -11,11 +11,17 @@
     config::Route,
     headers::{Caller, Load},
 };
-use std::{cell::OnceCell, rc::Rc, time::Duration};
+use std::{cell::OnceCell, time::Duration};
 use tokio::time::Instant;
 
-/// Receives the load reports in the responses to one request.
-pub type LoadObserver = Rc<dyn Fn(Load)>;
+/// Receives the load reports in the responses to a scoring, and decides by them.
+pub struct LoadObserver {
+    /// Called with the load that an endpoint reports.
+    pub record: Box<dyn Fn(Load)>,
+    /// Whether recent reports show free slots, so that the attempts after an answer with status 500 may
+    /// run at the same time.
+    pub has_spare_slots: Box<dyn Fn() -> bool>,
+}
 
 /// A request to be forwarded to an endpoint: a caller's live request, or the scoring of a sample.
 pub struct ProxyRequest {
@@ -46,7 +52,7 @@
     pub prompt: Option<CompactString>,
     /// When the request is answered as timed out.
     pub deadline: Instant,
-    /// Called with the load that an endpoint reports in a response to the request.
+    /// Receives the load reports in the responses to a scoring.
     pub load_observer: Option<LoadObserver>,
     /// Result of [`ProxyRequest::identity`], computed on the first call.
     pub cached_identity: OnceCell<Identity>,
--- a/crates/pinereel_core/src/retry.rs
+++ b/crates/pinereel_core/src/retry.rs
@@ -108,6 +108,8 @@
     exhausted: bool,
     /// Whether the request runs at one endpoint at a time.
     hedging_disabled: bool,
+    /// Whether further attempts start at the same time.
+    parallel: bool,
     error_answer: Option<A>,
 }
 
@@ -123,6 +125,7 @@
             sent_at: Duration::ZERO,
             exhausted: false,
             hedging_disabled: false,
+            parallel: false,
             error_answer: None,
         }
     }
@@ -138,6 +141,9 @@
         if !self.limits.repeatable || self.hedging_disabled || !self.may_send() {
             return Step::Wait(None);
         }
+        if self.parallel {
+            return Step::Send;
+        }
         let hedge_at = self.sent_at + self.limits.objective.mul_f64(HEDGE_FRACTION);
         if elapsed >= hedge_at {
             return Step::Send;
@@ -180,6 +186,14 @@
         self.hedging_disabled = true;
     }
 
+    /// Starts the attempts that are left at the same time instead of one after the other; at most
+    /// `max_attempts` run in any case. Has an effect only on a repeatable request that an endpoint has
+    /// answered with status 500. Such a request often fails at every endpoint, so that its attempts
+    /// take `max_attempts` times as long one after the other.
+    pub const fn retry_in_parallel(&mut self) {
+        self.parallel = self.internal_errors > 0;
+    }
+
     /// Whether an attempt may have run or may be running.
     pub const fn may_have_run(&self) -> bool {
         self.in_flight + self.failures > 0
--- a/crates/pinereel_core/tests/retry_attempts.rs
+++ b/crates/pinereel_core/tests/retry_attempts.rs
@@ -128,3 +128,50 @@
         }
     }
 }
+
+/// Attempts of a request that fails at every endpoint took four times as long one after the other.
+#[test]
+fn after_an_internal_error_the_attempts_left_may_start_together() {
+    let mut request = attempts(true, 4);
+    assert_eq!(request.next_step(ms(0)), Step::Send);
+    request.record_send(ms(0));
+    request.retry_in_parallel();
+    assert_eq!(
+        request.next_step(ms(10)),
+        Step::Wait(Some(ms(75))),
+        "not before an error"
+    );
+    assert!(!request.accept(500));
+    request.retry_in_parallel();
+    for _ in 0..3 {
+        assert_eq!(request.next_step(ms(70)), Step::Send);
+        request.record_send(ms(70));
+    }
+    assert_eq!(
+        request.next_step(ms(500)),
+        Step::Wait(None),
+        "no fifth attempt"
+    );
+    assert!(!request.accept(500));
+    assert!(!request.accept(500));
+    assert_eq!(request.next_step(ms(500)), Step::Wait(None));
+    assert!(request.accept(500), "the last error is the answer");
+    assert_eq!(request.internal_errors(), 4);
+}
+
+/// A request under which endpoints have crashed, or that must not run twice, is never sent twice at
+/// the same time.
+#[test]
+fn restricted_requests_are_not_retried_in_parallel() {
+    let mut once = attempts(false, 4);
+    once.record_send(ms(0));
+    assert!(once.accept(500));
+    let mut suspected = attempts(true, 4);
+    suspected.disable_hedging();
+    suspected.record_send(ms(0));
+    assert!(!suspected.accept(500));
+    suspected.retry_in_parallel();
+    assert_eq!(suspected.next_step(ms(10)), Step::Send);
+    suspected.record_send(ms(10));
+    assert_eq!(suspected.next_step(ms(20)), Step::Wait(None));
+}
--- a/crates/pinereel_core/tests/scoring_order.rs
+++ b/crates/pinereel_core/tests/scoring_order.rs
@@ -20,10 +20,12 @@
 const GROUPS: usize = 10;
 const GROUP_SIZE: usize = 16;
 const REQUIRED_GROUPS: usize = 9;
-/// Concurrent scorings of the runner.
-const PERMITS: usize = 10;
 /// Time of a scoring in ms.
 const SCORING_TIME: u64 = 200;
+/// Time in ms of one attempt of a scoring that fails at every endpoint.
+const FAILING_ATTEMPT_TIME: u64 = 330;
+/// One scoring in this many fails at every endpoint.
+const FAILING_ONE_IN: u32 = 100;
 /// Time from one step to the next, in ms.
 const STEP_INTERVAL: u64 = 2_000;
 const STEPS: usize = 3;
@@ -99,9 +101,19 @@
     assert_eq!(lot.unfinished_in_group(GROUP_SIZE), GROUP_SIZE);
 }
 
+/// What a simulation depends on.
+#[derive(Clone, Copy)]
+struct Case {
+    ordered: bool,
+    /// Concurrent scorings of the runner.
+    permits: usize,
+    /// Time in ms of a scoring that fails at every endpoint.
+    failing_time: u64,
+}
+
 /// Time in ms from the opening of each lot until its trainer has the groups that it waits for. The
 /// texts of a lot are complete at random times within a step interval.
-fn step_times(ordered: bool, seed: u64) -> Vec<u64> {
+fn step_times(case: Case, seed: u64) -> Vec<u64> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut lots: Vec<_> = (0..STEPS).map(|_| lot()).collect();
     let mut times = vec![None; STEPS];
@@ -113,7 +125,7 @@
             events.push(Reverse((at, false, step, item)));
         }
     }
-    let (mut waiting, mut free): (Vec<(usize, usize)>, _) = (Vec::new(), PERMITS);
+    let (mut waiting, mut free): (Vec<(usize, usize)>, _) = (Vec::new(), case.permits);
     while let Some(Reverse((now, is_end, step, item))) = events.pop() {
         if is_end {
             free += 1;
@@ -131,12 +143,19 @@
                 opened_at: Time::from_millis(*step as u64 * STEP_INTERVAL),
                 unfinished_in_group: lots[*step].unfinished_in_group(*item),
             });
-            let Some(position) = scoring::next(ranks, ordered) else {
+            let Some(position) = scoring::next(ranks, case.ordered) else {
                 break;
             };
             let (step, item) = waiting.remove(position);
             free -= 1;
-            events.push(Reverse((now + SCORING_TIME, true, step, item)));
+            let mut chance = ChaCha8Rng::seed_from_u64(seed ^ ((step * 1_000 + item) as u64) << 8);
+            let fails = chance.random_ratio(1, FAILING_ONE_IN);
+            let took = if fails {
+                case.failing_time
+            } else {
+                SCORING_TIME
+            };
+            events.push(Reverse((now + took, true, step, item)));
         }
     }
     times.into_iter().map(Option::unwrap).collect()
@@ -145,11 +164,44 @@
 /// Two steps of a trainer overlap, and more scorings are ready than may run.
 #[test]
 fn steps_are_complete_sooner_than_first_in_first_out() {
+    let case = |ordered| Case {
+        ordered,
+        permits: 10,
+        failing_time: SCORING_TIME,
+    };
     for seed in 1..=5 {
-        let (former, new) = (step_times(false, seed), step_times(true, seed));
+        let (former, new) = (step_times(case(false), seed), step_times(case(true), seed));
         println!("seed {seed}: first in, first out {former:?} ms, ordered {new:?} ms");
         for (former, new) in former.iter().zip(&new) {
             assert!(new < former, "seed {seed}: {former} ms, {new} ms");
         }
     }
 }
+
+/// A scoring that fails at four endpoints one after the other delays its group by 1.3 s. With the
+/// attempts after the first one at the same time, it takes two attempts. There are more permits than
+/// scorings here, because attempts run together only while endpoints report free slots.
+#[test]
+fn steps_are_complete_sooner_if_the_attempts_of_failing_scorings_run_together() {
+    let case = |failing_time| Case {
+        ordered: true,
+        permits: 60,
+        failing_time,
+    };
+    let mut sums = (0, 0);
+    for seed in 1..=10 {
+        let former = step_times(case(4 * FAILING_ATTEMPT_TIME), seed);
+        let new = step_times(case(2 * FAILING_ATTEMPT_TIME), seed);
+        for (former, new) in former.iter().zip(&new) {
+            assert!(new <= former, "seed {seed}: {former} ms, {new} ms");
+            sums = (sums.0 + former, sums.1 + new);
+        }
+    }
+    let steps = 10 * STEPS as u64;
+    println!(
+        "mean step {} ms, together {} ms",
+        sums.0 / steps,
+        sums.1 / steps
+    );
+    assert!(sums.1 < sums.0);
+}
--- a/crates/pinereel_fakes/src/hosting/site.rs
+++ b/crates/pinereel_fakes/src/hosting/site.rs
@@ -84,6 +84,8 @@
     /// Workspaces with their API keys, in the format of the configuration. Without any, requests
     /// need no key.
     pub workspaces: Option<Value>,
+    /// Latency objective of scorings, from the next configuration on.
+    pub scoring_objective: Duration,
     /// Folder of the settings files.
     folder: PathBuf,
     /// Last number used in the id of an endpoint or the name of an instance.
@@ -109,6 +111,7 @@
             instances: Vec::new(),
             config_version: 0,
             workspaces: None,
+            scoring_objective: Duration::from_millis(150),
             folder,
             last_number: 0,
         };
@@ -177,6 +180,7 @@
             "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 1_048_576,
                        "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000},
         });
+        document["routes"][2]["targetLatencyMs"] = json!(self.scoring_objective.as_millis() as u64);
         if let Some(workspaces) = &self.workspaces {
             document["tenants"] = workspaces.clone();
             document["routes"][2]["public"] = json!(true);
--- a/crates/pinereel_fakes/tests/hosting_scorings.rs
+++ b/crates/pinereel_fakes/tests/hosting_scorings.rs
@@ -91,6 +91,52 @@
     check_failing_scoring(172, Some([0, 0, 6])).await;
 }
 
+/// Time of a scoring that fails at every endpoint after 338 ms, as logged, and the time from the
+/// submission of its lot until its item is listed.
+async fn failing_scoring_times(seed: u64, reported_load: Option<[u32; 3]>) -> (Duration, Duration) {
+    let mut site = Site::start(SITE_SIZE, seed).await.expect("a site");
+    // No attempt is hedged, which would be at half of the objective.
+    site.scoring_objective = Duration::from_millis(800);
+    site.configure("plain", Duration::from_secs(2));
+    sleep(Duration::from_millis(500)).await;
+    let faults = Faults {
+        delay: Duration::from_millis(330),
+        fail: true,
+        reported_load,
+        ..Faults::default()
+    };
+    set_faults(&site, faults);
+    let started = Instant::now();
+    let result = run_lot(&site).await;
+    let step = started.elapsed();
+    assert_ne!(result["state"], "completed", "{result}");
+    sleep(Duration::from_secs(1)).await;
+    let runs = site.recorder.run_count("only.s");
+    assert!((1..=MAX_ATTEMPTS).contains(&runs), "{runs} runs");
+    let lines = site.instances.iter().flat_map(|instance| instance.lines());
+    let lines = lines.filter_map(|line| serde_json::from_str::<Value>(&line).ok());
+    let requests = lines.filter(|line| line["msg"] == "request" && line["id"] == "only.s");
+    let millis = requests.filter_map(|line| line["ms"].as_u64()).sum();
+    (Duration::from_millis(millis), step)
+}
+
+/// One after the other, the attempts of a scoring that fails at every endpoint delay its step by 1.35 s.
+/// Beside queues, attempts that start together would add to the load. The times of steps are printed
+/// only, since they depend on when the trainer reads; `scoring_order` checks them in virtual time.
+#[actix_rt::test]
+async fn beside_free_slots_the_attempts_of_a_failing_scoring_run_together() {
+    let former = failing_scoring_times(179, None).await;
+    let new = failing_scoring_times(180, Some([0, 0, 6])).await;
+    let beside_queues = failing_scoring_times(181, Some([6, 9, 6])).await;
+    println!(
+        "scoring and step: {former:?}, beside free slots {new:?}, beside queues {beside_queues:?}"
+    );
+    let sequential = Duration::from_millis(1_300);
+    assert!(former.0 >= sequential, "{former:?}");
+    assert!(beside_queues.0 >= sequential, "{beside_queues:?}");
+    assert!(new.0 * 3 < former.0 * 2, "{new:?} {former:?}");
+}
+
 /// Lines with the limit of scorings of a site whose endpoints report `load` during two steps.
 async fn limit_lines(seed: u64, reported_load: Option<[u32; 3]>) -> Vec<Value> {
     let site = Site::start(SITE_SIZE, seed).await.expect("a site");
@@ -204,6 +250,20 @@
     )
 }
 
+/// Waits until the first instance has logged a line with `text`. Lines arrive after the answers that
+/// they are about.
+async fn wait_for_line(site: &Site, text: &str) {
+    let end = Instant::now() + Duration::from_secs(5);
+    while !site.instances[0]
+        .lines()
+        .iter()
+        .any(|line| line.contains(text))
+    {
+        assert!(Instant::now() < end, "no line with {text:?}");
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
 /// Such requests were sent, ran at the endpoint and were answered as timed out.
 #[actix_rt::test]
 async fn a_live_request_that_cannot_be_answered_in_time_is_rejected_unsent() {
@@ -219,7 +279,7 @@
     assert_eq!(site.recorder.run_count("hasty"), 0);
     let (status, ..) = live(&site, "patient", "", 2_000).await;
     assert_eq!(status, StatusCode::OK);
-    assert!(lines.contains("refused: no slot is free in time"));
+    wait_for_line(&site, "refused: no slot is free in time").await;
 }
 
 #[actix_rt::test]
