Waiting scorings are ranked once for each permit

Cause: each load report, up to 450 a second, ranked all waiting scorings, also without a free permit. Change: the limit is checked first.

--- a/crates/pinereel/src/hosted/lots/scoring_permits.rs
+++ b/crates/pinereel/src/hosted/lots/scoring_permits.rs
@@ -154,15 +154,18 @@
 
     fn next_to_grant(&self, runner: &Runner) -> Option<Waiting> {
         let mut waiting = self.waiting.borrow_mut();
-        let ordered = self.limit.borrow().has_reports();
-        let position = if ordered {
+        // Checked first, so that waiting scorings are ranked once for each permit and not for each load
+        // report. The limit is that of the first one, as if it were granted in turn.
+        if !self.has_room(waiting.front()?.scope) {
+            return None;
+        }
+        let position = if self.limit.borrow().has_reports() {
             let items = waiting.iter().map(|w| (&w.lot, w.index));
-            scoring::next(runner.scoring_ranks(items, self.epoch), true)
+            scoring::next(runner.scoring_ranks(items, self.epoch), true)?
         } else {
-            (!waiting.is_empty()).then_some(0)
-        }?;
-        let has_room = self.has_room(waiting[position].scope);
-        has_room.then(|| waiting.remove(position)).flatten()
+            0
+        };
+        waiting.remove(position)
     }
 
     fn has_room(&self, scope: Scope) -> bool {
