A scoring that is sent again has only the attempts left

Cause: a scoring whose call ends before its last attempt, since fewer endpoints are open or some refused it, was sent again with all attempts: with max_attempts 4 it ran six times on three endpoints, also without load reports (hosting_scorings, failed with '6 runs' before the change). Change: the call gets max_attempts less the endpoints that have failed on earlier calls of the item. Attempts whose answer was lost still count as before: not against the item.

--- a/crates/pinereel/src/hosted/lots/score.rs
+++ b/crates/pinereel/src/hosted/lots/score.rs
@@ -22,7 +22,7 @@
     scorer: &Scorer,
 ) -> Option<CompactString> {
     loop {
-        let Some(call) = scoring_call(runner, task, scorer) else {
+        let Some(mut call) = scoring_call(runner, task, scorer) else {
             log::warn!(
                 id = task.item_id.as_str(), scorer = scorer.id.as_str();
                 "no route to the scorer"
@@ -40,6 +40,9 @@
             continue;
         }
         let max_attempts = call.route.max_attempts;
+        // Endpoints that failed on an earlier call count, too.
+        let failed = runner.failed_scorings(task);
+        call.route.max_attempts = max_attempts.saturating_sub(failed).max(1);
         let scope = Scope {
             slots: scoring_slots(runner, &call),
             models: runner.open_models(),
--- a/crates/pinereel/src/hosted/lots/task_state.rs
+++ b/crates/pinereel/src/hosted/lots/task_state.rs
@@ -163,6 +163,13 @@
         decision
     }
 
+    /// Number of endpoints that have failed on the scoring of an item.
+    pub(super) fn failed_scorings(&self, task: &ItemTask) -> u32 {
+        let state = self.state.borrow();
+        let open = state.open_lots.get(&task.lot_id);
+        open.map_or(0, |open| open.lot.failed_scorings(task.index))
+    }
+
     /// Records that a scoring ended without a score, after `failures` endpoints had failed on it.
     pub(super) fn scorings_failed(
         &self,
--- a/crates/pinereel_core/src/batch/lot.rs
+++ b/crates/pinereel_core/src/batch/lot.rs
@@ -173,6 +173,11 @@
         retry_decision(failure, item.failed_runs, max_attempts)
     }
 
+    /// Number of endpoints that have failed on the scoring of an item.
+    pub fn failed_scorings(&self, index: usize) -> u32 {
+        self.items[index].failed_scorings
+    }
+
     /// Records that a scoring ended without a score, after `failures` endpoints had failed on it;
     /// the caller scores the same text again. One scoring is sent to several endpoints, and each
     /// of them is an attempt: counting scorings instead ran a scoring that always fails on
--- a/crates/pinereel_fakes/tests/hosting_scorings.rs
+++ b/crates/pinereel_fakes/tests/hosting_scorings.rs
@@ -65,8 +65,12 @@
 
 /// A scoring that always fails ran on the square of `max_attempts` endpoints, when each of
 /// `max_attempts` scorings was sent to as many endpoints.
-async fn check_failing_scoring(seed: u64, reported_load: Option<[u32; 3]>) {
-    let site = Site::start(SITE_SIZE, seed).await.expect("a site");
+async fn check_failing_scoring(seed: u64, services: usize, reported_load: Option<[u32; 3]>) {
+    let size = Size {
+        services,
+        ..SITE_SIZE
+    };
+    let site = Site::start(size, seed).await.expect("a site");
     let faults = Faults {
         fail: true,
         reported_load,
@@ -83,12 +87,20 @@
 
 #[actix_rt::test]
 async fn a_failing_scoring_runs_on_at_most_max_attempts_endpoints() {
-    check_failing_scoring(171, None).await;
+    check_failing_scoring(171, 6, None).await;
 }
 
 #[actix_rt::test]
 async fn a_failing_scoring_runs_on_at_most_max_attempts_endpoints_beside_free_slots() {
-    check_failing_scoring(172, Some([0, 0, 6])).await;
+    check_failing_scoring(172, 6, Some([0, 0, 6])).await;
+}
+
+/// With fewer endpoints than attempts, a scoring ends before its last attempt and is sent again. If the
+/// second one may use all attempts, it runs six times on three endpoints.
+#[actix_rt::test]
+async fn a_failing_scoring_that_is_sent_again_has_only_the_attempts_left() {
+    check_failing_scoring(182, 3, None).await;
+    check_failing_scoring(183, 3, Some([0, 0, 6])).await;
 }
 
 /// Time of a scoring that fails at every endpoint after 338 ms, as logged, and the time from the
