--- a/crates/pinereel/src/hosted/lots/score.rs
+++ b/crates/pinereel/src/hosted/lots/score.rs
@@ -1,57 +1,19 @@
 //! Scoring of complete outputs, by a request to the scoring service.
 
 use super::{runner::Runner, state::ItemTask};
-use crate::hosted::proxy::{Outcome, ProxyRequest};
+use crate::hosted::proxy::{LoadObserver, Outcome, ProxyRequest};
 use actix_http::{
     Method, StatusCode,
     header::{HOST, HeaderMap, HeaderValue},
 };
 use compact_str::CompactString;
-use pinereel_core::batch::RetryDecision;
+use pinereel_core::{batch::RetryDecision, scoring::Scope};
 use pinereel_port::lot::Scorer;
-use std::{
-    cell::{Cell, OnceCell},
-    rc::Rc,
-    time::Duration,
-};
-use tokio::{
-    sync::Notify,
-    time::{Instant, sleep},
-};
+use std::{cell::OnceCell, rc::Rc, time::Duration};
+use tokio::time::{Instant, sleep};
 
 /// Pause before a scoring that found no free slot, or whose response was lost, is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
-/// Slots of the scoring service per concurrent scoring. Bounds the scorings to a part of the slots:
-/// live callers share the service, and the outputs of a step finish close together.
-const SLOTS_PER_SCORING: u32 = 2;
-
-/// Limits the number of concurrent scorings.
-#[derive(Default)]
-pub(super) struct Limiter {
-    permits_in_use: Cell<u32>,
-    permit_returned: Notify,
-}
-
-/// Permit for one scoring, returned when dropped.
-struct Permit(Rc<Limiter>);
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        self.0.permits_in_use.set(self.0.permits_in_use.get() - 1);
-        self.0.permit_returned.notify_one();
-    }
-}
-
-impl Limiter {
-    async fn acquire(self: &Rc<Self>, max_permits: u32) -> Permit {
-        while self.permits_in_use.get() >= max_permits.max(1) {
-            self.permit_returned.notified().await;
-        }
-        self.permits_in_use.set(self.permits_in_use.get() + 1);
-        Permit(Rc::clone(self))
-    }
-}
-
 /// Scores an item. Returns the signature of the scoring response; `None` if the item is to be given
 /// up.
 pub(super) async fn score(
@@ -60,7 +22,7 @@
     scorer: &Scorer,
 ) -> Option<CompactString> {
     loop {
-        let Some(call) = scoring_call(runner, task, scorer) else {
+        let Some(mut call) = scoring_call(runner, task, scorer) else {
             log::warn!(
                 id = task.item_id.as_str(), scorer = scorer.id.as_str();
                 "no route to the scorer"
@@ -78,8 +40,15 @@
             continue;
         }
         let max_attempts = call.route.max_attempts;
-        let max_permits = scoring_slots(runner, &call) / SLOTS_PER_SCORING;
-        let permit = runner.scoring_limiter.acquire(max_permits).await;
+        // Endpoints that failed on an earlier call count, too.
+        let failed = runner.failed_scorings(task);
+        call.route.max_attempts = max_attempts.saturating_sub(failed).max(1);
+        let scope = Scope {
+            slots: scoring_slots(runner, &call),
+            models: runner.open_models(),
+        };
+        let permits = &runner.scoring_permits;
+        let permit = permits.acquire(&task.lot_id, task.index, scope).await;
         let (outcome, internal_errors) = runner.deps.proxy.run_counted(call).await;
         drop(permit);
         let is_failure = match outcome {
@@ -107,6 +76,10 @@
     let table = runner.deps.config.table()?;
     let path = scorer.path.split('?').next().unwrap_or_default();
     let route = table.route_for(&scorer.host, path)?.clone();
+    let (recording, deciding) = (
+        Rc::clone(&runner.scoring_permits),
+        Rc::clone(&runner.scoring_permits),
+    );
     let mut headers = HeaderMap::new();
     headers.insert(HOST, HeaderValue::from_str(&scorer.host).ok()?);
     Some(ProxyRequest {
@@ -117,11 +90,16 @@
         route,
         caller: table.internal_caller(),
         workspace: task.caller.workspace().map(Into::into),
+        priority_level: None,
         method: Method::POST,
         target: scorer.path.clone(),
         headers,
         body: scorer.body.clone(),
         prompt: None,
+        load_observer: Some(LoadObserver {
+            record: Box::new(move |load| recording.record_report(load)),
+            has_spare_slots: Box::new(move || deciding.has_spare_slots()),
+        }),
         cached_identity: OnceCell::new(),
     })
 }
--- a/crates/pinereel/src/hosted/proxy/request.rs
+++ b/crates/pinereel/src/hosted/proxy/request.rs
@@ -7,10 +7,22 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use pinereel_core::crash::{Content, Identity, RequestParts};
-use pinereel_port::{config::Route, headers::Caller};
+use pinereel_port::{
+    config::Route,
+    headers::{Caller, Load},
+};
 use std::{cell::OnceCell, time::Duration};
 use tokio::time::Instant;
 
+/// Receives the load reports in the responses to a scoring, and decides by them.
+pub struct LoadObserver {
+    /// Called with the load that an endpoint reports.
+    pub record: Box<dyn Fn(Load)>,
+    /// Whether recent reports show free slots, so that the attempts after an answer with status 500 may
+    /// run at the same time.
+    pub has_spare_slots: Box<dyn Fn() -> bool>,
+}
+
 /// A request to be forwarded to an endpoint: a caller's live request, or the scoring of a sample.
 pub struct ProxyRequest {
     /// Request id.
@@ -25,6 +37,9 @@
     pub caller: Caller,
     /// Workspace that crashes are attributed to, also if it is not sent to the endpoints.
     pub workspace: Option<CompactString>,
+    /// Priority levels below the most urgent live requests; `None` for a scoring, which waits for its
+    /// slot and is never rejected for overload.
+    pub priority_level: Option<u32>,
     /// HTTP method.
     pub method: Method,
     /// Path and query.
@@ -37,6 +52,8 @@
     pub prompt: Option<CompactString>,
     /// When the request is answered as timed out.
     pub deadline: Instant,
+    /// Receives the load reports in the responses to a scoring.
+    pub load_observer: Option<LoadObserver>,
     /// Result of [`ProxyRequest::identity`], computed on the first call.
     pub cached_identity: OnceCell<Identity>,
 }
--- a/crates/pinereel_fakes/src/hosting/site.rs
+++ b/crates/pinereel_fakes/src/hosting/site.rs
@@ -86,6 +86,8 @@
     pub workspaces: Option<Value>,
     /// Names of the models that all engines serve besides [`MODEL`].
     other_models: Vec<String>,
+    /// Latency objective of scorings, from the next configuration on.
+    pub scoring_objective: Duration,
     /// Folder of the settings files.
     folder: PathBuf,
     /// Last number used in the id of an endpoint or the name of an instance.
@@ -125,6 +127,7 @@
             config_version: 0,
             workspaces: None,
             other_models: other_models.iter().map(ToString::to_string).collect(),
+            scoring_objective: Duration::from_millis(150),
             folder,
             last_number: 0,
         };
@@ -196,6 +199,7 @@
             "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 1_048_576,
                        "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000},
         });
+        document["routes"][2]["targetLatencyMs"] = json!(self.scoring_objective.as_millis() as u64);
         if let Some(workspaces) = &self.workspaces {
             document["tenants"] = workspaces.clone();
             document["routes"][2]["public"] = json!(true);
