Tree: decide whether a store call goes directly, through the parent, or not at all

Cause: a runner that the store rejects has no path to it other than its own connection. Its lease passes on after 2 s to 3.5 s, and the next runner runs the lot again. Ruled out: longer leases (all other takeovers would take longer too), and an announcement that is passed on from the root (a relay of an older build, or one that cannot reach the store, would announce what it cannot keep). Change: tree::store_route and tree::takes_store_calls, pure; the heartbeat gets the field store_calls with a default, which holds for its sender alone.

--- a/crates/pinereel_core/src/tree/heartbeat.rs
+++ b/crates/pinereel_core/src/tree/heartbeat.rs
@@ -26,6 +26,9 @@
     pub store_uptime: Duration,
     /// Ranks of the receiver and all below it.
     pub ranks: RankRange,
+    /// Whether the sender itself gets store calls of its children answered.
+    #[serde(default)]
+    pub store_calls: bool,
 }
 
 impl Heartbeat {
--- a/crates/pinereel_core/src/tree/mod.rs
+++ b/crates/pinereel_core/src/tree/mod.rs
@@ -15,12 +15,14 @@
 //! - [`Heartbeat`]: sent down the tree, with the age of the data.
 //! - [`RetryPacer`]: spreads the retries of newcomers that cannot be accepted yet.
 //! - [`ReplayBuffer`]: the last changes, for children that have missed no more.
+//! - [`store_route`]: the way of a store call, directly or through the parent.
 //! - [`RankRange`]: ranks of the instances, assigned down the tree.
 
 mod children;
 mod heartbeat;
 mod replay_buffer;
 mod retry_pacer;
+mod store_route;
 mod subtree;
 mod uplink;
 
@@ -28,6 +30,10 @@
 pub use heartbeat::Heartbeat;
 pub use replay_buffer::ReplayBuffer;
 pub use retry_pacer::RetryPacer;
+pub use store_route::{
+    MAX_STORE_CALL_HOPS, OwnConnection, StoreCallKind, StoreCallParent, StoreRoute, store_route,
+    takes_store_calls,
+};
 pub use subtree::{RankRange, SubtreeSize};
 pub use uplink::{StoreStatus, Uplink};
 
--- a/crates/pinereel_core/src/tree/uplink.rs
+++ b/crates/pinereel_core/src/tree/uplink.rs
@@ -1,7 +1,9 @@
 //! The child's side of a link: how old the data of this instance are, and which parents it tries when
 //! they are too old.
 
-use super::{Heartbeat, MAX_AGE, MAX_ROOT_LOADING_TIME, MIN_STALE_GRACE, RankRange};
+use super::{
+    Heartbeat, MAX_AGE, MAX_ROOT_LOADING_TIME, MIN_STALE_GRACE, RankRange, StoreCallParent,
+};
 use crate::Time;
 use compact_str::CompactString;
 use std::time::Duration;
@@ -191,8 +193,18 @@
         targets
     }
 
-    /// The heartbeat for the children. The caller fills in `ranks` for each child. `standbys` is used at a
-    /// root only.
+    /// The parent as a way to the store; `None` without a parent.
+    pub fn store_call_parent(&self, now: Time) -> Option<StoreCallParent> {
+        let (heartbeat, at) = self.last_heartbeat.as_ref()?;
+        Some(StoreCallParent {
+            takes_calls: heartbeat.store_calls,
+            age: heartbeat.age.map(|age| age + now.since(*at)),
+            max_age: heartbeat.max_age(),
+        })
+    }
+
+    /// The heartbeat for the children. The caller fills in `ranks` for each child and `store_calls`, which
+    /// holds for one instance only. `standbys` is used at a root only.
     pub fn heartbeat(
         &self,
         now: Time,
@@ -208,6 +220,7 @@
                 Heartbeat {
                     age,
                     ranks,
+                    store_calls: false,
                     ..heartbeat
                 }
             }
@@ -218,6 +231,7 @@
                 reads_store: self.reads_store && status.is_answering,
                 store_uptime: status.store_uptime,
                 ranks,
+                store_calls: false,
             },
         }
     }
--- a/crates/pinereel_core/tests/tree_fleet.rs
+++ b/crates/pinereel_core/tests/tree_fleet.rs
@@ -611,6 +611,7 @@
         reads_store: false,
         store_uptime: Duration::ZERO,
         ranks: RankRange::default(),
+        store_calls: false,
     };
     assert!(uplink.on_heartbeat(now, heartbeat));
     uplink.observe(now, status);
@@ -635,6 +636,7 @@
         reads_store: true,
         store_uptime: Duration::ZERO,
         ranks: RankRange::default(),
+        store_calls: false,
     };
     let mut newcomer = Uplink::new("newcomer".into());
     assert!(newcomer.on_heartbeat(now, heartbeat(None)));
