Hosted: store calls through the parent in the broadcast tree

Ruled out: usage sums through the parent. Also ruled out: the shared health for readiness, configuration, endpoint list and tree, which Store::direct keeps on the own connection, and a relayed lease of the root. A call that a limit of this process refused is not sent around that limit.

--- a/crates/pinereel/src/hosted/duty/mod.rs
+++ b/crates/pinereel/src/hosted/duty/mod.rs
@@ -14,7 +14,7 @@
     crashes::CrashTracker,
     metrics::Metrics,
     store::Store,
-    tree::{Feed, Topic},
+    tree::{Feed, ROOT_DUTY, Topic},
 };
 use compact_str::{CompactString, format_compact};
 use pinereel_core::{
@@ -291,7 +291,8 @@
             candidate = candidate.with_max_acting_time(*span);
         }
         let mut drain_sent = false;
-        let mut recoveries = self.store.recoveries();
+        let store = self.store_for(duty);
+        let mut recoveries = store.recoveries();
         // Instances that should hold the duty read first and find no lease; the others then find the
         // lease that one of these has taken.
         sleep(self.load_delay(duty) + self.start_jitter(duty)).await;
@@ -349,12 +350,13 @@
             candidate.set_cooldown_ends(*own, *others);
         }
         candidate.set_takeover_delay(rank_delay + self.load_delay(duty));
-        if self.store.unreachable_since().is_some() {
+        let store = self.store_for(duty);
+        if store.unreachable_since().is_some() {
             candidate.note_store_unreachable();
         }
         let now = self.now();
         // A poll that was sent before the store became unreachable may be answered only now.
-        if let Some(ago) = self.store.recovered_ago() {
+        if let Some(ago) = store.recovered_ago() {
             candidate.note_store_recovered(now, ago);
         }
         let actions = candidate.step(now, event);
@@ -407,6 +409,16 @@
         }
     }
 
+    /// The store for the calls of `duty`. The root of the broadcast tree must reach the store over its own
+    /// connection: an instance that does not, cannot renew or take that lease through its parent.
+    fn store_for(&self, duty: &str) -> Store {
+        if duty == ROOT_DUTY {
+            self.store.direct()
+        } else {
+            self.store.clone()
+        }
+    }
+
     /// Random delay of the first read of `duty`, so that instances that start together do not read
     /// together.
     fn start_jitter(&self, duty: &str) -> Duration {
--- a/crates/pinereel/src/hosted/duty/store_call.rs
+++ b/crates/pinereel/src/hosted/duty/store_call.rs
@@ -37,9 +37,8 @@
         if candidate.is_follower() {
             return self.next_poll_event(duty, candidate.takeover_at()).await;
         }
-        let read = self
-            .store
-            .read(Purpose::Leases, LEASE_KIND, duty, Consistency::Linearizable);
+        let store = self.store_for(duty);
+        let read = store.read(Purpose::Leases, LEASE_KIND, duty, Consistency::Linearizable);
         match read.await {
             Ok(None) => Event::Read(None),
             Ok(Some(object)) => {
@@ -71,16 +70,15 @@
                 return Event::Unknown;
             }
         };
+        let store = self.store_for(duty);
         let written = match expected {
             Some(revision) => {
-                let update = self
-                    .store
-                    .update(Purpose::Leases, LEASE_KIND, duty, revision, &spec);
+                let update = store.update(Purpose::Leases, LEASE_KIND, duty, revision, &spec);
                 update.await
             }
             None => {
                 let spec = spec.to_string();
-                let create = self.store.create(Purpose::Leases, LEASE_KIND, duty, &spec);
+                let create = store.create(Purpose::Leases, LEASE_KIND, duty, &spec);
                 create.await
             }
         };
--- a/crates/pinereel/src/hosted/metrics.rs
+++ b/crates/pinereel/src/hosted/metrics.rs
@@ -68,6 +68,10 @@
     /// Events of requests that crash endpoints, by `event` (`crash`, `doubt`, `verdict`, `refusal`,
     /// `acquitted`, `cleared`).
     pub crash_events: IntCounterVec,
+    /// Store calls between a child and its parent in the broadcast tree, by `role` of the other side
+    /// (`parent`: sent to it, `child`: received from it) and `outcome` (`answered`, `not_sent`,
+    /// `unknown`).
+    pub relayed_store_calls: IntCounterVec,
     crash_suspects: IntGaugeVec,
     store_calls: IntCounterVec,
     connections_opened: IntGauge,
@@ -133,6 +137,12 @@
             lease_events: counter_vec(&r, "leases_total", "Leases.", &["event"]),
             endpoint_entries: counter_vec(&r, "endpoint_entries_total", "Entries.", &["event"]),
             crash_events: counter_vec(&r, "crashes_total", "Crashes under requests.", &["event"]),
+            relayed_store_calls: counter_vec(
+                &r,
+                "relayed_store_calls_total",
+                "Store calls over links.",
+                &["role", "outcome"],
+            ),
             crash_suspects: gauge_vec(&r, "crash_suspects", "Requests known.", "standing"),
             store_calls: counter_vec(&r, "store_calls_total", "Calls.", &["purpose", "access"]),
             connections_opened: int_gauge(&r, "endpoint_connections_opened", "Since the start."),
--- a/crates/pinereel/src/hosted/run.rs
+++ b/crates/pinereel/src/hosted/run.rs
@@ -142,14 +142,20 @@
     ) -> Result<Self, Error> {
         let clock = Clock::new();
         let callers = listen(callers).await?;
-        let store = Store::new(
+        let metrics = Metrics::new();
+        let mut store = Store::new(
             objects::Client::new(store_options(settings), clock),
             adapter.store,
         );
+        if settings.peers.store_calls {
+            store = store.with_calls_through_parent(&metrics);
+        }
+        // For modules whose data come over the broadcast tree or over the own connection alone.
+        let direct_store = store.direct();
         actix_rt::spawn(log_store_calls(store.client().clone()));
         let watch = settings.store.watch;
         let feed = Rc::new(Feed::default());
-        let (probed_store, probe_feed) = (store.clone(), Rc::clone(&feed));
+        let (probed_store, probe_feed) = (direct_store.clone(), Rc::clone(&feed));
         actix_rt::spawn(async move {
             let (object_kinds, has_tree_parent) =
                 (adapter.object_kinds, || probe_feed.has_parent());
@@ -160,9 +166,8 @@
             );
             probe.await;
         });
-        let config = Config::start(&store, adapter, watch, &feed);
+        let config = Config::start(&direct_store, adapter, watch, &feed);
         let instance = &settings.instance;
-        let metrics = Metrics::new();
         let peer_address = instance.peers.map(|peers| peers.to_string().into());
         let crashes = CrashTracker::new(clock, &metrics);
         let duties = Duties::new(duty::Dependencies {
@@ -184,7 +189,7 @@
         let mut tree_node = None;
         if let Some(peers) = instance.peers {
             let deps = tree::Dependencies {
-                store: store.clone(),
+                store: direct_store.clone(),
                 adapter,
                 duties: Rc::clone(&duties),
                 feed: Rc::clone(&feed),
@@ -206,7 +211,7 @@
         let holds_leases = move || lease_duties.held_count() > 0;
         let deps = endpoints::Dependencies {
             adapter,
-            store: store.clone(),
+            store: direct_store.clone(),
             feed,
             pool: Rc::clone(&pool),
             metrics: metrics.clone(),
@@ -226,7 +231,9 @@
         if let (Some(platform), Some(usage_settings)) = (platform, usage_settings) {
             let deps = usage::Dependencies {
                 adapter,
-                store: store.clone(),
+                // Through a parent, an instance that was the root before could store a sum without the
+                // counts of the instances that have left it.
+                store: direct_store.clone(),
                 duties: Rc::clone(&duties),
                 pool: Rc::clone(&pool),
                 metrics: metrics.clone(),
@@ -267,7 +274,7 @@
         if let Some(readiness) = settings.instance.readiness {
             let listener = listen(readiness).await?;
             let probe = Readiness {
-                store: store.clone(),
+                store: direct_store.clone(),
                 config: Rc::clone(&config),
                 endpoints: Rc::clone(&endpoints),
                 shutdown: Rc::clone(shutdown),
@@ -287,7 +294,7 @@
         let frontend = Rc::new(Frontend {
             adapter,
             stall,
-            store: store.clone(),
+            store: direct_store,
             config,
             endpoints,
             proxy,
--- a/crates/pinereel/src/hosted/store.rs
+++ b/crates/pinereel/src/hosted/store.rs
@@ -1,8 +1,12 @@
 //! Typed calls to the platform's object store, and whether the store is reachable.
 
-use crate::objects::{Access, Client, Error, Purpose};
+use super::{metrics::Metrics, parent_calls::ParentCalls, tree::StoreOutcome};
+use crate::objects::{Access, Client, Error, Purpose, is_own_limit};
 use actix_http::StatusCode;
 use bytes::Bytes;
+use pinereel_core::tree::{
+    OwnConnection, StoreCallKind, StoreCallParent, StoreRoute, store_route, takes_store_calls,
+};
 use pinereel_port::{
     DecodeError,
     store::{Codec, Consistency, Object, Page, Request, WatchResponse},
@@ -10,7 +14,7 @@
 use serde_json::Value;
 use std::{cell::Cell, rc::Rc, time::Duration};
 use tokio::{
-    sync::watch,
+    sync::{mpsc, watch},
     time::{Instant, sleep},
 };
 
@@ -33,89 +37,207 @@
 const LINEARIZABLE_PROBE_PERIOD: u32 = 10;
 
 /// Client of the object store; clones share the call budget and the health of the store.
+///
+/// While the store does not answer this instance, calls are sent through the parent in the broadcast
+/// tree if that is enabled and the parent takes them. The store counts as reachable then, except by
+/// [`Store::direct`].
 #[derive(Clone)]
 pub struct Store {
     client: Client,
     codec: Codec,
     health: Rc<Health>,
+    /// Whether calls are sent, and the health is observed, over the own connection alone.
+    is_direct: bool,
 }
 
 /// Health of the store, as the calls of this process show it.
 struct Health {
-    /// Since when every call has failed; `None` while calls are answered.
-    unreachable_since: Cell<Option<Instant>>,
+    /// Health of the own connection, as direct calls show it.
+    own: Reachability,
+    /// Health of the store as calls show it that take either way. It equals `own` while no calls are
+    /// sent through a parent.
+    either: Reachability,
     /// When this process began to make calls.
     started_at: Instant,
+    /// Whether probes are sent while the store is unreachable.
+    is_probing: Cell<bool>,
+    /// Calls through the parent; `None` if they are not enabled.
+    parent_calls: Option<ParentCalls>,
+    /// Since when calls are sent through the parent, and the number of those answered before.
+    relaying_since: Cell<Option<(Instant, u64)>>,
+}
+
+/// Whether calls are answered, and since when.
+struct Reachability {
+    /// Since when every call has failed; `None` while calls are answered.
+    unreachable_since: Cell<Option<Instant>>,
     /// When a call last failed.
     last_failure_at: Cell<Option<Instant>>,
     /// When a call was last answered.
     last_answer_at: Cell<Option<Instant>>,
     /// When the store last became reachable again.
     recovered_at: Cell<Option<Instant>>,
-    /// Number of recoveries. Waiting readers repeat their calls at each.
+    /// Number of recoveries, and of changes of the way that calls take. Waiting readers repeat their
+    /// calls at each.
     recoveries: watch::Sender<u64>,
-    /// Whether probes are sent while the store is unreachable.
-    is_probing: Cell<bool>,
+}
+
+/// A call of another instance, for [`Store::forward`].
+pub(super) struct ForwardedCall {
+    /// Purpose of the call, under which it is counted here.
+    pub(super) purpose: Purpose,
+    /// Kind of access, under whose limits it is made here.
+    pub(super) access: Access,
+    /// The encoded request.
+    pub(super) request: Request,
+    /// How long the store may wait before it answers.
+    pub(super) wait: Duration,
+    /// Number of links that the call has taken.
+    pub(super) hops: u32,
 }
 
 impl Store {
     /// The store behind `client`, whose calls are encoded by `codec`.
     pub fn new(client: Client, codec: Codec) -> Self {
-        let health = Health {
-            unreachable_since: Cell::new(None),
-            started_at: Instant::now(),
-            last_failure_at: Cell::new(None),
-            last_answer_at: Cell::new(None),
-            recovered_at: Cell::new(None),
-            recoveries: watch::channel(0).0,
-            is_probing: Cell::new(false),
-        };
         Self {
             client,
             codec,
-            health: Rc::new(health),
+            health: Rc::new(Health::new(None)),
+            is_direct: false,
         }
     }
 
-    /// Since when every call has failed; `None` while calls are answered.
-    pub fn unreachable_since(&self) -> Option<Instant> {
-        self.health.unreachable_since.get()
+    /// Enables calls through the parent. Must be called before the store is cloned.
+    #[must_use]
+    pub fn with_calls_through_parent(self, metrics: &Metrics) -> Self {
+        let parent_calls = ParentCalls::new(metrics.clone());
+        Self {
+            health: Rc::new(Health::new(Some(parent_calls))),
+            ..self
+        }
     }
 
-    /// Whether only urgent calls are sent, until a probe succeeds. The circuit breaker of the
-    /// client cannot decide this: it counts a refusal by the rate limit as an answer, and an
-    /// instance beyond its rate limit gets nothing but such refusals.
-    fn sends_urgent_only(&self) -> bool {
-        let unreachable_since = self.unreachable_since();
-        self.health.is_probing.get()
-            && unreachable_since.is_some_and(|since| since.elapsed() >= URGENT_ONLY_AFTER)
+    /// The same store, but calls are sent over the own connection alone, and only its health counts.
+    #[must_use]
+    pub fn direct(&self) -> Self {
+        Self {
+            is_direct: true,
+            ..self.clone()
+        }
+    }
+
+    fn reachability(&self) -> &Reachability {
+        if self.is_direct {
+            &self.health.own
+        } else {
+            &self.health.either
+        }
+    }
+
+    /// Since when every call has failed; `None` while calls are answered.
+    pub fn unreachable_since(&self) -> Option<Instant> {
+        self.reachability().unreachable_since.get()
     }
 
     /// How long ago the store last became reachable again; `None` if it never was unreachable.
     pub fn recovered_ago(&self) -> Option<Duration> {
-        self.health.recovered_at.get().map(|at| at.elapsed())
+        self.reachability()
+            .recovered_at
+            .get()
+            .map(|at| at.elapsed())
     }
 
     /// Whether a call failed within the last `span`.
     pub fn has_failed_within(&self, span: Duration) -> bool {
-        let last_failure_at = self.health.last_failure_at.get();
+        let last_failure_at = self.reachability().last_failure_at.get();
         last_failure_at.is_some_and(|at| at.elapsed() < span)
     }
 
     /// Time since a call last failed; since the start if none has.
     pub fn uptime(&self) -> Duration {
-        let since = self.health.last_failure_at.get();
+        let since = self.reachability().last_failure_at.get();
         since.unwrap_or(self.health.started_at).elapsed()
     }
 
     /// Time since a call was last answered; `None` if none has been.
     pub fn last_answer_ago(&self) -> Option<Duration> {
-        self.health.last_answer_at.get().map(|at| at.elapsed())
+        let last_answer_at = self.reachability().last_answer_at.get();
+        last_answer_at.map(|at| at.elapsed())
     }
 
-    /// Notifies each time that the store becomes reachable again.
+    /// Notifies each time that the store becomes reachable again, or calls begin to take another way.
     pub fn recoveries(&self) -> watch::Receiver<u64> {
-        self.health.recoveries.subscribe()
+        self.reachability().recoveries.subscribe()
+    }
+
+    /// Whether calls through the parent are enabled.
+    pub(super) fn sends_calls_through_parent(&self) -> bool {
+        self.health.parent_calls.is_some()
+    }
+
+    /// Opens the queue of a new link to a parent. The frames that are received from it must be sent to
+    /// the parent; there are none unless calls through the parent are enabled.
+    pub(super) fn open_parent_link(&self) -> mpsc::Receiver<Bytes> {
+        match &self.health.parent_calls {
+            Some(calls) => calls.open_link(),
+            None => mpsc::channel(1).1,
+        }
+    }
+
+    /// Records that the link to the parent has ended. Calls in progress end as unknown.
+    pub(super) fn close_parent_link(&self) {
+        if let Some(calls) = &self.health.parent_calls {
+            calls.close_link();
+        }
+    }
+
+    /// Records the parent as it is now. If it has begun to accept calls and the own connection fails,
+    /// waiting calls are repeated.
+    pub(super) fn observe_parent(&self, parent: Option<StoreCallParent>) {
+        let calls = self.health.parent_calls.as_ref();
+        let has_begun = calls.is_some_and(|calls| calls.observe_parent(parent));
+        if has_begun && self.health.own.unreachable_since.get().is_some() {
+            self.health.either.notify();
+        }
+    }
+
+    /// Handles the parent's answer to a call.
+    pub(super) fn on_parent_answer(&self, id: u64, outcome: StoreOutcome) {
+        if let Some(calls) = &self.health.parent_calls {
+            calls.on_answer(id, outcome);
+        }
+    }
+
+    /// Whether this instance currently gets calls of children answered. `is_fresh` is whether its data
+    /// are fresh.
+    pub(super) fn takes_calls_of_children(&self, is_fresh: bool) -> bool {
+        let health = &self.health;
+        let has_answered = health.own.last_answer_at.get().is_some();
+        health.parent_calls.is_some()
+            && takes_store_calls(
+                health.own_connection(),
+                has_answered,
+                is_fresh,
+                health.parent(),
+            )
+    }
+
+    /// Sends a call of another instance to the store, or through the parent.
+    ///
+    /// # Errors
+    /// [`Error::NotSent`] if nothing was sent, [`Error::Unknown`] if the response was lost. A response
+    /// of any status is no error.
+    pub(super) async fn forward(&self, call: ForwardedCall) -> Result<(StatusCode, Bytes), Error> {
+        if !self.sends_calls_through_parent() {
+            return Err(Error::NotSent("calls of others are not enabled".into()));
+        }
+        let kind = StoreCallKind {
+            may_be_relayed: call.purpose.may_be_relayed(),
+            is_urgent: call.purpose.is_urgent(call.access),
+            hops: call.hops,
+        };
+        self.send(kind, (call.purpose, call.access), call.request, call.wait)
+            .await
     }
 
     /// Probes the store while it is unreachable, by reads of the object `name`. An instance that
@@ -137,7 +259,8 @@
             } else {
                 PROBE_INTERVAL
             };
-            if self.unreachable_since().is_some() && last_probe_at.elapsed() >= interval {
+            let unreachable_since = self.health.own.unreachable_since.get();
+            if unreachable_since.is_some() && last_probe_at.elapsed() >= interval {
                 last_probe_at = Instant::now();
                 probe_count = probe_count.wrapping_add(1);
                 let freshness = match probe_count % LINEARIZABLE_PROBE_PERIOD {
@@ -154,11 +277,16 @@
 
     /// Sends one probe past the circuit breaker; returns whether the store answered it.
     pub async fn probe(&self, kind: &str, name: &str, freshness: Consistency) -> bool {
-        // The object itself is not used and may be old; `record_outcome` records the answer.
+        // The object itself is not used and may be old; only whether there is an answer is recorded.
         let call = (self.codec.read)(kind, name, freshness);
         let client = &self.client;
         let probe = client.exchange(Purpose::Config, Access::Probe, call, Duration::ZERO);
-        self.record_outcome(probe.await).is_ok()
+        let answer = probe.await;
+        self.health.record_direct(&answer);
+        if !is_answered(&answer) && !self.health.parent_accepts_calls() {
+            self.health.either.on_failure();
+        }
+        answer.is_ok_and(|(status, _)| check_status(status).is_ok())
     }
 
     /// The underlying client, which counts the calls.
@@ -322,44 +450,198 @@
         call: Request,
         wait: Duration,
     ) -> Result<Bytes, Error> {
-        if !purpose.is_urgent(access) && self.sends_urgent_only() {
-            return Err(Error::NotSent("the object store is unreachable".into()));
-        }
-        let answer = self.client.exchange(purpose, access, call, wait).await;
-        self.record_outcome(answer)
+        let kind = StoreCallKind {
+            may_be_relayed: !self.is_direct && purpose.may_be_relayed(),
+            is_urgent: purpose.is_urgent(access),
+            hops: 0,
+        };
+        let (status, body) = self.send(kind, (purpose, access), call, wait).await?;
+        check_status(status).map(|()| body)
     }
 
-    /// Records whether the store answered, and turns the HTTP status into a result.
-    fn record_outcome(&self, answer: Result<(StatusCode, Bytes), Error>) -> Result<Bytes, Error> {
-        let result = answer.and_then(|(status, body)| check_status(status).map(|()| body));
-        match &result {
-            Err(Error::NotSent(_) | Error::Refused(_) | Error::Unknown(_)) => self.health.on_fail(),
-            _ => self.health.on_answer(),
+    /// Sends a call on the way that is open, and records the health that it shows. A call that failed
+    /// on the own connection without any effect is repeated through the parent at once.
+    async fn send(
+        &self,
+        kind: StoreCallKind,
+        (purpose, access): (Purpose, Access),
+        call: Request,
+        wait: Duration,
+    ) -> Result<(StatusCode, Bytes), Error> {
+        let health = &self.health;
+        let route = || store_route(health.own_connection(), health.parent(), kind);
+        let answer = match (route(), &health.parent_calls) {
+            (StoreRoute::Refused, _) => {
+                return Err(Error::NotSent("the object store is unreachable".into()));
+            }
+            (StoreRoute::Parent, Some(parent)) => {
+                parent.call((purpose, access), call, wait, kind.hops).await
+            }
+            (StoreRoute::Parent, None) | (StoreRoute::Direct, _) => {
+                let direct = self
+                    .client
+                    .exchange(purpose, access, call.clone(), wait)
+                    .await;
+                health.record_direct(&direct);
+                match &health.parent_calls {
+                    Some(parent) if may_be_repeated(&direct) && route() == StoreRoute::Parent => {
+                        match parent.call((purpose, access), call, wait, kind.hops).await {
+                            Err(Error::NotSent(_)) => direct,
+                            relayed => relayed,
+                        }
+                    }
+                    _ => direct,
+                }
+            }
+        };
+        if is_answered(&answer) {
+            health.on_answer();
+        } else if kind.may_be_relayed || !health.parent_accepts_calls() {
+            health.either.on_failure();
         }
-        result
+        answer
     }
 }
 
 impl Health {
-    /// Records that a call failed.
-    fn on_fail(&self) {
-        let now = Instant::now();
-        self.last_failure_at.set(Some(now));
-        if self.unreachable_since.get().is_none() {
-            self.unreachable_since.set(Some(now));
+    fn new(parent_calls: Option<ParentCalls>) -> Self {
+        Self {
+            own: Reachability::new(),
+            either: Reachability::new(),
+            started_at: Instant::now(),
+            is_probing: Cell::new(false),
+            parent_calls,
+            relaying_since: Cell::default(),
+        }
+    }
+
+    /// State of the own connection. The circuit breaker of the client cannot decide whether only urgent
+    /// calls are sent, until a probe succeeds: it counts a refusal by the rate limit as an answer, and
+    /// an instance beyond its rate limit gets nothing but such refusals.
+    fn own_connection(&self) -> OwnConnection {
+        match self.own.unreachable_since.get() {
+            None => OwnConnection::Answering,
+            Some(since) => OwnConnection::Failing {
+                urgent_only: self.is_probing.get() && since.elapsed() >= URGENT_ONLY_AFTER,
+            },
+        }
+    }
+
+    /// The parent as a way to the store; `None` without a parent, or if that way is not enabled.
+    fn parent(&self) -> Option<StoreCallParent> {
+        self.parent_calls.as_ref()?.parent()
+    }
+
+    fn parent_accepts_calls(&self) -> bool {
+        self.parent().is_some_and(|parent| parent.accepts_calls())
+    }
+
+    /// Records whether the store answered a call over the own connection.
+    fn record_direct(&self, answer: &Result<(StatusCode, Bytes), Error>) {
+        if is_answered(answer) {
+            if let Some(away) = self.own.on_answer() {
+                log::info!(away_ms = away.as_millis() as u64; "object store: reachable again");
+            }
+            self.on_answer();
+            return;
+        }
+        // A limit of this process says nothing about the store, and must not send calls around that limit
+        // through the parent.
+        let is_own_limit = answer.as_ref().is_err_and(is_own_limit);
+        if !(is_own_limit && self.parent_calls.is_some()) && self.own.on_failure() {
             log::warn!("object store: unreachable");
         }
     }
 
-    /// Records that a call was answered, and notifies if that ends an outage.
+    /// Records that a call was answered on either way, and that calls have begun to take another way.
     fn on_answer(&self) {
-        self.last_answer_at.set(Some(Instant::now()));
-        if let Some(since) = self.unreachable_since.take() {
-            let outage_ms = since.elapsed().as_millis() as u64;
-            log::info!(away_ms = outage_ms; "object store: reachable again");
-            self.recovered_at.set(Some(Instant::now()));
-            self.recoveries.send_modify(|count| *count += 1);
+        let has_recovered = self.either.on_answer().is_some();
+        let answered_count = |calls: &ParentCalls| calls.answered_count();
+        let answered_count = self.parent_calls.as_ref().map_or(0, answered_count);
+        let is_own_failing = self.own.unreachable_since.get().is_some();
+        match self.relaying_since.get() {
+            None if is_own_failing => {
+                self.relaying_since
+                    .set(Some((Instant::now(), answered_count)));
+                let parent_age = self.parent().and_then(|parent| parent.age);
+                let parent_age_ms = parent_age.unwrap_or_default().as_millis() as u64;
+                log::info!(parent_age_ms; "object store: calls are sent through the parent");
+            }
+            Some((since, before)) if !is_own_failing => {
+                self.relaying_since.set(None);
+                let (ms, calls) = (since.elapsed().as_millis() as u64, answered_count - before);
+                log::info!(ms, calls; "object store: calls are sent directly again");
+            }
+            _ => return,
+        }
+        // A watch on the former way may never be answered.
+        if !has_recovered {
+            self.either.notify();
+        }
+    }
+}
+
+impl Reachability {
+    fn new() -> Self {
+        Self {
+            unreachable_since: Cell::new(None),
+            last_failure_at: Cell::new(None),
+            last_answer_at: Cell::new(None),
+            recovered_at: Cell::new(None),
+            recoveries: watch::channel(0).0,
+        }
+    }
+
+    /// Records that a call failed; returns whether that begins an outage.
+    fn on_failure(&self) -> bool {
+        let now = Instant::now();
+        self.last_failure_at.set(Some(now));
+        let begins = self.unreachable_since.get().is_none();
+        if begins {
+            self.unreachable_since.set(Some(now));
         }
+        begins
+    }
+
+    /// Records that a call was answered. If that ends an outage, notifies of it and returns how long it
+    /// was.
+    fn on_answer(&self) -> Option<Duration> {
+        let now = Instant::now();
+        self.last_answer_at.set(Some(now));
+        let since = self.unreachable_since.take()?;
+        self.recovered_at.set(Some(now));
+        self.notify();
+        Some(since.elapsed())
+    }
+
+    /// Requests that waiting readers repeat their calls.
+    fn notify(&self) {
+        self.recoveries.send_modify(|count| *count += 1);
+    }
+}
+
+/// Whether the store answered a call, whatever the answer is.
+fn is_answered(answer: &Result<(StatusCode, Bytes), Error>) -> bool {
+    let status = answer.as_ref().map(|(status, _)| check_status(*status));
+    match status {
+        Ok(Err(error)) => !is_failure(&error),
+        Ok(Ok(())) => true,
+        Err(error) => !is_failure(error),
+    }
+}
+
+const fn is_failure(error: &Error) -> bool {
+    matches!(
+        error,
+        Error::NotSent(_) | Error::Refused(_) | Error::Unknown(_)
+    )
+}
+
+/// Whether a call failed without any effect and for no limit of this process.
+fn may_be_repeated(answer: &Result<(StatusCode, Bytes), Error>) -> bool {
+    match answer {
+        Ok((status, _)) => matches!(check_status(*status), Err(Error::Refused(_))),
+        Err(error) => is_failure(error) && error.had_no_effect() && !is_own_limit(error),
     }
 }
 
--- a/crates/pinereel/src/hosted/tree/children.rs
+++ b/crates/pinereel/src/hosted/tree/children.rs
@@ -2,7 +2,7 @@
 
 use super::{
     CHILD_TIMEOUT, Frame, HEARTBEAT_INTERVAL, Hello, LINK_OPEN_TIMEOUT, Node, Topic, link_config,
-    topics::ChildLink,
+    store_calls::ChildCalls, topics::ChildLink,
 };
 use bytes::Bytes;
 use futures_util::{SinkExt as _, StreamExt as _};
@@ -89,6 +89,7 @@
             // These few frames always fit into the empty queue.
             let _ = frame.encode().map(|bytes| sender.try_send(bytes.into()));
         }
+        let calls = ChildCalls::new(&sender);
         let topics = topics.into_iter();
         let topics = topics.map(|(topic, revision)| (topic, Some(revision)));
         let link = ChildLink {
@@ -109,7 +110,7 @@
                 message = socket.next() => {
                     last_received = Instant::now();
                     match message {
-                        Some(Ok(Message::Binary(bytes))) => self.on_child_frame(key, &bytes),
+                        Some(Ok(Message::Binary(bytes))) => self.on_child_frame(key, &bytes, &calls),
                         Some(Ok(_)) => {}
                         Some(Err(_)) | None => return "closed",
                     }
@@ -118,12 +119,13 @@
         }
     }
 
-    fn on_child_frame(&self, key: ChildKey, bytes: &[u8]) {
+    fn on_child_frame(&self, key: ChildKey, bytes: &[u8], calls: &ChildCalls) {
         match Frame::decode(bytes) {
             Some(Frame::SubtreeSize(size)) => self.state.borrow_mut().children.set_size(key, size),
             Some(Frame::Subscribe { topic, revision }) => self.on_subscribe(key, topic, revision),
             Some(Frame::Crashes(reports)) => self.on_crash_reports(reports),
             Some(Frame::Usage(reports)) => self.deps.usage.merge(reports),
+            Some(Frame::StoreCall(call)) => self.on_store_call(call, calls),
             _ => {}
         }
     }
--- a/crates/pinereel/src/hosted/tree/frame.rs
+++ b/crates/pinereel/src/hosted/tree/frame.rs
@@ -2,6 +2,7 @@
 //! format.
 
 use super::encoded_object::EncodedObject;
+use bytes::Bytes;
 use compact_str::CompactString;
 use pinereel_core::{
     crash::Report,
@@ -40,6 +41,55 @@
     pub topics: BTreeMap<Topic, u64>,
 }
 
+/// A call to the object store that a child sends through its parent. It never contains a key: the
+/// configuration, which holds keys, is not read this way.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct StoreCall {
+    /// Number of the call, unique among the calls on this link.
+    pub id: u64,
+    /// Number of links that the call has taken, including this one.
+    pub hops: u32,
+    /// Label of the call's purpose.
+    pub purpose: CompactString,
+    /// Label of the kind of access.
+    pub access: CompactString,
+    /// HTTP method.
+    pub method: CompactString,
+    /// Path with the query string.
+    pub path: String,
+    /// JSON body, or empty.
+    pub body: Bytes,
+    /// How long the store may wait before it answers; zero unless the call is a watch.
+    pub wait: Duration,
+}
+
+/// Outcome of a [`StoreCall`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum StoreOutcome {
+    /// The store answered.
+    Answered {
+        /// HTTP status.
+        status: u16,
+        /// HTTP body.
+        body: Bytes,
+    },
+    /// The call was not sent and had no effect.
+    NotSent,
+    /// The answer was lost: a write may have taken effect.
+    Unknown,
+}
+
+impl StoreOutcome {
+    /// Label of the outcome in metrics.
+    pub const fn as_str(&self) -> &'static str {
+        match self {
+            Self::Answered { .. } => "answered",
+            Self::NotSent => "not_sent",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// One message on a link.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Frame {
@@ -93,6 +143,15 @@
     /// The sender cannot accept or keep the receiver as a child; the instances at these addresses may.
     #[serde(rename = "Refer")]
     Referral(Vec<CompactString>),
+    /// A store call of a child. Sent only to a parent whose heartbeat announces that it takes such calls.
+    StoreCall(StoreCall),
+    /// The parent's answer to a store call.
+    StoreAnswer {
+        /// Number of the call.
+        id: u64,
+        /// Its outcome.
+        outcome: StoreOutcome,
+    },
     /// The sender has no fresh data; the newcomer may retry after this time.
     #[serde(rename = "Later")]
     RetryAfter(Duration),
--- a/crates/pinereel/src/hosted/tree/mod.rs
+++ b/crates/pinereel/src/hosted/tree/mod.rs
@@ -11,8 +11,8 @@
 //! instance reads the store itself only if it finds no parent.
 //!
 //! - [`Node`]: this instance in the tree (`node`), with its links to children (`children`), its link to a
-//!   parent (`uplink`, `parent_search`), the reports that it forwards (`reports`), and the reading of the
-//!   store at a root (`store_reader`).
+//!   parent (`uplink`, `parent_search`), the reports that it forwards (`reports`), the store calls of
+//!   children that it forwards (`store_calls`), and the reading of the store at a root (`store_reader`).
 //! - [`Topic`]: what the data are divided into (`topics`). They are cached for children (`topic_cache`) in
 //!   encoded form (`encoded_object`).
 //! - [`Feed`]: publishes the data to the other modules of this process.
@@ -25,13 +25,14 @@
 mod node;
 mod parent_search;
 mod reports;
+mod store_calls;
 mod store_reader;
 mod topic_cache;
 mod topics;
 mod uplink;
 
 pub use feed::{Feed, FeedEvent};
-pub use frame::{Frame, Hello, Topic};
+pub use frame::{Frame, Hello, StoreCall, StoreOutcome, Topic};
 pub use node::{Dependencies, Node};
 
 use std::time::Duration;
--- a/crates/pinereel/src/hosted/tree/node.rs
+++ b/crates/pinereel/src/hosted/tree/node.rs
@@ -1,6 +1,9 @@
 //! This instance as a node of the tree: its state, its heartbeats, and the frames to its children.
 
-use super::{Feed, Frame, HEARTBEAT_INTERVAL, Topic, topic_cache::TopicCache, topics::ChildLink};
+use super::{
+    Feed, Frame, HEARTBEAT_INTERVAL, Topic, store_calls::MAX_CALLS_OF_CHILDREN,
+    topic_cache::TopicCache, topics::ChildLink,
+};
 use crate::hosted::{
     crashes::CrashTracker, duty::Duties, metrics::Metrics, store::Store, usage::Meter,
 };
@@ -18,17 +21,18 @@
     cell::RefCell,
     collections::{BTreeMap, BTreeSet},
     rc::Rc,
+    sync::Arc,
     time::Duration,
 };
 use tokio::{
     net::TcpListener,
-    sync::{broadcast, watch},
+    sync::{Semaphore, broadcast, watch},
     time::sleep,
 };
 
 /// Dependencies of a [`Node`].
 pub struct Dependencies {
-    /// The object store.
+    /// The object store over the own connection, as of [`Store::direct`].
     pub store: Store,
     /// Names and parses the objects of the platform.
     pub adapter: Adapter,
@@ -59,6 +63,8 @@
     pub(super) shutting_down: watch::Sender<bool>,
     /// Encoded frames for the parent; dropped while there is none.
     pub(super) to_parent: broadcast::Sender<Bytes>,
+    /// Bounds the concurrent store calls of all children.
+    pub(super) child_calls: Arc<Semaphore>,
 }
 
 /// Most frames queued for the parent. If a slow link falls further behind, the initial frames are sent
@@ -96,6 +102,7 @@
             uplink: RefCell::new(Uplink::new(own_address)),
             shutting_down: watch::channel(false).0,
             to_parent: broadcast::channel(PARENT_QUEUE_FRAMES).0,
+            child_calls: Arc::new(Semaphore::new(MAX_CALLS_OF_CHILDREN)),
         });
         let accept_task = Rc::clone(&node);
         actix_rt::spawn(async move { accept_task.accept_links(listener).await });
@@ -268,7 +275,8 @@
     pub(super) fn heartbeat(&self, ranks: RankRange) -> Option<Heartbeat> {
         let (now, status) = (self.now(), self.store_status());
         let has_data = self.uplink.borrow().age(now, status).is_some();
-        if !has_data && !self.is_fresh() && !self.is_recovering() {
+        let is_fresh = self.is_fresh();
+        if !has_data && !is_fresh && !self.is_recovering() {
             return None;
         }
         let uplink = self.uplink.borrow();
@@ -276,11 +284,14 @@
             true => self.standbys(),
             false => Vec::new(),
         };
-        Some(uplink.heartbeat(now, status, ranks, standbys))
+        Some(Heartbeat {
+            store_calls: self.deps.store.takes_calls_of_children(is_fresh),
+            ..uplink.heartbeat(now, status, ranks, standbys)
+        })
     }
 
     /// Addresses of the children that take over if this root fails.
-    fn standbys(&self) -> Vec<CompactString> {
+    pub(super) fn standbys(&self) -> Vec<CompactString> {
         let state = self.state.borrow();
         state.children.standbys(&self.deps.peer.zone)
     }
--- a/crates/pinereel/src/hosted/tree/parent_search.rs
+++ b/crates/pinereel/src/hosted/tree/parent_search.rs
@@ -133,10 +133,13 @@
                 break;
             };
             match timeout(LINK_OPEN_TIMEOUT, self.connect(&address)).await {
-                Ok(Some(Reply::Linked(link))) if requirement.is_met_by(&link.heartbeat) => {
+                Ok(Some(Reply::Linked(link)))
+                    if requirement.is_met_by(&link.heartbeat)
+                        && !link.heartbeat.ancestors.contains(&self.deps.peer.address) =>
+                {
                     return Ok(*link);
                 }
-                // Its data are stale: it may be below this instance in the tree.
+                // It is below this instance in the tree, or may be, as its data are stale.
                 Ok(Some(Reply::Linked(_))) => {}
                 Ok(Some(Reply::RetryAfter(wait))) => retry_after = retry_after.max(Some(wait)),
                 // The first of the addresses is tried next.
--- a/crates/pinereel/src/hosted/tree/uplink.rs
+++ b/crates/pinereel/src/hosted/tree/uplink.rs
@@ -59,6 +59,11 @@
                     }
                 };
                 self.read_store_until(end).await;
+                // If the store rejects this instance, it cannot read there who has the duty now.
+                if self.deps.store.sends_calls_through_parent() && !self.is_shutting_down() {
+                    let standbys = self.standbys();
+                    self.uplink.borrow_mut().set_parent_candidates(standbys);
+                }
                 continue;
             }
             let link = match next_link.take() {
@@ -159,6 +164,7 @@
         let mut last_received = Instant::now();
         let mut reported_at = last_received;
         let mut to_parent = self.to_parent.subscribe();
+        let mut store_calls = self.deps.store.open_parent_link();
         self.drop_unsubscribed();
         let mut pending = self.initial_frames();
         let end = loop {
@@ -192,6 +198,14 @@
                     // The initial frames contain what was lost from the queue.
                     Err(_) => pending = self.initial_frames(),
                 },
+                // While a call is sent, nothing is received. Without the timeout, two instances that send each
+                // other more than the buffers hold would wait for each other.
+                Some(bytes) = store_calls.recv() => {
+                    let sent = timeout(PARENT_TIMEOUT, link.socket.send(Message::Binary(bytes))).await;
+                    if !matches!(sent, Ok(Ok(()))) {
+                        break LinkEnd::ParentLost;
+                    }
+                }
                 () = sleep(PARENT_CHECK_INTERVAL) => if last_received.elapsed() > PARENT_TIMEOUT {
                     break LinkEnd::ParentLost;
                 },
@@ -200,6 +214,8 @@
             }
             let is_fresh = self.is_fresh();
             self.deps.feed.set_has_parent(is_fresh);
+            let parent = self.uplink.borrow().store_call_parent(self.now());
+            self.deps.store.observe_parent(parent);
             if is_fresh {
                 fresher_source = OptionFuture::from(None);
                 is_stale = false;
@@ -218,6 +234,7 @@
             }
         };
         self.deps.feed.set_has_parent(false);
+        self.deps.store.close_parent_link();
         self.uplink.borrow_mut().on_parent_lost();
         let reason_text = end.as_str();
         log::info!(address = address.as_str(), why = reason_text; "broadcast tree: link to the parent lost");
@@ -338,8 +355,16 @@
             }
             Some(Frame::Crashes(reports)) => self.on_crash_reports(reports),
             Some(Frame::Usage(reports)) => self.deps.usage.merge(reports),
+            Some(Frame::StoreAnswer { id, outcome }) => {
+                self.deps.store.on_parent_answer(id, outcome);
+            }
             Some(Frame::Referral(_) | Frame::RetryAfter(_)) | None => return false,
-            Some(Frame::Hello(_) | Frame::SubtreeSize(_) | Frame::Subscribe { .. }) => {}
+            Some(
+                Frame::Hello(_)
+                | Frame::SubtreeSize(_)
+                | Frame::Subscribe { .. }
+                | Frame::StoreCall(_),
+            ) => {}
         }
         true
     }
--- a/crates/pinereel/src/objects/call.rs
+++ b/crates/pinereel/src/objects/call.rs
@@ -30,6 +30,31 @@
         matches!((self, access), (Self::Lots, Access::Write))
     }
 
+    /// Whether a call for this purpose may be sent through other instances. The configuration holds
+    /// keys and must not; the broadcast tree delivers it and the instance list anyway.
+    pub const fn may_be_relayed(self) -> bool {
+        matches!(
+            self,
+            Self::Lots | Self::Leases | Self::Weights | Self::Usage | Self::Retirements
+        )
+    }
+
+    /// The purpose with a label; `None` if there is none.
+    pub fn from_label(label: &str) -> Option<Self> {
+        let all = [
+            Self::Config,
+            Self::Members,
+            Self::Instances,
+            Self::Weights,
+            Self::Leases,
+            Self::Claims,
+            Self::Lots,
+            Self::Retirements,
+            Self::Usage,
+        ];
+        all.into_iter().find(|purpose| purpose.as_str() == label)
+    }
+
     /// Label of the purpose in metrics and logs.
     pub const fn as_str(self) -> &'static str {
         match self {
@@ -61,6 +86,12 @@
 }
 
 impl Access {
+    /// The kind of access with a label; `None` if there is none.
+    pub fn from_label(label: &str) -> Option<Self> {
+        let all = [Self::Read, Self::Probe, Self::Watch, Self::Write];
+        all.into_iter().find(|access| access.as_str() == label)
+    }
+
     /// Label of the access in metrics and logs.
     pub const fn as_str(self) -> &'static str {
         match self {
--- a/crates/pinereel/src/settings/hosted.rs
+++ b/crates/pinereel/src/settings/hosted.rs
@@ -11,6 +11,8 @@
     pub instance: Instance,
     /// Address of the platform's object store, and the limits on calls to it.
     pub store: Store,
+    /// Links to other instances.
+    pub peers: Peers,
     /// Graceful shutdown.
     pub stop: Stop,
     /// Limits on orders to model engines.
@@ -61,6 +63,14 @@
     pub writes_per_second: u32,
 }
 
+/// Links to other instances.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peers {
+    /// Whether calls to the object store are sent through the parent in the broadcast tree while the
+    /// store does not answer this instance, and whether calls of children are accepted.
+    pub store_calls: bool,
+}
+
 /// Graceful shutdown.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Stop {
@@ -124,6 +134,7 @@
         let mut reader = Reader::new(path.as_ref(), text)?;
         let instance = Instance::read(&mut reader);
         let store = Store::read(&mut reader);
+        let peers = Peers::read(&mut reader);
         let stop = Stop::read(&mut reader);
         let orders = Orders::read(&mut reader);
         let lots = Lots::read(&mut reader);
@@ -134,6 +145,7 @@
             (Some(instance), Some(store)) if errors.is_empty() => Ok(Self {
                 instance,
                 store,
+                peers,
                 stop,
                 orders,
                 lots,
@@ -192,6 +204,15 @@
     }
 }
 
+impl Peers {
+    fn read(reader: &mut Reader) -> Self {
+        let mut section = reader.section("peers");
+        Self {
+            store_calls: section.boolean("store_calls", false),
+        }
+    }
+}
+
 impl Stop {
     fn read(reader: &mut Reader) -> Self {
         let mut section = reader.section("stop");
--- a/crates/pinereel_fakes/src/hosting/site.rs
+++ b/crates/pinereel_fakes/src/hosting/site.rs
@@ -84,6 +84,8 @@
     /// Workspaces with their API keys, in the format of the configuration. Without any, requests
     /// need no key.
     pub workspaces: Option<Value>,
+    /// Changes the settings of each instance, which is given by its index.
+    adapt_settings: fn(usize, String) -> String,
     /// Folder of the settings files.
     folder: PathBuf,
     /// Last number used in the id of an endpoint or the name of an instance.
@@ -96,6 +98,19 @@
     /// # Errors
     /// If a part of the site cannot be started.
     pub async fn start(size: Size, seed: u64) -> io::Result<Self> {
+        Self::start_with_settings(size, seed, |_, settings| settings).await
+    }
+
+    /// Starts a site whose instances have other settings than those of the deployment's template:
+    /// `adapt_settings` is given the index of the instance and the rendered template.
+    ///
+    /// # Errors
+    /// If a part of the site cannot be started.
+    pub async fn start_with_settings(
+        size: Size,
+        seed: u64,
+        adapt_settings: fn(usize, String) -> String,
+    ) -> io::Result<Self> {
         let store = Store::start(seed).await?;
         let folder = env::temp_dir().join(format!("pinereel-site-{}-{seed}", std::process::id()));
         fs::create_dir_all(&folder)?;
@@ -109,6 +124,7 @@
             instances: Vec::new(),
             config_version: 0,
             workspaces: None,
+            adapt_settings,
             folder,
             last_number: 0,
         };
@@ -253,6 +269,7 @@
                 [store_proxy.address, self.platform.address],
             ),
         );
+        let valid_settings = (self.adapt_settings)(self.instances.len(), valid_settings);
         fs::write(&settings_path, &valid_settings)?;
         let mut instance = Instance::new(
             name,
--- a/crates/pinereel_fakes/src/hosting/store.rs
+++ b/crates/pinereel_fakes/src/hosting/store.rs
@@ -1,7 +1,7 @@
 //! A fake of the platform's object store: revisions, conditional writes, watches, and injected
 //! faults.
 
-use actix_http::{Method, StatusCode};
+use actix_http::{HttpMessage as _, Method, StatusCode, header::USER_AGENT};
 use compact_str::CompactString;
 use pinereel::{
     http::{self, Request, Response, Server},
@@ -12,7 +12,7 @@
 use serde_json::{Value, json};
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     io,
     net::{Ipv4Addr, SocketAddr},
     rc::Rc,
@@ -79,6 +79,10 @@
     rng: Rc<RefCell<ChaCha8Rng>>,
     changed: Rc<watch::Sender<u64>>,
     call_count: Rc<Cell<u64>>,
+    /// Names of the instances whose calls are rejected.
+    rejected: Rc<RefCell<BTreeSet<String>>>,
+    /// Number of calls that were rejected for their sender, by its name.
+    rejected_counts: Rc<RefCell<BTreeMap<String, u64>>>,
 }
 
 /// Why a write was rejected.
@@ -103,6 +107,8 @@
             rng: Rc::new(RefCell::new(ChaCha8Rng::seed_from_u64(seed))),
             changed: Rc::new(watch::channel(0).0),
             call_count: Rc::default(),
+            rejected: Rc::default(),
+            rejected_counts: Rc::default(),
         };
         let state = store.clone();
         Server::start(listener, http::Options::default(), move |request| {
@@ -130,6 +136,29 @@
         self.faults.set(faults);
     }
 
+    /// Sets the instances whose calls are answered with status 503 from now on, by their names.
+    pub fn reject_instances(&self, names: impl IntoIterator<Item = String>) {
+        self.rejected.replace(names.into_iter().collect());
+    }
+
+    /// Returns the number of calls of an instance that were rejected for their sender.
+    pub fn rejected_count(&self, instance: &str) -> u64 {
+        let counts = self.rejected_counts.borrow();
+        counts.get(instance).copied().unwrap_or_default()
+    }
+
+    /// Whether a call is rejected for its sender, which is counted.
+    fn is_rejected(&self, request: &Request) -> bool {
+        let agent = request.headers().get(USER_AGENT);
+        let agent = agent.and_then(|agent| agent.to_str().ok());
+        let Some(agent) = agent.filter(|agent| self.rejected.borrow().contains(*agent)) else {
+            return false;
+        };
+        let mut counts = self.rejected_counts.borrow_mut();
+        *counts.entry(agent.to_owned()).or_default() += 1;
+        true
+    }
+
     /// Discards the history of changes, so that watches from older revisions fail.
     pub fn compact(&self) {
         let mut data = self.data.borrow_mut();
@@ -224,7 +253,7 @@
         if !faults.delay.is_zero() {
             sleep(faults.delay).await;
         }
-        if faults.down {
+        if faults.down || self.is_rejected(&request) {
             return http::empty(StatusCode::SERVICE_UNAVAILABLE);
         }
         let path = request.path().to_owned();
