Hosted: notice within 0.7 s that the store is silent to a lease holder whose parent takes calls

Cause: a store that is silent, instead of rejecting calls, holds a renewal until the timeout of 1.5 s. Ruled out, by reasoning: a shorter timeout for all calls (a slow store may take longer to answer a large list), and for leases without a parent that takes calls (there is no other way to try). Change: a direct call for a lease waits 0.7 s at most while the parent accepts calls. Conclusion: the lease stays; the commit in progress still waits for its own timeout.

--- a/crates/pinereel/src/hosted/store.rs
+++ b/crates/pinereel/src/hosted/store.rs
@@ -15,7 +15,7 @@
 use std::{cell::Cell, rc::Rc, time::Duration};
 use tokio::{
     sync::{mpsc, watch},
-    time::{Instant, sleep},
+    time::{Instant, sleep, timeout},
 };
 
 /// Interval between two probes while the store is unreachable. Each probe costs a tenth of a call,
@@ -33,6 +33,11 @@
 /// for the success of a probe. A quarter of the instances may be refused while the others are
 /// served, and each call is paid for, also a refused one.
 const URGENT_ONLY_AFTER: Duration = Duration::from_millis(1_000);
+/// Longest wait for a direct answer about a lease while the parent takes calls. A holder renews 0.7 s
+/// after its last renewal, and others may take the lease 2.2 s after that one. With the timeout of
+/// other calls, 1.5 s, the repetition through the parent came too late if the store was silent. A slow
+/// store takes 0.3 s.
+const LEASE_CALL_TIMEOUT: Duration = Duration::from_millis(700);
 /// One in this many probes is a linearizable read, for a store that answers only those.
 const LINEARIZABLE_PROBE_PERIOD: u32 = 10;
 
@@ -478,10 +483,19 @@
                 parent.call((purpose, access), call, wait, kind.hops).await
             }
             (StoreRoute::Parent, None) | (StoreRoute::Direct, _) => {
-                let direct = self
-                    .client
-                    .exchange(purpose, access, call.clone(), wait)
-                    .await;
+                let exchange = self.client.exchange(purpose, access, call.clone(), wait);
+                let is_short = purpose == Purpose::Leases && kind.may_be_relayed && wait.is_zero();
+                let direct = if is_short && health.parent_accepts_calls() {
+                    let lost = || {
+                        Err(Error::Unknown(
+                            "timeout while the parent takes calls".into(),
+                        ))
+                    };
+                    let answer = timeout(LEASE_CALL_TIMEOUT, exchange).await;
+                    answer.unwrap_or_else(|_| lost())
+                } else {
+                    exchange.await
+                };
                 health.record_direct(&direct);
                 match &health.parent_calls {
                     Some(parent) if may_be_repeated(&direct) && route() == StoreRoute::Parent => {
--- a/crates/pinereel_fakes/tests/hosting_store_calls.rs
+++ b/crates/pinereel_fakes/tests/hosting_store_calls.rs
@@ -11,6 +11,7 @@
     hosting::{
         engine,
         http::call,
+        proxy,
         site::{API_KEY, HOST, Instance, METRICS_PORT, MODEL, Site, Size},
         trainer::{Shape, Trainer},
     },
@@ -210,6 +211,34 @@
     );
 }
 
+/// A store that is silent to a runner, instead of rejecting its calls, is detected by the timeout of a
+/// call. With a timeout of 1.5 s for renewals, the lease passed to another instance in three of three
+/// runs.
+#[actix_rt::test]
+async fn a_runner_that_the_store_does_not_answer_keeps_its_lease() {
+    let site = Site::start(SITE_SIZE, 176).await.unwrap();
+    sleep(Duration::from_secs(3)).await;
+    slow_down_engines(&site);
+    let lots_duty = format!("lots-{MODEL}");
+    let runner = holder(&site, &lots_duty);
+    assert_ne!(runner, holder(&site, "bulletin"));
+    let (load_balancer, recorder) = (site.load_balancer(), Rc::clone(&site.recorder));
+    let mut trainer = Trainer::new("silent", &load_balancer, &site.store, &recorder, SHAPE, 1);
+    let takeovers_before = takeovers(&site, &lots_duty);
+    let store_proxy = &site.instances[runner].store_proxy;
+    let silence = async {
+        sleep(REJECTED_AFTER).await;
+        store_proxy.set_faults(proxy::Faults::DROP_ALL);
+        sleep(REJECTION).await;
+        store_proxy.set_faults(proxy::Faults::default());
+        store_proxy.reset_connections();
+    };
+    tokio::join!(trainer.step(0), silence);
+    assert_eq!(trainer.done, 1);
+    assert_eq!(recorder.violations(), Vec::<String>::new());
+    assert_eq!(takeovers(&site, &lots_duty), takeovers_before);
+}
+
 /// The parent fails while it forwards the calls of a third of the instances. Their calls in progress
 /// end as unknown, and none may be carried out twice; the step goes on through the next parent.
 #[actix_rt::test]
