--- a/crates/pinereel_fakes/src/hosting/site.rs
+++ b/crates/pinereel_fakes/src/hosting/site.rs
@@ -88,6 +88,8 @@
     other_models: Vec<String>,
     /// Latency objective of scorings, from the next configuration on.
     pub scoring_objective: Duration,
+    /// Changes the settings of each instance, which is given by its index.
+    adapt_settings: fn(usize, String) -> String,
     /// Folder of the settings files.
     folder: PathBuf,
     /// Last number used in the id of an endpoint or the name of an instance.
@@ -100,7 +102,7 @@
     /// # Errors
     /// If a part of the site cannot be started.
     pub async fn start(size: Size, seed: u64) -> io::Result<Self> {
-        Self::start_with_models(size, seed, &[]).await
+        Self::start_with(size, seed, &[], |_, settings| settings).await
     }
 
     /// Starts a site whose engines also serve `other_models`, and waits until all instances are
@@ -112,6 +114,28 @@
         size: Size,
         seed: u64,
         other_models: &[&str],
+    ) -> io::Result<Self> {
+        Self::start_with(size, seed, other_models, |_, settings| settings).await
+    }
+
+    /// Starts a site whose instances have other settings than those of the deployment's template:
+    /// `adapt_settings` is given the index of the instance and the rendered template.
+    ///
+    /// # Errors
+    /// If a part of the site cannot be started.
+    pub async fn start_with_settings(
+        size: Size,
+        seed: u64,
+        adapt_settings: fn(usize, String) -> String,
+    ) -> io::Result<Self> {
+        Self::start_with(size, seed, &[], adapt_settings).await
+    }
+
+    async fn start_with(
+        size: Size,
+        seed: u64,
+        other_models: &[&str],
+        adapt_settings: fn(usize, String) -> String,
     ) -> io::Result<Self> {
         let store = Store::start(seed).await?;
         let folder = env::temp_dir().join(format!("pinereel-site-{}-{seed}", std::process::id()));
@@ -128,6 +152,7 @@
             workspaces: None,
             other_models: other_models.iter().map(ToString::to_string).collect(),
             scoring_objective: Duration::from_millis(150),
+            adapt_settings,
             folder,
             last_number: 0,
         };
@@ -279,6 +304,7 @@
                 [store_proxy.address, self.platform.address],
             ),
         );
+        let valid_settings = (self.adapt_settings)(self.instances.len(), valid_settings);
         fs::write(&settings_path, &valid_settings)?;
         let mut instance = Instance::new(
             name,
