--- a/crates/pinereel/src/hosted/endpoints/listing.rs
+++ b/crates/pinereel/src/hosted/endpoints/listing.rs
@@ -31,9 +31,7 @@
     /// Applies a whole list or changes of it. A whole list also removes the known entries within
     /// `scope` that it does not contain.
     pub(super) fn apply_update(self: &Rc<Self>, update: Update, scope: Scope) {
-        if scope == Scope::Others && !self.deps.feed.is_subscribed_to_engines() {
-            self.remove_engines();
-        }
+        self.remove_unfollowed(scope);
         match update {
             Update::All(objects) => {
                 let present: BTreeSet<_> = objects.iter().map(|o| &o.name).collect();
@@ -67,6 +65,23 @@
         self.notify_changed();
     }
 
+    /// Continues with the changes that another instance forwards, which cover `scope`. The list that
+    /// was read from the store is newer than the forwarded one and stays in use.
+    pub(super) fn narrow_to(&self, scope: Scope) {
+        let before = self.entries.borrow().len();
+        self.remove_unfollowed(scope);
+        let listed = self.entries.borrow().len();
+        log::info!(scope:? = scope, listed, gone = before - listed; "endpoint list read");
+        self.notify_changed();
+    }
+
+    /// Removes the engines if `scope` is without them and this instance does not follow them.
+    fn remove_unfollowed(&self, scope: Scope) {
+        if scope == Scope::Others && !self.deps.feed.is_subscribed_to_engines() {
+            self.remove_engines();
+        }
+    }
+
     /// Applies an entry and logs at `level` what is new in it. An entry of an earlier start of the
     /// endpoint is ignored.
     fn apply_entry(&self, object: &Object, level: Level) {
--- a/crates/pinereel/src/hosted/endpoints/mod.rs
+++ b/crates/pinereel/src/hosted/endpoints/mod.rs
@@ -168,7 +168,10 @@
                     batch_delay
                 },
             };
-            let apply = move |update, _, origin| state.apply_update(update, Self::scope(origin));
+            let apply = move |update, _, origin| match update {
+                Some(update) => state.apply_update(update, Self::scope(origin)),
+                None => state.narrow_to(Self::scope(origin)),
+            };
             list_and_watch_with_origin(
                 &store,
                 Purpose::Instances,
--- a/crates/pinereel/src/hosted/list_watch.rs
+++ b/crates/pinereel/src/hosted/list_watch.rs
@@ -57,18 +57,24 @@
     feed: Option<broadcast::Receiver<FeedEvent>>,
     mut on_update: impl FnMut(Update, u64),
 ) {
-    let on_update = |update, revision, _| on_update(update, revision);
+    let on_update = |update: Option<Update>, revision, _| {
+        if let Some(update) = update {
+            on_update(update, revision);
+        }
+    };
     list_and_watch_with_origin(store, purpose, kind, options, feed, on_update).await;
 }
 
-/// Like [`list_and_watch`], and also passes on where each update came from.
+/// Like [`list_and_watch`], and also passes on where each update came from. An update of `None`
+/// reports that the broadcast tree delivers the changes from now on, and that its list is older than
+/// the one read from the store.
 pub async fn list_and_watch_with_origin(
     store: &Store,
     purpose: Purpose,
     kind: &str,
     options: impl Fn() -> WatchOptions,
     feed: Option<broadcast::Receiver<FeedEvent>>,
-    mut on_update: impl FnMut(Update, u64, Origin),
+    mut on_update: impl FnMut(Option<Update>, u64, Origin),
 ) {
     let mut recoveries = store.recoveries();
     let mut feed = TreeFeed::new(feed);
@@ -87,10 +93,16 @@
             received = feed.next_update(), if feed.is_open() => {
                 if let Some((update, update_revision)) = received {
                     // The root may lag behind what is known here.
-                    if revision.is_none_or(|known| update_revision >= known) {
-                        revision = Some(update_revision);
-                        must_list = false;
-                        on_update(update, update_revision, Origin::Tree);
+                    match revision.filter(|known| update_revision < *known) {
+                        None => {
+                            revision = Some(update_revision);
+                            must_list = false;
+                            on_update(Some(update), update_revision, Origin::Tree);
+                        }
+                        Some(known) if matches!(update, Update::All(_)) => {
+                            on_update(None, known, Origin::Tree);
+                        }
+                        Some(_) => {}
                     }
                 }
                 continue;
@@ -119,7 +131,7 @@
                 revision = Some(next_revision);
                 must_list = false;
                 if let Some(update) = update {
-                    on_update(update, next_revision, Origin::Store);
+                    on_update(Some(update), next_revision, Origin::Store);
                     sleep(options().batch_delay).await;
                 }
             }
--- a/crates/pinereel/src/hosted/mod.rs
+++ b/crates/pinereel/src/hosted/mod.rs
@@ -35,7 +35,7 @@
 mod tree;
 mod usage;
 
-pub use list_watch::{Update, WatchOptions, list_and_watch};
+pub use list_watch::{Origin, Update, WatchOptions, list_and_watch, list_and_watch_with_origin};
 pub use metrics::Metrics;
 pub use run::{Error, run};
 pub use stall::StallDetector;
--- a/crates/pinereel_fakes/tests/hosting_list.rs
+++ b/crates/pinereel_fakes/tests/hosting_list.rs
@@ -12,7 +12,7 @@
 };
 use serde_json::json;
 use std::{rc::Rc, time::Duration};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 const SITE_SIZE: Size = Size {
     instances: 3,
@@ -20,11 +20,28 @@
     services: 2,
 };
 
+/// Maximum delay of a log line after the answer that it describes. Beside load, lines came up to 3 ms
+/// after the answer.
+const LOG_TIMEOUT: Duration = Duration::from_secs(2);
+
 fn log_lines(site: &Site, text: &str) -> Vec<String> {
     let lines = site.instances.iter().flat_map(|instance| instance.lines());
     lines.filter(|line| line.contains(text)).collect()
 }
 
+/// Waits until the instances have logged `count` lines with `text`, for [`LOG_TIMEOUT`] at most, and
+/// returns the lines. The thread that writes the log may write a request's line after the answer.
+async fn wait_for_log_lines(site: &Site, text: &str, count: usize) -> Vec<String> {
+    let deadline = Instant::now() + LOG_TIMEOUT;
+    loop {
+        let lines = log_lines(site, text);
+        if lines.len() >= count || Instant::now() >= deadline {
+            return lines;
+        }
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
 /// An engine becomes unreachable and restarts meanwhile. Its runs must end as lost when the new
 /// entry is listed, and not only after the 1.5 s timeout for silent runs.
 #[actix_rt::test]
@@ -111,7 +128,7 @@
         .await;
         assert_eq!(answer.map(|a| a.status), Ok(StatusCode::OK));
     }
-    let request_lines = log_lines(&site, "\"msg\":\"request\"");
+    let request_lines = wait_for_log_lines(&site, "\"msg\":\"request\"", 30).await;
     assert!(request_lines.len() >= 30, "{}", request_lines.len());
     assert!(!request_lines.iter().any(|line| line.contains("other-")));
     assert!(
--- a/crates/pinereel_fakes/tests/hosting_list_watch.rs
+++ b/crates/pinereel_fakes/tests/hosting_list_watch.rs
@@ -1,7 +1,9 @@
 //! List and watch of a kind of objects, through outages of the store and of the broadcast tree.
 
 use pinereel::{
-    hosted::{FeedEvent, Store, Update, WatchOptions, list_and_watch},
+    hosted::{
+        FeedEvent, Origin, Store, Update, WatchOptions, list_and_watch, list_and_watch_with_origin,
+    },
     objects::{Client, Purpose},
     state::Clock,
 };
@@ -101,3 +103,42 @@
     assert_eq!(received.borrow().last().map(|(_, x)| *x), Some(1));
     assert_eq!(fake_store.call_count(), 2, "a list and a watch");
 }
+
+/// An instance that starts late reads the store and is linked to a parent just after. The parent's
+/// list is older than the own one, since the store's revision also grows with changes of other kinds.
+/// That list was dropped without notice, so that the instance kept objects that its parent does not
+/// send.
+#[actix_rt::test]
+async fn the_tree_is_reported_as_the_origin_also_if_its_list_is_older() {
+    let fake_store = store::Store::start(1).await.expect("a free port");
+    let client = Client::new(fake_store.client_options(), Clock::new());
+    let store = Store::new(client, adapter().store);
+    fake_store.put(KIND, "a", json!({"x": 1}));
+    fake_store.put("others", "b", json!({"x": 2}));
+    let (feed, feed_receiver) = broadcast::channel(8);
+    let reported: Rc<RefCell<Vec<_>>> = Rc::default();
+    let recorded = Rc::clone(&reported);
+    actix_rt::spawn(async move {
+        let options = || WatchOptions {
+            max_wait: Duration::from_secs(10),
+            batch_delay: Duration::ZERO,
+        };
+        let on_update = |update: Option<Update>, revision, origin| {
+            let objects = update.map(|update| match update {
+                Update::All(objects) => objects.len(),
+                Update::Changes(changes) => changes.len(),
+            });
+            recorded.borrow_mut().push((objects, revision, origin));
+        };
+        let (purpose, feed) = (Purpose::Config, Some(feed_receiver));
+        list_and_watch_with_origin(&store, purpose, KIND, options, feed, on_update).await;
+    });
+    feed.send(FeedEvent::Lost).expect("the receiver is alive");
+    sleep(Duration::from_millis(200)).await;
+    let older = Rc::new(Update::All(Vec::new()));
+    feed.send(FeedEvent::Update(older, 1))
+        .expect("the receiver is alive");
+    sleep(Duration::from_millis(50)).await;
+    let expected = [(Some(1), 2, Origin::Store), (None, 2, Origin::Tree)];
+    assert_eq!(*reported.borrow(), expected);
+}
