hosted: only the root and its standbys probe an unavailable store

Cause: in an outage of the whole store the root loses its lease after about 2 s, reads on without data, and sends no heartbeats for lack of them. All links break 1.2 s later, and every instance, also one with a link, probes the store 7 times a second, in a second loop besides if its data are stale. Ruled out: an end of the outage that is announced by the first instance that finds it. It would need messages beside the tree; the root probes as often and its heartbeat crosses two links. Change: heartbeats say whether the store answers the root (answers; absent from older builds, and then everything is as before) and go on without data while it does not. A child takes the change from no to yes as the end of the outage: the recovery is recorded, the circuit breaker closes and waiting calls continue. A child that knows that the root lacks answers, and is no standby, probes once a second. Both loops share the time of the last probe. A call that began before the reported end and fails later begins no new outage. An instance other than a standby that gets an answer before the root does waits 0.2 s for it, and 0.5 s for the data of a root that has just got one, before it leaves its parent.

--- a/crates/pinereel/src/hosted/metrics.rs
+++ b/crates/pinereel/src/hosted/metrics.rs
@@ -68,6 +68,8 @@
     /// Events of requests that crash endpoints, by `event` (`crash`, `doubt`, `verdict`, `refusal`,
     /// `acquitted`, `cleared`).
     pub crash_events: IntCounterVec,
+    /// Outages of the store whose end was reported by the parent in the broadcast tree.
+    pub reported_recoveries: IntCounterVec,
     crash_suspects: IntGaugeVec,
     store_calls: IntCounterVec,
     connections_opened: IntGauge,
@@ -133,6 +135,12 @@
             lease_events: counter_vec(&r, "leases_total", "Leases.", &["event"]),
             endpoint_entries: counter_vec(&r, "endpoint_entries_total", "Entries.", &["event"]),
             crash_events: counter_vec(&r, "crashes_total", "Crashes under requests.", &["event"]),
+            reported_recoveries: counter_vec(
+                &r,
+                "store_recoveries_reported_total",
+                "By parents.",
+                &[],
+            ),
             crash_suspects: gauge_vec(&r, "crash_suspects", "Requests known.", "standing"),
             store_calls: counter_vec(&r, "store_calls_total", "Calls.", &["purpose", "access"]),
             connections_opened: int_gauge(&r, "endpoint_connections_opened", "Since the start."),
--- a/crates/pinereel/src/hosted/run.rs
+++ b/crates/pinereel/src/hosted/run.rs
@@ -151,12 +151,12 @@
         let feed = Rc::new(Feed::default());
         let (probed_store, probe_feed) = (store.clone(), Rc::clone(&feed));
         actix_rt::spawn(async move {
-            let (object_kinds, has_tree_parent) =
-                (adapter.object_kinds, || probe_feed.has_parent());
+            let (object_kinds, probes_rarely) =
+                (adapter.object_kinds, || probe_feed.probes_rarely());
             let probe = probed_store.probe_in_outages(
                 object_kinds.config,
                 object_kinds.config_object_name,
-                has_tree_parent,
+                probes_rarely,
             );
             probe.await;
         });
--- a/crates/pinereel/src/hosted/store.rs
+++ b/crates/pinereel/src/hosted/store.rs
@@ -20,10 +20,11 @@
 /// submit them for the last time.
 const PROBE_INTERVAL: Duration = Duration::from_millis(150);
 
-/// Interval between two probes of an instance that gets all changes over the broadcast tree. Its
-/// data do not wait for the store, and 165 such instances would each send 7 probes a second to no
-/// purpose.
-const RECEIVING_PROBE_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Interval between two probes of an instance that gets all changes over the broadcast tree, or to
+/// which the tree reports the end of an outage. Its data do not wait for its own probes, and 165
+/// such instances would each send 7 probes a second to no purpose. It bounds the delay if the report
+/// is lost, and if the store rejects only this instance.
+const RARE_PROBE_INTERVAL: Duration = Duration::from_millis(1_000);
 
 /// Time without an answer after which only probes and writes of lots are sent; all other calls wait
 /// for the success of a probe. A quarter of the instances may be refused while the others are
@@ -52,6 +53,14 @@
     last_answer_at: Cell<Option<Instant>>,
     /// When the store last became reachable again.
     recovered_at: Cell<Option<Instant>>,
+    /// When the end of an outage was last reported to this process.
+    reported_at: Cell<Option<Instant>>,
+    /// When a probe was last sent.
+    last_probe_at: Cell<Option<Instant>>,
+    /// Number of probes sent so far.
+    probe_count: Cell<u32>,
+    /// Number of probes sent before the current outage.
+    probes_before_outage: Cell<u32>,
     /// Number of recoveries. Waiting readers repeat their calls at each.
     recoveries: watch::Sender<u64>,
     /// Whether probes are sent while the store is unreachable.
@@ -67,6 +76,10 @@
             last_failure_at: Cell::new(None),
             last_answer_at: Cell::new(None),
             recovered_at: Cell::new(None),
+            reported_at: Cell::new(None),
+            last_probe_at: Cell::new(None),
+            probe_count: Cell::new(0),
+            probes_before_outage: Cell::new(0),
             recoveries: watch::channel(0).0,
             is_probing: Cell::new(false),
         };
@@ -120,45 +133,80 @@
 
     /// Probes the store while it is unreachable, by reads of the object `name`. An instance that
     /// gets all changes over the broadcast tree may have no other call to make for a long time;
-    /// `is_receiving` returns whether it gets them now. Never returns.
+    /// `probes_rarely` returns whether the end of an outage need not be found by these probes. Never
+    /// returns.
     pub async fn probe_in_outages(
         &self,
         kind: &'static str,
         name: &'static str,
-        is_receiving: impl Fn() -> bool,
+        probes_rarely: impl Fn() -> bool,
     ) {
         self.health.is_probing.set(true);
-        let mut probe_count = 0_u32;
-        let mut last_probe_at = Instant::now();
         loop {
             sleep(PROBE_INTERVAL).await;
-            let interval = if is_receiving() {
-                RECEIVING_PROBE_INTERVAL
+            let interval = if probes_rarely() {
+                RARE_PROBE_INTERVAL
             } else {
                 PROBE_INTERVAL
             };
-            if self.unreachable_since().is_some() && last_probe_at.elapsed() >= interval {
-                last_probe_at = Instant::now();
-                probe_count = probe_count.wrapping_add(1);
-                let freshness = match probe_count % LINEARIZABLE_PROBE_PERIOD {
-                    0 => Consistency::Linearizable,
-                    _ => Consistency::Stale,
-                };
+            if self.unreachable_since().is_some() && self.health.next_probe_in(interval).is_zero() {
                 // A store that does not answer holds a probe until its timeout; the next one is
                 // sent meanwhile.
                 let store = self.clone();
-                actix_rt::spawn(async move { store.probe(kind, name, freshness).await });
+                actix_rt::spawn(async move { store.next_probe(kind, name).await });
             }
         }
     }
 
+    /// Probes the store until it answers, at most once every `interval` together with the probes of
+    /// [`Store::probe_in_outages`].
+    pub async fn until_answered(&self, kind: &str, name: &str, interval: Duration) {
+        loop {
+            let wait = self.health.next_probe_in(interval);
+            if !wait.is_zero() {
+                sleep(wait).await;
+            } else if self.next_probe(kind, name).await {
+                return;
+            }
+        }
+    }
+
+    /// Records that the store is available again, as another instance has found. Returns whether
+    /// that ends an outage here. Calls that wait for the end continue; if the store rejects only
+    /// this instance, the first of them begins a new outage.
+    pub fn end_outage(&self) -> bool {
+        let Some(since) = self.unreachable_since() else {
+            return false;
+        };
+        let outage_ms = since.elapsed().as_millis() as u64;
+        let probes = self.health.probes_in_outage();
+        log::info!(away_ms = outage_ms, probes; "object store: reachable again for the root");
+        self.client.close_breaker();
+        self.health.reported_at.set(Some(Instant::now()));
+        self.health.on_recovery();
+        true
+    }
+
+    /// Sends the next probe; one in [`LINEARIZABLE_PROBE_PERIOD`] is linearizable.
+    async fn next_probe(&self, kind: &str, name: &str) -> bool {
+        let count = self.health.probe_count.get().wrapping_add(1);
+        self.health.probe_count.set(count);
+        self.health.last_probe_at.set(Some(Instant::now()));
+        let freshness = match count % LINEARIZABLE_PROBE_PERIOD {
+            0 => Consistency::Linearizable,
+            _ => Consistency::Stale,
+        };
+        self.probe(kind, name, freshness).await
+    }
+
     /// Sends one probe past the circuit breaker; returns whether the store answered it.
     pub async fn probe(&self, kind: &str, name: &str, freshness: Consistency) -> bool {
         // The object itself is not used and may be old; `record_outcome` records the answer.
         let call = (self.codec.read)(kind, name, freshness);
         let client = &self.client;
+        let started_at = Instant::now();
         let probe = client.exchange(Purpose::Config, Access::Probe, call, Duration::ZERO);
-        self.record_outcome(probe.await).is_ok()
+        self.record_outcome(started_at, probe.await).is_ok()
     }
 
     /// The underlying client, which counts the calls.
@@ -325,15 +373,22 @@
         if !purpose.is_urgent(access) && self.sends_urgent_only() {
             return Err(Error::NotSent("the object store is unreachable".into()));
         }
+        let started_at = Instant::now();
         let answer = self.client.exchange(purpose, access, call, wait).await;
-        self.record_outcome(answer)
+        self.record_outcome(started_at, answer)
     }
 
     /// Records whether the store answered, and turns the HTTP status into a result.
-    fn record_outcome(&self, answer: Result<(StatusCode, Bytes), Error>) -> Result<Bytes, Error> {
+    fn record_outcome(
+        &self,
+        started_at: Instant,
+        answer: Result<(StatusCode, Bytes), Error>,
+    ) -> Result<Bytes, Error> {
         let result = answer.and_then(|(status, body)| check_status(status).map(|()| body));
         match &result {
-            Err(Error::NotSent(_) | Error::Refused(_) | Error::Unknown(_)) => self.health.on_fail(),
+            Err(Error::NotSent(_) | Error::Refused(_) | Error::Unknown(_)) => {
+                self.health.on_fail(started_at);
+            }
             _ => self.health.on_answer(),
         }
         result
@@ -341,12 +396,18 @@
 }
 
 impl Health {
-    /// Records that a call failed.
-    fn on_fail(&self) {
+    /// Records that a call failed that was started at `started_at`. A call that was started before
+    /// the reported end of an outage does not begin another one: a store that does not answer holds
+    /// calls until their timeouts.
+    fn on_fail(&self, started_at: Instant) {
         let now = Instant::now();
         self.last_failure_at.set(Some(now));
+        if self.reported_at.get().is_some_and(|at| started_at < at) {
+            return;
+        }
         if self.unreachable_since.get().is_none() {
             self.unreachable_since.set(Some(now));
+            self.probes_before_outage.set(self.probe_count.get());
             log::warn!("object store: unreachable");
         }
     }
@@ -354,13 +415,31 @@
     /// Records that a call was answered, and notifies if that ends an outage.
     fn on_answer(&self) {
         self.last_answer_at.set(Some(Instant::now()));
-        if let Some(since) = self.unreachable_since.take() {
+        if let Some(since) = self.unreachable_since.get() {
             let outage_ms = since.elapsed().as_millis() as u64;
             log::info!(away_ms = outage_ms; "object store: reachable again");
-            self.recovered_at.set(Some(Instant::now()));
-            self.recoveries.send_modify(|count| *count += 1);
+            self.on_recovery();
         }
     }
+
+    /// Ends the outage and wakes those that wait for its end.
+    fn on_recovery(&self) {
+        self.unreachable_since.set(None);
+        self.recovered_at.set(Some(Instant::now()));
+        self.recoveries.send_modify(|count| *count += 1);
+    }
+
+    /// Time until `interval` has passed since the last probe.
+    fn next_probe_in(&self, interval: Duration) -> Duration {
+        let last_probe_at = self.last_probe_at.get();
+        last_probe_at.map_or(Duration::ZERO, |at| interval.saturating_sub(at.elapsed()))
+    }
+
+    /// Number of probes sent since the current outage began.
+    fn probes_in_outage(&self) -> u32 {
+        let before = self.probes_before_outage.get();
+        self.probe_count.get().wrapping_sub(before)
+    }
 }
 
 /// Only 429 and 503 guarantee that the call had no effect.
--- a/crates/pinereel/src/hosted/tree/feed.rs
+++ b/crates/pinereel/src/hosted/tree/feed.rs
@@ -43,6 +43,8 @@
     engines_subscribed: watch::Sender<bool>,
     /// Whether there is a parent and its data are fresh.
     has_parent: Cell<bool>,
+    /// Whether an unavailable store is probed rarely, see [`probes_rarely`](pinereel_core::tree::Uplink::probes_rarely).
+    probes_rarely: Cell<bool>,
 }
 
 impl Default for Feed {
@@ -54,6 +56,7 @@
             current: RefCell::default(),
             engines_subscribed: watch::channel(false).0,
             has_parent: Cell::default(),
+            probes_rarely: Cell::default(),
         }
     }
 }
@@ -79,6 +82,15 @@
         self.has_parent.set(has_parent);
     }
 
+    /// Whether this instance probes an unavailable store rarely, see [`probes_rarely`](pinereel_core::tree::Uplink::probes_rarely).
+    pub fn probes_rarely(&self) -> bool {
+        self.probes_rarely.get()
+    }
+
+    pub(super) fn set_probes_rarely(&self, probes_rarely: bool) {
+        self.probes_rarely.set(probes_rarely);
+    }
+
     pub(super) fn set_store_uptime(&self, store_uptime: Duration) {
         self.store_uptime.set(store_uptime);
     }
--- a/crates/pinereel/src/hosted/tree/node.rs
+++ b/crates/pinereel/src/hosted/tree/node.rs
@@ -111,6 +111,8 @@
             engines_task.subscribe(Topic::Engines);
             engines_task.publish_missing();
         });
+        let recovery_task = Rc::clone(&node);
+        actix_rt::spawn(async move { recovery_task.report_recoveries().await });
         let uplink_task = Rc::clone(&node);
         actix_rt::spawn(async move { uplink_task.run_uplink().await });
         node
@@ -146,6 +148,7 @@
         StoreStatus {
             age: answered_ago.filter(|_| listed),
             is_answering: answered_ago.is_some_and(|ago| ago < MAX_AGE),
+            is_unreachable: store.unreachable_since().is_some(),
             store_uptime: store.uptime(),
         }
     }
@@ -186,6 +189,8 @@
     pub(super) fn start_reading(&self) {
         self.state.borrow_mut().listed.clear();
         self.uplink.borrow_mut().set_reads_store(true);
+        // The children learn at once that the store answers their new root.
+        self.send_heartbeat();
     }
 
     /// Sends a frame to all children, and drops the link of a child whose queue is full.
@@ -228,6 +233,17 @@
         }
     }
 
+    /// Sends a heartbeat as soon as the store answers this instance again, if it is a root. The instances
+    /// below it do not look for the end of an outage as often.
+    async fn report_recoveries(&self) {
+        let mut recoveries = self.deps.store.recoveries();
+        while recoveries.changed().await.is_ok() {
+            if self.uplink.borrow().reads_store() {
+                self.send_heartbeat();
+            }
+        }
+    }
+
     /// Sends a heartbeat with the ranks of its subtree to each child, and publishes the own rank.
     pub(super) fn send_heartbeat(&self) {
         let preferred = self.deps.peer.preferred;
@@ -264,11 +280,14 @@
         }
     }
 
-    /// The heartbeat for the children; `None` while there are no data and none are expected.
+    /// The heartbeat for the children; `None` while there are no data and none are expected, unless the
+    /// reason is that the store does not answer the root. Without heartbeats, all links of the tree broke
+    /// in an outage of more than 3 s, and each instance looked for its end by itself.
     pub(super) fn heartbeat(&self, ranks: RankRange) -> Option<Heartbeat> {
         let (now, status) = (self.now(), self.store_status());
         let has_data = self.uplink.borrow().age(now, status).is_some();
-        if !has_data && !self.is_fresh() && !self.is_recovering() {
+        let reports_outage = self.uplink.borrow().reports_outage(status);
+        if !has_data && !reports_outage && !self.is_fresh() && !self.is_recovering() {
             return None;
         }
         let uplink = self.uplink.borrow();
--- a/crates/pinereel/src/hosted/tree/uplink.rs
+++ b/crates/pinereel/src/hosted/tree/uplink.rs
@@ -9,7 +9,6 @@
 use crate::hosted::duty::Status;
 use futures_util::{FutureExt as _, SinkExt as _, StreamExt as _, future::OptionFuture};
 use pinereel_core::tree::SubtreeSize;
-use pinereel_port::store::Consistency;
 use std::{rc::Rc, time::Duration};
 use tokio::{
     sync::watch,
@@ -30,6 +29,10 @@
 /// Time between two probes of all other instances. At the rate of the standbys, each of 165 instances
 /// would send 7 probes a second during an outage of the store.
 const PROBE_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Time for which an instance that gets an answer from the store waits until the root gets one as well, if
+/// it is no standby. Longer than the interval between the root's probes: at the end of an outage, up to 30
+/// of 55 instances left their parents within this time and read the store themselves.
+const ROOT_PROBE_GRACE: Duration = Duration::from_millis(200);
 
 /// Why a link to a parent ended.
 enum LinkEnd {
@@ -151,6 +154,7 @@
         {
             return LinkEnd::ParentLost;
         }
+        self.observe_outage_end();
         let level = self.uplink.borrow().level();
         log::info!(address = address.as_str(), level; "broadcast tree: linked to a parent");
         let mut reported_size = SubtreeSize::default();
@@ -200,6 +204,9 @@
             }
             let is_fresh = self.is_fresh();
             self.deps.feed.set_has_parent(is_fresh);
+            let status = self.store_status();
+            let probes_rarely = self.uplink.borrow().probes_rarely(self.now(), status);
+            self.deps.feed.set_probes_rarely(probes_rarely);
             if is_fresh {
                 fresher_source = OptionFuture::from(None);
                 is_stale = false;
@@ -218,6 +225,7 @@
             }
         };
         self.deps.feed.set_has_parent(false);
+        self.deps.feed.set_probes_rarely(false);
         self.uplink.borrow_mut().on_parent_lost();
         let reason_text = end.as_str();
         log::info!(address = address.as_str(), why = reason_text; "broadcast tree: link to the parent lost");
@@ -258,8 +266,21 @@
         };
         let object_kinds = self.deps.adapter.object_kinds;
         let (kind, name) = (object_kinds.config, object_kinds.config_object_name);
-        while !self.deps.store.probe(kind, name, Consistency::Stale).await {
-            sleep(pause).await;
+        let store = &self.deps.store;
+        let root_gets_answers = || {
+            let status = self.store_status();
+            self.uplink.borrow().store_answers(status)
+        };
+        loop {
+            store.until_answered(kind, name, pause).await;
+            if !is_standby && root_gets_answers() == Some(false) {
+                sleep(ROOT_PROBE_GRACE).await;
+            }
+            if root_gets_answers() != Some(true) {
+                return;
+            }
+            // The root has just found the end of the outage, and its data come first.
+            sleep(PARENT_SEARCH_TIMEOUT).await;
         }
     }
 
@@ -272,6 +293,14 @@
         }
     }
 
+    /// Ends the outage of the store here if the last heartbeat says that it is over.
+    fn observe_outage_end(&self) {
+        if self.uplink.borrow_mut().take_outage_end() && self.deps.store.end_outage() {
+            let metrics = &self.deps.metrics;
+            metrics.count(&metrics.reported_recoveries, &[]);
+        }
+    }
+
     /// Size of the subtree of this instance, for the parent.
     fn subtree_size(&self) -> SubtreeSize {
         let state = self.state.borrow();
@@ -334,7 +363,9 @@
                 if !self.uplink.borrow_mut().on_heartbeat(self.now(), heartbeat) {
                     return false;
                 }
+                // The instances below this one wait for it as well.
                 self.send_heartbeat();
+                self.observe_outage_end();
             }
             Some(Frame::Crashes(reports)) => self.on_crash_reports(reports),
             Some(Frame::Usage(reports)) => self.deps.usage.merge(reports),
--- a/crates/pinereel/src/objects/client.rs
+++ b/crates/pinereel/src/objects/client.rs
@@ -177,6 +177,12 @@
         check_status(status)
     }
 
+    /// Records that the API is known to be available again without a call of this process, so that
+    /// no call waits for the back-off after earlier failures.
+    pub fn close_breaker(&self) {
+        self.inner.borrow_mut().breaker.record_success();
+    }
+
     /// Sends a call of another store protocol under this client's limits, and returns the response's
     /// status and body.
     ///
--- a/crates/pinereel_core/src/tree/heartbeat.rs
+++ b/crates/pinereel_core/src/tree/heartbeat.rs
@@ -26,6 +26,10 @@
     pub store_uptime: Duration,
     /// Ranks of the receiver and all below it.
     pub ranks: RankRange,
+    /// Whether the store answers that topmost instance now; `None` if that instance does not read the
+    /// store, or if a build without this field has forwarded the heartbeat.
+    #[serde(rename = "answers", default, skip_serializing_if = "Option::is_none")]
+    pub store_answers: Option<bool>,
 }
 
 impl Heartbeat {
--- a/crates/pinereel_core/src/tree/uplink.rs
+++ b/crates/pinereel_core/src/tree/uplink.rs
@@ -15,6 +15,8 @@
     pub store_uptime: Duration,
     /// Whether the store has answered a call lately, also if not all data have been read yet.
     pub is_answering: bool,
+    /// Whether the last call failed.
+    pub is_unreachable: bool,
 }
 
 /// Where one instance gets its data from: a parent, or the store itself.
@@ -31,6 +33,10 @@
     stale_since: Option<Time>,
     /// Whether the data of this instance have ever been fresh.
     was_fresh: bool,
+    /// Whether a heartbeat has said that the store does not answer the root, and none has said since that
+    /// it does. Kept when the parent changes: at the end of an outage, the first instance that reads the
+    /// store again takes over children of others.
+    root_lacks_answers: bool,
 }
 
 impl Uplink {
@@ -43,6 +49,7 @@
             reads_store: false,
             stale_since: None,
             was_fresh: false,
+            root_lacks_answers: false,
         }
     }
 
@@ -54,6 +61,7 @@
         }
         let root = heartbeat.ancestors.first().cloned();
         self.parent_candidates = root.into_iter().chain(heartbeat.standbys.clone()).collect();
+        self.root_lacks_answers |= heartbeat.store_answers == Some(false);
         self.last_heartbeat = Some((heartbeat, now));
         true
     }
@@ -69,6 +77,51 @@
         self.last_heartbeat = None;
     }
 
+    /// Whether the store answers the topmost instance of the tree, as this instance knows it: from the
+    /// last heartbeat, or from its own calls if it is a root. `None` if it does not know.
+    pub fn store_answers(&self, status: StoreStatus) -> Option<bool> {
+        match &self.last_heartbeat {
+            Some((heartbeat, _)) => heartbeat.store_answers,
+            None => self.reads_store.then_some(!status.is_unreachable),
+        }
+    }
+
+    /// Whether this instance sends heartbeats although it has no data, since they say that the store does
+    /// not answer the root, or that this has just ended. The caller sends a heartbeat before it calls
+    /// [`Uplink::take_outage_end`].
+    pub fn reports_outage(&self, status: StoreStatus) -> bool {
+        match self.store_answers(status) {
+            Some(answers) => !answers || self.root_lacks_answers,
+            None => false,
+        }
+    }
+
+    /// Returns whether the last heartbeat ends an outage of the whole store: the store answers the root,
+    /// and did not according to an earlier heartbeat. Returns `true` once for each outage. An instance
+    /// that only the store rejects gets no such heartbeat, and finds the end by its own probes.
+    pub fn take_outage_end(&mut self) -> bool {
+        let answers = self
+            .last_heartbeat
+            .as_ref()
+            .and_then(|(heartbeat, _)| heartbeat.store_answers);
+        answers == Some(true) && std::mem::take(&mut self.root_lacks_answers)
+    }
+
+    /// Whether this instance need not probe an unavailable store several times a second: it has a parent,
+    /// and either its data do not wait for the store, or the root and its standbys probe for it and the
+    /// heartbeats say when the store answers.
+    ///
+    /// In an outage of 7 s, 55 instances that all probed 7 times a second sent 1,840 probes. With 1,000
+    /// instances, all but the root and its [`MAX_STANDBYS`](super::MAX_STANDBYS) standbys send one a
+    /// second, against lost heartbeats.
+    pub fn probes_rarely(&self, now: Time, status: StoreStatus) -> bool {
+        let Some((heartbeat, _)) = &self.last_heartbeat else {
+            return false;
+        };
+        let root_probes = heartbeat.store_answers == Some(false) && !self.is_standby();
+        self.is_fresh(now, status) || root_probes
+    }
+
     /// Sets whether this instance reads the store itself. If so, it detaches from its parent.
     pub fn set_reads_store(&mut self, reads_store: bool) {
         self.reads_store = reads_store;
@@ -218,6 +271,7 @@
                 reads_store: self.reads_store && status.is_answering,
                 store_uptime: status.store_uptime,
                 ranks,
+                store_answers: self.store_answers(status),
             },
         }
     }
--- a/crates/pinereel_core/tests/tree_fleet.rs
+++ b/crates/pinereel_core/tests/tree_fleet.rs
@@ -100,6 +100,7 @@
         StoreStatus {
             age: has_read.then_some(age),
             is_answering: node.reaches_store,
+            is_unreachable: !node.reaches_store,
             store_uptime: Duration::ZERO,
         }
     }
@@ -580,6 +581,7 @@
         age: None,
         store_uptime: Duration::ZERO,
         is_answering,
+        is_unreachable: !is_answering,
     };
     let mut uplink = Uplink::new("turned-away".into());
     uplink.set_reads_store(true);
@@ -611,6 +613,7 @@
         reads_store: false,
         store_uptime: Duration::ZERO,
         ranks: RankRange::default(),
+        store_answers: None,
     };
     assert!(uplink.on_heartbeat(now, heartbeat));
     uplink.observe(now, status);
@@ -635,6 +638,7 @@
         reads_store: true,
         store_uptime: Duration::ZERO,
         ranks: RankRange::default(),
+        store_answers: None,
     };
     let mut newcomer = Uplink::new("newcomer".into());
     assert!(newcomer.on_heartbeat(now, heartbeat(None)));
--- a/crates/pinereel_fakes/src/hosting/store.rs
+++ b/crates/pinereel_fakes/src/hosting/store.rs
@@ -79,6 +79,7 @@
     rng: Rc<RefCell<ChaCha8Rng>>,
     changed: Rc<watch::Sender<u64>>,
     call_count: Rc<Cell<u64>>,
+    probe_count: Rc<Cell<u64>>,
 }
 
 /// Why a write was rejected.
@@ -103,6 +104,7 @@
             rng: Rc::new(RefCell::new(ChaCha8Rng::seed_from_u64(seed))),
             changed: Rc::new(watch::channel(0).0),
             call_count: Rc::default(),
+            probe_count: Rc::default(),
         };
         let state = store.clone();
         Server::start(listener, http::Options::default(), move |request| {
@@ -142,6 +144,12 @@
         self.call_count.get()
     }
 
+    /// Returns the number of probes received since the start: reads of `config/main` that may be
+    /// answered with an old value.
+    pub fn probe_count(&self) -> u64 {
+        self.probe_count.get()
+    }
+
     /// Returns the spec of an object, if the object exists.
     pub fn spec(&self, kind: &str, name: &str) -> Option<Value> {
         let data = self.data.borrow();
@@ -220,6 +228,10 @@
 
     async fn serve(&self, mut request: Request) -> Response {
         self.call_count.set(self.call_count.get() + 1);
+        let is_stale_read = request.uri().query().is_some_and(|q| q.contains("staleOk"));
+        if is_stale_read && request.path().ends_with("/config/main") {
+            self.probe_count.set(self.probe_count.get() + 1);
+        }
         let faults = self.faults.get();
         if !faults.delay.is_zero() {
             sleep(faults.delay).await;
