lots: a read of results costs one call or none where this instance has read before

Cause: each read by a trainer began with a list of the lot's segments, and one that found nothing was followed by a watch. Ruled out: an answer of 'nothing new' from memory, or from a watch that stays open in the background. Another instance may have returned more at the same position by then, and a read must not return less than one before. Reads that may not wait are listed as before for the same reason. Answers that a concurrent read has overtaken are ignored. A lot that is ended here is forgotten.

--- a/crates/pinereel/src/hosted/lots/trainer_api.rs
+++ b/crates/pinereel/src/hosted/lots/trainer_api.rs
@@ -1,18 +1,20 @@
 //! Calls of trainers: submitting, reading and ending lots, on any instance.
 //!
-//! Each call reads or writes the object store, so any instance can answer it, and only committed
-//! results are returned.
+//! Any instance can answer each call, since it reads or writes the object store. Only committed results
+//! are returned; those that this instance has read before are returned from memory.
 
 use super::schema::{
     LOT_KIND, LotSpec, LotStatus, MAX_SEGMENT_SAMPLES, Tombstone, parse_lot, parse_segment,
     parse_tombstone, results_kind, scoped_id, segment_name,
 };
 use crate::{
-    hosted::store::Store,
+    hosted::{metrics::Metrics, store::Store},
     objects::{Error, Purpose},
+    state::Clock,
 };
 use bytes::Bytes;
 use compact_str::CompactString;
+use pinereel_core::batch::{ReadAnswer, ReadPlan, ResultsCache};
 use pinereel_port::{
     Adapter,
     headers::Caller,
@@ -76,17 +78,24 @@
 pub struct TrainerApi {
     adapter: Adapter,
     store: Store,
+    clock: Clock,
+    metrics: Metrics,
     /// Number of items, by lot.
     cached_totals: RefCell<BTreeMap<CompactString, usize>>,
+    /// Results that have been read.
+    cache: RefCell<ResultsCache>,
 }
 
 impl TrainerApi {
-    /// Creates an instance with an empty cache.
-    pub fn new(adapter: Adapter, store: &Store) -> Self {
+    /// Creates an instance with empty caches.
+    pub fn new(adapter: Adapter, store: &Store, clock: Clock, metrics: &Metrics) -> Self {
         Self {
             adapter,
             store: store.clone(),
+            clock,
+            metrics: metrics.clone(),
             cached_totals: RefCell::default(),
+            cache: RefCell::default(),
         }
     }
 
@@ -186,6 +195,90 @@
         lot: &str,
         from: usize,
         wait: Duration,
+    ) -> Result<Option<Vec<u8>>, Error> {
+        let outages = *self.store.recoveries().borrow();
+        let plan =
+            self.cache
+                .borrow_mut()
+                .plan(self.clock.now(), lot, from, !wait.is_zero(), outages);
+        log::debug!(id = lot, from, plan:? = plan; "results: read planned");
+        if plan == ReadPlan::Cached
+            && let Some((samples, total)) = self.cache.borrow().results(lot, from)
+        {
+            self.metrics.count(&self.metrics.result_reads, &["memory"]);
+            return Ok(Some(self.encode(total, from, samples)));
+        }
+        if let ReadPlan::Watch { revision, total } = plan {
+            self.metrics.count(&self.metrics.result_reads, &["watch"]);
+            let began_at = Instant::now();
+            let known = ReadAnswer {
+                total,
+                from,
+                samples: Vec::new(),
+                revision,
+                outages,
+            };
+            match self.watch_results(lot, known, wait).await {
+                Ok((samples, is_complete)) if is_complete || !samples.is_empty() => {
+                    return Ok(Some(self.encode(total, from, &samples)));
+                }
+                // The store did not answer at all: a list would take the rest of the trainer's time.
+                Err(Error::Unknown(reason)) if began_at.elapsed() > wait => {
+                    self.cache.borrow_mut().remove(lot);
+                    return Err(Error::Unknown(reason));
+                }
+                // The history is lost, the lot is gone, or the watch was cut.
+                Ok(_) | Err(Error::Gone | Error::Unknown(_)) => {
+                    self.cache.borrow_mut().remove(lot);
+                }
+                Err(error) => return Err(error),
+            }
+        }
+        self.metrics.count(&self.metrics.result_reads, &["list"]);
+        self.list_results(lot, from, wait, outages).await
+    }
+
+    /// Waits for results after those of `known`. Returns them up to the first gap, and whether there is
+    /// none; then they are cached.
+    async fn watch_results(
+        &self,
+        lot: &str,
+        known: ReadAnswer,
+        wait: Duration,
+    ) -> Result<(Vec<Sample>, bool), Error> {
+        let kind = results_kind(lot);
+        let watch = self.store.watch(Purpose::Lots, &kind, known.revision, wait);
+        let answer = watch.await?;
+        let is_deleted = answer.changes.iter().any(|change| change.deleted);
+        if is_deleted || answer.revision < known.revision {
+            self.cache.borrow_mut().remove(lot);
+            return Ok((Vec::new(), false));
+        }
+        let changes = answer.changes.into_iter();
+        let mut objects: Vec<_> = changes.map(|change| change.object).collect();
+        objects.sort_by(|a, b| a.name.cmp(&b.name));
+        let (samples, is_complete) = self.consecutive_samples(lot, known.from, &objects);
+        let mut cache = self.cache.borrow_mut();
+        if !is_complete {
+            cache.remove(lot);
+            return Ok((samples, false));
+        }
+        let recorded = ReadAnswer {
+            samples: samples.clone(),
+            revision: answer.revision,
+            ..known
+        };
+        cache.record_watch(self.clock.now(), lot, recorded);
+        Ok((samples, true))
+    }
+
+    /// Lists the results from position `from` on, and waits for the first if there are none.
+    async fn list_results(
+        &self,
+        lot: &str,
+        from: usize,
+        wait: Duration,
+        outages: u64,
     ) -> Result<Option<Vec<u8>>, Error> {
         let kind = results_kind(lot);
         // A segment has a bounded number of samples, so the one that holds the position starts
@@ -195,53 +288,74 @@
             .store
             .list(Purpose::Lots, &kind, after.as_deref())
             .await?;
-        let mut samples = self.consecutive_samples(lot, from, &objects);
-        if samples.is_empty() {
-            let Some(total) = self.total(lot).await? else {
-                return Ok(None);
-            };
-            if from < total && !wait.is_zero() {
-                let changes = self.store.watch(Purpose::Lots, &kind, revision, wait).await;
-                let changes = match changes {
-                    Ok(changes) => changes.changes,
-                    // The revision is no longer watchable, or the watch failed: the trainer
-                    // calls again.
-                    Err(Error::Gone | Error::Unknown(_)) => Vec::new(),
-                    Err(error) => return Err(error),
-                };
-                let objects: Vec<_> = changes.into_iter().map(|change| change.object).collect();
-                samples = self.consecutive_samples(lot, from, &objects);
+        let (mut samples, is_complete) = self.consecutive_samples(lot, from, &objects);
+        let Some(total) = self.total(lot).await? else {
+            self.cache.borrow_mut().remove(lot);
+            return Ok(None);
+        };
+        let listed = ReadAnswer {
+            total,
+            from,
+            samples: samples.clone(),
+            revision,
+            outages,
+        };
+        // A watch from this revision does not return what the list contains behind a gap.
+        if is_complete {
+            let now = self.clock.now();
+            let recorded = listed.clone();
+            self.cache.borrow_mut().record_list(now, lot, recorded);
+        } else {
+            self.cache.borrow_mut().remove(lot);
+        }
+        if samples.is_empty() && from < total && !wait.is_zero() {
+            match self.watch_results(lot, listed, wait).await {
+                Ok((watched, _)) => samples = watched,
+                // The revision is no longer watchable, or the watch failed: the trainer calls again.
+                Err(Error::Gone | Error::Unknown(_)) => {
+                    self.cache.borrow_mut().remove(lot);
+                }
+                Err(error) => return Err(error),
             }
         }
-        let total = self.cached_total(lot).unwrap_or_default();
-        let count = count_that_fit(&samples, self.adapter.lot.max_page_bytes);
-        let samples = &samples[..count];
-        Ok(Some((self.adapter.lot.encode_results)(ResultsPage {
+        Ok(Some(self.encode(total, from, &samples)))
+    }
+
+    /// Serializes the first of `samples`, as many as fit into one answer.
+    fn encode(&self, total: usize, from: usize, samples: &[Sample]) -> Vec<u8> {
+        let count = count_that_fit(samples, self.adapter.lot.max_page_bytes);
+        (self.adapter.lot.encode_results)(ResultsPage {
             total,
             offset: from,
-            samples,
-        })))
+            samples: &samples[..count],
+        })
     }
 
-    /// The samples from position `from` up to the first gap, from segments ordered by name.
-    fn consecutive_samples(&self, lot: &str, from: usize, objects: &[Object]) -> Vec<Sample> {
+    /// The samples from position `from` up to the first gap, from segments ordered by name, and whether
+    /// there is no gap.
+    fn consecutive_samples(
+        &self,
+        lot: &str,
+        from: usize,
+        objects: &[Object],
+    ) -> (Vec<Sample>, bool) {
         let mut samples = Vec::new();
         for object in objects {
             let (start, segment) = match parse_segment(object) {
                 Ok(segment) => segment,
                 Err(fault) => {
                     log::error!(id = lot; "{fault}");
-                    break;
+                    return (samples, false);
                 }
             };
             self.cache_total(lot, segment.total);
             if start > from + samples.len() {
-                break;
+                return (samples, false);
             }
             let skip = (from + samples.len()) - start;
             samples.extend(segment.samples.into_iter().skip(skip));
         }
-        samples
+        (samples, true)
     }
 
     /// Number of items of the lot, cached or read from the store; `None` if there is no such lot.
@@ -311,6 +425,7 @@
     /// Marks a lot as ended; idempotent. Starts no attempt after `deadline`.
     pub async fn end(&self, caller: &Caller, lot: &str, deadline: Instant) -> Reply {
         let lot = &*scoped_id(caller, lot);
+        self.cache.borrow_mut().remove(lot);
         let status = serde_json::json!(LotStatus { ended: true });
         let mut reply = Reply::NotDone(RETRY_AFTER);
         for _ in 0..MAX_WRITE_ATTEMPTS {
--- a/crates/pinereel/src/hosted/metrics.rs
+++ b/crates/pinereel/src/hosted/metrics.rs
@@ -68,6 +68,8 @@
     /// Events of requests that crash endpoints, by `event` (`crash`, `doubt`, `verdict`, `refusal`,
     /// `acquitted`, `cleared`).
     pub crash_events: IntCounterVec,
+    /// Reads of results by trainers, by `from` (`memory`, `watch`, `list`): how they were answered.
+    pub result_reads: IntCounterVec,
     /// Outages of the store whose end was reported by the parent in the broadcast tree.
     pub reported_recoveries: IntCounterVec,
     crash_suspects: IntGaugeVec,
@@ -135,6 +137,7 @@
             lease_events: counter_vec(&r, "leases_total", "Leases.", &["event"]),
             endpoint_entries: counter_vec(&r, "endpoint_entries_total", "Entries.", &["event"]),
             crash_events: counter_vec(&r, "crashes_total", "Crashes under requests.", &["event"]),
+            result_reads: counter_vec(&r, "result_reads_total", "Reads of results.", &["from"]),
             reported_recoveries: counter_vec(
                 &r,
                 "store_recoveries_reported_total",
--- a/crates/pinereel/src/hosted/mod.rs
+++ b/crates/pinereel/src/hosted/mod.rs
@@ -36,6 +36,7 @@
 mod usage;
 
 pub use list_watch::{Origin, Update, WatchOptions, list_and_watch, list_and_watch_with_origin};
+pub use lots::{Reply, TrainerApi};
 pub use metrics::Metrics;
 pub use run::{Error, run};
 pub use stall::StallDetector;
--- a/crates/pinereel/src/hosted/run.rs
+++ b/crates/pinereel/src/hosted/run.rs
@@ -291,7 +291,7 @@
             config,
             endpoints,
             proxy,
-            trainer_api: TrainerApi::new(adapter, &store),
+            trainer_api: TrainerApi::new(adapter, &store, clock, &metrics),
             shutdown: Rc::clone(shutdown),
             metrics,
         });
--- a/crates/pinereel_core/src/batch/mod.rs
+++ b/crates/pinereel_core/src/batch/mod.rs
@@ -5,16 +5,18 @@
 //! and are committed as segments, each written with a create-if-absent call: the first writer of
 //! a segment fixes its positions, even if several instances run the same lot concurrently.
 //! [`CommitLog`] holds the committed results, [`Lot`] the state of each item, [`Fleet`] selects
-//! the engines, and [`DemandWindow`] reports recent demand to the autoscaler.
+//! the engines, [`ResultsCache`] answers repeated reads, and [`DemandWindow`] reports recent demand to the autoscaler.
 
 mod commit_log;
 mod demand;
 mod engine;
 mod fleet;
 mod lot;
+mod results_cache;
 
 pub use commit_log::{CommitLog, Gap};
 pub use demand::{DemandWindow, LotDemand};
 pub use engine::{Engine, Listing, RunOutcome};
 pub use fleet::{EngineKey, Fleet};
 pub use lot::{DEFAULT_LENGTH_TOKENS, Failure, Lot, RetryDecision};
+pub use results_cache::{ReadAnswer, ReadPlan, ResultsCache};
