tree: a root that the store rejects finds the instance that takes over

Ruled out: the new heartbeats alone; the test fails without them too. Change: a root that loses its duty while the store does not answer it looks among its former standbys, as one that shuts down does. Heartbeats that say that the store does not answer the root leave the candidates of a child as they are.

--- a/crates/pinereel/src/hosted/tree/node.rs
+++ b/crates/pinereel/src/hosted/tree/node.rs
@@ -123,14 +123,19 @@
         self.shutting_down.send_replace(true);
         if self.uplink.borrow().reads_store() {
             // Until it ends, it sends and receives as a child of the standby that takes over.
-            let standbys = self.standbys();
-            self.uplink.borrow_mut().set_parent_candidates(standbys);
+            self.follow_standbys();
         }
         let referral = Frame::Referral(self.link_targets());
         self.broadcast(&referral);
         self.state.borrow_mut().child_links.clear();
     }
 
+    /// Makes the standbys of this root its own candidates for a parent.
+    pub(super) fn follow_standbys(&self) {
+        let standbys = self.standbys();
+        self.uplink.borrow_mut().set_parent_candidates(standbys);
+    }
+
     pub(super) fn is_shutting_down(&self) -> bool {
         *self.shutting_down.borrow()
     }
--- a/crates/pinereel/src/hosted/tree/uplink.rs
+++ b/crates/pinereel/src/hosted/tree/uplink.rs
@@ -62,6 +62,10 @@
                     }
                 };
                 self.read_store_until(end).await;
+                if self.deps.store.unreachable_since().is_some() {
+                    // It cannot read who takes over.
+                    self.follow_standbys();
+                }
                 continue;
             }
             let link = match next_link.take() {
--- a/crates/pinereel_core/src/tree/uplink.rs
+++ b/crates/pinereel_core/src/tree/uplink.rs
@@ -60,14 +60,19 @@
             return false;
         }
         let root = heartbeat.ancestors.first().cloned();
-        self.parent_candidates = root.into_iter().chain(heartbeat.standbys.clone()).collect();
-        self.root_lacks_answers |= heartbeat.store_answers == Some(false);
+        // A root without answers from the store loses its children, and names the few that are left as
+        // its standbys: they would have nobody else to try.
+        let root_lacks_answers = heartbeat.store_answers == Some(false);
+        if !root_lacks_answers || self.parent_candidates.is_empty() {
+            self.parent_candidates = root.into_iter().chain(heartbeat.standbys.clone()).collect();
+        }
+        self.root_lacks_answers |= root_lacks_answers;
         self.last_heartbeat = Some((heartbeat, now));
         true
     }
 
-    /// Replaces the addresses to try for a parent. A root that shuts down calls it with its standbys, one
-    /// of which takes over.
+    /// Replaces the addresses to try for a parent. A root that shuts down, or that has lost its duty since
+    /// the store does not answer it, calls it with its standbys, one of which takes over.
     pub fn set_parent_candidates(&mut self, standbys: Vec<CompactString>) {
         self.parent_candidates = standbys;
     }
--- a/crates/pinereel_core/tests/tree_outage.rs
+++ b/crates/pinereel_core/tests/tree_outage.rs
@@ -268,3 +268,34 @@
         assert_eq!(uplink.probes_rarely(now, status), probes_rarely);
     }
 }
+
+/// A root that the store rejects loses its children one by one, and those that are left must still know
+/// the standbys that may have taken over.
+#[test]
+fn a_root_without_answers_does_not_replace_the_candidates_for_a_parent() {
+    let now = at(Duration::from_secs(9));
+    let mut uplink = Uplink::new("child".into());
+    assert!(uplink.on_heartbeat(now, heartbeat(Some(true), Duration::ZERO)));
+    let mut without_others = heartbeat(Some(false), Duration::from_secs(3));
+    without_others.standbys = vec!["child".into()];
+    assert!(uplink.on_heartbeat(now, without_others.clone()));
+    assert_eq!(uplink.link_targets(None), ["first"]);
+    without_others.store_answers = Some(true);
+    assert!(uplink.on_heartbeat(now, without_others));
+    assert!(uplink.link_targets(None).is_empty());
+}
+
+/// Instances of the previous build and of this one are linked to each other during an update.
+#[test]
+fn heartbeats_are_compatible_with_the_previous_build() {
+    let with_statement = heartbeat(Some(true), Duration::ZERO);
+    let mut json = serde_json::to_value(&with_statement).expect("a heartbeat");
+    assert_eq!(json["answers"], true);
+    json["later"] = "a field of a later build".into();
+    let decoded: Heartbeat = serde_json::from_value(json.clone()).expect("a heartbeat");
+    assert_eq!(decoded, with_statement);
+    let fields = json.as_object_mut().expect("an object");
+    fields.remove("answers");
+    let decoded: Heartbeat = serde_json::from_value(json).expect("a heartbeat");
+    assert_eq!(decoded.store_answers, None);
+}
--- a/crates/pinereel_fakes/tests/hosting_outage.rs
+++ b/crates/pinereel_fakes/tests/hosting_outage.rs
@@ -1,7 +1,7 @@
 //! Outages of the store, with real processes: how many probes they cost, and when the instances find
 //! that they have ended.
 
-use actix_http::Method;
+use actix_http::{Method, StatusCode};
 use bytes::Bytes;
 use pinereel_fakes::hosting::{
     http::call,
@@ -99,7 +99,7 @@
     ];
     let _ = call(
         instance.caller_proxy.address,
-        actix_http::Method::GET,
+        Method::GET,
         "/v1/lots/none?after=0",
         &headers,
         Bytes::new(),
@@ -114,3 +114,60 @@
     assert_eq!(count_lines(instance, OWN_RECOVERY), before + 1);
     assert_eq!(count_lines(instance, REPORTED_RECOVERY), 0);
 }
+
+/// The store may reject a third of the instances, the root among them, for longer than its lease lasts.
+/// Their links are kept by heartbeats without data, and a change of the configuration must still reach all
+/// instances within 4 s.
+#[actix_rt::test]
+async fn a_change_reaches_all_instances_while_the_root_and_others_are_rejected() {
+    let size = Size {
+        instances: 12,
+        engines: 1,
+        services: 2,
+    };
+    let mut site = Site::start(size, 172).await.unwrap();
+    sleep(Duration::from_secs(2)).await;
+    let is_root = |instance: &Instance| {
+        let lines = instance.lines();
+        let taken = |line: &&String| line.contains("lease taken") && line.contains("bulletin");
+        lines.iter().any(|line| taken(&line))
+    };
+    let root = site.instances.iter().position(is_root).expect("a root");
+    for offset in 0..4 {
+        let rejected = &site.instances[(root + offset) % size.instances];
+        rejected.store_proxy.set_faults(proxy::Faults::DROP_ALL);
+    }
+    sleep(Duration::from_millis(1_000)).await;
+    site.configure("plain", Duration::from_secs(2));
+    let path = format!("/only-{}/x", site.config_version);
+    let changed_at = Instant::now();
+    let mut outdated: Vec<usize> = (0..size.instances).collect();
+    while !outdated.is_empty() && changed_at.elapsed() < Duration::from_secs(4) {
+        let mut remaining = Vec::new();
+        for index in outdated {
+            let instance = &site.instances[index];
+            let headers = [
+                ("host", HOST.to_owned()),
+                ("x-request-id", format!("{}-r", instance.name)),
+            ];
+            let address = instance.caller_proxy.address;
+            let timeout = Duration::from_secs(3);
+            let answer = call(
+                address,
+                Method::POST,
+                &path,
+                &headers,
+                Bytes::new(),
+                timeout,
+            )
+            .await;
+            if answer.map(|answer| answer.status) != Ok(StatusCode::OK) {
+                remaining.push(index);
+            }
+        }
+        outdated = remaining;
+        sleep(Duration::from_millis(100)).await;
+    }
+    println!("root {root}, in force after {:?}", changed_at.elapsed());
+    assert!(outdated.is_empty(), "{outdated:?}, root {root}");
+}
