--- a/crates/pinereel/src/hosted/metrics.rs
+++ b/crates/pinereel/src/hosted/metrics.rs
@@ -82,6 +82,10 @@
     /// (`parent`: sent to it, `child`: received from it) and `outcome` (`answered`, `not_sent`,
     /// `unknown`).
     pub relayed_store_calls: IntCounterVec,
+    /// Reads of results by trainers, by `from` (`memory`, `watch`, `list`): how they were answered.
+    pub result_reads: IntCounterVec,
+    /// Outages of the store whose end was reported by the parent in the broadcast tree.
+    pub reported_recoveries: IntCounterVec,
     crash_suspects: IntGaugeVec,
     scorings: IntGaugeVec,
     store_calls: IntCounterVec,
@@ -163,6 +167,13 @@
                 "Store calls over links.",
                 &["role", "outcome"],
             ),
+            result_reads: counter_vec(&r, "result_reads_total", "Reads of results.", &["from"]),
+            reported_recoveries: counter_vec(
+                &r,
+                "store_recoveries_reported_total",
+                "By parents.",
+                &[],
+            ),
             crash_suspects: gauge_vec(&r, "crash_suspects", "Requests known.", "standing"),
             scorings: gauge_vec(&r, "scorings", "Scorings by load reports.", "what"),
             store_calls: counter_vec(&r, "store_calls_total", "Calls.", &["purpose", "access"]),
--- a/crates/pinereel/src/hosted/store.rs
+++ b/crates/pinereel/src/hosted/store.rs
@@ -24,10 +24,11 @@
 /// submit them for the last time.
 const PROBE_INTERVAL: Duration = Duration::from_millis(150);
 
-/// Interval between two probes of an instance that gets all changes over the broadcast tree. Its
-/// data do not wait for the store, and 165 such instances would each send 7 probes a second to no
-/// purpose.
-const RECEIVING_PROBE_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Interval between two probes of an instance that gets all changes over the broadcast tree, or to
+/// which the tree reports the end of an outage. Its data do not wait for its own probes, and 165
+/// such instances would each send 7 probes a second to no purpose. It bounds the delay if the report
+/// is lost, and if the store rejects only this instance.
+const RARE_PROBE_INTERVAL: Duration = Duration::from_millis(1_000);
 
 /// Time without an answer after which only probes and writes of lots are sent; all other calls wait
 /// for the success of a probe. A quarter of the instances may be refused while the others are
@@ -66,6 +67,12 @@
     started_at: Instant,
     /// Whether probes are sent while the store is unreachable.
     is_probing: Cell<bool>,
+    /// When a probe was last sent.
+    last_probe_at: Cell<Option<Instant>>,
+    /// Number of probes sent so far.
+    probe_count: Cell<u32>,
+    /// Number of probes sent before the current outage of the own connection.
+    probes_before_outage: Cell<u32>,
     /// Calls through the parent; `None` if they are not enabled.
     parent_calls: Option<ParentCalls>,
     /// Since when calls are sent through the parent, and the number of those answered before.
@@ -82,6 +89,8 @@
     last_answer_at: Cell<Option<Instant>>,
     /// When the store last became reachable again.
     recovered_at: Cell<Option<Instant>>,
+    /// When the end of an outage was last reported to this process.
+    reported_at: Cell<Option<Instant>>,
     /// Number of recoveries, and of changes of the way that calls take. Waiting readers repeat their
     /// calls at each.
     recoveries: watch::Sender<u64>,
@@ -254,49 +263,87 @@
 
     /// Probes the store while it is unreachable, by reads of the object `name`. An instance that
     /// gets all changes over the broadcast tree may have no other call to make for a long time;
-    /// `is_receiving` returns whether it gets them now. Never returns.
+    /// `probes_rarely` returns whether the end of an outage need not be found by these probes. Never
+    /// returns.
     pub async fn probe_in_outages(
         &self,
         kind: &'static str,
         name: &'static str,
-        is_receiving: impl Fn() -> bool,
+        probes_rarely: impl Fn() -> bool,
     ) {
         self.health.is_probing.set(true);
-        let mut probe_count = 0_u32;
-        let mut last_probe_at = Instant::now();
         loop {
             sleep(PROBE_INTERVAL).await;
-            let interval = if is_receiving() {
-                RECEIVING_PROBE_INTERVAL
+            let interval = if probes_rarely() {
+                RARE_PROBE_INTERVAL
             } else {
                 PROBE_INTERVAL
             };
             let unreachable_since = self.health.own.unreachable_since.get();
-            if unreachable_since.is_some() && last_probe_at.elapsed() >= interval {
-                last_probe_at = Instant::now();
-                probe_count = probe_count.wrapping_add(1);
-                let freshness = match probe_count % LINEARIZABLE_PROBE_PERIOD {
-                    0 => Consistency::Linearizable,
-                    _ => Consistency::Stale,
-                };
+            if unreachable_since.is_some() && self.health.next_probe_in(interval).is_zero() {
                 // A store that does not answer holds a probe until its timeout; the next one is
                 // sent meanwhile.
                 let store = self.clone();
-                actix_rt::spawn(async move { store.probe(kind, name, freshness).await });
+                actix_rt::spawn(async move { store.next_probe(kind, name).await });
+            }
+        }
+    }
+
+    /// Probes the store until it answers, at most once every `interval` together with the probes of
+    /// [`Store::probe_in_outages`].
+    pub async fn until_answered(&self, kind: &str, name: &str, interval: Duration) {
+        loop {
+            let wait = self.health.next_probe_in(interval);
+            if !wait.is_zero() {
+                sleep(wait).await;
+            } else if self.next_probe(kind, name).await {
+                return;
             }
         }
     }
 
+    /// Records that the store is available again, as another instance has found. Returns whether
+    /// that ends an outage here. Calls that wait for the end continue; if the store rejects only
+    /// this instance, the first of them begins a new outage.
+    pub fn end_outage(&self) -> bool {
+        let health = &self.health;
+        let Some(since) = health.own.unreachable_since.get() else {
+            return false;
+        };
+        let outage_ms = since.elapsed().as_millis() as u64;
+        let probes = health.probes_in_outage();
+        log::info!(away_ms = outage_ms, probes; "object store: reachable again for the root");
+        self.client.close_breaker();
+        for reachability in [&health.own, &health.either] {
+            reachability.reported_at.set(Some(Instant::now()));
+            reachability.end_outage();
+        }
+        true
+    }
+
+    /// Sends the next probe; one in [`LINEARIZABLE_PROBE_PERIOD`] is linearizable.
+    async fn next_probe(&self, kind: &str, name: &str) -> bool {
+        let count = self.health.probe_count.get().wrapping_add(1);
+        self.health.probe_count.set(count);
+        self.health.last_probe_at.set(Some(Instant::now()));
+        let freshness = match count % LINEARIZABLE_PROBE_PERIOD {
+            0 => Consistency::Linearizable,
+            _ => Consistency::Stale,
+        };
+        self.probe(kind, name, freshness).await
+    }
+
     /// Sends one probe past the circuit breaker; returns whether the store answered it.
     pub async fn probe(&self, kind: &str, name: &str, freshness: Consistency) -> bool {
         // The object itself is not used and may be old; only whether there is an answer is recorded.
         let call = (self.codec.read)(kind, name, freshness);
         let client = &self.client;
+        let started_at = Instant::now();
         let probe = client.exchange(Purpose::Config, Access::Probe, call, Duration::ZERO);
         let answer = probe.await;
-        self.health.record_direct(&answer);
+        self.health.record_direct(started_at, &answer);
         if !is_answered(&answer) && !self.health.parent_accepts_calls() {
-            self.health.either.on_failure();
+            self.health.either.on_failure(started_at);
         }
         answer.is_ok_and(|(status, _)| check_status(status).is_ok())
     }
@@ -481,6 +528,7 @@
         wait: Duration,
     ) -> Result<(StatusCode, Bytes), Error> {
         let health = &self.health;
+        let started_at = Instant::now();
         let route = || store_route(health.own_connection(), health.parent(), kind);
         let answer = match (route(), &health.parent_calls) {
             (StoreRoute::Refused, _) => {
@@ -503,7 +551,7 @@
                 } else {
                     exchange.await
                 };
-                health.record_direct(&direct);
+                health.record_direct(started_at, &direct);
                 match &health.parent_calls {
                     Some(parent) if may_be_repeated(&direct) && route() == StoreRoute::Parent => {
                         match parent.call((purpose, access), call, wait, kind.hops).await {
@@ -518,7 +566,7 @@
         if is_answered(&answer) {
             health.on_answer();
         } else if kind.may_be_relayed || !health.parent_accepts_calls() {
-            health.either.on_failure();
+            health.either.on_failure(started_at);
         }
         answer
     }
@@ -531,6 +579,9 @@
             either: Reachability::new(),
             started_at: Instant::now(),
             is_probing: Cell::new(false),
+            last_probe_at: Cell::new(None),
+            probe_count: Cell::new(0),
+            probes_before_outage: Cell::new(0),
             parent_calls,
             relaying_since: Cell::default(),
         }
@@ -557,8 +608,21 @@
         self.parent().is_some_and(|parent| parent.accepts_calls())
     }
 
-    /// Records whether the store answered a call over the own connection.
-    fn record_direct(&self, answer: &Result<(StatusCode, Bytes), Error>) {
+    /// Time until `interval` has passed since the last probe.
+    fn next_probe_in(&self, interval: Duration) -> Duration {
+        let last_probe_at = self.last_probe_at.get();
+        last_probe_at.map_or(Duration::ZERO, |at| interval.saturating_sub(at.elapsed()))
+    }
+
+    /// Number of probes sent since the current outage began.
+    fn probes_in_outage(&self) -> u32 {
+        let before = self.probes_before_outage.get();
+        self.probe_count.get().wrapping_sub(before)
+    }
+
+    /// Records whether the store answered a call over the own connection that was started at
+    /// `started_at`.
+    fn record_direct(&self, started_at: Instant, answer: &Result<(StatusCode, Bytes), Error>) {
         if is_answered(answer) {
             if let Some(away) = self.own.on_answer() {
                 log::info!(away_ms = away.as_millis() as u64; "object store: reachable again");
@@ -569,7 +633,8 @@
         // A limit of this process says nothing about the store, and must not send calls around that limit
         // through the parent.
         let is_own_limit = answer.as_ref().is_err_and(is_own_limit);
-        if !(is_own_limit && self.parent_calls.is_some()) && self.own.on_failure() {
+        if !(is_own_limit && self.parent_calls.is_some()) && self.own.on_failure(started_at) {
+            self.probes_before_outage.set(self.probe_count.get());
             log::warn!("object store: unreachable");
         }
     }
@@ -609,14 +674,20 @@
             last_failure_at: Cell::new(None),
             last_answer_at: Cell::new(None),
             recovered_at: Cell::new(None),
+            reported_at: Cell::new(None),
             recoveries: watch::channel(0).0,
         }
     }
 
-    /// Records that a call failed; returns whether that begins an outage.
-    fn on_failure(&self) -> bool {
+    /// Records that a call failed that was started at `started_at`; returns whether that begins an
+    /// outage. A call that was started before the reported end of an outage does not: a store that
+    /// does not answer holds calls until their timeouts.
+    fn on_failure(&self, started_at: Instant) -> bool {
         let now = Instant::now();
         self.last_failure_at.set(Some(now));
+        if self.reported_at.get().is_some_and(|at| started_at < at) {
+            return false;
+        }
         let begins = self.unreachable_since.get().is_none();
         if begins {
             self.unreachable_since.set(Some(now));
@@ -627,10 +698,14 @@
     /// Records that a call was answered. If that ends an outage, notifies of it and returns how long it
     /// was.
     fn on_answer(&self) -> Option<Duration> {
-        let now = Instant::now();
-        self.last_answer_at.set(Some(now));
+        self.last_answer_at.set(Some(Instant::now()));
+        self.end_outage()
+    }
+
+    /// Ends the outage, if there is one, notifies of it and returns how long it was.
+    fn end_outage(&self) -> Option<Duration> {
         let since = self.unreachable_since.take()?;
-        self.recovered_at.set(Some(now));
+        self.recovered_at.set(Some(Instant::now()));
         self.notify();
         Some(since.elapsed())
     }
--- a/crates/pinereel_core/src/tree/heartbeat.rs
+++ b/crates/pinereel_core/src/tree/heartbeat.rs
@@ -29,6 +29,10 @@
     /// Whether the sender itself gets store calls of its children answered.
     #[serde(default)]
     pub store_calls: bool,
+    /// Whether the store answers that topmost instance now; `None` if that instance does not read the
+    /// store, or if a build without this field has forwarded the heartbeat.
+    #[serde(rename = "answers", default, skip_serializing_if = "Option::is_none")]
+    pub store_answers: Option<bool>,
 }
 
 impl Heartbeat {
--- a/crates/pinereel_core/tests/tree_store_route.rs
+++ b/crates/pinereel_core/tests/tree_store_route.rs
@@ -102,6 +102,7 @@
         reads_store: true,
         store_uptime: Duration::ZERO,
         ranks: RankRange::default(),
+        store_answers: None,
         store_calls,
     }
 }
