Take out the limit of scorings that follows load reports

Cause: with the merge of this part, half of a step's items were listed 2.51 s after the submission in place of 2.05 s, and 90 % after 3.59 s in place of 3.15 s, although their texts were complete as early as before (1.58 s, 2.47 s). The limit stood at 10 to 20 scorings of 108 slots: the reports that it follows come mostly from the endpoints of the runner's own zone. Ruled out: the order of scorings and the parallel attempts (kept, listed as early as before with them). Change: half of the slots, as before the part; the reports tell of spare slots only. Conclusion: taken out.

--- a/crates/pinereel/src/hosted/lots/score.rs
+++ b/crates/pinereel/src/hosted/lots/score.rs
@@ -7,7 +7,7 @@
     header::{HOST, HeaderMap, HeaderValue},
 };
 use compact_str::CompactString;
-use pinereel_core::{batch::RetryDecision, scoring::Scope};
+use pinereel_core::batch::RetryDecision;
 use pinereel_port::lot::Scorer;
 use std::{cell::OnceCell, rc::Rc, time::Duration};
 use tokio::time::{Instant, sleep};
@@ -43,12 +43,9 @@
         // Endpoints that failed on an earlier call count, too.
         let failed = runner.failed_scorings(task);
         call.route.max_attempts = max_attempts.saturating_sub(failed).max(1);
-        let scope = Scope {
-            slots: scoring_slots(runner, &call),
-            models: runner.open_models(),
-        };
+        let slots = scoring_slots(runner, &call);
         let permits = &runner.scoring_permits;
-        let permit = permits.acquire(&task.lot_id, task.index, scope).await;
+        let permit = permits.acquire(&task.lot_id, task.index, slots).await;
         let (outcome, internal_errors) = runner.deps.proxy.run_counted(call).await;
         drop(permit);
         let is_failure = match outcome {
--- a/crates/pinereel/src/hosted/lots/scoring_permits.rs
+++ b/crates/pinereel/src/hosted/lots/scoring_permits.rs
@@ -5,12 +5,12 @@
 use compact_str::CompactString;
 use pinereel_core::{
     Time,
-    scoring::{self, Limit, Rank, Scope},
+    scoring::{self, Limit, Rank},
 };
 use pinereel_port::headers::Load;
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, BTreeSet, VecDeque},
+    collections::{BTreeMap, VecDeque},
     rc::Rc,
     time::Duration,
 };
@@ -19,8 +19,7 @@
     time::{Instant, sleep},
 };
 
-/// Upper bound of the time until waiting scorings are checked again, since nothing notifies them when
-/// load reports become too old.
+/// Upper bound of the time until waiting scorings are checked again: the number of slots may have grown.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Minimum time between two log lines with the limit.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
@@ -34,8 +33,8 @@
     waiting: RefCell<VecDeque<Waiting>>,
     /// Notified when a permit may have become free.
     changed: Notify,
-    /// The limit's inputs of the last scoring.
-    scope: Cell<Scope>,
+    /// Slots of the service of the last scoring.
+    slots: Cell<u32>,
     invalid_report_logged: Cell<bool>,
     logged_at: Cell<Option<Instant>>,
 }
@@ -45,7 +44,8 @@
     lot: CompactString,
     /// Index of its item in the lot.
     index: usize,
-    scope: Scope,
+    /// Slots of its service.
+    slots: u32,
     granted: oneshot::Sender<Permit>,
 }
 
@@ -54,15 +54,13 @@
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        let permits = &self.0;
-        let (now, scope) = (permits.clock.now(), permits.scope.get());
-        permits.limit.borrow_mut().record_end(now, scope);
-        permits.changed.notify_one();
+        self.0.limit.borrow_mut().record_end();
+        self.0.changed.notify_one();
     }
 }
 
 impl Permits {
-    /// Returns permits without a limit learned from load reports.
+    /// No permits in use, and no load reports yet.
     pub(super) fn new(clock: Clock) -> Rc<Self> {
         Rc::new(Self {
             clock,
@@ -70,10 +68,7 @@
             limit: RefCell::default(),
             waiting: RefCell::default(),
             changed: Notify::new(),
-            scope: Cell::new(Scope {
-                slots: 0,
-                models: 0,
-            }),
+            slots: Cell::new(0),
             invalid_report_logged: Cell::new(false),
             logged_at: Cell::new(None),
         })
@@ -84,17 +79,17 @@
         self: &Rc<Self>,
         lot: &CompactString,
         index: usize,
-        scope: Scope,
+        slots: u32,
     ) -> Permit {
         loop {
-            if self.waiting.borrow().is_empty() && self.has_room(scope) {
-                return self.take(scope);
+            if self.waiting.borrow().is_empty() && self.has_room(slots) {
+                return self.take(slots);
             }
             let (granted, permit) = oneshot::channel();
             self.waiting.borrow_mut().push_back(Waiting {
                 lot: lot.clone(),
                 index,
-                scope,
+                slots,
                 granted,
             });
             self.changed.notify_one();
@@ -111,12 +106,11 @@
             waiting: load.waiting,
             slots: load.slots,
         };
-        let has_waiting = !self.waiting.borrow().is_empty();
-        let (now, scope) = (self.clock.now(), self.scope.get());
-        let mut limit = self.limit.borrow_mut();
-        if limit.record_report(now, report, scope, has_waiting) {
-            self.changed.notify_one();
-        } else if !self.invalid_report_logged.replace(true) {
+        let is_valid = self
+            .limit
+            .borrow_mut()
+            .record_report(self.clock.now(), report);
+        if !is_valid && !self.invalid_report_logged.replace(true) {
             log::warn!(load:? = load; "invalid load report of a scoring endpoint ignored");
         }
     }
@@ -147,16 +141,16 @@
             .retain(|waiting| !waiting.granted.is_closed());
         while let Some(waiting) = self.next_to_grant(runner) {
             // If the scoring was cancelled meanwhile, this drops the permit, which returns it.
-            let _ = waiting.granted.send(self.take(waiting.scope));
+            let _ = waiting.granted.send(self.take(waiting.slots));
         }
         self.publish(runner);
     }
 
     fn next_to_grant(&self, runner: &Runner) -> Option<Waiting> {
         let mut waiting = self.waiting.borrow_mut();
-        // Checked first, so that waiting scorings are ranked once for each permit and not for each load
-        // report. The limit is that of the first one, as if it were granted in turn.
-        if !self.has_room(waiting.front()?.scope) {
+        // Checked first, so that waiting scorings are ranked once for each permit. The limit is that of
+        // the first one, as if it were granted in turn.
+        if !self.has_room(waiting.front()?.slots) {
             return None;
         }
         let position = if self.limit.borrow().has_reports() {
@@ -168,23 +162,23 @@
         waiting.remove(position)
     }
 
-    fn has_room(&self, scope: Scope) -> bool {
-        self.limit.borrow().has_room(self.clock.now(), scope)
+    fn has_room(&self, slots: u32) -> bool {
+        self.limit.borrow().has_room(slots)
     }
 
-    fn take(self: &Rc<Self>, scope: Scope) -> Permit {
-        self.scope.set(scope);
-        self.limit.borrow_mut().record_start(self.clock.now());
+    fn take(self: &Rc<Self>, slots: u32) -> Permit {
+        self.slots.set(slots);
+        self.limit.borrow_mut().record_start();
         Permit(Rc::clone(self))
     }
 
-    /// Updates the metrics, and logs the limit while it follows load reports and scorings wait.
+    /// Updates the metrics, and logs the limit while endpoints report their load and scorings wait.
     fn publish(&self, runner: &Runner) {
         let limit = self.limit.borrow();
         let Some(report_age) = limit.report_age(self.clock.now()) else {
             return;
         };
-        let current = limit.current(self.clock.now(), self.scope.get());
+        let current = Limit::current(self.slots.get());
         let waiting = self.waiting.borrow().len();
         let metrics = &runner.deps.metrics;
         metrics.set_scorings(current, limit.in_flight(), waiting);
@@ -200,7 +194,7 @@
             limit = current,
             in_flight = limit.in_flight(),
             waiting,
-            slots = self.scope.get().slots,
+            slots = self.slots.get(),
             load_percent = (limit.utilization().unwrap_or_default() * 100.0) as u64,
             report_age_ms = report_age.as_millis() as u64;
             "limit of scorings"
@@ -209,13 +203,6 @@
 }
 
 impl Runner {
-    /// Number of models with an open lot.
-    pub(super) fn open_models(&self) -> u32 {
-        let state = self.state.borrow();
-        let models: BTreeSet<_> = state.open_lots.values().map(|open| &open.model).collect();
-        u32::try_from(models.len()).unwrap_or(u32::MAX)
-    }
-
     /// Ranks of the scorings of these items. The items of closed lots come last.
     fn scoring_ranks<'a>(
         &self,
--- a/crates/pinereel_core/src/scoring/mod.rs
+++ b/crates/pinereel_core/src/scoring/mod.rs
@@ -1,9 +1,8 @@
 //! Concurrency limit and order of the scorings of one runner.
 //!
 //! Scorings share the endpoints of a plain service with live requests and with the scorings of other
-//! runners. Each runner holds its own [`Limit`], which follows the load reports in the responses to
-//! its own scorings, so that runners need no messages to share the service. [`next`] selects the
-//! waiting scoring that starts when a permit is free.
+//! runners. [`Limit`] bounds those of one runner to half of the slots, and follows the load reports in
+//! their responses. [`next`] selects the waiting scoring that starts when a permit is free.
 //!
 //! The module is designed for 3 or 4 runners, which each have up to 160 scorings of 30 ms to 200 ms at
 //! once every 4 s, on 24 to 108 slots, beside 12 live requests per second of 25 ms.
@@ -11,5 +10,5 @@
 mod limit;
 mod order;
 
-pub use limit::{Limit, Load, Scope};
+pub use limit::{Limit, Load};
 pub use order::{Rank, next};
