Send and receive on the links of the broadcast tree independently

Cause: both ends of a link sent and received in one loop. A child that sends a commit or a checkpoint while its parent sends it a list of lots waited for the parent, and the parent for the child; after 1.2 s the link was dropped, all calls on it ended as unknown, and the lists were sent again over the next link. Ruled out: slow links (the answers are sent in parts of 64 KB, and the link stood still). Change: the two directions of a link are independent futures. The size of the subtree is reported at the next check, up to 0.2 s later, where it was sent after the next frame of the parent.

--- a/crates/pinereel/src/hosted/tree/children.rs
+++ b/crates/pinereel/src/hosted/tree/children.rs
@@ -76,7 +76,7 @@
     /// has missed.
     async fn serve_child(
         &self,
-        mut socket: Socket,
+        socket: Socket,
         key: ChildKey,
         topics: BTreeMap<Topic, u64>,
     ) -> &'static str {
@@ -99,30 +99,37 @@
             topics: topics.collect(),
         };
         self.add_child(key, link);
-        let mut last_received = Instant::now();
-        loop {
-            tokio::select! {
-                frame = frames.recv() => {
-                    let Some(frame) = frame else { return "cut" };
-                    if socket.send(Message::Binary(frame)).await.is_err() {
-                        return "not sent";
-                    }
-                }
-                Some(answer) = answers.recv() => {
-                    if socket.send(Message::Binary(answer)).await.is_err() {
-                        return "not sent";
-                    }
+        let (mut sink, mut stream) = socket.split();
+        let write = async {
+            loop {
+                let frame = tokio::select! {
+                    frame = frames.recv() => frame,
+                    Some(answer) = answers.recv() => Some(answer),
+                };
+                let Some(frame) = frame else { return "cut" };
+                if sink.send(Message::Binary(frame)).await.is_err() {
+                    return "not sent";
                 }
-                () = sleep_until(last_received + CHILD_TIMEOUT) => return "silent",
-                message = socket.next() => {
-                    last_received = Instant::now();
-                    match message {
-                        Some(Ok(Message::Binary(bytes))) => self.on_child_frame(key, &bytes, &calls),
-                        Some(Ok(_)) => {}
-                        Some(Err(_)) | None => return "closed",
-                    }
+            }
+        };
+        let read = async {
+            let mut last_received = Instant::now();
+            loop {
+                let message = tokio::select! {
+                    () = sleep_until(last_received + CHILD_TIMEOUT) => return "silent",
+                    message = stream.next() => message,
+                };
+                last_received = Instant::now();
+                match message {
+                    Some(Ok(Message::Binary(bytes))) => self.on_child_frame(key, &bytes, &calls),
+                    Some(Ok(_)) => {}
+                    Some(Err(_)) | None => return "closed",
                 }
             }
+        };
+        tokio::select! {
+            reason = write => reason,
+            reason = read => reason,
         }
     }
 
--- a/crates/pinereel/src/hosted/tree/uplink.rs
+++ b/crates/pinereel/src/hosted/tree/uplink.rs
@@ -7,14 +7,17 @@
     topics::{Header, Publication},
 };
 use crate::hosted::duty::Status;
-use futures_util::{FutureExt as _, SinkExt as _, StreamExt as _, future::OptionFuture};
+use bytes::Bytes;
+use futures_util::{
+    FutureExt as _, Sink, SinkExt as _, Stream, StreamExt as _, future::OptionFuture,
+};
 use pinereel_core::tree::SubtreeSize;
 use std::{rc::Rc, time::Duration};
 use tokio::{
-    sync::watch,
+    sync::{broadcast, mpsc, watch},
     time::{Instant, sleep, timeout},
 };
-use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::tungstenite::{self, Message};
 
 /// How long an instance that has lost its parent searches for another one before it reads the store itself
 /// or has no data. Enough for a few attempts.
@@ -147,7 +150,7 @@
     /// Receives the data of a parent until the link ends or a fresher source is found.
     async fn follow_parent(
         &self,
-        mut link: ParentLink,
+        link: ParentLink,
         status: &mut watch::Receiver<Status>,
     ) -> LinkEnd {
         let address = link.address.clone();
@@ -161,59 +164,81 @@
         self.observe_outage_end();
         let level = self.uplink.borrow().level();
         log::info!(address = address.as_str(), level; "broadcast tree: linked to a parent");
-        let mut reported_size = SubtreeSize::default();
-        let mut fresher_source = OptionFuture::from(None);
-        let mut is_stale = false;
-        let mut last_received = Instant::now();
-        let mut reported_at = last_received;
-        let mut to_parent = self.to_parent.subscribe();
-        let mut store_calls = self.deps.store.open_parent_link();
+        let to_parent = self.to_parent.subscribe();
+        let store_calls = self.deps.store.open_parent_link();
         self.drop_unsubscribed();
+        let (sink, stream) = link.socket.split();
+        // Both directions proceed independently: two instances that send each other more than the buffers
+        // hold, and do not receive meanwhile, would wait for each other until the link is dropped.
+        let end = tokio::select! {
+            end = self.write_to_parent(sink, to_parent, store_calls) => end,
+            end = self.read_from_parent(stream, status) => end,
+        };
+        self.deps.feed.set_has_parent(false);
+        self.deps.store.close_parent_link();
+        self.deps.feed.set_probes_rarely(false);
+        self.uplink.borrow_mut().on_parent_lost();
+        let reason_text = end.as_str();
+        log::info!(address = address.as_str(), why = reason_text; "broadcast tree: link to the parent lost");
+        end
+    }
+
+    /// Sends the initial frames, reports, the size of the subtree and store calls to the parent until the
+    /// link fails.
+    async fn write_to_parent(
+        &self,
+        mut sink: impl Sink<Message> + Unpin,
+        mut to_parent: broadcast::Receiver<Bytes>,
+        mut store_calls: mpsc::Receiver<Bytes>,
+    ) -> LinkEnd {
         let mut pending = self.initial_frames();
-        let end = loop {
-            let mut sent = true;
-            for bytes in pending.drain(..) {
-                sent &= link.socket.send(Message::Binary(bytes)).await.is_ok();
+        let mut reported = (SubtreeSize::default(), Instant::now());
+        loop {
+            let (size, (reported_size, reported_at)) = (self.subtree_size(), reported);
+            if size != reported_size || reported_at.elapsed() >= SUBTREE_SIZE_INTERVAL {
+                reported = (size, Instant::now());
+                pending.extend(Frame::SubtreeSize(size).encode().map(Bytes::from));
             }
-            if !sent {
-                break LinkEnd::ParentLost;
+            for bytes in pending.drain(..) {
+                if sink.send(Message::Binary(bytes)).await.is_err() {
+                    return LinkEnd::ParentLost;
+                }
             }
             tokio::select! {
-                message = link.socket.next() => {
-                    let stays_linked = message.is_some_and(|message| message.is_ok_and(|message| self.on_parent_message(message)));
-                    if !stays_linked {
-                        break LinkEnd::ParentLost;
-                    }
-                    last_received = Instant::now();
-                    let size = self.subtree_size();
-                    if size != reported_size || reported_at.elapsed() >= SUBTREE_SIZE_INTERVAL {
-                        (reported_size, reported_at) = (size, last_received);
-                        let frame = Frame::SubtreeSize(size).encode().unwrap_or_default();
-                        if link.socket.send(Message::Binary(frame.into())).await.is_err() {
-                            break LinkEnd::ParentLost;
-                        }
-                    }
-                }
                 bytes = to_parent.recv() => match bytes {
-                    Ok(bytes) => if link.socket.send(Message::Binary(bytes)).await.is_err() {
-                        break LinkEnd::ParentLost;
-                    },
+                    Ok(bytes) => pending.push(bytes),
                     // The initial frames contain what was lost from the queue.
                     Err(_) => pending = self.initial_frames(),
                 },
-                // While a call is sent, nothing is received. Without the timeout, two instances that send each
-                // other more than the buffers hold would wait for each other.
-                Some(bytes) = store_calls.recv() => {
-                    let sent = timeout(PARENT_TIMEOUT, link.socket.send(Message::Binary(bytes))).await;
-                    if !matches!(sent, Ok(Ok(()))) {
-                        break LinkEnd::ParentLost;
+                Some(bytes) = store_calls.recv() => pending.push(bytes),
+                () = sleep(PARENT_CHECK_INTERVAL) => {}
+            }
+        }
+    }
+
+    /// Handles what the parent sends, until the link ends or a fresher source is found.
+    async fn read_from_parent(
+        &self,
+        mut stream: impl Stream<Item = Result<Message, tungstenite::Error>> + Unpin,
+        status: &mut watch::Receiver<Status>,
+    ) -> LinkEnd {
+        let mut fresher_source = OptionFuture::from(None);
+        let mut is_stale = false;
+        let mut last_received = Instant::now();
+        loop {
+            tokio::select! {
+                message = stream.next() => {
+                    let stays_linked = message.is_some_and(|message| message.is_ok_and(|message| self.on_parent_message(message)));
+                    if !stays_linked {
+                        return LinkEnd::ParentLost;
                     }
+                    last_received = Instant::now();
                 }
                 () = sleep(PARENT_CHECK_INTERVAL) => if last_received.elapsed() > PARENT_TIMEOUT {
-                    break LinkEnd::ParentLost;
+                    return LinkEnd::ParentLost;
                 },
-                Some(end) = &mut fresher_source => break end,
-                () = self.until_duty_acquired(status) => break LinkEnd::DutyAcquired,
+                Some(end) = &mut fresher_source => return end,
+                () = self.until_duty_acquired(status) => return LinkEnd::DutyAcquired,
             }
             let is_fresh = self.is_fresh();
             self.deps.feed.set_has_parent(is_fresh);
@@ -238,14 +263,7 @@
                 fresher_source =
                     OptionFuture::from(Some(self.search_fresher_source().boxed_local()));
             }
-        };
-        self.deps.feed.set_has_parent(false);
-        self.deps.store.close_parent_link();
-        self.deps.feed.set_probes_rarely(false);
-        self.uplink.borrow_mut().on_parent_lost();
-        let reason_text = end.as_str();
-        log::info!(address = address.as_str(), why = reason_text; "broadcast tree: link to the parent lost");
-        end
+        }
     }
 
     /// Searches for fresher data than the parent's. While the store answers no instance there are none, and
