Keep to the parent when the root's recovery is reported

Cause: an instance whose calls go through its parent took the report that the store answers the root again for the end of its own rejection, made a direct call, and began to relay anew. Change: the report is ignored while calls go through the parent.

--- a/crates/pinereel/src/hosted/store.rs
+++ b/crates/pinereel/src/hosted/store.rs
@@ -310,6 +310,10 @@
         let Some(since) = health.own.unreachable_since.get() else {
             return false;
         };
+        // Calls that the parent gets answered show already that the store rejects only this instance.
+        if health.relaying_since.get().is_some() {
+            return false;
+        }
         let outage_ms = since.elapsed().as_millis() as u64;
         let probes = health.probes_in_outage();
         log::info!(away_ms = outage_ms, probes; "object store: reachable again for the root");
