Keep the engines of a model whose demand is unknown for a while

Cause: from the loss of a runner until the next lot of its model the lease holds no demand, which counted as the mean of the other models. Change: the last known demand counts, for the runners' shares and for the orders.

--- a/crates/pinereel/src/hosted/orders/assignment.rs
+++ b/crates/pinereel/src/hosted/orders/assignment.rs
@@ -5,7 +5,7 @@
 use compact_str::CompactString;
 use pinereel_core::{
     Time,
-    rollout::{Demand, assign_models, should_reassign, working_set_size},
+    rollout::{Demand, assign_models, should_reassign, with_last_known, working_set_size},
 };
 use std::collections::BTreeMap;
 
@@ -68,6 +68,7 @@
         let engines = deps
             .endpoints
             .ranked(service, count, [], |entry| entry.id.clone());
+        let demands = with_last_known(&assignment.demands, demands);
         let reassign = should_reassign(engines.len(), &assignment.demands, &demands);
         if reassign {
             log::info!(
--- a/crates/pinereel_core/src/rollout/assignment.rs
+++ b/crates/pinereel_core/src/rollout/assignment.rs
@@ -63,6 +63,25 @@
     assigned
 }
 
+/// The `new` demands, with the last known one of each model whose demand is unknown.
+///
+/// The demand of a model is unknown from the loss of its runner until its next lot. Counted as the
+/// mean of the others meanwhile, it changes the engines of all models twice, and each changed engine
+/// costs a load while lots wait for it.
+pub fn with_last_known(last: &[Demand], new: Vec<Demand>) -> Vec<Demand> {
+    let known = |demand: Demand| {
+        let mut last = last.iter().filter(|last| last.model == demand.model);
+        match last.next() {
+            Some(last) if demand.tokens == 0 => Demand {
+                short: demand.short,
+                ..last.clone()
+            },
+            _ => demand,
+        }
+    };
+    new.into_iter().map(known).collect()
+}
+
 /// Whether `new` demands of the same models differ enough from `old` to reassign the engines.
 pub fn should_reassign(engines: usize, old: &[Demand], new: &[Demand]) -> bool {
     let (old, new) = (quotas(engines, old), quotas(engines, new));
--- a/crates/pinereel_core/src/rollout/engine_shares.rs
+++ b/crates/pinereel_core/src/rollout/engine_shares.rs
@@ -9,7 +9,7 @@
 //! Designed for 2 to 8 models and up to a few hundred engines of one service; the engines are
 //! assigned again only when the endpoint list or the demands change.
 
-use super::{Demand, assign_models, should_reassign};
+use super::{Demand, assign_models, should_reassign, with_last_known};
 use compact_str::CompactString;
 use std::collections::BTreeSet;
 
@@ -25,6 +25,7 @@
 impl EngineShares {
     /// Takes over the current demands if the shares of `engines` engines change enough.
     pub fn update(&mut self, engines: usize, demands: Vec<Demand>) {
+        let demands = with_last_known(&self.demands, demands);
         let models = |demands: &[Demand]| -> Vec<CompactString> {
             demands.iter().map(|demand| demand.model.clone()).collect()
         };
--- a/crates/pinereel_core/src/rollout/mod.rs
+++ b/crates/pinereel_core/src/rollout/mod.rs
@@ -18,7 +18,7 @@
 mod schedule;
 mod working_set;
 
-pub use assignment::{Demand, assign_models, max_loads, should_reassign};
+pub use assignment::{Demand, assign_models, max_loads, should_reassign, with_last_known};
 pub use controller::Controller;
 pub use engine_shares::EngineShares;
 pub use plan::Plan;
--- a/crates/pinereel_core/tests/batch_shared_engines.rs
+++ b/crates/pinereel_core/tests/batch_shared_engines.rs
@@ -5,7 +5,7 @@
 use pinereel_core::{
     Time,
     batch::{EngineKey, Fleet, Listing, RunOutcome},
-    rollout::{Demand, EngineShares},
+    rollout::{Demand, EngineShares, should_reassign, with_last_known},
 };
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
@@ -55,6 +55,30 @@
     key
 }
 
+/// Guards against engines that change their models because a runner was lost: its model has no demand
+/// until its next lot, and counted as the mean of the others it took or gave engines twice.
+#[test]
+fn a_model_whose_demand_is_unknown_for_a_while_keeps_its_engines() {
+    let known = demands(&[129_000, 277_000, 380_000]);
+    let without_runner = demands(&[129_000, 277_000, 0]);
+    assert!(
+        should_reassign(ENGINES, &known, &without_runner),
+        "the former policy"
+    );
+    let mut shares = EngineShares::default();
+    shares.update(ENGINES, known.clone());
+    let revision = shares.revision();
+    let own = shares.engines_of("model-2", engine_ids);
+    shares.update(ENGINES, without_runner);
+    assert_eq!(shares.revision(), revision);
+    assert_eq!(shares.engines_of("model-2", engine_ids), own);
+    // A known demand is taken over, also a smaller one.
+    shares.update(ENGINES, demands(&[129_000, 277_000, 60_000]));
+    assert_eq!(shares.revision(), revision + 1);
+    let unknown = with_last_known(&[], demands(&[0, 5]));
+    assert_eq!(unknown, demands(&[0, 5]), "nothing is known yet");
+}
+
 /// Fails if a runner uses an engine of another model although one of its own serves the version, or
 /// waits although none does.
 #[test]
