--- a/crates/pinereel_fakes/tests/hosting_store_calls.rs
+++ b/crates/pinereel_fakes/tests/hosting_store_calls.rs
@@ -478,6 +478,44 @@
     assert!(length > 300_000, "{length} bytes");
 }
 
+/// Guards against a parent that does not receive while its child leaves answers unread: two instances that
+/// send each other lists and commits waited for each other until the link was dropped.
+#[actix_rt::test]
+async fn a_parent_receives_while_its_answers_are_not_read() {
+    let site = Site::start(SITE_SIZE_OLD, 179).await.unwrap();
+    sleep(Duration::from_secs(2)).await;
+    let mut link = ChildLink::open(&site.instances[holder(&site, "bulletin")]).await;
+    // 7 MB in each direction, more than the buffers of a connection hold.
+    let calls = (1..=24).map(|id| {
+        let body = serde_json::json!({
+            "metadata": { "name": format!("{id:06}") },
+            "spec": { "text": "x".repeat(300_000) },
+        });
+        Frame::StoreCall(StoreCall {
+            access: "write".into(),
+            method: "POST".into(),
+            body: body.to_string().into(),
+            ..read_call(id, "lots", "/v1/objects/pinereel-results-both")
+        })
+    });
+    let send_all = async {
+        for call in calls {
+            link.send(&call).await;
+        }
+    };
+    let sent = timeout(Duration::from_secs(5), send_all).await;
+    assert!(sent.is_ok(), "the parent has stopped receiving");
+    let mut answered = 0;
+    while answered < 24 {
+        if let Frame::StoreAnswer { outcome, .. } = link.receive().await {
+            let created =
+                matches!(&outcome, StoreOutcome::Answered { status, .. } if *status < 300);
+            assert!(created, "{outcome:?}");
+            answered += 1;
+        }
+    }
+}
+
 /// An instance that the store rejects sends the calls of its children through its own parent, and tells
 /// them that it takes calls. A call that has taken the most hops is not sent on.
 #[actix_rt::test]
