Read demands once per update of fleets, and copy read results once

Found by reading the change: sync_fleets read the leases' demands twice for each fleet, a list of results copied all samples twice, each update of the engine shares copied all model names, and the overload check computed the wait of every endpoint although one with a slot in time decides. Behaviour is the same.

--- a/crates/pinereel/src/hosted/demand.rs
+++ b/crates/pinereel/src/hosted/demand.rs
@@ -22,17 +22,16 @@
     models.unwrap_or_default().into_iter().map(demand).collect()
 }
 
-/// Number of engines of `service` that the demand needs: the first ones in the order of
+/// Number of engines of `service` that the `demands` of its models need: the first ones in the order of
 /// [`Endpoints::ranked`].
 pub fn working_set_size(
     config: &Config,
-    duties: &Duties,
     endpoints: &Endpoints,
     service: &str,
+    demands: &[Demand],
 ) -> usize {
-    let demands = model_demands(config, duties, service);
     let slots = slots_per_engine(config, service);
-    rollout::working_set_size(endpoints.available_count(service), slots, &demands)
+    rollout::working_set_size(endpoints.available_count(service), slots, demands)
 }
 
 /// Number of requests that each engine of `service` runs concurrently.
--- a/crates/pinereel/src/hosted/lots/dispatch.rs
+++ b/crates/pinereel/src/hosted/lots/dispatch.rs
@@ -56,9 +56,9 @@
             .collect();
         for key in keys {
             let deps = &self.deps;
-            let count =
-                demand::working_set_size(&deps.config, &deps.duties, &deps.endpoints, &key.service);
             let demands = demand::model_demands(&deps.config, &deps.duties, &key.service);
+            let count =
+                demand::working_set_size(&deps.config, &deps.endpoints, &key.service, &demands);
             let shares = state.engine_shares.entry(key.service.clone()).or_default();
             shares.update(count, demands);
             let source = (deps.endpoints.change_count(), count, shares.revision());
--- a/crates/pinereel/src/hosted/lots/trainer_api.rs
+++ b/crates/pinereel/src/hosted/lots/trainer_api.rs
@@ -296,14 +296,17 @@
         let listed = ReadAnswer {
             total,
             from,
-            samples: samples.clone(),
+            samples: Vec::new(),
             revision,
             outages,
         };
         // A watch from this revision does not return what the list contains behind a gap.
         if is_complete {
             let now = self.clock.now();
-            let recorded = listed.clone();
+            let recorded = ReadAnswer {
+                samples: samples.clone(),
+                ..listed
+            };
             self.cache.borrow_mut().record_list(now, lot, recorded);
         } else {
             self.cache.borrow_mut().remove(lot);
--- a/crates/pinereel_core/src/overload.rs
+++ b/crates/pinereel_core/src/overload.rs
@@ -56,11 +56,10 @@
 /// Returns the rejection of a request to `service`, or `None` if it may be sent.
 pub fn check(set: &Set, service: &str, now: Time, demand: Demand) -> Option<Rejection> {
     let candidates = || live_endpoints(set, service);
-    let waits: Option<Vec<_>> = candidates().map(|e| expected_wait(e, now)).collect();
+    // Ends at the first endpoint that is unknown or can run the request in time.
+    let late_wait = |e| expected_wait(e, now).filter(|wait| *wait > demand.max_wait());
+    let waits: Option<Vec<_>> = candidates().map(late_wait).collect();
     let expected_wait = waits?.into_iter().min()?;
-    if expected_wait <= demand.max_wait() {
-        return None;
-    }
     let reports = candidates().filter_map(|endpoint| endpoint.report);
     let report_age = reports.map(|report| now.since(report.at)).max()?;
     Some(Rejection {
--- a/crates/pinereel_core/src/rollout/engine_shares.rs
+++ b/crates/pinereel_core/src/rollout/engine_shares.rs
@@ -26,12 +26,11 @@
     /// Takes over the current demands if the shares of `engines` engines change enough.
     pub fn update(&mut self, engines: usize, demands: Vec<Demand>) {
         let demands = with_last_known(&self.demands, demands);
-        let models = |demands: &[Demand]| -> Vec<CompactString> {
-            demands.iter().map(|demand| demand.model.clone()).collect()
+        let models_changed = {
+            let known = self.demands.iter().map(|demand| &demand.model);
+            known.ne(demands.iter().map(|demand| &demand.model))
         };
-        if should_reassign(engines, &self.demands, &demands)
-            || models(&self.demands) != models(&demands)
-        {
+        if models_changed || should_reassign(engines, &self.demands, &demands) {
             self.demands = demands;
             self.revision += 1;
         }
