One moving average, one load report type and one timeout before the first event

Found by reading the change: the moving average stood four times, scoring had its own copy of the port's load report, the 1.5 s before the first event stood in the core and in the runner, and the order of scorings was switched off both in the core and at its caller. The help text of the scorings gauge no longer says that the limit follows load reports. Behaviour is the same.

--- a/crates/pinereel/src/hosted/lots/scoring_permits.rs
+++ b/crates/pinereel/src/hosted/lots/scoring_permits.rs
@@ -1,6 +1,6 @@
 //! Permits for concurrent scorings: grants them within the limit, to the most urgent scoring first.
 
-use super::runner::Runner;
+use super::{runner::Runner, state::State};
 use crate::state::Clock;
 use compact_str::CompactString;
 use pinereel_core::{
@@ -101,15 +101,8 @@
 
     /// Follows the load that an endpoint reported with a response to a scoring.
     pub(super) fn record_report(&self, load: Load) {
-        let report = scoring::Load {
-            running: load.running,
-            waiting: load.waiting,
-            slots: load.slots,
-        };
-        let is_valid = self
-            .limit
-            .borrow_mut()
-            .record_report(self.clock.now(), report);
+        let now = self.clock.now();
+        let is_valid = self.limit.borrow_mut().record_report(now, load);
         if !is_valid && !self.invalid_report_logged.replace(true) {
             log::warn!(load:? = load; "invalid load report of a scoring endpoint ignored");
         }
@@ -153,12 +146,10 @@
         if !self.has_room(waiting.front()?.slots) {
             return None;
         }
-        let position = if self.limit.borrow().has_reports() {
-            let items = waiting.iter().map(|w| (&w.lot, w.index));
-            scoring::next(runner.scoring_ranks(items, self.epoch), true)?
-        } else {
-            0
-        };
+        let items = waiting.iter().map(|w| (&w.lot, w.index));
+        let state = runner.state.borrow();
+        let ranks = scoring_ranks(&state, items, self.epoch);
+        let position = scoring::next(ranks, self.limit.borrow().has_reports())?;
         waiting.remove(position)
     }
 
@@ -202,30 +193,25 @@
     }
 }
 
-impl Runner {
-    /// Ranks of the scorings of these items. The items of closed lots come last.
-    fn scoring_ranks<'a>(
-        &self,
-        items: impl Iterator<Item = (&'a CompactString, usize)>,
-        epoch: Instant,
-    ) -> Vec<Rank> {
-        let state = self.state.borrow();
-        let mut satisfied = BTreeMap::new();
-        items
-            .map(|(lot, index)| match state.open_lots.get(lot) {
-                Some(open) => Rank {
-                    step_satisfied: *satisfied
-                        .entry(lot)
-                        .or_insert_with(|| open.lot.will_satisfy_trainer()),
-                    opened_at: Time::ZERO + open.opened_at.saturating_duration_since(epoch),
-                    unfinished_in_group: open.lot.unfinished_in_group(index),
-                },
-                None => Rank {
-                    step_satisfied: true,
-                    opened_at: Time(u64::MAX),
-                    unfinished_in_group: usize::MAX,
-                },
-            })
-            .collect()
-    }
+/// Ranks of the scorings of these items. The items of closed lots come last.
+fn scoring_ranks<'a>(
+    state: &State,
+    items: impl Iterator<Item = (&'a CompactString, usize)>,
+    epoch: Instant,
+) -> impl Iterator<Item = Rank> {
+    let mut satisfied = BTreeMap::new();
+    items.map(move |(lot, index)| match state.open_lots.get(lot) {
+        Some(open) => Rank {
+            step_satisfied: *satisfied
+                .entry(lot)
+                .or_insert_with(|| open.lot.will_satisfy_trainer()),
+            opened_at: Time::ZERO + open.opened_at.saturating_duration_since(epoch),
+            unfinished_in_group: open.lot.unfinished_in_group(index),
+        },
+        None => Rank {
+            step_satisfied: true,
+            opened_at: Time(u64::MAX),
+            unfinished_in_group: usize::MAX,
+        },
+    })
 }
--- a/crates/pinereel/src/hosted/lots/stream.rs
+++ b/crates/pinereel/src/hosted/lots/stream.rs
@@ -11,7 +11,7 @@
 };
 use bytes::BytesMut;
 use pinereel_core::{
-    batch::{EngineKey, extended_wait},
+    batch::{EngineKey, MAX_TIMEOUT, extended_wait},
     crash::{Content, EndpointStart, Identity, RequestParts},
 };
 use pinereel_port::{
@@ -22,9 +22,6 @@
 use std::{net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 use tokio::time::{Instant, timeout, timeout_at};
 
-/// Timeout for the body of a rejection, and upper bound of that for the response head and again for
-/// the first event. The engine may have to load weights first, which takes about a second.
-pub(super) const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Upper bound of the size of an event; beyond it, the stream is taken for malformed.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
@@ -172,7 +169,7 @@
         runner.load_reported(task, placement.key, load);
     }
     if answer.not_executed {
-        let _ = timeout(RESPONSE_TIMEOUT, response.body.read_all()).await;
+        let _ = timeout(MAX_TIMEOUT, response.body.read_all()).await;
         return RunEnd::Refused;
     }
     if foreign || answer.content_encoded {
@@ -218,7 +215,7 @@
             None => break,
         }
     }
-    if wait < RESPONSE_TIMEOUT {
+    if wait < MAX_TIMEOUT {
         runner.log_first_event_timeout(task, placement, wait);
     }
     None
--- a/crates/pinereel/src/hosted/lots/task_state.rs
+++ b/crates/pinereel/src/hosted/lots/task_state.rs
@@ -4,11 +4,11 @@
     commit::{PendingSegment, first_segment},
     runner::Runner,
     state::{FleetKey, ItemTask, PartialOutput},
-    stream::{Placement, RESPONSE_TIMEOUT},
+    stream::Placement,
 };
 use pinereel_core::{
     Time,
-    batch::{EngineKey, Failure, Fleet, RetryDecision, RunOutcome},
+    batch::{EngineKey, Failure, Fleet, MAX_TIMEOUT, RetryDecision, RunOutcome},
 };
 use pinereel_port::{
     headers::Load,
@@ -128,9 +128,7 @@
         let now = self.deps.clock.now();
         let state = self.state.borrow();
         let fleet = state.fleets.get(&task.fleet);
-        fleet.map_or(RESPONSE_TIMEOUT, |fleet| {
-            fleet.first_event_timeout(now, key)
-        })
+        fleet.map_or(MAX_TIMEOUT, |fleet| fleet.first_event_timeout(now, key))
     }
 
     /// Logs that a run got no first event within a timeout that follows from the engine's interval.
--- a/crates/pinereel/src/hosted/metrics.rs
+++ b/crates/pinereel/src/hosted/metrics.rs
@@ -175,7 +175,7 @@
                 &[],
             ),
             crash_suspects: gauge_vec(&r, "crash_suspects", "Requests known.", "standing"),
-            scorings: gauge_vec(&r, "scorings", "Scorings by load reports.", "what"),
+            scorings: gauge_vec(&r, "scorings", "Scorings of lots.", "what"),
             store_calls: counter_vec(&r, "store_calls_total", "Calls.", &["purpose", "access"]),
             connections_opened: int_gauge(&r, "endpoint_connections_opened", "Since the start."),
             config_number: int_gauge(&r, "config_number", "Configuration in force."),
@@ -257,8 +257,7 @@
         }
     }
 
-    /// Sets the limit of concurrent scorings that follows load reports, and the numbers of scorings in
-    /// flight and waiting.
+    /// Sets the limit of concurrent scorings, and the numbers of scorings in flight and waiting.
     pub fn set_scorings(&self, limit: u32, in_flight: u32, waiting: usize) {
         let waiting = i64::try_from(waiting).unwrap_or(i64::MAX);
         let values = [
--- a/crates/pinereel/src/hosted/orders/load_slots.rs
+++ b/crates/pinereel/src/hosted/orders/load_slots.rs
@@ -154,8 +154,7 @@
             loading: 0,
             published_at: Time::ZERO,
         };
-        let published = self.published.1.iter().zip(&self.rollouts);
-        for (_, (rollout, _)) in published {
+        for (rollout, _) in &self.rollouts {
             let metrics = &self.orders.deps.metrics;
             metrics.set_load_slots(&rollout.model, 0, &none);
         }
--- a/crates/pinereel_core/src/batch/fleet.rs
+++ b/crates/pinereel_core/src/batch/fleet.rs
@@ -12,12 +12,11 @@
     Engine, Listing, RunOutcome,
     placement::{
         FleetAverage, ReportedSpeed, expected_interval_ms, interval_for_moves_ms, move_ratio,
-        moving_average,
     },
     reported_load::ReportedLoad,
     timeout,
 };
-use crate::{Time, crash::ISOLATE_AT_CRASHES};
+use crate::{Time, average::moving_average, crash::ISOLATE_AT_CRASHES};
 use compact_str::CompactString;
 use pinereel_port::headers::Load;
 use slotmap::SlotMap;
--- a/crates/pinereel_core/src/batch/mod.rs
+++ b/crates/pinereel_core/src/batch/mod.rs
@@ -5,7 +5,8 @@
 //! and are committed as segments, each written with a create-if-absent call: the first writer of
 //! a segment fixes its positions, even if several instances run the same lot concurrently.
 //! [`CommitLog`] holds the committed results, [`Lot`] the state of each item, [`Fleet`] selects
-//! the engines, [`ResultsCache`] answers repeated reads, and [`DemandWindow`] reports recent demand to the autoscaler.
+//! the engines, [`ResultsCache`] answers repeated reads, and [`DemandWindow`] reports recent
+//! demand to the autoscaler.
 
 mod commit_log;
 mod demand;
@@ -24,4 +25,4 @@
 pub use lot::{DEFAULT_LENGTH_TOKENS, Failure, Lot, RetryDecision};
 pub use placement::ReportedSpeed;
 pub use results_cache::{ReadAnswer, ReadPlan, ResultsCache};
-pub use timeout::extended_wait;
+pub use timeout::{MAX_TIMEOUT, extended_wait};
--- a/crates/pinereel_core/src/batch/placement.rs
+++ b/crates/pinereel_core/src/batch/placement.rs
@@ -6,7 +6,7 @@
 //! texts start on the fastest engines. Where it reports none, its average interval counts.
 
 use super::{Engine, timeout::MIN_INTERVAL_SAMPLES};
-use crate::{Time, endpoint::speed::LASTING_PERIOD};
+use crate::{Time, average::moving_average, endpoint::speed::LASTING_PERIOD};
 use std::time::Duration;
 
 /// Weight of a new interval in the moving averages over all engines.
@@ -120,8 +120,3 @@
         LONG_RUN_MOVE_RATIO
     }
 }
-
-/// The exponential moving average after one more value.
-pub(super) fn moving_average(average: Option<f64>, value: f64, weight: f64) -> f64 {
-    average.map_or(value, |average| average + weight * (value - average))
-}
--- a/crates/pinereel_core/src/batch/timeout.rs
+++ b/crates/pinereel_core/src/batch/timeout.rs
@@ -16,8 +16,9 @@
 /// Lower bound of a timeout: a slow engine takes up to eight times its usual interval from one event
 /// to the next.
 const MIN_TIMEOUT: Duration = Duration::from_millis(500);
-/// Upper bound of a timeout, and its value while the average has too few intervals.
-pub(super) const MAX_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Upper bound of a timeout, and its value while the average has too few intervals. An engine may have
+/// to load weights before it responds, which takes about a second.
+pub const MAX_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// How long a run waits for its next event before it is taken for lost. The longest texts decide
 /// when a step completes and have less than a second to spare: waiting 1.5 s for a silent engine
--- a/crates/pinereel_core/src/endpoint/state.rs
+++ b/crates/pinereel_core/src/endpoint/state.rs
@@ -4,7 +4,7 @@
     LeavingSource,
     speed::{REPORT_TTL, Slowdown},
 };
-use crate::{Time, Version, hash};
+use crate::{Time, Version, average::moving_average, hash};
 use compact_str::CompactString;
 use serde::Serialize;
 use std::{collections::VecDeque, time::Duration};
@@ -241,16 +241,9 @@
         let took = took.as_micros() as f64;
         // The queue reported with the answer is about as long as the one that the request waited in.
         let work = took / (1.0 + self.queued_share(now));
-        if self.work == 0.0 {
-            self.work = work;
-        } else {
-            self.work += LATENCY_EWMA_WEIGHT * (work - self.work);
-        }
-        if self.latency == 0.0 {
-            self.latency = took;
-        } else {
-            self.latency += LATENCY_EWMA_WEIGHT * (took - self.latency);
-        }
+        let known = |average: f64| (average != 0.0).then_some(average);
+        self.work = moving_average(known(self.work), work, LATENCY_EWMA_WEIGHT);
+        self.latency = moving_average(known(self.latency), took, LATENCY_EWMA_WEIGHT);
     }
 
     /// Additive increase, applied only while the limit is what constrains concurrency.
--- a/crates/pinereel_core/src/lib.rs
+++ b/crates/pinereel_core/src/lib.rs
@@ -8,8 +8,8 @@
 //!
 //! Both commands of the daemon use `crash`, `endpoint`, `lease`, `rollout` and `route`. The modules
 //! `admit`, `budget`, `claim`, `config`, `cursor`, `drain`, `lot`, `member` and `provenance` serve
-//! `pinereel entry` alone; `batch`, `overload`, `retry`, `routing_table`, `scale`, `scoring`, `tree` and `usage` serve
-//! `pinereel hosted` alone.
+//! `pinereel entry` alone; `batch`, `overload`, `retry`, `routing_table`, `scale`,
+//! `scoring`, `tree` and `usage` serve `pinereel hosted` alone.
 //!
 //! The main types:
 //! - [`Time`], [`Version`], [`Span`]: shared types for timestamps, weight versions and token spans.
@@ -29,6 +29,7 @@
 //!   platform's object store.
 
 pub mod admit;
+mod average;
 pub mod batch;
 pub mod budget;
 pub mod claim;
--- a/crates/pinereel_core/src/scoring/limit.rs
+++ b/crates/pinereel_core/src/scoring/limit.rs
@@ -1,6 +1,7 @@
 //! Maximum number of concurrent scorings of one runner, and what load reports say about the service.
 
-use crate::Time;
+use crate::{Time, average::moving_average};
+use pinereel_port::headers::Load;
 use std::time::Duration;
 
 /// Slots of the service per concurrent scoring of a runner. Leaves room for live callers without
@@ -19,29 +20,6 @@
 /// considered invalid. The largest queue in use has four waiting requests per slot.
 const MAX_REQUESTS_PER_SLOT: u64 = 1_000;
 
-/// Load that an endpoint reported with a response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Load {
-    /// Number of running requests.
-    pub running: u32,
-    /// Number of queued requests.
-    pub waiting: u32,
-    /// Number of requests that the endpoint runs concurrently.
-    pub slots: u32,
-}
-
-impl Load {
-    /// Requests per slot, above 1 while requests wait; `None` if the figures are invalid.
-    fn utilization(self) -> Option<f64> {
-        let requests = u64::from(self.running) + u64::from(self.waiting);
-        let slots = u64::from(self.slots);
-        if slots == 0 || requests > slots * MAX_REQUESTS_PER_SLOT {
-            return None;
-        }
-        Some(requests as f64 / slots as f64)
-    }
-}
-
 /// Limit of the concurrent scorings of one runner.
 #[derive(Clone, Debug, Default)]
 pub struct Limit {
@@ -102,12 +80,10 @@
     /// Follows a load report from a response to one of the runner's own scorings. Returns whether the
     /// figures are valid; invalid ones change nothing.
     pub fn record_report(&mut self, now: Time, load: Load) -> bool {
-        let Some(reported) = load.utilization() else {
+        let Some(reported) = utilization(load) else {
             return false;
         };
-        let utilization = self.recent(now).map_or(reported, |utilization| {
-            utilization + REPORT_WEIGHT * (reported - utilization)
-        });
+        let utilization = moving_average(self.recent(now), reported, REPORT_WEIGHT);
         self.reports = Some((utilization, now));
         true
     }
@@ -118,3 +94,13 @@
         (now.since(at) < REPORT_TTL).then_some(utilization)
     }
 }
+
+/// Requests per slot, above 1 while requests wait; `None` if the figures are invalid.
+fn utilization(load: Load) -> Option<f64> {
+    let requests = u64::from(load.running) + u64::from(load.waiting);
+    let slots = u64::from(load.slots);
+    if slots == 0 || requests > slots * MAX_REQUESTS_PER_SLOT {
+        return None;
+    }
+    Some(requests as f64 / slots as f64)
+}
--- a/crates/pinereel_core/src/scoring/mod.rs
+++ b/crates/pinereel_core/src/scoring/mod.rs
@@ -10,5 +10,5 @@
 mod limit;
 mod order;
 
-pub use limit::{Limit, Load};
+pub use limit::Limit;
 pub use order::{Rank, next};
--- a/crates/pinereel_core/tests/scoring_limit.rs
+++ b/crates/pinereel_core/tests/scoring_limit.rs
@@ -1,9 +1,7 @@
 //! Limit of concurrent scorings, and the load reports that tell of spare slots.
 
-use pinereel_core::{
-    Time,
-    scoring::{Limit, Load},
-};
+use pinereel_core::{Time, scoring::Limit};
+use pinereel_port::headers::Load;
 
 const SLOTS: u32 = 108;
 
@@ -16,6 +14,7 @@
         running,
         waiting,
         slots: 6,
+        slowdown_percent: None,
     }
 }
 
@@ -60,6 +59,7 @@
         running: 1,
         waiting: 0,
         slots: 0,
+        slowdown_percent: None,
     };
     for load in [no_slots, load(u32::MAX, u32::MAX)] {
         assert!(!limit.record_report(millis(100), load));
