objects: a call that a limit of this process stops has an error of its own; one type for store calls

Found by reading the change: whether a limit of this process stopped a call was recognized by the text of the error, and a store call was passed as five arguments through four functions beside a struct with the same fields. The shorter timeout of calls about leases is in a function of its own. Behaviour is the same.

--- a/crates/pinereel/src/hosted/list_watch.rs
+++ b/crates/pinereel/src/hosted/list_watch.rs
@@ -136,7 +136,7 @@
                 }
             }
             Err(error) => {
-                if !matches!(error, Error::NotSent(_)) {
+                if !matches!(error, Error::NotSent(_) | Error::Limited(_)) {
                     log::info!(kind, error:% = error; "watch: call failed, listing again");
                 }
                 must_list = true;
--- a/crates/pinereel/src/hosted/parent_calls.rs
+++ b/crates/pinereel/src/hosted/parent_calls.rs
@@ -3,13 +3,13 @@
 
 use super::{
     metrics::Metrics,
+    store::Call,
     tree::{Frame, MAX_ANSWER_BYTES, StoreCall, StoreOutcome},
 };
-use crate::objects::{Access, Error, Purpose};
+use crate::objects::Error;
 use actix_http::StatusCode;
 use bytes::{Bytes, BytesMut};
 use pinereel_core::tree::StoreCallParent;
-use pinereel_port::store::Request;
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
@@ -144,19 +144,14 @@
         }
     }
 
-    /// Sends a call through the parent; `hops` is the number of links that it has taken before.
+    /// Sends a call through the parent.
     ///
     /// # Errors
     /// As of a direct call: [`Error::NotSent`] if it certainly had no effect, [`Error::Unknown`] if its
     /// answer was lost.
-    pub(super) async fn call(
-        &self,
-        (purpose, access): (Purpose, Access),
-        request: Request,
-        wait: Duration,
-        hops: u32,
-    ) -> Result<(StatusCode, Bytes), Error> {
-        let answer = self.exchange((purpose, access), request, wait, hops).await;
+    pub(super) async fn call(&self, call: Call) -> Result<(StatusCode, Bytes), Error> {
+        let (purpose, access, hops) = (call.purpose, call.access, call.hops);
+        let answer = self.exchange(call).await;
         let outcome = outcome_label(&answer);
         if answer.is_ok() {
             self.answered_count.set(self.answered_count.get() + 1);
@@ -173,15 +168,9 @@
         answer
     }
 
-    async fn exchange(
-        &self,
-        (purpose, access): (Purpose, Access),
-        request: Request,
-        wait: Duration,
-        hops: u32,
-    ) -> Result<(StatusCode, Bytes), Error> {
+    async fn exchange(&self, call: Call) -> Result<(StatusCode, Bytes), Error> {
         let not_sent = |reason: &str| Err(Error::NotSent(reason.into()));
-        if request.body.len() > MAX_CALL_BYTES {
+        if call.request.body.len() > MAX_CALL_BYTES {
             return not_sent("the call is too large for the link to the parent");
         }
         if self.pending_count() >= MAX_PENDING_CALLS {
@@ -192,17 +181,18 @@
         };
         let id = self.last_id.get() + 1;
         self.last_id.set(id);
-        let call = StoreCall {
+        let wait = call.wait;
+        let frame = StoreCall {
             id,
-            hops: hops + 1,
-            purpose: purpose.as_str().into(),
-            access: access.as_str().into(),
-            method: request.method.as_str().into(),
-            path: request.path,
-            body: request.body,
+            hops: call.hops + 1,
+            purpose: call.purpose.as_str().into(),
+            access: call.access.as_str().into(),
+            method: call.request.method.as_str().into(),
+            path: call.request.path,
+            body: call.request.body,
             wait,
         };
-        let Some(frame) = Frame::StoreCall(call).encode() else {
+        let Some(frame) = Frame::StoreCall(frame).encode() else {
             return not_sent("the call was not serialized");
         };
         let (sender, mut answer) = mpsc::channel(MAX_QUEUED_PARTS);
@@ -257,7 +247,7 @@
 pub(super) const fn outcome_label(answer: &Result<(StatusCode, Bytes), Error>) -> &'static str {
     match answer {
         Ok(_) => "answered",
-        Err(Error::NotSent(_) | Error::Refused(_)) => "not_sent",
+        Err(Error::NotSent(_) | Error::Limited(_) | Error::Refused(_)) => "not_sent",
         Err(_) => "unknown",
     }
 }
--- a/crates/pinereel/src/hosted/store/health.rs
+++ b/crates/pinereel/src/hosted/store/health.rs
@@ -1,10 +1,7 @@
 //! Whether the object store answers this process, over its own connection and on either way.
 
 use super::{URGENT_ONLY_AFTER, check_status};
-use crate::{
-    hosted::parent_calls::ParentCalls,
-    objects::{Error, is_own_limit},
-};
+use crate::{hosted::parent_calls::ParentCalls, objects::Error};
 use actix_http::StatusCode;
 use bytes::Bytes;
 use pinereel_core::tree::{OwnConnection, StoreCallParent};
@@ -115,7 +112,7 @@
         }
         // A limit of this process says nothing about the store, and must not send calls around that limit
         // through the parent.
-        let is_own_limit = answer.as_ref().is_err_and(is_own_limit);
+        let is_own_limit = matches!(answer, Err(Error::Limited(_)));
         if !(is_own_limit && self.parent_calls.is_some()) && self.own.on_failure(started_at) {
             self.probes_before_outage.set(self.probe_count.get());
             log::warn!("object store: unreachable");
@@ -212,7 +209,7 @@
 pub(super) const fn is_failure(error: &Error) -> bool {
     matches!(
         error,
-        Error::NotSent(_) | Error::Refused(_) | Error::Unknown(_)
+        Error::NotSent(_) | Error::Limited(_) | Error::Refused(_) | Error::Unknown(_)
     )
 }
 
@@ -220,6 +217,6 @@
 pub(super) fn may_be_repeated(answer: &Result<(StatusCode, Bytes), Error>) -> bool {
     match answer {
         Ok((status, _)) => matches!(check_status(*status), Err(Error::Refused(_))),
-        Err(error) => is_failure(error) && error.had_no_effect() && !is_own_limit(error),
+        Err(error) => matches!(error, Error::NotSent(_) | Error::Refused(_)),
     }
 }
--- a/crates/pinereel/src/hosted/store/mod.rs
+++ b/crates/pinereel/src/hosted/store/mod.rs
@@ -59,17 +59,17 @@
     is_direct: bool,
 }
 
-/// A call of another instance, for [`Store::forward`].
-pub(super) struct ForwardedCall {
-    /// Purpose of the call, under which it is counted here.
+/// A call to the store, of this or of another instance.
+pub(super) struct Call {
+    /// Purpose under which the call is counted here.
     pub(super) purpose: Purpose,
-    /// Kind of access, under whose limits it is made here.
+    /// Kind of access, under whose limits the call is made here.
     pub(super) access: Access,
     /// The encoded request.
     pub(super) request: Request,
     /// How long the store may wait before it answers.
     pub(super) wait: Duration,
-    /// Number of links that the call has taken.
+    /// Number of links that the call has taken; 0 for an instance's own calls.
     pub(super) hops: u32,
 }
 
@@ -211,17 +211,11 @@
     /// # Errors
     /// [`Error::NotSent`] if nothing was sent, [`Error::Unknown`] if the response was lost. A response
     /// of any status is no error.
-    pub(super) async fn forward(&self, call: ForwardedCall) -> Result<(StatusCode, Bytes), Error> {
+    pub(super) async fn forward(&self, call: Call) -> Result<(StatusCode, Bytes), Error> {
         if !self.sends_calls_through_parent() {
             return Err(Error::NotSent("calls of others are not enabled".into()));
         }
-        let kind = StoreCallKind {
-            may_be_relayed: call.purpose.may_be_relayed(),
-            is_urgent: call.purpose.is_urgent(call.access),
-            hops: call.hops,
-        };
-        self.send(kind, (call.purpose, call.access), call.request, call.wait)
-            .await
+        self.send(call.purpose.may_be_relayed(), call).await
     }
 
     /// Probes the store while it is unreachable, by reads of the object `name`. An instance that
@@ -473,55 +467,43 @@
         &self,
         purpose: Purpose,
         access: Access,
-        call: Request,
+        request: Request,
         wait: Duration,
     ) -> Result<Bytes, Error> {
-        let kind = StoreCallKind {
-            may_be_relayed: !self.is_direct && purpose.may_be_relayed(),
-            is_urgent: purpose.is_urgent(access),
+        let call = Call {
+            purpose,
+            access,
+            request,
+            wait,
             hops: 0,
         };
-        let (status, body) = self.send(kind, (purpose, access), call, wait).await?;
+        let may_be_relayed = !self.is_direct && purpose.may_be_relayed();
+        let (status, body) = self.send(may_be_relayed, call).await?;
         check_status(status).map(|()| body)
     }
 
     /// Sends a call on the way that is open, and records the health that it shows. A call that failed
     /// on the own connection without any effect is repeated through the parent at once.
-    async fn send(
-        &self,
-        kind: StoreCallKind,
-        (purpose, access): (Purpose, Access),
-        call: Request,
-        wait: Duration,
-    ) -> Result<(StatusCode, Bytes), Error> {
+    async fn send(&self, may_be_relayed: bool, call: Call) -> Result<(StatusCode, Bytes), Error> {
         let health = &self.health;
         let started_at = Instant::now();
+        let kind = StoreCallKind {
+            may_be_relayed,
+            is_urgent: call.purpose.is_urgent(call.access),
+            hops: call.hops,
+        };
         let route = || store_route(health.own_connection(), health.parent(), kind);
         let answer = match (route(), &health.parent_calls) {
             (StoreRoute::Refused, _) => {
                 return Err(Error::NotSent("the object store is unreachable".into()));
             }
-            (StoreRoute::Parent, Some(parent)) => {
-                parent.call((purpose, access), call, wait, kind.hops).await
-            }
+            (StoreRoute::Parent, Some(parent)) => parent.call(call).await,
             (StoreRoute::Parent, None) | (StoreRoute::Direct, _) => {
-                let exchange = self.client.exchange(purpose, access, call.clone(), wait);
-                let is_short = purpose == Purpose::Leases && kind.may_be_relayed && wait.is_zero();
-                let direct = if is_short && health.parent_accepts_calls() {
-                    let lost = || {
-                        Err(Error::Unknown(
-                            "timeout while the parent takes calls".into(),
-                        ))
-                    };
-                    let answer = timeout(LEASE_CALL_TIMEOUT, exchange).await;
-                    answer.unwrap_or_else(|_| lost())
-                } else {
-                    exchange.await
-                };
+                let direct = self.send_directly(may_be_relayed, &call).await;
                 health.record_direct(started_at, &direct);
                 match &health.parent_calls {
                     Some(parent) if may_be_repeated(&direct) && route() == StoreRoute::Parent => {
-                        match parent.call((purpose, access), call, wait, kind.hops).await {
+                        match parent.call(call).await {
                             Err(Error::NotSent(_)) => direct,
                             relayed => relayed,
                         }
@@ -532,11 +514,29 @@
         };
         if is_answered(&answer) {
             health.on_answer();
-        } else if kind.may_be_relayed || !health.parent_accepts_calls() {
+        } else if may_be_relayed || !health.parent_accepts_calls() {
             health.either.on_failure(started_at);
         }
         answer
     }
+
+    /// Sends a call over the own connection; a call about a lease that may be repeated through the
+    /// parent is given up sooner than others.
+    async fn send_directly(
+        &self,
+        may_be_relayed: bool,
+        call: &Call,
+    ) -> Result<(StatusCode, Bytes), Error> {
+        let (client, request) = (&self.client, call.request.clone());
+        let exchange = client.exchange(call.purpose, call.access, request, call.wait);
+        let is_short = call.purpose == Purpose::Leases && may_be_relayed && call.wait.is_zero();
+        if !is_short || !self.health.parent_accepts_calls() {
+            return exchange.await;
+        }
+        let lost = "timeout while the parent takes calls";
+        let answer = timeout(LEASE_CALL_TIMEOUT, exchange).await;
+        answer.unwrap_or_else(|_| Err(Error::Unknown(lost.into())))
+    }
 }
 
 /// Only 429 and 503 guarantee that the call had no effect.
--- a/crates/pinereel/src/hosted/tree/store_calls.rs
+++ b/crates/pinereel/src/hosted/tree/store_calls.rs
@@ -2,7 +2,7 @@
 
 use super::{Frame, MAX_ANSWER_BYTES, Node, StoreCall, StoreOutcome};
 use crate::{
-    hosted::store::{ForwardedCall, Store},
+    hosted::store::{Call, Store},
     objects::{Access, Error, Purpose},
 };
 use actix_http::{Method, StatusCode};
@@ -102,13 +102,13 @@
 ///
 /// # Errors
 /// Why it must not be sent to the store.
-fn decode_call(call: &StoreCall, max_wait: Duration) -> Result<ForwardedCall, &'static str> {
+fn decode_call(call: &StoreCall, max_wait: Duration) -> Result<Call, &'static str> {
     let purpose = Purpose::from_label(&call.purpose).filter(|purpose| purpose.may_be_relayed());
     let method = Method::from_bytes(call.method.as_bytes());
     if !(1..=MAX_STORE_CALL_HOPS).contains(&call.hops) {
         return Err("number of hops");
     }
-    Ok(ForwardedCall {
+    Ok(Call {
         purpose: purpose.ok_or("purpose")?,
         access: Access::from_label(&call.access).ok_or("access")?,
         request: Request {
@@ -127,7 +127,7 @@
     path.split('/').any(|segment| segment == kind)
 }
 
-async fn forward(store: &Store, call: ForwardedCall) -> StoreOutcome {
+async fn forward(store: &Store, call: Call) -> StoreOutcome {
     let is_write = call.access == Access::Write;
     match store.forward(call).await {
         Ok((status, body)) if body.len() <= MAX_ANSWER_BYTES => StoreOutcome::Answered {
@@ -137,7 +137,7 @@
         Ok((StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS, _)) => {
             StoreOutcome::NotSent
         }
-        Err(Error::NotSent(_) | Error::Refused(_)) => StoreOutcome::NotSent,
+        Err(Error::NotSent(_) | Error::Limited(_) | Error::Refused(_)) => StoreOutcome::NotSent,
         Ok(_) if !is_write => StoreOutcome::NotSent,
         Ok(_) | Err(_) => StoreOutcome::Unknown,
     }
--- a/crates/pinereel/src/objects/client.rs
+++ b/crates/pinereel/src/objects/client.rs
@@ -34,10 +34,6 @@
 /// would wait longer fails.
 const MAX_WAIT: Duration = Duration::from_secs(2);
 
-/// Reasons for which a call is not sent because a limit of this client is reached.
-const CONCURRENCY_LIMIT: &str = "too many calls at once";
-const RATE_LIMIT: &str = "the rate budget is spent";
-
 /// Options of the client.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -268,7 +264,7 @@
         let permits = Arc::clone(&self.permits);
         let permit = tokio::select! {
             permit = permits.acquire_owned() => permit.expect("the semaphore is never closed"),
-            () = sleep(MAX_WAIT) => return Err(Error::NotSent(CONCURRENCY_LIMIT.into())),
+            () = sleep(MAX_WAIT) => return Err(Error::Limited("too many calls at once")),
         };
         self.admit(purpose, access).await?;
         Ok(permit)
@@ -289,7 +285,7 @@
             }
         };
         if wait > MAX_WAIT {
-            return Err(Error::NotSent(RATE_LIMIT.into()));
+            return Err(Error::Limited("the rate budget is spent"));
         }
         sleep(wait).await;
         *self
@@ -359,11 +355,6 @@
     }
 }
 
-/// Whether a call was not sent because a limit of the client was reached.
-pub fn is_own_limit(error: &Error) -> bool {
-    matches!(error, Error::NotSent(reason) if reason == CONCURRENCY_LIMIT || reason == RATE_LIMIT)
-}
-
 /// Whether the API responded with a status other than 503.
 fn is_available(answer: &Result<(StatusCode, Bytes), Error>) -> bool {
     matches!(answer, Ok((status, _)) if *status != StatusCode::SERVICE_UNAVAILABLE)
--- a/crates/pinereel/src/objects/error.rs
+++ b/crates/pinereel/src/objects/error.rs
@@ -3,9 +3,12 @@
 /// Error of a call to the object API.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
-    /// Nothing was sent: the breaker is open, a limit is reached, or no connection could be opened.
+    /// Nothing was sent: the breaker is open, or no connection could be opened.
     #[error("object API not reached: {0}")]
     NotSent(String),
+    /// Nothing was sent: a limit of this process is reached, which says nothing about the API.
+    #[error("object API not reached: {0}")]
+    Limited(&'static str),
     /// The API refused the call: it is down, limits the rate, or answered an unexpected status.
     #[error("object API refused: {0}")]
     Refused(String),
--- a/crates/pinereel/src/objects/mod.rs
+++ b/crates/pinereel/src/objects/mod.rs
@@ -13,5 +13,5 @@
 
 pub use breaker::Breaker;
 pub use call::{Access, Purpose};
-pub use client::{Client, Options, is_own_limit};
+pub use client::{Client, Options};
 pub use error::Error;
