--- a/crates/pinereel_core/src/endpoint/speed.rs
+++ b/crates/pinereel_core/src/endpoint/speed.rs
@@ -11,8 +11,8 @@
 
 /// Time for which a higher figure must hold before it counts: moments seldom last longer.
 pub const LASTING_PERIOD: Duration = Duration::from_millis(1_000);
-/// Age at which a report of load or of a slowdown no longer counts. Reports come with responses, and while all slots run
-/// long texts there is none for several seconds.
+/// Age at which a report of load or of a slowdown no longer counts. Reports come with responses, and
+/// while all slots run long texts there is none for several seconds.
 pub const REPORT_TTL: Duration = Duration::from_secs(5);
 /// Time over which values are averaged. Four slices cover [`LASTING_PERIOD`], and one of them holds
 /// several events of a run.
@@ -37,7 +37,8 @@
 }
 
 /// The lasting value of a figure: the lowest mean over the last [`LASTING_PERIOD`] with values, and
-/// two slices before it, since the period may start within the first of them. It follows a decrease at once and an increase once that has lasted.
+/// two slices before it, since the period may start within the first of them. It follows a decrease at
+/// once and an increase once that has lasted.
 #[derive(Clone, Debug, Default)]
 struct Lasting {
     /// Oldest first; at most those of the period, two before it and the one being filled.
