fakes: a child process ends with the program that started it, also if that is killed

Cause: a test program that was killed did not end its instances. They went on for good, and called the ports of their store, which the system gave to the next fake.

Evidence: the port is that of the fake platform API, which alone records "without a fence or a body", not an engine's as the entries said. It now names the caller. Three instances of a soak killed with SIGKILL ran on with the init process as parent.

Ruled out: instances of the same test program. They are dropped, and waited for, before the runtime that owns the listeners.

Change: Child::spawn starts each program through `pinereel-fakes bound-to-parent`, which asks the kernel for SIGKILL at the end of its parent, then becomes the program under the same process id. the_instances_of_a_killed_program_end_with_it failed before (three instances were left after 5 s) and passes. An error about a missing binary says how to build it.

--- a/crates/pinereel_fakes/src/bin/pinereel-fakes.rs
+++ b/crates/pinereel_fakes/src/bin/pinereel-fakes.rs
@@ -4,6 +4,7 @@
 use pinereel::settings::Settings;
 use pinereel_fakes::{
     capacity,
+    child_process::{BOUND_TO_PARENT, exec_bound_to_parent},
     cli::{self, CommonFlags, Error, parse_value},
     demo, engine, experiment, hosting, load, object_api, service, trainer, weight_store,
 };
@@ -144,6 +145,10 @@
 fn main() -> ExitCode {
     let mut args = std::env::args_os().skip(1);
     let name = args.next().unwrap_or_default();
+    if name == BOUND_TO_PARENT {
+        // Not a tool: all further arguments are those of another program.
+        return exec_bound_to_parent(args);
+    }
     let Some(tool) = TOOLS.iter().find(|tool| name == tool.name) else {
         println!("{}", usage());
         return ExitCode::from(if name == "--help" { 0 } else { 2 });
--- a/crates/pinereel_fakes/src/child_process.rs
+++ b/crates/pinereel_fakes/src/child_process.rs
@@ -1,19 +1,27 @@
 //! Starts child processes, captures the lines that they print, and sends them signals.
 //!
-//! All waits block the calling thread and take a timeout.
+//! All waits block the calling thread and take a timeout. A child process never outlives the process
+//! that started it, even if that process is killed: see [`exec_bound_to_parent`].
 
 pub use rustix::process::Signal;
 
-use rustix::process::{Pid, kill_process};
+use rustix::process::{Pid, getppid, kill_process, set_parent_process_death_signal};
 use std::{
+    env,
+    ffi::OsString,
     io::{self, BufRead as _, BufReader, Read, Write as _},
     net::{SocketAddr, TcpStream},
-    process::{self, Command, ExitStatus, Stdio},
+    os::unix::process::CommandExt as _,
+    path::{Path, PathBuf},
+    process::{self, Command, ExitCode, ExitStatus, Stdio},
     sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
     thread,
     time::{Duration, Instant},
 };
 
+/// Name of the subcommand of `pinereel-fakes` that calls [`exec_bound_to_parent`].
+pub const BOUND_TO_PARENT: &str = "bound-to-parent";
+
 /// Interval at which process exits and HTTP readiness are polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -35,10 +43,13 @@
 impl Child {
     /// Starts `command` and captures the lines that it prints.
     ///
+    /// The kernel kills the process when the calling thread ends, so call this on a thread that lives as
+    /// long as the process is needed.
+    ///
     /// # Errors
-    /// If the command can't be started.
-    pub fn spawn(command: &mut Command) -> io::Result<Self> {
-        let mut process = command
+    /// If the binary `pinereel-fakes` is not built, or the command can't be started.
+    pub fn spawn(command: &Command) -> io::Result<Self> {
+        let mut process = bind_to_parent(command)?
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .stderr(Stdio::piped())
@@ -126,6 +137,74 @@
     }
 }
 
+/// Returns `command`, to be started by way of [`exec_bound_to_parent`].
+fn bind_to_parent(command: &Command) -> io::Result<Command> {
+    let mut bound = Command::new(binary_path("pinereel-fakes")?);
+    bound
+        .arg(BOUND_TO_PARENT)
+        .arg(process::id().to_string())
+        .arg(command.get_program())
+        .args(command.get_args());
+    if let Some(folder) = command.get_current_dir() {
+        bound.current_dir(folder);
+    }
+    for (name, value) in command.get_envs() {
+        match value {
+            Some(value) => bound.env(name, value),
+            None => bound.env_remove(name),
+        };
+    }
+    Ok(bound)
+}
+
+/// Replaces this process by another program, which the kernel kills when the process that started it
+/// ends. `args` are the id of that process, the program and its arguments.
+///
+/// A process that outlives a killed test keeps calling ports that the system has meanwhile assigned to
+/// the fakes of another test.
+pub fn exec_bound_to_parent(args: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let mut args = args.into_iter();
+    let parent = args.next().and_then(|id| id.to_str()?.parse().ok());
+    let (Some(parent), Some(program)) = (parent.and_then(Pid::from_raw), args.next()) else {
+        eprintln!("pinereel-fakes: usage: {BOUND_TO_PARENT} PARENT PROGRAM [ARGUMENTS]");
+        return ExitCode::from(2);
+    };
+    if let Err(error) = set_parent_process_death_signal(Some(Signal::KILL)) {
+        eprintln!("pinereel-fakes: cannot bind the process to its parent: {error}");
+        return ExitCode::FAILURE;
+    }
+    // A parent that ended before the call above sends no signal.
+    if getppid() != Some(parent) {
+        return ExitCode::FAILURE;
+    }
+    let error = Command::new(&program).args(args).exec();
+    eprintln!(
+        "pinereel-fakes: cannot start {}: {error}",
+        program.display()
+    );
+    ExitCode::FAILURE
+}
+
+/// Returns the path of a binary of this Cargo workspace, in the folder of the running binary or in
+/// one above it.
+///
+/// # Errors
+/// If there is no such binary.
+pub fn binary_path(name: &str) -> io::Result<PathBuf> {
+    let running_binary = env::current_exe()?;
+    let mut folder = running_binary.parent();
+    while let Some(path) = folder {
+        let binary = path.join(name);
+        if binary.is_file() {
+            return Ok(binary);
+        }
+        folder = path.parent().filter(|path| *path != Path::new("/"));
+    }
+    Err(io::Error::other(format!(
+        "the binary {name} is not built; `cargo build --workspace` builds it"
+    )))
+}
+
 /// Waits until `GET path`, for example `/ready`, is answered with 200. Returns false after `timeout`.
 pub fn wait_for_ok(address: SocketAddr, path: &str, timeout: Duration) -> bool {
     let deadline = Instant::now() + timeout;
--- a/crates/pinereel_fakes/src/hosting/crashing_endpoint.rs
+++ b/crates/pinereel_fakes/src/hosting/crashing_endpoint.rs
@@ -11,7 +11,7 @@
     store::Store,
 };
 use crate::{
-    child_process::Child,
+    child_process::{Child, binary_path},
     cli::{CommonFlags, Error, parse_value},
 };
 use actix_http::{
@@ -220,14 +220,14 @@
     /// Starts the process and registers the endpoint.
     fn start_process(&self) -> io::Result<()> {
         self.start_count.set(self.start_count.get() + 1);
-        let mut command = Command::new(binary()?);
+        let mut command = Command::new(binary_path("pinereel-fakes")?);
         command.args(["fragile", "--until-stdin-closes", "--address"]);
         command.arg(self.address.to_string());
         command.args(["--id", &self.id()]);
         if self.mode == Mode::Engine {
             command.arg("--engine");
         }
-        let child = Child::spawn(&mut command)?;
+        let child = Child::spawn(&command)?;
         if child
             .wait_for_line("listening", Duration::from_secs(5))
             .is_none()
@@ -301,11 +301,6 @@
     })
 }
 
-/// Returns the path of the binary that contains the fakes.
-fn binary() -> io::Result<std::path::PathBuf> {
-    super::site::binary_path("pinereel-fakes")
-}
-
 /// Runs the endpoint in this process; the subcommand `fragile`.
 pub fn main(parser: Parser) -> ExitCode {
     match actix_rt::System::new().block_on(run(parser)) {
--- a/crates/pinereel_fakes/src/hosting/instance.rs
+++ b/crates/pinereel_fakes/src/hosting/instance.rs
@@ -1,7 +1,7 @@
 //! An instance of pinereel as a real process, behind proxies.
 
-use super::{http::call, proxy::Proxy, site::binary_path};
-use crate::child_process::{Child, Signal};
+use super::{http::call, proxy::Proxy};
+use crate::child_process::{Child, Signal, binary_path};
 use actix_http::Method;
 use bytes::Bytes;
 use std::{fs, io, net::SocketAddr, path::PathBuf, process::Command, time::Duration};
@@ -60,12 +60,12 @@
     pub fn start(&mut self) -> io::Result<()> {
         self.earlier_lines.extend(self.lines());
         self.restore_settings();
-        let mut command = Command::new(binary()?);
+        let mut command = Command::new(binary_path("pinereel")?);
         command
             .arg("hosted")
             .arg("--config")
             .arg(&self.settings_path);
-        self.child = Some(Child::spawn(&mut command)?);
+        self.child = Some(Child::spawn(&command)?);
         self.paused = false;
         Ok(())
     }
@@ -136,8 +136,3 @@
         )))
     }
 }
-
-/// Returns the path of the binary under test.
-fn binary() -> io::Result<PathBuf> {
-    binary_path("pinereel")
-}
--- a/crates/pinereel_fakes/src/hosting/platform.rs
+++ b/crates/pinereel_fakes/src/hosting/platform.rs
@@ -133,10 +133,11 @@
         let path = request.path().to_owned();
         let holder = header(request.headers(), "x-lease-holder").unwrap_or_default();
         let fence = header(request.headers(), "x-fence-token").and_then(|f| f.parse().ok());
+        let caller = header(request.headers(), "user-agent").unwrap_or_default();
         let body = http::read_json(request, MAX_BODY_BYTES, Duration::from_secs(2)).await;
         let (Some(fence), Ok(body)) = (fence, body) else {
             self.recorder
-                .record_violation(format!("{path} without a fence or a body"));
+                .record_violation(format!("{path} without a fence or a body, from {caller:?}"));
             return StatusCode::BAD_REQUEST;
         };
         if !self.accept_fencing_token(&path, fence, &holder) {
--- a/crates/pinereel_fakes/src/hosting/site.rs
+++ b/crates/pinereel_fakes/src/hosting/site.rs
@@ -15,7 +15,7 @@
 use std::{
     env, fs, io,
     net::{IpAddr, Ipv4Addr, SocketAddr},
-    path::{Path, PathBuf},
+    path::PathBuf,
     rc::Rc,
     sync::atomic::{AtomicU32, Ordering},
     time::Duration,
@@ -326,21 +326,6 @@
     }
 }
 
-/// Returns the path of a binary of this Cargo workspace, in the folder of the running binary or in
-/// one above it.
-pub(super) fn binary_path(name: &str) -> io::Result<PathBuf> {
-    let running_binary = env::current_exe()?;
-    let mut folder = running_binary.parent();
-    while let Some(path) = folder {
-        let binary = path.join(name);
-        if binary.is_file() {
-            return Ok(binary);
-        }
-        folder = path.parent().filter(|path| *path != Path::new("/"));
-    }
-    Err(io::Error::other(format!("the binary {name} is not built")))
-}
-
 /// Returns the fields with which the platform renders the settings template.
 fn template_fields(
     name: &str,
--- a/crates/pinereel_fakes/tests/child_process.rs
+++ b/crates/pinereel_fakes/tests/child_process.rs
@@ -1,7 +1,13 @@
 //! The fakes as processes, and [`Child`], which starts, stops and signals them.
 
 use pinereel_fakes::child_process::{Child, Signal, wait_for_ok};
-use std::{os::unix::process::ExitStatusExt as _, process::Command, time::Duration};
+use std::{
+    fs,
+    os::unix::process::ExitStatusExt as _,
+    process::Command,
+    thread,
+    time::{Duration, Instant},
+};
 
 /// Longer than any step of these tests takes on a busy machine.
 const TIMEOUT: Duration = Duration::from_secs(20);
@@ -81,3 +87,41 @@
     );
     assert_eq!(child.wait_for_line("never printed", TIMEOUT), None);
 }
+
+/// Ids of the running processes whose parent is `parent`.
+fn children_of(parent: u32) -> Vec<u32> {
+    let processes = fs::read_dir("/proc").expect("/proc is mounted");
+    let ids = processes.filter_map(|entry| entry.ok()?.file_name().to_str()?.parse().ok());
+    ids.filter(|id| parent_of(*id) == Some(parent)).collect()
+}
+
+/// Id of the parent of a running process; `None` if the process has ended.
+fn parent_of(id: u32) -> Option<u32> {
+    let stat = fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
+    // The name of the program, in parentheses, may itself contain spaces and parentheses.
+    let (_, fields) = stat.rsplit_once(") ")?;
+    let mut fields = fields.split(' ');
+    let state = fields.next()?;
+    (state != "Z").then(|| fields.next()?.parse().ok())?
+}
+
+/// Instances that outlived their killed test kept calling the port of its store, which the system had
+/// since assigned to an engine of another test.
+#[test]
+fn the_instances_of_a_killed_program_end_with_it() {
+    const INSTANCE_COUNT: usize = 3;
+    let mut soak = start(&["soak", "--instances", &INSTANCE_COUNT.to_string()]);
+    let deadline = Instant::now() + TIMEOUT;
+    while children_of(soak.id()).len() < INSTANCE_COUNT {
+        assert!(Instant::now() < deadline, "{:?}", soak.lines());
+        thread::sleep(Duration::from_millis(20));
+    }
+    let instances = children_of(soak.id());
+    soak.signal(Signal::KILL).unwrap();
+    let are_running = || instances.iter().any(|id| parent_of(*id).is_some());
+    let deadline = Instant::now() + Duration::from_secs(5);
+    while are_running() {
+        assert!(Instant::now() < deadline, "{instances:?}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
