hosted: answer or reject each request until the process exits

Seen: a request that arrives in the last 2 s before the exit of a stopping instance ends with a closed connection. The new test sends one every 40 ms past the load balancer to an instance whose service takes 1.5 s: 13 were cut at 7.2 s after SIGTERM.

Cause: the shutdown waited for a moment without requests, up to a deadline. At that deadline it closed all connections, and until then it accepted every new request with its full time. Connections in the listener's queue were reset at its close.

Change: after the time in which the load balancer may still send connections, a request that may take longer than the process has is rejected at once with 503, not run. Requests that are still in flight 0.2 s before the exit get an answer. Connections in the listener's queue are accepted before it is closed, and requests on them and on open connections are served or rejected until the process has been idle for 0.1 s.

Looked for elsewhere: `pinereel entry` rejects requests after the same time already; it gets the queue's connections by the same change of the HTTP server.

Result: requests_are_answered_or_refused_until_the_process_is_gone failed before, as above, and passes; a_kept_connection_is_closed_with_an_answer, with 40 connections that stay open, passed before and passes.

--- a/crates/pinereel/src/hosted/run.rs
+++ b/crates/pinereel/src/hosted/run.rs
@@ -96,7 +96,10 @@
         "started"
     );
     actix_rt::spawn(watch_settings_file(settings.clone(), path));
-    let shutdown = Rc::new(Shutdown::default());
+    let shutdown = Rc::new(Shutdown::new(Timing {
+        balancer_lag: settings.stop.balancer_lag,
+        killed_after: settings.stop.killed_after,
+    }));
     let signalled = Rc::clone(&shutdown);
     actix_rt::spawn(async move {
         loop {
@@ -111,7 +114,7 @@
         Some(callers) => {
             Instance::start(&settings, adapter, callers, incarnation, &shutdown)
                 .await?
-                .drain_on_shutdown(&settings)
+                .drain_on_shutdown()
                 .await;
         }
         // An instance without a listener for callers is a standby. It has no work and stops
@@ -323,7 +326,7 @@
     }
 
     /// Waits until a shutdown is initiated, and carries it out.
-    async fn drain_on_shutdown(&self, settings: &Hosted) {
+    async fn drain_on_shutdown(&self) {
         self.shutdown.wait_until_initiated().await;
         self.runner.drain();
         if let Some(tree_node) = &self.tree_node {
@@ -331,12 +334,10 @@
         }
         self.runner.checkpoint_and_stop().await;
         self.duties.drain();
-        let timing = Timing {
-            balancer_lag: settings.stop.balancer_lag,
-            killed_after: settings.stop.killed_after,
-        };
         let other_work = || self.runner.in_flight() + usize::from(!self.duties.all_released());
-        self.shutdown.wait_until_idle(timing, other_work).await;
+        self.shutdown.wait_until_idle(other_work).await;
+        self.callers.stop();
+        self.shutdown.wait_until_final_idle(other_work).await;
         self.callers.close();
     }
 }
--- a/crates/pinereel/src/hosted/serve.rs
+++ b/crates/pinereel/src/hosted/serve.rs
@@ -29,9 +29,9 @@
 use std::{cell::OnceCell, rc::Rc, time::Duration};
 use tokio::time::{Instant, sleep};
 
-/// Maximum time to answer the call that ends a lot, which has no route. Other requests are limited
+/// Maximum time to answer a trainer's call about a lot, which has no route. Other requests are limited
 /// by the timeout of their route. A caller's earlier deadline applies in both cases.
-const LOT_END_TIMEOUT: Duration = Duration::from_secs(5);
+const LOT_CALL_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time by which the final answer is sent before the caller's deadline or the route's timeout, so
 /// that it arrives in time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(30);
@@ -81,9 +81,26 @@
 }
 
 impl Frontend {
-    async fn answer(&self, mut request: Request) -> Response {
-        let received_at = Instant::now();
+    /// Answers a request before the process exits.
+    async fn answer(&self, request: Request) -> Response {
         let metadata = (self.adapter.headers.decode_request)(request.headers());
+        tokio::select! {
+            biased;
+            answer = self.answer_unbounded(request, &metadata) => answer,
+            () = self.shutdown.wait_until_last_answer() => {
+                self.metrics.count(&self.metrics.refusals, &["exit"]);
+                log::warn!(id = metadata.id.as_str(); "request aborted: the process exits");
+                http::empty(StatusCode::BAD_GATEWAY)
+            }
+        }
+    }
+
+    async fn answer_unbounded(
+        &self,
+        mut request: Request,
+        metadata: &headers::RequestHeaders,
+    ) -> Response {
+        let received_at = Instant::now();
         let path = request.path().to_owned();
         let query = request.uri().query().unwrap_or_default().to_owned();
         let host = request.headers().get(HOST);
@@ -99,9 +116,14 @@
         match (self.adapter.lot.decode_request)(request.method(), &path, &query) {
             lot::Request::Other => {}
             call => {
-                return match self.authenticate_caller(&table, &metadata, false) {
-                    Ok(caller) => self.lot_call(call, &caller, &metadata, received_at).await,
-                    Err(refusal) => refusal,
+                let caller = match self.authenticate_caller(&table, metadata, false) {
+                    Ok(caller) => caller,
+                    Err(refusal) => return refusal,
+                };
+                let deadline = deadline(metadata, LOT_CALL_TIMEOUT, received_at);
+                return match self.refuse_before_exit(metadata, deadline) {
+                    Some(refusal) => refusal,
+                    None => self.lot_call(call, &caller, metadata, deadline).await,
                 };
             }
         }
@@ -116,35 +138,51 @@
             );
             return http::empty(StatusCode::NOT_FOUND);
         };
-        let caller = match self.authenticate_caller(&table, &metadata, route.public) {
+        let caller = match self.authenticate_caller(&table, metadata, route.public) {
             Ok(caller) => caller,
             Err(refusal) => return refusal,
         };
+        let deadline = deadline(metadata, route.timeout, received_at);
+        if let Some(refusal) = self.refuse_before_exit(metadata, deadline) {
+            return refusal;
+        }
         let max = table.document().limits.max_body_bytes;
         let body = match http::read_body(&mut request, max, BODY_TIMEOUT).await {
             Ok(body) => body,
             Err(error) => {
                 self.metrics.count(&self.metrics.refusals, &["body"]);
-                return refuse_body(&metadata, &error);
+                return refuse_body(metadata, &error);
             }
         };
         if route.kind == RouteKind::Lot && request.method() == Method::POST {
-            let deadline = deadline(&metadata, route.timeout, received_at);
             let reply = self
                 .trainer_api
                 .submit(&caller, &metadata.id, &host, &path, &body, deadline)
                 .await;
             return self.respond("submit", reply);
         }
-        self.proxy_request(
-            request,
-            &table,
-            (route, caller),
-            &metadata,
-            body,
-            received_at,
-        )
-        .await
+        self.proxy_request(request, &table, (route, caller), metadata, body, deadline)
+            .await
+    }
+
+    /// Returns the refusal of a new request that may take until `deadline` if the process may exit before.
+    /// Any other instance can serve it at once.
+    fn refuse_before_exit(
+        &self,
+        metadata: &headers::RequestHeaders,
+        deadline: Instant,
+    ) -> Option<Response> {
+        if !self.shutdown.rejects(deadline) {
+            return None;
+        }
+        self.metrics.count(&self.metrics.refusals, &["stopping"]);
+        let time_left = deadline.saturating_duration_since(Instant::now());
+        log::info!(
+            id = metadata.id.as_str(),
+            time_left_ms = time_left.as_millis() as u64;
+            "refused: the process may exit before the answer"
+        );
+        Some(not_run(StatusCode::SERVICE_UNAVAILABLE, Duration::ZERO))
     }
 
     /// Returns the caller that a request is made for, or the answer that refuses it.
@@ -200,7 +238,7 @@
         (route, caller): (Route, Caller),
         metadata: &headers::RequestHeaders,
         body: Bytes,
-        received_at: Instant,
+        deadline: Instant,
     ) -> Response {
         let target = request.uri().path_and_query();
         let target = target.map_or("/", |target| target.as_str()).into();
@@ -208,7 +246,7 @@
             id: metadata.id.clone(),
             config_number: table.number(),
             config_age: self.config.age().unwrap_or_default(),
-            deadline: deadline(metadata, route.timeout, received_at),
+            deadline,
             priority_level: Some(table.priority_level(&route, &caller)),
             route,
             workspace: caller.workspace().map(Into::into),
@@ -247,7 +285,7 @@
         call: lot::Request,
         caller: &Caller,
         metadata: &headers::RequestHeaders,
-        received_at: Instant,
+        deadline: Instant,
     ) -> Response {
         let wait = metadata.long_poll_wait.unwrap_or_default();
         let wait = wait.min(self.adapter.lot.max_long_poll_wait);
@@ -260,7 +298,6 @@
                 ("body", self.trainer_api.body(caller, &lot, &item).await)
             }
             lot::Request::EndLot { lot } => {
-                let deadline = deadline(metadata, LOT_END_TIMEOUT, received_at);
                 ("end", self.trainer_api.end(caller, &lot, deadline).await)
             }
             lot::Request::Other => ("other", Reply::NotFound),
--- a/crates/pinereel/src/http/server.rs
+++ b/crates/pinereel/src/http/server.rs
@@ -188,7 +188,49 @@
         }
     }
 
-    /// Stops accepting connections. Open connections are still served.
+    /// Whether one more connection may be opened; if not, counts it as refused.
+    fn admits_connection(&self, options: Options) -> bool {
+        let admits = self.open_connections.get() < options.max_connections;
+        if !admits {
+            let refused = self.refused_connections.get();
+            self.refused_connections.set(refused + 1);
+            self.report_refusal(Code::Overloaded);
+        }
+        admits
+    }
+
+    /// Spawns the task of a connection, which ends with it or with the server.
+    fn spawn_connection(
+        &self,
+        connection: impl Future<Output = Option<Code>> + 'static,
+        activity: Rc<ConnectionActivity>,
+        options: Options,
+        mut closed: watch::Receiver<bool>,
+    ) {
+        let server = self.clone();
+        server
+            .open_connections
+            .set(server.open_connections.get() + 1);
+        actix_rt::spawn(async move {
+            tokio::select! {
+                refusal = connection => if let Some(code) = refusal {
+                    server.report_refusal(code);
+                },
+                // `actix-http` closes connections that are idle for `keep_alive`; one that is
+                // still open after this sends a request head too slowly.
+                () = activity.wait_until_idle_for(options.keep_alive + options.head_timeout) => {
+                    server.report_refusal(Code::SlowSender);
+                }
+                _ = closed.wait_for(|close| *close) => {}
+            }
+            server
+                .open_connections
+                .set(server.open_connections.get() - 1);
+        });
+    }
+
+    /// Stops accepting connections, after those that wait in the listener's queue. Open connections are
+    /// still served.
     pub fn stop(&self) {
         self.stop.send_replace(true);
     }
@@ -236,46 +278,42 @@
     S: Fn(TcpStream, Rc<ConnectionActivity>) -> F + 'static,
     F: Future<Output = Option<Code>> + 'static,
 {
+    let start_connection = |stream: TcpStream| {
+        // Without TCP_NODELAY a small response would wait for more data.
+        let _ = stream.set_nodelay(true);
+        let activity = ConnectionActivity::new();
+        let connection = serve_connection(stream, Rc::clone(&activity));
+        server.spawn_connection(connection, activity, options, closed.clone());
+    };
     loop {
         let accepted = tokio::select! {
-            _ = stopped.wait_for(|stop| *stop) => return,
+            _ = stopped.wait_for(|stop| *stop) => break,
             accepted = listener.accept() => accepted,
         };
         let Ok((stream, _)) = accepted else {
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        if server.open_connections.get() >= options.max_connections {
-            server
-                .refused_connections
-                .set(server.refused_connections.get() + 1);
-            server.report_refusal(Code::Overloaded);
-            continue;
+        if server.admits_connection(options) {
+            start_connection(stream);
         }
-        // Without TCP_NODELAY a small response would wait for more data.
-        let _ = stream.set_nodelay(true);
-        server
-            .open_connections
-            .set(server.open_connections.get() + 1);
-        let server = server.clone();
-        let activity = ConnectionActivity::new();
-        let connection = serve_connection(stream, Rc::clone(&activity));
-        let mut closed = closed.clone();
-        actix_rt::spawn(async move {
-            tokio::select! {
-                refusal = connection => if let Some(code) = refusal {
-                    server.report_refusal(code);
-                },
-                // `actix-http` closes connections that are idle for `keep_alive`; one that is
-                // still open after this sends a request head too slowly.
-                () = activity.wait_until_idle_for(options.keep_alive + options.head_timeout) => {
-                    server.report_refusal(Code::SlowSender);
-                }
-                _ = closed.wait_for(|close| *close) => {}
-            }
-            server
-                .open_connections
-                .set(server.open_connections.get() - 1);
-        });
     }
+    // A client whose connection waits in the queue may have sent its request already. Closing the
+    // listener would reset the connection.
+    for stream in queued_connections(listener) {
+        if server.admits_connection(options) {
+            start_connection(stream);
+        }
+    }
+}
+
+/// Returns the connections that wait in the listener's queue, and closes the listener.
+fn queued_connections(listener: TcpListener) -> impl Iterator<Item = TcpStream> {
+    // Both conversions fail only for a descriptor that is not open.
+    let listener = listener.into_std().ok();
+    std::iter::from_fn(move || {
+        let (stream, _) = listener.as_ref()?.accept().ok()?;
+        stream.set_nonblocking(true).ok()?;
+        TcpStream::from_std(stream).ok()
+    })
 }
--- a/crates/pinereel_fakes/src/hosting/site.rs
+++ b/crates/pinereel_fakes/src/hosting/site.rs
@@ -308,7 +308,7 @@
         fs::write(&settings_path, &valid_settings)?;
         let mut instance = Instance::new(
             name,
-            Proxy::start(caller_address).await?,
+            (caller_address, Proxy::start(caller_address).await?),
             store_proxy,
             readiness_address,
             (settings_path, valid_settings),
--- a/crates/pinereel_fakes/tests/hosting_proxy.rs
+++ b/crates/pinereel_fakes/tests/hosting_proxy.rs
@@ -1,5 +1,7 @@
 //! The loopback proxy of the hosting fakes: which closed connections count as unanswered requests.
 
+#![allow(clippy::unwrap_used)]
+
 use pinereel_fakes::hosting::proxy::Proxy;
 use std::{net::Ipv4Addr, time::Duration};
 use tokio::{
