peer: a closed mesh accepts no connection, and its peers learn of it at once

Cause: the task that accepts links looked at the flag between two connections only, so that a closed mesh accepted one more. The first entry, which dials again every 300 ms, took it for a link. A claim of a key that fell into the few milliseconds until the link was dropped was lost, and as the first claim had been lost by the close itself, the caller had no try left. That first loss was needless as well: a closed mesh kept its sockets open until the next frame came.

Ruled out: an owner that is too slow (no `TimedOut`), and the entry without links, which asks no owner.

Change: the accept loop, handshakes in progress and open links end when the mesh is closed.

Looked for elsewhere: `pinereel entry` closes its mesh at the end of its shutdown, where callers of other entries could get the same 503. In `hosted`, an instance that shuts down answers each new child with a referral.

--- a/crates/pinereel/src/peer/mesh.rs
+++ b/crates/pinereel/src/peer/mesh.rs
@@ -23,7 +23,7 @@
 };
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{Semaphore, mpsc},
+    sync::{Semaphore, mpsc, watch},
     time::{sleep, timeout},
 };
 use tokio_tungstenite::{
@@ -109,7 +109,8 @@
     refusal_observer: Rc<RefCell<Option<RefusalObserver>>>,
     sent: Rc<Cell<Traffic>>,
     received: Rc<Cell<Traffic>>,
-    closed: Rc<Cell<bool>>,
+    /// Set to true when the mesh is closed.
+    closed: watch::Sender<bool>,
 }
 
 impl Mesh {
@@ -125,7 +126,7 @@
             refusal_observer: Rc::default(),
             sent: Rc::default(),
             received: Rc::default(),
-            closed: Rc::default(),
+            closed: watch::channel(false).0,
         }
     }
 
@@ -152,8 +153,15 @@
         let mesh = self.clone();
         let handshakes = Arc::new(Semaphore::new(MAX_HANDSHAKES));
         actix_rt::spawn(async move {
-            while !mesh.closed.get() {
-                let Ok((stream, _)) = listener.accept().await else {
+            loop {
+                let accepted = tokio::select! {
+                    // A peer that connected to a closed mesh would take the connection for a link, and
+                    // lose the calls that it sends over it.
+                    biased;
+                    () = mesh.until_closed() => return,
+                    accepted = listener.accept() => accepted,
+                };
+                let Ok((stream, _)) = accepted else {
                     sleep(LINK_RETRY_DELAY).await;
                     continue;
                 };
@@ -163,7 +171,11 @@
                 };
                 let mesh = mesh.clone();
                 actix_rt::spawn(async move {
-                    let opened = timeout(OPEN_TIMEOUT, mesh.accept(stream)).await;
+                    let opened = tokio::select! {
+                        biased;
+                        () = mesh.until_closed() => return,
+                        opened = timeout(OPEN_TIMEOUT, mesh.accept(stream)) => opened,
+                    };
                     drop(permit);
                     match opened {
                         Ok(Ok((socket, hello, once))) => mesh.run_link(socket, hello, once).await,
@@ -210,7 +222,7 @@
 
     /// Sends a call over a new connection that is used for this call only, without a link.
     pub async fn call_once(&self, peer: &Peer, body: Call, wait: Duration) -> Result<Reply, Error> {
-        if self.closed.get() {
+        if self.is_closed() {
             return Err(Error::NoLink);
         }
         let call = async {
@@ -252,7 +264,7 @@
 
     /// Closes all links and opens no more.
     pub fn close(&self) {
-        self.closed.set(true);
+        self.closed.send_replace(true);
         self.peers.borrow_mut().clear();
         for link in self.links.borrow().values() {
             link.fail_pending();
@@ -260,6 +272,15 @@
         self.links.borrow_mut().clear();
     }
 
+    fn is_closed(&self) -> bool {
+        *self.closed.borrow()
+    }
+
+    async fn until_closed(&self) {
+        // `self` holds the sender, so the wait ends only with the value.
+        let _ = self.closed.subscribe().wait_for(|closed| *closed).await;
+    }
+
     /// Opens a link to `name`, again after each end, until `name` is no longer among the peers.
     async fn keep_linked(self, name: CompactString) {
         loop {
@@ -339,7 +360,7 @@
 
     /// Runs a link until it ends. A connection for a single call is not used for calls of this entry.
     async fn run_link(&self, socket: Socket, hello: Hello, single_call: bool) {
-        if self.closed.get() {
+        if self.is_closed() {
             return;
         }
         let name = hello.name.clone();
@@ -351,6 +372,7 @@
         }
         let (mut sink, mut stream) = socket.split();
         tokio::select! {
+            () = self.until_closed() => {}
             () = self.write_all(&mut sink, frames) => {}
             ended = self.read_all(&mut stream, &link) => if ended == LinkEnd::Malformed {
                 self.report_refusal(Code::BadRequest);
@@ -387,9 +409,6 @@
                 Ok(read) => read,
                 Err(ended) => return ended,
             };
-            if self.closed.get() {
-                return LinkEnd::Disconnected;
-            }
             count_frame(&self.received, size);
             match frame {
                 Frame::Hello(_) => return LinkEnd::Malformed,
--- a/crates/pinereel/tests/peer_links.rs
+++ b/crates/pinereel/tests/peer_links.rs
@@ -10,7 +10,7 @@
 use pinereel_api::wire::{MAX_FRAME_BYTES, Reply};
 use std::{rc::Rc, time::Duration};
 use tokio::{
-    net::TcpListener,
+    net::{TcpListener, TcpStream},
     time::{sleep, timeout},
 };
 
@@ -150,3 +150,27 @@
     let result = a.call_once(&target, Call::FetchConfig, TIMEOUT).await;
     assert!(result.is_err(), "{result:?}");
 }
+
+/// A closed mesh accepted one more connection. The peer took it for a link, and a claim of an idempotency
+/// key that it sent over it was lost: after a second loss in a row, the caller got 503.
+#[actix_rt::test]
+async fn a_closed_mesh_accepts_no_connection() {
+    let (mesh, address) = mesh("a", "secret", Some(Reply::Done)).await;
+    // The mesh waits for a connection when it is closed.
+    sleep(POLL_INTERVAL).await;
+    mesh.close();
+    sleep(POLL_INTERVAL).await;
+    assert!(TcpStream::connect(address.as_str()).await.is_err());
+}
+
+/// The peer kept a link to a closed mesh until it sent the next frame over it.
+#[actix_rt::test]
+async fn closing_a_mesh_ends_its_links_at_the_peers_at_once() {
+    let (a, _) = mesh("a", "secret", Some(Reply::Done)).await;
+    let (b, b_address) = mesh("b", "secret", Some(Reply::Done)).await;
+    a.set_peers([peer("b", &b_address)]);
+    assert!(linked(&a, "b").await && linked(&b, "a").await);
+    b.close();
+    sleep(Duration::from_millis(100)).await;
+    assert!(!a.is_linked("b"));
+}
