lots: a checkpoint that finds no long output is taken as soon as there is one

A trainer whose runner is killed then loses the texts of up to 4 s.

Cause: a checkpoint is due every 2 s and holds outputs of ten events or more. If there was none at that moment, the next try came a whole interval later. The interval also began after the write, so that a slow store made it longer.

Change: a due checkpoint without outputs is tried again every 0.2 s; the interval counts from the begin of a write. At the most one write in 2 s, as before.

Looked for elsewhere: the checkpoints of a planned stop include all outputs; `pinereel entry` keeps none.

--- a/crates/pinereel/src/hosted/lots/checkpoint.rs
+++ b/crates/pinereel/src/hosted/lots/checkpoint.rs
@@ -15,7 +15,7 @@
 use futures_util::future::join_all;
 use pinereel_port::store::Consistency;
 use std::{cmp::Reverse, collections::BTreeMap, rc::Rc, time::Duration};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep_until, timeout};
 
 /// Timeout of all writes at a planned stop; the release of the lease waits for them.
 const STOP_WRITE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -24,6 +24,9 @@
 /// interval on average.
 /// An output that decides when its step completes takes up to 7 s, so a lot costs three writes.
 const CHECKPOINT_INTERVAL: Duration = Duration::from_millis(2_000);
+/// Interval between two checks for outputs to write, when a checkpoint is due and there are none. A
+/// whole [`CHECKPOINT_INTERVAL`] would add to the work that is lost.
+const OUTPUT_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Lowest number of an output's last event at which a periodic checkpoint includes that output. An
 /// engine takes half a second for this many events.
@@ -47,21 +50,27 @@
     }
 }
 
-/// Writes a checkpoint of a lot's long outputs at a fixed interval, until the lot is closed.
+/// Writes checkpoints of a lot's long outputs until the lot is closed: one in each interval in which
+/// there are new ones, as soon as there are.
 pub(super) async fn write_periodically(runner: Rc<Runner>, lot: CompactString) {
     let mut written = PartialOutputs::new();
+    let mut due_at = Instant::now() + CHECKPOINT_INTERVAL;
     loop {
-        sleep(CHECKPOINT_INTERVAL).await;
+        sleep_until(due_at).await;
         let Some(checkpoint) = runner.checkpoint(&lot) else {
             return;
         };
+        let started_at = Instant::now();
         if checkpoint.outputs.is_empty() || checkpoint.outputs == written {
+            due_at = started_at + OUTPUT_CHECK_INTERVAL;
             continue;
         }
         if let Some(revision) = write(&runner, &lot, &checkpoint).await {
             runner.checkpoint_written(&lot, revision);
             written = checkpoint.outputs;
         }
+        // The time that a slow store takes for the write is part of the interval.
+        due_at = started_at + CHECKPOINT_INTERVAL;
     }
 }
 
--- a/crates/pinereel_fakes/tests/hosting_path.rs
+++ b/crates/pinereel_fakes/tests/hosting_path.rs
@@ -431,3 +431,36 @@
     );
     assert!(written.len() >= 2, "{written:?}");
 }
+
+/// A checkpoint that was due when no output was long enough came a whole interval later: the texts of a
+/// runner that was killed meanwhile started again.
+#[actix_rt::test]
+async fn texts_resume_after_a_kill_although_the_first_events_were_late() {
+    let mut site = Site::start(SITE_SIZE, 108).await.unwrap();
+    // An output is long enough for a checkpoint after 2.2 s, when one has been due since 2 s.
+    slow_down(&site, 18);
+    let (load_balancer, recorder) = (site.load_balancer(), Rc::clone(&site.recorder));
+    let shape = Shape {
+        groups: 8,
+        wanted_groups: 8,
+        ..LOT_SHAPE
+    };
+    let mut trainer = Trainer::new("late", &load_balancer, &site.store, &recorder, shape, 2);
+    let kill = async {
+        sleep(Duration::from_millis(3_500)).await;
+        let index = find_runner(&site).expect("a lot was opened");
+        site.instances[index].signal(pinereel_fakes::child_process::Signal::KILL);
+        index
+    };
+    let (_, killed) = tokio::join!(trainer.step(0), kill);
+    assert_eq!(trainer.done, 1);
+    assert_eq!(recorder.violations(), Vec::<String>::new());
+    let opened_lines = |index: usize| {
+        let lines = site.instances[index].all_lines().into_iter();
+        lines.filter(|line| line.contains("lot opened"))
+    };
+    let others = (0..site.instances.len()).filter(|index| *index != killed);
+    let opened: Vec<_> = others.flat_map(opened_lines).collect();
+    assert_eq!(opened.len(), 1, "{opened:?}");
+    assert!(!opened[0].contains("\"texts_reused\":0"), "{opened:?}");
+}
