tree: a former root finds the end of an outage as soon as the others

Cause: the root loses its lease in the outage and becomes a child. Heartbeats end an outage only for an instance to which an earlier one has said that the store does not answer the root. The former root was the root then and got none. As soon as it has a parent with fresh data it probes once a second only.

Change: an instance that the store did not answer as a root probes every 150 ms for 1 s more when it has a parent, until it is answered. Not taken: to end the outage there at the first heartbeat, since a root that alone is rejected would take its rejection for ended each time.

Looked for elsewhere: an instance that is linked for the first time after the end has no outage to end.

Result: a_former_root_probes_often_when_it_gets_a_parent_after_an_outage fails before and passes.

--- a/crates/pinereel_core/src/tree/uplink.rs
+++ b/crates/pinereel_core/src/tree/uplink.rs
@@ -8,6 +8,11 @@
 use compact_str::CompactString;
 use std::time::Duration;
 
+/// How long an instance that the store did not answer as the root keeps probing often once it has a
+/// parent. No heartbeat can tell it of the end of an outage: it has had none that said that the outage
+/// began.
+const FORMER_ROOT_PROBE_TIME: Duration = Duration::from_secs(1);
+
 /// What this instance knows about the store from its own calls.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct StoreStatus {
@@ -39,6 +44,8 @@
     /// it does. Kept when the parent changes: at the end of an outage, the first instance that reads the
     /// store again takes over children of others.
     root_lacks_answers: bool,
+    /// When the store last did not answer this instance as a root.
+    unanswered_as_root_at: Option<Time>,
 }
 
 impl Uplink {
@@ -52,6 +59,7 @@
             stale_since: None,
             was_fresh: false,
             root_lacks_answers: false,
+            unanswered_as_root_at: None,
         }
     }
 
@@ -125,6 +133,12 @@
         let Some((heartbeat, _)) = &self.last_heartbeat else {
             return false;
         };
+        let is_former_root = self
+            .unanswered_as_root_at
+            .is_some_and(|at| now.since(at) < FORMER_ROOT_PROBE_TIME);
+        if is_former_root && status.is_unreachable {
+            return false;
+        }
         let root_probes = heartbeat.store_answers == Some(false) && !self.is_standby();
         self.is_fresh(now, status) || root_probes
     }
@@ -167,8 +181,12 @@
         self.age(now, status).is_some_and(|age| age < max_age)
     }
 
-    /// Records whether the data are fresh. Must be called several times a second.
+    /// Records whether the data are fresh, and whether the store answers a root. Must be called several
+    /// times a second.
     pub fn observe(&mut self, now: Time, status: StoreStatus) {
+        if self.reads_store && status.is_unreachable {
+            self.unanswered_as_root_at = Some(now);
+        }
         if self.is_fresh(now, status) {
             self.stale_since = None;
             self.was_fresh = true;
--- a/crates/pinereel_core/tests/tree_outage.rs
+++ b/crates/pinereel_core/tests/tree_outage.rs
@@ -286,6 +286,34 @@
     assert!(uplink.link_targets(None).is_empty());
 }
 
+/// A former root gets no heartbeat that says that the outage began, and so none that ends it: it found the
+/// end by its own probe up to 1 s later, while all others knew after 0.3 s.
+#[test]
+fn a_former_root_probes_often_when_it_gets_a_parent_after_an_outage() {
+    let mut uplink = Uplink::new("a:1".into());
+    let status = StoreStatus {
+        is_unreachable: true,
+        ..StoreStatus::default()
+    };
+    let linked_at = Time::ZERO + Duration::from_secs(10);
+    uplink.set_reads_store(true);
+    uplink.observe(linked_at, status);
+    uplink.set_reads_store(false);
+    uplink.on_heartbeat(linked_at, heartbeat(Some(true), Duration::from_millis(100)));
+    let soon = linked_at + Duration::from_millis(150);
+    assert!(
+        !uplink.take_outage_end(),
+        "no heartbeat has told of an outage"
+    );
+    assert!(!uplink.probes_rarely(soon, status));
+    // If the store rejects only this instance, it does not probe often for long.
+    uplink.on_heartbeat(
+        linked_at + Duration::from_secs(2),
+        heartbeat(Some(true), Duration::from_millis(100)),
+    );
+    assert!(uplink.probes_rarely(linked_at + Duration::from_secs(2), status));
+}
+
 /// Instances of the previous build and of this one are linked to each other during an update.
 #[test]
 fn heartbeats_are_compatible_with_the_previous_build() {
