--- a/crates/pinereel_fakes/tests/hosting_usage.rs
+++ b/crates/pinereel_fakes/tests/hosting_usage.rs
@@ -118,7 +118,10 @@
         .instances
         .iter_mut()
         .find(|instance| instance.name == holder);
-    killed_instance.expect("the holder").signal(Signal::KILL);
+    let reported_windows: Vec<_> = site.platform.reports().into_keys().collect();
+    killed_instance
+        .unwrap_or_else(|| panic!("last reporter {holder:?}, windows {reported_windows:?}"))
+        .signal(Signal::KILL);
     site.platform.set_fault(platform::Fault::None);
     answered += send_requests(&mut site, 2, "after").await;
     sleep(MAX_TAKEOVER_TIME + WINDOW_LENGTH).await;
