--- a/crates/pinereel_fakes/src/hosting/caller.rs
+++ b/crates/pinereel_fakes/src/hosting/caller.rs
@@ -1,7 +1,7 @@
 //! A fake caller that sends live requests and checks each answer.
 
 use super::{
-    http::{Answer, Failure, call},
+    http::{Answer, Failure, call_on},
     load_balancer::LoadBalancer,
     recorder::Recorder,
     service,
@@ -9,6 +9,7 @@
 };
 use actix_http::{Method, StatusCode};
 use bytes::Bytes;
+use pinereel::upstream::pool::Pool;
 use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::time::{Instant, sleep};
 
@@ -63,13 +64,48 @@
     }
 }
 
-/// Sends a request, and checks and counts the answer.
+/// Like [`run`], but uses a connection until the instance closes it, also while the instance shuts
+/// down.
+pub async fn run_on_kept_connections(
+    load_balancer: Rc<LoadBalancer>,
+    kind: Kind,
+    name: &str,
+    end: Instant,
+    recorder: Rc<Recorder>,
+    tally: Rc<Tally>,
+) {
+    let pool = Rc::new(Pool::default());
+    let mut address = load_balancer.pick().caller_address;
+    let mut number = 0;
+    while Instant::now() < end {
+        number += 1;
+        let id = format!("{name}-{number}");
+        if !pool.has_idle(address) {
+            address = load_balancer.pick().caller_address;
+        }
+        send_request_on(&pool, address, kind, &id, &recorder, &tally).await;
+        sleep(REQUEST_PAUSE).await;
+    }
+}
+
+/// Sends a request on a new connection, and checks and counts the answer.
 pub async fn send_request(
     address: SocketAddr,
     kind: Kind,
     id: &str,
     recorder: &Recorder,
     tally: &Tally,
+) {
+    send_request_on(&Rc::default(), address, kind, id, recorder, tally).await;
+}
+
+async fn send_request_on(
+    pool: &Rc<Pool>,
+    address: SocketAddr,
+    kind: Kind,
+    id: &str,
+    recorder: &Recorder,
+    tally: &Tally,
 ) {
     let path = match kind {
         Kind::Repeatable => "/live/x",
@@ -84,7 +120,8 @@
     let body = Bytes::from(format!("from {id}"));
     // The answer should arrive before the deadline; the timeout leaves it a little more time.
     let timeout = DEADLINE + Duration::from_millis(500);
-    match call(address, Method::POST, path, &headers, body, timeout).await {
+    let answer = call_on(pool, address, Method::POST, path, &headers, body, timeout);
+    match answer.await {
         Ok(answer) => check_answer(kind, id, &answer, recorder, tally),
         Err(Failure::NotOpened | Failure::Cut | Failure::Late) => increment(&tally.unknown),
     }
--- a/crates/pinereel_fakes/src/hosting/http.rs
+++ b/crates/pinereel_fakes/src/hosting/http.rs
@@ -50,6 +50,24 @@
     headers: &[(&'static str, String)],
     body: Bytes,
     time_limit: Duration,
+) -> Result<Answer, Failure> {
+    let pool = Rc::new(Pool::default());
+    call_on(&pool, address, method, target, headers, body, time_limit).await
+}
+
+/// Like [`call`], on an open connection of `pool` if there is one. The connection stays in the pool unless
+/// the server announces that it closes it.
+///
+/// # Errors
+/// As for [`call`].
+pub async fn call_on(
+    pool: &Rc<Pool>,
+    address: SocketAddr,
+    method: Method,
+    target: &str,
+    headers: &[(&'static str, String)],
+    body: Bytes,
+    time_limit: Duration,
 ) -> Result<Answer, Failure> {
     let mut head = RequestHead::default();
     head.method = method;
@@ -59,12 +77,11 @@
             head.headers.append(HeaderName::from_static(name), value);
         }
     }
-    let pool = Rc::new(Pool::default());
     let request = PooledRequest {
         address,
         head,
         body,
-        reuse: false,
+        reuse: true,
     };
     let exchange = async {
         let response = pool.send(request).await.map_err(|error| match error {
--- a/crates/pinereel_fakes/src/hosting/proxy.rs
+++ b/crates/pinereel_fakes/src/hosting/proxy.rs
@@ -49,7 +49,8 @@
     /// Incremented to reset all open connections.
     resets: Rc<watch::Sender<u64>>,
     target: SocketAddr,
-    /// When the server closed connections by itself after bytes of a request and before any of an answer.
+    /// When the server closed connections by itself after bytes of a request and before any of its
+    /// answer.
     unanswered_closes: Rc<RefCell<Vec<Instant>>>,
 }
 
@@ -95,8 +96,9 @@
         self.resets.send_modify(|resets| *resets += 1);
     }
 
-    /// Returns when the server closed connections after bytes of a request and before any of an
-    /// answer. A connection that the client closed first is not included.
+    /// Returns when the server closed connections after bytes of a request, which need not be the first
+    /// on its connection, and before any of its answer. A connection that the client closed first is not
+    /// included.
     pub fn unanswered_closes(&self) -> Vec<Instant> {
         self.unanswered_closes.borrow().clone()
     }
@@ -110,16 +112,16 @@
         let _ = (client.set_nodelay(true), server.set_nodelay(true));
         let (from_client, to_client) = client.into_split();
         let (from_server, to_server) = server.into_split();
-        let (request_bytes, answer_bytes) = (Cell::new(0), Cell::new(0));
-        let client_closed = Cell::new(false);
-        let requests = self.forward(from_client, to_server, &request_bytes, |f| f.drop_requests);
-        let answers = self.forward(from_server, to_client, &answer_bytes, |f| f.drop_answers);
+        let (awaits_answer, client_closed) = (Cell::new(false), Cell::new(false));
+        let on_request = || awaits_answer.set(true);
+        let on_answer = || awaits_answer.set(false);
+        let requests = self.forward(from_client, to_server, on_request, |f| f.drop_requests);
+        let answers = self.forward(from_server, to_client, on_answer, |f| f.drop_answers);
         tokio::select! {
             // When the server closes its side, the connection is closed. When the client closes its
             // side, only that direction is closed at the server too, which then closes the other.
             () = answers => {
-                let is_answered = request_bytes.get() == 0 || answer_bytes.get() > 0;
-                if !is_answered && !client_closed.get() {
+                if awaits_answer.get() && !client_closed.get() {
                     self.unanswered_closes.borrow_mut().push(Instant::now());
                 }
             }
@@ -136,7 +138,7 @@
         &self,
         mut from: OwnedReadHalf,
         mut to: OwnedWriteHalf,
-        forwarded_bytes: &Cell<usize>,
+        on_bytes: impl Fn(),
         is_dropped: impl Fn(Faults) -> bool,
     ) {
         let mut buffer = vec![0; 16_384];
@@ -158,8 +160,8 @@
                 let _ = to.shutdown().await;
                 return;
             }
-            // Counted also if the receiver has closed the connection meanwhile.
-            forwarded_bytes.set(forwarded_bytes.get() + count);
+            // Also if the receiver has closed the connection meanwhile.
+            on_bytes();
             if to.write_all(&buffer[..count]).await.is_err() {
                 return;
             }
--- a/crates/pinereel_fakes/src/hosting/soak/mod.rs
+++ b/crates/pinereel_fakes/src/hosting/soak/mod.rs
@@ -161,7 +161,12 @@
         );
         callers.push(actix_rt::spawn(async move {
             let name = format!("c{number}");
-            caller::run(load_balancer, kind, &name, callers_end, recorder, tally).await;
+            if number % 4 < 2 {
+                caller::run(load_balancer, kind, &name, callers_end, recorder, tally).await;
+            } else {
+                let (balancer, end) = (load_balancer, callers_end);
+                caller::run_on_kept_connections(balancer, kind, &name, end, recorder, tally).await;
+            }
         }));
     }
     let shape = Shape {
--- a/crates/pinereel_fakes/tests/hosting_proxy.rs
+++ b/crates/pinereel_fakes/tests/hosting_proxy.rs
@@ -35,6 +35,19 @@
     assert_eq!(proxy.unanswered_closes().len(), 1);
 }
 
+#[actix_rt::test]
+async fn a_later_request_on_a_connection_is_recorded_as_well() {
+    let (proxy, mut client, mut server) = send_request().await;
+    let mut bytes = [0; REQUEST.len()];
+    server.write_all(REQUEST).await.unwrap();
+    client.read_exact(&mut bytes).await.unwrap();
+    client.write_all(REQUEST).await.unwrap();
+    server.read_exact(&mut bytes).await.unwrap();
+    drop(server);
+    sleep(SETTLE_TIME).await;
+    assert_eq!(proxy.unanswered_closes().len(), 1);
+}
+
 /// Callers that gave up after a stall of the machine were taken for requests that an instance had
 /// left unanswered in its graceful shutdown.
 #[actix_rt::test]
