--- a/crates/pinereel/src/hosted/serve.rs
+++ b/crates/pinereel/src/hosted/serve.rs
@@ -143,9 +143,6 @@
             Err(refusal) => return refusal,
         };
         let deadline = deadline(metadata, route.timeout, received_at);
-        if let Some(refusal) = self.refuse_before_exit(metadata, deadline) {
-            return refusal;
-        }
         let max = table.document().limits.max_body_bytes;
         let body = match http::read_body(&mut request, max, BODY_TIMEOUT).await {
             Ok(body) => body,
@@ -154,6 +151,10 @@
                 return refuse_body(metadata, &error);
             }
         };
+        // Only now: closing a connection with unread bytes may reset it before the caller has the answer.
+        if let Some(refusal) = self.refuse_before_exit(metadata, deadline) {
+            return refusal;
+        }
         if route.kind == RouteKind::Lot && request.method() == Method::POST {
             let reply = self
                 .trainer_api
