http, operators: one check of a new connection, and metrics set where the others are

The limit of connections was checked before each of the two calls that start a connection; the one closure that starts it checks now. The scheduling delay is set beside the other gauges, on the same reference. No behaviour changed.

--- a/crates/pinereel/src/http/server.rs
+++ b/crates/pinereel/src/http/server.rs
@@ -279,6 +279,9 @@
     F: Future<Output = Option<Code>> + 'static,
 {
     let start_connection = |stream: TcpStream| {
+        if !server.admits_connection(options) {
+            return;
+        }
         // Without TCP_NODELAY a small response would wait for more data.
         let _ = stream.set_nodelay(true);
         let activity = ConnectionActivity::new();
@@ -294,17 +297,11 @@
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        if server.admits_connection(options) {
-            start_connection(stream);
-        }
+        start_connection(stream);
     }
     // A client whose connection waits in the queue may have sent its request already. Closing the
     // listener would reset the connection.
-    for stream in queued_connections(listener) {
-        if server.admits_connection(options) {
-            start_connection(stream);
-        }
-    }
+    queued_connections(listener).for_each(start_connection);
 }
 
 /// Returns the connections that wait in the listener's queue, and closes the listener.
--- a/crates/pinereel/src/operators/status.rs
+++ b/crates/pinereel/src/operators/status.rs
@@ -32,9 +32,6 @@
 
 /// Updates the metrics that are computed only when they are scraped.
 pub fn update_metrics(shared: &Shared) {
-    let delay = shared.scheduling_delay.recent_max();
-    let delay_millis = i64::try_from(delay.as_millis()).unwrap_or(i64::MAX);
-    shared.metrics.scheduling_delay_millis.set(delay_millis);
     let metrics = &shared.metrics;
     for ((purpose, kind), count) in shared.objects.call_counts() {
         let counter = metrics
@@ -44,6 +41,9 @@
     }
     let links = i64::try_from(shared.mesh.linked_peers().len()).unwrap_or(i64::MAX);
     metrics.links_up.set(links);
+    let delay = shared.scheduling_delay.recent_max();
+    let delay_millis = i64::try_from(delay.as_millis()).unwrap_or(i64::MAX);
+    metrics.scheduling_delay_millis.set(delay_millis);
     let endpoints = shared.endpoints.set().iter().count();
     metrics
         .endpoints_known
