--- a/review/3/run.sh
+++ b/review/1/run.sh
@@ -5,4 +5,4 @@
     echo "build target/release/pinereel and run review/build.sh first" >&2
     exit 2
 }
-exec target/review-standin memory review/3/record.txt
+exec target/review-standin partition review/1/record.txt
--- a/review/standin.rs
+++ b/review/standin.rs
@@ -565,6 +565,9 @@
                 ("X-Server-Load", "1,0,6".to_owned()),
             ];
             write_answer(&mut writer, 200, &headers, b"ok").ok()?;
+            if request.headers.get("connection").is_some_and(|c| c.eq_ignore_ascii_case("close")) {
+                return None;
+            }
         }
     }
 }
@@ -854,6 +857,289 @@
     Ok(instances.iter().filter(|i| ends(i) >= 3).count() >= 2)
 }
 
+// ------------------------------------------------------------------------------------ partition
+
+/// A link to a worker that can be cut: while it is, its channels are reset and new ones are refused.
+struct Link {
+    address: SocketAddr,
+    target: SocketAddr,
+    is_cut: AtomicBool,
+    channels: Mutex<Vec<TcpStream>>,
+    listener: Mutex<Option<TcpListener>>,
+}
+
+impl Link {
+    fn start(target: SocketAddr) -> io::Result<Arc<Self>> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let link = Arc::new(Self {
+            address: listener.local_addr()?,
+            target,
+            is_cut: AtomicBool::new(false),
+            channels: Mutex::default(),
+            listener: Mutex::new(None),
+        });
+        link.accept(listener)?;
+        Ok(link)
+    }
+
+    fn accept(self: &Arc<Self>, listener: TcpListener) -> io::Result<()> {
+        listener.set_nonblocking(true)?;
+        *self.listener.lock().unwrap() = Some(listener);
+        let link = Arc::clone(self);
+        thread::spawn(move || {
+            loop {
+                let accepted = match link.listener.lock().unwrap().as_ref() {
+                    Some(listener) => listener.accept(),
+                    None => return,
+                };
+                match accepted {
+                    Ok((stream, _)) => {
+                        let _ = link.forward(stream);
+                    }
+                    Err(_) => thread::sleep(Duration::from_millis(1)),
+                }
+            }
+        });
+        Ok(())
+    }
+
+    fn forward(self: &Arc<Self>, caller: TcpStream) -> io::Result<()> {
+        caller.set_nonblocking(false)?;
+        let worker = TcpStream::connect(self.target)?;
+        for stream in [&caller, &worker] {
+            stream.set_nodelay(true)?;
+            self.channels.lock().unwrap().push(stream.try_clone()?);
+        }
+        for (mut from, mut to) in [(caller.try_clone()?, worker.try_clone()?), (worker, caller)] {
+            thread::spawn(move || {
+                let _ = io::copy(&mut from, &mut to);
+                let _ = to.shutdown(std::net::Shutdown::Write);
+            });
+        }
+        Ok(())
+    }
+
+    fn cut(&self) {
+        self.is_cut.store(true, Ordering::SeqCst);
+        // Closing the listener makes the operating system refuse new channels.
+        *self.listener.lock().unwrap() = None;
+        for stream in self.channels.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+    }
+
+    fn heal(self: &Arc<Self>) -> io::Result<()> {
+        self.accept(TcpListener::bind(self.address)?)?;
+        self.is_cut.store(false, Ordering::SeqCst);
+        Ok(())
+    }
+}
+
+/// A model engine: answers its report, and runs items of four events.
+fn start_engine(record: &Arc<Record>) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?;
+    let record = Arc::clone(record);
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let record = Arc::clone(&record);
+            thread::spawn(move || serve_engine(stream, &record));
+        }
+    });
+    Ok(address)
+}
+
+fn serve_engine(stream: TcpStream, record: &Record) -> Option<()> {
+    const REPORT: &str = r#"{"stage":"both","models":[{"name":"m0","version":1,"adapters":[]}],"busy":false,"seq":0,"queued":0,"running":0,"kvUsed":0,"kvTotal":41606,"handles":0}"#;
+    let mut writer = stream.try_clone().ok()?;
+    let mut reader = BufReader::new(stream);
+    loop {
+        let request = read_head(&mut reader)?;
+        read_body(&mut reader, &request)?;
+        let id = request.headers.get("x-request-id").cloned().unwrap_or_default();
+        if request.path == "/v1/report" {
+            write_answer(&mut writer, 200, &[], REPORT.as_bytes()).ok()?;
+            continue;
+        }
+        let after = request.headers.get("last-event-id").and_then(|id| id.parse().ok());
+        let events = (after.unwrap_or(0) + 1..=4).map(|n: u64| format!("id: {n}\ndata: {id}-{n}\n\n"));
+        let body: String = events.collect();
+        thread::sleep(Duration::from_millis(80));
+        record.line(&format!("engine: runs item {id}"));
+        let headers = [
+            ("Content-Type", "text/event-stream".to_owned()),
+            ("X-Request-Id", id.clone()),
+            ("X-Response-Stamp", format!("stamp-of-{id}")),
+            ("X-Weight-Versions", "1".to_owned()),
+        ];
+        write_answer(&mut writer, 200, &headers, body.as_bytes()).ok()?;
+    }
+}
+
+/// How long the links to the workers are cut.
+const CUT: Duration = Duration::from_millis(5_000);
+/// `contactMs`.
+const CONTACT: Duration = Duration::from_millis(3_000);
+/// Requests on each route to each instance in steady state.
+const STEADY_REQUESTS: usize = 25;
+/// Items of the lot that is sent in steady state.
+const ITEMS: usize = 8;
+
+const FIRST_ROUTES: &str = r#"{"name":"r0","host":"shop.example","pathPrefix":"/draft/","kind":"rollout","service":"draft-llm","targetLatencyMs":500,"targetCompletionMs":7500,"maxAttempts":3,"itemTtlS":60,"timeoutMs":10000,"priority":1},{"name":"r1","host":"shop.example","pathPrefix":"/status/","kind":"safe","service":"orders-app","timeoutMs":2000,"targetLatencyMs":150,"maxAttempts":2,"priority":2}"#;
+const LATER_ROUTE: &str = r#"{"name":"r2","host":"shop.example","pathPrefix":"/sync/","kind":"safe","service":"slots-app","timeoutMs":2000,"targetLatencyMs":400,"maxAttempts":4,"priority":2}"#;
+const SERVICES: &str = r#"{"name":"draft-llm","maxConns":150,"healthPath":"/health","engine":{"slots":8,"kvCapacity":41606,"models":[{"name":"m0"}]}},{"name":"orders-app","maxConns":110,"healthPath":"/health"},{"name":"slots-app","maxConns":110,"healthPath":"/health"}"#;
+
+fn put_config(store: &Store, version: u64, routes: &str) -> io::Result<()> {
+    let text = format!(
+        r#"{{"version":{version},"routes":[{routes}],"services":[{SERVICES}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":{MAX_BODY_BYTES},"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#
+    );
+    let config = Json::parse(&text).ok_or_else(|| io::Error::other("configuration"))?;
+    store.put("config", "main", |stored| stored.spec = config);
+    Ok(())
+}
+
+fn register(store: &Store, id: &str, service: &str, address: SocketAddr, zone: usize) {
+    let model = object(vec![("name", Json::Text("m0".into())), ("version", number_one())]);
+    let mut fields = vec![
+        ("service", Json::Text(service.into())),
+        ("addr", Json::Text(address.to_string())),
+        ("zone", Json::Text(format!("hall-{zone}"))),
+        ("version", number_one()),
+        ("slots", Json::Number("6".into())),
+        ("state", Json::Text("ready".into())),
+        ("coldRemainingMs", Json::Number("0".into())),
+        ("seq", number_one()),
+    ];
+    if service == "draft-llm" {
+        fields.push(("models", Json::List(vec![model])));
+    }
+    let entry = object(fields);
+    store.put("servers", id, |stored| stored.spec = entry);
+}
+
+/// The workers of one service are cut off from all instances for [`CUT`]. Returns whether the rule was
+/// broken.
+fn partition(trouble: bool, folder: &Path, record: &Arc<Record>) -> io::Result<bool> {
+    let (store, store_address) = Store::start()?;
+    put_config(&store, 4, FIRST_ROUTES)?;
+    for number in 1..=4 {
+        let worker = Worker::start(&format!("i-a{number}"), record)?;
+        register(&store, &worker.id, "orders-app", worker.address, 1 + number % 2);
+    }
+    let mut links = Vec::new();
+    for number in 1..=2 {
+        let worker = Worker::start(&format!("i-b{number}"), record)?;
+        let link = Link::start(worker.address)?;
+        register(&store, &worker.id, "slots-app", link.address, number);
+        links.push(link);
+    }
+    for number in 1..=2 {
+        register(&store, &format!("i-e{number}"), "draft-llm", start_engine(record)?, number);
+    }
+    let mut instances = Vec::new();
+    for number in 1..=2 {
+        let instance = Instance::new(number, store_address, folder)?;
+        instance.spawn()?;
+        instances.push(instance);
+    }
+    let result = partition_steps(trouble, &store, &links, &instances, record);
+    instances.iter().for_each(|instance| instance.stop());
+    result
+}
+
+fn partition_steps(
+    trouble: bool,
+    store: &Store,
+    links: &[Arc<Link>],
+    instances: &[Arc<Instance>],
+    record: &Arc<Record>,
+) -> io::Result<bool> {
+    for instance in instances {
+        if !instance.wait_ready(Duration::from_secs(10)) {
+            return Err(io::Error::other("not ready"));
+        }
+    }
+    thread::sleep(Duration::from_secs(1));
+    put_config(store, 9, &format!("{FIRST_ROUTES},{LATER_ROUTE}"))?;
+    record.line("operator: configuration 9 adds the route /sync/ to the service slots-app");
+    thread::sleep(Duration::from_secs(3));
+    let (first, later) = ask(instances, 4, record);
+    record.line(&format!("before: served {first:?} on the first route, {later:?} on the later one"));
+    if trouble {
+        record.line("both workers of slots-app are cut off: resets, and refused channels");
+        links.iter().for_each(|link| link.cut());
+    }
+    let end = Instant::now() + CUT;
+    while Instant::now() < end {
+        ask(instances, 1, record);
+    }
+    if trouble {
+        for link in links {
+            link.heal()?;
+        }
+        record.line("the workers of slots-app are reached again");
+    }
+    thread::sleep(CONTACT + Duration::from_secs(6));
+    let lot_id = "7c41e09b52d6a3f8";
+    let items: Vec<String> = (0..ITEMS)
+        .map(|n| format!(r#"{{"id":"e5b2907c14da6f{n}0","path":"/draft/3/{n}","headers":{{"X-Model":"m0","X-Token-Usage":"271,4","X-Prompt-Prefix":"9c2e41:255,5d07b{n}:16"}},"body":"q83vEjRWeJA=","tokens":275,"group":"g{}","scorer":{{"id":"40c8f1a7b3e92{n}","host":"shop.example","path":"/sync/{n}","body":"3q2+7w=="}}}}"#, n / 4))
+        .collect();
+    let lot = format!(r#"{{"step":0,"model":"m0","minVersion":1,"desiredCount":2,"items":[{}]}}"#, items.join(","));
+    let headers = [("Host", "shop.example".to_owned()), ("X-Request-Id", lot_id.to_owned())];
+    let limit = Duration::from_secs(3);
+    let sent = send(instances[0].callers, "POST", &format!("/draft/{lot_id}"), &headers, lot.as_bytes(), limit);
+    record.line(&format!("trainer: sends a lot of {ITEMS} items, answered {:?}", sent.map(|(status, _)| status)));
+    let (first, later) = ask(instances, STEADY_REQUESTS, record);
+    record.line(&format!(
+        "in steady state: served {first:?} of {STEADY_REQUESTS} on the first route, {later:?} of {STEADY_REQUESTS} on the later one, by instance"
+    ));
+    for link in links {
+        let direct = send(link.address, "POST", "/sync/direct", &[("X-Request-Id", "direct".into())], b"x", limit);
+        record.line(&format!("the worker at {} itself answers {:?}", link.address, direct.map(|(s, _)| s)));
+    }
+    let read = send(instances[1].callers, "GET", &format!("/v1/lots/{lot_id}?after=0"), &headers, b"", limit);
+    let read = read.map(|(status, body)| (status, String::from_utf8_lossy(&body).into_owned()));
+    let listed = match &read {
+        Ok((_, body)) => Json::parse(body).and_then(|page| page.get("nextToken")?.number()),
+        Err(_) => None,
+    };
+    record.line(&format!("trainer: {listed:?} of {ITEMS} results are listed after {} s", STEADY_REQUESTS / 2));
+    // "machines in touch get 20 or more requests on routes that were added later, and serve them less
+    // than a quarter as often as those on the first routes"
+    let (first, later): (usize, usize) = (first.iter().sum(), later.iter().sum());
+    Ok(later * 4 < first)
+}
+
+/// Sends `count` requests on each of the two routes to each instance, two a second. Returns how many were
+/// answered with success on the first and on the later route, by instance.
+fn ask(instances: &[Arc<Instance>], count: usize, record: &Arc<Record>) -> (Vec<usize>, Vec<usize>) {
+    let mut served = (vec![0; instances.len()], vec![0; instances.len()]);
+    for _ in 0..count {
+        for (i, instance) in instances.iter().enumerate() {
+            for (path, served) in [("/status/a", &mut served.0), ("/sync/a", &mut served.1)] {
+                let id = format!("q{}", NEXT_ID.fetch_add(1, Ordering::SeqCst));
+                let headers = [
+                    ("Host", "shop.example".to_owned()),
+                    ("X-Request-Id", id.clone()),
+                    ("X-Deadline-Ms", "2000".to_owned()),
+                ];
+                let limit = Duration::from_millis(2_500);
+                let answer = send(instance.callers, "POST", path, &headers, b"request", limit);
+                record.line(&format!(
+                    "client: {id} {path} to {}: {:?}",
+                    instance.name,
+                    answer.as_ref().map(|(status, _)| *status)
+                ));
+                served[i] += usize::from(answer.is_ok_and(|(status, _)| status == 200));
+            }
+        }
+        thread::sleep(Duration::from_millis(480));
+    }
+    served
+}
+
+static NEXT_ID: AtomicU64 = AtomicU64::new(1);
+
 fn main() -> ExitCode {
     let folder = env::temp_dir().join(format!("pinereel-review-{}", std::process::id()));
     let arguments: Vec<_> = env::args().collect();
@@ -865,6 +1151,7 @@
         record.line(if trouble { "with trouble" } else { "without trouble" });
         let broken = match arguments[1].as_str() {
             "memory" => memory(trouble, &folder, &record),
+            "partition" => partition(trouble, &folder, &record),
             _ => Err(io::Error::other("unknown case")),
         };
         record.line(&match &broken {
