--- a/review/standin.rs
+++ b/review/standin.rs
@@ -30,7 +30,10 @@
 
 impl Json {
     fn parse(text: &str) -> Option<Json> {
-        let mut parser = Parser { bytes: text.as_bytes(), at: 0 };
+        let mut parser = Parser {
+            bytes: text.as_bytes(),
+            at: 0,
+        };
         parser.value()
     }
 
@@ -265,7 +268,12 @@
         headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
     }
     let (path, query) = target.split_once('?').unwrap_or((&target, ""));
-    Some(Request { method, path: path.into(), query: query.into(), headers })
+    Some(Request {
+        method,
+        path: path.into(),
+        query: query.into(),
+        headers,
+    })
 }
 
 fn body_length(request: &Request) -> usize {
@@ -342,7 +350,10 @@
 
 impl Store {
     fn start() -> io::Result<(Arc<Self>, SocketAddr)> {
-        let store = Arc::new(Self { data: Mutex::default(), changed: Condvar::new() });
+        let store = Arc::new(Self {
+            data: Mutex::default(),
+            changed: Condvar::new(),
+        });
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         let serving = Arc::clone(&store);
@@ -388,7 +399,11 @@
                 }
             }
             ("POST", [kind]) => {
-                let name = metadata.get("name").and_then(Json::text).unwrap_or("").to_owned();
+                let name = metadata
+                    .get("name")
+                    .and_then(Json::text)
+                    .unwrap_or("")
+                    .to_owned();
                 let known = self.find(kind, &name);
                 if let Some(known) = known {
                     return (409, known.json(&name).to_text());
@@ -422,7 +437,9 @@
 
     fn find(&self, kind: &str, name: &str) -> Option<Stored> {
         let data = self.data.lock().unwrap();
-        data.objects.get(&(kind.to_owned(), name.to_owned())).cloned()
+        data.objects
+            .get(&(kind.to_owned(), name.to_owned()))
+            .cloned()
     }
 
     /// Changes an object, or creates it. The caller has checked the condition; this stand-in's writers
@@ -447,7 +464,10 @@
         data.revision = revision;
         data.objects.insert(key, stored.clone());
         let written = stored.json(name);
-        let event = object(vec![("object", written.clone()), ("deleted", Json::Bool(false))]);
+        let event = object(vec![
+            ("object", written.clone()),
+            ("deleted", Json::Bool(false)),
+        ]);
         data.history.push((revision, kind.to_owned(), event));
         self.changed.notify_all();
         written.to_text()
@@ -459,7 +479,10 @@
         if let Some(mut stored) = data.objects.remove(&key) {
             data.revision += 1;
             stored.revision = data.revision;
-            let event = object(vec![("object", stored.json(name)), ("deleted", Json::Bool(true))]);
+            let event = object(vec![
+                ("object", stored.json(name)),
+                ("deleted", Json::Bool(true)),
+            ]);
             let revision = data.revision;
             data.history.push((revision, kind.to_owned(), event));
             self.changed.notify_all();
@@ -482,11 +505,16 @@
     }
 
     fn watch(&self, kind: &str, after: u64, query: &str) -> (u16, String) {
-        let wait = parameter(query, "waitMs").and_then(|wait| wait.parse().ok()).unwrap_or(0);
+        let wait = parameter(query, "waitMs")
+            .and_then(|wait| wait.parse().ok())
+            .unwrap_or(0);
         let end = Instant::now() + Duration::from_millis(wait);
         let mut data = self.data.lock().unwrap();
         loop {
-            let newer = data.history.iter().filter(|(r, k, _)| *r > after && k == kind);
+            let newer = data
+                .history
+                .iter()
+                .filter(|(r, k, _)| *r > after && k == kind);
             let events: Vec<_> = newer.map(|(_, _, event)| event.clone()).collect();
             let left = end.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
@@ -517,8 +545,7 @@
 
 // ------------------------------------------------------------------------------------- workers
 
-/// A worker of a plain service. While `slow` is set, it waits for this many milliseconds before it
-/// reads the body of a request.
+/// A worker of a plain service. It waits for `slow_ms` before it reads the body of a request.
 struct Worker {
     id: String,
     address: SocketAddr,
@@ -551,13 +578,22 @@
         let mut reader = BufReader::new(stream);
         loop {
             let request = read_head(&mut reader)?;
-            let id = request.headers.get("x-request-id").cloned().unwrap_or_default();
+            let id = request
+                .headers
+                .get("x-request-id")
+                .cloned()
+                .unwrap_or_default();
             thread::sleep(Duration::from_millis(self.slow_ms.load(Ordering::SeqCst)));
             let Some(body) = read_body(&mut reader, &request) else {
-                self.record.line(&format!("worker {}: {id} was cut off", self.id));
+                self.record
+                    .line(&format!("worker {}: {id} was cut off", self.id));
                 return None;
             };
-            self.record.line(&format!("worker {}: runs {id}, {} bytes", self.id, body.len()));
+            self.record.line(&format!(
+                "worker {}: runs {id}, {} bytes",
+                self.id,
+                body.len()
+            ));
             let headers = [
                 ("X-Request-Id", id.clone()),
                 ("X-Response-Stamp", format!("stamp-of-{id}")),
@@ -565,7 +601,11 @@
                 ("X-Server-Load", "1,0,6".to_owned()),
             ];
             write_answer(&mut writer, 200, &headers, b"ok").ok()?;
-            if request.headers.get("connection").is_some_and(|c| c.eq_ignore_ascii_case("close")) {
+            if request
+                .headers
+                .get("connection")
+                .is_some_and(|c| c.eq_ignore_ascii_case("close"))
+            {
                 return None;
             }
         }
@@ -595,9 +635,13 @@
 
 impl Instance {
     fn new(number: usize, store: SocketAddr, folder: &Path) -> io::Result<Arc<Self>> {
-        let (name, ip) = (format!("front-hall-{number}"), format!("127.0.0.{}", 10 + number));
-        let addresses: Vec<_> =
-            (0..4).map(|_| free_address(&ip)).collect::<io::Result<_>>()?;
+        let (name, ip) = (
+            format!("front-hall-{number}"),
+            format!("127.0.0.{}", 10 + number),
+        );
+        let addresses: Vec<_> = (0..4)
+            .map(|_| free_address(&ip))
+            .collect::<io::Result<_>>()?;
         // As `deploy/instance.ini` is filled in for a small deployment.
         let settings = format!(
             "[instance]\nname = {name}\nzone = hall-{number}\ncallers = {}\nreadiness = {}\nmetrics = {}\npeers = {}\n\
@@ -646,7 +690,9 @@
             while !instance.stopping.load(Ordering::SeqCst) {
                 thread::sleep(Duration::from_millis(10));
                 let mut guard = instance.child.lock().unwrap();
-                let Some(child) = guard.as_mut() else { continue };
+                let Some(child) = guard.as_mut() else {
+                    continue;
+                };
                 let memory_kb = resident_kb(child.id());
                 instance.peak_kb.fetch_max(memory_kb, Ordering::SeqCst);
                 if let Ok(Some(status)) = child.try_wait() {
@@ -678,7 +724,14 @@
     fn wait_ready(&self, limit: Duration) -> bool {
         let end = Instant::now() + limit;
         while Instant::now() < end {
-            let answer = send(self.readiness, "GET", "/v1/readiness", &[], &[], Duration::from_secs(1));
+            let answer = send(
+                self.readiness,
+                "GET",
+                "/v1/readiness",
+                &[],
+                &[],
+                Duration::from_secs(1),
+            );
             if answer.is_ok_and(|(status, _)| status == 200) {
                 return true;
             }
@@ -696,6 +749,12 @@
     }
 }
 
+impl Drop for Instance {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
 /// Resident memory of a process in kB; 0 if it is gone.
 fn resident_kb(pid: u32) -> u64 {
     let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
@@ -717,7 +776,10 @@
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(limit))?;
     stream.set_write_timeout(Some(limit))?;
-    let mut head = format!("{method} {target} HTTP/1.1\r\nContent-Length: {}\r\n", body.len());
+    let mut head = format!(
+        "{method} {target} HTTP/1.1\r\nContent-Length: {}\r\n",
+        body.len()
+    );
     if !headers.iter().any(|(name, _)| *name == "Host") {
         head += "Host: here\r\n";
     }
@@ -730,11 +792,17 @@
     let mut reader = BufReader::new(stream);
     let mut line = String::new();
     reader.read_line(&mut line)?;
-    let status = line.split_whitespace().nth(1).and_then(|status| status.parse().ok());
+    let status = line
+        .split_whitespace()
+        .nth(1)
+        .and_then(|status| status.parse().ok());
     let status = status.ok_or_else(|| io::Error::other("no answer"))?;
     let mut rest = Vec::new();
     reader.read_to_end(&mut rest)?;
-    let start = rest.windows(4).position(|w| w == b"\r\n\r\n").map_or(rest.len(), |at| at + 4);
+    let start = rest
+        .windows(4)
+        .position(|w| w == b"\r\n\r\n")
+        .map_or(rest.len(), |at| at + 4);
     Ok((status, rest[start..].to_vec()))
 }
 
@@ -956,13 +1024,21 @@
     loop {
         let request = read_head(&mut reader)?;
         read_body(&mut reader, &request)?;
-        let id = request.headers.get("x-request-id").cloned().unwrap_or_default();
+        let id = request
+            .headers
+            .get("x-request-id")
+            .cloned()
+            .unwrap_or_default();
         if request.path == "/v1/report" {
             write_answer(&mut writer, 200, &[], REPORT.as_bytes()).ok()?;
             continue;
         }
-        let after = request.headers.get("last-event-id").and_then(|id| id.parse().ok());
-        let events = (after.unwrap_or(0) + 1..=4).map(|n: u64| format!("id: {n}\ndata: {id}-{n}\n\n"));
+        let after = request
+            .headers
+            .get("last-event-id")
+            .and_then(|id| id.parse().ok());
+        let events =
+            (after.unwrap_or(0) + 1..=4).map(|n: u64| format!("id: {n}\ndata: {id}-{n}\n\n"));
         let body: String = events.collect();
         thread::sleep(Duration::from_millis(80));
         record.line(&format!("engine: runs item {id}"));
@@ -999,7 +1075,10 @@
 }
 
 fn register(store: &Store, id: &str, service: &str, address: SocketAddr, zone: usize) {
-    let model = object(vec![("name", Json::Text("m0".into())), ("version", number_one())]);
+    let model = object(vec![
+        ("name", Json::Text("m0".into())),
+        ("version", number_one()),
+    ]);
     let mut fields = vec![
         ("service", Json::Text(service.into())),
         ("addr", Json::Text(address.to_string())),
@@ -1024,7 +1103,13 @@
     put_config(&store, 4, FIRST_ROUTES)?;
     for number in 1..=4 {
         let worker = Worker::start(&format!("i-a{number}"), record)?;
-        register(&store, &worker.id, "orders-app", worker.address, 1 + number % 2);
+        register(
+            &store,
+            &worker.id,
+            "orders-app",
+            worker.address,
+            1 + number % 2,
+        );
     }
     let mut links = Vec::new();
     for number in 1..=2 {
@@ -1034,7 +1119,13 @@
         links.push(link);
     }
     for number in 1..=2 {
-        register(&store, &format!("i-e{number}"), "draft-llm", start_engine(record)?, number);
+        register(
+            &store,
+            &format!("i-e{number}"),
+            "draft-llm",
+            start_engine(record)?,
+            number,
+        );
     }
     let mut instances = Vec::new();
     for number in 1..=2 {
@@ -1064,7 +1155,9 @@
     record.line("operator: configuration 9 adds the route /sync/ to the service slots-app");
     thread::sleep(Duration::from_secs(3));
     let (first, later) = ask(instances, 4, record);
-    record.line(&format!("before: served {first:?} on the first route, {later:?} on the later one"));
+    record.line(&format!(
+        "before: served {first:?} on the first route, {later:?} on the later one"
+    ));
     if trouble {
         record.line("both workers of slots-app are cut off: resets, and refused channels");
         links.iter().for_each(|link| link.cut());
@@ -1084,26 +1177,63 @@
     let items: Vec<String> = (0..ITEMS)
         .map(|n| format!(r#"{{"id":"e5b2907c14da6f{n}0","path":"/draft/3/{n}","headers":{{"X-Model":"m0","X-Token-Usage":"271,4","X-Prompt-Prefix":"9c2e41:255,5d07b{n}:16"}},"body":"q83vEjRWeJA=","tokens":275,"group":"g{}","scorer":{{"id":"40c8f1a7b3e92{n}","host":"shop.example","path":"/sync/{n}","body":"3q2+7w=="}}}}"#, n / 4))
         .collect();
-    let lot = format!(r#"{{"step":0,"model":"m0","minVersion":1,"desiredCount":2,"items":[{}]}}"#, items.join(","));
-    let headers = [("Host", "shop.example".to_owned()), ("X-Request-Id", lot_id.to_owned())];
+    let lot = format!(
+        r#"{{"step":0,"model":"m0","minVersion":1,"desiredCount":2,"items":[{}]}}"#,
+        items.join(",")
+    );
+    let headers = [
+        ("Host", "shop.example".to_owned()),
+        ("X-Request-Id", lot_id.to_owned()),
+    ];
     let limit = Duration::from_secs(3);
-    let sent = send(instances[0].callers, "POST", &format!("/draft/{lot_id}"), &headers, lot.as_bytes(), limit);
-    record.line(&format!("trainer: sends a lot of {ITEMS} items, answered {:?}", sent.map(|(status, _)| status)));
+    let sent = send(
+        instances[0].callers,
+        "POST",
+        &format!("/draft/{lot_id}"),
+        &headers,
+        lot.as_bytes(),
+        limit,
+    );
+    record.line(&format!(
+        "trainer: sends a lot of {ITEMS} items, answered {:?}",
+        sent.map(|(status, _)| status)
+    ));
     let (first, later) = ask(instances, STEADY_REQUESTS, record);
     record.line(&format!(
         "in steady state: served {first:?} of {STEADY_REQUESTS} on the first route, {later:?} of {STEADY_REQUESTS} on the later one, by instance"
     ));
     for link in links {
-        let direct = send(link.address, "POST", "/sync/direct", &[("X-Request-Id", "direct".into())], b"x", limit);
-        record.line(&format!("the worker at {} itself answers {:?}", link.address, direct.map(|(s, _)| s)));
+        let direct = send(
+            link.address,
+            "POST",
+            "/sync/direct",
+            &[("X-Request-Id", "direct".into())],
+            b"x",
+            limit,
+        );
+        record.line(&format!(
+            "the worker at {} itself answers {:?}",
+            link.address,
+            direct.map(|(s, _)| s)
+        ));
     }
-    let read = send(instances[1].callers, "GET", &format!("/v1/lots/{lot_id}?after=0"), &headers, b"", limit);
+    let read = send(
+        instances[1].callers,
+        "GET",
+        &format!("/v1/lots/{lot_id}?after=0"),
+        &headers,
+        b"",
+        limit,
+    );
     let read = read.map(|(status, body)| (status, String::from_utf8_lossy(&body).into_owned()));
     let listed = match &read {
         Ok((_, body)) => Json::parse(body).and_then(|page| page.get("nextToken")?.number()),
         Err(_) => None,
     };
-    record.line(&format!("trainer: {listed:?} of {ITEMS} results are listed after {} s", STEADY_REQUESTS / 2));
+    record.line(&format!(
+        "trainer: {listed:?} of {ITEMS} results are listed after {} s",
+        STEADY_REQUESTS / 2
+    ));
     // "machines in touch get 20 or more requests on routes that were added later, and serve them less
     // than a quarter as often as those on the first routes"
     let (first, later): (usize, usize) = (first.iter().sum(), later.iter().sum());
@@ -1112,7 +1242,11 @@
 
 /// Sends `count` requests on each of the two routes to each instance, two a second. Returns how many were
 /// answered with success on the first and on the later route, by instance.
-fn ask(instances: &[Arc<Instance>], count: usize, record: &Arc<Record>) -> (Vec<usize>, Vec<usize>) {
+fn ask(
+    instances: &[Arc<Instance>],
+    count: usize,
+    record: &Arc<Record>,
+) -> (Vec<usize>, Vec<usize>) {
     let mut served = (vec![0; instances.len()], vec![0; instances.len()]);
     for _ in 0..count {
         for (i, instance) in instances.iter().enumerate() {
@@ -1145,10 +1279,19 @@
     let arguments: Vec<_> = env::args().collect();
     let trouble = env::var("TROUBLE").as_deref() != Ok("0");
     let result = fs::create_dir_all(&folder).and_then(|()| {
-        let path = arguments.get(2).ok_or_else(|| io::Error::other("no record"))?;
+        let path = arguments
+            .get(2)
+            .ok_or_else(|| io::Error::other("no record"))?;
         let file = Mutex::new(fs::File::create(path)?);
-        let record = Arc::new(Record { started: Instant::now(), file });
-        record.line(if trouble { "with trouble" } else { "without trouble" });
+        let record = Arc::new(Record {
+            started: Instant::now(),
+            file,
+        });
+        record.line(if trouble {
+            "with trouble"
+        } else {
+            "without trouble"
+        });
         let broken = match arguments[1].as_str() {
             "memory" => memory(trouble, &folder, &record),
             "partition" => partition(trouble, &folder, &record),
