tree: children read the store for a root that it does not answer

Cause: three waits in a row. The root noticed with the timeout of a call, 1.5 s; children left it when their data were 1.6 s old, and 0.4 s more on each level; then they searched.

Ruled out: a shorter age at which children leave. A calm tree reaches 1.3 s (0.7 s between two calls, 0.3 s of a slow store, 0.3 s between heartbeats), and all links would move.

Change: a root whose call has waited for 0.4 s appoints three children in its heartbeat, which read the store beside it and send the data up; after 0.25 s three others, nine at most. An appointed child without an answer appoints its own. A root that loses its lease keeps its readers until it has a parent. Late answers of the own connection never replace newer data.

--- a/crates/pinereel/src/hosted/store/mod.rs
+++ b/crates/pinereel/src/hosted/store/mod.rs
@@ -116,6 +116,14 @@
         self.reachability().unreachable_since.get()
     }
 
+    /// Whether the store does not answer over the own connection: a call has failed since the last answer, or
+    /// has waited for its answer for `late_after`.
+    pub(super) fn lacks_answers(&self, late_after: Duration) -> bool {
+        let longest_wait = self.client.longest_wait();
+        longest_wait.is_some_and(|wait| wait >= late_after)
+            || self.health.own.unreachable_since.get().is_some()
+    }
+
     /// How long ago the store last became reachable again; `None` if it never was unreachable.
     pub fn recovered_ago(&self) -> Option<Duration> {
         self.reachability()
--- a/crates/pinereel/src/hosted/tree/children.rs
+++ b/crates/pinereel/src/hosted/tree/children.rs
@@ -140,6 +140,12 @@
             Some(Frame::Crashes(reports)) => self.on_crash_reports(reports),
             Some(Frame::Usage(reports)) => self.deps.usage.merge(reports),
             Some(Frame::StoreCall(call)) => self.on_store_call(call, calls),
+            Some(Frame::Backup {
+                topic,
+                since,
+                update,
+            }) => self.on_backup(key, topic, since, update),
+            Some(Frame::BackupAge(age)) => self.on_backup_age(key, age),
             _ => {}
         }
     }
--- a/crates/pinereel/src/hosted/tree/frame.rs
+++ b/crates/pinereel/src/hosted/tree/frame.rs
@@ -161,6 +161,17 @@
         /// Its outcome; the body is what follows on the parts sent before.
         outcome: StoreOutcome,
     },
+    /// What a child has read from the store for the parent that appointed it. Sent only to that parent.
+    Backup {
+        /// The topic.
+        topic: Topic,
+        /// The revision of the topic at which the changes begin; irrelevant for a snapshot.
+        since: u64,
+        /// Encoded [`Frame::Snapshot`] or [`Frame::Changes`].
+        update: Bytes,
+    },
+    /// The sender, which reads the store for its parent, has sent all data that the store had this time ago.
+    BackupAge(Duration),
     /// The sender has no fresh data; the newcomer may retry after this time.
     #[serde(rename = "Later")]
     RetryAfter(Duration),
--- a/crates/pinereel/src/hosted/tree/mod.rs
+++ b/crates/pinereel/src/hosted/tree/mod.rs
@@ -12,12 +12,14 @@
 //!
 //! - [`Node`]: this instance in the tree (`node`), with its links to children (`children`), its link to a
 //!   parent (`uplink`, `parent_search`), the reports that it forwards (`reports`), the store calls of
-//!   children that it forwards (`store_calls`), and the reading of the store at a root (`store_reader`).
+//!   children that it forwards (`store_calls`), and the reading of the store at a root (`store_reader`), or
+//!   for a parent that the store does not answer (`backup`).
 //! - [`Topic`]: what the data are divided into (`topics`). They are cached for children (`topic_cache`) in
 //!   encoded form (`encoded_object`).
 //! - [`Feed`]: publishes the data to the other modules of this process.
 //! - [`Frame`]: a message on a link.
 
+mod backup;
 mod children;
 mod encoded_object;
 mod feed;
--- a/crates/pinereel/src/hosted/tree/node.rs
+++ b/crates/pinereel/src/hosted/tree/node.rs
@@ -12,13 +12,13 @@
 use pinereel_core::{
     Time,
     tree::{
-        ChildKey, Children, Heartbeat, MAX_AGE, MAX_AGE_PER_LEVEL, Peer, RankRange, RetryPacer,
-        StoreStatus, Uplink,
+        BackupReaders, ChildKey, Children, Heartbeat, LATE_CALL_TIME, MAX_AGE, MAX_AGE_PER_LEVEL,
+        Peer, RankRange, RetryPacer, StoreStatus, Uplink,
     },
 };
 use pinereel_port::Adapter;
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet},
     rc::Rc,
     sync::Arc,
@@ -65,6 +65,14 @@
     pub(super) to_parent: broadcast::Sender<Bytes>,
     /// Bounds the concurrent store calls of all children.
     pub(super) child_calls: Arc<Semaphore>,
+    /// The children that read the store for this instance, if it gets no answers as a root or as a reader.
+    pub(super) backups: RefCell<BackupReaders>,
+    /// Whether the store did not answer this instance as a root or as a reader at the last check.
+    pub(super) lacked_answers: Cell<bool>,
+    /// Whether children have sent data since this instance began to read the store.
+    pub(super) has_backup_data: Cell<bool>,
+    /// Whether this instance reads the store for its parent.
+    pub(super) is_backup: watch::Sender<bool>,
 }
 
 /// Most frames queued for the parent. If a slow link falls further behind, the initial frames are sent
@@ -79,6 +87,8 @@
     pub(super) subscribed: BTreeSet<Topic>,
     /// Topics that have been listed since this instance began to read the store.
     pub(super) listed: BTreeSet<Topic>,
+    /// Topics of which this instance waits for all objects from an appointed child.
+    pub(super) resend_requested: BTreeSet<Topic>,
     pub(super) children: Children,
     pub(super) retry_pacer: RetryPacer,
     /// Send queues of the children.
@@ -103,11 +113,17 @@
             shutting_down: watch::channel(false).0,
             to_parent: broadcast::channel(PARENT_QUEUE_FRAMES).0,
             child_calls: Arc::new(Semaphore::new(MAX_CALLS_OF_CHILDREN)),
+            backups: RefCell::default(),
+            lacked_answers: Cell::default(),
+            has_backup_data: Cell::default(),
+            is_backup: watch::channel(false).0,
         });
         let accept_task = Rc::clone(&node);
         actix_rt::spawn(async move { accept_task.accept_links(listener).await });
         let heartbeat_task = Rc::clone(&node);
         actix_rt::spawn(async move { heartbeat_task.send_heartbeats().await });
+        let backup_task = Rc::clone(&node);
+        actix_rt::spawn(async move { backup_task.appoint_backup_readers().await });
         let crash_task = Rc::clone(&node);
         actix_rt::spawn(async move { crash_task.send_crash_reports().await });
         let usage_task = Rc::clone(&node);
@@ -151,16 +167,27 @@
         self.deps.duties.now()
     }
 
+    /// What this instance knows about the store from its own calls and, at a root, from the children that read
+    /// it for this instance.
+    pub(super) fn store_status(&self) -> StoreStatus {
+        let own = self.own_store_status();
+        let backup_age = self.backups.borrow().age(self.now());
+        StoreStatus {
+            age: own.age.into_iter().chain(backup_age).min(),
+            ..own
+        }
+    }
+
     /// What this instance knows about the store from its own calls. There is no age before every topic has
     /// been listed.
-    pub(super) fn store_status(&self) -> StoreStatus {
+    pub(super) fn own_store_status(&self) -> StoreStatus {
         let listed = self.state.borrow().listed.len() == Topic::ALL.len();
         let store = &self.deps.store;
         let answered_ago = store.last_answer_ago();
         StoreStatus {
             age: answered_ago.filter(|_| listed),
             is_answering: answered_ago.is_some_and(|ago| ago < MAX_AGE),
-            is_unreachable: store.unreachable_since().is_some(),
+            is_unreachable: store.lacks_answers(LATE_CALL_TIME),
             store_uptime: store.uptime(),
         }
     }
@@ -199,7 +226,11 @@
 
     /// Makes this instance a root, which reads the store itself.
     pub(super) fn start_reading(&self) {
-        self.state.borrow_mut().listed.clear();
+        let mut state = self.state.borrow_mut();
+        state.listed.clear();
+        state.resend_requested.clear();
+        drop(state);
+        self.has_backup_data.set(false);
         self.uplink.borrow_mut().set_reads_store(true);
         // The children learn at once that the store answers their new root.
         self.send_heartbeat();
@@ -310,6 +341,7 @@
         };
         Some(Heartbeat {
             store_calls: self.deps.store.takes_calls_of_children(is_fresh),
+            backup_readers: self.backups.borrow().appointed().to_vec(),
             ..uplink.heartbeat(now, status, ranks, standbys)
         })
     }
--- a/crates/pinereel/src/hosted/tree/topic_cache.rs
+++ b/crates/pinereel/src/hosted/tree/topic_cache.rs
@@ -96,6 +96,15 @@
             self.snapshot = Some((revision, snapshot.clone()));
             return std::iter::once(snapshot).chain(changes).collect();
         }
+        let Some(bytes) = self.encode_snapshot(topic, store_uptime) else {
+            return Vec::new();
+        };
+        self.snapshot = Some((self.revision, bytes.clone()));
+        vec![bytes]
+    }
+
+    /// All objects as one frame; `None` if it cannot be encoded.
+    pub(super) fn encode_snapshot(&self, topic: Topic, store_uptime: Duration) -> Option<Bytes> {
         let objects = self.objects.iter().map(|(name, bytes)| EncodedObject {
             name: name.clone(),
             deleted: false,
@@ -107,11 +116,7 @@
             objects: objects.collect(),
             store_uptime,
         };
-        let Some(bytes) = frame.encode().map(Bytes::from) else {
-            return Vec::new();
-        };
-        self.snapshot = Some((self.revision, bytes.clone()));
-        vec![bytes]
+        frame.encode().map(Bytes::from)
     }
 
     /// All objects, decoded. Those that cannot be decoded are left out.
--- a/crates/pinereel/src/hosted/tree/topics.rs
+++ b/crates/pinereel/src/hosted/tree/topics.rs
@@ -85,45 +85,64 @@
     pub(super) fn publish_update(&self, topic: Topic, update: Update, revision: u64) {
         let store_uptime = self.deps.store.uptime();
         for (topic, update) in self.split_engines(topic, update) {
+            // An answer may be late, while the same data have arrived over another way.
+            let is_late = self.has_other_source() && revision < self.state.borrow().revision(topic);
             if matches!(update, Update::All(_)) {
                 self.state.borrow_mut().listed.insert(topic);
             }
-            let publication = self.diff_from_cache(encode_update(topic, &update), revision);
-            // Nothing has changed, but the cached objects are valid at a later revision.
-            if !publication.full && publication.objects.is_empty() {
-                self.state
-                    .borrow_mut()
-                    .caches
-                    .entry(topic)
-                    .or_default()
-                    .revision = revision;
-                self.publish_missing();
+            if is_late {
                 continue;
             }
+            let since = self.state.borrow().revision(topic);
+            let publication = self.diff_from_cache(encode_update(topic, &update), revision);
             let header = Header {
                 revision,
                 store_uptime,
             };
-            let frame = publication.frame(header).encode().unwrap_or_default();
-            self.apply(publication, header, frame.into());
+            let frame: Bytes = publication
+                .frame(header)
+                .encode()
+                .unwrap_or_default()
+                .into();
+            self.send_backup(topic, since, &frame);
+            // Nothing has changed, but the cached objects are valid at a later revision.
+            if !publication.full && publication.objects.is_empty() {
+                self.set_revision(topic, revision);
+                continue;
+            }
+            self.apply(publication, header, frame, None);
         }
         self.catch_up_children();
     }
 
+    /// Records that the cached objects of a topic are also those at a later revision.
+    pub(super) fn set_revision(&self, topic: Topic, revision: u64) {
+        let mut state = self.state.borrow_mut();
+        state.caches.entry(topic).or_default().revision = revision;
+        drop(state);
+        self.publish_missing();
+    }
+
     /// Handles a publication of the parent. `frame` is its encoded form, which is forwarded to the children.
     pub(super) fn on_publication(&self, publication: Publication, header: Header, frame: Bytes) {
         // A new parent may lag behind the previous one.
         let known_revision = self.state.borrow().revision(publication.topic);
         if header.revision >= known_revision {
-            self.apply(publication, header, frame);
+            self.apply(publication, header, frame, None);
             self.catch_up_children();
         }
     }
 
-    /// Forwards a publication to the children and this process, and updates the cache.
-    fn apply(&self, publication: Publication, header: Header, frame: Bytes) {
+    /// Forwards a publication to the children except `sender` and to this process, and updates the cache.
+    pub(super) fn apply(
+        &self,
+        publication: Publication,
+        header: Header,
+        frame: Bytes,
+        sender: Option<ChildKey>,
+    ) {
         let topic = publication.topic;
-        self.send_to_subscribers(topic, &frame);
+        self.send_to_subscribers(topic, &frame, sender);
         let feed = &self.deps.feed;
         feed.set_store_uptime(header.store_uptime);
         // Changes are of no use to a subscriber without the objects before them.
@@ -292,12 +311,12 @@
         });
     }
 
-    /// Sends a frame to the children that have subscribed to the topic and are up to date, and drops the link
-    /// of a child whose queue is full.
-    fn send_to_subscribers(&self, topic: Topic, frame: &Bytes) {
+    /// Sends a frame to the children except `sender` that have subscribed to the topic and are up to date, and
+    /// drops the link of a child whose queue is full.
+    fn send_to_subscribers(&self, topic: Topic, frame: &Bytes, sender: Option<ChildKey>) {
         let mut state = self.state.borrow_mut();
-        state.child_links.retain(|_, link| {
-            let is_current = link.topics.get(&topic) == Some(&None);
+        state.child_links.retain(|key, link| {
+            let is_current = link.topics.get(&topic) == Some(&None) && Some(*key) != sender;
             !is_current || link.frames.try_send(frame.clone()).is_ok()
         });
     }
--- a/crates/pinereel/src/hosted/tree/uplink.rs
+++ b/crates/pinereel/src/hosted/tree/uplink.rs
@@ -11,7 +11,7 @@
 use futures_util::{
     FutureExt as _, Sink, SinkExt as _, Stream, StreamExt as _, future::OptionFuture,
 };
-use pinereel_core::tree::SubtreeSize;
+use pinereel_core::tree::{LATE_CALL_TIME, SubtreeSize};
 use std::{rc::Rc, time::Duration};
 use tokio::{
     sync::{broadcast, mpsc, watch},
@@ -65,9 +65,11 @@
                     }
                 };
                 self.read_store_until(end).await;
-                if self.deps.store.unreachable_since().is_some() && !self.is_shutting_down() {
+                if self.deps.store.lacks_answers(LATE_CALL_TIME) && !self.is_shutting_down() {
                     // It cannot read who takes over.
                     self.follow_standbys();
+                    // Children that read the store for this instance go on until it has a parent.
+                    next_link = self.replace_root(&mut status).await;
                 }
                 continue;
             }
@@ -173,11 +175,13 @@
         let end = tokio::select! {
             end = self.write_to_parent(sink, to_parent, store_calls) => end,
             end = self.read_from_parent(stream, status) => end,
+            () = self.read_as_backup() => LinkEnd::ParentLost,
         };
         self.deps.feed.set_has_parent(false);
         self.deps.store.close_parent_link();
         self.deps.feed.set_probes_rarely(false);
         self.uplink.borrow_mut().on_parent_lost();
+        self.observe_appointment();
         let reason_text = end.as_str();
         log::info!(address = address.as_str(), why = reason_text; "broadcast tree: link to the parent lost");
         end
@@ -397,6 +401,7 @@
                 if !self.uplink.borrow_mut().on_heartbeat(self.now(), heartbeat) {
                     return false;
                 }
+                self.observe_appointment();
                 // The instances below this one wait for it as well.
                 self.send_heartbeat();
                 self.observe_outage_end();
@@ -409,11 +414,13 @@
             Some(Frame::StoreAnswer { id, outcome }) => {
                 self.deps.store.on_parent_answer(id, outcome);
             }
+            Some(Frame::Subscribe { topic, .. }) => self.resend_backup(topic),
             Some(Frame::Referral(_) | Frame::RetryAfter(_)) | None => return false,
             Some(
                 Frame::Hello(_)
                 | Frame::SubtreeSize(_)
-                | Frame::Subscribe { .. }
+                | Frame::Backup { .. }
+                | Frame::BackupAge(_)
                 | Frame::StoreCall(_),
             ) => {}
         }
--- a/crates/pinereel/src/objects/client.rs
+++ b/crates/pinereel/src/objects/client.rs
@@ -24,7 +24,7 @@
 use std::{cell::RefCell, collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
 use tokio::{
     sync::{OwnedSemaphorePermit, Semaphore},
-    time::sleep,
+    time::{Instant, sleep},
 };
 
 /// Maximum size of a response body, in bytes: a list may contain many values.
@@ -66,6 +66,21 @@
     reads: TokenBucket,
     writes: TokenBucket,
     call_counts: BTreeMap<(Purpose, &'static str), u64>,
+    /// When the calls were sent that have not been answered yet, by number. Watches are not included.
+    unanswered: BTreeMap<u64, Instant>,
+    last_number: u64,
+}
+
+/// A call that has not been answered yet; its entry is freed on drop.
+struct Unanswered<'a> {
+    inner: &'a RefCell<Inner>,
+    number: u64,
+}
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        self.inner.borrow_mut().unanswered.remove(&self.number);
+    }
 }
 
 impl Client {
@@ -78,6 +93,8 @@
             reads: TokenBucket::new(options.reads_per_second, now),
             writes: TokenBucket::new(options.writes_per_second, now),
             call_counts: BTreeMap::new(),
+            unanswered: BTreeMap::new(),
+            last_number: 0,
         };
         Self {
             http: Http::new(),
@@ -93,6 +110,25 @@
         self.inner.borrow().call_counts.clone()
     }
 
+    /// How long the oldest call has waited for its answer; `None` if none waits. Watches and the time under
+    /// the client's own limits are not included.
+    pub fn longest_wait(&self) -> Option<Duration> {
+        let inner = self.inner.borrow();
+        inner.unanswered.values().min().map(Instant::elapsed)
+    }
+
+    /// Records that a call is sent now and waits for its answer until the result is dropped.
+    fn begin_call(&self) -> Unanswered<'_> {
+        let mut inner = self.inner.borrow_mut();
+        inner.last_number += 1;
+        let number = inner.last_number;
+        inner.unanswered.insert(number, Instant::now());
+        Unanswered {
+            inner: &self.inner,
+            number,
+        }
+    }
+
     /// Reads one object; `None` if it does not exist.
     pub async fn read(
         &self,
@@ -208,9 +244,11 @@
             headers.push((CONTENT_TYPE, HeaderValue::from_static("application/json")));
         }
         let timeout = wait + self.options.timeout;
+        let unanswered = (access != Access::Watch).then(|| self.begin_call());
         let answer = self
             .send(call.method, call.path, headers, call.body, timeout)
             .await;
+        drop(unanswered);
         drop(permit);
         // Probes fail throughout an outage; they must not extend the back-off of other calls.
         if access != Access::Probe || is_available(&answer) {
--- a/crates/pinereel_core/src/tree/children.rs
+++ b/crates/pinereel_core/src/tree/children.rs
@@ -93,6 +93,18 @@
         self.children.remove(key);
     }
 
+    /// Address of a child.
+    pub fn address(&self, key: ChildKey) -> Option<&CompactString> {
+        self.children.get(key).map(|child| &child.peer.address)
+    }
+
+    /// Addresses of all direct children.
+    pub fn addresses(&self) -> impl Iterator<Item = CompactString> {
+        self.children
+            .values()
+            .map(|child| child.peer.address.clone())
+    }
+
     /// Number of direct children, at most [`MAX_CHILDREN`].
     pub fn len(&self) -> usize {
         self.children.len()
--- a/crates/pinereel_core/src/tree/heartbeat.rs
+++ b/crates/pinereel_core/src/tree/heartbeat.rs
@@ -33,6 +33,9 @@
     /// store, or if a build without this field has forwarded the heartbeat.
     #[serde(rename = "answers", default, skip_serializing_if = "Option::is_none")]
     pub store_answers: Option<bool>,
+    /// Addresses of the children of the sender that read the store for it, as it is not answered itself.
+    #[serde(rename = "backups", default, skip_serializing_if = "Vec::is_empty")]
+    pub backup_readers: Vec<CompactString>,
 }
 
 impl Heartbeat {
--- a/crates/pinereel_core/src/tree/mod.rs
+++ b/crates/pinereel_core/src/tree/mod.rs
@@ -16,8 +16,10 @@
 //! - [`RetryPacer`]: spreads the retries of newcomers that cannot be accepted yet.
 //! - [`ReplayBuffer`]: the last changes, for children that have missed no more.
 //! - [`store_route`]: the way of a store call, directly or through the parent.
+//! - [`BackupReaders`]: the children that read the store for a root that it does not answer.
 //! - [`RankRange`]: ranks of the instances, assigned down the tree.
 
+mod backup_readers;
 mod children;
 mod heartbeat;
 mod replay_buffer;
@@ -26,6 +28,7 @@
 mod subtree;
 mod uplink;
 
+pub use backup_readers::{BackupReaders, MAX_READER_GROUPS, MAX_READER_LEVEL, MAX_ROOT_GROUPS};
 pub use children::{Admission, ChildKey, Children, Peer};
 pub use heartbeat::Heartbeat;
 pub use replay_buffer::ReplayBuffer;
@@ -53,6 +56,13 @@
 /// new configuration is in force after at most 2.2 s.
 pub const MAX_AGE: Duration = Duration::from_millis(1_600);
 
+/// Time without an answer after which the root takes a call for lost, long before its timeout. A slow store
+/// takes 0.3 s.
+pub const LATE_CALL_TIME: Duration = Duration::from_millis(400);
+
+/// The same for a reader that the root has appointed. The root has waited already.
+pub const LATE_READER_CALL_TIME: Duration = Duration::from_millis(150);
+
 /// Added to [`MAX_AGE`] for each level below the first, so that the level above finds another parent
 /// first and its children stay with it.
 pub const MAX_AGE_PER_LEVEL: Duration = Duration::from_millis(400);
--- a/crates/pinereel_core/src/tree/uplink.rs
+++ b/crates/pinereel_core/src/tree/uplink.rs
@@ -22,7 +22,7 @@
     pub store_uptime: Duration,
     /// Whether the store has answered a call lately, also if not all data have been read yet.
     pub is_answering: bool,
-    /// Whether the last call failed.
+    /// Whether the last call failed or is late.
     pub is_unreachable: bool,
 }
 
@@ -87,6 +87,12 @@
         self.parent_candidates = standbys;
     }
 
+    /// Whether the parent has appointed this instance to read the store for it.
+    pub fn is_backup_reader(&self) -> bool {
+        let heartbeat = self.last_heartbeat.as_ref().map(|(heartbeat, _)| heartbeat);
+        heartbeat.is_some_and(|heartbeat| heartbeat.backup_readers.contains(&self.own_address))
+    }
+
     /// Records that the link to the parent has ended.
     pub fn on_parent_lost(&mut self) {
         self.last_heartbeat = None;
@@ -297,6 +303,8 @@
                     age,
                     ranks,
                     store_calls: false,
+                    // Each instance appoints its own children.
+                    backup_readers: Vec::new(),
                     ..heartbeat
                 }
             }
@@ -309,6 +317,7 @@
                 ranks,
                 store_calls: false,
                 store_answers: self.store_answers(status),
+                backup_readers: Vec::new(),
             },
         }
     }
--- a/crates/pinereel_core/tests/tree_fleet.rs
+++ b/crates/pinereel_core/tests/tree_fleet.rs
@@ -615,6 +615,7 @@
         ranks: RankRange::default(),
         store_calls: false,
         store_answers: None,
+        backup_readers: Vec::new(),
     };
     assert!(uplink.on_heartbeat(now, heartbeat));
     uplink.observe(now, status);
@@ -641,6 +642,7 @@
         ranks: RankRange::default(),
         store_calls: false,
         store_answers: None,
+        backup_readers: Vec::new(),
     };
     let mut newcomer = Uplink::new("newcomer".into());
     assert!(newcomer.on_heartbeat(now, heartbeat(None)));
--- a/crates/pinereel_core/tests/tree_outage.rs
+++ b/crates/pinereel_core/tests/tree_outage.rs
@@ -222,6 +222,7 @@
         ranks: RankRange::default(),
         store_calls: false,
         store_answers,
+        backup_readers: Vec::new(),
     }
 }
 
--- a/crates/pinereel_core/tests/tree_store_route.rs
+++ b/crates/pinereel_core/tests/tree_store_route.rs
@@ -103,6 +103,7 @@
         store_uptime: Duration::ZERO,
         ranks: RankRange::default(),
         store_answers: None,
+        backup_readers: Vec::new(),
         store_calls,
     }
 }
--- /dev/null
+++ b/crates/pinereel_fakes/tests/hosting_backup_readers.rs
@@ -0,0 +1,172 @@
+//! Changes while the store does not answer the root of the broadcast tree, but does answer others, with
+//! real processes. A change must be in force within 2 s of its confirmation at all instances that the
+//! store answers.
+
+use pinereel_fakes::{
+    child_process::Signal,
+    hosting::{
+        proxy,
+        site::{Instance, Site, Size},
+    },
+};
+use std::time::Duration;
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// Longest time between the confirmation of a change and its effect.
+const MAX_PROPAGATION_TIME: Duration = Duration::from_secs(2);
+/// Time for the instances to form the tree.
+const SETTLE_TIME: Duration = Duration::from_secs(2);
+
+fn size(instances: usize) -> Size {
+    Size {
+        instances,
+        engines: 1,
+        services: 2,
+    }
+}
+
+fn count_lines(instance: &Instance, text: &str) -> usize {
+    let lines = instance.lines();
+    lines.iter().filter(|line| line.contains(text)).count()
+}
+
+/// Index of the instance that took the root duty last.
+fn root(site: &Site) -> usize {
+    let took_duty = |instance: &Instance| {
+        let lines = instance.lines();
+        let taken = |line: &&String| line.contains("lease taken") && line.contains("bulletin");
+        lines.iter().filter(taken).count()
+    };
+    let roots = site.instances.iter().map(took_duty);
+    roots
+        .enumerate()
+        .max_by_key(|(_, count)| *count)
+        .map(|(index, _)| index)
+        .expect("there are instances")
+}
+
+/// Changes the configuration, and returns the instances that do not apply it after the longest time
+/// allowed, except those in `excluded`.
+async fn outdated_after_change(site: &mut Site, excluded: &[usize]) -> Vec<String> {
+    site.configure("plain", Duration::from_secs(2));
+    let changed_at = Instant::now();
+    let included: Vec<usize> = (0..site.instances.len())
+        .filter(|index| !excluded.contains(index))
+        .collect();
+    let site = &*site;
+    let last = async {
+        loop {
+            let served = included
+                .iter()
+                .map(|index| site.serves_newest_routes(*index));
+            if futures_util::future::join_all(served)
+                .await
+                .iter()
+                .all(|s| *s)
+            {
+                return changed_at.elapsed();
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let last = tokio::time::timeout(MAX_PROPAGATION_TIME, last).await;
+    println!("in force everywhere after {last:?}");
+    sleep_until(changed_at + MAX_PROPAGATION_TIME).await;
+    let mut outdated = Vec::new();
+    for index in included {
+        if !site.serves_newest_routes(index).await {
+            outdated.push(site.instances[index].name.clone());
+        }
+    }
+    outdated
+}
+
+/// The root noticed after the timeout of a call, 1.5 s, that the store did not answer it, and its children
+/// stayed with it until then: they applied a change after up to 2.4 s.
+#[actix_rt::test]
+async fn a_change_is_in_force_in_time_while_the_store_is_silent_to_the_root() {
+    let mut site = Site::start(size(9), 211).await.unwrap();
+    sleep(SETTLE_TIME).await;
+    for _ in 0..4 {
+        let root = root(&site);
+        let silent = [root, (root + 1) % 9, (root + 2) % 9];
+        for index in silent {
+            let proxy = &site.instances[index].store_proxy;
+            proxy.set_faults(proxy::Faults::DROP_ALL);
+        }
+        let outdated = outdated_after_change(&mut site, &silent).await;
+        assert_eq!(outdated, Vec::<String>::new(), "root {root}");
+        sleep(Duration::from_millis(1_500)).await;
+        for index in silent {
+            let proxy = &site.instances[index].store_proxy;
+            proxy.set_faults(proxy::Faults::default());
+            proxy.reset_connections();
+        }
+        sleep(SETTLE_TIME).await;
+    }
+}
+
+/// Instances on the second level waited 0.4 s longer than their parents.
+#[actix_rt::test]
+async fn a_change_is_in_force_in_time_on_the_second_level_while_the_store_is_silent_to_the_root() {
+    let mut site = Site::start(size(36), 212).await.unwrap();
+    sleep(SETTLE_TIME).await;
+    let root = root(&site);
+    let proxy = &site.instances[root].store_proxy;
+    proxy.set_faults(proxy::Faults::DROP_ALL);
+    let outdated = outdated_after_change(&mut site, &[root]).await;
+    assert_eq!(outdated, Vec::<String>::new(), "root {root}");
+}
+
+/// A frozen root sends no heartbeats. Its first standby waited for it to accept a link before it read the
+/// store itself, and the others for the first standby.
+#[actix_rt::test]
+async fn a_change_is_in_force_in_time_while_the_root_is_frozen() {
+    let mut site = Site::start(size(12), 213).await.unwrap();
+    sleep(SETTLE_TIME).await;
+    let root = root(&site);
+    site.instances[root].signal(Signal::STOP);
+    let outdated = outdated_after_change(&mut site, &[root]).await;
+    site.instances[root].signal(Signal::CONT);
+    assert_eq!(outdated, Vec::<String>::new(), "root {root}");
+}
+
+/// Calls to the store within 2.5 s, calm and while it is silent to the root, for a number of instances.
+async fn call_counts(instances: usize, seed: u64) -> [u64; 2] {
+    let span = Duration::from_millis(2_500);
+    let site = Site::start(size(instances), seed)
+        .await
+        .expect("the site starts");
+    sleep(SETTLE_TIME).await;
+    let mut counts = [0; 2];
+    for count in &mut counts {
+        let before = site.store.call_count();
+        sleep(span).await;
+        *count = site.store.call_count() - before;
+        let root = &site.instances[root(&site)];
+        root.store_proxy.set_faults(proxy::Faults::DROP_ALL);
+    }
+    let appointed = site.instances.iter();
+    let appointed = appointed.map(|i| count_lines(i, "reading the store for the parent"));
+    println!(
+        "{instances} instances: {counts:?} calls, {} readers appointed",
+        appointed.sum::<usize>()
+    );
+    counts
+}
+
+/// Only a few instances may read the store for the root, however many there are.
+#[actix_rt::test]
+async fn calls_to_the_store_do_not_grow_with_the_instances_while_it_is_silent_to_the_root() {
+    let [calm, outage] = call_counts(8, 214).await;
+    for (instances, seed) in [(16, 215), (32, 216)] {
+        let [larger_calm, larger_outage] = call_counts(instances, seed).await;
+        // Leases are renewed in other phases, and a lost one is taken over.
+        let tolerance = 12;
+        assert!(larger_calm <= calm + tolerance, "{larger_calm}, {calm}");
+        assert!(
+            larger_outage <= outage + tolerance,
+            "{larger_outage}, {outage}"
+        );
+    }
+}
