endpoints: a connection that fails does not make an endpoint leave

Cause: three connections that could not be opened, in more than a second, marked the endpoint as leaving, which is final for the incarnation. They are evidence about this instance's link, not about the endpoint.

Change: it is ejected, and a probe that opens a connection ends that, after 0.25 s, doubling up to 2 s. An ejection for failures is probed as well: if that fails, it was the link. The source ConnectionsRefused is removed, so that only the list, the endpoint's own word and hints of these lead to leaving. Both ways, hosted and entry, probe.

--- a/crates/pinereel/src/controllers/endpoints.rs
+++ b/crates/pinereel/src/controllers/endpoints.rs
@@ -11,8 +11,10 @@
     logging::{Decision, DecisionKind, RunnerUp},
     settings::Routing,
     state::{Shared, spawn},
+    upstream::probe,
 };
 use compact_str::CompactString;
+use futures_util::future::join_all;
 use pinereel_api::object::{Instance, InstanceState};
 use pinereel_core::{
     Time, Version,
@@ -31,6 +33,10 @@
 
 /// Interval between two checks for a changed configuration or membership.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Longest time between two checks whether a probe of an ejected endpoint is due.
+const PROBE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Most concurrent probes of ejected endpoints; further ones follow.
+const MAX_CONCURRENT_PROBES: usize = 32;
 /// Shortest interval between two load reports of one engine.
 const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(250);
 /// Load reports per second of all polled engines together; with more engines, each is polled less
@@ -237,6 +243,30 @@
         instances::follow_list(&shared).await;
     });
     spawn(shared, async |shared: Rc<Shared>| sync_set(&shared).await);
+    spawn(shared, async |shared: Rc<Shared>| {
+        probe_ejected(&shared).await;
+    });
+}
+
+/// Probes ejected endpoints when that is due, so that those that could not be reached are used again soon after
+/// their link has recovered.
+async fn probe_ejected(shared: &Rc<Shared>) {
+    loop {
+        let next_at = shared.endpoints.set().next_probe_at();
+        let wait = next_at.map_or(PROBE_CHECK_INTERVAL, |at| at.since(shared.now()));
+        sleep(wait.min(PROBE_CHECK_INTERVAL)).await;
+        let due: Vec<_> = {
+            let set = shared.endpoints.set();
+            let due = set.due_probes(shared.now()).take(MAX_CONCURRENT_PROBES);
+            due.map(|(key, endpoint)| (key, endpoint.address.clone()))
+                .collect()
+        };
+        let probes = due.into_iter().map(async |(key, address)| {
+            let reached = probe::has_listener(&address).await;
+            step(shared, Event::Probed { key, reached });
+        });
+        join_all(probes).await;
+    }
 }
 
 /// Updates the set whenever the platform's list, the configuration or the membership changes.
--- a/crates/pinereel/src/hosted/endpoints/mod.rs
+++ b/crates/pinereel/src/hosted/endpoints/mod.rs
@@ -6,6 +6,7 @@
 
 mod listing;
 mod load_report;
+mod probe;
 
 use super::{
     list_watch::{Origin, WatchOptions, list_and_watch_with_origin},
@@ -23,7 +24,7 @@
 use log::Level;
 use pinereel_core::{
     crash::EndpointStart,
-    endpoint::{AttemptEnd, Event, Key, ServiceIndex, Set, State},
+    endpoint::{AttemptEnd, ChangeKind, Event, Key, ServiceIndex, Set, State},
     hash,
     overload::{self, Demand, Rejection},
     route::{self, Policy, Priority, Reason, Refusal, Request},
@@ -37,7 +38,7 @@
     time::Duration,
 };
 use tokio::{
-    sync::{broadcast::error::RecvError, watch},
+    sync::{Notify, broadcast::error::RecvError, watch},
     time::Instant,
 };
 
@@ -89,6 +90,8 @@
     set: RefCell<Set>,
     /// When the list was last updated here.
     updated_at: RefCell<Option<Instant>>,
+    /// Notified when an endpoint is ejected.
+    ejected: Notify,
     change_count: watch::Sender<u64>,
 }
 
@@ -160,6 +163,7 @@
             malformed_slowdowns: load_report::MalformedSlowdowns::default(),
             set: RefCell::default(),
             updated_at: RefCell::default(),
+            ejected: Notify::new(),
             change_count: watch::channel(0).0,
         });
         let state = Rc::clone(&endpoints);
@@ -189,6 +193,8 @@
         });
         let state = Rc::clone(&endpoints);
         actix_rt::spawn(async move { state.follow_engines().await });
+        let state = Rc::clone(&endpoints);
+        actix_rt::spawn(async move { state.probe_ejected().await });
         endpoints
     }
 
@@ -383,6 +389,9 @@
         let now = self.deps.clock.now();
         let changes = self.set.borrow_mut().step(now, event);
         for change in changes {
+            if matches!(change.kind, ChangeKind::Ejected { .. }) {
+                self.ejected.notify_one();
+            }
             let endpoint = change.name.as_str();
             log::log!(level, endpoint, what:serde = change.kind; "endpoint changed");
         }
--- a/crates/pinereel/src/hosted/metrics.rs
+++ b/crates/pinereel/src/hosted/metrics.rs
@@ -75,6 +75,8 @@
     /// Entries of the endpoint list by `event` (`refused`: it names no endpoint to use;
     /// `invalid_slowdown`: the endpoint reports an invalid slowdown).
     pub endpoint_entries: IntCounterVec,
+    /// Probes of ejected endpoints, by `outcome` (`reached`, `unreachable`).
+    pub endpoint_probes: IntCounterVec,
     /// Events of requests that crash endpoints, by `event` (`crash`, `doubt`, `verdict`, `refusal`,
     /// `acquitted`, `cleared`).
     pub crash_events: IntCounterVec,
@@ -160,6 +162,12 @@
             platform_calls: counter_vec(&r, "duty_calls_total", "Calls.", &["call", "status"]),
             lease_events: counter_vec(&r, "leases_total", "Leases.", &["event"]),
             endpoint_entries: counter_vec(&r, "endpoint_entries_total", "Entries.", &["event"]),
+            endpoint_probes: counter_vec(
+                &r,
+                "endpoint_probes_total",
+                "Probes of ejected endpoints.",
+                &["outcome"],
+            ),
             crash_events: counter_vec(&r, "crashes_total", "Crashes under requests.", &["event"]),
             relayed_store_calls: counter_vec(
                 &r,
--- a/crates/pinereel/src/upstream/pool.rs
+++ b/crates/pinereel/src/upstream/pool.rs
@@ -125,14 +125,30 @@
             Probe::NotListening => true,
             Probe::Reset | Probe::Unknown => false,
             Probe::Listening(stream) => {
-                self.opened.set(self.opened.get() + 1);
-                let connection = Framed::new(stream, ClientCodec::default());
-                self.put_idle(address, connection, DEFAULT_IDLE_TIMEOUT);
+                self.adopt(address, stream);
                 false
             }
         }
     }
 
+    /// Whether an endpoint can be reached: a connection is opened and added to the pool.
+    pub async fn reaches(&self, address: SocketAddr) -> bool {
+        match probe(address).await {
+            Probe::NotListening | Probe::Reset | Probe::Unknown => false,
+            Probe::Listening(stream) => {
+                self.adopt(address, stream);
+                true
+            }
+        }
+    }
+
+    /// Adds the connection of a probe to the pool.
+    fn adopt(&self, address: SocketAddr, stream: TcpStream) {
+        self.opened.set(self.opened.get() + 1);
+        let connection = Framed::new(stream, ClientCodec::default());
+        self.put_idle(address, connection, DEFAULT_IDLE_TIMEOUT);
+    }
+
     /// Sends a request and waits for the response's head. The caller sets the timeout.
     ///
     /// # Errors
--- a/crates/pinereel/src/upstream/probe.rs
+++ b/crates/pinereel/src/upstream/probe.rs
@@ -65,6 +65,14 @@
     }
 }
 
+/// Whether a connection to `IP:PORT` can be opened. False for a malformed address.
+pub async fn has_listener(address: &str) -> bool {
+    match address.parse() {
+        Ok(address) => matches!(probe(address).await, Probe::Listening(_)),
+        Err(_) => false,
+    }
+}
+
 async fn connect(address: SocketAddr) -> Probe {
     match timeout(CONNECT_TIMEOUT, connect_to(address)).await {
         Ok(Ok(stream)) => Probe::Listening(stream),
--- a/crates/pinereel_core/src/endpoint/event.rs
+++ b/crates/pinereel_core/src/endpoint/event.rs
@@ -86,6 +86,13 @@
         /// How it ended.
         end: AttemptEnd,
     },
+    /// A probe of an ejected endpoint, due as of [`Set::due_probes`](super::Set::due_probes), ended.
+    Probed {
+        /// Endpoint that was probed.
+        key: Key,
+        /// Whether a connection could be opened.
+        reached: bool,
+    },
 }
 
 /// How an attempt ended, as far as that says something about the endpoint.
@@ -116,15 +123,12 @@
     /// The endpoint's own answer to a request, or its load report.
     #[serde(rename = "said")]
     Reported,
-    /// Nothing has been listening at its address for a while.
-    ConnectionsRefused,
     /// A hint from a peer.
     Hinted,
 }
 
 impl LeavingSource {
-    /// Whether this entry may pass the information on to peers. Hints are not forwarded again, and
-    /// refused connections may be the fault of this entry's own link.
+    /// Whether this entry may pass the information on to peers. Hints are not forwarded again.
     pub const fn is_shareable(self) -> bool {
         matches!(self, Self::Listed | Self::Reported)
     }
--- a/crates/pinereel_core/src/endpoint/mod.rs
+++ b/crates/pinereel_core/src/endpoint/mod.rs
@@ -6,6 +6,7 @@
 
 mod event;
 mod index;
+mod reachability;
 mod set;
 pub mod speed;
 mod state;
--- a/crates/pinereel_core/src/endpoint/set.rs
+++ b/crates/pinereel_core/src/endpoint/set.rs
@@ -1,7 +1,8 @@
 //! The set of endpoints that one entry works with: outlier ejection, draining and replacement.
 
 use super::{
-    AttemptEnd, Change, ChangeKind, Endpoint, Event, Key, LeavingSource, Listing, LoadReport, State,
+    AttemptEnd, Change, ChangeKind, Endpoint, Event, Key, LeavingSource, Listing, LoadReport,
+    State, reachability::ProbeSchedule,
 };
 use crate::Time;
 use compact_str::CompactString;
@@ -17,11 +18,9 @@
 const BASE_EJECTION_TIME: Duration = Duration::from_secs(5);
 /// Upper bound of the duration of an ejection.
 const MAX_EJECTION_TIME: Duration = Duration::from_secs(60);
-/// Consecutive refused connections after which the endpoint's process may have ended.
-const REFUSALS_UNTIL_LEAVING: u32 = 3;
-/// Minimum time between the first and the last of these refusals, so that a short interruption does
-/// not count as leaving.
-const MIN_REFUSAL_SPAN: Duration = Duration::from_secs(1);
+/// Consecutive connections that could not be opened, after which an endpoint is ejected until a probe
+/// reaches it. They never show that it is leaving: the fault may be this entry's own link.
+const REFUSALS_TO_EJECT: u32 = 3;
 /// Most incarnations remembered as leaving after they were removed from the set.
 const MAX_LEAVING_HISTORY: usize = 16_384;
 
@@ -100,6 +99,7 @@
                 took,
                 end,
             } => self.finish_attempt(now, key, (tokens, took), end, &mut changes),
+            Event::Probed { key, reached } => self.record_probe(now, key, reached, &mut changes),
         }
         changes
     }
@@ -131,6 +131,21 @@
         self.arena.iter()
     }
 
+    /// The ejected endpoints whose next probe is due; the result of each is [`Event::Probed`].
+    pub fn due_probes(&self, now: Time) -> impl Iterator<Item = (Key, &Endpoint)> {
+        let is_due = move |at: Time| at <= now;
+        self.iter()
+            .filter(move |(_, endpoint)| endpoint.next_probe_at().is_some_and(is_due))
+    }
+
+    /// When the next probe is due; `None` if none is.
+    pub fn next_probe_at(&self) -> Option<Time> {
+        self.arena
+            .values()
+            .filter_map(Endpoint::next_probe_at)
+            .min()
+    }
+
     /// Incarnations by name that peers should treat as leaving.
     pub fn hints(&self) -> BTreeMap<CompactString, u64> {
         self.arena
@@ -290,19 +305,24 @@
             return;
         };
         endpoint.finish(now, tokens);
-        if end != AttemptEnd::ConnectionRefused && end != AttemptEnd::Cancelled {
+        let was_opened = !matches!(
+            end,
+            AttemptEnd::ConnectionRefused | AttemptEnd::ConnectionTimeout | AttemptEnd::Cancelled
+        );
+        if was_opened {
             endpoint.refusals = 0;
-            endpoint.refused_since = None;
         }
         match end {
             AttemptEnd::Completed => self.record_success(now, key, took, changes),
             AttemptEnd::Cancelled => {}
-            AttemptEnd::Failed | AttemptEnd::ConnectionTimeout => {
+            AttemptEnd::Failed => {
                 endpoint.decrease_limit(now, took);
                 self.record_failure(now, key, changes);
             }
             AttemptEnd::Overloaded => endpoint.decrease_limit(now, took),
-            AttemptEnd::ConnectionRefused => self.record_refusal(now, key, changes),
+            AttemptEnd::ConnectionRefused | AttemptEnd::ConnectionTimeout => {
+                self.record_refusal(now, key, changes);
+            }
             AttemptEnd::Leaving => self.mark_leaving(key, LeavingSource::Reported, changes),
         }
         let endpoint = &self.arena[key];
@@ -325,9 +345,38 @@
         // An attempt that started before the ejection says nothing about recovery.
         let started_at = Time(now.0.saturating_sub(took.as_micros() as u64));
         if endpoint.ejected_at.is_some_and(|at| started_at >= at) {
-            endpoint.state = State::Live;
-            endpoint.slow_start_since = Some(now);
-            self.push_change(key, ChangeKind::Restored, changes);
+            self.restore(now, key, changes);
+        }
+    }
+
+    /// Ends the ejection of an endpoint.
+    fn restore(&mut self, now: Time, key: Key, changes: &mut Vec<Change>) {
+        let endpoint = &mut self.arena[key];
+        endpoint.state = State::Live;
+        endpoint.slow_start_since = Some(now);
+        endpoint.probe = None;
+        endpoint.unreachable = false;
+        endpoint.refusals = 0;
+        self.push_change(key, ChangeKind::Restored, changes);
+    }
+
+    /// Records whether a probe reached an ejected endpoint. Its ejection ends with the fault of the link, if
+    /// that was the reason; failures of its own are not over because a connection can be opened.
+    fn record_probe(&mut self, now: Time, key: Key, reached: bool, changes: &mut Vec<Change>) {
+        let Some(endpoint) = self.arena.get_mut(key) else {
+            return;
+        };
+        let (State::Ejected { .. }, Some(schedule)) = (endpoint.state, endpoint.probe) else {
+            return;
+        };
+        if !reached {
+            endpoint.unreachable = true;
+            endpoint.probe = Some(schedule.after_failure(now));
+        } else if endpoint.unreachable {
+            endpoint.failures = 0;
+            self.restore(now, key, changes);
+        } else {
+            endpoint.probe = None;
         }
     }
 
@@ -349,19 +398,32 @@
         let uncapped = BASE_EJECTION_TIME * 2u32.pow(endpoint.ejections.min(8));
         let until = now + uncapped.min(MAX_EJECTION_TIME);
         endpoint.ejections += 1;
+        self.eject_until(now, key, until, changes);
+    }
+
+    fn eject_until(&mut self, now: Time, key: Key, until: Time, changes: &mut Vec<Change>) {
+        let endpoint = &mut self.arena[key];
         endpoint.ejected_at = Some(now);
         endpoint.state = State::Ejected { until };
+        endpoint.probe.get_or_insert(ProbeSchedule::new(now));
         self.push_change(key, ChangeKind::Ejected { until }, changes);
     }
 
+    /// Records that a connection could not be opened. The ejection of an endpoint that cannot be reached
+    /// does not get longer each time, since a probe ends it.
     fn record_refusal(&mut self, now: Time, key: Key, changes: &mut Vec<Change>) {
         let endpoint = &mut self.arena[key];
         endpoint.refusals += 1;
-        let since = *endpoint.refused_since.get_or_insert(now);
-        if endpoint.refusals >= REFUSALS_UNTIL_LEAVING && now.since(since) >= MIN_REFUSAL_SPAN {
-            self.mark_leaving(key, LeavingSource::ConnectionsRefused, changes);
-        } else {
-            self.record_failure(now, key, changes);
+        match endpoint.state {
+            State::Live if endpoint.refusals >= REFUSALS_TO_EJECT => {
+                endpoint.unreachable = true;
+                self.eject_until(now, key, now + BASE_EJECTION_TIME, changes);
+            }
+            State::Ejected { .. } => {
+                endpoint.unreachable = true;
+                endpoint.probe.get_or_insert(ProbeSchedule::new(now));
+            }
+            State::Live | State::Leaving | State::Gone => {}
         }
     }
 
@@ -373,6 +435,7 @@
             return;
         }
         endpoint.state = State::Leaving;
+        endpoint.probe = None;
         endpoint.leaving_source = Some(leaving_source);
         self.push_change(key, ChangeKind::Leaving(leaving_source), changes);
     }
@@ -383,6 +446,7 @@
         self.push_change(key, ChangeKind::Gone, changes);
         let endpoint = &mut self.arena[key];
         endpoint.state = State::Gone;
+        endpoint.probe = None;
         let id = (endpoint.name.clone(), endpoint.incarnation);
         let (pool, idle) = (endpoint.pool.clone(), endpoint.outstanding == 0);
         self.by_name.remove(&id.0);
--- a/crates/pinereel_core/src/endpoint/state.rs
+++ b/crates/pinereel_core/src/endpoint/state.rs
@@ -2,6 +2,7 @@
 
 use super::{
     LeavingSource,
+    reachability::ProbeSchedule,
     speed::{REPORT_TTL, Slowdown},
 };
 use crate::{Time, Version, average::moving_average, hash};
@@ -28,7 +29,8 @@
 pub enum State {
     /// May get requests.
     Live,
-    /// Gets no new requests. Permanent for the incarnation.
+    /// Gets no new requests. Permanent for the incarnation, so only the list, the endpoint itself and hints
+    /// of either lead to it.
     Leaving,
     /// Not listed or replaced. Kept only until its last attempt ends.
     Gone,
@@ -106,10 +108,12 @@
     pub(super) other_load: u32,
     /// Starts (+1) and ends (-1) of own attempts after the last report, oldest first.
     pub(super) recent_changes: VecDeque<(Time, i64)>,
-    /// Time of the first of the consecutive refused connections.
-    pub(super) refused_since: Option<Time>,
-    /// Consecutive refused connections.
+    /// Consecutive connections that could not be opened.
     pub(super) refusals: u32,
+    /// When it is probed while it is ejected; `None` if probes have shown that it can be reached.
+    pub(super) probe: Option<ProbeSchedule>,
+    /// Whether it is ejected since it could not be reached.
+    pub(super) unreachable: bool,
     /// Slowdown of its machine, by its responses.
     pub(super) slowdown: Slowdown,
 }
@@ -142,12 +146,18 @@
             ejected_at: None,
             other_load: 0,
             recent_changes: VecDeque::new(),
-            refused_since: None,
             refusals: 0,
+            probe: None,
+            unreachable: false,
             slowdown: Slowdown::default(),
         }
     }
 
+    /// When it is probed next; `None` unless it is ejected and may be unreachable.
+    pub fn next_probe_at(&self) -> Option<Time> {
+        self.probe.map(|probe| probe.next_at)
+    }
+
     /// Current concurrency limit for this entry, between 1 and the slots.
     pub fn limit(&self) -> u32 {
         (self.limit as u32).clamp(1, self.slots)
--- a/crates/pinereel_fakes/src/hosting/proxy.rs
+++ b/crates/pinereel_fakes/src/hosting/proxy.rs
@@ -10,7 +10,7 @@
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{
-        TcpListener, TcpStream,
+        TcpListener, TcpSocket, TcpStream,
         tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
     sync::watch,
@@ -40,6 +40,18 @@
     };
 }
 
+/// What happens to new connections.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Listening {
+    /// They are accepted.
+    #[default]
+    Accepting,
+    /// They are refused, as if no process listened.
+    Refusing,
+    /// They are not answered, as behind a link that drops all packets.
+    Ignoring,
+}
+
 /// A running proxy.
 #[derive(Clone)]
 pub struct Proxy {
@@ -48,6 +60,8 @@
     faults: Rc<Cell<Faults>>,
     /// Incremented to reset all open connections.
     resets: Rc<watch::Sender<u64>>,
+    /// What happens to new connections.
+    listening: Rc<watch::Sender<Listening>>,
     /// Address of the server.
     pub target: SocketAddr,
     /// When the server closed connections by itself after bytes of a request and before any of its
@@ -66,22 +80,56 @@
             address: listener.local_addr()?,
             faults: Rc::default(),
             resets: Rc::new(watch::channel(0).0),
+            listening: Rc::new(watch::channel(Listening::Accepting).0),
             target,
             unanswered_closes: Rc::default(),
         };
         let state = proxy.clone();
         actix_rt::spawn(async move {
-            while let Ok((client, _)) = listener.accept().await {
-                if state.faults.get().refuse_connections {
-                    continue;
+            let mut listening = state.listening.subscribe();
+            let mut listener = Some(listener);
+            loop {
+                let current = *listening.borrow_and_update();
+                let serve = async {
+                    match (current, listener.take()) {
+                        (Listening::Accepting, Some(listener)) => {
+                            state.accept_connections(listener).await;
+                        }
+                        (Listening::Accepting, None) => {
+                            if let Ok(listener) = TcpListener::bind(state.address).await {
+                                state.accept_connections(listener).await;
+                            }
+                        }
+                        (Listening::Refusing, _) => std::future::pending().await,
+                        (Listening::Ignoring, _) => ignore_connections(state.address).await,
+                    }
+                };
+                tokio::select! {
+                    () = serve => return,
+                    changed = listening.changed() => if changed.is_err() {
+                        return;
+                    },
                 }
-                let state = state.clone();
-                actix_rt::spawn(async move { state.forward_connection(client).await });
             }
         });
         Ok(proxy)
     }
 
+    async fn accept_connections(&self, listener: TcpListener) {
+        while let Ok((client, _)) = listener.accept().await {
+            if self.faults.get().refuse_connections {
+                continue;
+            }
+            let state = self.clone();
+            actix_rt::spawn(async move { state.forward_connection(client).await });
+        }
+    }
+
+    /// Sets what happens to new connections from now on.
+    pub fn set_listening(&self, listening: Listening) {
+        self.listening.send_replace(listening);
+    }
+
     /// Sets the faults of all connections, including open ones.
     pub fn set_faults(&self, faults: Faults) {
         self.faults.set(faults);
@@ -169,3 +217,20 @@
         }
     }
 }
+
+/// Listens at an address so that connections to it are neither accepted nor refused: the operating system
+/// ignores those beyond a full queue. Ends only if the address cannot be bound.
+async fn ignore_connections(address: SocketAddr) {
+    let Some(_listener) = TcpSocket::new_v4().ok().and_then(|socket| {
+        socket.set_reuseaddr(true).ok()?;
+        socket.bind(address).ok()?;
+        socket.listen(0).ok()
+    }) else {
+        return;
+    };
+    let fill_queue = futures_util::future::join_all((0..2).map(|_| async move {
+        let _connection = TcpStream::connect(address).await;
+        std::future::pending::<()>().await;
+    }));
+    fill_queue.await;
+}
--- a/crates/pinereel_fakes/src/hosting/service.rs
+++ b/crates/pinereel_fakes/src/hosting/service.rs
@@ -130,6 +130,11 @@
         self.state.store.remove("servers", &self.state.id);
     }
 
+    /// Returns the number of requests that the endpoint has run.
+    pub fn answer_count(&self) -> u64 {
+        self.state.answer_count.get()
+    }
+
     /// Sets the faults that are in force from now on.
     pub fn set_faults(&self, faults: Faults) {
         self.state.faults.set(faults);
