lots: an item is owed however many engines crashed under it

Seen by callers: engines crash one after the other, three of them under the same sound item.

Cause: the detection of requests that crash endpoints took items for suspects, and the runner did not place a blocked one.

--- a/crates/pinereel/src/controllers/crashes.rs
+++ b/crates/pinereel/src/controllers/crashes.rs
@@ -20,8 +20,6 @@
 /// Longest wait of a suspected request for an endpoint. A request that would have to wait longer is
 /// refused, and the wait is returned as its retry delay.
 const MAX_PLACEMENT_WAIT: Duration = Duration::from_millis(500);
-/// Delay before a blocked sample or scoring is reported as not run, after which it may be retried.
-const BLOCKED_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Retry delay of a suspected request that no endpoint may run.
 const UNAVAILABLE_RETRY_DELAY: Duration = Duration::from_secs(1);
 
@@ -88,16 +86,6 @@
     }
 }
 
-/// Whether a sample or scoring is blocked; if so, returns only after `BLOCKED_RETRY_DELAY`, to pace
-/// the retries.
-pub async fn delay_if_blocked(shared: &Shared, identity: impl Fn() -> Identity) -> bool {
-    let blocked = is_blocked(shared, identity);
-    if blocked {
-        sleep(BLOCKED_RETRY_DELAY).await;
-    }
-    blocked
-}
-
 /// Whether a request is blocked, as too many endpoints have crashed under it.
 pub fn is_blocked(shared: &Shared, identity: impl Fn() -> Identity) -> bool {
     let register = shared.crashes.register.borrow();
@@ -180,6 +168,20 @@
     });
 }
 
+/// Handles an endpoint's answer to a sample or scoring that was sent at `sent_at`: the endpoint is alive. Crashes
+/// are not attributed to these, as they are owed whatever crashes under them.
+pub fn record_alive(shared: &Shared, key: Key, sent_at: Time) {
+    if shared.crashes.register.borrow().is_empty() {
+        return;
+    }
+    let found = shared.endpoints.set().get(key).map(EndpointStart::from);
+    if let Some(start) = found {
+        update_register(shared, |register, now| {
+            register.endpoint_answered(now, &start, sent_at)
+        });
+    }
+}
+
 /// Merges reports of another entry.
 pub fn merge_reports(shared: &Shared, reports: Vec<Report>) {
     update_register(shared, |register, now| register.merge(now, reports));
--- a/crates/pinereel/src/controllers/lots/attempt.rs
+++ b/crates/pinereel/src/controllers/lots/attempt.rs
@@ -87,27 +87,11 @@
     id: CompactString,
 ) {
     let attempt = start.attempt;
-    let identity_start = start.clone();
-    let identity = || {
-        let request = build_request(&shared, identity_start.clone(), &CompactString::default());
-        // The salt holds the engine's current version, which is no part of the identity.
-        engines::identity(Request {
-            cache_salt: CompactString::default(),
-            ..request
-        })
-    };
-    if crashes::delay_if_blocked(&shared, identity).await {
-        shared.lots.running_attempts.borrow_mut().remove(&attempt);
-        report_failure(&shared, attempt, Failure::NotRun);
-        return;
-    }
     let sent_at = shared.now();
     let guard = endpoints::start_sample_attempt(&shared, key, start.max_tokens);
     let result = run_stream(&shared, start, &address, &id).await;
-    match &result {
-        Ok(()) => crashes::record_answer(&shared, key, identity, sent_at),
-        Err(Error::Lost(_)) => crashes::connection_lost(&shared, key, identity()).await,
-        Err(_) => {}
+    if result.is_ok() {
+        crashes::record_alive(&shared, key, sent_at);
     }
     shared.lots.running_attempts.borrow_mut().remove(&attempt);
     report_end(&shared, attempt, guard, result);
--- a/crates/pinereel/src/controllers/lots/score.rs
+++ b/crates/pinereel/src/controllers/lots/score.rs
@@ -5,7 +5,7 @@
     controllers::{crashes, endpoints},
     logging::DecisionKind,
     state::Shared,
-    upstream::{Attempt, Error, Reuse},
+    upstream::{Attempt, Reuse},
 };
 use actix_http::{
     Method,
@@ -14,7 +14,6 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use pinereel_core::{
-    crash::{Content, Identity, RequestParts},
     endpoint::AttemptEnd,
     hash,
     lot::Event,
@@ -83,27 +82,12 @@
     endpoints::log_choice(shared, &id, DecisionKind::Route, &choice, snapshot.number);
     let address = shared.endpoints.set().get(choice.key)?.address.clone();
     let score_request = serde_json::to_vec(&ScoreRequest { prompt, text }).ok()?;
-    let identity = || {
-        Identity::of(RequestParts {
-            caller: &[],
-            method: "POST",
-            host: &pool,
-            target: SCORE_PATH,
-            content: Content::Body(&score_request),
-        })
-    };
-    if crashes::delay_if_blocked(shared, identity).await {
-        return None;
-    }
     let sent_at = shared.now();
     let guard = endpoints::start_attempt(shared, choice.key, 0);
     let answer = send_request(shared, &address, score_request.clone().into()).await;
-    match &answer {
-        Ok(_) => crashes::record_answer(shared, choice.key, identity, sent_at),
-        Err(ScoreError::Lost) => crashes::connection_lost(shared, choice.key, identity()).await,
-        Err(ScoreError::Other) => {}
+    if answer.is_some() {
+        crashes::record_alive(shared, choice.key, sent_at);
     }
-    let answer = answer.ok();
     guard.finish(if answer.is_some() {
         AttemptEnd::Completed
     } else {
@@ -112,20 +96,11 @@
     answer.map(|answer| answer.score)
 }
 
-/// Why there is no score.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ScoreError {
-    /// The connection broke, or the body did not arrive whole in time.
-    Lost,
-    /// The service was not reached, or its response was an error or unreadable.
-    Other,
-}
-
 async fn send_request(
     shared: &Shared,
     address: &str,
     score_request: Bytes,
-) -> Result<ScoreResponse, ScoreError> {
+) -> Option<ScoreResponse> {
     let attempt = Attempt {
         method: Method::POST,
         address: address.into(),
@@ -135,17 +110,10 @@
         timeout: SCORE_TIMEOUT,
         reuse: Reuse::Allowed,
     };
-    let sent = shared.http.send(attempt).await;
-    let mut response = sent.map_err(|error| match error {
-        Error::Lost(_) => ScoreError::Lost,
-        Error::NotOpened(_) | Error::Invalid(_) => ScoreError::Other,
-    })?;
+    let mut response = shared.http.send(attempt).await.ok()?;
     if !response.status().is_success() {
-        return Err(ScoreError::Other);
+        return None;
     }
     let body = timeout(SCORE_TIMEOUT, response.body().limit(MAX_RESPONSE_BYTES)).await;
-    let Ok(Ok(body)) = body else {
-        return Err(ScoreError::Lost);
-    };
-    serde_json::from_slice(&body).map_err(|_| ScoreError::Other)
+    serde_json::from_slice(&body.ok()?.ok()?).ok()
 }
--- a/crates/pinereel/src/hosted/crashes/mod.rs
+++ b/crates/pinereel/src/hosted/crashes/mod.rs
@@ -142,19 +142,6 @@
         register.reserved(self.now(), &open())
     }
 
-    /// Waits while the request is blocked; returns whether it was.
-    pub async fn wait_while_blocked(&self, identity: impl Fn() -> Identity) -> bool {
-        let mut changes = self.changes();
-        let mut waited = false;
-        while matches!(self.status(&identity), RequestStatus::Blocked { .. }) {
-            waited = true;
-            if changes.changed().await.is_err() {
-                break;
-            }
-        }
-        waited
-    }
-
     /// Records that an endpoint crashed while the request ran there; `isolated` if the request ran
     /// in isolation.
     pub fn record_crash(&self, identity: Identity, start: EndpointStart, isolated: bool) {
@@ -185,6 +172,15 @@
         });
     }
 
+    /// Records that an endpoint answered an item that was sent `duration` ago, so that it is alive.
+    pub fn record_alive(&self, start: &EndpointStart, duration: Duration) {
+        if !self.is_empty() {
+            self.apply(Source::Local, |register, now| {
+                register.endpoint_answered(now, start, now.earlier_by(duration))
+            });
+        }
+    }
+
     /// Merges reports of another instance or from the store.
     pub fn merge(&self, source: Source, reports: Vec<Report>) {
         self.apply(source, |register, now| register.merge(now, reports));
--- a/crates/pinereel/src/hosted/lots/dispatch.rs
+++ b/crates/pinereel/src/hosted/lots/dispatch.rs
@@ -5,11 +5,11 @@
     item_task,
     runner::Runner,
     state::{AbortOnDrop, FleetKey, ItemTask, OpenLot},
-    stream::{Placement, item_identity},
+    stream::Placement,
 };
 use pinereel_core::{
     batch::{EngineKey, Fleet, Listing},
-    crash::{EndpointStart, ISOLATE_AT_CRASHES, RequestStatus},
+    crash::EndpointStart,
     hash,
     rollout::EngineShares,
     routing_table,
@@ -34,7 +34,6 @@
             self.deps.stall.wait_for_catch_up().await;
             self.sync_fleets();
             self.expire_items();
-            self.requeue_deferred();
             while self.start_next_item() {}
             tokio::select! {
                 () = self.wake.notified() => {}
@@ -122,49 +121,12 @@
         })
     }
 
-    /// Puts the items that could not be placed in the last round back into the queues.
-    fn requeue_deferred(&self) {
-        let mut state = self.state.borrow_mut();
-        state
-            .open_lots
-            .values_mut()
-            .for_each(|open| open.lot.requeue_deferred());
-    }
-
-    /// Number of engines that have crashed under an item; `None` if the item is blocked.
-    fn crash_count(&self, open: &OpenLot, index: usize) -> Option<usize> {
-        let identity = || item_identity(&open.caller, &open.host, &open.submission.items[index]);
-        match self.deps.crashes.status(identity) {
-            RequestStatus::Unrestricted => Some(0),
-            RequestStatus::Suspected { crashes, .. } => Some(crashes),
-            RequestStatus::Blocked { .. } => None,
-        }
-    }
-
-    /// The next item of a lot that an engine accepts: its index, the engine, and the number of
-    /// engines that have crashed under it. Items that may not run now are deferred.
-    fn pick_item(
-        &self,
-        open: &mut OpenLot,
-        fleet: &mut Fleet,
-    ) -> Option<(usize, EngineKey, usize)> {
+    /// The next item of a lot and the engine that accepts it. Engines that have crashed under an item are no
+    /// reason not to run it: an item never crashes engines by itself, and is owed.
+    fn pick_item(&self, open: &mut OpenLot, fleet: &Fleet) -> Option<(usize, EngineKey)> {
         let now = self.deps.clock.now();
-        let oldest_version = open.submission.min_version;
-        if !fleet.has_free_slot(now, oldest_version) {
-            return None;
-        }
-        loop {
-            let index = open.lot.start()?;
-            let crashes = self.crash_count(open, index);
-            let pick = |crashes| fleet.pick_for_item(now, oldest_version, crashes);
-            match crashes.zip(crashes.and_then(pick)) {
-                Some((crashes, key)) => return Some((index, key, crashes)),
-                None => open.lot.defer(index),
-            }
-            if crashes.is_some_and(|crashes| crashes >= ISOLATE_AT_CRASHES) {
-                fleet.reserve(now, oldest_version);
-            }
-        }
+        let key = fleet.pick(now, open.submission.min_version, None)?;
+        Some((open.lot.start()?, key))
     }
 
     /// Starts the next item that an engine accepts, of the oldest lot that has one. Returns `false`
@@ -195,7 +157,7 @@
                 continue;
             };
             let oldest_version = open.submission.min_version;
-            let Some((index, key, crashes)) = self.pick_item(open, fleet) else {
+            let Some((index, key)) = self.pick_item(open, fleet) else {
                 continue;
             };
             let Some(engine) = fleet.get(key) else {
@@ -208,10 +170,9 @@
                     incarnation: engine.listing.incarnation,
                 },
                 address: engine.listing.address,
-                crashes,
             };
             let is_assigned = engine.listing.assigned;
-            fleet.run_started(self.deps.clock.now(), key, crashes);
+            fleet.run_started(key);
             let shares = state.engine_shares.get(&fleet_key.service);
             if shares.is_some_and(EngineShares::is_shared) {
                 let metrics = &self.deps.metrics;
--- a/crates/pinereel/src/hosted/lots/item_task.rs
+++ b/crates/pinereel/src/hosted/lots/item_task.rs
@@ -1,15 +1,12 @@
 //! The task of one item: runs it on an engine, scores its output and records the result.
 
 use super::{
-    runner::{Dependencies, Runner},
+    runner::Runner,
     score,
     state::{FleetKey, ItemTask},
-    stream::{Placement, RunEnd, RunError, item_identity, run_on_engine},
-};
-use pinereel_core::{
-    batch::{Failure, RetryDecision, RunOutcome},
-    crash::ISOLATE_AT_CRASHES,
+    stream::{Placement, RunEnd, RunError, run_on_engine},
 };
+use pinereel_core::batch::{Failure, RetryDecision, RunOutcome};
 use pinereel_port::{
     config::Route,
     lot::{Item, Output, Sample},
@@ -29,9 +26,6 @@
     fn drop(&mut self) {
         let key = self.placement.key;
         self.runner.run_ended(&self.fleet, key, self.outcome);
-        if self.placement.crashes > 0 {
-            self.runner.suspect_run_ended(&self.fleet, key);
-        }
     }
 }
 
@@ -73,7 +67,10 @@
     let metrics = &runner.deps.metrics;
     metrics.count(&metrics.item_runs, &[end.as_str()]);
     log_run(task, placement, end, started, runner.resume_point(task).0);
-    record_crash_evidence(runner, task, item, placement, end, started);
+    if matches!(end, RunEnd::Complete | RunEnd::Failed | RunEnd::Impossible) {
+        let crashes = &runner.deps.crashes;
+        crashes.record_alive(&placement.start, started.elapsed());
+    }
     let failure = match end {
         RunEnd::Complete => {
             score_and_finish(runner, task, item).await;
@@ -90,36 +87,6 @@
     }
 }
 
-/// Records whether the engine crashed during the run or answered it, for the detection of items
-/// that crash engines.
-fn record_crash_evidence(
-    runner: &Runner,
-    task: &ItemTask,
-    item: &Item,
-    placement: &Placement,
-    end: RunEnd,
-    started: Instant,
-) {
-    let Dependencies {
-        crashes, endpoints, ..
-    } = &runner.deps;
-    let identity = || item_identity(&task.caller, &task.host, item);
-    match end {
-        // An engine that is leaving, or is not listed any more, stops by itself.
-        RunEnd::Broken(RunError::Crashed) if endpoints.is_current(&placement.start) => {
-            crashes.record_crash(
-                identity(),
-                placement.start.clone(),
-                placement.crashes >= ISOLATE_AT_CRASHES,
-            );
-        }
-        RunEnd::Complete | RunEnd::Failed | RunEnd::Impossible => {
-            crashes.record_answer(identity, placement.start.clone(), started.elapsed());
-        }
-        _ => {}
-    }
-}
-
 fn log_run(
     task: &ItemTask,
     placement: &Placement,
--- a/crates/pinereel/src/hosted/lots/score.rs
+++ b/crates/pinereel/src/hosted/lots/score.rs
@@ -7,13 +7,19 @@
     header::{HOST, HeaderMap, HeaderValue},
 };
 use compact_str::CompactString;
-use pinereel_core::batch::RetryDecision;
+use pinereel_core::{batch::RetryDecision, crash::RequestStatus};
 use pinereel_port::lot::Scorer;
 use std::{cell::OnceCell, rc::Rc, time::Duration};
 use tokio::time::{Instant, sleep};
 
 /// Pause before a scoring that found no free slot, or whose response was lost, is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
+/// Longest pause after lost responses, each of which doubles it.
+const MAX_RETRY_DELAY: Duration = Duration::from_secs(1);
+/// Pause before each retry of a scoring under which so many endpoints have crashed that a live request would be
+/// blocked. It bounds the crashes if the scoring is the cause.
+const BLOCKED_RETRY_DELAY: Duration = Duration::from_secs(4);
+
 /// Scores an item. Returns the signature of the scoring response; `None` if the item is to be given
 /// up.
 pub(super) async fn score(
@@ -21,6 +27,7 @@
     task: &ItemTask,
     scorer: &Scorer,
 ) -> Option<CompactString> {
+    let mut lost_delay = RETRY_DELAY;
     loop {
         let Some(mut call) = scoring_call(runner, task, scorer) else {
             log::warn!(
@@ -30,35 +37,39 @@
             sleep(RETRY_DELAY).await;
             continue;
         };
-        // A scoring that crashes endpoints waits here until its item expires.
-        if runner
-            .deps
-            .crashes
-            .wait_while_blocked(|| call.identity())
-            .await
-        {
-            continue;
-        }
         let max_attempts = call.route.max_attempts;
         // Endpoints that failed on an earlier call count, too.
         let failed = runner.failed_scorings(task);
         call.route.max_attempts = max_attempts.saturating_sub(failed).max(1);
+        let status = runner.deps.crashes.status(|| call.identity());
+        if matches!(status, RequestStatus::Blocked { .. }) {
+            // It may have run beside the cause of the crashes, and its item is owed.
+            sleep(BLOCKED_RETRY_DELAY).await;
+            call.deadline = Instant::now() + call.route.timeout;
+            call.route.max_attempts = 1;
+        }
         let slots = scoring_slots(runner, &call);
         let permits = &runner.scoring_permits;
         let permit = permits.acquire(&task.lot_id, task.index, slots).await;
         let (outcome, internal_errors) = runner.deps.proxy.run_counted(call).await;
         drop(permit);
-        let is_failure = match outcome {
+        let retry_delay = match outcome {
             Outcome::Answer(answer) if answer.status.is_success() => return answer.signature,
-            Outcome::Answer(answer) => answer.status == StatusCode::INTERNAL_SERVER_ERROR,
-            _ => false,
+            Outcome::Answer(answer) if answer.status == StatusCode::INTERNAL_SERVER_ERROR => {
+                Duration::ZERO
+            }
+            // The endpoints may have crashed under it.
+            Outcome::Unknown { .. } => {
+                let delay = lost_delay;
+                lost_delay = (lost_delay * 2).min(MAX_RETRY_DELAY);
+                delay
+            }
+            Outcome::Answer(_) | Outcome::NotRun { .. } => RETRY_DELAY,
         };
         if runner.scorings_failed(task, internal_errors, max_attempts) == RetryDecision::GiveUp {
             return None;
         }
-        if !is_failure {
-            sleep(RETRY_DELAY).await;
-        }
+        sleep(retry_delay).await;
     }
 }
 
@@ -98,5 +109,6 @@
             has_spare_slots: Box::new(move || deciding.has_spare_slots()),
         }),
         cached_identity: OnceCell::new(),
+        is_owed: true,
     })
 }
--- a/crates/pinereel/src/hosted/lots/stream.rs
+++ b/crates/pinereel/src/hosted/lots/stream.rs
@@ -7,18 +7,14 @@
 use crate::upstream::pool::{Body, Error, PooledRequest};
 use actix_http::{
     Method, RequestHead, StatusCode,
-    header::{AUTHORIZATION, HOST, HeaderMap, HeaderName, HeaderValue},
+    header::{HOST, HeaderMap, HeaderName, HeaderValue},
 };
 use bytes::BytesMut;
 use pinereel_core::{
     batch::{EngineKey, MAX_TIMEOUT, extended_wait},
-    crash::{Content, EndpointStart, Identity, RequestParts},
-};
-use pinereel_port::{
-    config::Route,
-    headers::{AttemptHeaders, Caller},
-    lot::Item,
+    crash::EndpointStart,
 };
+use pinereel_port::{config::Route, headers::AttemptHeaders, lot::Item};
 use std::{net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 use tokio::time::{Instant, timeout, timeout_at};
 
@@ -97,22 +93,6 @@
     /// The process of the engine.
     pub(super) start: EndpointStart,
     pub(super) address: SocketAddr,
-    /// Number of engines that have crashed under the item.
-    pub(super) crashes: usize,
-}
-
-/// Identity by which the crash detection recognizes the item in further runs and submissions.
-pub(super) fn item_identity(caller: &Caller, host: &str, item: &Item) -> Identity {
-    let mut headers = item.headers.iter();
-    let credential = headers.find(|(name, _)| name.eq_ignore_ascii_case(AUTHORIZATION.as_str()));
-    let credential = credential.map_or("", |(_, value)| value);
-    Identity::of(RequestParts {
-        caller: caller.workspace().unwrap_or(credential).as_bytes(),
-        method: Method::POST.as_str(),
-        host,
-        target: &item.path,
-        content: Content::new(item.prompt_id.as_deref(), &item.body),
-    })
 }
 
 /// Runs the item on the engine of `placement`, from the end of its partial output. A lost
--- a/crates/pinereel/src/hosted/lots/task_state.rs
+++ b/crates/pinereel/src/hosted/lots/task_state.rs
@@ -190,14 +190,6 @@
         self.wake.notify_one();
     }
 
-    /// Records that the run of an item under which engines have crashed ended.
-    pub(super) fn suspect_run_ended(&self, fleet: &FleetKey, key: EngineKey) {
-        let mut state = self.state.borrow_mut();
-        if let Some(fleet) = state.fleets.get_mut(fleet) {
-            fleet.suspect_run_ended(key);
-        }
-    }
-
     /// Records that a run ended without a result; the item is queued again.
     pub(super) fn run_failed(
         &self,
--- a/crates/pinereel/src/hosted/proxy/mod.rs
+++ b/crates/pinereel/src/hosted/proxy/mod.rs
@@ -136,6 +136,9 @@
             match status {
                 RequestStatus::Unrestricted => {}
                 RequestStatus::Suspected { .. } => state.attempts.disable_hedging(),
+                RequestStatus::Blocked { .. } if request.is_owed => {
+                    state.attempts.disable_hedging();
+                }
                 RequestStatus::Blocked { expires_in, .. } => {
                     self.deps.crashes.count_event("refusal");
                     log_blocked(&request, status);
--- a/crates/pinereel/src/hosted/proxy/request.rs
+++ b/crates/pinereel/src/hosted/proxy/request.rs
@@ -56,6 +56,9 @@
     pub load_observer: Option<LoadObserver>,
     /// Result of [`ProxyRequest::identity`], computed on the first call.
     pub cached_identity: OnceCell<Identity>,
+    /// Whether it is part of work that was accepted for later, and so is sent until it is answered: a verdict
+    /// that it crashes endpoints does not block it.
+    pub is_owed: bool,
 }
 
 impl ProxyRequest {
--- a/crates/pinereel/src/hosted/serve.rs
+++ b/crates/pinereel/src/hosted/serve.rs
@@ -259,6 +259,7 @@
             prompt: metadata.prompt_id.clone(),
             load_observer: None,
             cached_identity: OnceCell::new(),
+            is_owed: false,
         };
         match self.proxy.run(proxy_request).await {
             Outcome::Answer(answer) => {
--- a/crates/pinereel_core/src/batch/engine.rs
+++ b/crates/pinereel_core/src/batch/engine.rs
@@ -1,4 +1,4 @@
-//! State of one engine as seen by the scheduler of its lots: load, speed, health and reservations.
+//! State of one engine as seen by the scheduler of its lots: load, speed and health.
 
 use super::{
     placement::{FleetAverage, expected_interval_ms},
@@ -6,7 +6,6 @@
 };
 use crate::{
     Time,
-    crash::{ISOLATE_AT_CRASHES, MAX_SUSPECT_RUN_AGE},
     endpoint::speed::{Intervals, Slowdown},
 };
 use compact_str::CompactString;
@@ -71,14 +70,6 @@
     pub(super) delisted: bool,
     /// Whether the engine has restarted, so that the runs on this process are lost.
     pub(super) restarted: bool,
-    /// Runs on it of items that are suspected of crashing engines.
-    pub(super) suspect_runs: u32,
-    /// Whether one of them is on its last attempt before it is refused, and so runs isolated.
-    pub(super) has_isolated_run: bool,
-    /// Time at which a run last started on it.
-    pub(super) last_run_started: Time,
-    /// Until this time only an item on its last attempt may start on it.
-    pub(super) reserved_until: Time,
     /// Its latest load report; `None` before the first.
     pub(super) reported_load: Option<ReportedLoad>,
     /// The slowdown of its machine, by its load reports.
@@ -99,10 +90,6 @@
             probe_needed: false,
             delisted: false,
             restarted: false,
-            suspect_runs: 0,
-            has_isolated_run: false,
-            last_run_started: Time::ZERO,
-            reserved_until: Time::ZERO,
             reported_load: None,
             slowdown: Slowdown::default(),
             intervals: Intervals::default(),
@@ -143,20 +130,6 @@
         !self.delisted && !self.listing.leaving && has_version && free && now >= self.backoff_until
     }
 
-    /// Whether an item under which `crashes` engines have crashed may run beside the current runs.
-    /// An engine runs at most one suspect item, and starts nothing else beside one on its last
-    /// attempt, so that a crash can be attributed to a single item.
-    pub(super) fn admits(&self, now: Time, crashes: usize) -> bool {
-        let is_reserved = self.has_isolated_run || now < self.reserved_until;
-        match crashes {
-            0 => !is_reserved,
-            crashes if crashes >= ISOLATE_AT_CRASHES => {
-                self.suspect_runs == 0 && now.since(self.last_run_started) >= MAX_SUSPECT_RUN_AGE
-            }
-            _ => self.suspect_runs == 0 && !is_reserved,
-        }
-    }
-
     /// Requests of other runners that count as its load. Only where it reports its slowdown; other
     /// engines are rated by this runner's runs alone.
     fn counted_requests(&self, now: Time) -> u32 {
--- a/crates/pinereel_core/src/batch/fleet.rs
+++ b/crates/pinereel_core/src/batch/fleet.rs
@@ -16,7 +16,7 @@
     reported_load::ReportedLoad,
     timeout,
 };
-use crate::{Time, average::moving_average, crash::ISOLATE_AT_CRASHES};
+use crate::{Time, average::moving_average};
 use compact_str::CompactString;
 use pinereel_port::headers::Load;
 use slotmap::SlotMap;
@@ -36,9 +36,6 @@
 /// Backoff after an engine is full or loads weights; loading takes about a second.
 const REJECTION_BACKOFF: Duration = Duration::from_millis(120);
 
-/// Time after which a reservation lapses; the runs in progress free a slot by then.
-const RESERVATION_TIMEOUT: Duration = Duration::from_millis(1_500);
-
 /// The engines of one service, with their load and health.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
@@ -121,47 +118,7 @@
         oldest_version: u64,
         except: Option<EngineKey>,
     ) -> Option<EngineKey> {
-        let admits = |key, engine: &Engine| Some(key) != except && engine.admits(now, 0);
-        self.cheapest(now, oldest_version, admits)
-    }
-
-    /// Whether any engine has a free slot for a run that needs weights of `oldest_version` or newer,
-    /// regardless of reservations.
-    pub fn has_free_slot(&self, now: Time, oldest_version: u64) -> bool {
-        self.cheapest(now, oldest_version, |_, _| true).is_some()
-    }
-
-    /// The engine for a run of an item under which `crashes` engines have crashed.
-    pub fn pick_for_item(
-        &self,
-        now: Time,
-        oldest_version: u64,
-        crashes: usize,
-    ) -> Option<EngineKey> {
-        self.cheapest(now, oldest_version, |_, engine| engine.admits(now, crashes))
-    }
-
-    /// Reserves an engine for an item on its last attempt: nothing else starts there until that item
-    /// can run. At most one engine is reserved at a time, the one with the oldest last start.
-    pub fn reserve(&mut self, now: Time, oldest_version: u64) {
-        let is_reserved = |engine: &Engine| engine.has_isolated_run || now < engine.reserved_until;
-        if self.iter().any(|(_, engine)| is_reserved(engine)) {
-            return;
-        }
-        let has_version =
-            |engine: &Engine| engine.listing.version.is_some_and(|v| v >= oldest_version);
-        let only_assigned = self.uses_only_assigned(oldest_version);
-        let available = self.iter().filter(|(_, engine)| {
-            (engine.listing.assigned || !only_assigned)
-                && has_version(engine)
-                && !engine.listing.leaving
-                && now >= engine.backoff_until
-        });
-        let without_suspects = available.filter(|(_, engine)| engine.suspect_runs == 0);
-        let first = without_suspects.min_by_key(|(_, engine)| engine.last_run_started);
-        if let Some(key) = first.map(|(key, _)| key) {
-            self.engines[key].reserved_until = now + RESERVATION_TIMEOUT;
-        }
+        self.cheapest(now, oldest_version, |key| Some(key) != except)
     }
 
     /// Whether an assigned engine serves `oldest_version` or newer, so that no other engine is used.
@@ -175,13 +132,13 @@
         &self,
         now: Time,
         oldest_version: u64,
-        admits: impl Fn(EngineKey, &Engine) -> bool,
+        admits: impl Fn(EngineKey) -> bool,
     ) -> Option<EngineKey> {
         let only_assigned = self.uses_only_assigned(oldest_version);
         let candidates = self.iter().filter(|(key, engine)| {
             (engine.listing.assigned || !only_assigned)
                 && engine.accepts(now, oldest_version)
-                && admits(*key, engine)
+                && admits(*key)
         });
         let cost = |engine: &Engine| engine.cost(now, self.average);
         let cheapest = candidates.min_by(|(_, a), (_, b)| cost(a).total_cmp(&cost(b)));
@@ -238,28 +195,10 @@
         })
     }
 
-    /// Records that a run starts, of an item under which `crashes` engines have crashed.
-    pub fn run_started(&mut self, now: Time, key: EngineKey, crashes: usize) {
-        let Some(engine) = self.engines.get_mut(key) else {
-            return;
-        };
-        engine.active_runs += 1;
-        engine.last_run_started = now;
-        if crashes > 0 {
-            engine.suspect_runs += 1;
-        }
-        if crashes >= ISOLATE_AT_CRASHES {
-            engine.has_isolated_run = true;
-            engine.reserved_until = Time::ZERO;
-        }
-    }
-
-    /// Records the end of a run that started with `crashes` above zero, in addition to
-    /// [`Fleet::run_ended`].
-    pub fn suspect_run_ended(&mut self, key: EngineKey) {
+    /// Records that a run starts.
+    pub fn run_started(&mut self, key: EngineKey) {
         if let Some(engine) = self.engines.get_mut(key) {
-            engine.suspect_runs = engine.suspect_runs.saturating_sub(1);
-            engine.has_isolated_run &= engine.suspect_runs > 0;
+            engine.active_runs += 1;
         }
     }
 
--- a/crates/pinereel_core/src/batch/lot.rs
+++ b/crates/pinereel_core/src/batch/lot.rs
@@ -33,8 +33,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
     Queued,
-    /// Queued, but skipped until [`Lot::requeue_deferred`].
-    Deferred,
     Running,
     /// It has a result, or is given up, and is not committed yet.
     Finished,
@@ -129,7 +127,7 @@
         &self.commit_log
     }
 
-    /// Number of items that wait for an engine; deferred ones are not counted.
+    /// Number of items that wait for an engine.
     pub fn queued(&self) -> usize {
         let queued = self.items.iter().filter(|i| i.phase == Phase::Queued);
         queued.count()
@@ -145,18 +143,6 @@
         Some(index)
     }
 
-    /// Puts an item that could not be placed aside until [`Lot::requeue_deferred`], so that others go
-    /// first.
-    pub fn defer(&mut self, index: usize) {
-        self.items[index].phase = Phase::Deferred;
-    }
-
-    /// Puts all deferred items back into the queue.
-    pub fn requeue_deferred(&mut self) {
-        let deferred = self.items.iter_mut().filter(|i| i.phase == Phase::Deferred);
-        deferred.for_each(|item| item.phase = Phase::Queued);
-    }
-
     /// Records that a run ended without a result, and queues the item again.
     pub fn run_failed(
         &mut self,
--- a/crates/pinereel_core/src/crash/mod.rs
+++ b/crates/pinereel_core/src/crash/mod.rs
@@ -72,11 +72,6 @@
 /// whose caller has given up must not keep an endpoint from others.
 pub const RESERVATION_TTL: Duration = Duration::from_secs(30);
 
-/// Longest time after the start of a run within which the run may still crash its endpoint. A request
-/// that crashes endpoints does so soon after its run starts: this covers a run of a tenth of a second
-/// and the time to reach the endpoint.
-pub const MAX_SUSPECT_RUN_AGE: Duration = Duration::from_millis(300);
-
 /// Most requests with a record. By the size of its fields a record takes about 0.3 kB, so all of
 /// them take 0.3 MB of the 160 MB of the smallest instance.
 pub const MAX_RECORDS: usize = 1_024;
--- a/crates/pinereel_port/src/lot.rs
+++ b/crates/pinereel_port/src/lot.rs
@@ -59,8 +59,6 @@
     pub headers: Vec<(CompactString, CompactString)>,
     /// Body of the request to the engine.
     pub body: Bytes,
-    /// Identifies the model and the complete prompt; `None` if the item's headers name no prompt.
-    pub prompt_id: Option<CompactString>,
     /// Id of the group; all items of a group have the same prompt.
     pub group: CompactString,
     /// The trainer's estimate of the number of output tokens; often far off.
