upstream: bound what is read of an answer without an end

Cause: each body was read up to 32 MiB with no bound on all; the stall timeout of a run began again with each part of an event, which was searched from its begin each time; a rejection's body was read to its end before the next attempt.

Chunks of one byte still last until the deadline in a debug build.

--- a/crates/pinereel/src/hosted/lots/stream.rs
+++ b/crates/pinereel/src/hosted/lots/stream.rs
@@ -9,7 +9,7 @@
     Method, RequestHead, StatusCode,
     header::{HOST, HeaderMap, HeaderName, HeaderValue},
 };
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use pinereel_core::{
     batch::{EngineKey, MAX_TIMEOUT, extended_wait},
     crash::EndpointStart,
@@ -149,7 +149,7 @@
         runner.load_reported(task, placement.key, load);
     }
     if answer.not_executed {
-        let _ = timeout(MAX_TIMEOUT, response.body.read_all()).await;
+        response.body.discard().await;
         return RunEnd::Refused;
     }
     if foreign || answer.content_encoded {
@@ -257,8 +257,8 @@
 }
 
 impl EventReader<'_> {
-    async fn read(mut self, mut body: Body) -> RunEnd {
-        let mut buffer = BytesMut::new();
+    async fn read(mut self, body: Body) -> RunEnd {
+        let mut events = EventStream::new(body);
         let mut last_event_at: Option<Instant> = None;
         if self
             .version
@@ -268,38 +268,29 @@
         }
         loop {
             let (runner, task, placement) = (self.runner, self.task, self.placement);
-            let part = match last_event_at {
+            // A part of an event is no sign that the engine proceeds.
+            let event = match last_event_at {
                 Some(_) => {
                     let stall_timeout = runner.stall_timeout(task, placement.key);
-                    timeout(stall_timeout, body.next_part()).await.ok()
+                    timeout(stall_timeout, events.next()).await.ok()
                 }
-                None => before_first_event(runner, task, placement, body.next_part()).await,
+                None => before_first_event(runner, task, placement, events.next()).await,
             };
-            let chunk = match part {
-                Some(Ok(Some(chunk))) => chunk,
-                Some(Ok(None)) if buffer.is_empty() && self.last_event.is_some() => {
-                    return RunEnd::Complete;
-                }
+            let event = match event {
+                Some(Ok(Some(event))) => event,
+                Some(Ok(None)) if self.last_event.is_some() => return RunEnd::Complete,
+                Some(Ok(None)) => return RunEnd::Broken(RunError::Cut),
+                Some(Err(error)) => return RunEnd::Broken(error),
                 None => return RunEnd::Broken(RunError::Silent),
-                // An incomplete event is discarded.
-                _ => return RunEnd::Broken(RunError::Cut),
             };
-            buffer.extend_from_slice(&chunk);
-            while let Some((event_len, next_start)) = split_event(&buffer) {
-                let event = std::str::from_utf8(&buffer[..event_len]).map(ToOwned::to_owned);
-                let _ = buffer.split_to(next_start);
-                let now = Instant::now();
-                let interval = last_event_at.map(|at| now - at);
-                last_event_at = Some(now);
-                let Ok(event) = event else {
-                    return RunEnd::Broken(RunError::Event);
-                };
-                if let Some(end) = self.accept_event(&event, interval) {
-                    return end;
-                }
-            }
-            if buffer.len() > MAX_EVENT_BYTES {
+            let now = Instant::now();
+            let interval = last_event_at.map(|at| now - at);
+            last_event_at = Some(now);
+            let Ok(event) = std::str::from_utf8(&event) else {
                 return RunEnd::Broken(RunError::Event);
+            };
+            if let Some(end) = self.accept_event(event, interval) {
+                return end;
             }
         }
     }
@@ -350,8 +341,53 @@
     }
 }
 
-/// Length of the first complete event in `buffer`, and the offset of the next one.
-fn split_event(buffer: &[u8]) -> Option<(usize, usize)> {
-    let event_len = buffer.windows(2).position(|pair| pair == b"\n\n")?;
-    Some((event_len, event_len + 2))
+/// Splits a body into events.
+struct EventStream {
+    body: Body,
+    buffer: BytesMut,
+    /// Length of the buffer's begin that is known to contain no end of an event.
+    searched: usize,
+}
+
+impl EventStream {
+    fn new(body: Body) -> Self {
+        Self {
+            body,
+            buffer: BytesMut::new(),
+            searched: 0,
+        }
+    }
+
+    /// The next event; `None` at the end of the body.
+    ///
+    /// # Errors
+    /// The body ended within an event, which is discarded, or the event is too long.
+    async fn next(&mut self) -> Result<Option<Bytes>, RunError> {
+        loop {
+            if let Some(event) = self.take_event() {
+                return Ok(Some(event));
+            }
+            if self.buffer.len() > MAX_EVENT_BYTES {
+                return Err(RunError::Event);
+            }
+            match self.body.next_part().await {
+                Ok(Some(part)) => self.buffer.extend_from_slice(&part),
+                Ok(None) if self.buffer.is_empty() => return Ok(None),
+                Ok(None) | Err(_) => return Err(RunError::Cut),
+            }
+        }
+    }
+
+    fn take_event(&mut self) -> Option<Bytes> {
+        let unsearched = &self.buffer[self.searched..];
+        let Some(offset) = unsearched.windows(2).position(|pair| pair == b"\n\n") else {
+            // The last byte may be the first of the separator.
+            self.searched = self.buffer.len().saturating_sub(1);
+            return None;
+        };
+        let event = self.buffer.split_to(self.searched + offset).freeze();
+        let _ = self.buffer.split_to(2);
+        self.searched = 0;
+        Some(event)
+    }
 }
--- a/crates/pinereel/src/hosted/orders/engine_call.rs
+++ b/crates/pinereel/src/hosted/orders/engine_call.rs
@@ -21,6 +21,8 @@
 /// carries the number of loads that the engine had accepted when its status was read, so the engine
 /// rejects a late order once it has accepted the next one.
 pub(super) const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Largest body of an engine's answer, in bytes. A status report lists the runs of an engine.
+const MAX_ANSWER_BYTES: usize = 1 << 20;
 
 /// Why a call to an engine has no usable answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -79,7 +81,7 @@
                 Error::Lost(_) | Error::Stale(_) => NoAnswer::Lost,
             })?;
             let status = response.status;
-            let body = response.body.read_all().await;
+            let body = response.body.read_within(MAX_ANSWER_BYTES).await;
             Ok((status, body.map_err(|_| NoAnswer::Lost)?))
         };
         timeout(ANSWER_TIMEOUT, exchange)
--- a/crates/pinereel/src/hosted/platform.rs
+++ b/crates/pinereel/src/hosted/platform.rs
@@ -11,6 +11,8 @@
 
 /// Timeout for the platform's answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Largest body of an answer, in bytes; nothing in it is used.
+const MAX_ANSWER_BYTES: usize = 64 << 10;
 
 /// Makes a call to the platform; returns `None` if there is no answer in time.
 pub async fn call(pool: &Rc<Pool>, address: SocketAddr, call: Request) -> Option<StatusCode> {
@@ -33,7 +35,7 @@
     let exchange = async {
         let response = pool.send(request).await.ok()?;
         let status = response.status;
-        response.body.read_all().await.ok()?;
+        response.body.read_within(MAX_ANSWER_BYTES).await.ok()?;
         Some(status)
     };
     timeout(ANSWER_TIMEOUT, exchange).await.ok().flatten()
--- a/crates/pinereel/src/hosted/proxy/attempt.rs
+++ b/crates/pinereel/src/hosted/proxy/attempt.rs
@@ -163,9 +163,8 @@
             return Err(Failure::InvalidAnswer);
         }
         if parsed.not_executed {
-            // Read the body to its end so that the connection can be reused.
             let misdirected = response.status == StatusCode::MISDIRECTED_REQUEST;
-            let _ = response.body.read_all().await;
+            response.body.discard().await;
             return Err(if misdirected {
                 Failure::OtherEndpoint
             } else {
--- a/crates/pinereel/src/upstream/pool.rs
+++ b/crates/pinereel/src/upstream/pool.rs
@@ -5,7 +5,9 @@
 //! always an error. Only a connection that carried a complete response and nothing more is reused.
 
 use super::{
+    body_memory::BodyMemory,
     connect_to,
+    metered::Metered,
     probe::{Probe, probe},
 };
 use actix_codec::Framed;
@@ -25,7 +27,11 @@
     rc::Rc,
     time::Duration,
 };
-use tokio::{io::AsyncReadExt as _, net::TcpStream, time::Instant};
+use tokio::{
+    io::AsyncReadExt as _,
+    net::TcpStream,
+    time::{Instant, timeout},
+};
 
 /// Idle time after which a connection is not reused if its endpoint does not announce a timeout.
 /// Usual servers keep idle connections for 5 s or more.
@@ -36,6 +42,11 @@
 /// Maximum size of a body that [`Body::read_all`] reads, in bytes.
 const MAX_BODY_BYTES: usize = 32 << 20;
 
+/// Largest unneeded body that is read so that its connection can be reused, in bytes.
+const MAX_DISCARDED_BYTES: usize = 64 << 10;
+/// Longest time for which such a body is read.
+const MAX_DISCARD_TIME: Duration = Duration::from_millis(100);
+
 /// Why a request has no response.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -74,7 +85,7 @@
 
 /// Idle connection in the pool.
 struct IdleConnection {
-    framed: Framed<TcpStream, ClientCodec>,
+    framed: Framed<Metered, ClientCodec>,
     expires_at: Instant,
 }
 
@@ -83,6 +94,8 @@
 pub struct Pool {
     idle: RefCell<BTreeMap<SocketAddr, Vec<IdleConnection>>>,
     opened: Cell<u64>,
+    /// Memory of the bodies that are read as a whole.
+    body_memory: BodyMemory,
 }
 
 /// Response body that is being read. Its connection returns to the pool at the body's end.
@@ -97,9 +110,9 @@
     /// The body has ended or failed.
     Ended,
     /// The framing announces the end.
-    Framed(Framed<TcpStream, ClientPayloadCodec>),
+    Framed(Framed<Metered, ClientPayloadCodec>),
     /// The connection's end is the body's end; what was read with the head comes first.
-    UntilClose(TcpStream, Bytes),
+    UntilClose(Metered, Bytes),
 }
 
 impl Pool {
@@ -145,7 +158,7 @@
     /// Adds the connection of a probe to the pool.
     fn adopt(&self, address: SocketAddr, stream: TcpStream) {
         self.opened.set(self.opened.get() + 1);
-        let connection = Framed::new(stream, ClientCodec::default());
+        let connection = Framed::new(Metered::new(stream), ClientCodec::default());
         self.put_idle(address, connection, DEFAULT_IDLE_TIMEOUT);
     }
 
@@ -172,18 +185,19 @@
     async fn open_connection(
         &self,
         address: SocketAddr,
-    ) -> Result<Framed<TcpStream, ClientCodec>, Error> {
+    ) -> Result<Framed<Metered, ClientCodec>, Error> {
         let stream = connect_to(address).await.map_err(Error::NotOpened)?;
         self.opened.set(self.opened.get() + 1);
-        Ok(Framed::new(stream, ClientCodec::default()))
+        Ok(Framed::new(Metered::new(stream), ClientCodec::default()))
     }
 
     async fn send_on(
         self: &Rc<Self>,
-        mut connection: Framed<TcpStream, ClientCodec>,
+        mut connection: Framed<Metered, ClientCodec>,
         request: PooledRequest,
     ) -> Result<Response, Error> {
         let method = request.head.method.clone();
+        connection.io_mut().reset();
         let sent = write_request(&mut connection, request.head, request.body).await;
         // An endpoint may respond and close before it has read the complete request.
         let head = match connection.next().await {
@@ -222,13 +236,14 @@
     }
 
     /// Takes an idle connection that still appears open.
-    fn take_idle(&self, address: SocketAddr) -> Option<Framed<TcpStream, ClientCodec>> {
+    fn take_idle(&self, address: SocketAddr) -> Option<Framed<Metered, ClientCodec>> {
         let now = Instant::now();
         let mut idle_by_address = self.idle.borrow_mut();
         let connections = idle_by_address.get_mut(&address)?;
         let mut open_connection = None;
         while let Some(connection) = connections.pop() {
-            if connection.expires_at > now && is_open_and_empty(connection.framed.io_ref()) {
+            if connection.expires_at > now && is_open_and_empty(connection.framed.io_ref().stream())
+            {
                 open_connection = Some(connection.framed);
                 break;
             }
@@ -242,7 +257,7 @@
     fn put_idle(
         &self,
         address: SocketAddr,
-        connection: Framed<TcpStream, ClientCodec>,
+        connection: Framed<Metered, ClientCodec>,
         idle_timeout: Duration,
     ) {
         let now = Instant::now();
@@ -263,7 +278,7 @@
 }
 
 async fn write_request(
-    connection: &mut Framed<TcpStream, ClientCodec>,
+    connection: &mut Framed<Metered, ClientCodec>,
     head: RequestHead,
     body: Bytes,
 ) -> io::Result<()> {
@@ -316,7 +331,10 @@
         match &mut self.state {
             State::Ended => Ok(None),
             State::Framed(connection) => match connection.next().await {
-                Some(Ok(Some(part))) => Ok(Some(part)),
+                Some(Ok(Some(part))) => {
+                    connection.io_mut().allow(part.len());
+                    Ok(Some(part))
+                }
                 Some(Ok(None)) => {
                     self.finish();
                     Ok(None)
@@ -332,26 +350,49 @@
                         self.state = State::Ended;
                         Ok(None)
                     }
-                    Ok(_) => Ok(Some(part.freeze())),
+                    Ok(count) => {
+                        stream.allow(count);
+                        Ok(Some(part.freeze()))
+                    }
                     Err(e) => self.fail(e),
                 }
             }
         }
     }
 
-    /// Reads the rest of the body.
+    /// Reads the rest of the body. It counts against the memory of all bodies until the returned bytes are
+    /// dropped.
     ///
     /// # Errors
-    /// The body is truncated, or longer than 32 MiB.
-    pub async fn read_all(mut self) -> io::Result<Bytes> {
+    /// The body is truncated, longer than 32 MiB, or longer than its share of that memory.
+    pub async fn read_all(self) -> io::Result<Bytes> {
+        self.read_within(MAX_BODY_BYTES).await
+    }
+
+    /// Like [`Body::read_all`], with a limit in bytes.
+    ///
+    /// # Errors
+    /// The same, and the body is longer than `max_bytes`.
+    pub async fn read_within(mut self, max_bytes: usize) -> io::Result<Bytes> {
+        let mut reserved = self.pool.body_memory.begin();
         let mut body = BytesMut::new();
         while let Some(part) = self.next_part().await? {
-            if body.len() + part.len() > MAX_BODY_BYTES {
+            if body.len() + part.len() > max_bytes {
                 return Err(io::Error::other("body is too long"));
             }
+            if !reserved.add(part.len()) {
+                return Err(io::Error::other("no memory for the rest of the body"));
+            }
             body.extend_from_slice(&part);
         }
-        Ok(body.freeze())
+        Ok(reserved.hold(body.freeze()))
+    }
+
+    /// Reads a body that nobody needs, so that the connection can be reused, unless it is too long or takes
+    /// too long.
+    pub async fn discard(self) {
+        // Failing closes the connection.
+        let _ = timeout(MAX_DISCARD_TIME, self.read_within(MAX_DISCARDED_BYTES)).await;
     }
 
     fn fail(&mut self, error: io::Error) -> io::Result<Option<Bytes>> {
@@ -367,7 +408,7 @@
 
     /// Returns the connection to the pool, or closes it if there are bytes after the body's end,
     /// which belong to no request.
-    fn return_to_pool(&mut self, connection: Framed<TcpStream, ClientCodec>) {
+    fn return_to_pool(&mut self, connection: Framed<Metered, ClientCodec>) {
         if let Some(idle_timeout) = self.idle_timeout.filter(|_| connection.is_read_buf_empty()) {
             self.pool.put_idle(self.address, connection, idle_timeout);
         }
--- a/crates/pinereel_fakes/src/hosting/instance.rs
+++ b/crates/pinereel_fakes/src/hosting/instance.rs
@@ -79,6 +79,11 @@
         matches!(ended, Some(Ok(None)))
     }
 
+    /// Returns the id of the process, if there is one.
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Sends a signal to the process, if there is one.
     pub fn signal(&mut self, signal: Signal) {
         if let Some(child) = &mut self.child {
