--- a/crates/pinereel/src/objects/client.rs
+++ b/crates/pinereel/src/objects/client.rs
@@ -8,15 +8,16 @@
 };
 use crate::{
     state::Clock,
-    upstream::{Attempt, Client as Http, Error as HttpError, Reuse},
+    upstream::{Attempt, Client as Http, Error as HttpError, Reuse, body_memory::BodyMemory},
 };
 use actix_http::{
     Method, StatusCode,
     header::{CONTENT_TYPE, HeaderName, HeaderValue, IF_MATCH, IF_NONE_MATCH, USER_AGENT},
 };
-use awc::ClientResponse;
-use bytes::Bytes;
+use awc::{ClientResponse, error::PayloadError};
+use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
+use futures_util::{Stream, StreamExt as _};
 use pinereel_api::object::{Changes, List, MAX_VALUE_BYTES, Object, Write, Written};
 use pinereel_core::hash;
 use pinereel_port::store::Request;
@@ -30,6 +31,10 @@
 /// Maximum size of a response body, in bytes: a list may contain many values.
 const MAX_RESPONSE_BYTES: usize = 16 * MAX_VALUE_BYTES;
 
+/// Most bytes of all response bodies that are being read. With 32 calls at once, each up to its own limit,
+/// an API that sends without an end would take more memory than an instance has.
+const MAX_BODIES_BYTES: usize = 32 << 20;
+
 /// Maximum wait for a permit under the concurrency limit, and again under the rate limit; a call that
 /// would wait longer fails.
 const MAX_WAIT: Duration = Duration::from_secs(2);
@@ -58,6 +63,7 @@
     options: Rc<Options>,
     clock: Clock,
     permits: Arc<Semaphore>,
+    body_memory: BodyMemory,
     inner: Rc<RefCell<Inner>>,
 }
 
@@ -101,6 +107,7 @@
             permits: Arc::new(Semaphore::new(options.max_concurrency)),
             options: Rc::new(options),
             clock,
+            body_memory: BodyMemory::new(MAX_BODIES_BYTES),
             inner: Rc::new(RefCell::new(inner)),
         }
     }
@@ -374,7 +381,7 @@
                 HttpError::NotOpened(_) | HttpError::Invalid(_) => Error::NotSent(e.to_string()),
                 HttpError::Lost(_) => Error::Unknown(e.to_string()),
             })?;
-            read_body(response).await
+            self.read_body(response).await
         };
         // The timeout covers the body as well as the head.
         tokio::time::timeout(timeout, result)
@@ -382,6 +389,24 @@
             .unwrap_or_else(|_| Err(Error::Unknown("timeout".into())))
     }
 
+    async fn read_body(
+        &self,
+        mut response: ClientResponse<impl Stream<Item = Result<Bytes, PayloadError>> + Unpin>,
+    ) -> Result<(StatusCode, Bytes), Error> {
+        let status = response.status();
+        let mut reserved = self.body_memory.begin();
+        let mut body = BytesMut::new();
+        while let Some(part) = response.next().await {
+            let part = part.map_err(|e| Error::Unknown(e.to_string()))?;
+            let fits = body.len() + part.len() <= MAX_RESPONSE_BYTES;
+            if !fits || !reserved.add(part.len()) {
+                return Err(Error::Unknown("the response is too long".into()));
+            }
+            body.extend_from_slice(&part);
+        }
+        Ok((status, body.freeze()))
+    }
+
     /// Records a call's result in the breaker.
     fn record_result(&self, answer: &Result<(StatusCode, Bytes), Error>) {
         let mut inner = self.inner.borrow_mut();
@@ -398,16 +423,6 @@
     matches!(answer, Ok((status, _)) if *status != StatusCode::SERVICE_UNAVAILABLE)
 }
 
-async fn read_body(mut response: ClientResponse) -> Result<(StatusCode, Bytes), Error> {
-    let status = response.status();
-    let body = response
-        .body()
-        .limit(MAX_RESPONSE_BYTES)
-        .await
-        .map_err(|e| Error::Unknown(e.to_string()))?;
-    Ok((status, body))
-}
-
 fn check_status(status: StatusCode) -> Result<(), Error> {
     match status {
         StatusCode::OK | StatusCode::NO_CONTENT => Ok(()),
--- a/crates/pinereel/src/upstream/body_memory.rs
+++ b/crates/pinereel/src/upstream/body_memory.rs
@@ -11,9 +11,10 @@
     },
 };
 
-/// Memory of all bodies of a pool.
-#[derive(Clone, Debug, Default)]
-pub(super) struct BodyMemory {
+/// Memory of all bodies of a client.
+#[derive(Clone, Debug)]
+pub(crate) struct BodyMemory {
+    max_bytes: usize,
     reading: Rc<Cell<usize>>,
     read_bytes: Rc<Cell<usize>>,
     /// Shared with the bodies, whose bytes may be dropped anywhere.
@@ -21,7 +22,7 @@
 }
 
 /// The bytes of one body that is being read; freed on drop.
-pub(super) struct Reserved {
+pub(crate) struct Reserved {
     memory: BodyMemory,
     bytes: usize,
 }
@@ -33,8 +34,18 @@
 }
 
 impl BodyMemory {
+    /// Memory for `max_bytes` of all bodies together.
+    pub(crate) fn new(max_bytes: usize) -> Self {
+        Self {
+            max_bytes,
+            reading: Rc::default(),
+            read_bytes: Rc::default(),
+            held_bytes: Arc::default(),
+        }
+    }
+
     /// Begins to read a body.
-    pub(super) fn begin(&self) -> Reserved {
+    pub(crate) fn begin(&self) -> Reserved {
         self.reading.set(self.reading.get() + 1);
         Reserved {
             memory: self.clone(),
@@ -44,6 +55,7 @@
 
     fn usage(&self) -> Usage {
         Usage {
+            max_bytes: self.max_bytes,
             reading: self.reading.get(),
             read_bytes: self.read_bytes.get(),
             held_bytes: self.held_bytes.load(Ordering::Relaxed),
@@ -53,7 +65,7 @@
 
 impl Reserved {
     /// Reserves the memory for the next part; returns whether there is any.
-    pub(super) fn add(&mut self, part: usize) -> bool {
+    pub(crate) fn add(&mut self, part: usize) -> bool {
         let memory = &self.memory;
         if !memory.usage().admits(self.bytes + part, part) {
             return false;
@@ -64,7 +76,7 @@
     }
 
     /// Converts the complete body to one that counts until it is dropped.
-    pub(super) fn hold(self, body: Bytes) -> Bytes {
+    pub(crate) fn hold(self, body: Bytes) -> Bytes {
         if body.is_empty() {
             return body;
         }
--- a/crates/pinereel/src/upstream/mod.rs
+++ b/crates/pinereel/src/upstream/mod.rs
@@ -8,7 +8,7 @@
 //! (JSON documents, event streams with a last event). [`direct`] is for all others. [`pool`] is a
 //! connection pool that also detects truncated bodies.
 
-mod body_memory;
+pub(crate) mod body_memory;
 pub mod direct;
 mod metered;
 pub mod pool;
--- a/crates/pinereel/src/upstream/pool.rs
+++ b/crates/pinereel/src/upstream/pool.rs
@@ -42,6 +42,9 @@
 /// Maximum size of a body that [`Body::read_all`] reads, in bytes.
 const MAX_BODY_BYTES: usize = 32 << 20;
 
+/// Most bytes of all bodies that are read as a whole, until they are delivered. An instance has 260 MB, and
+/// buffers are up to twice as large as what they contain.
+const MAX_BODIES_BYTES: usize = 64 << 20;
 /// Largest unneeded body that is read so that its connection can be reused, in bytes.
 const MAX_DISCARDED_BYTES: usize = 64 << 10;
 /// Longest time for which such a body is read.
@@ -90,7 +93,6 @@
 }
 
 /// Connection pool of one process.
-#[derive(Default)]
 pub struct Pool {
     idle: RefCell<BTreeMap<SocketAddr, Vec<IdleConnection>>>,
     opened: Cell<u64>,
@@ -115,6 +117,16 @@
     UntilClose(Metered, Bytes),
 }
 
+impl Default for Pool {
+    fn default() -> Self {
+        Self {
+            idle: RefCell::default(),
+            opened: Cell::default(),
+            body_memory: BodyMemory::new(MAX_BODIES_BYTES),
+        }
+    }
+}
+
 impl Pool {
     /// Number of connections opened since the start.
     pub fn opened_count(&self) -> u64 {
--- a/crates/pinereel_core/src/body_budget.rs
+++ b/crates/pinereel_core/src/body_budget.rs
@@ -1,14 +1,14 @@
 //! How much memory the bodies of responses may take, so that an endpoint that sends without an end cannot
 //! exhaust that of the instance.
 
-/// Most bytes of all bodies together: those that are being read, and those that are not yet delivered.
-pub const MAX_BYTES: usize = 64 << 20;
 /// Length up to which a body is always read.
 pub const MIN_SHARE: usize = 64 << 10;
 
 /// The bytes that bodies take now.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Usage {
+    /// Most bytes of all bodies together: those that are being read, and those that are not yet delivered.
+    pub max_bytes: usize,
     /// Bodies that are being read.
     pub reading: usize,
     /// Bytes of these.
@@ -22,11 +22,11 @@
     /// for all, or if it stays within its share of the room. So the longest bodies are cut first.
     pub fn admits(self, length: usize, part: usize) -> bool {
         let total = self.read_bytes + self.held_bytes + part;
-        total <= MAX_BYTES || length <= self.share()
+        total <= self.max_bytes || length <= self.share()
     }
 
     fn share(self) -> usize {
-        let room = MAX_BYTES.saturating_sub(self.held_bytes);
+        let room = self.max_bytes.saturating_sub(self.held_bytes);
         (room / self.reading.max(1)).max(MIN_SHARE)
     }
 }
--- a/crates/pinereel_core/tests/body_budget.rs
+++ b/crates/pinereel_core/tests/body_budget.rs
@@ -1,8 +1,10 @@
 //! Memory of response bodies, over orders of parts, ends and deliveries.
 
-use pinereel_core::body_budget::{MAX_BYTES, MIN_SHARE, Usage};
+use pinereel_core::body_budget::{MIN_SHARE, Usage};
 use proptest::prelude::*;
 
+const MAX_BYTES: usize = 64 << 20;
+
 #[derive(Clone, Debug)]
 enum Action {
     /// A body of a reader gets a part of this length.
@@ -22,6 +24,7 @@
 
 fn usage(bodies: &[Option<usize>], held: &[usize]) -> Usage {
     Usage {
+        max_bytes: MAX_BYTES,
         reading: bodies.iter().flatten().count(),
         read_bytes: bodies.iter().flatten().sum(),
         held_bytes: held.iter().sum(),
@@ -61,6 +64,7 @@
 #[test]
 fn the_longest_body_is_cut_first() {
     let usage = Usage {
+        max_bytes: MAX_BYTES,
         reading: 9,
         read_bytes: MAX_BYTES,
         held_bytes: 0,
--- a/crates/pinereel_fakes/src/hosting/store.rs
+++ b/crates/pinereel_fakes/src/hosting/store.rs
@@ -1,8 +1,14 @@
 //! A fake of the platform's object store: revisions, conditional writes, watches, and injected
 //! faults.
 
-use actix_http::{HttpMessage as _, Method, StatusCode, header::USER_AGENT};
+use actix_http::{
+    HttpMessage as _, Method, StatusCode,
+    body::{BodyStream, BoxBody},
+    header::USER_AGENT,
+};
+use bytes::Bytes;
 use compact_str::CompactString;
+use futures_util::stream;
 use pinereel::{
     http::{self, Request, Response, Server},
     objects::Options,
@@ -36,6 +42,8 @@
     pub loss_probability: f64,
     /// Whether a write that is not answered is carried out with a delay of 0.5 s to 3 s.
     pub delay_lost_writes: bool,
+    /// Whether reads are answered with a body without an end.
+    pub endless_reads: bool,
     /// Whether a watch from a compacted revision stays open and is never answered.
     pub accept_stale_watches: bool,
 }
@@ -47,6 +55,7 @@
         delay: Duration::ZERO,
         loss_probability: 0.0,
         delay_lost_writes: false,
+        endless_reads: false,
         accept_stale_watches: false,
     };
 }
@@ -274,6 +283,11 @@
         let body = http::read_json(&mut request, MAX_BODY_BYTES, Duration::from_secs(5)).await;
         let body: Value = body.unwrap_or_default();
         let method = request.method().clone();
+        if method == Method::GET && faults.endless_reads {
+            let parts =
+                stream::repeat_with(|| Ok::<_, io::Error>(Bytes::from(vec![b' '; 16 << 10])));
+            return Response::new(StatusCode::OK).set_body(BoxBody::new(BodyStream::new(parts)));
+        }
         if method == Method::GET {
             return self.get(&parts, &query).await;
         }
--- a/crates/pinereel_fakes/tests/hosting_endless.rs
+++ b/crates/pinereel_fakes/tests/hosting_endless.rs
@@ -7,6 +7,7 @@
     endless_endpoint::{Answer, EndlessEndpoint},
     http::call,
     site::{HOST, MODEL, Site, Size},
+    store::Faults,
     trainer::submit_once,
 };
 use serde_json::json;
@@ -194,6 +195,34 @@
     }
 }
 
+/// Instances read up to 16 MB of each answer of the store, and make dozens of calls at once. They stay within
+/// their memory and go on when the store does.
+#[actix_rt::test]
+async fn answers_of_the_store_without_an_end_stay_within_the_memory_of_an_instance() {
+    let mut site = site(242, 1, 2).await;
+    sleep(Duration::from_millis(1_500)).await;
+    let endless_reads = true;
+    site.store.set_faults(Faults {
+        endless_reads,
+        ..Faults::default()
+    });
+    // Each reads the lot of its own path.
+    let reads = (0..48).map(|number| {
+        let (site, lot) = (&site, format!("none-{number}"));
+        async move { read_complete(site, &lot, 0).await }
+    });
+    futures_util::future::join_all(reads).await;
+    sleep(Duration::from_secs(2)).await;
+    let peak = peak_memory(&site);
+    println!("peak {} MB", peak >> 20);
+    assert!(peak <= MAX_MEMORY_BYTES, "{} MB", peak >> 20);
+    site.store.set_faults(Faults::default());
+    sleep(Duration::from_secs(2)).await;
+    site.configure("plain", Duration::from_secs(2));
+    sleep(Duration::from_secs(2)).await;
+    assert!(site.serves_newest_routes(0).await);
+}
+
 /// Number of complete results from a position on.
 async fn read_complete(site: &Site, lot: &str, after: usize) -> usize {
     let headers = [("host", HOST.to_owned())];
