tree: wait for a resend of each reader by itself

Found by reading: a root that asked a reader for a whole topic took no age from any reader until it came. If that reader was lost first, no data counted as fresh for the rest of the outage, and the next. The requests are kept by child now, and end with its link.

--- a/crates/pinereel/src/hosted/tree/backup.rs
+++ b/crates/pinereel/src/hosted/tree/backup.rs
@@ -173,7 +173,8 @@
             return;
         }
         self.has_backup_data.set(true);
-        self.state.borrow_mut().resend_requested.remove(&topic);
+        let is_other = |(_, requested): &(ChildKey, Topic)| *requested != topic;
+        self.state.borrow_mut().resend_requested.retain(is_other);
         self.send_backup(topic, since, &update);
         if !publication.full && publication.objects.is_empty() {
             self.set_revision(topic, header.revision);
@@ -185,7 +186,7 @@
     /// Requests all objects of a topic from an appointed child.
     fn request_resend(&self, child: ChildKey, topic: Topic) {
         let mut state = self.state.borrow_mut();
-        let is_new = state.resend_requested.insert(topic);
+        let is_new = state.resend_requested.insert((child, topic));
         let request = Frame::Subscribe { topic, revision: 0 };
         if is_new
             && let Some(bytes) = request.encode()
@@ -198,7 +199,10 @@
 
     /// Handles the report of a child on the age of the data that it has sent.
     pub(super) fn on_backup_age(&self, child: ChildKey, age: Duration) {
-        let is_complete = self.state.borrow().resend_requested.is_empty();
+        let is_complete = {
+            let requested = &self.state.borrow().resend_requested;
+            !requested.iter().any(|(requested, _)| *requested == child)
+        };
         let address = self.child_address(child).filter(|_| is_complete);
         let Some(address) = address else { return };
         let is_first = self.backups.borrow().age(self.now()).is_none();
--- a/crates/pinereel/src/hosted/tree/node.rs
+++ b/crates/pinereel/src/hosted/tree/node.rs
@@ -88,7 +88,7 @@
     /// Topics that have been listed since this instance began to read the store.
     pub(super) listed: BTreeSet<Topic>,
     /// Topics of which this instance waits for all objects from an appointed child.
-    pub(super) resend_requested: BTreeSet<Topic>,
+    pub(super) resend_requested: BTreeSet<(ChildKey, Topic)>,
     pub(super) children: Children,
     pub(super) retry_pacer: RetryPacer,
     /// Send queues of the children.
@@ -265,6 +265,7 @@
         let mut state = self.state.borrow_mut();
         state.child_links.remove(&key);
         state.children.remove(key);
+        state.resend_requested.retain(|(child, _)| *child != key);
     }
 
     /// Sends heartbeats to the children periodically.
