lots: a scoring with a verdict is sent to one endpoint at a time

By the list of crashes, four of them fell within one call: the verdict came after its first attempt, and the call went on to its other endpoints, since an owed request ignores a verdict.

Now it ignores it for one attempt.

--- a/crates/pinereel/src/hosted/lots/score.rs
+++ b/crates/pinereel/src/hosted/lots/score.rs
@@ -16,9 +16,11 @@
 const RETRY_DELAY: Duration = Duration::from_millis(60);
 /// Longest pause after lost responses, each of which doubles it.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(1);
-/// Pause before each retry of a scoring under which so many endpoints have crashed that a live request would be
-/// blocked. It bounds the crashes if the scoring is the cause.
-const BLOCKED_RETRY_DELAY: Duration = Duration::from_secs(4);
+/// Pause before the first retry of a scoring under which so many endpoints have crashed that a live request would
+/// be blocked. It bounds the crashes if the scoring is the cause; each further retry doubles it.
+const MIN_BLOCKED_DELAY: Duration = Duration::from_secs(4);
+/// Longest pause before such a retry.
+const MAX_BLOCKED_DELAY: Duration = Duration::from_secs(16);
 
 /// Scores an item. Returns the signature of the scoring response; `None` if the item is to be given
 /// up.
@@ -27,7 +29,8 @@
     task: &ItemTask,
     scorer: &Scorer,
 ) -> Option<CompactString> {
-    let mut lost_delay = RETRY_DELAY;
+    let (mut lost_delay, mut blocked_delay) = (RETRY_DELAY, MIN_BLOCKED_DELAY);
+    let mut has_paused = false;
     loop {
         let Some(mut call) = scoring_call(runner, task, scorer) else {
             log::warn!(
@@ -44,10 +47,15 @@
         let status = runner.deps.crashes.status(|| call.identity());
         if matches!(status, RequestStatus::Blocked { .. }) {
             // It may have run beside the cause of the crashes, and its item is owed.
-            sleep(BLOCKED_RETRY_DELAY).await;
-            call.deadline = Instant::now() + call.route.timeout;
+            if !std::mem::replace(&mut has_paused, true) {
+                sleep(blocked_delay).await;
+                blocked_delay = (blocked_delay * 2).min(MAX_BLOCKED_DELAY);
+                // The configuration may have changed.
+                continue;
+            }
             call.route.max_attempts = 1;
         }
+        has_paused = false;
         let slots = scoring_slots(runner, &call);
         let permits = &runner.scoring_permits;
         let permit = permits.acquire(&task.lot_id, task.index, slots).await;
--- a/crates/pinereel/src/hosted/proxy/mod.rs
+++ b/crates/pinereel/src/hosted/proxy/mod.rs
@@ -88,6 +88,15 @@
     usage_record: Option<CountedRequest>,
 }
 
+impl RequestState<'_> {
+    /// Whether the request runs although a verdict says that it crashes endpoints: it is owed, and this is its
+    /// only attempt.
+    fn may_run_blocked(&self) -> bool {
+        let is_first = self.used_endpoints.is_empty();
+        self.request.is_owed && (is_first || !self.in_flight.is_empty())
+    }
+}
+
 type AttemptsInFlight = FuturesUnordered<LocalBoxFuture<'static, AttemptResult>>;
 
 impl Proxy {
@@ -136,7 +145,7 @@
             match status {
                 RequestStatus::Unrestricted => {}
                 RequestStatus::Suspected { .. } => state.attempts.disable_hedging(),
-                RequestStatus::Blocked { .. } if request.is_owed => {
+                RequestStatus::Blocked { .. } if state.may_run_blocked() => {
                     state.attempts.disable_hedging();
                 }
                 RequestStatus::Blocked { expires_in, .. } => {
