--- a/crates/pinereel_fakes/src/hosting/cli.rs
+++ b/crates/pinereel_fakes/src/hosting/cli.rs
@@ -14,6 +14,7 @@
   --callers N            live callers of each kind (default 4)
   --pause-ms N           mean pause between two faults (default 900)
   --crashing             requests come that crash the endpoints that run them
+  --cuts                 links to endpoints are cut, and the store is silent to the root of the tree
   --logs FOLDER          where the logs of failed seeds are written
   --help                 print this";
 
@@ -93,6 +94,10 @@
             options.crashing_requests = true;
             continue;
         }
+        if name == "cuts" {
+            options.link_cuts = true;
+            continue;
+        }
         let number: u64 = crate::cli::parse_value(&mut parser)?;
         let count = usize::try_from(number).unwrap_or(usize::MAX);
         match name.as_str() {
--- /dev/null
+++ b/crates/pinereel_fakes/src/hosting/soak/link_cuts.rs
@@ -0,0 +1,76 @@
+//! Cuts of the links to endpoints, and a store that is silent to the root of the broadcast tree, beside all
+//! other faults.
+
+use super::{AFTER_EFFECT_TIME, FaultPeriod};
+use crate::hosting::{
+    proxy::{self, Listening, Proxy},
+    site::{Instance, Site},
+};
+use rand::{Rng as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+use std::{cell::RefCell, rc::Rc, time::Duration};
+use tokio::time::{Instant, sleep};
+
+/// Cuts links one after the other until `end`. The draws have a generator of their own, so that the other
+/// faults of a seed do not depend on them.
+pub(super) async fn cut_until(
+    site: &Rc<RefCell<Site>>,
+    periods: &RefCell<Vec<FaultPeriod>>,
+    seed: u64,
+    end: Instant,
+) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0x0063_7574_7300);
+    loop {
+        sleep(Duration::from_millis(rng.random_range(500..3_000))).await;
+        let length = Duration::from_millis(rng.random_range(300..5_000));
+        if Instant::now() + length >= end {
+            return;
+        }
+        let from = Instant::now();
+        periods.borrow_mut().push(FaultPeriod {
+            instance: None,
+            graceful: false,
+            from,
+            to: from + length + AFTER_EFFECT_TIME,
+        });
+        if rng.random_bool(0.5) {
+            let proxy = {
+                let services = &site.borrow().services;
+                services[rng.random_range(0..services.len())].proxy.clone()
+            };
+            cut_endpoint(&proxy, rng.random_bool(0.5), length).await;
+        } else {
+            let proxy = root(&site.borrow()).store_proxy.clone();
+            proxy.set_faults(proxy::Faults::DROP_ALL);
+            sleep(length).await;
+            proxy.set_faults(proxy::Faults::default());
+            proxy.reset_connections();
+        }
+    }
+}
+
+async fn cut_endpoint(proxy: &Proxy, silent: bool, length: Duration) {
+    if silent {
+        proxy.set_listening(Listening::Ignoring);
+        proxy.set_faults(proxy::Faults::DROP_ALL);
+    } else {
+        proxy.set_listening(Listening::Refusing);
+        proxy.reset_connections();
+    }
+    sleep(length).await;
+    proxy.set_faults(proxy::Faults::default());
+    proxy.set_listening(Listening::Accepting);
+}
+
+/// The instance that has taken the root duty most often.
+fn root(site: &Site) -> &Instance {
+    let taken = |instance: &Instance| {
+        let lines = instance.lines();
+        let taken = |line: &&String| line.contains("lease taken") && line.contains("bulletin");
+        lines.iter().filter(taken).count()
+    };
+    let instances = site.instances.iter();
+    instances
+        .max_by_key(|instance| taken(instance))
+        .expect("a site has instances")
+}
--- a/crates/pinereel_fakes/src/hosting/soak/mod.rs
+++ b/crates/pinereel_fakes/src/hosting/soak/mod.rs
@@ -8,6 +8,7 @@
 mod crashing_requests;
 mod fault_kind;
 mod inject;
+mod link_cuts;
 
 use super::{
     caller::{self, Kind, Tally},
@@ -51,6 +52,8 @@
     pub mean_pause: Duration,
     /// Whether requests are sent that crash the endpoints that run them.
     pub crashing_requests: bool,
+    /// Whether links to endpoints are cut, and the store is silent to the root of the broadcast tree.
+    pub link_cuts: bool,
 }
 
 impl Default for Options {
@@ -66,6 +69,7 @@
             callers_per_kind: 4,
             mean_pause: Duration::from_millis(900),
             crashing_requests: false,
+            link_cuts: false,
         }
     }
 }
@@ -193,7 +197,13 @@
             crashing.send_until(end).await;
         }
     };
-    tokio::join!(soak.inject_faults(end), trainer.run(end), sender);
+    let (cut_site, periods) = (Rc::clone(&soak.site), Rc::clone(&soak.fault_periods));
+    let cutter = async {
+        if options.link_cuts {
+            link_cuts::cut_until(&cut_site, &periods, options.seed, end).await;
+        }
+    };
+    tokio::join!(soak.inject_faults(end), trainer.run(end), sender, cutter);
     soak.end_faults().await;
     soak.check_recovery(&mut trainer, &tally).await;
     soak.check_graceful_shutdowns();
--- a/crates/pinereel_fakes/tests/hosting_soak.rs
+++ b/crates/pinereel_fakes/tests/hosting_soak.rs
@@ -86,3 +86,15 @@
     })
     .await;
 }
+
+/// Links to endpoints are cut, and the store is silent to the root of the broadcast tree, beside all other
+/// faults.
+#[actix_rt::test]
+async fn seed_5101_violates_no_guarantee_while_links_are_cut() {
+    assert_no_violation(Options {
+        seed: 5_101,
+        link_cuts: true,
+        ..Options::default()
+    })
+    .await;
+}
