--- a/crates/pinereel/src/controllers/crashes.rs
+++ b/crates/pinereel/src/controllers/crashes.rs
@@ -158,18 +158,12 @@
         return;
     }
     let identity = identity();
-    let found = shared.endpoints.set().get(key).map(EndpointStart::from);
-    update_register(shared, |register, now| {
-        let mut changes = register.completed(now, identity);
-        if let Some(start) = found {
-            changes.extend(register.endpoint_answered(now, &start, sent_at));
-        }
-        changes
-    });
+    update_register(shared, |register, now| register.completed(now, identity));
+    record_alive(shared, key, sent_at);
 }
 
-/// Handles an endpoint's answer to a sample or scoring that was sent at `sent_at`: the endpoint is alive. Crashes
-/// are not attributed to these, as they are owed whatever crashes under them.
+/// Handles an endpoint's answer that says nothing about the request, which was sent at `sent_at`: the endpoint is
+/// alive. Crashes are not attributed to samples and scorings, as they are owed whatever crashes under them.
 pub fn record_alive(shared: &Shared, key: Key, sent_at: Time) {
     if shared.crashes.register.borrow().is_empty() {
         return;
--- a/crates/pinereel/src/controllers/endpoints.rs
+++ b/crates/pinereel/src/controllers/endpoints.rs
@@ -11,15 +11,14 @@
     logging::{Decision, DecisionKind, RunnerUp},
     settings::Routing,
     state::{Shared, spawn},
-    upstream::probe,
+    upstream::{ejected, probe},
 };
 use compact_str::CompactString;
-use futures_util::future::join_all;
 use pinereel_api::object::{Instance, InstanceState};
 use pinereel_core::{
     Time, Version,
     config::PoolKind,
-    endpoint::{self, AttemptEnd, Change, Event, Key, LoadReport, Set},
+    endpoint::{self, AttemptEnd, Change, ChangeKind, Event, Key, LoadReport, Set},
     hash, lot,
     route::{self, Choice, Policy, Refusal, Request},
 };
@@ -33,10 +32,6 @@
 
 /// Interval between two checks for a changed configuration or membership.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// Longest time between two checks whether a probe of an ejected endpoint is due.
-const PROBE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// Most concurrent probes of ejected endpoints; further ones follow.
-const MAX_CONCURRENT_PROBES: usize = 32;
 /// Shortest interval between two load reports of one engine.
 const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(250);
 /// Load reports per second of all polled engines together; with more engines, each is polled less
@@ -58,6 +53,8 @@
     applied_revision: Cell<u64>,
     /// Notified whenever an endpoint without a free slot may have one.
     pub capacity_freed: Notify,
+    /// Notified when an endpoint is ejected.
+    ejected: Notify,
 }
 
 /// Counts an attempt as in flight at its endpoint until [`AttemptGuard::finish`]. If the guard is
@@ -221,6 +218,9 @@
     let now = shared.now();
     let changes = shared.endpoints.set.borrow_mut().step(now, event);
     for change in changes {
+        if matches!(change.kind, ChangeKind::Ejected { .. }) {
+            shared.endpoints.ejected.notify_one();
+        }
         log_change(shared, &change);
     }
 }
@@ -248,25 +248,12 @@
     });
 }
 
-/// Probes ejected endpoints when that is due, so that those that could not be reached are used again soon after
-/// their link has recovered.
-async fn probe_ejected(shared: &Rc<Shared>) {
-    loop {
-        let next_at = shared.endpoints.set().next_probe_at();
-        let wait = next_at.map_or(PROBE_CHECK_INTERVAL, |at| at.since(shared.now()));
-        sleep(wait.min(PROBE_CHECK_INTERVAL)).await;
-        let due: Vec<_> = {
-            let set = shared.endpoints.set();
-            let due = set.due_probes(shared.now()).take(MAX_CONCURRENT_PROBES);
-            due.map(|(key, endpoint)| (key, endpoint.address.clone()))
-                .collect()
-        };
-        let probes = due.into_iter().map(async |(key, address)| {
-            let reached = probe::has_listener(&address).await;
-            step(shared, Event::Probed { key, reached });
-        });
-        join_all(probes).await;
-    }
+/// Probes ejected endpoints when that is due. Never ends.
+async fn probe_ejected(shared: &Shared) {
+    let Endpoints { set, ejected, .. } = &shared.endpoints;
+    let reaches = async |address: CompactString| probe::has_listener(&address).await;
+    let apply = |event| step(shared, event);
+    ejected::probe_ejected(set, ejected, || shared.now(), reaches, apply).await;
 }
 
 /// Updates the set whenever the platform's list, the configuration or the membership changes.
--- a/crates/pinereel/src/hosted/crashes/mod.rs
+++ b/crates/pinereel/src/hosted/crashes/mod.rs
@@ -166,10 +166,9 @@
         }
         let identity = identity();
         self.apply(Source::Local, |register, now| {
-            let mut changes = register.completed(now, identity);
-            changes.extend(register.endpoint_answered(now, &start, now.earlier_by(duration)));
-            changes
+            register.completed(now, identity)
         });
+        self.record_alive(&start, duration);
     }
 
     /// Records that an endpoint answered an item that was sent `duration` ago, so that it is alive.
--- a/crates/pinereel/src/hosted/endpoints/mod.rs
+++ b/crates/pinereel/src/hosted/endpoints/mod.rs
@@ -6,7 +6,6 @@
 
 mod listing;
 mod load_report;
-mod probe;
 
 use super::{
     list_watch::{Origin, WatchOptions, list_and_watch_with_origin},
@@ -18,7 +17,7 @@
     objects::Purpose,
     settings::{self, Instance},
     state::Clock,
-    upstream::pool::Pool,
+    upstream::{ejected::probe_ejected, pool::Pool},
 };
 use compact_str::CompactString;
 use log::Level;
@@ -212,6 +211,27 @@
         }
     }
 
+    /// Probes ejected endpoints when that is due. Never ends.
+    async fn probe_ejected(&self) {
+        let Dependencies {
+            clock,
+            pool,
+            metrics,
+            ..
+        } = &self.deps;
+        let reaches = async |address: CompactString| {
+            let reached = match address.parse() {
+                Ok(address) => pool.reaches(address).await,
+                Err(_) => false,
+            };
+            let outcome = if reached { "reached" } else { "unreachable" };
+            metrics.count(&metrics.endpoint_probes, &[outcome]);
+            reached
+        };
+        let apply = |event| self.apply_event(event);
+        probe_ejected(&self.set, &self.ejected, || clock.now(), reaches, apply).await;
+    }
+
     /// Applies the changes of engines that another instance forwards, once this instance has
     /// subscribed to them.
     async fn follow_engines(self: Rc<Self>) {
--- a/crates/pinereel/src/hosted/tree/backup.rs
+++ b/crates/pinereel/src/hosted/tree/backup.rs
@@ -1,10 +1,7 @@
 //! Reading of the store for a root that it does not answer: the root appoints a few children, which read the
 //! store beside it and send it the data. A reader that is not answered either appoints children of its own.
 
-use super::{
-    Frame, HEARTBEAT_INTERVAL, Node, Topic,
-    topics::{Header, Publication},
-};
+use super::{Frame, HEARTBEAT_INTERVAL, Node, Topic, topics::Publication};
 use bytes::Bytes;
 use compact_str::CompactString;
 use pinereel_core::tree::{
@@ -25,8 +22,7 @@
     pub(super) async fn appoint_backup_readers(&self) {
         loop {
             self.update_backup_readers();
-            let is_reading = self.uplink.borrow().reads_store() || *self.is_backup.borrow();
-            let interval = match is_reading {
+            let interval = match self.is_reading() {
                 true => ANSWER_CHECK_INTERVAL,
                 false => HEARTBEAT_INTERVAL,
             };
@@ -34,6 +30,11 @@
         }
     }
 
+    /// Whether this instance reads the store, as a root or for its parent.
+    fn is_reading(&self) -> bool {
+        self.uplink.borrow().reads_store() || *self.is_backup.borrow()
+    }
+
     /// Updates the appointments. The children learn of a change at once.
     fn update_backup_readers(&self) {
         let max_groups = self.max_reader_groups();
@@ -156,10 +157,10 @@
     /// Handles what a child has read for this instance. Nothing is accepted from a child that is not appointed.
     pub(super) fn on_backup(&self, child: ChildKey, topic: Topic, since: u64, update: Bytes) {
         let is_appointed = self.child_address(child).is_some_and(|address| {
-            let is_reading = self.uplink.borrow().reads_store() || *self.is_backup.borrow();
-            is_reading && self.backups.borrow().is_appointed(&address)
+            self.is_reading() && self.backups.borrow().is_appointed(&address)
         });
-        let Some((publication, header)) = is_appointed.then(|| decode(&update)).flatten() else {
+        let frame = is_appointed.then(|| Frame::decode(&update)).flatten();
+        let Some((publication, header)) = frame.and_then(Publication::from_frame) else {
             return;
         };
         let known_revision = self.state.borrow().revision(topic);
@@ -220,42 +221,6 @@
     fn child_address(&self, child: ChildKey) -> Option<CompactString> {
         self.state.borrow().children.address(child).cloned()
     }
-
-    fn send_to_parent(&self, frame: &Frame) {
-        if let Some(bytes) = frame.encode() {
-            // Dropped if the link has just ended; the root then asks another child.
-            let _ = self.to_parent.send(bytes.into());
-        }
-    }
-}
-
-/// Decodes the publication that a child has sent; `None` if it is none.
-fn decode(update: &Bytes) -> Option<(Publication, Header)> {
-    let (topic, full, objects, revision, store_uptime) = match Frame::decode(update)? {
-        Frame::Snapshot {
-            topic,
-            revision,
-            objects,
-            store_uptime,
-        } => (topic, true, objects, revision, store_uptime),
-        Frame::Changes {
-            topic,
-            revision,
-            changes,
-            store_uptime,
-        } => (topic, false, changes, revision, store_uptime),
-        _ => return None,
-    };
-    let publication = Publication {
-        topic,
-        full,
-        objects,
-    };
-    let header = Header {
-        revision,
-        store_uptime,
-    };
-    Some((publication, header))
 }
 
 /// Waits until the watched value is `expected`.
--- a/crates/pinereel/src/hosted/tree/node.rs
+++ b/crates/pinereel/src/hosted/tree/node.rs
@@ -167,25 +167,16 @@
         self.deps.duties.now()
     }
 
-    /// What this instance knows about the store from its own calls and, at a root, from the children that read
-    /// it for this instance.
+    /// What this instance knows about the store from its own calls, and from the children that read it for this
+    /// instance. Its own calls give no age before every topic has been listed.
     pub(super) fn store_status(&self) -> StoreStatus {
-        let own = self.own_store_status();
-        let backup_age = self.backups.borrow().age(self.now());
-        StoreStatus {
-            age: own.age.into_iter().chain(backup_age).min(),
-            ..own
-        }
-    }
-
-    /// What this instance knows about the store from its own calls. There is no age before every topic has
-    /// been listed.
-    pub(super) fn own_store_status(&self) -> StoreStatus {
         let listed = self.state.borrow().listed.len() == Topic::ALL.len();
         let store = &self.deps.store;
         let answered_ago = store.last_answer_ago();
+        let own_age = answered_ago.filter(|_| listed);
+        let backup_age = self.backups.borrow().age(self.now());
         StoreStatus {
-            age: answered_ago.filter(|_| listed),
+            age: own_age.into_iter().chain(backup_age).min(),
             is_answering: answered_ago.is_some_and(|ago| ago < MAX_AGE),
             is_unreachable: store.lacks_answers(LATE_CALL_TIME),
             store_uptime: store.uptime(),
@@ -251,6 +242,14 @@
             .retain(|_, link| link.frames.try_send(bytes.clone()).is_ok());
     }
 
+    /// Sends a frame to the parent. It is dropped if there is none: a new one receives all subscriptions, and a
+    /// root asks another child to read the store.
+    pub(super) fn send_to_parent(&self, frame: &Frame) {
+        if let Some(bytes) = frame.encode() {
+            let _ = self.to_parent.send(bytes.into());
+        }
+    }
+
     /// Adds the link to a new child, and subscribes to its topics. The child is sent the data as soon as they
     /// are fresh.
     pub(super) fn add_child(&self, key: ChildKey, link: ChildLink) {
--- a/crates/pinereel/src/hosted/tree/topics.rs
+++ b/crates/pinereel/src/hosted/tree/topics.rs
@@ -55,6 +55,35 @@
         }
     }
 
+    /// The publication in a frame of another instance; `None` if it has none.
+    pub(super) fn from_frame(frame: Frame) -> Option<(Self, Header)> {
+        let (topic, full, objects, revision, store_uptime) = match frame {
+            Frame::Snapshot {
+                topic,
+                revision,
+                objects,
+                store_uptime,
+            } => (topic, true, objects, revision, store_uptime),
+            Frame::Changes {
+                topic,
+                revision,
+                changes,
+                store_uptime,
+            } => (topic, false, changes, revision, store_uptime),
+            _ => return None,
+        };
+        let publication = Self {
+            topic,
+            full,
+            objects,
+        };
+        let header = Header {
+            revision,
+            store_uptime,
+        };
+        Some((publication, header))
+    }
+
     /// The frame for children.
     fn frame(&self, header: Header) -> Frame {
         let Header {
@@ -257,10 +286,7 @@
         if state.subscribed.insert(topic) {
             let revision = state.revision(topic);
             drop(state);
-            if let Some(bytes) = (Frame::Subscribe { topic, revision }).encode() {
-                // Dropped if there is no parent; a new one receives all subscriptions.
-                let _ = self.to_parent.send(bytes.into());
-            }
+            self.send_to_parent(&Frame::Subscribe { topic, revision });
         }
     }
 
--- a/crates/pinereel/src/hosted/tree/uplink.rs
+++ b/crates/pinereel/src/hosted/tree/uplink.rs
@@ -4,7 +4,7 @@
 use super::{
     Frame, Node, ROOT_DUTY, SUBTREE_SIZE_INTERVAL,
     parent_search::{ParentLink, Requirement},
-    topics::{Header, Publication},
+    topics::Publication,
 };
 use crate::hosted::duty::Status;
 use bytes::Bytes;
@@ -351,46 +351,10 @@
             return true;
         };
         match Frame::decode(&bytes) {
-            Some(Frame::Snapshot {
-                topic,
-                revision,
-                objects,
-                store_uptime,
-            }) => {
-                let full = true;
-                let publication = Publication {
-                    topic,
-                    full,
-                    objects,
-                };
-                self.on_publication(
-                    publication,
-                    Header {
-                        revision,
-                        store_uptime,
-                    },
-                    bytes,
-                );
-            }
-            Some(Frame::Changes {
-                topic,
-                revision,
-                changes,
-                store_uptime,
-            }) => {
-                let publication = Publication {
-                    topic,
-                    full: false,
-                    objects: changes,
-                };
-                self.on_publication(
-                    publication,
-                    Header {
-                        revision,
-                        store_uptime,
-                    },
-                    bytes,
-                );
+            Some(frame @ (Frame::Snapshot { .. } | Frame::Changes { .. })) => {
+                if let Some((publication, header)) = Publication::from_frame(frame) {
+                    self.on_publication(publication, header, bytes);
+                }
             }
             Some(Frame::Heartbeat(heartbeat)) => {
                 let metrics = &self.deps.metrics;
--- a/crates/pinereel/src/objects/client.rs
+++ b/crates/pinereel/src/objects/client.rs
@@ -121,7 +121,8 @@
     /// the client's own limits are not included.
     pub fn longest_wait(&self) -> Option<Duration> {
         let inner = self.inner.borrow();
-        inner.unanswered.values().min().map(Instant::elapsed)
+        let oldest = inner.unanswered.first_key_value();
+        oldest.map(|(_, sent_at)| sent_at.elapsed())
     }
 
     /// Records that a call is sent now and waits for its answer until the result is dropped.
--- a/crates/pinereel/src/upstream/mod.rs
+++ b/crates/pinereel/src/upstream/mod.rs
@@ -10,6 +10,7 @@
 
 pub(crate) mod body_memory;
 pub mod direct;
+pub mod ejected;
 mod metered;
 pub mod pool;
 pub mod probe;
--- a/crates/pinereel/src/upstream/pool.rs
+++ b/crates/pinereel/src/upstream/pool.rs
@@ -42,8 +42,8 @@
 /// Maximum size of a body that [`Body::read_all`] reads, in bytes.
 const MAX_BODY_BYTES: usize = 32 << 20;
 
-/// Most bytes of all bodies that are read as a whole, until they are delivered. An instance has 260 MB, and
-/// buffers are up to twice as large as what they contain.
+/// Most bytes of all bodies that are read as a whole, until they are delivered. Buffers are up to twice as large
+/// as what they contain.
 const MAX_BODIES_BYTES: usize = 64 << 20;
 /// Largest unneeded body that is read so that its connection can be reused, in bytes.
 const MAX_DISCARDED_BYTES: usize = 64 << 10;
--- a/crates/pinereel/src/upstream/probe.rs
+++ b/crates/pinereel/src/upstream/probe.rs
@@ -59,17 +59,19 @@
 /// Whether no process listens at `IP:PORT` although the host is reachable. False for a malformed
 /// address.
 pub async fn has_no_listener(address: &str) -> bool {
-    match address.parse() {
-        Ok(address) => matches!(probe(address).await, Probe::NotListening),
-        Err(_) => false,
-    }
+    matches!(probe_text(address).await, Probe::NotListening)
 }
 
 /// Whether a connection to `IP:PORT` can be opened. False for a malformed address.
 pub async fn has_listener(address: &str) -> bool {
+    matches!(probe_text(address).await, Probe::Listening(_))
+}
+
+/// Probes `IP:PORT`; the result is unknown for a malformed address.
+async fn probe_text(address: &str) -> Probe {
     match address.parse() {
-        Ok(address) => matches!(probe(address).await, Probe::Listening(_)),
-        Err(_) => false,
+        Ok(address) => probe(address).await,
+        Err(_) => Probe::Unknown,
     }
 }
 
