fakes: cuts, the root, counts of lines, requests and pages stand once

Proxy::cut and heal (test of unreachable endpoints, soak), Instance::count_lines (three tests), caller::post (five tests), trainer::read_page (two), and what no test used of the endless endpoint is removed.

Site::root is the instance with the highest fencing token. The copies in the test of backup readers and in the soak took the one that had taken the lease most often, which after one change of the root may be the former one: their silence was then not that of the root.

--- a/crates/pinereel_fakes/src/hosting/caller.rs
+++ b/crates/pinereel_fakes/src/hosting/caller.rs
@@ -1,7 +1,7 @@
 //! A fake caller that sends live requests and checks each answer.
 
 use super::{
-    http::{Answer, Failure, call_on},
+    http::{Answer, Failure, call, call_on},
     load_balancer::LoadBalancer,
     recorder::Recorder,
     service,
@@ -111,6 +111,27 @@
     send_request_on(&Rc::default(), address, kind, id, recorder, tally).await;
 }
 
+/// Sends a `POST` with this id to an instance, on a new connection and without an API key.
+///
+/// # Errors
+/// As for [`call`].
+pub async fn post(
+    address: SocketAddr,
+    target: &str,
+    id: impl Into<String>,
+    deadline: Duration,
+    body: impl Into<Bytes>,
+    time_limit: Duration,
+) -> Result<Answer, Failure> {
+    let headers = [
+        ("host", HOST.to_owned()),
+        ("x-request-id", id.into()),
+        ("x-deadline-ms", deadline.as_millis().to_string()),
+    ];
+    let body = body.into();
+    call(address, Method::POST, target, &headers, body, time_limit).await
+}
+
 async fn send_request_on(
     pool: &Rc<Pool>,
     address: SocketAddr,
--- a/crates/pinereel_fakes/src/hosting/endless_endpoint.rs
+++ b/crates/pinereel_fakes/src/hosting/endless_endpoint.rs
@@ -3,13 +3,7 @@
 
 use super::store::Store;
 use serde_json::{Value, json};
-use std::{
-    cell::RefCell,
-    io,
-    net::{Ipv4Addr, SocketAddr},
-    rc::Rc,
-    time::Duration,
-};
+use std::{cell::RefCell, io, net::Ipv4Addr, rc::Rc, time::Duration};
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, TcpStream},
@@ -56,6 +50,10 @@
             )
         };
         let chunked = || head("200 OK", "transfer-encoding: chunked\r\n");
+        let chunks = || {
+            let data = vec![b'a'; 0x4000];
+            [b"4000\r\n".as_slice(), &data, b"\r\n"].concat().repeat(4)
+        };
         let block = |pattern: &[u8]| pattern.repeat(BLOCK_BYTES / pattern.len());
         match self {
             Self::HeaderLine => ("HTTP/1.1 200 OK\r\nx-noise: ".into(), block(b"a")),
@@ -63,18 +61,14 @@
                 "HTTP/1.1 200 OK\r\n".into(),
                 block(b"x-noise: aaaaaaaa\r\n"),
             ),
-            Self::Chunks => {
-                let chunk = [b"4000\r\n".to_vec(), vec![b'a'; 0x4000], b"\r\n".to_vec()].concat();
-                (chunked(), chunk.repeat(4))
-            }
+            Self::Chunks => (chunked(), chunks()),
             Self::SmallChunks => (chunked(), block(b"1\r\na\r\n")),
             Self::ChunkSize => (chunked(), block(b"0")),
             Self::Unframed => (head("200 OK", "connection: close\r\n"), block(b"a")),
             Self::TooLong => (head("200 OK", "content-length: 4\r\n"), block(b"a")),
             Self::Rejection => {
                 let more = "x-not-executed: 1\r\ntransfer-encoding: chunked\r\n";
-                let chunk = [b"4000\r\n".to_vec(), vec![b'a'; 0x4000], b"\r\n".to_vec()].concat();
-                (head("503 Service Unavailable", more), chunk.repeat(4))
+                (head("503 Service Unavailable", more), chunks())
             }
             Self::ByteByByte => (chunked(), b"1\r\na\r\n".to_vec()),
         }
@@ -101,8 +95,6 @@
 
 /// A running endpoint.
 pub struct EndlessEndpoint {
-    id: String,
-    address: SocketAddr,
     connections: Rc<RefCell<Vec<Connection>>>,
 }
 
@@ -137,21 +129,7 @@
             "slots": 64, "state": "ready", "coldRemainingMs": 0, "seq": 0, "models": models,
         });
         store.put("servers", id, entry);
-        Ok(Self {
-            id: id.to_owned(),
-            address,
-            connections,
-        })
-    }
-
-    /// Id in the endpoint list.
-    pub fn id(&self) -> &str {
-        &self.id
-    }
-
-    /// Address at which it listens.
-    pub const fn address(&self) -> SocketAddr {
-        self.address
+        Ok(Self { connections })
     }
 
     /// The connections that have carried a request.
--- a/crates/pinereel_fakes/src/hosting/instance.rs
+++ b/crates/pinereel_fakes/src/hosting/instance.rs
@@ -97,6 +97,12 @@
         self.child.as_ref().map(Child::lines).unwrap_or_default()
     }
 
+    /// Returns the number of lines that the current process has logged and that contain `text`.
+    pub fn count_lines(&self, text: &str) -> usize {
+        let lines = self.lines();
+        lines.iter().filter(|line| line.contains(text)).count()
+    }
+
     /// Returns the lines that all processes of the instance have logged.
     pub fn all_lines(&self) -> Vec<String> {
         [self.earlier_lines.clone(), self.lines()].concat()
--- a/crates/pinereel_fakes/src/hosting/proxy.rs
+++ b/crates/pinereel_fakes/src/hosting/proxy.rs
@@ -40,11 +40,19 @@
     };
 }
 
+/// How a link is cut.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cut {
+    /// Open connections are reset, and new ones are refused.
+    Refused,
+    /// Nothing is answered, neither on open connections nor to new ones.
+    Silent,
+}
+
 /// What happens to new connections.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Listening {
+#[derive(Clone, Copy, Debug)]
+enum Listening {
     /// They are accepted.
-    #[default]
     Accepting,
     /// They are refused, as if no process listened.
     Refusing,
@@ -91,17 +99,19 @@
             loop {
                 let current = *listening.borrow_and_update();
                 let serve = async {
-                    match (current, listener.take()) {
-                        (Listening::Accepting, Some(listener)) => {
-                            state.accept_connections(listener).await;
-                        }
-                        (Listening::Accepting, None) => {
-                            if let Ok(listener) = TcpListener::bind(state.address).await {
+                    let first = listener.take();
+                    match current {
+                        Listening::Accepting => {
+                            let listener = match first {
+                                Some(listener) => Ok(listener),
+                                None => TcpListener::bind(state.address).await,
+                            };
+                            if let Ok(listener) = listener {
                                 state.accept_connections(listener).await;
                             }
                         }
-                        (Listening::Refusing, _) => std::future::pending().await,
-                        (Listening::Ignoring, _) => ignore_connections(state.address).await,
+                        Listening::Refusing => std::future::pending().await,
+                        Listening::Ignoring => ignore_connections(state.address).await,
                     }
                 };
                 tokio::select! {
@@ -125,9 +135,24 @@
         }
     }
 
-    /// Sets what happens to new connections from now on.
-    pub fn set_listening(&self, listening: Listening) {
-        self.listening.send_replace(listening);
+    /// Cuts the link to the server until [`Proxy::heal`].
+    pub fn cut(&self, cut: Cut) {
+        match cut {
+            Cut::Refused => {
+                self.listening.send_replace(Listening::Refusing);
+                self.reset_connections();
+            }
+            Cut::Silent => {
+                self.listening.send_replace(Listening::Ignoring);
+                self.set_faults(Faults::DROP_ALL);
+            }
+        }
+    }
+
+    /// Ends a cut and all other faults.
+    pub fn heal(&self) {
+        self.set_faults(Faults::default());
+        self.listening.send_replace(Listening::Accepting);
     }
 
     /// Sets the faults of all connections, including open ones.
--- a/crates/pinereel_fakes/src/hosting/site.rs
+++ b/crates/pinereel_fakes/src/hosting/site.rs
@@ -16,6 +16,7 @@
 use bytes::Bytes;
 use serde_json::{Value, json};
 use std::{
+    cmp::Reverse,
     env, fs, io,
     net::{IpAddr, Ipv4Addr, SocketAddr},
     path::PathBuf,
@@ -49,6 +50,9 @@
 /// First port for connections between instances.
 const FIRST_PEER_PORT: u16 = 9_470;
 
+/// Name of the lease of the broadcast tree's root.
+const ROOT_DUTY: &str = "bulletin";
+
 /// Longest wait for the answer on a route of the newest configuration.
 const ROUTE_CHECK_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -259,6 +263,23 @@
             .is_ok_and(|answer| answer.status == StatusCode::OK)
     }
 
+    /// Returns the index of the instance that took the lease of the broadcast tree's root last, which is the one
+    /// with the highest fencing token; the first instance if none has taken it.
+    pub fn root(&self) -> usize {
+        let token = |instance: &Instance| {
+            let lines = instance.all_lines().into_iter();
+            let taken = lines.filter(|l| l.contains("lease taken") && l.contains(ROOT_DUTY));
+            let tokens = taken.filter_map(|line| {
+                let line: Value = serde_json::from_str(&line).ok()?;
+                line["fence"].as_u64()
+            });
+            tokens.max()
+        };
+        let tokens = self.instances.iter().map(token).enumerate();
+        let last = tokens.max_by_key(|(index, token)| (*token, Reverse(*index)));
+        last.map_or(0, |(index, _)| index)
+    }
+
     /// Adds an engine that has loaded `version` of the weights.
     ///
     /// # Errors
--- a/crates/pinereel_fakes/src/hosting/soak/link_cuts.rs
+++ b/crates/pinereel_fakes/src/hosting/soak/link_cuts.rs
@@ -3,8 +3,8 @@
 
 use super::{AFTER_EFFECT_TIME, FaultPeriod};
 use crate::hosting::{
-    proxy::{self, Listening, Proxy},
-    site::{Instance, Site},
+    proxy::{self, Cut},
+    site::Site,
 };
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
@@ -38,9 +38,15 @@
                 let services = &site.borrow().services;
                 services[rng.random_range(0..services.len())].proxy.clone()
             };
-            cut_endpoint(&proxy, rng.random_bool(0.5), length).await;
+            let is_silent = rng.random_bool(0.5);
+            proxy.cut(if is_silent { Cut::Silent } else { Cut::Refused });
+            sleep(length).await;
+            proxy.heal();
         } else {
-            let proxy = root(&site.borrow()).store_proxy.clone();
+            let proxy = {
+                let site = site.borrow();
+                site.instances[site.root()].store_proxy.clone()
+            };
             proxy.set_faults(proxy::Faults::DROP_ALL);
             sleep(length).await;
             proxy.set_faults(proxy::Faults::default());
@@ -48,29 +54,3 @@
         }
     }
 }
-
-async fn cut_endpoint(proxy: &Proxy, silent: bool, length: Duration) {
-    if silent {
-        proxy.set_listening(Listening::Ignoring);
-        proxy.set_faults(proxy::Faults::DROP_ALL);
-    } else {
-        proxy.set_listening(Listening::Refusing);
-        proxy.reset_connections();
-    }
-    sleep(length).await;
-    proxy.set_faults(proxy::Faults::default());
-    proxy.set_listening(Listening::Accepting);
-}
-
-/// The instance that has taken the root duty most often.
-fn root(site: &Site) -> &Instance {
-    let taken = |instance: &Instance| {
-        let lines = instance.lines();
-        let taken = |line: &&String| line.contains("lease taken") && line.contains("bulletin");
-        lines.iter().filter(taken).count()
-    };
-    let instances = site.instances.iter();
-    instances
-        .max_by_key(|instance| taken(instance))
-        .expect("a site has instances")
-}
--- a/crates/pinereel_fakes/src/hosting/trainer.rs
+++ b/crates/pinereel_fakes/src/hosting/trainer.rs
@@ -5,7 +5,7 @@
     http::{Answer, Failure, call},
     load_balancer::LoadBalancer,
     recorder::Recorder,
-    site::{API_KEY, HOST, MODEL, Site},
+    site::{API_KEY, HOST, Instance, MODEL, Site},
     store::Store,
 };
 use actix_http::{Method, StatusCode};
@@ -56,6 +56,23 @@
     Ok(answer.await?.status)
 }
 
+/// Reads one page of the results of a lot at an instance, from a position on; `None` without a page.
+pub async fn read_page(instance: &Instance, lot: &str, after: usize) -> Option<Vec<Value>> {
+    let headers = [("host", HOST.to_owned())];
+    let address = instance.caller_proxy.address;
+    let target = format!("/v1/lots/{lot}?after={after}");
+    let answer = call(
+        address,
+        Method::GET,
+        &target,
+        &headers,
+        Bytes::new(),
+        CALL_DEADLINE,
+    );
+    let page: Value = serde_json::from_slice(&answer.await.ok()?.body).ok()?;
+    Some(page["results"].as_array().cloned().unwrap_or_default())
+}
+
 /// The size of the lots, one of which is submitted in each step.
 #[derive(Clone, Copy, Debug)]
 pub struct Shape {
--- a/crates/pinereel_fakes/tests/hosting_backup_readers.rs
+++ b/crates/pinereel_fakes/tests/hosting_backup_readers.rs
@@ -6,7 +6,7 @@
     child_process::Signal,
     hosting::{
         proxy,
-        site::{Instance, Site, Size},
+        site::{Site, Size},
     },
 };
 use std::time::Duration;
@@ -25,26 +25,6 @@
     }
 }
 
-fn count_lines(instance: &Instance, text: &str) -> usize {
-    let lines = instance.lines();
-    lines.iter().filter(|line| line.contains(text)).count()
-}
-
-/// Index of the instance that took the root duty last.
-fn root(site: &Site) -> usize {
-    let took_duty = |instance: &Instance| {
-        let lines = instance.lines();
-        let taken = |line: &&String| line.contains("lease taken") && line.contains("bulletin");
-        lines.iter().filter(taken).count()
-    };
-    let roots = site.instances.iter().map(took_duty);
-    roots
-        .enumerate()
-        .max_by_key(|(_, count)| *count)
-        .map(|(index, _)| index)
-        .expect("there are instances")
-}
-
 /// Changes the configuration, and returns the instances that do not apply it after the longest time
 /// allowed, except those in `excluded`.
 async fn outdated_after_change(site: &mut Site, excluded: &[usize]) -> Vec<String> {
@@ -88,7 +68,7 @@
     let mut site = Site::start(size(9), 211).await.unwrap();
     sleep(SETTLE_TIME).await;
     for _ in 0..4 {
-        let root = root(&site);
+        let root = site.root();
         let silent = [root, (root + 1) % 9, (root + 2) % 9];
         for index in silent {
             let proxy = &site.instances[index].store_proxy;
@@ -111,7 +91,7 @@
 async fn a_change_is_in_force_in_time_on_the_second_level_while_the_store_is_silent_to_the_root() {
     let mut site = Site::start(size(36), 212).await.unwrap();
     sleep(SETTLE_TIME).await;
-    let root = root(&site);
+    let root = site.root();
     let proxy = &site.instances[root].store_proxy;
     proxy.set_faults(proxy::Faults::DROP_ALL);
     let outdated = outdated_after_change(&mut site, &[root]).await;
@@ -124,7 +104,7 @@
 async fn a_change_is_in_force_in_time_while_the_root_is_frozen() {
     let mut site = Site::start(size(12), 213).await.unwrap();
     sleep(SETTLE_TIME).await;
-    let root = root(&site);
+    let root = site.root();
     site.instances[root].signal(Signal::STOP);
     let outdated = outdated_after_change(&mut site, &[root]).await;
     site.instances[root].signal(Signal::CONT);
@@ -143,11 +123,11 @@
         let before = site.store.call_count();
         sleep(span).await;
         *count = site.store.call_count() - before;
-        let root = &site.instances[root(&site)];
+        let root = &site.instances[site.root()];
         root.store_proxy.set_faults(proxy::Faults::DROP_ALL);
     }
     let appointed = site.instances.iter();
-    let appointed = appointed.map(|i| count_lines(i, "reading the store for the parent"));
+    let appointed = appointed.map(|i| i.count_lines("reading the store for the parent"));
     println!(
         "{instances} instances: {counts:?} calls, {} readers appointed",
         appointed.sum::<usize>()
--- a/crates/pinereel_fakes/tests/hosting_crash.rs
+++ b/crates/pinereel_fakes/tests/hosting_crash.rs
@@ -17,12 +17,12 @@
 use pinereel_fakes::{
     child_process::Signal,
     hosting::{
-        caller::{self, Kind, Tally},
+        caller::{self, Kind, Tally, post},
         crashing_endpoint::{CRASH_MARKER, Crashes, Endpoint, Mode, SLOW_MARKER},
         http::{Answer, Failure, call},
         site::{HOST, Instance, METRICS_PORT, MODEL, Site, Size},
         store,
-        trainer::submit_once,
+        trainer::{read_page, submit_once},
     },
 };
 use std::{cell::Cell, ops::Range, rc::Rc, time::Duration};
@@ -48,14 +48,17 @@
 /// Sends the request under a new id.
 async fn send(instance: &Instance, body: &str) -> Result<Answer, Failure> {
     let number = NEXT_ID.with(|next| next.replace(next.get() + 1));
-    let headers = [
-        ("host", HOST.to_owned()),
-        ("x-request-id", format!("again-{number}")),
-        ("x-deadline-ms", "2000".to_owned()),
-    ];
-    let (address, body) = (instance.caller_proxy.address, Bytes::from(body.to_owned()));
-    let timeout = Duration::from_millis(2_500);
-    call(address, Method::POST, "/live/x", &headers, body, timeout).await
+    let (address, id) = (instance.caller_proxy.address, format!("again-{number}"));
+    let (deadline, time_limit) = (Duration::from_secs(2), Duration::from_millis(2_500));
+    post(
+        address,
+        "/live/x",
+        id,
+        deadline,
+        body.to_owned(),
+        time_limit,
+    )
+    .await
 }
 
 fn start_endpoints(site: &Site, count: usize) -> (Vec<Endpoint>, Crashes) {
@@ -251,20 +254,6 @@
     })
 }
 
-/// Reads the results of a lot from a position on, as one page.
-async fn read_results(site: &Site, lot: &str, after: usize) -> Vec<serde_json::Value> {
-    let headers = [("host", HOST.to_owned())];
-    let (address, path) = (
-        site.instances[1].caller_proxy.address,
-        format!("/v1/lots/{lot}?after={after}"),
-    );
-    let timeout = Duration::from_secs(3);
-    let answer = call(address, Method::GET, &path, &headers, Bytes::new(), timeout).await;
-    let page: serde_json::Value =
-        serde_json::from_slice(&answer.expect("an answer").body).expect("JSON");
-    page["results"].as_array().cloned().unwrap_or_default()
-}
-
 /// Starts a site with endpoints and engines that crash under some requests. Returns it with them
 /// and the record of their crashes.
 async fn crashing_site(seed: u64) -> (Site, Vec<Endpoint>, Crashes) {
@@ -318,7 +307,8 @@
     let began = Instant::now();
     let mut results = Vec::new();
     while results.len() < count && began.elapsed() <= patience {
-        let page = read_results(site, lot, results.len()).await;
+        let page = read_page(&site.instances[1], lot, results.len()).await;
+        let page = page.expect("a page");
         if page.is_empty() {
             sleep(Duration::from_millis(100)).await;
         }
--- a/crates/pinereel_fakes/tests/hosting_endless.rs
+++ b/crates/pinereel_fakes/tests/hosting_endless.rs
@@ -1,14 +1,13 @@
 //! Endpoints that answer with bytes that are no answer, without an end, until the caller closes: what an
 //! instance holds of them, for how long it reads, and what callers and trainers get, with real processes.
 
-use actix_http::{Method, StatusCode};
-use bytes::Bytes;
+use actix_http::StatusCode;
 use pinereel_fakes::hosting::{
+    caller::post,
     endless_endpoint::{Answer, EndlessEndpoint},
-    http::call,
-    site::{HOST, MODEL, Site, Size},
+    site::{MODEL, Site, Size},
     store::Faults,
-    trainer::submit_once,
+    trainer::{read_page, submit_once},
 };
 use serde_json::json;
 use std::{fs, time::Duration};
@@ -46,23 +45,10 @@
 
 /// Sends a request that may be repeated; returns its status, if there is an answer, and how long it took.
 async fn send(site: &Site, number: usize) -> (Option<StatusCode>, Duration) {
-    let headers = [
-        ("host", HOST.to_owned()),
-        ("x-request-id", format!("r-{number}")),
-        ("x-deadline-ms", DEADLINE.as_millis().to_string()),
-    ];
     let began = Instant::now();
     let address = site.instances[0].caller_proxy.address;
-    let timeout = DEADLINE * 4;
-    let answer = call(
-        address,
-        Method::POST,
-        "/live/x",
-        &headers,
-        Bytes::new(),
-        timeout,
-    )
-    .await;
+    let id = format!("r-{number}");
+    let answer = post(address, "/live/x", id, DEADLINE, "", DEADLINE * 4).await;
     (answer.ok().map(|answer| answer.status), began.elapsed())
 }
 
@@ -225,21 +211,8 @@
 
 /// Number of complete results from a position on.
 async fn read_complete(site: &Site, lot: &str, after: usize) -> usize {
-    let headers = [("host", HOST.to_owned())];
-    let address = site.instances[0].caller_proxy.address;
-    let path = format!("/v1/lots/{lot}?after={after}");
-    let answer = call(
-        address,
-        Method::GET,
-        &path,
-        &headers,
-        Bytes::new(),
-        DEADLINE,
-    )
-    .await;
-    let Ok(answer) = answer else { return 0 };
-    let page: serde_json::Value = serde_json::from_slice(&answer.body).unwrap_or_default();
-    let results = page["results"].as_array().cloned().unwrap_or_default();
+    let page = read_page(&site.instances[0], lot, after).await;
+    let results = page.unwrap_or_default();
     let complete = results
         .iter()
         .filter(|result| result["state"] == "completed");
--- a/crates/pinereel_fakes/tests/hosting_list.rs
+++ b/crates/pinereel_fakes/tests/hosting_list.rs
@@ -1,13 +1,11 @@
 //! The endpoint list: endpoints that restart under the same id, and invalid entries of other
 //! writers.
 
-use actix_http::{Method, StatusCode};
-use bytes::Bytes;
+use actix_http::StatusCode;
 use pinereel_fakes::hosting::{
-    engine,
-    http::call,
-    proxy,
-    site::{HOST, Site, Size},
+    caller::post,
+    engine, proxy,
+    site::{Site, Size},
     trainer::{Shape, Trainer},
 };
 use serde_json::json;
@@ -110,22 +108,9 @@
     sleep(Duration::from_millis(1_200)).await;
     for number in 0..30 {
         let instance = &site.instances[number % site.instances.len()];
-        let headers = [
-            ("host", HOST.to_owned()),
-            ("x-request-id", format!("r-{number}")),
-            ("x-deadline-ms", "2000".to_owned()),
-        ];
-        let address = instance.caller_proxy.address;
-        let timeout = Duration::from_secs(3);
-        let answer = call(
-            address,
-            Method::POST,
-            "/live/x",
-            &headers,
-            Bytes::new(),
-            timeout,
-        )
-        .await;
+        let (address, id) = (instance.caller_proxy.address, format!("r-{number}"));
+        let (deadline, time_limit) = (Duration::from_secs(2), Duration::from_secs(3));
+        let answer = post(address, "/live/x", id, deadline, "", time_limit).await;
         assert_eq!(answer.map(|a| a.status), Ok(StatusCode::OK));
     }
     let request_lines = wait_for_log_lines(&site, "\"msg\":\"request\"", 30).await;
--- a/crates/pinereel_fakes/tests/hosting_outage.rs
+++ b/crates/pinereel_fakes/tests/hosting_outage.rs
@@ -18,13 +18,8 @@
 /// Logged by an instance whose parent reports the end of the outage.
 const REPORTED_RECOVERY: &str = r#""object store: reachable again for the root""#;
 
-fn count_lines(instance: &Instance, text: &str) -> usize {
-    let lines = instance.lines();
-    lines.iter().filter(|line| line.contains(text)).count()
-}
-
 fn recovery_count(instance: &Instance) -> usize {
-    count_lines(instance, OWN_RECOVERY) + count_lines(instance, REPORTED_RECOVERY)
+    instance.count_lines(OWN_RECOVERY) + instance.count_lines(REPORTED_RECOVERY)
 }
 
 fn total(site: &Site, count: impl Fn(&Instance) -> usize) -> usize {
@@ -43,7 +38,7 @@
     };
     let site = Site::start(size, 170).await.unwrap();
     sleep(Duration::from_secs(2)).await;
-    let links_lost = |site: &Site| total(site, |i| count_lines(i, "link to the parent lost"));
+    let links_lost = |site: &Site| total(site, |i| i.count_lines("link to the parent lost"));
     let (probes_before, links_lost_before) = (site.store.probe_count(), links_lost(&site));
     let recoveries_before = total(&site, recovery_count);
     site.store.set_faults(Faults::DOWN);
@@ -56,7 +51,7 @@
         sleep(Duration::from_millis(20)).await;
     }
     let time_to_recovery = ended_at.elapsed();
-    let reported = total(&site, |i| count_lines(i, REPORTED_RECOVERY));
+    let reported = total(&site, |i| i.count_lines(REPORTED_RECOVERY));
     let probes = site.store.probe_count() - probes_before;
     println!("{probes} probes, recovered after {time_to_recovery:?}, {reported} by report");
     // A link may break beside load, after a silence of 1.2 s.
@@ -85,8 +80,8 @@
     let site = Site::start(size, 171).await.unwrap();
     sleep(Duration::from_secs(2)).await;
     let is_leaf = |instance: &&Instance| {
-        count_lines(instance, r#""lease taken""#) == 0
-            && count_lines(instance, "linked to a parent") == 1
+        instance.count_lines(r#""lease taken""#) == 0
+            && instance.count_lines("linked to a parent") == 1
     };
     let instance = site.instances.iter().find(is_leaf).expect("a leaf");
     let before = recovery_count(instance);
@@ -107,12 +102,12 @@
     )
     .await;
     sleep(Duration::from_secs(3)).await;
-    assert!(count_lines(instance, "object store: unreachable") > 0);
+    assert!(instance.count_lines("object store: unreachable") > 0);
     assert_eq!(recovery_count(instance), before);
     instance.store_proxy.set_faults(proxy::Faults::default());
     sleep(Duration::from_millis(1_300)).await;
-    assert_eq!(count_lines(instance, OWN_RECOVERY), before + 1);
-    assert_eq!(count_lines(instance, REPORTED_RECOVERY), 0);
+    assert_eq!(instance.count_lines(OWN_RECOVERY), before + 1);
+    assert_eq!(instance.count_lines(REPORTED_RECOVERY), 0);
 }
 
 /// The store may reject a third of the instances, the root among them, for longer than its lease lasts.
@@ -127,12 +122,7 @@
     };
     let mut site = Site::start(size, 172).await.unwrap();
     sleep(Duration::from_secs(2)).await;
-    let is_root = |instance: &Instance| {
-        let lines = instance.lines();
-        let taken = |line: &&String| line.contains("lease taken") && line.contains("bulletin");
-        lines.iter().any(|line| taken(&line))
-    };
-    let root = site.instances.iter().position(is_root).expect("a root");
+    let root = site.root();
     for offset in 0..4 {
         let rejected = &site.instances[(root + offset) % size.instances];
         rejected.store_proxy.set_faults(proxy::Faults::DROP_ALL);
--- a/crates/pinereel_fakes/tests/hosting_shutdown.rs
+++ b/crates/pinereel_fakes/tests/hosting_shutdown.rs
@@ -1,11 +1,10 @@
 //! Graceful shutdowns of an instance to which callers keep sending requests until its process is gone.
 
-use actix_http::Method;
-use bytes::Bytes;
 use pinereel_fakes::{
     child_process::Signal,
     hosting::{
-        http::{Failure, call},
+        caller::post,
+        http::Failure,
         service::Faults,
         site::{HOST, Site, Size},
     },
@@ -55,19 +54,8 @@
 
 /// Sends a request on a new connection. Returns its status, or why there is no complete answer.
 async fn send_request(address: SocketAddr, id: String) -> Result<u16, Failure> {
-    let headers = [
-        ("host", HOST.to_owned()),
-        ("x-request-id", id),
-        ("x-deadline-ms", "2000".to_owned()),
-    ];
-    let answer = call(
-        address,
-        Method::POST,
-        "/live/x",
-        &headers,
-        Bytes::new(),
-        CALLER_TIMEOUT,
-    );
+    let deadline = Duration::from_secs(2);
+    let answer = post(address, "/live/x", id, deadline, "", CALLER_TIMEOUT);
     Ok(answer.await?.status.as_u16())
 }
 
--- a/crates/pinereel_fakes/tests/hosting_tree.rs
+++ b/crates/pinereel_fakes/tests/hosting_tree.rs
@@ -3,7 +3,7 @@
 
 use pinereel_fakes::{
     child_process::Signal,
-    hosting::site::{Instance, Site, Size},
+    hosting::site::{Site, Size},
 };
 use std::{collections::BTreeMap, time::Duration};
 use tokio::time::sleep;
@@ -16,16 +16,11 @@
 };
 const MAX_CHILDREN: usize = 32;
 
-fn count_log_lines(instance: &Instance, text: &str) -> usize {
-    let lines = instance.lines();
-    lines.iter().filter(|line| line.contains(text)).count()
-}
-
 /// Current number of children of each instance, by its name.
 fn child_counts(site: &Site) -> BTreeMap<&str, usize> {
     let child_counts = site.instances.iter().map(|instance| {
-        let linked = count_log_lines(instance, "broadcast tree: child linked");
-        let lost = count_log_lines(instance, "broadcast tree: child lost");
+        let linked = instance.count_lines("broadcast tree: child linked");
+        let lost = instance.count_lines("broadcast tree: child lost");
         (instance.name.as_str(), linked - lost)
     });
     child_counts.collect()
@@ -33,9 +28,7 @@
 
 fn total_log_lines(site: &Site, text: &str) -> usize {
     let instances = site.instances.iter();
-    instances
-        .map(|instance| count_log_lines(instance, text))
-        .sum()
+    instances.map(|instance| instance.count_lines(text)).sum()
 }
 
 /// Names of the running instances that do not serve the newest routes yet.
--- a/crates/pinereel_fakes/tests/hosting_unreachable.rs
+++ b/crates/pinereel_fakes/tests/hosting_unreachable.rs
@@ -1,11 +1,10 @@
 //! Endpoints that instances cannot reach for a while, though they run and are listed, with real processes.
 
-use actix_http::{Method, StatusCode};
-use bytes::Bytes;
+use actix_http::StatusCode;
 use pinereel_fakes::hosting::{
-    http::call,
-    proxy::{self, Listening, Proxy},
-    site::{HOST, Site, Size},
+    caller::post,
+    proxy::Cut,
+    site::{Site, Size},
 };
 use std::time::Duration;
 use tokio::time::sleep;
@@ -13,56 +12,17 @@
 /// Time after the end of a cut within which each endpoint is used again.
 const RECOVERY_TIME: Duration = Duration::from_secs(3);
 const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
-
-/// How an instance is cut off from an endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Cut {
-    /// Open connections are reset, and new ones are refused.
-    Refused,
-    /// Nothing is answered, neither on open connections nor to new ones.
-    Silent,
-}
-
-impl Cut {
-    fn begin(self, proxy: &Proxy) {
-        match self {
-            Self::Refused => {
-                proxy.set_listening(Listening::Refusing);
-                proxy.reset_connections();
-            }
-            Self::Silent => {
-                proxy.set_listening(Listening::Ignoring);
-                proxy.set_faults(proxy::Faults::DROP_ALL);
-            }
-        }
-    }
-
-    fn end(proxy: &Proxy) {
-        proxy.set_faults(proxy::Faults::default());
-        proxy.set_listening(Listening::Accepting);
-    }
-}
+const DEADLINE: Duration = Duration::from_millis(1_500);
 
 async fn is_served(site: &Site, instance: usize, route: &str, number: u32) -> bool {
-    let headers = [
-        ("host", HOST.to_owned()),
-        ("x-request-id", format!("{route}-{instance}-{number}")),
-        ("x-deadline-ms", "1500".to_owned()),
-    ];
     let address = site.instances[instance].caller_proxy.address;
-    let path = format!("/{route}/x");
-    let timeout = Duration::from_secs(2);
-    let answer = call(
-        address,
-        Method::POST,
-        &path,
-        &headers,
-        Bytes::new(),
-        timeout,
+    let (target, id) = (
+        format!("/{route}/x"),
+        format!("{route}-{instance}-{number}"),
     );
-    answer
-        .await
-        .is_ok_and(|answer| answer.status == StatusCode::OK)
+    let time_limit = Duration::from_secs(2);
+    let answer = post(address, &target, id, DEADLINE, "", time_limit).await;
+    answer.is_ok_and(|answer| answer.status == StatusCode::OK)
 }
 
 /// Sends requests through all instances for `span`, on a route whose requests may be repeated and on one
@@ -105,9 +65,9 @@
     assert_eq!(sent, served, "before the cut");
     let used = run_counts(&site);
     let severed: Vec<_> = site.services.iter().take(size.services - spared).collect();
-    severed.iter().for_each(|service| cut.begin(&service.proxy));
+    severed.iter().for_each(|service| service.proxy.cut(cut));
     let during = send_requests(&site, span).await;
-    severed.iter().for_each(|service| Cut::end(&service.proxy));
+    severed.iter().for_each(|service| service.proxy.heal());
     sleep(RECOVERY_TIME).await;
     let before = run_counts(&site);
     let (sent, served) = send_requests(&site, Duration::from_secs(4)).await;
