--- a/review/standins-2/lib.rs
+++ b/review/standins-2/lib.rs
@@ -8,6 +8,7 @@
     fs,
     io::{BufRead, BufReader, Write},
     net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    os::unix::process::CommandExt,
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{
@@ -412,6 +413,15 @@
     pub body: Vec<u8>,
 }
 
+/// Reads one answer from a kept channel; `None` if it ends before the whole answer.
+pub fn read_answer(reader: &mut impl BufRead) -> Option<Answer> {
+    let line = read_line(reader)?;
+    let status = line.split(' ').nth(1)?.parse().ok()?;
+    let headers = read_headers(reader)?;
+    let body = read_body(reader, &headers)?;
+    Some(Answer { status, headers, body })
+}
+
 /// Sends one request over a new connection. An error means that there is no complete answer.
 pub fn call(
     address: SocketAddr,
@@ -586,6 +596,8 @@
                     None => (404, Json::Null),
                 }
             }
+            // An object is `valueBytes` at most.
+            ("POST", [_]) if head.body.len() > 1_048_576 => (413, Json::Null),
             ("POST", [kind]) => {
                 let name = body.get("metadata").get("name").str().to_owned();
                 if let Some(found) = self.find(kind, &name) {
@@ -698,6 +710,9 @@
     /// Runs: item, begin, end (none while it runs), and whether it was finished.
     pub runs: Mutex<Vec<Run>>,
     pub state: Mutex<&'static str>,
+    /// Memory, in tokens: a larger request is rejected as if the worker were full.
+    pub memory_tokens: AtomicU64,
+    pub rejected: AtomicU64,
     /// Items whose ids end so fail at their first `failing_runs` runs, with status 500 after `fail_ms`.
     pub failing_suffix: Mutex<String>,
     pub failing_runs: AtomicUsize,
@@ -758,6 +773,8 @@
             highest_fence: AtomicU64::new(0),
             runs: Mutex::default(),
             state: Mutex::new("ready"),
+            memory_tokens: AtomicU64::new(u64::MAX),
+            rejected: AtomicU64::new(0),
             failing_suffix: Mutex::default(),
             failing_runs: AtomicUsize::new(usize::MAX),
             fail_ms: AtomicU64::new(100),
@@ -906,10 +923,16 @@
     /// Runs an item: one chunk an event, and the end of the chunks after the last.
     fn run(&self, head: &Head, id: &str, out: &mut TcpStream) -> bool {
         let load = self.load();
+        let usage = head.header("x-token-usage").unwrap_or_default();
+        let tokens: u64 = usage.split(',').filter_map(|t| t.trim().parse::<u64>().ok()).sum();
+        let is_larger = tokens > self.memory_tokens.load(Ordering::Relaxed);
         let taken = self.running.fetch_add(1, Ordering::SeqCst);
-        if taken >= self.slots {
+        if taken >= self.slots || is_larger {
             self.running.fetch_sub(1, Ordering::SeqCst);
-            self.record.line(format!("worker {} rejects {id}: full", self.id));
+            if !is_larger || self.rejected.fetch_add(1, Ordering::Relaxed) < 200 {
+                let why = if is_larger { "larger than its memory" } else { "full" };
+                self.record.line(format!("worker {} rejects {id}: {why}", self.id));
+            }
             let headers = [("X-Not-Executed", "1"), ("X-Request-Id", id), ("X-Server-Load", &load)];
             return answer(out, 503, &headers, b"");
         }
@@ -1045,7 +1068,10 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: u64) -> i32;
 }
+/// Asks for a signal when the thread that started this process ends.
+const PR_SET_PDEATHSIG: i32 = 1;
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
@@ -1098,7 +1124,15 @@
 
     pub fn spawn(&self) {
         let log = fs::OpenOptions::new().create(true).append(true).open(&self.log).unwrap();
-        let child = Command::new("target/release/pinereel")
+        let mut command = Command::new("target/release/pinereel");
+        // An instance ends with the script, however that ends.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+                Ok(())
+            });
+        }
+        let child = command
             .arg("hosted")
             .env_clear()
             .env("PATH", std::env::var("PATH").unwrap_or_default())
@@ -1301,6 +1335,23 @@
     (spec.text().into_bytes(), ids)
 }
 
+/// For the items of a job that was accepted at `began`: how many have begun by `end`, and how many that no
+/// worker has finished have been at no worker for `idle_s` before it.
+pub fn at_no_worker(engines: &[Arc<Engine>], ids: &[String], began: f64, end: f64, idle_s: f64) -> (usize, usize) {
+    let runs: Vec<Run> = engines.iter().flat_map(|e| e.runs.lock().unwrap().clone()).collect();
+    let (mut begun, mut waiting) = (0, 0);
+    for item in ids {
+        let own: Vec<&Run> = runs.iter().filter(|r| r.item == *item).collect();
+        begun += usize::from(!own.is_empty());
+        if own.iter().any(|r| r.finished) {
+            continue;
+        }
+        let last = own.iter().map(|r| r.ended.unwrap_or(end)).fold(began, f64::max);
+        waiting += usize::from(end - last >= idle_s);
+    }
+    (begun, waiting)
+}
+
 /// Sends a call about a batch job to one front after the other until there is an answer that holds.
 pub fn job_call(
     record: &Record,
