--- a/review/standins-2/lib.rs
+++ b/review/standins-2/lib.rs
@@ -991,7 +991,8 @@
     }
 }
 
-/// A plain worker: answers each request after its work.
+/// A plain worker: answers each request after its work. As an HTTP/1.1 server does, it answers the expectation
+/// `100-continue` with an interim answer before the final one.
 pub struct Plain {
     pub id: String,
     pub address: SocketAddr,
@@ -1029,6 +1030,9 @@
                 let headers = [("X-Not-Executed", "1"), ("X-Request-Id", id.as_str())];
                 return answer(out, 503, &headers, b"");
             }
+            if head.header("expect").is_some_and(|e| e.eq_ignore_ascii_case("100-continue")) {
+                let _ = out.write_all(b"HTTP/1.1 100 Continue\r\n\r\n");
+            }
             plain.ran.lock().unwrap().push(id.clone());
             record.line(format!("worker {} runs {id} ({} bytes)", plain.id, head.body.len()));
             thread::sleep(Duration::from_millis(plain.work_ms.load(Ordering::Relaxed)));
