--- a/review/standins-2/lib.rs
+++ b/review/standins-2/lib.rs
@@ -354,6 +354,9 @@
     Some(body)
 }
 
+/// Time that a worker waits between the head of a request and a body of over 1 MB, in ms.
+pub static SLOW_READ_MS: AtomicU64 = AtomicU64::new(0);
+
 pub fn read_request(reader: &mut impl BufRead) -> Option<Head> {
     let line = read_line(reader)?;
     let mut parts = line.split(' ');
@@ -363,6 +366,10 @@
         None => (target, String::new()),
     };
     let headers = read_headers(reader)?;
+    let length = find(&headers, "content-length").and_then(|l| l.parse().ok()).unwrap_or(0_usize);
+    if length > 1 << 20 {
+        thread::sleep(Duration::from_millis(SLOW_READ_MS.load(Ordering::Relaxed)));
+    }
     let body = read_body(reader, &headers)?;
     Some(Head { method, path, query, headers, body })
 }
@@ -1403,6 +1410,91 @@
     }
 }
 
+/// A client on a kept channel: one request every 50 ms or so, on the route `/app/`. Returns how many were read by a worker and got no answer.
+pub fn kept_channel(
+    front: SocketAddr,
+    name: String,
+    workers: Vec<Arc<Plain>>,
+    record: Arc<Record>,
+    stop: Arc<AtomicBool>,
+) -> usize {
+    let (mut lost, mut number) = (0, 0);
+    while !stop.load(Ordering::Relaxed) {
+        let Ok(mut stream) = TcpStream::connect_timeout(&front, Duration::from_secs(1)) else {
+            thread::sleep(Duration::from_millis(200));
+            continue;
+        };
+        let _ = stream.set_read_timeout(Some(Duration::from_secs(3)));
+        let Ok(read) = stream.try_clone() else { continue };
+        let mut reader = BufReader::new(read);
+        while !stop.load(Ordering::Relaxed) {
+            number += 1;
+            let id = format!("{name}-{number}");
+            let head = format!(
+                "POST /app/x HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 2000\r\nContent-Length: 2\r\n\r\nhi"
+            );
+            if stream.write_all(head.as_bytes()).is_err() {
+                break;
+            }
+            if read_answer(&mut reader).is_none() {
+                let ran = workers.iter().any(|w| w.ran.lock().unwrap().contains(&id));
+                record.line(format!("client {id}: the channel ended without an answer; at a worker: {ran}"));
+                lost += usize::from(ran);
+                break;
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+    lost
+}
+
+/// The platform's watch of memory: it kills a process that uses more than it may, and starts it again after a
+/// short delay.
+pub struct MemoryWatch {
+    ends: Vec<AtomicUsize>,
+    peaks: Vec<AtomicU64>,
+}
+
+impl MemoryWatch {
+    pub fn start(
+        instances: &[Arc<Instance>],
+        limit_mb: u64,
+        record: &Arc<Record>,
+        stop: &Arc<AtomicBool>,
+    ) -> (Arc<MemoryWatch>, Vec<thread::JoinHandle<()>>) {
+        let watch = Arc::new(MemoryWatch {
+            ends: instances.iter().map(|_| AtomicUsize::new(0)).collect(),
+            peaks: instances.iter().map(|_| AtomicU64::new(0)).collect(),
+        });
+        let threads = instances.iter().enumerate().map(|(i, instance)| {
+            let (watch, instance) = (Arc::clone(&watch), Arc::clone(instance));
+            let (record, stop) = (Arc::clone(record), Arc::clone(stop));
+            thread::spawn(move || {
+                while !stop.load(Ordering::Relaxed) {
+                    thread::sleep(Duration::from_millis(5));
+                    let resident = instance.resident_mb();
+                    watch.peaks[i].fetch_max(resident, Ordering::Relaxed);
+                    if resident > limit_mb || instance.has_ended() {
+                        record.line(format!("{} ends: it uses {resident} MB of {limit_mb}", instance.name));
+                        watch.ends[i].fetch_add(1, Ordering::SeqCst);
+                        instance.stop();
+                        thread::sleep(Duration::from_millis(500));
+                        instance.spawn();
+                    }
+                }
+            })
+        });
+        let threads = threads.collect();
+        (watch, threads)
+    }
+    pub fn ends(&self) -> Vec<usize> {
+        self.ends.iter().map(|e| e.load(Ordering::SeqCst)).collect()
+    }
+    pub fn peaks(&self) -> Vec<u64> {
+        self.peaks.iter().map(|p| p.load(Ordering::Relaxed)).collect()
+    }
+}
+
 /// A folder of its own for the settings and logs of a run, and loopback addresses that no other run uses.
 pub struct Place {
     pub folder: String,
