--- a/review/standins-2/lib.rs
+++ b/review/standins-2/lib.rs
@@ -1102,6 +1102,11 @@
     /// Writes the settings of an instance as the platform renders `deploy/instance.ini`, and starts it with
     /// the command of `deploy/system.toml`.
     pub fn start(folder: &str, name: &str, ip: Ipv4Addr, store: SocketAddr) -> Arc<Instance> {
+        Self::start_with(folder, name, ip, store, 120)
+    }
+
+    /// The same, with another bound `statusS`.
+    pub fn start_with(folder: &str, name: &str, ip: Ipv4Addr, store: SocketAddr, status_s: u32) -> Arc<Instance> {
         let fields: Vec<(&str, String)> = vec![
             ("node", name.into()),
             ("zone", "z1".into()),
@@ -1115,7 +1120,7 @@
             ("bounds.drainMs", "2000".into()),
             ("bounds.graceS", "8".into()),
             ("bounds.leaseMs", "3000".into()),
-            ("bounds.statusS", "120".into()),
+            ("bounds.statusS", status_s.to_string()),
         ];
         let template = fs::read_to_string("deploy/instance.ini").expect("run this in the repository");
         let settings = PathBuf::from(format!("{folder}/{name}.ini"));
@@ -1257,6 +1262,10 @@
     pub target_ms: u32,
 }
 
+/// Time after which an item of a job may be given up, and after which a job is due, in all configurations.
+pub static ITEM_TTL_S: AtomicU64 = AtomicU64::new(12);
+pub static DUE_MS: AtomicU64 = AtomicU64::new(7500);
+
 /// Writes a configuration as the operator does.
 pub fn configure(store: &Store, version: u32, routes: &[RouteSpec], services: Vec<Json>) {
     let routes = routes.iter().map(|r| {
@@ -1268,8 +1277,8 @@
             ("service", s(r.service)),
             ("timeoutMs", n(r.timeout_ms)),
             ("targetLatencyMs", n(r.target_ms)),
-            ("targetCompletionMs", n(7500)),
-            ("itemTtlS", n(12)),
+            ("targetCompletionMs", n(DUE_MS.load(Ordering::Relaxed) as f64)),
+            ("itemTtlS", n(ITEM_TTL_S.load(Ordering::Relaxed) as f64)),
             ("maxAttempts", n(3)),
             ("priority", n(1)),
         ])
