pool: a connection carries each request id once

An endpoint in trouble sends a second copy of an answer late, where the next answer on the connection is expected; the copy of a failed run's answer counted as the failure of the item's next run.

Cause: the id in a response tells one request from another, but not one send of a request from the next. The connection of a failed run was the first to be reused, by the next run of the same item, and the copy had its id. Calls to engines had one id for each engine, and no id of their answers was checked. A response to another request without a body returned its connection to the pool with the answer proper still to come.

Ruled out: failures counted twice, or added up over two runners: the endpoint's own count of runs shows two, and without copies no item is lost.

Change: exchange::History decides which requests a connection may carry and which responses answer them; the pool keeps one for each connection and checks each response's id, for all its callers. Calls to engines have ids of their own. In `pinereel entry`, whose responses have no ids, completions, cancels, orders and scorings use a new connection each. The fake endpoints repeat the id in all responses, as the published protocol says.

--- a/crates/pinereel/src/controllers/lots/score.rs
+++ b/crates/pinereel/src/controllers/lots/score.rs
@@ -108,7 +108,8 @@
         headers: vec![(CONTENT_TYPE, HeaderValue::from_static("application/json"))],
         body: score_request,
         timeout: SCORE_TIMEOUT,
-        reuse: Reuse::Allowed,
+        // Responses do not name their requests.
+        reuse: Reuse::Fresh,
     };
     let mut response = shared.http.send(attempt).await.ok()?;
     if !response.status().is_success() {
--- a/crates/pinereel/src/engines.rs
+++ b/crates/pinereel/src/engines.rs
@@ -141,7 +141,11 @@
 
 /// Reads an engine's state.
 pub async fn state(client: &Client, address: &str, timeout: Duration) -> Result<State, Error> {
-    let attempt = json_attempt(Method::GET, address, "/v1/state", Bytes::new(), timeout);
+    let attempt = Attempt {
+        // Only these calls share connections. A late copy of a response is at most an older state.
+        reuse: Reuse::Allowed,
+        ..json_attempt(Method::GET, address, "/v1/state", Bytes::new(), timeout)
+    };
     let response = client.send(attempt).await?;
     read_json(check_status(response)?, timeout).await
 }
@@ -172,7 +176,8 @@
         headers: vec![(CONTENT_TYPE, HeaderValue::from_static("application/json"))],
         body,
         timeout,
-        reuse: Reuse::Allowed,
+        // Responses do not name their requests.
+        reuse: Reuse::Fresh,
     }
 }
 
--- a/crates/pinereel/src/hosted/lots/stream.rs
+++ b/crates/pinereel/src/hosted/lots/stream.rs
@@ -128,6 +128,7 @@
     let (last_event, last_version) = runner.resume_point(task);
     let request = PooledRequest {
         address: placement.address,
+        id: Some(item.id.clone()),
         head: request_head(runner, task, item, placement, last_event),
         body: item.body.clone(),
         // A run may be repeated, so a reused connection that turns out to be closed does no harm.
@@ -138,21 +139,21 @@
         Some(Ok(response)) => response,
         Some(Err(Error::Stale(_))) => return RunEnd::Broken(RunError::Stale),
         Some(Err(Error::Lost(_))) => return RunEnd::Broken(RunError::Lost),
+        Some(Err(Error::Foreign)) => return RunEnd::Broken(RunError::Foreign),
         Some(Err(Error::NotOpened(_))) | None => return RunEnd::Broken(RunError::NoAnswer),
     };
     let answer = (runner.deps.adapter.headers.decode_response)(response.status, &response.headers);
     if answer.malformed_slowdown {
         (runner.deps.endpoints).log_malformed_slowdown(&placement.start);
     }
-    let foreign = answer.id.as_ref().is_some_and(|id| *id != item.id);
-    if let Some(load) = answer.load.filter(|_| !foreign) {
+    if let Some(load) = answer.load {
         runner.load_reported(task, placement.key, load);
     }
     if answer.not_executed {
         response.body.discard().await;
         return RunEnd::Refused;
     }
-    if foreign || answer.content_encoded {
+    if answer.content_encoded {
         return RunEnd::Broken(RunError::Foreign);
     }
     match response.status {
--- a/crates/pinereel/src/hosted/orders/engine_call.rs
+++ b/crates/pinereel/src/hosted/orders/engine_call.rs
@@ -60,8 +60,11 @@
         }
         let json = HeaderValue::from_static("application/json");
         head.headers.insert(CONTENT_TYPE, json);
+        let number = self.call_count.get();
+        self.call_count.set(number + 1);
+        let id = format_compact!("order-{}-{number}", entry.id);
         let attempt = AttemptHeaders {
-            request_id: &format_compact!("order-{}", entry.id),
+            request_id: &id,
             endpoint_id: &entry.id,
             timeout: None,
             last_event_id: None,
@@ -70,6 +73,7 @@
         (self.deps.adapter.headers.encode_attempt)(&mut head.headers, attempt);
         let request = PooledRequest {
             address: entry.address,
+            id: Some(id),
             head,
             body,
             reuse: true,
@@ -78,7 +82,7 @@
             let response = self.deps.pool.send(request).await;
             let response = response.map_err(|error| match error {
                 Error::NotOpened(_) => NoAnswer::NotOpened,
-                Error::Lost(_) | Error::Stale(_) => NoAnswer::Lost,
+                Error::Lost(_) | Error::Stale(_) | Error::Foreign => NoAnswer::Lost,
             })?;
             let status = response.status;
             let body = response.body.read_within(MAX_ANSWER_BYTES).await;
--- a/crates/pinereel/src/hosted/orders/mod.rs
+++ b/crates/pinereel/src/hosted/orders/mod.rs
@@ -34,7 +34,13 @@
 use pinereel_port::{Adapter, store::Object};
 use rollout::Rollout;
 use scaler::ServiceScaler;
-use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 /// Expected time of a load until one has been observed: that of an engine while few others load.
 const INITIAL_LOAD_TIME: Duration = Duration::from_millis(900);
@@ -105,6 +111,8 @@
     cooled_down_fences: RefCell<BTreeMap<CompactString, u64>>,
     /// The model for which each engine is kept up to date, by service.
     assignments: RefCell<BTreeMap<CompactString, Assignment>>,
+    /// Number of calls to engines so far; part of the id of each call.
+    call_count: Cell<u64>,
 }
 
 impl Orders {
@@ -116,6 +124,7 @@
             last_order_times: RefCell::default(),
             cooled_down_fences: RefCell::default(),
             assignments: RefCell::default(),
+            call_count: Cell::new(0),
         });
         let state = Rc::clone(&orders);
         actix_rt::spawn(async move { state.run_new_services().await });
--- a/crates/pinereel/src/hosted/proxy/attempt.rs
+++ b/crates/pinereel/src/hosted/proxy/attempt.rs
@@ -75,6 +75,7 @@
         loop {
             let pooled_request = PooledRequest {
                 address: selected.address,
+                id: Some(request.id.clone()).filter(|id| !id.is_empty()),
                 head: head(),
                 body: request.body.clone(),
                 reuse,
@@ -96,6 +97,7 @@
                 // for 88 ms and crashed refused the second connection, which looks like "not run".
                 Err(Error::NotOpened(_)) if resent => return Err(self.loss_cause(selected).await),
                 Err(Error::NotOpened(_)) => return Err(Failure::NotOpened),
+                Err(Error::Foreign) => return Err(Failure::InvalidAnswer),
                 Err(Error::Lost(reason)) => {
                     log_connection_loss(request, selected, started, &reason);
                     return Err(self.loss_cause(selected).await);
@@ -139,8 +141,8 @@
         }
     }
 
-    /// Reads the response: an answer that may be passed on, or the failure that it stands for. An
-    /// answer with another request's id, or a successful one without a signature, is invalid.
+    /// Reads the response: an answer that may be passed on, or the failure that it stands for. A
+    /// successful answer without a signature is invalid.
     async fn classify_response(
         &self,
         request: &ProxyRequest,
@@ -158,8 +160,7 @@
         if parsed.malformed_slowdown {
             (self.deps.endpoints).log_malformed_slowdown(&selected.start);
         }
-        let foreign = parsed.id.as_ref().is_some_and(|id| *id != request.id);
-        if foreign || parsed.content_encoded {
+        if parsed.content_encoded {
             return Err(Failure::InvalidAnswer);
         }
         if parsed.not_executed {
--- a/crates/pinereel/src/hosted/run.rs
+++ b/crates/pinereel/src/hosted/run.rs
@@ -209,7 +209,7 @@
             };
             tree_node = Some(Node::start(deps, listen(peers).await?));
         }
-        let pool = Rc::new(Pool::default());
+        let pool = Rc::new(Pool::matching_ids(adapter.headers.response_id));
         let lease_duties = Rc::clone(&duties);
         let holds_leases = move || lease_duties.held_count() > 0;
         let deps = endpoints::Dependencies {
--- a/crates/pinereel/src/upstream/pool.rs
+++ b/crates/pinereel/src/upstream/pool.rs
@@ -3,6 +3,9 @@
 //! A request uses an idle connection if there is one that still appears open. The response's body
 //! ends as its framing announces, or, without framing, when the connection is closed; a reset is
 //! always an error. Only a connection that carried a complete response and nothing more is reused.
+//!
+//! Where responses name their requests, a connection carries each id once, so that a late copy of an
+//! earlier response is never taken for the response to a further send of the same request.
 
 use super::{
     body_memory::BodyMemory,
@@ -18,7 +21,9 @@
     header::{CONTENT_LENGTH, HeaderMap},
 };
 use bytes::{Bytes, BytesMut};
+use compact_str::CompactString;
 use futures_util::{SinkExt as _, StreamExt as _};
+use pinereel_core::exchange::{History, Match};
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
@@ -62,12 +67,18 @@
     /// The same as [`Error::Lost`], on a reused connection, which the endpoint may just have closed.
     #[error("no answer on an idle connection: {0}")]
     Stale(String),
+    /// The response belongs to another request; this one may have run.
+    #[error("the answer to another request")]
+    Foreign,
 }
 
 /// Request to be sent over a pooled or new connection.
 pub struct PooledRequest {
     /// Address of the endpoint.
     pub address: SocketAddr,
+    /// Id that the response repeats; without one, the request has a connection of its own if the pool
+    /// matches responses by id.
+    pub id: Option<CompactString>,
     /// Method, target and headers; `Content-Length` is set by the body.
     pub head: RequestHead,
     /// Body of the request.
@@ -86,14 +97,34 @@
     pub body: Body,
 }
 
+/// Connection between two requests.
+struct Connection {
+    framed: Framed<Metered, ClientCodec>,
+    history: History,
+}
+
+impl Connection {
+    fn new(stream: TcpStream) -> Self {
+        Self {
+            framed: Framed::new(Metered::new(stream), ClientCodec::default()),
+            history: History::default(),
+        }
+    }
+}
+
 /// Idle connection in the pool.
 struct IdleConnection {
-    framed: Framed<Metered, ClientCodec>,
+    connection: Connection,
     expires_at: Instant,
 }
 
+/// Reads the id of the request that a response answers.
+type ReadId = fn(&HeaderMap) -> Option<&str>;
+
 /// Connection pool of one process.
 pub struct Pool {
+    /// Set if responses are matched to requests by id; otherwise they are matched by their order.
+    read_id: Option<ReadId>,
     idle: RefCell<BTreeMap<SocketAddr, Vec<IdleConnection>>>,
     opened: Cell<u64>,
     /// Memory of the bodies that are read as a whole.
@@ -105,6 +136,7 @@
     state: State,
     pool: Rc<Pool>,
     address: SocketAddr,
+    history: History,
     idle_timeout: Option<Duration>,
 }
 
@@ -118,8 +150,10 @@
 }
 
 impl Default for Pool {
+    /// A pool for peers that send exactly one response to each request, in order.
     fn default() -> Self {
         Self {
+            read_id: None,
             idle: RefCell::default(),
             opened: Cell::default(),
             body_memory: BodyMemory::new(MAX_BODIES_BYTES),
@@ -128,6 +162,15 @@
 }
 
 impl Pool {
+    /// A pool for peers that may send further copies of a response: responses are matched to their
+    /// requests by the id that `read_id` reads.
+    pub fn matching_ids(read_id: ReadId) -> Self {
+        Self {
+            read_id: Some(read_id),
+            ..Self::default()
+        }
+    }
+
     /// Number of connections opened since the start.
     pub fn opened_count(&self) -> u64 {
         self.opened.get()
@@ -170,18 +213,21 @@
     /// Adds the connection of a probe to the pool.
     fn adopt(&self, address: SocketAddr, stream: TcpStream) {
         self.opened.set(self.opened.get() + 1);
-        let connection = Framed::new(Metered::new(stream), ClientCodec::default());
-        self.put_idle(address, connection, DEFAULT_IDLE_TIMEOUT);
+        self.put_idle(address, Connection::new(stream), DEFAULT_IDLE_TIMEOUT);
     }
 
     /// Sends a request and waits for the response's head. The caller sets the timeout.
     ///
     /// # Errors
     /// [`Error::NotOpened`] only if no byte of the request was sent; [`Error::Stale`] if a reused
-    /// connection failed before the response's head.
+    /// connection failed before the response's head; [`Error::Foreign`] if the response has the id of
+    /// another request.
     pub async fn send(self: &Rc<Self>, request: PooledRequest) -> Result<Response, Error> {
         let address = request.address;
-        let idle = request.reuse.then(|| self.take_idle(address)).flatten();
+        let id = request.id.as_deref();
+        let idle = (request.reuse)
+            .then(|| self.take_idle(address, id))
+            .flatten();
         let reused = idle.is_some();
         let connection = match idle {
             Some(connection) => connection,
@@ -194,21 +240,26 @@
         })
     }
 
-    async fn open_connection(
-        &self,
-        address: SocketAddr,
-    ) -> Result<Framed<Metered, ClientCodec>, Error> {
+    async fn open_connection(&self, address: SocketAddr) -> Result<Connection, Error> {
         let stream = connect_to(address).await.map_err(Error::NotOpened)?;
         self.opened.set(self.opened.get() + 1);
-        Ok(Framed::new(Metered::new(stream), ClientCodec::default()))
+        Ok(Connection::new(stream))
     }
 
     async fn send_on(
         self: &Rc<Self>,
-        mut connection: Framed<Metered, ClientCodec>,
+        connection: Connection,
         request: PooledRequest,
     ) -> Result<Response, Error> {
         let method = request.head.method.clone();
+        let Connection {
+            framed: mut connection,
+            mut history,
+        } = connection;
+        let id = request.id.as_deref();
+        if self.read_id.is_some() {
+            history.record_request(id);
+        }
         connection.io_mut().reset();
         let sent = write_request(&mut connection, request.head, request.body).await;
         // An endpoint may respond and close before it has read the complete request.
@@ -217,7 +268,15 @@
             Some(Err(e)) => return Err(Error::Lost(e.to_string())),
             None => return Err(Error::Lost("closed without an answer".into())),
         };
-        let idle_timeout = if sent.is_ok() && connection.codec_ref().keep_alive() {
+        if let Some(read_id) = self.read_id {
+            let response_id = read_id(&head.headers);
+            if history.match_response(id, response_id) == Match::Foreign {
+                log_foreign_response(request.address, id, response_id, &history);
+                return Err(Error::Foreign);
+            }
+        }
+        let may_reuse = sent.is_ok() && history.is_reusable();
+        let idle_timeout = if may_reuse && connection.codec_ref().keep_alive() {
             parse_idle_timeout(&head.headers)
         } else {
             None
@@ -230,6 +289,7 @@
             state: State::Ended,
             pool: Rc::clone(self),
             address: request.address,
+            history,
             idle_timeout,
         };
         if ends_with_connection {
@@ -247,31 +307,33 @@
         })
     }
 
-    /// Takes an idle connection that still appears open.
-    fn take_idle(&self, address: SocketAddr) -> Option<Framed<Metered, ClientCodec>> {
+    /// Takes the idle connection used last that still appears open and may carry a request with this
+    /// id.
+    fn take_idle(&self, address: SocketAddr, id: Option<&str>) -> Option<Connection> {
         let now = Instant::now();
         let mut idle_by_address = self.idle.borrow_mut();
         let connections = idle_by_address.get_mut(&address)?;
-        let mut open_connection = None;
-        while let Some(connection) = connections.pop() {
-            if connection.expires_at > now && is_open_and_empty(connection.framed.io_ref().stream())
-            {
-                open_connection = Some(connection.framed);
+        let mut taken = None;
+        let mut skipped = Vec::new();
+        while let Some(idle) = connections.pop() {
+            let stream = idle.connection.framed.io_ref().stream();
+            if idle.expires_at <= now || !is_open_and_empty(stream) {
+                continue;
+            }
+            if self.read_id.is_none() || idle.connection.history.admits(id) {
+                taken = Some(idle.connection);
                 break;
             }
+            skipped.push(idle);
         }
+        connections.extend(skipped.into_iter().rev());
         if connections.is_empty() {
             idle_by_address.remove(&address);
         }
-        open_connection
+        taken
     }
 
-    fn put_idle(
-        &self,
-        address: SocketAddr,
-        connection: Framed<Metered, ClientCodec>,
-        idle_timeout: Duration,
-    ) {
+    fn put_idle(&self, address: SocketAddr, connection: Connection, idle_timeout: Duration) {
         let now = Instant::now();
         let expires_at = now + idle_timeout;
         let mut idle_by_address = self.idle.borrow_mut();
@@ -283,7 +345,7 @@
             .entry(address)
             .or_default()
             .push(IdleConnection {
-                framed: connection,
+                connection,
                 expires_at,
             });
     }
@@ -303,6 +365,21 @@
     connection.flush().await
 }
 
+fn log_foreign_response(
+    address: SocketAddr,
+    id: Option<&str>,
+    response_id: Option<&str>,
+    history: &History,
+) {
+    log::warn!(
+        id = id.unwrap_or_default(),
+        address:%,
+        response_id = response_id.unwrap_or_default(),
+        requests = history.len();
+        "response to another request; closing the connection"
+    );
+}
+
 /// Whether an idle connection is open and has no unread bytes.
 fn is_open_and_empty(stream: &TcpStream) -> bool {
     let mut byte = [0];
@@ -420,8 +497,12 @@
 
     /// Returns the connection to the pool, or closes it if there are bytes after the body's end,
     /// which belong to no request.
-    fn return_to_pool(&mut self, connection: Framed<Metered, ClientCodec>) {
-        if let Some(idle_timeout) = self.idle_timeout.filter(|_| connection.is_read_buf_empty()) {
+    fn return_to_pool(&mut self, framed: Framed<Metered, ClientCodec>) {
+        if let Some(idle_timeout) = self.idle_timeout.filter(|_| framed.is_read_buf_empty()) {
+            let connection = Connection {
+                framed,
+                history: std::mem::take(&mut self.history),
+            };
             self.pool.put_idle(self.address, connection, idle_timeout);
         }
     }
--- a/crates/pinereel/tests/upstream_pool.rs
+++ b/crates/pinereel/tests/upstream_pool.rs
@@ -62,6 +62,7 @@
     head.method = Method::POST;
     PooledRequest {
         address,
+        id: None,
         head,
         body: Bytes::from_static(b"hello"),
         reuse: true,
--- a/crates/pinereel_core/src/lib.rs
+++ b/crates/pinereel_core/src/lib.rs
@@ -8,7 +8,7 @@
 //!
 //! Both commands of the daemon use `crash`, `endpoint`, `lease`, `rollout` and `route`. The modules
 //! `admit`, `budget`, `claim`, `config`, `cursor`, `drain`, `lot`, `member` and `provenance` serve
-//! `pinereel entry` alone; `batch`, `overload`, `retry`, `routing_table`, `scale`,
+//! `pinereel entry` alone; `batch`, `exchange`, `overload`, `retry`, `routing_table`, `scale`,
 //! `scoring`, `tree` and `usage` serve `pinereel hosted` alone.
 //!
 //! The main types:
@@ -24,6 +24,7 @@
 //!   hosted`.
 //! - [`tree::Children`]: the parent's side of the broadcast tree that distributes what one instance
 //!   reads.
+//! - [`exchange::History`]: which responses on a kept connection answer which request.
 //! - [`usage::Ledger`]: number of requests of each workspace that began to run.
 //! - [`batch::Lot`]: a lot of `pinereel hosted`, which one instance runs and whose results are in the
 //!   platform's object store.
@@ -39,6 +40,7 @@
 pub mod cursor;
 pub mod drain;
 pub mod endpoint;
+pub mod exchange;
 pub mod fair;
 pub mod hash;
 pub mod lease;
--- a/crates/pinereel_fakes/src/hosting/engine.rs
+++ b/crates/pinereel_fakes/src/hosting/engine.rs
@@ -292,7 +292,16 @@
     }
 }
 
-async fn serve(state: Rc<State>, mut request: Request) -> Response {
+async fn serve(state: Rc<State>, request: Request) -> Response {
+    let id = header(request.headers(), "x-request-id");
+    let mut answer = respond(state, request).await;
+    if let Some(id) = id {
+        set_header(&mut answer, "x-request-id", &id);
+    }
+    answer
+}
+
+async fn respond(state: Rc<State>, mut request: Request) -> Response {
     let expected = header(request.headers(), "x-expect-instance");
     if expected.is_some_and(|id| id != state.id) {
         return http::empty(StatusCode::MISDIRECTED_REQUEST);
@@ -359,7 +368,6 @@
     );
     let mut answer = Response::new(StatusCode::OK).set_body(BoxBody::new(BodyStream::new(stream)));
     set_header(&mut answer, "content-type", "text/event-stream");
-    set_header(&mut answer, "x-request-id", &item);
     set_header(
         &mut answer,
         "x-response-stamp",
--- a/crates/pinereel_fakes/src/hosting/http.rs
+++ b/crates/pinereel_fakes/src/hosting/http.rs
@@ -79,6 +79,7 @@
     }
     let request = PooledRequest {
         address,
+        id: None,
         head,
         body,
         reuse: true,
@@ -86,7 +87,7 @@
     let exchange = async {
         let response = pool.send(request).await.map_err(|error| match error {
             Error::NotOpened(_) => Failure::NotOpened,
-            Error::Lost(_) | Error::Stale(_) => Failure::Cut,
+            Error::Lost(_) | Error::Stale(_) | Error::Foreign => Failure::Cut,
         })?;
         Ok(Answer {
             status: response.status,
--- a/crates/pinereel_fakes/src/hosting/mod.rs
+++ b/crates/pinereel_fakes/src/hosting/mod.rs
@@ -8,6 +8,7 @@
 //! - [`platform`]: the platform's API for the calls of lease holders: usage reports and scaling.
 //! - [`engine`], [`service`]: endpoints, which register in the store.
 //! - [`crashing_endpoint`]: an endpoint in a process of its own that crashes on certain requests.
+//! - [`duplicating_endpoint`]: an endpoint that sends further copies of its responses late.
 //! - [`endless_endpoint`]: an endpoint that answers with bytes without an end.
 //! - [`proxy`]: a loopback proxy with faults.
 //! - [`template`]: renders the deployment's settings template.
@@ -23,6 +24,7 @@
 pub mod caller;
 pub mod cli;
 pub mod crashing_endpoint;
+pub mod duplicating_endpoint;
 pub mod endless_endpoint;
 pub mod engine;
 pub mod http;
--- a/crates/pinereel_fakes/src/hosting/service.rs
+++ b/crates/pinereel_fakes/src/hosting/service.rs
@@ -142,6 +142,15 @@
 }
 
 async fn serve(state: Rc<State>, request: Request) -> Response {
+    let id = header(request.headers(), "x-request-id");
+    let mut answer = respond(state, request).await;
+    if let Some(id) = id {
+        set_header(&mut answer, "x-request-id", &id);
+    }
+    answer
+}
+
+async fn respond(state: Rc<State>, request: Request) -> Response {
     let headers = request.headers();
     let expected = header(headers, "x-expect-instance");
     if expected.is_some_and(|id| id != state.id) {
@@ -170,7 +179,6 @@
         false => StatusCode::OK,
     };
     let mut answer = Response::new(status).set_body(BoxBody::new(body));
-    set_header(&mut answer, "x-request-id", &id);
     if let Some([running, waiting, slots]) = faults.reported_load {
         let load = format!("{running},{waiting},{slots}");
         set_header(&mut answer, "x-server-load", &load);
--- a/crates/pinereel_port/src/headers.rs
+++ b/crates/pinereel_port/src/headers.rs
@@ -98,6 +98,8 @@
     pub decode_request: fn(&HeaderMap) -> RequestHeaders,
     /// Writes an attempt's headers into a map that may already hold those of the client request.
     pub encode_attempt: fn(&mut HeaderMap, AttemptHeaders<'_>),
+    /// Id of the request that a response answers.
+    pub response_id: fn(&HeaderMap) -> Option<&str>,
     /// Decodes the status code and the headers of a response.
     pub decode_response: fn(StatusCode, &HeaderMap) -> ResponseHeaders,
 }
