lots: the count of an engine's runs is the runs that exist

Cause: a run was counted when its task was spawned, and given back by a value that the task made when it was first polled. A task that is aborted before leaks the slot. After a freeze, dispatch and the watch of the lots are ready in one poll; with dispatch first, freed slots are filled with items of the lot whose end is applied right after.

Change: Fleet::start_run returns a batch::Run, which occupies the slot for as long as it exists; it is made where the engine is picked and moves into the task. Nothing else can count. The tests of the core hold the runs that they start; their checks are the same.

--- a/crates/pinereel/src/hosted/lots/dispatch.rs
+++ b/crates/pinereel/src/hosted/lots/dispatch.rs
@@ -2,7 +2,7 @@
 
 use super::{
     super::demand,
-    item_task,
+    item_task::{self, ActiveRun},
     runner::Runner,
     state::{AbortOnDrop, FleetKey, ItemTask, OpenLot},
     stream::Placement,
@@ -160,7 +160,7 @@
             let Some((index, key)) = self.pick_item(open, fleet) else {
                 continue;
             };
-            let Some(engine) = fleet.get(key) else {
+            let (Some(engine), Some(run)) = (fleet.get(key), fleet.start_run(key)) else {
                 continue;
             };
             let placement = Placement {
@@ -172,7 +172,6 @@
                 address: engine.listing.address,
             };
             let is_assigned = engine.listing.assigned;
-            fleet.run_started(key);
             let shares = state.engine_shares.get(&fleet_key.service);
             if shares.is_some_and(EngineShares::is_shared) {
                 let metrics = &self.deps.metrics;
@@ -188,7 +187,8 @@
                 fleet: fleet_key,
                 oldest_version,
             };
-            let future = item_task::run(Rc::clone(self), task, route, placement);
+            let active_run = ActiveRun::new(self, &task, run);
+            let future = item_task::run(Rc::clone(self), task, route, placement, active_run);
             // Replaces the handle of a previous task of the item.
             open.tasks
                 .insert(index, AbortOnDrop(actix_rt::spawn(future)));
--- a/crates/pinereel/src/hosted/lots/item_task.rs
+++ b/crates/pinereel/src/hosted/lots/item_task.rs
@@ -6,7 +6,7 @@
     state::{FleetKey, ItemTask},
     stream::{Placement, RunEnd, RunError, run_on_engine},
 };
-use pinereel_core::batch::{Failure, RetryDecision, RunOutcome};
+use pinereel_core::batch::{Failure, RetryDecision, Run, RunOutcome};
 use pinereel_port::{
     config::Route,
     lot::{Item, Output, Sample},
@@ -14,26 +14,50 @@
 use std::rc::Rc;
 use tokio::time::Instant;
 
-/// Reports the end of a run to its fleet when dropped; as cancelled, unless `outcome` was set.
-struct ActiveRun {
+/// Ends a run when dropped; as cancelled, unless [`ActiveRun::end`] was called. Created with the run, since
+/// a task that is aborted before its first poll executes none of its code.
+pub(super) struct ActiveRun {
     runner: Rc<Runner>,
     fleet: FleetKey,
-    placement: Placement,
+    /// Taken when dropped.
+    run: Option<Run>,
     outcome: RunOutcome,
 }
 
+impl ActiveRun {
+    pub(super) fn new(runner: &Rc<Runner>, task: &ItemTask, run: Run) -> Self {
+        Self {
+            runner: Rc::clone(runner),
+            fleet: task.fleet.clone(),
+            run: Some(run),
+            outcome: RunOutcome::Cancelled,
+        }
+    }
+
+    fn end(mut self, outcome: RunOutcome) {
+        self.outcome = outcome;
+    }
+}
+
 impl Drop for ActiveRun {
     fn drop(&mut self) {
-        let key = self.placement.key;
-        self.runner.run_ended(&self.fleet, key, self.outcome);
+        if let Some(run) = self.run.take() {
+            self.runner.end_run(&self.fleet, run, self.outcome);
+        }
     }
 }
 
 /// Runs an item on the engine of `placement`, and scores its output if it is complete. A run that
 /// fails returns the item to the queue.
-pub(super) async fn run(runner: Rc<Runner>, task: ItemTask, route: Route, placement: Placement) {
+pub(super) async fn run(
+    runner: Rc<Runner>,
+    task: ItemTask,
+    route: Route,
+    placement: Placement,
+    active_run: ActiveRun,
+) {
     if let Some(item) = runner.item(&task) {
-        run_item(&runner, &task, &item, &route, &placement).await;
+        run_item(&runner, &task, &item, &route, &placement, active_run).await;
     }
     runner.task_ended(&task);
 }
@@ -44,26 +68,21 @@
     item: &Item,
     route: &Route,
     placement: &Placement,
+    active_run: ActiveRun,
 ) {
     let started = Instant::now();
-    let mut active_run = ActiveRun {
-        runner: Rc::clone(runner),
-        fleet: task.fleet.clone(),
-        placement: placement.clone(),
-        outcome: RunOutcome::Cancelled,
-    };
     let end = tokio::select! {
         end = run_on_engine(runner, task, item, route, placement) => end,
         () = runner.wait_for_restart(&task.fleet, placement.key) =>
             RunEnd::Broken(RunError::Restarted),
     };
-    active_run.outcome = match end {
+    let outcome = match end {
         RunEnd::Complete | RunEnd::Failed | RunEnd::Impossible => RunOutcome::Finished,
         RunEnd::Left => RunOutcome::Cancelled,
         RunEnd::Refused | RunEnd::Outdated => RunOutcome::Rejected,
         RunEnd::Broken(_) => RunOutcome::Failed,
     };
-    drop(active_run);
+    active_run.end(outcome);
     let metrics = &runner.deps.metrics;
     metrics.count(&metrics.item_runs, &[end.as_str()]);
     log_run(task, placement, end, started, runner.resume_point(task).0);
--- a/crates/pinereel/src/hosted/lots/runner.rs
+++ b/crates/pinereel/src/hosted/lots/runner.rs
@@ -144,6 +144,13 @@
         state.open_lots.values().map(|open| open.tasks.len()).sum()
     }
 
+    /// Number of engine slots that are counted as used by runs.
+    pub fn used_slots(&self) -> u64 {
+        let state = self.state.borrow();
+        let fleets = state.fleets.values();
+        fleets.map(|fleet| u64::from(fleet.active_runs())).sum()
+    }
+
     /// Starts [`Runner::serve_model`] for each model, also for models that are configured later.
     async fn serve_models(self: Rc<Self>) {
         let start = |model: CompactString| {
--- a/crates/pinereel/src/hosted/lots/task_state.rs
+++ b/crates/pinereel/src/hosted/lots/task_state.rs
@@ -8,7 +8,7 @@
 };
 use pinereel_core::{
     Time,
-    batch::{EngineKey, Failure, Fleet, MAX_TIMEOUT, RetryDecision, RunOutcome},
+    batch::{EngineKey, Failure, Fleet, MAX_TIMEOUT, RetryDecision, Run, RunOutcome},
 };
 use pinereel_port::{
     headers::Load,
@@ -179,12 +179,12 @@
         }
     }
 
-    /// Records the end of a run for the health and load of its engine.
-    pub(super) fn run_ended(&self, fleet: &FleetKey, key: EngineKey, outcome: RunOutcome) {
+    /// Ends a run, and records its outcome for the health of its engine.
+    pub(super) fn end_run(&self, fleet: &FleetKey, run: Run, outcome: RunOutcome) {
         let now = self.deps.clock.now();
         let mut state = self.state.borrow_mut();
         if let Some(fleet) = state.fleets.get_mut(fleet) {
-            fleet.run_ended(now, key, outcome);
+            fleet.end_run(now, run, outcome);
         }
         drop(state);
         self.wake.notify_one();
--- a/crates/pinereel/src/hosted/metrics.rs
+++ b/crates/pinereel/src/hosted/metrics.rs
@@ -90,6 +90,7 @@
     pub reported_recoveries: IntCounterVec,
     crash_suspects: IntGaugeVec,
     scorings: IntGaugeVec,
+    lot_load: IntGaugeVec,
     store_calls: IntCounterVec,
     connections_opened: IntGauge,
     config_number: IntGauge,
@@ -106,10 +107,21 @@
     pub store: objects::Client,
     /// Number of connections opened to endpoints since the start.
     pub connections_opened: Box<dyn Fn() -> u64>,
+    /// Load of the lots that this instance runs.
+    pub lot_load: Box<dyn Fn() -> LotLoad>,
     /// Number of the configuration in force; 0 before the first.
     pub config_number: Box<dyn Fn() -> u64>,
 }
 
+/// Load of the lots that an instance runs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LotLoad {
+    /// Engine slots that are counted as used by runs. Each belongs to a task, so there are never more.
+    pub used_slots: u64,
+    /// Tasks of items that are run or scored.
+    pub tasks: u64,
+}
+
 impl Default for Metrics {
     fn default() -> Self {
         Self::new()
@@ -184,6 +196,7 @@
             ),
             crash_suspects: gauge_vec(&r, "crash_suspects", "Requests known.", "standing"),
             scorings: gauge_vec(&r, "scorings", "Scorings of lots.", "what"),
+            lot_load: gauge_vec(&r, "lot_load", "Runs of lots.", "what"),
             store_calls: counter_vec(&r, "store_calls_total", "Calls.", &["purpose", "access"]),
             connections_opened: int_gauge(&r, "endpoint_connections_opened", "Since the start."),
             config_number: int_gauge(&r, "config_number", "Configuration in force."),
@@ -226,6 +239,11 @@
         }
         self.connections_opened
             .set(gauge_value((sources.connections_opened)()));
+        let load = (sources.lot_load)();
+        for (what, count) in [("used_slots", load.used_slots), ("tasks", load.tasks)] {
+            let gauge = self.lot_load.with_label_values(&[what]);
+            gauge.set(gauge_value(count));
+        }
         self.config_number
             .set(gauge_value((sources.config_number)()));
         self.log_lines_dropped.set(gauge_value(logging::dropped()));
--- a/crates/pinereel/src/hosted/run.rs
+++ b/crates/pinereel/src/hosted/run.rs
@@ -7,7 +7,7 @@
     duty::{self, Duties},
     endpoints::{self, Endpoints},
     lots::{self, Runner, TrainerApi},
-    metrics::{Metrics, Sources},
+    metrics::{LotLoad, Metrics, Sources},
     orders::{self, Orders},
     proxy::{self, Proxy},
     readiness::Readiness,
@@ -285,11 +285,15 @@
             probe.serve(listener, adapter.readiness_path).await?;
         }
         if let Some(address) = instance.metrics {
-            let (pool, config) = (Rc::clone(&pool), Rc::clone(&config));
+            let (pool, config, runner) = (Rc::clone(&pool), Rc::clone(&config), Rc::clone(&runner));
             let sources = Sources {
                 crashes: Rc::clone(&crashes),
                 store: store.client().clone(),
                 connections_opened: Box::new(move || pool.opened_count()),
+                lot_load: Box::new(move || LotLoad {
+                    used_slots: runner.used_slots(),
+                    tasks: runner.in_flight() as u64,
+                }),
                 config_number: Box::new(move || config.table().map_or(0, |table| table.number())),
             };
             metrics.serve(listen(address).await?, sources).await?;
--- a/crates/pinereel_core/src/batch/engine.rs
+++ b/crates/pinereel_core/src/batch/engine.rs
@@ -3,6 +3,7 @@
 use super::{
     placement::{FleetAverage, expected_interval_ms},
     reported_load::ReportedLoad,
+    run::Slots,
 };
 use crate::{
     Time,
@@ -49,12 +50,12 @@
 }
 
 /// One process of an engine.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Engine {
     /// Its latest entry in the endpoint list.
     pub listing: Listing,
-    /// Number of runs in progress on it.
-    pub active_runs: u32,
+    /// Its slots that runs occupy.
+    pub(super) slots: Slots,
     /// Moving average of the interval between two events of a run; `None` before the first interval.
     pub event_interval_ms: Option<f64>,
     /// Number of intervals in the average.
@@ -82,7 +83,7 @@
     pub(super) fn new(listing: Listing) -> Self {
         Self {
             listing,
-            active_runs: 0,
+            slots: Slots::default(),
             event_interval_ms: None,
             interval_samples: 0,
             consecutive_failures: 0,
@@ -96,6 +97,11 @@
         }
     }
 
+    /// Number of runs in progress on it.
+    pub fn active_runs(&self) -> u32 {
+        self.slots.occupied()
+    }
+
     /// Number of requests of other runners at it, by its latest report; 0 if that is too old.
     pub(super) fn other_requests(&self, now: Time) -> u32 {
         self.reported_load
@@ -126,7 +132,10 @@
         } else {
             self.listing.slots
         };
-        let free = self.active_runs.saturating_add(self.counted_requests(now)) < slots;
+        let free = self
+            .active_runs()
+            .saturating_add(self.counted_requests(now))
+            < slots;
         !self.delisted && !self.listing.leaving && has_version && free && now >= self.backoff_until
     }
 
@@ -142,7 +151,9 @@
 
     /// Cost of placing a run on it: the expected interval, weighted by the load. Lower is better.
     pub(super) fn cost(&self, now: Time, average: FleetAverage) -> f64 {
-        let requests = self.active_runs.saturating_add(self.counted_requests(now));
+        let requests = self
+            .active_runs()
+            .saturating_add(self.counted_requests(now));
         let load = f64::from(requests) / f64::from(self.listing.slots.max(1));
         expected_interval_ms(now, self, average) * (1.0 + FULL_LOAD_PENALTY * load)
     }
--- a/crates/pinereel_core/src/batch/fleet.rs
+++ b/crates/pinereel_core/src/batch/fleet.rs
@@ -5,11 +5,11 @@
 //! Therefore a run goes to the fastest engine with a free slot, and a run on a slow engine moves
 //! to a fast one that has a free slot while nothing is queued. Where other models share the
 //! engines, runs use the engines assigned to their model while one of them serves the version that
-//! is needed: other runners fill the other engines, and their load is not known here. Callers must
-//! pair each [`Fleet::run_started`] with one [`Fleet::run_ended`].
+//! is needed: other runners fill the other engines, and their load is not known here. A [`Run`]
+//! occupies a slot of its engine for as long as it exists.
 
 use super::{
-    Engine, Listing, RunOutcome,
+    Engine, Listing, Run, RunOutcome,
     placement::{
         FleetAverage, ReportedSpeed, expected_interval_ms, interval_for_moves_ms, move_ratio,
     },
@@ -37,7 +37,7 @@
 const REJECTION_BACKOFF: Duration = Duration::from_millis(120);
 
 /// The engines of one service, with their load and health.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 pub struct Fleet {
     engines: SlotMap<EngineKey, Engine>,
     keys_by_id: BTreeMap<CompactString, EngineKey>,
@@ -56,7 +56,7 @@
                 known.filter(|key| self.engines[*key].listing.incarnation == listing.incarnation);
             if let Some(replaced) = known.filter(|key| same_process != Some(*key)) {
                 self.engines[replaced].restarted = true;
-                runs_lost |= self.engines[replaced].active_runs > 0;
+                runs_lost |= self.engines[replaced].active_runs() > 0;
                 self.delist(replaced);
             }
             let key = match same_process {
@@ -69,6 +69,7 @@
         for key in unlisted.into_values() {
             self.delist(key);
         }
+        (self.engines).retain(|_, engine| !engine.delisted || engine.active_runs() > 0);
         runs_lost
     }
 
@@ -77,7 +78,7 @@
         let busy = self
             .engines
             .values()
-            .filter(|engine| engine.active_runs > 0);
+            .filter(|engine| engine.active_runs() > 0);
         busy.map(|engine| engine.listing.id.clone()).collect()
     }
 
@@ -107,10 +108,15 @@
     pub fn slot_usage(&self) -> (u32, u32) {
         let accepting = self.iter().filter(|(_, engine)| !engine.listing.leaving);
         accepting.fold((0, 0), |(slots, runs), (_, engine)| {
-            (slots + engine.listing.slots, runs + engine.active_runs)
+            (slots + engine.listing.slots, runs + engine.active_runs())
         })
     }
 
+    /// Number of runs in progress on all engines, including those that left the list.
+    pub fn active_runs(&self) -> u32 {
+        self.engines.values().map(Engine::active_runs).sum()
+    }
+
     /// The engine for a run that needs weights of `oldest_version` or newer, other than `except`.
     pub fn pick(
         &self,
@@ -179,7 +185,7 @@
     /// Records the load that the engine reported with a response head of one of its runs.
     pub fn load_reported(&mut self, now: Time, key: EngineKey, load: Load) {
         if let Some(engine) = self.engines.get_mut(key) {
-            engine.reported_load = Some(ReportedLoad::new(now, load, engine.active_runs));
+            engine.reported_load = Some(ReportedLoad::new(now, load, engine.active_runs()));
             engine.slowdown.report(now, load.slowdown_percent);
         }
     }
@@ -195,11 +201,10 @@
         })
     }
 
-    /// Records that a run starts.
-    pub fn run_started(&mut self, key: EngineKey) {
-        if let Some(engine) = self.engines.get_mut(key) {
-            engine.active_runs += 1;
-        }
+    /// Starts a run, which occupies a slot until it ends or is dropped; `None` if the engine is unknown.
+    pub fn start_run(&self, key: EngineKey) -> Option<Run> {
+        let engine = self.engines.get(key)?;
+        Some(engine.slots.occupy(key))
     }
 
     /// Records the first event of a run: the engine is healthy.
@@ -226,12 +231,13 @@
         self.average.add(now, engine, interval);
     }
 
-    /// Records that a run ended. Each [`Fleet::run_started`] needs exactly one call.
-    pub fn run_ended(&mut self, now: Time, key: EngineKey, outcome: RunOutcome) {
+    /// Ends a run and records its outcome for the health of its engine.
+    pub fn end_run(&mut self, now: Time, run: Run, outcome: RunOutcome) {
+        let key = run.engine();
+        drop(run);
         let Some(engine) = self.engines.get_mut(key) else {
             return;
         };
-        engine.active_runs = engine.active_runs.saturating_sub(1);
         match outcome {
             RunOutcome::Finished => {
                 engine.consecutive_failures = 0;
@@ -257,7 +263,7 @@
         let idle = self
             .engines
             .get(key)
-            .is_some_and(|e| e.delisted && e.active_runs == 0);
+            .is_some_and(|e| e.delisted && e.active_runs() == 0);
         if idle {
             self.engines.remove(key);
         }
--- a/crates/pinereel_core/src/batch/mod.rs
+++ b/crates/pinereel_core/src/batch/mod.rs
@@ -16,6 +16,7 @@
 mod placement;
 mod reported_load;
 mod results_cache;
+mod run;
 mod timeout;
 
 pub use commit_log::{CommitLog, Gap};
@@ -25,4 +26,5 @@
 pub use lot::{DEFAULT_LENGTH_TOKENS, Failure, Lot, RetryDecision};
 pub use placement::ReportedSpeed;
 pub use results_cache::{ReadAnswer, ReadPlan, ResultsCache};
+pub use run::Run;
 pub use timeout::{MAX_TIMEOUT, extended_wait};
--- a/crates/pinereel_core/src/batch/timeout.rs
+++ b/crates/pinereel_core/src/batch/timeout.rs
@@ -37,7 +37,7 @@
 /// suffice for this runner's runs and the recent requests of others. Otherwise the run may be queued
 /// at the engine, which does not tell a queue from a hang, and it waits for [`MAX_TIMEOUT`].
 pub(super) fn before_first_event(now: Time, engine: &Engine) -> Duration {
-    let requests = (engine.active_runs).saturating_add(engine.other_requests(now));
+    let requests = (engine.active_runs()).saturating_add(engine.other_requests(now));
     let has_slot = requests <= engine.listing.slots;
     let no_queue = engine.reported_load.is_some_and(|load| load.waiting == 0);
     if has_slot && no_queue {
--- a/crates/pinereel_core/tests/batch_first_event.rs
+++ b/crates/pinereel_core/tests/batch_first_event.rs
@@ -48,11 +48,11 @@
     for (interval, expected) in [(23, 500), (46, 500), (60, 500), (150, 1_200), (400, 1_500)] {
         let (mut fleet, keys) = fleet(Some(interval));
         fleet.load_reported(NOW, keys[0], load(0, 0));
-        fleet.run_started(keys[0]);
+        let run = fleet.start_run(keys[0]).expect("listed");
         let wait = fleet.first_event_timeout(NOW, keys[0]);
         // The former policy waited for `LONGEST` in each case.
         assert_eq!(wait, Duration::from_millis(expected), "{interval} ms");
-        fleet.run_ended(NOW + wait, keys[0], RunOutcome::Failed);
+        fleet.end_run(NOW + wait, run, RunOutcome::Failed);
         assert_eq!(
             fleet.pick(NOW + wait, 5, None),
             Some(keys[1]),
@@ -71,7 +71,7 @@
 
     let (mut fleet, keys) = fleet(Some(46));
     let engine = keys[0];
-    fleet.run_started(engine);
+    let _first = fleet.start_run(engine).expect("listed");
     assert_eq!(
         fleet.first_event_timeout(NOW, engine),
         LONGEST,
@@ -84,7 +84,7 @@
         fleet.first_event_timeout(NOW, engine),
         Duration::from_millis(500)
     );
-    fleet.run_started(engine);
+    let _second = fleet.start_run(engine).expect("listed");
     assert_eq!(
         fleet.first_event_timeout(NOW, engine),
         LONGEST,
@@ -103,7 +103,7 @@
 fn absurd_load_figures_count_as_a_queue() {
     let (mut fleet, keys) = fleet(Some(46));
     fleet.load_reported(NOW, keys[0], load(u32::MAX, 0));
-    fleet.run_started(keys[0]);
+    let _run = fleet.start_run(keys[0]).expect("listed");
     assert_eq!(fleet.first_event_timeout(NOW, keys[0]), LONGEST);
     fleet.load_reported(NOW, keys[0], load(u32::MAX, u32::MAX));
     assert_eq!(fleet.first_event_timeout(NOW, keys[0]), LONGEST);
--- a/crates/pinereel_core/tests/batch_fleet.rs
+++ b/crates/pinereel_core/tests/batch_fleet.rs
@@ -42,12 +42,13 @@
 
 #[test]
 fn runs_spread_over_equal_engines() {
-    let mut fleet = fleet(4);
+    let fleet = fleet(4);
+    let mut started = Vec::new();
     for _ in 0..32 {
         let key = fleet.pick(NOW, 5, None).expect("a free slot");
-        fleet.run_started(key);
+        started.extend(fleet.start_run(key));
     }
-    let runs: Vec<_> = fleet.iter().map(|(_, e)| e.active_runs).collect();
+    let runs: Vec<_> = fleet.iter().map(|(_, e)| e.active_runs()).collect();
     assert_eq!(runs, [8, 8, 8, 8]);
     assert_eq!(fleet.pick(NOW, 5, None), None);
 }
@@ -60,10 +61,11 @@
     }
     set_interval(&mut fleet, "engine-1", 140);
     let slow = key(&fleet, "engine-1");
+    let mut runs = Vec::new();
     for _ in 0..16 {
         let key = fleet.pick(NOW, 5, None).expect("a free slot");
         assert_ne!(key, slow);
-        fleet.run_started(key);
+        runs.extend(fleet.start_run(key));
     }
     assert_eq!(fleet.pick(NOW, 5, None), Some(slow));
 }
@@ -109,12 +111,12 @@
 fn an_engine_that_rejected_a_run_is_probed_by_one_run_after_a_delay() {
     let mut fleet = fleet(1);
     let engine = key(&fleet, "engine-0");
-    fleet.run_started(engine);
-    fleet.run_ended(NOW, engine, RunOutcome::Rejected);
+    let run = fleet.start_run(engine).expect("listed");
+    fleet.end_run(NOW, run, RunOutcome::Rejected);
     assert_eq!(fleet.pick(NOW, 5, None), None);
     let later = NOW + Duration::from_millis(200);
     assert_eq!(fleet.pick(later, 5, None), Some(engine));
-    fleet.run_started(engine);
+    let _probe = fleet.start_run(engine).expect("listed");
     assert_eq!(fleet.pick(later, 5, None), None);
     fleet.first_event_received(engine);
     assert_eq!(fleet.pick(later, 5, None), Some(engine));
@@ -127,8 +129,8 @@
     let mut now = NOW;
     let mut pauses = Vec::new();
     for _ in 0..5 {
-        fleet.run_started(engine);
-        fleet.run_ended(now, engine, RunOutcome::Failed);
+        let run = fleet.start_run(engine).expect("listed");
+        fleet.end_run(now, run, RunOutcome::Failed);
         let mut pause = 0;
         while fleet.pick(now, 5, None).is_none() {
             now = now + Duration::from_millis(100);
@@ -143,11 +145,11 @@
 fn a_delisted_engine_is_removed_after_its_last_run() {
     let mut fleet = fleet(1);
     let delisted = key(&fleet, "engine-0");
-    fleet.run_started(delisted);
+    let run = fleet.start_run(delisted).expect("listed");
     fleet.update([listing(1, 5)]);
     assert!(fleet.get(delisted).is_some());
     assert_eq!(fleet.pick(NOW, 5, None), Some(key(&fleet, "engine-1")));
-    fleet.run_ended(NOW, delisted, RunOutcome::Finished);
+    fleet.end_run(NOW, run, RunOutcome::Finished);
     assert!(fleet.get(delisted).is_none());
 }
 
@@ -157,9 +159,9 @@
 fn a_restarted_engine_does_not_inherit_load_or_backoff() {
     let mut fleet = fleet(2);
     let before = key(&fleet, "engine-0");
-    fleet.run_started(before);
-    fleet.run_started(before);
-    fleet.run_ended(NOW, before, RunOutcome::Failed);
+    let failed = fleet.start_run(before).expect("listed");
+    let lost = fleet.start_run(before).expect("listed");
+    fleet.end_run(NOW, failed, RunOutcome::Failed);
     assert!(fleet.get(before).expect("listed").needs_probe());
     let restarted = Listing {
         incarnation: 2,
@@ -176,12 +178,12 @@
     assert_eq!(
         fleet
             .get(after)
-            .map(|e| (e.active_runs, e.event_interval_ms)),
+            .map(|e| (e.active_runs(), e.event_interval_ms)),
         Some((0, None))
     );
     assert!(!fleet.get(after).expect("listed").needs_probe());
     // A run of the old process that ends late does not count against the new one.
-    fleet.run_ended(NOW, before, RunOutcome::Failed);
+    fleet.end_run(NOW, lost, RunOutcome::Failed);
     assert!(!fleet.get(after).expect("listed").needs_probe());
     assert!(
         !fleet.update([restarted, listing(1, 5)]),
@@ -217,18 +219,17 @@
         let runs: Vec<_> = (0..engines / 4)
             .map(|_| {
                 let key = fleet.pick(now, 1, None).expect("a free slot");
-                fleet.run_started(key);
-                key
+                fleet.start_run(key).expect("listed")
             })
             .collect();
         for _ in 0..20 {
-            for key in &runs {
-                fleet.event_received(now, *key, Duration::from_millis(74));
+            for run in &runs {
+                fleet.event_received(now, run.engine(), Duration::from_millis(74));
             }
         }
         let moves = runs
             .iter()
-            .filter(|key| fleet.move_target(now, **key, 1, 20).is_some());
+            .filter(|run| fleet.move_target(now, run.engine(), 1, 20).is_some());
         assert_eq!(moves.count(), 0, "of {engines} engines");
     }
 }
--- a/crates/pinereel_core/tests/batch_owed_items.rs
+++ b/crates/pinereel_core/tests/batch_owed_items.rs
@@ -4,7 +4,7 @@
 use compact_str::format_compact;
 use pinereel_core::{
     Time,
-    batch::{EngineKey, Failure, Fleet, Listing, Lot, RetryDecision, RunOutcome},
+    batch::{Failure, Fleet, Listing, Lot, RetryDecision, Run, RunOutcome},
 };
 use pinereel_port::lot::{Item, Sample, Submission};
 use proptest::prelude::*;
@@ -44,8 +44,8 @@
     incarnations: [u64; ENGINES],
     /// Number of steps until a crashed engine is listed again.
     down: [u8; ENGINES],
-    /// Runs by item, with the engine's index and key.
-    running: BTreeMap<usize, (usize, EngineKey)>,
+    /// Runs by item, with the engine's index.
+    running: BTreeMap<usize, (usize, Run)>,
 }
 
 impl World {
@@ -92,10 +92,10 @@
     }
 
     fn end_run(&mut self, item: usize, outcome: RunOutcome) {
-        let Some((_, key)) = self.running.remove(&item) else {
+        let Some((_, run)) = self.running.remove(&item) else {
             return;
         };
-        self.fleet.run_ended(self.now, key, outcome);
+        self.fleet.end_run(self.now, run, outcome);
         if outcome == RunOutcome::Finished {
             let (id, output) = (format_compact!("i{item}"), None);
             self.lot.finish(item, Sample { item: id, output });
@@ -148,8 +148,8 @@
             let Some(item) = self.lot.start() else { break };
             let engine = self.fleet.get(key).expect("picked").listing.id.clone();
             let index = engine[1..].parse().expect("a number");
-            self.fleet.run_started(key);
-            self.running.insert(item, (index, key));
+            let run = self.fleet.start_run(key).expect("picked");
+            self.running.insert(item, (index, run));
         }
     }
 }
--- a/crates/pinereel_core/tests/batch_reported_speed.rs
+++ b/crates/pinereel_core/tests/batch_reported_speed.rs
@@ -48,17 +48,16 @@
         let slowdown = if number < 4 { 120 } else { 55 };
         fleet.load_reported(now, *key, load(0, Some(slowdown)));
     }
+    let mut runs = Vec::new();
     for _ in 0..12 {
         let key = fleet.pick(now, 1, None).expect("a free slot");
         assert!(keys[4..].contains(&key));
-        fleet.run_started(key);
+        runs.extend(fleet.start_run(key));
     }
     let key = fleet.pick(now, 1, None).expect("a free slot");
     assert!(keys[..4].contains(&key), "the fast engines are full");
-    for key in &keys[4..] {
-        for _ in 0..6 {
-            fleet.run_ended(now, *key, RunOutcome::Finished);
-        }
+    for run in runs {
+        fleet.end_run(now, run, RunOutcome::Finished);
     }
     assert_eq!(fleet.pick(at(5_900), 1, None), Some(keys[4]));
     assert_eq!(
@@ -102,8 +101,9 @@
     let later = at(1_300);
     assert_eq!(fleet.pick(later, 1, None), Some(keys[0]));
     // Its own runs are no load of others.
+    let mut runs = Vec::new();
     for _ in 0..3 {
-        fleet.run_started(keys[0]);
+        runs.extend(fleet.start_run(keys[0]));
     }
     fleet.load_reported(later, keys[0], load(3, Some(100)));
     assert_eq!(fleet.pick(later, 1, Some(keys[1])), Some(keys[0]));
@@ -117,7 +117,7 @@
 fn moved_after(reports: bool, percent: u64, duration_ms: u64) -> Option<u64> {
     let (mut fleet, keys) = fleet(2);
     let start = 3_000;
-    fleet.run_started(keys[0]);
+    let _run = fleet.start_run(keys[0]).expect("listed");
     let mut next = [0, 0];
     let mut events = 0;
     for millis in 0..start + 5_000 {
@@ -252,6 +252,7 @@
     for seed in 0..20 {
         let (mut fleet, keys) = fleet(8);
         let mut former = Former::default();
+        let mut runs = Vec::new();
         for step in 0..2_000 {
             let chance = hash::mix(seed * 10_000 + step);
             let key = keys[(chance % 8) as usize];
@@ -261,13 +262,13 @@
                     let picked = fleet.pick(now, 1, None);
                     assert_eq!(picked, former.pick(&keys, None), "seed {seed}, step {step}");
                     if let Some(key) = picked {
-                        fleet.run_started(key);
+                        runs.extend(fleet.start_run(key));
                         former.engines.entry(key).or_default().2 += 1;
                     }
                 }
                 2 => {
-                    if fleet.get(key).is_some_and(|engine| engine.active_runs > 0) {
-                        fleet.run_ended(now, key, RunOutcome::Finished);
+                    if let Some(index) = runs.iter().position(|run| run.engine() == key) {
+                        fleet.end_run(now, runs.remove(index), RunOutcome::Finished);
                         former.engines.entry(key).or_default().2 -= 1;
                     }
                 }
--- a/crates/pinereel_core/tests/batch_shared_engines.rs
+++ b/crates/pinereel_core/tests/batch_shared_engines.rs
@@ -6,7 +6,7 @@
 use compact_str::{CompactString, format_compact};
 use pinereel_core::{
     Time,
-    batch::{EngineKey, Fleet, Listing, RunOutcome},
+    batch::{self, EngineKey, Fleet, Listing, RunOutcome},
     rollout::{EngineShares, should_reassign, with_last_known},
 };
 use rand::{Rng as _, SeedableRng as _};
@@ -80,9 +80,10 @@
     let mut fleet = Fleet::default();
     fleet.update([listing(&ids[0], true, 3), listing(&ids[1], false, 5)]);
     let (own, other) = (key(&fleet, "engine-0"), key(&fleet, "engine-1"));
+    let mut runs = Vec::new();
     for _ in 0..SLOTS {
         assert_eq!(fleet.pick(NOW, 3, None), Some(own));
-        fleet.run_started(own);
+        runs.extend(fleet.start_run(own));
     }
     assert_eq!(
         fleet.pick(NOW, 3, None),
@@ -132,8 +133,8 @@
         }
     }
     assert_eq!(fleet.move_target(NOW, keys[0], 5, 30), Some(keys[1]));
-    fleet.run_started(keys[0]);
-    fleet.run_started(keys[1]);
+    let _first = fleet.start_run(keys[0]).expect("listed");
+    let _second = fleet.start_run(keys[1]).expect("listed");
     let placed = fleet.pick(NOW, 5, None);
     assert!(placed.is_some_and(|key| key != keys[2]), "{placed:?}");
     fleet.update(all([false, false, false]));
@@ -155,9 +156,10 @@
         let mut fleet = Fleet::default();
         let ids = engine_ids();
         fleet.update(ids.iter().map(|id| listing(id, assigned, 5)));
+        let mut runs = Vec::new();
         let picks = (0..ENGINES as u32 * SLOTS).map(|_| {
             let key = fleet.pick(NOW, 5, None).expect("a free slot");
-            fleet.run_started(key);
+            runs.extend(fleet.start_run(key));
             fleet.get(key).expect("listed").listing.id.clone()
         });
         picks.collect::<Vec<_>>()
@@ -190,8 +192,8 @@
     assert_eq!(count(&shares, "model-2"), 0);
 }
 
-/// A run at an engine: its runner, its item, and its events.
-type Run = (usize, usize, u64);
+/// A run at an engine: its runner, its item, its events, and the slot that its runner counts.
+type Run = (usize, usize, u64, batch::Run);
 
 /// An engine as it is: what runs there, with the end of each run, and what waits.
 #[derive(Default)]
@@ -269,13 +271,13 @@
             let (ended, running): (Vec<_>, Vec<_>) =
                 engine.running.drain(..).partition(|(end, _)| *end <= now);
             engine.running = running;
-            for (_, (model, item, events)) in ended {
+            for (_, (model, item, events, run)) in ended {
                 let key = key(&fleets[model], id);
                 fleets[model].first_event_received(key);
                 for _ in 0..events {
                     fleets[model].event_received(now, key, Duration::from_millis(EVENT_MS));
                 }
-                fleets[model].run_ended(now, key, RunOutcome::Finished);
+                fleets[model].end_run(now, run, RunOutcome::Finished);
                 let (groups, items, ..) = sizes[model];
                 unfinished[model][item / items] -= 1;
                 let complete = unfinished[model].iter().filter(|left| **left == 0).count();
@@ -306,20 +308,20 @@
                     continue;
                 };
                 is_placing = true;
-                fleet.run_started(key);
+                let run = fleet.start_run(key).expect("picked");
                 let id = fleet.get(key).expect("listed").listing.id.clone();
                 observed.on_other_engines += usize::from(!home[model].contains(&id));
                 let engine = engines.get_mut(&id).expect("an engine");
                 if engine.running.len() < SLOTS as usize {
                     let end = now + Duration::from_millis(EVENT_MS) * events as u32;
-                    engine.running.push((end, (model, item, events)));
+                    engine.running.push((end, (model, item, events, run)));
                 } else if engine.waiting.len() < ENGINE_QUEUE {
-                    engine.waiting.push_back((now, (model, item, events)));
+                    engine.waiting.push_back((now, (model, item, events, run)));
                     observed.queued += 1;
                     observed.most_waiting = observed.most_waiting.max(engine.waiting.len());
                 } else {
                     observed.rejected += 1;
-                    fleet.run_ended(now, key, RunOutcome::Rejected);
+                    fleet.end_run(now, run, RunOutcome::Rejected);
                     queues[model].push((item, events));
                 }
             }
--- a/crates/pinereel_core/tests/batch_speed.rs
+++ b/crates/pinereel_core/tests/batch_speed.rs
@@ -3,7 +3,7 @@
 
 use pinereel_core::{
     Time,
-    batch::{EngineKey, Fleet, Listing, RunOutcome},
+    batch::{self, EngineKey, Fleet, Listing, RunOutcome},
     hash,
 };
 use pinereel_port::headers::Load;
@@ -110,6 +110,8 @@
     fleets: Vec<(Fleet, BTreeMap<EngineKey, usize>)>,
     steps: Vec<Vec<Step>>,
     runs: Vec<Run>,
+    /// The slot of each run until it ends.
+    slots: Vec<Option<batch::Run>>,
     happenings: BinaryHeap<Reverse<(u64, Happening)>>,
     summary: Summary,
 }
@@ -144,6 +146,7 @@
             fleets: fleets.collect(),
             steps: SIZES.iter().map(|_| Vec::new()).collect(),
             runs: Vec::new(),
+            slots: Vec::new(),
             happenings: BinaryHeap::new(),
             summary: Summary {
                 runs: 0,
@@ -216,7 +219,7 @@
                 return;
             };
             let engine = numbers[&key];
-            fleet.run_started(key);
+            self.slots.push(fleet.start_run(key));
             self.steps[model][step].items[item].queued = false;
             self.summary.runs += 1;
             let run = self.runs.len();
@@ -251,7 +254,7 @@
         let slowdown = self.behavior.slowdown(engine, self.now);
         let (fleet, _) = &mut self.fleets[model];
         let load = Load {
-            running: fleet.get(key).map_or(0, |engine| engine.active_runs),
+            running: fleet.get(key).map_or(0, |engine| engine.active_runs()),
             waiting: 0,
             slots: SLOTS,
             slowdown_percent: self.behavior.reports.then_some(slowdown),
@@ -274,7 +277,8 @@
         let item = &mut step.items[run.item];
         item.events += 1;
         if item.events == item.length {
-            fleet.run_ended(now, run.key, RunOutcome::Finished);
+            let slot = self.slots[number].take().expect("runs");
+            fleet.end_run(now, slot, RunOutcome::Finished);
             self.complete_item(run);
             self.dispatch(run.model);
             return;
@@ -284,7 +288,8 @@
         if !has_queued && may_move && target.is_some() {
             item.moved_at = Some(self.now);
             item.queued = true;
-            fleet.run_ended(now, run.key, RunOutcome::Cancelled);
+            let slot = self.slots[number].take().expect("runs");
+            fleet.end_run(now, slot, RunOutcome::Cancelled);
             self.summary.moves += 1;
             self.dispatch(run.model);
             return;
--- a/crates/pinereel_fakes/src/hosting/engine.rs
+++ b/crates/pinereel_fakes/src/hosting/engine.rs
@@ -199,6 +199,11 @@
         self.state.faults.set(faults);
     }
 
+    /// Returns the number of items that run now.
+    pub fn running(&self) -> u32 {
+        self.state.running.get()
+    }
+
     /// Returns the version of the weights that is loaded.
     pub fn version(&self) -> u64 {
         self.state.version.get()
--- a/crates/pinereel_fakes/src/hosting/instance.rs
+++ b/crates/pinereel_fakes/src/hosting/instance.rs
@@ -1,6 +1,6 @@
 //! An instance of pinereel as a real process, behind proxies.
 
-use super::{http::call, proxy::Proxy};
+use super::{http::call, proxy::Proxy, site::METRICS_PORT};
 use crate::child_process::{Child, Signal, binary_path};
 use actix_http::Method;
 use bytes::Bytes;
@@ -9,6 +9,8 @@
 
 /// Longest time from the start of a process until it is ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest wait for the metrics.
+const METRICS_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// An instance of pinereel, whose process may be started several times.
 pub struct Instance {
@@ -108,6 +110,11 @@
         [self.earlier_lines.clone(), self.lines()].concat()
     }
 
+    /// Returns the address of the metrics.
+    pub fn metrics_address(&self) -> SocketAddr {
+        SocketAddr::new(self.readiness_address.ip(), METRICS_PORT)
+    }
+
     /// Overwrites the settings file with invalid contents, as failing storage does.
     pub fn corrupt_settings(&self) {
         // Best effort: a write that fails is a fault of the kind to be tested.
@@ -147,3 +154,42 @@
         )))
     }
 }
+
+/// Returns the lines of an instance's metrics that begin with `prefix`; none without an answer.
+pub async fn metrics(address: SocketAddr, prefix: &str) -> Vec<String> {
+    let headers = [("host", "here".to_owned())];
+    let answer = call(
+        address,
+        Method::GET,
+        "/metrics",
+        &headers,
+        Bytes::new(),
+        METRICS_TIMEOUT,
+    );
+    let body = answer.await.map(|answer| answer.body).unwrap_or_default();
+    let text = String::from_utf8_lossy(&body).into_owned();
+    let lines = text.lines().filter(|line| line.starts_with(prefix));
+    lines.map(str::to_owned).collect()
+}
+
+/// Load of the lots that an instance runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LotLoad {
+    /// Engine slots that it counts as used.
+    pub used_slots: u64,
+    /// Its tasks of items.
+    pub tasks: u64,
+}
+
+/// Returns the load of the lots that an instance runs; `None` without an answer.
+pub async fn lot_load(address: SocketAddr) -> Option<LotLoad> {
+    let lines = metrics(address, "pinereel_hosted_lot_load").await;
+    let value = |what: &str| {
+        let line = lines.iter().find(|line| line.contains(what))?;
+        line.rsplit(' ').next()?.parse().ok()
+    };
+    Some(LotLoad {
+        used_slots: value("used_slots")?,
+        tasks: value("tasks")?,
+    })
+}
--- a/crates/pinereel_fakes/tests/hosting_store_calls.rs
+++ b/crates/pinereel_fakes/tests/hosting_store_calls.rs
@@ -11,8 +11,9 @@
     hosting::{
         engine,
         http::call,
+        instance::metrics,
         proxy,
-        site::{API_KEY, HOST, Instance, METRICS_PORT, MODEL, Site, Size},
+        site::{API_KEY, HOST, Instance, MODEL, Site, Size},
         trainer::{Shape, Trainer},
     },
 };
@@ -130,24 +131,8 @@
 
 /// The metrics of an instance about calls over links.
 async fn relayed_call_metrics(instance: &Instance) -> Vec<String> {
-    let address = SocketAddr::new(instance.readiness_address.ip(), METRICS_PORT);
-    let headers = [("host", "here".to_owned())];
-    let timeout = Duration::from_secs(2);
-    let answer = call(
-        address,
-        Method::GET,
-        "/metrics",
-        &headers,
-        Bytes::new(),
-        timeout,
-    )
-    .await;
-    let body = answer.map(|answer| answer.body).unwrap_or_default();
-    let text = String::from_utf8_lossy(&body).into_owned();
-    let lines = text
-        .lines()
-        .filter(|line| line.starts_with("pinereel_hosted_relayed_store_calls_total"));
-    lines.map(str::to_owned).collect()
+    let address = instance.metrics_address();
+    metrics(address, "pinereel_hosted_relayed_store_calls_total").await
 }
 
 /// Without a way through the parent, a runner that the store rejects cannot renew its lease: it passes
