proxy: an attempt is counted at its endpoint by one value

The guard of an attempt in flight was disarmed when the attempt ended, and its end was recorded in another file. No await lies between the two, so that no count was lost; an await added there would lose it, as in the fault before. The guard travels with the result of the attempt and records its end. Behavior is the same: hosting_scorings, hosting_crash and retry_attempts cover it.

--- a/crates/pinereel/src/hosted/proxy/attempt.rs
+++ b/crates/pinereel/src/hosted/proxy/attempt.rs
@@ -25,6 +25,8 @@
     pub(super) isolated: bool,
     pub(super) duration: Duration,
     pub(super) result: Result<Answer, Failure>,
+    /// Counts the attempt at its endpoint until its end is recorded.
+    pub(super) in_flight: InFlight,
 }
 
 impl Proxy {
@@ -42,18 +44,18 @@
         let (proxy, request) = (Rc::clone(self), Rc::clone(request));
         Box::pin(async move {
             let started = Instant::now();
-            let guard = InFlightGuard::new(&proxy.deps.endpoints, selected.key, started);
+            let in_flight = InFlight::new(&proxy.deps.endpoints, selected.key, started);
             let wait = request.deadline.saturating_duration_since(started);
             let exchange = proxy.exchange(&request, &selected, wait);
             let result = timeout(wait, exchange).await;
             let result = result.unwrap_or(Err(Failure::Lost));
-            guard.disarm();
             drop(occupancy);
             AttemptResult {
                 selected,
                 isolated,
                 duration: started.elapsed(),
                 result,
+                in_flight,
             }
         })
     }
@@ -187,35 +189,37 @@
     }
 }
 
-/// Counts an attempt in flight at its endpoint. If dropped without [`InFlightGuard::disarm`], it
-/// records the attempt as cancelled.
-struct InFlightGuard {
+/// Counts an attempt in flight at its endpoint until dropped; as cancelled, unless [`InFlight::finish`] was
+/// called.
+pub(super) struct InFlight {
     endpoints: Rc<Endpoints>,
-    key: Option<Key>,
+    key: Key,
     started: Instant,
+    /// How the attempt ended, and how long it took.
+    end: Option<(AttemptEnd, Duration)>,
 }
 
-impl InFlightGuard {
+impl InFlight {
     fn new(endpoints: &Rc<Endpoints>, key: Key, started: Instant) -> Self {
         endpoints.record_start(key);
         Self {
             endpoints: Rc::clone(endpoints),
-            key: Some(key),
+            key,
             started,
+            end: None,
         }
     }
 
-    fn disarm(mut self) {
-        self.key = None;
+    /// Records how the attempt ended after `duration`.
+    pub(super) fn finish(mut self, duration: Duration, end: AttemptEnd) {
+        self.end = Some((end, duration));
     }
 }
 
-impl Drop for InFlightGuard {
+impl Drop for InFlight {
     fn drop(&mut self) {
-        if let Some(key) = self.key {
-            let duration = self.started.elapsed();
-            self.endpoints
-                .record_end(key, duration, AttemptEnd::Cancelled);
-        }
+        let end = self.end.take();
+        let (end, duration) = end.unwrap_or((AttemptEnd::Cancelled, self.started.elapsed()));
+        self.endpoints.record_end(self.key, duration, end);
     }
 }
--- a/crates/pinereel/src/hosted/proxy/mod.rs
+++ b/crates/pinereel/src/hosted/proxy/mod.rs
@@ -166,8 +166,7 @@
                     tokio::select! {
                         Some(attempt) = state.in_flight.next() => {
                             attempt_log.push(describe_attempt(&attempt));
-                            self.record_attempt(&request, &attempt);
-                            match attempt.result {
+                            match self.record_attempt(&request, attempt) {
                                 Ok(answer) if state.attempts.accept(answer.status.as_u16()) => {
                                     break Outcome::Answer(answer);
                                 }
@@ -392,14 +391,19 @@
         actix_rt::spawn(async move {
             let end = Instant::now() + UNNEEDED_ATTEMPT_GRACE;
             while let Ok(Some(attempt)) = timeout_at(end, in_flight.next()).await {
-                proxy.record_attempt(&request, &attempt);
+                // The caller has its answer.
+                let _ = proxy.record_attempt(&request, attempt);
             }
         });
     }
 
     /// Records the result of an attempt: in the metrics, in the state of its endpoint, and in the
-    /// crash tracker.
-    fn record_attempt(&self, request: &ProxyRequest, attempt: &AttemptResult) {
+    /// crash tracker. Returns the result.
+    fn record_attempt(
+        &self,
+        request: &ProxyRequest,
+        attempt: AttemptResult,
+    ) -> Result<Answer, Failure> {
         let end = match &attempt.result {
             Ok(answer) if answer.status.is_server_error() => AttemptEnd::Failed,
             Ok(_) => AttemptEnd::Completed,
@@ -434,7 +438,8 @@
             }
             _ => {}
         }
-        endpoints.record_end(selected.key, attempt.duration, end);
+        attempt.in_flight.finish(attempt.duration, end);
+        attempt.result
     }
 }
 
