soak: late copies of answers, and lots that end beside freezes of their runner

Two checks for all seeds: an item is given up only after as many failures as its route allows, and an instance counts no more slots as used than it has tasks, and none without a run. The draws have generators of their own, so that earlier seeds inject what they did before.

--- a/crates/pinereel_fakes/src/hosting/cli.rs
+++ b/crates/pinereel_fakes/src/hosting/cli.rs
@@ -15,6 +15,7 @@
   --pause-ms N           mean pause between two faults (default 900)
   --crashing             requests come that crash the endpoints that run them
   --cuts                 links to endpoints are cut, and the store is silent to the root of the tree
+  --copies               endpoints send late copies of answers, and lots end beside freezes
   --logs FOLDER          where the logs of failed seeds are written
   --help                 print this";
 
@@ -94,6 +95,10 @@
             options.crashing_requests = true;
             continue;
         }
+        if name == "copies" {
+            options.late_copies = true;
+            continue;
+        }
         if name == "cuts" {
             options.link_cuts = true;
             continue;
--- a/crates/pinereel_fakes/src/hosting/engine.rs
+++ b/crates/pinereel_fakes/src/hosting/engine.rs
@@ -50,6 +50,8 @@
     pub slowdown: Option<&'static str>,
     /// Whether items are accepted and never answered.
     pub hangs: bool,
+    /// Every nth run of an item is answered with status 500; 0 fails none.
+    pub fail_every: u64,
     /// Whether orders are carried out after 1 s and answered only a minute after that.
     pub late_orders: bool,
 }
@@ -85,6 +87,8 @@
     /// Number of running requests.
     running: Rc<Cell<u32>>,
     faults: Cell<Faults>,
+    /// Number of runs that were accepted.
+    run_count: Cell<u64>,
     leaving_since: Cell<Option<Instant>>,
     /// Address in the engine's entry in the store.
     advertised: RefCell<String>,
@@ -145,6 +149,7 @@
             incarnation: Cell::new(1),
             running: Rc::default(),
             faults: Cell::default(),
+            run_count: Cell::new(0),
             leaving_since: Cell::new(None),
             advertised: RefCell::new(address.to_string()),
         });
@@ -360,6 +365,12 @@
         .recorder
         .record_caller(&item, caller_identity(headers));
     state.recorder.record_arrival(&item);
+    state.run_count.set(state.run_count.get() + 1);
+    let fail_every = state.faults.get().fail_every;
+    if fail_every > 0 && state.run_count.get().is_multiple_of(fail_every) {
+        state.recorder.record_failure(&item);
+        return http::empty(StatusCode::INTERNAL_SERVER_ERROR);
+    }
     let after = header(headers, "last-event-id").and_then(|n| n.parse().ok());
     state.running.set(state.running.get() + 1);
     let guard = RunGuard(Rc::clone(&state.running));
--- a/crates/pinereel_fakes/src/hosting/proxy.rs
+++ b/crates/pinereel_fakes/src/hosting/proxy.rs
@@ -1,4 +1,4 @@
-//! A loopback proxy that can delay, drop, refuse and reset the connections through it.
+//! A loopback proxy that can delay, drop, duplicate, refuse and reset what passes through it.
 
 use std::{
     cell::{Cell, RefCell},
@@ -28,6 +28,8 @@
     pub drop_answers: bool,
     /// Whether new connections are closed at once.
     pub refuse_connections: bool,
+    /// Every nth answer is sent again, right before the next answer on its connection; 0 duplicates none.
+    pub duplicate_every: u64,
 }
 
 impl Faults {
@@ -37,6 +39,7 @@
         drop_requests: true,
         drop_answers: true,
         refuse_connections: false,
+        duplicate_every: 0,
     };
 }
 
@@ -49,6 +52,29 @@
     Silent,
 }
 
+/// Largest answer that is duplicated, in bytes.
+const MAX_DUPLICATED_BYTES: usize = 64 << 10;
+
+/// The answers on one connection, as far as they may be duplicated.
+#[derive(Debug, Default)]
+struct Answers {
+    /// The answer that the server sends now, or sent last.
+    current: Vec<u8>,
+    /// Whether a request followed that answer, so that the next bytes begin another one.
+    has_ended: bool,
+}
+
+impl Answers {
+    /// Records bytes of the server. Returns the answer before, if these bytes begin another one.
+    fn record(&mut self, bytes: &[u8]) -> Option<Vec<u8>> {
+        let before = std::mem::take(&mut self.has_ended).then(|| std::mem::take(&mut self.current));
+        if self.current.len() <= MAX_DUPLICATED_BYTES {
+            self.current.extend_from_slice(bytes);
+        }
+        before.filter(|answer| !answer.is_empty() && answer.len() <= MAX_DUPLICATED_BYTES)
+    }
+}
+
 /// What happens to new connections.
 #[derive(Clone, Copy, Debug)]
 enum Listening {
@@ -75,6 +101,8 @@
     /// When the server closed connections by itself after bytes of a request and before any of its
     /// answer.
     unanswered_closes: Rc<RefCell<Vec<Instant>>>,
+    /// Number of answers that could have been duplicated while that fault was in force.
+    duplicable_count: Rc<Cell<u64>>,
 }
 
 impl Proxy {
@@ -91,6 +119,7 @@
             listening: Rc::new(watch::channel(Listening::Accepting).0),
             target,
             unanswered_closes: Rc::default(),
+            duplicable_count: Rc::default(),
         };
         let state = proxy.clone();
         actix_rt::spawn(async move {
@@ -187,8 +216,17 @@
         let (from_client, to_client) = client.into_split();
         let (from_server, to_server) = server.into_split();
         let (awaits_answer, client_closed) = (Cell::new(false), Cell::new(false));
-        let on_request = || awaits_answer.set(true);
-        let on_answer = || awaits_answer.set(false);
+        let seen = RefCell::new(Answers::default());
+        let on_request = |_: &[u8]| {
+            awaits_answer.set(true);
+            seen.borrow_mut().has_ended = true;
+            None
+        };
+        let on_answer = |bytes: &[u8]| {
+            awaits_answer.set(false);
+            let before = seen.borrow_mut().record(bytes);
+            before.filter(|_| self.is_next_duplicated())
+        };
         let requests = self.forward(from_client, to_server, on_request, |f| f.drop_requests);
         let answers = self.forward(from_server, to_client, on_answer, |f| f.drop_answers);
         tokio::select! {
@@ -208,11 +246,22 @@
         }
     }
 
+    /// Counts an answer that may be duplicated; returns whether it is.
+    fn is_next_duplicated(&self) -> bool {
+        let every = self.faults.get().duplicate_every;
+        if every == 0 {
+            return false;
+        }
+        self.duplicable_count.set(self.duplicable_count.get() + 1);
+        self.duplicable_count.get().is_multiple_of(every)
+    }
+
+    /// Forwards the bytes of one direction. `on_bytes` returns bytes to be sent before them.
     async fn forward(
         &self,
         mut from: OwnedReadHalf,
         mut to: OwnedWriteHalf,
-        on_bytes: impl Fn(),
+        on_bytes: impl Fn(&[u8]) -> Option<Vec<u8>>,
         is_dropped: impl Fn(Faults) -> bool,
     ) {
         let mut buffer = vec![0; 16_384];
@@ -235,7 +284,11 @@
                 return;
             }
             // Also if the receiver has closed the connection meanwhile.
-            on_bytes();
+            if let Some(copy) = on_bytes(&buffer[..count])
+                && to.write_all(&copy).await.is_err()
+            {
+                return;
+            }
             if to.write_all(&buffer[..count]).await.is_err() {
                 return;
             }
--- a/crates/pinereel_fakes/src/hosting/recorder.rs
+++ b/crates/pinereel_fakes/src/hosting/recorder.rs
@@ -53,6 +53,8 @@
     orders: Vec<Order>,
     /// Requests that leaving endpoints received, with the time since the endpoint announced it.
     late_requests: Vec<(String, Duration)>,
+    /// Number of answers of 500, by request.
+    failures: BTreeMap<String, usize>,
     violations: Vec<String>,
 }
 
@@ -99,6 +101,17 @@
         self.inner.borrow().runs.get(id).map_or(0, Vec::len)
     }
 
+    /// Records that an endpoint answered a request with status 500.
+    pub fn record_failure(&self, id: &str) {
+        let mut inner = self.inner.borrow_mut();
+        *inner.failures.entry(id.into()).or_default() += 1;
+    }
+
+    /// Returns how many times endpoints answered a request with status 500.
+    pub fn failure_count(&self, id: &str) -> usize {
+        self.inner.borrow().failures.get(id).copied().unwrap_or(0)
+    }
+
     /// Records that an engine produced an event of an item by `version` of the weights.
     pub fn record_event(&self, item: &str, version: u64) {
         let mut inner = self.inner.borrow_mut();
--- a/crates/pinereel_fakes/src/hosting/service.rs
+++ b/crates/pinereel_fakes/src/hosting/service.rs
@@ -38,6 +38,8 @@
     pub delay: Duration,
     /// Every request is answered with status 500 after it ran.
     pub fail: bool,
+    /// Every nth request is answered with status 500 after it ran; 0 fails none.
+    pub fail_every: u64,
     /// Running requests, waiting requests and slots that every answer reports; `None` for no report.
     pub reported_load: Option<[u32; 3]>,
 }
@@ -174,10 +176,14 @@
     if is_nth(faults.cut_every) {
         body.truncate(length / 2);
     }
-    let status = match faults.fail {
+    let fails = faults.fail || is_nth(faults.fail_every);
+    let status = match fails {
         true => StatusCode::INTERNAL_SERVER_ERROR,
         false => StatusCode::OK,
     };
+    if fails {
+        state.recorder.record_failure(&id);
+    }
     let mut answer = Response::new(status).set_body(BoxBody::new(body));
     if let Some([running, waiting, slots]) = faults.reported_load {
         let load = format!("{running},{waiting},{slots}");
--- a/crates/pinereel_fakes/src/hosting/site.rs
+++ b/crates/pinereel_fakes/src/hosting/site.rs
@@ -35,6 +35,10 @@
 pub const API_KEY: &str = "key-of-w-5b1e";
 /// Name of the model that all engines serve.
 pub const MODEL: &str = "model-a";
+/// Number of failed runs after which an item may be given up.
+pub const MAX_LOT_ATTEMPTS: usize = 3;
+/// Number of failed scorings after which an item may be given up.
+pub const MAX_SCORING_ATTEMPTS: usize = 4;
 /// Name of the engines' service.
 const ENGINE_SERVICE: &str = "engines";
 /// Name of the plain service that answers live requests and scores results.
@@ -208,7 +212,7 @@
         let others = self.other_models.iter().map(String::as_str);
         let models = [MODEL].into_iter().chain(others);
         let models: Vec<_> = models.map(|name| json!({"name": name})).collect();
-        let route = |name: &str, kind: &str, service: &str, attempts: u32| {
+        let route = |name: &str, kind: &str, service: &str, attempts: usize| {
             json!({
                 "name": name, "host": HOST, "pathPrefix": format!("/{name}/"), "kind": kind,
                 "timeoutMs": timeout.as_millis() as u64, "targetLatencyMs": 150,
@@ -220,8 +224,8 @@
             "routes": [
                 route("live", "safe", live, 3),
                 route("once", "unsafe", PLAIN_SERVICE, 2),
-                route("score", "safe", PLAIN_SERVICE, 4),
-                route("lots", "rollout", ENGINE_SERVICE, 3),
+                route("score", "safe", PLAIN_SERVICE, MAX_SCORING_ATTEMPTS),
+                route("lots", "rollout", ENGINE_SERVICE, MAX_LOT_ATTEMPTS),
                 route(&format!("only-{}", self.config_version), "safe", PLAIN_SERVICE, 2),
             ],
             "services": [
--- a/crates/pinereel_fakes/src/hosting/soak/mod.rs
+++ b/crates/pinereel_fakes/src/hosting/soak/mod.rs
@@ -6,8 +6,10 @@
 
 mod checks;
 mod crashing_requests;
+mod ended_lots;
 mod fault_kind;
 mod inject;
+mod late_copies;
 mod link_cuts;
 
 use super::{
@@ -54,6 +56,8 @@
     pub crashing_requests: bool,
     /// Whether links to endpoints are cut, and the store is silent to the root of the broadcast tree.
     pub link_cuts: bool,
+    /// Whether endpoints send late copies of their answers, and lots are ended beside freezes of their runner.
+    pub late_copies: bool,
 }
 
 impl Default for Options {
@@ -70,6 +74,7 @@
             mean_pause: Duration::from_millis(900),
             crashing_requests: false,
             link_cuts: false,
+            late_copies: false,
         }
     }
 }
@@ -203,10 +208,27 @@
             link_cuts::cut_until(&cut_site, &periods, options.seed, end).await;
         }
     };
-    tokio::join!(soak.inject_faults(end), trainer.run(end), sender, cutter);
+    let (copy_site, copy_periods) = (Rc::clone(&soak.site), Rc::clone(&soak.fault_periods));
+    let copier = async {
+        if options.late_copies {
+            let (site, periods, seed) = (&copy_site, &copy_periods, options.seed);
+            tokio::join!(
+                late_copies::send_until(site, seed, end),
+                ended_lots::end_until(site, &load_balancer, periods, seed, end),
+            );
+        }
+    };
+    tokio::join!(
+        soak.inject_faults(end),
+        trainer.run(end),
+        sender,
+        cutter,
+        copier
+    );
     soak.end_faults().await;
     soak.check_recovery(&mut trainer, &tally).await;
     soak.check_graceful_shutdowns();
+    ended_lots::check_slots(&soak.site).await;
     if let Some(crashing) = &crashing {
         crashing.check();
         let crash_counts = crashing.crash_counts();
--- a/crates/pinereel_fakes/src/hosting/trainer.rs
+++ b/crates/pinereel_fakes/src/hosting/trainer.rs
@@ -5,7 +5,7 @@
     http::{Answer, Failure, call},
     load_balancer::LoadBalancer,
     recorder::Recorder,
-    site::{API_KEY, HOST, Instance, MODEL, Site},
+    site::{API_KEY, HOST, Instance, MAX_LOT_ATTEMPTS, MAX_SCORING_ATTEMPTS, MODEL, Site},
     store::Store,
 };
 use actix_http::{Method, StatusCode};
@@ -310,10 +310,24 @@
             }
             if result["state"] == "completed" {
                 self.check_completed(id, oldest, result);
+            } else {
+                self.check_errored(id);
             }
         }
     }
 
+    /// Checks that an item was given up only after all the runs, or all the scorings, that it may have had
+    /// failed.
+    fn check_errored(&self, id: &str) {
+        let runs = self.recorder.failure_count(id);
+        let scorings = self.recorder.failure_count(&format!("{id}.s"));
+        if runs < MAX_LOT_ATTEMPTS && scorings < MAX_SCORING_ATTEMPTS {
+            self.recorder.record_violation(format!(
+                "{id}: given up after {runs} failed runs and {scorings} failed scorings"
+            ));
+        }
+    }
+
     fn check_completed(&self, id: &str, oldest: u64, result: &Value) {
         if result["output"].as_str() != Some(&engine::text(id)) {
             self.recorder
--- a/crates/pinereel_fakes/tests/hosting_soak.rs
+++ b/crates/pinereel_fakes/tests/hosting_soak.rs
@@ -98,3 +98,15 @@
     })
     .await;
 }
+
+/// Endpoints send late copies of their answers, and lots are ended beside freezes of their runner, beside all
+/// other faults.
+#[actix_rt::test]
+async fn seed_7101_violates_no_guarantee_beside_late_copies_and_ended_lots() {
+    assert_no_violation(Options {
+        seed: 7_101,
+        late_copies: true,
+        ..Options::default()
+    })
+    .await;
+}
