soak: end lots at an instance that runs, while most of their items are queued

Half of the calls that end a lot went to the frozen instance, so that the freeze lasted 2 s, and 60 items were done before their lot was ended.

Change: these calls go to another instance, lots have 400 items, and runs and scorings fail more often.

--- a/crates/pinereel_fakes/src/hosting/soak/ended_lots.rs
+++ b/crates/pinereel_fakes/src/hosting/soak/ended_lots.rs
@@ -12,16 +12,16 @@
 };
 use actix_http::Method;
 use bytes::Bytes;
-use rand::{Rng as _, SeedableRng as _};
+use rand::{Rng as _, SeedableRng as _, seq::IteratorRandom as _};
 use rand_chacha::ChaCha8Rng;
 use serde_json::json;
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::time::{Instant, sleep};
 
 /// Deadline of a call.
 const CALL_DEADLINE: Duration = Duration::from_secs(2);
-/// Number of items of a lot, more than all engines have slots.
-const ITEMS: usize = 60;
+/// Number of items of a lot, so many that most are queued when it is ended.
+const ITEMS: usize = 400;
 /// Time within which no slot is counted as used after the last run.
 const MAX_TIME_TO_IDLE: Duration = Duration::from_secs(8);
 
@@ -40,7 +40,8 @@
         number += 1;
         let lot = format!("ended-{seed}-{number}");
         let submission = submission(&lot);
-        send(load_balancer, Method::POST, "/lots/ended", &lot, submission).await;
+        let address = load_balancer.pick().caller_address;
+        send(address, Method::POST, "/lots/ended", &lot, submission).await;
         sleep(Duration::from_millis(rng.random_range(200..1_200))).await;
         let length = Duration::from_millis(rng.random_range(300..3_000));
         // Short ones are the more frequent.
@@ -52,7 +53,8 @@
         let frozen = freeze(&mut site.borrow_mut(), periods, length);
         sleep(length.mul_f64(rng.random_range(0.0..0.9))).await;
         let target = format!("/v1/lots/{lot}");
-        let ended = send(load_balancer, Method::DELETE, &target, &lot, Bytes::new());
+        let address = other_address(&site.borrow(), frozen, &mut rng);
+        let ended = send(address, Method::DELETE, &target, &lot, Bytes::new());
         tokio::join!(ended, sleep(length / 2));
         if let Some(index) = frozen {
             let instance = &mut site.borrow_mut().instances[index];
@@ -85,6 +87,13 @@
     Some(index)
 }
 
+/// Address of an instance other than the frozen one.
+fn other_address(site: &Site, frozen: Option<usize>, rng: &mut ChaCha8Rng) -> SocketAddr {
+    let others = (0..site.instances.len()).filter(|index| Some(*index) != frozen);
+    let index = others.choose(rng).unwrap_or_default();
+    site.instances[index].caller_proxy.address
+}
+
 fn submission(lot: &str) -> Bytes {
     let item = |number: usize| {
         json!({
@@ -99,14 +108,13 @@
     submission.to_string().into()
 }
 
-async fn send(load_balancer: &LoadBalancer, method: Method, target: &str, id: &str, body: Bytes) {
+async fn send(address: SocketAddr, method: Method, target: &str, id: &str, body: Bytes) {
     let headers = [
         ("host", HOST.to_owned()),
         ("x-request-id", id.to_owned()),
         ("x-deadline-ms", CALL_DEADLINE.as_millis().to_string()),
         ("authorization", format!("Bearer {API_KEY}")),
     ];
-    let address = load_balancer.pick().caller_address;
     // A call may fail under the other faults; a lot that is not ended expires.
     let _ = call(address, method, target, &headers, body, CALL_DEADLINE).await;
 }
--- a/crates/pinereel_fakes/src/hosting/soak/late_copies.rs
+++ b/crates/pinereel_fakes/src/hosting/soak/late_copies.rs
@@ -17,10 +17,10 @@
             return;
         }
         let copies = proxy::Faults {
-            duplicate_every: rng.random_range(1..5),
+            duplicate_every: rng.random_range(1..4),
             ..proxy::Faults::default()
         };
-        let fail_every = rng.random_range(2..5);
+        let fail_every = rng.random_range(2..4);
         let (engine, service) = {
             let site = site.borrow();
             let engine = &site.engines[rng.random_range(0..site.engines.len())];
