lots: only ended lots are deleted by age, by the runner of their model

Cause: each holder of any model's lease deleted each lot that it had first seen `kept` + 60 s ago and that was not open at this very instance, whatever its model, and whether or not its trainer had ended it. A lot whose items all had results was deleted by its own runner as well, and one that was submitted again had the age of the one before.

Change: batch::StoredLots decides. Lots that are deleted or no longer listed are forgotten, and a deletion names the revision that was judged.

--- a/crates/pinereel/src/hosted/lots/cleanup.rs
+++ b/crates/pinereel/src/hosted/lots/cleanup.rs
@@ -3,11 +3,11 @@
 
 use super::{checkpoint::dependent_kinds, runner::Runner, schema::LOT_KIND};
 use crate::objects::{Error, Purpose};
-use compact_str::CompactString;
 use futures_util::future::join_all;
+use pinereel_port::store::Consistency;
 use serde_json::json;
-use std::{collections::BTreeMap, rc::Rc, time::Duration};
-use tokio::time::{Instant, sleep};
+use std::{rc::Rc, time::Duration};
+use tokio::time::sleep;
 
 /// Pause between two cleanup passes.
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(10);
@@ -16,51 +16,31 @@
 /// Added to the retention time, because each instance counts it from when it first saw the lot.
 const RETENTION_MARGIN: Duration = Duration::from_secs(60);
 
-/// When this instance first saw each lot. A later holder of the lease counts from its own first
-/// sight, so a lot is never deleted too early.
-#[derive(Debug, Default)]
-pub(super) struct FirstSeen(BTreeMap<CompactString, Instant>);
-
-impl FirstSeen {
-    /// Records the current time for a lot, unless it was seen before.
-    pub(super) fn record(&mut self, lot: &CompactString) {
-        let now = Instant::now();
-        self.0.entry(lot.clone()).or_insert(now);
-    }
-
-    /// Removes a lot that has been deleted.
-    pub(super) fn remove(&mut self, lot: &str) {
-        self.0.remove(lot);
-    }
-
-    /// Ids of the lots first seen at least `age` ago.
-    fn older_than(&self, age: Duration) -> Vec<CompactString> {
-        let older = self
-            .0
-            .iter()
-            .filter(|(_, first_seen)| first_seen.elapsed() >= age);
-        older.map(|(lot, _)| lot.clone()).collect()
-    }
-}
-
-/// Writes tombstones and deletes expired lots periodically, until dropped.
-pub(super) async fn clean_up(runner: &Rc<Runner>) {
+/// Writes tombstones and deletes expired lots periodically, until dropped. Called by the runner of `model`.
+pub(super) async fn clean_up(runner: &Rc<Runner>, model: &str) {
     let retention = runner.deps.retention + RETENTION_MARGIN;
     loop {
         sleep(CLEANUP_INTERVAL).await;
         write_tombstones(runner).await;
-        for lot in runner.with_first_seen(|first_seen| first_seen.older_than(retention)) {
+        let models = runner.configured_models();
+        let has_runner = |model: &str| models.contains(model);
+        let now = runner.deps.clock.now();
+        let expired = {
+            let state = runner.state.borrow();
+            (state.stored_lots).expired(now, model, has_runner, retention)
+        };
+        for (lot, revision) in expired {
             if runner.is_open(&lot) {
                 continue;
             }
-            match remove_lot(runner, &lot).await {
+            match remove_lot(runner, &lot, revision).await {
                 Ok(count) => {
                     log::info!(id = lot.as_str(), objects = count; "expired lot deleted");
                     let metrics = &runner.deps.metrics;
                     metrics.count(&metrics.lot_events, &["removed"]);
-                    runner.with_first_seen(|first_seen| first_seen.remove(&lot));
+                    runner.state.borrow_mut().stored_lots.remove(&lot);
                 }
-                // The next pass retries.
+                // The next pass retries, with the lot's current state.
                 Err(error) => log::warn!(id = lot.as_str(), error:% = error; "lot not deleted"),
             }
         }
@@ -101,10 +81,19 @@
     join_all(updates).await;
 }
 
-/// Deletes a lot with its results and checkpoints. The lot object goes last: without it, nothing
-/// would refer to the remaining objects. Returns the number of results and checkpoints deleted.
-async fn remove_lot(runner: &Runner, lot: &str) -> Result<usize, Error> {
+/// Deletes a lot of this revision with its results and checkpoints. The lot object goes last: without it,
+/// nothing would refer to the remaining objects. Returns the number of results and checkpoints deleted.
+///
+/// # Errors
+/// [`Error::Conflict`] if the lot has another revision.
+async fn remove_lot(runner: &Runner, lot: &str, revision: u64) -> Result<usize, Error> {
     let store = &runner.deps.store;
+    let read = store.read(Purpose::Lots, LOT_KIND, lot, Consistency::Linearizable);
+    match read.await? {
+        Some(object) if object.revision == revision => {}
+        Some(_) => return Err(Error::Conflict),
+        None => return Ok(0),
+    }
     let mut count = 0;
     for kind in dependent_kinds(lot) {
         let (objects, _) = store.list(Purpose::Lots, &kind, None).await?;
@@ -113,6 +102,6 @@
         }
         count += objects.len();
     }
-    store.delete(Purpose::Lots, LOT_KIND, lot).await?;
+    (store.delete_at(Purpose::Lots, LOT_KIND, lot, revision)).await?;
     Ok(count)
 }
--- a/crates/pinereel/src/hosted/lots/lifecycle.rs
+++ b/crates/pinereel/src/hosted/lots/lifecycle.rs
@@ -14,7 +14,7 @@
 use compact_str::CompactString;
 use pinereel_core::{
     Time,
-    batch::{DEFAULT_LENGTH_TOKENS, DemandWindow, Lot},
+    batch::{DEFAULT_LENGTH_TOKENS, DemandWindow, Lot, StoredLot},
 };
 use pinereel_port::store::Object;
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
@@ -41,8 +41,17 @@
         has_predecessor: bool,
     ) {
         let id = object.name.clone();
-        self.with_first_seen(|first_seen| first_seen.record(&id));
-        if schema::lot_model(&object).is_some_and(|other| other != model) {
+        let object_model = schema::lot_model(&object);
+        let stored = StoredLot {
+            model: object_model.map(CompactString::from),
+            revision: object.revision,
+            ended: is_ended(&object),
+        };
+        let now = self.deps.clock.now();
+        let mut state = self.state.borrow_mut();
+        state.stored_lots.record(now, &id, stored);
+        drop(state);
+        if object_model.is_some_and(|other| other != model) {
             return;
         }
         if is_ended(&object) {
--- a/crates/pinereel/src/hosted/lots/runner.rs
+++ b/crates/pinereel/src/hosted/lots/runner.rs
@@ -2,7 +2,7 @@
 
 use super::{
     checkpoint::{self, Checkpoint},
-    cleanup::{self, FirstSeen},
+    cleanup,
     schema::LOT_KIND,
     scoring_permits::Permits,
     state::State,
@@ -28,7 +28,7 @@
 use pinereel_port::Adapter;
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     rc::Rc,
     time::Duration,
 };
@@ -212,7 +212,7 @@
         tokio::select! {
             () = lots => {}
             () = self.dispatch() => {}
-            () = cleanup::clean_up(self) => {}
+            () = cleanup::clean_up(self, model) => {}
         }
     }
 
@@ -220,10 +220,19 @@
         // Lots that exist already when this runner starts may have had another runner.
         let has_predecessor = matches!(update, Update::All(_));
         let objects: Vec<_> = match update {
-            Update::All(objects) => objects,
+            Update::All(objects) => {
+                let listed = objects.iter().map(|object| object.name.clone()).collect();
+                self.state.borrow_mut().stored_lots.retain(&listed);
+                objects
+            }
             Update::Changes(changes) => {
-                let present = changes.into_iter().filter(|change| !change.deleted);
-                present.map(|change| change.object).collect()
+                let (deleted, present): (Vec<_>, Vec<_>) =
+                    changes.into_iter().partition(|change| change.deleted);
+                for change in deleted {
+                    let mut state = self.state.borrow_mut();
+                    state.stored_lots.remove(&change.object.name);
+                }
+                present.into_iter().map(|change| change.object).collect()
             }
         };
         for object in objects {
@@ -231,9 +240,12 @@
         }
     }
 
-    /// Calls `access` with the record of when each lot was first seen.
-    pub(super) fn with_first_seen<T>(&self, access: impl FnOnce(&mut FirstSeen) -> T) -> T {
-        access(&mut self.state.borrow_mut().first_seen)
+    /// The models of the configuration in force, each of which has a runner.
+    pub(super) fn configured_models(&self) -> BTreeSet<CompactString> {
+        let table = self.deps.config.table();
+        table.map_or_else(BTreeSet::new, |table| {
+            engine_models(&table).into_iter().collect()
+        })
     }
 
     /// Whether a lot is open or being opened.
--- a/crates/pinereel/src/hosted/lots/state.rs
+++ b/crates/pinereel/src/hosted/lots/state.rs
@@ -2,12 +2,11 @@
 
 use super::{
     checkpoint::{Checkpoint, longest_outputs},
-    cleanup::FirstSeen,
     schema::Tombstone,
 };
 use compact_str::CompactString;
 use pinereel_core::{
-    batch::{DemandWindow, Fleet, Lot},
+    batch::{DemandWindow, Fleet, Lot, StoredLots},
     rollout::EngineShares,
 };
 use pinereel_port::{
@@ -34,8 +33,8 @@
     pub(super) ended: BTreeMap<CompactString, EndedLot>,
     /// Recent demand, by model.
     pub(super) demand_by_model: BTreeMap<CompactString, DemandWindow>,
-    /// When this instance first saw each lot.
-    pub(super) first_seen: FirstSeen,
+    /// The lots in the store.
+    pub(super) stored_lots: StoredLots,
     /// Engines by service and model.
     pub(super) fleets: BTreeMap<FleetKey, Fleet>,
     /// The revision of the endpoint list, the size of the working set and the revision of the engine
--- a/crates/pinereel/src/hosted/store/mod.rs
+++ b/crates/pinereel/src/hosted/store/mod.rs
@@ -462,6 +462,24 @@
         }
     }
 
+    /// Deletes an object whose current revision is `revision`; succeeds if it does not exist.
+    ///
+    /// # Errors
+    /// [`Error::Conflict`] if the object has another revision.
+    pub async fn delete_at(
+        &self,
+        purpose: Purpose,
+        kind: &str,
+        name: &str,
+        revision: u64,
+    ) -> Result<(), Error> {
+        let call = (self.codec.delete_at)(kind, name, revision);
+        match self.request(purpose, Access::Write, call).await {
+            Ok(_) | Err(Error::NotFound) => Ok(()),
+            Err(error) => Err(error),
+        }
+    }
+
     async fn request(
         &self,
         purpose: Purpose,
--- a/crates/pinereel_core/src/batch/mod.rs
+++ b/crates/pinereel_core/src/batch/mod.rs
@@ -17,6 +17,7 @@
 mod reported_load;
 mod results_cache;
 mod run;
+mod stored_lots;
 mod timeout;
 
 pub use commit_log::{CommitLog, Gap};
@@ -27,4 +28,5 @@
 pub use placement::ReportedSpeed;
 pub use results_cache::{ReadAnswer, ReadPlan, ResultsCache};
 pub use run::Run;
+pub use stored_lots::{StoredLot, StoredLots, UNENDED_RETENTION};
 pub use timeout::{MAX_TIMEOUT, extended_wait};
--- a/crates/pinereel_fakes/src/hosting/site.rs
+++ b/crates/pinereel_fakes/src/hosting/site.rs
@@ -145,7 +145,12 @@
         Self::start_with(size, seed, &[], adapt_settings).await
     }
 
-    async fn start_with(
+    /// Starts a site whose engines also serve `other_models`, with other settings as by
+    /// [`Site::start_with_settings`].
+    ///
+    /// # Errors
+    /// If a part of the site cannot be started.
+    pub async fn start_with(
         size: Size,
         seed: u64,
         other_models: &[&str],
--- a/crates/pinereel_fakes/src/hosting/store.rs
+++ b/crates/pinereel_fakes/src/hosting/store.rs
@@ -281,8 +281,14 @@
         let parts: Vec<_> = path.trim_start_matches("/v1/objects/").split('/').collect();
         let query = request.uri().query().unwrap_or_default().to_owned();
         let body = http::read_json(&mut request, MAX_BODY_BYTES, Duration::from_secs(5)).await;
-        let body: Value = body.unwrap_or_default();
+        let mut body: Value = body.unwrap_or_default();
         let method = request.method().clone();
+        if method == Method::DELETE {
+            // A deletion carries the expected revision in its query.
+            let revision = query_parameter(&query, "revision");
+            let revision = revision.and_then(|text| text.parse::<u64>().ok());
+            body = json!({"metadata": {"revision": revision}});
+        }
         if method == Method::GET && faults.endless_reads {
             let parts =
                 stream::repeat_with(|| Ok::<_, io::Error>(Bytes::from(vec![b' '; 16 << 10])));
@@ -383,10 +389,7 @@
             ("POST", [kind]) => self.create(kind, body),
             ("PUT", [kind, name]) => self.update(kind, name, body),
             ("PUT", [kind, name, "status"]) => self.update_status(kind, name, body),
-            ("DELETE", [kind, name]) => {
-                self.remove(kind, name);
-                Ok(Value::Null)
-            }
+            ("DELETE", [kind, name]) => self.delete(kind, name, body),
             _ => Err(WriteError::NotFound),
         };
         match result {
@@ -423,6 +426,16 @@
         Ok(self.write(kind, name, |stored| stored.spec = body["spec"].clone()))
     }
 
+    fn delete(&self, kind: &str, name: &str, body: &Value) -> Result<Value, WriteError> {
+        let stored = self.find(kind, name).ok_or(WriteError::NotFound)?;
+        let expected_revision = body["metadata"]["revision"].as_u64();
+        if expected_revision.is_some_and(|revision| revision != stored.revision) {
+            return Err(WriteError::Conflict(object_json(name, &stored)));
+        }
+        self.remove(kind, name);
+        Ok(Value::Null)
+    }
+
     fn update_status(&self, kind: &str, name: &str, body: &Value) -> Result<Value, WriteError> {
         self.find(kind, name).ok_or(WriteError::NotFound)?;
         Ok(self.write(kind, name, |stored| stored.status = body["status"].clone()))
--- a/crates/pinereel_port/src/store.rs
+++ b/crates/pinereel_port/src/store.rs
@@ -89,6 +89,8 @@
     pub update_status: fn(&str, &str, &Value) -> Request,
     /// Deletes an object, regardless of its revision. Arguments: kind, name.
     pub delete: fn(&str, &str) -> Request,
+    /// Deletes an object; fails if it has another revision. Arguments: kind, name, revision.
+    pub delete_at: fn(&str, &str, u64) -> Request,
     /// Decodes an object.
     pub decode_object: fn(&[u8]) -> Result<Object, DecodeError>,
     /// Decodes a page of a list.
