upstream: skip interim answers, and forward no expectation

Cause: `Expect` was forwarded although it had been met here, and the reader of answers took the first head for the final one.

Change: the pool and the direct client skip up to 16 interim heads; 101 is no answer. `Expect` is a header of one connection. Headers of items pass the filter of hop-by-hop headers.

--- a/crates/pinereel/src/filters/service.rs
+++ b/crates/pinereel/src/filters/service.rs
@@ -16,8 +16,8 @@
     Method, StatusCode,
     body::{BodyStream, BoxBody, SizedStream},
     header::{
-        AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue,
-        TRANSFER_ENCODING,
+        AUTHORIZATION, CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName,
+        HeaderValue, TRANSFER_ENCODING,
     },
 };
 use bytes::Bytes;
@@ -38,7 +38,8 @@
 /// Maximum number of attempts of one request.
 const MAX_ATTEMPTS: usize = 3;
 /// Headers that apply to one connection only and are not forwarded.
-const HOP_BY_HOP_HEADERS: [HeaderName; 4] = [CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING];
+const HOP_BY_HOP_HEADERS: [HeaderName; 5] =
+    [CONNECTION, CONTENT_LENGTH, EXPECT, HOST, TRANSFER_ENCODING];
 
 /// A request for a plain service.
 #[derive(Clone, Debug)]
--- a/crates/pinereel/src/hosted/lots/stream.rs
+++ b/crates/pinereel/src/hosted/lots/stream.rs
@@ -4,7 +4,10 @@
 //! after the last of them.
 
 use super::{runner::Runner, state::ItemTask};
-use crate::upstream::pool::{Body, Error, PooledRequest};
+use crate::{
+    hosted::proxy::end_to_end,
+    upstream::pool::{Body, Error, PooledRequest},
+};
 use actix_http::{
     Method, RequestHead, StatusCode,
     header::{HOST, HeaderMap, HeaderName, HeaderValue},
@@ -212,7 +215,7 @@
     let mut head = RequestHead::default();
     head.method = Method::POST;
     head.uri = item.path.parse().unwrap_or_default();
-    head.headers = item_headers(item);
+    head.headers = end_to_end(&item_headers(item));
     if let Ok(host) = HeaderValue::from_str(&task.host) {
         head.headers.insert(HOST, host);
     }
--- a/crates/pinereel/src/hosted/proxy/headers.rs
+++ b/crates/pinereel/src/hosted/proxy/headers.rs
@@ -2,9 +2,11 @@
 
 use actix_http::header::{HeaderMap, HeaderName};
 
-/// Headers that concern one connection only and are not forwarded.
-const HOP_BY_HOP_HEADERS: [&str; 9] = [
+/// Headers that concern one connection only and are not forwarded. An expectation has been met here: the body
+/// has been read, and is sent with the head.
+const HOP_BY_HOP_HEADERS: [&str; 10] = [
     "connection",
+    "expect",
     "keep-alive",
     "proxy-connection",
     "proxy-authenticate",
@@ -17,7 +19,7 @@
 
 /// Returns the headers to forward: without hop-by-hop headers, and without `Content-Length`, which
 /// message framing sets.
-pub(super) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+pub(in crate::hosted) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
     let mut kept = HeaderMap::with_capacity(headers.len());
     let connection_specific = headers_named_by_connection(headers);
     for (name, value) in headers {
--- a/crates/pinereel/src/hosted/proxy/mod.rs
+++ b/crates/pinereel/src/hosted/proxy/mod.rs
@@ -11,6 +11,7 @@
 mod request_log;
 mod suspected;
 
+pub(super) use headers::end_to_end;
 pub use request::{Answer, LoadObserver, Outcome, ProxyRequest};
 
 use super::{
--- a/crates/pinereel/src/upstream/direct.rs
+++ b/crates/pinereel/src/upstream/direct.rs
@@ -4,7 +4,7 @@
 //! Here the body must end as its framing announces. A connection that closes earlier, and a body
 //! that is only delimited by the connection's end, are errors.
 
-use super::{Attempt, Error, connect};
+use super::{Attempt, Error, connect, interim::read_final_head};
 use actix_codec::Framed;
 use actix_http::{
     Method, RequestHead, RequestHeadType, StatusCode, Uri,
@@ -73,11 +73,7 @@
             .map_err(lost)?;
     }
     framed.flush().await.map_err(lost)?;
-    let head = framed
-        .next()
-        .await
-        .ok_or_else(|| Error::Lost("no answer".into()))?;
-    let head = head.map_err(|e| Error::Lost(e.to_string()))?;
+    let head = read_final_head(&mut framed).await.map_err(Error::Lost)?;
     let has_no_framed_body = framed.codec_ref().message_type() == MessageType::None;
     let length = head.headers.get(CONTENT_LENGTH).cloned();
     if has_no_framed_body && length.is_none() && may_have_body(&method, head.status) {
--- a/crates/pinereel/src/upstream/mod.rs
+++ b/crates/pinereel/src/upstream/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod body_memory;
 pub mod direct;
 pub mod ejected;
+mod interim;
 mod metered;
 pub mod pool;
 pub mod probe;
--- a/crates/pinereel/src/upstream/pool.rs
+++ b/crates/pinereel/src/upstream/pool.rs
@@ -10,6 +10,7 @@
 use super::{
     body_memory::BodyMemory,
     connect_to,
+    interim::read_final_head,
     metered::Metered,
     probe::{Probe, probe},
 };
@@ -263,11 +264,8 @@
         connection.io_mut().reset();
         let sent = write_request(&mut connection, request.head, request.body).await;
         // An endpoint may respond and close before it has read the complete request.
-        let head = match connection.next().await {
-            Some(Ok(head)) => head,
-            Some(Err(e)) => return Err(Error::Lost(e.to_string())),
-            None => return Err(Error::Lost("closed without an answer".into())),
-        };
+        let head = read_final_head(&mut connection).await;
+        let head = head.map_err(Error::Lost)?;
         if let Some(read_id) = self.read_id {
             let response_id = read_id(&head.headers);
             if history.match_response(id, response_id) == Match::Foreign {
--- a/crates/pinereel/tests/upstream_pool.rs
+++ b/crates/pinereel/tests/upstream_pool.rs
@@ -169,3 +169,34 @@
     let refused = pool.send(request(closed_port)).await.err();
     assert!(matches!(refused, Some(Error::NotOpened(_))), "{refused:?}");
 }
+
+/// Failure: an interim response is taken for the final one, which then belongs to no request.
+#[actix_rt::test]
+async fn interim_responses_are_skipped() {
+    let interim = "HTTP/1.1 100 Continue\r\n\r\n\
+                   HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n\
+                   HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+    let address = server(vec![vec![
+        Reaction::Send(interim),
+        Reaction::Send(COMPLETE_RESPONSE),
+    ]])
+    .await;
+    let pool = Rc::new(Pool::default());
+    for _ in 0..2 {
+        assert_eq!(send_and_read(&pool, address).await, Ok("ok".into()));
+    }
+    assert_eq!(pool.opened_count(), 1);
+}
+
+#[actix_rt::test]
+async fn a_switch_of_protocols_and_endless_interim_responses_are_no_answer() {
+    let switch = "HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\nconnection: upgrade\r\n\r\n";
+    let endless: &'static str = Box::leak("HTTP/1.1 102 Processing\r\n\r\n".repeat(40).into());
+    for text in [switch, endless] {
+        let address = server(vec![vec![Reaction::Send(text)]]).await;
+        let pool = Rc::new(Pool::default());
+        let answer = pool.send(request(address)).await.err();
+        assert!(matches!(answer, Some(Error::Lost(_))), "{answer:?}");
+        assert!(!pool.has_idle(address));
+    }
+}
