pool: reads of a state share a connection although their responses have no id

Change: exchange::History knows which state a request reads. After a response without an id, a connection carries further reads of the same state, for which a copy is an older state, and nothing else; such reads take the connection that carries nothing else. Orders stay the last call on their connection.

Ruled out: to believe a response without an id on a connection that carried other calls: a copy of a status report would answer an order.

--- a/crates/pinereel/src/hosted/lots/cleanup.rs
+++ b/crates/pinereel/src/hosted/lots/cleanup.rs
@@ -27,7 +27,8 @@
         let now = runner.deps.clock.now();
         let expired = {
             let state = runner.state.borrow();
-            (state.stored_lots).expired(now, model, has_runner, retention)
+            let lots = &state.stored_lots;
+            lots.expired(now, model, has_runner, retention)
         };
         for (lot, revision) in expired {
             if runner.is_open(&lot) {
@@ -102,6 +103,7 @@
         }
         count += objects.len();
     }
-    (store.delete_at(Purpose::Lots, LOT_KIND, lot, revision)).await?;
+    let deletion = store.delete_at(Purpose::Lots, LOT_KIND, lot, revision);
+    deletion.await?;
     Ok(count)
 }
--- a/crates/pinereel/src/hosted/lots/stream.rs
+++ b/crates/pinereel/src/hosted/lots/stream.rs
@@ -132,6 +132,7 @@
     let request = PooledRequest {
         address: placement.address,
         id: Some(item.id.clone()),
+        reads_state: false,
         head: request_head(runner, task, item, placement, last_event),
         body: item.body.clone(),
         // A run may be repeated, so a reused connection that turns out to be closed does no harm.
--- a/crates/pinereel/src/hosted/orders/engine_call.rs
+++ b/crates/pinereel/src/hosted/orders/engine_call.rs
@@ -51,6 +51,8 @@
         path: &str,
         body: Bytes,
     ) -> Result<(StatusCode, Bytes), NoAnswer> {
+        // All reads are of status reports.
+        let reads_state = method == Method::GET;
         let mut head = RequestHead::default();
         head.method = method;
         head.uri = path.parse().unwrap_or_default();
@@ -74,6 +76,7 @@
         let request = PooledRequest {
             address: entry.address,
             id: Some(id),
+            reads_state,
             head,
             body,
             reuse: true,
--- a/crates/pinereel/src/hosted/platform.rs
+++ b/crates/pinereel/src/hosted/platform.rs
@@ -27,6 +27,7 @@
     let request = PooledRequest {
         address,
         id: None,
+        reads_state: false,
         head,
         body: call.body,
         // An idle connection may be broken, so each call opens a new one. A call that fails may be
--- a/crates/pinereel/src/hosted/proxy/attempt.rs
+++ b/crates/pinereel/src/hosted/proxy/attempt.rs
@@ -78,6 +78,7 @@
             let pooled_request = PooledRequest {
                 address: selected.address,
                 id: Some(request.id.clone()).filter(|id| !id.is_empty()),
+                reads_state: false,
                 head: head(),
                 body: request.body.clone(),
                 reuse,
--- a/crates/pinereel/src/upstream/pool.rs
+++ b/crates/pinereel/src/upstream/pool.rs
@@ -24,7 +24,7 @@
 use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
 use futures_util::{SinkExt as _, StreamExt as _};
-use pinereel_core::exchange::{History, Match};
+use pinereel_core::exchange::{self, History, Match};
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
@@ -80,6 +80,9 @@
     /// Id that the response repeats; without one, the request has a connection of its own if the pool
     /// matches responses by id.
     pub id: Option<CompactString>,
+    /// Whether it only reads the state of the endpoint at its target, so that an earlier response is an
+    /// older state. Such requests share a connection although their responses have no id.
+    pub reads_state: bool,
     /// Method, target and headers; `Content-Length` is set by the body.
     pub head: RequestHead,
     /// Body of the request.
@@ -88,6 +91,15 @@
     pub reuse: bool,
 }
 
+impl PooledRequest {
+    fn exchange(&self) -> exchange::Request<'_> {
+        exchange::Request {
+            id: self.id.as_deref(),
+            state: self.reads_state.then(|| self.head.uri.path()),
+        }
+    }
+}
+
 /// Head of a response, and its unread body.
 pub struct Response {
     /// Status of the response.
@@ -225,10 +237,11 @@
     /// another request.
     pub async fn send(self: &Rc<Self>, request: PooledRequest) -> Result<Response, Error> {
         let address = request.address;
-        let id = request.id.as_deref();
-        let idle = (request.reuse)
-            .then(|| self.take_idle(address, id))
-            .flatten();
+        let idle = if request.reuse {
+            self.take_idle(address, request.exchange())
+        } else {
+            None
+        };
         let reused = idle.is_some();
         let connection = match idle {
             Some(connection) => connection,
@@ -249,17 +262,21 @@
 
     async fn send_on(
         self: &Rc<Self>,
-        connection: Connection,
+        Connection {
+            framed: mut connection,
+            mut history,
+        }: Connection,
         request: PooledRequest,
     ) -> Result<Response, Error> {
         let method = request.head.method.clone();
-        let Connection {
-            framed: mut connection,
-            mut history,
-        } = connection;
-        let id = request.id.as_deref();
+        let id = request.id.clone();
+        let state = (request.exchange().state).map(CompactString::from);
+        let exchange = exchange::Request {
+            id: id.as_deref(),
+            state: state.as_deref(),
+        };
         if self.read_id.is_some() {
-            history.record_request(id);
+            history.record_request(exchange);
         }
         connection.io_mut().reset();
         let sent = write_request(&mut connection, request.head, request.body).await;
@@ -268,8 +285,8 @@
         let head = head.map_err(Error::Lost)?;
         if let Some(read_id) = self.read_id {
             let response_id = read_id(&head.headers);
-            if history.match_response(id, response_id) == Match::Foreign {
-                log_foreign_response(request.address, id, response_id, &history);
+            if history.match_response(exchange, response_id) == Match::Foreign {
+                log_foreign_response(request.address, exchange.id, response_id, &history);
                 return Err(Error::Foreign);
             }
         }
@@ -305,26 +322,30 @@
         })
     }
 
-    /// Takes the idle connection used last that still appears open and may carry a request with this
-    /// id.
-    fn take_idle(&self, address: SocketAddr, id: Option<&str>) -> Option<Connection> {
+    /// Takes the idle connection used last that still appears open and may carry a request, if possible
+    /// one that carries nothing else.
+    fn take_idle(&self, address: SocketAddr, request: exchange::Request<'_>) -> Option<Connection> {
         let now = Instant::now();
         let mut idle_by_address = self.idle.borrow_mut();
         let connections = idle_by_address.get_mut(&address)?;
+        let position = |connections: &[IdleConnection]| {
+            let histories = || connections.iter().map(|idle| &idle.connection.history);
+            if self.read_id.is_none() {
+                return connections.len().checked_sub(1);
+            }
+            let restricted = histories()
+                .rposition(|history| history.is_restricted_to(request) && history.admits(request));
+            restricted.or_else(|| histories().rposition(|history| history.admits(request)))
+        };
         let mut taken = None;
-        let mut skipped = Vec::new();
-        while let Some(idle) = connections.pop() {
+        while let Some(position) = position(connections) {
+            let idle = connections.remove(position);
             let stream = idle.connection.framed.io_ref().stream();
-            if idle.expires_at <= now || !is_open_and_empty(stream) {
-                continue;
-            }
-            if self.read_id.is_none() || idle.connection.history.admits(id) {
+            if idle.expires_at > now && is_open_and_empty(stream) {
                 taken = Some(idle.connection);
                 break;
             }
-            skipped.push(idle);
         }
-        connections.extend(skipped.into_iter().rev());
         if connections.is_empty() {
             idle_by_address.remove(&address);
         }
--- a/crates/pinereel/tests/upstream_pool.rs
+++ b/crates/pinereel/tests/upstream_pool.rs
@@ -63,6 +63,7 @@
     PooledRequest {
         address,
         id: None,
+        reads_state: false,
         head,
         body: Bytes::from_static(b"hello"),
         reuse: true,
--- a/crates/pinereel/tests/upstream_pool_ids.rs
+++ b/crates/pinereel/tests/upstream_pool_ids.rs
@@ -46,6 +46,15 @@
     pool: &Rc<Pool>,
     address: SocketAddr,
     id: Option<&'static str>,
+) -> Result<(u16, String), Error> {
+    send_as(pool, address, id, false).await
+}
+
+async fn send_as(
+    pool: &Rc<Pool>,
+    address: SocketAddr,
+    id: Option<&'static str>,
+    reads_state: bool,
 ) -> Result<(u16, String), Error> {
     let mut head = RequestHead::default();
     head.method = Method::POST;
@@ -55,6 +64,7 @@
     let request = PooledRequest {
         address,
         id: id.map(Into::into),
+        reads_state,
         head,
         body: Bytes::new(),
         reuse: true,
@@ -121,3 +131,18 @@
         assert!(!pool.has_idle(address));
     }
 }
+
+/// Failure: reads of a state whose responses have no id open a connection each, or share one with requests that
+/// a copy of their responses would answer.
+#[actix_rt::test]
+async fn reads_of_a_state_share_a_connection_of_their_own() {
+    let address = server(&[NO_ID, NO_ID, NO_ID]).await;
+    let pool = pool();
+    for id in ["a", "b", "c"] {
+        let answer = send_as(&pool, address, Some(id), true).await;
+        assert_eq!(answer.expect("answered"), (200, "ok".into()));
+        assert_eq!(pool.opened_count(), 1);
+    }
+    send(&pool, address, Some("d")).await.expect("answered");
+    assert_eq!(pool.opened_count(), 2);
+}
--- a/crates/pinereel_core/src/batch/fleet.rs
+++ b/crates/pinereel_core/src/batch/fleet.rs
@@ -69,7 +69,9 @@
         for key in unlisted.into_values() {
             self.delist(key);
         }
-        (self.engines).retain(|_, engine| !engine.delisted || engine.active_runs() > 0);
+        // A run that was dropped without its end may have been the last one on a delisted engine.
+        let engines = &mut self.engines;
+        engines.retain(|_, engine| !engine.delisted || engine.active_runs() > 0);
         runs_lost
     }
 
--- a/crates/pinereel_fakes/src/hosting/http.rs
+++ b/crates/pinereel_fakes/src/hosting/http.rs
@@ -80,6 +80,7 @@
     let request = PooledRequest {
         address,
         id: None,
+        reads_state: false,
         head,
         body,
         reuse: true,
