tests: clients that exhaust the memory and the connections of an instance

Crowds of raw-socket clients against real processes: bodies that lack their last byte (in large and small writes, in large and one-byte chunks, of lots), bodies far over the limit, complete bodies at slow endpoints and on an at-most-once route, unfinished heads and bodies on all connections, answers that are not read, pipelined requests, and lots at `pinereel entry`. Each checks that the process lives, its peak resident size, its descriptors, and that an ordinary request is answered afterwards.

The fakes of a service read the request's body, can read it late, and can send long answers; instances can be given memory (`limits.memoryMb`, a field that the template does not use yet) and limits.

--- a/crates/pinereel_fakes/src/child_process.rs
+++ b/crates/pinereel_fakes/src/child_process.rs
@@ -9,6 +9,7 @@
 use std::{
     env,
     ffi::OsString,
+    fs,
     io::{self, BufRead as _, BufReader, Read, Write as _},
     net::{SocketAddr, TcpStream},
     os::unix::process::CommandExt as _,
@@ -96,6 +97,16 @@
         line.split_whitespace().next_back()?.parse().ok()
     }
 
+    /// Returns the largest resident size of the process so far, in bytes; `None` if it has ended.
+    pub fn peak_memory(&self) -> Option<u64> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.id())).ok()?;
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmHWM:"))?;
+        let kilobytes: u64 = line.trim().strip_suffix(" kB")?.trim().parse().ok()?;
+        Some(kilobytes << 10)
+    }
+
     /// Sends a signal to the process.
     ///
     /// # Errors
--- a/crates/pinereel_fakes/src/hosting/instance.rs
+++ b/crates/pinereel_fakes/src/hosting/instance.rs
@@ -1,6 +1,10 @@
 //! An instance of pinereel as a real process, behind proxies.
 
-use super::{http::call, proxy::Proxy, site::METRICS_PORT};
+use super::{
+    http::call,
+    proxy::Proxy,
+    site::{CALLER_PORT, METRICS_PORT},
+};
 use crate::child_process::{Child, Signal, binary_path};
 use actix_http::Method;
 use bytes::Bytes;
@@ -94,6 +98,22 @@
         }
     }
 
+    /// Returns the largest resident size of the current process so far, in bytes; `None` if it has ended.
+    pub fn peak_memory(&self) -> Option<u64> {
+        self.child.as_ref()?.peak_memory()
+    }
+
+    /// Returns the number of open file descriptors of the current process; `None` if it has ended.
+    pub fn open_descriptors(&self) -> Option<usize> {
+        let descriptors = fs::read_dir(format!("/proc/{}/fd", self.pid()?)).ok()?;
+        Some(descriptors.count())
+    }
+
+    /// Returns the address at which the process itself listens for callers.
+    pub fn caller_address(&self) -> SocketAddr {
+        SocketAddr::new(self.readiness_address.ip(), CALLER_PORT)
+    }
+
     /// Returns the lines that the current process has logged so far.
     pub fn lines(&self) -> Vec<String> {
         self.child.as_ref().map(Child::lines).unwrap_or_default()
--- a/crates/pinereel_fakes/src/hosting/mod.rs
+++ b/crates/pinereel_fakes/src/hosting/mod.rs
@@ -24,6 +24,7 @@
 pub mod caller;
 pub mod cli;
 pub mod crashing_endpoint;
+pub mod crowd;
 pub mod duplicating_endpoint;
 pub mod endless_endpoint;
 pub mod engine;
--- a/crates/pinereel_fakes/src/hosting/service.rs
+++ b/crates/pinereel_fakes/src/hosting/service.rs
@@ -7,6 +7,7 @@
     store::Store,
 };
 use actix_http::{HttpMessage as _, StatusCode, body::BoxBody};
+use futures_util::StreamExt as _;
 use pinereel::http::{self, Request, Response, Server};
 use pinereel_core::hash;
 use serde_json::json;
@@ -36,6 +37,10 @@
     pub cut_every: u64,
     /// Delay of every answer.
     pub delay: Duration,
+    /// Delay before the body of a request is read.
+    pub read_delay: Duration,
+    /// Length of every answer's body, in bytes; 0 for the usual one.
+    pub answer_bytes: usize,
     /// Every request is answered with status 500 after it ran.
     pub fail: bool,
     /// Every nth request is answered with status 500 after it ran; 0 fails none.
@@ -152,7 +157,7 @@
     answer
 }
 
-async fn respond(state: Rc<State>, request: Request) -> Response {
+async fn respond(state: Rc<State>, mut request: Request) -> Response {
     let headers = request.headers();
     let expected = header(headers, "x-expect-instance");
     if expected.is_some_and(|id| id != state.id) {
@@ -165,6 +170,10 @@
     state.recorder.record_caller(&id, caller_identity(headers));
     state.recorder.record_run(&id, &state.service);
     let faults = state.faults.get();
+    sleep(faults.read_delay).await;
+    // A body that ends early belongs to a request that was cancelled; it has begun to run.
+    let mut payload = request.take_payload();
+    while let Some(Ok(_)) = payload.next().await {}
     sleep(RUN_TIME + faults.delay).await;
     state.answer_count.set(state.answer_count.get() + 1);
     let is_nth = |n: u64| n > 0 && state.answer_count.get().is_multiple_of(n);
@@ -172,6 +181,7 @@
         sleep(Duration::from_secs(60)).await;
     }
     let mut body = answer_body(&id).into_bytes();
+    body.resize(faults.answer_bytes.max(body.len()), b'.');
     let length = body.len();
     if is_nth(faults.cut_every) {
         body.truncate(length / 2);
--- a/crates/pinereel_fakes/src/hosting/site.rs
+++ b/crates/pinereel_fakes/src/hosting/site.rs
@@ -48,7 +48,7 @@
 /// Port of the metrics, as in the deployment's template.
 pub const METRICS_PORT: u16 = 9_464;
 /// Port for callers; lower than the ports that the operating system assigns itself.
-const CALLER_PORT: u16 = 9_465;
+pub(super) const CALLER_PORT: u16 = 9_465;
 /// Port of the readiness probe.
 const READINESS_PORT: u16 = 9_466;
 /// First port for connections between instances.
@@ -71,6 +71,30 @@
     pub services: usize,
 }
 
+/// Resources of each instance, and limits on what its clients may send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Memory of each instance, in megabytes; `None` leaves the field out of the template.
+    pub memory_mb: Option<u64>,
+    /// Maximum number of open file descriptors of each instance.
+    pub file_descriptors: u64,
+    /// Maximum size of a request head, in bytes.
+    pub head_bytes: usize,
+    /// Maximum size of a request body, in bytes.
+    pub body_bytes: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            memory_mb: None,
+            file_descriptors: 1_024,
+            head_bytes: 16_384,
+            body_bytes: 1_048_576,
+        }
+    }
+}
+
 /// An endpoint behind a proxy.
 pub struct Proxied<E> {
     /// The endpoint.
@@ -102,6 +126,8 @@
     other_models: Vec<String>,
     /// Latency objective of scorings, from the next configuration on.
     pub scoring_objective: Duration,
+    /// Resources of the instances, and limits on their clients.
+    limits: Limits,
     /// Changes the settings of each instance, which is given by its index.
     adapt_settings: fn(usize, String) -> String,
     /// Folder of the settings files.
@@ -145,6 +171,14 @@
         Self::start_with(size, seed, &[], adapt_settings).await
     }
 
+    /// Starts a site whose instances and clients have these limits.
+    ///
+    /// # Errors
+    /// If a part of the site cannot be started.
+    pub async fn start_with_limits(size: Size, seed: u64, limits: Limits) -> io::Result<Self> {
+        Self::start_configured(size, seed, &[], |_, settings| settings, limits).await
+    }
+
     /// Starts a site whose engines also serve `other_models`, with other settings as by
     /// [`Site::start_with_settings`].
     ///
@@ -155,6 +189,17 @@
         seed: u64,
         other_models: &[&str],
         adapt_settings: fn(usize, String) -> String,
+    ) -> io::Result<Self> {
+        let limits = Limits::default();
+        Self::start_configured(size, seed, other_models, adapt_settings, limits).await
+    }
+
+    async fn start_configured(
+        size: Size,
+        seed: u64,
+        other_models: &[&str],
+        adapt_settings: fn(usize, String) -> String,
+        limits: Limits,
     ) -> io::Result<Self> {
         let store = Store::start(seed).await?;
         let folder = env::temp_dir().join(format!("pinereel-site-{}-{seed}", std::process::id()));
@@ -171,6 +216,7 @@
             workspaces: None,
             other_models: other_models.iter().map(ToString::to_string).collect(),
             scoring_objective: Duration::from_millis(150),
+            limits,
             adapt_settings,
             folder,
             last_number: 0,
@@ -240,7 +286,7 @@
                 {"name": PLAIN_SERVICE, "healthPath": "/health", "maxConns": 100},
                 {"name": OTHER_SERVICE, "healthPath": "/health", "maxConns": 100},
             ],
-            "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 1_048_576,
+            "limits": {"maxHeaderBytes": self.limits.head_bytes, "maxBodyBytes": self.limits.body_bytes,
                        "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000},
         });
         document["routes"][2]["targetLatencyMs"] = json!(self.scoring_objective.as_millis() as u64);
@@ -359,6 +405,7 @@
                 &name,
                 [caller_address, readiness_address],
                 [store_proxy.address, self.platform.address],
+                self.limits,
             ),
         );
         let valid_settings = (self.adapt_settings)(self.instances.len(), valid_settings);
@@ -388,22 +435,27 @@
     name: &str,
     listeners: [SocketAddr; 2],
     [store, platform]: [SocketAddr; 2],
+    limits: Limits,
 ) -> Value {
     let [callers, readiness] = listeners;
-    json!({
+    let mut fields = json!({
         "node": name,
         "zone": "here",
         "ip": callers.ip().to_string(),
         "portRange": [FIRST_PEER_PORT, FIRST_PEER_PORT + 15],
         "listen": {"front": callers.to_string(), "ready": readiness.to_string()},
-        "limits": {"maxFds": 1_024, "cpuShare": 0.5},
+        "limits": {"maxFds": limits.file_descriptors, "cpuShare": 0.5},
         "provider": {"addr": store.to_string()},
         "cloud": {"addr": platform.to_string(), "duties": ["usage", "autoscale"]},
         "bounds": {
             "graceS": 8, "drainMs": 2_000, "leaseMs": 1_000, "statusS": 120,
             "usageWindowS": 2, "usageLateS": 10,
         },
-    })
+    });
+    if let Some(memory_mb) = limits.memory_mb {
+        fields["limits"]["memoryMb"] = json!(memory_mb);
+    }
+    fields
 }
 
 /// Returns a loopback address that no other instance has, so that its ports can be fixed.
--- a/crates/pinereel_fakes/tests/hosting_endless.rs
+++ b/crates/pinereel_fakes/tests/hosting_endless.rs
@@ -10,7 +10,7 @@
     trainer::{read_page, submit_once},
 };
 use serde_json::json;
-use std::{fs, time::Duration};
+use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
 /// Memory of an instance, in bytes.
@@ -54,14 +54,8 @@
 
 /// Largest resident size of an instance so far, in bytes.
 fn peak_memory(site: &Site) -> u64 {
-    let pid = site.instances[0].pid().expect("the instance runs");
-    let status = fs::read_to_string(format!("/proc/{pid}/status")).expect("the process exists");
-    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-    let kilobytes = line.and_then(|line| line.trim().strip_suffix(" kB"));
-    kilobytes
-        .and_then(|text| text.trim().parse::<u64>().ok())
-        .expect("a size")
-        << 10
+    let peak = site.instances[0].peak_memory();
+    peak.expect("the instance runs")
 }
 
 /// Many requests at endpoints whose answers have no end: each caller gets a failure in time, the instance stays
