core: a ledger of the memory that a process holds for its callers

Bodies, connections and responses have no bound in sum: each is limited, and as many as there are descriptors may exist. The ledger counts them all against one budget, and decides what gives way: bodies that are still being received, never complete ones, which may have run. Stalled senders go first, then, for an older or smaller body, the youngest, so that the oldest one that makes progress is completed. Larger bodies may use a part of the budget only, so that ordinary requests find room beside any number of them. At the connection limit it names the connection that has waited longest.

Not used yet.

--- a/crates/pinereel_core/src/lib.rs
+++ b/crates/pinereel_core/src/lib.rs
@@ -6,7 +6,7 @@
 //! I/O, no clock, no global state, and the only randomness comes from a seed. The same code runs
 //! under `proptest`, in the experiment tool and in the daemon.
 //!
-//! Both commands of the daemon use `crash`, `endpoint`, `lease`, `rollout` and `route`. The modules
+//! Both commands of the daemon use `crash`, `endpoint`, `lease`, `memory`, `rollout` and `route`. The modules
 //! `admit`, `budget`, `claim`, `config`, `cursor`, `drain`, `lot`, `member` and `provenance` serve
 //! `pinereel entry` alone; `batch`, `exchange`, `overload`, `retry`, `routing_table`, `scale`,
 //! `scoring`, `tree` and `usage` serve `pinereel hosted` alone.
@@ -20,6 +20,7 @@
 //! - [`config::Document`]: the configuration that operators patch.
 //! - [`crash::Register`]: detection of requests that crash endpoints.
 //! - [`claim::Log`]: idempotency keys of one shard, kept as a log of segments in the object API.
+//! - [`memory::Ledger`]: memory for callers' connections and bodies, and who gives way.
 //! - [`routing_table::RoutingTable`]: finds the route, caller and service of a request to `pinereel
 //!   hosted`.
 //! - [`tree::Children`]: the parent's side of the broadcast tree that distributes what one instance
@@ -46,6 +47,7 @@
 pub mod lease;
 pub mod lot;
 pub mod member;
+pub mod memory;
 pub mod outcome;
 pub mod overload;
 pub mod provenance;
