http, upstream: one budget for everything that callers make a process hold

What callers saw: an instance that ran out of memory and was killed, while clients sent many large bodies at once, whole, in pieces or in chunks, most of them short of their end; nothing bounded them but the number of connections. With unfinished heads on all connections, ordinary ones were closed at once.

Cause: bodies are held whole, without a limit on all of them; the HTTP library reads 128 KiB ahead on each connection and queues what it decodes, a handle of 32 bytes for each chunk of one byte, also of pipelined requests; buffers double while they grow; each attempt copied the whole body into its write buffer, and each answer was copied into that of its connection; the announced length decided nothing; callers' heads had the library's limit of 128 KiB.

A connection's stream reads only what its state allows: a head of the configured size, then as much as the body's reader asks for, then little. Large bodies have memory mappings of their own. Bodies are written in parts of 16 KiB. A body that is announced as too long is refused unread; one without room gets 503 with Retry-After, at once. Refused bodies are drained for 2 s and 32 MiB at most. The configuration's head limits are in force. At the connection limit, the connection that has waited longest gives way. Responses that are not read for 10 s end their connection. Readiness and metrics have a budget of their own. A body is read until the request's deadline at the latest.

`body_budget` and its two tests are replaced: it allowed twice its budget and a share for each body, which together exceed an instance. `memory_ledger` has both properties with the strict bound.

--- a/crates/pinereel/src/entry.rs
+++ b/crates/pinereel/src/entry.rs
@@ -6,7 +6,9 @@
     dispatch,
     filters::respond,
     http::{self, Server},
-    logging, objects, operators,
+    logging,
+    memory::Memory,
+    objects, operators,
     peer::{LocalEntry, Mesh},
     scheduling_delay::SchedulingDelay,
     settings::Settings,
@@ -105,8 +107,21 @@
         let shared = build_shared(settings);
         shared.mesh.listen(peers);
         serve_peers(&shared);
-        let callers = start_server(&shared, callers, callers::serve, false).await?;
-        let operators = start_server(&shared, operators, operators::serve, true).await?;
+        let limits = &shared.settings.limits;
+        let callers_options = http::Options {
+            head_timeout: limits.read_timeout,
+            max_connections: limits.connections,
+            allow_half_closed: false,
+            memory: Memory::of_instance(limits.memory),
+            ..http::Options::default()
+        };
+        let operators_options = http::Options {
+            head_timeout: limits.read_timeout,
+            ..http::Options::internal()
+        };
+        let callers = start_server(&shared, callers, callers::serve, callers_options).await?;
+        let operators =
+            start_server(&shared, operators, operators::serve, operators_options).await?;
         let entry = Self {
             shared,
             callers,
@@ -161,17 +176,11 @@
     shared: &Rc<Shared>,
     listener: TcpListener,
     handler: fn(Rc<Shared>, http::Request) -> F,
-    allow_half_closed: bool,
+    options: http::Options,
 ) -> io::Result<Server>
 where
     F: Future<Output = http::Response> + 'static,
 {
-    let options = http::Options {
-        head_timeout: shared.settings.limits.read_timeout,
-        max_connections: shared.settings.limits.connections,
-        allow_half_closed,
-        ..http::Options::default()
-    };
     let state = Rc::clone(shared);
     let server = Server::start(listener, options, move |request| {
         handler(Rc::clone(&state), request)
--- a/crates/pinereel/src/hosted/metrics.rs
+++ b/crates/pinereel/src/hosted/metrics.rs
@@ -6,7 +6,7 @@
 use super::crashes::CrashTracker;
 use crate::{
     http::{self, Request, Response, Server},
-    logging,
+    logging, memory,
     metrics::{cpu_seconds, resident_bytes},
     objects,
 };
@@ -95,6 +95,8 @@
     connections_opened: IntGauge,
     config_number: IntGauge,
     log_lines_dropped: IntGauge,
+    memory: IntGaugeVec,
+    memory_given_up: IntGauge,
     process_cpu: Gauge,
     resident_memory: Gauge,
 }
@@ -107,6 +109,8 @@
     pub store: objects::Client,
     /// Number of connections opened to endpoints since the start.
     pub connections_opened: Box<dyn Fn() -> u64>,
+    /// Memory of connections and bodies.
+    pub memory_usage: Box<dyn Fn() -> memory::Usage>,
     /// Load of the lots that this instance runs.
     pub lot_load: Box<dyn Fn() -> LotLoad>,
     /// Number of the configuration in force; 0 before the first.
@@ -201,6 +205,8 @@
             connections_opened: int_gauge(&r, "endpoint_connections_opened", "Since the start."),
             config_number: int_gauge(&r, "config_number", "Configuration in force."),
             log_lines_dropped: int_gauge(&r, "log_lines_dropped", "Lines not written."),
+            memory: gauge_vec(&r, "memory_bytes", "Connections and bodies.", "what"),
+            memory_given_up: int_gauge(&r, "memory_given_up", "Bodies and connections."),
             process_cpu: float_gauge(&r, "process_cpu_seconds", "CPU time of the process."),
             resident_memory: float_gauge(&r, "process_resident_bytes", "Resident memory."),
             registry: r,
@@ -213,7 +219,7 @@
     /// If the listener cannot be served.
     pub async fn serve(&self, listener: TcpListener, sources: Sources) -> io::Result<()> {
         let (metrics, sources) = (self.clone(), Rc::new(sources));
-        Server::start(listener, http::Options::default(), move |request| {
+        Server::start(listener, http::Options::internal(), move |request| {
             let response = metrics.answer(&request, &sources);
             async move { response }
         })
@@ -244,6 +250,18 @@
             let gauge = self.lot_load.with_label_values(&[what]);
             gauge.set(gauge_value(count));
         }
+        let memory = (sources.memory_usage)();
+        let used = [
+            ("connections", memory.connections),
+            ("receiving", memory.receiving),
+            ("held", memory.held),
+            ("limit", memory.max),
+        ];
+        for (what, bytes) in used {
+            let gauge = self.memory.with_label_values(&[what]);
+            gauge.set(gauge_value(bytes as u64));
+        }
+        self.memory_given_up.set(gauge_value(memory.given_up));
         self.config_number
             .set(gauge_value((sources.config_number)()));
         self.log_lines_dropped.set(gauge_value(logging::dropped()));
--- a/crates/pinereel/src/hosted/readiness.rs
+++ b/crates/pinereel/src/hosted/readiness.rs
@@ -40,7 +40,7 @@
                 }
             }
         };
-        Server::start(listener, http::Options::default(), answer).await?;
+        Server::start(listener, http::Options::internal(), answer).await?;
         Ok(())
     }
 
--- a/crates/pinereel/src/hosted/run.rs
+++ b/crates/pinereel/src/hosted/run.rs
@@ -21,7 +21,9 @@
 };
 use crate::{
     http::{self, Server},
-    logging, objects,
+    logging,
+    memory::Memory,
+    objects,
     settings::Hosted,
     state::Clock,
     upstream::pool::Pool,
@@ -146,10 +148,10 @@
         let clock = Clock::new();
         let callers = listen(callers).await?;
         let metrics = Metrics::new();
-        let mut store = Store::new(
-            objects::Client::new(store_options(settings), clock),
-            adapter.store,
-        );
+        let memory = Memory::of_instance(settings.instance.memory);
+        let client =
+            objects::Client::new(store_options(settings), clock).with_memory(memory.clone());
+        let mut store = Store::new(client, adapter.store);
         if settings.peers.store_calls {
             store = store.with_calls_through_parent(&metrics);
         }
@@ -209,7 +211,8 @@
             };
             tree_node = Some(Node::start(deps, listen(peers).await?));
         }
-        let pool = Rc::new(Pool::matching_ids(adapter.headers.response_id));
+        let pool = Pool::matching_ids(adapter.headers.response_id);
+        let pool = Rc::new(pool.with_memory(memory.clone()));
         let lease_duties = Rc::clone(&duties);
         let holds_leases = move || lease_duties.held_count() > 0;
         let deps = endpoints::Dependencies {
@@ -286,7 +289,9 @@
         }
         if let Some(address) = instance.metrics {
             let (pool, config, runner) = (Rc::clone(&pool), Rc::clone(&config), Rc::clone(&runner));
+            let memory = memory.clone();
             let sources = Sources {
+                memory_usage: Box::new(move || memory.usage()),
                 crashes: Rc::clone(&crashes),
                 store: store.client().clone(),
                 connections_opened: Box::new(move || pool.opened_count()),
@@ -298,6 +303,7 @@
             };
             metrics.serve(listen(address).await?, sources).await?;
         }
+        let head_config = Rc::clone(&config);
         let frontend = Rc::new(Frontend {
             adapter,
             stall,
@@ -312,6 +318,8 @@
         let options = http::Options {
             max_connections: settings.instance.connections,
             keep_alive: CALLER_IDLE_TIMEOUT,
+            min_wait: Duration::ZERO,
+            memory,
             allow_half_closed: false,
             ..http::Options::default()
         };
@@ -319,6 +327,14 @@
             serve(Rc::clone(&frontend), request)
         })
         .await?;
+        server.set_head_limits(move || {
+            let table = head_config.table()?;
+            let limits = &table.document().limits;
+            Some(http::HeadLimits {
+                max_bytes: limits.max_head_bytes,
+                timeout: limits.head_timeout,
+            })
+        });
         server.on_refusal(|code| log::info!(code:serde = code; "refused by the listener"));
         Ok(Self {
             callers: server,
--- a/crates/pinereel/src/hosted/serve.rs
+++ b/crates/pinereel/src/hosted/serve.rs
@@ -35,7 +35,7 @@
 /// Time by which the final answer is sent before the caller's deadline or the route's timeout, so
 /// that it arrives in time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(30);
-/// Maximum time to read a request body.
+/// Maximum time to read a request body, within the time until its deadline.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Maximum wait of a request for the configuration and the endpoint list if this instance has not
 /// read them yet. Both are read 0.02 s after the start with 0.25 cores, and 0.15 s after the store
@@ -144,7 +144,9 @@
         };
         let deadline = deadline(metadata, route.timeout, received_at);
         let max = table.document().limits.max_body_bytes;
-        let body = match http::read_body(&mut request, max, BODY_TIMEOUT).await {
+        let time_left = deadline.saturating_duration_since(Instant::now());
+        let timeout = BODY_TIMEOUT.min(time_left);
+        let body = match http::read_body(&mut request, max, timeout).await {
             Ok(body) => body,
             Err(error) => {
                 self.metrics.count(&self.metrics.refusals, &["body"]);
@@ -329,6 +331,9 @@
 fn refuse_body(metadata: &headers::RequestHeaders, error: &http::Error) -> Response {
     log::info!(id = metadata.id.as_str(), error:% = error; "refused: body");
     http::empty(match error {
+        http::Error::NoMemory => {
+            return not_run(StatusCode::SERVICE_UNAVAILABLE, http::NO_MEMORY_RETRY_AFTER);
+        }
         http::Error::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
         http::Error::Timeout(_) => StatusCode::REQUEST_TIMEOUT,
         http::Error::Read(_) | http::Error::Json(_) => StatusCode::BAD_REQUEST,
--- a/crates/pinereel/src/http/server.rs
+++ b/crates/pinereel/src/http/server.rs
@@ -1,21 +1,25 @@
 //! HTTP server on one listening socket: accept loop, connection limit, timeouts and shutdown.
 
-use super::{Request, Response, activity::ConnectionActivity};
+use super::{
+    Request, Response,
+    connection::{CONNECTION_BYTES, Connection, DRAIN_TIMEOUT, WRITE_BYTES},
+    payload::PacedPayload,
+    stream::Stream,
+};
+use crate::memory::{Kind, Memory, Phase};
 use actix_http::{
-    Extensions, HttpService, KeepAlive,
+    Extensions, HttpService, KeepAlive, Payload,
     error::{DispatchError, ParseError},
 };
 use actix_service::{Service as _, ServiceFactory as _, fn_service};
 use pinereel_api::problem::Code;
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
     convert::Infallible,
     fmt,
     future::Future,
     io,
     net::SocketAddr,
-    os::fd::{AsRawFd as _, RawFd},
     rc::Rc,
     time::Duration,
 };
@@ -28,20 +32,30 @@
 /// does not spin.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// `actix-http` reads its clock twice a second and measures timeouts from the last reading, so they
-/// may end earlier by up to this much.
-const MAX_CLOCK_LAG: Duration = Duration::from_millis(500);
+/// Default maximum size of a request head, in bytes.
+const DEFAULT_MAX_HEAD_BYTES: usize = 32 << 10;
+/// Memory of a listener for operators and probes, in bytes.
+const INTERNAL_MEMORY_BYTES: usize = 8 << 20;
+/// Maximum number of connections of such a listener.
+const MAX_INTERNAL_CONNECTIONS: usize = 64;
 
 /// Limits and timeouts of a server.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Options {
-    /// Timeout for a request head. For the first request it counts from the start of the connection
-    /// and may end up to half a second later. A later head may take `keep_alive` in addition.
+    /// Timeout for a request head. For the first request it counts from the start of the connection, later
+    /// from the first byte of the head.
     pub head_timeout: Duration,
+    /// Maximum size of a request head, in bytes.
+    pub max_head_bytes: usize,
     /// How long a connection may be idle between requests.
     pub keep_alive: Duration,
-    /// Maximum number of open connections; further ones are closed immediately and counted.
+    /// Maximum number of open connections. A further one takes the place of a connection that waits for a
+    /// request or for the rest of one; if there is none, it is closed immediately and counted.
     pub max_connections: usize,
+    /// Minimum time for which such a connection must have waited.
+    pub min_wait: Duration,
+    /// Memory for connections and request bodies.
+    pub memory: Memory,
     /// Whether a client that has closed its sending side still gets a response. If not, the future
     /// of its request handler is dropped.
     pub allow_half_closed: bool,
@@ -51,19 +65,43 @@
     fn default() -> Self {
         Self {
             head_timeout: Duration::from_secs(5),
+            max_head_bytes: DEFAULT_MAX_HEAD_BYTES,
             keep_alive: Duration::from_secs(30),
             max_connections: 4_096,
+            min_wait: Duration::from_secs(1),
+            memory: Memory::default(),
             allow_half_closed: true,
         }
     }
 }
 
+impl Options {
+    /// Options of a listener for operators and probes, which is independent of what callers take.
+    pub fn internal() -> Self {
+        Self {
+            max_connections: MAX_INTERNAL_CONNECTIONS,
+            min_wait: Duration::ZERO,
+            memory: Memory::new(INTERNAL_MEMORY_BYTES),
+            ..Self::default()
+        }
+    }
+}
+
+/// Limits on a request head.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HeadLimits {
+    /// Maximum size, in bytes.
+    pub max_bytes: usize,
+    /// Maximum time until it is complete.
+    pub timeout: Duration,
+}
+
+/// Returns the limits in force, or `None` for those of the options.
+type CurrentHeadLimits = Rc<dyn Fn() -> Option<HeadLimits>>;
+
 /// Called with the problem code of each request or connection that the server itself refuses.
 type RefusalCallback = Rc<dyn Fn(Code)>;
 
-/// Accepted connections that `actix-http` has not yet taken over, by file descriptor.
-type PendingConnections = RefCell<BTreeMap<RawFd, Rc<ConnectionActivity>>>;
-
 /// Handle of a running server. Dropping it does not stop the server; [`Server::stop`] does.
 #[derive(Clone)]
 pub struct Server {
@@ -77,6 +115,8 @@
     open_connections: Rc<Cell<usize>>,
     /// Connections closed because of `max_connections`.
     refused_connections: Rc<Cell<u64>>,
+    /// Limits on request heads that replace those of the options.
+    head_limits: Rc<RefCell<Option<CurrentHeadLimits>>>,
     /// Receives the refusals that no handler sees.
     on_refusal: Rc<RefCell<Option<RefusalCallback>>>,
 }
@@ -112,25 +152,30 @@
             close,
             open_connections: Rc::new(Cell::new(0)),
             refused_connections: Rc::new(Cell::new(0)),
+            head_limits: Rc::default(),
             on_refusal: Rc::default(),
         };
-        let pending: Rc<PendingConnections> = Rc::default();
-        let pending_on_connect = Rc::clone(&pending);
         let factory = HttpService::build()
-            .client_request_timeout(options.head_timeout + MAX_CLOCK_LAG)
-            .client_disconnect_timeout(Duration::from_secs(1))
+            // `Connection` bounds the time of request heads.
+            .client_request_timeout(Duration::ZERO)
+            .client_disconnect_timeout(DRAIN_TIMEOUT)
             .keep_alive(KeepAlive::Timeout(options.keep_alive))
             .h1_allow_half_closed(options.allow_half_closed)
-            .on_connect_ext(move |stream: &TcpStream, data: &mut Extensions| {
-                if let Some(activity) = pending_on_connect.borrow_mut().remove(&stream.as_raw_fd())
-                {
-                    data.insert(activity);
-                }
+            .h1_write_buffer_size(WRITE_BYTES)
+            .on_connect_ext(move |stream: &Stream, data: &mut Extensions| {
+                data.insert(Rc::clone(stream.connection()));
             })
-            .h1(fn_service(move |request: Request| {
-                let guard = request
-                    .conn_data::<Rc<ConnectionActivity>>()
-                    .map(ConnectionActivity::begin_request);
+            .h1(fn_service(move |mut request: Request| {
+                let connection = request.conn_data::<Rc<Connection>>().cloned();
+                let guard = connection.map(|connection| {
+                    let payload = request.take_payload();
+                    let has_body = !matches!(payload, Payload::None);
+                    if has_body {
+                        let payload = PacedPayload::boxed(payload, Rc::clone(&connection));
+                        *request.payload() = Payload::Stream { payload };
+                    }
+                    connection.begin_request(has_body)
+                });
                 let response = handler(request);
                 async move {
                     let response = response.await;
@@ -139,28 +184,18 @@
                         None => response,
                     })
                 }
-            }))
-            .tcp();
+            }));
         let service = factory
             .new_service(())
             .await
             .map_err(|()| io::Error::other("listener set-up failed"))?;
         let service = Rc::new(service);
-        let serve_connection = move |stream: TcpStream, activity: Rc<ConnectionActivity>| {
+        let serve_connection = move |stream: Stream| {
             let service = Rc::clone(&service);
-            // `on_connect_ext` removes the entry when `actix-http` takes over the connection, so no
-            // descriptor is in the map twice.
-            pending
-                .borrow_mut()
-                .insert(stream.as_raw_fd(), Rc::clone(&activity));
             async move {
                 // Requests that reached the handler got a response; others are reported as refused.
-                match service.call(stream).await {
-                    Err(error) => refusal_code(error),
-                    Ok(()) => activity
-                        .first_head_timed_out(options.head_timeout)
-                        .then_some(Code::SlowSender),
-                }
+                let result = service.call((stream, None)).await;
+                result.err().and_then(refusal_code)
             }
         };
         actix_rt::spawn(accept(
@@ -188,23 +223,50 @@
         }
     }
 
-    /// Whether one more connection may be opened; if not, counts it as refused.
-    fn admits_connection(&self, options: Options) -> bool {
-        let admits = self.open_connections.get() < options.max_connections;
-        if !admits {
+    /// Sets limits on request heads that may change, and that replace those of the options while there are any.
+    pub fn set_head_limits(&self, limits: impl Fn() -> Option<HeadLimits> + 'static) {
+        self.head_limits.replace(Some(Rc::new(limits)));
+    }
+
+    /// Returns the state of one more connection, if it may be opened; if not, counts it as refused.
+    fn admit_connection(&self, options: &Options) -> Option<Rc<Connection>> {
+        let memory = &options.memory;
+        let has_room = self.open_connections.get() < options.max_connections
+            || memory.give_up_connection(options.min_wait);
+        let reservation = memory.open(Kind::Connection(Phase::New));
+        if !has_room || reservation.grow(CONNECTION_BYTES).is_err() {
             let refused = self.refused_connections.get();
             self.refused_connections.set(refused + 1);
             self.report_refusal(Code::Overloaded);
+            return None;
         }
-        admits
+        let default_limits = HeadLimits {
+            max_bytes: options.max_head_bytes,
+            timeout: options.head_timeout,
+        };
+        let current = Rc::clone(&self.head_limits);
+        let head_limits = move || {
+            let current = current.borrow().clone();
+            current
+                .and_then(|limits| limits())
+                .unwrap_or(default_limits)
+        };
+        let server = self.clone();
+        let on_refusal = move |code| server.report_refusal(code);
+        let keep_alive = options.keep_alive;
+        Some(Connection::new(
+            reservation,
+            head_limits,
+            keep_alive,
+            on_refusal,
+        ))
     }
 
     /// Spawns the task of a connection, which ends with it or with the server.
     fn spawn_connection(
         &self,
-        connection: impl Future<Output = Option<Code>> + 'static,
-        activity: Rc<ConnectionActivity>,
-        options: Options,
+        service: impl Future<Output = Option<Code>> + 'static,
+        connection: Rc<Connection>,
         mut closed: watch::Receiver<bool>,
     ) {
         let server = self.clone();
@@ -213,13 +275,12 @@
             .set(server.open_connections.get() + 1);
         actix_rt::spawn(async move {
             tokio::select! {
-                refusal = connection => if let Some(code) = refusal {
+                refusal = service => if let Some(code) = refusal {
                     server.report_refusal(code);
                 },
-                // `actix-http` closes connections that are idle for `keep_alive`; one that is
-                // still open after this sends a request head too slowly.
-                () = activity.wait_until_idle_for(options.keep_alive + options.head_timeout) => {
-                    server.report_refusal(Code::SlowSender);
+                () = connection.wait_for_timeout() => {}
+                () = connection.reservation().given_up() => {
+                    server.report_refusal(Code::Overloaded);
                 }
                 _ = closed.wait_for(|close| *close) => {}
             }
@@ -275,18 +336,17 @@
     closed: watch::Receiver<bool>,
     serve_connection: S,
 ) where
-    S: Fn(TcpStream, Rc<ConnectionActivity>) -> F + 'static,
+    S: Fn(Stream) -> F + 'static,
     F: Future<Output = Option<Code>> + 'static,
 {
-    let start_connection = |stream: TcpStream| {
-        if !server.admits_connection(options) {
+    let start_connection = |socket: TcpStream| {
+        let Some(connection) = server.admit_connection(&options) else {
             return;
-        }
+        };
         // Without TCP_NODELAY a small response would wait for more data.
-        let _ = stream.set_nodelay(true);
-        let activity = ConnectionActivity::new();
-        let connection = serve_connection(stream, Rc::clone(&activity));
-        server.spawn_connection(connection, activity, options, closed.clone());
+        let _ = socket.set_nodelay(true);
+        let service = serve_connection(Stream::new(socket, Rc::clone(&connection)));
+        server.spawn_connection(service, connection, closed.clone());
     };
     loop {
         let accepted = tokio::select! {
--- a/crates/pinereel/src/lib.rs
+++ b/crates/pinereel/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod hosted;
 pub mod http;
 pub mod logging;
+pub mod memory;
 pub mod metrics;
 pub mod objects;
 pub mod operators;
--- a/crates/pinereel/src/objects/client.rs
+++ b/crates/pinereel/src/objects/client.rs
@@ -7,15 +7,16 @@
     token_bucket::TokenBucket,
 };
 use crate::{
+    memory::{Kind, Memory},
     state::Clock,
-    upstream::{Attempt, Client as Http, Error as HttpError, Reuse, body_memory::BodyMemory},
+    upstream::{Attempt, Client as Http, Error as HttpError, Reuse},
 };
 use actix_http::{
     Method, StatusCode,
     header::{CONTENT_TYPE, HeaderName, HeaderValue, IF_MATCH, IF_NONE_MATCH, USER_AGENT},
 };
 use awc::{ClientResponse, error::PayloadError};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use compact_str::CompactString;
 use futures_util::{Stream, StreamExt as _};
 use pinereel_api::object::{Changes, List, MAX_VALUE_BYTES, Object, Write, Written};
@@ -31,10 +32,6 @@
 /// Maximum size of a response body, in bytes: a list may contain many values.
 const MAX_RESPONSE_BYTES: usize = 16 * MAX_VALUE_BYTES;
 
-/// Most bytes of all response bodies that are being read. With 32 calls at once, each up to its own limit,
-/// an API that sends without an end would take more memory than an instance has.
-const MAX_BODIES_BYTES: usize = 32 << 20;
-
 /// Maximum wait for a permit under the concurrency limit, and again under the rate limit; a call that
 /// would wait longer fails.
 const MAX_WAIT: Duration = Duration::from_secs(2);
@@ -63,7 +60,7 @@
     options: Rc<Options>,
     clock: Clock,
     permits: Arc<Semaphore>,
-    body_memory: BodyMemory,
+    memory: Memory,
     inner: Rc<RefCell<Inner>>,
 }
 
@@ -107,11 +104,17 @@
             permits: Arc::new(Semaphore::new(options.max_concurrency)),
             options: Rc::new(options),
             clock,
-            body_memory: BodyMemory::new(MAX_BODIES_BYTES),
+            memory: Memory::default(),
             inner: Rc::new(RefCell::new(inner)),
         }
     }
 
+    /// Uses `memory` for the bodies of responses.
+    #[must_use]
+    pub fn with_memory(self, memory: Memory) -> Self {
+        Self { memory, ..self }
+    }
+
     /// Number of calls since the start, by purpose and access (`read`, `probe`, `watch`, `write`).
     pub fn call_counts(&self) -> BTreeMap<(Purpose, &'static str), u64> {
         self.inner.borrow().call_counts.clone()
@@ -395,17 +398,22 @@
         mut response: ClientResponse<impl Stream<Item = Result<Bytes, PayloadError>> + Unpin>,
     ) -> Result<(StatusCode, Bytes), Error> {
         let status = response.status();
-        let mut reserved = self.body_memory.begin();
-        let mut body = BytesMut::new();
-        while let Some(part) = response.next().await {
-            let part = part.map_err(|e| Error::Unknown(e.to_string()))?;
-            let fits = body.len() + part.len() <= MAX_RESPONSE_BYTES;
-            if !fits || !reserved.add(part.len()) {
-                return Err(Error::Unknown("the response is too long".into()));
+        let too_long = || Error::Unknown("the response is too long".into());
+        let mut reservation = self.memory.open_body(Kind::Control, MAX_RESPONSE_BYTES);
+        let given_up = reservation.given_up();
+        let receive = async {
+            while let Some(part) = response.next().await {
+                let part = part.map_err(|e| Error::Unknown(e.to_string()))?;
+                reservation.append(&part, 0).map_err(|_| too_long())?;
             }
-            body.extend_from_slice(&part);
-        }
-        Ok((status, body.freeze()))
+            reservation.hold().map_err(|_| too_long())
+        };
+        let body = tokio::select! {
+            biased;
+            () = given_up => Err(too_long()),
+            body = receive => body,
+        };
+        Ok((status, body?))
     }
 
     /// Records a call's result in the breaker.
--- a/crates/pinereel/src/settings/hosted.rs
+++ b/crates/pinereel/src/settings/hosted.rs
@@ -1,6 +1,9 @@
 //! Settings of a hosted instance, whose state is kept by the platform that it runs on.
 
-use super::{DURATION_RANGE, Error, Log, ValidationErrors, reader::Reader, value};
+use super::{
+    DURATION_RANGE, Error, Log, PROCESS_MEMORY_RANGE, ValidationErrors, reader::Reader, value,
+};
+use crate::memory::DEFAULT_INSTANCE_BYTES;
 use compact_str::CompactString;
 use std::{net::SocketAddr, path::Path, time::Duration};
 
@@ -42,6 +45,8 @@
     pub peers: Option<SocketAddr>,
     /// Maximum number of open connections of callers.
     pub connections: usize,
+    /// Memory that the process may use, in bytes.
+    pub memory: usize,
     /// CPU cores that the instance may use; duties go to instances with more of them.
     pub cores: f64,
 }
@@ -184,6 +189,7 @@
             metrics,
             peers,
             connections: descriptors / 2,
+            memory: section.size("memory", PROCESS_MEMORY_RANGE, DEFAULT_INSTANCE_BYTES),
             cores: cores.unwrap_or(1.0),
         })
     }
--- a/crates/pinereel/src/settings/mod.rs
+++ b/crates/pinereel/src/settings/mod.rs
@@ -30,6 +30,8 @@
 const COUNT_RANGE: RangeInclusive<u64> = 1..=1_000_000;
 /// Accepted range of settings that limit the bytes held in memory.
 const MEMORY_BYTES_RANGE: RangeInclusive<u64> = 1_024..=(1 << 30);
+/// Memory of a whole process, in bytes.
+const PROCESS_MEMORY_RANGE: RangeInclusive<u64> = 32_000_000..=(1 << 40);
 
 /// Why the settings could not be loaded.
 #[derive(Debug, thiserror::Error)]
@@ -144,6 +146,8 @@
     pub read_timeout: Duration,
     /// Maximum size of a request body, in bytes; the configuration may set a lower limit.
     pub body: usize,
+    /// Memory of the process from which connections and bodies of callers take their part, in bytes.
+    pub memory: usize,
     /// Maximum number of requests queued for the endpoints of one pool; the configuration may set a
     /// lower limit.
     pub waiting: usize,
@@ -316,6 +320,7 @@
             connections: section.count("connections", COUNT_RANGE, 4_096),
             read_timeout: section.duration("read_timeout", DURATION_RANGE, Duration::from_secs(5)),
             body: section.size("body", MEMORY_BYTES_RANGE, 1 << 20),
+            memory: section.size("memory", PROCESS_MEMORY_RANGE, 256 << 20),
             waiting: section.count("waiting", COUNT_RANGE, 1_024),
             peer_queue: section.count("peer_queue", COUNT_RANGE, 256),
             lots: section.count("lots", COUNT_RANGE, 64),
--- a/crates/pinereel/src/upstream/mod.rs
+++ b/crates/pinereel/src/upstream/mod.rs
@@ -8,7 +8,6 @@
 //! (JSON documents, event streams with a last event). [`direct`] is for all others. [`pool`] is a
 //! connection pool that also detects truncated bodies.
 
-pub(crate) mod body_memory;
 pub mod direct;
 pub mod ejected;
 mod interim;
--- a/crates/pinereel/src/upstream/pool.rs
+++ b/crates/pinereel/src/upstream/pool.rs
@@ -8,12 +8,12 @@
 //! earlier response is never taken for the response to a further send of the same request.
 
 use super::{
-    body_memory::BodyMemory,
     connect_to,
     interim::read_final_head,
     metered::Metered,
     probe::{Probe, probe},
 };
+use crate::memory::{Kind, Memory};
 use actix_codec::Framed;
 use actix_http::{
     Method, RequestHead, RequestHeadType, StatusCode,
@@ -47,10 +47,8 @@
 const IDLE_MARGIN: Duration = Duration::from_millis(600);
 /// Maximum size of a body that [`Body::read_all`] reads, in bytes.
 const MAX_BODY_BYTES: usize = 32 << 20;
-
-/// Most bytes of all bodies that are read as a whole, until they are delivered. Buffers are up to twice as large
-/// as what they contain.
-const MAX_BODIES_BYTES: usize = 64 << 20;
+/// Bytes of a request body that are copied to the write buffer at once.
+const WRITE_BYTES: usize = 16 << 10;
 /// Largest unneeded body that is read so that its connection can be reused, in bytes.
 const MAX_DISCARDED_BYTES: usize = 64 << 10;
 /// Longest time for which such a body is read.
@@ -141,7 +139,7 @@
     idle: RefCell<BTreeMap<SocketAddr, Vec<IdleConnection>>>,
     opened: Cell<u64>,
     /// Memory of the bodies that are read as a whole.
-    body_memory: BodyMemory,
+    memory: Memory,
 }
 
 /// Response body that is being read. Its connection returns to the pool at the body's end.
@@ -169,7 +167,7 @@
             read_id: None,
             idle: RefCell::default(),
             opened: Cell::default(),
-            body_memory: BodyMemory::new(MAX_BODIES_BYTES),
+            memory: Memory::default(),
         }
     }
 }
@@ -184,6 +182,12 @@
         }
     }
 
+    /// Uses `memory` for the bodies that are read as a whole.
+    #[must_use]
+    pub fn with_memory(self, memory: Memory) -> Self {
+        Self { memory, ..self }
+    }
+
     /// Number of connections opened since the start.
     pub fn opened_count(&self) -> u64 {
         self.opened.get()
@@ -373,13 +377,14 @@
 async fn write_request(
     connection: &mut Framed<Metered, ClientCodec>,
     head: RequestHead,
-    body: Bytes,
+    mut body: Bytes,
 ) -> io::Result<()> {
     let size = BodySize::Sized(body.len() as u64);
     let head = RequestHeadType::Owned(head);
     connection.feed(Message::Item((head, size))).await?;
-    if !body.is_empty() {
-        connection.feed(Message::Chunk(Some(body))).await?;
+    while !body.is_empty() {
+        let part = body.split_to(body.len().min(WRITE_BYTES));
+        connection.feed(Message::Chunk(Some(part))).await?;
     }
     connection.flush().await
 }
@@ -482,18 +487,19 @@
     /// # Errors
     /// The same, and the body is longer than `max_bytes`.
     pub async fn read_within(mut self, max_bytes: usize) -> io::Result<Bytes> {
-        let mut reserved = self.pool.body_memory.begin();
-        let mut body = BytesMut::new();
-        while let Some(part) = self.next_part().await? {
-            if body.len() + part.len() > max_bytes {
-                return Err(io::Error::other("body is too long"));
+        let mut reservation = self.pool.memory.open_body(Kind::Download, max_bytes);
+        let given_up = reservation.given_up();
+        let receive = async {
+            while let Some(part) = self.next_part().await? {
+                reservation.append(&part, 0).map_err(io::Error::other)?;
             }
-            if !reserved.add(part.len()) {
-                return Err(io::Error::other("no memory for the rest of the body"));
-            }
-            body.extend_from_slice(&part);
+            reservation.hold().map_err(io::Error::other)
+        };
+        tokio::select! {
+            biased;
+            () = given_up => Err(io::Error::other("the memory of the body is needed for others")),
+            body = receive => body,
         }
-        Ok(reserved.hold(body.freeze()))
     }
 
     /// Reads a body that nobody needs, so that the connection can be reused, unless it is too long or takes
--- a/crates/pinereel/tests/settings_file.rs
+++ b/crates/pinereel/tests/settings_file.rs
@@ -91,6 +91,7 @@
             connections: 4096,
             read_timeout: 5s,
             body: 1048576,
+            memory: 268435456,
             waiting: 1024,
             peer_queue: 256,
             lots: 64,
@@ -123,6 +124,7 @@
 connections = 10
 read_timeout = 1s
 body = 64KiB
+memory = 300MiB
 waiting = 7
 peer_queue = 9
 lots = 3
@@ -147,7 +149,7 @@
     } = settings;
     insta::assert_snapshot!(format!("{drain:?}\n{limits:?}\n{policy:?}\n{data:?}"), @r#"
     Drain { balancer_lag: 250ms, longest: 120s }
-    Limits { connections: 10, read_timeout: 1s, body: 65536, waiting: 7, peer_queue: 9, lots: 3, sample_memory: 1073741824 }
+    Limits { connections: 10, read_timeout: 1s, body: 65536, memory: 314572800, waiting: 7, peer_queue: 9, lots: 3, sample_memory: 1073741824 }
     Policy { routing: Baseline, zone_local: false, prefix_affinity: false, subset: 5 }
     Some("/var/lib/pinereel")
     "#);
--- a/crates/pinereel_core/src/lib.rs
+++ b/crates/pinereel_core/src/lib.rs
@@ -33,7 +33,6 @@
 pub mod admit;
 mod average;
 pub mod batch;
-pub mod body_budget;
 pub mod budget;
 pub mod claim;
 pub mod config;
