http: a request head is read in parts of 4 KiB

What was seen: with 1,000 clients that send 20,000 chunks of one byte each, an instance of 120 MB took 131 MB (trial, debug build). Cause: a head's allowance of 16 KiB also covers the begin of its body, which the library decodes before the body's reader has counted anything: 2,700 handles of a queue that grows to 128 KiB, a connection. Change: the library decodes after each 4 KiB of a head, so that no more than 682 chunks are queued, as for a short chunked body.

--- a/crates/pinereel/src/http/connection.rs
+++ b/crates/pinereel/src/http/connection.rs
@@ -40,6 +40,8 @@
 const MAX_DRAINED_BYTES: usize = 32 << 20;
 /// Bytes of a refused body that are read at once, as the library keeps them until it discards them.
 const DRAINED_PART_BYTES: usize = 16 << 10;
+/// Bytes of a request head that are read at once, as the library decodes what follows the head, too.
+const HEAD_PART_BYTES: usize = 4 << 10;
 /// Maximum time for which a refused body is read.
 pub(super) const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
 /// Bytes of a response that are copied to the write buffer at once.
@@ -68,8 +70,10 @@
     /// When the head that is being received began. The first begins with the connection.
     head_since: Option<Instant>,
     reading: Reading,
-    /// Bytes that may be read now.
+    /// Bytes that may be read in total.
     allowed: usize,
+    /// Bytes that were read since the library has last decoded what it has.
+    undecoded: usize,
     /// Bytes of a body that are read ahead.
     body_window: usize,
     /// Bytes of the current request that were read.
@@ -87,20 +91,31 @@
 /// What is read from a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Reading {
-    /// A request head. `is_used_up` is set when nothing more may be read, and the head may be complete.
-    Head { is_used_up: bool },
+    /// A request head.
+    Head,
     /// The body of the request in progress, as its reader asks for it.
     Body,
     /// The requests after the one in progress.
     Ahead,
-    /// The rest of a body that is not needed. `part` bytes were read since the library discarded what it had.
-    Rest { part: usize },
+    /// The rest of a body that is not needed.
+    Rest,
     /// Nothing: the head is refused with this status.
     Refused(StatusCode),
     /// What follows after a refused head.
     Discarded,
 }
 
+impl Reading {
+    /// Bytes that the library may have before it decodes them.
+    const fn part_bytes(self) -> usize {
+        match self {
+            Self::Head => HEAD_PART_BYTES,
+            Self::Rest => DRAINED_PART_BYTES,
+            Self::Body | Self::Ahead | Self::Refused(_) | Self::Discarded => usize::MAX,
+        }
+    }
+}
+
 /// What the stream may do next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Permission {
@@ -133,8 +148,9 @@
                 in_progress: 0,
                 idle_since: now,
                 head_since: Some(now),
-                reading: Reading::Head { is_used_up: false },
+                reading: Reading::Head,
                 allowed: max_bytes,
+                undecoded: 0,
                 body_window: WINDOW_BYTES,
                 read: 0,
                 counts_large_read: false,
@@ -197,7 +213,8 @@
         if state.reading != Reading::Body {
             return false;
         }
-        state.reading = Reading::Rest { part: 0 };
+        state.reading = Reading::Rest;
+        state.undecoded = 0;
         state.allowed = MAX_DRAINED_BYTES;
         state.wake_reader();
         true
@@ -212,11 +229,12 @@
         if state.in_progress > 0 {
             return;
         }
-        let phase = if matches!(state.reading, Reading::Rest { .. }) {
+        let phase = if state.reading == Reading::Rest {
             state.drained_since = Some(now);
             Phase::Draining
         } else {
-            state.reading = Reading::Head { is_used_up: false };
+            state.reading = Reading::Head;
+            state.undecoded = 0;
             state.allowed = (self.head_limits)().max_bytes;
             state.read = 0;
             state.wake_reader();
@@ -253,25 +271,23 @@
                 Permission::Refuse(status)
             }
             Reading::Discarded if allowed > 0 => Permission::Discard(allowed),
-            Reading::Rest { part } if part >= DRAINED_PART_BYTES => {
-                state.reading = Reading::Rest { part: 0 };
+            Reading::Head | Reading::Rest if state.must_be_decoded() => {
+                state.undecoded = 0;
                 waker.wake_by_ref();
                 Permission::Wait
             }
-            _ if allowed > 0 => Permission::Read(allowed),
-            Reading::Head { is_used_up: false } => {
-                // What was read may be a complete head. The library finds out before it reads again.
-                state.reading = Reading::Head { is_used_up: true };
-                waker.wake_by_ref();
-                Permission::Wait
-            }
-            Reading::Head { is_used_up: true } => {
+            Reading::Head if allowed == 0 => {
                 drop(state);
                 self.refuse_head(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, Code::TooLarge);
                 self.permission(waker)
             }
+            Reading::Head | Reading::Rest if allowed > 0 => {
+                let part = state.reading.part_bytes() - state.undecoded;
+                Permission::Read(allowed.min(part))
+            }
+            _ if allowed > 0 => Permission::Read(allowed),
             Reading::Body | Reading::Ahead => Permission::Wait,
-            Reading::Rest { .. } | Reading::Discarded => Permission::End,
+            Reading::Head | Reading::Rest | Reading::Discarded => Permission::End,
         }
     }
 
@@ -293,12 +309,12 @@
     pub(super) fn record_read(&self, bytes: usize) -> io::Result<()> {
         let mut state = self.state.borrow_mut();
         state.allowed = state.allowed.saturating_sub(bytes);
-        if let Reading::Rest { part } = &mut state.reading {
-            *part += bytes;
+        state.undecoded += bytes;
+        if state.reading == Reading::Rest {
             return Ok(());
         }
         state.read += bytes;
-        let is_head = matches!(state.reading, Reading::Head { .. });
+        let is_head = state.reading == Reading::Head;
         if is_head && state.head_since.is_none() && bytes > 0 {
             state.head_since = Some(Instant::now());
             self.deadline_changed.notify_one();
@@ -389,6 +405,12 @@
 }
 
 impl State {
+    /// Whether the library has to decode what was read before it may read more.
+    const fn must_be_decoded(&self) -> bool {
+        let is_last = self.allowed == 0 && self.undecoded > 0;
+        is_last || self.undecoded >= self.reading.part_bytes()
+    }
+
     fn read_ahead(&mut self) {
         self.reading = Reading::Ahead;
         self.allowed = READ_AHEAD_BYTES;
