lots, results: their copies count in the memory budget

A submitted lot was parsed to a tree of values and to its items at once, several times its length, and results that a trainer does not read were not counted. A submission is now checked item by item; what is needed of it is its model and the number of items. Three copies besides the body are reserved before it is stored: the object, the call, and the call's write buffer. Without room the trainer gets 503 with Retry-After, and nothing was written. Pages of results count until they are sent. Not covered: what a runner keeps of the lots that it runs.

--- a/crates/pinereel/src/hosted/lots/trainer_api.rs
+++ b/crates/pinereel/src/hosted/lots/trainer_api.rs
@@ -59,6 +59,15 @@
 }
 
 impl Reply {
+    /// Number of bytes that are sent besides the head.
+    pub const fn body_length(&self) -> usize {
+        match self {
+            Self::Results(bytes) => bytes.len(),
+            Self::Body(bytes) => bytes.len(),
+            _ => 0,
+        }
+    }
+
     /// Value of the metric label.
     pub const fn as_str(&self) -> &'static str {
         match self {
@@ -113,19 +122,17 @@
             Ok(lot) => lot,
             Err(error) => return Reply::Malformed(error.to_string().into()),
         };
-        let value = serde_json::from_str(lot.get()).unwrap_or_default();
-        let submission = match (self.adapter.lot.decode_submission)(&value) {
-            Ok(submission) => submission,
+        let summary = match (self.adapter.lot.check_submission)(lot.get()) {
+            Ok(summary) => summary,
             Err(fault) => return Reply::Malformed(fault.to_string().into()),
         };
-        drop(value);
-        let total = submission.items.len();
+        let total = summary.items;
         let id = &*scoped_id(caller, id);
         let spec = LotSpec {
             workspace: caller.workspace(),
             host,
             path,
-            model: &submission.model,
+            model: &summary.model,
             lot,
         };
         let spec = match serde_json::to_string(&spec) {
--- a/crates/pinereel/src/hosted/run.rs
+++ b/crates/pinereel/src/hosted/run.rs
@@ -312,6 +312,7 @@
             endpoints,
             proxy,
             trainer_api: TrainerApi::new(adapter, &store, clock, &metrics),
+            memory: memory.clone(),
             shutdown: Rc::clone(shutdown),
             metrics,
         });
--- a/crates/pinereel/src/hosted/serve.rs
+++ b/crates/pinereel/src/hosted/serve.rs
@@ -11,7 +11,10 @@
     stall::StallDetector,
     store::Store,
 };
-use crate::http::{self, Request, Response};
+use crate::{
+    http::{self, Request, Response},
+    memory::Memory,
+};
 use actix_http::{
     ConnectionType, HttpMessage as _, Method, StatusCode,
     body::BoxBody,
@@ -37,6 +40,9 @@
 const ANSWER_MARGIN: Duration = Duration::from_millis(30);
 /// Maximum time to read a request body, within the time until its deadline.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Copies of a lot, besides its body, that are made to store it: the object, the call to the store, and the
+/// write buffer of that call.
+const LOT_COPIES: usize = 3;
 /// Maximum wait of a request for the configuration and the endpoint list if this instance has not
 /// read them yet. Both are read 0.02 s after the start with 0.25 cores, and 0.15 s after the store
 /// returns from an outage. Callers that are refused meanwhile retry much later.
@@ -63,6 +69,8 @@
     pub proxy: Rc<Proxy>,
     /// Handles trainers' calls.
     pub trainer_api: TrainerApi,
+    /// Memory of connections and bodies.
+    pub memory: Memory,
     /// Graceful shutdown.
     pub shutdown: Rc<Shutdown>,
     /// Metrics.
@@ -158,6 +166,10 @@
             return refusal;
         }
         if route.kind == RouteKind::Lot && request.method() == Method::POST {
+            let Ok(_copies) = self.memory.reserve(LOT_COPIES * body.len()) else {
+                self.metrics.count(&self.metrics.refusals, &["body"]);
+                return refuse_body(metadata, &http::Error::NoMemory);
+            };
             let reply = self
                 .trainer_api
                 .submit(&caller, &metadata.id, &host, &path, &body, deadline)
@@ -309,10 +321,17 @@
         self.respond(name, reply)
     }
 
+    /// Turns the reply to a trainer's call into a response, which counts in the memory until it is sent.
     fn respond(&self, call: &str, reply: Reply) -> Response {
+        let length = reply.body_length();
+        let room = self.memory.reserve(length);
+        let reply = match room {
+            Ok(_) => reply,
+            Err(_) => Reply::NotDone(http::NO_MEMORY_RETRY_AFTER),
+        };
         let family = &self.metrics.trainer_calls;
         self.metrics.count(family, &[call, reply.as_str()]);
-        respond(reply)
+        http::attach_guard(respond(reply), room.ok())
     }
 }
 
--- a/crates/pinereel_port/src/lot.rs
+++ b/crates/pinereel_port/src/lot.rs
@@ -67,6 +67,15 @@
     pub scorer: Option<Scorer>,
 }
 
+/// What is needed of a submitted lot to accept it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Summary {
+    /// Name of the model.
+    pub model: CompactString,
+    /// Number of items.
+    pub items: usize,
+}
+
 /// The request that scores a generated text.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Scorer {
@@ -130,6 +139,8 @@
     pub decode_request: fn(&actix_http::Method, &str, &str) -> Request,
     /// Decodes a submitted lot.
     pub decode_submission: fn(&Value) -> Result<Submission, DecodeError>,
+    /// Checks the JSON text of a submitted lot, one item at a time.
+    pub check_submission: fn(&str) -> Result<Summary, DecodeError>,
     /// Encodes a page of results.
     pub encode_results: fn(ResultsPage<'_>) -> Vec<u8>,
     /// Decodes one complete event of a stream, without the blank line that ends it.
