memory: bodies over 8 KiB leave the heap; requests and chunk queues are counted from the begin

What was seen (trials, debug build, instance of 120 MB): 1,500 bodies of 60 KB short of their end took 140 MB, 1,000 bodies in chunks of one byte 135 MB. Causes: buffers that grow on the heap leave holes of each size between other allocations; the first window of a body was the large one, so that a chunked body had a queue of 128 KiB before it was counted; a request's own state was not counted. Change: bodies over 8 KiB have a mapping of their own, counted in blocks of 16 KiB; the window is set when room is made; 16 KiB are counted for each request that is received.

--- a/crates/pinereel/src/http/body.rs
+++ b/crates/pinereel/src/http/body.rs
@@ -17,6 +17,8 @@
 pub(super) const WINDOW_BYTES: usize = 16 << 10;
 /// The same for a short body in chunks.
 const SMALL_CHUNKED_WINDOW_BYTES: usize = 4 << 10;
+/// Memory of a request in progress besides its connection and its body, in bytes.
+const REQUEST_BYTES: usize = 16 << 10;
 /// Bytes of the smallest chunk, with its framing.
 const MIN_CHUNK_BYTES: usize = 6;
 /// Time after which a caller should send a request again whose body found no memory. By then, a body whose
@@ -86,20 +88,26 @@
         }
     }
 
-    /// Makes room for a body of `length` bytes.
+    /// Makes room for a body of `length` bytes before it is read.
     fn reserve(&self, length: usize) -> Result<(), Full> {
-        let bytes = Buffer::bytes_for(length) + self.queue_bytes(length);
-        self.reservation.grow_to(bytes)
+        let bytes = Buffer::bytes_for(length) + self.overhead(length);
+        self.reservation.grow_to(bytes)?;
+        self.set_window(length);
+        Ok(())
     }
 
     /// Appends a part, after which the body has `length` bytes.
     fn append(&mut self, part: &[u8], length: usize) -> Result<(), Full> {
-        let overhead = self.queue_bytes(length);
+        let overhead = self.overhead(length);
         self.reservation.append(part, overhead)?;
+        self.set_window(length);
+        Ok(())
+    }
+
+    fn set_window(&self, length: usize) {
         if let Some(connection) = &self.connection {
             connection.set_body_window(self.window(length));
         }
-        Ok(())
     }
 
     /// Bytes that may be read ahead of a body of which `length` bytes are known.
@@ -111,13 +119,13 @@
         }
     }
 
-    /// Memory that the library's queue takes: it keeps a handle for each chunk.
-    const fn queue_bytes(&self, length: usize) -> usize {
+    /// Memory of the request and of the library's queue, which keeps a handle for each chunk.
+    const fn overhead(&self, length: usize) -> usize {
         if !self.is_chunked {
-            return 0;
+            return REQUEST_BYTES;
         }
         let chunks = self.window(length) / MIN_CHUNK_BYTES;
-        chunks.next_power_of_two() * size_of::<Bytes>()
+        REQUEST_BYTES + chunks.next_power_of_two() * size_of::<Bytes>()
     }
 }
 
--- a/crates/pinereel/src/memory/buffer.rs
+++ b/crates/pinereel/src/memory/buffer.rs
@@ -3,10 +3,11 @@
 use memmap2::MmapMut;
 use std::io;
 
-/// Largest length that is kept on the heap, in bytes.
-const MAX_HEAP_BYTES: usize = 64 << 10;
-/// Unit in which the memory of larger bodies is counted, in bytes; at least a page.
-const BLOCK_BYTES: usize = 64 << 10;
+/// Largest length that is kept on the heap, in bytes. The heap keeps what it gets in between other
+/// allocations, so that many bodies of different sizes would take far more than their lengths.
+const MAX_HEAP_BYTES: usize = 8 << 10;
+/// Unit in which the memory of longer bodies is counted, in bytes; usually several pages.
+const BLOCK_BYTES: usize = 16 << 10;
 
 /// Bytes of a body. A large one has a memory mapping of its own: the operating system adds pages as the body
 /// arrives, and gets all of them back when it is dropped.
