--- a/crates/pinereel_fakes/src/hosting/cli.rs
+++ b/crates/pinereel_fakes/src/hosting/cli.rs
@@ -14,6 +14,7 @@
   --callers N            live callers of each kind (default 4)
   --pause-ms N           mean pause between two faults (default 900)
   --crashing             requests come that crash the endpoints that run them
+  --crowds               crowds of clients exhaust the memory and the connections of instances
   --cuts                 links to endpoints are cut, and the store is silent to the root of the tree
   --copies               endpoints send late copies of answers, and lots end beside freezes
   --logs FOLDER          where the logs of failed seeds are written
@@ -99,6 +100,10 @@
             options.late_copies = true;
             continue;
         }
+        if name == "crowds" {
+            options.crowds = true;
+            continue;
+        }
         if name == "cuts" {
             options.link_cuts = true;
             continue;
--- a/crates/pinereel_fakes/src/hosting/soak/mod.rs
+++ b/crates/pinereel_fakes/src/hosting/soak/mod.rs
@@ -6,6 +6,7 @@
 
 mod checks;
 mod crashing_requests;
+mod crowds;
 mod ended_lots;
 mod fault_kind;
 mod inject;
@@ -14,7 +15,7 @@
 
 use super::{
     caller::{self, Kind, Tally},
-    site::{Site, Size, WORKSPACE},
+    site::{Limits, Site, Size, WORKSPACE},
     trainer::{Shape, Trainer},
 };
 use crashing_requests::CrashingRequests;
@@ -58,6 +59,8 @@
     pub link_cuts: bool,
     /// Whether endpoints send late copies of their answers, and lots are ended beside freezes of their runner.
     pub late_copies: bool,
+    /// Whether crowds of clients exhaust the memory and the connections of instances.
+    pub crowds: bool,
 }
 
 impl Default for Options {
@@ -75,6 +78,7 @@
             crashing_requests: false,
             link_cuts: false,
             late_copies: false,
+            crowds: false,
         }
     }
 }
@@ -148,7 +152,11 @@
 /// # Errors
 /// If the site cannot be started.
 pub async fn run(options: Options) -> io::Result<Report> {
-    let mut site = Site::start(options.size, options.seed).await?;
+    let limits = match options.crowds {
+        true => crowds::LIMITS,
+        false => Limits::default(),
+    };
+    let mut site = Site::start_with_limits(options.size, options.seed, limits).await?;
     inject::change_api_keys(&mut site);
     site.configure("plain", Duration::from_secs(2));
     sleep(KEY_PROPAGATION_TIME).await;
@@ -218,17 +226,27 @@
             );
         }
     };
+    let (crowded_site, crowd_periods) = (Rc::clone(&soak.site), Rc::clone(&soak.fault_periods));
+    let crowder = async {
+        if options.crowds {
+            crowds::run_until(&crowded_site, &crowd_periods, options.seed, end).await;
+        }
+    };
     tokio::join!(
         soak.inject_faults(end),
         trainer.run(end),
         sender,
         cutter,
-        copier
+        copier,
+        crowder
     );
     soak.end_faults().await;
     soak.check_recovery(&mut trainer, &tally).await;
     soak.check_graceful_shutdowns();
     ended_lots::check_slots(&soak.site).await;
+    if options.crowds {
+        crowds::check_memory(&soak.site.borrow());
+    }
     if let Some(crashing) = &crashing {
         crashing.check();
         let crash_counts = crashing.crash_counts();
--- a/crates/pinereel_fakes/tests/hosting_soak.rs
+++ b/crates/pinereel_fakes/tests/hosting_soak.rs
@@ -110,3 +110,14 @@
     })
     .await;
 }
+
+/// Crowds of clients exhaust the memory and the connections of instances, beside all other faults.
+#[actix_rt::test]
+async fn seed_8101_violates_no_guarantee_beside_crowds() {
+    assert_no_violation(Options {
+        seed: 8_101,
+        crowds: true,
+        ..Options::default()
+    })
+    .await;
+}
