memory: no bytes of a body in Debug output; a head may be half a second late on the way

Read-through: `Debug` of the server's options printed the bodies that are being received. A head that its client has sent within `headerTimeoutMs` may arrive later; the former timeout had this much allowance by the library's clock.

--- a/crates/pinereel/src/http/body.rs
+++ b/crates/pinereel/src/http/body.rs
@@ -18,7 +18,7 @@
 /// The same for a short body in chunks.
 const SMALL_CHUNKED_WINDOW_BYTES: usize = 4 << 10;
 /// Memory of a request in progress besides its connection and its body, in bytes.
-const REQUEST_BYTES: usize = 16 << 10;
+const REQUEST_BYTES: usize = 24 << 10;
 /// Bytes of the smallest chunk, with its framing.
 const MIN_CHUNK_BYTES: usize = 6;
 /// Time after which a caller should send a request again whose body found no memory. By then, a body whose
@@ -125,7 +125,8 @@
             return REQUEST_BYTES;
         }
         let chunks = self.window(length) / MIN_CHUNK_BYTES;
-        REQUEST_BYTES + chunks.next_power_of_two() * size_of::<Bytes>()
+        // The queue doubles as it grows, and the heap keeps what it leaves.
+        REQUEST_BYTES + 2 * chunks.next_power_of_two() * size_of::<Bytes>()
     }
 }
 
--- a/crates/pinereel/src/http/connection.rs
+++ b/crates/pinereel/src/http/connection.rs
@@ -42,6 +42,8 @@
 const DRAINED_PART_BYTES: usize = 16 << 10;
 /// Bytes of a request head that are read at once, as the library decodes what follows the head, too.
 const HEAD_PART_BYTES: usize = 4 << 10;
+/// Time beyond the limit in which a head may arrive that its client has sent in time.
+const HEAD_DELAY: Duration = Duration::from_millis(500);
 /// Maximum time for which a refused body is read.
 pub(super) const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
 /// Bytes of a response that are copied to the write buffer at once.
@@ -372,7 +374,7 @@
         let head_timeout = (self.head_limits)().timeout;
         let head_since = state.head_since.filter(|_| state.in_progress == 0);
         let deadlines = [
-            (head_since, head_timeout, Timeout::Head),
+            (head_since, head_timeout + HEAD_DELAY, Timeout::Head),
             // The library closes an idle connection before, unless a part of a head came with an earlier request.
             (
                 Some(idle_since),
--- a/crates/pinereel/src/memory/buffer.rs
+++ b/crates/pinereel/src/memory/buffer.rs
@@ -1,7 +1,7 @@
 //! Buffer of a body, which grows without being copied once it is large.
 
 use memmap2::MmapMut;
-use std::io;
+use std::{fmt, io};
 
 /// Largest length that is kept on the heap, in bytes. The heap keeps what it gets in between other
 /// allocations, so that many bodies of different sizes would take far more than their lengths.
@@ -11,19 +11,26 @@
 
 /// Bytes of a body. A large one has a memory mapping of its own: the operating system adds pages as the body
 /// arrives, and gets all of them back when it is dropped.
-#[derive(Debug)]
 pub struct Buffer {
     storage: Storage,
     length: usize,
     max_length: usize,
 }
 
-#[derive(Debug)]
 enum Storage {
     Heap(Vec<u8>),
     Mapped(MmapMut),
 }
 
+impl fmt::Debug for Buffer {
+    /// Leaves the bytes out, which may be confidential.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Buffer")
+            .field("length", &self.length)
+            .finish_non_exhaustive()
+    }
+}
+
 impl Buffer {
     /// An empty buffer for at most `max_length` bytes.
     pub const fn new(max_length: usize) -> Self {
--- a/crates/pinereel/src/memory/mod.rs
+++ b/crates/pinereel/src/memory/mod.rs
@@ -16,6 +16,7 @@
 };
 use std::{
     collections::BTreeMap,
+    fmt,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -28,7 +29,6 @@
 /// One part in so many of the memory of an instance is left to the allocator, which does not use all that it
 /// takes.
 const ALLOCATOR_SHARE: usize = 8;
-
 /// Bytes of short parts of a body that are collected before they are stored.
 const MAX_COLLECTED_BYTES: usize = 4 << 10;
 
@@ -188,7 +188,6 @@
 }
 
 /// Counts bytes in use until it is dropped.
-#[derive(Debug)]
 pub struct Reservation {
     memory: Memory,
     key: Key,
@@ -199,6 +198,15 @@
     overhead: usize,
 }
 
+impl fmt::Debug for Reservation {
+    /// Leaves the bytes of the body out, which may be confidential.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Reservation")
+            .field("key", &self.key)
+            .finish_non_exhaustive()
+    }
+}
+
 impl Reservation {
     /// Key of the entry.
     pub(crate) const fn key(&self) -> Key {
