http: a file for each part of a connection's state

Moved as they are: what may be read (`connection/state.rs`), what the stream may do (`permission.rs`), and a request in progress with the body of its response (`request.rs`). Nothing behaves otherwise.

--- a/crates/pinereel/src/http/connection.rs
+++ b/crates/pinereel/src/http/connection/mod.rs
@@ -4,23 +4,19 @@
 //! [`Stream`](super::stream::Stream) reads from the socket only as much as this state allows: a request head,
 //! and then what the reader of the body asks for.
 
-use super::{Response, body::WINDOW_BYTES, server::HeadLimits};
+mod permission;
+mod request;
+mod state;
+
+pub(super) use permission::Permission;
+pub(super) use request::{RequestGuard, WRITE_BYTES};
+
+use super::server::HeadLimits;
 use crate::memory::{Phase, Reservation};
-use actix_http::{
-    ConnectionType, StatusCode,
-    body::{BodySize, BoxBody, MessageBody},
-};
-use bytes::Bytes;
+use actix_http::StatusCode;
 use pinereel_api::problem::Code;
-use std::{
-    cell::RefCell,
-    error::Error,
-    io,
-    pin::Pin,
-    rc::Rc,
-    task::{Context, Poll, Waker},
-    time::Duration,
-};
+use state::{Reading, State};
+use std::{cell::RefCell, io, rc::Rc, task::Waker, time::Duration};
 use tokio::{
     sync::Notify,
     time::{Instant, sleep_until},
@@ -32,22 +28,13 @@
 const LARGE_READ_BYTES: usize = 32 << 10;
 /// Bytes of a request that the initial read buffer takes.
 const SMALL_READ_BYTES: usize = 8 << 10;
-/// Bytes that are read while a request is in progress whose body has ended, so that the end of the connection
-/// is noticed.
-const READ_AHEAD_BYTES: usize = 1 << 10;
 /// Maximum number of bytes of a refused body that are read and discarded. Closing a connection with unread
 /// bytes resets it, so that the client may lose the answer.
 const MAX_DRAINED_BYTES: usize = 32 << 20;
-/// Bytes of a refused body that are read at once, as the library keeps them until it discards them.
-const DRAINED_PART_BYTES: usize = 16 << 10;
-/// Bytes of a request head that are read at once, as the library decodes what follows the head, too.
-const HEAD_PART_BYTES: usize = 4 << 10;
 /// Time beyond the limit in which a head may arrive that its client has sent in time.
 const HEAD_DELAY: Duration = Duration::from_millis(500);
 /// Maximum time for which a refused body is read.
 pub(super) const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
-/// Bytes of a response that are copied to the write buffer at once.
-pub(super) const WRITE_BYTES: usize = 16 << 10;
 /// Maximum time in which a client must read [`WRITE_BYTES`] of a response.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -64,75 +51,6 @@
     on_refusal: Box<dyn Fn(Code)>,
 }
 
-struct State {
-    /// Requests in progress; a request ends with its response body.
-    in_progress: u32,
-    /// When the last request ended, or the connection was opened if there was none.
-    idle_since: Instant,
-    /// When the head that is being received began. The first begins with the connection.
-    head_since: Option<Instant>,
-    reading: Reading,
-    /// Bytes that may be read in total.
-    allowed: usize,
-    /// Bytes that were read since the library has last decoded what it has.
-    undecoded: usize,
-    /// Bytes of a body that are read ahead.
-    body_window: usize,
-    /// Bytes of the current request that were read.
-    read: usize,
-    /// Whether the larger read buffer is counted.
-    counts_large_read: bool,
-    /// The task that waits until it may read.
-    reader: Option<Waker>,
-    /// When a body began to be drained whose request has ended.
-    drained_since: Option<Instant>,
-    /// When the client was last given a part of a response that it has not read yet.
-    writing_since: Option<Instant>,
-}
-
-/// What is read from a connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Reading {
-    /// A request head.
-    Head,
-    /// The body of the request in progress, as its reader asks for it.
-    Body,
-    /// The requests after the one in progress.
-    Ahead,
-    /// The rest of a body that is not needed.
-    Rest,
-    /// Nothing: the head is refused with this status.
-    Refused(StatusCode),
-    /// What follows after a refused head.
-    Discarded,
-}
-
-impl Reading {
-    /// Bytes that the library may have before it decodes them.
-    const fn part_bytes(self) -> usize {
-        match self {
-            Self::Head => HEAD_PART_BYTES,
-            Self::Rest => DRAINED_PART_BYTES,
-            Self::Body | Self::Ahead | Self::Refused(_) | Self::Discarded => usize::MAX,
-        }
-    }
-}
-
-/// What the stream may do next.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Permission {
-    /// Read up to so many bytes.
-    Read(usize),
-    /// Read up to so many bytes and discard them.
-    Discard(usize),
-    /// Wait until it is woken.
-    Wait,
-    /// Report the end of the connection.
-    End,
-    /// Answer with this status, and then discard what follows.
-    Refuse(StatusCode),
-}
-
 impl Connection {
     pub(super) fn new(
         reservation: Reservation,
@@ -140,26 +58,12 @@
         keep_alive: Duration,
         on_refusal: impl Fn(Code) + 'static,
     ) -> Rc<Self> {
-        let now = Instant::now();
-        let max_bytes = head_limits().max_bytes;
+        let state = State::new(Instant::now(), head_limits().max_bytes);
         Rc::new(Self {
             reservation,
             head_limits: Box::new(head_limits),
             keep_alive,
-            state: RefCell::new(State {
-                in_progress: 0,
-                idle_since: now,
-                head_since: Some(now),
-                reading: Reading::Head,
-                allowed: max_bytes,
-                undecoded: 0,
-                body_window: WINDOW_BYTES,
-                read: 0,
-                counts_large_read: false,
-                reader: None,
-                drained_since: None,
-                writing_since: None,
-            }),
+            state: RefCell::new(state),
             deadline_changed: Notify::new(),
             on_refusal: Box::new(on_refusal),
         })
@@ -176,9 +80,7 @@
         state.in_progress += 1;
         state.head_since = None;
         if has_body {
-            state.reading = Reading::Body;
-            state.allowed = 0;
-            state.body_window = WINDOW_BYTES;
+            state.read_body();
         } else {
             state.read_ahead();
         }
@@ -405,85 +307,3 @@
     /// It does not read a response.
     Write,
 }
-
-impl State {
-    /// Whether the library has to decode what was read before it may read more.
-    const fn must_be_decoded(&self) -> bool {
-        let is_last = self.allowed == 0 && self.undecoded > 0;
-        is_last || self.undecoded >= self.reading.part_bytes()
-    }
-
-    fn read_ahead(&mut self) {
-        self.reading = Reading::Ahead;
-        self.allowed = READ_AHEAD_BYTES;
-        self.wake_reader();
-    }
-
-    fn wake_reader(&mut self) {
-        if let Some(reader) = self.reader.take() {
-            reader.wake();
-        }
-    }
-}
-
-/// Counts one request as in progress while it exists.
-pub(super) struct RequestGuard(Rc<Connection>);
-
-impl Drop for RequestGuard {
-    fn drop(&mut self) {
-        self.0.end_request();
-    }
-}
-
-impl RequestGuard {
-    /// Keeps the request in progress until the body of `response` has ended. If the request's body was not
-    /// read to its end, the connection is closed after the response.
-    pub(super) fn attach_to(self, mut response: Response) -> Response {
-        if self.0.drain_body() {
-            response
-                .head_mut()
-                .set_connection_type(ConnectionType::Close);
-        }
-        response.map_body(|_, body| {
-            BoxBody::new(TrackedBody {
-                body,
-                part: Bytes::new(),
-                guard: self,
-            })
-        })
-    }
-}
-
-/// Body that counts its request as in progress until it is dropped, and that is sent in small parts, so that
-/// the write buffer stays small.
-struct TrackedBody {
-    body: BoxBody,
-    /// Rest of the last part of `body`.
-    part: Bytes,
-    guard: RequestGuard,
-}
-
-impl MessageBody for TrackedBody {
-    type Error = Box<dyn Error>;
-
-    fn size(&self) -> BodySize {
-        self.body.size()
-    }
-
-    fn poll_next(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
-        self.guard.0.set_writing(false);
-        if self.part.is_empty() {
-            match Pin::new(&mut self.body).poll_next(cx) {
-                Poll::Ready(Some(Ok(part))) => self.part = part,
-                other => return other,
-            }
-        }
-        let length = self.part.len().min(WRITE_BYTES);
-        let part = self.part.split_to(length);
-        self.guard.0.set_writing(true);
-        Poll::Ready(Some(Ok(part)))
-    }
-}
