memory: the order in which connections are given up is the order of their phases

PhaseOrder repeated the variants of Phase but for Busy. Phase itself is ordered now, and a busy connection is left out by name.

--- a/crates/pinereel_core/src/memory/candidate.rs
+++ b/crates/pinereel_core/src/memory/candidate.rs
@@ -16,29 +16,13 @@
     /// A younger or larger request body: the youngest first.
     Younger(Reverse<u64>),
     /// Connections without a request: the longest first.
-    Waiting(PhaseOrder, Time),
+    Waiting(Phase, Time),
     /// A longer response body: the longest first.
     Longer(Reverse<usize>),
     /// Another small request body: the one that made progress longest ago first.
     Small(Time),
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum PhaseOrder {
-    Draining,
-    New,
-    Idle,
-}
-
-fn phase_order(phase: Phase) -> Option<PhaseOrder> {
-    match phase {
-        Phase::Draining => Some(PhaseOrder::Draining),
-        Phase::New => Some(PhaseOrder::New),
-        Phase::Idle => Some(PhaseOrder::Idle),
-        Phase::Busy => None,
-    }
-}
-
 /// Entries that may be given up so that `key` can become `grown`, in their order.
 pub(super) fn list(entries: &SlotMap<Key, Entry>, now: Time, key: Key, grown: &Entry) -> Vec<Key> {
     let others = entries.iter().filter(|(other, _)| *other != key);
@@ -63,8 +47,8 @@
             Some(Rank::Younger(Reverse(entry.number)))
         }
         Kind::Upload(_) => Some(Rank::Small(entry.active_at)),
-        Kind::Connection(phase) if !is_large_upload => {
-            phase_order(phase).map(|order| Rank::Waiting(order, entry.active_at))
+        Kind::Connection(phase) if !is_large_upload && phase != Phase::Busy => {
+            Some(Rank::Waiting(phase, entry.active_at))
         }
         Kind::Download if !is_large_upload && entry.bytes > grown.bytes => {
             Some(Rank::Longer(Reverse(entry.bytes)))
@@ -84,8 +68,8 @@
 ) -> Option<Key> {
     let waits = |entry: &Entry| now.since(entry.active_at) >= min_wait;
     let without_request = entries.iter().filter_map(|(key, entry)| match entry.kind {
-        Kind::Connection(phase) if waits(entry) => {
-            phase_order(phase).map(|order| (order, entry.active_at, key))
+        Kind::Connection(phase) if phase != Phase::Busy && waits(entry) => {
+            Some((phase, entry.active_at, key))
         }
         _ => None,
     });
--- a/crates/pinereel_core/src/memory/ledger.rs
+++ b/crates/pinereel_core/src/memory/ledger.rs
@@ -25,8 +25,8 @@
     Held,
 }
 
-/// What a connection is used for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// What a connection is used for, in the order in which connections are given up. A busy one is kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
     /// A refused body is read and discarded.
     Draining,
