memory: one loop that receives a body within its reservation

Request bodies, answers of endpoints and answers of the store each had a copy of the same select over the reservation's signal. Reservation::receive replaces the three.

--- a/crates/pinereel/src/http/body.rs
+++ b/crates/pinereel/src/http/body.rs
@@ -69,37 +69,30 @@
     }
 }
 
-/// Memory that a body takes while it is received.
-struct Account {
-    reservation: Reservation,
+/// How a body is received: how far its connection is read ahead, and what that takes.
+struct Intake {
     connection: Option<Rc<Connection>>,
     is_chunked: bool,
 }
 
-impl Account {
-    fn open(connection: Option<Rc<Connection>>, announced: Option<usize>, max: usize) -> Self {
-        let parent = connection.as_ref().map(|c| c.reservation());
+impl Intake {
+    /// Begins to receive a body of at most `max_length` bytes.
+    fn open(&self, max_length: usize) -> Reservation {
+        let parent = self.connection.as_ref().map(|c| c.reservation());
         let memory = parent.map_or_else(Memory::default, |parent| parent.memory().clone());
-        let kind = Kind::Upload(parent.map(Reservation::key));
-        Self {
-            reservation: memory.open_body(kind, announced.unwrap_or(max)),
-            connection,
-            is_chunked: announced.is_none(),
-        }
+        memory.open_body(Kind::Upload(parent.map(Reservation::key)), max_length)
     }
 
     /// Makes room for a body of `length` bytes before it is read.
-    fn reserve(&self, length: usize) -> Result<(), Full> {
-        let bytes = Buffer::bytes_for(length) + self.overhead(length);
-        self.reservation.grow_to(bytes)?;
+    fn reserve(&self, body: &Reservation, length: usize) -> Result<(), Full> {
+        body.grow_to(Buffer::bytes_for(length) + self.overhead(length))?;
         self.set_window(length);
         Ok(())
     }
 
     /// Appends a part, after which the body has `length` bytes.
-    fn append(&mut self, part: &[u8], length: usize) -> Result<(), Full> {
-        let overhead = self.overhead(length);
-        self.reservation.append(part, overhead)?;
+    fn append(&self, body: &mut Reservation, part: &[u8], length: usize) -> Result<(), Full> {
+        body.append(part, self.overhead(length))?;
         self.set_window(length);
         Ok(())
     }
@@ -149,11 +142,13 @@
     if matches!(payload, Payload::None) {
         return Ok(Bytes::new());
     }
-    let connection = request.conn_data::<Rc<Connection>>().cloned();
-    let mut account = Account::open(connection, announced, max_bytes);
-    let given_up = account.reservation.given_up();
-    let receive = async {
-        account.reserve(announced.unwrap_or_default())?;
+    let intake = Intake {
+        connection: request.conn_data::<Rc<Connection>>().cloned(),
+        is_chunked: announced.is_none(),
+    };
+    let reservation = intake.open(announced.unwrap_or(max_bytes));
+    let append_parts = async |body: &mut Reservation| {
+        intake.reserve(body, announced.unwrap_or_default())?;
         let mut length = 0;
         while let Some(part) = payload.next().await {
             let part = part.map_err(|e| Error::Read(e.to_string()))?;
@@ -161,17 +156,14 @@
             if length > max_bytes {
                 return Err(Error::TooLarge(max_bytes));
             }
-            account.append(&part, length)?;
+            intake.append(body, &part, length)?;
         }
-        Ok(account.reservation.hold()?)
+        Ok(())
     };
-    tokio::select! {
-        biased;
-        () = given_up => Err(Error::NoMemory),
-        received = tokio::time::timeout(timeout, receive) => {
-            received.unwrap_or(Err(Error::Timeout(timeout)))
-        }
-    }
+    let receive = reservation.receive(Error::from, append_parts);
+    tokio::time::timeout(timeout, receive)
+        .await
+        .unwrap_or(Err(Error::Timeout(timeout)))
 }
 
 /// Length that the head of a request announces for its body.
--- a/crates/pinereel/src/memory/mod.rs
+++ b/crates/pinereel/src/memory/mod.rs
@@ -126,6 +126,7 @@
     /// # Errors
     /// There is no room for them.
     pub fn reserve(&self, bytes: usize) -> Result<Reservation, Full> {
+        // As for the youngest request body, only those give way whose senders have stalled.
         let reservation = self.open(Kind::Upload(None));
         reservation.grow(bytes)?;
         self.lock().ledger.hold(reservation.key, bytes);
@@ -283,11 +284,33 @@
         self.signal.clone().cancelled_owned()
     }
 
+    /// Receives a body, whose parts `append_parts` appends, and returns it complete. Ends with the error that
+    /// `full` makes as soon as the body is given up for others.
+    ///
+    /// # Errors
+    /// As for `append_parts`, and there is no room.
+    pub async fn receive<E>(
+        mut self,
+        full: impl Fn(Full) -> E,
+        append_parts: impl AsyncFnOnce(&mut Self) -> Result<(), E>,
+    ) -> Result<Bytes, E> {
+        let given_up = self.given_up();
+        let receive = async {
+            append_parts(&mut self).await?;
+            self.hold().map_err(&full)
+        };
+        tokio::select! {
+            biased;
+            () = given_up => Err(full(Full)),
+            body = receive => body,
+        }
+    }
+
     /// Returns the complete body, which counts until all copies of the returned bytes are dropped.
     ///
     /// # Errors
     /// This reservation was given up.
-    pub fn hold(mut self) -> Result<Bytes, Full> {
+    fn hold(mut self) -> Result<Bytes, Full> {
         self.store_collected()?;
         let mut state = self.memory.lock();
         let holder = state.holders.remove(&self.key).ok_or(Full)?;
--- a/crates/pinereel/src/objects/client.rs
+++ b/crates/pinereel/src/objects/client.rs
@@ -7,7 +7,7 @@
     token_bucket::TokenBucket,
 };
 use crate::{
-    memory::{Kind, Memory},
+    memory::{Kind, Memory, Reservation},
     state::Clock,
     upstream::{Attempt, Client as Http, Error as HttpError, Reuse},
 };
@@ -398,22 +398,17 @@
         mut response: ClientResponse<impl Stream<Item = Result<Bytes, PayloadError>> + Unpin>,
     ) -> Result<(StatusCode, Bytes), Error> {
         let status = response.status();
-        let too_long = || Error::Unknown("the response is too long".into());
-        let mut reservation = self.memory.open_body(Kind::Control, MAX_RESPONSE_BYTES);
-        let given_up = reservation.given_up();
-        let receive = async {
+        let too_long = |_| Error::Unknown("the response is too long".into());
+        let reservation = self.memory.open_body(Kind::Control, MAX_RESPONSE_BYTES);
+        let append_parts = async |body: &mut Reservation| {
             while let Some(part) = response.next().await {
                 let part = part.map_err(|e| Error::Unknown(e.to_string()))?;
-                reservation.append(&part, 0).map_err(|_| too_long())?;
+                body.append(&part, 0).map_err(too_long)?;
             }
-            reservation.hold().map_err(|_| too_long())
+            Ok(())
         };
-        let body = tokio::select! {
-            biased;
-            () = given_up => Err(too_long()),
-            body = receive => body,
-        };
-        Ok((status, body?))
+        let body = reservation.receive(too_long, append_parts).await?;
+        Ok((status, body))
     }
 
     /// Records a call's result in the breaker.
--- a/crates/pinereel/src/upstream/pool.rs
+++ b/crates/pinereel/src/upstream/pool.rs
@@ -13,7 +13,7 @@
     metered::Metered,
     probe::{Probe, probe},
 };
-use crate::memory::{Kind, Memory};
+use crate::memory::{Kind, Memory, Reservation};
 use actix_codec::Framed;
 use actix_http::{
     Method, RequestHead, RequestHeadType, StatusCode,
@@ -487,19 +487,14 @@
     /// # Errors
     /// The same, and the body is longer than `max_bytes`.
     pub async fn read_within(mut self, max_bytes: usize) -> io::Result<Bytes> {
-        let mut reservation = self.pool.memory.open_body(Kind::Download, max_bytes);
-        let given_up = reservation.given_up();
-        let receive = async {
+        let reservation = self.pool.memory.open_body(Kind::Download, max_bytes);
+        let append_parts = async |body: &mut Reservation| {
             while let Some(part) = self.next_part().await? {
-                reservation.append(&part, 0).map_err(io::Error::other)?;
+                body.append(&part, 0).map_err(io::Error::other)?;
             }
-            reservation.hold().map_err(io::Error::other)
+            Ok(())
         };
-        tokio::select! {
-            biased;
-            () = given_up => Err(io::Error::other("the memory of the body is needed for others")),
-            body = receive => body,
-        }
+        reservation.receive(io::Error::other, append_parts).await
     }
 
     /// Reads a body that nobody needs, so that the connection can be reused, unless it is too long or takes
