http: no wakeup of a connection's deadline task for each request and part

The deadline can come sooner only when a refused body begins to be drained, or when the client is waited for again; a response that has its next part ready stays in the same state.

--- a/crates/pinereel/src/http/connection/mod.rs
+++ b/crates/pinereel/src/http/connection/mod.rs
@@ -135,6 +135,7 @@
         }
         let phase = if state.reading == Reading::Rest {
             state.drained_since = Some(now);
+            self.deadline_changed.notify_one();
             Phase::Draining
         } else {
             state.reading = Reading::Head;
@@ -146,7 +147,6 @@
         };
         drop(state);
         self.reservation.set_phase(phase);
-        self.deadline_changed.notify_one();
     }
 
     /// Records that a client was given a part of a response, or that it is not waited for any more.
--- a/crates/pinereel/src/http/connection/request.rs
+++ b/crates/pinereel/src/http/connection/request.rs
@@ -65,11 +65,13 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, Self::Error>>> {
-        self.guard.0.set_writing(false);
         if self.part.is_empty() {
             match Pin::new(&mut self.body).poll_next(cx) {
                 Poll::Ready(Some(Ok(part))) => self.part = part,
-                other => return other,
+                other => {
+                    self.guard.0.set_writing(false);
+                    return other;
+                }
             }
         }
         let length = self.part.len().min(WRITE_BYTES);
