--- a/crates/pinereel/src/hosted/tree/uplink.rs
+++ b/crates/pinereel/src/hosted/tree/uplink.rs
@@ -65,11 +65,18 @@
                     }
                 };
                 self.read_store_until(end).await;
-                if self.deps.store.lacks_answers(LATE_CALL_TIME) && !self.is_shutting_down() {
+                if self.is_shutting_down() {
+                    continue;
+                }
+                if self.deps.store.lacks_answers(LATE_CALL_TIME) {
                     // It cannot read who takes over.
                     self.follow_standbys();
                     // Children that read the store for this instance go on until it has a parent.
                     next_link = self.replace_root(&mut status).await;
+                } else {
+                    // A process that renews its lease late may have stalled and missed updates. Searching for a
+                    // parent takes longer than requests wait for them.
+                    self.deps.feed.publish_lost();
                 }
                 continue;
             }
--- a/crates/pinereel_fakes/tests/hosting_tree.rs
+++ b/crates/pinereel_fakes/tests/hosting_tree.rs
@@ -1,9 +1,13 @@
 //! The broadcast tree with more instances than one parent can have children, tested with real
 //! processes.
 
+use actix_http::StatusCode;
 use pinereel_fakes::{
     child_process::Signal,
-    hosting::site::{Site, Size},
+    hosting::{
+        caller::post,
+        site::{Site, Size},
+    },
 };
 use std::{collections::BTreeMap, time::Duration};
 use tokio::time::sleep;
@@ -127,3 +131,41 @@
         "{counts:?}"
     );
 }
+
+/// A root that was suspended for longer than its lease lasts must learn which endpoints have left before it sends
+/// requests again, although it follows nobody yet.
+#[actix_rt::test]
+async fn a_suspended_root_sends_nothing_to_endpoints_that_left_meanwhile() {
+    let size = Size {
+        instances: 3,
+        engines: 1,
+        services: 6,
+    };
+    let mut site = Site::start(size, 151).await.unwrap();
+    sleep(Duration::from_secs(2)).await;
+    let root = site.root();
+    site.instances[root].signal(Signal::STOP);
+    sleep(Duration::from_millis(500)).await;
+    // The last one is of another service.
+    for service in &site.services[..4] {
+        service.endpoint.leave(service.proxy.address);
+    }
+    sleep(Duration::from_millis(6_000)).await;
+    site.instances[root].signal(Signal::CONT);
+    let (deadline, time_limit) = (Duration::from_secs(1), Duration::from_secs(5));
+    let mut served = 0;
+    for round in 0..60 {
+        let send = |number| {
+            let id = format!("r-{round}-{number}");
+            let address = site.instances[root].caller_proxy.address;
+            post(address, "/live/x", id, deadline, "", time_limit)
+        };
+        let answers = futures_util::future::join_all((0..6).map(send)).await;
+        let complete = answers.iter().flatten();
+        served += complete.filter(|a| a.status == StatusCode::OK).count();
+        sleep(Duration::from_millis(10)).await;
+    }
+    assert!(served > 0);
+    let lateness = site.recorder.max_lateness();
+    assert!(lateness <= Duration::from_secs(2), "{lateness:?}");
+}
