endpoints: an older list of engines from the tree does not replace a newer one of the store

Cause: a former root reads the store itself until it has a parent, and then publishes in its process the list of the engines that it had kept for its children, until the parent's updates arrive. The list of the other endpoints is compared with the revision that was read from the store; the list of the engines was not, and the engine came back.

Change: updates of engines that are older than what this instance read from the store are ignored.

a_suspended_root_does_not_list_an_engine_again_that_left_meanwhile failed 2 of 2 on the code before, and passed 2 of 2 with the change.

--- a/crates/pinereel/src/hosted/endpoints/mod.rs
+++ b/crates/pinereel/src/hosted/endpoints/mod.rs
@@ -30,7 +30,7 @@
 };
 use pinereel_port::{Adapter, endpoint::Entry};
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     rc::Rc,
@@ -89,6 +89,8 @@
     set: RefCell<Set>,
     /// When the list was last updated here.
     updated_at: RefCell<Option<Instant>>,
+    /// Revision of the last update that this instance read from the store itself.
+    store_revision: Cell<u64>,
     /// Notified when an endpoint is ejected.
     ejected: Notify,
     change_count: watch::Sender<u64>,
@@ -162,6 +164,7 @@
             malformed_slowdowns: load_report::MalformedSlowdowns::default(),
             set: RefCell::default(),
             updated_at: RefCell::default(),
+            store_revision: Cell::default(),
             ejected: Notify::new(),
             change_count: watch::channel(0).0,
         });
@@ -176,9 +179,14 @@
                     batch_delay
                 },
             };
-            let apply = move |update, _, origin| match update {
-                Some(update) => state.apply_update(update, Self::scope(origin)),
-                None => state.narrow_to(Self::scope(origin)),
+            let apply = move |update, revision, origin| {
+                if origin == Origin::Store {
+                    state.store_revision.set(revision);
+                }
+                match update {
+                    Some(update) => state.apply_update(update, Self::scope(origin)),
+                    None => state.narrow_to(Self::scope(origin)),
+                }
             };
             list_and_watch_with_origin(
                 &store,
@@ -239,6 +247,8 @@
         let mut updates = feed.subscribe(Topic::Engines);
         loop {
             match updates.recv().await {
+                // The tree may lag behind what was read from the store.
+                Ok(FeedEvent::Update(_, revision)) if revision < self.store_revision.get() => {}
                 Ok(FeedEvent::Update(update, _)) => {
                     self.apply_update((*update).clone(), Scope::Engines);
                 }
--- a/crates/pinereel_fakes/tests/hosting_tree.rs
+++ b/crates/pinereel_fakes/tests/hosting_tree.rs
@@ -9,7 +9,7 @@
         site::{Site, Size},
     },
 };
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
 use tokio::time::sleep;
 
 /// More instances than a root and its children.
@@ -169,3 +169,39 @@
     let lateness = site.recorder.max_lateness();
     assert!(lateness <= Duration::from_secs(2), "{lateness:?}");
 }
+
+/// A former root has an old list of the engines for its children, and reads a newer one from the store. An engine
+/// that left meanwhile must not come back from the old list.
+#[actix_rt::test]
+async fn a_suspended_root_does_not_list_an_engine_again_that_left_meanwhile() {
+    let size = Size {
+        instances: 2,
+        engines: 3,
+        services: 2,
+    };
+    let mut site = Site::start(size, 152).await.unwrap();
+    sleep(Duration::from_secs(2)).await;
+    let root = site.root();
+    // The root follows engines only once it has had a duty that needs them.
+    let other = 1 - root;
+    site.instances[other].signal(Signal::STOP);
+    sleep(Duration::from_secs(6)).await;
+    site.instances[other].signal(Signal::CONT);
+    assert!(site.instances[root].count_lines(r#""lots-model-a""#) > 0);
+    sleep(Duration::from_secs(2)).await;
+    site.instances[root].signal(Signal::STOP);
+    sleep(Duration::from_millis(500)).await;
+    let engine = &site.engines[0].endpoint;
+    engine.leave();
+    sleep(Duration::from_secs(4)).await;
+    engine.deregister();
+    sleep(Duration::from_secs(2)).await;
+    let id = Rc::clone(&engine.id);
+    site.instances[root].signal(Signal::CONT);
+    sleep(Duration::from_secs(3)).await;
+    let lines = site.instances[root].lines();
+    let is_removal =
+        |line: &&String| line.contains("endpoint no longer listed") && line.contains(&*id);
+    let removals: Vec<_> = lines.iter().filter(is_removal).collect();
+    assert_eq!(removals.len(), 1, "{removals:#?}");
+}
