endpoints: a list of engines is accepted again once the engines were removed

Cause: ignores updates of engines that are older than what this instance read from the store. An instance without a use for engines drops them once it has a parent, and a list that has not changed keeps its revision: when the instance got a duty that needs the engines, it ignored the parent's list, which was current, and knew no engine.

Change: the revision is forgotten with the engines.

--- a/crates/pinereel/src/hosted/endpoints/listing.rs
+++ b/crates/pinereel/src/hosted/endpoints/listing.rs
@@ -183,6 +183,7 @@
     /// Removes the engines. They are known from a whole list that was read from the store while no
     /// other instance forwarded changes, and would not be updated any more.
     fn remove_engines(&self) {
+        self.engines_revision.set(0);
         let mut entries = self.entries.borrow_mut();
         let engines = entries.extract_if(.., |_, listed| Scope::Engines.contains(&listed.entry));
         let ids: Vec<_> = engines.map(|(id, _)| id).collect();
--- a/crates/pinereel/src/hosted/endpoints/mod.rs
+++ b/crates/pinereel/src/hosted/endpoints/mod.rs
@@ -89,8 +89,8 @@
     set: RefCell<Set>,
     /// When the list was last updated here.
     updated_at: RefCell<Option<Instant>>,
-    /// Revision of the last update that this instance read from the store itself.
-    store_revision: Cell<u64>,
+    /// Revision of the engines that this instance has read from the store itself; 0 once they were removed.
+    engines_revision: Cell<u64>,
     /// Notified when an endpoint is ejected.
     ejected: Notify,
     change_count: watch::Sender<u64>,
@@ -164,7 +164,7 @@
             malformed_slowdowns: load_report::MalformedSlowdowns::default(),
             set: RefCell::default(),
             updated_at: RefCell::default(),
-            store_revision: Cell::default(),
+            engines_revision: Cell::default(),
             ejected: Notify::new(),
             change_count: watch::channel(0).0,
         });
@@ -181,7 +181,7 @@
             };
             let apply = move |update, revision, origin| {
                 if origin == Origin::Store {
-                    state.store_revision.set(revision);
+                    state.engines_revision.set(revision);
                 }
                 match update {
                     Some(update) => state.apply_update(update, Self::scope(origin)),
@@ -248,7 +248,7 @@
         loop {
             match updates.recv().await {
                 // The tree may lag behind what was read from the store.
-                Ok(FeedEvent::Update(_, revision)) if revision < self.store_revision.get() => {}
+                Ok(FeedEvent::Update(_, revision)) if revision < self.engines_revision.get() => {}
                 Ok(FeedEvent::Update(update, _)) => {
                     self.apply_update((*update).clone(), Scope::Engines);
                 }
--- a/crates/pinereel_fakes/tests/hosting_tree.rs
+++ b/crates/pinereel_fakes/tests/hosting_tree.rs
@@ -1,5 +1,5 @@
-//! The broadcast tree with more instances than one parent can have children, tested with real
-//! processes.
+//! The broadcast tree, tested with real processes: with more instances than one parent can have children, and with
+//! a root that is suspended.
 
 use actix_http::StatusCode;
 use pinereel_fakes::{
@@ -205,3 +205,34 @@
     let removals: Vec<_> = lines.iter().filter(is_removal).collect();
     assert_eq!(removals.len(), 1, "{removals:#?}");
 }
+
+/// A former root reads all endpoints from the store, and forgets the engines once it has a parent. When it gets a duty
+/// that needs them, the parent's list is current although its revision is lower than that of the store then.
+#[actix_rt::test]
+async fn a_suspended_root_gets_the_engines_with_its_next_duty() {
+    let size = Size {
+        instances: 3,
+        engines: 3,
+        services: 2,
+    };
+    let mut site = Site::start(size, 153).await.unwrap();
+    sleep(Duration::from_secs(2)).await;
+    let former = site.root();
+    site.instances[former].signal(Signal::STOP);
+    sleep(Duration::from_millis(500)).await;
+    let service = &site.services[0];
+    service.endpoint.leave(service.proxy.address);
+    sleep(Duration::from_secs(6)).await;
+    site.instances[former].signal(Signal::CONT);
+    sleep(Duration::from_secs(3)).await;
+    let root = site.root();
+    let runner = (0..3).find(|index| ![former, root].contains(index));
+    let count = |text| site.instances[former].count_lines(text);
+    let engine_lists = r#""scope":"Engines""#;
+    let (duties, lists) = (count("lease taken"), count(engine_lists));
+    site.instances[runner.expect("three instances")].signal(Signal::KILL);
+    sleep(Duration::from_secs(8)).await;
+    let count = |text| site.instances[former].count_lines(text);
+    assert!(count("lease taken") > duties, "it gets a duty");
+    assert!(count(engine_lists) > lists, "it gets the engines");
+}
