--- a/crates/pinereel_fakes/src/hosting/caller.rs
+++ b/crates/pinereel_fakes/src/hosting/caller.rs
@@ -38,6 +38,13 @@
     pub unknown: Cell<u64>,
 }
 
+impl Tally {
+    /// Number of all answers and failures.
+    pub fn total(&self) -> u64 {
+        self.good.get() + self.not_run.get() + self.unknown.get()
+    }
+}
+
 /// How a caller uses connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Connections {
--- a/crates/pinereel_fakes/src/hosting/cli.rs
+++ b/crates/pinereel_fakes/src/hosting/cli.rs
@@ -16,6 +16,7 @@
   --crashing             requests come that crash the endpoints that run them
   --crowds               crowds of clients exhaust the memory and the connections of instances
   --cuts                 links to endpoints are cut, and the store is silent to the root of the tree
+  --configurations       the configuration changes three times a second, beside faults of the store and its readers
   --copies               endpoints send late copies of answers, and lots end beside freezes
   --logs FOLDER          where the logs of failed seeds are written
   --help                 print this";
@@ -104,6 +105,10 @@
             options.crowds = true;
             continue;
         }
+        if name == "configurations" {
+            options.config_changes = true;
+            continue;
+        }
         if name == "cuts" {
             options.link_cuts = true;
             continue;
--- a/crates/pinereel_fakes/src/hosting/proxy.rs
+++ b/crates/pinereel_fakes/src/hosting/proxy.rs
@@ -94,6 +94,8 @@
     faults: Rc<Cell<Faults>>,
     /// Incremented to reset all open connections.
     resets: Rc<watch::Sender<u64>>,
+    /// Incremented to drop all further bytes of the connections that are open.
+    silences: Rc<Cell<u64>>,
     /// What happens to new connections.
     listening: Rc<watch::Sender<Listening>>,
     /// Address of the server.
@@ -116,6 +118,7 @@
             address: listener.local_addr()?,
             faults: Rc::default(),
             resets: Rc::new(watch::channel(0).0),
+            silences: Rc::default(),
             listening: Rc::new(watch::channel(Listening::Accepting).0),
             target,
             unanswered_closes: Rc::default(),
@@ -199,6 +202,11 @@
         self.resets.send_modify(|resets| *resets += 1);
     }
 
+    /// Drops all further bytes of the connections that are open, which stay open; new ones work.
+    pub fn silence_connections(&self) {
+        self.silences.set(self.silences.get() + 1);
+    }
+
     /// Returns when the server closed connections after bytes of a request, which need not be the first
     /// on its connection, and before any of its answer. A connection that the client closed first is not
     /// included.
@@ -227,8 +235,12 @@
             let before = seen.borrow_mut().record(bytes);
             before.filter(|_| self.is_next_duplicated())
         };
-        let requests = self.forward(from_client, to_server, on_request, |f| f.drop_requests);
-        let answers = self.forward(from_server, to_client, on_answer, |f| f.drop_answers);
+        let silences = self.silences.get();
+        let is_silent = || self.silences.get() != silences;
+        let drops_requests = |faults: Faults| faults.drop_requests || is_silent();
+        let drops_answers = |faults: Faults| faults.drop_answers || is_silent();
+        let requests = self.forward(from_client, to_server, on_request, drops_requests);
+        let answers = self.forward(from_server, to_client, on_answer, drops_answers);
         tokio::select! {
             // When the server closes its side, the connection is closed. When the client closes its
             // side, only that direction is closed at the server too, which then closes the other.
--- a/crates/pinereel_fakes/src/hosting/recorder.rs
+++ b/crates/pinereel_fakes/src/hosting/recorder.rs
@@ -101,6 +101,11 @@
         self.inner.borrow().runs.get(id).map_or(0, Vec::len)
     }
 
+    /// Returns the service that last ran a request.
+    pub fn last_service(&self, id: &str) -> Option<String> {
+        self.inner.borrow().runs.get(id)?.last().cloned()
+    }
+
     /// Records that an endpoint answered a request with status 500.
     pub fn record_failure(&self, id: &str) {
         let mut inner = self.inner.borrow_mut();
--- a/crates/pinereel_fakes/src/hosting/site.rs
+++ b/crates/pinereel_fakes/src/hosting/site.rs
@@ -42,9 +42,9 @@
 /// Name of the engines' service.
 const ENGINE_SERVICE: &str = "engines";
 /// Name of the plain service that answers live requests and scores results.
-const PLAIN_SERVICE: &str = "plain";
+pub const PLAIN_SERVICE: &str = "plain";
 /// Name of a second plain service, to which configuration changes can move the live route.
-const OTHER_SERVICE: &str = "other";
+pub const OTHER_SERVICE: &str = "other";
 /// Port of the metrics, as in the deployment's template.
 pub const METRICS_PORT: u16 = 9_464;
 /// Port for callers; lower than the ports that the operating system assigns itself.
@@ -122,6 +122,8 @@
     /// Workspaces with their API keys, in the format of the configuration. Without any, requests
     /// need no key.
     pub workspaces: Option<Value>,
+    /// Routes that the next configuration has besides its usual ones, each with its service.
+    pub added_routes: Vec<(String, &'static str)>,
     /// Names of the models that all engines serve besides [`MODEL`].
     other_models: Vec<String>,
     /// Latency objective of scorings, from the next configuration on.
@@ -214,6 +216,7 @@
             instances: Vec::new(),
             config_version: 0,
             workspaces: None,
+            added_routes: Vec::new(),
             other_models: other_models.iter().map(ToString::to_string).collect(),
             scoring_objective: Duration::from_millis(150),
             limits,
@@ -289,6 +292,10 @@
             "limits": {"maxHeaderBytes": self.limits.head_bytes, "maxBodyBytes": self.limits.body_bytes,
                        "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000},
         });
+        if let Some(routes) = document["routes"].as_array_mut() {
+            let added = self.added_routes.iter();
+            routes.extend(added.map(|(name, service)| route(name, "safe", service, 2)));
+        }
         document["routes"][2]["targetLatencyMs"] = json!(self.scoring_objective.as_millis() as u64);
         if let Some(workspaces) = &self.workspaces {
             document["tenants"] = workspaces.clone();
--- a/crates/pinereel_fakes/src/hosting/soak/checks.rs
+++ b/crates/pinereel_fakes/src/hosting/soak/checks.rs
@@ -8,6 +8,9 @@
 use std::{rc::Rc, time::Duration};
 use tokio::time::{Instant, sleep};
 
+/// After the last fault, callers get at least as many good answers as requests, divided by this.
+const MIN_GOOD_DIVISOR: u64 = 4;
+
 impl Soak {
     /// Waits until most faults have ended by themselves, and ends those that may still be in force.
     pub(super) async fn end_faults(&self) {
@@ -42,6 +45,7 @@
         let recorder = Rc::clone(&self.site.borrow().recorder);
         sleep(MAX_RECOVERY_TIME / 3).await;
         let good_before = tally.good.get();
+        let all_before = tally.total();
         let done_before = trainer.done;
         let started = Instant::now();
         for step in 0..RECOVERY_STEPS {
@@ -53,6 +57,12 @@
         if tally.good.get() == good_before {
             recorder.record_violation("no caller gets a good answer after the last fault");
         }
+        let (good, all) = (tally.good.get() - good_before, tally.total() - all_before);
+        if good * MIN_GOOD_DIVISOR < all {
+            recorder.record_violation(format!(
+                "callers get {good} good answers to {all} requests after the last fault"
+            ));
+        }
         if started.elapsed() > MAX_RECOVERY_TIME {
             recorder.record_violation(format!(
                 "steps after the last fault took {:?}",
--- a/crates/pinereel_fakes/src/hosting/soak/crowds.rs
+++ b/crates/pinereel_fakes/src/hosting/soak/crowds.rs
@@ -1,6 +1,6 @@
 //! Clients that exhaust an instance, beside all other faults.
 
-use super::{AFTER_EFFECT_TIME, FaultPeriod};
+use super::{AFTER_EFFECT_TIME, FaultPeriod, OutOfTouch};
 use crate::hosting::{
     crowd::{Crowd, Framing, Shape},
     site::{Limits, Site},
@@ -61,6 +61,7 @@
         periods.borrow_mut().push(FaultPeriod {
             instance: Some(index),
             graceful: false,
+            out_of_touch: OutOfTouch::Instance(index),
             from,
             to: from + length + AFTER_EFFECT_TIME,
         });
--- a/crates/pinereel_fakes/src/hosting/soak/ended_lots.rs
+++ b/crates/pinereel_fakes/src/hosting/soak/ended_lots.rs
@@ -1,6 +1,6 @@
 //! Lots that are ended while the process that runs them is frozen for less time than it notices.
 
-use super::{AFTER_EFFECT_TIME, FaultPeriod};
+use super::{AFTER_EFFECT_TIME, FaultPeriod, OutOfTouch};
 use crate::{
     child_process::Signal,
     hosting::{
@@ -81,6 +81,7 @@
     periods.borrow_mut().push(FaultPeriod {
         instance: Some(index),
         graceful: false,
+        out_of_touch: OutOfTouch::Instance(index),
         from,
         to: from + length + CALL_DEADLINE + AFTER_EFFECT_TIME,
     });
--- a/crates/pinereel_fakes/src/hosting/soak/inject.rs
+++ b/crates/pinereel_fakes/src/hosting/soak/inject.rs
@@ -178,7 +178,7 @@
     }
 
     fn inject_endpoint_fault(&self, kind: FaultKind, index: usize, length: Duration) {
-        self.record_period(None, false, length + AFTER_EFFECT_TIME);
+        self.record_endpoint_period(length + AFTER_EFFECT_TIME);
         let site = self.site.borrow();
         if let Some(faults) = service_faults(kind) {
             site.services[index].endpoint.set_faults(faults);
--- a/crates/pinereel_fakes/src/hosting/soak/link_cuts.rs
+++ b/crates/pinereel_fakes/src/hosting/soak/link_cuts.rs
@@ -1,7 +1,7 @@
 //! Cuts of the links to endpoints, and a store that is silent to the root of the broadcast tree, beside all
 //! other faults.
 
-use super::{AFTER_EFFECT_TIME, FaultPeriod};
+use super::{AFTER_EFFECT_TIME, FaultPeriod, OutOfTouch};
 use crate::hosting::{
     proxy::{self, Cut},
     site::Site,
@@ -30,6 +30,7 @@
         periods.borrow_mut().push(FaultPeriod {
             instance: None,
             graceful: false,
+            out_of_touch: OutOfTouch::All,
             from,
             to: from + length + AFTER_EFFECT_TIME,
         });
--- a/crates/pinereel_fakes/src/hosting/soak/mod.rs
+++ b/crates/pinereel_fakes/src/hosting/soak/mod.rs
@@ -5,6 +5,9 @@
 //! does not, so a seed that failed once may need several runs to fail again.
 
 mod checks;
+mod config_changes;
+mod config_history;
+mod control_faults;
 mod crashing_requests;
 mod crowds;
 mod ended_lots;
@@ -23,7 +26,10 @@
 use rand::{Rng as _, SeedableRng as _, seq::IndexedRandom as _};
 use rand_chacha::ChaCha8Rng;
 use std::{cell::RefCell, fmt, io, rc::Rc, time::Duration};
-use tokio::time::{Instant, sleep};
+use tokio::{
+    sync::oneshot,
+    time::{Instant, sleep},
+};
 
 /// Time after the end of a fault, other than a graceful shutdown, during which it may still have
 /// effects.
@@ -61,6 +67,8 @@
     pub late_copies: bool,
     /// Whether crowds of clients exhaust the memory and the connections of instances.
     pub crowds: bool,
+    /// Whether the configuration changes in quick succession beside faults between the store and the instances.
+    pub config_changes: bool,
 }
 
 impl Default for Options {
@@ -79,6 +87,7 @@
             link_cuts: false,
             late_copies: false,
             crowds: false,
+            config_changes: false,
         }
     }
 }
@@ -102,6 +111,8 @@
     pub accepted_order_count: usize,
     /// Number of calls to the store.
     pub store_call_count: u64,
+    /// What was judged of changes of the configuration; empty if there were none.
+    pub config_summary: String,
     /// Log lines of the instances, if there are violations.
     pub logs: Vec<String>,
 }
@@ -120,7 +131,11 @@
             self.store_call_count,
             self.crash_counts,
             self.violations.len(),
-        )
+        )?;
+        match self.config_summary.as_str() {
+            "" => Ok(()),
+            summary => write!(f, "; {summary}"),
+        }
     }
 }
 
@@ -131,10 +146,20 @@
     instance: Option<usize>,
     /// Whether the fault is a graceful shutdown.
     graceful: bool,
+    /// Which instances may miss changes of the configuration.
+    out_of_touch: OutOfTouch,
     from: Instant,
     to: Instant,
 }
 
+/// The instances that a fault may keep from the changes that the store has confirmed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum OutOfTouch {
+    All,
+    Instance(usize),
+    None,
+}
+
 /// A running soak test.
 struct Soak {
     options: Options,
@@ -232,16 +257,44 @@
             crowds::run_until(&crowded_site, &crowd_periods, options.seed, end).await;
         }
     };
-    tokio::join!(
-        soak.inject_faults(end),
-        trainer.run(end),
-        sender,
-        cutter,
-        copier,
-        crowder
-    );
-    soak.end_faults().await;
-    soak.check_recovery(&mut trainer, &tally).await;
+    let (changed_site, change_periods) = (Rc::clone(&soak.site), Rc::clone(&soak.fault_periods));
+    let (changes_ended, until_changes_ended) = oneshot::channel();
+    let changer = async {
+        match options.config_changes {
+            true => {
+                let (site, periods) = (&changed_site, &change_periods);
+                config_changes::change_until(site, periods, options.seed, until_changes_ended).await
+            }
+            false => String::new(),
+        }
+    };
+    let (faulty_site, control_periods) = (Rc::clone(&soak.site), Rc::clone(&soak.fault_periods));
+    let control_faults = async {
+        match options.config_changes {
+            true => {
+                let (site, periods) = (&faulty_site, &control_periods);
+                control_faults::inject_until(site, periods, options.seed, end).await
+            }
+            false => Vec::new(),
+        }
+    };
+    let faults = async {
+        let (_, _, _, _, _, _, injected) = tokio::join!(
+            soak.inject_faults(end),
+            trainer.run(end),
+            sender,
+            cutter,
+            copier,
+            crowder,
+            control_faults,
+        );
+        soak.injected_faults.extend(injected);
+        soak.end_faults().await;
+        soak.check_recovery(&mut trainer, &tally).await;
+        // The receiver waits until then.
+        let _ = changes_ended.send(());
+    };
+    let (config_summary, ()) = tokio::join!(changer, faults);
     soak.check_graceful_shutdowns();
     ended_lots::check_slots(&soak.site).await;
     if options.crowds {
@@ -260,7 +313,9 @@
     for caller in callers {
         caller.abort();
     }
-    Ok(soak.into_report(&trainer, &tally, store.call_count()))
+    let mut report = soak.into_report(&trainer, &tally, store.call_count());
+    report.config_summary = config_summary;
+    Ok(report)
 }
 
 impl Soak {
@@ -294,10 +349,27 @@
     /// Records that a fault is in force from now on for `length`; `instance` is `None` if it may
     /// affect all instances.
     fn record_period(&self, instance: Option<usize>, graceful: bool, length: Duration) {
+        let out_of_touch = instance.map_or(OutOfTouch::All, OutOfTouch::Instance);
+        self.record_period_for(instance, graceful, out_of_touch, length);
+    }
+
+    /// Like [`Self::record_period`], for a fault at an endpoint.
+    fn record_endpoint_period(&self, length: Duration) {
+        self.record_period_for(None, false, OutOfTouch::None, length);
+    }
+
+    fn record_period_for(
+        &self,
+        instance: Option<usize>,
+        graceful: bool,
+        out_of_touch: OutOfTouch,
+        length: Duration,
+    ) {
         let from = Instant::now();
         self.fault_periods.borrow_mut().push(FaultPeriod {
             instance,
             graceful,
+            out_of_touch,
             from,
             to: from + length,
         });
@@ -330,6 +402,7 @@
             step_counts: [trainer.done, trainer.given_up, trainer.refused],
             accepted_order_count: site.recorder.accepted_order_count(),
             store_call_count,
+            config_summary: String::new(),
             logs,
         }
     }
