config: logs and metrics tell where a configuration came from and how old its source is

Two hypotheses could not be told apart: that an instance applies an old configuration since its parent lags, and that it answers by an old configuration although its data have grown too old. `configuration activated` now has the origin, the parent, the age of the data by the root's clock and the time since the start of the process; `refused: no such route` has that age as well, and `config_data_age_seconds` shows it at each scrape. Stalls of the process were logged already.

Not added: the time from a parent's receipt of a change to one's own. Frames are forwarded in encoded form, without a time of the sender.

--- a/crates/pinereel/src/hosted/config.rs
+++ b/crates/pinereel/src/hosted/config.rs
@@ -2,7 +2,8 @@
 //! version.
 
 use super::{
-    list_watch::{Update, WatchOptions, list_and_watch},
+    list_watch::{Origin, Update, WatchOptions, list_and_watch_with_origin},
+    metrics::Metrics,
     store::Store,
     tree::{Feed, Topic},
 };
@@ -10,7 +11,12 @@
 use compact_str::CompactString;
 use pinereel_core::routing_table::RoutingTable;
 use pinereel_port::{Adapter, store::Object};
-use std::{cell::RefCell, collections::BTreeSet, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeSet,
+    rc::Rc,
+    time::Duration,
+};
 use tokio::{sync::watch, time::Instant};
 
 /// The configuration that is in force at this instance. Its number never decreases within one
@@ -20,6 +26,11 @@
     number: watch::Sender<u64>,
     store: Store,
     feed: Rc<Feed>,
+    metrics: Metrics,
+    /// When this process began to watch the configuration.
+    started_at: Instant,
+    /// Where the last update came from; `None` before the first one.
+    origin: Cell<Option<Origin>>,
 }
 
 /// A configuration, and when it was activated here.
@@ -32,12 +43,21 @@
 impl Config {
     /// Starts to watch the configuration in `store`. `wait` is the longest wait of one watch call;
     /// other instances may forward changes through `feed`.
-    pub fn start(store: &Store, adapter: Adapter, wait: Duration, feed: &Rc<Feed>) -> Rc<Self> {
+    pub fn start(
+        store: &Store,
+        adapter: Adapter,
+        wait: Duration,
+        feed: &Rc<Feed>,
+        metrics: &Metrics,
+    ) -> Rc<Self> {
         let config = Rc::new(Self {
             active: RefCell::new(None),
             number: watch::channel(0).0,
             store: store.clone(),
             feed: Rc::clone(feed),
+            metrics: metrics.clone(),
+            started_at: Instant::now(),
+            origin: Cell::default(),
         });
         let (state, store) = (Rc::clone(&config), store.clone());
         let feed_events = Some(feed.subscribe(Topic::Config));
@@ -47,14 +67,17 @@
                 max_wait: wait,
                 batch_delay: Duration::ZERO,
             };
-            list_and_watch(
+            list_and_watch_with_origin(
                 &store,
                 Purpose::Config,
                 kind,
                 options,
                 feed_events,
-                |update, _| {
-                    state.apply_update(adapter, update);
+                |update, _, origin| {
+                    state.origin.set(Some(origin));
+                    if let Some(update) = update {
+                        state.apply_update(adapter, update);
+                    }
                 },
             )
             .await;
@@ -74,6 +97,15 @@
         active.as_ref().map(|active| active.activated_at.elapsed())
     }
 
+    /// How old the active configuration is at most: every change before that has been applied here. `None`
+    /// before the first one was read.
+    pub fn data_age(&self) -> Option<Duration> {
+        match self.origin.get()? {
+            Origin::Tree => self.feed.data_age(),
+            Origin::Store => self.store.last_answer_ago(),
+        }
+    }
+
     /// Whether this instance learns of each change: from a parent instance that is up to date, or
     /// from the store itself.
     pub fn is_current(&self) -> bool {
@@ -145,7 +177,24 @@
             table,
             activated_at,
         }));
-        log::info!(revision, number, before:serde = before; "configuration activated");
+        let origin = self.origin.get().map(Origin::as_str).unwrap_or_default();
+        let parent = self.feed.parent().unwrap_or_default();
+        let data_age = self.data_age();
+        if let Some(age) = data_age {
+            let ages = &self.metrics.input_ages;
+            self.metrics
+                .observe(ages, "configuration at activation", age);
+        }
+        log::info!(
+            revision,
+            number,
+            before:serde = before,
+            origin,
+            parent = parent.as_str(),
+            data_age_ms:serde = data_age.map(|age| age.as_millis() as u64),
+            process_ms = self.started_at.elapsed().as_millis() as u64;
+            "configuration activated"
+        );
         self.number.send_replace(number);
     }
 }
--- a/crates/pinereel/src/hosted/list_watch.rs
+++ b/crates/pinereel/src/hosted/list_watch.rs
@@ -46,6 +46,16 @@
     Store,
 }
 
+impl Origin {
+    /// Name in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Tree => "tree",
+            Self::Store => "store",
+        }
+    }
+}
+
 /// Keeps up with the objects of `kind` until dropped, and calls `on_update` with each update and
 /// its revision. `options` is called before each watch. While `feed` delivers updates, the store is
 /// not read.
--- a/crates/pinereel/src/hosted/metrics.rs
+++ b/crates/pinereel/src/hosted/metrics.rs
@@ -46,7 +46,8 @@
     /// Requests refused before any attempt, by `cause`.
     pub refusals: IntCounterVec,
     /// Age of the inputs of a decision, by `what`, in seconds: of the configuration and the endpoint list
-    /// at each request, and of data received over the broadcast tree.
+    /// at each request, of data received over the broadcast tree, and of the data with which a
+    /// configuration came.
     pub input_ages: HistogramVec,
     /// Calls of trainers by `call` and `outcome`.
     pub trainer_calls: IntCounterVec,
@@ -94,6 +95,7 @@
     store_calls: IntCounterVec,
     connections_opened: IntGauge,
     config_number: IntGauge,
+    config_data_age: Gauge,
     log_lines_dropped: IntGauge,
     memory: IntGaugeVec,
     memory_given_up: IntGauge,
@@ -115,6 +117,8 @@
     pub lot_load: Box<dyn Fn() -> LotLoad>,
     /// Number of the configuration in force; 0 before the first.
     pub config_number: Box<dyn Fn() -> u64>,
+    /// How old the configuration in force is at most; `None` before the first.
+    pub config_data_age: Box<dyn Fn() -> Option<Duration>>,
 }
 
 /// Load of the lots that an instance runs.
@@ -204,6 +208,11 @@
             store_calls: counter_vec(&r, "store_calls_total", "Calls.", &["purpose", "access"]),
             connections_opened: int_gauge(&r, "endpoint_connections_opened", "Since the start."),
             config_number: int_gauge(&r, "config_number", "Configuration in force."),
+            config_data_age: float_gauge(
+                &r,
+                "config_data_age_seconds",
+                "All older changes are in force; infinite before the first.",
+            ),
             log_lines_dropped: int_gauge(&r, "log_lines_dropped", "Lines not written."),
             memory: gauge_vec(&r, "memory_bytes", "Connections and bodies.", "what"),
             memory_given_up: int_gauge(&r, "memory_given_up", "Bodies and connections."),
@@ -264,6 +273,9 @@
         self.memory_given_up.set(gauge_value(memory.given_up));
         self.config_number
             .set(gauge_value((sources.config_number)()));
+        let data_age = (sources.config_data_age)();
+        self.config_data_age
+            .set(data_age.map_or(f64::INFINITY, |age| age.as_secs_f64()));
         self.log_lines_dropped.set(gauge_value(logging::dropped()));
         self.process_cpu.set(cpu_seconds().unwrap_or_default());
         self.resident_memory
--- a/crates/pinereel/src/hosted/run.rs
+++ b/crates/pinereel/src/hosted/run.rs
@@ -171,7 +171,7 @@
             );
             probe.await;
         });
-        let config = Config::start(&direct_store, adapter, watch, &feed);
+        let config = Config::start(&direct_store, adapter, watch, &feed, &metrics);
         let instance = &settings.instance;
         let peer_address = instance.peers.map(|peers| peers.to_string().into());
         let crashes = CrashTracker::new(clock, &metrics);
@@ -289,6 +289,7 @@
         }
         if let Some(address) = instance.metrics {
             let (pool, config, runner) = (Rc::clone(&pool), Rc::clone(&config), Rc::clone(&runner));
+            let aged_config = Rc::clone(&config);
             let memory = memory.clone();
             let sources = Sources {
                 memory_usage: Box::new(move || memory.usage()),
@@ -300,6 +301,7 @@
                     tasks: runner.in_flight() as u64,
                 }),
                 config_number: Box::new(move || config.table().map_or(0, |table| table.number())),
+                config_data_age: Box::new(move || aged_config.data_age()),
             };
             metrics.serve(listen(address).await?, sources).await?;
         }
--- a/crates/pinereel/src/hosted/serve.rs
+++ b/crates/pinereel/src/hosted/serve.rs
@@ -141,7 +141,9 @@
                 id = metadata.id.as_str(),
                 host = host.as_str(),
                 path,
-                config = table.number();
+                config = table.number(),
+                config_age_ms = self.config.age().unwrap_or_default().as_millis() as u64,
+                data_age_ms:serde = self.config.data_age().map(|age| age.as_millis() as u64);
                 "refused: no such route"
             );
             return http::empty(StatusCode::NOT_FOUND);
--- a/crates/pinereel/src/hosted/tree/feed.rs
+++ b/crates/pinereel/src/hosted/tree/feed.rs
@@ -4,6 +4,7 @@
 
 use super::Topic;
 use crate::hosted::list_watch::Update;
+use compact_str::CompactString;
 use pinereel_core::lease::Rank;
 use std::{
     cell::{Cell, RefCell},
@@ -43,6 +44,10 @@
     engines_subscribed: watch::Sender<bool>,
     /// Whether there is a parent and its data are fresh.
     has_parent: Cell<bool>,
+    /// Address of the parent, if there is one.
+    parent: RefCell<Option<CompactString>>,
+    /// All changes that the store had made by then have been published here; `None` without data.
+    complete_until: Cell<Option<Instant>>,
     /// Whether an unavailable store is probed rarely, see [`probes_rarely`](pinereel_core::tree::Uplink::probes_rarely).
     probes_rarely: Cell<bool>,
 }
@@ -56,6 +61,8 @@
             current: RefCell::default(),
             engines_subscribed: watch::channel(false).0,
             has_parent: Cell::default(),
+            parent: RefCell::default(),
+            complete_until: Cell::default(),
             probes_rarely: Cell::default(),
         }
     }
@@ -82,6 +89,28 @@
         self.has_parent.set(has_parent);
     }
 
+    /// Address of the parent, if there is one.
+    pub fn parent(&self) -> Option<CompactString> {
+        self.parent.borrow().clone()
+    }
+
+    pub(super) fn set_parent(&self, parent: Option<CompactString>) {
+        self.parent.replace(parent);
+    }
+
+    /// How old the published data are at most: all changes before that have been published. `None` without
+    /// data.
+    pub fn data_age(&self) -> Option<Duration> {
+        self.complete_until.get().map(|until| until.elapsed())
+    }
+
+    /// Records how old the data are now. A new parent may lag behind the previous one, whose data stay.
+    pub(super) fn observe_data_age(&self, age: Duration) {
+        let until = Instant::now().checked_sub(age);
+        self.complete_until
+            .set(self.complete_until.get().max(until));
+    }
+
     /// Whether this instance probes an unavailable store rarely, see [`probes_rarely`](pinereel_core::tree::Uplink::probes_rarely).
     pub fn probes_rarely(&self) -> bool {
         self.probes_rarely.get()
--- a/crates/pinereel/src/hosted/tree/node.rs
+++ b/crates/pinereel/src/hosted/tree/node.rs
@@ -289,6 +289,7 @@
 
     /// Sends a heartbeat with the ranks of its subtree to each child, and publishes the own rank.
     pub(super) fn send_heartbeat(&self) {
+        self.observe_data_age();
         let preferred = self.deps.peer.preferred;
         let ranks = self.update_ranks();
         if let Some(ranks) = ranks {
@@ -323,6 +324,14 @@
         }
     }
 
+    /// Passes the age of the data on to the other modules of this process.
+    pub(super) fn observe_data_age(&self) {
+        let (now, status) = (self.now(), self.store_status());
+        if let Some(age) = self.uplink.borrow().age(now, status) {
+            self.deps.feed.observe_data_age(age);
+        }
+    }
+
     /// The heartbeat for the children; `None` while there are no data and none are expected, unless the
     /// reason is that the store does not answer the root. Without heartbeats, all links of the tree broke
     /// in an outage of more than 3 s, and each instance looked for its end by itself.
--- a/crates/pinereel/src/hosted/tree/topics.rs
+++ b/crates/pinereel/src/hosted/tree/topics.rs
@@ -112,6 +112,7 @@
 impl Node {
     /// Publishes what was read from the store, as of a revision.
     pub(super) fn publish_update(&self, topic: Topic, update: Update, revision: u64) {
+        self.observe_data_age();
         let store_uptime = self.deps.store.uptime();
         for (topic, update) in self.split_engines(topic, update) {
             // An answer may be late, while the same data have arrived over another way.
--- a/crates/pinereel/src/hosted/tree/uplink.rs
+++ b/crates/pinereel/src/hosted/tree/uplink.rs
@@ -170,6 +170,8 @@
         {
             return LinkEnd::ParentLost;
         }
+        self.deps.feed.set_parent(Some(address.clone()));
+        self.observe_data_age();
         self.observe_outage_end();
         let level = self.uplink.borrow().level();
         log::info!(address = address.as_str(), level; "broadcast tree: linked to a parent");
@@ -185,6 +187,7 @@
             () = self.read_as_backup() => LinkEnd::ParentLost,
         };
         self.deps.feed.set_has_parent(false);
+        self.deps.feed.set_parent(None);
         self.deps.store.close_parent_link();
         self.deps.feed.set_probes_rarely(false);
         self.uplink.borrow_mut().on_parent_lost();
