serve: a missing route is denied only if the configuration is known to be current

Callers do not repeat a request after 404.

Cause: an instance answered as if its configuration were the newest one, whatever the age of its data. The time until a change arrives depends on several waits in a row, and each of them had to fit for the answer to be right. For API keys the age was asked for, but an instance that had lost its parent and did not read the store yet counted as current.

In a calm site the answer is 404 as before.

Longest time to apply a change in the soak is printed now.

--- a/crates/pinereel/src/hosted/config.rs
+++ b/crates/pinereel/src/hosted/config.rs
@@ -9,7 +9,10 @@
 };
 use crate::objects::Purpose;
 use compact_str::CompactString;
-use pinereel_core::routing_table::RoutingTable;
+use pinereel_core::{
+    routing_table::RoutingTable,
+    tree::{LATE_CALL_TIME, MAX_AGE},
+};
 use pinereel_port::{Adapter, store::Object};
 use std::{
     cell::{Cell, RefCell},
@@ -106,10 +109,15 @@
         }
     }
 
-    /// Whether this instance learns of each change: from a parent instance that is up to date, or
-    /// from the store itself.
+    /// Whether every change is in force here that was made more than [`MAX_AGE`] ago. If not, a route or key
+    /// that is missing here may have been added.
     pub fn is_current(&self) -> bool {
-        self.feed.has_parent() || self.store.unreachable_since().is_none()
+        match self.origin.get() {
+            Some(Origin::Tree) => self.feed.data_age().is_some_and(|age| age < MAX_AGE),
+            // A watch waits for changes, and only other calls show that the store answers.
+            Some(Origin::Store) => !self.store.lacks_answers(LATE_CALL_TIME),
+            None => false,
+        }
     }
 
     /// Notifies of each newly activated configuration, by its number.
--- a/crates/pinereel/src/hosted/serve.rs
+++ b/crates/pinereel/src/hosted/serve.rs
@@ -136,17 +136,7 @@
             }
         }
         let Some(route) = table.route_for(&host, &path).cloned() else {
-            self.metrics.count(&self.metrics.refusals, &["no route"]);
-            log::info!(
-                id = metadata.id.as_str(),
-                host = host.as_str(),
-                path,
-                config = table.number(),
-                config_age_ms = self.config.age().unwrap_or_default().as_millis() as u64,
-                data_age_ms:serde = self.config.data_age().map(|age| age.as_millis() as u64);
-                "refused: no such route"
-            );
-            return http::empty(StatusCode::NOT_FOUND);
+            return self.refuse_unknown_route(&table, metadata, &host, &path);
         };
         let caller = match self.authenticate_caller(&table, metadata, route.public) {
             Ok(caller) => caller,
@@ -202,6 +192,34 @@
         Some(not_run(StatusCode::SERVICE_UNAVAILABLE, Duration::ZERO))
     }
 
+    /// Returns the answer to a request that matches no route. While this instance may miss changes of the
+    /// configuration, the route may have been added: the caller is then asked to retry, which may reach an
+    /// instance that knows it.
+    fn refuse_unknown_route(
+        &self,
+        table: &RoutingTable,
+        metadata: &headers::RequestHeaders,
+        host: &str,
+        path: &str,
+    ) -> Response {
+        let is_current = self.config.is_current();
+        self.metrics.count(&self.metrics.refusals, &["no route"]);
+        log::info!(
+            id = metadata.id.as_str(),
+            host,
+            path,
+            config = table.number(),
+            config_age_ms = self.config.age().unwrap_or_default().as_millis() as u64,
+            data_age_ms:serde = self.config.data_age().map(|age| age.as_millis() as u64),
+            is_current;
+            "refused: no such route"
+        );
+        match is_current {
+            true => http::empty(StatusCode::NOT_FOUND),
+            false => not_run(StatusCode::SERVICE_UNAVAILABLE, UNCONFIGURED_RETRY_AFTER),
+        }
+    }
+
     /// Returns the caller that a request is made for, or the answer that refuses it.
     ///
     /// While this instance may miss changes of the configuration, a key that it does not know may
--- a/crates/pinereel/src/hosted/tree/feed.rs
+++ b/crates/pinereel/src/hosted/tree/feed.rs
@@ -42,8 +42,6 @@
     current: RefCell<BTreeSet<Topic>>,
     /// Whether this process has subscribed to [`Topic::Engines`].
     engines_subscribed: watch::Sender<bool>,
-    /// Whether there is a parent and its data are fresh.
-    has_parent: Cell<bool>,
     /// Address of the parent, if there is one.
     parent: RefCell<Option<CompactString>>,
     /// All changes that the store had made by then have been published here; `None` without data.
@@ -60,7 +58,6 @@
             store_uptime: Cell::default(),
             current: RefCell::default(),
             engines_subscribed: watch::channel(false).0,
-            has_parent: Cell::default(),
             parent: RefCell::default(),
             complete_until: Cell::default(),
             probes_rarely: Cell::default(),
@@ -80,15 +77,6 @@
         self.store_uptime.get()
     }
 
-    /// Whether this instance has a parent whose data are fresh.
-    pub fn has_parent(&self) -> bool {
-        self.has_parent.get()
-    }
-
-    pub(super) fn set_has_parent(&self, has_parent: bool) {
-        self.has_parent.set(has_parent);
-    }
-
     /// Address of the parent, if there is one.
     pub fn parent(&self) -> Option<CompactString> {
         self.parent.borrow().clone()
--- a/crates/pinereel/src/hosted/tree/uplink.rs
+++ b/crates/pinereel/src/hosted/tree/uplink.rs
@@ -186,7 +186,6 @@
             end = self.read_from_parent(stream, status) => end,
             () = self.read_as_backup() => LinkEnd::ParentLost,
         };
-        self.deps.feed.set_has_parent(false);
         self.deps.feed.set_parent(None);
         self.deps.store.close_parent_link();
         self.deps.feed.set_probes_rarely(false);
@@ -255,7 +254,6 @@
                 () = self.until_duty_acquired(status) => return LinkEnd::DutyAcquired,
             }
             let is_fresh = self.is_fresh();
-            self.deps.feed.set_has_parent(is_fresh);
             let parent = self.uplink.borrow().store_call_parent(self.now());
             self.deps.store.observe_parent(parent);
             let status = self.store_status();
--- a/crates/pinereel_fakes/src/hosting/soak/config_changes.rs
+++ b/crates/pinereel_fakes/src/hosting/soak/config_changes.rs
@@ -157,13 +157,18 @@
         let sent_at = Instant::now();
         let route = {
             let history = self.history.borrow();
-            let (kind, route) = match tick % 5 {
-                0 | 2 => (RouteKind::Added, history.newest_route_due(sent_at)),
-                1 => (RouteKind::Dropped, history.dropped_route_due(sent_at)),
-                3 => (RouteKind::First, Some("live")),
-                _ => (RouteKind::First, Some("score")),
+            let due = |route: Option<&str>| route.map(ToOwned::to_owned);
+            let (kind, route) = match tick % 6 {
+                0 | 2 => (RouteKind::Added, due(history.newest_route_due(sent_at))),
+                1 => (RouteKind::Dropped, due(history.dropped_route_due(sent_at))),
+                3 => (RouteKind::First, Some("live".into())),
+                4 => (RouteKind::First, Some("score".into())),
+                _ => {
+                    let newest = history.newest().map(|v| format!("added-{}", v.number));
+                    (RouteKind::Newest, newest)
+                }
             };
-            route.map(|route| (kind, route.to_owned()))
+            route.map(|route| (kind, route))
         };
         let Some((kind, route)) = route else { return };
         self.request_count.set(self.request_count.get() + 1);
--- a/crates/pinereel_fakes/src/hosting/soak/config_history.rs
+++ b/crates/pinereel_fakes/src/hosting/soak/config_history.rs
@@ -54,6 +54,8 @@
     Added,
     /// A route that a change has dropped.
     Dropped,
+    /// The route that the last change has added, whether it must be served yet or not.
+    Newest,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -83,6 +85,8 @@
     /// By instance, on the first routes and on added ones.
     shares: BTreeMap<usize, [Share; 2]>,
     judged_count: u64,
+    /// Longest time from a confirmation to a request that an instance in touch has answered without the change.
+    max_lag: Duration,
 }
 
 impl History {
@@ -136,9 +140,13 @@
     /// Judges an answer, and returns how it breaks the guarantees.
     pub(super) fn judge(&mut self, seen: &Observation) -> Option<String> {
         self.judged_count += u64::from(seen.in_touch);
-        if seen.in_touch && seen.kind != RouteKind::Dropped {
-            let shares = self.shares.entry(seen.incarnation.0).or_default();
-            shares[usize::from(seen.kind == RouteKind::Added)] += &seen.answer;
+        let share = match seen.kind {
+            RouteKind::First => Some(0),
+            RouteKind::Added => Some(1),
+            RouteKind::Dropped | RouteKind::Newest => None,
+        };
+        if let Some(share) = share.filter(|_| seen.in_touch) {
+            self.shares.entry(seen.incarnation.0).or_default()[share] += &seen.answer;
         }
         if seen.answer == Answer::Other {
             return None;
@@ -152,6 +160,11 @@
         let evidence = self.evidence.entry(seen.incarnation).or_default();
         evidence.push((seen.answered_at, *agreeing.start()));
         let newest = *agreeing.end();
+        let missing = self.versions.iter().find(|v| v.number > newest);
+        if let Some(missing) = missing.filter(|_| seen.in_touch) {
+            let lag = seen.sent_at.saturating_duration_since(missing.confirmed_at);
+            self.max_lag = self.max_lag.max(lag);
+        }
         if newest < known {
             return Some(format!(
                 "as versions up to {newest} allow, but the process has answered by version {known} before"
@@ -190,7 +203,8 @@
             added = added + share[1];
         }
         format!(
-            "{versions} configurations, {judged} answers judged, served {first} on first routes, {added} on added ones"
+            "{versions} configurations, {judged} answers judged, served {first} on first routes, {added} on added ones, in force after up to {} ms",
+            self.max_lag.as_millis()
         )
     }
 }
