config: the task that applies the configuration starts again after a panic

A panic ended it without a trace but the one on standard error, and the instance kept its configuration for good: an error at one field of one configuration had the effect of a lost connection to the store. Now the panic is logged, and the task lists the configuration again after 1 s. A later configuration is applied as usual, also if the panic comes back until then.

`hosted_restart` needs the new function and was not run before it.

--- a/crates/pinereel/src/hosted/config.rs
+++ b/crates/pinereel/src/hosted/config.rs
@@ -4,6 +4,7 @@
 use super::{
     list_watch::{Origin, Update, WatchOptions, list_and_watch_with_origin},
     metrics::Metrics,
+    restart::restart_on_panic,
     store::Store,
     tree::{Feed, Topic},
 };
@@ -62,32 +63,40 @@
             started_at: Instant::now(),
             origin: Cell::default(),
         });
-        let (state, store) = (Rc::clone(&config), store.clone());
-        let feed_events = Some(feed.subscribe(Topic::Config));
+        let state = Rc::clone(&config);
         actix_rt::spawn(async move {
-            let kind = adapter.object_kinds.config;
-            let options = || WatchOptions {
-                max_wait: wait,
-                batch_delay: Duration::ZERO,
-            };
-            list_and_watch_with_origin(
-                &store,
-                Purpose::Config,
-                kind,
-                options,
-                feed_events,
-                |update, _, origin| {
-                    state.origin.set(Some(origin));
-                    if let Some(update) = update {
-                        state.apply_update(adapter, update);
-                    }
-                },
-            )
-            .await;
+            restart_on_panic("configuration", async || state.follow(adapter, wait).await).await;
         });
         config
     }
 
+    /// Applies all changes of the configuration. Never ends.
+    async fn follow(&self, adapter: Adapter, wait: Duration) {
+        let feed_events = Some(self.feed.subscribe(Topic::Config));
+        // This subscriber lacks what was published before.
+        self.feed.request_snapshot(Topic::Config);
+        let options = || WatchOptions {
+            max_wait: wait,
+            batch_delay: Duration::ZERO,
+        };
+        let kind = adapter.object_kinds.config;
+        let on_update = |update, _, origin| {
+            self.origin.set(Some(origin));
+            if let Some(update) = update {
+                self.apply_update(adapter, update);
+            }
+        };
+        list_and_watch_with_origin(
+            &self.store,
+            Purpose::Config,
+            kind,
+            options,
+            feed_events,
+            on_update,
+        )
+        .await;
+    }
+
     /// Routing table of the active configuration; none before the first one was read.
     pub fn table(&self) -> Option<Rc<RoutingTable>> {
         let active = self.active.borrow();
