tree: an instance that the store does not answer finds a parent by the seeds

Cause: the store alone names the other instances. The address of the root is in its lease, and an instance that had a parent knows the root's standbys from heartbeats; one that starts has neither. Others held the configuration and the lists.

The platform gives each process the addresses of up to three instances, if the role serves `control`: links of the broadcast tree are accepted there now. While the store does not answer an instance, it tries these as well, and is referred to a parent with room as usual. Where the seeds are among those without answers, they know no root: a root introduces itself to the seeds that are not its children, every 3 s, and they refer others to it. In a calm site of up to 33 instances this costs nothing, in larger ones three connections of the root each 3 s.

Compatible: an older build drops a link that begins with an introduction, and settings without seeds work as before.

--- a/crates/pinereel/src/hosted/run.rs
+++ b/crates/pinereel/src/hosted/run.rs
@@ -203,6 +203,7 @@
                 metrics: metrics.clone(),
                 max_watch_time: watch,
                 max_propagation_time: settings.store.leave_after,
+                seeds: settings.peers.seeds.clone(),
                 peer: Peer {
                     address: peers.to_string().into(),
                     zone: instance.zone.clone(),
--- a/crates/pinereel/src/hosted/tree/children.rs
+++ b/crates/pinereel/src/hosted/tree/children.rs
@@ -6,6 +6,7 @@
     topics::ChildLink,
 };
 use bytes::Bytes;
+use compact_str::CompactString;
 use futures_util::{SinkExt as _, StreamExt as _};
 use pinereel_core::tree::{Admission, ChildKey, RankRange};
 use std::{collections::BTreeMap, rc::Rc, sync::Arc};
@@ -24,6 +25,14 @@
 
 type Socket = WebSocketStream<TcpStream>;
 
+/// What a connection begins with.
+enum Opening {
+    /// An instance that looks for a parent.
+    Newcomer(Box<Socket>, Hello),
+    /// The address of a root.
+    Introduction(CompactString),
+}
+
 impl Node {
     /// Accepts connections of newcomers, and serves each in a task of its own.
     pub(super) async fn accept_links(self: Rc<Self>, listener: TcpListener) {
@@ -40,8 +49,10 @@
             actix_rt::spawn(async move {
                 let handshake = timeout(LINK_OPEN_TIMEOUT, accept_hello(stream)).await;
                 drop(permit);
-                if let Ok(Some((socket, hello))) = handshake {
-                    node.admit(socket, hello).await;
+                match handshake {
+                    Ok(Some(Opening::Newcomer(socket, hello))) => node.admit(*socket, hello).await,
+                    Ok(Some(Opening::Introduction(root))) => node.on_introduction(root),
+                    Ok(None) | Err(_) => {}
                 }
             });
         }
@@ -56,6 +67,11 @@
             return reject(socket, &Frame::Referral(Vec::new())).await;
         }
         if !self.is_fresh() && !self.is_recovering() {
+            // The root that this instance cannot find either may have introduced itself.
+            let root = self.seeds.borrow().introduced_root(self.now()).cloned();
+            if let Some(root) = root.filter(|root| *root != address) {
+                return reject(socket, &Frame::Referral(vec![root])).await;
+            }
             let wait = self.state.borrow_mut().retry_pacer.retry_after(self.now());
             return reject(socket, &Frame::RetryAfter(wait)).await;
         }
@@ -152,7 +168,7 @@
 }
 
 /// Completes the handshake of a newcomer and receives its [`Hello`].
-async fn accept_hello(stream: TcpStream) -> Option<(Socket, Hello)> {
+async fn accept_hello(stream: TcpStream) -> Option<Opening> {
     // A heartbeat must not be held back until there is more to send.
     let _ = stream.set_nodelay(true);
     let mut socket = accept_async_with_config(stream, Some(link_config()))
@@ -162,7 +178,8 @@
         match socket.next().await?.ok()? {
             Message::Binary(bytes) => {
                 return match Frame::decode(&bytes)? {
-                    Frame::Hello(hello) => Some((socket, hello)),
+                    Frame::Hello(hello) => Some(Opening::Newcomer(Box::new(socket), hello)),
+                    Frame::Introduction(root) => Some(Opening::Introduction(root)),
                     _ => None,
                 };
             }
--- a/crates/pinereel/src/hosted/tree/frame.rs
+++ b/crates/pinereel/src/hosted/tree/frame.rs
@@ -172,6 +172,9 @@
     },
     /// The sender, which reads the store for its parent, has sent all data that the store had this time ago.
     BackupAge(Duration),
+    /// The sender, which is a root, can be tried for a parent at this address. Sent to seeds instead of a
+    /// [`Hello`].
+    Introduction(CompactString),
     /// The sender has no fresh data; the newcomer may retry after this time.
     #[serde(rename = "Later")]
     RetryAfter(Duration),
--- a/crates/pinereel/src/hosted/tree/mod.rs
+++ b/crates/pinereel/src/hosted/tree/mod.rs
@@ -11,7 +11,7 @@
 //! instance reads the store itself only if it finds no parent.
 //!
 //! - [`Node`]: this instance in the tree (`node`), with its links to children (`children`), its link to a
-//!   parent (`uplink`, `parent_search`), the reports that it forwards (`reports`), the store calls of
+//!   parent (`uplink`, `parent_search`, `introduction`), the reports that it forwards (`reports`), the store calls of
 //!   children that it forwards (`store_calls`), and the reading of the store at a root (`store_reader`), or
 //!   for a parent that the store does not answer (`backup`).
 //! - [`Topic`]: what the data are divided into (`topics`). They are cached for children (`topic_cache`) in
@@ -24,6 +24,7 @@
 mod encoded_object;
 mod feed;
 mod frame;
+mod introduction;
 mod node;
 mod parent_search;
 mod reports;
--- a/crates/pinereel/src/hosted/tree/node.rs
+++ b/crates/pinereel/src/hosted/tree/node.rs
@@ -8,25 +8,26 @@
     crashes::CrashTracker, duty::Duties, metrics::Metrics, store::Store, usage::Meter,
 };
 use bytes::Bytes;
-use compact_str::CompactString;
+use compact_str::{CompactString, ToCompactString as _};
 use pinereel_core::{
     Time,
     tree::{
         BackupReaders, ChildKey, Children, Heartbeat, LATE_CALL_TIME, MAX_AGE, MAX_AGE_PER_LEVEL,
-        Peer, RankRange, RetryPacer, StoreStatus, Uplink,
+        Peer, RankRange, RetryPacer, Seeds, StoreStatus, Uplink,
     },
 };
 use pinereel_port::Adapter;
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     rc::Rc,
     sync::Arc,
     time::Duration,
 };
 use tokio::{
     net::TcpListener,
-    sync::{Semaphore, broadcast, watch},
+    sync::{Notify, Semaphore, broadcast, watch},
     time::sleep,
 };
 
@@ -50,6 +51,8 @@
     pub max_watch_time: Duration,
     /// Longest time until a change of the endpoint list must be in force at all instances.
     pub max_propagation_time: Duration,
+    /// Instances that are tried for a parent while the store does not answer this instance.
+    pub seeds: Vec<SocketAddr>,
     /// Address, zone and preference of this instance, sent to its parent.
     pub peer: Peer,
 }
@@ -59,6 +62,9 @@
     pub(super) deps: Dependencies,
     pub(super) state: RefCell<State>,
     pub(super) uplink: RefCell<Uplink>,
+    pub(super) seeds: RefCell<Seeds>,
+    /// Notified when a root has introduced itself.
+    pub(super) introduced: Notify,
     /// Whether this instance is shutting down and accepts no children any more.
     pub(super) shutting_down: watch::Sender<bool>,
     /// Encoded frames for the parent; dropped while there is none.
@@ -106,10 +112,14 @@
     /// Joins the tree and spawns the tasks of the node. Children connect to `listener`.
     pub fn start(deps: Dependencies, listener: TcpListener) -> Rc<Self> {
         let own_address = deps.peer.address.clone();
+        let seeds = deps.seeds.iter().map(|seed| seed.to_compact_string());
+        let seeds = Seeds::new(own_address.clone(), seeds);
         let node = Rc::new(Self {
             deps,
             state: RefCell::default(),
             uplink: RefCell::new(Uplink::new(own_address)),
+            seeds: RefCell::new(seeds),
+            introduced: Notify::new(),
             shutting_down: watch::channel(false).0,
             to_parent: broadcast::channel(PARENT_QUEUE_FRAMES).0,
             child_calls: Arc::new(Semaphore::new(MAX_CALLS_OF_CHILDREN)),
@@ -136,6 +146,8 @@
         });
         let recovery_task = Rc::clone(&node);
         actix_rt::spawn(async move { recovery_task.report_recoveries().await });
+        let introduction_task = Rc::clone(&node);
+        actix_rt::spawn(async move { introduction_task.introduce_root().await });
         let uplink_task = Rc::clone(&node);
         actix_rt::spawn(async move { uplink_task.run_uplink().await });
         node
--- a/crates/pinereel/src/hosted/tree/parent_search.rs
+++ b/crates/pinereel/src/hosted/tree/parent_search.rs
@@ -64,7 +64,7 @@
         let mut rounds = 0;
         loop {
             lease_updates.mark_unchanged();
-            let targets = self.link_targets();
+            let targets = self.search_targets();
             let retry_after = match self.search_among(targets.clone(), requirement).await {
                 Ok(link) => return link,
                 Err(retry_after) => retry_after,
@@ -73,11 +73,12 @@
             let retry = sleep(retry_after.unwrap_or_default().max(retry_delay(rounds)));
             // A new reading of the leases may show another holder.
             let other_target = async {
-                while lease_updates.changed().await.is_ok() && self.link_targets() == targets {}
+                while lease_updates.changed().await.is_ok() && self.search_targets() == targets {}
             };
             tokio::select! {
                 () = retry => {}
                 () = other_target => {}
+                () = self.introduced.notified() => {}
             }
         }
     }
@@ -85,7 +86,7 @@
     /// Searches for one round; `None` if no instance with fresh data accepts this one.
     pub(super) async fn search_one_round(&self) -> Option<ParentLink> {
         let result = self
-            .search_among(self.link_targets(), Requirement::Fresh)
+            .search_among(self.search_targets(), Requirement::Fresh)
             .await;
         result.ok()
     }
--- a/crates/pinereel/src/hosted/tree/uplink.rs
+++ b/crates/pinereel/src/hosted/tree/uplink.rs
@@ -393,6 +393,7 @@
                 | Frame::SubtreeSize(_)
                 | Frame::Backup { .. }
                 | Frame::BackupAge(_)
+                | Frame::Introduction(_)
                 | Frame::StoreCall(_),
             ) => {}
         }
--- a/crates/pinereel/src/settings/hosted.rs
+++ b/crates/pinereel/src/settings/hosted.rs
@@ -74,6 +74,9 @@
     /// Whether calls to the object store are sent through the parent in the broadcast tree while the
     /// store does not answer this instance, and whether calls of children are accepted.
     pub store_calls: bool,
+    /// Addresses of instances that are tried for a parent in the broadcast tree while the object store does
+    /// not answer this instance. They need not exist.
+    pub seeds: Vec<SocketAddr>,
 }
 
 /// Graceful shutdown.
@@ -213,8 +216,10 @@
 impl Peers {
     fn read(reader: &mut Reader) -> Self {
         let mut section = reader.section("peers");
+        let seeds = section.optional("seeds", value::EXPECTED_ADDRESSES, value::addresses);
         Self {
             store_calls: section.boolean("store_calls", false),
+            seeds: seeds.unwrap_or_default(),
         }
     }
 }
--- a/crates/pinereel/src/settings/value.rs
+++ b/crates/pinereel/src/settings/value.rs
@@ -11,6 +11,7 @@
 pub(super) const EXPECTED_NAME: &str =
     "1 to 63 of a-z, 0-9, `-`, `.` and `_`, starting with a-z or 0-9";
 pub(super) const EXPECTED_ADDRESS: &str = "IP:PORT";
+pub(super) const EXPECTED_ADDRESSES: &str = "a list of IP:PORT, joined by commas";
 pub(super) const EXPECTED_URL: &str = "http://IP:PORT";
 pub(super) const EXPECTED_LEVEL: &str = "off, error, warn, info, debug or trace";
 pub(super) const EXPECTED_ROUTING: &str = "full or baseline";
@@ -36,6 +37,15 @@
     text.parse().ok()
 }
 
+/// Parses a comma-separated list of addresses, which may be empty.
+pub(super) fn addresses(text: &str) -> Option<Vec<SocketAddr>> {
+    let entries = text.split(',').map(str::trim);
+    entries
+        .filter(|entry| !entry.is_empty())
+        .map(address)
+        .collect()
+}
+
 pub(super) fn url(text: &str) -> Option<CompactString> {
     let rest = text.strip_prefix("http://")?;
     let address = address(rest.strip_suffix('/').unwrap_or(rest))?;
--- a/crates/pinereel_core/src/tree/mod.rs
+++ b/crates/pinereel_core/src/tree/mod.rs
@@ -17,6 +17,7 @@
 //! - [`ReplayBuffer`]: the last changes, for children that have missed no more.
 //! - [`store_route`]: the way of a store call, directly or through the parent.
 //! - [`BackupReaders`]: the children that read the store for a root that it does not answer.
+//! - [`Seeds`]: how an instance finds a parent if the store does not answer it.
 //! - [`RankRange`]: ranks of the instances, assigned down the tree.
 
 mod backup_readers;
@@ -24,6 +25,7 @@
 mod heartbeat;
 mod replay_buffer;
 mod retry_pacer;
+mod seeds;
 mod store_route;
 mod subtree;
 mod uplink;
@@ -33,6 +35,7 @@
 pub use heartbeat::Heartbeat;
 pub use replay_buffer::ReplayBuffer;
 pub use retry_pacer::RetryPacer;
+pub use seeds::{INTRODUCTION_INTERVAL, Seeds};
 pub use store_route::{
     MAX_STORE_CALL_HOPS, OwnConnection, StoreCallKind, StoreCallParent, StoreRoute, store_route,
     takes_store_calls,
--- a/crates/pinereel_fakes/src/hosting/site.rs
+++ b/crates/pinereel_fakes/src/hosting/site.rs
@@ -17,6 +17,7 @@
 use serde_json::{Value, json};
 use std::{
     cmp::Reverse,
+    collections::VecDeque,
     env, fs, io,
     net::{IpAddr, Ipv4Addr, SocketAddr},
     path::PathBuf,
@@ -51,8 +52,11 @@
 pub(super) const CALLER_PORT: u16 = 9_465;
 /// Port of the readiness probe.
 const READINESS_PORT: u16 = 9_466;
-/// First port for connections between instances.
-const FIRST_PEER_PORT: u16 = 9_470;
+/// Port for connections between instances.
+const PEER_PORT: u16 = 9_470;
+
+/// Most instances whose addresses the platform gives to all.
+const MAX_SEEDS: usize = 3;
 
 /// Name of the lease of the broadcast tree's root.
 const ROOT_DUTY: &str = "bulletin";
@@ -134,6 +138,10 @@
     adapt_settings: fn(usize, String) -> String,
     /// Folder of the settings files.
     folder: PathBuf,
+    /// Addresses of instances that are not started yet, so that the settings of others can name them.
+    reserved_ips: VecDeque<Ipv4Addr>,
+    /// Addresses at which the first instances accept links, for the settings of all.
+    seeds: Vec<String>,
     /// Last number used in the id of an endpoint or the name of an instance.
     last_number: u64,
 }
@@ -207,6 +215,8 @@
         let folder = env::temp_dir().join(format!("pinereel-site-{}-{seed}", std::process::id()));
         fs::create_dir_all(&folder)?;
         let recorder = Recorder::new();
+        let seed_count = size.instances.min(MAX_SEEDS);
+        let reserved_ips: VecDeque<_> = (0..seed_count).map(|_| unique_loopback_ip()).collect();
         let mut site = Self {
             store,
             platform: Platform::start(&recorder).await?,
@@ -222,6 +232,10 @@
             limits,
             adapt_settings,
             folder,
+            seeds: (reserved_ips.iter())
+                .map(|ip| SocketAddr::new((*ip).into(), PEER_PORT).to_string())
+                .collect(),
+            reserved_ips,
             last_number: 0,
         };
         site.configure(PLAIN_SERVICE, Duration::from_secs(2));
@@ -399,7 +413,8 @@
 
     async fn add_instance_with(&mut self, store_faults: proxy::Faults) -> io::Result<()> {
         let name = format!("front-{}", self.next_number());
-        let ip = IpAddr::from(unique_loopback_ip());
+        let ip = self.reserved_ips.pop_front();
+        let ip = IpAddr::from(ip.unwrap_or_else(unique_loopback_ip));
         let caller_address = SocketAddr::new(ip, CALLER_PORT);
         let readiness_address = SocketAddr::new(ip, READINESS_PORT);
         let store_proxy = Proxy::start(self.store.address).await?;
@@ -412,6 +427,7 @@
                 &name,
                 [caller_address, readiness_address],
                 [store_proxy.address, self.platform.address],
+                &self.seeds,
                 self.limits,
             ),
         );
@@ -442,6 +458,7 @@
     name: &str,
     listeners: [SocketAddr; 2],
     [store, platform]: [SocketAddr; 2],
+    seeds: &[String],
     limits: Limits,
 ) -> Value {
     let [callers, readiness] = listeners;
@@ -449,8 +466,12 @@
         "node": name,
         "zone": "here",
         "ip": callers.ip().to_string(),
-        "portRange": [FIRST_PEER_PORT, FIRST_PEER_PORT + 15],
-        "listen": {"front": callers.to_string(), "ready": readiness.to_string()},
+        "listen": {
+            "front": callers.to_string(),
+            "ready": readiness.to_string(),
+            "control": SocketAddr::new(callers.ip(), PEER_PORT).to_string(),
+        },
+        "seeds": seeds,
         "limits": {"maxFds": limits.file_descriptors, "cpuShare": 0.5},
         "provider": {"addr": store.to_string()},
         "cloud": {"addr": platform.to_string(), "duties": ["usage", "autoscale"]},
