upstream: a response with a status that HTTP does not define is no answer

Callers got 600, 799 and 999 of an endpoint as answers, complete and signed, on repeatable and at-most-once routes. The library accepts every number from 100 to 999; 000 and others that it refuses ended in 502 already. Besides, the client of the store, of `pinereel entry`'s engines and scorings took the head of an interim response for the final one.

One decision, `upstream::status`, for both readers of responses: statuses from 200 to 599 are final, 1xx are skipped or, in the library's client, no response; any other is an error. A live request gets 502, or is sent again where that is allowed; an item's run ends as broken and is repeated, so that no item ends by it; a scoring is repeated; an order, a status report, a call to the platform has no answer; a call to the store has an unknown outcome, where 999 counted as an answered call.

Left as it is: 206 and 304, which a request's own headers may ask for, and these are forwarded.

--- a/crates/pinereel/src/hosted/lots/stream.rs
+++ b/crates/pinereel/src/hosted/lots/stream.rs
@@ -144,6 +144,9 @@
         Some(Err(Error::Stale(_))) => return RunEnd::Broken(RunError::Stale),
         Some(Err(Error::Lost(_))) => return RunEnd::Broken(RunError::Lost),
         Some(Err(Error::Foreign)) => return RunEnd::Broken(RunError::Foreign),
+        Some(Err(Error::Undefined(status))) => {
+            return RunEnd::Broken(RunError::Status(status.as_u16()));
+        }
         Some(Err(Error::NotOpened(_))) | None => return RunEnd::Broken(RunError::NoAnswer),
     };
     let answer = (runner.deps.adapter.headers.decode_response)(response.status, &response.headers);
--- a/crates/pinereel/src/hosted/orders/engine_call.rs
+++ b/crates/pinereel/src/hosted/orders/engine_call.rs
@@ -85,7 +85,9 @@
             let response = self.deps.pool.send(request).await;
             let response = response.map_err(|error| match error {
                 Error::NotOpened(_) => NoAnswer::NotOpened,
-                Error::Lost(_) | Error::Stale(_) | Error::Foreign => NoAnswer::Lost,
+                Error::Lost(_) | Error::Stale(_) | Error::Foreign | Error::Undefined(_) => {
+                    NoAnswer::Lost
+                }
             })?;
             let status = response.status;
             let body = response.body.read_within(MAX_ANSWER_BYTES).await;
--- a/crates/pinereel/src/hosted/proxy/attempt.rs
+++ b/crates/pinereel/src/hosted/proxy/attempt.rs
@@ -100,7 +100,7 @@
                 // for 88 ms and crashed refused the second connection, which looks like "not run".
                 Err(Error::NotOpened(_)) if resent => return Err(self.loss_cause(selected).await),
                 Err(Error::NotOpened(_)) => return Err(Failure::NotOpened),
-                Err(Error::Foreign) => return Err(Failure::InvalidAnswer),
+                Err(Error::Foreign | Error::Undefined(_)) => return Err(Failure::InvalidAnswer),
                 Err(Error::Lost(reason)) => {
                     log_connection_loss(request, selected, started, &reason);
                     return Err(self.loss_cause(selected).await);
--- a/crates/pinereel/src/upstream/direct.rs
+++ b/crates/pinereel/src/upstream/direct.rs
@@ -4,7 +4,10 @@
 //! Here the body must end as its framing announces. A connection that closes earlier, and a body
 //! that is only delimited by the connection's end, are errors.
 
-use super::{Attempt, Error, connect, interim::read_final_head};
+use super::{
+    Attempt, Error, connect,
+    final_head::{self, read_final_head},
+};
 use actix_codec::Framed;
 use actix_http::{
     Method, RequestHead, RequestHeadType, StatusCode, Uri,
@@ -73,7 +76,11 @@
             .map_err(lost)?;
     }
     framed.flush().await.map_err(lost)?;
-    let head = read_final_head(&mut framed).await.map_err(Error::Lost)?;
+    let head = read_final_head(&mut framed).await;
+    let head = head.map_err(|error| match error {
+        final_head::Error::Lost(reason) => Error::Lost(reason),
+        final_head::Error::Undefined(status) => Error::undefined(status),
+    })?;
     let has_no_framed_body = framed.codec_ref().message_type() == MessageType::None;
     let length = head.headers.get(CONTENT_LENGTH).cloned();
     if has_no_framed_body && length.is_none() && may_have_body(&method, head.status) {
--- a/crates/pinereel/src/upstream/mod.rs
+++ b/crates/pinereel/src/upstream/mod.rs
@@ -10,13 +10,14 @@
 
 pub mod direct;
 pub mod ejected;
-mod interim;
+mod final_head;
 mod metered;
 pub mod pool;
 pub mod probe;
+mod status;
 
 use actix_http::{
-    Method, Uri,
+    Method, StatusCode, Uri,
     header::{HeaderName, HeaderValue},
 };
 use actix_service::fn_service;
@@ -26,6 +27,7 @@
     error::{ConnectError, SendRequestError},
 };
 use bytes::Bytes;
+use status::is_final;
 use std::{io, net::SocketAddr, time::Duration};
 use tokio::{net::TcpStream, time::timeout};
 
@@ -60,6 +62,13 @@
     Invalid(String),
 }
 
+impl Error {
+    /// The error of a response whose status is not that of a final response of HTTP.
+    fn undefined(status: StatusCode) -> Self {
+        Self::Lost(format!("no final status: {status}"))
+    }
+}
+
 /// Whether an attempt may use a connection that has served another one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reuse {
@@ -132,7 +141,11 @@
         } else {
             request.send_body(attempt.body).await
         };
-        sent.map_err(classify)
+        let response = sent.map_err(classify)?;
+        match is_final(response.status()) {
+            true => Ok(response),
+            false => Err(Error::undefined(response.status())),
+        }
     }
 }
 
--- a/crates/pinereel/src/upstream/pool.rs
+++ b/crates/pinereel/src/upstream/pool.rs
@@ -9,7 +9,7 @@
 
 use super::{
     connect_to,
-    interim::read_final_head,
+    final_head::{self, read_final_head},
     metered::Metered,
     probe::{Probe, probe},
 };
@@ -69,6 +69,9 @@
     /// The response belongs to another request; this one may have run.
     #[error("the answer to another request")]
     Foreign,
+    /// The response has a status that HTTP does not define; the request may have run.
+    #[error("no HTTP status: {0}")]
+    Undefined(StatusCode),
 }
 
 /// Request to be sent over a pooled or new connection.
@@ -238,7 +241,7 @@
     /// # Errors
     /// [`Error::NotOpened`] only if no byte of the request was sent; [`Error::Stale`] if a reused
     /// connection failed before the response's head; [`Error::Foreign`] if the response has the id of
-    /// another request.
+    /// another request; [`Error::Undefined`] if it is no response of HTTP.
     pub async fn send(self: &Rc<Self>, request: PooledRequest) -> Result<Response, Error> {
         let address = request.address;
         let idle = if request.reuse {
@@ -286,7 +289,10 @@
         let sent = write_request(&mut connection, request.head, request.body).await;
         // An endpoint may respond and close before it has read the complete request.
         let head = read_final_head(&mut connection).await;
-        let head = head.map_err(Error::Lost)?;
+        let head = head.map_err(|error| match error {
+            final_head::Error::Lost(reason) => Error::Lost(reason),
+            final_head::Error::Undefined(status) => Error::Undefined(status),
+        })?;
         if let Some(read_id) = self.read_id {
             let response_id = read_id(&head.headers);
             if history.match_response(exchange, response_id) == Match::Foreign {
--- a/crates/pinereel/tests/upstream_client.rs
+++ b/crates/pinereel/tests/upstream_client.rs
@@ -126,3 +126,18 @@
     assert_eq!(response.status().as_u16(), 307);
     assert_eq!(counts.requests.get(), 1);
 }
+
+/// Failure: a status which HTTP does not define is taken for that of a response, and an interim response for the
+/// final one.
+#[actix_rt::test]
+async fn a_response_without_a_final_status_is_reported_as_lost() {
+    for status in ["000", "099", "103", "600", "999"] {
+        let text = format!("HTTP/1.1 {status} X\r\ncontent-length: 2\r\n\r\nok");
+        let (address, _) = server(9, Box::leak(text.into_bytes().into_boxed_slice())).await;
+        let result = Client::new().send(attempt(&address, Reuse::Fresh)).await;
+        assert!(
+            matches!(result, Err(Error::Lost(_))),
+            "{status}: {result:?}"
+        );
+    }
+}
--- a/crates/pinereel/tests/upstream_pool.rs
+++ b/crates/pinereel/tests/upstream_pool.rs
@@ -189,6 +189,24 @@
     assert_eq!(pool.opened_count(), 1);
 }
 
+/// Failure: a status which HTTP does not define is taken for that of an answer.
+#[actix_rt::test]
+async fn an_undefined_status_is_no_answer() {
+    for status in ["000", "001", "099", "00", "0000", "600", "799", "999"] {
+        let text = format!("HTTP/1.1 {status} X\r\ncontent-length: 2\r\n\r\nok");
+        let text: &'static str = Box::leak(text.into());
+        let script = vec![Reaction::Send(COMPLETE_RESPONSE), Reaction::Send(text)];
+        let address = server(vec![script, vec![Reaction::Send(text)]]).await;
+        let pool = Rc::new(Pool::default());
+        assert_eq!(send_and_read(&pool, address).await, Ok("ok".into()));
+        for _ in 0..2 {
+            let answer = pool.send(request(address)).await.err();
+            assert!(answer.is_some(), "{status}");
+            assert!(!pool.has_idle(address), "{status}");
+        }
+    }
+}
+
 #[actix_rt::test]
 async fn a_switch_of_protocols_and_endless_interim_responses_are_no_answer() {
     let switch = "HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\nconnection: upgrade\r\n\r\n";
--- a/crates/pinereel_fakes/src/hosting/http.rs
+++ b/crates/pinereel_fakes/src/hosting/http.rs
@@ -88,7 +88,7 @@
     let exchange = async {
         let response = pool.send(request).await.map_err(|error| match error {
             Error::NotOpened(_) => Failure::NotOpened,
-            Error::Lost(_) | Error::Stale(_) | Error::Foreign => Failure::Cut,
+            Error::Lost(_) | Error::Stale(_) | Error::Foreign | Error::Undefined(_) => Failure::Cut,
         })?;
         Ok(Answer {
             status: response.status,
--- a/crates/pinereel_fakes/src/hosting/service.rs
+++ b/crates/pinereel_fakes/src/hosting/service.rs
@@ -45,6 +45,8 @@
     pub fail: bool,
     /// Every nth request is answered with status 500 after it ran; 0 fails none.
     pub fail_every: u64,
+    /// Status of every answer, which is complete and signed; `None` for the usual one.
+    pub status: Option<u16>,
     /// Running requests, waiting requests and slots that every answer reports; `None` for no report.
     pub reported_load: Option<[u32; 3]>,
 }
@@ -191,6 +193,8 @@
         true => StatusCode::INTERNAL_SERVER_ERROR,
         false => StatusCode::OK,
     };
+    let other_status = faults.status.map(StatusCode::from_u16);
+    let status = other_status.and_then(Result::ok).unwrap_or(status);
     if fails {
         state.recorder.record_failure(&id);
     }
