objects: only 4xx and 503 promise that a write had no effect

In `pinereel entry`, a write that the object API answered with 500, 502 or 504 counted as one without effect, although it may have been carried out: a claim could be taken as not stored, and a published version as not run.

Other failures of the class 5xx now have an unknown outcome, as in the hosted instance's store, and all other statuses are malformed answers. `objects_status` failed before (for 302, the first of seven) and passes; the tests of claims pass.

--- a/crates/pinereel/src/objects/client.rs
+++ b/crates/pinereel/src/objects/client.rs
@@ -427,13 +427,17 @@
     matches!(answer, Ok((status, _)) if *status != StatusCode::SERVICE_UNAVAILABLE)
 }
 
+/// Only a status of the class 4xx and 503 promise that the call had no effect.
 fn check_status(status: StatusCode) -> Result<(), Error> {
     match status {
         StatusCode::OK | StatusCode::NO_CONTENT => Ok(()),
         StatusCode::NOT_FOUND => Err(Error::NotFound),
         StatusCode::CONFLICT => Err(Error::Conflict),
         StatusCode::GONE => Err(Error::Gone),
-        status => Err(Error::Refused(status.to_string())),
+        StatusCode::SERVICE_UNAVAILABLE => Err(Error::Refused(status.to_string())),
+        status if status.is_client_error() => Err(Error::Refused(status.to_string())),
+        status if status.is_server_error() => Err(Error::Unknown(status.to_string())),
+        status => Err(Error::Malformed(status.to_string())),
     }
 }
 
--- a/crates/pinereel/src/objects/error.rs
+++ b/crates/pinereel/src/objects/error.rs
@@ -9,10 +9,10 @@
     /// Nothing was sent: a limit of this process is reached, which says nothing about the API.
     #[error("object API not reached: {0}")]
     Limited(&'static str),
-    /// The API refused the call: it is down, limits the rate, or answered an unexpected status.
+    /// The API refused the call: it is down, limits the rate, or does not accept the request.
     #[error("object API refused: {0}")]
     Refused(String),
-    /// The response was lost: a write may have taken effect.
+    /// The response was lost, or the API failed: a write may have taken effect.
     #[error("object API's answer was lost: {0}")]
     Unknown(String),
     /// The write's version condition does not hold.
