--- a/crates/pinereel_fakes/src/hosting/site.rs
+++ b/crates/pinereel_fakes/src/hosting/site.rs
@@ -127,7 +127,9 @@
     /// need no key.
     pub workspaces: Option<Value>,
     /// Routes that the next configuration has besides its usual ones, each with its service.
-    pub added_routes: Vec<(String, &'static str)>,
+    pub added_routes: Vec<(String, String)>,
+    /// Plain services that the next configuration has besides its usual ones.
+    pub added_services: Vec<String>,
     /// Names of the models that all engines serve besides [`MODEL`].
     other_models: Vec<String>,
     /// Latency objective of scorings, from the next configuration on.
@@ -227,6 +229,7 @@
             config_version: 0,
             workspaces: None,
             added_routes: Vec::new(),
+            added_services: Vec::new(),
             other_models: other_models.iter().map(ToString::to_string).collect(),
             scoring_objective: Duration::from_millis(150),
             limits,
@@ -310,6 +313,12 @@
             let added = self.added_routes.iter();
             routes.extend(added.map(|(name, service)| route(name, "safe", service, 2)));
         }
+        if let Some(services) = document["services"].as_array_mut() {
+            let added = self.added_services.iter();
+            services.extend(
+                added.map(|name| json!({"name": name, "healthPath": "/health", "maxConns": 100})),
+            );
+        }
         document["routes"][2]["targetLatencyMs"] = json!(self.scoring_objective.as_millis() as u64);
         if let Some(workspaces) = &self.workspaces {
             document["tenants"] = workspaces.clone();
--- a/crates/pinereel_fakes/src/hosting/soak/config_history.rs
+++ b/crates/pinereel_fakes/src/hosting/soak/config_history.rs
@@ -26,7 +26,7 @@
     pub(super) number: u64,
     pub(super) confirmed_at: Instant,
     /// The service of each route.
-    pub(super) services: BTreeMap<String, &'static str>,
+    pub(super) services: BTreeMap<String, String>,
 }
 
 /// A process of an instance: the index of the instance, and the id of the process.
--- a/crates/pinereel_fakes/src/hosting/soak/control_faults.rs
+++ b/crates/pinereel_fakes/src/hosting/soak/control_faults.rs
@@ -36,8 +36,12 @@
     ConnectionsSilent,
     /// Closes new connections to the store, and resets open ones.
     StoreRefuses,
-    /// Makes the store answer the calls of an instance with status 503.
+    /// Makes the store answer the calls of an instance with status 503. Changes still reach it over others.
     StoreRejects,
+    /// The same for a share of the instances.
+    StoreRejectsMany,
+    /// Drops all bytes between a share of the instances and the store.
+    StoreSilentToMany,
     /// Resets the connections to the store.
     StoreResets,
     /// Stops the process with SIGSTOP.
@@ -69,7 +73,9 @@
     ControlFault::ConnectionsSilent,
     ControlFault::StoreRefuses,
     ControlFault::StoreRejects,
-    ControlFault::StoreRejects,
+    ControlFault::StoreRejectsMany,
+    ControlFault::StoreRejectsMany,
+    ControlFault::StoreSilentToMany,
     ControlFault::StoreResets,
     ControlFault::StoreResets,
     ControlFault::Freeze,
@@ -151,6 +157,16 @@
                 ControlFault::StoreForgets | ControlFault::StoreDown | ControlFault::StoreSlow => {
                     self.impair_store(fault, length).await;
                 }
+                ControlFault::StoreRejectsMany => {
+                    let many = self.draw_many(index, share, &mut rng);
+                    self.impair_many(ControlFault::StoreRejects, many, length)
+                        .await;
+                }
+                ControlFault::StoreSilentToMany => {
+                    let many = self.draw_many(index, share, &mut rng);
+                    self.impair_many(ControlFault::StoreSilent, many, length)
+                        .await;
+                }
                 _ => self.impair_instance(fault, index, length).await,
             }
         }
@@ -205,6 +221,20 @@
         self.is_store_affected.set(false);
     }
 
+    /// The instance `first` and a share of the others.
+    fn draw_many(&self, first: usize, share: f64, rng: &mut ChaCha8Rng) -> Vec<usize> {
+        let count = self.site.borrow().instances.len();
+        let is_drawn = |index: &usize| *index == first || rng.random_bool(share);
+        (0..count).filter(is_drawn).collect()
+    }
+
+    /// Injects the same fault at several instances.
+    async fn impair_many(&self, fault: ControlFault, indices: Vec<usize>, length: Duration) {
+        let faults = indices.into_iter();
+        let faults = faults.map(|index| self.impair_instance(fault, index, length));
+        futures_util::future::join_all(faults).await;
+    }
+
     async fn impair_instance(&self, fault: ControlFault, index: usize, length: Duration) {
         let is_running = {
             let instance = &mut self.site.borrow_mut().instances[index];
@@ -214,7 +244,11 @@
             return;
         }
         self.record(fault, Some(index), length);
-        self.record_period(OutOfTouch::Instance(index), length);
+        let out_of_touch = match fault {
+            ControlFault::StoreRejects => OutOfTouch::None,
+            _ => OutOfTouch::Instance(index),
+        };
+        self.record_period(out_of_touch, length);
         match fault {
             ControlFault::Freeze => {
                 self.signal(index, Signal::STOP);
--- a/crates/pinereel_fakes/src/hosting/soak/inject.rs
+++ b/crates/pinereel_fakes/src/hosting/soak/inject.rs
@@ -262,7 +262,7 @@
 
 /// Polls `future`, which adds an endpoint, once, and returns whether the endpoint was added.
 /// Binding a loopback port never waits, so one poll completes the future.
-fn add_at_once(future: impl Future<Output = io::Result<()>>) -> bool {
+pub(super) fn add_at_once(future: impl Future<Output = io::Result<()>>) -> bool {
     let result = futures_util::FutureExt::now_or_never(future);
     matches!(result, Some(Ok(())))
 }
