--- a/crates/pinereel_fakes/tests/hosting_recovery.rs
+++ b/crates/pinereel_fakes/tests/hosting_recovery.rs
@@ -25,6 +25,8 @@
 const MAX_RECOVERY_TIME: Duration = Duration::from_secs(12);
 /// Time between the starts of two instances; all start within 0.8 s.
 const START_LAG: Duration = Duration::from_millis(60);
+/// Time for which an instance may need until it counts as in touch.
+const MAX_JOIN_TIME: Duration = Duration::from_secs(3);
 /// Time for which requests are sent.
 const REQUEST_TIME: Duration = Duration::from_secs(3);
 const DEADLINE: Duration = Duration::from_secs(1);
@@ -148,3 +150,20 @@
 async fn a_quarter_is_served_after_a_restart_of_all_while_the_store_rejects_most() {
     assert_recovery(Failure::Rejects, 254).await;
 }
+
+/// An instance that starts while the store does not answer it gets the configuration and the endpoints from
+/// others.
+#[actix_rt::test]
+async fn an_instance_that_starts_without_the_store_serves_by_its_seeds() {
+    let size = Size {
+        instances: 4,
+        engines: 1,
+        services: 2,
+    };
+    let mut site = Site::start(size, 242).await.expect("the site starts");
+    sleep(Duration::from_secs(2)).await;
+    let added = site.add_instance_without_store().await;
+    added.expect("the instance starts");
+    sleep(MAX_JOIN_TIME).await;
+    assert!(site.serves_newest_routes(size.instances).await);
+}
