list_watch: a watch without an answer is given up soon after its wait

Cause: the root reads changes over one connection for each watch, which waits 20 s and then has a timeout of 1.5 s, and makes its other calls over others. Where the connection of the watch is lost without notice (a network or proxy that forgets it), the watch looks like one without changes. The age of the data, by which children stay with the root, was that of the last answer to any call, so that the root passed on its data as current.

Now a watch is given up 0.4 s after its wait, and all objects are listed over another connection. A watch of a root waits 1 s at the longest, so that a lost one costs 1.5 s; one of an instance without a parent 2 s (it is out of touch for 3 s itself), those of lots and of versions 4 s. Looked for elsewhere: links between instances have heartbeats; calls have timeouts of 1.5 s, and after 0.4 s others read for the root; the watch of retirements, which are not urgent, waits 20 s as before.

--- a/crates/pinereel/src/hosted/config.rs
+++ b/crates/pinereel/src/hosted/config.rs
@@ -2,7 +2,7 @@
 //! version.
 
 use super::{
-    list_watch::{Origin, Update, WatchOptions, list_and_watch_with_origin},
+    list_watch::{MAX_WAIT_FOR_REQUESTS, Origin, Update, WatchOptions, list_and_watch_with_origin},
     metrics::Metrics,
     restart::restart_on_panic,
     store::Store,
@@ -76,7 +76,7 @@
         // This subscriber lacks what was published before.
         self.feed.request_snapshot(Topic::Config);
         let options = || WatchOptions {
-            max_wait: wait,
+            max_wait: wait.min(MAX_WAIT_FOR_REQUESTS),
             batch_delay: Duration::ZERO,
         };
         let kind = adapter.object_kinds.config;
--- a/crates/pinereel/src/hosted/endpoints/mod.rs
+++ b/crates/pinereel/src/hosted/endpoints/mod.rs
@@ -8,7 +8,7 @@
 mod load_report;
 
 use super::{
-    list_watch::{Origin, WatchOptions, list_and_watch_with_origin},
+    list_watch::{MAX_WAIT_FOR_REQUESTS, Origin, WatchOptions, list_and_watch_with_origin},
     metrics::Metrics,
     store::Store,
     tree::{Feed, FeedEvent, Topic},
@@ -172,7 +172,7 @@
         actix_rt::spawn(async move {
             let kind = adapter.object_kinds.endpoints;
             let options = || WatchOptions {
-                max_wait,
+                max_wait: max_wait.min(MAX_WAIT_FOR_REQUESTS),
                 batch_delay: if needs_prompt_updates() {
                     PROMPT_BATCH_DELAY
                 } else {
--- a/crates/pinereel/src/hosted/list_watch.rs
+++ b/crates/pinereel/src/hosted/list_watch.rs
@@ -3,17 +3,28 @@
 
 use super::{store::Store, tree::FeedEvent};
 use crate::objects::{Error, Purpose};
+use pinereel_core::tree::LATE_CALL_TIME;
 use pinereel_port::store::{Change, Object};
 use std::time::Duration;
 use tokio::{
     sync::broadcast,
-    time::{Instant, sleep, sleep_until},
+    time::{Instant, sleep, sleep_until, timeout},
 };
 
 /// Delay after a failed call. A change must be in force within two seconds, and the circuit breaker
 /// of the store's client protects a store that is down.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
+/// Time beyond its wait after which a watch without an answer is given up. A watch whose connection was lost
+/// without notice looks like one without changes, also while other connections work.
+const MAX_WATCH_DELAY: Duration = LATE_CALL_TIME;
+
+/// Longest wait of a watch of the data by which an instance without a parent answers callers.
+pub const MAX_WAIT_FOR_REQUESTS: Duration = Duration::from_secs(2);
+
+/// Longest wait of a watch that begins work of lots.
+pub const MAX_WAIT_FOR_LOTS: Duration = Duration::from_secs(4);
+
 /// Longest wait for the first update of the broadcast tree after a start, before the store is
 /// read. Instances that start together find the root within about 0.4 s, or 0.9 s if they have
 /// little processor time.
@@ -121,8 +132,9 @@
                 feed.state = FeedState::Inactive;
                 continue;
             }
-            answer = list_or_watch(store, purpose, kind, options().max_wait, from),
-                if feed.is_inactive() => answer,
+            answer = list_or_watch(store, purpose, kind, options(), from), if feed.is_inactive() => {
+                answer
+            }
             // A watch that began before the outage may never be answered.
             _ = recoveries.changed(), if feed.is_inactive() => {
                 must_list = true;
@@ -145,7 +157,11 @@
                     sleep(options().batch_delay).await;
                 }
             }
-            Err(error) => {
+            Err(Failure::Overdue) => {
+                log::info!(kind; "watch: no answer, listing again");
+                must_list = true;
+            }
+            Err(Failure::Call(error)) => {
                 if !matches!(error, Error::NotSent(_) | Error::Limited(_)) {
                     log::info!(kind, error:% = error; "watch: call failed, listing again");
                 }
@@ -162,6 +178,14 @@
     }
 }
 
+/// Why there is no update.
+enum Failure {
+    /// The call failed.
+    Call(Error),
+    /// A watch was not answered in time.
+    Overdue,
+}
+
 /// Whether the broadcast tree delivers updates.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum FeedState {
@@ -261,14 +285,19 @@
     store: &Store,
     purpose: Purpose,
     kind: &str,
-    wait: Duration,
+    options: WatchOptions,
     revision: Option<u64>,
-) -> Result<(u64, Option<Update>), Error> {
+) -> Result<(u64, Option<Update>), Failure> {
     let Some(revision) = revision else {
-        let (objects, revision) = store.list(purpose, kind, None).await?;
+        let listed = store.list(purpose, kind, None).await;
+        let (objects, revision) = listed.map_err(Failure::Call)?;
         return Ok((revision, Some(Update::All(objects))));
     };
-    let changes = store.watch(purpose, kind, revision, wait).await?;
+    let wait = options.max_wait;
+    let watch = store.watch(purpose, kind, revision, wait);
+    let answer = timeout(wait + MAX_WATCH_DELAY, watch).await;
+    let changes = answer.map_err(|_| Failure::Overdue)?;
+    let changes = changes.map_err(Failure::Call)?;
     let update = (!changes.changes.is_empty()).then_some(Update::Changes(changes.changes));
     Ok((changes.revision, update))
 }
--- a/crates/pinereel/src/hosted/lots/runner.rs
+++ b/crates/pinereel/src/hosted/lots/runner.rs
@@ -13,7 +13,7 @@
         crashes::CrashTracker,
         duty::Duties,
         endpoints::Endpoints,
-        list_watch::{Update, WatchOptions, list_and_watch},
+        list_watch::{MAX_WAIT_FOR_LOTS, Update, WatchOptions, list_and_watch},
         metrics::Metrics,
         proxy::Proxy,
         stall::StallDetector,
@@ -196,7 +196,7 @@
         self.deps.endpoints.subscribe_engines();
         let store = self.deps.store.clone();
         let options = || WatchOptions {
-            max_wait: self.deps.max_watch_wait,
+            max_wait: self.deps.max_watch_wait.min(MAX_WAIT_FOR_LOTS),
             batch_delay: Duration::ZERO,
         };
         let lots = list_and_watch(
--- a/crates/pinereel/src/hosted/orders/mod.rs
+++ b/crates/pinereel/src/hosted/orders/mod.rs
@@ -15,7 +15,7 @@
     config::Config,
     duty::{Duties, HeldLease},
     endpoints::Endpoints,
-    list_watch::{Update, WatchOptions, list_and_watch},
+    list_watch::{MAX_WAIT_FOR_LOTS, Update, WatchOptions, list_and_watch},
     metrics::Metrics,
     retirement,
     store::Store,
@@ -194,7 +194,7 @@
             self.deps.max_watch_time,
         );
         let watch_options = || WatchOptions {
-            max_wait: watch_time,
+            max_wait: watch_time.min(MAX_WAIT_FOR_LOTS),
             batch_delay: Duration::ZERO,
         };
         let versions = list_and_watch(
--- a/crates/pinereel/src/hosted/tree/store_reader.rs
+++ b/crates/pinereel/src/hosted/tree/store_reader.rs
@@ -14,6 +14,9 @@
 
 /// Delay after a change of the endpoint list, so that changes at about the same time are sent together.
 const ENDPOINT_BATCH_DELAY: Duration = Duration::from_millis(80);
+/// Longest wait of a watch of a root. By its other calls, a root whose watch has lost its connection would pass on
+/// its data as current.
+const MAX_WATCH_WAIT: Duration = Duration::from_millis(1_000);
 /// Time between two listings of the leases, which also show that a failed holder has not renewed them.
 const LEASE_LIST_INTERVAL: Duration = Duration::from_millis(700);
 
@@ -34,7 +37,7 @@
             Topic::Config | Topic::Engines | Topic::Leases => Duration::ZERO,
         };
         let options = || WatchOptions {
-            max_wait: self.deps.max_watch_time,
+            max_wait: self.deps.max_watch_time.min(MAX_WATCH_WAIT),
             batch_delay,
         };
         let publish = |update, revision| self.publish_update(topic, update, revision);
--- a/crates/pinereel_fakes/src/hosting/proxy.rs
+++ b/crates/pinereel_fakes/src/hosting/proxy.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::BTreeMap,
     io,
     net::{Ipv4Addr, SocketAddr},
     rc::Rc,
@@ -86,6 +87,20 @@
     Ignoring,
 }
 
+/// An open connection.
+#[derive(Debug, Default)]
+pub struct Connection {
+    awaits_answer: Cell<bool>,
+    is_silent: Cell<bool>,
+}
+
+impl Connection {
+    /// Whether no byte of an answer has followed on the last request.
+    pub fn awaits_answer(&self) -> bool {
+        self.awaits_answer.get()
+    }
+}
+
 /// A running proxy.
 #[derive(Clone)]
 pub struct Proxy {
@@ -94,8 +109,9 @@
     faults: Rc<Cell<Faults>>,
     /// Incremented to reset all open connections.
     resets: Rc<watch::Sender<u64>>,
-    /// Incremented to drop all further bytes of the connections that are open.
-    silences: Rc<Cell<u64>>,
+    /// The open connections by their numbers.
+    connections: Rc<RefCell<BTreeMap<u64, Rc<Connection>>>>,
+    connection_count: Rc<Cell<u64>>,
     /// What happens to new connections.
     listening: Rc<watch::Sender<Listening>>,
     /// Address of the server.
@@ -118,7 +134,8 @@
             address: listener.local_addr()?,
             faults: Rc::default(),
             resets: Rc::new(watch::channel(0).0),
-            silences: Rc::default(),
+            connections: Rc::default(),
+            connection_count: Rc::default(),
             listening: Rc::new(watch::channel(Listening::Accepting).0),
             target,
             unanswered_closes: Rc::default(),
@@ -202,9 +219,12 @@
         self.resets.send_modify(|resets| *resets += 1);
     }
 
-    /// Drops all further bytes of the connections that are open, which stay open; new ones work.
-    pub fn silence_connections(&self) {
-        self.silences.set(self.silences.get() + 1);
+    /// Drops all further bytes of the open connections that `is_chosen` returns. They stay open, and new ones
+    /// work.
+    pub fn silence_connections(&self, is_chosen: impl Fn(&Connection) -> bool) {
+        let connections = self.connections.borrow();
+        let chosen = connections.values().filter(|c| is_chosen(c));
+        chosen.for_each(|connection| connection.is_silent.set(true));
     }
 
     /// Returns when the server closed connections after bytes of a request, which need not be the first
@@ -223,7 +243,16 @@
         let _ = (client.set_nodelay(true), server.set_nodelay(true));
         let (from_client, to_client) = client.into_split();
         let (from_server, to_server) = server.into_split();
-        let (awaits_answer, client_closed) = (Cell::new(false), Cell::new(false));
+        let number = self.connection_count.get();
+        self.connection_count.set(number + 1);
+        let connection = Rc::new(Connection::default());
+        self.connections
+            .borrow_mut()
+            .insert(number, Rc::clone(&connection));
+        let (awaits_answer, is_silent) = (&connection.awaits_answer, &connection.is_silent);
+        let drops_requests = |faults: Faults| faults.drop_requests || is_silent.get();
+        let drops_answers = |faults: Faults| faults.drop_answers || is_silent.get();
+        let client_closed = Cell::new(false);
         let seen = RefCell::new(Answers::default());
         let on_request = |_: &[u8]| {
             awaits_answer.set(true);
@@ -235,10 +264,6 @@
             let before = seen.borrow_mut().record(bytes);
             before.filter(|_| self.is_next_duplicated())
         };
-        let silences = self.silences.get();
-        let is_silent = || self.silences.get() != silences;
-        let drops_requests = |faults: Faults| faults.drop_requests || is_silent();
-        let drops_answers = |faults: Faults| faults.drop_answers || is_silent();
         let requests = self.forward(from_client, to_server, on_request, drops_requests);
         let answers = self.forward(from_server, to_client, on_answer, drops_answers);
         tokio::select! {
@@ -256,6 +281,7 @@
             } => {}
             _ = resets.changed() => {}
         }
+        self.connections.borrow_mut().remove(&number);
     }
 
     /// Counts an answer that may be duplicated; returns whether it is.
--- a/crates/pinereel_fakes/src/hosting/soak/control_faults.rs
+++ b/crates/pinereel_fakes/src/hosting/soak/control_faults.rs
@@ -5,7 +5,7 @@
 use crate::{
     child_process::Signal,
     hosting::{
-        proxy,
+        proxy::{self, Connection},
         site::{Instance, Site},
         store,
     },
@@ -34,6 +34,8 @@
     AnswersSilent,
     /// Drops the bytes of the connections to the store that are open; new connections work.
     ConnectionsSilent,
+    /// The same for the connections that await an answer, which are those of watches.
+    WatchesSilent,
     /// Closes new connections to the store, and resets open ones.
     StoreRefuses,
     /// Makes the store answer the calls of an instance with status 503. Changes still reach it over others.
@@ -70,7 +72,8 @@
     ControlFault::AnswersSilent,
     ControlFault::AnswersSilent,
     ControlFault::ConnectionsSilent,
-    ControlFault::ConnectionsSilent,
+    ControlFault::WatchesSilent,
+    ControlFault::WatchesSilent,
     ControlFault::StoreRefuses,
     ControlFault::StoreRejects,
     ControlFault::StoreRejectsMany,
@@ -244,11 +247,14 @@
             return;
         }
         self.record(fault, Some(index), length);
-        let out_of_touch = match fault {
-            ControlFault::StoreRejects => OutOfTouch::None,
-            _ => OutOfTouch::Instance(index),
-        };
-        self.record_period(out_of_touch, length);
+        match fault {
+            ControlFault::StoreRejects => self.record_period(OutOfTouch::None, length),
+            // Lost like connections that are reset.
+            ControlFault::ConnectionsSilent | ControlFault::WatchesSilent => {
+                self.record_period(OutOfTouch::Instance(index), Duration::ZERO);
+            }
+            _ => self.record_period(OutOfTouch::Instance(index), length),
+        }
         match fault {
             ControlFault::Freeze => {
                 self.signal(index, Signal::STOP);
@@ -309,7 +315,8 @@
                 drop_requests: false,
                 ..proxy::Faults::DROP_ALL
             }),
-            ControlFault::ConnectionsSilent => proxy.silence_connections(),
+            ControlFault::ConnectionsSilent => proxy.silence_connections(|_| true),
+            ControlFault::WatchesSilent => proxy.silence_connections(Connection::awaits_answer),
             ControlFault::StoreRefuses => {
                 proxy.set_faults(proxy::Faults {
                     refuse_connections: true,
