--- a/crates/pinereel_fakes/src/hosting/soak/control_faults.rs
+++ b/crates/pinereel_fakes/src/hosting/soak/control_faults.rs
@@ -22,6 +22,9 @@
 
 /// Time that a throttled process runs, and time that it is stopped, in turns.
 const THROTTLE_TURNS: [Duration; 2] = [Duration::from_millis(25), Duration::from_millis(75)];
+/// Longest fault of the whole store. An endpoint removes its entry 4 s after it has announced that it leaves; an
+/// instance that sees neither cannot tell it from one whose entry has lapsed in the outage and may return.
+const MAX_STORE_FAULT: Duration = Duration::from_millis(3_500);
 /// Longest time between the starts of instances that were killed together.
 const MAX_START_LAG: Duration = Duration::from_millis(800);
 
@@ -203,6 +206,7 @@
         if self.is_store_affected.replace(true) {
             return;
         }
+        let length = length.min(MAX_STORE_FAULT);
         let faults = match fault {
             ControlFault::StoreDown => store::Faults::DOWN,
             ControlFault::StoreSlow => store::Faults {
--- a/crates/pinereel_fakes/src/hosting/soak/inject.rs
+++ b/crates/pinereel_fakes/src/hosting/soak/inject.rs
@@ -60,6 +60,8 @@
             | FaultKind::StoreLoses
             | FaultKind::StoreForgets => self.inject_store_fault(kind, length),
             FaultKind::EngineLeaves | FaultKind::ServiceLeaves => self.replace(kind, index).await,
+            // The series of changes records each version, and is the only writer then.
+            FaultKind::Configure if self.options.config_changes => {}
             FaultKind::Configure => self.change_configuration(),
             _ => self.inject_endpoint_fault(kind, index, length),
         }
