settings: seeds are instances, at the port of this instance's own links

Links are at the first port of the range again, as before this work, and of a seed's address only the IP is used: all instances have the same ports. Where no seeds are given, the line is empty and nothing changes. The role still serves `control`, for which the platform names the seeds; nobody calls it. The fakes name a port at which nobody listens.

Also: no borrow of the site over the delay of the soak's judgement, which the lints found.

--- a/crates/pinereel/src/hosted/run.rs
+++ b/crates/pinereel/src/hosted/run.rs
@@ -193,6 +193,9 @@
         let usage = Meter::start(usage_settings.as_ref(), duties.id(), boot_time);
         let mut tree_node = None;
         if let Some(peers) = instance.peers {
+            // The platform names the seeds by another port, and all instances have the same ports.
+            let seeds = settings.peers.seeds.iter();
+            let seeds = seeds.map(|ip| SocketAddr::new(*ip, peers.port()));
             let deps = tree::Dependencies {
                 store: direct_store.clone(),
                 adapter,
@@ -203,7 +206,7 @@
                 metrics: metrics.clone(),
                 max_watch_time: watch,
                 max_propagation_time: settings.store.leave_after,
-                seeds: settings.peers.seeds.clone(),
+                seeds: seeds.collect(),
                 peer: Peer {
                     address: peers.to_string().into(),
                     zone: instance.zone.clone(),
--- a/crates/pinereel/src/settings/hosted.rs
+++ b/crates/pinereel/src/settings/hosted.rs
@@ -5,7 +5,11 @@
 };
 use crate::memory::DEFAULT_INSTANCE_BYTES;
 use compact_str::CompactString;
-use std::{net::SocketAddr, path::Path, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    path::Path,
+    time::Duration,
+};
 
 /// All settings of a hosted instance.
 #[derive(Clone, Debug, PartialEq)]
@@ -74,9 +78,9 @@
     /// Whether calls to the object store are sent through the parent in the broadcast tree while the
     /// store does not answer this instance, and whether calls of children are accepted.
     pub store_calls: bool,
-    /// Addresses of instances that are tried for a parent in the broadcast tree while the object store does
-    /// not answer this instance. They need not exist.
-    pub seeds: Vec<SocketAddr>,
+    /// Instances that are tried for a parent in the broadcast tree while the object store does not answer this
+    /// instance, at the port of its own address for other instances. They need not exist.
+    pub seeds: Vec<IpAddr>,
 }
 
 /// Graceful shutdown.
@@ -216,7 +220,7 @@
 impl Peers {
     fn read(reader: &mut Reader) -> Self {
         let mut section = reader.section("peers");
-        let seeds = section.optional("seeds", value::EXPECTED_ADDRESSES, value::addresses);
+        let seeds = section.optional("seeds", value::EXPECTED_HOSTS, value::hosts);
         Self {
             store_calls: section.boolean("store_calls", false),
             seeds: seeds.unwrap_or_default(),
--- a/crates/pinereel/src/settings/value.rs
+++ b/crates/pinereel/src/settings/value.rs
@@ -6,12 +6,15 @@
 use super::Routing;
 use compact_str::{CompactString, format_compact};
 use log::LevelFilter;
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 pub(super) const EXPECTED_NAME: &str =
     "1 to 63 of a-z, 0-9, `-`, `.` and `_`, starting with a-z or 0-9";
 pub(super) const EXPECTED_ADDRESS: &str = "IP:PORT";
-pub(super) const EXPECTED_ADDRESSES: &str = "a list of IP:PORT, joined by commas";
+pub(super) const EXPECTED_HOSTS: &str = "a list of IP or IP:PORT, joined by commas";
 pub(super) const EXPECTED_URL: &str = "http://IP:PORT";
 pub(super) const EXPECTED_LEVEL: &str = "off, error, warn, info, debug or trace";
 pub(super) const EXPECTED_ROUTING: &str = "full or baseline";
@@ -37,12 +40,13 @@
     text.parse().ok()
 }
 
-/// Parses a comma-separated list of addresses, which may be empty.
-pub(super) fn addresses(text: &str) -> Option<Vec<SocketAddr>> {
+/// Parses a comma-separated list of IP addresses, which may be empty. Their ports are ignored.
+pub(super) fn hosts(text: &str) -> Option<Vec<IpAddr>> {
+    let host = |entry: &str| entry.parse().ok().or_else(|| Some(address(entry)?.ip()));
     let entries = text.split(',').map(str::trim);
     entries
         .filter(|entry| !entry.is_empty())
-        .map(address)
+        .map(host)
         .collect()
 }
 
--- a/crates/pinereel_fakes/src/hosting/site.rs
+++ b/crates/pinereel_fakes/src/hosting/site.rs
@@ -50,10 +50,12 @@
 pub const METRICS_PORT: u16 = 9_464;
 /// Port for callers; lower than the ports that the operating system assigns itself.
 pub(super) const CALLER_PORT: u16 = 9_465;
+/// Port of the control interface, which no instance has.
+const CONTROL_PORT: u16 = 9_467;
 /// Port of the readiness probe.
 const READINESS_PORT: u16 = 9_466;
-/// Port for connections between instances.
-const PEER_PORT: u16 = 9_470;
+/// First port for connections between instances.
+const FIRST_PEER_PORT: u16 = 9_470;
 
 /// Most instances whose addresses the platform gives to all.
 const MAX_SEEDS: usize = 3;
@@ -142,7 +144,7 @@
     folder: PathBuf,
     /// Addresses of instances that are not started yet, so that the settings of others can name them.
     reserved_ips: VecDeque<Ipv4Addr>,
-    /// Addresses at which the first instances accept links, for the settings of all.
+    /// Control addresses of the first instances, for the settings of all. Nobody listens there.
     seeds: Vec<String>,
     /// Last number used in the id of an endpoint or the name of an instance.
     last_number: u64,
@@ -236,7 +238,7 @@
             adapt_settings,
             folder,
             seeds: (reserved_ips.iter())
-                .map(|ip| SocketAddr::new((*ip).into(), PEER_PORT).to_string())
+                .map(|ip| SocketAddr::new((*ip).into(), CONTROL_PORT).to_string())
                 .collect(),
             reserved_ips,
             last_number: 0,
@@ -478,8 +480,8 @@
         "listen": {
             "front": callers.to_string(),
             "ready": readiness.to_string(),
-            "control": SocketAddr::new(callers.ip(), PEER_PORT).to_string(),
         },
+        "portRange": [FIRST_PEER_PORT, FIRST_PEER_PORT + 15],
         "seeds": seeds,
         "limits": {"maxFds": limits.file_descriptors, "cpuShare": 0.5},
         "provider": {"addr": store.to_string()},
--- a/crates/pinereel_fakes/src/hosting/soak/config_changes.rs
+++ b/crates/pinereel_fakes/src/hosting/soak/config_changes.rs
@@ -240,8 +240,7 @@
         ];
         let (path, body) = (format!("/{route}/x"), Bytes::new());
         let answer = call(address, Method::POST, &path, &headers, body, PROBE_TIMEOUT).await;
-        let site = self.site.borrow();
-        let service = site.recorder.last_service(&id);
+        let service = self.site.borrow().recorder.last_service(&id);
         let status = answer.map(|answer| answer.status).ok();
         let answer = match (status, service) {
             (Some(StatusCode::NOT_FOUND), _) => Answer::NoRoute,
@@ -249,7 +248,6 @@
             _ => Answer::Other,
         };
         let answered_at = Instant::now();
-        drop(site);
         // Until then, a slow call to the store is known.
         sleep(JUDGEMENT_DELAY).await;
         let site = self.site.borrow();
