metrics, tree: the configuration is one source of the metrics; one function opens a link

No change in behaviour: the metrics take the configuration instead of two closures over it, and introductions and the search for a parent open their links in one place.

--- a/crates/pinereel/src/hosted/metrics.rs
+++ b/crates/pinereel/src/hosted/metrics.rs
@@ -3,7 +3,7 @@
 //! Label values come from fixed sets or from the services and models of the configuration, never from
 //! callers, so their number is bounded.
 
-use super::crashes::CrashTracker;
+use super::{config::Config, crashes::CrashTracker};
 use crate::{
     http::{self, Request, Response, Server},
     logging, memory,
@@ -115,10 +115,8 @@
     pub memory_usage: Box<dyn Fn() -> memory::Usage>,
     /// Load of the lots that this instance runs.
     pub lot_load: Box<dyn Fn() -> LotLoad>,
-    /// Number of the configuration in force; 0 before the first.
-    pub config_number: Box<dyn Fn() -> u64>,
-    /// How old the configuration in force is at most; `None` before the first.
-    pub config_data_age: Box<dyn Fn() -> Option<Duration>>,
+    /// The configuration in force.
+    pub config: Rc<Config>,
 }
 
 /// Load of the lots that an instance runs.
@@ -271,9 +269,9 @@
             gauge.set(gauge_value(bytes as u64));
         }
         self.memory_given_up.set(gauge_value(memory.given_up));
-        self.config_number
-            .set(gauge_value((sources.config_number)()));
-        let data_age = (sources.config_data_age)();
+        let number = sources.config.table().map_or(0, |table| table.number());
+        self.config_number.set(gauge_value(number));
+        let data_age = sources.config.data_age();
         self.config_data_age
             .set(data_age.map_or(f64::INFINITY, |age| age.as_secs_f64()));
         self.log_lines_dropped.set(gauge_value(logging::dropped()));
--- a/crates/pinereel/src/hosted/run.rs
+++ b/crates/pinereel/src/hosted/run.rs
@@ -292,8 +292,7 @@
             probe.serve(listener, adapter.readiness_path).await?;
         }
         if let Some(address) = instance.metrics {
-            let (pool, config, runner) = (Rc::clone(&pool), Rc::clone(&config), Rc::clone(&runner));
-            let aged_config = Rc::clone(&config);
+            let (pool, runner) = (Rc::clone(&pool), Rc::clone(&runner));
             let memory = memory.clone();
             let sources = Sources {
                 memory_usage: Box::new(move || memory.usage()),
@@ -304,8 +303,7 @@
                     used_slots: runner.used_slots(),
                     tasks: runner.in_flight() as u64,
                 }),
-                config_number: Box::new(move || config.table().map_or(0, |table| table.number())),
-                config_data_age: Box::new(move || aged_config.data_age()),
+                config: Rc::clone(&config),
             };
             metrics.serve(listen(address).await?, sources).await?;
         }
--- a/crates/pinereel/src/hosted/tree/introduction.rs
+++ b/crates/pinereel/src/hosted/tree/introduction.rs
@@ -1,11 +1,11 @@
 //! Introductions of a root to the seeds, so that instances which the store does not answer find it.
 
-use super::{Frame, LINK_OPEN_TIMEOUT, Node, link_config};
+use super::{Frame, LINK_OPEN_TIMEOUT, Node, parent_search::open_link};
 use compact_str::CompactString;
 use futures_util::{SinkExt as _, future::join_all};
 use pinereel_core::tree::{INTRODUCTION_INTERVAL, LATE_CALL_TIME};
 use tokio::time::{sleep, timeout};
-use tokio_tungstenite::{connect_async_with_config, tungstenite::Message};
+use tokio_tungstenite::tungstenite::Message;
 
 impl Node {
     /// Introduces this instance to the seeds while it is a root with fresh data. Never ends.
@@ -27,9 +27,7 @@
     /// Sends an introduction. A seed that is not reached gets the next one.
     async fn introduce_to(&self, seed: &CompactString) -> Option<()> {
         let introduction = Frame::Introduction(self.deps.peer.address.clone()).encode()?;
-        let url = format!("ws://{seed}/");
-        let opened = connect_async_with_config(url, Some(link_config()), true).await;
-        let (mut socket, _) = opened.ok()?;
+        let mut socket = open_link(seed).await?;
         let message = Message::Binary(introduction.into());
         socket.send(message).await.ok()?;
         socket.close(None).await.ok()
--- a/crates/pinereel/src/hosted/tree/parent_search.rs
+++ b/crates/pinereel/src/hosted/tree/parent_search.rs
@@ -26,9 +26,11 @@
 /// refer to. Each level refers to three, and four levels of 32 children reach a million instances.
 const MAX_ATTEMPTS_PER_TARGET: usize = 12;
 
+type Socket = WebSocketStream<MaybeTlsStream<TcpStream>>;
+
 /// An open link to a parent.
 pub(super) struct ParentLink {
-    pub(super) socket: WebSocketStream<MaybeTlsStream<TcpStream>>,
+    pub(super) socket: Socket,
     pub(super) address: CompactString,
     /// The parent's first heartbeat.
     pub(super) heartbeat: Heartbeat,
@@ -153,10 +155,7 @@
 
     /// Connects to an instance, sends it a [`Hello`] and waits for the reply; `None` if the link fails.
     async fn connect(&self, address: &CompactString) -> Option<Reply> {
-        let (mut socket, _) =
-            connect_async_with_config(format!("ws://{address}/"), Some(link_config()), true)
-                .await
-                .ok()?;
+        let mut socket = open_link(address).await?;
         let hello = Frame::Hello(Hello {
             peer: self.deps.peer.clone(),
             topics: self.subscriptions(),
@@ -181,6 +180,14 @@
     }
 }
 
+/// Opens a connection to an instance; `None` if that fails.
+pub(super) async fn open_link(address: &CompactString) -> Option<Socket> {
+    let url = format!("ws://{address}/");
+    let opened = connect_async_with_config(url, Some(link_config()), true).await;
+    let (socket, _) = opened.ok()?;
+    Some(socket)
+}
+
 /// Delay after a number of rounds.
 fn retry_delay(rounds: u32) -> Duration {
     let doublings = rounds.saturating_sub(ROUNDS_BEFORE_BACKOFF).min(8);
