soak: a shutdown waits for the process that it was sent to; answers are compared with versions that existed

An answer was also taken to agree with versions that were confirmed only after it, which is less strict than the guarantee.

--- a/crates/pinereel_fakes/src/hosting/soak/config_changes.rs
+++ b/crates/pinereel_fakes/src/hosting/soak/config_changes.rs
@@ -35,8 +35,6 @@
 const MAX_STORE_CALL_TIME: Duration = Duration::from_millis(150);
 /// Delay after which an answer is judged; longer than a call to the store takes that is not slow.
 const JUDGEMENT_DELAY: Duration = Duration::from_millis(500);
-/// Time for which an instance must have been without a fault to count as in touch.
-const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// Longest wait for an answer; longer than the timeout of any route.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(3_500);
 /// Number of versions in which an added route exists.
@@ -273,7 +271,7 @@
     /// its answer.
     fn in_touch(&self, incarnation: Incarnation, sent_at: Instant, answered_at: Instant) -> bool {
         let first_seen = self.first_seen.borrow().get(&incarnation).copied();
-        let is_new = first_seen.is_none_or(|at| sent_at < at + CONTACT_TIME);
+        let is_new = first_seen.is_none_or(|at| sent_at < at + AFTER_EFFECT_TIME);
         let affects = |period: &FaultPeriod| match period.out_of_touch {
             OutOfTouch::All => true,
             OutOfTouch::Instance(index) => index == incarnation.0,
--- a/crates/pinereel_fakes/src/hosting/soak/config_history.rs
+++ b/crates/pinereel_fakes/src/hosting/soak/config_history.rs
@@ -124,15 +124,18 @@
         before.services.keys().find(is_dropped).map(String::as_str)
     }
 
-    /// The lowest and the highest version with which an answer agrees; `None` if it agrees with none.
-    fn agreeing(&self, route: &str, answer: &Answer) -> Option<RangeInclusive<u64>> {
-        let agrees = |version: &&Version| match (answer, version.services.get(route)) {
+    /// The lowest and the highest version with which an answer agrees, of those that existed; `None` if it agrees
+    /// with none.
+    fn agreeing(&self, seen: &Observation) -> Option<RangeInclusive<u64>> {
+        let existed = |version: &&Version| version.confirmed_at <= seen.answered_at;
+        let agrees = |version: &&Version| match (&seen.answer, version.services.get(&seen.route)) {
             (Answer::Served(by), Some(service)) => by == service,
             (Answer::NoRoute, service) => service.is_none(),
             (Answer::Served(_), None) => false,
             (Answer::Other, _) => true,
         };
-        let mut agreeing = self.versions.iter().filter(agrees).map(|v| v.number);
+        let existing = self.versions.iter().filter(existed);
+        let mut agreeing = existing.filter(agrees).map(|v| v.number);
         let lowest = agreeing.next()?;
         Some(lowest..=agreeing.next_back().unwrap_or(lowest))
     }
@@ -151,7 +154,7 @@
         if seen.answer == Answer::Other {
             return None;
         }
-        let agreeing = self.agreeing(&seen.route, &seen.answer);
+        let agreeing = self.agreeing(seen);
         let Some(agreeing) = agreeing else {
             return Some("as no version allows".into());
         };
--- a/crates/pinereel_fakes/src/hosting/soak/control_faults.rs
+++ b/crates/pinereel_fakes/src/hosting/soak/control_faults.rs
@@ -276,12 +276,16 @@
                 start_instance(&mut self.site.borrow_mut(), index);
             }
             ControlFault::Terminate => {
+                let pid = self.site.borrow().instances[index].pid();
                 self.signal(index, Signal::TERM);
-                while self.site.borrow_mut().instances[index].is_running() {
+                while self.is_running_as(index, pid) {
                     self.record_period(OutOfTouch::Instance(index), Duration::ZERO);
                     sleep(Duration::from_millis(50)).await;
                 }
-                start_instance(&mut self.site.borrow_mut(), index);
+                let site = &mut *self.site.borrow_mut();
+                if !site.instances[index].is_running() {
+                    start_instance(site, index);
+                }
             }
             _ => {
                 self.cut_store(fault, index);
@@ -292,6 +296,12 @@
         self.affected.borrow_mut().remove(&index);
     }
 
+    /// Whether an instance still runs as this process; another series of faults may have started it again.
+    fn is_running_as(&self, index: usize, pid: Option<u32>) -> bool {
+        let instance = &mut self.site.borrow_mut().instances[index];
+        instance.pid() == pid && instance.is_running()
+    }
+
     /// Stops and continues a process in turns. Never ends.
     async fn throttle(&self, index: usize) {
         loop {
--- a/crates/pinereel_fakes/src/hosting/soak/mod.rs
+++ b/crates/pinereel_fakes/src/hosting/soak/mod.rs
@@ -117,6 +117,14 @@
     pub logs: Vec<String>,
 }
 
+impl Report {
+    /// The violations, the injected faults and the logs, for the message of a failed test.
+    pub fn details(&self) -> String {
+        let (violations, faults) = (&self.violations, &self.injected_faults);
+        format!("{violations:#?}\n{faults:#?}\n{}", self.logs.join("\n"))
+    }
+}
+
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let [good, not_run, unknown] = self.live_counts;
--- a/crates/pinereel_fakes/tests/hosting_config_changes.rs
+++ b/crates/pinereel_fakes/tests/hosting_config_changes.rs
@@ -27,13 +27,7 @@
     };
     let report = run(options).await.expect("the site starts");
     println!("{report}\n{:#?}", report.injected_faults);
-    assert!(
-        report.violations.is_empty(),
-        "{:#?}\n{:#?}\n{}",
-        report.violations,
-        report.injected_faults,
-        report.logs.join("\n")
-    );
+    assert!(report.violations.is_empty(), "{}", report.details());
 }
 
 /// Children stayed with a root that the store did not answer, and applied changes after up to 2.4 s.
--- a/crates/pinereel_fakes/tests/hosting_soak.rs
+++ b/crates/pinereel_fakes/tests/hosting_soak.rs
@@ -17,13 +17,7 @@
 async fn assert_no_violation(options: Options) {
     let report = run(options).await.expect("the site starts");
     println!("{report}");
-    assert!(
-        report.violations.is_empty(),
-        "{:#?}\n{:#?}\n{}",
-        report.violations,
-        report.injected_faults,
-        report.logs.join("\n")
-    );
+    assert!(report.violations.is_empty(), "{}", report.details());
 }
 
 #[actix_rt::test]
