--- a/crates/pinereel_fakes/src/fault.rs
+++ b/crates/pinereel_fakes/src/fault.rs
@@ -1,4 +1,5 @@
-//! Helpers with which several fakes inject faults into their responses, such as loss and delay.
+//! Helpers with which several fakes decode requests and inject faults into their responses, such as loss
+//! and delay.
 
 use actix_http::{
     StatusCode,
@@ -6,8 +7,9 @@
 };
 use bytes::Bytes;
 use futures_util::stream;
+use percent_encoding::percent_decode_str;
 use pinereel::http::Response;
-use std::{cell::Cell, io, time::Duration};
+use std::{borrow::Cow, cell::Cell, io, time::Duration};
 
 /// Response that is never sent: its body fails at once, so that the connection is closed before the
 /// head is written. The client sees a lost response, not an error status.
@@ -35,10 +37,14 @@
     }
 }
 
-/// Value of `name` in a query string. Does not decode percent-encoding, which the fakes do not use.
-pub fn query_value<'a>(query: &'a str, name: &str) -> Option<&'a str> {
-    query
-        .split('&')
-        .filter_map(|pair| pair.split_once('='))
-        .find_map(|(key, value)| (key == name).then_some(value))
+/// Decoded value of `name` in a query string.
+pub fn query_value<'a>(query: &'a str, name: &str) -> Option<Cow<'a, str>> {
+    let mut pairs = form_urlencoded::parse(query.as_bytes());
+    pairs.find_map(|(key, value)| (key == name).then_some(value))
+}
+
+/// Decoded segments of a path, without the empty one before the first slash.
+pub fn path_segments(path: &str) -> impl Iterator<Item = Cow<'_, str>> {
+    let segments = path.strip_prefix('/').unwrap_or(path).split('/');
+    segments.map(|segment| percent_decode_str(segment).decode_utf8_lossy())
 }
--- a/crates/pinereel_fakes/src/hosting/store.rs
+++ b/crates/pinereel_fakes/src/hosting/store.rs
@@ -1,6 +1,7 @@
 //! A fake of the platform's object store: revisions, conditional writes, watches, and injected
 //! faults.
 
+use crate::fault::{self, query_value};
 use actix_http::{
     HttpMessage as _, Method, StatusCode,
     body::{BodyStream, BoxBody},
@@ -17,6 +18,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
 use std::{
+    borrow::Cow,
     cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet, VecDeque},
     io,
@@ -29,7 +31,7 @@
 /// Longest body of a call.
 const MAX_BODY_BYTES: usize = 8 << 20;
 /// Maximum number of objects in one page of a list.
-const PAGE_SIZE: usize = 500;
+const DEFAULT_PAGE_SIZE: usize = 500;
 
 /// The faults in force.
 #[derive(Clone, Copy, Debug, Default)]
@@ -93,6 +95,7 @@
     /// Number of calls that were rejected for their sender, by its name.
     rejected_counts: Rc<RefCell<BTreeMap<String, u64>>>,
     probe_count: Rc<Cell<u64>>,
+    page_size: Rc<Cell<usize>>,
 }
 
 /// Why a write was rejected.
@@ -120,6 +123,7 @@
             rejected: Rc::default(),
             rejected_counts: Rc::default(),
             probe_count: Rc::default(),
+            page_size: Rc::new(Cell::new(DEFAULT_PAGE_SIZE)),
         };
         let state = store.clone();
         Server::start(listener, http::Options::default(), move |request| {
@@ -147,6 +151,11 @@
         self.faults.set(faults);
     }
 
+    /// Sets the maximum number of objects in one page of a list.
+    pub fn set_page_size(&self, page_size: usize) {
+        self.page_size.set(page_size);
+    }
+
     /// Sets the instances whose calls are answered with status 503 from now on, by their names.
     pub fn reject_instances(&self, names: impl IntoIterator<Item = String>) {
         self.rejected.replace(names.into_iter().collect());
@@ -278,14 +287,15 @@
             return http::empty(StatusCode::SERVICE_UNAVAILABLE);
         }
         let path = request.path().to_owned();
-        let parts: Vec<_> = path.trim_start_matches("/v1/objects/").split('/').collect();
+        let segments = fault::path_segments(path.trim_start_matches("/v1/objects/"));
+        let parts: Vec<_> = segments.collect();
         let query = request.uri().query().unwrap_or_default().to_owned();
         let body = http::read_json(&mut request, MAX_BODY_BYTES, Duration::from_secs(5)).await;
         let mut body: Value = body.unwrap_or_default();
         let method = request.method().clone();
         if method == Method::DELETE {
             // A deletion carries the expected revision in its query.
-            let revision = query_parameter(&query, "revision");
+            let revision = query_value(&query, "revision");
             let revision = revision.and_then(|text| text.parse::<u64>().ok());
             body = json!({"metadata": {"revision": revision}});
         }
@@ -295,13 +305,14 @@
             return Response::new(StatusCode::OK).set_body(BoxBody::new(BodyStream::new(parts)));
         }
         if method == Method::GET {
+            let parts: Vec<_> = parts.iter().map(|part| &**part).collect();
             return self.get(&parts, &query).await;
         }
         let lost = faults.loss_probability > 0.0
             && self.rng.borrow_mut().random_bool(faults.loss_probability);
         if lost && faults.delay_lost_writes {
             let (state, wait) = (self.clone(), self.rng.borrow_mut().random_range(500..3_000));
-            let parts: Vec<_> = parts.iter().map(|part| (*part).to_owned()).collect();
+            let parts: Vec<_> = parts.into_iter().map(Cow::into_owned).collect();
             actix_rt::spawn(async move {
                 sleep(Duration::from_millis(wait)).await;
                 let parts: Vec<_> = parts.iter().map(String::as_str).collect();
@@ -309,6 +320,7 @@
             });
             return never_answer().await;
         }
+        let parts: Vec<_> = parts.iter().map(|part| &**part).collect();
         let answer = self.change(&method, &parts, &body);
         if lost {
             return never_answer().await;
@@ -326,10 +338,10 @@
             };
         }
         let kind = parts[0];
-        let Some(after) = query_parameter(query, "watch").and_then(|text| text.parse().ok()) else {
-            return self.list(kind, query_parameter(query, "after").unwrap_or_default());
+        let Some(after) = query_value(query, "watch").and_then(|text| text.parse().ok()) else {
+            return self.list(kind, &query_value(query, "after").unwrap_or_default());
         };
-        let wait = query_parameter(query, "waitMs").and_then(|text| text.parse().ok());
+        let wait = query_value(query, "waitMs").and_then(|text| text.parse().ok());
         let mut changed = self.changed.subscribe();
         let event_available = async {
             while self
@@ -376,7 +388,7 @@
         let mut rest = all.filter(|(name, _)| name.as_str() > after);
         let items: Vec<_> = rest
             .by_ref()
-            .take(PAGE_SIZE)
+            .take(self.page_size.get())
             .map(|(n, s)| object_json(n, s))
             .collect();
         let more = rest.next().is_some();
@@ -462,8 +474,3 @@
         "status": stored.status,
     })
 }
-
-fn query_parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
-    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.find_map(|(key, value)| (key == name).then_some(value))
-}
--- a/crates/pinereel_fakes/src/object_api/serve.rs
+++ b/crates/pinereel_fakes/src/object_api/serve.rs
@@ -37,7 +37,7 @@
         (Method::GET, "/stats") => json(StatusCode::OK, &*state.stats.borrow()),
         (Method::GET, "/history") => json(
             StatusCode::OK,
-            &state.history(fault::query_value(&query, "kind")),
+            &state.history(fault::query_value(&query, "kind").as_deref()),
         ),
         (Method::POST, "/faults") => {
             match read_json::<Faults>(&mut request, MAX_BODY_BYTES, BODY_TIMEOUT).await {
@@ -72,10 +72,12 @@
     if state.has_outage() {
         return outage_response();
     }
-    let (kind, name) = match rest.split_once('/') {
-        Some((kind, name)) => (kind, Some(name)),
-        None => (rest, None),
-    };
+    let mut segments = fault::path_segments(rest);
+    let kind = &*segments.next().unwrap_or_default();
+    let name = segments.next();
+    if segments.next().is_some() {
+        return refusal_response(Code::NotFound, "no such path", None);
+    }
     let is_write = request.method() != Method::GET;
     let limit = if is_write {
         &state.writes
@@ -86,7 +88,7 @@
         state.stats.borrow_mut().limited += 1;
         return refusal_response(Code::Overloaded, "rate exceeded", Some(RETRY_AFTER_MS));
     }
-    let response = match name {
+    let response = match name.as_deref() {
         Some(name) if is_write => write(state, request, kind, name, &agent).await,
         Some(name) => read(state, kind, name),
         None if is_write => refusal_response(Code::BadRequest, "a write needs a name", None),
@@ -109,9 +111,9 @@
     let Some(after) = fault::query_value(query, "after") else {
         increment(&mut state.stats.borrow_mut().reads, kind);
         let prefix = fault::query_value(query, "prefix").unwrap_or_default();
-        return json(StatusCode::OK, &state.store.borrow().list(kind, prefix));
+        return json(StatusCode::OK, &state.store.borrow().list(kind, &prefix));
     };
-    let wait = fault::query_value(query, "wait_ms").unwrap_or("0");
+    let wait = fault::query_value(query, "wait_ms").unwrap_or("0".into());
     let (Ok(after), Ok(wait)) = (after.parse(), wait.parse()) else {
         return refusal_response(Code::BadRequest, "after and wait_ms are numbers", None);
     };
