store clients: names are percent-encoded in paths and queries

Cause: names, kinds and cursors went into paths and queries as they are. A blank makes no valid URI, so that each list failed and was tried again at once; `&` and `#` cut the cursor short, so that the next page began before the last one, and the list appended the same page until the process exceeded its memory. Class: text of another writer used as syntax.

A forwarded call is checked for the kinds that children may not read after decoding, as an encoded kind names the same objects.

--- a/crates/pinereel/src/hosted/tree/store_calls.rs
+++ b/crates/pinereel/src/hosted/tree/store_calls.rs
@@ -7,6 +7,7 @@
 };
 use actix_http::{Method, StatusCode};
 use bytes::Bytes;
+use percent_encoding::percent_decode_str;
 use pinereel_core::tree::MAX_STORE_CALL_HOPS;
 use pinereel_port::store::Request;
 use std::{sync::Arc, time::Duration};
@@ -124,7 +125,8 @@
 /// Whether a path may lead to objects of `kind`, whatever purpose the call states.
 fn names_kind(path: &str, kind: &str) -> bool {
     let path = path.split('?').next().unwrap_or_default();
-    path.split('/').any(|segment| segment == kind)
+    let mut segments = path.split('/').map(percent_decode_str);
+    segments.any(|segment| segment.eq(kind.bytes()))
 }
 
 async fn forward(store: &Store, call: Call) -> StoreOutcome {
--- a/crates/pinereel/src/objects/client.rs
+++ b/crates/pinereel/src/objects/client.rs
@@ -21,7 +21,7 @@
 use futures_util::{Stream, StreamExt as _};
 use pinereel_api::object::{Changes, List, MAX_VALUE_BYTES, Object, Write, Written};
 use pinereel_core::hash;
-use pinereel_port::store::Request;
+use pinereel_port::{store::Request, uri};
 use serde::{Serialize, de::DeserializeOwned};
 use std::{cell::RefCell, collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
 use tokio::{
@@ -147,8 +147,7 @@
         kind: &str,
         name: &str,
     ) -> Result<Option<Object>, Error> {
-        let path = format!("/objects/{kind}/{name}");
-        match self.get(purpose, path).await {
+        match self.get(purpose, object_path(kind, name)).await {
             Ok(object) => Ok(Some(object)),
             Err(Error::NotFound) => Ok(None),
             Err(e) => Err(e),
@@ -157,8 +156,8 @@
 
     /// Lists the objects of a kind whose names start with `prefix`.
     pub async fn list(&self, purpose: Purpose, kind: &str, prefix: &str) -> Result<List, Error> {
-        self.get(purpose, format!("/objects/{kind}?prefix={prefix}"))
-            .await
+        let path = format!("{}?prefix={}", kind_path(kind), uri::encode(prefix));
+        self.get(purpose, path).await
     }
 
     /// Waits at most `wait` for changes of a kind after a revision.
@@ -172,7 +171,8 @@
         after: u64,
         wait: Duration,
     ) -> Result<Changes, Error> {
-        let path = format!("/objects/{kind}?after={after}&wait_ms={}", wait.as_millis());
+        let (path, wait_ms) = (kind_path(kind), wait.as_millis());
+        let path = format!("{path}?after={after}&wait_ms={wait_ms}");
         self.admit(purpose, Access::Watch).await?;
         let timeout = wait + self.options.timeout;
         let (status, body) = self
@@ -214,7 +214,7 @@
         name: &str,
         version: u64,
     ) -> Result<(), Error> {
-        let path = format!("/objects/{kind}/{name}");
+        let path = object_path(kind, name);
         let headers = vec![(IF_MATCH, HeaderValue::from(version))];
         let _permit = self.acquire_permit(purpose, Access::Write).await?;
         let timeout = self.options.timeout;
@@ -289,7 +289,7 @@
         let body =
             serde_json::to_vec(&Write { value }).map_err(|e| Error::NotSent(e.to_string()))?;
         let json = (CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        let path = format!("/objects/{kind}/{name}");
+        let path = object_path(kind, name);
         let _permit = self.acquire_permit(purpose, Access::Write).await?;
         let timeout = self.options.timeout;
         let (status, body) = self
@@ -422,6 +422,14 @@
     }
 }
 
+fn kind_path(kind: &str) -> String {
+    format!("/objects/{}", uri::encode(kind))
+}
+
+fn object_path(kind: &str, name: &str) -> String {
+    format!("{}/{}", kind_path(kind), uri::encode(name))
+}
+
 /// Whether the API responded with a status other than 503.
 fn is_available(answer: &Result<(StatusCode, Bytes), Error>) -> bool {
     matches!(answer, Ok((status, _)) if *status != StatusCode::SERVICE_UNAVAILABLE)
--- a/crates/pinereel_port/src/lib.rs
+++ b/crates/pinereel_port/src/lib.rs
@@ -15,6 +15,7 @@
 //!   requests and of responses.
 //! - [`lot::Submission`] and [`lot::Request`]: what trainers send.
 //! - [`leader::Codec`]: requests to the platform that only the holder of a lease may send.
+//! - [`uri::encode`]: names as parts of paths and queries.
 //! - [`engine::LoadRequest`] and [`engine::StatusReport`]: control requests to model engines.
 
 pub mod adapter;
@@ -27,6 +28,7 @@
 pub mod leader;
 pub mod lot;
 pub mod store;
+pub mod uri;
 
 pub use adapter::Adapter;
 pub use error::DecodeError;
--- /dev/null
+++ b/crates/pinereel_port/src/uri.rs
@@ -0,0 +1,16 @@
+//! Percent-encoding of text that becomes part of a URI.
+
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
+use std::fmt;
+
+/// All characters but the unreserved ones (RFC 3986, section 2.3).
+const ENCODED: &AsciiSet = &NON_ALPHANUMERIC
+    .remove(b'-')
+    .remove(b'.')
+    .remove(b'_')
+    .remove(b'~');
+
+/// Encodes text as one segment of a path or one value of a query.
+pub fn encode(text: &str) -> impl fmt::Display {
+    utf8_percent_encode(text, ENCODED)
+}
