store: a list ends, also if its pages repeat or have no end

A list ended only when the store said so: with a cursor that does not move forward the same page was appended for ever (474 to 652 MB in a few seconds, where the limit of a process is 260 MB, so that the platform kills it: FAULT). An unreadable object at the end of a page was read again and again, as the cursor was the last decoded name, and a page without a name was taken for the last one, so that the objects behind it were missing.

Change: the adapter gives the name after which the next page begins, also that of an object it cannot decode. A reader repeats a list that cannot be read after 0.2 s, doubled up to 5 s, instead of five times a second.

--- a/crates/pinereel/src/hosted/list_watch.rs
+++ b/crates/pinereel/src/hosted/list_watch.rs
@@ -15,6 +15,10 @@
 /// of the store's client protects a store that is down.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
+/// Longest delay after lists in a row that are answered and cannot be read. They fail by their content, whatever
+/// the health of the store.
+const MAX_UNREADABLE_RETRY_DELAY: Duration = Duration::from_secs(5);
+
 /// Time beyond its wait after which a watch without an answer is given up. A watch whose connection was lost
 /// without notice looks like one without changes, also while other connections work.
 const MAX_WATCH_DELAY: Duration = LATE_CALL_TIME;
@@ -105,6 +109,7 @@
     // Without the list, a configuration was missed for 4.6 s in 5 of 16 runs; with it, in none of
     // 56.
     let mut must_list = true;
+    let mut unreadable_retry_delay = RETRY_DELAY;
     loop {
         recoveries.mark_unchanged();
         let first_update_deadline = feed.first_update_deadline();
@@ -152,6 +157,7 @@
                 }
                 revision = Some(next_revision);
                 must_list = false;
+                unreadable_retry_delay = RETRY_DELAY;
                 if let Some(update) = update {
                     on_update(Some(update), next_revision, Origin::Store);
                     sleep(options().batch_delay).await;
@@ -166,10 +172,15 @@
                     log::info!(kind, error:% = error; "watch: call failed, listing again");
                 }
                 must_list = true;
+                let mut retry_delay = RETRY_DELAY;
+                if matches!(error, Error::Malformed(_)) {
+                    retry_delay = unreadable_retry_delay;
+                    unreadable_retry_delay = (retry_delay * 2).min(MAX_UNREADABLE_RETRY_DELAY);
+                }
                 if error != Error::Gone {
                     // Requests are refused until the objects are known.
                     tokio::select! {
-                        () = sleep(RETRY_DELAY) => {}
+                        () = sleep(retry_delay) => {}
                         _ = recoveries.changed() => {}
                     }
                 }
--- a/crates/pinereel/src/hosted/store/mod.rs
+++ b/crates/pinereel/src/hosted/store/mod.rs
@@ -1,12 +1,15 @@
 //! Typed calls to the platform's object store, and whether the store is reachable (`health`).
 
 mod health;
+mod listing;
 
 use super::{metrics::Metrics, parent_calls::ParentCalls, tree::StoreOutcome};
 use crate::objects::{Access, Client, Error, Purpose};
 use actix_http::StatusCode;
 use bytes::Bytes;
+use compact_str::CompactString;
 use health::{Health, Reachability, is_answered, may_be_repeated};
+use listing::Listing;
 use pinereel_core::tree::{
     StoreCallKind, StoreCallParent, StoreRoute, store_route, takes_store_calls,
 };
@@ -352,38 +355,48 @@
         after: Option<&str>,
         freshness: Consistency,
     ) -> Result<Page, Error> {
+        let page = self.sized_page(purpose, kind, after, freshness).await;
+        page.map(|(page, _)| page)
+    }
+
+    /// Like [`Store::list_page`], with the size of the page in bytes.
+    async fn sized_page(
+        &self,
+        purpose: Purpose,
+        kind: &str,
+        after: Option<&str>,
+        freshness: Consistency,
+    ) -> Result<(Page, usize), Error> {
         let call = (self.codec.list)(kind, after, freshness);
         let body = self.request(purpose, read_access(freshness), call).await?;
-        decode_body(self.codec.decode_page, &body)
+        let page = decode_body(self.codec.decode_page, &body)?;
+        Ok((page, body.len()))
     }
 
     /// Lists all objects of a kind after the name `after`, and the revision to watch from.
     ///
     /// # Errors
-    /// If the store did not answer, or not with a page.
+    /// If the store did not answer, or not with a page; [`Error::Malformed`] if the list has no end.
     pub async fn list(
         &self,
         purpose: Purpose,
         kind: &str,
         after: Option<&str>,
     ) -> Result<(Vec<Object>, u64), Error> {
-        let mut page = self
-            .list_page(purpose, kind, after, Consistency::Linearizable)
-            .await?;
-        // A watch from the revision of the first page also returns the changes made during the
-        // list.
-        let revision = page.revision;
-        let mut objects = std::mem::take(&mut page.objects);
-        while page.more {
-            let Some(last) = objects.last().map(|object| object.name.clone()) else {
-                break;
-            };
-            page = self
-                .list_page(purpose, kind, Some(&last), Consistency::Linearizable)
-                .await?;
-            objects.append(&mut page.objects);
+        let mut listing = Listing::default();
+        let mut cursor = after.map(CompactString::from);
+        loop {
+            let consistency = Consistency::Linearizable;
+            let page = self.sized_page(purpose, kind, cursor.as_deref(), consistency);
+            let (page, bytes) = page.await?;
+            cursor = listing.add(page, bytes).map_err(|fault| {
+                log::error!(kind, fault:% = fault; "object store: list given up");
+                Error::Malformed(fault.to_string())
+            })?;
+            if cursor.is_none() {
+                return Ok(listing.into_parts());
+            }
         }
-        Ok((objects, revision))
     }
 
     /// Waits up to `wait` for changes of a kind after the revision `after`.
--- a/crates/pinereel_port/src/store.rs
+++ b/crates/pinereel_port/src/store.rs
@@ -26,8 +26,8 @@
 pub struct Page {
     /// The objects of this page.
     pub objects: Vec<Object>,
-    /// Whether more objects follow after the last one of this page.
-    pub more: bool,
+    /// Name after which the next page begins; `None` if this is the last page.
+    pub next: Option<CompactString>,
     /// Revision of the store at the time of the list, from which a watch can start.
     pub revision: u64,
 }
