upstream, objects: a request that cannot be encoded is no lost one and no outage of the store

An invalid URI was reported as a lost response: a write that was never sent "may have taken effect", the circuit breaker and the health of the store counted it as a failure, and each successful probe ended that outage and woke the readers, which repeated their invalid call at once (65 calls a second and process).

Change: the client reports it as `Invalid`, which neither the breaker nor the health counts. The test failed before (`Lost`).

--- a/crates/pinereel/src/hosted/store/health.rs
+++ b/crates/pinereel/src/hosted/store/health.rs
@@ -103,6 +103,9 @@
         started_at: Instant,
         answer: &Result<(StatusCode, Bytes), Error>,
     ) {
+        if matches!(answer, Err(Error::Invalid(_))) {
+            return;
+        }
         if is_answered(answer) {
             if let Some(away) = self.own.on_answer() {
                 log::info!(away_ms = away.as_millis() as u64; "object store: reachable again");
--- a/crates/pinereel/src/hosted/store/mod.rs
+++ b/crates/pinereel/src/hosted/store/mod.rs
@@ -551,6 +551,9 @@
                 }
             }
         };
+        if matches!(answer, Err(Error::Invalid(_))) {
+            return answer;
+        }
         if is_answered(&answer) {
             health.on_answer();
         } else if may_be_relayed || !health.parent_accepts_calls() {
--- a/crates/pinereel/src/hosted/tree/store_calls.rs
+++ b/crates/pinereel/src/hosted/tree/store_calls.rs
@@ -139,7 +139,9 @@
         Ok((StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS, _)) => {
             StoreOutcome::NotSent
         }
-        Err(Error::NotSent(_) | Error::Limited(_) | Error::Refused(_)) => StoreOutcome::NotSent,
+        Err(Error::NotSent(_) | Error::Limited(_) | Error::Invalid(_) | Error::Refused(_)) => {
+            StoreOutcome::NotSent
+        }
         Ok(_) if !is_write => StoreOutcome::NotSent,
         Ok(_) | Err(_) => StoreOutcome::Unknown,
     }
--- a/crates/pinereel/src/objects/client.rs
+++ b/crates/pinereel/src/objects/client.rs
@@ -382,7 +382,8 @@
         };
         let result = async {
             let response = self.http.send(attempt).await.map_err(|e| match e {
-                HttpError::NotOpened(_) | HttpError::Invalid(_) => Error::NotSent(e.to_string()),
+                HttpError::NotOpened(_) => Error::NotSent(e.to_string()),
+                HttpError::Invalid(reason) => Error::Invalid(reason),
                 HttpError::Lost(_) => Error::Unknown(e.to_string()),
             })?;
             self.read_body(response).await
@@ -413,6 +414,9 @@
 
     /// Records a call's result in the breaker.
     fn record_result(&self, answer: &Result<(StatusCode, Bytes), Error>) {
+        if matches!(answer, Err(Error::Invalid(_))) {
+            return;
+        }
         let mut inner = self.inner.borrow_mut();
         if is_available(answer) {
             inner.breaker.record_success();
--- a/crates/pinereel/src/objects/error.rs
+++ b/crates/pinereel/src/objects/error.rs
@@ -9,6 +9,9 @@
     /// Nothing was sent: a limit of this process is reached, which says nothing about the API.
     #[error("object API not reached: {0}")]
     Limited(&'static str),
+    /// Nothing was sent: the call makes no valid request, which says nothing about the API.
+    #[error("invalid request: {0}")]
+    Invalid(String),
     /// The API refused the call: it is down, limits the rate, or does not accept the request.
     #[error("object API refused: {0}")]
     Refused(String),
--- a/crates/pinereel/src/upstream/mod.rs
+++ b/crates/pinereel/src/upstream/mod.rs
@@ -155,7 +155,7 @@
         SendRequestError::Connect(ConnectError::Io(io)) if is_connect_failure(io) => {
             Error::NotOpened(io.to_string())
         }
-        SendRequestError::Url(_) => Error::Invalid(error.to_string()),
+        SendRequestError::Url(_) | SendRequestError::Http(_) => Error::Invalid(error.to_string()),
         _ => Error::Lost(error.to_string()),
     }
 }
--- a/crates/pinereel/tests/upstream_client.rs
+++ b/crates/pinereel/tests/upstream_client.rs
@@ -82,6 +82,19 @@
     assert!(matches!(result, Err(Error::NotOpened(_))), "{result:?}");
 }
 
+/// Failure: a request that is never sent is reported as one whose response was lost.
+#[actix_rt::test]
+async fn a_request_that_makes_no_uri_is_reported_as_invalid() {
+    let (address, counts) = server(9, RESPONSE).await;
+    let invalid = Attempt {
+        path: "/orders/a b".into(),
+        ..attempt(&address, Reuse::Fresh)
+    };
+    let result = Client::new().send(invalid).await;
+    assert!(matches!(result, Err(Error::Invalid(_))), "{result:?}");
+    assert_eq!(counts.requests.get(), 0);
+}
+
 #[actix_rt::test]
 async fn a_request_lost_on_a_new_connection_is_reported_as_lost() {
     let (address, counts) = server(0, RESPONSE).await;
