tree: the largest age in a frame is stale data, not a panic

A peer's frame carries the age of its data as a duration of any length. The time since the frame was added with an operator that panics on overflow, also in a release build: in `Uplink::age` and `Uplink::heartbeat` (age in a heartbeat), `BackupReaders::age` (age of an appointed reader) and `ParentCalls::parent`. `Uplink::age` is called by each task of the node, so one frame with a huge age would have ended the task that sends the heartbeats, for good. Which peer sent such a frame was not observed; found by reading.

The sums saturate now. `ParentCalls::parent` has no test of its own.

--- a/crates/pinereel/src/hosted/parent_calls.rs
+++ b/crates/pinereel/src/hosted/parent_calls.rs
@@ -108,7 +108,7 @@
     pub(super) fn parent(&self) -> Option<StoreCallParent> {
         let (parent, at) = self.parent.get()?;
         Some(StoreCallParent {
-            age: parent.age.map(|age| age + at.elapsed()),
+            age: parent.age.map(|age| age.saturating_add(at.elapsed())),
             ..parent
         })
     }
--- a/crates/pinereel_core/src/tree/backup_readers.rs
+++ b/crates/pinereel_core/src/tree/backup_readers.rs
@@ -95,7 +95,7 @@
     /// Age of the data received from the readers; `None` if there are none.
     pub fn age(&self, now: Time) -> Option<Duration> {
         let (_, age, at) = self.last_report.as_ref()?;
-        Some(*age + now.since(*at))
+        Some(age.saturating_add(now.since(*at)))
     }
 
     /// The appointed reader that delivers, if there is one.
--- a/crates/pinereel_core/src/tree/uplink.rs
+++ b/crates/pinereel_core/src/tree/uplink.rs
@@ -172,7 +172,7 @@
     /// Age of the data of this instance; `None` if there are none.
     pub fn age(&self, now: Time, status: StoreStatus) -> Option<Duration> {
         match &self.last_heartbeat {
-            Some((heartbeat, at)) => heartbeat.age.map(|age| age + now.since(*at)),
+            Some((heartbeat, at)) => heartbeat.age.map(|age| age.saturating_add(now.since(*at))),
             None if self.reads_store => status.age,
             None => None,
         }
@@ -280,7 +280,7 @@
         let (heartbeat, at) = self.last_heartbeat.as_ref()?;
         Some(StoreCallParent {
             takes_calls: heartbeat.store_calls,
-            age: heartbeat.age.map(|age| age + now.since(*at)),
+            age: heartbeat.age.map(|age| age.saturating_add(now.since(*at))),
             max_age: heartbeat.max_age(),
         })
     }
