http: a connection whose handler panics is no longer counted as open

The task of a connection lowered the number of open connections in its last statement, which a panic of the request's handler skips. After `max_connections` such requests, the listener closed each new connection for good, while the process ran on.

Before: `http_panics` failed: with 4 connections, the request after 4 panics got no answer (`""`). The number is lowered in `Drop` now. After: `http_panics` 1 passed, `http_timeouts` 6 passed.

--- a/crates/pinereel/src/http/server.rs
+++ b/crates/pinereel/src/http/server.rs
@@ -270,10 +270,9 @@
         mut closed: watch::Receiver<bool>,
     ) {
         let server = self.clone();
-        server
-            .open_connections
-            .set(server.open_connections.get() + 1);
+        let open = OpenConnection::new(&self.open_connections);
         actix_rt::spawn(async move {
+            let _open = open;
             tokio::select! {
                 refusal = service => if let Some(code) = refusal {
                     server.report_refusal(code);
@@ -284,9 +283,6 @@
                 }
                 _ = closed.wait_for(|close| *close) => {}
             }
-            server
-                .open_connections
-                .set(server.open_connections.get() - 1);
         });
     }
 
@@ -314,6 +310,22 @@
     }
 }
 
+/// Counts a connection as open until dropped, also by a panic of its handler.
+struct OpenConnection(Rc<Cell<usize>>);
+
+impl OpenConnection {
+    fn new(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self(Rc::clone(count))
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// Problem code for the error that ended a connection, if `actix-http` refused a request on it
 /// before any handler saw it.
 fn refusal_code(error: DispatchError) -> Option<Code> {
