hosted: all long-lived tasks run again after a panic

The runtime catches a panic of a spawned task and drops the task. Only the task that applies the configuration was started again; a panic in any other one ended its work for good while the process ran on and was ready: no heartbeats, no renewal or poll of leases, no changes of the endpoint list, no lots of a model, no orders of a service, no more accepted connections.

`restart_on_panic` moves to the root of the crate, and `spawn_restarted` spawns a task under it. Used for the tasks of run, tree, duties, endpoints, lots, orders, usage, crash records and the stall detector, and around the accept loop of `http::Server`. The task of the uplink first drops the state of the link that the panic cut; subscribers to a topic of the tree request all its objects. A panic's message is logged up to the first value, which may be a key; `hosted_log_messages` looks at the moved file, too. The tasks of one lot, run, call or connection are not restarted; `hosted_spawned_tasks` lists them.

--- a/crates/pinereel/src/hosted/config.rs
+++ b/crates/pinereel/src/hosted/config.rs
@@ -4,11 +4,13 @@
 use super::{
     list_watch::{MAX_WAIT_FOR_REQUESTS, Origin, Update, WatchOptions, list_and_watch_with_origin},
     metrics::Metrics,
-    restart::restart_on_panic,
     store::Store,
     tree::{Feed, Topic},
 };
-use crate::objects::Purpose;
+use crate::{
+    objects::Purpose,
+    restart::{restart_on_panic, spawn_restarted},
+};
 use compact_str::CompactString;
 use pinereel_core::{
     routing_table::RoutingTable,
@@ -64,8 +66,8 @@
             origin: Cell::default(),
         });
         let state = Rc::clone(&config);
-        actix_rt::spawn(async move {
-            restart_on_panic("configuration", async || state.follow(adapter, wait).await).await;
+        spawn_restarted("configuration", async move || {
+            state.follow(adapter, wait).await;
         });
         config
     }
@@ -141,19 +143,22 @@
         names: impl Fn(&RoutingTable) -> Vec<CompactString>,
         start: impl Fn(CompactString),
     ) {
-        let mut changes = self.changes();
-        let mut started_names = BTreeSet::new();
-        loop {
-            let current_names = self.table().map(|table| names(&table)).unwrap_or_default();
-            for name in current_names {
-                if started_names.insert(name.clone()) {
-                    start(name);
+        let started_names = RefCell::new(BTreeSet::new());
+        let start_each = async || {
+            let mut changes = self.changes();
+            loop {
+                let current_names = self.table().map(|table| names(&table)).unwrap_or_default();
+                for name in current_names {
+                    if started_names.borrow_mut().insert(name.clone()) {
+                        start(name);
+                    }
+                }
+                if changes.changed().await.is_err() {
+                    return;
                 }
             }
-            if changes.changed().await.is_err() {
-                return;
-            }
-        }
+        };
+        restart_on_panic("configured names", start_each).await;
     }
 
     fn apply_update(&self, adapter: Adapter, update: Update) {
--- a/crates/pinereel/src/hosted/crashes/mod.rs
+++ b/crates/pinereel/src/hosted/crashes/mod.rs
@@ -11,7 +11,7 @@
 pub use stored::{StoredReports, take_reports_object};
 
 use super::{metrics::Metrics, pending};
-use crate::state::Clock;
+use crate::{restart::spawn_restarted, state::Clock};
 use pinereel_core::{
     Time,
     crash::{
@@ -88,7 +88,7 @@
             occupied: RefCell::default(),
         });
         let tracker = Rc::clone(&crashes);
-        actix_rt::spawn(async move { tracker.expire_old().await });
+        spawn_restarted("crash records", async move || tracker.expire_old().await);
         crashes
     }
 
--- a/crates/pinereel/src/hosted/duty/mod.rs
+++ b/crates/pinereel/src/hosted/duty/mod.rs
@@ -16,6 +16,7 @@
     store::Store,
     tree::{Feed, ROOT_DUTY, Topic},
 };
+use crate::restart::spawn_restarted;
 use compact_str::{CompactString, format_compact};
 use pinereel_core::{
     Time,
@@ -165,8 +166,12 @@
             drain_started: Notify::new(),
         });
         let poller = Rc::clone(&duties);
-        let lease_feed = feed.subscribe(Topic::Leases);
-        actix_rt::spawn(async move { poller.poll_leases(lease_feed).await });
+        spawn_restarted("lease polls", async move || {
+            let lease_feed = feed.subscribe(Topic::Leases);
+            // This subscriber lacks what was published before.
+            feed.request_snapshot(Topic::Leases);
+            poller.poll_leases(lease_feed).await;
+        });
         duties
     }
 
@@ -196,7 +201,7 @@
         statuses.insert(duty.clone(), status_sender);
         self.unreleased_count.set(self.unreleased_count.get() + 1);
         let (duties, duty) = (Rc::clone(self), duty.clone());
-        actix_rt::spawn(async move { duties.run_candidate(&duty).await });
+        spawn_restarted("lease", async move || duties.run_candidate(&duty).await);
         receiver
     }
 
--- a/crates/pinereel/src/hosted/endpoints/mod.rs
+++ b/crates/pinereel/src/hosted/endpoints/mod.rs
@@ -15,6 +15,7 @@
 };
 use crate::{
     objects::Purpose,
+    restart::spawn_restarted,
     settings::{self, Instance},
     state::Clock,
     upstream::{ejected::probe_ejected, pool::Pool},
@@ -153,7 +154,6 @@
             settings.leave_after.mul_f64(BATCH_DELAY_FRACTION),
         );
         let (adapter, store) = (deps.adapter, deps.store.clone());
-        let feed_events = Some(deps.feed.subscribe(Topic::Endpoints));
         let endpoints = Rc::new(Self {
             deps,
             zone: instance.zone.clone(),
@@ -169,7 +169,10 @@
             change_count: watch::channel(0).0,
         });
         let state = Rc::clone(&endpoints);
-        actix_rt::spawn(async move {
+        spawn_restarted("endpoint list", async move || {
+            let feed_events = Some(state.deps.feed.subscribe(Topic::Endpoints));
+            // This subscriber lacks what was published before.
+            state.deps.feed.request_snapshot(Topic::Endpoints);
             let kind = adapter.object_kinds.endpoints;
             let options = || WatchOptions {
                 max_wait: max_wait.min(MAX_WAIT_FOR_REQUESTS),
@@ -179,7 +182,7 @@
                     batch_delay
                 },
             };
-            let apply = move |update, revision, origin| {
+            let apply = |update, revision, origin| {
                 if origin == Origin::Store {
                     state.engines_revision.set(revision);
                 }
@@ -199,9 +202,11 @@
             .await;
         });
         let state = Rc::clone(&endpoints);
-        actix_rt::spawn(async move { state.follow_engines().await });
+        spawn_restarted("engine list", async move || {
+            Rc::clone(&state).follow_engines().await;
+        });
         let state = Rc::clone(&endpoints);
-        actix_rt::spawn(async move { state.probe_ejected().await });
+        spawn_restarted("endpoint probes", async move || state.probe_ejected().await);
         endpoints
     }
 
@@ -245,6 +250,8 @@
     async fn follow_engines(self: Rc<Self>) {
         let feed = &self.deps.feed;
         let mut updates = feed.subscribe(Topic::Engines);
+        // This subscriber lacks what was published before.
+        feed.request_snapshot(Topic::Engines);
         loop {
             match updates.recv().await {
                 // The tree may lag behind what was read from the store.
--- a/crates/pinereel/src/hosted/lots/runner.rs
+++ b/crates/pinereel/src/hosted/lots/runner.rs
@@ -20,6 +20,7 @@
         store::Store,
     },
     objects::Purpose,
+    restart::spawn_restarted,
     state::Clock,
     upstream::pool::Pool,
 };
@@ -91,8 +92,13 @@
             draining: Cell::new(false),
         });
         let serving = Rc::clone(&runner);
-        actix_rt::spawn(async move { serving.serve_models().await });
-        actix_rt::spawn(scoring_permits.serve(Rc::clone(&runner)));
+        actix_rt::spawn(serving.serve_models());
+        let scoring_runner = Rc::clone(&runner);
+        spawn_restarted("scorings", async move || {
+            Rc::clone(&scoring_permits)
+                .serve(Rc::clone(&scoring_runner))
+                .await;
+        });
         runner
     }
 
@@ -155,7 +161,9 @@
     async fn serve_models(self: Rc<Self>) {
         let start = |model: CompactString| {
             let runner = Rc::clone(&self);
-            actix_rt::spawn(async move { runner.serve_model(&model).await });
+            spawn_restarted("lots", async move || {
+                Rc::clone(&runner).serve_model(&model).await;
+            });
         };
         self.deps.config.for_each_new(engine_models, start).await;
     }
--- a/crates/pinereel/src/hosted/orders/mod.rs
+++ b/crates/pinereel/src/hosted/orders/mod.rs
@@ -20,7 +20,7 @@
     retirement,
     store::Store,
 };
-use crate::{objects::Purpose, settings, upstream::pool::Pool};
+use crate::{objects::Purpose, restart::spawn_restarted, settings, upstream::pool::Pool};
 use assignment::Assignment;
 use compact_str::{CompactString, format_compact};
 use engine_call::ANSWER_TIMEOUT;
@@ -127,14 +127,16 @@
             call_count: Cell::new(0),
         });
         let state = Rc::clone(&orders);
-        actix_rt::spawn(async move { state.run_new_services().await });
+        actix_rt::spawn(state.run_new_services());
         orders
     }
 
     async fn run_new_services(self: Rc<Self>) {
         let start = |service: CompactString| {
             let orders = Rc::clone(&self);
-            actix_rt::spawn(async move { orders.run_service(&service).await });
+            spawn_restarted("orders", async move || {
+                Rc::clone(&orders).run_service(&service).await;
+            });
         };
         self.deps.config.for_each_new(engine_services, start).await;
     }
--- a/crates/pinereel/src/hosted/run.rs
+++ b/crates/pinereel/src/hosted/run.rs
@@ -24,6 +24,7 @@
     logging,
     memory::Memory,
     objects,
+    restart::spawn_restarted,
     settings::Hosted,
     state::Clock,
     upstream::pool::Pool,
@@ -97,7 +98,10 @@
         settings:? = settings;
         "started"
     );
-    actix_rt::spawn(watch_settings_file(settings.clone(), path));
+    let watched_settings = settings.clone();
+    spawn_restarted("settings", async move || {
+        watch_settings_file(watched_settings.clone(), path.clone()).await;
+    });
     let shutdown = Rc::new(Shutdown::new(Timing {
         balancer_lag: settings.stop.balancer_lag,
         killed_after: settings.stop.killed_after,
@@ -157,11 +161,14 @@
         }
         // For modules whose data come over the broadcast tree or over the own connection alone.
         let direct_store = store.direct();
-        actix_rt::spawn(log_store_calls(store.client().clone()));
+        let counted_client = store.client().clone();
+        spawn_restarted("call counts", async move || {
+            log_store_calls(counted_client.clone()).await;
+        });
         let watch = settings.store.watch;
         let feed = Rc::new(Feed::default());
         let (probed_store, probe_feed) = (direct_store.clone(), Rc::clone(&feed));
-        actix_rt::spawn(async move {
+        spawn_restarted("store probes", async move || {
             let (object_kinds, probes_rarely) =
                 (adapter.object_kinds, || probe_feed.probes_rarely());
             let probe = probed_store.probe_in_outages(
@@ -252,7 +259,10 @@
                 gap: settings.orders.gap,
                 usage,
             };
-            actix_rt::spawn(usage::report(deps));
+            let deps = Rc::new(deps);
+            spawn_restarted("usage reports", async move || {
+                usage::report(Rc::clone(&deps)).await;
+            });
         }
         let runner = Runner::start(lots::Dependencies {
             adapter,
--- a/crates/pinereel/src/hosted/stall.rs
+++ b/crates/pinereel/src/hosted/stall.rs
@@ -4,6 +4,7 @@
 //! sockets. Requests that arrived before must not be routed by the old data: an endpoint may have
 //! left meanwhile. So no request is sent until there has been time to read the updates.
 
+use crate::restart::spawn_restarted;
 use pinereel_core::Time;
 use std::{cell::Cell, rc::Rc, time::Duration};
 use tokio::time::sleep;
@@ -36,7 +37,7 @@
             catch_up_until: Cell::new(Time::ZERO),
         });
         let checker = Rc::clone(&detector);
-        actix_rt::spawn(async move {
+        spawn_restarted("stall detector", async move || {
             loop {
                 sleep(CHECK_INTERVAL).await;
                 checker.check_clock();
--- a/crates/pinereel/src/hosted/tree/children.rs
+++ b/crates/pinereel/src/hosted/tree/children.rs
@@ -35,7 +35,7 @@
 
 impl Node {
     /// Accepts connections of newcomers, and serves each in a task of its own.
-    pub(super) async fn accept_links(self: Rc<Self>, listener: TcpListener) {
+    pub(super) async fn accept_links(self: Rc<Self>, listener: &TcpListener) {
         let handshakes = Arc::new(Semaphore::new(MAX_CONCURRENT_HANDSHAKES));
         loop {
             let Ok((stream, _)) = listener.accept().await else {
--- a/crates/pinereel/src/hosted/tree/node.rs
+++ b/crates/pinereel/src/hosted/tree/node.rs
@@ -4,8 +4,9 @@
     Feed, Frame, HEARTBEAT_INTERVAL, Topic, store_calls::MAX_CALLS_OF_CHILDREN,
     topic_cache::TopicCache, topics::ChildLink,
 };
-use crate::hosted::{
-    crashes::CrashTracker, duty::Duties, metrics::Metrics, store::Store, usage::Meter,
+use crate::{
+    hosted::{crashes::CrashTracker, duty::Duties, metrics::Metrics, store::Store, usage::Meter},
+    restart::spawn_restarted,
 };
 use bytes::Bytes;
 use compact_str::{CompactString, ToCompactString as _};
@@ -129,27 +130,45 @@
             is_backup: watch::channel(false).0,
         });
         let accept_task = Rc::clone(&node);
-        actix_rt::spawn(async move { accept_task.accept_links(listener).await });
+        spawn_restarted("links of children", async move || {
+            Rc::clone(&accept_task).accept_links(&listener).await;
+        });
         let heartbeat_task = Rc::clone(&node);
-        actix_rt::spawn(async move { heartbeat_task.send_heartbeats().await });
+        spawn_restarted("heartbeats", async move || {
+            heartbeat_task.send_heartbeats().await;
+        });
         let backup_task = Rc::clone(&node);
-        actix_rt::spawn(async move { backup_task.appoint_backup_readers().await });
+        spawn_restarted("backup readers", async move || {
+            backup_task.appoint_backup_readers().await;
+        });
         let crash_task = Rc::clone(&node);
-        actix_rt::spawn(async move { crash_task.send_crash_reports().await });
+        spawn_restarted("crash reports", async move || {
+            crash_task.send_crash_reports().await;
+        });
         let usage_task = Rc::clone(&node);
-        actix_rt::spawn(async move { usage_task.send_usage_reports().await });
+        spawn_restarted("counts for the parent", async move || {
+            usage_task.send_usage_reports().await;
+        });
         let engines_task = Rc::clone(&node);
-        actix_rt::spawn(async move {
+        spawn_restarted("subscription to engines", async move || {
             engines_task.deps.feed.until_subscribed_to_engines().await;
             engines_task.subscribe(Topic::Engines);
             engines_task.publish_missing();
         });
         let recovery_task = Rc::clone(&node);
-        actix_rt::spawn(async move { recovery_task.report_recoveries().await });
+        spawn_restarted("recoveries", async move || {
+            recovery_task.report_recoveries().await;
+        });
         let introduction_task = Rc::clone(&node);
-        actix_rt::spawn(async move { introduction_task.introduce_root().await });
+        spawn_restarted("introductions", async move || {
+            introduction_task.introduce_root().await;
+        });
         let uplink_task = Rc::clone(&node);
-        actix_rt::spawn(async move { uplink_task.run_uplink().await });
+        spawn_restarted("link to the parent", async move || {
+            // After a panic, the state of the link that it cut.
+            uplink_task.reset_uplink();
+            Rc::clone(&uplink_task).run_uplink().await;
+        });
         node
     }
 
--- a/crates/pinereel/src/hosted/tree/uplink.rs
+++ b/crates/pinereel/src/hosted/tree/uplink.rs
@@ -93,6 +93,21 @@
         }
     }
 
+    /// Makes this instance one without a parent that does not read the store.
+    pub(super) fn reset_uplink(&self) {
+        self.uplink.borrow_mut().set_reads_store(false);
+        self.on_parent_lost();
+        self.deps.feed.publish_lost();
+    }
+
+    fn on_parent_lost(&self) {
+        self.deps.feed.set_parent(None);
+        self.deps.store.close_parent_link();
+        self.deps.feed.set_probes_rarely(false);
+        self.uplink.borrow_mut().on_parent_lost();
+        self.observe_appointment();
+    }
+
     /// Finds a parent, and reads the store meanwhile if other instances need its data. `None` once this
     /// instance has the root duty.
     async fn find_parent(&self, status: &mut watch::Receiver<Status>) -> Option<ParentLink> {
@@ -186,11 +201,7 @@
             end = self.read_from_parent(stream, status) => end,
             () = self.read_as_backup() => LinkEnd::ParentLost,
         };
-        self.deps.feed.set_parent(None);
-        self.deps.store.close_parent_link();
-        self.deps.feed.set_probes_rarely(false);
-        self.uplink.borrow_mut().on_parent_lost();
-        self.observe_appointment();
+        self.on_parent_lost();
         let reason_text = end.as_str();
         log::info!(address = address.as_str(), why = reason_text; "broadcast tree: link to the parent lost");
         end
--- a/crates/pinereel/src/hosted/usage/mod.rs
+++ b/crates/pinereel/src/hosted/usage/mod.rs
@@ -11,7 +11,7 @@
 pub use report::{Dependencies, report};
 
 use super::pending;
-use crate::settings;
+use crate::{restart::spawn_restarted, settings};
 use pinereel_core::{
     Time,
     usage::{InstanceCount, Ledger, Report, WallClock, WallTime, Window},
@@ -68,7 +68,9 @@
         });
         if let Some(window_length) = meter.window_length {
             let state = Rc::clone(&meter);
-            actix_rt::spawn(async move { state.close_windows(window_length).await });
+            spawn_restarted("usage windows", async move || {
+                state.close_windows(window_length).await;
+            });
         }
         meter
     }
--- a/crates/pinereel/src/hosted/usage/report.rs
+++ b/crates/pinereel/src/hosted/usage/report.rs
@@ -85,8 +85,7 @@
 }
 
 /// Reports usage whenever this instance holds the lease of the tree's root.
-pub async fn report(deps: Dependencies) {
-    let deps = Rc::new(deps);
+pub async fn report(deps: Rc<Dependencies>) {
     let duties = Rc::clone(&deps.duties);
     let run = async || deps.run_as_holder().await;
     let duty = tree::ROOT_DUTY.into();
--- a/crates/pinereel/src/http/server.rs
+++ b/crates/pinereel/src/http/server.rs
@@ -6,7 +6,10 @@
     payload::PacedPayload,
     stream::Stream,
 };
-use crate::memory::{Kind, Memory, Phase};
+use crate::{
+    memory::{Kind, Memory, Phase},
+    restart::restart_on_panic,
+};
 use actix_http::{
     Extensions, HttpService, KeepAlive, Payload,
     error::{DispatchError, ParseError},
@@ -344,7 +347,7 @@
     listener: TcpListener,
     options: Options,
     server: Server,
-    mut stopped: watch::Receiver<bool>,
+    stopped: watch::Receiver<bool>,
     closed: watch::Receiver<bool>,
     serve_connection: S,
 ) where
@@ -360,17 +363,21 @@
         let service = serve_connection(Stream::new(socket, Rc::clone(&connection)));
         server.spawn_connection(service, connection, closed.clone());
     };
-    loop {
-        let accepted = tokio::select! {
-            _ = stopped.wait_for(|stop| *stop) => break,
-            accepted = listener.accept() => accepted,
-        };
-        let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
-        };
-        start_connection(stream);
-    }
+    let accept_connections = async || {
+        let mut stopped = stopped.clone();
+        loop {
+            let accepted = tokio::select! {
+                _ = stopped.wait_for(|stop| *stop) => break,
+                accepted = listener.accept() => accepted,
+            };
+            let Ok((stream, _)) = accepted else {
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                continue;
+            };
+            start_connection(stream);
+        }
+    };
+    restart_on_panic("accept", accept_connections).await;
     // A client whose connection waits in the queue may have sent its request already. Closing the
     // listener would reset the connection.
     queued_connections(listener).for_each(start_connection);
--- a/crates/pinereel/src/lib.rs
+++ b/crates/pinereel/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod objects;
 pub mod operators;
 pub mod peer;
+mod restart;
 pub mod scheduling_delay;
 pub mod settings;
 pub mod state;
--- a/crates/pinereel/src/logging/mod.rs
+++ b/crates/pinereel/src/logging/mod.rs
@@ -6,11 +6,13 @@
 
 mod decision;
 mod line;
+mod panics;
 mod queue;
 mod rate_limit;
 
 pub use decision::{DECISION_TARGET, Decision, DecisionKind, RunnerUp};
 pub use line::timestamp;
+pub use panics::panic_text;
 pub use queue::Queue;
 
 use crate::settings;
--- a/crates/pinereel/tests/hosted_log_messages.rs
+++ b/crates/pinereel/tests/hosted_log_messages.rs
@@ -61,6 +61,9 @@
     let page = fs::read_to_string(root.join("../../docs/OPERATIONS.md")).expect("the page");
     let mut all = Vec::new();
     read_sources(&root.join("src/hosted"), &mut all);
+    for shared in ["src/logging/panics.rs", "src/restart.rs"] {
+        all.push(fs::read_to_string(root.join(shared)).expect("a source file"));
+    }
     let messages: Vec<_> = all.iter().flat_map(|source| messages(source)).collect();
     assert!(messages.len() > 40, "the search finds them");
     // A message with a format argument is searched for by the text before the argument.
