logging: a panic is one JSON line, and the log is written before the process ends

A panic was a text on standard error with the values in its message, such as the error of an `expect`, beside the JSON lines. A panic of the main task left `run` without the flush, so that the last lines could be lost; an error that ended the process was on standard error only.

`logging::log_panics` logs place, thread and the message up to its first value. `Handle::flush_on_drop` flushes while the panic unwinds, too.

No process was run that ends this way.

--- a/crates/pinereel/src/entry.rs
+++ b/crates/pinereel/src/entry.rs
@@ -33,6 +33,9 @@
 /// Interval between summaries to peers, which are also the links' heartbeats.
 const SUMMARY_INTERVAL: Duration = Duration::from_millis(800);
 
+/// Longest wait for the log to be written before the process ends.
+const LOG_FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Why an entry could not be started or run.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -71,7 +74,9 @@
 /// See [`Error`].
 pub fn run(settings: Settings) -> Result<(), Error> {
     let handle = logging::init(&settings.log)?;
-    let result = actix_rt::System::new().block_on(async move {
+    logging::log_panics();
+    let _flush = handle.flush_on_drop(LOG_FLUSH_TIMEOUT);
+    let result: Result<(), Error> = actix_rt::System::new().block_on(async move {
         let mut terminate = signal(SignalKind::terminate())?;
         let mut interrupt = signal(SignalKind::interrupt())?;
         let entry = Entry::start(settings).await?;
@@ -89,7 +94,9 @@
         entry.run_until_drained().await;
         Ok(())
     });
-    handle.flush(Duration::from_secs(1));
+    if let Err(error) = &result {
+        log::error!(error:% = error; "process ends with an error");
+    }
     result
 }
 
--- a/crates/pinereel/src/hosted/run.rs
+++ b/crates/pinereel/src/hosted/run.rs
@@ -56,6 +56,9 @@
 /// Interval between log lines with the number of calls to the object store.
 const CALL_COUNT_LOG_INTERVAL: Duration = Duration::from_secs(20);
 
+/// Longest wait for the log to be written before the process ends.
+const LOG_FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Error at the start of an instance.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -81,8 +84,12 @@
 /// If the log or a listener cannot be opened, or the signals cannot be handled.
 pub fn run(settings: Hosted, path: PathBuf, adapter: Adapter) -> Result<(), Error> {
     let handle = logging::init(&settings.log)?;
+    logging::log_panics();
+    let _flush = handle.flush_on_drop(LOG_FLUSH_TIMEOUT);
     let result = actix_rt::System::new().block_on(run_until_stopped(settings, path, adapter));
-    handle.flush(Duration::from_secs(1));
+    if let Err(error) = &result {
+        log::error!(error:% = error; "process ends with an error");
+    }
     result
 }
 
--- a/crates/pinereel/src/logging/mod.rs
+++ b/crates/pinereel/src/logging/mod.rs
@@ -12,7 +12,7 @@
 
 pub use decision::{DECISION_TARGET, Decision, DecisionKind, RunnerUp};
 pub use line::timestamp;
-pub use panics::panic_text;
+pub use panics::{log_panics, panic_text};
 pub use queue::Queue;
 
 use crate::settings;
@@ -66,6 +66,28 @@
     pub fn flush(&self, timeout: Duration) -> bool {
         self.queue.flush(timeout)
     }
+
+    /// Returns a guard that calls [`Handle::flush`] when dropped, also by a panic that ends the process.
+    pub fn flush_on_drop(&self, timeout: Duration) -> FlushGuard {
+        FlushGuard {
+            handle: self.clone(),
+            timeout,
+        }
+    }
+}
+
+/// Writes all lines when dropped, see [`Handle::flush_on_drop`].
+#[derive(Debug)]
+pub struct FlushGuard {
+    handle: Handle,
+    timeout: Duration,
+}
+
+impl Drop for FlushGuard {
+    fn drop(&mut self) {
+        // Lines that are not written by then are lost: the process ends.
+        let _ = self.handle.flush(self.timeout);
+    }
 }
 
 /// Installs the process-wide logger.
