--- a/crates/pinereel/src/hosted/metrics.rs
+++ b/crates/pinereel/src/hosted/metrics.rs
@@ -3,12 +3,10 @@
 //! Label values come from fixed sets or from the services and models of the configuration, never from
 //! callers, so their number is bounded.
 
-use super::{config::Config, crashes::CrashTracker};
+use super::{config::Config, crashes::CrashTracker, process_metrics::ProcessMetrics};
 use crate::{
     http::{self, Request, Response, Server},
-    logging, memory,
-    metrics::{cpu_seconds, resident_bytes},
-    objects,
+    memory, objects,
 };
 use actix_http::{Method, StatusCode};
 use pinereel_core::rollout::load_slots::Claim;
@@ -96,11 +94,9 @@
     connections_opened: IntGauge,
     config_number: IntGauge,
     config_data_age: Gauge,
-    log_lines_dropped: IntGauge,
     memory: IntGaugeVec,
     memory_given_up: IntGauge,
-    process_cpu: Gauge,
-    resident_memory: Gauge,
+    process: ProcessMetrics,
 }
 
 /// Sources of the values that are read at each scrape.
@@ -211,11 +207,9 @@
                 "config_data_age_seconds",
                 "All older changes are in force; infinite before the first.",
             ),
-            log_lines_dropped: int_gauge(&r, "log_lines_dropped", "Lines not written."),
             memory: gauge_vec(&r, "memory_bytes", "Connections and bodies.", "what"),
             memory_given_up: int_gauge(&r, "memory_given_up", "Bodies and connections."),
-            process_cpu: float_gauge(&r, "process_cpu_seconds", "CPU time of the process."),
-            resident_memory: float_gauge(&r, "process_resident_bytes", "Resident memory."),
+            process: ProcessMetrics::new(&r),
             registry: r,
         }
     }
@@ -274,10 +268,7 @@
         let data_age = sources.config.data_age();
         self.config_data_age
             .set(data_age.map_or(f64::INFINITY, |age| age.as_secs_f64()));
-        self.log_lines_dropped.set(gauge_value(logging::dropped()));
-        self.process_cpu.set(cpu_seconds().unwrap_or_default());
-        self.resident_memory
-            .set(resident_bytes().unwrap_or_default());
+        self.process.update();
         let families = self.registry.gather();
         let text = TextEncoder::new().encode_to_string(&families);
         text.expect("families without samples are not gathered, and the rest encode")
@@ -346,7 +337,7 @@
     }
 }
 
-fn gauge_value(count: u64) -> i64 {
+pub(super) fn gauge_value(count: u64) -> i64 {
     i64::try_from(count).unwrap_or(i64::MAX)
 }
 
@@ -379,11 +370,11 @@
     )
 }
 
-fn int_gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+pub(super) fn int_gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
     register(registry, IntGauge::new(full_name(name), help))
 }
 
-fn float_gauge(registry: &Registry, name: &str, help: &str) -> Gauge {
+pub(super) fn float_gauge(registry: &Registry, name: &str, help: &str) -> Gauge {
     register(registry, Gauge::new(full_name(name), help))
 }
 
--- a/crates/pinereel/src/hosted/mod.rs
+++ b/crates/pinereel/src/hosted/mod.rs
@@ -24,6 +24,7 @@
 mod parent_calls;
 mod pending;
 mod platform;
+mod process_metrics;
 mod proxy;
 mod readiness;
 mod reload;
