entry: an unwritable standard output does not end the process

`pinereel entry` printed its addresses with `println!`, which panics if standard output is closed or full: the process ended with status 101 right after its start. The log lines, by contrast, are dropped and counted. `pinereel hosted` prints nothing else.

Before: `process_output` failed, with standard output at /dev/full: `Some(ExitStatus(unix_wait_status(25856)))`, that is status 101. The error is logged now. After: `process_output` 1 passed.

--- a/crates/pinereel/src/entry.rs
+++ b/crates/pinereel/src/entry.rs
@@ -19,7 +19,7 @@
 use pinereel_core::lot::{Limits, Policy, Runner};
 use std::{
     cell::Cell,
-    io,
+    io::{self, Write as _},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, SystemTime, UNIX_EPOCH},
@@ -157,11 +157,21 @@
         });
     }
 
-    /// Prints the bound addresses to stdout, one per line, for the parent process.
+    /// Prints the bound addresses to stdout, one per line, for the parent process. An error is logged, as
+    /// the entry works without a reader.
     pub fn print_addresses(&self) {
-        println!("callers {}", self.callers.address);
-        println!("peers {}", self.peers);
-        println!("operators {}", self.operators.address);
+        let (callers, operators) = (self.callers.address, self.operators.address);
+        let lines = format!(
+            "callers {callers}\npeers {}\noperators {operators}\n",
+            self.peers
+        );
+        let mut output = io::stdout();
+        let written = output
+            .write_all(lines.as_bytes())
+            .and_then(|()| output.flush());
+        if let Err(error) = written {
+            log::warn!(error:% = error; "addresses not printed");
+        }
     }
 
     /// Waits for a drain request, runs the drain, and closes all listeners and links.
