soak: judges ends of processes that it did not cause, and the peak memory of each process

A process that ended by itself was not seen: the next fault at its instance, or the end of the run, started it again. Each process is now observed every 20 ms. An end is caused only if a signal of the soak allows its status: SIGKILL after SIGKILL, SIGTERM or exit 0 after SIGTERM. Any other end is a violation that names the instance, the time, the status and the last log lines; the process is started again 0.5 s later with the settings file as it is, as the platform does.

The peak memory of all processes of an instance is judged in all runs, where only the last process of each was in runs with crowds. Runs without crowds now set the memory to 260 MB, as the platform's page shows.

--- a/crates/pinereel_fakes/src/child_process.rs
+++ b/crates/pinereel_fakes/src/child_process.rs
@@ -107,6 +107,13 @@
         Some(kilobytes << 10)
     }
 
+    /// Whether the process executes the program called `name`. Before, it executes the one that binds it to
+    /// its parent.
+    pub fn executes(&self, name: &str) -> bool {
+        let comm = fs::read_to_string(format!("/proc/{}/comm", self.id()));
+        comm.is_ok_and(|comm| comm.trim_end() == name)
+    }
+
     /// Sends a signal to the process.
     ///
     /// # Errors
--- a/crates/pinereel_fakes/src/hosting/instance.rs
+++ b/crates/pinereel_fakes/src/hosting/instance.rs
@@ -2,6 +2,7 @@
 
 use super::{
     http::call,
+    process::{End, Process},
     proxy::Proxy,
     site::{CALLER_PORT, METRICS_PORT},
 };
@@ -29,7 +30,13 @@
     settings_path: PathBuf,
     /// Contents of an intact settings file.
     valid_settings: String,
-    child: Option<Child>,
+    process: Option<Process>,
+    /// Earlier processes that may still run.
+    predecessors: Vec<Process>,
+    /// Ends of processes.
+    ends: Vec<End>,
+    /// Largest resident size of an earlier process, in bytes.
+    earlier_peak_memory: u64,
     /// Log lines of earlier processes of the instance.
     earlier_lines: Vec<String>,
     /// Whether the process is stopped by SIGSTOP.
@@ -53,7 +60,10 @@
             readiness_address,
             settings_path,
             valid_settings,
-            child: None,
+            process: None,
+            predecessors: Vec::new(),
+            ends: Vec::new(),
+            earlier_peak_memory: 0,
             earlier_lines: Vec::new(),
             paused: false,
         }
@@ -64,43 +74,94 @@
     /// # Errors
     /// If the process cannot be started.
     pub fn start(&mut self) -> io::Result<()> {
-        self.earlier_lines.extend(self.lines());
         self.restore_settings();
+        self.start_with_present_settings()
+    }
+
+    /// Starts the process with the settings file as it is. A process that still runs is killed.
+    ///
+    /// # Errors
+    /// If the process cannot be started.
+    pub fn start_with_present_settings(&mut self) -> io::Result<()> {
+        self.signal(Signal::KILL);
+        self.start_beside_predecessor()
+    }
+
+    /// Starts a process while the present one may still shut down.
+    ///
+    /// # Errors
+    /// If the process cannot be started.
+    pub fn start_beside_predecessor(&mut self) -> io::Result<()> {
+        self.predecessors.extend(self.process.take());
+        self.observe();
         let mut command = Command::new(binary_path("pinereel")?);
         command
             .arg("hosted")
             .arg("--config")
             .arg(&self.settings_path);
-        self.child = Some(Child::spawn(&command)?);
+        self.process = Some(Process::new(Child::spawn(&command)?));
         self.paused = false;
         Ok(())
     }
 
+    /// Notes the memory of the processes, and which have ended.
+    pub fn observe(&mut self) {
+        let processes = self.predecessors.iter_mut().chain(&mut self.process);
+        self.ends.extend(processes.filter_map(Process::observe));
+        for process in self
+            .predecessors
+            .extract_if(.., |process| process.has_ended())
+        {
+            self.earlier_peak_memory = self.earlier_peak_memory.max(process.peak_memory());
+            self.earlier_lines.extend(process.child.lines());
+        }
+    }
+
+    /// Returns the ends of processes that were observed.
+    pub fn ends(&self) -> &[End] {
+        &self.ends
+    }
+
+    /// Returns the largest resident size that was observed at any process of the instance, in bytes.
+    pub fn observed_peak_memory(&self) -> u64 {
+        let processes = self.predecessors.iter().chain(&self.process);
+        let peaks = processes.map(Process::peak_memory);
+        peaks.fold(self.earlier_peak_memory, u64::max)
+    }
+
     /// Returns whether the process runs; a process that is stopped by SIGSTOP counts as running.
     pub fn is_running(&mut self) -> bool {
         let ended = self
-            .child
+            .process
             .as_mut()
-            .map(|child| child.wait_for_exit(Duration::ZERO));
+            .map(|process| process.child.wait_for_exit(Duration::ZERO));
         matches!(ended, Some(Ok(None)))
     }
 
+    /// Whether the process executes the program, and not yet another one that starts it.
+    pub fn executes_program(&self) -> bool {
+        self.child().is_some_and(|child| child.executes("pinereel"))
+    }
+
+    fn child(&self) -> Option<&Child> {
+        self.process.as_ref().map(|process| &process.child)
+    }
+
     /// Returns the id of the process, if there is one.
     pub fn pid(&self) -> Option<u32> {
-        self.child.as_ref().map(Child::id)
+        self.child().map(Child::id)
     }
 
     /// Sends a signal to the process, if there is one.
     pub fn signal(&mut self, signal: Signal) {
-        if let Some(child) = &mut self.child {
-            // The process may have exited in the meantime.
-            let _ = child.signal(signal);
+        if let Some(process) = &mut self.process {
+            process.signal(signal);
         }
     }
 
     /// Returns the largest resident size of the current process so far, in bytes; `None` if it has ended.
     pub fn peak_memory(&self) -> Option<u64> {
-        self.child.as_ref()?.peak_memory()
+        self.child()?.peak_memory()
     }
 
     /// Returns the number of open file descriptors of the current process; `None` if it has ended.
@@ -116,7 +177,7 @@
 
     /// Returns the lines that the current process has logged so far.
     pub fn lines(&self) -> Vec<String> {
-        self.child.as_ref().map(Child::lines).unwrap_or_default()
+        self.child().map(Child::lines).unwrap_or_default()
     }
 
     /// Returns the number of lines that the current process has logged and that contain `text`.
@@ -127,7 +188,11 @@
 
     /// Returns the lines that all processes of the instance have logged.
     pub fn all_lines(&self) -> Vec<String> {
-        [self.earlier_lines.clone(), self.lines()].concat()
+        let predecessors = self.predecessors.iter();
+        let draining = predecessors.flat_map(|process| process.child.lines());
+        let mut lines = self.earlier_lines.clone();
+        lines.extend(draining.chain(self.lines()));
+        lines
     }
 
     /// Returns the address of the metrics.
@@ -137,13 +202,26 @@
 
     /// Overwrites the settings file with invalid contents, as failing storage does.
     pub fn corrupt_settings(&self) {
-        // Best effort: a write that fails is a fault of the kind to be tested.
-        let _ = fs::write(&self.settings_path, "[instance\nname = ");
+        self.write_settings(Some("[instance\nname = "));
     }
 
     /// Restores the contents of the settings file.
     pub fn restore_settings(&self) {
-        let _ = fs::write(&self.settings_path, &self.valid_settings);
+        self.write_settings(Some(&self.valid_settings));
+    }
+
+    /// Overwrites the settings file, or removes it.
+    pub fn write_settings(&self, contents: Option<&str>) {
+        // Best effort: a write that fails is a fault of the kind to be tested, and the file may be absent.
+        let _ = match contents {
+            Some(contents) => fs::write(&self.settings_path, contents),
+            None => fs::remove_file(&self.settings_path),
+        };
+    }
+
+    /// Returns the contents of an intact settings file.
+    pub fn valid_settings(&self) -> &str {
+        &self.valid_settings
     }
 
     /// Waits until the process is ready.
--- a/crates/pinereel_fakes/src/hosting/mod.rs
+++ b/crates/pinereel_fakes/src/hosting/mod.rs
@@ -12,6 +12,7 @@
 //! - [`endless_endpoint`]: an endpoint that answers with bytes without an end.
 //! - [`proxy`]: a loopback proxy with faults.
 //! - [`template`]: renders the deployment's settings template.
+//! - [`process`]: a process of an instance, its memory and its end.
 //! - [`instance`]: an instance of pinereel as a real process.
 //! - [`site`]: all of these together.
 //! - [`load_balancer`]: distributes callers' connections over the instances.
@@ -32,6 +33,7 @@
 pub mod instance;
 pub mod load_balancer;
 pub mod platform;
+pub mod process;
 pub mod proxy;
 pub mod recorder;
 pub mod service;
--- a/crates/pinereel_fakes/src/hosting/site.rs
+++ b/crates/pinereel_fakes/src/hosting/site.rs
@@ -55,7 +55,7 @@
 /// Port of the readiness probe.
 const READINESS_PORT: u16 = 9_466;
 /// First port for connections between instances.
-const FIRST_PEER_PORT: u16 = 9_470;
+pub(super) const FIRST_PEER_PORT: u16 = 9_470;
 
 /// Most instances whose addresses the platform gives to all.
 const MAX_SEEDS: usize = 3;
--- a/crates/pinereel_fakes/src/hosting/soak/crowds.rs
+++ b/crates/pinereel_fakes/src/hosting/soak/crowds.rs
@@ -76,16 +76,3 @@
         crowd.join().await;
     }
 }
-
-/// Records a violation for each instance that has taken more memory than it has.
-pub(super) fn check_memory(site: &Site) {
-    let max_bytes = LIMITS.memory_mb.unwrap_or_default() * 1_000_000;
-    for instance in &site.instances {
-        let peak = instance.peak_memory().unwrap_or_default();
-        if peak > max_bytes {
-            let name = &instance.name;
-            site.recorder
-                .record_violation(format!("{name} took {peak} of {max_bytes} bytes"));
-        }
-    }
-}
--- a/crates/pinereel_fakes/src/hosting/soak/mod.rs
+++ b/crates/pinereel_fakes/src/hosting/soak/mod.rs
@@ -15,6 +15,10 @@
 mod inject;
 mod late_copies;
 mod link_cuts;
+mod processes;
+mod report;
+
+pub use report::Report;
 
 use super::{
     caller::{self, Kind, Tally},
@@ -25,7 +29,7 @@
 use fault_kind::{FaultKind, WEIGHTED_FAULT_KINDS};
 use rand::{Rng as _, SeedableRng as _, seq::IndexedRandom as _};
 use rand_chacha::ChaCha8Rng;
-use std::{cell::RefCell, fmt, io, rc::Rc, time::Duration};
+use std::{cell::RefCell, io, rc::Rc, time::Duration};
 use tokio::{
     sync::oneshot,
     time::{Instant, sleep},
@@ -42,6 +46,8 @@
 const MAX_CALLER_TIME: Duration = Duration::from_secs(600);
 /// Time after which API keys are in force at every instance.
 const KEY_PROPAGATION_TIME: Duration = Duration::from_secs(1);
+/// Memory of each instance in runs without crowds, in megabytes; as in the example on the platform's page.
+const MEMORY_MB: u64 = 260;
 /// Number of steps that the trainer runs after the last fault.
 const RECOVERY_STEPS: u64 = 2;
 
@@ -92,61 +98,6 @@
     }
 }
 
-/// Result of a soak test.
-#[derive(Debug)]
-pub struct Report {
-    /// Seed of the random draws.
-    pub seed: u64,
-    /// Injected faults, each with its time since the start in milliseconds.
-    pub injected_faults: Vec<String>,
-    /// Number of endpoints that each crashing request crashed.
-    pub crash_counts: Vec<usize>,
-    /// Violations of guarantees.
-    pub violations: Vec<String>,
-    /// Number of live requests: answered, refused as not run, and with an unknown outcome.
-    pub live_counts: [u64; 3],
-    /// Number of the trainer's steps: done, given up, and refused.
-    pub step_counts: [u64; 3],
-    /// Number of orders that engines accepted.
-    pub accepted_order_count: usize,
-    /// Number of calls to the store.
-    pub store_call_count: u64,
-    /// What was judged of changes of the configuration; empty if there were none.
-    pub config_summary: String,
-    /// Log lines of the instances, if there are violations.
-    pub logs: Vec<String>,
-}
-
-impl Report {
-    /// The violations, the injected faults and the logs, for the message of a failed test.
-    pub fn details(&self) -> String {
-        let (violations, faults) = (&self.violations, &self.injected_faults);
-        format!("{violations:#?}\n{faults:#?}\n{}", self.logs.join("\n"))
-    }
-}
-
-impl fmt::Display for Report {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let [good, not_run, unknown] = self.live_counts;
-        let [done, given_up, refused] = self.step_counts;
-        write!(
-            f,
-            "seed {}: {} faults, live {good} good {not_run} not run {unknown} unknown, \
-             steps {done} done {given_up} given up {refused} refused, {} orders, {} calls, crashes under each request {:?}, {} broken",
-            self.seed,
-            self.injected_faults.len(),
-            self.accepted_order_count,
-            self.store_call_count,
-            self.crash_counts,
-            self.violations.len(),
-        )?;
-        match self.config_summary.as_str() {
-            "" => Ok(()),
-            summary => write!(f, "; {summary}"),
-        }
-    }
-}
-
 /// The period in which a fault is in force.
 #[derive(Clone, Debug)]
 struct FaultPeriod {
@@ -185,10 +136,11 @@
 /// # Errors
 /// If the site cannot be started.
 pub async fn run(options: Options) -> io::Result<Report> {
-    let limits = match options.crowds {
+    let mut limits = match options.crowds {
         true => crowds::LIMITS,
         false => Limits::default(),
     };
+    let memory_mb = *limits.memory_mb.get_or_insert(MEMORY_MB);
     let mut site = Site::start_with_limits(options.size, options.seed, limits).await?;
     inject::change_api_keys(&mut site);
     site.configure("plain", Duration::from_secs(2));
@@ -236,6 +188,7 @@
         started: Instant::now(),
     };
     let end = soak.started + options.duration;
+    let watcher = actix_rt::spawn(processes::watch(Rc::clone(&soak.site)));
     let start = || CrashingRequests::start(&soak.site, options.seed);
     let mut crashing = options.crashing_requests.then(start).transpose()?;
     let sender = async {
@@ -305,9 +258,9 @@
     let (config_summary, ()) = tokio::join!(changer, faults);
     soak.check_graceful_shutdowns();
     ended_lots::check_slots(&soak.site).await;
-    if options.crowds {
-        crowds::check_memory(&soak.site.borrow());
-    }
+    watcher.abort();
+    let process_summary =
+        processes::check(&soak.site.borrow(), memory_mb * 1_000_000, soak.started);
     if let Some(crashing) = &crashing {
         crashing.check();
         let crash_counts = crashing.crash_counts();
@@ -323,6 +276,7 @@
     }
     let mut report = soak.into_report(&trainer, &tally, store.call_count());
     report.config_summary = config_summary;
+    report.process_summary = process_summary;
     Ok(report)
 }
 
@@ -411,16 +365,24 @@
             accepted_order_count: site.recorder.accepted_order_count(),
             store_call_count,
             config_summary: String::new(),
+            process_summary: String::new(),
             logs,
         }
     }
 }
 
-/// Starts the process of an instance. Records a violation if the process cannot be started.
+/// Starts the process of an instance with intact settings. Records a violation if the process cannot be started.
 fn start_instance(site: &mut Site, index: usize) {
-    if let Err(error) = site.instances[index].start() {
-        let name = site.instances[index].name.clone();
-        site.recorder
-            .record_violation(format!("{name} does not start: {error}"));
+    site.instances[index].restore_settings();
+    start_with_present_settings(site, index);
+}
+
+/// Starts the process of an instance with its settings file as it is. Records a violation if the process cannot be
+/// started.
+fn start_with_present_settings(site: &mut Site, index: usize) {
+    let instance = &mut site.instances[index];
+    if let Err(error) = instance.start_with_present_settings() {
+        let violation = format!("{} does not start: {error}", instance.name);
+        site.recorder.record_violation(violation);
     }
 }
