soak: starts a process that ended by itself only after its delay, and reports its last lines

The delay was measured from the end that was seen first, so a process that ended again within an observation was started 40 times a second. It is now measured from the end of the present process. The last lines of a process may be read after its end is seen, so an end is reported when both output streams have closed, at most 0.2 s later. Each line is cut at 300 characters.

--- a/crates/pinereel_fakes/src/child_process.rs
+++ b/crates/pinereel_fakes/src/child_process.rs
@@ -71,6 +71,11 @@
         lock(&self.output.0).lines.clone()
     }
 
+    /// Whether both streams have closed, so that [`Self::lines`] has all lines.
+    pub fn has_closed_streams(&self) -> bool {
+        lock(&self.output.0).open_streams == 0
+    }
+
     /// Returns the first line that contains `text`, or `None` after `timeout` or when both streams
     /// have closed without such a line.
     pub fn wait_for_line(&self, text: &str, timeout: Duration) -> Option<String> {
--- a/crates/pinereel_fakes/src/hosting/instance.rs
+++ b/crates/pinereel_fakes/src/hosting/instance.rs
@@ -110,7 +110,7 @@
         self.ends.extend(processes.filter_map(Process::observe));
         for process in self
             .predecessors
-            .extract_if(.., |process| process.has_ended())
+            .extract_if(.., |process| process.is_reported())
         {
             self.earlier_peak_memory = self.earlier_peak_memory.max(process.peak_memory());
             self.earlier_lines.extend(process.child.lines());
@@ -122,6 +122,11 @@
         &self.ends
     }
 
+    /// Returns when the present process ended, if no signal caused it.
+    pub fn ended_by_itself_at(&self) -> Option<Instant> {
+        self.process.as_ref()?.ended_by_itself_at()
+    }
+
     /// Returns the largest resident size that was observed at any process of the instance, in bytes.
     pub fn observed_peak_memory(&self) -> u64 {
         let processes = self.predecessors.iter().chain(&self.process);
--- a/crates/pinereel_fakes/src/hosting/process.rs
+++ b/crates/pinereel_fakes/src/hosting/process.rs
@@ -6,6 +6,10 @@
 
 /// Number of the last log lines that an end keeps.
 const LAST_LINES: usize = 6;
+/// Longest time from the end of a process until its last lines are read.
+pub(super) const MAX_OUTPUT_DELAY: Duration = Duration::from_millis(200);
+/// Longest part of a log line that an end keeps, in characters.
+const MAX_LINE_LENGTH: usize = 300;
 
 /// The end of a process.
 #[derive(Clone, Debug)]
@@ -27,7 +31,11 @@
     terminated: bool,
     /// Whether SIGKILL was sent.
     killed: bool,
-    has_ended: bool,
+    /// When the end was observed first.
+    ended_at: Option<Instant>,
+    /// Whether the end was returned.
+    is_reported: bool,
+    was_caused: bool,
     /// Largest resident size that was observed, in bytes.
     peak_memory: u64,
 }
@@ -38,7 +46,9 @@
             child,
             terminated: false,
             killed: false,
-            has_ended: false,
+            ended_at: None,
+            is_reported: false,
+            was_caused: false,
             peak_memory: 0,
         }
     }
@@ -52,22 +62,29 @@
         }
     }
 
-    /// Notes the memory, and returns the end when it is observed first.
+    /// Notes the memory, and returns the end once, with the lines that the process logged before it.
     pub(super) fn observe(&mut self) -> Option<End> {
-        if self.has_ended {
+        if self.is_reported {
             return None;
         }
         let peak_memory = self.child.peak_memory().unwrap_or_default();
         self.peak_memory = self.peak_memory.max(peak_memory);
         let status = self.child.wait_for_exit(Duration::ZERO).ok().flatten()?;
-        self.has_ended = true;
+        let at = *self.ended_at.get_or_insert_with(Instant::now);
+        self.was_caused = self.allows(status);
+        if !self.child.has_closed_streams() && at.elapsed() < MAX_OUTPUT_DELAY {
+            return None;
+        }
+        self.is_reported = true;
         let lines = self.child.lines();
         let first = lines.len().saturating_sub(LAST_LINES);
         Some(End {
-            at: Instant::now(),
+            at,
             status,
-            was_caused: self.allows(status),
-            last_lines: lines[first..].to_vec(),
+            was_caused: self.was_caused,
+            last_lines: (lines[first..].iter())
+                .map(|line| line.chars().take(MAX_LINE_LENGTH).collect())
+                .collect(),
         })
     }
 
@@ -81,8 +98,14 @@
         }
     }
 
-    pub(super) const fn has_ended(&self) -> bool {
-        self.has_ended
+    /// Whether [`Self::observe`] has returned the end.
+    pub(super) const fn is_reported(&self) -> bool {
+        self.is_reported
+    }
+
+    /// Returns when the end was observed first, if no signal caused it.
+    pub(super) fn ended_by_itself_at(&self) -> Option<Instant> {
+        self.ended_at.filter(|_| !self.was_caused)
     }
 
     pub(super) const fn peak_memory(&self) -> u64 {
--- a/crates/pinereel_fakes/src/hosting/soak/mod.rs
+++ b/crates/pinereel_fakes/src/hosting/soak/mod.rs
@@ -258,9 +258,9 @@
     let (config_summary, ()) = tokio::join!(changer, faults);
     soak.check_graceful_shutdowns();
     ended_lots::check_slots(&soak.site).await;
+    let memory_limit = memory_mb * 1_000_000;
+    let process_summary = processes::check(&soak.site, memory_limit, soak.started).await;
     watcher.abort();
-    let process_summary =
-        processes::check(&soak.site.borrow(), memory_mb * 1_000_000, soak.started);
     if let Some(crashing) = &crashing {
         crashing.check();
         let crash_counts = crashing.crash_counts();
--- a/crates/pinereel_fakes/src/hosting/soak/processes.rs
+++ b/crates/pinereel_fakes/src/hosting/soak/processes.rs
@@ -1,8 +1,8 @@
 //! Starts processes that ended by themselves again, and judges the ends and the memory of all processes.
 
 use super::start_with_present_settings;
-use crate::hosting::site::Site;
-use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
+use crate::hosting::{process::MAX_OUTPUT_DELAY, site::Site};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 use tokio::time::{Instant, sleep};
 
 /// Interval at which processes are observed. A rise of memory right before an end may be missed within it.
@@ -12,18 +12,14 @@
 
 /// Observes all processes, and starts those again that ended by themselves. Never ends.
 pub(super) async fn watch(site: Rc<RefCell<Site>>) {
-    let mut ended = BTreeMap::new();
     loop {
         sleep(OBSERVATION_INTERVAL).await;
         let site = &mut *site.borrow_mut();
         for index in 0..site.instances.len() {
             let instance = &mut site.instances[index];
             instance.observe();
-            let last = instance.ends().last();
-            let ended_by_itself = last.is_some_and(|end| !end.was_caused);
-            if instance.is_running() || !ended_by_itself {
-                ended.remove(&index);
-            } else if ended.entry(index).or_insert_with(Instant::now).elapsed() >= RESTART_DELAY {
+            let ended_at = instance.ended_by_itself_at();
+            if ended_at.is_some_and(|at| at.elapsed() >= RESTART_DELAY) {
                 start_with_present_settings(site, index);
             }
         }
@@ -32,7 +28,10 @@
 
 /// Records a violation for each process that ended by itself, and for each instance that took more memory than
 /// `limit`, in bytes. Returns a summary.
-pub(super) fn check(site: &Site, limit: u64, started: Instant) -> String {
+pub(super) async fn check(site: &RefCell<Site>, limit: u64, started: Instant) -> String {
+    // The last ends are observed until then.
+    sleep(MAX_OUTPUT_DELAY + OBSERVATION_INTERVAL * 2).await;
+    let site = site.borrow();
     let (mut ended_by_themselves, mut ended, mut highest_peak) = (0, 0, 0);
     for instance in &site.instances {
         let name = &instance.name;
