soak: faults that meet processes that start

With `--starts`, two series of faults overlap with all others: SIGHUP and SIGTERM 0 to 50 ms after the program is executed; a settings file that is absent, empty or torn inside a key or a section's name for up to 2 s; a successor that starts while its predecessor shuts down; a start at once after SIGKILL with open connections; one of the four ports held by another listener for up to 2 s; all processes killed and started at once. They were not injected before, so that the soak could not see a process that ends for them.

--- a/crates/pinereel_fakes/src/hosting/cli.rs
+++ b/crates/pinereel_fakes/src/hosting/cli.rs
@@ -18,6 +18,7 @@
   --cuts                 links to endpoints are cut, and the store is silent to the root of the tree
   --configurations       the configuration changes three times a second, beside faults of the store and its readers
   --copies               endpoints send late copies of answers, and lots end beside freezes
+  --starts               signals, incomplete settings, held ports and predecessors meet processes that start
   --logs FOLDER          where the logs of failed seeds are written
   --help                 print this";
 
@@ -109,6 +110,10 @@
             options.config_changes = true;
             continue;
         }
+        if name == "starts" {
+            options.start_faults = true;
+            continue;
+        }
         if name == "cuts" {
             options.link_cuts = true;
             continue;
--- a/crates/pinereel_fakes/src/hosting/soak/mod.rs
+++ b/crates/pinereel_fakes/src/hosting/soak/mod.rs
@@ -17,6 +17,7 @@
 mod link_cuts;
 mod processes;
 mod report;
+mod start_faults;
 
 pub use report::Report;
 
@@ -75,6 +76,8 @@
     pub crowds: bool,
     /// Whether the configuration changes in quick succession beside faults between the store and the instances.
     pub config_changes: bool,
+    /// Whether signals, incomplete settings, held ports and predecessors meet processes that start.
+    pub start_faults: bool,
 }
 
 impl Default for Options {
@@ -94,6 +97,7 @@
             late_copies: false,
             crowds: false,
             config_changes: false,
+            start_faults: false,
         }
     }
 }
@@ -239,8 +243,18 @@
             false => Vec::new(),
         }
     };
+    let (starting_site, start_periods) = (Rc::clone(&soak.site), Rc::clone(&soak.fault_periods));
+    let start_faults = async {
+        match options.start_faults {
+            true => {
+                let (site, periods) = (&starting_site, &start_periods);
+                start_faults::inject_until(site, periods, options.seed, end).await
+            }
+            false => Vec::new(),
+        }
+    };
     let faults = async {
-        let (_, _, _, _, _, _, injected) = tokio::join!(
+        let (_, _, _, _, _, _, injected, at_starts) = tokio::join!(
             soak.inject_faults(end),
             trainer.run(end),
             sender,
@@ -248,8 +262,10 @@
             copier,
             crowder,
             control_faults,
+            start_faults,
         );
         soak.injected_faults.extend(injected);
+        soak.injected_faults.extend(at_starts);
         soak.end_faults().await;
         soak.check_recovery(&mut trainer, &tally).await;
         // The receiver waits until then.
