--- a/crates/pinereel_fakes/src/hosting/cli.rs
+++ b/crates/pinereel_fakes/src/hosting/cli.rs
@@ -19,6 +19,7 @@
   --configurations       the configuration changes three times a second, beside faults of the store and its readers
   --copies               endpoints send late copies of answers, and lots end beside freezes
   --starts               signals, incomplete settings, held ports and predecessors meet processes that start
+  --foreign              entries of another writer come and go in the store
   --logs FOLDER          where the logs of failed seeds are written
   --help                 print this";
 
@@ -114,6 +115,10 @@
             options.start_faults = true;
             continue;
         }
+        if name == "foreign" {
+            options.foreign_entries = true;
+            continue;
+        }
         if name == "cuts" {
             options.link_cuts = true;
             continue;
--- a/crates/pinereel_fakes/src/hosting/soak/mod.rs
+++ b/crates/pinereel_fakes/src/hosting/soak/mod.rs
@@ -12,6 +12,8 @@
 mod crowds;
 mod ended_lots;
 mod fault_kind;
+mod foreign_entries;
+mod foreign_specs;
 mod inject;
 mod late_copies;
 mod link_cuts;
@@ -78,6 +80,8 @@
     pub config_changes: bool,
     /// Whether signals, incomplete settings, held ports and predecessors meet processes that start.
     pub start_faults: bool,
+    /// Whether entries of another writer come and go in the store.
+    pub foreign_entries: bool,
 }
 
 impl Default for Options {
@@ -98,6 +102,7 @@
             crowds: false,
             config_changes: false,
             start_faults: false,
+            foreign_entries: false,
         }
     }
 }
@@ -253,8 +258,15 @@
             false => Vec::new(),
         }
     };
+    let written_site = Rc::clone(&soak.site);
+    let foreign_writer = async {
+        match options.foreign_entries {
+            true => Some(foreign_entries::write_until(&written_site, options.seed, end).await),
+            false => None,
+        }
+    };
     let faults = async {
-        let (_, _, _, _, _, _, injected, at_starts) = tokio::join!(
+        let (_, _, _, _, _, _, injected, at_starts, observation) = tokio::join!(
             soak.inject_faults(end),
             trainer.run(end),
             sender,
@@ -263,6 +275,7 @@
             crowder,
             control_faults,
             start_faults,
+            foreign_writer,
         );
         soak.injected_faults.extend(injected);
         soak.injected_faults.extend(at_starts);
@@ -270,13 +283,18 @@
         soak.check_recovery(&mut trainer, &tally).await;
         // The receiver waits until then.
         let _ = changes_ended.send(());
+        observation
     };
-    let (config_summary, ()) = tokio::join!(changer, faults);
+    let (config_summary, observation) = tokio::join!(changer, faults);
     soak.check_graceful_shutdowns();
     ended_lots::check_slots(&soak.site).await;
     let memory_limit = memory_mb * 1_000_000;
     let process_summary = processes::check(&soak.site, memory_limit, soak.started).await;
     watcher.abort();
+    let store_summary = observation.map(|observation| {
+        let (site, time) = (soak.site.borrow(), soak.started.elapsed());
+        foreign_entries::check(&site, &observation, time)
+    });
     if let Some(crashing) = &crashing {
         crashing.check();
         let crash_counts = crashing.crash_counts();
@@ -293,6 +311,7 @@
     let mut report = soak.into_report(&trainer, &tally, store.call_count());
     report.config_summary = config_summary;
     report.process_summary = process_summary;
+    report.store_summary = store_summary.unwrap_or_default();
     Ok(report)
 }
 
@@ -382,6 +401,7 @@
             store_call_count,
             config_summary: String::new(),
             process_summary: String::new(),
+            store_summary: String::new(),
             logs,
         }
     }
--- a/crates/pinereel_fakes/src/hosting/soak/report.rs
+++ b/crates/pinereel_fakes/src/hosting/soak/report.rs
@@ -23,6 +23,8 @@
     pub store_call_count: u64,
     /// What was judged of changes of the configuration; empty if there were none.
     pub config_summary: String,
+    /// What was judged of the calls of the store; empty without foreign entries.
+    pub store_summary: String,
     /// What was judged of the processes.
     pub process_summary: String,
     /// Log lines of the instances, if there are violations.
@@ -53,9 +55,10 @@
             self.violations.len(),
         )?;
         write!(f, "; {}", self.process_summary)?;
-        match self.config_summary.as_str() {
-            "" => Ok(()),
-            summary => write!(f, "; {summary}"),
+        let summaries = [&self.store_summary, &self.config_summary];
+        for summary in summaries.into_iter().filter(|s| !s.is_empty()) {
+            write!(f, "; {summary}")?;
         }
+        Ok(())
     }
 }
--- a/crates/pinereel_fakes/src/hosting/store.rs
+++ b/crates/pinereel_fakes/src/hosting/store.rs
@@ -96,6 +96,20 @@
     rejected_counts: Rc<RefCell<BTreeMap<String, u64>>>,
     probe_count: Rc<Cell<u64>>,
     page_size: Rc<Cell<usize>>,
+    /// Number of calls received, by the name of the sender.
+    sender_counts: Rc<RefCell<BTreeMap<String, u64>>>,
+    lists: Rc<RefCell<BTreeMap<String, ListCount>>>,
+}
+
+/// Counts of the lists of a kind since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ListCount {
+    /// Number of lists that were begun.
+    pub begun: u64,
+    /// Number of pages after the first of a list.
+    pub later_pages: u64,
+    /// Largest number of objects while a page was read.
+    pub max_objects: usize,
 }
 
 /// Why a write was rejected.
@@ -124,6 +138,8 @@
             rejected_counts: Rc::default(),
             probe_count: Rc::default(),
             page_size: Rc::new(Cell::new(DEFAULT_PAGE_SIZE)),
+            sender_counts: Rc::default(),
+            lists: Rc::default(),
         };
         let state = store.clone();
         Server::start(listener, http::Options::default(), move |request| {
@@ -167,10 +183,16 @@
         counts.get(instance).copied().unwrap_or_default()
     }
 
+    fn count_sender(&self, request: &Request) {
+        if let Some(sender) = sender(request) {
+            let mut counts = self.sender_counts.borrow_mut();
+            *counts.entry(sender.to_owned()).or_default() += 1;
+        }
+    }
+
     /// Whether a call is rejected for its sender, which is counted.
     fn is_rejected(&self, request: &Request) -> bool {
-        let agent = request.headers().get(USER_AGENT);
-        let agent = agent.and_then(|agent| agent.to_str().ok());
+        let agent = sender(request);
         let Some(agent) = agent.filter(|agent| self.rejected.borrow().contains(*agent)) else {
             return false;
         };
@@ -191,6 +213,17 @@
         self.call_count.get()
     }
 
+    /// Returns the number of calls of an instance received since the start.
+    pub fn call_count_of(&self, instance: &str) -> u64 {
+        let counts = self.sender_counts.borrow();
+        counts.get(instance).copied().unwrap_or_default()
+    }
+
+    /// Returns the counts of lists since the start, by kind.
+    pub fn lists(&self) -> BTreeMap<String, ListCount> {
+        self.lists.borrow().clone()
+    }
+
     /// Returns the number of probes received since the start: reads of `config/main` that may be
     /// answered with an old value.
     pub fn probe_count(&self) -> u64 {
@@ -275,6 +308,7 @@
 
     async fn serve(&self, mut request: Request) -> Response {
         self.call_count.set(self.call_count.get() + 1);
+        self.count_sender(&request);
         let is_stale_read = request.uri().query().is_some_and(|q| q.contains("staleOk"));
         if is_stale_read && request.path().ends_with("/config/main") {
             self.probe_count.set(self.probe_count.get() + 1);
@@ -339,7 +373,9 @@
         }
         let kind = parts[0];
         let Some(after) = query_value(query, "watch").and_then(|text| text.parse().ok()) else {
-            return self.list(kind, &query_value(query, "after").unwrap_or_default());
+            let after = query_value(query, "after");
+            self.count_list(kind, after.is_some());
+            return self.list(kind, &after.unwrap_or_default());
         };
         let wait = query_value(query, "waitMs").and_then(|text| text.parse().ok());
         let mut changed = self.changed.subscribe();
@@ -381,6 +417,15 @@
         Some(newer.map(|(_, _, event)| event.clone()).collect())
     }
 
+    fn count_list(&self, kind: &str, is_later_page: bool) {
+        let objects = self.data.borrow().kinds.get(kind).map_or(0, BTreeMap::len);
+        let mut lists = self.lists.borrow_mut();
+        let list = lists.entry(kind.to_owned()).or_default();
+        list.begun += u64::from(!is_later_page);
+        list.later_pages += u64::from(is_later_page);
+        list.max_objects = list.max_objects.max(objects);
+    }
+
     /// Returns a page of the objects of a kind whose names follow `after`.
     fn list(&self, kind: &str, after: &str) -> Response {
         let data = self.data.borrow();
@@ -454,6 +499,11 @@
     }
 }
 
+/// Returns the name of the instance that sent a call.
+fn sender(request: &Request) -> Option<&str> {
+    request.headers().get(USER_AGENT)?.to_str().ok()
+}
+
 /// Keeps the connection open for ten minutes without an answer.
 async fn never_answer() -> Response {
     sleep(Duration::from_secs(600)).await;
