daemons: handlers of signals are installed before anything else

Callers saw: an instance that got SIGHUP or SIGTERM in its first milliseconds ended by the signal, without a log line; the platform counts a process that ends by itself. Cause: the handlers were installed by tasks of the runtime, after the settings, the log and (SIGHUP) the first await; until then the default action applies. Change: signal-hook registers flags for SIGTERM, SIGINT and SIGHUP as the first step of 'hosted', for SIGTERM and SIGINT of 'entry'; tokio receives the same signals later through the same registry. The line 'settings: cannot listen for SIGHUP' is gone: without that handler the start fails, as for the others. What is left is the time before main (exec and the dynamic loader), which a process cannot handle.

--- a/crates/pinereel/src/cli/mod.rs
+++ b/crates/pinereel/src/cli/mod.rs
@@ -17,6 +17,7 @@
 use crate::{
     entry, hosted,
     settings::{Hosted, Settings},
+    signals::{Flag, SIGHUP, SIGINT, SIGTERM},
 };
 use compact_str::CompactString;
 use output::Output;
@@ -30,6 +31,9 @@
 /// Environment variable for `--token-file`.
 pub const TOKEN_FILE_VAR: &str = "PINEREEL_TOKEN_FILE";
 
+/// Signals that request a graceful shutdown of a daemon.
+const STOP_SIGNALS: [i32; 2] = [SIGTERM, SIGINT];
+
 /// Exit code of the process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ExitCode {
@@ -127,18 +131,25 @@
         Command::Help(text) => output.print_line(text),
         Command::Version => output.print_line(concat!("pinereel ", env!("CARGO_PKG_VERSION"))),
         Command::Entry { config, check } => {
-            let settings = Settings::load(config)?;
             if check {
+                Settings::load(config)?;
                 return output.print_line("settings are valid");
             }
-            entry::run(settings).map_err(Error::Entry)
+            let stop = Flag::register(&STOP_SIGNALS)?;
+            let settings = Settings::load(config)?;
+            entry::run(settings, stop).map_err(Error::Entry)
         }
         Command::Hosted { config, check } => {
-            let settings = Hosted::load(&config)?;
             if check {
+                Hosted::load(&config)?;
                 return output.print_line("settings are valid");
             }
-            hosted::run(settings, config, adapter).map_err(Error::Hosted)
+            let early_signals = hosted::EarlySignals {
+                stop: Flag::register(&STOP_SIGNALS)?,
+                hangup: Flag::register(&[SIGHUP])?,
+            };
+            let settings = Hosted::load(&config)?;
+            hosted::run(settings, config, adapter, early_signals).map_err(Error::Hosted)
         }
         Command::Show(target) => config::show(&target, output),
         Command::Check(target, draft) => config::check_patch(&target, &draft, output),
--- a/crates/pinereel/src/entry.rs
+++ b/crates/pinereel/src/entry.rs
@@ -12,6 +12,7 @@
     peer::{LocalEntry, Mesh},
     scheduling_delay::SchedulingDelay,
     settings::Settings,
+    signals::Flag,
     state::{Clock, Shared, spawn},
     upstream,
 };
@@ -68,11 +69,12 @@
     pub peers: SocketAddr,
 }
 
-/// Runs an entry in this process until a signal has started a drain and the drain is done.
+/// Runs an entry in this process until a signal has started a drain and the drain is done. `early_stop` is
+/// set if such a signal arrived before this call.
 ///
 /// # Errors
 /// See [`Error`].
-pub fn run(settings: Settings) -> Result<(), Error> {
+pub fn run(settings: Settings, early_stop: Flag) -> Result<(), Error> {
     let handle = logging::init(&settings.log)?;
     logging::log_panics();
     let _flush = handle.flush_on_drop(LOG_FLUSH_TIMEOUT);
@@ -82,6 +84,9 @@
         let entry = Entry::start(settings).await?;
         entry.print_addresses();
         let shared = Rc::clone(&entry.shared);
+        if early_stop.is_set() {
+            shared.drain.request_stop();
+        }
         actix_rt::spawn(async move {
             loop {
                 // A second signal has no further effect.
--- a/crates/pinereel/src/hosted/mod.rs
+++ b/crates/pinereel/src/hosted/mod.rs
@@ -41,7 +41,7 @@
 pub use list_watch::{Origin, Update, WatchOptions, list_and_watch, list_and_watch_with_origin};
 pub use lots::{Reply, TrainerApi};
 pub use metrics::Metrics;
-pub use run::{Error, run};
+pub use run::{EarlySignals, Error, run};
 pub use stall::StallDetector;
 pub use store::Store;
 pub use tree::{FeedEvent, Frame, Hello, StoreCall, StoreOutcome};
--- a/crates/pinereel/src/hosted/reload.rs
+++ b/crates/pinereel/src/hosted/reload.rs
@@ -5,21 +5,23 @@
     path::{Path, PathBuf},
     time::Duration,
 };
-use tokio::{
-    signal::unix::{SignalKind, signal},
-    time::sleep,
-};
+use tokio::{signal::unix::Signal, time::sleep};
 
 /// Interval between checks for a change without a signal.
 const CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Checks the settings file at each SIGHUP and at each interval, and logs a change or an error in it.
-pub async fn watch_settings_file(settings: Hosted, path: PathBuf) {
-    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
-        log::error!("settings: cannot listen for SIGHUP, changes are not detected");
-        return;
-    };
+/// Checks the settings file at each SIGHUP and at each interval, first at once if `checks_at_once`, and logs a
+/// change or an error in it.
+pub async fn watch_settings_file(
+    settings: Hosted,
+    path: PathBuf,
+    hangup: &mut Signal,
+    checks_at_once: bool,
+) {
     let mut last_valid = settings;
+    if checks_at_once {
+        last_valid = check_for_change(last_valid, &path);
+    }
     loop {
         tokio::select! {
             _ = hangup.recv() => {}
--- a/crates/pinereel/src/hosted/run.rs
+++ b/crates/pinereel/src/hosted/run.rs
@@ -26,6 +26,7 @@
     objects,
     restart::spawn_restarted,
     settings::Hosted,
+    signals::Flag,
     state::Clock,
     upstream::pool::Pool,
 };
@@ -44,6 +45,7 @@
 use tokio::{
     net::TcpListener,
     signal::unix::{SignalKind, signal},
+    sync::Mutex,
     time::sleep,
 };
 
@@ -78,24 +80,45 @@
     Io(#[from] io::Error),
 }
 
+/// Signals that arrived before the runtime could receive them.
+#[derive(Clone, Debug)]
+pub struct EarlySignals {
+    /// SIGTERM or SIGINT.
+    pub stop: Flag,
+    /// SIGHUP.
+    pub hangup: Flag,
+}
+
 /// Runs an instance as this process, until SIGTERM or SIGINT has stopped it gracefully.
 ///
 /// # Errors
 /// If the log or a listener cannot be opened, or the signals cannot be handled.
-pub fn run(settings: Hosted, path: PathBuf, adapter: Adapter) -> Result<(), Error> {
+pub fn run(
+    settings: Hosted,
+    path: PathBuf,
+    adapter: Adapter,
+    early_signals: EarlySignals,
+) -> Result<(), Error> {
     let handle = logging::init(&settings.log)?;
     logging::log_panics();
     let _flush = handle.flush_on_drop(LOG_FLUSH_TIMEOUT);
-    let result = actix_rt::System::new().block_on(run_until_stopped(settings, path, adapter));
+    let instance = run_until_stopped(settings, path, adapter, early_signals);
+    let result = actix_rt::System::new().block_on(instance);
     if let Err(error) = &result {
         log::error!(error:% = error; "process ends with an error");
     }
     result
 }
 
-async fn run_until_stopped(settings: Hosted, path: PathBuf, adapter: Adapter) -> Result<(), Error> {
+async fn run_until_stopped(
+    settings: Hosted,
+    path: PathBuf,
+    adapter: Adapter,
+    early_signals: EarlySignals,
+) -> Result<(), Error> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    let hangup = signal(SignalKind::hangup())?;
     let incarnation = incarnation();
     log::info!(
         instance = settings.instance.name.as_str(),
@@ -105,14 +128,20 @@
         settings:? = settings;
         "started"
     );
-    let watched_settings = settings.clone();
+    let checks_at_once = early_signals.hangup.is_set();
+    let (watched_settings, hangup) = (settings.clone(), Mutex::new(hangup));
     spawn_restarted("settings", async move || {
-        watch_settings_file(watched_settings.clone(), path.clone()).await;
+        let mut hangup = hangup.lock().await;
+        let (settings, path) = (watched_settings.clone(), path.clone());
+        watch_settings_file(settings, path, &mut hangup, checks_at_once).await;
     });
     let shutdown = Rc::new(Shutdown::new(Timing {
         balancer_lag: settings.stop.balancer_lag,
         killed_after: settings.stop.killed_after,
     }));
+    if early_signals.stop.is_set() {
+        shutdown.initiate();
+    }
     let signalled = Rc::clone(&shutdown);
     actix_rt::spawn(async move {
         loop {
--- a/crates/pinereel/src/lib.rs
+++ b/crates/pinereel/src/lib.rs
@@ -30,5 +30,6 @@
 mod restart;
 pub mod scheduling_delay;
 pub mod settings;
+pub mod signals;
 pub mod state;
 pub mod upstream;
--- a/crates/pinereel_fakes/src/bin/pinereel-fakes.rs
+++ b/crates/pinereel_fakes/src/bin/pinereel-fakes.rs
@@ -245,7 +245,10 @@
     let result = parse_config_path(parser)
         .map_err(|e| e.to_string())
         .and_then(|path| Settings::load(path).map_err(|e| e.to_string()))
-        .and_then(|settings| pinereel::entry::run(settings).map_err(|e| e.to_string()));
+        .and_then(|settings| {
+            pinereel::entry::run(settings, pinereel::signals::Flag::default())
+                .map_err(|e| e.to_string())
+        });
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/crates/pinereel_fakes/src/hosting/site.rs
+++ b/crates/pinereel_fakes/src/hosting/site.rs
@@ -503,7 +503,7 @@
 /// at the same time holds a copy of the listener until its `exec`, so that the port may still be in
 /// use. While four others kept starting processes beside six busy processes, 107 of 26,667 binds of
 /// a released port failed for this reason; without those four, none of 28,838 did.
-pub(super) fn unique_loopback_ip() -> Ipv4Addr {
+pub fn unique_loopback_ip() -> Ipv4Addr {
     static NEXT: AtomicU32 = AtomicU32::new(1);
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
     let process = std::process::id();
