hosted: a settings file that is missing, incomplete or invalid at the start is read again

Callers saw: an instance whose settings file was being written as it started exited with 2. Cause: the file was read once, before the log was open. A file cut after a whole line, or inside a number, was valid, and defaults took the place of the missing lines until the next start. Evidence: on the code before, 3 of the 4 new tests of hosting_start fail (absent file: 'No such file or directory', exit; 'valid: ... [instance]' for a cut file); the check of an invalid file passes before and after. Change: retry_until_ok repeats the read every 100 ms and reports a failure when it changes, at most once a second, on standard error and as a JSON line on standard output. SIGTERM ends the wait with exit 0. A provisional logger to standard output is replaced once the settings are known; a log file that cannot be opened leaves it in place.

--- a/crates/pinereel/src/cli/mod.rs
+++ b/crates/pinereel/src/cli/mod.rs
@@ -148,8 +148,7 @@
                 stop: Flag::register(&STOP_SIGNALS)?,
                 hangup: Flag::register(&[SIGHUP])?,
             };
-            let settings = Hosted::load(&config)?;
-            hosted::run(settings, config, adapter, early_signals).map_err(Error::Hosted)
+            hosted::run(config, adapter, early_signals).map_err(Error::Hosted)
         }
         Command::Show(target) => config::show(&target, output),
         Command::Check(target, draft) => config::check_patch(&target, &draft, output),
--- a/crates/pinereel/src/entry.rs
+++ b/crates/pinereel/src/entry.rs
@@ -75,9 +75,9 @@
 /// # Errors
 /// See [`Error`].
 pub fn run(settings: Settings, early_stop: Flag) -> Result<(), Error> {
-    let handle = logging::init(&settings.log)?;
+    logging::init(&settings.log)?;
     logging::log_panics();
-    let _flush = handle.flush_on_drop(LOG_FLUSH_TIMEOUT);
+    let _flush = logging::flush_on_drop(LOG_FLUSH_TIMEOUT);
     let result: Result<(), Error> = actix_rt::System::new().block_on(async move {
         let mut terminate = signal(SignalKind::terminate())?;
         let mut interrupt = signal(SignalKind::interrupt())?;
--- a/crates/pinereel/src/hosted/run.rs
+++ b/crates/pinereel/src/hosted/run.rs
@@ -12,8 +12,10 @@
     proxy::{self, Proxy},
     readiness::Readiness,
     reload::watch_settings_file,
+    retry::retry_until_ok,
     serve::{Frontend, serve},
     shutdown::{Shutdown, Timing},
+    signals::{EarlySignals, Stop},
     stall::StallDetector,
     store::Store,
     tree::{self, Feed, Node},
@@ -25,8 +27,7 @@
     memory::Memory,
     objects,
     restart::spawn_restarted,
-    settings::Hosted,
-    signals::Flag,
+    settings::{self, Hosted},
     state::Clock,
     upstream::pool::Pool,
 };
@@ -36,9 +37,9 @@
 use rustix::time::{ClockId, clock_gettime};
 use std::{
     collections::BTreeMap,
-    io,
+    io::{self, Write as _},
     net::SocketAddr,
-    path::PathBuf,
+    path::{Path, PathBuf},
     rc::Rc,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
@@ -80,29 +81,14 @@
     Io(#[from] io::Error),
 }
 
-/// Signals that arrived before the runtime could receive them.
-#[derive(Clone, Debug)]
-pub struct EarlySignals {
-    /// SIGTERM or SIGINT.
-    pub stop: Flag,
-    /// SIGHUP.
-    pub hangup: Flag,
-}
-
-/// Runs an instance as this process, until SIGTERM or SIGINT has stopped it gracefully.
+/// Runs an instance as this process, until SIGTERM or SIGINT has stopped it gracefully. Waits for the settings file
+/// at `path` to become valid.
 ///
 /// # Errors
-/// If the log or a listener cannot be opened, or the signals cannot be handled.
-pub fn run(
-    settings: Hosted,
-    path: PathBuf,
-    adapter: Adapter,
-    early_signals: EarlySignals,
-) -> Result<(), Error> {
-    let handle = logging::init(&settings.log)?;
-    logging::log_panics();
-    let _flush = handle.flush_on_drop(LOG_FLUSH_TIMEOUT);
-    let instance = run_until_stopped(settings, path, adapter, early_signals);
+/// If the logger cannot be installed or the signals cannot be handled.
+pub fn run(path: PathBuf, adapter: Adapter, early_signals: EarlySignals) -> Result<(), Error> {
+    let _flush = logging::flush_on_drop(LOG_FLUSH_TIMEOUT);
+    let instance = run_until_stopped(path, adapter, early_signals);
     let result = actix_rt::System::new().block_on(instance);
     if let Err(error) = &result {
         log::error!(error:% = error; "process ends with an error");
@@ -111,14 +97,23 @@
 }
 
 async fn run_until_stopped(
-    settings: Hosted,
     path: PathBuf,
     adapter: Adapter,
     early_signals: EarlySignals,
 ) -> Result<(), Error> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut stop = Stop::listen(early_signals.stop)?;
     let hangup = signal(SignalKind::hangup())?;
+    let settings = tokio::select! {
+        biased;
+        () = stop.requested() => {
+            logging::init_provisional()?;
+            log::info!("stopped");
+            return Ok(());
+        }
+        settings = load_settings(&path) => settings,
+    };
+    start_logging(&settings)?;
+    logging::log_panics();
     let incarnation = incarnation();
     log::info!(
         instance = settings.instance.name.as_str(),
@@ -139,18 +134,10 @@
         balancer_lag: settings.stop.balancer_lag,
         killed_after: settings.stop.killed_after,
     }));
-    if early_signals.stop.is_set() {
-        shutdown.initiate();
-    }
     let signalled = Rc::clone(&shutdown);
     actix_rt::spawn(async move {
-        loop {
-            // A further signal has no effect, as the shutdown is in progress.
-            tokio::select! {
-                _ = terminate.recv() => signalled.initiate(),
-                _ = interrupt.recv() => signalled.initiate(),
-            }
-        }
+        stop.requested().await;
+        signalled.initiate();
     });
     match settings.instance.callers {
         Some(callers) => {
@@ -167,6 +154,33 @@
     Ok(())
 }
 
+/// Reads the settings file until it is valid, as the platform may write it while the process starts.
+async fn load_settings(path: &Path) -> Hosted {
+    let report = |error: &settings::Error| {
+        // If standard error is closed, the log line remains.
+        let _ = writeln!(io::stderr(), "pinereel: {error}");
+        match logging::init_provisional() {
+            Ok(_) => log::error!(error:% = error; "cannot use the settings file, retrying"),
+            Err(error) => {
+                let _ = writeln!(io::stderr(), "pinereel: {error}");
+            }
+        }
+    };
+    retry_until_ok(async || Hosted::load(path), report).await
+}
+
+/// Installs the logger of the settings. If its file cannot be opened, the lines go to standard output.
+fn start_logging(settings: &Hosted) -> Result<(), logging::Error> {
+    match logging::init(&settings.log) {
+        Err(error @ logging::Error::Open { .. }) => {
+            logging::init_provisional()?;
+            log::error!(error:% = error; "cannot open the log file, logging to standard output");
+            Ok(())
+        }
+        result => result.map(drop),
+    }
+}
+
 /// An instance that serves callers.
 struct Instance {
     callers: Server,
--- a/crates/pinereel/src/logging/mod.rs
+++ b/crates/pinereel/src/logging/mod.rs
@@ -16,18 +16,56 @@
 pub use queue::Queue;
 
 use crate::settings;
-use log::LevelFilter;
+use log::{LevelFilter, Log, Metadata, Record};
 use rate_limit::{Outcome, RateLimiter};
 use std::{
     fs::OpenOptions,
     io::{self, Write},
     path::PathBuf,
-    sync::{Mutex, PoisonError},
+    sync::{Mutex, PoisonError, RwLock},
     time::{Duration, Instant, SystemTime},
 };
 
-/// Handle of the process-wide logger, once [`init`] has installed it.
-static HANDLE: Mutex<Option<Handle>> = Mutex::new(None);
+/// The installed process-wide logger.
+static INSTALLED: Mutex<Option<Installed>> = Mutex::new(None);
+/// The logger that `log` calls, whose target changes once the settings are known.
+static SWITCH: Switch = Switch(RwLock::new(None));
+
+struct Installed {
+    handle: Handle,
+    /// Whether [`init`] replaces it.
+    provisional: bool,
+}
+
+struct Switch(RwLock<Option<Box<dyn Log>>>);
+
+impl Switch {
+    fn replace(&self, logger: Box<dyn Log>) {
+        *self.0.write().unwrap_or_else(PoisonError::into_inner) = Some(logger);
+    }
+
+    fn with(&self, act: impl FnOnce(&dyn Log)) {
+        if let Some(logger) = &*self.0.read().unwrap_or_else(PoisonError::into_inner) {
+            act(logger.as_ref());
+        }
+    }
+}
+
+impl Log for Switch {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        let mut enabled = false;
+        self.with(|logger| enabled = logger.enabled(metadata));
+        enabled
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        self.with(|logger| logger.log(record));
+    }
+
+    fn flush(&self) {
+        self.with(|logger| logger.flush());
+    }
+}
 
 /// Why the logger could not be installed.
 #[derive(Debug, thiserror::Error)]
@@ -66,31 +104,21 @@
     pub fn flush(&self, timeout: Duration) -> bool {
         self.queue.flush(timeout)
     }
-
-    /// Returns a guard that calls [`Handle::flush`] when dropped, also by a panic that ends the process.
-    pub fn flush_on_drop(&self, timeout: Duration) -> FlushGuard {
-        FlushGuard {
-            handle: self.clone(),
-            timeout,
-        }
-    }
 }
 
-/// Writes all lines when dropped, see [`Handle::flush_on_drop`].
+/// Writes all lines when dropped, see [`flush_on_drop`].
 #[derive(Debug)]
 pub struct FlushGuard {
-    handle: Handle,
     timeout: Duration,
 }
 
 impl Drop for FlushGuard {
     fn drop(&mut self) {
-        // Lines that are not written by then are lost: the process ends.
-        let _ = self.handle.flush(self.timeout);
+        flush(self.timeout);
     }
 }
 
-/// Installs the process-wide logger.
+/// Installs the process-wide logger, in place of that of [`init_provisional`].
 ///
 /// Idempotent: later calls, also with other settings, return the handle of the first one.
 ///
@@ -98,21 +126,63 @@
 /// If the log file cannot be opened, the writer thread cannot be started, or another logger is
 /// installed.
 pub fn init(settings: &settings::Log) -> Result<Handle, Error> {
-    let mut installed = HANDLE.lock().unwrap_or_else(PoisonError::into_inner);
-    if let Some(handle) = &*installed {
-        return Ok(handle.clone());
+    install(settings, false)
+}
+
+/// Installs a logger to standard output until the settings are known. Has no effect if there is a logger.
+///
+/// # Errors
+/// If the writer thread cannot be started, or another logger is installed.
+pub fn init_provisional() -> Result<Handle, Error> {
+    let settings = settings::Log {
+        stdout: true,
+        ..settings::Log::default()
+    };
+    install(&settings, true)
+}
+
+fn install(settings: &settings::Log, provisional: bool) -> Result<Handle, Error> {
+    let mut installed = INSTALLED.lock().unwrap_or_else(PoisonError::into_inner);
+    if let Some(installed) = &*installed
+        && (provisional || !installed.provisional)
+    {
+        return Ok(installed.handle.clone());
     }
     let queue = Queue::start(settings.queue, open_sink(settings)?)?;
-    dispatch(settings, queue.clone()).apply()?;
+    let (level, logger) = dispatch(settings, queue.clone()).into_log();
+    if installed.is_none() {
+        log::set_logger(&SWITCH)?;
+    }
+    // The writer thread of a provisional logger ends once it has written its lines.
+    SWITCH.replace(logger);
+    log::set_max_level(level);
     let handle = Handle { queue };
-    *installed = Some(handle.clone());
+    *installed = Some(Installed {
+        handle: handle.clone(),
+        provisional,
+    });
     Ok(handle)
 }
 
+/// Returns a guard that waits up to `timeout` when dropped, also by a panic that ends the process, until the
+/// process-wide logger has written every line. Lines that are not written by then are lost.
+pub const fn flush_on_drop(timeout: Duration) -> FlushGuard {
+    FlushGuard { timeout }
+}
+
+fn flush(timeout: Duration) {
+    let installed = INSTALLED.lock().unwrap_or_else(PoisonError::into_inner);
+    if let Some(installed) = &*installed {
+        installed.handle.flush(timeout);
+    }
+}
+
 /// Number of lines that the process-wide logger has dropped; zero before [`init`].
 pub fn dropped() -> u64 {
-    let installed = HANDLE.lock().unwrap_or_else(PoisonError::into_inner);
-    installed.as_ref().map_or(0, Handle::dropped)
+    let installed = INSTALLED.lock().unwrap_or_else(PoisonError::into_inner);
+    installed
+        .as_ref()
+        .map_or(0, |installed| installed.handle.dropped())
 }
 
 /// Builds the dispatch that filters records by `settings`, limits their rate and pushes their JSON
--- a/crates/pinereel/src/settings/hosted.rs
+++ b/crates/pinereel/src/settings/hosted.rs
@@ -152,6 +152,7 @@
         let lots = Lots::read(&mut reader);
         let platform = Platform::read(&mut reader);
         let log = Log::read(&mut reader);
+        reader.check_end_marker();
         let errors = reader.finish();
         match (instance, store) {
             (Some(instance), Some(store)) if errors.is_empty() => Ok(Self {
--- a/crates/pinereel/src/settings/mod.rs
+++ b/crates/pinereel/src/settings/mod.rs
@@ -28,6 +28,8 @@
     Duration::from_millis(1)..=Duration::from_secs(3_600);
 /// Accepted range of settings that limit the number of items held in memory.
 const COUNT_RANGE: RangeInclusive<u64> = 1..=1_000_000;
+/// Default maximum number of queued log lines.
+const DEFAULT_LOG_QUEUE: usize = 8_192;
 /// Accepted range of settings that limit the bytes held in memory.
 const MEMORY_BYTES_RANGE: RangeInclusive<u64> = 1_024..=(1 << 30);
 /// Memory of a whole process, in bytes.
@@ -298,6 +300,18 @@
     }
 }
 
+impl Default for Log {
+    fn default() -> Self {
+        Self {
+            level: log::LevelFilter::Info,
+            file: None,
+            stdout: false,
+            queue: DEFAULT_LOG_QUEUE,
+            decisions: true,
+        }
+    }
+}
+
 impl Log {
     fn read(reader: &mut Reader) -> Self {
         let mut section = reader.section("log");
@@ -307,7 +321,7 @@
             level: level.unwrap_or(log::LevelFilter::Info),
             file,
             stdout: section.boolean("stdout", false),
-            queue: section.count("queue", COUNT_RANGE, 8_192),
+            queue: section.count("queue", COUNT_RANGE, DEFAULT_LOG_QUEUE),
             decisions: section.boolean("decisions", true),
         }
     }
--- a/crates/pinereel/src/settings/reader.rs
+++ b/crates/pinereel/src/settings/reader.rs
@@ -63,6 +63,18 @@
         Section { reader: self, name }
     }
 
+    /// Reports a file that announces a section `[end]` (`[instance] end_marker`) and does not have it, as its
+    /// writing has not finished.
+    pub(super) fn check_end_marker(&mut self) {
+        let announced = self.section("instance").boolean("end_marker", false);
+        self.section("end");
+        if announced && !self.section_lines.contains_key("end") {
+            let expected = "the section [end], which end_marker announces";
+            self.section("instance")
+                .report_error("end_marker", expected);
+        }
+    }
+
     /// Returns all errors, including those for sections and keys that were never requested.
     pub(super) fn finish(mut self) -> ValidationErrors {
         self.report_unknown();
--- a/crates/pinereel/tests/logging_panics.rs
+++ b/crates/pinereel/tests/logging_panics.rs
@@ -29,10 +29,10 @@
         queue: 64,
         decisions: false,
     };
-    let handle = logging::init(&settings).expect("a logger");
+    logging::init(&settings).expect("a logger");
     logging::log_panics();
     let ended = catch_unwind(AssertUnwindSafe(|| {
-        let _flush = handle.flush_on_drop(FLUSH_TIMEOUT);
+        let _flush = logging::flush_on_drop(FLUSH_TIMEOUT);
         log::info!("before the panic");
         parse(KEY).expect("a number");
     }));
--- a/crates/pinereel_fakes/tests/hosting_start.rs
+++ b/crates/pinereel_fakes/tests/hosting_start.rs
@@ -2,8 +2,10 @@
 
 mod start_support;
 
-use pinereel_fakes::child_process::{Child, Signal};
+use pinereel::settings::Hosted;
+use pinereel_fakes::child_process::{Child, Signal, binary_path};
 use start_support::{Start, TIMEOUT};
+use std::{process::Command, thread, time::Duration};
 
 /// The exit code of the process; `None` if it was ended by a signal or has not exited in time.
 fn exit_code(child: &mut Child) -> Option<i32> {
@@ -36,3 +38,107 @@
     let line = child.wait_for_line("\"stopped\"", TIMEOUT);
     assert!(line.is_some(), "{:?}", child.lines());
 }
+
+/// The log line of a settings file that cannot be used yet.
+const UNUSABLE_SETTINGS: &str = "cannot use the settings file, retrying";
+
+/// An instance whose settings file was absent, empty or half written at its start exited.
+#[test]
+fn a_settings_file_that_is_completed_later_is_used() {
+    let whole = Start::new("settings-whole").settings();
+    let torn_inside_a_line = whole.find("killed_after").expect("a key") + 16;
+    let torn_after_a_line = whole.find("[orders]").expect("a section");
+    for (index, length) in [
+        None,
+        Some(0),
+        Some(torn_inside_a_line),
+        Some(torn_after_a_line),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let start = Start::new(&format!("settings-{index}"));
+        if let Some(length) = length {
+            start.write(&start.settings()[..length]);
+        }
+        let mut child = start.spawn();
+        let line = child.wait_for_line(UNUSABLE_SETTINGS, TIMEOUT);
+        assert!(line.is_some(), "{length:?}: {:?}", child.lines());
+        // Several attempts fail in the same way, which is logged once.
+        thread::sleep(Duration::from_millis(700));
+        let lines = child.lines();
+        let count = lines
+            .iter()
+            .filter(|l| l.contains(UNUSABLE_SETTINGS))
+            .count();
+        assert_eq!(count, 1, "{lines:?}");
+        start.write(&start.settings());
+        let line = child.wait_for_line("\"started\"", TIMEOUT);
+        assert!(line.is_some(), "{length:?}: {:?}", child.lines());
+        child.signal(Signal::TERM).expect("the process runs");
+        assert_eq!(exit_code(&mut child), Some(0), "{:?}", child.lines());
+    }
+}
+
+/// A process that waits for valid settings can be stopped, and tells an operator what is wrong on both streams.
+#[test]
+fn a_process_without_valid_settings_reports_them_and_stops_at_once() {
+    let start = Start::new("settings-typing-error");
+    start.write(&start.settings().replace("[stop]", "[stopp]"));
+    let mut child = start.spawn();
+    let line = child.wait_for_line("pinereel: ", TIMEOUT);
+    assert!(
+        line.is_some_and(|l| l.contains("[stopp]")),
+        "{:?}",
+        child.lines()
+    );
+    let line = child.wait_for_line(UNUSABLE_SETTINGS, TIMEOUT);
+    assert!(
+        line.is_some_and(|l| l.contains("[stopp]")),
+        "{:?}",
+        child.lines()
+    );
+    child.signal(Signal::TERM).expect("the process runs");
+    let status = child
+        .wait_for_exit(Duration::from_secs(1))
+        .expect("a status");
+    assert_eq!(
+        status.and_then(|s| s.code()),
+        Some(0),
+        "{:?}",
+        child.lines()
+    );
+}
+
+/// `--check` is how an operator tests a file: it does not wait.
+#[test]
+fn a_check_of_an_invalid_file_fails_at_once() {
+    let start = Start::new("settings-check");
+    let check = |text: &str| {
+        start.write(text);
+        let mut command = Command::new(binary_path("pinereel").expect("a binary"));
+        command
+            .args(["hosted", "--check", "--config"])
+            .arg(&start.path);
+        command.output().expect("an exit").status.code()
+    };
+    assert_eq!(check(&start.settings()), Some(0));
+    assert_eq!(
+        check(&start.settings().replace("[stop]", "[stopp]")),
+        Some(2)
+    );
+    assert_eq!(check(""), Some(2));
+}
+
+/// A file cut after a whole line, or inside a number, was used as if it were complete, with defaults in place of
+/// the lines that were missing.
+#[test]
+fn a_cut_file_is_never_valid() {
+    let start = Start::new("settings-cut");
+    let whole = start.settings();
+    assert_eq!(Hosted::parse(&start.path, &whole).err(), None);
+    for length in 0..whole.trim_end().len() {
+        let cut = &whole[..length];
+        assert!(Hosted::parse(&start.path, cut).is_err(), "valid: {cut}");
+    }
+}
--- a/crates/pinereel_fakes/tests/start_support/mod.rs
+++ b/crates/pinereel_fakes/tests/start_support/mod.rs
@@ -44,6 +44,11 @@
         render(TEMPLATE, &fields(self.ip))
     }
 
+    /// Writes the settings file in place.
+    pub fn write(&self, text: &str) {
+        fs::write(&self.path, text).expect("a settings file");
+    }
+
     /// Starts the process.
     pub fn spawn(&self) -> Child {
         let mut command = Command::new(binary_path("pinereel").expect("a binary"));
