fakes: writes of a status that are refused, expectations compared as bytes, pages of a megabyte

A page of the platform's list ends at about 1 MB, and an expectation need not be ASCII text. A test can let the store refuse the status of an object.

--- a/crates/pinereel_fakes/src/hosting/engine.rs
+++ b/crates/pinereel_fakes/src/hosting/engine.rs
@@ -312,8 +312,8 @@
 }
 
 async fn respond(state: Rc<State>, mut request: Request) -> Response {
-    let expected = header(request.headers(), "x-expect-instance");
-    if expected.is_some_and(|id| id != state.id) {
+    let expected = request.headers().get("x-expect-instance");
+    if expected.is_some_and(|id| id.as_bytes() != state.id.as_bytes()) {
         return http::empty(StatusCode::MISDIRECTED_REQUEST);
     }
     let path = request.path().to_owned();
--- a/crates/pinereel_fakes/src/hosting/service.rs
+++ b/crates/pinereel_fakes/src/hosting/service.rs
@@ -161,8 +161,8 @@
 
 async fn respond(state: Rc<State>, mut request: Request) -> Response {
     let headers = request.headers();
-    let expected = header(headers, "x-expect-instance");
-    if expected.is_some_and(|id| id != state.id) {
+    let expected = headers.get("x-expect-instance");
+    if expected.is_some_and(|id| id.as_bytes() != state.id.as_bytes()) {
         return http::empty(StatusCode::MISDIRECTED_REQUEST);
     }
     let id = header(headers, "x-request-id").unwrap_or_default();
--- a/crates/pinereel_fakes/src/hosting/store.rs
+++ b/crates/pinereel_fakes/src/hosting/store.rs
@@ -32,6 +32,8 @@
 const MAX_BODY_BYTES: usize = 8 << 20;
 /// Maximum number of objects in one page of a list.
 const DEFAULT_PAGE_SIZE: usize = 500;
+/// Size from which a page of a list takes no further object.
+const MAX_PAGE_BYTES: usize = 1 << 20;
 
 /// The faults in force.
 #[derive(Clone, Copy, Debug, Default)]
@@ -99,6 +101,9 @@
     /// Number of calls received, by the name of the sender.
     sender_counts: Rc<RefCell<BTreeMap<String, u64>>>,
     lists: Rc<RefCell<BTreeMap<String, ListCount>>>,
+    /// Statuses with which writes of the status of an object are refused, by its name.
+    refused_status_writes: Rc<RefCell<BTreeMap<String, StatusCode>>>,
+    refused_write_count: Rc<Cell<u64>>,
 }
 
 /// Counts of the lists of a kind since the start.
@@ -140,6 +145,8 @@
             page_size: Rc::new(Cell::new(DEFAULT_PAGE_SIZE)),
             sender_counts: Rc::default(),
             lists: Rc::default(),
+            refused_status_writes: Rc::default(),
+            refused_write_count: Rc::default(),
         };
         let state = store.clone();
         Server::start(listener, http::Options::default(), move |request| {
@@ -190,6 +197,22 @@
         }
     }
 
+    /// Refuses writes of the status of the objects with this name from now on, of all kinds.
+    pub fn refuse_status_writes(&self, name: &str, status: StatusCode) {
+        let mut refused = self.refused_status_writes.borrow_mut();
+        refused.insert(name.into(), status);
+    }
+
+    /// Accepts all writes of a status again.
+    pub fn accept_status_writes(&self) {
+        self.refused_status_writes.borrow_mut().clear();
+    }
+
+    /// Returns the number of writes that were refused for the name of their object.
+    pub fn refused_write_count(&self) -> u64 {
+        self.refused_write_count.get()
+    }
+
     /// Whether a call is rejected for its sender, which is counted.
     fn is_rejected(&self, request: &Request) -> bool {
         let agent = sender(request);
@@ -430,18 +453,28 @@
     fn list(&self, kind: &str, after: &str) -> Response {
         let data = self.data.borrow();
         let all = data.kinds.get(kind).into_iter().flatten();
-        let mut rest = all.filter(|(name, _)| name.as_str() > after);
-        let items: Vec<_> = rest
-            .by_ref()
-            .take(self.page_size.get())
-            .map(|(n, s)| object_json(n, s))
-            .collect();
-        let more = rest.next().is_some();
+        let mut rest = all.filter(|(name, _)| name.as_str() > after).peekable();
+        let (mut items, mut bytes) = (Vec::new(), 0);
+        while items.len() < self.page_size.get()
+            && let Some((name, stored)) = rest.next_if(|_| bytes < MAX_PAGE_BYTES)
+        {
+            let object = object_json(name, stored);
+            bytes += object.to_string().len();
+            items.push(object);
+        }
+        let more = rest.peek().is_some();
         let answer = json!({"items": items, "more": more, "currentRev": data.revision});
         http::json(StatusCode::OK, &answer)
     }
 
     fn change(&self, method: &Method, parts: &[&str], body: &Value) -> Response {
+        if let [_, name, "status"] = parts
+            && let Some(status) = self.refused_status_writes.borrow().get(*name)
+        {
+            let count = self.refused_write_count.get() + 1;
+            self.refused_write_count.set(count);
+            return http::empty(*status);
+        }
         let result = match (method.as_str(), parts) {
             ("POST", [kind]) => self.create(kind, body),
             ("PUT", [kind, name]) => self.update(kind, name, body),
