--- a/crates/pinereel/src/hosted/list_watch.rs
+++ b/crates/pinereel/src/hosted/list_watch.rs
@@ -284,7 +284,7 @@
 }
 
 /// Sleeps until `deadline`; never returns if it is `None`.
-async fn sleep_until_some(deadline: Option<Instant>) {
+pub(super) async fn sleep_until_some(deadline: Option<Instant>) {
     match deadline {
         Some(deadline) => sleep_until(deadline).await,
         None => std::future::pending().await,
