hosted: a port in use at the start is tried again until it is free

Callers saw: an instance started while its predecessor answered its last requests, or while another program used one of its four ports, exited with 1. The metrics port is a fixed one of ours. Cause: each listener was bound once, and an error ended the start. Change: a listener is bound in retry_until_ok, with a line when the failure changes and one when it is bound. The instance waits for the ports of other instances and of callers; SIGTERM ends the wait with exit 0. The readiness probe is served from the first moment and answers 503 'starting'; its port and that of the metrics are bound in the background.

--- a/crates/pinereel/src/hosted/mod.rs
+++ b/crates/pinereel/src/hosted/mod.rs
@@ -35,6 +35,7 @@
 mod shutdown;
 mod signals;
 mod stall;
+mod startup;
 mod store;
 mod tree;
 mod usage;
--- a/crates/pinereel/src/hosted/run.rs
+++ b/crates/pinereel/src/hosted/run.rs
@@ -10,13 +10,13 @@
     metrics::{LotLoad, Metrics, Sources},
     orders::{self, Orders},
     proxy::{self, Proxy},
-    readiness::Readiness,
+    readiness::{self, Readiness},
     reload::watch_settings_file,
-    retry::retry_until_ok,
     serve::{Frontend, serve},
     shutdown::{Shutdown, Timing},
     signals::{EarlySignals, Stop},
     stall::StallDetector,
+    startup::{Listeners, listen, load_settings, start_logging},
     store::Store,
     tree::{self, Feed, Node},
     usage::{self, Meter},
@@ -27,7 +27,7 @@
     memory::Memory,
     objects,
     restart::spawn_restarted,
-    settings::{self, Hosted},
+    settings::Hosted,
     state::Clock,
     upstream::pool::Pool,
 };
@@ -37,14 +37,13 @@
 use rustix::time::{ClockId, clock_gettime};
 use std::{
     collections::BTreeMap,
-    io::{self, Write as _},
+    io,
     net::SocketAddr,
-    path::{Path, PathBuf},
+    path::PathBuf,
     rc::Rc,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 use tokio::{
-    net::TcpListener,
     signal::unix::{SignalKind, signal},
     sync::Mutex,
     time::sleep,
@@ -65,14 +64,6 @@
 /// Error at the start of an instance.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
-    /// A listener could not be opened.
-    #[error("cannot listen on {address}: {error}")]
-    Listen {
-        /// The address in the settings.
-        address: SocketAddr,
-        /// The error of the operating system.
-        error: io::Error,
-    },
     /// The log could not be opened.
     #[error(transparent)]
     Log(#[from] logging::Error),
@@ -141,10 +132,25 @@
     });
     match settings.instance.callers {
         Some(callers) => {
-            Instance::start(&settings, adapter, callers, incarnation, &shutdown)
+            let readiness = Readiness::start(&settings, adapter, &shutdown);
+            let listeners = tokio::select! {
+                biased;
+                () = shutdown.wait_until_initiated() => None,
+                listeners = Listeners::open(&settings, callers) => Some(listeners),
+            };
+            if let Some(listeners) = listeners {
+                Instance::start(
+                    &settings,
+                    adapter,
+                    listeners,
+                    incarnation,
+                    &shutdown,
+                    &readiness,
+                )
                 .await?
                 .drain_on_shutdown()
                 .await;
+            }
         }
         // An instance without a listener for callers is a standby. It has no work and stops
         // immediately.
@@ -154,33 +160,6 @@
     Ok(())
 }
 
-/// Reads the settings file until it is valid, as the platform may write it while the process starts.
-async fn load_settings(path: &Path) -> Hosted {
-    let report = |error: &settings::Error| {
-        // If standard error is closed, the log line remains.
-        let _ = writeln!(io::stderr(), "pinereel: {error}");
-        match logging::init_provisional() {
-            Ok(_) => log::error!(error:% = error; "cannot use the settings file, retrying"),
-            Err(error) => {
-                let _ = writeln!(io::stderr(), "pinereel: {error}");
-            }
-        }
-    };
-    retry_until_ok(async || Hosted::load(path), report).await
-}
-
-/// Installs the logger of the settings. If its file cannot be opened, the lines go to standard output.
-fn start_logging(settings: &Hosted) -> Result<(), logging::Error> {
-    match logging::init(&settings.log) {
-        Err(error @ logging::Error::Open { .. }) => {
-            logging::init_provisional()?;
-            log::error!(error:% = error; "cannot open the log file, logging to standard output");
-            Ok(())
-        }
-        result => result.map(drop),
-    }
-}
-
 /// An instance that serves callers.
 struct Instance {
     callers: Server,
@@ -195,12 +174,12 @@
     async fn start(
         settings: &Hosted,
         adapter: Adapter,
-        callers: SocketAddr,
+        listeners: Listeners,
         incarnation: u64,
         shutdown: &Rc<Shutdown>,
+        readiness: &Readiness,
     ) -> Result<Self, Error> {
         let clock = Clock::new();
-        let callers = listen(callers).await?;
         let metrics = Metrics::new();
         let memory = Memory::of_instance(settings.instance.memory);
         let client =
@@ -249,7 +228,7 @@
         let autoscaling = autoscaling.map(|platform| platform.address);
         let usage = Meter::start(usage_settings.as_ref(), duties.id(), boot_time);
         let mut tree_node = None;
-        if let Some(peers) = instance.peers {
+        if let Some((peers, listener)) = listeners.peers {
             // The platform names the seeds by another port, and all instances have the same ports.
             let seeds = settings.peers.seeds.iter();
             let seeds = seeds.map(|ip| SocketAddr::new(*ip, peers.port()));
@@ -270,7 +249,7 @@
                     preferred: duties.is_preferred(),
                 },
             };
-            tree_node = Some(Node::start(deps, listen(peers).await?));
+            tree_node = Some(Node::start(deps, listener));
         }
         let pool = Pool::matching_ids(adapter.headers.response_id);
         let pool = Rc::new(pool.with_memory(memory.clone()));
@@ -341,16 +320,11 @@
             platform_address: autoscaling,
             max_watch_time: watch,
         });
-        if let Some(readiness) = settings.instance.readiness {
-            let listener = listen(readiness).await?;
-            let probe = Readiness {
-                store: direct_store.clone(),
-                config: Rc::clone(&config),
-                endpoints: Rc::clone(&endpoints),
-                shutdown: Rc::clone(shutdown),
-            };
-            probe.serve(listener, adapter.readiness_path).await?;
-        }
+        readiness.set_components(readiness::Components {
+            store: direct_store.clone(),
+            config: Rc::clone(&config),
+            endpoints: Rc::clone(&endpoints),
+        });
         if let Some(address) = instance.metrics {
             let (pool, runner) = (Rc::clone(&pool), Rc::clone(&runner));
             let memory = memory.clone();
@@ -365,7 +339,14 @@
                 }),
                 config: Rc::clone(&config),
             };
-            metrics.serve(listen(address).await?, sources).await?;
+            let metrics = metrics.clone();
+            // Another program at this port does not keep the instance from serving callers.
+            actix_rt::spawn(async move {
+                let listener = listen("metrics", address).await;
+                if let Err(error) = metrics.serve(listener, sources).await {
+                    log::error!(error:%; "cannot serve the metrics");
+                }
+            });
         }
         let head_config = Rc::clone(&config);
         let frontend = Rc::new(Frontend {
@@ -388,7 +369,7 @@
             allow_half_closed: false,
             ..http::Options::default()
         };
-        let server = Server::start(callers, options, move |request| {
+        let server = Server::start(listeners.callers, options, move |request| {
             serve(Rc::clone(&frontend), request)
         })
         .await?;
@@ -438,12 +419,6 @@
     }
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|error| Error::Listen { address, error })
-}
-
 /// Logs at each interval how many calls this instance has made to the object store, as each is charged
 /// for.
 async fn log_store_calls(client: objects::Client) {
--- a/crates/pinereel_fakes/tests/hosting_start.rs
+++ b/crates/pinereel_fakes/tests/hosting_start.rs
@@ -5,7 +5,13 @@
 use pinereel::settings::Hosted;
 use pinereel_fakes::child_process::{Child, Signal, binary_path};
 use start_support::{Start, TIMEOUT};
-use std::{process::Command, thread, time::Duration};
+use std::{
+    io::{Read as _, Write as _},
+    net::{SocketAddr, TcpListener, TcpStream},
+    process::Command,
+    thread,
+    time::{Duration, Instant},
+};
 
 /// The exit code of the process; `None` if it was ended by a signal or has not exited in time.
 fn exit_code(child: &mut Child) -> Option<i32> {
@@ -142,3 +148,98 @@
         assert!(Hosted::parse(&start.path, cut).is_err(), "valid: {cut}");
     }
 }
+
+/// Ports of the callers, the readiness probe, the metrics and other instances in the rendered template.
+const PORTS: [u16; 4] = [9_465, 9_466, 9_464, 9_470];
+/// The log line of a port in use.
+const PORT_IN_USE: &str = "cannot listen, retrying";
+
+/// The start of the answer to a GET; `None` without one.
+fn get(address: SocketAddr, path: &str) -> Option<String> {
+    let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok()?;
+    stream.set_read_timeout(Some(TIMEOUT)).ok()?;
+    let request = format!("GET {path} HTTP/1.1\r\nhost: here\r\nconnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes()).ok()?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).ok()?;
+    (!answer.is_empty()).then_some(answer)
+}
+
+/// Waits until a GET is answered.
+fn wait_for_answer(address: SocketAddr, path: &str) -> Option<String> {
+    let end = Instant::now() + TIMEOUT;
+    while Instant::now() < end {
+        if let Some(answer) = get(address, path) {
+            return Some(answer);
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    None
+}
+
+/// An instance exited at its start if one of its ports was in use, such as by its predecessor, which was still
+/// answering its last requests.
+#[test]
+fn a_port_in_use_is_bound_once_it_is_free() {
+    for port in PORTS {
+        let start = Start::new(&format!("port-{port}"));
+        start.write(&start.settings());
+        let holder = TcpListener::bind(start.address(port)).expect("a free port");
+        let mut child = start.spawn();
+        let line = child.wait_for_line(PORT_IN_USE, TIMEOUT);
+        assert!(line.is_some(), "{port}: {:?}", child.lines());
+        if port != PORTS[1] {
+            let answer = wait_for_answer(start.address(PORTS[1]), "/v1/readiness");
+            let is_unready = answer.is_some_and(|answer| answer.starts_with("HTTP/1.1 503"));
+            assert!(is_unready, "{port}: {:?}", child.lines());
+        }
+        thread::sleep(Duration::from_millis(300));
+        drop(holder);
+        let line = child.wait_for_line("listening after failed attempts", TIMEOUT);
+        assert!(line.is_some(), "{port}: {:?}", child.lines());
+        for port in [PORTS[0], PORTS[1], PORTS[2]] {
+            assert!(
+                wait_for_answer(start.address(port), "/").is_some(),
+                "{port}"
+            );
+        }
+        let lines = child.lines();
+        let count = lines.iter().filter(|l| l.contains(PORT_IN_USE)).count();
+        assert_eq!(count, 1, "{lines:?}");
+        child.signal(Signal::TERM).expect("the process runs");
+        assert_eq!(exit_code(&mut child), Some(0), "{:?}", child.lines());
+    }
+}
+
+/// Another program at the ports of the metrics and of the readiness probe does not keep callers from being answered.
+#[test]
+fn callers_are_served_while_auxiliary_ports_are_in_use() {
+    let start = Start::new("port-auxiliary");
+    start.write(&start.settings());
+    let _readiness = TcpListener::bind(start.address(PORTS[1])).expect("a free port");
+    let _metrics = TcpListener::bind(start.address(PORTS[2])).expect("a free port");
+    let child = start.spawn();
+    let answer = wait_for_answer(start.address(PORTS[0]), "/");
+    assert!(answer.is_some(), "{:?}", child.lines());
+}
+
+/// A process that waits for a port can be stopped.
+#[test]
+fn a_process_that_waits_for_a_port_stops_at_once() {
+    let start = Start::new("port-stop");
+    start.write(&start.settings());
+    let _callers = TcpListener::bind(start.address(PORTS[0])).expect("a free port");
+    let mut child = start.spawn();
+    let line = child.wait_for_line(PORT_IN_USE, TIMEOUT);
+    assert!(line.is_some(), "{:?}", child.lines());
+    child.signal(Signal::TERM).expect("the process runs");
+    let status = child
+        .wait_for_exit(Duration::from_secs(1))
+        .expect("a status");
+    assert_eq!(
+        status.and_then(|s| s.code()),
+        Some(0),
+        "{:?}",
+        child.lines()
+    );
+}
--- a/crates/pinereel_fakes/tests/start_support/mod.rs
+++ b/crates/pinereel_fakes/tests/start_support/mod.rs
@@ -9,7 +9,7 @@
     env,
     fs::{self, OpenOptions},
     io::Write as _,
-    net::IpAddr,
+    net::{IpAddr, SocketAddr},
     path::PathBuf,
     process::Command,
     time::Duration,
@@ -39,6 +39,11 @@
         }
     }
 
+    /// The address of the listener with this port.
+    pub fn address(&self, port: u16) -> SocketAddr {
+        SocketAddr::new(self.ip, port)
+    }
+
     /// The complete settings, as the platform renders them.
     pub fn settings(&self) -> String {
         render(TEMPLATE, &fields(self.ip))
