leases: a duty whose lease is no lease gets a holder

Callers would see: no root, no runner of lots, or no orders, for as long as an object with another spec stands under the name of a duty. A lease with a huge duration or cooldown has the same effect, one with a huge fencing token overflows it.

Cause: an unreadable lease counted as a failed read, which every candidate repeated for ever.

Change: a spec that no instance can have written counts as the lease of an unknown holder, and is taken over after the usual time, as its true holder may still act. Its fencing token is the object's revision, which is at least that of each earlier holder, since each change of holder is a write.

--- a/crates/pinereel/src/hosted/duty/poll.rs
+++ b/crates/pinereel/src/hosted/duty/poll.rs
@@ -28,6 +28,13 @@
 /// Longest age of a poll that a new candidate takes as its first read.
 const MAX_FIRST_READ_AGE: Duration = Duration::from_millis(100);
 
+/// Longest validity of a lease that is taken for one of an instance; those of instances last for 2 s.
+const MAX_LEASE_TIME: Duration = Duration::from_secs(30);
+/// Longest cooldown that is taken for one of an instance: an hour, the longest gap that the settings allow.
+const MAX_COOLDOWN: Duration = Duration::from_secs(3_600);
+/// Holder of a lease that cannot be read. No instance has it as its id, which contains a slash.
+const UNKNOWN_HOLDER: &str = "unknown";
+
 /// Delay before the first poll of an instance that is not preferred. By then a preferred instance
 /// is the root of the broadcast tree.
 const UNPREFERRED_START_DELAY: Duration = Duration::from_millis(500);
@@ -129,7 +136,7 @@
         }
         let polled_objects = self.polled_objects.borrow();
         let object = polled_objects.iter().find(|object| object.name == duty)?;
-        let (_, lease) = decode(duty, object.clone())?;
+        let (_, lease) = decode(duty, object.clone());
         (!lease.address.is_empty()).then_some(lease.address)
     }
 
@@ -181,7 +188,7 @@
             .find(|object| object.name == duty)
             .cloned();
         match object {
-            Some(object) => decode(duty, object).map_or(Event::Failed, |l| Event::Read(Some(l))),
+            Some(object) => Event::Read(Some(decode(duty, object))),
             None => Event::Read(None),
         }
     }
@@ -217,20 +224,53 @@
 /// The leases that have a holder, for the schedule of the polls.
 fn polled_leases(objects: &[Object]) -> Vec<(CompactString, PolledLease)> {
     let polled_lease = |object: &Object| {
-        let (version, lease) = decode(&object.name, object.clone())?;
+        let (version, lease) = decode(&object.name, object.clone());
         let wait = Duration::from_millis(lease.duration_ms) + TIMING.clock_margin;
         (!lease.holder.is_empty()).then(|| (object.name.clone(), PolledLease { version, wait }))
     };
     objects.iter().filter_map(polled_lease).collect()
 }
 
-/// The object version and the lease; `None` if the spec is not a lease.
-pub(super) fn decode(duty: &str, object: Object) -> Option<(u64, Lease)> {
-    match serde_json::from_value::<Lease>(object.spec) {
-        Ok(lease) => Some((object.revision, lease)),
-        Err(error) => {
-            log::error!(duty, error:% = error; "lease unreadable");
-            None
+/// The object version and the lease.
+///
+/// A spec that no instance can have written counts as the lease of an unknown holder, which is taken over like
+/// that of a holder that has failed; otherwise the duty would have no holder until the object is removed.
+pub(super) fn decode(duty: &str, object: Object) -> (u64, Lease) {
+    let revision = object.revision;
+    let lease = serde_json::from_value::<Lease>(object.spec).map_err(|error| error.to_string());
+    let lease = match lease {
+        Ok(lease) if is_plausible(&lease, revision) => lease,
+        invalid => {
+            let error = invalid
+                .err()
+                .unwrap_or_else(|| "a figure is out of range".into());
+            log::error!(duty, revision, error; "lease unreadable");
+            unknown_holder(revision)
         }
+    };
+    (revision, lease)
+}
+
+/// Whether an instance can have written this lease. Each change of holder is a write, so that no fencing token
+/// is above the revision.
+fn is_plausible(lease: &Lease, revision: u64) -> bool {
+    let cooldown = lease.remaining_cooldown;
+    let cooldown_ms = cooldown.map_or(0, |cooldown| cooldown.own_ms.max(cooldown.other_ms));
+    let lease_ms = lease.duration_ms.max(lease.acts_ms.unwrap_or(0));
+    lease.fence <= revision
+        && Duration::from_millis(lease_ms) <= MAX_LEASE_TIME
+        && Duration::from_millis(cooldown_ms) <= MAX_COOLDOWN
+}
+
+/// The lease of a holder that cannot be read. Its fencing token is at least that of each earlier holder.
+fn unknown_holder(revision: u64) -> Lease {
+    Lease {
+        holder: UNKNOWN_HOLDER.into(),
+        fence: revision,
+        duration_ms: TIMING.duration.as_millis() as u64,
+        write_id: CompactString::default(),
+        address: CompactString::default(),
+        acts_ms: None,
+        remaining_cooldown: None,
     }
 }
--- a/crates/pinereel/src/hosted/duty/store_call.rs
+++ b/crates/pinereel/src/hosted/duty/store_call.rs
@@ -41,9 +41,7 @@
         let read = store.read(Purpose::Leases, LEASE_KIND, duty, Consistency::Linearizable);
         match read.await {
             Ok(None) => Event::Read(None),
-            Ok(Some(object)) => {
-                decode(duty, object).map_or(Event::Failed, |l| Event::Read(Some(l)))
-            }
+            Ok(Some(object)) => Event::Read(Some(decode(duty, object))),
             Err(error) => {
                 log::debug!(duty, error:% = error; "lease not read");
                 Event::Failed
