results: objects of other writers do not hide the results of a lot

Trainers saw: no result of a lot for as long as an object that is no segment stood among its results.

Cause: a read ended at the first object that it could not parse, and the names of others come first (`!other`).

Evidence: results_are_read_beside_objects_of_other_writers failed before (0 of 1 result after 10 s); now it holds, also with odd checkpoints and odd objects among the lots.

Change: such an object is logged and passed over. If it stands in place of a segment, the next one is behind a gap, at which the read ends as before.

--- a/crates/pinereel/src/hosted/lots/trainer_api.rs
+++ b/crates/pinereel/src/hosted/lots/trainer_api.rs
@@ -353,9 +353,10 @@
         for object in objects {
             let (start, segment) = match parse_segment(object) {
                 Ok(segment) => segment,
+                // Another writer's object; if it hides a segment, the next one is behind a gap.
                 Err(fault) => {
                     log::error!(id = lot; "{fault}");
-                    return (samples, false);
+                    continue;
                 }
             };
             self.cache_total(lot, segment.total);
