settings: numbers of the platform are taken whole or as fractions, in any range

Callers saw: an instance whose settings held a fraction such as graceS = 8.5 or 8.0, a number out of a range of our own (statusS = 7200, maxFds = 2000000, memoryMb = 24), a name with capitals or of more than 63 characters, or a seed by host name, did not start. Change: durations and sizes take fractions. A kill that is not later than the balancer lag halves the lag instead of refusing the start, as callers' last requests need the rest. Names may be host names. MB is a unit, as 260.0 cannot be followed by zeros. Unknown sections and keys, missing names and addresses stay errors; the settings of 'entry' stay strict.

--- a/crates/pinereel/src/cli/mod.rs
+++ b/crates/pinereel/src/cli/mod.rs
@@ -141,7 +141,9 @@
         }
         Command::Hosted { config, check } => {
             if check {
-                Hosted::load(&config)?;
+                for warning in Hosted::load(&config)?.warnings.0 {
+                    output.print_line(&format!("warning: {warning}"))?;
+                }
                 return output.print_line("settings are valid");
             }
             let early_signals = hosted::EarlySignals {
--- a/crates/pinereel/src/hosted/run.rs
+++ b/crates/pinereel/src/hosted/run.rs
@@ -114,6 +114,9 @@
         settings:? = settings;
         "started"
     );
+    for warning in &settings.warnings.0 {
+        log::warn!(setting:% = warning; "setting cannot be used as given");
+    }
     let checks_at_once = early_signals.hangup.is_set();
     let (watched_settings, hangup) = (settings.clone(), Mutex::new(hangup));
     spawn_restarted("settings", async move || {
--- a/crates/pinereel/src/settings/hosted.rs
+++ b/crates/pinereel/src/settings/hosted.rs
@@ -7,10 +7,17 @@
 use compact_str::CompactString;
 use std::{
     net::{IpAddr, SocketAddr},
+    ops::RangeInclusive,
     path::Path,
     time::Duration,
 };
 
+/// Accepted range of durations that the platform gives.
+const PLATFORM_DURATION_RANGE: RangeInclusive<Duration> =
+    Duration::from_millis(1)..=Duration::from_secs(30 * 24 * 3_600);
+/// Accepted range of the processor time of an instance, in cores.
+const CORES_RANGE: (f64, f64) = (0.001, 1_024.0);
+
 /// All settings of a hosted instance.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Hosted {
@@ -30,6 +37,8 @@
     pub platform: Option<Platform>,
     /// Logging.
     pub log: Log,
+    /// Values that were replaced by similar ones, as the given ones cannot be used.
+    pub warnings: ValidationErrors,
 }
 
 /// Name, zone, listening addresses and resources of the instance.
@@ -143,7 +152,7 @@
     /// # Errors
     /// All validation errors of the text.
     pub fn parse(path: impl AsRef<Path>, text: &str) -> Result<Self, ValidationErrors> {
-        let mut reader = Reader::new(path.as_ref(), text)?;
+        let mut reader = Reader::new(path.as_ref(), text)?.of_platform();
         let instance = Instance::read(&mut reader);
         let store = Store::read(&mut reader);
         let peers = Peers::read(&mut reader);
@@ -153,6 +162,7 @@
         let platform = Platform::read(&mut reader);
         let log = Log::read(&mut reader);
         reader.check_end_marker();
+        let warnings = reader.take_warnings();
         let errors = reader.finish();
         match (instance, store) {
             (Some(instance), Some(store)) if errors.is_empty() => Ok(Self {
@@ -164,6 +174,7 @@
                 lots,
                 platform,
                 log,
+                warnings,
             }),
             _ => Err(errors),
         }
@@ -173,8 +184,8 @@
 impl Instance {
     fn read(reader: &mut Reader) -> Option<Self> {
         let mut section = reader.section("instance");
-        let name = section.required("name", value::EXPECTED_NAME, value::name);
-        let zone = section.required("zone", value::EXPECTED_NAME, value::name);
+        let name = section.required("name", value::EXPECTED_HOST_NAME, value::host_name);
+        let zone = section.required("zone", value::EXPECTED_HOST_NAME, value::host_name);
         let callers = section.optional("callers", value::EXPECTED_ADDRESS, value::address);
         let readiness = section.optional("readiness", value::EXPECTED_ADDRESS, value::address);
         let metrics = section.optional("metrics", value::EXPECTED_ADDRESS, value::address);
@@ -185,7 +196,7 @@
             ("metrics", metrics),
             ("peers", peers),
         ]);
-        let cores = section.optional("cores", value::EXPECTED_CORES, value::cores);
+        let cores = section.bounded("cores", value::EXPECTED_CORES, CORES_RANGE, value::decimal);
         // Half of the file descriptors are for callers' connections, the other half for endpoints, the
         // store and files.
         let descriptors = section.count("file_descriptors", 64..=1_000_000, 1_024);
@@ -210,7 +221,11 @@
         Some(Self {
             timeout: section.duration("timeout", DURATION_RANGE, Duration::from_millis(1_500)),
             watch: section.duration("watch", DURATION_RANGE, Duration::from_secs(20)),
-            leave_after: section.duration("leave_after", DURATION_RANGE, Duration::from_secs(2)),
+            leave_after: section.duration(
+                "leave_after",
+                PLATFORM_DURATION_RANGE,
+                Duration::from_secs(2),
+            ),
             reads_per_second: section.number("reads_per_second", 1..=10_000, 100),
             writes_per_second: section.number("writes_per_second", 1..=10_000, 50),
             address: address?,
@@ -221,10 +236,16 @@
 impl Peers {
     fn read(reader: &mut Reader) -> Self {
         let mut section = reader.section("peers");
-        let seeds = section.optional("seeds", value::EXPECTED_HOSTS, value::hosts);
+        let seeds = section.optional("seeds", value::EXPECTED_HOSTS, |text| {
+            Some(value::hosts(text))
+        });
+        let (seeds, all_valid) = seeds.unwrap_or((Vec::new(), true));
+        if !all_valid {
+            section.warn("seeds", value::EXPECTED_HOSTS);
+        }
         Self {
             store_calls: section.boolean("store_calls", false),
-            seeds: seeds.unwrap_or_default(),
+            seeds,
         }
     }
 }
@@ -232,10 +253,20 @@
 impl Stop {
     fn read(reader: &mut Reader) -> Self {
         let mut section = reader.section("stop");
-        let lag = section.duration("balancer_lag", DURATION_RANGE, Duration::from_millis(2_500));
-        let killed_after = section.duration("killed_after", DURATION_RANGE, Duration::from_secs(8));
+        let mut lag =
+            section.duration("balancer_lag", DURATION_RANGE, Duration::from_millis(2_500));
+        let killed_after = section.duration(
+            "killed_after",
+            PLATFORM_DURATION_RANGE,
+            Duration::from_secs(8),
+        );
         if killed_after <= lag {
-            section.report_error("killed_after", "longer than balancer_lag");
+            // Callers' requests still need time to be answered after the last connection.
+            section.warn(
+                "killed_after",
+                "longer than balancer_lag, which is shortened",
+            );
+            lag = killed_after / 2;
         }
         Self {
             balancer_lag: lag,
@@ -248,7 +279,7 @@
     fn read(reader: &mut Reader) -> Self {
         let mut section = reader.section("orders");
         Self {
-            gap: section.duration("gap", DURATION_RANGE, Duration::from_secs(3)),
+            gap: section.duration("gap", PLATFORM_DURATION_RANGE, Duration::from_secs(3)),
             loads: section.count("loads", 1..=1_000, 2),
         }
     }
@@ -258,7 +289,7 @@
     fn read(reader: &mut Reader) -> Self {
         let mut section = reader.section("lots");
         Self {
-            kept: section.duration("kept", DURATION_RANGE, Duration::from_secs(120)),
+            kept: section.duration("kept", PLATFORM_DURATION_RANGE, Duration::from_secs(120)),
         }
     }
 }
@@ -268,8 +299,16 @@
         let mut section = reader.section("platform");
         let address = section.optional("address", value::EXPECTED_ADDRESS, value::address);
         let duties = section.optional("duties", value::EXPECTED_DUTIES, value::duties);
-        let window = section.duration("usage_window", DURATION_RANGE, Duration::from_secs(5));
-        let late = section.duration("usage_late", DURATION_RANGE, Duration::from_secs(10));
+        let window = section.duration(
+            "usage_window",
+            PLATFORM_DURATION_RANGE,
+            Duration::from_secs(5),
+        );
+        let late = section.duration(
+            "usage_late",
+            PLATFORM_DURATION_RANGE,
+            Duration::from_secs(10),
+        );
         let duties = duties.unwrap_or_default();
         Some(Self {
             address: address?,
--- a/crates/pinereel/src/settings/mod.rs
+++ b/crates/pinereel/src/settings/mod.rs
@@ -4,6 +4,7 @@
 //! line number, so that one run is enough to correct the file.
 
 mod hosted;
+mod line_index;
 mod reader;
 mod secret;
 mod validation;
--- a/crates/pinereel/src/settings/reader.rs
+++ b/crates/pinereel/src/settings/reader.rs
@@ -1,6 +1,6 @@
 //! Typed access to the sections and keys of an INI file, which collects all validation errors.
 
-use super::{Secret, ValidationError, ValidationErrors, value};
+use super::{Secret, ValidationError, ValidationErrors, line_index::LineIndex, value};
 use compact_str::{CompactString, format_compact};
 use ini::Ini;
 use std::{
@@ -27,6 +27,9 @@
     /// Keys requested so far, by section; all others are reported as unknown.
     requested: BTreeMap<CompactString, BTreeSet<CompactString>>,
     errors: Vec<ValidationError>,
+    /// Whether the platform writes the file, so that a number out of range is no typing error.
+    is_of_platform: bool,
+    warnings: Vec<ValidationError>,
 }
 
 impl Reader {
@@ -38,6 +41,8 @@
             values: BTreeMap::new(),
             requested: BTreeMap::new(),
             errors: Vec::new(),
+            is_of_platform: false,
+            warnings: Vec::new(),
         };
         match Ini::load_from_str(text) {
             Ok(ini) => reader.load_properties(&ini, &LineIndex::scan(text)),
@@ -57,6 +62,17 @@
         Ok(reader)
     }
 
+    /// Makes numbers out of range warnings in place of errors.
+    pub(super) fn of_platform(mut self) -> Self {
+        self.is_of_platform = true;
+        self
+    }
+
+    /// Returns the warnings so far.
+    pub(super) fn take_warnings(&mut self) -> ValidationErrors {
+        ValidationErrors(std::mem::take(&mut self.warnings))
+    }
+
     /// Opens the section `name` to read its keys.
     pub(super) fn section(&mut self, name: &'static str) -> Section<'_> {
         self.requested.entry(name.into()).or_default();
@@ -200,28 +216,35 @@
     pub(super) fn number(&mut self, key: &str, range: RangeInclusive<u32>, default: u32) -> u32 {
         let (low, high) = (*range.start(), *range.end());
         let expected = format_compact!("a number from {low} to {high}");
-        let parse = |text: &str| u32::try_from(value::number(text)?).ok();
-        self.optional(key, &expected, |text| in_range(parse(text), &range))
-            .unwrap_or(default)
+        self.bounded(
+            key,
+            &expected,
+            (low.into(), high.into()),
+            self.whole_number(),
+        )
+        .map_or(default, |number| number as u32)
     }
 
     /// A whole number in `range`, as a count of items.
     pub(super) fn count(&mut self, key: &str, range: RangeInclusive<u64>, default: usize) -> usize {
-        let (low, high) = (range.start(), range.end());
+        let (low, high) = (*range.start(), *range.end());
         let expected = format_compact!("a number from {low} to {high}");
-        self.optional(key, &expected, |text| in_range(value::number(text), &range))
-            .map_or(default, saturating_usize)
+        self.bounded(
+            key,
+            &expected,
+            (low as f64, high as f64),
+            self.whole_number(),
+        )
+        .map_or(default, |number| number as usize)
     }
 
     /// A size with its unit in `range`, converted to bytes.
     pub(super) fn size(&mut self, key: &str, range: RangeInclusive<u64>, default: usize) -> usize {
-        let (low, high) = (
-            value::format_size(*range.start()),
-            value::format_size(*range.end()),
-        );
-        let expected = format_compact!("a size (B, KiB, MiB, GiB) from {low} to {high}");
-        self.optional(key, &expected, |text| in_range(value::size(text), &range))
-            .map_or(default, saturating_usize)
+        let (low, high) = (*range.start(), *range.end());
+        let (min, max) = (value::format_size(low), value::format_size(high));
+        let expected = format_compact!("a size (B, MB, KiB, MiB, GiB) from {min} to {max}");
+        self.bounded(key, &expected, (low as f64, high as f64), value::bytes)
+            .map_or(default, |bytes| bytes as usize)
     }
 
     /// A duration with its unit in `range`.
@@ -233,10 +256,42 @@
     ) -> Duration {
         let (low, high) = (range.start(), range.end());
         let expected = format_compact!("a duration (ms, s, m, h) from {low:?} to {high:?}");
-        self.optional(key, &expected, |text| {
-            in_range(value::duration(text), &range)
-        })
-        .unwrap_or(default)
+        let limits = (low.as_secs_f64() * 1e3, high.as_secs_f64() * 1e3);
+        self.bounded(key, &expected, limits, value::millis)
+            .map_or(default, |millis| Duration::from_secs_f64(millis / 1e3))
+    }
+
+    /// The parser of whole numbers. The platform may give a fraction, which is rounded down.
+    fn whole_number(&self) -> impl Fn(&str) -> Option<f64> + use<> {
+        let takes_fractions = self.reader.is_of_platform;
+        move |text| value::decimal(text).filter(|n| takes_fractions || n.fract() == 0.0)
+    }
+
+    /// A number from `low` to `high`. In a file of the platform, a number out of this range is replaced by the
+    /// nearest one in it, and a missing number by the default.
+    pub(super) fn bounded(
+        &mut self,
+        key: &str,
+        expected: &str,
+        (low, high): (f64, f64),
+        parse: impl Fn(&str) -> Option<f64>,
+    ) -> Option<f64> {
+        let text = self.text(key)?;
+        match parse(&text) {
+            Some(number) if (low..=high).contains(&number) => Some(number),
+            Some(number) if self.reader.is_of_platform => {
+                self.warn(key, expected);
+                Some(number.clamp(low, high))
+            }
+            None if self.reader.is_of_platform && value::lacks_number(&text) => {
+                self.warn(key, expected);
+                None
+            }
+            _ => {
+                self.report_error(key, expected);
+                None
+            }
+        }
     }
 
     /// `true` or `false`.
@@ -299,17 +354,27 @@
 
     /// Reports that the value of `key` is invalid or missing.
     pub(super) fn report_error(&mut self, key: &str, expected: &str) {
+        let error = self.validation_error(key, expected);
+        self.reader.errors.push(error);
+    }
+
+    /// Reports that the value of `key` is replaced by a similar one.
+    pub(super) fn warn(&mut self, key: &str, expected: &str) {
+        let warning = self.validation_error(key, expected);
+        self.reader.warnings.push(warning);
+    }
+
+    fn validation_error(&self, key: &str, expected: &str) -> ValidationError {
         let value = self.reader.values.get(self.name).and_then(|s| s.get(key));
-        let header = self
-            .reader
-            .section_lines
-            .get(self.name)
-            .copied()
-            .unwrap_or(1);
-        let line = value.map_or(header, |value| value.line);
-        let given = value.map(|value| value.text.clone());
-        self.reader
-            .push_error(line, self.name, Some(key), given, expected);
+        let header = self.reader.section_lines.get(self.name).copied();
+        ValidationError {
+            file: self.reader.file.clone(),
+            line: value.map_or(header.unwrap_or(1), |value| value.line),
+            section: self.name.into(),
+            key: Some(key.into()),
+            given: value.map(|value| value.text.clone()),
+            expected: expected.into(),
+        }
     }
 
     fn text(&mut self, key: &str) -> Option<CompactString> {
@@ -328,42 +393,6 @@
     }
 }
 
-/// Line numbers of sections and keys, which the INI library does not provide.
-struct LineIndex {
-    headers: Vec<(CompactString, usize)>,
-    keys: BTreeMap<(CompactString, CompactString), Vec<usize>>,
-}
-
-impl LineIndex {
-    fn scan(text: &str) -> Self {
-        let mut lines = Self {
-            headers: Vec::new(),
-            keys: BTreeMap::new(),
-        };
-        let mut section = CompactString::default();
-        for (index, line) in text.lines().enumerate() {
-            let line = line.trim();
-            if line.starts_with(['#', ';']) {
-                continue;
-            }
-            if let Some(header) = line.strip_prefix('[') {
-                section = header.split(']').next().unwrap_or_default().trim().into();
-                lines.headers.push((section.clone(), index + 1));
-            } else if let Some((key, _)) = line.split_once(['=', ':']) {
-                let location = (section.clone(), key.trim().into());
-                lines.keys.entry(location).or_default().push(index + 1);
-            }
-        }
-        lines
-    }
-
-    /// Line number of the `nth` occurrence of a key in a section; 1 if the scan missed it.
-    fn find(&self, location: &(CompactString, CompactString), nth: usize) -> usize {
-        let lines = self.keys.get(location);
-        lines.and_then(|lines| lines.get(nth)).copied().unwrap_or(1)
-    }
-}
-
 /// Whether two listeners cannot be bound at the same time.
 fn addresses_conflict(a: Option<SocketAddr>, b: Option<SocketAddr>) -> bool {
     let (Some(a), Some(b)) = (a, b) else {
@@ -373,14 +402,6 @@
     a.port() != 0 && a.port() == b.port() && (any || a.ip() == b.ip())
 }
 
-fn in_range<T: PartialOrd>(value: Option<T>, range: &RangeInclusive<T>) -> Option<T> {
-    value.filter(|value| range.contains(value))
-}
-
-fn saturating_usize(value: u64) -> usize {
-    usize::try_from(value).unwrap_or(usize::MAX)
-}
-
 fn join<'a>(names: impl IntoIterator<Item = &'a (impl Display + 'a)>) -> String {
     let names: Vec<_> = names.into_iter().map(ToString::to_string).collect();
     names.join(", ")
--- a/crates/pinereel/src/settings/value.rs
+++ b/crates/pinereel/src/settings/value.rs
@@ -6,13 +6,11 @@
 use super::Routing;
 use compact_str::{CompactString, format_compact};
 use log::LevelFilter;
-use std::{
-    net::{IpAddr, SocketAddr},
-    time::Duration,
-};
+use std::net::{IpAddr, SocketAddr};
 
 pub(super) const EXPECTED_NAME: &str =
     "1 to 63 of a-z, 0-9, `-`, `.` and `_`, starting with a-z or 0-9";
+pub(super) const EXPECTED_HOST_NAME: &str = "1 to 253 of a-z, A-Z, 0-9, `-`, `.` and `_`";
 pub(super) const EXPECTED_ADDRESS: &str = "IP:PORT";
 pub(super) const EXPECTED_HOSTS: &str = "a list of IP or IP:PORT, joined by commas";
 pub(super) const EXPECTED_URL: &str = "http://IP:PORT";
@@ -24,6 +22,18 @@
 
 /// Maximum length of a name, in bytes.
 const MAX_NAME_BYTES: usize = 63;
+/// Maximum length of a name that the platform gives, in bytes; that of a host name.
+const MAX_HOST_NAME_BYTES: usize = 253;
+/// Units of durations, in milliseconds.
+const DURATION_UNITS: [(&str, f64); 4] = [("ms", 1.0), ("s", 1e3), ("m", 6e4), ("h", 3.6e6)];
+/// Units of sizes, in bytes.
+const SIZE_UNITS: [(&str, f64); 5] = [
+    ("KiB", 1_024.0),
+    ("MiB", 1_048_576.0),
+    ("GiB", 1_073_741_824.0),
+    ("MB", 1e6),
+    ("B", 1.0),
+];
 
 pub(super) fn name(text: &str) -> Option<CompactString> {
     let is_alphanumeric = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit();
@@ -36,18 +46,26 @@
     valid.then(|| text.into())
 }
 
+/// Parses a name that the platform gives, which may be a host name.
+pub(super) fn host_name(text: &str) -> Option<CompactString> {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || "-._".contains(c);
+    let valid = (1..=MAX_HOST_NAME_BYTES).contains(&text.len()) && text.chars().all(allowed);
+    valid.then(|| text.into())
+}
+
 pub(super) fn address(text: &str) -> Option<SocketAddr> {
     text.parse().ok()
 }
 
-/// Parses a comma-separated list of IP addresses, which may be empty. Their ports are ignored.
-pub(super) fn hosts(text: &str) -> Option<Vec<IpAddr>> {
+/// Parses a comma-separated list of IP addresses, which may be empty. Their ports are ignored. Returns the
+/// valid ones, and whether all are valid.
+pub(super) fn hosts(text: &str) -> (Vec<IpAddr>, bool) {
     let host = |entry: &str| entry.parse().ok().or_else(|| Some(address(entry)?.ip()));
     let entries = text.split(',').map(str::trim);
-    entries
-        .filter(|entry| !entry.is_empty())
-        .map(host)
-        .collect()
+    let entries: Vec<_> = entries.filter(|entry| !entry.is_empty()).collect();
+    let hosts: Vec<_> = entries.iter().filter_map(|entry| host(entry)).collect();
+    let all_valid = hosts.len() == entries.len();
+    (hosts, all_valid)
 }
 
 pub(super) fn url(text: &str) -> Option<CompactString> {
@@ -89,41 +107,27 @@
     text.parse().ok()
 }
 
-pub(super) fn cores(text: &str) -> Option<f64> {
-    text.parse()
-        .ok()
-        .filter(|cores: &f64| cores.is_finite() && *cores > 0.0)
+/// Parses a decimal number, such as `8`, `8.5` or `1e3`.
+pub(super) fn decimal(text: &str) -> Option<f64> {
+    let digits = text.strip_prefix('-').unwrap_or(text);
+    let begins_with_digit = digits.starts_with(|c: char| c.is_ascii_digit());
+    begins_with_digit.then(|| text.parse().ok()).flatten()
 }
 
-pub(super) fn number(text: &str) -> Option<u64> {
-    let digits = !text.is_empty() && text.bytes().all(|b| b.is_ascii_digit());
-    digits.then(|| text.parse().ok()).flatten()
+/// Parses a number followed by `ms`, `s`, `m` or `h`, into milliseconds.
+pub(super) fn millis(text: &str) -> Option<f64> {
+    with_unit(text, &DURATION_UNITS)
 }
 
-/// Parses a whole number followed by `ms`, `s`, `m` or `h`.
-pub(super) fn duration(text: &str) -> Option<Duration> {
-    let (count, unit) = split_unit(text)?;
-    let millis = match unit {
-        "ms" => 1,
-        "s" => 1_000,
-        "m" => 60_000,
-        "h" => 3_600_000,
-        _ => return None,
-    };
-    count.checked_mul(millis).map(Duration::from_millis)
+/// Parses a number followed by `B`, `MB`, `KiB`, `MiB` or `GiB`, into bytes.
+pub(super) fn bytes(text: &str) -> Option<f64> {
+    with_unit(text, &SIZE_UNITS)
 }
 
-/// Parses a whole number followed by `B`, `KiB`, `MiB` or `GiB`, into bytes.
-pub(super) fn size(text: &str) -> Option<u64> {
-    let (count, unit) = split_unit(text)?;
-    let bytes = match unit {
-        "B" => 1,
-        "KiB" => 1 << 10,
-        "MiB" => 1 << 20,
-        "GiB" => 1 << 30,
-        _ => return None,
-    };
-    count.checked_mul(bytes)
+/// Whether `text` is a unit, or nothing, in place of a number: the template has no value for the field.
+pub(super) fn lacks_number(text: &str) -> bool {
+    let units = DURATION_UNITS.iter().chain(&SIZE_UNITS);
+    text.is_empty() || units.into_iter().any(|(unit, _)| *unit == text)
 }
 
 /// Formats a number of bytes in the largest unit that gives a whole number.
@@ -136,8 +140,10 @@
     }
 }
 
-fn split_unit(text: &str) -> Option<(u64, &str)> {
-    let end = text.find(|c: char| !c.is_ascii_digit())?;
-    let (count, unit) = text.split_at(end);
-    Some((number(count)?, unit))
+/// Parses a number followed by one of `units`, of which the longer ones come first.
+fn with_unit(text: &str, units: &[(&str, f64)]) -> Option<f64> {
+    let mut units = units.iter();
+    let (number, factor) =
+        units.find_map(|(unit, factor)| Some((text.strip_suffix(unit)?, factor)))?;
+    Some(decimal(number)? * factor)
 }
