lots: ids in paths and queries are decoded

Trainers saw 404 for a lot that was accepted, if its id holds a character that a path must encode (a blank, `%`, `?`).

Cause: the id was taken from the path, and an item's from the query, without decoding.

--- a/crates/pinereel_port/src/uri.rs
+++ b/crates/pinereel_port/src/uri.rs
@@ -1,6 +1,7 @@
 //! Percent-encoding of text that becomes part of a URI.
 
-use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
+use compact_str::CompactString;
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, percent_decode_str, utf8_percent_encode};
 use std::fmt;
 
 /// All characters but the unreserved ones (RFC 3986, section 2.3).
@@ -14,3 +15,9 @@
 pub fn encode(text: &str) -> impl fmt::Display {
     utf8_percent_encode(text, ENCODED)
 }
+
+/// Decodes a segment of a path or a value of a query. Bytes that are not UTF-8 are replaced, and a `+` stands for
+/// itself.
+pub fn decode(text: &str) -> CompactString {
+    percent_decode_str(text).decode_utf8_lossy().into()
+}
