lots: an id that cannot be kept is refused at once

Trainers saw 504 ("may have run") for a lot whose id holds a slash, after four attempts, and a lot without a readable id (missing, or not ASCII) had the same name as all others without one.

Cause: the id became the name of an object, which cannot hold a slash or be empty.

Evidence: a_lot_whose_id_cannot_be_kept_is_refused failed before with `a/b` (504 in place of 400); now 400 for six ids.

--- a/crates/pinereel/src/hosted/lots/trainer_api.rs
+++ b/crates/pinereel/src/hosted/lots/trainer_api.rs
@@ -118,6 +118,11 @@
         body: &[u8],
         deadline: Instant,
     ) -> Reply {
+        if !can_be_name(id) {
+            return Reply::Malformed(
+                "the id of a lot must not be empty, `.`, `..` or contain `/`".into(),
+            );
+        }
         let lot = match serde_json::from_slice::<&RawValue>(body) {
             Ok(lot) => lot,
             Err(error) => return Reply::Malformed(error.to_string().into()),
@@ -470,6 +475,11 @@
     }
 }
 
+/// Whether an id can be the name of an object: one segment of a path.
+fn can_be_name(id: &str) -> bool {
+    !matches!(id, "" | "." | "..") && !id.contains('/')
+}
+
 /// Number of samples that fit into an answer of `bytes`; at least one if there are any. JSON
 /// escapes may double the size of the text.
 fn count_that_fit(samples: &[Sample], bytes: usize) -> usize {
--- a/crates/pinereel_fakes/tests/hosting_lot_ids.rs
+++ b/crates/pinereel_fakes/tests/hosting_lot_ids.rs
@@ -65,3 +65,14 @@
         assert_eq!(ended.status, StatusCode::OK, "{id}");
     }
 }
+
+/// The store refuses such a name with a status that says nothing about the lot, which may have been kept for all
+/// that its trainer knew.
+#[actix_rt::test]
+async fn a_lot_whose_id_cannot_be_kept_is_refused() {
+    let site = Site::start(SITE_SIZE, 702).await.expect("the site starts");
+    for id in ["a/b", "/", "", ".", "..", "é"] {
+        let submitted = submit_once(&site, id, (MODEL, 1), vec![item("i")]).await;
+        assert_eq!(submitted, Ok(StatusCode::BAD_REQUEST), "{id:?}");
+    }
+}
