endpoints, leases: objects that are larger than any of their kind are not kept; bounded log of refused entries

Cause: entries of other writers, of up to 1 MB each, were kept and forwarded whole by every instance, and each refused entry gave a log line in each instance and start. The record of refused entries grew with each id, also after the entry was gone.

Change: contents of an endpoint entry or retirement request above 32 KiB, or of a lease above 128 KiB, are dropped when the page is decoded, with an error in the log, and do not count towards the limit on a list. 16 refused entries of an update are logged one by one. Entries that are gone leave the record.

--- a/crates/pinereel/src/hosted/endpoints/listing.rs
+++ b/crates/pinereel/src/hosted/endpoints/listing.rs
@@ -23,6 +23,8 @@
 /// Maximum number of changes in one update that are logged one by one; of more only the number is
 /// logged.
 const MAX_LOGGED_CHANGES: usize = 16;
+/// Maximum number of refused entries in one update that are logged one by one; of more only the number is logged.
+const MAX_LOGGED_REJECTIONS: usize = 16;
 /// Maximum number of requests that an endpoint may have from this instance, per slot: it queues a
 /// few itself.
 const REQUESTS_PER_SLOT: u32 = 2;
@@ -32,9 +34,16 @@
     /// `scope` that it does not contain.
     pub(super) fn apply_update(self: &Rc<Self>, update: Update, scope: Scope) {
         self.remove_unfollowed(scope);
+        let mut rejections = 0;
         match update {
             Update::All(objects) => {
                 let present: BTreeSet<_> = objects.iter().map(|o| &o.name).collect();
+                // An entry that names no endpoint is not in the list of the engines.
+                if scope != Scope::Engines {
+                    self.rejected
+                        .borrow_mut()
+                        .retain(|id, _| present.contains(id));
+                }
                 let entries = self.entries.borrow();
                 let known = entries.iter().filter(|(_, l)| scope.contains(&l.entry));
                 let removed = known.filter(|(id, _)| !present.contains(id));
@@ -43,7 +52,7 @@
                 removed.iter().for_each(|id| self.handle_removed(id));
                 log::info!(scope:? = scope, listed = objects.len(), gone = removed.len(); "endpoint list read");
                 for object in &objects {
-                    self.apply_entry(object, Level::Debug);
+                    self.apply_entry(object, Level::Debug, &mut rejections);
                 }
             }
             Update::Changes(changes) => {
@@ -55,13 +64,17 @@
                 };
                 for change in changes {
                     if change.deleted {
+                        self.rejected.borrow_mut().remove(&change.object.name);
                         self.handle_removed(&change.object.name);
                     } else {
-                        self.apply_entry(&change.object, level);
+                        self.apply_entry(&change.object, level, &mut rejections);
                     }
                 }
             }
         }
+        if rejections > MAX_LOGGED_REJECTIONS {
+            log::error!(count = rejections, logged = MAX_LOGGED_REJECTIONS; "list entries refused");
+        }
         self.notify_changed();
     }
 
@@ -83,12 +96,12 @@
     }
 
     /// Applies an entry and logs at `level` what is new in it. An entry of an earlier start of the
-    /// endpoint is ignored.
-    fn apply_entry(&self, object: &Object, level: Level) {
+    /// endpoint is ignored, and a new rejection is added to `rejections`.
+    fn apply_entry(&self, object: &Object, level: Level, rejections: &mut usize) {
         let entry = match (self.deps.adapter.decode_endpoint)(&object.name, &object.spec) {
             Ok(entry) => entry,
             Err(fault) => {
-                self.reject_entry(object, &fault);
+                self.reject_entry(object, &fault, rejections);
                 return;
             }
         };
@@ -124,13 +137,16 @@
         self.apply_event_at(level, Event::Listed(listing));
     }
 
-    /// Rejects an invalid entry. If it was valid before, its endpoint is removed, since another
+    /// Rejects an invalid entry, which is logged and counted once a revision. If it was valid before, its endpoint is removed, since another
     /// writer may have replaced the entry.
-    fn reject_entry(&self, object: &Object, fault: &DecodeError) {
+    fn reject_entry(&self, object: &Object, fault: &DecodeError, rejections: &mut usize) {
         let id = &object.name;
         let already_logged = self.rejected.borrow().get(id) == Some(&object.revision);
         if !already_logged {
-            log::error!(endpoint = id.as_str(), revision = object.revision; "list entry refused: {fault}");
+            *rejections += 1;
+            if *rejections <= MAX_LOGGED_REJECTIONS {
+                log::error!(endpoint = id.as_str(), revision = object.revision; "list entry refused: {fault}");
+            }
             let metrics = &self.deps.metrics;
             metrics.count(&metrics.endpoint_entries, &["refused"]);
             let rejected = (id.clone(), object.revision);
--- a/crates/pinereel/src/hosted/store/mod.rs
+++ b/crates/pinereel/src/hosted/store/mod.rs
@@ -1,6 +1,7 @@
 //! Typed calls to the platform's object store, and whether the store is reachable (`health`).
 
 mod health;
+mod large_objects;
 mod listing;
 
 use super::{metrics::Metrics, parent_calls::ParentCalls, tree::StoreOutcome};
@@ -9,6 +10,7 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use health::{Health, Reachability, is_answered, may_be_repeated};
+use large_objects::clear_large;
 use listing::Listing;
 use pinereel_core::tree::{
     StoreCallKind, StoreCallParent, StoreRoute, store_route, takes_store_calls,
@@ -388,11 +390,14 @@
         loop {
             let consistency = Consistency::Linearizable;
             let page = self.sized_page(purpose, kind, cursor.as_deref(), consistency);
-            let (page, bytes) = page.await?;
-            cursor = listing.add(page, bytes).map_err(|fault| {
-                log::error!(kind, fault:% = fault; "object store: list given up");
-                Error::Malformed(fault.to_string())
-            })?;
+            let (mut page, bytes) = page.await?;
+            let dropped = clear_large(purpose, kind, page.objects.iter_mut());
+            cursor = listing
+                .add(page, bytes.saturating_sub(dropped))
+                .map_err(|fault| {
+                    log::error!(kind, fault:% = fault; "object store: list given up");
+                    Error::Malformed(fault.to_string())
+                })?;
             if cursor.is_none() {
                 return Ok(listing.into_parts());
             }
@@ -412,7 +417,10 @@
     ) -> Result<WatchResponse, Error> {
         let call = (self.codec.watch)(kind, after, wait);
         let body = self.exchange(purpose, Access::Watch, call, wait).await?;
-        decode_body(self.codec.decode_changes, &body)
+        let mut answer = decode_body(self.codec.decode_changes, &body)?;
+        let objects = answer.changes.iter_mut().map(|change| &mut change.object);
+        clear_large(purpose, kind, objects);
+        Ok(answer)
     }
 
     /// Creates an object; `spec` is JSON text.
--- a/crates/pinereel_fakes/src/hosting/store.rs
+++ b/crates/pinereel_fakes/src/hosting/store.rs
@@ -458,9 +458,8 @@
         while items.len() < self.page_size.get()
             && let Some((name, stored)) = rest.next_if(|_| bytes < MAX_PAGE_BYTES)
         {
-            let object = object_json(name, stored);
-            bytes += object.to_string().len();
-            items.push(object);
+            bytes += text_bytes(&stored.spec) + text_bytes(&stored.status);
+            items.push(object_json(name, stored));
         }
         let more = rest.peek().is_some();
         let answer = json!({"items": items, "more": more, "currentRev": data.revision});
@@ -537,6 +536,16 @@
     request.headers().get(USER_AGENT)?.to_str().ok()
 }
 
+/// Length of the texts in a value, which make up nearly all of a large object.
+fn text_bytes(value: &Value) -> usize {
+    match value {
+        Value::String(text) => text.len(),
+        Value::Array(values) => values.iter().map(text_bytes).sum(),
+        Value::Object(members) => members.values().map(text_bytes).sum(),
+        Value::Null | Value::Bool(_) | Value::Number(_) => 0,
+    }
+}
+
 /// Keeps the connection open for ten minutes without an answer.
 async fn never_answer() -> Response {
     sleep(Duration::from_secs(600)).await;
