soak: restarts all processes while entries of another writer stand

All processes are now killed and started again at the end of the faults while entries stand, and the checks of recovery run beside them.

--- a/crates/pinereel_fakes/src/hosting/soak/foreign_entries.rs
+++ b/crates/pinereel_fakes/src/hosting/soak/foreign_entries.rs
@@ -1,8 +1,15 @@
 //! Entries of another writer that come and go in the store, beside all other faults. Instances must serve as
 //! without them, and read the store about as often.
 
-use super::foreign_specs::{draw_name, draw_spec};
-use crate::hosting::{site::Site, store::Store};
+use super::{
+    AFTER_EFFECT_TIME, FaultPeriod, OutOfTouch,
+    foreign_specs::{draw_name, draw_spec},
+    start_instance,
+};
+use crate::{
+    child_process::Signal,
+    hosting::{site::Site, store::Store},
+};
 use rand::{Rng as _, SeedableRng as _, seq::IndexedRandom as _};
 use rand_chacha::ChaCha8Rng;
 use serde_json::Value;
@@ -66,9 +73,15 @@
     without_entries: Calls,
 }
 
-/// Writes and removes entries until `end`, and leaves the last ones in place. The draws have a generator of their
+/// Writes and removes entries until `end`. Then all processes are killed and started again while entries stand,
+/// and the last entries stay in place, so that the checks of recovery judge lists that are read anew. The draws have a generator of their
 /// own, so that the other faults of a seed do not depend on them.
-pub(super) async fn write_until(site: &Rc<RefCell<Site>>, seed: u64, end: Instant) -> Observation {
+pub(super) async fn write_until(
+    site: &Rc<RefCell<Site>>,
+    periods: &RefCell<Vec<FaultPeriod>>,
+    seed: u64,
+    end: Instant,
+) -> Observation {
     let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0x0066_6f72_6569_676e);
     let store = site.borrow().store.clone();
     let page_size = *PAGE_SIZES.choose(&mut rng).expect("the list is not empty");
@@ -82,7 +95,8 @@
         observation.without_entries += wait(&store, pause, end).await;
         let mut entries = Vec::new();
         for _ in 0..rng.random_range(1..=MAX_BATCHES) {
-            entries.extend(write_batch(&store, page_size, &mut rng));
+            let kind = *KINDS.choose(&mut rng).expect("the list is not empty");
+            entries.extend(write_batch(&store, kind, page_size, &mut rng));
         }
         observation.entry_count += entries.len();
         observation.changes += MAX_BATCHES as u64;
@@ -90,6 +104,8 @@
             let pause = Duration::from_millis(rng.random_range(500..2_500));
             observation.with_entries += wait(&store, pause, end).await;
             if Instant::now() >= end {
+                write_batch(&store, "servers", page_size, &mut rng);
+                restart_all(&mut site.borrow_mut(), periods);
                 return observation;
             }
             // Names at the ends of pages change as well.
@@ -118,8 +134,12 @@
 }
 
 /// Writes entries of a kind that take more than a page. Objects that exist are not replaced.
-fn write_batch(store: &Store, page_size: usize, rng: &mut ChaCha8Rng) -> Vec<Entry> {
-    let kind = *KINDS.choose(rng).expect("the list is not empty");
+fn write_batch(
+    store: &Store,
+    kind: &'static str,
+    page_size: usize,
+    rng: &mut ChaCha8Rng,
+) -> Vec<Entry> {
     let count = rng.random_range(page_size + 8..page_size * 2 + 40);
     let mut names: Vec<_> = (0..count).map(|number| draw_name(number, rng)).collect();
     if kind == LEASE_KIND {
@@ -139,6 +159,24 @@
     entries
 }
 
+/// Kills all processes, and starts them again.
+fn restart_all(site: &mut Site, periods: &RefCell<Vec<FaultPeriod>>) {
+    let from = Instant::now();
+    periods.borrow_mut().push(FaultPeriod {
+        instance: None,
+        graceful: false,
+        out_of_touch: OutOfTouch::All,
+        from,
+        to: from + AFTER_EFFECT_TIME,
+    });
+    for instance in &mut site.instances {
+        instance.signal(Signal::KILL);
+    }
+    for index in 0..site.instances.len() {
+        start_instance(site, index);
+    }
+}
+
 /// Removes entries, unless an instance has replaced them.
 fn remove(store: &Store, entries: impl IntoIterator<Item = Entry>) {
     for Entry { kind, name, spec } in entries {
--- a/crates/pinereel_fakes/src/hosting/soak/mod.rs
+++ b/crates/pinereel_fakes/src/hosting/soak/mod.rs
@@ -258,10 +258,13 @@
             false => Vec::new(),
         }
     };
-    let written_site = Rc::clone(&soak.site);
+    let (written_site, restart_periods) = (Rc::clone(&soak.site), Rc::clone(&soak.fault_periods));
     let foreign_writer = async {
         match options.foreign_entries {
-            true => Some(foreign_entries::write_until(&written_site, options.seed, end).await),
+            true => {
+                let (site, periods) = (&written_site, &restart_periods);
+                Some(foreign_entries::write_until(site, periods, options.seed, end).await)
+            }
             false => None,
         }
     };
