--- a/crates/pinereel/src/settings/hosted.rs
+++ b/crates/pinereel/src/settings/hosted.rs
@@ -279,7 +279,7 @@
     fn read(reader: &mut Reader) -> Self {
         let mut section = reader.section("orders");
         Self {
-            gap: section.duration("gap", PLATFORM_DURATION_RANGE, Duration::from_secs(3)),
+            gap: section.duration("gap", DURATION_RANGE, Duration::from_secs(3)),
             loads: section.count("loads", 1..=1_000, 2),
         }
     }
