--- a/crates/pinereel/src/hosted/store/mod.rs
+++ b/crates/pinereel/src/hosted/store/mod.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use health::{Health, Reachability, is_answered, may_be_repeated};
-use large_objects::clear_large;
+use large_objects::{log_oversized, max_object_bytes};
 use listing::Listing;
 use pinereel_core::tree::{
     StoreCallKind, StoreCallParent, StoreRoute, store_route, takes_store_calls,
@@ -371,7 +371,9 @@
     ) -> Result<(Page, usize), Error> {
         let call = (self.codec.list)(kind, after, freshness);
         let body = self.request(purpose, read_access(freshness), call).await?;
-        let page = decode_body(self.codec.decode_page, &body)?;
+        let decode = |body: &[u8]| (self.codec.decode_page)(body, max_object_bytes(purpose));
+        let page = decode_body(decode, &body)?;
+        log_oversized(purpose, kind, page.oversized);
         Ok((page, body.len()))
     }
 
@@ -390,14 +392,11 @@
         loop {
             let consistency = Consistency::Linearizable;
             let page = self.sized_page(purpose, kind, cursor.as_deref(), consistency);
-            let (mut page, bytes) = page.await?;
-            let dropped = clear_large(purpose, kind, page.objects.iter_mut());
-            cursor = listing
-                .add(page, bytes.saturating_sub(dropped))
-                .map_err(|fault| {
-                    log::error!(kind, fault:% = fault; "object store: list given up");
-                    Error::Malformed(fault.to_string())
-                })?;
+            let (page, bytes) = page.await?;
+            cursor = listing.add(page, bytes).map_err(|fault| {
+                log::error!(kind, fault:% = fault; "object store: list given up");
+                Error::Malformed(fault.to_string())
+            })?;
             if cursor.is_none() {
                 return Ok(listing.into_parts());
             }
@@ -417,9 +416,9 @@
     ) -> Result<WatchResponse, Error> {
         let call = (self.codec.watch)(kind, after, wait);
         let body = self.exchange(purpose, Access::Watch, call, wait).await?;
-        let mut answer = decode_body(self.codec.decode_changes, &body)?;
-        let objects = answer.changes.iter_mut().map(|change| &mut change.object);
-        clear_large(purpose, kind, objects);
+        let decode = |body: &[u8]| (self.codec.decode_changes)(body, max_object_bytes(purpose));
+        let answer = decode_body(decode, &body)?;
+        log_oversized(purpose, kind, answer.oversized);
         Ok(answer)
     }
 
@@ -604,7 +603,10 @@
     }
 }
 
-fn decode_body<T>(decode: fn(&[u8]) -> Result<T, DecodeError>, body: &[u8]) -> Result<T, Error> {
+fn decode_body<T>(
+    decode: impl FnOnce(&[u8]) -> Result<T, DecodeError>,
+    body: &[u8],
+) -> Result<T, Error> {
     decode(body).map_err(|fault| {
         log::error!("object store: {fault}");
         Error::Malformed(fault.to_string())
--- a/crates/pinereel_fakes/tests/hosting_foreign_entries.rs
+++ b/crates/pinereel_fakes/tests/hosting_foreign_entries.rs
@@ -122,6 +122,13 @@
     check_restart_beside(20, spec, 682).await;
 }
 
+/// Values that take a hundred times the memory of their text exceeded the memory below any limit on the text.
+#[actix_rt::test]
+async fn restarted_instances_serve_beside_entries_that_grow_when_they_are_decoded() {
+    let values = vec![json!({"": 0}); 2_500];
+    check_restart_beside(60, move |_| json!({"owner": "other", "more": values}), 685).await;
+}
+
 #[actix_rt::test]
 async fn restarted_instances_serve_beside_many_odd_entries() {
     let spec = |number: usize| match number % 6 {
--- a/crates/pinereel_port/src/store.rs
+++ b/crates/pinereel_port/src/store.rs
@@ -26,6 +26,8 @@
 pub struct Page {
     /// The objects of this page.
     pub objects: Vec<Object>,
+    /// Number of these objects whose spec and status are null because they are too large.
+    pub oversized: usize,
     /// Name after which the next page begins; `None` if this is the last page.
     pub next: Option<CompactString>,
     /// Revision of the store at the time of the list, from which a watch can start.
@@ -46,6 +48,8 @@
 pub struct WatchResponse {
     /// Changes, oldest first; empty if the watch timed out.
     pub changes: Vec<Change>,
+    /// Number of these objects whose spec and status are null because they are too large.
+    pub oversized: usize,
     /// Revision from which the next watch continues.
     pub revision: u64,
 }
@@ -93,8 +97,8 @@
     pub delete_at: fn(&str, &str, u64) -> Request,
     /// Decodes an object.
     pub decode_object: fn(&[u8]) -> Result<Object, DecodeError>,
-    /// Decodes a page of a list.
-    pub decode_page: fn(&[u8]) -> Result<Page, DecodeError>,
-    /// Decodes the response to a watch.
-    pub decode_changes: fn(&[u8]) -> Result<WatchResponse, DecodeError>,
+    /// Decodes a page of a list. Arguments: body, maximum memory of a decoded object in bytes.
+    pub decode_page: fn(&[u8], usize) -> Result<Page, DecodeError>,
+    /// Decodes the response to a watch. Arguments as of `decode_page`.
+    pub decode_changes: fn(&[u8], usize) -> Result<WatchResponse, DecodeError>,
 }
