rollout: a version under the name of another object is refused

Found in review: the name of a version object was not compared with its model, and the newest version is only ever raised, so that an object of another writer with a huge version would stop all orders of the model until each process has ended. hosting_foreign_versions holds with the check.

--- a/crates/pinereel/src/hosted/orders/mod.rs
+++ b/crates/pinereel/src/hosted/orders/mod.rs
@@ -270,6 +270,9 @@
         };
         for object in objects {
             match (self.deps.adapter.decode_named_version)(&object.spec) {
+                Ok((model, _)) if model != object.name => {
+                    log::error!(object = object.name.as_str(), model = model.as_str(); "version of another model refused");
+                }
                 Ok((model, version)) => {
                     let revision = object.revision;
                     log::info!(model = model.as_str(), version, revision; "version published");
