settings: a port of the platform that is also that of the metrics costs the metrics only

Found in review: the metrics port is fixed by our template, and the platform chooses the others. If it chose 9464, the settings were invalid and the instance never started. The metrics are left out then, with a warning. The cases of the property test are seeded.

--- a/crates/pinereel/src/settings/hosted.rs
+++ b/crates/pinereel/src/settings/hosted.rs
@@ -1,7 +1,9 @@
 //! Settings of a hosted instance, whose state is kept by the platform that it runs on.
 
 use super::{
-    DURATION_RANGE, Error, Log, PROCESS_MEMORY_RANGE, ValidationErrors, reader::Reader, value,
+    DURATION_RANGE, Error, Log, PROCESS_MEMORY_RANGE, ValidationErrors,
+    reader::{Reader, addresses_conflict},
+    value,
 };
 use crate::memory::DEFAULT_INSTANCE_BYTES;
 use compact_str::CompactString;
@@ -188,14 +190,21 @@
         let zone = section.required("zone", value::EXPECTED_HOST_NAME, value::host_name);
         let callers = section.optional("callers", value::EXPECTED_ADDRESS, value::address);
         let readiness = section.optional("readiness", value::EXPECTED_ADDRESS, value::address);
-        let metrics = section.optional("metrics", value::EXPECTED_ADDRESS, value::address);
+        let mut metrics = section.optional("metrics", value::EXPECTED_ADDRESS, value::address);
         let peers = section.optional("peers", value::EXPECTED_ADDRESS, value::address);
         section.check_address_conflicts(&[
             ("callers", callers),
             ("readiness", readiness),
-            ("metrics", metrics),
             ("peers", peers),
         ]);
+        // The platform chooses the other ports.
+        if [callers, readiness, peers]
+            .into_iter()
+            .any(|other| addresses_conflict(metrics, other))
+        {
+            section.warn("metrics", "an address that no other listener uses");
+            metrics = None;
+        }
         let cores = section.bounded("cores", value::EXPECTED_CORES, CORES_RANGE, value::decimal);
         // Half of the file descriptors are for callers' connections, the other half for endpoints, the
         // store and files.
--- a/crates/pinereel/src/settings/reader.rs
+++ b/crates/pinereel/src/settings/reader.rs
@@ -394,7 +394,7 @@
 }
 
 /// Whether two listeners cannot be bound at the same time.
-fn addresses_conflict(a: Option<SocketAddr>, b: Option<SocketAddr>) -> bool {
+pub(super) fn addresses_conflict(a: Option<SocketAddr>, b: Option<SocketAddr>) -> bool {
     let (Some(a), Some(b)) = (a, b) else {
         return false;
     };
--- a/crates/pinereel_fakes/tests/hosting_start.rs
+++ b/crates/pinereel_fakes/tests/hosting_start.rs
@@ -7,7 +7,10 @@
     child_process::{Child, Signal, binary_path},
     hosting::template::render,
 };
-use proptest::prelude::{Strategy as _, any, prop, proptest};
+use proptest::{
+    prelude::{Strategy as _, any, prop, proptest},
+    test_runner::{Config, RngSeed},
+};
 use serde_json::{Value, json};
 use start_support::{Start, TEMPLATE, TIMEOUT, fields};
 use std::{
@@ -279,7 +282,26 @@
     "/limits/cpuShare",
 ];
 
+/// The metrics port is not the platform's, which may choose the same one for another listener: the instance refused
+/// its settings.
+#[test]
+fn a_port_that_is_also_that_of_the_metrics_only_costs_the_metrics() {
+    let ip: IpAddr = [127, 0, 0, 1].into();
+    for listener in ["front", "ready"] {
+        let mut fields = fields(ip);
+        fields["listen"][listener] = json!(format!("{ip}:9464"));
+        let settings = Hosted::parse("instance.ini", &render(TEMPLATE, &fields));
+        let settings = settings.expect("valid settings");
+        assert_eq!(settings.instance.metrics, None);
+        assert_eq!(settings.warnings.0.len(), 1, "{}", settings.warnings);
+    }
+}
+
 proptest! {
+    #![proptest_config(Config {
+        rng_seed: RngSeed::Fixed(11),
+        ..Config::default()
+    })]
     /// A whole or fractional number that the instance did not expect kept it from starting.
     #[test]
     fn every_number_of_the_platform_is_accepted(
