leases: the longest plausible cooldown is above the longest gap of the settings

With a gap of nearly an hour and the delivery time, an instance's own lease would have counted as that of an unknown holder (found in review).

--- a/crates/pinereel/src/hosted/duty/poll.rs
+++ b/crates/pinereel/src/hosted/duty/poll.rs
@@ -30,8 +30,8 @@
 
 /// Longest validity of a lease that is taken for one of an instance; those of instances last for 2 s.
 const MAX_LEASE_TIME: Duration = Duration::from_secs(30);
-/// Longest cooldown that is taken for one of an instance: an hour, the longest gap that the settings allow.
-const MAX_COOLDOWN: Duration = Duration::from_secs(3_600);
+/// Longest cooldown that is taken for one of an instance: above the longest gap that the settings allow, an hour.
+const MAX_COOLDOWN: Duration = Duration::from_secs(2 * 3_600);
 /// Holder of a lease that cannot be read. No instance has it as its id, which contains a slash.
 const UNKNOWN_HOLDER: &str = "unknown";
 
