store: objects whose contents are not kept do not make a list too long

130 objects of another writer of 1 MB each would have reached the limit of 128 MiB of text, although their contents are dropped, and the list of endpoints would have been given up for as long as they stood. The adapter reports the text of the objects that it decodes, which alone counts. objects_that_are_too_large_do_not_make_a_list_too_long holds (140 MB); the code before was not run with it.

--- a/crates/pinereel/src/hosted/endpoints/listing.rs
+++ b/crates/pinereel/src/hosted/endpoints/listing.rs
@@ -137,8 +137,8 @@
         self.apply_event_at(level, Event::Listed(listing));
     }
 
-    /// Rejects an invalid entry, which is logged and counted once a revision. If it was valid before, its endpoint is removed, since another
-    /// writer may have replaced the entry.
+    /// Rejects an invalid entry, which is logged and counted once a revision. If it was valid before, its
+    /// endpoint is removed, since another writer may have replaced the entry.
     fn reject_entry(&self, object: &Object, fault: &DecodeError, rejections: &mut usize) {
         let id = &object.name;
         let already_logged = self.rejected.borrow().get(id) == Some(&object.revision);
--- a/crates/pinereel/src/hosted/store/listing.rs
+++ b/crates/pinereel/src/hosted/store/listing.rs
@@ -4,7 +4,8 @@
 use pinereel_port::store::{Object, Page};
 use std::collections::BTreeSet;
 
-/// Maximum size of a list, in bytes of its pages and [`OBJECT_BYTES`] for each object.
+/// Maximum size of a list, in bytes of its objects and [`OBJECT_BYTES`] for each of them. Objects that are too large
+/// count as empty.
 const MAX_LIST_BYTES: usize = 128 << 20;
 /// Memory that a decoded object takes beyond its text, in bytes.
 const OBJECT_BYTES: usize = 1 << 10;
@@ -31,13 +32,13 @@
 }
 
 impl Listing {
-    /// Adds the next page of this size; returns the name after which the one behind it begins.
+    /// Adds the next page; returns the name after which the one behind it begins.
     ///
     /// # Errors
     /// If the list does not come to an end.
-    pub(super) fn add(&mut self, page: Page, bytes: usize) -> Result<Option<CompactString>, Fault> {
+    pub(super) fn add(&mut self, page: Page) -> Result<Option<CompactString>, Fault> {
         self.revision.get_or_insert(page.revision);
-        self.bytes += bytes + page.objects.len() * OBJECT_BYTES;
+        self.bytes += page.bytes + page.objects.len() * OBJECT_BYTES;
         if self.bytes > MAX_LIST_BYTES {
             return Err(Fault::TooLong);
         }
--- a/crates/pinereel/src/hosted/store/mod.rs
+++ b/crates/pinereel/src/hosted/store/mod.rs
@@ -357,24 +357,12 @@
         after: Option<&str>,
         freshness: Consistency,
     ) -> Result<Page, Error> {
-        let page = self.sized_page(purpose, kind, after, freshness).await;
-        page.map(|(page, _)| page)
-    }
-
-    /// Like [`Store::list_page`], with the size of the page in bytes.
-    async fn sized_page(
-        &self,
-        purpose: Purpose,
-        kind: &str,
-        after: Option<&str>,
-        freshness: Consistency,
-    ) -> Result<(Page, usize), Error> {
         let call = (self.codec.list)(kind, after, freshness);
         let body = self.request(purpose, read_access(freshness), call).await?;
         let decode = |body: &[u8]| (self.codec.decode_page)(body, max_object_bytes(purpose));
         let page = decode_body(decode, &body)?;
         log_oversized(purpose, kind, page.oversized);
-        Ok((page, body.len()))
+        Ok(page)
     }
 
     /// Lists all objects of a kind after the name `after`, and the revision to watch from.
@@ -391,9 +379,8 @@
         let mut cursor = after.map(CompactString::from);
         loop {
             let consistency = Consistency::Linearizable;
-            let page = self.sized_page(purpose, kind, cursor.as_deref(), consistency);
-            let (page, bytes) = page.await?;
-            cursor = listing.add(page, bytes).map_err(|fault| {
+            let page = self.list_page(purpose, kind, cursor.as_deref(), consistency);
+            cursor = listing.add(page.await?).map_err(|fault| {
                 log::error!(kind, fault:% = fault; "object store: list given up");
                 Error::Malformed(fault.to_string())
             })?;
--- a/crates/pinereel_port/src/store.rs
+++ b/crates/pinereel_port/src/store.rs
@@ -28,6 +28,8 @@
     pub objects: Vec<Object>,
     /// Number of these objects whose spec and status are null because they are too large.
     pub oversized: usize,
+    /// Size of the other objects, in bytes of their text.
+    pub bytes: usize,
     /// Name after which the next page begins; `None` if this is the last page.
     pub next: Option<CompactString>,
     /// Revision of the store at the time of the list, from which a watch can start.
