--- a/crates/pinereel_fakes/tests/hosting_foreign_entries.rs
+++ b/crates/pinereel_fakes/tests/hosting_foreign_entries.rs
@@ -10,7 +10,7 @@
     },
 };
 use serde_json::{Value, json};
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 use tokio::time::sleep;
 
 const SITE_SIZE: Size = Size {
@@ -149,21 +149,25 @@
 /// Names that make no header value, or an ambiguous one.
 const NAMES: [&str; 6] = ["!é", "!a b", "!a,b", "!语", "!\u{1}", "!\n"];
 
-/// An endpoint took the requests that were meant for an entry with its address and another name.
-#[actix_rt::test]
-async fn requests_are_served_beside_entries_with_the_address_of_an_endpoint() {
-    let site = Site::start(SITE_SIZE, 684).await.expect("the site starts");
-    let address = site.services[0].proxy.address;
+/// Adds an entry with each of [`NAMES`] and this address to the list of endpoints. All requests are served.
+async fn assert_served_beside_entries_at(site: &Site, address: SocketAddr) {
     for name in NAMES {
         let entry = json!({"service": PLAIN_SERVICE, "addr": address.to_string(), "zone": "here", "slots": 6,
                            "state": "ready"});
         site.store.put("servers", name, entry);
     }
     sleep(Duration::from_secs(2)).await;
-    let counts = send_requests(&site).await;
+    let counts = send_requests(site).await;
     assert_eq!(counts.served, counts.sent, "{counts:?}");
 }
 
+/// An endpoint took the requests that were meant for an entry with its address and another name.
+#[actix_rt::test]
+async fn requests_are_served_beside_entries_with_the_address_of_an_endpoint() {
+    let site = Site::start(SITE_SIZE, 684).await.expect("the site starts");
+    assert_served_beside_entries_at(&site, site.services[0].proxy.address).await;
+}
+
 /// An endpoint of another service ran the requests whose expectation could not be sent.
 #[actix_rt::test]
 async fn no_request_runs_at_an_endpoint_of_another_service() {
@@ -172,14 +176,6 @@
         .services
         .last()
         .expect("the endpoint of the other service");
-    let address = other.proxy.address;
-    for name in NAMES {
-        let entry = json!({"service": PLAIN_SERVICE, "addr": address.to_string(), "zone": "here", "slots": 6,
-                           "state": "ready"});
-        site.store.put("servers", name, entry);
-    }
-    sleep(Duration::from_secs(2)).await;
-    let counts = send_requests(&site).await;
-    assert_eq!(counts.served, counts.sent, "{counts:?}");
+    assert_served_beside_entries_at(&site, other.proxy.address).await;
     assert_eq!(other.endpoint.answer_count(), 0);
 }
