tests: a parent that does not receive while its answers are unread fails the test

Cause: the 24 writes were sent at once. The fake store, a debug build on one thread, handled them as a batch and answered all at the same moment: after 0.85 s alone, 1.1 s to 1.6 s with six tests at a time. In each of the 10 of 18 runs that failed, the first lost answer came after 1.57 s to 1.85 s; a call has a timeout of 1.5 s. Besides, the test did not fail on the fault that it guards against: with a parent that sends and receives in one loop (a trial), 3 of 3 runs passed, since the buffers of the connection held both directions.

Change: the child's own buffers are small, it requests 8 MB by reads and leaves them unread, then sends 8 MB of writes one by one. All calls must be answered, as before.

--- a/crates/pinereel_fakes/tests/hosting_store_calls.rs
+++ b/crates/pinereel_fakes/tests/hosting_store_calls.rs
@@ -19,10 +19,10 @@
 };
 use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{
-    net::TcpStream,
+    net::{TcpSocket, TcpStream},
     time::{Instant, sleep, timeout},
 };
-use tokio_tungstenite::{MaybeTlsStream, WebSocketStream, connect_async, tungstenite::Message};
+use tokio_tungstenite::{WebSocketStream, client_async, tungstenite::Message};
 
 const SITE_SIZE: Size = Size {
     instances: 9,
@@ -48,6 +48,11 @@
 /// Most concurrent calls that a parent takes from one child.
 const MAX_CALLS_PER_CHILD: u64 = 32;
 
+/// Half of them, so that calls in both directions may be in progress.
+const CALLS_EACH: u64 = MAX_CALLS_PER_CHILD / 2;
+/// Length of the text of an object, in bytes.
+const TEXT_LENGTH: usize = 500_000;
+
 /// Longest time until a line of an instance is read, which its logging thread may write after the answer to a call.
 const LOG_DELAY: Duration = Duration::from_millis(500);
 
@@ -333,12 +338,17 @@
 }
 
 /// A link to an instance, as a child has it.
-struct ChildLink(WebSocketStream<MaybeTlsStream<TcpStream>>);
+struct ChildLink(WebSocketStream<TcpStream>);
 
 impl ChildLink {
     async fn open(parent: &Instance) -> Self {
+        Self::open_on(TcpSocket::new_v4().unwrap(), parent).await
+    }
+
+    async fn open_on(socket: TcpSocket, parent: &Instance) -> Self {
         let address = SocketAddr::new(parent.readiness_address.ip(), PEER_PORT);
-        let (socket, _) = connect_async(format!("ws://{address}/"))
+        let stream = socket.connect(address).await.expect("an instance");
+        let (socket, _) = client_async(format!("ws://{address}/"), stream)
             .await
             .expect("an instance");
         let mut link = Self(socket);
@@ -479,33 +489,44 @@
 async fn a_parent_receives_while_its_answers_are_not_read() {
     let site = Site::start(SITE_SIZE_OLD, 179).await.unwrap();
     sleep(Duration::from_secs(2)).await;
-    let mut link = ChildLink::open(&site.instances[holder(&site, "bulletin")]).await;
-    // 7 MB in each direction, more than the buffers of a connection hold.
-    let calls = (1..=24).map(|id| {
-        let body = serde_json::json!({
-            "metadata": { "name": format!("{id:06}") },
-            "spec": { "text": "x".repeat(300_000) },
-        });
-        Frame::StoreCall(StoreCall {
-            access: "write".into(),
-            method: "POST".into(),
-            body: body.to_string().into(),
-            ..read_call(id, "lots", "/v1/objects/pinereel-results-both")
-        })
-    });
-    let send_all = async {
-        for call in calls {
-            link.send(&call).await;
+    let spec = serde_json::json!({ "text": "x".repeat(TEXT_LENGTH) });
+    site.store
+        .put("pinereel-results-read", "000000", spec.clone());
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(64 << 10).unwrap();
+    socket.set_send_buffer_size(64 << 10).unwrap();
+    let mut link = ChildLink::open_on(socket, &site.instances[holder(&site, "bulletin")]).await;
+    // 8 MB in each direction, more than the buffers of the connection at the parent hold.
+    for id in 1..=CALLS_EACH {
+        let call = read_call(id, "lots", "/v1/objects/pinereel-results-read");
+        link.send(&Frame::StoreCall(call)).await;
+    }
+    sleep(Duration::from_secs(1)).await;
+    let send_writes = async {
+        for id in CALLS_EACH + 1..=2 * CALLS_EACH {
+            let body = serde_json::json!({
+                "metadata": { "name": format!("{id:06}") },
+                "spec": spec,
+            });
+            link.send(&Frame::StoreCall(StoreCall {
+                access: "write".into(),
+                method: "POST".into(),
+                body: body.to_string().into(),
+                ..read_call(id, "lots", "/v1/objects/pinereel-results-both")
+            }))
+            .await;
+            // The fake store handles one call after the other, each within the timeout of calls.
+            sleep(Duration::from_millis(100)).await;
         }
     };
-    let sent = timeout(Duration::from_secs(5), send_all).await;
+    let sent = timeout(Duration::from_secs(5), send_writes).await;
     assert!(sent.is_ok(), "the parent has stopped receiving");
     let mut answered = 0;
-    while answered < 24 {
+    while answered < 2 * CALLS_EACH {
         if let Frame::StoreAnswer { outcome, .. } = link.receive().await {
-            let created =
+            let succeeded =
                 matches!(&outcome, StoreOutcome::Answered { status, .. } if *status < 300);
-            assert!(created, "{outcome:?}");
+            assert!(succeeded, "{outcome:?}");
             answered += 1;
         }
     }
