--- a/crates/pinereel_fakes/tests/hosting_store_calls.rs
+++ b/crates/pinereel_fakes/tests/hosting_store_calls.rs
@@ -342,7 +342,8 @@
 
 impl ChildLink {
     async fn open(parent: &Instance) -> Self {
-        Self::open_on(TcpSocket::new_v4().unwrap(), parent).await
+        let socket = TcpSocket::new_v4().expect("a socket");
+        Self::open_on(socket, parent).await
     }
 
     async fn open_on(socket: TcpSocket, parent: &Instance) -> Self {
