store: a list continues after a name that is not Unicode

Callers saw: a list failed as a whole ("more objects, and no name on this page") if the only items of one of its pages had names with an escaped surrogate, such as "b\udc00c", which JSON allows and no string holds.

Cause: the next page begins after the last name that can be decoded, and such a page has none.

Change: if no name of the page is Unicode, the next page begins after the characters before the surrogate and U+E000, the first character behind all surrogates. The item itself still names no object. In a store that orders names by UTF-16 code units instead of code points, names which continue the same characters with one beyond U+FFFF are passed over.

An item without a name, or with one that is no string, gives nothing to continue from: a page of such items alone still fails the list, as a_page_without_a_name_fails_the_list requires, since a list that ends there would hide the objects behind it.

--- a/crates/pinereel_fakes/tests/hosting_list_pages.rs
+++ b/crates/pinereel_fakes/tests/hosting_list_pages.rs
@@ -19,6 +19,13 @@
 /// Lists from a store that answers with `page_after`, called with the cursor of the call. Returns the names, or
 /// the error, and the number of calls.
 async fn list(page_after: impl Fn(&str) -> Value + 'static) -> (Result<Vec<String>, Error>, u64) {
+    list_text(move |after| page_after(after).to_string()).await
+}
+
+/// Like [`list`], with pages as text.
+async fn list_text(
+    page_after: impl Fn(&str) -> String + 'static,
+) -> (Result<Vec<String>, Error>, u64) {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
     let listener = listener.expect("a free port");
     let address = listener.local_addr().expect("the address");
@@ -30,7 +37,7 @@
         async move {
             let query = request.uri().query().unwrap_or_default();
             let after = query_value(query, "after").unwrap_or_default();
-            http::json(StatusCode::OK, &page_after(&after))
+            http::text(StatusCode::OK, page_after(&after))
         }
     };
     let server = Server::start(listener, http::Options::default(), serve).await;
@@ -93,6 +100,23 @@
     assert_eq!(calls, 3);
 }
 
+/// A name with an escaped surrogate, which is no character, failed the list if it was the only one of its page.
+#[actix_rt::test]
+async fn a_page_with_only_a_name_that_is_not_unicode_does_not_hide_the_next_page() {
+    let page = move |after: &str| match after {
+        "" => json!({"items": [object("a")], "more": true, "currentRev": 7}).to_string(),
+        "a" => {
+            let name = r#"{"metadata":{"name":"b\udc00c","revision":1}}"#;
+            format!(r#"{{"items":[{name}],"more":true,"currentRev":7}}"#)
+        }
+        "b\u{e000}" => json!({"items": [object("d")], "more": false, "currentRev": 7}).to_string(),
+        _ => panic!("{after} ends no page"),
+    };
+    let (listed, calls) = list_text(page).await;
+    assert_eq!(listed, Ok(vec!["a".to_owned(), "d".to_owned()]));
+    assert_eq!(calls, 3);
+}
+
 /// A list was given up for objects of another writer whose contents are not kept.
 #[actix_rt::test]
 async fn objects_that_are_too_large_do_not_make_a_list_too_long() {
