usage: sums that cannot be read are read again at growing intervals

Callers saw: with an object of another form under the name of the usage sums, the holder of the root's lease read it every 0.4 s, a linearizable read and an error line each, for as long as it stood there.

Cause: every failed read had the same delay, also one that fails by the content of the object.

Change: the delay after an answer that cannot be decoded doubles up to 5 s, as for lists. The object is not replaced: it may contain sums that the platform has a report of, and a window must never be reported twice with different counts.

--- a/crates/pinereel/src/hosted/usage/report.rs
+++ b/crates/pinereel/src/hosted/usage/report.rs
@@ -42,6 +42,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(150);
 /// Delay after a read of the sums or a report that failed.
 const RETRY_DELAY: Duration = Duration::from_millis(400);
+/// Longest delay after reads of the sums that are answered and cannot be decoded.
+const MAX_UNREADABLE_RETRY_DELAY: Duration = Duration::from_secs(5);
 /// Minimum delay after the end of a window before it is summed up. The counts need this long to
 /// arrive: the window is closed, then its reports take two hops with a send interval each.
 const MIN_DELAY: Duration = Duration::from_millis(700);
@@ -134,12 +136,14 @@
         }
     }
 
-    /// Reads the stored sums, with retries until that succeeds.
+    /// Reads the stored sums, with retries until that succeeds. Sums that cannot be read are never replaced, as
+    /// they may contain windows that the platform has a report of.
     async fn read_sums(&self) -> Sums {
+        let mut unreadable_retry_delay = RETRY_DELAY;
         loop {
             let store = &self.store;
             let read = store.read(Purpose::Usage, KIND, NAME, Consistency::Linearizable);
-            match read.await {
+            let is_unreadable = match read.await {
                 Ok(None) => return Sums::default(),
                 Ok(Some(object)) => match serde_json::from_value::<StoredSums>(object.spec) {
                     Ok(stored) => {
@@ -148,11 +152,23 @@
                             by_window: stored.sums,
                         };
                     }
-                    Err(error) => log::error!(error:% = error; "usage: malformed sums"),
+                    Err(error) => {
+                        log::error!(error:% = error; "usage: malformed sums");
+                        true
+                    }
                 },
-                Err(error) => log::debug!(error:% = error; "usage: reading the sums failed"),
+                Err(error) => {
+                    log::debug!(error:% = error; "usage: reading the sums failed");
+                    matches!(error, Error::Malformed(_))
+                }
+            };
+            if is_unreadable {
+                sleep(unreadable_retry_delay).await;
+                unreadable_retry_delay =
+                    (unreadable_retry_delay * 2).min(MAX_UNREADABLE_RETRY_DELAY);
+            } else {
+                sleep(RETRY_DELAY).await;
             }
-            sleep(RETRY_DELAY).await;
         }
     }
 
--- a/crates/pinereel_fakes/tests/hosting_usage.rs
+++ b/crates/pinereel_fakes/tests/hosting_usage.rs
@@ -17,7 +17,7 @@
 };
 use serde_json::json;
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 const SITE_SIZE: Size = Size {
     instances: 3,
@@ -147,3 +147,44 @@
     assert_eq!(site.platform.request_count("a"), answered);
     assert_no_missing_window(&site);
 }
+
+/// Sums of another form were read again every 0.4 s, for as long as they stood in the store.
+#[actix_rt::test]
+async fn sums_that_cannot_be_read_are_read_again_at_growing_intervals() {
+    const OBSERVED: Duration = Duration::from_secs(14);
+    const MAX_READS: usize = 8;
+    let mut site = start_site(193).await;
+    sleep(MAX_TAKEOVER_TIME).await;
+    let sums = (site.store).spec("pinereel-usage", "sums");
+    let malformed = json!({"sums": {"one": 1}});
+    site.store.put("pinereel-usage", "sums", malformed);
+    let count_reads = |site: &Site| {
+        let instances = site.instances.iter();
+        let reads = instances.map(|instance| instance.count_lines("usage: malformed sums"));
+        reads.sum::<usize>()
+    };
+    // The holder reads the sums again when it cannot store the next one.
+    send_requests(&mut site, 2, "malformed").await;
+    let first_read = async {
+        while count_reads(&site) == 0 {
+            sleep(Duration::from_millis(100)).await;
+        }
+    };
+    let first_read = timeout(MAX_TAKEOVER_TIME, first_read).await;
+    first_read.expect("the sums are read again");
+    sleep(OBSERVED).await;
+    let reads = count_reads(&site);
+    assert!((2..=MAX_READS).contains(&reads), "{reads} reads");
+    // Once the sums can be read, windows are reported again.
+    site.store.put(
+        "pinereel-usage",
+        "sums",
+        sums.unwrap_or_else(|| json!({"sums": {}})),
+    );
+    sleep(MAX_TAKEOVER_TIME).await;
+    let reported = site.platform.request_count("a");
+    let answered = send_requests(&mut site, 2, "readable").await;
+    sleep(WINDOW_LENGTH + WINDOW_LENGTH).await;
+    assert_eq!(site.platform.request_count("a"), reported + answered);
+    assert_eq!(site.recorder.violations(), Vec::<String>::new());
+}
