tree: a store call of a child cannot hide a forbidden kind

Callers saw: a parent sends no store calls about the configuration, which holds keys, or the endpoint list for a child. Paths that lead there in another form were sent on.

Cause: the path was split at / before it was decoded, and only ? ended it. So config%2Fmain was one segment of another name, and servers#x another kind, although the fragment is not sent.

Change: a path ends at ? or #, is decoded, and is split at all delimiters, those that were encoded included. The query needs no check: no part of it names a kind, and ?after= may be the name of any object.

--- a/crates/pinereel/src/hosted/tree/store_calls.rs
+++ b/crates/pinereel/src/hosted/tree/store_calls.rs
@@ -122,11 +122,13 @@
     })
 }
 
-/// Whether a path may lead to objects of `kind`, whatever purpose the call states.
+/// Whether a path may lead to objects of `kind`, whatever purpose the call states. Encoded delimiters count as
+/// delimiters, since the store may decode a path before it splits it; a fragment is not sent.
 fn names_kind(path: &str, kind: &str) -> bool {
-    let path = path.split('?').next().unwrap_or_default();
-    let mut segments = path.split('/').map(percent_decode_str);
-    segments.any(|segment| segment.eq(kind.bytes()))
+    let path = path.split(['?', '#']).next().unwrap_or_default();
+    let path: Vec<u8> = percent_decode_str(path).collect();
+    let mut segments = path.split(|byte| b"/?#".contains(byte));
+    segments.any(|segment| segment == kind.as_bytes())
 }
 
 async fn forward(store: &Store, call: Call) -> StoreOutcome {
--- a/crates/pinereel_fakes/tests/hosting_store_calls.rs
+++ b/crates/pinereel_fakes/tests/hosting_store_calls.rs
@@ -424,6 +424,28 @@
         let answer = link.call(read_call(id, purpose, config)).await;
         assert_eq!(answer, StoreOutcome::NotSent, "{purpose}");
     }
+    // Forms that the store may take for a path to a forbidden kind.
+    for path in [
+        "/v1/objects/config%2Fmain",
+        "/v1/objects%2fconfig/main",
+        "/v1/objects/pinereel-lots%2F..%2Fconfig%2Fmain",
+        "/v1/objects/c%6fnfig%3Fafter=x",
+        "/v1/objects/servers#pinereel-lots",
+        "/v1/objects/servers%23?after=pinereel-lots",
+        "/v1/objects/servers?after=pinereel-lots",
+    ] {
+        let answer = link.call(read_call(6, "lots", path)).await;
+        assert_eq!(answer, StoreOutcome::NotSent, "{path}");
+    }
+    // Names that only contain that of a kind.
+    for path in [
+        "/v1/objects/pinereel-lots/configs%2Fmy-config",
+        "/v1/objects/pinereel-lots/none?staleOk=1",
+    ] {
+        let answer = link.call(read_call(6, "lots", path)).await;
+        let not_found = matches!(&answer, StoreOutcome::Answered { status: 404, .. });
+        assert!(not_found, "{path}: {answer:?}");
+    }
     for hops in [0, MAX_STORE_CALL_HOPS + 1] {
         let call = StoreCall {
             hops,
