crashes: a crash is stored at once, not only with the next list of leases

Cause: the root stored the first change of the crash reports after a list of the leases at once, and all further ones with the next list, up to 0.7 s and the time of the list later. The retries of one request crash several endpoints within that time. If all instances are killed then, those crashes are known to nobody.

Change: until the next list, crashes that the store does not have are stored as they become known, at intervals of 0.1 s. Other changes, such as a crash that stops counting, wait for the next list as before. A write that fails waits for the next list too.

--- a/crates/pinereel/src/hosted/crashes/stored.rs
+++ b/crates/pinereel/src/hosted/crashes/stored.rs
@@ -85,16 +85,25 @@
             .replace(Some(StoredState { revision, history }));
     }
 
+    /// Whether this instance knows of a crash that the store does not have.
+    pub fn lack_crashes(&self, crashes: &CrashTracker) -> bool {
+        let last_known = self.last_known.borrow();
+        let stored = last_known.as_ref().map(|state| &state.history);
+        reports_to_store(crashes).iter().any(|report| {
+            let stored_starts = stored.and_then(|history| history.get(&report.identity));
+            let is_stored = |start: &EndpointStart| {
+                stored_starts.is_some_and(|starts| starts.iter().any(|(stored, _)| stored == start))
+            };
+            report.starts.iter().any(|(start, _)| !is_stored(start))
+        })
+    }
+
     /// Writes this instance's reports to the store, unless it has them already.
     ///
     /// # Errors
     /// If the write failed; the next list of the leases shows what the store has.
     pub async fn save(&self, store: &Store, crashes: &CrashTracker) -> Result<(), Error> {
-        let reports: Vec<_> = crashes
-            .reports()
-            .into_iter()
-            .take(MAX_STORED_REPORTS)
-            .collect();
+        let reports = reports_to_store(crashes);
         let own = history(&reports);
         let state = self
             .last_known
@@ -131,6 +140,11 @@
     }
 }
 
+fn reports_to_store(crashes: &CrashTracker) -> Vec<Report> {
+    let reports = crashes.reports().into_iter();
+    reports.take(MAX_STORED_REPORTS).collect()
+}
+
 /// The part of the reports that is compared to decide whether to write.
 fn history(reports: &[Report]) -> CrashHistory {
     let reports = reports.iter();
--- a/crates/pinereel/src/hosted/tree/store_reader.rs
+++ b/crates/pinereel/src/hosted/tree/store_reader.rs
@@ -10,7 +10,7 @@
     objects::Purpose,
 };
 use std::time::Duration;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 /// Delay after a change of the endpoint list, so that changes at about the same time are sent together.
 const ENDPOINT_BATCH_DELAY: Duration = Duration::from_millis(80);
@@ -19,6 +19,9 @@
 const MAX_WATCH_WAIT: Duration = Duration::from_millis(1_000);
 /// Time between two listings of the leases, which also show that a failed holder has not renewed them.
 const LEASE_LIST_INTERVAL: Duration = Duration::from_millis(700);
+/// Shortest time between two checks for crashes that are not stored, so that many crashes cause about ten writes
+/// a second at most.
+const CRASH_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 impl Node {
     /// Follows all topics in the store and publishes their changes. Ends only when dropped.
@@ -62,22 +65,29 @@
                 Err(error) => log::debug!(error:% = error; "listing leases failed"),
             }
             let next = Instant::now() + LEASE_LIST_INTERVAL;
-            // A change of the crash reports is stored immediately, further ones within the interval with
-            // the next listing.
-            tokio::select! {
-                () = sleep_until(next) => continue,
-                _ = changes.changed() => {}
+            // The first change of the crash reports is stored immediately, further ones within the
+            // interval with the next listing, except for crashes: those that the store does not have
+            // are lost if all instances are killed.
+            let mut is_first = true;
+            while let Ok(Ok(())) = timeout_at(next, changes.changed()).await {
+                let is_due = is_first || stored.lack_crashes(crashes);
+                if is_due && !self.store_crashes(&stored).await {
+                    break;
+                }
+                is_first = false;
+                sleep_until(next.min(Instant::now() + CRASH_CHECK_INTERVAL)).await;
             }
-            self.store_crashes(&stored).await;
             sleep_until(next).await;
         }
     }
 
-    /// Stores the crash reports that the store does not have yet.
-    async fn store_crashes(&self, stored: &StoredReports) {
+    /// Stores the crash reports that the store does not have yet; returns whether it has them.
+    async fn store_crashes(&self, stored: &StoredReports) -> bool {
         let deps = &self.deps;
-        if let Err(error) = stored.save(&deps.store, &deps.crashes).await {
+        let saved = stored.save(&deps.store, &deps.crashes).await;
+        if let Err(error) = &saved {
             log::info!(error:% = error; "requests that crash endpoints: storing the reports failed, retrying");
         }
+        saved.is_ok()
     }
 }
--- a/crates/pinereel_fakes/tests/hosting_crash.rs
+++ b/crates/pinereel_fakes/tests/hosting_crash.rs
@@ -26,7 +26,7 @@
     },
 };
 use std::{cell::Cell, ops::Range, rc::Rc, time::Duration};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 const SITE_SIZE: Size = Size {
     instances: 3,
@@ -177,6 +177,61 @@
     assert_eq!(crashed_under(&crashes, &body).len(), before);
 }
 
+/// Longest time from a crash until the store has its report. Much shorter than the interval between two lists
+/// of the leases.
+const MAX_STORE_DELAY: Duration = Duration::from_millis(200);
+
+/// Returns once the root has begun a list of the leases.
+async fn wait_for_list_of_leases(site: &Site) {
+    let begun = || {
+        let lists = site.store.lists();
+        lists.get("pinereel-duties").map(|list| list.begun)
+    };
+    let before = begun();
+    while begun() == before {
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Only the first of several crashes in quick succession was stored at once: if all instances were killed soon
+/// after the third, the request crashed further endpoints.
+#[actix_rt::test]
+async fn crashes_shortly_before_a_restart_of_all_instances_are_remembered() {
+    let mut site = Site::start(SITE_SIZE, 170).await.unwrap();
+    let (_endpoints, crashes) = start_endpoints(&site, ENDPOINTS);
+    sleep(Duration::from_millis(1_500)).await;
+    let body = format!("{CRASH_MARKER} h");
+    wait_for_list_of_leases(&site).await;
+    let senders = async {
+        loop {
+            let _ = send(&site.instances[0], &body).await;
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let third_crash = async {
+        while crashed_under(&crashes, &body).len() < MAX_CRASHES {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let third_crash = timeout(Duration::from_secs(5), third_crash);
+    tokio::select! {
+        () = senders => {}
+        crashed = third_crash => crashed.expect("three endpoints crash"),
+    }
+    sleep(MAX_STORE_DELAY).await;
+    for instance in &mut site.instances {
+        instance.signal(Signal::KILL);
+    }
+    for instance in &mut site.instances {
+        instance.start().unwrap();
+    }
+    for instance in &site.instances {
+        instance.wait_ready().await.unwrap();
+    }
+    send_repeatedly(&site, &body, Duration::from_secs(4)).await;
+    assert_eq!(crashed_under(&crashes, &body).len(), MAX_CRASHES);
+}
+
 #[actix_rt::test]
 async fn a_new_instance_knows_the_crashes_and_an_operator_can_clear_them() {
     let mut site = Site::start(SITE_SIZE, 162).await.unwrap();
