--- a/crates/pinereel/src/logging/line.rs
+++ b/crates/pinereel/src/logging/line.rs
@@ -17,6 +17,10 @@
 /// Prefix for a field whose key is one of [`RESERVED_KEYS`].
 const RESERVED_KEY_PREFIX: &str = "field_";
 
+/// Maximum length of the message and of each text in the fields, in bytes. Names and errors may contain text of
+/// other writers, of any length.
+const MAX_TEXT_BYTES: usize = 4 << 10;
+
 const MILLIS_PER_DAY: u128 = 86_400_000;
 
 /// Formats `record` as a line without a line break.
@@ -111,7 +115,9 @@
         map.serialize_entry("ts", &timestamp(self.now))?;
         map.serialize_entry("level", &self.level.as_str().to_ascii_lowercase())?;
         map.serialize_entry("target", self.target)?;
-        map.serialize_entry("msg", &self.message)?;
+        let mut message = self.message.to_string();
+        cut(&mut message);
+        map.serialize_entry("msg", &message)?;
         for (key, value) in &self.fields {
             map.serialize_entry(key, value)?;
         }
@@ -131,8 +137,24 @@
         } else {
             key.into()
         };
-        let value = serde_json::to_value(&value).unwrap_or_else(|_| value.to_string().into());
+        let mut value = serde_json::to_value(&value).unwrap_or_else(|_| value.to_string().into());
+        cut_texts(&mut value);
         self.0.insert(key, value);
         Ok(())
     }
 }
+
+/// Shortens `text` to [`MAX_TEXT_BYTES`], between two characters.
+fn cut(text: &mut String) {
+    text.truncate(text.floor_char_boundary(MAX_TEXT_BYTES));
+}
+
+/// Shortens each text in `value`, except keys.
+fn cut_texts(value: &mut serde_json::Value) {
+    match value {
+        serde_json::Value::String(text) => cut(text),
+        serde_json::Value::Array(values) => values.iter_mut().for_each(cut_texts),
+        serde_json::Value::Object(fields) => fields.values_mut().for_each(cut_texts),
+        _ => {}
+    }
+}
--- a/crates/pinereel/tests/logging_lines.rs
+++ b/crates/pinereel/tests/logging_lines.rs
@@ -119,6 +119,42 @@
     "#);
 }
 
+/// Failure: a name of a megabyte, which another writer gave to an object, makes lines of that length.
+#[test]
+fn long_texts_are_cut_between_characters() {
+    const MAX_TEXT_BYTES: usize = 4 << 10;
+    let settings = settings(log::LevelFilter::Info, true);
+    // The bound is inside a character.
+    let long = format!("a{}", "\u{8a9e}".repeat(400_000));
+    let whole = "\u{8a9e}".repeat(1_000);
+    let name = long.as_str();
+    let text = logged(&settings, |logger| {
+        log::info!(logger: logger, target: "entry", name, whole = whole.as_str(), nested:serde = [name], error:% = name; "plain");
+        log::info!(logger: logger, target: "entry", "error: {name}");
+    });
+    let lines: Vec<Value> = text
+        .lines()
+        .map(|line| serde_json::from_str(line).expect("a JSON line"))
+        .collect();
+    let cut = |text: &Value, start: &str| {
+        let text = text.as_str().expect("a text");
+        let kept = text.strip_prefix(start).expect("the start is kept");
+        assert!(kept.starts_with("a\u{8a9e}"), "{text}");
+        assert!(!text.contains('\u{fffd}'), "{text}");
+        assert!(text.len() <= MAX_TEXT_BYTES, "{} bytes", text.len());
+        assert!(text.len() > MAX_TEXT_BYTES - 10, "{} bytes", text.len());
+    };
+    for text in [
+        &lines[0]["name"],
+        &lines[0]["nested"][0],
+        &lines[0]["error"],
+    ] {
+        cut(text, "");
+    }
+    cut(&lines[1]["msg"], "error: ");
+    assert_eq!(lines[0]["whole"], whole);
+}
+
 #[test]
 fn decisions_are_logged_at_any_level_unless_disabled() {
     let decision = Decision {
