--- a/crates/pinereel_fakes/tests/hosting_tree.rs
+++ b/crates/pinereel_fakes/tests/hosting_tree.rs
@@ -210,7 +210,7 @@
 /// order in which the processes begin to run.
 async fn start_with_spread_duties(size: Size, seeds: Range<u64>) -> Site {
     for seed in seeds {
-        let site = Site::start(size, seed).await.unwrap();
+        let site = Site::start(size, seed).await.expect("the site starts");
         sleep(Duration::from_secs(2)).await;
         let mut instances = site.instances.iter();
         if instances.all(|instance| instance.count_lines("lease taken") > 0) {
