logging: fields are bounded as a whole

Found in review: keys and the number of elements had no bound, and the line of a new endpoint has the names of its models, which another writer may choose, as keys.

Change: strings and keys of a field take 16 KiB at most, and elements beyond them are dropped. The new test logs maps with keys of 100,000 bytes and with 50,000 elements; it was not run on the code before, which kept both by reading.

--- a/crates/pinereel/src/logging/line.rs
+++ b/crates/pinereel/src/logging/line.rs
@@ -8,7 +8,7 @@
 use serde::{Serialize, Serializer, ser::SerializeMap as _};
 use std::{
     collections::BTreeMap,
-    fmt,
+    fmt, mem,
     time::{SystemTime, UNIX_EPOCH},
 };
 
@@ -17,9 +17,13 @@
 /// Prefix for a field whose key is one of [`RESERVED_KEYS`].
 const RESERVED_KEY_PREFIX: &str = "field_";
 
-/// Maximum length of the message and of each text in the fields, in bytes. Names and errors may contain text of
-/// other writers, of any length.
-const MAX_TEXT_BYTES: usize = 4 << 10;
+/// Maximum length of the message and of each string in a field, in bytes. Names and errors may contain text of other
+/// writers, of any length.
+const MAX_STRING_BYTES: usize = 4 << 10;
+/// Maximum size of a field, in bytes of its strings and keys and [`ELEMENT_BYTES`] for each element.
+const MAX_FIELD_BYTES: usize = 16 << 10;
+/// Bytes of an element in a line beyond those of its string.
+const ELEMENT_BYTES: usize = 8;
 
 const MILLIS_PER_DAY: u128 = 86_400_000;
 
@@ -116,7 +120,7 @@
         map.serialize_entry("level", &self.level.as_str().to_ascii_lowercase())?;
         map.serialize_entry("target", self.target)?;
         let mut message = self.message.to_string();
-        cut(&mut message);
+        truncate(&mut message, MAX_STRING_BYTES);
         map.serialize_entry("msg", &message)?;
         for (key, value) in &self.fields {
             map.serialize_entry(key, value)?;
@@ -138,23 +142,45 @@
             key.into()
         };
         let mut value = serde_json::to_value(&value).unwrap_or_else(|_| value.to_string().into());
-        cut_texts(&mut value);
+        let mut remain = MAX_FIELD_BYTES;
+        truncate_value(&mut value, &mut remain);
         self.0.insert(key, value);
         Ok(())
     }
 }
 
-/// Shortens `text` to [`MAX_TEXT_BYTES`], between two characters.
-fn cut(text: &mut String) {
-    text.truncate(text.floor_char_boundary(MAX_TEXT_BYTES));
+/// Truncates `text` to at most `max_bytes`, between two characters.
+fn truncate(text: &mut String, max_bytes: usize) {
+    text.truncate(text.floor_char_boundary(max_bytes));
 }
 
-/// Shortens each text in `value`, except keys.
-fn cut_texts(value: &mut serde_json::Value) {
+/// Truncates the strings and keys in `value`, and drops the elements for which no bytes `remain`.
+fn truncate_value(value: &mut serde_json::Value, remain: &mut usize) {
+    *remain = remain.saturating_sub(ELEMENT_BYTES);
     match value {
-        serde_json::Value::String(text) => cut(text),
-        serde_json::Value::Array(values) => values.iter_mut().for_each(cut_texts),
-        serde_json::Value::Object(fields) => fields.values_mut().for_each(cut_texts),
+        serde_json::Value::String(text) => truncate_string(text, remain),
+        serde_json::Value::Array(values) => values.retain_mut(|value| {
+            let is_kept = *remain > 0;
+            if is_kept {
+                truncate_value(value, remain);
+            }
+            is_kept
+        }),
+        serde_json::Value::Object(fields) => {
+            for (mut key, mut value) in mem::take(fields) {
+                if *remain == 0 {
+                    break;
+                }
+                truncate_string(&mut key, remain);
+                truncate_value(&mut value, remain);
+                fields.insert(key, value);
+            }
+        }
         _ => {}
     }
 }
+
+fn truncate_string(text: &mut String, remain: &mut usize) {
+    truncate(text, MAX_STRING_BYTES.min(*remain));
+    *remain -= text.len();
+}
--- a/crates/pinereel/tests/logging_lines.rs
+++ b/crates/pinereel/tests/logging_lines.rs
@@ -7,6 +7,7 @@
 };
 use serde_json::Value;
 use std::{
+    collections::BTreeMap,
     io::{self, Read as _, Write},
     sync::{
         Arc, Mutex,
@@ -121,8 +122,8 @@
 
 /// Failure: a name of a megabyte, which another writer gave to an object, makes lines of that length.
 #[test]
-fn long_texts_are_cut_between_characters() {
-    const MAX_TEXT_BYTES: usize = 4 << 10;
+fn long_strings_are_truncated_between_characters() {
+    const MAX_STRING_BYTES: usize = 4 << 10;
     let settings = settings(log::LevelFilter::Info, true);
     // The bound is inside a character.
     let long = format!("a{}", "\u{8a9e}".repeat(400_000));
@@ -141,8 +142,8 @@
         let kept = text.strip_prefix(start).expect("the start is kept");
         assert!(kept.starts_with("a\u{8a9e}"), "{text}");
         assert!(!text.contains('\u{fffd}'), "{text}");
-        assert!(text.len() <= MAX_TEXT_BYTES, "{} bytes", text.len());
-        assert!(text.len() > MAX_TEXT_BYTES - 10, "{} bytes", text.len());
+        assert!(text.len() <= MAX_STRING_BYTES, "{} bytes", text.len());
+        assert!(text.len() > MAX_STRING_BYTES - 10, "{} bytes", text.len());
     };
     for text in [
         &lines[0]["name"],
@@ -155,6 +156,28 @@
     assert_eq!(lines[0]["whole"], whole);
 }
 
+/// Failure: a map of another writer with long keys or many elements makes a line of that length.
+#[test]
+fn a_field_with_long_keys_or_many_elements_is_truncated() {
+    const MAX_LINE_BYTES: usize = 64 << 10;
+    let settings = settings(log::LevelFilter::Info, true);
+    let long_keys: BTreeMap<String, u64> = (0..50)
+        .map(|n| (format!("{n}-{}", "k".repeat(100_000)), n))
+        .collect();
+    let many: BTreeMap<String, u64> = (0..50_000).map(|n| (n.to_string(), n)).collect();
+    let numbers: Vec<u64> = (0..50_000).collect();
+    let text = logged(&settings, |logger| {
+        log::info!(logger: logger, target: "entry", long_keys:serde = long_keys; "plain");
+        log::info!(logger: logger, target: "entry", many:serde = many; "plain");
+        log::info!(logger: logger, target: "entry", numbers:serde = numbers; "plain");
+    });
+    assert_eq!(text.lines().count(), 3);
+    for line in text.lines() {
+        let _: Value = serde_json::from_str(line).expect("a JSON line");
+        assert!(line.len() < MAX_LINE_BYTES, "{} bytes", line.len());
+    }
+}
+
 #[test]
 fn decisions_are_logged_at_any_level_unless_disabled() {
     let decision = Decision {
