upstream: a body without a length is cut if its request could not be written

Callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. The caller got the part as the whole answer, with a content-length of our own, the stamp and the id.

Cause: the operating system reports a reset once. The write of the request failed by it, and the pool kept that failure only to decide whether the connection may be reused. The reads that followed ended like those of a regular close, which delimits such a body. The same happens where an endpoint closes its socket with the upload unread.

Change: a body that the connection's end delimits keeps the result of writing its request, and ends with that error. Ruled out: rejecting each answer that comes before the request is written, as one with a length or chunks that is complete is whole, and so is one whose endpoint ends its own direction and reads on.

Requests and bodies of other readers of the pool (lots, orders, usage) take the same path.

--- a/crates/pinereel/src/upstream/pool.rs
+++ b/crates/pinereel/src/upstream/pool.rs
@@ -2,7 +2,8 @@
 //!
 //! A request uses an idle connection if there is one that still appears open. The response's body
 //! ends as its framing announces, or, without framing, when the connection is closed; a reset is
-//! always an error. Only a connection that carried a complete response and nothing more is reused.
+//! always an error, also one that was reported to a write. Only a connection that carried a complete response
+//! and nothing more is reused.
 //!
 //! Where responses name their requests, a connection carries each id once, so that a late copy of an
 //! earlier response is never taken for the response to a further send of the same request.
@@ -12,6 +13,7 @@
     final_head::{self, read_final_head},
     metered::Metered,
     probe::{Probe, probe},
+    until_close::UntilClose,
 };
 use crate::memory::{Kind, Memory, Reservation};
 use actix_codec::Framed;
@@ -21,7 +23,7 @@
     h1::{ClientCodec, ClientPayloadCodec, Message, MessageType},
     header::{CONTENT_LENGTH, HeaderMap},
 };
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use compact_str::CompactString;
 use futures_util::{SinkExt as _, StreamExt as _};
 use pinereel_core::exchange::{self, History, Match};
@@ -34,7 +36,6 @@
     time::Duration,
 };
 use tokio::{
-    io::AsyncReadExt as _,
     net::TcpStream,
     time::{Instant, timeout},
 };
@@ -159,8 +160,8 @@
     Ended,
     /// The framing announces the end.
     Framed(Framed<Metered, ClientPayloadCodec>),
-    /// The connection's end is the body's end; what was read with the head comes first.
-    UntilClose(Metered, Bytes),
+    /// The connection's end is the body's end.
+    UntilClose(UntilClose),
 }
 
 impl Default for Pool {
@@ -319,7 +320,11 @@
         };
         if ends_with_connection {
             let parts = connection.into_parts();
-            body.state = State::UntilClose(parts.io, parts.read_buf.freeze());
+            body.state = State::UntilClose(UntilClose {
+                stream: parts.io,
+                read: parts.read_buf.freeze(),
+                sent,
+            });
         } else if has_no_framed_body {
             body.return_to_pool(connection);
         } else {
@@ -461,21 +466,14 @@
                 Some(Err(e)) => self.fail(io::Error::other(e.to_string())),
                 None => self.fail(io::ErrorKind::UnexpectedEof.into()),
             },
-            State::UntilClose(_, read) if !read.is_empty() => Ok(Some(std::mem::take(read))),
-            State::UntilClose(stream, _) => {
-                let mut part = BytesMut::with_capacity(4_096);
-                match stream.read_buf(&mut part).await {
-                    Ok(0) => {
-                        self.state = State::Ended;
-                        Ok(None)
-                    }
-                    Ok(count) => {
-                        stream.allow(count);
-                        Ok(Some(part.freeze()))
-                    }
-                    Err(e) => self.fail(e),
+            State::UntilClose(body) => match body.next_part().await {
+                Ok(None) => {
+                    self.state = State::Ended;
+                    Ok(None)
                 }
-            }
+                Ok(part) => Ok(part),
+                Err(e) => self.fail(e),
+            },
         }
     }
 
--- a/crates/pinereel/tests/upstream_pool.rs
+++ b/crates/pinereel/tests/upstream_pool.rs
@@ -6,7 +6,7 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
-    net::TcpListener,
+    net::{TcpListener, TcpSocket},
     time::sleep,
 };
 
@@ -219,3 +219,72 @@
         assert!(!pool.has_idle(address));
     }
 }
+
+/// What a fake server does with a connection after it has answered the head of a request.
+#[derive(Clone, Copy, Debug)]
+enum EarlyEnd {
+    /// Resets it, with the rest of the request unread.
+    Reset,
+    /// Ends its own direction, and reads the rest of the request.
+    Finish,
+}
+
+/// Sends a request that does not fit into the buffers of a connection to a server that answers at once with
+/// `text`; returns the body, or why there is none.
+async fn answer_to_an_upload(text: &'static str, end: EarlyEnd) -> Result<String, String> {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(4_096).expect("a small buffer");
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    socket.bind(any_port).expect("a port");
+    let listener = socket.listen(1).expect("a listener");
+    let address = listener.local_addr().expect("bound");
+    actix_rt::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut buffer = vec![0; 65_536];
+        let _ = stream.read(&mut buffer).await;
+        stream.write_all(text.as_bytes()).await.expect("sent");
+        match end {
+            EarlyEnd::Reset => {
+                sleep(Duration::from_millis(20)).await;
+                stream.set_zero_linger().expect("an open socket");
+            }
+            EarlyEnd::Finish => {
+                stream.shutdown().await.expect("an open socket");
+                while stream.read(&mut buffer).await.is_ok_and(|count| count > 0) {}
+            }
+        }
+    });
+    let upload = PooledRequest {
+        body: vec![b'u'; 16_000_000].into(),
+        ..request(address)
+    };
+    let response = Rc::new(Pool::default()).send(upload).await;
+    let body = response.map_err(|error| error.to_string())?.body;
+    let body = body.read_all().await;
+    let body = body.map_err(|error| format!("cut: {error}"))?;
+    Ok(String::from_utf8_lossy(&body).into_owned())
+}
+
+/// Failure: the write of the request consumes the error of the reset, and the end of the connection after it
+/// seems to be the end of the body.
+#[actix_rt::test]
+async fn a_body_without_a_length_is_truncated_if_the_request_could_not_be_written() {
+    let bare = "HTTP/1.1 200 OK\r\n\r\nhello";
+    let answer = answer_to_an_upload(bare, EarlyEnd::Reset).await;
+    assert!(
+        answer.as_ref().is_err_and(|error| error.starts_with("cut")),
+        "{answer:?}"
+    );
+    let answer = answer_to_an_upload(bare, EarlyEnd::Finish).await;
+    assert_eq!(answer, Ok("hello".into()));
+}
+
+#[actix_rt::test]
+async fn a_framed_body_is_complete_although_the_request_could_not_be_written() {
+    let with_length = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello";
+    let chunked = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
+    for text in [with_length, chunked] {
+        let answer = answer_to_an_upload(text, EarlyEnd::Reset).await;
+        assert_eq!(answer, Ok("hello".into()));
+    }
+}
--- a/crates/pinereel_fakes/src/hosting/mod.rs
+++ b/crates/pinereel_fakes/src/hosting/mod.rs
@@ -10,6 +10,7 @@
 //! - [`crashing_endpoint`]: an endpoint in a process of its own that crashes on certain requests.
 //! - [`duplicating_endpoint`]: an endpoint that sends further copies of its responses late.
 //! - [`endless_endpoint`]: an endpoint that answers with bytes without an end.
+//! - [`raw_endpoint`]: an endpoint that writes its answers as bytes.
 //! - [`proxy`]: a loopback proxy with faults.
 //! - [`template`]: renders the deployment's settings template.
 //! - [`process`]: a process of an instance, its memory and its end.
@@ -35,6 +36,7 @@
 pub mod platform;
 pub mod process;
 pub mod proxy;
+pub mod raw_endpoint;
 pub mod recorder;
 pub mod service;
 pub mod site;
