upstream: heads of responses are checked by a strict parser

Callers saw: an endpoint in trouble sent an answer with a blank or a tab between the name of a field and its colon. The caller got it as an answer: the line passed on with the blank removed, or, with `Content-Length : 1` before a body without a length, a part of the body as the whole one, and beside a chunked body the framing of the chunks.

Cause: the library's decoder of responses allows such blanks, for the sake of browsers, and has no switch for it. It removes them, as HTTP has it for a proxy; but the head is that of an endpoint in trouble, and what it frames is not its body.

Ruled out: a check of the decoded head, as the decoder has removed the blanks by then.

--- a/crates/pinereel/src/upstream/direct.rs
+++ b/crates/pinereel/src/upstream/direct.rs
@@ -76,8 +76,8 @@
             .map_err(lost)?;
     }
     framed.flush().await.map_err(lost)?;
-    let head = read_final_head(&mut framed).await;
-    let head = head.map_err(|error| match error {
+    let answer = read_final_head(framed).await;
+    let (head, framed) = answer.map_err(|error| match error {
         final_head::Error::Lost(reason) => Error::Lost(reason),
         final_head::Error::Undefined(status) => Error::undefined(status),
     })?;
--- a/crates/pinereel/src/upstream/final_head.rs
+++ b/crates/pinereel/src/upstream/final_head.rs
@@ -1,6 +1,6 @@
 //! Reads the head of a final response and skips interim ones.
 
-use super::status::is_final;
+use super::{status::is_final, strict_codec::StrictCodec};
 use actix_codec::Framed;
 use actix_http::{ResponseHead, StatusCode, h1::ClientCodec};
 use futures_util::StreamExt as _;
@@ -18,13 +18,14 @@
     Undefined(StatusCode),
 }
 
-/// Reads the head of the final response. The caller sets the timeout.
+/// Reads the head of the final response, and returns it with the connection. The caller sets the timeout.
 ///
 /// # Errors
 /// If there is none.
-pub(super) async fn read_final_head(
-    connection: &mut Framed<impl AsyncRead + AsyncWrite + Unpin, ClientCodec>,
-) -> Result<ResponseHead, Error> {
+pub(super) async fn read_final_head<T: AsyncRead + AsyncWrite + Unpin>(
+    connection: Framed<T, ClientCodec>,
+) -> Result<(ResponseHead, Framed<T, ClientCodec>), Error> {
+    let mut connection = connection.into_map_codec(StrictCodec::new);
     for _ in 0..=MAX_INTERIM_RESPONSES {
         let head = match connection.next().await {
             Some(Ok(head)) => head,
@@ -36,7 +37,7 @@
             return Err(Error::Lost("switched to another protocol".into()));
         }
         if is_final(head.status) {
-            return Ok(head);
+            return Ok((head, connection.into_map_codec(StrictCodec::into_inner)));
         }
         if !head.status.is_informational() {
             return Err(Error::Undefined(head.status));
--- a/crates/pinereel/src/upstream/mod.rs
+++ b/crates/pinereel/src/upstream/mod.rs
@@ -15,6 +15,7 @@
 pub mod pool;
 pub mod probe;
 mod status;
+mod strict_codec;
 mod until_close;
 
 use actix_http::{
--- a/crates/pinereel/src/upstream/pool.rs
+++ b/crates/pinereel/src/upstream/pool.rs
@@ -289,8 +289,8 @@
         connection.io_mut().reset();
         let sent = write_request(&mut connection, request.head, request.body).await;
         // An endpoint may respond and close before it has read the complete request.
-        let head = read_final_head(&mut connection).await;
-        let head = head.map_err(|error| match error {
+        let answer = read_final_head(connection).await;
+        let (head, connection) = answer.map_err(|error| match error {
             final_head::Error::Lost(reason) => Error::Lost(reason),
             final_head::Error::Undefined(status) => Error::Undefined(status),
         })?;
