--- a/crates/pinereel/tests/upstream_direct.rs
+++ b/crates/pinereel/tests/upstream_direct.rs
@@ -83,6 +83,20 @@
     ");
 }
 
+/// Failure: a status which HTTP does not define is taken for that of a response.
+#[actix_rt::test]
+async fn a_response_without_a_final_status_is_lost() {
+    let cases = [
+        "HTTP/1.1 000 X\r\ncontent-length: 4\r\n\r\ngood",
+        "HTTP/1.1 099 X\r\ncontent-length: 4\r\n\r\ngood",
+        "HTTP/1.1 600 X\r\ncontent-length: 4\r\n\r\ngood",
+        "HTTP/1.1 999 X\r\ncontent-length: 4\r\n\r\ngood",
+    ];
+    for case in cases {
+        assert_eq!(outcome(case).await, "lost", "{case:?}");
+    }
+}
+
 #[actix_rt::test]
 async fn a_closed_port_is_reported_as_not_opened() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
