upstream: the client of engines and objects reads responses as the pool does

What was seen: a store or an engine that cuts an answer was believed. Both ways of running read the object store with this client.

Cause: the HTTP library's client takes the end of a connection for the end of any body, reads no body that only the connection's end delimits, and allows blanks before the colon of a field. It has no switch for any of them.

Change: `upstream::Client` sends over the pool, which detects truncated bodies and checks heads, instead of over the library's client; an attempt on a fresh connection has a pool of its own, whose connection is closed with the response. Timeouts, errors and reuse are as before; `Client`'s tests are the same but for the type of the response. A GET has a content-length of 0 now, as the pool's requests to engines. `direct::Body::into_stream`, unused, moves to the pool's body.

Ruled out: checking at each reader that a body is plausible, as a status alone is an answer to a delete, a 404 and a status update.

--- a/crates/pinereel/src/controllers/lots/score.rs
+++ b/crates/pinereel/src/controllers/lots/score.rs
@@ -111,10 +111,11 @@
         // Responses do not name their requests.
         reuse: Reuse::Fresh,
     };
-    let mut response = shared.http.send(attempt).await.ok()?;
-    if !response.status().is_success() {
+    let response = shared.http.send(attempt).await.ok()?;
+    if !response.status.is_success() {
         return None;
     }
-    let body = timeout(SCORE_TIMEOUT, response.body().limit(MAX_RESPONSE_BYTES)).await;
+    let body = response.body.read_within(MAX_RESPONSE_BYTES);
+    let body = timeout(SCORE_TIMEOUT, body).await;
     serde_json::from_slice(&body.ok()?.ok()?).ok()
 }
--- a/crates/pinereel/src/engines.rs
+++ b/crates/pinereel/src/engines.rs
@@ -1,11 +1,10 @@
 //! HTTP client of model engines: streamed completions, cancels, load orders and state.
 
-use crate::upstream::{Attempt, Client, Error as SendError, Reuse};
+use crate::upstream::{Attempt, Client, Error as SendError, Reuse, pool::Response};
 use actix_http::{
     Method, StatusCode,
     header::{CONTENT_TYPE, HeaderValue},
 };
-use awc::ClientResponse;
 use bytes::Bytes;
 use compact_str::CompactString;
 use futures_util::{Stream, StreamExt as _, TryStreamExt as _};
@@ -19,7 +18,7 @@
     provenance::Stamp,
 };
 use serde::{Serialize, de::DeserializeOwned};
-use std::{io, time::Duration};
+use std::time::Duration;
 use tokio_util::{
     codec::{FramedRead, LinesCodec},
     io::StreamReader,
@@ -133,7 +132,7 @@
     timeout: Duration,
 ) -> Result<State, Error> {
     let response = post(client, address, "/v1/orders", order, timeout).await?;
-    if response.status() == StatusCode::CONFLICT {
+    if response.status == StatusCode::CONFLICT {
         return Err(Error::Fenced);
     }
     read_json(check_status(response)?, timeout).await
@@ -156,7 +155,7 @@
     path: &str,
     message: &impl Serialize,
     timeout: Duration,
-) -> Result<ClientResponse, Error> {
+) -> Result<Response, Error> {
     let bytes = serde_json::to_vec(message).map_err(|e| Error::Refused(e.to_string()))?;
     let attempt = json_attempt(Method::POST, address, path, bytes.into(), timeout);
     Ok(client.send(attempt).await?)
@@ -182,23 +181,20 @@
 }
 
 /// Converts error responses to errors.
-fn check_status(response: ClientResponse) -> Result<ClientResponse, Error> {
-    if response.status().is_success() {
+fn check_status(response: Response) -> Result<Response, Error> {
+    if response.status.is_success() {
         return Ok(response);
     }
-    let refused = response.headers().get(header::REFUSED);
+    let refused = response.headers.get(header::REFUSED);
     if let Some(reason) = refused {
         let reason = String::from_utf8_lossy(reason.as_bytes());
         return Err(Error::Refused(reason.into_owned()));
     }
-    Err(Error::Lost(response.status().to_string()))
+    Err(Error::Lost(response.status.to_string()))
 }
 
-async fn read_json<T: DeserializeOwned>(
-    mut response: ClientResponse,
-    timeout: Duration,
-) -> Result<T, Error> {
-    let bytes = tokio::time::timeout(timeout, response.body().limit(MAX_RESPONSE_BYTES))
+async fn read_json<T: DeserializeOwned>(response: Response, timeout: Duration) -> Result<T, Error> {
+    let bytes = tokio::time::timeout(timeout, response.body.read_within(MAX_RESPONSE_BYTES))
         .await
         .map_err(|_| Error::Lost("timeout".into()))?
         .map_err(|e| Error::Lost(e.to_string()))?;
@@ -206,8 +202,8 @@
 }
 
 /// Parses the chunks of an event stream up to `[DONE]`. A stream that ends without it is truncated.
-fn parse_chunks(response: ClientResponse) -> impl Stream<Item = Result<Chunk, Error>> {
-    let reader = StreamReader::new(response.map_err(io::Error::other));
+fn parse_chunks(response: Response) -> impl Stream<Item = Result<Chunk, Error>> {
+    let reader = StreamReader::new(response.body.into_stream().boxed_local());
     let lines = FramedRead::new(reader, LinesCodec::new_with_max_length(MAX_LINE_BYTES));
     let end = futures_util::stream::once(async { Err(Error::Lost("stream cut".into())) });
     lines
--- a/crates/pinereel/src/objects/client.rs
+++ b/crates/pinereel/src/objects/client.rs
@@ -9,16 +9,14 @@
 use crate::{
     memory::{Kind, Memory, Reservation},
     state::Clock,
-    upstream::{Attempt, Client as Http, Error as HttpError, Reuse},
+    upstream::{Attempt, Client as Http, Error as HttpError, Reuse, pool::Response},
 };
 use actix_http::{
     Method, StatusCode,
     header::{CONTENT_TYPE, HeaderName, HeaderValue, IF_MATCH, IF_NONE_MATCH, USER_AGENT},
 };
-use awc::{ClientResponse, error::PayloadError};
 use bytes::Bytes;
 use compact_str::CompactString;
-use futures_util::{Stream, StreamExt as _};
 use pinereel_api::object::{Changes, List, MAX_VALUE_BYTES, Object, Write, Written};
 use pinereel_core::hash;
 use pinereel_port::{store::Request, uri};
@@ -394,22 +392,20 @@
             .unwrap_or_else(|_| Err(Error::Unknown("timeout".into())))
     }
 
-    async fn read_body(
-        &self,
-        mut response: ClientResponse<impl Stream<Item = Result<Bytes, PayloadError>> + Unpin>,
-    ) -> Result<(StatusCode, Bytes), Error> {
-        let status = response.status();
+    async fn read_body(&self, mut response: Response) -> Result<(StatusCode, Bytes), Error> {
         let too_long = |_| Error::Unknown("the response is too long".into());
         let reservation = self.memory.open_body(Kind::Control, MAX_RESPONSE_BYTES);
         let append_parts = async |body: &mut Reservation| {
-            while let Some(part) = response.next().await {
-                let part = part.map_err(|e| Error::Unknown(e.to_string()))?;
+            loop {
+                let part = response.body.next_part().await;
+                let Some(part) = part.map_err(|e| Error::Unknown(e.to_string()))? else {
+                    return Ok(());
+                };
                 body.append(&part, 0).map_err(too_long)?;
             }
-            Ok(())
         };
         let body = reservation.receive(too_long, append_parts).await?;
-        Ok((status, body))
+        Ok((response.status, body))
     }
 
     /// Records a call's result in the breaker.
--- a/crates/pinereel/src/upstream/direct.rs
+++ b/crates/pinereel/src/upstream/direct.rs
@@ -1,8 +1,7 @@
 //! HTTP client that opens a new connection for each request and detects truncated responses.
 //!
-//! The pooled client accepts a truncated body as complete, both with a content length and chunked.
-//! Here the body must end as its framing announces. A connection that closes earlier, and a body
-//! that is only delimited by the connection's end, are errors.
+//! The body must end as its framing announces. A connection that closes earlier, and a body that is only
+//! delimited by the connection's end, are errors.
 
 use super::{
     Attempt, Error, connect,
@@ -10,13 +9,13 @@
 };
 use actix_codec::Framed;
 use actix_http::{
-    Method, RequestHead, RequestHeadType, StatusCode, Uri,
+    Method, RequestHeadType, StatusCode, Uri,
     body::BodySize,
     h1::{ClientCodec, ClientPayloadCodec, Message, MessageType},
-    header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderValue},
+    header::{CONTENT_LENGTH, HeaderMap},
 };
 use bytes::Bytes;
-use futures_util::{SinkExt as _, Stream, StreamExt as _, stream};
+use futures_util::{SinkExt as _, StreamExt as _};
 use std::io;
 use tokio::{net::TcpStream, time::timeout};
 
@@ -43,9 +42,7 @@
 /// # Errors
 /// [`Error::NotOpened`] only if no byte of the attempt was sent.
 pub async fn send(attempt: Attempt) -> Result<Response, Error> {
-    let uri: Uri = format!("http://{}{}", attempt.address, attempt.path)
-        .parse()
-        .map_err(|e| Error::Invalid(format!("{e}")))?;
+    let uri = attempt.uri()?;
     let wait = attempt.timeout;
     let response = async {
         let stream = connect(&uri)
@@ -60,10 +57,9 @@
 
 async fn send_on(stream: TcpStream, uri: Uri, attempt: Attempt) -> Result<Response, Error> {
     let mut framed = Framed::new(stream, ClientCodec::default());
-    let body = attempt.body.clone();
-    let method = attempt.method.clone();
+    let head = RequestHeadType::Owned(attempt.head(uri));
+    let Attempt { body, method, .. } = attempt;
     let size = BodySize::Sized(body.len() as u64);
-    let head = RequestHeadType::Owned(build_head(uri, attempt));
     let lost = |e: io::Error| Error::Lost(e.to_string());
     framed
         .feed(Message::Item((head, size)))
@@ -105,19 +101,6 @@
         && !statuses_without_body.contains(&status)
 }
 
-fn build_head(uri: Uri, attempt: Attempt) -> RequestHead {
-    let mut head = RequestHead::default();
-    head.method = attempt.method;
-    head.uri = uri;
-    for (name, value) in attempt.headers {
-        head.headers.append(name, value);
-    }
-    if let Ok(host) = HeaderValue::from_str(&attempt.address) {
-        head.headers.insert(HOST, host);
-    }
-    head
-}
-
 impl Body {
     /// Reads the next part; `None` at the end that the framing announced.
     ///
@@ -144,16 +127,4 @@
             }
         }
     }
-
-    /// Converts the body to a stream of parts, which ends after an error.
-    pub fn into_stream(self) -> impl Stream<Item = io::Result<Bytes>> {
-        stream::unfold(Some(self), |body| async move {
-            let mut body = body?;
-            match body.next_part().await {
-                Ok(Some(part)) => Some((Ok(part), Some(body))),
-                Ok(None) => None,
-                Err(e) => Some((Err(e), None)),
-            }
-        })
-    }
 }
--- a/crates/pinereel/src/upstream/mod.rs
+++ b/crates/pinereel/src/upstream/mod.rs
@@ -1,12 +1,10 @@
 //! HTTP clients for endpoints that tell whether a failed request may have run.
 //!
-//! The HTTP library reports a request that was lost on a reused connection with the same error as a
-//! connection that could not be opened. Therefore a connector defined here opens all connections,
-//! and only its error, which is marked, proves that no byte of an attempt was sent.
+//! Only a connection that could not be opened proves that no byte of an attempt was sent. All clients detect
+//! truncated bodies and reject heads that HTTP does not allow.
 //!
-//! [`Client`] pools connections and is for protocols that mark the end of a response themselves
-//! (JSON documents, event streams with a last event). [`direct`] is for all others. [`pool`] is a
-//! connection pool that also detects truncated bodies.
+//! [`pool`] is a connection pool, [`Client`] sends attempts over it, and [`direct`] opens a connection for each
+//! attempt and also rejects bodies that only the connection's end delimits.
 
 pub mod direct;
 pub mod ejected;
@@ -19,26 +17,17 @@
 mod until_close;
 
 use actix_http::{
-    Method, StatusCode, Uri,
-    header::{HeaderName, HeaderValue},
-};
-use actix_service::fn_service;
-use actix_tls::connect::{ConnectError as TcpError, ConnectInfo, Connection};
-use awc::{
-    ClientRequest, ClientResponse, Connector,
-    error::{ConnectError, SendRequestError},
+    Method, RequestHead, StatusCode, Uri,
+    header::{HOST, HeaderName, HeaderValue},
 };
 use bytes::Bytes;
-use status::is_final;
-use std::{io, net::SocketAddr, time::Duration};
+use pool::{Pool, PooledRequest, Response};
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{net::TcpStream, time::timeout};
 
 /// Maximum time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// The library's own timeout around the connector; long enough never to expire first.
-const LIBRARY_CONNECT_TIMEOUT: Duration = Duration::from_secs(30);
-
 /// TCP keep-alive: idle time before the first probe, and interval between probes. The operating
 /// system counts it in whole seconds.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -46,10 +35,6 @@
 /// Number of unanswered TCP keep-alive probes after which the operating system closes a connection.
 const KEEPALIVE_PROBES: u32 = 3;
 
-/// Idle time after which a pooled connection is not reused; shorter than the idle timeout of usual
-/// servers.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
-
 /// Why an attempt has no response.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -64,6 +49,16 @@
     Invalid(String),
 }
 
+impl From<pool::Error> for Error {
+    fn from(error: pool::Error) -> Self {
+        match error {
+            pool::Error::NotOpened(error) => Self::NotOpened(error.to_string()),
+            pool::Error::Undefined(status) => Self::undefined(status),
+            error => Self::Lost(error.to_string()),
+        }
+    }
+}
+
 impl Error {
     /// The error of a response whose status is not that of a final response of HTTP.
     fn undefined(status: StatusCode) -> Self {
@@ -99,108 +94,77 @@
     pub reuse: Reuse,
 }
 
-/// Marks an error of the connector in this module.
-#[derive(Debug, thiserror::Error)]
-#[error("{0}")]
-struct ConnectFailed(io::Error);
+impl Attempt {
+    fn uri(&self) -> Result<Uri, Error> {
+        let uri = format!("http://{}{}", self.address, self.path);
+        uri.parse()
+            .map_err(|error| Error::Invalid(format!("{error}")))
+    }
 
-/// HTTP client with pooled and with single-use connections.
-#[derive(Clone)]
-pub struct Client {
-    pooled: awc::Client,
-    fresh: awc::Client,
+    /// Head of the request to `uri`.
+    fn head(&self, uri: Uri) -> RequestHead {
+        let mut head = RequestHead::default();
+        head.method = self.method.clone();
+        head.uri = uri;
+        for (name, value) in &self.headers {
+            head.headers.append(name.clone(), value.clone());
+        }
+        if let Ok(host) = HeaderValue::from_str(&self.address) {
+            head.headers.insert(HOST, host);
+        }
+        head
+    }
 }
 
-impl Default for Client {
-    fn default() -> Self {
-        Self::new()
-    }
+/// HTTP client with pooled and with single-use connections.
+#[derive(Clone, Default)]
+pub struct Client {
+    pool: Rc<Pool>,
 }
 
 impl Client {
     /// Creates a client for the current thread.
     pub fn new() -> Self {
-        Self {
-            pooled: build_client(IDLE_TIMEOUT, Duration::from_secs(600)),
-            fresh: build_client(Duration::ZERO, Duration::ZERO),
-        }
+        Self::default()
     }
 
     /// Sends one attempt and waits for the response's head.
-    pub async fn send(&self, attempt: Attempt) -> Result<ClientResponse, Error> {
-        let client = match attempt.reuse {
-            Reuse::Allowed => &self.pooled,
-            Reuse::Fresh => &self.fresh,
+    ///
+    /// # Errors
+    /// [`Error::NotOpened`] only if no byte of the attempt was sent.
+    pub async fn send(&self, attempt: Attempt) -> Result<Response, Error> {
+        let uri = attempt.uri()?;
+        let address = socket_address(&uri).map_err(|e| Error::NotOpened(e.to_string()))?;
+        let pool = match attempt.reuse {
+            Reuse::Allowed => Rc::clone(&self.pool),
+            // The connection is closed with the response, which holds its pool.
+            Reuse::Fresh => Rc::default(),
         };
-        let url = format!("http://{}{}", attempt.address, attempt.path);
-        let mut request: ClientRequest =
-            client.request(attempt.method, url).timeout(attempt.timeout);
-        for header in attempt.headers {
-            request = request.append_header(header);
-        }
-        let sent = if attempt.body.is_empty() {
-            request.send().await
-        } else {
-            request.send_body(attempt.body).await
+        let request = PooledRequest {
+            address,
+            id: None,
+            reads_state: false,
+            head: attempt.head(uri),
+            body: attempt.body,
+            reuse: true,
         };
-        let response = sent.map_err(classify)?;
-        match is_final(response.status()) {
-            true => Ok(response),
-            false => Err(Error::undefined(response.status())),
-        }
-    }
-}
-
-/// Converts the library's error; only a marked connector error proves that nothing was sent.
-fn classify(error: SendRequestError) -> Error {
-    match &error {
-        SendRequestError::Connect(ConnectError::Io(io)) if is_connect_failure(io) => {
-            Error::NotOpened(io.to_string())
+        match timeout(attempt.timeout, pool.send(request)).await {
+            Ok(sent) => Ok(sent?),
+            Err(_) => Err(Error::Lost("timeout".into())),
         }
-        SendRequestError::Url(_) | SendRequestError::Http(_) => Error::Invalid(error.to_string()),
-        _ => Error::Lost(error.to_string()),
     }
 }
 
-fn is_connect_failure(error: &io::Error) -> bool {
-    error
-        .get_ref()
-        .is_some_and(|inner| inner.is::<ConnectFailed>())
-}
-
-fn build_client(keep_alive: Duration, lifetime: Duration) -> awc::Client {
-    let connector = Connector::new()
-        .connector(fn_service(open_connection))
-        .timeout(LIBRARY_CONNECT_TIMEOUT)
-        .conn_keep_alive(keep_alive)
-        .conn_lifetime(lifetime)
-        .limit(0);
-    awc::Client::builder()
-        .connector(connector)
-        .disable_redirects()
-        .disable_timeout()
-        .no_default_headers()
-        .finish()
-}
-
-/// Opens a connection to the IP address and port in the URI.
-async fn open_connection(info: ConnectInfo<Uri>) -> Result<Connection<Uri, TcpStream>, TcpError> {
-    let uri = info.request().clone();
-    match connect(&uri).await {
-        Ok(stream) => Ok(Connection::new(uri, stream)),
-        Err(e) => Err(TcpError::Io(io::Error::other(ConnectFailed(e)))),
-    }
+async fn connect(uri: &Uri) -> io::Result<TcpStream> {
+    connect_to(socket_address(uri)?).await
 }
 
-async fn connect(uri: &Uri) -> io::Result<TcpStream> {
-    let authority = uri
-        .authority()
-        .ok_or_else(|| io::Error::other("no address"))?;
-    let address: SocketAddr = authority
-        .as_str()
-        .parse()
-        .map_err(|_| io::Error::other(format!("{authority} is not IP:PORT")))?;
-    connect_to(address).await
+/// IP address and port in a URI.
+fn socket_address(uri: &Uri) -> io::Result<SocketAddr> {
+    let authority = uri.authority();
+    let authority = authority.ok_or_else(|| io::Error::other("no address"))?;
+    let address = authority.as_str().parse();
+    address.map_err(|_| io::Error::other(format!("{authority} is not IP:PORT")))
 }
 
 async fn connect_to(address: SocketAddr) -> io::Result<TcpStream> {
--- a/crates/pinereel/src/upstream/pool.rs
+++ b/crates/pinereel/src/upstream/pool.rs
@@ -25,7 +25,7 @@
 };
 use bytes::Bytes;
 use compact_str::CompactString;
-use futures_util::{SinkExt as _, StreamExt as _};
+use futures_util::{SinkExt as _, Stream, StreamExt as _, stream};
 use pinereel_core::exchange::{self, History, Match};
 use std::{
     cell::{Cell, RefCell},
@@ -477,6 +477,18 @@
         }
     }
 
+    /// Converts the body to a stream of parts, which ends after an error.
+    pub fn into_stream(self) -> impl Stream<Item = io::Result<Bytes>> {
+        stream::unfold(Some(self), |body| async move {
+            let mut body = body?;
+            match body.next_part().await {
+                Ok(Some(part)) => Some((Ok(part), Some(body))),
+                Ok(None) => None,
+                Err(e) => Some((Err(e), None)),
+            }
+        })
+    }
+
     /// Reads the rest of the body. It counts against the memory of all bodies until the returned bytes are
     /// dropped.
     ///
--- a/crates/pinereel/tests/upstream_client.rs
+++ b/crates/pinereel/tests/upstream_client.rs
@@ -78,8 +78,11 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap().to_string();
     drop(listener);
-    let result = Client::new().send(attempt(&address, Reuse::Allowed)).await;
-    assert!(matches!(result, Err(Error::NotOpened(_))), "{result:?}");
+    let result = Client::new()
+        .send(attempt(&address, Reuse::Allowed))
+        .await
+        .err();
+    assert!(matches!(result, Some(Error::NotOpened(_))), "{result:?}");
 }
 
 /// Failure: a request that is never sent is reported as one whose response was lost.
@@ -90,16 +93,19 @@
         path: "/orders/a b".into(),
         ..attempt(&address, Reuse::Fresh)
     };
-    let result = Client::new().send(invalid).await;
-    assert!(matches!(result, Err(Error::Invalid(_))), "{result:?}");
+    let result = Client::new().send(invalid).await.err();
+    assert!(matches!(result, Some(Error::Invalid(_))), "{result:?}");
     assert_eq!(counts.requests.get(), 0);
 }
 
 #[actix_rt::test]
 async fn a_request_lost_on_a_new_connection_is_reported_as_lost() {
     let (address, counts) = server(0, RESPONSE).await;
-    let result = Client::new().send(attempt(&address, Reuse::Fresh)).await;
-    assert!(matches!(result, Err(Error::Lost(_))), "{result:?}");
+    let result = Client::new()
+        .send(attempt(&address, Reuse::Fresh))
+        .await
+        .err();
+    assert!(matches!(result, Some(Error::Lost(_))), "{result:?}");
     assert_eq!(counts.requests.get(), 1);
 }
 
@@ -107,14 +113,13 @@
 async fn a_request_lost_on_a_reused_connection_is_reported_as_lost_and_sent_once() {
     let (address, counts) = server(1, RESPONSE).await;
     let client = Client::new();
-    let mut first = client
+    let first = client
         .send(attempt(&address, Reuse::Allowed))
         .await
         .unwrap();
-    first.body().await.unwrap();
-    drop(first);
-    let second = client.send(attempt(&address, Reuse::Allowed)).await;
-    assert!(matches!(second, Err(Error::Lost(_))), "{second:?}");
+    first.body.read_all().await.unwrap();
+    let second = client.send(attempt(&address, Reuse::Allowed)).await.err();
+    assert!(matches!(second, Some(Error::Lost(_))), "{second:?}");
     assert_eq!((counts.connections.get(), counts.requests.get()), (1, 2));
 }
 
@@ -123,8 +128,8 @@
     let (address, counts) = server(9, RESPONSE).await;
     let client = Client::new();
     for _ in 0..3 {
-        let mut response = client.send(attempt(&address, Reuse::Fresh)).await.unwrap();
-        response.body().await.unwrap();
+        let response = client.send(attempt(&address, Reuse::Fresh)).await.unwrap();
+        response.body.read_all().await.unwrap();
     }
     assert_eq!((counts.connections.get(), counts.requests.get()), (3, 3));
 }
@@ -136,7 +141,7 @@
         .send(attempt(&address, Reuse::Fresh))
         .await
         .unwrap();
-    assert_eq!(response.status().as_u16(), 307);
+    assert_eq!(response.status.as_u16(), 307);
     assert_eq!(counts.requests.get(), 1);
 }
 
@@ -147,9 +152,12 @@
     for status in ["000", "099", "103", "600", "999"] {
         let text = format!("HTTP/1.1 {status} X\r\ncontent-length: 2\r\n\r\nok");
         let (address, _) = server(9, Box::leak(text.into_bytes().into_boxed_slice())).await;
-        let result = Client::new().send(attempt(&address, Reuse::Fresh)).await;
+        let result = Client::new()
+            .send(attempt(&address, Reuse::Fresh))
+            .await
+            .err();
         assert!(
-            matches!(result, Err(Error::Lost(_))),
+            matches!(result, Some(Error::Lost(_))),
             "{status}: {result:?}"
         );
     }
--- a/crates/pinereel_fakes/tests/upstream_heads.rs
+++ b/crates/pinereel_fakes/tests/upstream_heads.rs
@@ -5,7 +5,7 @@
 use actix_http::{Method, RequestHead};
 use head_support::{assert_none_accepted, invalid_heads, is_token_byte};
 use pinereel::upstream::{
-    Attempt, Reuse, direct,
+    Attempt, Client, Reuse, direct,
     pool::{Pool, PooledRequest},
 };
 use std::{net::SocketAddr, rc::Rc, time::Duration};
@@ -61,6 +61,13 @@
     }
 }
 
+async fn ask_with_client(address: SocketAddr) -> Result<Vec<u8>, String> {
+    let response = Client::new().send(attempt(address)).await;
+    let body = response.map_err(|error| error.to_string())?.body;
+    let body = body.read_all().await.map_err(|error| error.to_string())?;
+    Ok(body.to_vec())
+}
+
 fn attempt(address: SocketAddr) -> Attempt {
     Attempt {
         method: Method::GET,
@@ -100,6 +107,12 @@
     check_invalid_names(ask_directly).await;
 }
 
+/// The same failure.
+#[actix_rt::test]
+async fn the_client_of_engines_and_objects_accepts_no_response_with_an_invalid_byte_in_a_name() {
+    check_invalid_names(ask_with_client).await;
+}
+
 #[actix_rt::test]
 async fn responses_with_valid_heads_are_accepted() {
     let token_bytes = (0..=u8::MAX).filter(|byte| is_token_byte(*byte));
@@ -125,6 +138,11 @@
                 let ok = Ok(b"ok".to_vec());
                 assert_eq!(ask_with_pool(server(&response).await).await, ok, "{head:?}");
                 assert_eq!(ask_directly(server(&response).await).await, ok, "{head:?}");
+                assert_eq!(
+                    ask_with_client(server(&response).await).await,
+                    ok,
+                    "{head:?}"
+                );
             }
         }
     }
