cli: a cut or malformed answer has an unknown outcome

What operators saw: `pinereel drain` printed that the entry drains, and exited with 0, although only the head of the answer had arrived.

Change: the commands send over the pool, with their own time limits, of which that to connect becomes a setting of the pool.

--- a/crates/pinereel/src/cli/client.rs
+++ b/crates/pinereel/src/cli/client.rs
@@ -1,15 +1,23 @@
 //! HTTP client for the operators' listener of one entry, which retries idempotent requests.
 
 use super::{Error, Target};
-use crate::settings::Secret;
-use awc::error::{ConnectError, SendRequestError};
+use crate::{
+    settings::Secret,
+    upstream::pool::{self, Pool, PooledRequest},
+};
+use actix_http::{
+    Method, RequestHead, StatusCode,
+    header::{CONTENT_TYPE, HOST, HeaderName, HeaderValue},
+};
+use bytes::Bytes;
 use compact_str::{CompactString, ToCompactString as _};
 use pinereel_api::{
     header,
     problem::{Code, Problem},
 };
 use serde::{Serialize, de::DeserializeOwned};
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+use tokio::time::timeout;
 
 /// Timeout of one response: a patch is answered once all entries have confirmed it.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -43,10 +51,16 @@
         path: target.token_file.clone(),
         expected,
     })?;
+    let authorization = HeaderValue::try_from(format!("Bearer {}", token.reveal()));
+    let mut authorization = authorization.map_err(|_| Error::File {
+        path: target.token_file.clone(),
+        expected: "a file with a token without control characters".into(),
+    })?;
+    authorization.set_sensitive(true);
     let body = request.body.map(serde_json::to_vec).transpose();
     let client = Client {
         address: target.operators,
-        token,
+        authorization,
         path: request.path,
         body: body.expect("messages have text keys only"),
         mutating: request.mutating,
@@ -62,7 +76,7 @@
 
 struct Client<'a> {
     address: SocketAddr,
-    token: Secret,
+    authorization: HeaderValue,
     path: &'a str,
     body: Option<Vec<u8>>,
     mutating: bool,
@@ -70,7 +84,7 @@
 
 impl Client<'_> {
     /// Sends the request and retries it after the delays of `RETRY_DELAYS` while it is retryable.
-    async fn send(&self) -> Result<Vec<u8>, Error> {
+    async fn send(&self) -> Result<Bytes, Error> {
         let mut result = self.attempt().await;
         let mut no_response = None;
         for delay in RETRY_DELAYS {
@@ -100,29 +114,12 @@
         self.mutating && retryable
     }
 
-    async fn attempt(&self) -> Result<Vec<u8>, Error> {
-        let client = awc::Client::builder()
-            .disable_redirects()
-            .timeout(RESPONSE_TIMEOUT)
-            .connector(awc::Connector::new().timeout(CONNECT_TIMEOUT))
-            .finish();
-        let url = format!("http://{}{}", self.address, self.path);
-        let request = if self.body.is_some() || self.mutating {
-            client.post(url)
-        } else {
-            client.get(url)
-        };
-        let authorization = format!("Bearer {}", self.token.reveal());
-        let request = request
-            .insert_header((header::AUTHORIZATION, authorization))
-            .insert_header(("content-type", "application/json"));
-        let sent = request.send_body(self.body.clone().unwrap_or_default());
-        let mut response = sent.await.map_err(|error| self.send_error(&error))?;
-        let status = response.status();
-        let body = response.body().limit(MAX_RESPONSE_BYTES).await;
-        let body = body.map_err(|error| self.no_response(&error))?;
+    async fn attempt(&self) -> Result<Bytes, Error> {
+        let exchange = timeout(RESPONSE_TIMEOUT, self.exchange());
+        let answer = exchange.await.map_err(|error| self.no_response(&error))?;
+        let (status, body) = answer?;
         if status.is_success() {
-            return Ok(body.to_vec());
+            return Ok(body);
         }
         match serde_json::from_slice::<Problem>(&body) {
             Ok(problem) => Err(Error::Problem {
@@ -133,11 +130,44 @@
         }
     }
 
-    fn send_error(&self, error: &SendRequestError) -> Error {
+    /// Sends the request over a new connection and reads the whole response.
+    async fn exchange(&self) -> Result<(StatusCode, Bytes), Error> {
+        let request = PooledRequest {
+            address: self.address,
+            id: None,
+            reads_state: false,
+            head: self.head(),
+            body: self.body.clone().unwrap_or_default().into(),
+            reuse: false,
+        };
+        let pool = Rc::new(Pool::default().with_connect_timeout(CONNECT_TIMEOUT));
+        let response = pool.send(request).await;
+        let response = response.map_err(|error| self.send_error(&error))?;
+        let body = response.body.read_within(MAX_RESPONSE_BYTES).await;
+        let body = body.map_err(|error| self.no_response(&error))?;
+        Ok((response.status, body))
+    }
+
+    fn head(&self) -> RequestHead {
+        let mut head = RequestHead::default();
+        head.method = match self.body.is_some() || self.mutating {
+            true => Method::POST,
+            false => Method::GET,
+        };
+        head.uri = self.path.parse().expect("paths of commands are valid");
+        let headers = &mut head.headers;
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if let Ok(host) = HeaderValue::from_str(&self.address.to_string()) {
+            headers.insert(HOST, host);
+        }
+        let name = HeaderName::from_static(header::AUTHORIZATION);
+        headers.insert(name, self.authorization.clone());
+        head
+    }
+
+    fn send_error(&self, error: &pool::Error) -> Error {
         match error {
-            // awc also reports this error if the connection was closed after the request was sent.
-            SendRequestError::Connect(ConnectError::Disconnected) => self.no_response(error),
-            SendRequestError::Url(_) | SendRequestError::Connect(_) => Error::Unreachable {
+            pool::Error::NotOpened(_) => Error::Unreachable {
                 address: self.address,
                 reason: error.to_compact_string(),
             },
--- a/crates/pinereel/src/upstream/mod.rs
+++ b/crates/pinereel/src/upstream/mod.rs
@@ -168,7 +168,11 @@
 }
 
 async fn connect_to(address: SocketAddr) -> io::Result<TcpStream> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+    connect_within(address, CONNECT_TIMEOUT).await
+}
+
+async fn connect_within(address: SocketAddr, max_wait: Duration) -> io::Result<TcpStream> {
+    let stream = timeout(max_wait, TcpStream::connect(address))
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     stream.set_nodelay(true)?;
--- a/crates/pinereel/src/upstream/pool.rs
+++ b/crates/pinereel/src/upstream/pool.rs
@@ -9,7 +9,7 @@
 //! earlier response is never taken for the response to a further send of the same request.
 
 use super::{
-    connect_to,
+    CONNECT_TIMEOUT, connect_within,
     final_head::{self, read_final_head},
     metered::Metered,
     probe::{Probe, probe},
@@ -142,6 +142,8 @@
     read_id: Option<ReadId>,
     idle: RefCell<BTreeMap<SocketAddr, Vec<IdleConnection>>>,
     opened: Cell<u64>,
+    /// Maximum time to open a connection for a request.
+    connect_timeout: Duration,
     /// Memory of the bodies that are read as a whole.
     memory: Memory,
 }
@@ -171,6 +173,7 @@
             read_id: None,
             idle: RefCell::default(),
             opened: Cell::default(),
+            connect_timeout: CONNECT_TIMEOUT,
             memory: Memory::default(),
         }
     }
@@ -192,6 +195,15 @@
         Self { memory, ..self }
     }
 
+    /// Opens connections for requests within `connect_timeout`.
+    #[must_use]
+    pub fn with_connect_timeout(self, connect_timeout: Duration) -> Self {
+        Self {
+            connect_timeout,
+            ..self
+        }
+    }
+
     /// Number of connections opened since the start.
     pub fn opened_count(&self) -> u64 {
         self.opened.get()
@@ -263,7 +275,8 @@
     }
 
     async fn open_connection(&self, address: SocketAddr) -> Result<Connection, Error> {
-        let stream = connect_to(address).await.map_err(Error::NotOpened)?;
+        let stream = connect_within(address, self.connect_timeout).await;
+        let stream = stream.map_err(Error::NotOpened)?;
         self.opened.set(self.opened.get() + 1);
         Ok(Connection::new(stream))
     }
--- a/crates/pinereel/tests/cli_calls.rs
+++ b/crates/pinereel/tests/cli_calls.rs
@@ -14,6 +14,8 @@
 /// How the fake entry responds to one request.
 enum ScriptedResponse {
     Send(u16, &'static str),
+    /// Sends these bytes and closes the connection.
+    SendRaw(&'static str),
     /// Reads the request and closes the connection without a response.
     Disconnect,
 }
@@ -66,12 +68,16 @@
         for response in script {
             let (mut stream, _) = listener.accept().expect("a call");
             received.push(read_request(&stream));
-            if let ScriptedResponse::Send(status, body) = response {
-                let length = body.len();
-                let head = format!("HTTP/1.1 {status} X\r\ncontent-length: {length}\r\n");
-                let answer = format!("{head}connection: close\r\n\r\n{body}");
-                stream.write_all(answer.as_bytes()).expect("sent");
-            }
+            let answer = match response {
+                ScriptedResponse::Send(status, body) => {
+                    let length = body.len();
+                    let head = format!("HTTP/1.1 {status} X\r\ncontent-length: {length}\r\n");
+                    format!("{head}connection: close\r\n\r\n{body}")
+                }
+                ScriptedResponse::SendRaw(answer) => answer.to_owned(),
+                ScriptedResponse::Disconnect => continue,
+            };
+            stream.write_all(answer.as_bytes()).expect("sent");
         }
         received
     };
@@ -175,6 +181,26 @@
     assert!(run_against("status", vec![ScriptedResponse::Disconnect]).contains("Failed"));
 }
 
+/// Failure: a response of which only the head arrived is reported as success, as that of a drain has no body.
+#[test]
+fn a_call_whose_answer_is_cut_or_malformed_has_an_unknown_outcome() {
+    let answers = [
+        "HTTP/1.1 202 X\r\ntransfer-encoding: chunked\r\n\r\n",
+        "HTTP/1.1 202 X\r\ncontent-length: 4\r\n\r\n",
+        "HTTP/1.1 202 X\r\ncontent-length: 4\r\n\r\nnul",
+        "HTTP/1.1 202 X\r\ncontent-length : 0\r\n\r\n",
+        "HTTP/1.1 202 X\r\nx-foo\t: 1\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 000 X\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 600 X\r\ncontent-length: 0\r\n\r\n",
+    ];
+    for answer in answers {
+        let script = (0..4).map(|_| ScriptedResponse::SendRaw(answer));
+        let (address, _) = start_fake_entry(script.collect());
+        let (exit, text) = run("drain", address);
+        assert_eq!(exit, ExitCode::Unknown, "{answer:?}: {text}");
+    }
+}
+
 #[test]
 fn refusals_have_their_exit_codes() {
     let patch = file("refused.json", "{}");
@@ -278,4 +304,7 @@
     let short = file("short-token", "short");
     let (exit, text) = run(&format!("status --token-file {short}"), address);
     assert_eq!(exit, ExitCode::Usage, "{text}");
+    let control = file("control-token", "operators-token\u{1}1");
+    let (exit, text) = run(&format!("drain --token-file {control}"), address);
+    assert_eq!(exit, ExitCode::Usage, "{text}");
 }
